--- a/crates/standin/src/stack.rs
+++ b/crates/standin/src/stack.rs
@@ -289,7 +289,11 @@
     fn write_settings(&self, name: &str) -> String {
         let settings = json!({
             "node": name, "region": "dakar", "domain": "plateau", "listen": "127.0.0.1:0",
-            "platform": { "table": self.table.address, "hostlist": self.hostlist.address },
+            "platform": {
+                "table": self.table.address,
+                "objects": self.objects.address,
+                "hostlist": self.hostlist.address,
+            },
         });
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("writable");
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -6,6 +6,8 @@
 //! * `POST /streams` with a [`StreamOrder`]: lines of JSON, each a [`StreamEvent`]; 409 when the
 //!   replica or its incarnation is another, 503 with `Retry-After` when its queue is full. Either
 //!   proves that the request was not run.
+//! * `POST /streams/{attempt}/resume` with a [`ResumeOrder`]: goes on with a stream whose
+//!   connection was lost, as long as the engine keeps it; 404 when it does not.
 //! * `DELETE /streams/{attempt}`: cancels.
 //! * `GET /cache/events?after=N`: a [`CachePage`], late and with gaps.
 //! * `GET /kv/{attempt}` and `PUT /kv/{attempt}`: a KV cache as opaque bytes.
@@ -122,6 +124,13 @@
     pub resume: Vec<String>,
 }
 
+/// An order to go on with a stream whose connection was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResumeOrder {
+    /// Index of the first token that is wanted.
+    pub from: u32,
+}
+
 /// One event of a stream.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
--- a/src/main.rs
+++ b/src/main.rs
@@ -23,7 +23,7 @@
 async fn run() -> eyre::Result<()> {
     let plan = CommandLine::parse()?;
     match plan {
-        CommandPlan::Serve { settings } => node::serve(&settings).await,
+        CommandPlan::Serve { settings } => node::serve(settings).await,
         CommandPlan::Apply { settings, files } => apply::apply_files(&settings, &files).await,
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -37,6 +37,8 @@
 pub struct PlatformSettings {
     /// The table service.
     pub table: SocketAddr,
+    /// The object store.
+    pub objects: SocketAddr,
     /// The host list.
     pub hostlist: SocketAddr,
 }
