--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,8 +5,10 @@
 pub mod config;
 pub mod fleet;
 pub mod ledger;
+pub mod members;
 pub mod view;
 
 pub use amend::{AmendError, AmendOutcome, amend_record};
 pub use ledger::{CallLedger, ClaimKey, ClaimOutcome, ClaimTicket};
+pub use members::{Member, MemberView};
 pub use view::{ConfigView, ReplicaView, TargetView};
