Bring a configuration into force from the change log and never back

Cause: every node scanned all records at each change, took whatever it read, and served without knowing for how long its configuration had been out of date. An operator who was overtaken learned nothing of what changed, and an amendment of another record was a conflict.

Amendments now carry what the operator expects, try again by themselves when only the head moved, settle lost answers by the change-log row, and refuse a schema version 1 write over a record that says more. A gate closes by itself when nothing confirms what is in force.

--- /dev/null
+++ b/crates/control/src/config/follow.rs
@@ -0,0 +1,131 @@
+//! Following the head in the table.
+
+use std::time::{Duration, Instant};
+
+use domain::{ConfigRevision, RowVersion};
+use events::{EventCode, EventRecorder, EventSubject};
+use platform::{ObjectStore, RowRead, StoreError, TableStore, keys};
+use rand::Rng;
+
+use crate::amend::ConfigHead;
+use crate::members::MemberBook;
+
+use super::ConfigSettings;
+use super::keeper::{ConfigHandle, ConfigLesson, HeadConfirmation};
+use super::load::{ConfigUpdate, load_update};
+use super::snapshot::publish_snapshot;
+
+/// Follows the head and brings the node up to it.
+#[derive(Debug, Clone, bon::Builder)]
+pub struct ConfigFollower<T, O> {
+    table: T,
+    objects: O,
+    keeper: ConfigHandle,
+    members: MemberBook,
+    recorder: EventRecorder,
+    settings: ConfigSettings,
+}
+
+/// The head as the table last answered it.
+#[derive(Debug, Clone, Copy)]
+struct KnownHead {
+    version: RowVersion,
+    revision: ConfigRevision,
+}
+
+/// Polls the head until the task is dropped.
+///
+/// The pauses are spread, also after a failure: 410 nodes that all come back at the moment at
+/// which the store returns would otherwise take it down again.
+pub async fn follow_config<T: TableStore, O: ObjectStore>(follower: ConfigFollower<T, O>) {
+    let mut known = None;
+    let mut published = ConfigRevision(0);
+    loop {
+        let _ = follower.poll(&mut known).await;
+        follower.tend_snapshots(&mut published).await;
+        tokio::time::sleep(spread(follower.settings.poll())).await;
+    }
+}
+
+/// A pause between half and one and a half of its mean.
+#[must_use]
+pub fn spread(mean: Duration) -> Duration {
+    mean.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
+impl<T: TableStore, O: ObjectStore> ConfigFollower<T, O> {
+    async fn poll(&self, known: &mut Option<KnownHead>) -> Result<(), StoreError> {
+        let as_of = Instant::now();
+        let read = self
+            .table
+            .read(keys::CONFIG_HEAD, known.map(|head| head.version))
+            .await?;
+        let head = match (read, *known) {
+            (RowRead::Unchanged, Some(head)) => head,
+            (RowRead::Unchanged, None) | (RowRead::Absent, _) => return Ok(()),
+            (RowRead::Found(row), _) => {
+                let head: ConfigHead = serde_json::from_value(row.value)
+                    .map_err(|error| StoreError::Malformed(error.to_string()))?;
+                KnownHead {
+                    version: row.version,
+                    revision: head.revision,
+                }
+            }
+        };
+        let applied = self.keeper.news().revision;
+        if head.revision < applied {
+            self.note_regress(head.revision, applied);
+        }
+        let update = if head.revision > applied {
+            load_update(&self.table, &self.objects, applied, head.revision).await?
+        } else {
+            ConfigUpdate::default()
+        };
+        *known = Some(head);
+        let confirmation = Some(HeadConfirmation {
+            revision: head.revision,
+            as_of,
+        });
+        self.keeper
+            .learn(ConfigLesson {
+                update,
+                confirmation,
+            })
+            .await;
+        Ok(())
+    }
+
+    fn note_regress(&self, head: ConfigRevision, applied: ConfigRevision) {
+        let detail = format!("the table says {head}, {applied} is in force here");
+        self.recorder
+            .note(EventCode::ConfigRegressed, EventSubject::default(), detail);
+    }
+
+    /// Writes a snapshot when it is this node's turn: one node for each multiple of the interval,
+    /// so that an amendment does not make 410 nodes write the same object.
+    async fn tend_snapshots(&self, published: &mut ConfigRevision) {
+        let every = self.settings.snapshot_every.max(1);
+        let revision = self.keeper.news().revision;
+        let turn = revision.0 / every;
+        if turn == published.0 / every {
+            return;
+        }
+        let view = self.members.view(Instant::now());
+        let chosen = view.choose(&format!("snapshot.{turn}"));
+        if chosen.is_some_and(|node| *node != *self.members.node()) {
+            *published = revision;
+            return;
+        }
+        let snapshot = self.keeper.snapshot().await;
+        let keep = self.settings.keep_changes;
+        let seed = self.members.node().as_str();
+        let written = publish_snapshot(&self.table, &self.objects, &snapshot, keep, seed).await;
+        if written.is_err() {
+            return;
+        }
+        *published = revision;
+        let detail = format!("revision {}", snapshot.revision);
+        self.recorder
+            .note(EventCode::SnapshotWritten, EventSubject::default(), detail);
+    }
+}
--- /dev/null
+++ b/crates/control/src/config/state.rs
@@ -0,0 +1,162 @@
+//! The configuration as an aggregate: only higher revisions, without gaps, never back.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use domain::record::RecordKind;
+use domain::{ConfigRevision, RecordSpec};
+use platform::keys;
+use serde::{Deserialize, Serialize};
+use wire::record::RecordFrame;
+
+use crate::amend::{ChangeEntry, StoredRecord};
+use crate::view::ConfigView;
+
+/// Changes that a node keeps to pass on to peers that are a little behind; one further back takes
+/// a snapshot. 256 are more than two hours at 2,300 changes a day.
+const RECENT_CHANGES: usize = 256;
+
+/// Every record at one revision.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ConfigSnapshot {
+    /// The revision.
+    pub revision: ConfigRevision,
+    /// The records, ordered by kind and name.
+    pub records: Vec<StoredRecord>,
+}
+
+/// What became of a change or snapshot that was offered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ApplyOutcome {
+    /// It is in force.
+    Applied,
+    /// Something as new was in force already.
+    Stale,
+    /// Changes before it are missing.
+    Gap,
+}
+
+/// The records in force on this node.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigState {
+    revision: ConfigRevision,
+    records: BTreeMap<(RecordKind, String), StoredRecord>,
+    recent: VecDeque<ChangeEntry>,
+}
+
+impl ConfigState {
+    /// The revision in force; 0 before the first.
+    #[must_use]
+    pub fn revision(&self) -> ConfigRevision {
+        self.revision
+    }
+
+    /// Applies the next change.
+    ///
+    /// A repeated or late change is [`ApplyOutcome::Stale`]: applied again it would bring back a
+    /// record that was amended since. One that comes too early is [`ApplyOutcome::Gap`]: applied
+    /// without those before it, a record of theirs would be missing for good.
+    pub fn apply_change(&mut self, change: ChangeEntry) -> ApplyOutcome {
+        if change.revision <= self.revision {
+            return ApplyOutcome::Stale;
+        }
+        if change.revision != self.revision.next() {
+            return ApplyOutcome::Gap;
+        }
+        let place = (change.kind, change.name.clone());
+        match &change.record {
+            Some(record) => {
+                let stored = StoredRecord {
+                    revision: change.revision,
+                    record: record.clone(),
+                };
+                self.records.insert(place, stored);
+            }
+            None => {
+                self.records.remove(&place);
+            }
+        }
+        self.revision = change.revision;
+        if self.recent.len() == RECENT_CHANGES {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(change);
+        ApplyOutcome::Applied
+    }
+
+    /// Replaces everything by a newer snapshot.
+    pub fn apply_snapshot(&mut self, snapshot: ConfigSnapshot) -> ApplyOutcome {
+        if snapshot.revision <= self.revision {
+            return ApplyOutcome::Stale;
+        }
+        self.revision = snapshot.revision;
+        self.recent.clear();
+        self.records = snapshot
+            .records
+            .into_iter()
+            .map(|stored| {
+                let place = (stored.record.kind, stored.record.name.clone());
+                (place, stored)
+            })
+            .collect();
+        ApplyOutcome::Applied
+    }
+
+    /// Everything at the revision in force.
+    #[must_use]
+    pub fn snapshot(&self) -> ConfigSnapshot {
+        ConfigSnapshot {
+            revision: self.revision,
+            records: self.records.values().cloned().collect(),
+        }
+    }
+
+    /// At most `limit` changes after a revision, in order; none when they are not kept.
+    #[must_use]
+    pub fn changes_after(
+        &self,
+        revision: ConfigRevision,
+        limit: usize,
+    ) -> Option<Vec<ChangeEntry>> {
+        if revision >= self.revision {
+            return Some(Vec::new());
+        }
+        let oldest = self.recent.front()?;
+        if oldest.revision > revision.next() {
+            return None;
+        }
+        let mut changes = Vec::new();
+        for change in &self.recent {
+            if change.revision <= revision {
+                continue;
+            }
+            if changes.len() == limit {
+                break;
+            }
+            changes.push(change.clone());
+        }
+        Some(changes)
+    }
+
+    /// The records as the request path reads them.
+    ///
+    /// A record of an unknown schema, or one that breaks a rule of this program's version, is left
+    /// out and listed: one record of a newer program must not take the other customers down.
+    #[must_use]
+    pub fn view(&self) -> ConfigView {
+        let mut view = ConfigView {
+            revision: self.revision,
+            ..ConfigView::default()
+        };
+        for ((kind, name), stored) in &self.records {
+            match spec_of(&stored.record) {
+                Some(spec) => view.insert(spec),
+                None => view.unknown.push(keys::record_key(*kind, name)),
+            }
+        }
+        view
+    }
+}
+
+fn spec_of(frame: &RecordFrame) -> Option<RecordSpec> {
+    RecordSpec::try_from(frame.clone()).ok()
+}
--- /dev/null
+++ b/crates/control/src/history.rs
@@ -0,0 +1,158 @@
+//! Reading records and their history for operators.
+
+use domain::ConfigRevision;
+use domain::record::RecordKind;
+use platform::{RowRead, StoreError, TableStore, keys};
+
+use crate::amend::{AmendError, ChangeRow, ConfigHead, StoredRecord, read_change};
+
+/// Which changes an operator asks for.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HistoryQuery {
+    /// Only those of this kind.
+    pub kind: Option<RecordKind>,
+    /// Only those of this name.
+    pub name: Option<String>,
+    /// Only those up to this revision; none starts at the newest.
+    pub before: Option<ConfigRevision>,
+    /// At most so many.
+    pub limit: usize,
+}
+
+/// What became of an amendment whose answer was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AmendFate {
+    /// It is accepted.
+    Accepted,
+    /// It was not and never will be accepted.
+    NotAccepted,
+    /// It may still take effect: nothing else took its revision yet.
+    Open,
+    /// The change log no longer keeps its revision.
+    Forgotten,
+}
+
+/// Reads one record.
+///
+/// # Errors
+///
+/// [`AmendError`].
+pub async fn get_record<T: TableStore>(
+    table: &T,
+    kind: RecordKind,
+    name: &str,
+) -> Result<Option<StoredRecord>, AmendError> {
+    let key = keys::record_key(kind, name);
+    match table.read(&key, None).await? {
+        RowRead::Found(row) => serde_json::from_value(row.value)
+            .map(Some)
+            .map_err(|_| AmendError::BadRow(key)),
+        RowRead::Absent | RowRead::Unchanged => Ok(None),
+    }
+}
+
+/// Reads every record, or those of one kind, ordered by kind and name.
+///
+/// # Errors
+///
+/// [`AmendError`].
+pub async fn list_records<T: TableStore>(
+    table: &T,
+    kind: Option<RecordKind>,
+) -> Result<Vec<StoredRecord>, AmendError> {
+    let prefix = match kind {
+        Some(kind) => keys::record_key(kind, ""),
+        None => keys::RECORDS.to_owned(),
+    };
+    let mut records = Vec::new();
+    for row in table.scan(&prefix).await? {
+        let key = row.key;
+        let record = serde_json::from_value(row.value).map_err(|_| AmendError::BadRow(key))?;
+        records.push(record);
+    }
+    Ok(records)
+}
+
+/// Reads the head.
+///
+/// # Errors
+///
+/// [`AmendError`].
+pub async fn config_head<T: TableStore>(table: &T) -> Result<ConfigRevision, AmendError> {
+    match table.read(keys::CONFIG_HEAD, None).await? {
+        RowRead::Found(row) => serde_json::from_value::<ConfigHead>(row.value)
+            .map(|head| head.revision)
+            .map_err(|_| AmendError::BadRow(keys::CONFIG_HEAD.to_owned())),
+        RowRead::Absent | RowRead::Unchanged => Ok(ConfigRevision(0)),
+    }
+}
+
+/// Reads changes, newest first, as far back as the log keeps them.
+///
+/// # Errors
+///
+/// [`AmendError`].
+pub async fn read_history<T: TableStore>(
+    table: &T,
+    query: &HistoryQuery,
+) -> Result<Vec<ChangeRow>, AmendError> {
+    let mut changes = Vec::new();
+    for row in table.scan(keys::CONFIG_LOG).await?.into_iter().rev() {
+        if changes.len() >= query.limit {
+            break;
+        }
+        let key = row.key;
+        let entry: crate::amend::ChangeEntry =
+            serde_json::from_value(row.value).map_err(|_| AmendError::BadRow(key))?;
+        let wanted = query.kind.is_none_or(|kind| kind == entry.kind)
+            && query.name.as_ref().is_none_or(|name| *name == entry.name)
+            && query.before.is_none_or(|before| entry.revision <= before);
+        if !wanted {
+            continue;
+        }
+        changes.push(ChangeRow {
+            entry,
+            token: row.token,
+        });
+    }
+    Ok(changes)
+}
+
+/// Tells what became of an amendment that [`AmendError::Unsettled`] left open.
+///
+/// The change-log row of a revision is inserted once and never rewritten, so whose token it
+/// carries is final. While nobody took the revision, a delayed send can still do so.
+///
+/// # Errors
+///
+/// [`AmendError`].
+pub async fn amendment_fate<T: TableStore>(
+    table: &T,
+    revision: ConfigRevision,
+    token: &str,
+) -> Result<AmendFate, AmendError> {
+    if let Some(row) = read_change(table, revision).await? {
+        if row.token == token {
+            return Ok(AmendFate::Accepted);
+        }
+        return Ok(AmendFate::NotAccepted);
+    }
+    if config_head(table).await? < revision {
+        return Ok(AmendFate::Open);
+    }
+    // The row may have been inserted between the two reads.
+    match read_change(table, revision).await? {
+        Some(row) if row.token == token => Ok(AmendFate::Accepted),
+        Some(_) => Ok(AmendFate::NotAccepted),
+        None => Ok(AmendFate::Forgotten),
+    }
+}
+
+impl From<AmendError> for StoreError {
+    fn from(error: AmendError) -> Self {
+        match error {
+            AmendError::Store(error) => error,
+            other => Self::Malformed(other.to_string()),
+        }
+    }
+}
--- a/crates/control/src/members/state.rs
+++ b/crates/control/src/members/state.rs
@@ -15,15 +15,16 @@
 #[derive(Debug, Clone)]
 pub struct MemberState {
     own: MemberRow,
-    window: Duration,
+    limits: SilenceLimits,
+    rostered: bool,
     tracked: FastMap<NodeId, TrackedMember>,
 }
 
 #[derive(Debug, Clone)]
 struct TrackedMember {
     row: MemberRow,
-    first_seen: Instant,
-    advanced: Option<Instant>,
+    signed: Instant,
+    heard: Option<Instant>,
     removal: MemberRemoval,
 }
 
@@ -38,23 +39,35 @@
     Left,
 }
 
-impl TrackedMember {
-    fn last_sign(&self) -> Instant {
-        self.advanced.unwrap_or(self.first_seen)
-    }
+/// Where a sign of life comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SignSource {
+    /// The table: the node lives, but this node may not be able to hear it.
+    Table,
+    /// A peer: there is a way from that node to this one.
+    Peer,
+}
+
+/// The limits of silence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SilenceLimits {
+    /// A node without a sign of life for this time is taken to be dead.
+    pub dead: Duration,
+    /// A node whose heartbeat no peer passed on for this time is not heard.
+    pub unheard: Duration,
 }
 
 impl MemberState {
-    /// A state that knows only the node itself; a node without a heartbeat for `window` counts as
-    /// dead.
+    /// A state that knows only the node itself.
     #[must_use]
-    pub fn new(own: Member, window: Duration) -> Self {
+    pub fn new(own: Member, limits: SilenceLimits) -> Self {
         Self {
             own: MemberRow {
                 member: own,
                 beat: 0,
             },
-            window,
+            limits,
+            rostered: false,
             tracked: FastMap::default(),
         }
     }
@@ -75,7 +88,7 @@
     ///
     /// Late, repeated and reordered rows change nothing: only a higher heartbeat counts. The first
     /// sight of a node proves nothing about now, so it does not count as heard.
-    pub fn observe(&mut self, row: MemberRow, now: Instant) -> bool {
+    pub fn observe(&mut self, row: MemberRow, source: SignSource, now: Instant) -> bool {
         if row.member.node == self.own.member.node {
             return false;
         }
@@ -83,8 +96,8 @@
             let node = row.member.node.clone();
             let tracked = TrackedMember {
                 row,
-                first_seen: now,
-                advanced: None,
+                signed: now,
+                heard: None,
                 removal: MemberRemoval::None,
             };
             self.tracked.insert(node, tracked);
@@ -94,12 +107,15 @@
             return false;
         }
         tracked.row = row;
-        tracked.advanced = Some(now);
+        tracked.signed = now;
+        if source == SignSource::Peer {
+            tracked.heard = Some(now);
+        }
         tracked.removal = MemberRemoval::None;
         true
     }
 
-    /// Takes in a heartbeat of a node whose row is known; returns whether it was news.
+    /// Takes in a heartbeat that a peer passed on of a node whose row is known; returns whether it was news.
     pub fn observe_beat(&mut self, node: &NodeId, beat: u64, now: Instant) -> bool {
         let Some(tracked) = self.tracked.get(node) else {
             return false;
@@ -108,7 +124,7 @@
             beat,
             ..tracked.row.clone()
         };
-        self.observe(row, now)
+        self.observe(row, SignSource::Peer, now)
     }
 
     /// Takes in that a node said goodbye; returns whether it was news.
@@ -123,9 +139,10 @@
 
     /// Takes in the nodes that the table lists: silent nodes that it no longer lists are removed.
     pub fn observe_listing(&mut self, listed: &FastSet<NodeId>, now: Instant) {
-        let window = self.window;
+        self.rostered = true;
+        let limit = self.limits.dead;
         for (node, tracked) in &mut self.tracked {
-            let silent = now.saturating_duration_since(tracked.last_sign()) > window;
+            let silent = now.saturating_duration_since(tracked.signed) > limit;
             if listed.contains(node) || !silent || tracked.removal != MemberRemoval::None {
                 continue;
             }
@@ -134,8 +151,8 @@
     }
 
     fn is_alive(&self, tracked: &TrackedMember, now: Instant) -> bool {
-        let silence = now.saturating_duration_since(tracked.last_sign());
-        tracked.removal == MemberRemoval::None && silence <= self.window
+        let silence = now.saturating_duration_since(tracked.signed);
+        tracked.removal == MemberRemoval::None && silence <= self.limits.dead
     }
 
     /// The nodes that are taken to be alive.
@@ -153,21 +170,24 @@
     }
 
     /// How much of the roster is heard.
+    ///
+    /// Before the first listing, and before a peer told of others, the roster has one more node
+    /// than this one: a node that started into a partition would else be a majority of one.
     #[must_use]
     pub fn reach(&self, now: Instant) -> MemberReach {
         let mut reach = MemberReach {
             heard: 1,
-            rostered: 1,
+            rostered: if self.rostered { 1 } else { 2 },
         };
         for tracked in self.tracked.values() {
             if tracked.removal != MemberRemoval::None {
                 continue;
             }
             reach.rostered += 1;
-            let Some(advanced) = tracked.advanced else {
+            let Some(heard) = tracked.heard else {
                 continue;
             };
-            if now.saturating_duration_since(advanced) <= self.window {
+            if now.saturating_duration_since(heard) <= self.limits.unheard {
                 reach.heard += 1;
             }
         }
@@ -179,7 +199,7 @@
     pub fn expired(&self, now: Instant, limit: Duration) -> Vec<NodeId> {
         let mut expired = Vec::new();
         for (node, tracked) in &self.tracked {
-            let silence = now.saturating_duration_since(tracked.last_sign());
+            let silence = now.saturating_duration_since(tracked.signed);
             if tracked.removal != MemberRemoval::None || silence <= limit {
                 continue;
             }
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -13,6 +13,8 @@
 };
 use wire::engine::EngineLoad;
 
+use crate::gate::ServiceGate;
+
 /// The configuration in force at one revision.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigView {
@@ -30,6 +32,8 @@
     pub drains: Vec<DrainRecord>,
     /// Keys of records whose schema version this program does not know.
     pub unknown: Vec<String>,
+    /// Whether the node may serve with it.
+    pub gate: ServiceGate,
 }
 
 impl ConfigView {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
 use control::{CallLedger, ConfigView, TargetView};
@@ -359,7 +359,7 @@
 }
 
 fn ready(view: &ConfigView) -> Result<WebAnswer, CallerFailure> {
-    if view.revision.0 == 0 {
+    if view.revision.0 == 0 || !view.gate.is_open(Instant::now()) {
         let message = "this node does not know the configuration in force";
         return Err(CallerFailure::not_run(ErrorCode::NotReady, message).retry(NOT_READY_RETRY));
     }
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -77,6 +77,34 @@
 
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
+    /// A record has a schema version that this node does not know, or breaks one of its rules. The
+    /// node serves the rest: bring it to the newer program, or amend the record.
+    RecordUnknown = 301, "record_unknown", Warn;
+    /// The node knows what is in force and serves.
+    ConfigConfirmed = 302, "config_confirmed", Info;
+    /// The table names a lower revision than the one in force: it was set back, perhaps from a
+    /// backup. The node does not follow it back; amendments must be applied anew.
+    ConfigRegressed = 303, "config_regressed", Error;
+    /// The store is down for all as far as the majority can tell; service goes on with what is in
+    /// force and no amendment can be accepted. Look at the store.
+    StoreDown = 304, "store_down", Warn;
+    /// The node reaches neither the table nor a peer that does, and stepped out of service. Look
+    /// at its network.
+    NodeCutOff = 305, "node_cut_off", Error;
+    /// The node does not know yet what is in force and refuses callers.
+    ConfigUnlearned = 306, "config_unlearned", Info;
+    /// A snapshot of the configuration was written and the change log compacted.
+    SnapshotWritten = 307, "snapshot_written", Debug;
     /// A replica was formed.
     ReplicaFormed = 310, "replica_formed", Info;
+
+    /// A node was silent for long and its row was cleaned from the table.
+    MemberExpired = 400, "member_expired", Info;
+    /// A link to a peer stands.
+    PeerLinked = 401, "peer_linked", Debug;
+    /// A link to a peer was lost; it is made anew after a pause.
+    PeerLost = 402, "peer_lost", Warn;
+    /// A peer did not prove that it has the shared key. Another deployment, an old key, or an
+    /// attack: look at the address.
+    PeerRefused = 403, "peer_refused", Error;
 }
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -9,6 +9,9 @@
 /// Prefix of the change log, ordered by revision.
 pub const CONFIG_LOG: &str = "config/log/";
 
+/// Row that names the newest snapshot of the configuration.
+pub const CONFIG_SNAPSHOT: &str = "config/snapshot";
+
 /// Prefix of the operators' records.
 pub const RECORDS: &str = "record/";
 
--- a/src/apply.rs
+++ b/src/apply.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
-use control::{AmendOutcome, amend_record};
+use control::{AmendOutcome, Expect, RecordAmendment, amend_record};
 use domain::{RecordSpec, WriteToken};
 use eyre::WrapErr;
 use platform::http::{HttpTable, ServiceEndpoint};
@@ -44,18 +44,27 @@
 
 async fn apply_record(table: &HttpTable, frame: RecordFrame) -> eyre::Result<()> {
     let (kind, name) = (frame.kind, frame.name.clone());
-    let token = fresh_token()?;
-    match amend_record(table, kind, &name, Some(frame), "operator", token).await? {
+    let amendment = RecordAmendment {
+        kind,
+        name: name.clone(),
+        record: Some(frame),
+        expect: Expect::Any,
+        operator: "operator".to_owned(),
+        token: fresh_token()?,
+    };
+    let kind = kind.as_str();
+    match amend_record(table, &amendment).await? {
         AmendOutcome::Accepted(revision) => {
-            println!("{} {name}: accepted as revision {revision}", kind.as_str());
+            println!("{kind} {name}: accepted as revision {revision}");
             Ok(())
         }
-        AmendOutcome::Conflict(_) => {
-            eyre::bail!(
-                "{} {name}: another operator was faster; read it and try again",
-                kind.as_str()
-            )
+        AmendOutcome::Conflict(conflict) => {
+            let writer = conflict.change.map_or_else(String::new, |change| {
+                format!(" by {} in revision {}", change.operator, change.revision)
+            });
+            eyre::bail!("{kind} {name}: it was amended{writer}; read it and try again")
         }
+        AmendOutcome::Refused(findings) => eyre::bail!("{kind} {name}: {findings}"),
     }
 }
 
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -5,7 +5,6 @@
 
 use control::ConfigView;
 use control::assembly::assemble_round;
-use control::config::follow_config;
 use control::fleet::follow_fleet;
 use domain::LeaseEpoch;
 use platform::http::{HttpHostList, HttpTable};
@@ -14,18 +13,11 @@
 
 use super::NodeContext;
 
-const CONFIG_PERIOD: Duration = Duration::from_millis(500);
 const FLEET_PERIOD: Duration = Duration::from_millis(500);
 const ASSEMBLY_PERIOD: Duration = Duration::from_millis(500);
 
 /// Starts the tasks of control.
 pub fn start(context: &NodeContext) {
-    let config_sender = context.config_sender.clone();
-    tokio::spawn(follow_config(
-        context.table.clone(),
-        config_sender,
-        CONFIG_PERIOD,
-    ));
     tokio::spawn(follow_fleet(
         context.table.clone(),
         context.list.clone(),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod entry;
+mod peers;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,10 +26,6 @@
 struct NodeContext {
     settings: NodeSettings,
     table: HttpTable,
-    #[expect(
-        dead_code,
-        reason = "snapshots of the configuration are not written yet"
-    )]
     objects: HttpObjects,
     list: HttpHostList,
     engine: HttpEngine,
@@ -63,7 +60,9 @@
 /// When an address can't be bound.
 pub async fn serve(settings: NodeSettings) -> eyre::Result<()> {
     let context = NodeContext::new(settings);
+    let peers = peers::bind(&context).await?;
     control::start(&context);
+    peers.start(&context);
     let running = entry::bind(&context).await?;
     let address = running.address;
     context.recorder.note(
@@ -73,6 +72,7 @@
     );
     println!("{} listens on {address}", context.settings.node);
     running.serve(stop_signal()).await;
+    peers.leave().await;
     Ok(())
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use control::config::ConfigSettings;
+use control::members::MemberSettings;
 use domain::{DomainId, NodeId, RegionId};
 use eyre::WrapErr;
 use serde::Deserialize;
@@ -14,21 +16,19 @@
     /// The node's name.
     pub node: NodeId,
     /// Region of the node.
-    #[expect(
-        dead_code,
-        reason = "peers and leases are biased by it once they stand"
-    )]
     pub region: RegionId,
     /// Failure domain of the node.
-    #[expect(
-        dead_code,
-        reason = "peers and watchers are biased by it once they stand"
-    )]
     pub domain: DomainId,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// The platform's services.
     pub platform: PlatformSettings,
+    /// The configuration.
+    #[serde(default)]
+    pub config: ConfigSettings,
+    /// The membership.
+    #[serde(default)]
+    pub members: MemberSettings,
 }
 
 /// Where the platform's services are.
