--- /dev/null
+++ b/crates/policy/src/admission/mod.rs
@@ -0,0 +1,10 @@
+//! Admission of requests to one model at one entry: queueing, order and refusal.
+
+mod drain;
+mod lane;
+mod queue;
+mod request;
+mod spread;
+
+pub use queue::AdmissionQueue;
+pub use request::{FinishedWork, OfferOutcome, RefusalReason, WaitKey, WaitingRequest};
--- /dev/null
+++ b/crates/policy/src/placement/choose.rs
@@ -0,0 +1,190 @@
+//! The choice between targets.
+
+use std::time::Duration;
+
+use domain::TargetKey;
+use rand::Rng;
+
+use super::affinity::PrefixMatch;
+use super::health::HealthVerdict;
+use super::pool::TargetPool;
+use super::request::{CandidateList, PlacementChoice, PlacementRequest};
+use super::state::TargetState;
+
+/// Draws before a search falls back to looking at every candidate in turn.
+const MAX_DRAWS: usize = 24;
+
+/// Holders of a prompt's prefix that are weighed besides the drawn targets.
+const MAX_HOLDERS: usize = 4;
+
+impl TargetPool {
+    /// Chooses a target, none when no candidate is usable.
+    ///
+    /// `usable` is the caller's gate (evidence of wholeness, not leaving, not tried before); it
+    /// is asked only for the few targets that are looked at. Targets are drawn by chance, so the
+    /// cost does not grow with 1,500 engines, and the holders of the prompt's longest prefix are
+    /// weighed besides. The least predicted time to the first token wins.
+    pub fn choose<R: Rng>(
+        &mut self,
+        candidates: &CandidateList,
+        request: &PlacementRequest<'_>,
+        now: Duration,
+        usable: impl Fn(TargetKey) -> bool,
+        rng: &mut R,
+    ) -> Option<PlacementChoice> {
+        self.survey(now);
+        let prefix = self.prefixes.look_up(request.prefixes, MAX_HOLDERS);
+        let mut best: Option<PlacementChoice> = None;
+        for holder in &prefix.holders {
+            let listed = candidates.contains(holder.target);
+            if !listed || !self.is_open(holder.target, now) || !usable(holder.target) {
+                continue;
+            }
+            self.weigh(holder.target, &prefix, request, now, &mut best);
+        }
+        let mut drawn = 0;
+        for draw in 0..MAX_DRAWS {
+            if drawn >= self.settings.draws {
+                break;
+            }
+            let Some(target) = candidates.draw(draw, rng) else {
+                break;
+            };
+            if !self.is_open(target, now) || !usable(target) {
+                continue;
+            }
+            drawn += 1;
+            self.weigh(target, &prefix, request, now, &mut best);
+        }
+        if best.is_none() {
+            best = self.search(candidates, &prefix, request, now, &usable, rng);
+        }
+        let choice = best?;
+        if let Some(state) = self.targets.get_mut(choice.target)
+            && state.health.verdict(now) == HealthVerdict::Trial
+        {
+            state.health.start_trial(now, &self.settings.health);
+        }
+        Some(choice)
+    }
+
+    /// Looks at every candidate from a random place on, for when hardly one is usable.
+    ///
+    /// Ejected targets are taken as the last resort: to try one costs less than to refuse.
+    fn search<R: Rng>(
+        &self,
+        candidates: &CandidateList,
+        prefix: &PrefixMatch,
+        request: &PlacementRequest<'_>,
+        now: Duration,
+        usable: &impl Fn(TargetKey) -> bool,
+        rng: &mut R,
+    ) -> Option<PlacementChoice> {
+        let count = candidates.len();
+        if count == 0 {
+            return None;
+        }
+        let start = rng.random_range(0..count);
+        for open_only in [true, false] {
+            for step in 0..count {
+                let target = candidates.as_slice()[(start + step) % count];
+                if open_only && !self.is_open(target, now) || !usable(target) {
+                    continue;
+                }
+                let mut best = None;
+                self.weigh(target, prefix, request, now, &mut best);
+                if best.is_some() {
+                    return best;
+                }
+            }
+        }
+        None
+    }
+
+    fn is_open(&self, target: TargetKey, now: Duration) -> bool {
+        let Some(state) = self.targets.get(target) else {
+            return false;
+        };
+        state.health.verdict(now) != HealthVerdict::Ejected
+    }
+
+    fn weigh(
+        &self,
+        target: TargetKey,
+        prefix: &PrefixMatch,
+        request: &PlacementRequest<'_>,
+        now: Duration,
+        best: &mut Option<PlacementChoice>,
+    ) {
+        let Some(state) = self.targets.get(target) else {
+            return;
+        };
+        let cached_tokens = self.cached_tokens(target, state, prefix, request);
+        let predicted = self.predict(state, cached_tokens, request, now);
+        if best.is_some_and(|best| best.predicted <= predicted) {
+            return;
+        }
+        *best = Some(PlacementChoice {
+            target,
+            predicted,
+            cached_tokens,
+        });
+    }
+
+    fn cached_tokens(
+        &self,
+        target: TargetKey,
+        state: &TargetState,
+        prefix: &PrefixMatch,
+        request: &PlacementRequest<'_>,
+    ) -> u32 {
+        let held = prefix.holders.iter().find(|holder| holder.target == target);
+        let blocks = held.map_or(0, |holder| holder.blocks);
+        let blocks = blocks.max(prefix.common_blocks);
+        let blocks = u32::try_from(blocks).unwrap_or(u32::MAX);
+        let tokens = blocks.saturating_mul(self.settings.block_tokens);
+        let tokens = tokens.min(request.prompt_tokens);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let trusted = (f64::from(tokens) * state.cache_trust) as u32;
+        trusted
+    }
+
+    /// Time to the first token: the way there, the wait for a slot, the prompts before this one
+    /// and this one's part that is not cached, scaled by how slow the target was lately.
+    fn predict(
+        &self,
+        state: &TargetState,
+        cached_tokens: u32,
+        request: &PlacementRequest<'_>,
+        now: Duration,
+    ) -> Duration {
+        let load = state.estimate(now);
+        let slots = f64::from(state.facts.slots.max(1));
+        let over = load.streams + 1.0 - slots;
+        let wait = if state.facts.slots > 0 && over > 0.0 {
+            over * self.stay / slots
+        } else {
+            0.0
+        };
+        let rate = load.prompt_rate.max(self.settings.prompt_rate);
+        let unread = f64::from(request.prompt_tokens.saturating_sub(cached_tokens));
+        let reading = (load.prompt_backlog + unread) / rate;
+        // Streams in the batch slow each other a little; it also tells idle targets apart.
+        let crowding = load.streams / slots * 0.05;
+        let missing = request
+            .adapter
+            .is_some_and(|adapter| !state.facts.adapters.contains(adapter));
+        let loading = if missing {
+            self.settings.adapter_load.as_secs_f64()
+        } else {
+            0.0
+        };
+        // A target on trial is weighed as if it were well, or its past would keep it from one.
+        let slowness = match state.health.verdict(now) {
+            HealthVerdict::Trial => 1.0,
+            HealthVerdict::Open | HealthVerdict::Ejected => state.health.slowness(now),
+        };
+        let work = (wait + reading + crowding) * slowness + loading;
+        state.facts.distance + Duration::from_secs_f64(work.min(3_600.0))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement/pool.rs
@@ -0,0 +1,164 @@
+//! The targets of an entry and what is noted of each.
+
+use std::time::Duration;
+
+use domain::TargetKey;
+use slotmap::SlotMap;
+
+use super::affinity::PrefixIndex;
+use super::request::{CandidateList, PlacementChoice, PlacementRequest, PlacementSettings};
+use super::state::{TargetFacts, TargetLoad, TargetOutcome, TargetState};
+
+/// Weight of a new observation in the pool's means.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// The targets of one entry with all that is known of their load, caches and health.
+#[derive(Debug)]
+pub struct TargetPool {
+    pub(super) settings: PlacementSettings,
+    pub(super) targets: SlotMap<TargetKey, TargetState>,
+    pub(super) prefixes: PrefixIndex,
+    pub(super) stay: f64,
+    pub(super) median_slowness: f64,
+    pub(super) surveyed_at: Option<Duration>,
+}
+
+impl TargetPool {
+    /// An empty pool.
+    #[must_use]
+    pub fn new(settings: PlacementSettings) -> Self {
+        Self {
+            targets: SlotMap::with_key(),
+            prefixes: PrefixIndex::new(settings.prefixes),
+            stay: settings.stay.as_secs_f64(),
+            median_slowness: 1.0,
+            surveyed_at: None,
+            settings,
+        }
+    }
+
+    /// Adds a target.
+    pub fn insert(&mut self, facts: TargetFacts) -> TargetKey {
+        self.targets.insert(TargetState::new(facts))
+    }
+
+    /// Changes what is fixed about a target; its load and health stay.
+    pub fn set_facts(&mut self, target: TargetKey, facts: TargetFacts) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.facts = facts;
+        }
+    }
+
+    /// Forgets a target.
+    pub fn remove(&mut self, target: TargetKey) {
+        self.targets.remove(target);
+    }
+
+    /// Orders targets for [`Self::choose`]; call it when targets change, not for each request.
+    #[must_use]
+    pub fn candidates(&self, targets: impl IntoIterator<Item = TargetKey>) -> CandidateList {
+        CandidateList::new(targets.into_iter().collect(), |target| {
+            let state = self.targets.get(target);
+            state.map_or(Duration::MAX, |state| state.facts.distance)
+        })
+    }
+
+    /// A target reported its load.
+    pub fn note_load(&mut self, target: TargetKey, now: Duration, load: TargetLoad) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.note_load(now, load);
+        }
+    }
+
+    /// An attempt was sent.
+    pub fn note_sent(
+        &mut self,
+        choice: &PlacementChoice,
+        request: &PlacementRequest<'_>,
+        now: Duration,
+    ) {
+        let Some(state) = self.targets.get_mut(choice.target) else {
+            return;
+        };
+        let unread = request.prompt_tokens.saturating_sub(choice.cached_tokens);
+        state.note_sent(now, unread);
+        self.prefixes.insert_prompt(request.prefixes, choice.target);
+    }
+
+    /// The first token of an attempt came after `elapsed`.
+    pub fn note_first_token(&mut self, choice: &PlacementChoice, now: Duration, elapsed: Duration) {
+        let settings = self.settings.health;
+        let Some(state) = self.targets.get_mut(choice.target) else {
+            return;
+        };
+        // Below this the noise of the network would look like slowness.
+        let least = 0.05;
+        let current = state.health.slowness(now);
+        let neutral = (choice.predicted.as_secs_f64() / current).max(least);
+        let ratio = elapsed.as_secs_f64().max(least) / neutral;
+        state.health.note_answer(now, ratio, &settings);
+    }
+
+    /// An attempt ended after `stay` at the target.
+    ///
+    /// A target that fails at once has no load and would look like the best one for every
+    /// request; seen as a large share of attempts that end there. So failures in a row eject it.
+    pub fn note_ended(
+        &mut self,
+        target: TargetKey,
+        now: Duration,
+        stay: Duration,
+        outcome: TargetOutcome,
+    ) {
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        state.note_ended(now);
+        match outcome {
+            TargetOutcome::Finished => {
+                self.stay += (stay.as_secs_f64() - self.stay) * MEAN_WEIGHT;
+            }
+            TargetOutcome::Full => state.note_full(now),
+            TargetOutcome::Failed => self.note_failure(target, now),
+            TargetOutcome::Cancelled => {}
+        }
+    }
+
+    fn note_failure(&mut self, target: TargetKey, now: Duration) {
+        let settings = self.settings.health;
+        let room = self.ejection_room(now);
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        let again = state.health.note_failure();
+        if again || state.health.is_failing(&settings) && room > 0 {
+            state.health.eject(now, &settings);
+        }
+    }
+
+    /// An engine published that a prefix entered or left its cache.
+    pub fn note_cache(&mut self, target: TargetKey, prefix: u64, stored: bool) {
+        if stored {
+            self.prefixes.insert(prefix, target);
+        } else {
+            self.prefixes.remove(prefix, target);
+        }
+    }
+
+    /// A target told how many prompt tokens it really had cached.
+    ///
+    /// Where events of evictions are lost, the index promises too much; the target's trust then
+    /// falls, and affinity stops drawing requests to a queue for nothing.
+    pub fn note_cached(&mut self, choice: &PlacementChoice, cached_tokens: u32) {
+        if choice.cached_tokens == 0 {
+            return;
+        }
+        let Some(state) = self.targets.get_mut(choice.target) else {
+            return;
+        };
+        let predicted = f64::from(choice.cached_tokens) / state.cache_trust.max(0.05);
+        let part = (f64::from(cached_tokens) / predicted).min(1.0);
+        state.cache_trust += (part - state.cache_trust) * 0.2;
+        state.cache_trust = state.cache_trust.clamp(0.05, 1.0);
+    }
+}
