Switch faults at every stand-in over HTTP

Tests of failures need latency, outages, hangs, throttling and lost answers at the table, the object store, the host list, the service and the engines. All stand-ins now serve /faults the same way; the work of a request has a task of its own, so that a write whose caller gave up still takes effect late, as at a real store. Instances of one service share a book of executions.

Ruled out: closing the connection from within the product's server crate, which would carry a test's switch into the product; the stand-ins have a small server of their own instead.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -7,19 +7,19 @@
 use bytes::Bytes;
 use domain::{AttemptId, BootNumber, HostId, LeaseEpoch};
 use eyre::WrapErr;
-use http::{Method, StatusCode};
+use http::{Method, Request, StatusCode};
 use tokio::sync::mpsc;
 use web::answer::WebAnswer;
 use web::body::channel_body;
-use web::{WebHandler, WebRequest, json_answer, parse_json, read_body, text_answer};
+use web::{json_answer, parse_json, text_answer};
 use wire::engine::{
     EngineAssignment, EngineLoad, EngineOrder, EngineState, StreamEvent, StreamOrder,
 };
 
+use crate::faults::{FaultSwitch, OutageMode};
 use crate::options::EngineOptions;
-use crate::serve_standin;
+use crate::serve::{StandinHandler, serve_standin};
 
-const MAX_ORDER_BYTES: usize = 8 << 20;
 const STREAM_BUFFER: usize = 256;
 
 /// Words that answers are made of.
@@ -35,12 +35,14 @@
 /// When the host's name is none or the address can't be bound.
 pub async fn run(options: EngineOptions) -> eyre::Result<()> {
     let host: HostId = options.host.parse().wrap_err("--host")?;
-    let core = Arc::new(EngineCore::new(host, &options));
+    let faults = Arc::new(FaultSwitch::default());
+    let core = Arc::new(EngineCore::new(host, &options, Arc::clone(&faults)));
     tokio::spawn(batch_loop(
         Arc::clone(&core),
         Duration::from_micros(options.step_us),
     ));
-    serve_standin("engine", options.listen, EngineServer { core }).await
+    let server = Arc::new(EngineServer { core });
+    serve_standin("engine", options.listen, server, faults).await
 }
 
 /// The engine's HTTP side.
@@ -55,6 +57,7 @@
     boot: BootNumber,
     fencing: bool,
     slots: u32,
+    faults: Arc<FaultSwitch>,
     inner: Mutex<EngineInner>,
 }
 
@@ -73,7 +76,7 @@
 }
 
 impl EngineCore {
-    fn new(host: HostId, options: &EngineOptions) -> Self {
+    fn new(host: HostId, options: &EngineOptions, faults: Arc<FaultSwitch>) -> Self {
         let since_epoch = std::time::SystemTime::now()
             .duration_since(std::time::UNIX_EPOCH)
             .unwrap_or_default();
@@ -83,6 +86,7 @@
             boot,
             fencing: options.fencing,
             slots: options.slots,
+            faults,
             inner: Mutex::new(EngineInner::default()),
         }
     }
@@ -104,7 +108,7 @@
             boot: self.boot,
             assignment: inner.assignment.clone(),
             ready: inner.assignment.is_some(),
-            leaving: false,
+            leaving: self.faults.plan().leaving,
             load,
         }
     }
@@ -139,6 +143,14 @@
             return text_answer(StatusCode::SERVICE_UNAVAILABLE, "the batch is full");
         }
         let (sender, body) = channel_body(STREAM_BUFFER);
+        if self.faults.plan().fail_streams {
+            let failed = StreamEvent::Failed {
+                attempt: order.attempt,
+                reason: "fails on purpose".to_owned(),
+            };
+            let _ = sender.try_send(event_line(&failed));
+            return http::Response::new(body);
+        }
         let next = u32::try_from(order.resume.len()).unwrap_or(u32::MAX);
         inner.streams.insert(
             order.attempt.clone(),
@@ -212,15 +224,17 @@
 }
 
 async fn batch_loop(core: Arc<EngineCore>, step: Duration) {
-    let mut ticks = tokio::time::interval(step);
     loop {
-        ticks.tick().await;
-        core.step();
+        let plan = core.faults.plan();
+        tokio::time::sleep(step.mul_f64(plan.slow_factor.max(1.0))).await;
+        if plan.outage != OutageMode::Hang {
+            core.step();
+        }
     }
 }
 
-impl WebHandler for EngineServer {
-    async fn answer(&self, request: WebRequest) -> WebAnswer {
+impl StandinHandler for EngineServer {
+    async fn answer(&self, request: Request<Bytes>) -> WebAnswer {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         if let Some(attempt) = path.strip_prefix("/streams/")
@@ -234,10 +248,7 @@
         if method == Method::GET && path == "/state" {
             return json_answer(StatusCode::OK, &self.core.state());
         }
-        let bytes = match read_body(request.into_body(), MAX_ORDER_BYTES).await {
-            Ok(bytes) => bytes,
-            Err(error) => return text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
-        };
+        let bytes = request.into_body();
         match (method, path.as_str()) {
             (Method::POST, "/orders") => match parse_json(&bytes) {
                 Ok(order) => self.core.follow(order),
--- a/crates/standin/src/hostlist.rs
+++ b/crates/standin/src/hostlist.rs
@@ -1,12 +1,16 @@
 //! Stand-in for the platform's host list: reads its file anew at every request.
 
+use std::sync::Arc;
+
+use bytes::Bytes;
 use eyre::WrapErr;
-use http::StatusCode;
-use web::{WebAnswer, WebHandler, WebRequest, json_answer, parse_json, text_answer};
+use http::{Request, StatusCode};
+use web::{WebAnswer, json_answer, parse_json, text_answer};
 use wire::hostlist::HostListBody;
 
+use crate::faults::FaultSwitch;
 use crate::options::HostlistOptions;
-use crate::serve_standin;
+use crate::serve::{StandinHandler, serve_standin};
 
 /// Runs the host list.
 ///
@@ -18,7 +22,8 @@
         path: options.hosts,
     };
     server.load()?;
-    serve_standin("hostlist", options.listen, server).await
+    let faults = Arc::new(FaultSwitch::default());
+    serve_standin("hostlist", options.listen, Arc::new(server), faults).await
 }
 
 /// The host list.
@@ -35,8 +40,8 @@
     }
 }
 
-impl WebHandler for HostListServer {
-    async fn answer(&self, _request: WebRequest) -> WebAnswer {
+impl StandinHandler for HostListServer {
+    async fn answer(&self, _request: Request<Bytes>) -> WebAnswer {
         match self.load() {
             Ok(list) => json_answer(StatusCode::OK, &list),
             Err(error) => text_answer(StatusCode::SERVICE_UNAVAILABLE, &format!("{error:#}")),
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -1,17 +1,16 @@
 //! Stand-in for the object store.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{Method, Request, StatusCode};
 use web::answer::typed_answer;
-use web::{WebAnswer, WebHandler, WebRequest, read_body, text_answer};
+use web::{WebAnswer, text_answer};
 
+use crate::faults::FaultSwitch;
 use crate::options::TableOptions;
-use crate::serve_standin;
-
-const MAX_OBJECT_BYTES: usize = 64 << 20;
+use crate::serve::{StandinHandler, serve_standin};
 
 /// Runs the object store.
 ///
@@ -19,7 +18,9 @@
 ///
 /// When the address can't be bound.
 pub async fn run(options: TableOptions) -> eyre::Result<()> {
-    serve_standin("objects", options.listen, ObjectServer::default()).await
+    let server = Arc::new(ObjectServer::default());
+    let faults = Arc::new(FaultSwitch::default());
+    serve_standin("objects", options.listen, server, faults).await
 }
 
 /// The object store.
@@ -37,11 +38,7 @@
         }
     }
 
-    async fn put_new(&self, key: &str, request: WebRequest) -> WebAnswer {
-        let bytes = match read_body(request.into_body(), MAX_OBJECT_BYTES).await {
-            Ok(bytes) => bytes,
-            Err(error) => return text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
-        };
+    fn put_new(&self, key: &str, bytes: Bytes) -> WebAnswer {
         let mut objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
         if objects.contains_key(key) {
             return text_answer(StatusCode::PRECONDITION_FAILED, "there is such an object");
@@ -51,15 +48,15 @@
     }
 }
 
-impl WebHandler for ObjectServer {
-    async fn answer(&self, request: WebRequest) -> WebAnswer {
+impl StandinHandler for ObjectServer {
+    async fn answer(&self, request: Request<Bytes>) -> WebAnswer {
         let path = request.uri().path().to_owned();
         let Some(key) = path.strip_prefix("/objects/") else {
             return text_answer(StatusCode::NOT_FOUND, "no such call");
         };
         match *request.method() {
             Method::GET => self.get(key),
-            Method::PUT => self.put_new(key, request).await,
+            Method::PUT => self.put_new(key, request.into_body()),
             _ => text_answer(StatusCode::METHOD_NOT_ALLOWED, "use GET or PUT"),
         }
     }
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -1,6 +1,7 @@
 //! Command lines of the stand-ins.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use gumdrop::Options;
 
@@ -32,7 +33,7 @@
     Engine(EngineOptions),
     /// A plain service.
     #[options(help = "a plain service with repeatable and non-repeatable calls")]
-    Service(TableOptions),
+    Service(ServiceOptions),
 }
 
 /// Command line of a stand-in that needs only an address.
@@ -46,6 +47,20 @@
     pub listen: Option<SocketAddr>,
 }
 
+/// Command line of a plain service.
+#[derive(Debug, Options)]
+pub struct ServiceOptions {
+    /// Prints this help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Where to listen.
+    #[options(help = "address to listen on (default: a free port of 127.0.0.1)")]
+    pub listen: Option<SocketAddr>,
+    /// File that the instances of one service share.
+    #[options(help = "file of executions that all instances share (default: in memory)")]
+    pub book: Option<PathBuf>,
+}
+
 /// Command line of the host list.
 #[derive(Debug, Options)]
 pub struct HostlistOptions {
--- /dev/null
+++ b/crates/standin/src/serve.rs
@@ -0,0 +1,131 @@
+//! Serving a stand-in: whole requests to its handler, with the faults that are switched on.
+
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use http::{HeaderValue, Request, StatusCode, header};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use tokio::net::{TcpListener, TcpStream};
+use web::{WebAnswer, read_body, text_answer};
+
+use crate::faults::{FAULTS_PATH, FaultCourse, FaultSwitch};
+
+const MAX_REQUEST_BYTES: usize = 64 << 20;
+
+/// Answers whole requests.
+pub trait StandinHandler: Send + Sync + 'static {
+    /// Answers one request; every failure is an answer too.
+    fn answer(&self, request: Request<Bytes>) -> impl Future<Output = WebAnswer> + Send;
+}
+
+/// The connection is closed without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the answer is lost on purpose")]
+pub struct AnswerLost;
+
+/// Serves a stand-in until the process is interrupted, and says on standard output where.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub async fn serve_standin<H: StandinHandler>(
+    name: &str,
+    address: Option<SocketAddr>,
+    handler: Arc<H>,
+    faults: Arc<FaultSwitch>,
+) -> eyre::Result<()> {
+    let address = address.unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+    let listener = TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("{name} can't listen on {address}"))?;
+    println!("{name} listens on {}", listener.local_addr()?);
+    tokio::select! {
+        result = accept_forever(listener, handler, faults) => result,
+        _ = tokio::signal::ctrl_c() => Ok(()),
+    }
+}
+
+async fn accept_forever<H: StandinHandler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    faults: Arc<FaultSwitch>,
+) -> eyre::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let _ = stream.set_nodelay(true);
+        tokio::spawn(serve_connection(
+            stream,
+            Arc::clone(&handler),
+            Arc::clone(&faults),
+        ));
+    }
+}
+
+async fn serve_connection<H: StandinHandler>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    faults: Arc<FaultSwitch>,
+) {
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        let faults = Arc::clone(&faults);
+        respond(request, handler, faults)
+    });
+    let _ = Builder::new(TokioExecutor::new())
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn respond<H: StandinHandler>(
+    request: Request<Incoming>,
+    handler: Arc<H>,
+    faults: Arc<FaultSwitch>,
+) -> Result<WebAnswer, AnswerLost> {
+    let (head, body) = request.into_parts();
+    let bytes = match read_body(body, MAX_REQUEST_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(error) => return Ok(text_answer(StatusCode::BAD_REQUEST, &error.to_string())),
+    };
+    let request = Request::from_parts(head, bytes);
+    if request.uri().path() == FAULTS_PATH {
+        return Ok(faults.answer(&request));
+    }
+    match faults.decide(&request) {
+        FaultCourse::Hang => std::future::pending().await,
+        FaultCourse::Drop => Err(AnswerLost),
+        FaultCourse::Refuse => Ok(text_answer(StatusCode::SERVICE_UNAVAILABLE, "out of order")),
+        FaultCourse::Throttle => Ok(throttled()),
+        FaultCourse::Run {
+            latency,
+            answer_latency,
+            lost,
+        } => {
+            // Hyper drops a request's future when its caller hangs up. A real store goes on with
+            // what it was given, so the work has a task of its own.
+            let running = tokio::spawn(async move {
+                faults.begin();
+                tokio::time::sleep(latency).await;
+                let answer = handler.answer(request).await;
+                tokio::time::sleep(answer_latency).await;
+                faults.end();
+                answer
+            });
+            let answer = running.await.map_err(|_| AnswerLost)?;
+            if lost { Err(AnswerLost) } else { Ok(answer) }
+        }
+    }
+}
+
+fn throttled() -> WebAnswer {
+    let mut answer = text_answer(StatusCode::TOO_MANY_REQUESTS, "over the limit");
+    answer
+        .headers_mut()
+        .insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+    answer
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -4,95 +4,181 @@
 //! doubled payments. It never deduplicates: running a call twice is the harm that is looked for.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::fs::{File, OpenOptions};
+use std::io::{Read, Seek, SeekFrom, Write};
+use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
 
-use http::{Method, StatusCode};
+use bytes::Bytes;
+use eyre::WrapErr;
+use http::{Method, Request, StatusCode};
 use serde_json::{Value, json};
-use web::{WebAnswer, WebHandler, WebRequest, json_answer, parse_json, read_body, text_answer};
+use web::{WebAnswer, json_answer, parse_json, text_answer};
 use wire::service::{IDEMPOTENCY_HEADER, LookupBody, ServiceLoad};
 
-use crate::options::TableOptions;
-use crate::serve_standin;
+use crate::faults::FaultSwitch;
+use crate::options::ServiceOptions;
+use crate::serve::{StandinHandler, serve_standin};
 
-const MAX_CALL_BYTES: usize = 1 << 20;
+const SLOTS: u32 = 64;
 
 /// Runs the service.
 ///
 /// # Errors
 ///
-/// When the address can't be bound.
-pub async fn run(options: TableOptions) -> eyre::Result<()> {
-    serve_standin("service", options.listen, PlainService::default()).await
+/// When the book can't be opened or the address can't be bound.
+pub async fn run(options: ServiceOptions) -> eyre::Result<()> {
+    let faults = Arc::new(FaultSwitch::default());
+    let server = Arc::new(PlainService {
+        book: Mutex::new(ExecutionBook::open(options.book.as_deref())?),
+        faults: Arc::clone(&faults),
+    });
+    serve_standin("service", options.listen, server, faults).await
 }
 
 /// The service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PlainService {
-    executions: Mutex<BTreeMap<String, LookupBody>>,
+    book: Mutex<ExecutionBook>,
+    faults: Arc<FaultSwitch>,
+}
+
+/// Executions by key. Instances of one service share them by a file, as real ones share a
+/// database: a look-up at one instance must tell what another one ran.
+#[derive(Debug)]
+struct ExecutionBook {
+    file: Option<File>,
+    read_up_to: u64,
+    entries: BTreeMap<String, LookupBody>,
+}
+
+impl ExecutionBook {
+    fn open(path: Option<&Path>) -> eyre::Result<Self> {
+        let file = match path {
+            Some(path) => Some(
+                OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .read(true)
+                    .open(path)
+                    .wrap_err_with(|| format!("can't open {}", path.display()))?,
+            ),
+            None => None,
+        };
+        Ok(Self {
+            file,
+            read_up_to: 0,
+            entries: BTreeMap::new(),
+        })
+    }
+
+    /// Notes one execution. A line is one write in append mode, so lines never mix.
+    fn note(&mut self, key: &str, answer: Value) -> std::io::Result<()> {
+        let Some(file) = &mut self.file else {
+            self.count(key, answer);
+            return Ok(());
+        };
+        let line = format!("{}\n", json!([key, answer]));
+        file.write_all(line.as_bytes())
+    }
+
+    fn count(&mut self, key: &str, answer: Value) {
+        let entry = self
+            .entries
+            .entry(key.to_owned())
+            .or_insert_with(|| absent(key));
+        entry.executions += 1;
+        entry.answer = Some(answer);
+    }
+
+    /// Reads what other instances noted since the last time.
+    fn catch_up(&mut self) -> std::io::Result<()> {
+        let Some(file) = &mut self.file else {
+            return Ok(());
+        };
+        let mut text = String::new();
+        file.seek(SeekFrom::Start(self.read_up_to))?;
+        file.read_to_string(&mut text)?;
+        let whole = text.rfind('\n').map_or(0, |end| end + 1);
+        self.read_up_to += whole as u64;
+        for line in text[..whole].lines() {
+            let Ok((key, answer)) = serde_json::from_str::<(String, Value)>(line) else {
+                continue;
+            };
+            self.count(&key, answer);
+        }
+        Ok(())
+    }
+}
+
+fn absent(key: &str) -> LookupBody {
+    LookupBody {
+        key: key.to_owned(),
+        executions: 0,
+        answer: None,
+    }
+}
+
+fn broken(error: &std::io::Error) -> WebAnswer {
+    text_answer(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string())
 }
 
 impl PlainService {
-    fn book(&self) -> MutexGuard<'_, BTreeMap<String, LookupBody>> {
-        self.executions
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn read_book<A>(&self, read: impl FnOnce(&ExecutionBook) -> A) -> std::io::Result<A> {
+        let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
+        book.catch_up()?;
+        Ok(read(&book))
     }
 
     fn lookup(&self, key: &str) -> WebAnswer {
-        let absent = LookupBody {
-            key: key.to_owned(),
-            executions: 0,
-            answer: None,
-        };
-        let entry = self.book().get(key).cloned().unwrap_or(absent);
-        json_answer(StatusCode::OK, &entry)
+        let found = self.read_book(|book| book.entries.get(key).cloned());
+        match found {
+            Ok(entry) => json_answer(StatusCode::OK, &entry.unwrap_or_else(|| absent(key))),
+            Err(error) => broken(&error),
+        }
+    }
+
+    fn list(&self) -> WebAnswer {
+        match self.read_book(|book| book.entries.values().cloned().collect::<Vec<_>>()) {
+            Ok(entries) => json_answer(StatusCode::OK, &entries),
+            Err(error) => broken(&error),
+        }
     }
 
-    async fn execute(&self, path: &str, request: WebRequest) -> WebAnswer {
+    fn execute(&self, path: &str, request: &Request<Bytes>) -> WebAnswer {
         let key = request
             .headers()
             .get(IDEMPOTENCY_HEADER)
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned);
-        let bytes = match read_body(request.into_body(), MAX_CALL_BYTES).await {
-            Ok(bytes) => bytes,
-            Err(error) => return text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
-        };
-        let input: Value = parse_json(&bytes).unwrap_or(Value::Null);
+            .and_then(|value| value.to_str().ok());
+        let input: Value = parse_json(request.body()).unwrap_or(Value::Null);
         let receipt = json!({ "call": path, "key": key, "input": input, "done": true });
         if let Some(key) = key {
-            let mut book = self.book();
-            let entry = book.entry(key.clone()).or_insert_with(|| LookupBody {
-                key,
-                executions: 0,
-                answer: None,
-            });
-            entry.executions += 1;
-            entry.answer = Some(receipt.clone());
+            let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Err(error) = book.note(key, receipt.clone()) {
+                return broken(&error);
+            }
         }
         json_answer(StatusCode::OK, &receipt)
     }
+
+    fn load(&self) -> ServiceLoad {
+        ServiceLoad {
+            running: self.faults.running(),
+            slots: SLOTS,
+        }
+    }
 }
 
-impl WebHandler for PlainService {
-    async fn answer(&self, request: WebRequest) -> WebAnswer {
+impl StandinHandler for PlainService {
+    async fn answer(&self, request: Request<Bytes>) -> WebAnswer {
         let path = request.uri().path().to_owned();
         if let Some(key) = path.strip_prefix("/executions/") {
             return self.lookup(key);
         }
         match (request.method().clone(), path.as_str()) {
-            (Method::GET, "/load") => json_answer(
-                StatusCode::OK,
-                &ServiceLoad {
-                    running: 0,
-                    slots: 64,
-                },
-            ),
-            (Method::GET, "/executions") => {
-                let entries: Vec<LookupBody> = self.book().values().cloned().collect();
-                json_answer(StatusCode::OK, &entries)
-            }
-            (Method::POST, _) => self.execute(&path, request).await,
+            (Method::GET, "/load") => json_answer(StatusCode::OK, &self.load()),
+            (Method::GET, "/executions") => self.list(),
+            (Method::POST, _) => self.execute(&path, &request),
             _ => text_answer(StatusCode::NOT_FOUND, "no such call"),
         }
     }
--- /dev/null
+++ b/crates/standin/src/stack/faults.rs
@@ -0,0 +1,116 @@
+//! Switching faults on and off, and reading what the stand-ins saw.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use domain::ReplicaId;
+use http::Method;
+use serde::de::DeserializeOwned;
+use web::client::JsonAnswer;
+use wire::engine::EngineState;
+use wire::service::LookupBody;
+
+use super::{PATIENCE, TestStack};
+use crate::faults::{FAULTS_PATH, FaultPlan, FaultReport};
+
+impl TestStack {
+    async fn get<A: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> A {
+        let answer: JsonAnswer<A> = self
+            .client
+            .json(Method::GET, address, path, None::<&()>, PATIENCE)
+            .await
+            .unwrap_or_else(|error| panic!("GET {path}: {error}"));
+        answer.value
+    }
+
+    /// Replaces the faults of the stand-in at an address; the default plan ends all of them.
+    pub async fn set_faults(&self, address: SocketAddr, plan: &FaultPlan) {
+        let answer: JsonAnswer<FaultReport> = self
+            .client
+            .json(Method::POST, address, FAULTS_PATH, Some(plan), PATIENCE)
+            .await
+            .unwrap_or_else(|error| panic!("faults are not taken: {error}"));
+        assert!(answer.status.is_success(), "faults are not taken");
+    }
+
+    /// Faults and counts of the stand-in at an address.
+    pub async fn fault_report(&self, address: SocketAddr) -> FaultReport {
+        self.get(address, FAULTS_PATH).await
+    }
+
+    /// Replaces the table's faults.
+    pub async fn table_faults(&self, plan: &FaultPlan) {
+        self.set_faults(self.table.address, plan).await;
+    }
+
+    /// Replaces the object store's faults.
+    pub async fn objects_faults(&self, plan: &FaultPlan) {
+        self.set_faults(self.objects.address, plan).await;
+    }
+
+    /// Replaces the host list's faults.
+    pub async fn hostlist_faults(&self, plan: &FaultPlan) {
+        self.set_faults(self.hostlist.address, plan).await;
+    }
+
+    /// Replaces the faults of every instance of the service.
+    pub async fn service_faults(&self, plan: &FaultPlan) {
+        for service in &self.services {
+            self.set_faults(service.address, plan).await;
+        }
+    }
+
+    /// Replaces the faults of one engine.
+    pub async fn engine_faults(&self, engine: usize, plan: &FaultPlan) {
+        self.set_faults(self.engines[engine].address, plan).await;
+    }
+
+    /// Executions at the service by idempotency key, over all its instances.
+    pub async fn executions(&self) -> BTreeMap<String, u64> {
+        let entries: Vec<LookupBody> = self.get(self.services[0].address, "/executions").await;
+        entries
+            .into_iter()
+            .map(|entry| (entry.key, entry.executions))
+            .collect()
+    }
+
+    /// What an engine reports of itself.
+    pub async fn engine_state(&self, engine: usize) -> EngineState {
+        self.get(self.engines[engine].address, "/state").await
+    }
+
+    /// Indices of the engines of every replica, by rank, as the engines report them. Engines that
+    /// are dead, paused or out of order may not be among them.
+    pub async fn replica_engines(&self) -> BTreeMap<ReplicaId, Vec<usize>> {
+        let mut ranks: BTreeMap<ReplicaId, Vec<(u32, usize)>> = BTreeMap::new();
+        for (index, engine) in self.engines.iter().enumerate() {
+            let answer: Result<JsonAnswer<EngineState>, _> = self
+                .client
+                .json(
+                    Method::GET,
+                    engine.address,
+                    "/state",
+                    None::<&()>,
+                    super::PROBE,
+                )
+                .await;
+            let Ok(JsonAnswer { value, .. }) = answer else {
+                continue;
+            };
+            let Some(assignment) = value.assignment else {
+                continue;
+            };
+            ranks
+                .entry(assignment.replica)
+                .or_default()
+                .push((assignment.rank, index));
+        }
+        let mut replicas = BTreeMap::new();
+        for (replica, mut members) in ranks {
+            members.sort_unstable();
+            let engines = members.into_iter().map(|(_, index)| index).collect();
+            replicas.insert(replica, engines);
+        }
+        replicas
+    }
+}
--- /dev/null
+++ b/crates/standin/src/stack/plan.rs
@@ -0,0 +1,216 @@
+//! What a system consists of, and starting it.
+
+use std::path::{Path, PathBuf};
+
+use tokio::sync::Semaphore;
+use web::WebClient;
+
+use super::{StackProcess, TestStack, write_hosts};
+
+/// Whole systems at once, so that a busy machine does not make healthy processes look dead.
+static STACKS: Semaphore = Semaphore::const_new(3);
+
+/// Where a host stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StackPlace {
+    /// Its fabric domain.
+    pub fabric: String,
+    /// Its failure domain.
+    pub domain: String,
+}
+
+/// What a whole system consists of.
+#[derive(Debug, Clone)]
+pub struct StackPlan {
+    name: String,
+    product: PathBuf,
+    engines: usize,
+    entries: usize,
+    services: usize,
+    replicas: u32,
+    hosts_per_replica: u32,
+    step_us: u64,
+    fabrics: usize,
+    domains: Vec<String>,
+    engine_options: Vec<String>,
+    hostlist_options: Vec<String>,
+}
+
+impl StackPlan {
+    /// Two replicas of four hosts behind three entries that run `product`, the path of the built
+    /// `bramleyspring`; the built `standin` lies beside it. All stand in one fabric domain and one
+    /// failure domain.
+    #[must_use]
+    pub fn new(name: &str, product: impl Into<PathBuf>) -> Self {
+        Self {
+            name: name.to_owned(),
+            product: product.into(),
+            engines: 8,
+            entries: 3,
+            services: 1,
+            replicas: 2,
+            hosts_per_replica: 4,
+            step_us: 5_000,
+            fabrics: 1,
+            domains: vec!["plateau".to_owned()],
+            engine_options: Vec::new(),
+            hostlist_options: Vec::new(),
+        }
+    }
+
+    /// Engines, one for each host.
+    #[must_use]
+    pub fn engines(mut self, count: usize) -> Self {
+        self.engines = count;
+        self
+    }
+
+    /// Entry processes.
+    #[must_use]
+    pub fn entries(mut self, count: usize) -> Self {
+        self.entries = count;
+        self
+    }
+
+    /// Instances of the plain service; they share one book of executions.
+    #[must_use]
+    pub fn services(mut self, count: usize) -> Self {
+        self.services = count;
+        self
+    }
+
+    /// Replicas wanted.
+    #[must_use]
+    pub fn replicas(mut self, count: u32) -> Self {
+        self.replicas = count;
+        self
+    }
+
+    /// Hosts of one replica.
+    #[must_use]
+    pub fn hosts_per_replica(mut self, count: u32) -> Self {
+        self.hosts_per_replica = count;
+        self
+    }
+
+    /// Microseconds of one step of an engine's batch.
+    #[must_use]
+    pub fn step_us(mut self, time: u64) -> Self {
+        self.step_us = time;
+        self
+    }
+
+    /// Fabric domains `f0`, `f1`, …, each with an equal run of the hosts.
+    #[must_use]
+    pub fn fabrics(mut self, count: usize) -> Self {
+        self.fabrics = count.max(1);
+        self
+    }
+
+    /// Failure domains: fabric domains and entries take them in turn.
+    #[must_use]
+    pub fn domains(mut self, names: &[&str]) -> Self {
+        assert!(!names.is_empty(), "name a failure domain");
+        self.domains = names.iter().map(|&name| name.to_owned()).collect();
+        self
+    }
+
+    /// Further options of every engine, such as `["--fencing"]`.
+    #[must_use]
+    pub fn engine_options(mut self, options: &[&str]) -> Self {
+        self.engine_options = options.iter().map(|&text| text.to_owned()).collect();
+        self
+    }
+
+    /// Further options of the host list, such as `["--lag-ms", "2000"]`.
+    #[must_use]
+    pub fn hostlist_options(mut self, options: &[&str]) -> Self {
+        self.hostlist_options = options.iter().map(|&text| text.to_owned()).collect();
+        self
+    }
+
+    fn place(&self, engine: usize) -> StackPlace {
+        let run = self.engines.div_ceil(self.fabrics);
+        let fabric = engine / run;
+        StackPlace {
+            fabric: format!("f{fabric}"),
+            domain: self.domains[fabric % self.domains.len()].clone(),
+        }
+    }
+
+    /// Starts everything, applies the records and waits until every entry serves.
+    pub async fn start(self) -> TestStack {
+        let stack = self.clone().start_bare().await;
+        let records = stack.records(self.replicas, self.hosts_per_replica);
+        stack.apply(&records);
+        for index in 0..self.entries {
+            stack.wait_serving(index).await;
+        }
+        stack
+    }
+
+    /// Starts everything without any record.
+    pub async fn start_bare(self) -> TestStack {
+        let permit = STACKS.acquire().await.expect("never closed");
+        let folder = self.make_folder();
+        let program = standin_program(&self.product);
+        let start_standin =
+            |name: &str, arguments: &[&str]| StackProcess::start(name, &program, arguments);
+        let table = start_standin("table", &["table"]);
+        let objects = start_standin("objects", &["objects"]);
+        let book = folder.join("executions").display().to_string();
+        let services = (0..self.services)
+            .map(|number| start_standin(&format!("s{number}"), &["service", "--book", &book]))
+            .collect();
+        let step = self.step_us.to_string();
+        let mut engines = Vec::new();
+        let mut places = Vec::new();
+        for number in 0..self.engines {
+            let host = format!("h{number:02}");
+            let mut arguments = vec!["engine", "--host", &host, "--step-us", &step];
+            arguments.extend(self.engine_options.iter().map(String::as_str));
+            engines.push(start_standin(&host, &arguments));
+            places.push(self.place(number));
+        }
+        write_hosts(&folder, &engines, &places, &[]);
+        let hosts = folder.join("hosts.json").display().to_string();
+        let mut arguments = vec!["hostlist", "--hosts", &hosts];
+        arguments.extend(self.hostlist_options.iter().map(String::as_str));
+        let hostlist = start_standin("hostlist", &arguments);
+        let mut stack = TestStack {
+            table,
+            objects,
+            hostlist,
+            services,
+            engines,
+            entries: Vec::new(),
+            client: WebClient::default(),
+            places,
+            entry_domains: self.domains,
+            product: self.product,
+            folder,
+            _permit: permit,
+        };
+        for number in 0..self.entries {
+            stack.add_entry(&format!("e{number}"));
+        }
+        stack
+    }
+
+    fn make_folder(&self) -> PathBuf {
+        let name = format!("bramleyspring-{}-{}", self.name, std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder for the test");
+        folder
+    }
+}
+
+fn standin_program(product: &Path) -> PathBuf {
+    let program = product.with_file_name("standin");
+    assert!(
+        program.exists(),
+        "{} is not built: run scripts/test",
+        program.display()
+    );
+    program
+}
--- /dev/null
+++ b/crates/standin/src/stack/process.rs
@@ -0,0 +1,125 @@
+//! One process of a system.
+
+use std::io::{BufRead, BufReader, Lines};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::{Arc, OnceLock};
+use std::time::Instant;
+
+use super::{PATIENCE, POLL};
+
+/// One started process; killed when it is dropped.
+#[derive(Debug)]
+pub struct StackProcess {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    admin: Arc<OnceLock<SocketAddr>>,
+    program: PathBuf,
+    arguments: Vec<String>,
+    child: Child,
+}
+
+impl StackProcess {
+    /// Starts a program and waits until it says where it listens.
+    #[must_use]
+    pub fn start(name: &str, program: &Path, arguments: &[&str]) -> Self {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{name} does not start: {error}"));
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
+        let line = lines.next().expect("a first line").expect("readable");
+        let address = address_in(&line).expect("an address");
+        let admin = Arc::new(OnceLock::new());
+        let found = Arc::clone(&admin);
+        std::thread::spawn(move || watch_lines(lines, &found));
+        Self {
+            name: name.to_owned(),
+            address,
+            admin,
+            program: program.to_owned(),
+            arguments: arguments.iter().map(|&text| text.to_owned()).collect(),
+            child,
+        }
+    }
+
+    /// Its process id.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Where its admin listener is; waits until the process says so.
+    pub async fn admin(&self) -> SocketAddr {
+        let started = Instant::now();
+        loop {
+            if let Some(address) = self.admin.get() {
+                return *address;
+            }
+            let name = &self.name;
+            assert!(
+                started.elapsed() < PATIENCE,
+                "{name} names no admin address"
+            );
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Sends a signal by name, such as `KILL`, `STOP`, `CONT` or `TERM`.
+    pub fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .args(["-s", signal, &self.child.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "{} takes no {signal}", self.name);
+    }
+
+    /// Waits until the process ended by itself.
+    pub fn wait(&mut self) {
+        self.child.wait().expect("the process can be waited for");
+    }
+
+    /// Kills the process; its address refuses connections from then on.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Kills the process and starts it anew under the same name and address.
+    pub fn restart(&mut self) {
+        self.kill();
+        let listen = self.address.to_string();
+        let mut arguments: Vec<&str> = self.arguments.iter().map(String::as_str).collect();
+        if !arguments.contains(&"--listen") {
+            arguments.extend(["--listen", &listen]);
+        }
+        let started = Self::start(&self.name, &self.program, &arguments);
+        *self = started;
+    }
+}
+
+impl Drop for StackProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn address_in(line: &str) -> Option<SocketAddr> {
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+/// Reads on, so that the process never blocks on a full pipe.
+fn watch_lines(lines: Lines<BufReader<ChildStdout>>, admin: &OnceLock<SocketAddr>) {
+    for line in lines.map_while(Result::ok) {
+        let Some(address) = address_in(&line) else {
+            continue;
+        };
+        if line.contains(" admin listens on ") {
+            let _ = admin.set(address);
+        }
+    }
+}
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -2,20 +2,20 @@
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use http::{HeaderValue, Method, StatusCode, header};
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode, header};
 use serde_json::Value;
-use web::{WebAnswer, WebHandler, WebRequest, json_answer, parse_json, read_body, text_answer};
+use web::{WebAnswer, json_answer, parse_json, text_answer};
 use wire::table::{
     BatchBody, BatchDone, BatchRefused, ChangeBody, ExpectBody, RowBody, ScanPage,
     WRITE_TOKEN_HEADER,
 };
 
+use crate::faults::FaultSwitch;
 use crate::options::TableOptions;
-use crate::serve_standin;
-
-const MAX_BATCH_BYTES: usize = 16 << 20;
+use crate::serve::{StandinHandler, serve_standin};
 
 /// Runs the table.
 ///
@@ -23,7 +23,9 @@
 ///
 /// When the address can't be bound.
 pub async fn run(options: TableOptions) -> eyre::Result<()> {
-    serve_standin("table", options.listen, TableServer::default()).await
+    let server = Arc::new(TableServer::default());
+    let faults = Arc::new(FaultSwitch::default());
+    serve_standin("table", options.listen, server, faults).await
 }
 
 /// The table.
@@ -112,7 +114,7 @@
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn read_row(&self, key: &str, request: &WebRequest) -> WebAnswer {
+    fn read_row(&self, key: &str, request: &Request<Bytes>) -> WebAnswer {
         let store = self.store();
         let Some(row) = store.rows.get(key) else {
             return text_answer(StatusCode::NOT_FOUND, "no such row");
@@ -132,12 +134,8 @@
         answer
     }
 
-    async fn commit(&self, request: WebRequest) -> WebAnswer {
-        let bytes = match read_body(request.into_body(), MAX_BATCH_BYTES).await {
-            Ok(bytes) => bytes,
-            Err(error) => return text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
-        };
-        let batch: BatchBody = match parse_json(&bytes) {
+    fn commit(&self, request: &Request<Bytes>) -> WebAnswer {
+        let batch: BatchBody = match parse_json(request.body()) {
             Ok(batch) => batch,
             Err(error) => return text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
         };
@@ -174,8 +172,8 @@
     None
 }
 
-impl WebHandler for TableServer {
-    async fn answer(&self, request: WebRequest) -> WebAnswer {
+impl StandinHandler for TableServer {
+    async fn answer(&self, request: Request<Bytes>) -> WebAnswer {
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
         if let Some(key) = path.strip_prefix("/rows/")
@@ -185,7 +183,7 @@
         }
         match (method, path.as_str()) {
             (Method::GET, "/scan") => self.scan(request.uri().query().unwrap_or_default()),
-            (Method::POST, "/batch") => self.commit(request).await,
+            (Method::POST, "/batch") => self.commit(&request),
             _ => text_answer(StatusCode::NOT_FOUND, "no such call"),
         }
     }
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests: the built binaries as separate processes on loopback, one module a feature.
 
+mod fault_switches;
 mod whole_path;
 
 /// The built product.
