--- /dev/null
+++ b/crates/policy/src/assembly/form.rs
@@ -0,0 +1,212 @@
+//! Forming replicas that are missing, and extra ones from hosts that are left.
+
+use domain::{FabricId, FastMap, HostId};
+
+use super::fabric::{ReplicaView, RoundView};
+use super::state::{AssemblyStep, DissolveReason, DrainReason, WantedReplicas};
+
+/// Forms what is missing, then what is allowed beyond that.
+///
+/// The largest replicas come first: where sizes of 4 and 16 share a fabric domain, one small
+/// replica in the wrong place leaves 12 hosts that can't form a large one.
+pub(super) fn plan(view: &mut RoundView<'_>, steps: &mut Vec<AssemblyStep>) {
+    let mut wanted: Vec<&WantedReplicas> = view.wanted.iter().collect();
+    wanted.sort_by_key(|wanted| std::cmp::Reverse(wanted.hosts_per_replica));
+    for wanted in &wanted {
+        form_missing(view, wanted, steps);
+    }
+    for wanted in &wanted {
+        form_extra(view, wanted, steps);
+    }
+}
+
+fn is_of(view: &ReplicaView<'_>, wanted: &WantedReplicas) -> bool {
+    view.replica.model == wanted.model && view.replica.version == wanted.version
+}
+
+fn form_missing(view: &mut RoundView<'_>, wanted: &WantedReplicas, steps: &mut Vec<AssemblyStep>) {
+    let whole = view
+        .replicas
+        .iter()
+        .filter(|replica| is_of(replica, wanted) && !is_stuck(view, replica));
+    let missing = (wanted.replicas as usize).saturating_sub(whole.count());
+    let present = view
+        .replicas
+        .iter()
+        .filter(|replica| is_of(replica, wanted))
+        .count();
+    for made in 0..missing {
+        let Some(fabric) = best_fabric(view, wanted) else {
+            steps.extend(drain_extra(view, wanted));
+            return;
+        };
+        // The new one stands in for a broken one whose lost hosts nobody can replace; the broken
+        // one's other hosts become spares, or else they would idle until the last one is back.
+        let allowed = (wanted.replicas + wanted.extra) as usize;
+        if present + made >= allowed
+            && let Some(stuck) = take_stuck(view, wanted)
+        {
+            steps.push(stuck);
+        }
+        form(view, wanted, &fabric, steps);
+    }
+}
+
+/// An extra replica of another model gives its hosts to one that is missing.
+fn drain_extra(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<AssemblyStep> {
+    let extra = view.find_extra(|other| {
+        let free = view
+            .fabrics
+            .get(&other.replica.fabric)
+            .map_or(0, |fabric| fabric.free.len());
+        let others = other.replica.model != wanted.model;
+        others && free + other.replica.hosts.len() >= wanted.hosts_per_replica as usize
+    })?;
+    Some(AssemblyStep::Drain {
+        replica: extra.replica.id.clone(),
+        reason: DrainReason::HostsNeeded,
+    })
+}
+
+fn form_extra(view: &mut RoundView<'_>, wanted: &WantedReplicas, steps: &mut Vec<AssemblyStep>) {
+    let formed = steps.iter().filter(|step| {
+        matches!(step, AssemblyStep::Form { model, version, .. }
+            if *model == wanted.model && *version == wanted.version)
+    });
+    let present = view
+        .replicas
+        .iter()
+        .filter(|replica| is_of(replica, wanted))
+        .count()
+        + formed.count();
+    let room = ((wanted.replicas + wanted.extra) as usize).saturating_sub(present);
+    for _ in 0..room {
+        let Some(fabric) = best_extra_fabric(view, wanted) else {
+            return;
+        };
+        form(view, wanted, &fabric, steps);
+    }
+}
+
+/// Whether a replica's lost hosts could not be replaced within its fabric domain in this round.
+fn is_stuck(view: &RoundView<'_>, replica: &ReplicaView<'_>) -> bool {
+    let free = view
+        .fabrics
+        .get(&replica.replica.fabric)
+        .map_or(0, |fabric| fabric.free.len());
+    replica.broken && replica.lost.len() > free && !replica.lost.is_empty()
+}
+
+fn take_stuck(view: &mut RoundView<'_>, wanted: &WantedReplicas) -> Option<AssemblyStep> {
+    let position = view
+        .replicas
+        .iter()
+        .position(|replica| is_of(replica, wanted) && is_stuck(view, replica))?;
+    let stuck = view.replicas.remove(position);
+    Some(AssemblyStep::Dissolve {
+        replica: stuck.replica.id.clone(),
+        reason: DissolveReason::Regrouped,
+    })
+}
+
+fn best_extra_fabric(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<FabricId> {
+    let mut best: Option<(usize, &FabricId)> = None;
+    for (fabric, state) in &view.fabrics {
+        let idle = view.settings.idle_spares(state.total);
+        let needed = wanted.hosts_per_replica as usize + idle;
+        if state.free.len() < needed {
+            continue;
+        }
+        if best.is_none_or(|(free, _)| state.free.len() > free) {
+            best = Some((state.free.len(), fabric));
+        }
+    }
+    best.map(|(_, fabric)| fabric.clone())
+}
+
+/// The fabric domain in which a replica costs least.
+///
+/// It should leave no useless remainder for the largest size, keep spares where hosts are lost,
+/// and not put all replicas of a model into one failure domain, whose loss would end its service.
+fn best_fabric(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<FabricId> {
+    let size = wanted.hosts_per_replica as usize;
+    let largest = view
+        .wanted
+        .iter()
+        .map(|wanted| wanted.hosts_per_replica as usize)
+        .max()?;
+    let in_domain = replicas_by_domain(view, wanted);
+    let mut best: Option<(FabricCost, &FabricId)> = None;
+    for (fabric, state) in &view.fabrics {
+        let free = state.free.len();
+        if free < size || size == 0 {
+            continue;
+        }
+        let broken_large = free / largest - (free - size) / largest;
+        let broken_large = if size == largest { 0 } else { broken_large };
+        let idle = view.settings.idle_spares(state.total).max(1);
+        let cost = FabricCost {
+            broken_large,
+            in_domain: state
+                .domain
+                .and_then(|domain| in_domain.get(domain))
+                .copied()
+                .unwrap_or(0),
+            missing_spares: idle.saturating_sub(free - size),
+            left: free - size,
+        };
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            best = Some((cost, fabric));
+        }
+    }
+    best.map(|(_, fabric)| fabric.clone())
+}
+
+/// Cost of a fabric domain; the first difference decides.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct FabricCost {
+    broken_large: usize,
+    missing_spares: usize,
+    in_domain: usize,
+    left: usize,
+}
+
+fn replicas_by_domain<'a>(
+    view: &RoundView<'a>,
+    wanted: &WantedReplicas,
+) -> FastMap<&'a domain::DomainId, usize> {
+    let mut counts = FastMap::default();
+    for replica in &view.replicas {
+        if !is_of(replica, wanted) {
+            continue;
+        }
+        let domain = view
+            .fabrics
+            .get(&replica.replica.fabric)
+            .and_then(|fabric| fabric.domain);
+        if let Some(domain) = domain {
+            *counts.entry(domain).or_default() += 1;
+        }
+    }
+    counts
+}
+
+fn form(
+    view: &mut RoundView<'_>,
+    wanted: &WantedReplicas,
+    fabric: &FabricId,
+    steps: &mut Vec<AssemblyStep>,
+) {
+    let mut hosts: Vec<HostId> = Vec::new();
+    for rank in 0..wanted.hosts_per_replica as usize {
+        let host = view.take_host(fabric, &wanted.model, &wanted.version, rank);
+        let Some(host) = host else { return };
+        hosts.push(host.id.clone());
+    }
+    steps.push(AssemblyStep::Form {
+        model: wanted.model.clone(),
+        version: wanted.version.clone(),
+        fabric: fabric.clone(),
+        hosts,
+    });
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! be replayed in a test.
 
 pub mod admission;
+pub mod assembly;
 pub mod capacity;
 pub mod placement;
 pub mod retry;
--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -17,6 +17,15 @@
 /// Holders of a prompt's prefix that are weighed besides the drawn targets.
 const MAX_HOLDERS: usize = 4;
 
+/// Longest prediction in seconds; beyond it targets are equally hopeless.
+const LONGEST_PREDICTED: f64 = 3_600.0;
+
+/// Time to the first token, with and without the target's own slowness.
+struct TimeEstimate {
+    predicted: Duration,
+    unslowed: Duration,
+}
+
 impl TargetPool {
     /// Chooses a target, none when no candidate is usable.
     ///
@@ -120,13 +129,14 @@
             return;
         };
         let cached_tokens = self.cached_tokens(target, state, prefix, request);
-        let predicted = self.predict(state, cached_tokens, request, now);
-        if best.is_some_and(|best| best.predicted <= predicted) {
+        let estimate = self.predict(state, cached_tokens, request, now);
+        if best.is_some_and(|best| best.predicted <= estimate.predicted) {
             return;
         }
         *best = Some(PlacementChoice {
             target,
-            predicted,
+            predicted: estimate.predicted,
+            unslowed: estimate.unslowed,
             cached_tokens,
         });
     }
@@ -157,7 +167,7 @@
         cached_tokens: u32,
         request: &PlacementRequest<'_>,
         now: Duration,
-    ) -> Duration {
+    ) -> TimeEstimate {
         let load = state.estimate(now);
         let slots = f64::from(state.facts.slots.max(1));
         let over = load.streams + 1.0 - slots;
@@ -184,7 +194,14 @@
             HealthVerdict::Trial => 1.0,
             HealthVerdict::Open | HealthVerdict::Ejected => state.health.slowness(now),
         };
-        let work = (wait + reading + crowding) * slowness + loading;
-        state.facts.distance + Duration::from_secs_f64(work.min(3_600.0))
+        let wait = wait + reading + crowding;
+        let at_pace = |slowness: f64| {
+            let seconds = (wait * slowness + loading).min(LONGEST_PREDICTED);
+            state.facts.distance + Duration::from_secs_f64(seconds)
+        };
+        TimeEstimate {
+            predicted: at_pace(slowness),
+            unslowed: at_pace(1.0),
+        }
     }
 }
--- a/crates/policy/src/placement/pool.rs
+++ b/crates/policy/src/placement/pool.rs
@@ -12,6 +12,10 @@
 /// Weight of a new observation in the pool's means.
 const MEAN_WEIGHT: f64 = 0.05;
 
+/// Shortest time to a first token that slowness is judged by, in seconds; below it the noise of
+/// the network would look like slowness.
+const LEAST_EXPECTED: f64 = 0.05;
+
 /// The targets of one entry with all that is known of their load, caches and health.
 #[derive(Debug)]
 pub struct TargetPool {
@@ -91,11 +95,8 @@
         let Some(state) = self.targets.get_mut(choice.target) else {
             return;
         };
-        // Below this the noise of the network would look like slowness.
-        let least = 0.05;
-        let current = state.health.slowness(now);
-        let neutral = (choice.predicted.as_secs_f64() / current).max(least);
-        let ratio = elapsed.as_secs_f64().max(least) / neutral;
+        let expected = choice.unslowed.as_secs_f64().max(LEAST_EXPECTED);
+        let ratio = elapsed.as_secs_f64().max(LEAST_EXPECTED) / expected;
         state.health.note_answer(now, ratio, &settings);
     }
 
--- a/crates/policy/src/placement/request.rs
+++ b/crates/policy/src/placement/request.rs
@@ -62,6 +62,8 @@
     pub target: TargetKey,
     /// Predicted time to the first token; hand it back to [`TargetPool::note_first_token`].
     pub predicted: Duration,
+    /// The same, had the target been as fast as its load allows.
+    pub unslowed: Duration,
     /// Prompt tokens that the target probably has cached.
     pub cached_tokens: u32,
 }
