Order, log, count and show the events of all processes

Cause: what happened over several processes could not be read off anything.

Ruled out: wall time alone (an effect sorts before its cause when clocks differ) and vector clocks (410 entries in each message).

--- a/crates/events/src/recorder.rs
+++ b/crates/events/src/recorder.rs
@@ -2,12 +2,14 @@
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::SystemTime;
 
 use domain::{CustomerId, HostId, LeaseName, NodeId, ReplicaId, RequestId};
 use serde::{Deserialize, Serialize};
 
+use crate::clock::{HybridClock, HybridStamp};
 use crate::code::EventCode;
+use crate::logs::log_event;
+use crate::metrics::NodeMetrics;
 
 /// What an event is about.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -93,10 +95,11 @@
 pub struct EventRecord {
     /// Process that recorded it.
     pub node: NodeId,
-    /// Position in that process's ring, from 0 at its start.
+    /// Position among that process's events, from 0 at its start; a gap means that the ring
+    /// dropped events.
     pub sequence: u64,
-    /// Milliseconds since 1970 on that process's clock; only for people.
-    pub time_ms: u64,
+    /// When.
+    pub stamp: HybridStamp,
     /// Kind.
     pub code: EventCode,
     /// What it is about.
@@ -105,7 +108,7 @@
     pub detail: String,
 }
 
-/// Records events into the ring and the log. Cheap to clone; clones share the ring.
+/// Records events into the ring, the log and the metrics. Cheap to clone; clones share the ring.
 #[derive(Debug, Clone)]
 pub struct EventRecorder {
     inner: Arc<RecorderInner>,
@@ -115,6 +118,8 @@
 struct RecorderInner {
     node: NodeId,
     capacity: usize,
+    clock: HybridClock,
+    metrics: Option<NodeMetrics>,
     ring: Mutex<EventRing>,
 }
 
@@ -128,38 +133,68 @@
     /// A recorder that keeps the newest `capacity` events.
     #[must_use]
     pub fn new(node: NodeId, capacity: usize) -> Self {
+        Self::build(node, capacity, None)
+    }
+
+    /// A recorder that also counts its events.
+    #[must_use]
+    pub fn counted(node: NodeId, capacity: usize, metrics: NodeMetrics) -> Self {
+        Self::build(node, capacity, Some(metrics))
+    }
+
+    fn build(node: NodeId, capacity: usize, metrics: Option<NodeMetrics>) -> Self {
+        let clock = HybridClock::default();
         let ring = Mutex::new(EventRing::default());
         Self {
             inner: Arc::new(RecorderInner {
                 node,
                 capacity,
+                clock,
+                metrics,
                 ring,
             }),
         }
     }
 
+    /// The process's clock, for stamps that travel with messages.
+    #[must_use]
+    pub fn clock(&self) -> &HybridClock {
+        &self.inner.clock
+    }
+
     /// Records an event.
     pub fn note(&self, code: EventCode, subject: EventSubject, detail: impl Into<String>) {
-        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let time_ms = since_epoch.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(0));
+        let event = self.store(code, subject, detail.into());
+        log_event(&event);
+        if let Some(metrics) = &self.inner.metrics {
+            metrics.count_event(code);
+        }
+    }
+
+    fn store(&self, code: EventCode, subject: EventSubject, detail: String) -> EventRecord {
         let mut ring = self
             .inner
             .ring
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
+        // The stamp is taken under the lock, so that sequence and stamp rise together.
+        let stamp = self.inner.clock.next();
         let sequence = ring.next;
-        ring.next += 1;
-        if ring.events.len() == self.inner.capacity {
-            ring.events.pop_front();
-        }
-        ring.events.push_back(EventRecord {
-            node: self.inner.node.clone(),
+        let node = self.inner.node.clone();
+        let event = EventRecord {
+            node,
             sequence,
-            time_ms,
+            stamp,
             code,
             subject,
-            detail: detail.into(),
-        });
+            detail,
+        };
+        ring.next += 1;
+        if ring.events.len() >= self.inner.capacity {
+            ring.events.pop_front();
+        }
+        ring.events.push_back(event.clone());
+        event
     }
 
     /// The events in the ring, oldest first.
