--- /dev/null
+++ b/crates/control/src/assembly/controller.rs
@@ -0,0 +1,401 @@
+//! The rounds of one fabric domain's controller.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use domain::{FabricId, FastSet, HostId, HostSlot, LeaseEpoch, ReplicaId, ReplicaPlan};
+use events::{EventCode, EventRecorder, EventSubject};
+use futures::future::join_all;
+use platform::{StoreError, TableStore};
+use target::EnginePort;
+use tokio::sync::watch;
+
+use super::orders::send_orders;
+use super::{
+    AssemblySettings, AssemblyStep, FabricHealth, FabricRows, HostChooser, HostHealth, RoundInput,
+    StepError, VersionTarget, plan_round, wanted_orders,
+};
+use crate::board::EvidenceBoard;
+use crate::directory::HostDirectory;
+use crate::drains::DrainSet;
+use crate::lease::LeaseGrant;
+use crate::pause::spread;
+use crate::view::ConfigView;
+
+/// What a controller works with.
+#[derive(Debug, Clone)]
+pub struct AssemblyParts<T, E, C> {
+    /// The table.
+    pub table: T,
+    /// Engines.
+    pub engine: E,
+    /// Which free hosts to take.
+    pub chooser: C,
+    /// Evidence of wholeness.
+    pub board: EvidenceBoard,
+    /// The hosts.
+    pub directory: watch::Receiver<Arc<HostDirectory>>,
+    /// The configuration in force.
+    pub config: watch::Receiver<Arc<ConfigView>>,
+    /// Events.
+    pub recorder: EventRecorder,
+    /// Limits.
+    pub settings: AssemblySettings,
+}
+
+/// Acts for a fabric domain whenever its lease is held; runs until the lease's keeper ends.
+pub async fn run_controller<T: TableStore, E: EnginePort, C: HostChooser>(
+    parts: AssemblyParts<T, E, C>,
+    fabric: FabricId,
+    mut grants: watch::Receiver<Option<LeaseGrant>>,
+) {
+    let pause = Duration::from_millis(parts.settings.round_ms);
+    let mut controller = FabricController::new(parts, fabric);
+    loop {
+        let grant = grants.borrow_and_update().clone();
+        let Some(grant) = grant else {
+            controller.forget();
+            if grants.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        controller.round(&grant).await;
+        tokio::time::sleep(spread(pause, 0.2)).await;
+        if grants.has_changed().is_err() {
+            return;
+        }
+    }
+}
+
+/// The state that a controller keeps between rounds; all of it can be read anew.
+#[derive(Debug)]
+pub struct FabricController<T, E, C> {
+    parts: AssemblyParts<T, E, C>,
+    fabric: FabricId,
+    rows: Option<(LeaseEpoch, FabricRows)>,
+    refreshed: Instant,
+    health: FabricHealth,
+}
+
+impl<T: TableStore, E: EnginePort, C: HostChooser> FabricController<T, E, C> {
+    /// A controller that has read nothing yet.
+    #[must_use]
+    pub fn new(parts: AssemblyParts<T, E, C>, fabric: FabricId) -> Self {
+        Self {
+            parts,
+            fabric,
+            rows: None,
+            refreshed: Instant::now(),
+            health: FabricHealth::default(),
+        }
+    }
+
+    /// Forgets what was read, because another node may act now.
+    pub fn forget(&mut self) {
+        self.rows = None;
+        self.health = FabricHealth::default();
+    }
+
+    /// One round under a lease.
+    pub async fn round(&mut self, grant: &LeaseGrant) {
+        let config = Arc::clone(&self.parts.config.borrow());
+        // A node that has not read any record yet would take every replica for a surplus.
+        if config.revision.0 == 0 {
+            return;
+        }
+        let Ok(mut rows) = self.current_rows(grant).await else {
+            return;
+        };
+        let done = self.work(grant, &config, &mut rows).await;
+        let current = !matches!(done, Err(StepError::Store(_) | StepError::Conflict));
+        self.rows = current.then_some((grant.epoch, rows));
+    }
+
+    /// The rows, read anew after a take-over, a conflict or a lost answer, and looked at every
+    /// few seconds for a write of one's own that took effect after its answer was given up.
+    async fn current_rows(&mut self, grant: &LeaseGrant) -> Result<FabricRows, StoreError> {
+        let table = &self.parts.table;
+        let period = Duration::from_millis(self.parts.settings.refresh_ms);
+        if let Some((epoch, mut rows)) = self.rows.take()
+            && epoch == grant.epoch
+        {
+            if self.refreshed.elapsed() < period {
+                return Ok(rows);
+            }
+            if !rows.is_stale(table).await? {
+                rows.load_census(table).await?;
+                self.refreshed = Instant::now();
+                return Ok(rows);
+            }
+        }
+        let rows = FabricRows::load(table, &self.fabric).await?;
+        self.refreshed = Instant::now();
+        Ok(rows)
+    }
+
+    async fn work(
+        &mut self,
+        grant: &LeaseGrant,
+        config: &ConfigView,
+        rows: &mut FabricRows,
+    ) -> Result<(), StepError> {
+        let settings = self.parts.settings;
+        let directory = Arc::clone(&self.parts.directory.borrow());
+        let names = self.host_names(&directory, rows);
+        rows.load_slots(&self.parts.table, names.iter()).await?;
+        let trusted = self.trusted_hosts(rows);
+        let drains = DrainSet::new(config);
+        let mut hosts = self.ask_hosts(&names, &trusted, &directory, &drains).await;
+        let now = Instant::now();
+        self.health.note_round(&mut hosts, &trusted, settings, now);
+        let drained = self.drained_replicas(rows, &hosts, now);
+        let slots = rows
+            .slots
+            .iter()
+            .map(|(host, (slot, _))| (host.clone(), slot.clone()))
+            .collect::<domain::FastMap<HostId, HostSlot>>();
+        let steps = plan_round(&RoundInput {
+            fleet: &rows.fleet.0,
+            slots: &slots,
+            hosts: &hosts,
+            targets: &version_targets(config, rows),
+            drained: &drained,
+            chooser: &self.parts.chooser,
+        });
+        for step in steps {
+            let known = rows.fleet.0.clone();
+            match rows
+                .commit_step(&self.parts.table, grant, &step, &hosts)
+                .await
+            {
+                Ok(()) => self.note_step(&step, &known.plans, rows, &hosts),
+                Err(error @ (StepError::Store(_) | StepError::Conflict)) => return Err(error),
+                Err(StepError::Slot(_) | StepError::Fleet(_) | StepError::Id(_)) => {}
+            }
+        }
+        let orders = wanted_orders(&rows.fleet.0, &hosts, &directory, settings.loads_at_once);
+        for host in send_orders(&self.parts.engine, grant, &orders, settings).await {
+            let subject = EventSubject::host(&host);
+            let detail = format!("epoch {}", grant.epoch);
+            self.parts
+                .recorder
+                .note(EventCode::OrderFenced, subject, detail);
+        }
+        Ok(())
+    }
+
+    fn host_names(&self, directory: &HostDirectory, rows: &FabricRows) -> Vec<HostId> {
+        let listed = directory
+            .hosts
+            .values()
+            .filter(|entry| entry.fabric == self.fabric)
+            .map(|entry| &entry.host);
+        let planned = rows.fleet.0.plans.iter().flat_map(|plan| &plan.hosts);
+        let assigned = rows
+            .slots
+            .iter()
+            .filter(|(_, (slot, _))| slot.assignment.is_some())
+            .map(|(host, _)| host);
+        let mut names: Vec<HostId> = listed.chain(planned).chain(assigned).cloned().collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    /// Hosts of replicas that some node found whole a moment ago. They need no question of the
+    /// controller, and a controller that is cut off from them does not take them for lost.
+    fn trusted_hosts(&self, rows: &FabricRows) -> FastSet<HostId> {
+        let limit = Duration::from_millis(self.parts.settings.trust_ms);
+        let now = Instant::now();
+        let mut trusted = FastSet::default();
+        for plan in &rows.fleet.0.plans {
+            let Some(entry) = self.parts.board.newest_for(&plan.id) else {
+                continue;
+            };
+            let mut evidence = entry.evidence.clone();
+            evidence.age = entry.age(now);
+            if plan.draining || !evidence.allows(plan, limit) {
+                continue;
+            }
+            trusted.extend(plan.hosts.iter().cloned());
+        }
+        trusted
+    }
+
+    async fn ask_hosts(
+        &self,
+        names: &[HostId],
+        trusted: &FastSet<HostId>,
+        directory: &HostDirectory,
+        drains: &DrainSet,
+    ) -> BTreeMap<HostId, HostHealth> {
+        let timeout = Duration::from_millis(self.parts.settings.probe_timeout_ms);
+        let questions = names.iter().map(|host| async move {
+            let entry = directory.hosts.get(host);
+            let state = match entry {
+                Some(entry) if !trusted.contains(host) => {
+                    let answer = self.parts.engine.state(entry.address, timeout).await;
+                    answer.ok().filter(|state| state.host == *host)
+                }
+                Some(_) | None => None,
+            };
+            let drain = drains.host_cause(host, directory, state.as_ref());
+            let health = HostHealth {
+                state,
+                lost: false,
+                drain,
+            };
+            (host.clone(), health)
+        });
+        join_all(questions).await.into_iter().collect()
+    }
+
+    fn drained_replicas(
+        &mut self,
+        rows: &FabricRows,
+        hosts: &BTreeMap<HostId, HostHealth>,
+        now: Instant,
+    ) -> FastSet<ReplicaId> {
+        let mut draining = FastSet::default();
+        let mut drained = FastSet::default();
+        for plan in &rows.fleet.0.plans {
+            if !plan.draining {
+                continue;
+            }
+            draining.insert(plan.id.clone());
+            let leading = plan.leader().and_then(|host| hosts.get(host));
+            let load = leading
+                .and_then(|health| health.state.as_ref())
+                .map(|state| state.load);
+            let idle = load.is_some_and(|load| load.running == 0 && load.waiting == 0);
+            let settings = self.parts.settings;
+            if self.health.note_drain(&plan.id, idle, settings, now) {
+                drained.insert(plan.id.clone());
+            }
+        }
+        self.health.retain_drains(&draining);
+        drained
+    }
+
+    fn note_step(
+        &self,
+        step: &AssemblyStep,
+        before: &[ReplicaPlan],
+        rows: &FabricRows,
+        hosts: &BTreeMap<HostId, HostHealth>,
+    ) {
+        let note = |code, subject, detail: String| self.parts.recorder.note(code, subject, detail);
+        match step {
+            AssemblyStep::Free(host) => {
+                note(
+                    EventCode::HostFreed,
+                    EventSubject::host(host),
+                    String::new(),
+                );
+            }
+            AssemblyStep::Form { .. } => {
+                let Some(plan) = rows.fleet.0.plans.last() else {
+                    return;
+                };
+                let subject = EventSubject::replica(&plan.id);
+                note(EventCode::ReplicaFormed, subject, host_list(&plan.hosts));
+            }
+            AssemblyStep::Reform { replica, hosts, .. } => {
+                let subject = EventSubject::replica(replica);
+                note(EventCode::ReplicaReformed, subject, host_list(hosts));
+            }
+            AssemblyStep::Drain(replica, cause) => {
+                let subject = EventSubject::replica(replica);
+                note(
+                    EventCode::ReplicaDraining,
+                    subject,
+                    cause.as_str().to_owned(),
+                );
+            }
+            AssemblyStep::Undrain(replica) => {
+                let subject = EventSubject::replica(replica);
+                note(EventCode::ReplicaDraining, subject, "no longer".to_owned());
+            }
+            AssemblyStep::Dissolve(replica) => {
+                note(
+                    EventCode::ReplicaDissolved,
+                    EventSubject::replica(replica),
+                    String::new(),
+                );
+            }
+        }
+        if let AssemblyStep::Reform { replica, .. } | AssemblyStep::Dissolve(replica) = step {
+            self.note_lost(replica, before, hosts);
+        }
+    }
+
+    fn note_lost(
+        &self,
+        replica: &ReplicaId,
+        before: &[ReplicaPlan],
+        hosts: &BTreeMap<HostId, HostHealth>,
+    ) {
+        let Some(plan) = before.iter().find(|plan| plan.id == *replica) else {
+            return;
+        };
+        for host in &plan.hosts {
+            if !hosts.get(host).is_some_and(|health| health.lost) {
+                continue;
+            }
+            let subject = EventSubject::host(host).and_replica(replica);
+            self.parts
+                .recorder
+                .note(EventCode::HostLost, subject, String::new());
+        }
+    }
+}
+
+fn host_list(hosts: &[HostId]) -> String {
+    let names: Vec<&str> = hosts.iter().map(HostId::as_str).collect();
+    names.join(" ")
+}
+
+/// What the records ask for, with the counts in the table.
+fn version_targets(config: &ConfigView, rows: &FabricRows) -> Vec<VersionTarget> {
+    let standing = |model: &domain::ModelName, version: &domain::VersionName| {
+        let name = (model.clone(), version.clone());
+        rows.census.get(&name).map_or(0, |(row, _)| row.replicas)
+    };
+    let mut targets = Vec::new();
+    for model in config.models.values() {
+        for version in &model.versions {
+            targets.push(VersionTarget {
+                model: model.name.clone(),
+                version: version.version.clone(),
+                wanted: version.replicas,
+                standing: standing(&model.name, &version.version),
+                size: model.hosts_per_replica as usize,
+                adapters: model.adapters.clone(),
+            });
+        }
+    }
+    // A model whose record this program can't read stays as it is: another program, newer than
+    // this one, knows what it asks for.
+    for plan in &rows.fleet.0.plans {
+        let key =
+            platform::keys::record_key(domain::record::RecordKind::Model, plan.model.as_str());
+        let known = targets
+            .iter()
+            .any(|target| target.model == plan.model && target.version == plan.version);
+        if known || !config.unknown.contains(&key) {
+            continue;
+        }
+        let count = standing(&plan.model, &plan.version);
+        targets.push(VersionTarget {
+            model: plan.model.clone(),
+            version: plan.version.clone(),
+            wanted: count,
+            standing: count,
+            size: plan.hosts.len(),
+            adapters: plan.adapters.clone(),
+        });
+    }
+    targets
+}
--- /dev/null
+++ b/crates/control/src/assembly/health.rs
@@ -0,0 +1,83 @@
+//! What a controller knows of its hosts, and for how long it has known it.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use domain::{FastMap, FastSet, HostId, ReplicaId};
+use wire::engine::EngineState;
+
+use super::AssemblySettings;
+use crate::drains::DrainCause;
+
+/// What is known of a host in one round.
+#[derive(Debug, Clone, Default)]
+pub struct HostHealth {
+    /// What it reported in this round; none when it was silent or not asked.
+    pub state: Option<EngineState>,
+    /// Whether it has been silent for so long that its replica goes on without it.
+    pub lost: bool,
+    /// Why it takes no new work.
+    pub drain: Option<DrainCause>,
+}
+
+/// Clocks that run over the rounds. They are this process's own; a new holder of the lease starts
+/// them anew, which only delays a step.
+#[derive(Debug, Default)]
+pub struct FabricHealth {
+    silent: FastMap<HostId, Instant>,
+    draining: FastMap<ReplicaId, Instant>,
+    idle: FastMap<ReplicaId, Instant>,
+}
+
+impl FabricHealth {
+    /// Notes who answered in this round and marks the lost ones.
+    ///
+    /// When nobody at all answers, nobody is marked: either the whole fabric domain is dark, and
+    /// nothing can be formed there, or this node is cut off, and others may serve from it.
+    pub fn note_round(
+        &mut self,
+        hosts: &mut BTreeMap<HostId, HostHealth>,
+        trusted: &FastSet<HostId>,
+        settings: AssemblySettings,
+        now: Instant,
+    ) {
+        self.silent.retain(|host, _| hosts.contains_key(host));
+        let answered = !trusted.is_empty() || hosts.values().any(|host| host.state.is_some());
+        let limit = Duration::from_millis(settings.loss_ms);
+        for (host, health) in hosts.iter_mut() {
+            if health.state.is_some() || trusted.contains(host) {
+                self.silent.remove(host);
+                continue;
+            }
+            let since = *self.silent.entry(host.clone()).or_insert(now);
+            health.lost = answered && now.saturating_duration_since(since) >= limit;
+        }
+    }
+
+    /// Notes whether a draining replica is idle, and tells whether its hosts may be taken.
+    pub fn note_drain(
+        &mut self,
+        replica: &ReplicaId,
+        idle: bool,
+        settings: AssemblySettings,
+        now: Instant,
+    ) -> bool {
+        let since = *self.draining.entry(replica.clone()).or_insert(now);
+        let limit = Duration::from_millis(settings.drain_limit_ms);
+        if now.saturating_duration_since(since) >= limit {
+            return true;
+        }
+        if !idle {
+            self.idle.remove(replica);
+            return false;
+        }
+        let quiet = *self.idle.entry(replica.clone()).or_insert(now);
+        now.saturating_duration_since(quiet) >= Duration::from_millis(settings.settle_ms)
+    }
+
+    /// Forgets the drains of other replicas than these.
+    pub fn retain_drains(&mut self, draining: &FastSet<ReplicaId>) {
+        self.draining.retain(|id, _| draining.contains(id));
+        self.idle.retain(|id, _| draining.contains(id));
+    }
+}
--- /dev/null
+++ b/crates/control/src/assembly/round.rs
@@ -0,0 +1,331 @@
+//! Decides on the steps of one round, without input or output.
+
+use std::collections::BTreeMap;
+
+use domain::{
+    AdapterName, FabricFleet, FastMap, FastSet, HostId, HostSlot, ModelName, ReplicaId,
+    ReplicaPlan, VersionName,
+};
+
+use super::{HostChooser, HostHealth};
+use crate::drains::DrainCause;
+
+/// What a model's record asks of one version, and how many replicas stand in all fabric domains.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionTarget {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: VersionName,
+    /// Replicas wanted.
+    pub wanted: u32,
+    /// Replicas that stand and do not drain.
+    pub standing: u32,
+    /// Hosts of one replica.
+    pub size: usize,
+    /// Adapters that every replica loads.
+    pub adapters: Vec<AdapterName>,
+}
+
+/// One step; each is one transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AssemblyStep {
+    /// The host reported that it is empty: its slot is free.
+    Free(HostId),
+    /// A new replica.
+    Form {
+        /// Its model, version and adapters.
+        target: VersionTarget,
+        /// Its hosts.
+        hosts: Vec<HostId>,
+    },
+    /// A new incarnation, with other hosts or with the same after a restart of one.
+    Reform {
+        /// The replica.
+        replica: ReplicaId,
+        /// Its hosts from now on.
+        hosts: Vec<HostId>,
+        /// Its adapters from now on.
+        adapters: Vec<AdapterName>,
+    },
+    /// No new work.
+    Drain(ReplicaId, DrainCause),
+    /// New work again.
+    Undrain(ReplicaId),
+    /// No more such replica.
+    Dissolve(ReplicaId),
+}
+
+/// What a round goes by.
+#[derive(Debug)]
+pub struct RoundInput<'round, C> {
+    /// The fleet as the table has it.
+    pub fleet: &'round FabricFleet,
+    /// Slots of every host that is listed or was assigned.
+    pub slots: &'round FastMap<HostId, HostSlot>,
+    /// The hosts that are listed or were assigned.
+    pub hosts: &'round BTreeMap<HostId, HostHealth>,
+    /// What the records ask for.
+    pub targets: &'round [VersionTarget],
+    /// Draining replicas whose hosts may be taken.
+    pub drained: &'round FastSet<ReplicaId>,
+    /// Which free hosts to take.
+    pub chooser: &'round C,
+}
+
+/// The steps of a round.
+///
+/// Replicas that lost a host come first: they serve nothing and hold hosts that could. Drained
+/// replicas follow, then new ones. Free hosts that one step takes are gone for the next.
+#[must_use]
+pub fn plan_round<C: HostChooser>(input: &RoundInput<'_, C>) -> Vec<AssemblyStep> {
+    let mut round = Round {
+        input,
+        free: free_hosts(input),
+        targets: input.targets.to_vec(),
+        steps: Vec::new(),
+    };
+    round.free_slots();
+    for plan in &input.fleet.plans {
+        if !plan.draining {
+            round.mend(plan);
+        }
+    }
+    for plan in &input.fleet.plans {
+        if plan.draining {
+            round.finish_drain(plan);
+        }
+    }
+    round.form();
+    round.steps
+}
+
+/// Hosts without a replica that reported in this round that they run nothing and want work.
+fn free_hosts<C>(input: &RoundInput<'_, C>) -> Vec<HostId> {
+    let mut free = Vec::new();
+    for (host, health) in input.hosts {
+        let slot_taken = input
+            .slots
+            .get(host)
+            .is_none_or(|slot| slot.assignment.is_some());
+        let empty = health
+            .state
+            .as_ref()
+            .is_some_and(|state| state.assignment.is_none());
+        if slot_taken || !empty || health.drain.is_some() {
+            continue;
+        }
+        free.push(host.clone());
+    }
+    free
+}
+
+struct Round<'round, C> {
+    input: &'round RoundInput<'round, C>,
+    free: Vec<HostId>,
+    targets: Vec<VersionTarget>,
+    steps: Vec<AssemblyStep>,
+}
+
+impl<C: HostChooser> Round<'_, C> {
+    fn free_slots(&mut self) {
+        for (host, slot) in self.input.slots {
+            let Some(assignment) = &slot.assignment else {
+                continue;
+            };
+            let plan = self.input.fleet.plan(&assignment.replica);
+            if plan.is_some_and(|plan| plan.hosts.contains(host)) {
+                continue;
+            }
+            let state = self
+                .input
+                .hosts
+                .get(host)
+                .and_then(|health| health.state.as_ref());
+            if state.is_some_and(|state| state.assignment.is_none()) {
+                self.steps.push(AssemblyStep::Free(host.clone()));
+            }
+        }
+    }
+
+    fn target(&mut self, plan: &ReplicaPlan) -> Option<&mut VersionTarget> {
+        self.targets
+            .iter_mut()
+            .find(|target| target.model == plan.model && target.version == plan.version)
+    }
+
+    /// A replica that takes work: it goes on, is mended, or drains.
+    fn mend(&mut self, plan: &ReplicaPlan) {
+        let lost = plan.hosts.iter().any(|host| self.is_lost(host));
+        let restarted = plan.hosts.iter().any(|host| self.is_restarted(host));
+        if lost || restarted {
+            self.replace_hosts(plan);
+            return;
+        }
+        let Some(cause) = self.drain_cause(plan) else {
+            return;
+        };
+        if let Some(target) = self.target(plan) {
+            target.standing = target.standing.saturating_sub(1);
+        }
+        self.steps.push(AssemblyStep::Drain(plan.id.clone(), cause));
+    }
+
+    fn is_lost(&self, host: &HostId) -> bool {
+        self.input
+            .hosts
+            .get(host)
+            .is_none_or(|health| health.lost && health.state.is_none())
+    }
+
+    /// Whether a host's engine restarted under the replica. Its ranks then no longer belong
+    /// together, even when the host itself is back, so the replica needs a new incarnation.
+    fn is_restarted(&self, host: &HostId) -> bool {
+        let state = self
+            .input
+            .hosts
+            .get(host)
+            .and_then(|health| health.state.as_ref());
+        let assigned = self
+            .input
+            .slots
+            .get(host)
+            .and_then(|slot| slot.assignment.as_ref());
+        match (state, assigned) {
+            (Some(state), Some(assigned)) => state.boot > assigned.boot,
+            _ => false,
+        }
+    }
+
+    /// A drain that was begun and one that a record asks for.
+    fn drain_cause(&mut self, plan: &ReplicaPlan) -> Option<DrainCause> {
+        for host in &plan.hosts {
+            let cause = self.input.hosts.get(host).and_then(|health| health.drain);
+            if cause.is_some() {
+                return cause;
+            }
+        }
+        let Some(target) = self.target(plan) else {
+            return Some(DrainCause::Surplus);
+        };
+        if target.standing > target.wanted {
+            return Some(DrainCause::Surplus);
+        }
+        // One replica at a time: the others go on serving while this one loads anew. The count of
+        // standing replicas is checked in the transaction, over all fabric domains.
+        let changed = target.adapters != plan.adapters || target.size != plan.hosts.len();
+        let rest_stands = target.standing == target.wanted;
+        (changed && rest_stands).then_some(DrainCause::Changed)
+    }
+
+    /// The hosts that go on, filled up from the free ones; none when they do not suffice.
+    fn refill(&mut self, plan: &ReplicaPlan, size: usize) -> Option<Vec<HostId>> {
+        let mut hosts: Vec<HostId> = plan
+            .hosts
+            .iter()
+            .filter(|host| !self.is_lost(host) && !self.is_draining(host))
+            .take(size)
+            .cloned()
+            .collect();
+        let missing = size - hosts.len();
+        if missing > 0 {
+            let spares = self.input.chooser.choose(&self.free, missing)?;
+            self.free.retain(|host| !spares.contains(host));
+            hosts.extend(spares);
+        }
+        Some(hosts)
+    }
+
+    fn is_draining(&self, host: &HostId) -> bool {
+        self.input
+            .hosts
+            .get(host)
+            .is_none_or(|health| health.drain.is_some())
+    }
+
+    fn replace_hosts(&mut self, plan: &ReplicaPlan) {
+        let wanted = self.target(plan).map(|target| {
+            let fits = target.standing <= target.wanted;
+            (fits, target.size, target.adapters.clone())
+        });
+        let refilled = match wanted {
+            Some((true, size, adapters)) => self.refill(plan, size).map(|hosts| (hosts, adapters)),
+            Some((false, ..)) | None => None,
+        };
+        if let Some((hosts, adapters)) = refilled {
+            self.steps.push(AssemblyStep::Reform {
+                replica: plan.id.clone(),
+                hosts,
+                adapters,
+            });
+            return;
+        }
+        if let Some(target) = self.target(plan) {
+            target.standing = target.standing.saturating_sub(1);
+        }
+        self.steps.push(AssemblyStep::Dissolve(plan.id.clone()));
+    }
+
+    /// A replica that takes no new work: it takes work again, waits, is formed anew or ends.
+    fn finish_drain(&mut self, plan: &ReplicaPlan) {
+        let broken = plan
+            .hosts
+            .iter()
+            .any(|host| self.is_lost(host) || self.is_restarted(host));
+        let asked = plan.hosts.iter().any(|host| self.is_draining(host));
+        let target = self.target(plan).cloned();
+        let wanted = target.filter(|target| target.standing < target.wanted);
+        let same = wanted.as_ref().is_some_and(|target| {
+            target.adapters == plan.adapters && target.size == plan.hosts.len()
+        });
+        if !broken && !asked && same {
+            self.raise_standing(plan);
+            self.steps.push(AssemblyStep::Undrain(plan.id.clone()));
+            return;
+        }
+        if !broken && !self.input.drained.contains(&plan.id) {
+            return;
+        }
+        if let Some(target) = wanted
+            && let Some(hosts) = self.refill(plan, target.size)
+        {
+            self.raise_standing(plan);
+            self.steps.push(AssemblyStep::Reform {
+                replica: plan.id.clone(),
+                hosts,
+                adapters: target.adapters,
+            });
+            return;
+        }
+        self.steps.push(AssemblyStep::Dissolve(plan.id.clone()));
+    }
+
+    fn raise_standing(&mut self, plan: &ReplicaPlan) {
+        if let Some(target) = self.target(plan) {
+            target.standing += 1;
+        }
+    }
+
+    /// New replicas, the version that lacks the largest share first: a model without any replica
+    /// answers nobody, one that lacks the third of three answers a little later.
+    fn form(&mut self) {
+        let mut lacking: Vec<VersionTarget> = self.targets.clone();
+        lacking.retain(|target| target.standing < target.wanted && target.size > 0);
+        lacking.sort_by_key(|target| {
+            let share = u64::from(target.standing) * 1_000 / u64::from(target.wanted);
+            (share, target.model.clone(), target.version.clone())
+        });
+        for target in lacking {
+            for _ in target.standing..target.wanted {
+                let Some(hosts) = self.input.chooser.choose(&self.free, target.size) else {
+                    break;
+                };
+                self.free.retain(|host| !hosts.contains(host));
+                self.steps.push(AssemblyStep::Form {
+                    target: target.clone(),
+                    hosts,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/assembly/rows.rs
@@ -0,0 +1,352 @@
+//! The rows of one fabric domain, and the transaction that each step is.
+
+use domain::fleet::FleetError;
+use domain::host::{EmptyProof, SlotAssignment, SlotError};
+use domain::replica::ReplicaRole;
+use domain::{
+    FabricFleet, FabricId, FastMap, HostId, HostSlot, IncarnationNumber, ModelName, ReplicaId,
+    ReplicaPlan, RowVersion, VersionName,
+};
+use platform::{
+    CommitOutcome, RowExpectation, RowRead, StoreError, TableStore, WriteBatch, keys,
+    settled_commit,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use super::{AssemblyStep, HostHealth};
+use crate::lease::LeaseGrant;
+use crate::token::random_token;
+
+/// Sends of one transaction before its outcome is left to the next round.
+const COMMIT_TRIES: u32 = 3;
+
+/// Count of the replicas of one version that stand and do not drain, over all fabric domains.
+///
+/// Controllers of several fabric domains see the same replica missing. The row makes the second
+/// one's transaction fail instead of giving the model a replica too many.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CensusRow {
+    /// The count.
+    pub replicas: u32,
+}
+
+/// Why a step did not take effect.
+#[derive(Debug, thiserror::Error)]
+pub enum StepError {
+    /// The store.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A rule of a host's slot.
+    #[error(transparent)]
+    Slot(#[from] SlotError),
+    /// A rule of the fleet.
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
+    /// A row is not as it was last read, or the lease is another node's.
+    #[error("another writer was faster")]
+    Conflict,
+    /// The replica has no id.
+    #[error(transparent)]
+    Id(#[from] domain::IdError),
+}
+
+/// A row's content with its version; none while there is no row.
+type VersionedRow<R> = (R, Option<RowVersion>);
+
+/// The rows as last read or written by this process.
+#[derive(Debug, Clone)]
+pub struct FabricRows {
+    /// The fabric domain.
+    pub fabric: FabricId,
+    /// Its replicas.
+    pub fleet: VersionedRow<FabricFleet>,
+    /// Slots of its hosts.
+    pub slots: FastMap<HostId, VersionedRow<HostSlot>>,
+    /// Counts of replicas.
+    pub census: FastMap<(ModelName, VersionName), VersionedRow<CensusRow>>,
+}
+
+impl FabricRows {
+    /// Reads the fleet and the counts. Slots are read when their hosts are first met.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    pub async fn load<T: TableStore>(table: &T, fabric: &FabricId) -> Result<Self, StoreError> {
+        let fleet = read_row(table, &keys::fleet_key(fabric)).await?;
+        let mut rows = Self {
+            fabric: fabric.clone(),
+            fleet,
+            slots: FastMap::default(),
+            census: FastMap::default(),
+        };
+        rows.load_census(table).await?;
+        Ok(rows)
+    }
+
+    /// Reads the counts anew.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    pub async fn load_census<T: TableStore>(&mut self, table: &T) -> Result<(), StoreError> {
+        self.census.clear();
+        for row in table.scan(keys::CENSUS).await? {
+            let name = row.key.trim_start_matches(keys::CENSUS);
+            let Some((model, version)) = name.split_once('/') else {
+                continue;
+            };
+            let (Ok(model), Ok(version)) = (model.parse(), version.parse()) else {
+                continue;
+            };
+            let count = serde_json::from_value(row.value)
+                .map_err(|error| StoreError::Malformed(error.to_string()))?;
+            self.census
+                .insert((model, version), (count, Some(row.version)));
+        }
+        Ok(())
+    }
+
+    /// Whether the fleet's row was changed by another process.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    pub async fn is_stale<T: TableStore>(&self, table: &T) -> Result<bool, StoreError> {
+        let read = table
+            .read(&keys::fleet_key(&self.fabric), self.fleet.1)
+            .await?;
+        Ok(match read {
+            RowRead::Unchanged => false,
+            RowRead::Absent => self.fleet.1.is_some(),
+            RowRead::Found(row) => Some(row.version) != self.fleet.1,
+        })
+    }
+
+    /// Reads the slots of hosts that were not met before.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    pub async fn load_slots<'host, T: TableStore>(
+        &mut self,
+        table: &T,
+        hosts: impl Iterator<Item = &'host HostId>,
+    ) -> Result<(), StoreError> {
+        let unknown: Vec<HostId> = hosts
+            .filter(|host| !self.slots.contains_key(host))
+            .cloned()
+            .collect();
+        for host in unknown {
+            let slot = read_row(table, &keys::host_key(&host)).await?;
+            self.slots.insert(host, slot);
+        }
+        Ok(())
+    }
+
+    /// Commits a step under a lease; the rows then hold what the table holds.
+    ///
+    /// # Errors
+    ///
+    /// [`StepError`]; after any but a rule's breach the rows must be read anew.
+    pub async fn commit_step<T: TableStore>(
+        &mut self,
+        table: &T,
+        grant: &LeaseGrant,
+        step: &AssemblyStep,
+        health: &std::collections::BTreeMap<HostId, HostHealth>,
+    ) -> Result<(), StepError> {
+        let change = self.change_for(grant, step, health)?;
+        let mut batch = WriteBatch::new(random_token("assembly")?);
+        if let Some(fleet) = &change.fleet {
+            let key = keys::fleet_key(&self.fabric);
+            let value = to_value(fleet)?;
+            // Nodes follow the head and the mark, which need no content.
+            let mark = json!({ "fabric": self.fabric });
+            batch = batch
+                .put(key, expectation(self.fleet.1), value)
+                .put(
+                    keys::mark_key(&self.fabric),
+                    RowExpectation::Any,
+                    mark.clone(),
+                )
+                .put(keys::FLEET_HEAD, RowExpectation::Any, mark);
+        }
+        for (host, slot) in &change.slots {
+            let version = self.slots.get(host).and_then(|(_, version)| *version);
+            let value = to_value(slot)?;
+            batch = batch.put(keys::host_key(host), expectation(version), value);
+        }
+        if let Some((name, count)) = &change.census {
+            let version = self.census.get(name).and_then(|(_, version)| *version);
+            let key = keys::census_key(&name.0, &name.1);
+            batch = batch.put(key, expectation(version), to_value(count)?);
+        }
+        match settled_commit(table, &grant.guard(batch), COMMIT_TRIES).await? {
+            CommitOutcome::Committed(version) => self.apply(change, version),
+            CommitOutcome::Conflict(_) => return Err(StepError::Conflict),
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, change: RowChanges, version: RowVersion) {
+        if let Some(fleet) = change.fleet {
+            self.fleet = (fleet, Some(version));
+        }
+        for (host, slot) in change.slots {
+            self.slots.insert(host, (slot, Some(version)));
+        }
+        if let Some((name, count)) = change.census {
+            self.census.insert(name, (count, Some(version)));
+        }
+    }
+
+    fn change_for(
+        &self,
+        grant: &LeaseGrant,
+        step: &AssemblyStep,
+        health: &std::collections::BTreeMap<HostId, HostHealth>,
+    ) -> Result<RowChanges, StepError> {
+        let fleet = &self.fleet.0;
+        let mut change = RowChanges::default();
+        match step {
+            AssemblyStep::Free(host) => {
+                let slot = self.slot(host);
+                let slot = slot.release(EmptyProof::ReportedEmpty, grant.epoch)?;
+                change.slots.push((host.clone(), slot));
+            }
+            AssemblyStep::Form { target, hosts } => {
+                let number = fleet.next_number;
+                let id = format!("{}.{}.{number}", target.model, self.fabric).parse()?;
+                let plan = ReplicaPlan {
+                    id,
+                    incarnation: IncarnationNumber(1),
+                    epoch: grant.epoch,
+                    fabric: self.fabric.clone(),
+                    hosts: hosts.clone(),
+                    model: target.model.clone(),
+                    version: target.version.clone(),
+                    adapters: target.adapters.clone(),
+                    role: ReplicaRole::Both,
+                    draining: false,
+                };
+                change.slots = self.assigned_slots(&plan, health)?;
+                change.census = Some(self.counted(&plan, 1));
+                change.fleet = Some(fleet.formed(plan)?);
+            }
+            AssemblyStep::Reform {
+                replica,
+                hosts,
+                adapters,
+            } => {
+                let old = self.plan(replica)?;
+                let plan = ReplicaPlan {
+                    incarnation: old.incarnation.next(),
+                    epoch: grant.epoch,
+                    hosts: hosts.clone(),
+                    adapters: adapters.clone(),
+                    draining: false,
+                    ..old.clone()
+                };
+                change.slots = self.assigned_slots(&plan, health)?;
+                if old.draining {
+                    change.census = Some(self.counted(&plan, 1));
+                }
+                change.fleet = Some(fleet.changed(plan)?);
+            }
+            AssemblyStep::Drain(replica, _) => change = self.drain_change(replica, true)?,
+            AssemblyStep::Undrain(replica) => change = self.drain_change(replica, false)?,
+            AssemblyStep::Dissolve(replica) => {
+                let old = self.plan(replica)?;
+                if !old.draining {
+                    change.census = Some(self.counted(old, -1));
+                }
+                change.fleet = Some(fleet.dissolved(replica)?);
+            }
+        }
+        Ok(change)
+    }
+
+    fn drain_change(&self, replica: &ReplicaId, draining: bool) -> Result<RowChanges, StepError> {
+        let plan = ReplicaPlan {
+            draining,
+            ..self.plan(replica)?.clone()
+        };
+        let by = if draining { -1 } else { 1 };
+        Ok(RowChanges {
+            census: Some(self.counted(&plan, by)),
+            fleet: Some(self.fleet.0.changed(plan)?),
+            slots: Vec::new(),
+        })
+    }
+
+    fn plan(&self, replica: &ReplicaId) -> Result<&ReplicaPlan, StepError> {
+        let plan = self.fleet.0.plan(replica);
+        plan.ok_or_else(|| StepError::Fleet(FleetError::Unknown(replica.clone())))
+    }
+
+    fn slot(&self, host: &HostId) -> HostSlot {
+        self.slots
+            .get(host)
+            .map(|(slot, _)| slot.clone())
+            .unwrap_or_default()
+    }
+
+    fn assigned_slots(
+        &self,
+        plan: &ReplicaPlan,
+        health: &std::collections::BTreeMap<HostId, HostHealth>,
+    ) -> Result<Vec<(HostId, HostSlot)>, StepError> {
+        let mut slots = Vec::with_capacity(plan.hosts.len());
+        for host in &plan.hosts {
+            let slot = self.slot(host);
+            let reported = health.get(host).and_then(|health| health.state.as_ref());
+            let known = slot.assignment.as_ref().map(|assigned| assigned.boot);
+            let boot = reported.map(|state| state.boot).or(known);
+            let assignment = SlotAssignment {
+                replica: plan.id.clone(),
+                incarnation: plan.incarnation,
+                boot: boot.unwrap_or_default(),
+            };
+            slots.push((host.clone(), slot.assign(assignment, plan.epoch)?));
+        }
+        Ok(slots)
+    }
+
+    fn counted(&self, plan: &ReplicaPlan, by: i32) -> ((ModelName, VersionName), CensusRow) {
+        let name = (plan.model.clone(), plan.version.clone());
+        let current = self.census.get(&name).map_or(0, |(row, _)| row.replicas);
+        let replicas = current.saturating_add_signed(by);
+        (name, CensusRow { replicas })
+    }
+}
+
+#[derive(Debug, Default)]
+struct RowChanges {
+    fleet: Option<FabricFleet>,
+    slots: Vec<(HostId, HostSlot)>,
+    census: Option<((ModelName, VersionName), CensusRow)>,
+}
+
+fn expectation(version: Option<RowVersion>) -> RowExpectation {
+    version.map_or(RowExpectation::Absent, RowExpectation::Version)
+}
+
+fn to_value<R: Serialize>(row: &R) -> Result<serde_json::Value, StoreError> {
+    serde_json::to_value(row).map_err(|error| StoreError::Malformed(error.to_string()))
+}
+
+async fn read_row<T: TableStore, R: Default + serde::de::DeserializeOwned>(
+    table: &T,
+    key: &str,
+) -> Result<VersionedRow<R>, StoreError> {
+    match table.read(key, None).await? {
+        RowRead::Found(row) => {
+            let content = serde_json::from_value(row.value)
+                .map_err(|error| StoreError::Malformed(error.to_string()))?;
+            Ok((content, Some(row.version)))
+        }
+        RowRead::Absent | RowRead::Unchanged => Ok((R::default(), None)),
+    }
+}
--- /dev/null
+++ b/crates/control/src/board.rs
@@ -0,0 +1,129 @@
+//! The newest evidence of wholeness that a node has, its own and that of peers.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use domain::{FastMap, FastSet, ReplicaId, WholenessEvidence};
+use tokio::sync::watch;
+use wire::engine::EngineLoad;
+
+/// Evidence with the moment at which this node got it, and the load that came with it.
+#[derive(Debug, Clone)]
+pub struct BoardEntry {
+    /// The evidence; its age counts up to `received`.
+    pub evidence: WholenessEvidence,
+    /// When this node got it.
+    pub received: Instant,
+    /// Load of the leading host, where this node itself asked for it.
+    pub load: Option<(EngineLoad, Instant)>,
+}
+
+impl BoardEntry {
+    /// Age of the evidence at a moment.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Duration {
+        self.evidence.age + now.saturating_duration_since(self.received)
+    }
+}
+
+/// Evidence of all replicas. Cheap to clone; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct EvidenceBoard {
+    inner: Arc<BoardInner>,
+}
+
+#[derive(Debug, Default)]
+struct BoardInner {
+    rows: Mutex<BoardRows>,
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct BoardRows {
+    entries: FastMap<ReplicaId, BoardEntry>,
+    changed: FastSet<ReplicaId>,
+}
+
+impl EvidenceBoard {
+    fn rows(&self) -> MutexGuard<'_, BoardRows> {
+        self.inner
+            .rows
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in evidence from a peer, unless what is known is as new.
+    pub fn record(&self, evidence: WholenessEvidence) {
+        self.record_report(evidence, None);
+    }
+
+    /// Takes in what this node saw itself, unless what is known is as new.
+    ///
+    /// A higher incarnation beats a lower one, whatever their ages: the lower one comes from a
+    /// watcher that has not read the newer plan. Within one incarnation the newer observation
+    /// wins, compared by ages alone.
+    pub fn record_report(&self, evidence: WholenessEvidence, load: Option<EngineLoad>) {
+        let now = Instant::now();
+        let mut rows = self.rows();
+        if let Some(known) = rows.entries.get(&evidence.replica) {
+            let stale = evidence.incarnation < known.evidence.incarnation;
+            let same = evidence.incarnation == known.evidence.incarnation;
+            if stale || (same && evidence.age >= known.age(now)) {
+                return;
+            }
+        }
+        let replica = evidence.replica.clone();
+        let known_load = rows.entries.get(&replica).and_then(|entry| entry.load);
+        let entry = BoardEntry {
+            evidence,
+            received: now,
+            load: load.map(|load| (load, now)).or(known_load),
+        };
+        rows.entries.insert(replica.clone(), entry);
+        rows.changed.insert(replica);
+        drop(rows);
+        self.inner.changes.send_modify(|count| *count += 1);
+    }
+
+    /// The newest evidence for a replica.
+    #[must_use]
+    pub fn newest_for(&self, replica: &ReplicaId) -> Option<BoardEntry> {
+        self.rows().entries.get(replica).cloned()
+    }
+
+    /// Up to `max` pieces of evidence, the youngest first, with their ages now.
+    #[must_use]
+    pub fn export(&self, max: usize) -> Vec<WholenessEvidence> {
+        let now = Instant::now();
+        let mut evidence: Vec<WholenessEvidence> = self
+            .rows()
+            .entries
+            .values()
+            .map(|entry| WholenessEvidence {
+                age: entry.age(now),
+                ..entry.evidence.clone()
+            })
+            .collect();
+        evidence.sort_unstable_by_key(|piece| piece.age);
+        evidence.truncate(max);
+        evidence
+    }
+
+    /// Counts up with every piece of evidence that is taken in.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.inner.changes.subscribe()
+    }
+
+    /// The replicas with newer evidence since the last call. It has one reader, the publisher of
+    /// the target view.
+    #[must_use]
+    pub fn take_changed(&self) -> FastSet<ReplicaId> {
+        std::mem::take(&mut self.rows().changed)
+    }
+
+    /// Forgets replicas that exist no longer.
+    pub fn retain(&self, keep: &FastSet<ReplicaId>) {
+        self.rows().entries.retain(|id, _| keep.contains(id));
+    }
+}
--- /dev/null
+++ b/crates/control/src/directory.rs
@@ -0,0 +1,78 @@
+//! Following the platform's list of hosts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use domain::{FabricId, FastMap, HostId, RegionId};
+use platform::{HostEntry, HostListPort};
+use tokio::sync::watch;
+
+use crate::pause::{RetryPause, spread};
+
+/// Longest pause while the list can't be read.
+const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+
+/// The hosts as last listed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HostDirectory {
+    /// Hosts by name.
+    pub hosts: FastMap<HostId, HostEntry>,
+}
+
+impl HostDirectory {
+    /// The fabric domains, ordered, each with the region of its hosts.
+    #[must_use]
+    pub fn fabrics(&self) -> Vec<(FabricId, RegionId)> {
+        let mut fabrics: Vec<(FabricId, RegionId)> = self
+            .hosts
+            .values()
+            .map(|entry| (entry.fabric.clone(), entry.region.clone()))
+            .collect();
+        fabrics.sort_unstable();
+        fabrics.dedup_by(|left, right| left.0 == right.0);
+        fabrics
+    }
+}
+
+/// Follows the list and publishes each change; runs until it is dropped.
+///
+/// The list goes on standing when it can't be read. With a conditional read every second, 410
+/// nodes ask 410 times a second and get the 225 KB of 1,500 hosts only when something changed.
+pub async fn follow_hosts<L: HostListPort>(
+    list: L,
+    sender: watch::Sender<Arc<HostDirectory>>,
+    period: Duration,
+) {
+    let mut known = None;
+    let mut pause = RetryPause::new(period, LONGEST_PAUSE.max(period));
+    loop {
+        match list.list_newer(known).await {
+            Ok(Some(listing)) => {
+                known = Some(listing.revision);
+                let hosts = listing
+                    .hosts
+                    .into_iter()
+                    .map(|entry| (entry.host.clone(), entry))
+                    .collect();
+                publish(&sender, HostDirectory { hosts });
+                pause.reset();
+            }
+            Ok(None) => pause.reset(),
+            Err(_) => {
+                tokio::time::sleep(pause.next_pause()).await;
+                continue;
+            }
+        }
+        tokio::time::sleep(spread(period, 0.2)).await;
+    }
+}
+
+fn publish(sender: &watch::Sender<Arc<HostDirectory>>, directory: HostDirectory) {
+    sender.send_if_modified(|current| {
+        let changed = **current != directory;
+        if changed {
+            *current = Arc::new(directory);
+        }
+        changed
+    });
+}
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -1,118 +1,113 @@
-//! Following the replicas and their hosts.
+//! Publishing the targets: plans, hosts, drains and evidence put together.
 
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use domain::{FastMap, HostId, ReplicaPlan, WholenessEvidence};
-use futures::future::join_all;
-use platform::{HostEntry, HostListPort, StoreError, TableStore, keys};
-use target::EnginePort;
+use domain::{FastMap, ReplicaId, ReplicaPlan};
 use tokio::sync::watch;
-use wire::engine::EngineState;
 
-use crate::view::{ReplicaView, TargetView};
+use crate::board::EvidenceBoard;
+use crate::directory::HostDirectory;
+use crate::drains::DrainSet;
+use crate::plans::FleetPlans;
+use crate::view::{ConfigView, ReplicaView, TargetView};
 
-/// Longest wait for a host's report.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Shortest time between two publications.
+///
+/// With 1,500 replicas and evidence every second for each, one publication a piece of evidence
+/// would be 1,500 a second. At 50 ms it is 20, each of which copies one pointer a replica.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the targets are put together from.
+#[derive(Debug, Clone)]
+pub struct FleetInputs {
+    /// The replicas.
+    pub plans: watch::Receiver<Arc<FleetPlans>>,
+    /// The hosts.
+    pub directory: watch::Receiver<Arc<HostDirectory>>,
+    /// The configuration in force, for the operators' drains.
+    pub config: watch::Receiver<Arc<ConfigView>>,
+}
 
-/// Probes every replica's hosts and publishes what they report; runs until it is dropped.
-pub async fn follow_fleet<T: TableStore, L: HostListPort, E: EnginePort>(
-    table: T,
-    list: L,
-    engine: E,
+/// Publishes the targets at each change and each new evidence; runs until it is dropped.
+pub async fn follow_fleet(
+    mut inputs: FleetInputs,
+    board: EvidenceBoard,
     views: watch::Sender<Arc<TargetView>>,
-    period: Duration,
 ) {
-    let mut hosts: FastMap<HostId, HostEntry> = FastMap::default();
-    let mut plans: Vec<ReplicaPlan> = Vec::new();
+    let mut evidence = board.changes();
+    let mut fleet = FleetIndex::default();
+    fleet.rebuild(&mut inputs, &board);
     loop {
-        if let Ok(listing) = list.list().await {
-            hosts = listing
-                .hosts
-                .into_iter()
-                .map(|host| (host.host.clone(), host))
-                .collect();
-        }
-        if let Ok(read) = read_plans(&table).await {
-            plans = read;
-        }
-        let probes = plans
-            .iter()
-            .map(|plan| probe_replica(&engine, plan, &hosts));
-        let replicas = join_all(probes).await.into_iter().map(Arc::new).collect();
+        let replicas = fleet.replicas.values().cloned().collect();
         views.send_replace(Arc::new(TargetView { replicas }));
-        tokio::time::sleep(period).await;
+        tokio::time::sleep(SHORTEST_PAUSE).await;
+        let rebuilt = tokio::select! {
+            changed = inputs.plans.changed() => changed.map(|()| true),
+            changed = inputs.directory.changed() => changed.map(|()| true),
+            changed = inputs.config.changed() => changed.map(|()| true),
+            changed = evidence.changed() => changed.map(|()| false),
+        };
+        match rebuilt {
+            Ok(true) => fleet.rebuild(&mut inputs, &board),
+            Ok(false) => fleet.update(&board),
+            Err(_) => return,
+        }
     }
 }
 
-/// Reads every replica's plan.
-///
-/// # Errors
-///
-/// [`StoreError`].
-pub async fn read_plans<T: TableStore>(table: &T) -> Result<Vec<ReplicaPlan>, StoreError> {
-    let mut plans = Vec::new();
-    for row in table.scan(keys::REPLICAS).await? {
-        let Ok(plan) = serde_json::from_value(row.value) else {
-            continue;
-        };
-        plans.push(plan);
+#[derive(Debug, Default)]
+struct FleetIndex {
+    replicas: BTreeMap<ReplicaId, Arc<ReplicaView>>,
+}
+
+impl FleetIndex {
+    fn rebuild(&mut self, inputs: &mut FleetInputs, board: &EvidenceBoard) {
+        let plans = Arc::clone(&inputs.plans.borrow_and_update());
+        let directory = Arc::clone(&inputs.directory.borrow_and_update());
+        let drains = DrainSet::new(&inputs.config.borrow_and_update());
+        let _ = board.take_changed();
+        let mut known: FastMap<&ReplicaId, &ReplicaPlan> = FastMap::default();
+        for plan in plans.plans() {
+            known.insert(&plan.id, plan);
+        }
+        self.replicas.retain(|id, _| known.contains_key(id));
+        for plan in plans.plans() {
+            let view = replica_view(plan, &directory, &drains, board);
+            self.replicas.insert(plan.id.clone(), Arc::new(view));
+        }
+    }
+
+    fn update(&mut self, board: &EvidenceBoard) {
+        for id in board.take_changed() {
+            let Some(replica) = self.replicas.get_mut(&id) else {
+                continue;
+            };
+            let entry = board.newest_for(&id);
+            let mut view = ReplicaView::clone(replica);
+            view.load = entry.as_ref().and_then(|entry| entry.load);
+            view.evidence = entry.map(|entry| (entry.evidence, entry.received));
+            *replica = Arc::new(view);
+        }
     }
-    Ok(plans)
 }
 
-async fn probe_replica<E: EnginePort>(
-    engine: &E,
+fn replica_view(
     plan: &ReplicaPlan,
-    hosts: &FastMap<HostId, HostEntry>,
+    directory: &HostDirectory,
+    drains: &DrainSet,
+    board: &EvidenceBoard,
 ) -> ReplicaView {
-    let started = Instant::now();
-    let probes = plan.hosts.iter().map(|host| {
-        let address = hosts.get(host).map(|entry| entry.address);
-        probe_host(engine, address)
-    });
-    let states = join_all(probes).await;
-    let leading = plan.leader().and_then(|host| hosts.get(host));
-    let mut evidence = WholenessEvidence {
-        replica: plan.id.clone(),
-        incarnation: plan.incarnation,
-        hosts: Vec::new(),
-        leaving: false,
-        age: started.elapsed(),
-    };
-    for (host, state) in plan.hosts.iter().zip(&states) {
-        let Some(state) = state else { continue };
-        let Some(assignment) = &state.assignment else {
-            continue;
-        };
-        let current = assignment.replica == plan.id
-            && assignment.incarnation == plan.incarnation
-            && state.ready
-            && state.host == *host;
-        if !current {
-            continue;
-        }
-        evidence.hosts.push(host.clone());
-        evidence.leaving |= state.leaving;
-    }
-    let listed_leaving = plan
-        .hosts
-        .iter()
-        .any(|host| hosts.get(host).is_some_and(|entry| entry.leaving));
-    let load = states
-        .first()
-        .and_then(|state| state.as_ref().map(|state| state.load));
+    let leading = plan.leader().and_then(|host| directory.hosts.get(host));
+    let entry = board.newest_for(&plan.id);
+    let load = entry.as_ref().and_then(|entry| entry.load);
     ReplicaView {
         plan: plan.clone(),
         leader: leading.map(|entry| entry.address),
         domain: leading.map(|entry| entry.domain.clone()),
-        evidence: Some((evidence, Instant::now())),
-        load: load.map(|load| (load, Instant::now())),
-        draining: listed_leaving,
+        evidence: entry.map(|entry| (entry.evidence, entry.received)),
+        load,
+        draining: drains.replica_cause(plan, directory).is_some(),
     }
 }
-
-async fn probe_host<E: EnginePort>(engine: &E, address: Option<SocketAddr>) -> Option<EngineState> {
-    engine.state(address?, PROBE_TIMEOUT).await.ok()
-}
--- /dev/null
+++ b/crates/control/src/housekeeping.rs
@@ -0,0 +1,173 @@
+//! Housekeeping under its lease: old settled claims leave the ledger.
+//!
+//! The age of a claim is counted without comparing clocks, see [`domain::RetentionLog`]: the
+//! table's own versions say what was written before what, and the holders of the lease count the
+//! time between on their own monotonic clocks.
+
+use std::time::{Duration, Instant};
+
+use domain::{CallClaim, ClaimState, LeaseEpoch, RetentionLog, RowVersion};
+use events::{EventCode, EventRecorder, EventSubject};
+use platform::{
+    CommitOutcome, RowExpectation, RowRead, StoreError, TableRow, TableStore, WriteBatch, keys,
+    settled_commit,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::lease::LeaseGrant;
+use crate::pause::spread;
+use crate::token::random_token;
+
+/// Rows of one page of the sweep, and most deletes of one transaction.
+const PAGE_ROWS: usize = 100;
+
+/// Sends of one transaction.
+const COMMIT_TRIES: u32 = 2;
+
+/// Limits of housekeeping. Times are in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, bon::Builder)]
+#[serde(default, deny_unknown_fields)]
+pub struct HousekeepingSettings {
+    /// Time for which a settled claim answers later requests with its key. It must be far above
+    /// [`crate::ledger::LedgerSettings::send_limit_ms`] and above the longest time for which a
+    /// caller repeats a call; a week covers a market's closed days.
+    #[builder(default = 7 * 24 * 3_600_000)]
+    pub claim_retention_ms: u64,
+    /// Time between two sweeps.
+    #[builder(default = 3_600_000)]
+    pub sweep_period_ms: u64,
+    /// Pause between two pages of a sweep, which keeps it at a few reads a second.
+    #[builder(default = 250)]
+    pub page_pause_ms: u64,
+}
+
+impl Default for HousekeepingSettings {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+/// Sweeps while the lease is held; runs until the lease's keeper ends.
+pub async fn keep_house<T: TableStore>(
+    table: T,
+    grants: watch::Receiver<Option<LeaseGrant>>,
+    settings: HousekeepingSettings,
+    recorder: EventRecorder,
+) {
+    let mut counted: Option<(LeaseEpoch, Instant)> = None;
+    while grants.has_changed().is_ok() {
+        let period = Duration::from_millis(settings.sweep_period_ms);
+        let grant = grants.borrow().clone();
+        if let Some(grant) = grant {
+            let elapsed = match counted {
+                Some((epoch, since)) if epoch == grant.epoch => since.elapsed(),
+                Some(_) | None => Duration::ZERO,
+            };
+            if let Ok(Some(log)) = advance_log(&table, &grant, elapsed).await {
+                counted = Some((grant.epoch, Instant::now()));
+                let cleaned = sweep_claims(&table, &grants, &log, settings).await;
+                note_cleaned(&recorder, &grant, cleaned);
+            }
+        }
+        tokio::time::sleep(spread(period, 0.2)).await;
+    }
+}
+
+fn note_cleaned(recorder: &EventRecorder, grant: &LeaseGrant, cleaned: usize) {
+    if cleaned == 0 {
+        return;
+    }
+    let subject = EventSubject::lease(&grant.name);
+    recorder.note(
+        EventCode::ClaimsCleaned,
+        subject,
+        format!("{cleaned} claims"),
+    );
+}
+
+/// Adds the time that passed to the log; none when another node is at it.
+///
+/// # Errors
+///
+/// [`StoreError`].
+pub async fn advance_log<T: TableStore>(
+    table: &T,
+    grant: &LeaseGrant,
+    elapsed: Duration,
+) -> Result<Option<RetentionLog>, StoreError> {
+    let malformed = |error: serde_json::Error| StoreError::Malformed(error.to_string());
+    let (log, expect) = match table.read(keys::RETENTION, None).await? {
+        RowRead::Found(row) => {
+            let log: RetentionLog = serde_json::from_value(row.value).map_err(malformed)?;
+            let log = log.advanced(elapsed, row.version);
+            (log, RowExpectation::Version(row.version))
+        }
+        RowRead::Absent | RowRead::Unchanged => (RetentionLog::default(), RowExpectation::Absent),
+    };
+    let value = serde_json::to_value(&log).map_err(malformed)?;
+    let batch = WriteBatch::new(random_token("housekeeping")?).put(keys::RETENTION, expect, value);
+    let outcome = settled_commit(table, &grant.guard(batch), COMMIT_TRIES).await?;
+    Ok(matches!(outcome, CommitOutcome::Committed(_)).then_some(log))
+}
+
+async fn sweep_claims<T: TableStore>(
+    table: &T,
+    grants: &watch::Receiver<Option<LeaseGrant>>,
+    log: &RetentionLog,
+    settings: HousekeepingSettings,
+) -> usize {
+    let age = Duration::from_millis(settings.claim_retention_ms);
+    let Some(limit) = log.older_than(age) else {
+        return 0;
+    };
+    let mut cleaned = 0;
+    let mut after = String::new();
+    loop {
+        let grant = grants.borrow().clone();
+        let Some(grant) = grant else { return cleaned };
+        let Ok(rows) = table.scan_page(keys::CLAIMS, &after, PAGE_ROWS).await else {
+            return cleaned;
+        };
+        let Some(last) = rows.last() else {
+            return cleaned;
+        };
+        after.clone_from(&last.key);
+        cleaned += clean_rows(table, &grant, &rows, limit).await.unwrap_or(0);
+        tokio::time::sleep(Duration::from_millis(settings.page_pause_ms)).await;
+    }
+}
+
+/// Deletes the settled claims among `rows` whose version is at most `limit`; returns how many.
+///
+/// # Errors
+///
+/// [`StoreError`].
+pub async fn clean_rows<T: TableStore>(
+    table: &T,
+    grant: &LeaseGrant,
+    rows: &[TableRow],
+    limit: RowVersion,
+) -> Result<usize, StoreError> {
+    let mut batch = WriteBatch::new(random_token("housekeeping")?);
+    for row in rows {
+        let Ok(claim) = serde_json::from_value::<CallClaim>(row.value.clone()) else {
+            continue;
+        };
+        // A mere claim stays for good: its claimant may be paused, and nobody else knows whether
+        // the payment went out.
+        let settled = !matches!(claim.state, ClaimState::Claimed);
+        if !settled || row.version > limit {
+            continue;
+        }
+        batch = batch.delete(row.key.clone(), RowExpectation::Version(row.version));
+    }
+    let count = batch.writes.len();
+    if count == 0 {
+        return Ok(0);
+    }
+    match settled_commit(table, &grant.guard(batch), COMMIT_TRIES).await? {
+        CommitOutcome::Committed(_) => Ok(count),
+        CommitOutcome::Conflict(_) => Ok(0),
+    }
+}
--- /dev/null
+++ b/crates/control/src/lease/keeper.rs
@@ -0,0 +1,233 @@
+//! The actor that takes, renews and releases one lease.
+
+use std::time::Instant;
+
+use domain::{LeaseTerm, NodeId, RowVersion};
+use events::{EventCode, EventRecorder, EventSubject};
+use platform::{
+    CommitOutcome, RowExpectation, RowRead, StoreError, TableStore, WriteBatch, keys,
+    settled_commit,
+};
+use tokio::sync::watch;
+use xtra::{Address, Context, Handler, Mailbox};
+
+use super::{EpochRow, LeaseGrant, LeasePlace, LeaseSettings, LeaseStep, LeaseTracker};
+use crate::pause::spread;
+use crate::token::random_token;
+
+/// Sends of one transaction; the next beat goes on from what the table then says.
+const COMMIT_TRIES: u32 = 2;
+
+/// Share of the beat by which each pause is shortened at random.
+const BEAT_SPREAD: f64 = 0.2;
+
+const MAILBOX: usize = 8;
+
+/// A look at the lease is due.
+struct LeaseBeat;
+
+/// The process stops.
+struct ReleaseLease;
+
+/// A lease that is being kept. The task ends when the handle is dropped.
+#[derive(Debug)]
+pub struct LeaseHandle<T: TableStore> {
+    address: Address<LeaseKeeper<T>>,
+    grants: watch::Receiver<Option<LeaseGrant>>,
+}
+
+impl<T: TableStore> LeaseHandle<T> {
+    /// Leave to act; it must still be asked for its remaining time.
+    #[must_use]
+    pub fn grants(&self) -> watch::Receiver<Option<LeaseGrant>> {
+        self.grants.clone()
+    }
+
+    /// Gives the lease up, so that another node need not wait for it to run out.
+    pub async fn release(&self) {
+        let _ = self.address.send(ReleaseLease).await;
+    }
+}
+
+/// Keeps one lease.
+#[derive(xtra::Actor)]
+struct LeaseKeeper<T> {
+    table: T,
+    tracker: LeaseTracker,
+    place: watch::Receiver<Option<LeasePlace>>,
+    grants: watch::Sender<Option<LeaseGrant>>,
+    recorder: EventRecorder,
+    stopping: bool,
+}
+
+/// Starts to keep a lease. `place` is the node's place among the candidates and may change.
+#[must_use]
+pub fn start_keeper<T: TableStore>(
+    table: T,
+    tracker: LeaseTracker,
+    settings: LeaseSettings,
+    place: watch::Receiver<Option<LeasePlace>>,
+    recorder: EventRecorder,
+) -> LeaseHandle<T> {
+    let (sender, grants) = watch::channel(None);
+    let keeper = LeaseKeeper {
+        table,
+        tracker,
+        place,
+        grants: sender,
+        recorder,
+        stopping: false,
+    };
+    let address = xtra::spawn_tokio(keeper, Mailbox::bounded(MAILBOX));
+    let weak = address.downgrade();
+    tokio::spawn(async move {
+        while weak.send(LeaseBeat).await.is_ok() {
+            tokio::time::sleep(spread(settings.beat(), BEAT_SPREAD)).await;
+        }
+    });
+    LeaseHandle { address, grants }
+}
+
+impl<T: TableStore> Handler<LeaseBeat> for LeaseKeeper<T> {
+    type Return = ();
+
+    async fn handle(&mut self, _: LeaseBeat, _: &mut Context<Self>) {
+        if self.stopping {
+            return;
+        }
+        // The store's failures need no event each: the circuit of the table tells of them, and a
+        // lease that runs out tells of its loss.
+        let _ = self.beat().await;
+        self.publish();
+    }
+}
+
+impl<T: TableStore> Handler<ReleaseLease> for LeaseKeeper<T> {
+    type Return = ();
+
+    async fn handle(&mut self, _: ReleaseLease, _: &mut Context<Self>) {
+        self.stopping = true;
+        let step = self.tracker.release_step();
+        let _ = self.follow(step).await;
+        self.publish();
+    }
+}
+
+impl<T: TableStore> LeaseKeeper<T> {
+    async fn beat(&mut self) -> Result<(), StoreError> {
+        let place = *self.place.borrow();
+        // 410 nodes that all read 100 leases every beat would need more reads than the table has.
+        if place.is_none() && !self.tracker.is_held() {
+            return Ok(());
+        }
+        let key = keys::lease_key(self.tracker.name());
+        let read = self.table.read(&key, self.tracker.version()).await?;
+        let now = Instant::now();
+        match read {
+            RowRead::Unchanged => {}
+            RowRead::Absent => self.tracker.observe(LeaseTerm::default(), None, now),
+            RowRead::Found(row) => {
+                let term = serde_json::from_value(row.value)
+                    .map_err(|error| StoreError::Malformed(error.to_string()))?;
+                self.tracker.observe(term, Some(row.version), now);
+            }
+        }
+        let step = self.tracker.next_step(place, now);
+        self.follow(step).await
+    }
+
+    async fn follow(&mut self, step: LeaseStep) -> Result<(), StoreError> {
+        let started = Instant::now();
+        match step {
+            LeaseStep::Wait => Ok(()),
+            LeaseStep::Renew(term) => {
+                if let Some(version) = self.write_term(&term, None).await? {
+                    self.tracker.note_renewed(term, version, started);
+                }
+                Ok(())
+            }
+            LeaseStep::Take(term) => {
+                let epoch_row = self.next_epoch_row(&term).await?;
+                let started = Instant::now();
+                if let Some(version) = self.write_term(&term, Some(epoch_row)).await? {
+                    let detail = format!("epoch {}", term.epoch);
+                    self.note(EventCode::LeaseTaken, detail);
+                    self.tracker.note_taken(term, version, started);
+                }
+                Ok(())
+            }
+            LeaseStep::Release(term) => {
+                // Nothing may be done under the lease from here on, even if the answer is lost.
+                self.tracker.note_lost();
+                self.publish();
+                self.write_term(&term, None).await?;
+                Ok(())
+            }
+        }
+    }
+
+    async fn next_epoch_row(
+        &self,
+        term: &LeaseTerm,
+    ) -> Result<(RowExpectation, EpochRow), StoreError> {
+        let key = keys::epoch_key(self.tracker.name());
+        let expect = match self.table.read(&key, None).await? {
+            RowRead::Found(row) => RowExpectation::Version(row.version),
+            RowRead::Absent | RowRead::Unchanged => RowExpectation::Absent,
+        };
+        let row = EpochRow {
+            epoch: term.epoch,
+            holder: self.tracker.holder().clone(),
+        };
+        Ok((expect, row))
+    }
+
+    /// Writes the term over the version last seen; none when another node was faster.
+    async fn write_term(
+        &self,
+        term: &LeaseTerm,
+        epoch: Option<(RowExpectation, EpochRow)>,
+    ) -> Result<Option<RowVersion>, StoreError> {
+        let malformed = |error: serde_json::Error| StoreError::Malformed(error.to_string());
+        let expect = match self.tracker.version() {
+            Some(version) => RowExpectation::Version(version),
+            None => RowExpectation::Absent,
+        };
+        let value = serde_json::to_value(term).map_err(malformed)?;
+        let key = keys::lease_key(self.tracker.name());
+        let mut batch = WriteBatch::new(random_token("lease")?).put(key, expect, value);
+        if let Some((expect, row)) = epoch {
+            let value = serde_json::to_value(row).map_err(malformed)?;
+            batch = batch.put(keys::epoch_key(self.tracker.name()), expect, value);
+        }
+        match settled_commit(&self.table, &batch, COMMIT_TRIES).await? {
+            CommitOutcome::Committed(version) => Ok(Some(version)),
+            CommitOutcome::Conflict(_) => Ok(None),
+        }
+    }
+
+    fn publish(&self) {
+        let grant = self.tracker.grant(Instant::now());
+        self.grants.send_if_modified(|current| {
+            let lost = current.is_some() && grant.is_none();
+            if lost {
+                self.note(EventCode::LeaseLost, String::new());
+            }
+            let changed = *current != grant;
+            *current = grant;
+            changed
+        });
+    }
+
+    fn note(&self, code: EventCode, detail: String) {
+        let subject = EventSubject::lease(self.tracker.name());
+        self.recorder.note(code, subject, detail);
+    }
+}
+
+/// A holder's name that is unique to this process, though the node's name may come back.
+#[must_use]
+pub fn process_holder(node: &NodeId) -> NodeId {
+    let text = format!("{node}.{:016x}", rand::random::<u64>());
+    text.parse().unwrap_or_else(|_| node.clone())
+}
--- /dev/null
+++ b/crates/control/src/ledger/mod.rs
@@ -0,0 +1,306 @@
+//! The ledger of non-idempotent calls: a claim is inserted before a call is sent, once.
+//!
+//! Why a call runs at most once. A claim's row is inserted on condition that there is none; only
+//! the task that inserted it gets a [`ClaimTicket`], and it sends once. A row in the state
+//! `Claimed` is never cleaned up and never given to another claimant, however old it is. A row is
+//! free again only in the state `NotRun`, and only the claimant writes that: either it has proof
+//! that no byte reached the target, or the ticket was never handed out. A settled row is cleaned
+//! up after [`crate::housekeeping::HousekeepingSettings::claim_retention_ms`], which is days. A
+//! claimant that was paused for so long holds a ticket far older than
+//! [`LedgerSettings::send_limit_ms`], which is seconds, and [`ClaimTicket::is_fresh`] stops it on
+//! its own monotonic clock immediately before it sends.
+
+mod outcome;
+mod writer;
+
+use std::time::{Duration, Instant};
+
+use domain::{AttemptId, CallClaim, ClaimState, CustomerId, NodeId, RowVersion, ServiceName};
+use platform::{RowExpectation, StoreError, TableRow, TableStore, keys};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use xtra::{Address, Mailbox};
+
+use outcome::{OutcomeWrite, keep_writing, withdraw_claim};
+use writer::{EnqueueWrite, LedgerWriter, RowOutcome, RowWrite};
+
+/// Limits of the ledger. Times are in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, bon::Builder)]
+#[serde(default, deny_unknown_fields)]
+pub struct LedgerSettings {
+    /// Longest time that a claim waits for others to share its transaction.
+    ///
+    /// At 500 payments a second one transaction each would be all that the table takes; 3 ms let
+    /// a few share one and stay unnoticed beside the service's own answer.
+    #[builder(default = 3)]
+    pub batch_delay_ms: u64,
+    /// Most rows of one transaction, so that one lost answer leaves few claims in doubt.
+    #[builder(default = 64)]
+    pub batch_rows: usize,
+    /// Transactions under way at once; further claims gather into the next one.
+    #[builder(default = 4)]
+    pub flights: usize,
+    /// Claims that wait; more are refused at once, since they would only wait in vain.
+    #[builder(default = 2_048)]
+    pub queue_rows: usize,
+    /// Longest wait for a claim; the call is then refused as not run.
+    #[builder(default = 3_000)]
+    pub claim_timeout_ms: u64,
+    /// Longest wait for an outcome to be written; it is then written in the background.
+    #[builder(default = 1_000)]
+    pub outcome_timeout_ms: u64,
+    /// Oldest ticket with which a call may be sent.
+    #[builder(default = 5_000)]
+    pub send_limit_ms: u64,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+/// What names a call: the same key of another customer or service is another call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimKey {
+    /// The service.
+    pub service: ServiceName,
+    /// The customer.
+    pub customer: CustomerId,
+    /// SHA-256 of the caller's idempotency key, in hexadecimal, so that any text is a row key.
+    pub key_hash: String,
+}
+
+impl ClaimKey {
+    fn row(&self) -> String {
+        format!(
+            "{}{}/{}/{}",
+            keys::CLAIMS,
+            self.service,
+            self.customer,
+            self.key_hash
+        )
+    }
+}
+
+/// Leave to send a call once.
+#[derive(Debug)]
+pub struct ClaimTicket {
+    row: String,
+    claim: CallClaim,
+    version: RowVersion,
+    claimed_at: Instant,
+    send_limit: Duration,
+}
+
+impl ClaimTicket {
+    /// Whether the call may still be sent; ask immediately before the first byte.
+    ///
+    /// A process that was frozen between its claim and its send comes back with a ticket whose
+    /// caller has long been told something else. It then settles the claim as not run instead.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        self.claimed_at.elapsed() <= self.send_limit
+    }
+}
+
+/// What became of a claim.
+#[derive(Debug)]
+pub enum ClaimOutcome {
+    /// This node may send the call, once.
+    Granted(ClaimTicket),
+    /// The key was used for another body.
+    Reused,
+    /// Another request claimed the call; how far it is.
+    Existing(CallClaim),
+}
+
+/// The ledger in the table. Cheap to clone; clones share the transactions.
+#[derive(Debug)]
+pub struct CallLedger<T> {
+    table: T,
+    node: NodeId,
+    settings: LedgerSettings,
+    writer: Address<LedgerWriter<T>>,
+}
+
+impl<T: TableStore> Clone for CallLedger<T> {
+    fn clone(&self) -> Self {
+        Self {
+            table: self.table.clone(),
+            node: self.node.clone(),
+            settings: self.settings,
+            writer: self.writer.clone(),
+        }
+    }
+}
+
+impl<T: TableStore> CallLedger<T> {
+    /// The ledger for a node, with the usual limits. Needs a tokio runtime.
+    #[must_use]
+    pub fn new(table: T, node: NodeId) -> Self {
+        Self::with_settings(table, node, LedgerSettings::default())
+    }
+
+    /// The ledger for a node. Needs a tokio runtime.
+    #[must_use]
+    pub fn with_settings(table: T, node: NodeId, settings: LedgerSettings) -> Self {
+        let writer = LedgerWriter::new(table.clone(), &node, settings);
+        let writer = xtra::spawn_tokio(writer, Mailbox::bounded(settings.queue_rows));
+        Self {
+            table,
+            node,
+            settings,
+            writer,
+        }
+    }
+
+    /// Claims a call. Any error means that it must not be sent, and that it was not.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    pub async fn claim(
+        &self,
+        key: ClaimKey,
+        attempt: AttemptId,
+        body_hash: String,
+    ) -> Result<ClaimOutcome, StoreError> {
+        // The claim goes on when the caller hangs up in the midst of it: a claim that landed
+        // without anyone to send the call would leave its key unknown for good. The task then
+        // finds nobody to hand the ticket to and withdraws the claim.
+        let (reply, answer) = oneshot::channel();
+        let ledger = self.clone();
+        tokio::spawn(async move {
+            let outcome = ledger.claim_row(&key, attempt, body_hash).await;
+            if let Err(Ok(ClaimOutcome::Granted(ticket))) = reply.send(outcome) {
+                withdraw_claim(ledger.table.clone(), ticket.row, ticket.claim).await;
+            }
+        });
+        answer
+            .await
+            .unwrap_or_else(|_| Err(StoreError::Unavailable("the ledger stopped".to_owned())))
+    }
+
+    async fn claim_row(
+        &self,
+        key: &ClaimKey,
+        attempt: AttemptId,
+        body_hash: String,
+    ) -> Result<ClaimOutcome, StoreError> {
+        let claim = CallClaim {
+            claimant: self.node.clone(),
+            attempt: unique_attempt(&attempt)?,
+            body_hash,
+            state: ClaimState::Claimed,
+        };
+        let mut expect = RowExpectation::Absent;
+        loop {
+            let claimed_at = Instant::now();
+            let write = row_write(key.row(), &claim, expect)?;
+            let limit = Duration::from_millis(self.settings.claim_timeout_ms);
+            let row = match self.write(write, limit).await {
+                Ok(RowOutcome::Written(version)) => {
+                    return Ok(ClaimOutcome::Granted(ClaimTicket {
+                        row: key.row(),
+                        claim,
+                        version,
+                        claimed_at,
+                        send_limit: Duration::from_millis(self.settings.send_limit_ms),
+                    }));
+                }
+                Ok(RowOutcome::Conflict(row)) => row,
+                Err(error) => {
+                    if !error.is_unwritten() {
+                        tokio::spawn(withdraw_claim(self.table.clone(), key.row(), claim));
+                    }
+                    return Err(error);
+                }
+            };
+            let Some(row) = row else {
+                expect = RowExpectation::Absent;
+                continue;
+            };
+            let (current, version) = read_claim(row)?;
+            if current.body_hash != claim.body_hash {
+                return Ok(ClaimOutcome::Reused);
+            }
+            if !current.is_free() {
+                return Ok(ClaimOutcome::Existing(current));
+            }
+            expect = RowExpectation::Version(version);
+        }
+    }
+
+    /// Records the outcome of a claimed call.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`]; the outcome is then written in the background, and until that is done the
+    /// claim stays as it is, so that the call is never sent again.
+    pub async fn settle(&self, ticket: ClaimTicket, state: ClaimState) -> Result<(), StoreError> {
+        let claim = CallClaim {
+            state,
+            ..ticket.claim
+        };
+        let expect = RowExpectation::Version(ticket.version);
+        let write = row_write(ticket.row, &claim, expect)?;
+        let outcome = OutcomeWrite {
+            key: write.key.clone(),
+            value: write.value.clone(),
+            version: ticket.version,
+        };
+        let limit = Duration::from_millis(self.settings.outcome_timeout_ms);
+        match self.write(write, limit).await {
+            Ok(RowOutcome::Written(_)) => Ok(()),
+            Ok(RowOutcome::Conflict(row)) if outcome.stands_in(row.as_ref()) => Ok(()),
+            Ok(RowOutcome::Conflict(_)) => Err(StoreError::Malformed(
+                "the claim's row was changed by another".to_owned(),
+            )),
+            Err(error) => {
+                tokio::spawn(keep_writing(self.table.clone(), outcome));
+                Err(error)
+            }
+        }
+    }
+
+    async fn write(&self, write: RowWrite, limit: Duration) -> Result<RowOutcome, StoreError> {
+        let (reply, answer) = oneshot::channel();
+        let stopped = || StoreError::Unavailable("the ledger stopped".to_owned());
+        let waiting = async {
+            self.writer
+                .send(EnqueueWrite { write, reply })
+                .await
+                .map_err(|_| stopped())?;
+            answer.await.unwrap_or_else(|_| Err(stopped()))
+        };
+        match tokio::time::timeout(limit, waiting).await {
+            Ok(result) => result,
+            Err(_) => Err(StoreError::AnswerLost("no answer in time".to_owned())),
+        }
+    }
+}
+
+/// The attempt as it stands in the claim's row: unique even when a node's name and counters come
+/// back after a restart, because a claim is recognised as one's own by it.
+fn unique_attempt(attempt: &AttemptId) -> Result<AttemptId, StoreError> {
+    format!("{attempt}.{:016x}", rand::random::<u64>())
+        .parse()
+        .map_err(|error: domain::IdError| StoreError::Malformed(error.to_string()))
+}
+
+fn row_write(
+    key: String,
+    claim: &CallClaim,
+    expect: RowExpectation,
+) -> Result<RowWrite, StoreError> {
+    let value =
+        serde_json::to_value(claim).map_err(|error| StoreError::Malformed(error.to_string()))?;
+    Ok(RowWrite { key, expect, value })
+}
+
+fn read_claim(row: TableRow) -> Result<(CallClaim, RowVersion), StoreError> {
+    let claim = serde_json::from_value(row.value)
+        .map_err(|error| StoreError::Malformed(error.to_string()))?;
+    Ok((claim, row.version))
+}
--- /dev/null
+++ b/crates/control/src/ledger/outcome.rs
@@ -0,0 +1,111 @@
+//! Writes of the ledger that go on in the background until the store takes them.
+
+use std::time::Duration;
+
+use domain::{CallClaim, ClaimState, RowVersion};
+use platform::{
+    CommitOutcome, RowExpectation, RowRead, StoreError, TableRow, TableStore, WriteBatch,
+    settled_commit,
+};
+use serde_json::Value;
+
+use crate::pause::RetryPause;
+use crate::token::random_token;
+
+/// First pause between two tries.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest pause between two tries: the store may be away for an hour.
+const LONGEST_PAUSE: Duration = Duration::from_secs(15);
+
+/// Tries before a write is given up; about a day.
+const MAX_TRIES: u32 = 6_000;
+
+/// Sends of one transaction.
+const COMMIT_TRIES: u32 = 2;
+
+/// The outcome of a call, on its way into the claim's row.
+#[derive(Debug)]
+pub struct OutcomeWrite {
+    pub key: String,
+    pub value: Value,
+    pub version: RowVersion,
+}
+
+impl OutcomeWrite {
+    /// Whether a row already holds it. An attempt is unique, so equal content is one's own.
+    pub fn stands_in(&self, row: Option<&TableRow>) -> bool {
+        row.is_some_and(|row| row.value == self.value)
+    }
+}
+
+/// Writes an outcome until it stands or the row is another's.
+///
+/// The store may be down when a payment's receipt comes. The caller has the receipt, but a later
+/// request with the same key would get `unknown` as long as the row says `Claimed`.
+pub async fn keep_writing<T: TableStore>(table: T, outcome: OutcomeWrite) {
+    let mut pause = RetryPause::new(FIRST_PAUSE, LONGEST_PAUSE);
+    for _ in 0..MAX_TRIES {
+        tokio::time::sleep(pause.next_pause()).await;
+        let Ok(token) = random_token("outcome") else {
+            return;
+        };
+        let expect = RowExpectation::Version(outcome.version);
+        let batch = WriteBatch::new(token).put(outcome.key.clone(), expect, outcome.value.clone());
+        // A conflict means that an earlier send took effect, or that the row is another's.
+        if settled_commit(&table, &batch, COMMIT_TRIES).await.is_ok() {
+            return;
+        }
+    }
+}
+
+/// Withdraws a claim that may stand in the table though its call was never sent.
+///
+/// The answer to a claim was lost, or its caller hung up before it came. Left alone, the row would
+/// answer every later request with `unknown`. The write may also still be on its way, so an absent
+/// row is not left absent: a row that says `NotRun` takes its place, which the late claim then
+/// fails on.
+pub async fn withdraw_claim<T: TableStore>(table: T, key: String, claim: CallClaim) {
+    let mut pause = RetryPause::new(FIRST_PAUSE, LONGEST_PAUSE);
+    for _ in 0..MAX_TRIES {
+        if matches!(try_withdraw(&table, &key, &claim).await, Ok(true)) {
+            return;
+        }
+        tokio::time::sleep(pause.next_pause()).await;
+    }
+}
+
+async fn try_withdraw<T: TableStore>(
+    table: &T,
+    key: &str,
+    claim: &CallClaim,
+) -> Result<bool, StoreError> {
+    let expect = match table.read(key, None).await? {
+        RowRead::Absent | RowRead::Unchanged => RowExpectation::Absent,
+        RowRead::Found(row) => {
+            let current: CallClaim = serde_json::from_value(row.value)
+                .map_err(|error| StoreError::Malformed(error.to_string()))?;
+            let mine = current.attempt == claim.attempt;
+            // A free row of another attempt is one that the claim may still replace, so it is
+            // written anew; any other row of another attempt is one that the claim fails on.
+            let done = match current.state {
+                ClaimState::NotRun => mine,
+                ClaimState::Claimed => !mine,
+                ClaimState::Answered { .. } => true,
+            };
+            if done {
+                return Ok(true);
+            }
+            RowExpectation::Version(row.version)
+        }
+    };
+    let withdrawn = CallClaim {
+        state: ClaimState::NotRun,
+        ..claim.clone()
+    };
+    let value = serde_json::to_value(&withdrawn)
+        .map_err(|error| StoreError::Malformed(error.to_string()))?;
+    let batch = WriteBatch::new(random_token("withdraw")?).put(key, expect, value);
+    let outcome = settled_commit(table, &batch, COMMIT_TRIES).await?;
+    Ok(matches!(outcome, CommitOutcome::Committed(_)))
+}
--- /dev/null
+++ b/crates/control/src/ledger/writer.rs
@@ -0,0 +1,234 @@
+//! Many rows of the ledger in one transaction.
+
+use std::time::Duration;
+
+use domain::{NodeId, RowVersion, WriteToken};
+use platform::{
+    CommitOutcome, RowConflict, RowExpectation, StoreError, TableRow, TableStore, WriteBatch,
+    settled_commit,
+};
+use serde_json::Value;
+use tokio::sync::oneshot;
+use xtra::{Context, Handler};
+
+use super::LedgerSettings;
+
+/// Sends of one transaction before its rows are reported as in doubt.
+const COMMIT_TRIES: u32 = 3;
+
+/// When to come back while the queue is full.
+const FULL_RETRY: Duration = Duration::from_secs(1);
+
+/// One conditional write of one row.
+#[derive(Debug)]
+pub struct RowWrite {
+    pub key: String,
+    pub expect: RowExpectation,
+    pub value: Value,
+}
+
+/// What became of a row.
+#[derive(Debug)]
+pub enum RowOutcome {
+    /// It is written with this version.
+    Written(RowVersion),
+    /// It is as another writer left it; none when there is no such row.
+    Conflict(Option<TableRow>),
+}
+
+type RowReply = oneshot::Sender<Result<RowOutcome, StoreError>>;
+
+/// Asks for a row to be written with the next transaction.
+pub struct EnqueueWrite {
+    pub write: RowWrite,
+    pub reply: RowReply,
+}
+
+/// The oldest waiting row has waited long enough.
+struct FlushQueue;
+
+/// A transaction ended.
+struct FlightEnded;
+
+/// Gathers rows for a few milliseconds and commits them together.
+///
+/// The table takes several hundred transactions a second for the whole system. With one a claim,
+/// a morning's rush of payments would hold up leases and configuration behind it.
+#[derive(xtra::Actor)]
+pub struct LedgerWriter<T> {
+    table: T,
+    settings: LedgerSettings,
+    token_prefix: String,
+    next_batch: u64,
+    waiting: Vec<EnqueueWrite>,
+    timer: bool,
+    flights: usize,
+}
+
+impl<T: TableStore> LedgerWriter<T> {
+    /// A writer; its tokens are unique even when the node's name comes back after a restart.
+    pub fn new(table: T, node: &NodeId, settings: LedgerSettings) -> Self {
+        Self {
+            table,
+            settings,
+            token_prefix: format!("ledger.{node}.{:016x}", rand::random::<u64>()),
+            next_batch: 0,
+            waiting: Vec::new(),
+            timer: false,
+            flights: 0,
+        }
+    }
+
+    /// Rows for one transaction. A row that is already among them waits for the next one: in one
+    /// transaction two claims of one key would both find it absent, and the payment would be made
+    /// twice.
+    fn take_rows(&mut self) -> Vec<EnqueueWrite> {
+        let mut taken: Vec<EnqueueWrite> = Vec::new();
+        let mut left = Vec::new();
+        for row in self.waiting.drain(..) {
+            let twice = taken.iter().any(|other| other.write.key == row.write.key);
+            if twice || taken.len() >= self.settings.batch_rows {
+                left.push(row);
+                continue;
+            }
+            taken.push(row);
+        }
+        self.waiting = left;
+        taken
+    }
+
+    fn start_flights(&mut self, ctx: &Context<Self>) {
+        while self.flights < self.settings.flights && !self.waiting.is_empty() {
+            let rows = self.take_rows();
+            self.flights += 1;
+            let prefix = format!("{}.{}", self.token_prefix, self.next_batch);
+            self.next_batch += 1;
+            let table = self.table.clone();
+            let address = ctx.mailbox().address();
+            tokio::spawn(async move {
+                commit_rows(&table, &prefix, rows).await;
+                let _ = address.send(FlightEnded).detach().await;
+            });
+        }
+    }
+
+    fn start_timer(&mut self, ctx: &Context<Self>) {
+        if self.timer {
+            return;
+        }
+        self.timer = true;
+        let delay = Duration::from_millis(self.settings.batch_delay_ms);
+        let address = ctx.mailbox().address();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let _ = address.send(FlushQueue).detach().await;
+        });
+    }
+}
+
+impl<T: TableStore> Handler<EnqueueWrite> for LedgerWriter<T> {
+    type Return = ();
+
+    async fn handle(&mut self, row: EnqueueWrite, ctx: &mut Context<Self>) {
+        if self.waiting.len() >= self.settings.queue_rows {
+            let _ = row.reply.send(Err(StoreError::Throttled {
+                retry_after: FULL_RETRY,
+            }));
+            return;
+        }
+        self.waiting.push(row);
+        if self.waiting.len() >= self.settings.batch_rows {
+            self.start_flights(ctx);
+            return;
+        }
+        self.start_timer(ctx);
+    }
+}
+
+impl<T: TableStore> Handler<FlushQueue> for LedgerWriter<T> {
+    type Return = ();
+
+    async fn handle(&mut self, _: FlushQueue, ctx: &mut Context<Self>) {
+        self.timer = false;
+        self.start_flights(ctx);
+    }
+}
+
+impl<T: TableStore> Handler<FlightEnded> for LedgerWriter<T> {
+    type Return = ();
+
+    async fn handle(&mut self, _: FlightEnded, ctx: &mut Context<Self>) {
+        self.flights -= 1;
+        if !self.timer {
+            self.start_flights(ctx);
+        }
+    }
+}
+
+/// Commits rows together; rows that conflict are answered and the others sent again without them,
+/// so that one reused key does not fail the payments that happened to share its transaction.
+async fn commit_rows<T: TableStore>(table: &T, prefix: &str, mut rows: Vec<EnqueueWrite>) {
+    let mut round = 0_u32;
+    loop {
+        rows.retain(|row| !row.reply.is_closed());
+        if rows.is_empty() {
+            return;
+        }
+        let outcome = match batch_of(&rows, &format!("{prefix}.{round}")) {
+            Ok(batch) => settled_commit(table, &batch, COMMIT_TRIES).await,
+            Err(error) => Err(error),
+        };
+        match outcome {
+            Ok(CommitOutcome::Committed(version)) => {
+                for row in rows.drain(..) {
+                    let _ = row.reply.send(Ok(RowOutcome::Written(version)));
+                }
+            }
+            Ok(CommitOutcome::Conflict(conflicts)) => rows = answer_conflicts(rows, &conflicts),
+            Err(error) => {
+                for row in rows.drain(..) {
+                    let _ = row.reply.send(Err(error.clone()));
+                }
+            }
+        }
+        round += 1;
+    }
+}
+
+/// Answers the rows that conflict and returns the others.
+fn answer_conflicts(rows: Vec<EnqueueWrite>, conflicts: &[RowConflict]) -> Vec<EnqueueWrite> {
+    let count = rows.len();
+    let mut others = Vec::with_capacity(count);
+    for row in rows {
+        let conflict = conflicts
+            .iter()
+            .find(|conflict| conflict.key == row.write.key);
+        match conflict {
+            Some(conflict) => {
+                let outcome = RowOutcome::Conflict(conflict.row.clone());
+                let _ = row.reply.send(Ok(outcome));
+            }
+            None => others.push(row),
+        }
+    }
+    if others.len() < count {
+        return others;
+    }
+    for row in others {
+        let text = "a conflict on a row that was not written".to_owned();
+        let _ = row.reply.send(Err(StoreError::Malformed(text)));
+    }
+    Vec::new()
+}
+
+fn batch_of(rows: &[EnqueueWrite], token: &str) -> Result<WriteBatch, StoreError> {
+    let token: WriteToken = token
+        .parse()
+        .map_err(|error: domain::IdError| StoreError::Malformed(error.to_string()))?;
+    let mut batch = WriteBatch::new(token);
+    for row in rows {
+        let write = &row.write;
+        batch = batch.put(write.key.clone(), write.expect, write.value.clone());
+    }
+    Ok(batch)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,17 +2,29 @@
 
 pub mod amend;
 pub mod assembly;
+pub mod board;
 pub mod config;
+pub mod directory;
+pub mod drains;
 pub mod fleet;
 pub mod gate;
 pub mod history;
+pub mod housekeeping;
+pub mod lease;
 pub mod ledger;
 pub mod members;
+pub mod pause;
+pub mod plans;
+pub mod probe;
 pub mod review;
+pub mod settings;
+pub mod token;
 pub mod view;
+pub mod wholeness;
 
 pub use amend::{AmendError, AmendOutcome, Expect, RecordAmendment, amend_record};
+pub use board::EvidenceBoard;
 pub use gate::ServiceGate;
 pub use ledger::{CallLedger, ClaimKey, ClaimOutcome, ClaimTicket};
-pub use members::{Member, MemberView};
+pub use settings::ControlSettings;
 pub use view::{ConfigView, ReplicaView, TargetView};
--- /dev/null
+++ b/crates/control/src/plans.rs
@@ -0,0 +1,98 @@
+//! Following the replicas in the table.
+//!
+//! Every change of a fleet also writes the fleet's mark and the one head row in the same
+//! transaction. A node reads the head on condition that it changed, then scans the marks, then
+//! reads the fleets whose marks changed. At 410 nodes and a period of 2 s that is 205 small reads
+//! a second; a change costs every node one scan of the marks (80 bytes a fabric domain) and one
+//! read of one fleet, 820 reads spread over the 2 s. The reads stay below 700 a second while
+//! replicas change, of the 2,000 that the table gives. The head is written without a condition,
+//! so controllers of different fabric domains never fail on each other: its content is nothing,
+//! its version all.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use domain::{FabricFleet, FabricId, ReplicaPlan, RowVersion};
+use platform::{RowRead, StoreError, TableStore, keys};
+use tokio::sync::watch;
+
+use crate::pause::{RetryPause, spread};
+
+/// Longest pause while the table can't be read.
+const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+
+/// The replicas of all fabric domains.
+#[derive(Debug, Clone, Default)]
+pub struct FleetPlans {
+    /// Fleets with the versions of their rows.
+    pub fabrics: BTreeMap<FabricId, (RowVersion, Arc<FabricFleet>)>,
+}
+
+impl FleetPlans {
+    /// All the replicas.
+    pub fn plans(&self) -> impl Iterator<Item = &ReplicaPlan> {
+        self.fabrics.values().flat_map(|(_, fleet)| &fleet.plans)
+    }
+}
+
+/// Follows the table and publishes each change; runs until it is dropped. What was read last goes
+/// on standing while the table is away; evidence of wholeness decides on dispatch.
+pub async fn follow_plans<T: TableStore>(
+    table: T,
+    sender: watch::Sender<Arc<FleetPlans>>,
+    period: Duration,
+) {
+    let mut head = None;
+    let mut pause = RetryPause::new(period, LONGEST_PAUSE.max(period));
+    loop {
+        let known = Arc::clone(&sender.borrow());
+        match newer_plans(&table, head, &known).await {
+            Ok(Some((version, plans))) => {
+                head = Some(version);
+                sender.send_replace(Arc::new(plans));
+                pause.reset();
+            }
+            Ok(None) => pause.reset(),
+            Err(_) => {
+                tokio::time::sleep(pause.next_pause()).await;
+                continue;
+            }
+        }
+        tokio::time::sleep(spread(period, 0.2)).await;
+    }
+}
+
+/// The plans when they changed since the head's version `head`.
+///
+/// # Errors
+///
+/// [`StoreError`].
+pub async fn newer_plans<T: TableStore>(
+    table: &T,
+    head: Option<RowVersion>,
+    known: &FleetPlans,
+) -> Result<Option<(RowVersion, FleetPlans)>, StoreError> {
+    let version = match table.read(keys::FLEET_HEAD, head).await? {
+        RowRead::Found(row) => row.version,
+        RowRead::Absent | RowRead::Unchanged => return Ok(None),
+    };
+    let mut plans = known.clone();
+    for mark in table.scan(keys::FLEET_MARKS).await? {
+        let name = mark.key.trim_start_matches(keys::FLEET_MARKS);
+        let Ok(fabric) = name.parse::<FabricId>() else {
+            continue;
+        };
+        let current = plans.fabrics.get(&fabric).map(|(version, _)| *version);
+        if current >= Some(mark.version) {
+            continue;
+        }
+        let RowRead::Found(row) = table.read(&keys::fleet_key(&fabric), None).await? else {
+            continue;
+        };
+        let fleet = serde_json::from_value(row.value)
+            .map_err(|error| StoreError::Malformed(error.to_string()))?;
+        plans.fabrics.insert(fabric, (row.version, Arc::new(fleet)));
+    }
+    Ok(Some((version, plans)))
+}
--- /dev/null
+++ b/crates/control/src/probe.rs
@@ -0,0 +1,89 @@
+//! One look at a replica's hosts.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use domain::{HostId, ReplicaPlan, WholenessEvidence};
+use futures::future::join_all;
+use target::EnginePort;
+use wire::engine::{EngineLoad, EngineState};
+
+use crate::directory::HostDirectory;
+
+/// What a look showed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ProbeOutcome {
+    /// Evidence for or against the replica's wholeness, and the leading host's load.
+    Evidence(WholenessEvidence, Option<EngineLoad>),
+    /// Some hosts gave no answer, and no answer speaks against it. Silence is no evidence: the
+    /// hosts may be gone, or this node may be cut off from them while others reach them.
+    Silent,
+}
+
+/// Asks every host of a replica for its state.
+pub async fn probe_replica<E: EnginePort>(
+    engine: &E,
+    plan: &ReplicaPlan,
+    directory: &HostDirectory,
+    timeout: Duration,
+) -> ProbeOutcome {
+    let started = Instant::now();
+    let probes = plan.hosts.iter().map(|host| {
+        let address = directory.hosts.get(host).map(|entry| entry.address);
+        probe_host(engine, address, timeout)
+    });
+    let states = join_all(probes).await;
+    // The age counts from before the first question: an answer may have been on its way.
+    judge_states(plan, &states, started.elapsed())
+}
+
+async fn probe_host<E: EnginePort>(
+    engine: &E,
+    address: Option<SocketAddr>,
+    timeout: Duration,
+) -> Option<EngineState> {
+    engine.state(address?, timeout).await.ok()
+}
+
+/// Judges the states that a replica's hosts reported, in the order of its hosts.
+#[must_use]
+pub fn judge_states(
+    plan: &ReplicaPlan,
+    states: &[Option<EngineState>],
+    age: Duration,
+) -> ProbeOutcome {
+    let mut evidence = WholenessEvidence {
+        replica: plan.id.clone(),
+        incarnation: plan.incarnation,
+        hosts: Vec::with_capacity(plan.hosts.len()),
+        leaving: false,
+        age,
+    };
+    let mut denied = false;
+    for (host, state) in plan.hosts.iter().zip(states) {
+        let Some(state) = state else { continue };
+        if !runs_rank(plan, host, state) {
+            denied = true;
+            continue;
+        }
+        evidence.hosts.push(host.clone());
+        evidence.leaving |= state.leaving;
+    }
+    let whole = evidence.hosts.len() == plan.hosts.len();
+    if !whole && !denied && !evidence.leaving {
+        return ProbeOutcome::Silent;
+    }
+    let load = states.first().and_then(|state| state.as_ref());
+    ProbeOutcome::Evidence(evidence, load.map(|state| state.load))
+}
+
+/// Whether a host runs its rank of a replica's current incarnation and is ready.
+fn runs_rank(plan: &ReplicaPlan, host: &HostId, state: &EngineState) -> bool {
+    let Some(assignment) = &state.assignment else {
+        return false;
+    };
+    state.ready
+        && state.host == *host
+        && assignment.replica == plan.id
+        && assignment.incarnation == plan.incarnation
+}
--- /dev/null
+++ b/crates/control/src/wholeness.rs
@@ -0,0 +1,231 @@
+//! Watching the replicas: who probes which, and how often.
+//!
+//! Each replica is probed by two nodes of its failure domain, picked by rendezvous hashing, and
+//! peers carry what they saw. At 1,500 hosts, two watchers a replica and a period of 1 s that is
+//! 3,000 questions a second for the whole system, 7 for each of 410 nodes. A node that has heard
+//! nothing of a replica for a while asks its hosts itself, so that a partition between nodes, or
+//! watchers that died together, cost no service; it backs off while they do not answer, so that a
+//! dead replica is not asked by every node every second.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use domain::{FastMap, FastSet, NodeId, ReplicaId, ReplicaPlan};
+use serde::{Deserialize, Serialize};
+use target::EnginePort;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::board::EvidenceBoard;
+use crate::directory::HostDirectory;
+use crate::lease::ranked_nodes;
+use crate::members::MemberView;
+use crate::pause::{RetryPause, spread};
+use crate::plans::FleetPlans;
+use crate::probe::{ProbeOutcome, probe_replica};
+
+/// Nodes that probe one replica in the normal course.
+const WATCHERS: usize = 2;
+
+/// Looks for due probes in one period.
+const TICKS_PER_PERIOD: u32 = 4;
+
+/// Limits of the watch. Times are in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, bon::Builder)]
+#[serde(default, deny_unknown_fields)]
+pub struct WatchSettings {
+    /// Time between two probes of one replica by one watcher.
+    #[builder(default = 1_000)]
+    pub period_ms: u64,
+    /// Longest wait for a host's report.
+    #[builder(default = 800)]
+    pub timeout_ms: u64,
+    /// Age of the newest evidence from which on a node that is no watcher probes by itself. Below
+    /// the limit of the dispatch gate, so that service goes on without a gap.
+    #[builder(default = 1_800)]
+    pub silence_ms: u64,
+    /// Longest pause of such a node between two probes of a replica that does not answer.
+    #[builder(default = 8_000)]
+    pub longest_pause_ms: u64,
+    /// Replicas probed at once; a node that is alone before all of them spreads them out.
+    #[builder(default = 128)]
+    pub probes_at_once: usize,
+}
+
+impl Default for WatchSettings {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+/// What the watch goes by.
+#[derive(Debug, Clone)]
+pub struct WatchInputs {
+    /// This node.
+    pub node: NodeId,
+    /// The replicas.
+    pub plans: watch::Receiver<Arc<FleetPlans>>,
+    /// The hosts.
+    pub directory: watch::Receiver<Arc<HostDirectory>>,
+    /// The nodes.
+    pub members: watch::Receiver<Arc<MemberView>>,
+}
+
+/// When a replica is probed next.
+#[derive(Debug)]
+struct ProbeTurn {
+    due: Instant,
+    pause: RetryPause,
+    watcher: bool,
+}
+
+/// Probes replicas and records what they report; runs until it is dropped.
+pub async fn follow_wholeness<E: EnginePort>(
+    mut inputs: WatchInputs,
+    engine: E,
+    board: EvidenceBoard,
+    settings: WatchSettings,
+) {
+    let period = Duration::from_millis(settings.period_ms);
+    let mut turns: FastMap<ReplicaId, ProbeTurn> = FastMap::default();
+    let mut running: JoinSet<(ReplicaId, bool)> = JoinSet::new();
+    let mut probing: FastSet<ReplicaId> = FastSet::default();
+    loop {
+        // Who watches what is worked out only when it may have changed: 1,500 replicas times 410
+        // nodes are 615,000 hashes.
+        let moved = [
+            inputs.plans.has_changed(),
+            inputs.directory.has_changed(),
+            inputs.members.has_changed(),
+        ];
+        let moved = moved.into_iter().any(|changed| changed.unwrap_or(false));
+        while let Some(Ok((replica, answered))) = running.try_join_next() {
+            probing.remove(&replica);
+            note_probe(&mut turns, &replica, answered, period);
+        }
+        let plans = Arc::clone(&inputs.plans.borrow_and_update());
+        let directory = Arc::clone(&inputs.directory.borrow_and_update());
+        let members = Arc::clone(&inputs.members.borrow_and_update());
+        let mut current = FastSet::default();
+        for plan in plans.plans() {
+            current.insert(plan.id.clone());
+            let first = !turns.contains_key(&plan.id);
+            let turn = turns
+                .entry(plan.id.clone())
+                .or_insert_with(|| new_turn(settings));
+            if first || moved {
+                turn.watcher = is_watcher(&inputs.node, plan, &directory, &members);
+            }
+            let full = probing.len() >= settings.probes_at_once;
+            if full || probing.contains(&plan.id) || !is_due(turn, plan, &board, settings) {
+                continue;
+            }
+            probing.insert(plan.id.clone());
+            let probe = ProbeTask {
+                engine: engine.clone(),
+                board: board.clone(),
+                plan: plan.clone(),
+                directory: Arc::clone(&directory),
+                timeout: Duration::from_millis(settings.timeout_ms),
+            };
+            running.spawn(probe.run());
+        }
+        if turns.len() > current.len() {
+            turns.retain(|id, _| current.contains(id));
+            board.retain(&current);
+        }
+        tokio::time::sleep(period / TICKS_PER_PERIOD).await;
+    }
+}
+
+fn new_turn(settings: WatchSettings) -> ProbeTurn {
+    let period = Duration::from_millis(settings.period_ms);
+    let longest = Duration::from_millis(settings.longest_pause_ms);
+    ProbeTurn {
+        due: Instant::now(),
+        pause: RetryPause::new(period, longest),
+        watcher: false,
+    }
+}
+
+/// Whether this node is one of the replica's watchers. Alone, or without members, it is.
+fn is_watcher(
+    node: &NodeId,
+    plan: &ReplicaPlan,
+    directory: &HostDirectory,
+    members: &MemberView,
+) -> bool {
+    let known = members.members.iter().any(|member| member.node == *node);
+    if !known {
+        return true;
+    }
+    let leading = plan.leader().and_then(|host| directory.hosts.get(host));
+    let domain = leading.map(|entry| &entry.domain);
+    let ranked = ranked_nodes(members, plan.id.as_str(), |member| {
+        Some(&member.domain) == domain
+    });
+    ranked
+        .iter()
+        .take(WATCHERS)
+        .any(|member| member.node == *node)
+}
+
+fn is_due(
+    turn: &ProbeTurn,
+    plan: &ReplicaPlan,
+    board: &EvidenceBoard,
+    settings: WatchSettings,
+) -> bool {
+    let now = Instant::now();
+    if now < turn.due {
+        return false;
+    }
+    if turn.watcher {
+        return true;
+    }
+    let silence = Duration::from_millis(settings.silence_ms);
+    let heard = board.newest_for(&plan.id).is_some_and(|entry| {
+        entry.evidence.incarnation >= plan.incarnation && entry.age(now) < silence
+    });
+    !heard
+}
+
+fn note_probe(
+    turns: &mut FastMap<ReplicaId, ProbeTurn>,
+    replica: &ReplicaId,
+    answered: bool,
+    period: Duration,
+) {
+    let Some(turn) = turns.get_mut(replica) else {
+        return;
+    };
+    let wait = if answered || turn.watcher {
+        turn.pause.reset();
+        spread(period, 0.2)
+    } else {
+        turn.pause.next_pause()
+    };
+    turn.due = Instant::now() + wait;
+}
+
+struct ProbeTask<E> {
+    engine: E,
+    board: EvidenceBoard,
+    plan: ReplicaPlan,
+    directory: Arc<HostDirectory>,
+    timeout: Duration,
+}
+
+impl<E: EnginePort> ProbeTask<E> {
+    async fn run(self) -> (ReplicaId, bool) {
+        let outcome = probe_replica(&self.engine, &self.plan, &self.directory, self.timeout).await;
+        let answered = match outcome {
+            ProbeOutcome::Evidence(evidence, load) => {
+                self.board.record_report(evidence, load);
+                true
+            }
+            ProbeOutcome::Silent => false,
+        };
+        (self.plan.id, answered)
+    }
+}
--- a/crates/domain/src/host.rs
+++ b/crates/domain/src/host.rs
@@ -38,6 +38,14 @@
         /// The slot's epoch.
         current: LeaseEpoch,
     },
+    /// The replica went on to a later incarnation already.
+    #[error("incarnation {given} is not newer than the slot's {current}")]
+    StaleIncarnation {
+        /// The writer's incarnation.
+        given: IncarnationNumber,
+        /// The slot's incarnation.
+        current: IncarnationNumber,
+    },
     /// The host still runs the old assignment.
     #[error("the host has not reported that it is empty")]
     NotEmpty,
@@ -59,13 +67,19 @@
     /// # Errors
     ///
     /// [`SlotError::Taken`] while another replica holds it, [`SlotError::StaleEpoch`] for a writer
-    /// whose lease was taken over.
+    /// whose lease was taken over, [`SlotError::StaleIncarnation`] for a step back.
     pub fn assign(&self, assignment: SlotAssignment, epoch: LeaseEpoch) -> Result<Self, SlotError> {
         self.admit_epoch(epoch)?;
-        if let Some(current) = &self.assignment
-            && current.replica != assignment.replica
-        {
-            return Err(SlotError::Taken(current.replica.clone()));
+        if let Some(current) = &self.assignment {
+            if current.replica != assignment.replica {
+                return Err(SlotError::Taken(current.replica.clone()));
+            }
+            if assignment.incarnation < current.incarnation {
+                return Err(SlotError::StaleIncarnation {
+                    given: assignment.incarnation,
+                    current: current.incarnation,
+                });
+            }
         }
         Ok(Self {
             assignment: Some(assignment),
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -95,8 +95,31 @@
     ConfigUnlearned = 306, "config_unlearned", Info;
     /// A snapshot of the configuration was written and the change log compacted.
     SnapshotWritten = 307, "snapshot_written", Debug;
-    /// A replica was formed.
+    /// A replica was formed. Its engines load now; it serves once all its hosts report ready.
     ReplicaFormed = 310, "replica_formed", Info;
+    /// A replica got a new incarnation, with other hosts or after a restart of one. The hosts that
+    /// it lost stand in the detail; look at them when they do not come back.
+    ReplicaReformed = 311, "replica_reformed", Warn;
+    /// A replica takes no new work any more; the reason stands in the detail.
+    ReplicaDraining = 312, "replica_draining", Info;
+    /// A replica was dissolved. Without a spare after a loss, its other hosts are free to regroup.
+    ReplicaDissolved = 313, "replica_dissolved", Warn;
+    /// A host reported that it is empty and may join another replica.
+    HostFreed = 314, "host_freed", Info;
+    /// A host of a replica stopped answering. Look at it when it does not come back.
+    HostLost = 315, "host_lost", Warn;
+    /// An engine refused an order for its old fencing number: another node holds the lease.
+    OrderFenced = 316, "order_fenced", Warn;
+    /// This node acts for a fabric domain or for housekeeping now.
+    LeaseTaken = 320, "lease_taken", Info;
+    /// This node acts for it no longer. Often in a row: the store is slow or the node overloaded.
+    LeaseLost = 321, "lease_lost", Warn;
+    /// Old settled claims were removed from the ledger.
+    ClaimsCleaned = 330, "claims_cleaned", Info;
+    /// The store failed several times in a row; calls to it are refused at once for a while.
+    StoreCircuitOpened = 340, "store_circuit_opened", Error;
+    /// The store answers again.
+    StoreCircuitClosed = 341, "store_circuit_closed", Info;
 
     /// A node was silent for long and its row was cleaned from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/platform/src/hostlist.rs
+++ b/crates/platform/src/hostlist.rs
@@ -41,4 +41,18 @@
     ///
     /// [`StoreError`].
     fn list(&self) -> impl Future<Output = Result<HostListing, StoreError>> + Send;
+
+    /// Reads the list unless it still has the revision `known`; none when it has. A list that
+    /// knows no conditional reads answers in full every time.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    fn list_newer(
+        &self,
+        known: Option<u64>,
+    ) -> impl Future<Output = Result<Option<HostListing>, StoreError>> + Send {
+        let _ = known;
+        async { self.list().await.map(Some) }
+    }
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use domain::RowVersion;
 use web::body::full_body;
-use web::client::{JsonAnswer, json_request};
+use web::client::json_request;
 use web::{ClientError, WebClient, parse_json, read_body};
 use wire::hostlist::HostListBody;
 use wire::table::{
@@ -74,11 +74,12 @@
     }
 
     async fn get_json<A: serde::de::DeserializeOwned>(&self, path: &str) -> Result<A, StoreError> {
-        let answer: JsonAnswer<A> = self
-            .client
-            .json(Method::GET, self.address, path, NO_BODY, self.timeout)
-            .await?;
-        Ok(answer.value)
+        let request = json_request(Method::GET, self.address, path, NO_BODY)?;
+        let answer = self.send(request).await?;
+        match answer.status() {
+            StatusCode::OK => parse_answer(answer.body()),
+            status => Err(StoreError::Malformed(format!("status {status} to a read"))),
+        }
     }
 }
 
@@ -151,16 +152,26 @@
         let mut rows: Vec<TableRow> = Vec::new();
         loop {
             let after = rows.last().map_or("", |row| row.key.as_str());
-            let path = format!("/scan?prefix={prefix}&after={after}&limit={SCAN_PAGE}");
-            let page: ScanPage = self.endpoint.get_json(&path).await?;
-            let empty = page.rows.is_empty();
-            rows.extend(page.rows.into_iter().map(TableRow::from));
-            if empty || !page.more {
+            let page = self.scan_page(prefix, after, SCAN_PAGE).await?;
+            let whole = page.len() == SCAN_PAGE;
+            rows.extend(page);
+            if !whole {
                 return Ok(rows);
             }
         }
     }
 
+    async fn scan_page(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<TableRow>, StoreError> {
+        let path = format!("/scan?prefix={prefix}&after={after}&limit={limit}");
+        let page: ScanPage = self.endpoint.get_json(&path).await?;
+        Ok(page.rows.into_iter().map(TableRow::from).collect())
+    }
+
     async fn commit(&self, batch: &WriteBatch) -> Result<CommitOutcome, StoreError> {
         let body = BatchBody::from(batch);
         let request = json_request(Method::POST, self.endpoint.address, "/batch", Some(&body))?;
@@ -330,6 +341,30 @@
 impl HostListPort for HttpHostList {
     async fn list(&self) -> Result<HostListing, StoreError> {
         let body: HostListBody = self.endpoint.get_json("/hosts").await?;
+        Ok(HostListing::from(body))
+    }
+
+    async fn list_newer(&self, known: Option<u64>) -> Result<Option<HostListing>, StoreError> {
+        let mut request = json_request(Method::GET, self.endpoint.address, "/hosts", NO_BODY)?;
+        if let Some(revision) = known
+            && let Ok(value) = HeaderValue::from_str(&format!("\"{revision}\""))
+        {
+            request.headers_mut().insert(header::IF_NONE_MATCH, value);
+        }
+        let answer = self.endpoint.send(request).await?;
+        match answer.status() {
+            StatusCode::NOT_MODIFIED => Ok(None),
+            StatusCode::OK => {
+                let body: HostListBody = parse_answer(answer.body())?;
+                Ok(Some(HostListing::from(body)))
+            }
+            status => Err(StoreError::Malformed(format!("status {status} to a read"))),
+        }
+    }
+}
+
+impl From<HostListBody> for HostListing {
+    fn from(body: HostListBody) -> Self {
         let hosts = body
             .hosts
             .into_iter()
@@ -342,9 +377,9 @@
                 leaving: host.leaving,
             })
             .collect();
-        Ok(HostListing {
+        Self {
             revision: body.revision,
             hosts,
-        })
+        }
     }
 }
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -1,7 +1,7 @@
 //! Keys of the table's rows and of the objects.
 
 use domain::record::RecordKind;
-use domain::{ConfigRevision, HostId, LeaseName, NodeId, ReplicaId};
+use domain::{ConfigRevision, FabricId, HostId, LeaseName, ModelName, NodeId, VersionName};
 
 /// Row of the configuration's head.
 pub const CONFIG_HEAD: &str = "config/head";
@@ -18,8 +18,25 @@
 /// Prefix of the host slots.
 pub const HOSTS: &str = "host/";
 
-/// Prefix of the replicas.
-pub const REPLICAS: &str = "replica/";
+/// Row whose version changes with every change of any replica.
+pub const FLEET_HEAD: &str = "fleet/head";
+
+/// Prefix of the marks, one a fabric domain: small rows that share the version of the fabric's
+/// fleet row, so that one short scan tells which fleets changed.
+pub const FLEET_MARKS: &str = "fleet/mark/";
+
+/// Prefix of the fleets, one row a fabric domain with all its replicas.
+pub const FLEETS: &str = "fleet/plans/";
+
+/// Prefix of the counts of replicas, one row a version of a model.
+pub const CENSUS: &str = "census/";
+
+/// Prefix of the lease epochs. They lie beside the leases, because a renewal changes the lease's
+/// row and would fail every transaction that checks it.
+pub const LEASE_EPOCHS: &str = "lease-epoch/";
+
+/// Row with the time that housekeeping counted.
+pub const RETENTION: &str = "housekeeping/retention";
 
 /// Prefix of the members.
 pub const MEMBERS: &str = "member/";
@@ -48,10 +65,28 @@
     format!("{HOSTS}{host}")
 }
 
-/// Row of a replica.
+/// Row of a fabric domain's fleet.
+#[must_use]
+pub fn fleet_key(fabric: &FabricId) -> String {
+    format!("{FLEETS}{fabric}")
+}
+
+/// Mark of a fabric domain's fleet.
+#[must_use]
+pub fn mark_key(fabric: &FabricId) -> String {
+    format!("{FLEET_MARKS}{fabric}")
+}
+
+/// Row with the count of replicas of a model's version.
+#[must_use]
+pub fn census_key(model: &ModelName, version: &VersionName) -> String {
+    format!("{CENSUS}{model}/{version}")
+}
+
+/// Row of a lease's epoch.
 #[must_use]
-pub fn replica_key(replica: &ReplicaId) -> String {
-    format!("{REPLICAS}{replica}")
+pub fn epoch_key(lease: &LeaseName) -> String {
+    format!("{LEASE_EPOCHS}{lease}")
 }
 
 /// Row of a member.
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -133,6 +133,24 @@
     /// [`StoreError`].
     fn scan(&self, prefix: &str) -> impl Future<Output = Result<Vec<TableRow>, StoreError>> + Send;
 
+    /// Reads up to `limit` rows whose key starts with `prefix` and follows `after`, by key.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    fn scan_page(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> impl Future<Output = Result<Vec<TableRow>, StoreError>> + Send {
+        async move {
+            let rows = self.scan(prefix).await?;
+            let later = rows.into_iter().filter(|row| row.key.as_str() > after);
+            Ok(later.take(limit).collect())
+        }
+    }
+
     /// Commits a batch. After [`StoreError::AnswerLost`] use [`crate::settled_commit`].
     ///
     /// # Errors
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -1,47 +1,102 @@
-//! Wiring of control: configuration, fleet and assembly.
+//! Wiring of control: hosts, replicas, evidence of wholeness, leases and assembly.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use control::ConfigView;
-use control::assembly::assemble_round;
-use control::fleet::follow_fleet;
-use domain::LeaseEpoch;
-use platform::http::{HttpHostList, HttpTable};
-use target::HttpEngine;
-use tokio::sync::watch;
+use control::EvidenceBoard;
+use control::assembly::{AssemblyParts, FirstHosts, SupervisorInputs, supervise_leases};
+use control::directory::{HostDirectory, follow_hosts};
+use control::fleet::{FleetInputs, follow_fleet};
+use control::members::MemberView;
+use control::plans::{FleetPlans, follow_plans};
+use control::wholeness::{WatchInputs, follow_wholeness};
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
 
 use super::NodeContext;
 
-const FLEET_PERIOD: Duration = Duration::from_millis(500);
-const ASSEMBLY_PERIOD: Duration = Duration::from_millis(500);
+/// The running tasks of control.
+pub struct ControlTasks {
+    stop: oneshot::Sender<()>,
+    leases: JoinHandle<()>,
+}
+
+impl ControlTasks {
+    /// Gives up the leases, so that other nodes need not wait for them to run out.
+    pub async fn release(self) {
+        let _ = self.stop.send(());
+        let _ = self.leases.await;
+    }
+}
 
-/// Starts the tasks of control.
-pub fn start(context: &NodeContext) {
+/// Starts the tasks of control. The board takes in what peers saw and gives them what this node
+/// saw.
+pub fn start(
+    context: &NodeContext,
+    members: &watch::Receiver<Arc<MemberView>>,
+    board: &EvidenceBoard,
+) -> ControlTasks {
+    let settings = context.settings.control;
+    let hosts = watch::Sender::new(Arc::new(HostDirectory::default()));
+    let directory = hosts.subscribe();
+    let replicas = watch::Sender::new(Arc::new(FleetPlans::default()));
+    let plans = replicas.subscribe();
+    let period = Duration::from_millis(settings.hosts_ms);
+    tokio::spawn(follow_hosts(context.list.clone(), hosts, period));
+    let period = Duration::from_millis(settings.plans_ms);
+    tokio::spawn(follow_plans(context.table.clone(), replicas, period));
+    let inputs = WatchInputs {
+        node: context.settings.node.clone(),
+        plans: plans.clone(),
+        directory: directory.clone(),
+        members: members.clone(),
+    };
+    let engine = context.engine.clone();
+    tokio::spawn(follow_wholeness(
+        inputs,
+        engine,
+        board.clone(),
+        settings.watch,
+    ));
+    let inputs = FleetInputs {
+        plans,
+        directory: directory.clone(),
+        config: context.config_sender.subscribe(),
+    };
     tokio::spawn(follow_fleet(
-        context.table.clone(),
-        context.list.clone(),
-        context.engine.clone(),
+        inputs,
+        board.clone(),
         context.target_sender.clone(),
-        FLEET_PERIOD,
-    ));
-    tokio::spawn(assemble_forever(
-        context.table.clone(),
-        context.list.clone(),
-        context.engine.clone(),
-        context.config_sender.subscribe(),
     ));
+    start_leases(context, members, board, directory)
 }
 
-async fn assemble_forever(
-    table: HttpTable,
-    list: HttpHostList,
-    engine: HttpEngine,
-    config: watch::Receiver<Arc<ConfigView>>,
-) {
-    loop {
-        let view = Arc::clone(&config.borrow());
-        let _ = assemble_round(&table, &list, &engine, &view, LeaseEpoch(1), "0").await;
-        tokio::time::sleep(ASSEMBLY_PERIOD).await;
-    }
+fn start_leases(
+    context: &NodeContext,
+    members: &watch::Receiver<Arc<MemberView>>,
+    board: &EvidenceBoard,
+    directory: watch::Receiver<Arc<HostDirectory>>,
+) -> ControlTasks {
+    let settings = context.settings.control;
+    let parts = AssemblyParts {
+        table: context.table.clone(),
+        engine: context.engine.clone(),
+        chooser: FirstHosts,
+        board: board.clone(),
+        directory,
+        config: context.config_sender.subscribe(),
+        recorder: context.recorder.clone(),
+        settings: settings.assembly,
+    };
+    let inputs = SupervisorInputs {
+        node: context.settings.node.clone(),
+        members: members.clone(),
+        leases: settings.leases,
+        housekeeping: settings.housekeeping,
+    };
+    let (stop, stopped) = oneshot::channel();
+    let leases = tokio::spawn(supervise_leases(parts, inputs, async {
+        let _ = stopped.await;
+    }));
+    ControlTasks { stop, leases }
 }
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -35,7 +35,11 @@
         engine: context.engine.clone(),
         recorder: context.recorder.clone(),
     };
-    let ledger = CallLedger::new(context.table.clone(), context.settings.node.clone());
+    let ledger = CallLedger::with_settings(
+        context.table.clone(),
+        context.settings.node.clone(),
+        context.settings.control.ledger,
+    );
     let server = Arc::new(EntryServer::new(parts, ledger, context.service.clone()));
     let wanted = context.settings.listen;
     let listener = TcpListener::bind(wanted)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ::control::{ConfigView, TargetView};
+use ::control::{ConfigView, EvidenceBoard, TargetView};
 use events::{EventCode, EventRecorder, EventSubject};
 use platform::http::{HttpHostList, HttpObjects, HttpTable, ServiceEndpoint};
 use target::{HttpEngine, HttpService};
@@ -61,7 +61,8 @@
 pub async fn serve(settings: NodeSettings) -> eyre::Result<()> {
     let context = NodeContext::new(settings);
     let peers = peers::bind(&context).await?;
-    control::start(&context);
+    let board = EvidenceBoard::default();
+    let tasks = control::start(&context, &peers.members(), &board);
     peers.start(&context);
     let running = entry::bind(&context).await?;
     let address = running.address;
@@ -72,6 +73,7 @@
     );
     println!("{} listens on {address}", context.settings.node);
     running.serve(stop_signal()).await;
+    tasks.release().await;
     peers.leave().await;
     Ok(())
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,12 +1,14 @@
 //! Wiring of what nodes know of each other: configuration, membership and links.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use control::config::{ConfigFollower, ConfigKeeper, follow_config};
-use control::members::{Member, MemberBook, MemberKeeper, MemberState};
+use control::members::{Member, MemberBook, MemberKeeper, MemberState, MemberView};
 use eyre::WrapErr;
 use platform::http::HttpTable;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use super::NodeContext;
 
@@ -50,6 +52,11 @@
 }
 
 impl PeerListener {
+    /// The nodes that are taken to be alive, told of every change.
+    pub fn members(&self) -> watch::Receiver<Arc<MemberView>> {
+        self.book.watch()
+    }
+
     /// Starts the tasks.
     pub fn start(&self, context: &NodeContext) {
         let settings = &context.settings;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use control::ControlSettings;
 use control::config::ConfigSettings;
 use control::members::MemberSettings;
 use domain::{DomainId, NodeId, RegionId};
@@ -29,6 +30,9 @@
     /// The membership.
     #[serde(default)]
     pub members: MemberSettings,
+    /// Leases, assembly, evidence of wholeness and the ledger.
+    #[serde(default)]
+    pub control: ControlSettings,
 }
 
 /// Where the platform's services are.
