--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,8 @@
+//! The admin listener: records, status, events and metrics for operators.
+
+pub mod access;
+pub mod records;
+pub mod server;
+
+pub use access::OperatorKey;
+pub use server::{AdminParts, AdminServer, StatusSource};
--- /dev/null
+++ b/crates/admin/src/server.rs
@@ -0,0 +1,210 @@
+//! Routes of the admin listener.
+
+use std::sync::Arc;
+
+use control::amend::AmendError;
+use control::history::{HistoryQuery, get_record, list_records, read_history};
+use control::{ConfigView, amend_record};
+use domain::record::RecordKind;
+use events::{EventRecorder, NodeMetrics};
+use http::{Method, StatusCode};
+use platform::TableStore;
+use web::{WebAnswer, WebHandler, WebRequest, json_answer, parse_json, read_body, text_answer};
+use wire::admin::{AmendAnswer, AmendBody, ChangeBody, NodeStatus, RecordBody};
+
+use crate::access::OperatorKey;
+use crate::records::{
+    amendment_from, answer_from, change_body, record_body, review_amendment, split_report,
+};
+
+/// Largest amendment, in bytes.
+const MAX_AMEND_BYTES: usize = 1 << 20;
+
+/// Changes in an answer that names no limit.
+const DEFAULT_HISTORY: usize = 20;
+
+/// Most changes in one answer.
+const MAX_HISTORY: usize = 1_000;
+
+/// What a node knows of itself.
+pub trait StatusSource: Send + Sync + 'static {
+    /// The status now.
+    fn status(&self) -> NodeStatus;
+
+    /// The configuration in force on it.
+    fn config(&self) -> Arc<ConfigView>;
+
+    /// Why no amendment can be taken through this node now; none when it can.
+    fn amend_hindrance(&self) -> Option<String>;
+}
+
+/// What the listener works with.
+#[derive(Debug)]
+pub struct AdminParts<T, S> {
+    /// The table.
+    pub table: T,
+    /// Status.
+    pub source: S,
+    /// Events.
+    pub recorder: EventRecorder,
+    /// Metrics.
+    pub metrics: NodeMetrics,
+    /// The operators' key; without one only the metrics are served.
+    pub key: Option<OperatorKey>,
+}
+
+/// The admin listener.
+#[derive(Debug)]
+pub struct AdminServer<T, S> {
+    parts: AdminParts<T, S>,
+}
+
+impl<T: TableStore, S: StatusSource> AdminServer<T, S> {
+    /// A listener.
+    #[must_use]
+    pub fn new(parts: AdminParts<T, S>) -> Self {
+        Self { parts }
+    }
+
+    fn metrics(&self) -> WebAnswer {
+        match self.parts.metrics.text() {
+            Ok(text) => text_answer(StatusCode::OK, &text),
+            Err(error) => text_answer(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+        }
+    }
+
+    async fn amend(&self, request: WebRequest) -> WebAnswer {
+        let bytes = match read_body(request.into_body(), MAX_AMEND_BYTES).await {
+            Ok(bytes) => bytes,
+            Err(error) => return text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        let body: AmendBody = match parse_json(&bytes) {
+            Ok(body) => body,
+            Err(error) => return text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        if let Some(reason) = self.parts.source.amend_hindrance() {
+            return json_answer(StatusCode::OK, &AmendAnswer::Unavailable { reason });
+        }
+        json_answer(StatusCode::OK, &self.amended(body).await)
+    }
+
+    async fn amended(&self, body: AmendBody) -> AmendAnswer {
+        let view = self.parts.source.config();
+        let report = match review_amendment(&view, &body) {
+            Ok(report) => report,
+            Err(findings) => return AmendAnswer::Refused { findings },
+        };
+        let (errors, warnings) = split_report(report);
+        if !errors.is_empty() {
+            return AmendAnswer::Refused { findings: errors };
+        }
+        let amendment = amendment_from(body);
+        answer_from(amend_record(&self.parts.table, &amendment).await, warnings)
+    }
+
+    async fn records(&self, path: &str, query: &str) -> WebAnswer {
+        let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
+        match parts.as_slice() {
+            ["records"] => {
+                let kind = match parse_kind(query_value(query, "kind")) {
+                    Ok(kind) => kind,
+                    Err(problem) => return text_answer(StatusCode::BAD_REQUEST, &problem),
+                };
+                let listed = list_records(&self.parts.table, kind).await;
+                let bodies = listed.map(|records| {
+                    records
+                        .into_iter()
+                        .map(record_body)
+                        .collect::<Vec<RecordBody>>()
+                });
+                table_answer(bodies)
+            }
+            ["records", kind, name] => {
+                let kind = match kind.parse::<RecordKind>() {
+                    Ok(kind) => kind,
+                    Err(problem) => return text_answer(StatusCode::BAD_REQUEST, &problem),
+                };
+                match get_record(&self.parts.table, kind, name).await {
+                    Ok(None) => text_answer(StatusCode::NOT_FOUND, "no such record"),
+                    found => table_answer(found.map(|stored| stored.map(record_body))),
+                }
+            }
+            _ => text_answer(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    async fn history(&self, query: &str) -> WebAnswer {
+        let kind = match parse_kind(query_value(query, "kind")) {
+            Ok(kind) => kind,
+            Err(problem) => return text_answer(StatusCode::BAD_REQUEST, &problem),
+        };
+        let limit = query_value(query, "limit")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(DEFAULT_HISTORY)
+            .min(MAX_HISTORY);
+        let name = query_value(query, "name").map(str::to_owned);
+        let wanted = HistoryQuery {
+            kind,
+            name,
+            before: None,
+            limit,
+        };
+        let read = read_history(&self.parts.table, &wanted).await;
+        table_answer(read.map(|rows| {
+            rows.into_iter()
+                .map(change_body)
+                .collect::<Vec<ChangeBody>>()
+        }))
+    }
+}
+
+fn table_answer<B: serde::Serialize>(read: Result<B, AmendError>) -> WebAnswer {
+    match read {
+        Ok(body) => json_answer(StatusCode::OK, &body),
+        Err(error) => text_answer(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+    }
+}
+
+fn parse_kind(text: Option<&str>) -> Result<Option<RecordKind>, String> {
+    text.map(str::parse).transpose()
+}
+
+/// A value of a query string; names and kinds need no escapes.
+fn query_value<'query>(query: &'query str, name: &str) -> Option<&'query str> {
+    for pair in query.split('&') {
+        let Some((key, value)) = pair.split_once('=') else {
+            continue;
+        };
+        if key == name {
+            return Some(value);
+        }
+    }
+    None
+}
+
+impl<T: TableStore, S: StatusSource> WebHandler for AdminServer<T, S> {
+    async fn answer(&self, request: WebRequest) -> WebAnswer {
+        let path = request.uri().path().to_owned();
+        if path == "/metrics" {
+            return self.metrics();
+        }
+        let allowed = self
+            .parts
+            .key
+            .as_ref()
+            .is_some_and(|key| key.allows(request.headers()));
+        if !allowed {
+            let problem = "send the operators' key: 'Authorization: Bearer <key>'";
+            return text_answer(StatusCode::UNAUTHORIZED, problem);
+        }
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        match (request.method().clone(), path.as_str()) {
+            (Method::POST, "/amend") => self.amend(request).await,
+            (Method::GET, "/status") => json_answer(StatusCode::OK, &self.parts.source.status()),
+            (Method::GET, "/events") => json_answer(StatusCode::OK, &self.parts.recorder.recent()),
+            (Method::GET, "/history") => self.history(&query).await,
+            (Method::GET, _) if path.starts_with("/records") => self.records(&path, &query).await,
+            _ => text_answer(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,18 @@
+//! Settings of a node: their catalogue, their checks and their typed form.
+//!
+//! A settings file is JSON with durations and sizes in a human form. [`read_settings`] checks it
+//! whole against the catalogue, collects every finding with its JSON path, and fills in the
+//! defaults; the typed structs of the parts are then read from the result.
+
+pub mod catalogue;
+pub mod field;
+pub mod node;
+pub mod page;
+pub mod reader;
+pub mod secret;
+
+pub use catalogue::FIELDS;
+pub use field::{FieldKind, SettingField};
+pub use node::{NodeSettings, SettingsError};
+pub use reader::read_settings;
+pub use secret::SecretText;
--- /dev/null
+++ b/crates/settings/src/node.rs
@@ -0,0 +1,180 @@
+//! The typed settings of a node.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use control::config::ConfigSettings;
+use control::members::MemberSettings;
+use domain::{DomainId, FindingList, NodeId, RegionId};
+use events::EventLevel;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::reader::read_settings;
+use crate::secret::{SecretError, SecretText};
+
+/// Settings of a node.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// The node's name.
+    pub node: NodeId,
+    /// Region of the node.
+    pub region: RegionId,
+    /// Failure domain of the node.
+    pub domain: DomainId,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators and monitoring connect.
+    #[serde(default)]
+    pub admin: Option<SocketAddr>,
+    /// The platform's services.
+    pub platform: PlatformSettings,
+    /// Where secrets come from.
+    #[serde(default)]
+    pub secrets: SecretSettings,
+    /// Following the configuration.
+    pub config: ConfigSettings,
+    /// Knowing the other entry hosts.
+    pub members: MemberSettings,
+    /// Logs and the time line.
+    pub log: LogSettings,
+}
+
+/// Where the platform's services are.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The table service.
+    pub table: SocketAddr,
+    /// The object store.
+    pub objects: SocketAddr,
+    /// The host list.
+    pub hostlist: SocketAddr,
+    /// Longest wait for an answer, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+impl PlatformSettings {
+    /// Longest wait for an answer.
+    #[must_use]
+    pub fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
+}
+
+/// Where secrets come from.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SecretSettings {
+    /// File with the operators' key.
+    pub operator_key_file: Option<PathBuf>,
+    /// Variable with the operators' key.
+    pub operator_key_env: Option<String>,
+}
+
+impl SecretSettings {
+    /// The operators' key; none when no place is named.
+    ///
+    /// # Errors
+    ///
+    /// [`SecretError`].
+    pub fn operator_key(&self) -> Result<Option<SecretText>, SecretError> {
+        load_secret(
+            self.operator_key_file.as_deref(),
+            self.operator_key_env.as_deref(),
+        )
+    }
+}
+
+fn load_secret(
+    file: Option<&Path>,
+    variable: Option<&str>,
+) -> Result<Option<SecretText>, SecretError> {
+    match (file, variable) {
+        (Some(path), _) => SecretText::from_file(path).map(Some),
+        (None, Some(name)) => SecretText::from_variable(name).map(Some),
+        (None, None) => Ok(None),
+    }
+}
+
+/// Logs and the time line.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogSettings {
+    /// Lowest level that is logged.
+    pub level: EventLevel,
+    /// Events kept in memory.
+    pub events: usize,
+}
+
+/// Why a settings file can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("can't read {path}: {problem}")]
+    File {
+        /// The path.
+        path: String,
+        /// Why.
+        problem: String,
+    },
+    /// The file is no JSON.
+    #[error("{path} is no JSON: {problem}")]
+    Json {
+        /// The path.
+        path: String,
+        /// Why, with line and column.
+        problem: String,
+    },
+    /// Its content breaks rules.
+    #[error("{path} has {} finding(s):\n{findings}", findings.as_slice().len())]
+    Findings {
+        /// The path.
+        path: String,
+        /// The findings.
+        findings: FindingList,
+    },
+}
+
+impl NodeSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`].
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsError::File {
+            path: shown.clone(),
+            problem: error.to_string(),
+        })?;
+        let file: Value = serde_json::from_str(&text).map_err(|error| SettingsError::Json {
+            path: shown.clone(),
+            problem: error.to_string(),
+        })?;
+        Self::from_value(&file).map_err(|findings| SettingsError::Findings {
+            path: shown,
+            findings,
+        })
+    }
+
+    /// Checks settings that are already JSON.
+    ///
+    /// # Errors
+    ///
+    /// Every finding.
+    pub fn from_value(file: &Value) -> Result<Self, FindingList> {
+        let typed = read_settings(file)?;
+        serde_json::from_value(typed).map_err(|error| {
+            let mut findings = FindingList::default();
+            findings.add(
+                ".",
+                error.to_string(),
+                "report this: the catalogue lacks a check",
+            );
+            findings
+        })
+    }
+}
--- /dev/null
+++ b/crates/settings/src/page.rs
@@ -0,0 +1,44 @@
+//! The catalogue as a page of the docs.
+
+use std::fmt::Write;
+
+use crate::catalogue::{FIELDS, SECTIONS, section_text};
+
+/// Writes docs/SETTINGS.md.
+#[must_use]
+pub fn settings_page() -> String {
+    let mut out = String::from(
+        "# Settings\n\n\
+A node reads one JSON file: `bramleyspring serve --settings FILE`. `bramleyspring check --settings \
+FILE` checks it without serving and reports every finding with its JSON path. Times are written as \
+`250ms`, `3s` or `2m`, sizes as `64KiB` or `4MiB`. Unknown keys are errors. This page is written \
+from the catalogue in the crate `settings`; a test holds both together.\n",
+    );
+    write_section(&mut out, "", "Top level");
+    for section in SECTIONS {
+        let _ = write!(out, "\n## `{section}`\n\n{}\n", section_text(section));
+        write_section(&mut out, section, "");
+    }
+    out
+}
+
+fn write_section(out: &mut String, section: &str, title: &str) {
+    if !title.is_empty() {
+        let _ = write!(out, "\n## {title}\n");
+    }
+    out.push_str("\n| key | default | what to write | meaning |\n|---|---|---|---|\n");
+    for field in FIELDS.iter().filter(|field| field.section == section) {
+        let default = match (field.required, field.default) {
+            (true, _) => "required".to_owned(),
+            (false, Some(text)) => format!("`{text}`"),
+            (false, None) => "none".to_owned(),
+        };
+        let _ = writeln!(
+            out,
+            "| `{}` | {default} | {} | {} |",
+            field.key,
+            field.advice().trim_start_matches("write "),
+            field.text,
+        );
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Wire types of every protocol, converted from and into the domain.
 
+pub mod admin;
 pub mod caller;
 pub mod engine;
 pub mod hostlist;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,18 +1,37 @@
 //! Serving for large models whose replicas span several hosts.
 
-mod apply;
+mod client;
+mod commands;
 mod node;
 mod options;
-mod settings;
+mod output;
 
 use std::process::ExitCode;
 
-use options::{CommandLine, CommandPlan};
+use commands::{CommandEnd, apply, check, records, status, timeline};
+use options::{CommandPlan, parse_arguments};
+use settings::NodeSettings;
+
+/// Exit code of a command line that can't be used.
+const BAD_COMMAND_LINE: u8 = 2;
+
+/// Exit code when it is not known whether a command took effect.
+const OUTCOME_UNKNOWN: u8 = 3;
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    match run().await {
-        Ok(()) => ExitCode::SUCCESS,
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let plan = match parse_arguments(&arguments) {
+        Ok(plan) => plan,
+        Err(error) => {
+            eprintln!("bramleyspring: {error:#} (see --help)");
+            return ExitCode::from(BAD_COMMAND_LINE);
+        }
+    };
+    match run(plan).await {
+        Ok(CommandEnd::Done) => ExitCode::SUCCESS,
+        Ok(CommandEnd::Failed) => ExitCode::FAILURE,
+        Ok(CommandEnd::Unknown) => ExitCode::from(OUTCOME_UNKNOWN),
         Err(error) => {
             eprintln!("bramleyspring: {error:#}");
             ExitCode::FAILURE
@@ -20,10 +39,32 @@
     }
 }
 
-async fn run() -> eyre::Result<()> {
-    let plan = CommandLine::parse()?;
+async fn run(plan: CommandPlan) -> eyre::Result<CommandEnd> {
     match plan {
-        CommandPlan::Serve { settings } => node::serve(settings).await,
-        CommandPlan::Apply { settings, files } => apply::apply_files(&settings, &files).await,
+        CommandPlan::Serve { settings } => {
+            node::serve(NodeSettings::load(&settings)?).await?;
+            Ok(CommandEnd::Done)
+        }
+        CommandPlan::Check { settings, files } => {
+            Ok(check::check_files(settings.as_deref(), &files))
+        }
+        CommandPlan::Apply(plan) => apply::apply_files(&plan).await,
+        CommandPlan::Delete(plan) => apply::delete_record(&plan).await,
+        CommandPlan::Drain(plan) => apply::write_drain(&plan).await,
+        CommandPlan::Get(plan) => records::get_records(&plan).await,
+        CommandPlan::History(plan) => records::print_history(&plan).await,
+        CommandPlan::Diff(plan) => records::print_diff(&plan).await,
+        CommandPlan::Status(access) => status::print_status(&access).await,
+        CommandPlan::Timeline(access, filter) => timeline::print_timeline(&access, &filter).await,
+        CommandPlan::HashKey => {
+            let mut line = String::new();
+            std::io::stdin().read_line(&mut line)?;
+            println!("{}", entry::caller::hex_hash(line.trim().as_bytes()));
+            Ok(CommandEnd::Done)
+        }
+        CommandPlan::Print(text) => {
+            println!("{text}");
+            Ok(CommandEnd::Done)
+        }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,26 +1,21 @@
 //! Wiring of one node, a module for each part.
 
+mod admin;
 mod control;
 mod entry;
 mod peers;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use ::control::{ConfigView, TargetView};
-use events::{EventCode, EventRecorder, EventSubject};
+use events::logs::start_logs;
+use events::{EventCode, EventRecorder, EventSubject, NodeMetrics};
 use platform::http::{HttpHostList, HttpObjects, HttpTable, ServiceEndpoint};
 use target::{HttpEngine, HttpService};
 use tokio::sync::watch;
 use web::WebClient;
 
-use crate::settings::NodeSettings;
-
-/// Longest wait for an answer of the platform.
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Events that the node keeps for the time line.
-const EVENT_CAPACITY: usize = 20_000;
+use settings::NodeSettings;
 
 /// What the parts of a node share.
 struct NodeContext {
@@ -31,25 +26,30 @@
     engine: HttpEngine,
     service: HttpService,
     recorder: EventRecorder,
+    metrics: NodeMetrics,
     config_sender: watch::Sender<Arc<ConfigView>>,
     target_sender: watch::Sender<Arc<TargetView>>,
 }
 
 impl NodeContext {
-    fn new(settings: NodeSettings) -> Self {
+    fn new(settings: NodeSettings) -> eyre::Result<Self> {
         let client = WebClient::default();
-        let endpoint = |address| ServiceEndpoint::new(client.clone(), address, PLATFORM_TIMEOUT);
-        Self {
+        let timeout = settings.platform.timeout();
+        let endpoint = |address| ServiceEndpoint::new(client.clone(), address, timeout);
+        let metrics = NodeMetrics::new()?;
+        let capacity = settings.log.events;
+        Ok(Self {
             table: HttpTable::new(endpoint(settings.platform.table)),
             objects: HttpObjects::new(endpoint(settings.platform.objects)),
             list: HttpHostList::new(endpoint(settings.platform.hostlist)),
             engine: HttpEngine::new(client.clone()),
             service: HttpService::new(client),
-            recorder: EventRecorder::new(settings.node.clone(), EVENT_CAPACITY),
+            recorder: EventRecorder::counted(settings.node.clone(), capacity, metrics.clone()),
+            metrics,
             config_sender: watch::Sender::new(Arc::new(ConfigView::default())),
             target_sender: watch::Sender::new(Arc::new(TargetView::default())),
             settings,
-        }
+        })
     }
 }
 
@@ -59,7 +59,8 @@
 ///
 /// When an address can't be bound.
 pub async fn serve(settings: NodeSettings) -> eyre::Result<()> {
-    let context = NodeContext::new(settings);
+    start_logs(settings.log.level);
+    let context = NodeContext::new(settings)?;
     let peers = peers::bind(&context).await?;
     control::start(&context);
     peers.start(&context);
@@ -71,6 +72,13 @@
         address.to_string(),
     );
     println!("{} listens on {address}", context.settings.node);
+    if let Some(admin) = admin::bind(&context).await? {
+        println!(
+            "{} admin listens on {}",
+            context.settings.node, admin.address
+        );
+        admin.start();
+    }
     running.serve(stop_signal()).await;
     peers.leave().await;
     Ok(())
