--- /dev/null
+++ b/crates/standin/src/engine/core.rs
@@ -0,0 +1,296 @@
+//! The state of an engine and what orders and requests do to it.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+use domain::{AttemptId, BootNumber, HostId, LeaseEpoch};
+use http::{HeaderValue, StatusCode, header};
+use tokio::sync::Notify;
+use web::answer::typed_answer;
+use web::{WebAnswer, WebClient, json_answer, parse_json, text_answer};
+use wire::engine::{CachePage, EngineAssignment, EngineOrder, EngineState, StreamOrder};
+
+use super::batch::StepCosts;
+use super::cache::PrefixCache;
+use super::loading::{LoadNeed, LoadedWeights, load, load_need};
+use super::peers::PeerHealth;
+use super::pool::{KvCache, StreamPool};
+use super::report::LoadReport;
+use crate::faults::{FaultSwitch, OutageMode};
+use crate::options::EngineOptions;
+
+/// Pause of a batch that can't step.
+const STALL_PAUSE: Duration = Duration::from_millis(20);
+
+/// An engine.
+#[derive(Debug)]
+pub struct EngineCore {
+    /// Its command line.
+    pub options: EngineOptions,
+    /// Its client of peers and of the weight store.
+    pub client: WebClient,
+    host: HostId,
+    boot: BootNumber,
+    faults: Arc<FaultSwitch>,
+    wake: Notify,
+    inner: Mutex<EngineInner>,
+}
+
+#[derive(Debug)]
+struct EngineInner {
+    assignment: Option<EngineAssignment>,
+    highest_epoch: LeaseEpoch,
+    loaded: Option<LoadedWeights>,
+    ready: bool,
+    peers: PeerHealth,
+    pool: StreamPool,
+    report: LoadReport,
+}
+
+impl EngineCore {
+    /// An engine without an assignment, with a new boot number.
+    #[must_use]
+    pub fn new(host: HostId, options: EngineOptions, faults: Arc<FaultSwitch>) -> Self {
+        let since_epoch = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        let boot = BootNumber(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX));
+        let cache = PrefixCache::new(
+            options.cache_blocks,
+            Duration::from_millis(options.cache_lag_ms),
+        );
+        let pool = StreamPool::new(
+            options.slots,
+            options.queue,
+            Duration::from_millis(options.linger_ms),
+            cache,
+        );
+        let inner = EngineInner {
+            assignment: None,
+            highest_epoch: LeaseEpoch::default(),
+            loaded: None,
+            ready: false,
+            peers: PeerHealth::Whole,
+            pool,
+            report: LoadReport::new(Duration::from_millis(options.report_lag_ms)),
+        };
+        Self {
+            options,
+            client: WebClient::default(),
+            host,
+            boot,
+            faults,
+            wake: Notify::new(),
+            inner: Mutex::new(inner),
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, EngineInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Its report.
+    #[must_use]
+    pub fn state(&self) -> EngineState {
+        let now = Instant::now();
+        let mut inner = self.inner();
+        let load = inner.pool.load();
+        inner.report.note(load, now);
+        EngineState {
+            host: self.host.clone(),
+            boot: self.boot,
+            assignment: inner.assignment.clone(),
+            ready: inner.ready && !self.lost_peer(&inner),
+            leaving: self.faults.plan().leaving,
+            load: inner.report.shown(now),
+        }
+    }
+
+    /// Whether the engine itself has noticed that a peer is gone.
+    fn lost_peer(&self, inner: &EngineInner) -> bool {
+        let limit = Duration::from_millis(self.options.peer_loss_ms);
+        matches!(inner.peers, PeerHealth::Gone(since) if since.elapsed() >= limit)
+    }
+
+    /// Its assignment, when it is rank 0 of it.
+    #[must_use]
+    pub fn leading(&self) -> Option<EngineAssignment> {
+        let assignment = self.inner().assignment.clone()?;
+        (assignment.rank == 0).then_some(assignment)
+    }
+
+    /// Notes its peers' health, unless the assignment is another by now; ends the streams once
+    /// a peer has been gone for long.
+    pub fn note_peers(
+        &self,
+        assignment: &EngineAssignment,
+        change: impl FnOnce(PeerHealth) -> PeerHealth,
+    ) {
+        let mut inner = self.inner();
+        if inner.assignment.as_ref() != Some(assignment) {
+            return;
+        }
+        inner.peers = change(inner.peers);
+        if self.lost_peer(&inner) {
+            inner
+                .pool
+                .fail_all("a host of the replica is gone", Instant::now());
+        }
+    }
+
+    /// Makes the engine ready for an assignment, unless it has another by now.
+    pub fn finish_load(&self, assignment: &EngineAssignment) {
+        let mut inner = self.inner();
+        if inner.assignment.as_ref() != Some(assignment) {
+            return;
+        }
+        inner.loaded = Some(LoadedWeights {
+            model: assignment.model.clone(),
+            version: assignment.version.clone(),
+        });
+        inner.ready = true;
+    }
+
+    /// Starts a stream.
+    pub fn start(&self, order: StreamOrder) -> WebAnswer {
+        let now = Instant::now();
+        let mut inner = self.inner();
+        let meant = inner.assignment.as_ref().is_some_and(|assignment| {
+            assignment.replica == order.replica
+                && assignment.incarnation == order.incarnation
+                && assignment.rank == 0
+        });
+        if !meant {
+            return text_answer(StatusCode::CONFLICT, "another replica or incarnation");
+        }
+        if !inner.ready || self.lost_peer(&inner) {
+            return busy("not ready");
+        }
+        if inner.pool.is_full() {
+            return busy("the queue is full");
+        }
+        let attempt = order.attempt.clone();
+        let answer = inner.pool.start(order, now);
+        if self.faults.plan().fail_streams {
+            inner.pool.fail(&attempt, "fails on purpose", now);
+        }
+        self.wake.notify_one();
+        answer
+    }
+
+    /// Goes on with a stream.
+    pub fn resume(&self, attempt: &AttemptId, from: u32) -> WebAnswer {
+        let resumed = self.inner().pool.resume(attempt, from, Instant::now());
+        self.wake.notify_one();
+        resumed.unwrap_or_else(|| text_answer(StatusCode::NOT_FOUND, "no such stream"))
+    }
+
+    /// Cancels a stream.
+    pub fn cancel(&self, attempt: &AttemptId) {
+        self.inner().pool.cancel(attempt);
+    }
+
+    /// Cache events behind a number.
+    #[must_use]
+    pub fn cache_events(&self, after: u64) -> CachePage {
+        self.inner().pool.cache().events(after, Instant::now())
+    }
+
+    /// The KV cache of a stream.
+    #[must_use]
+    pub fn export_kv(&self, attempt: &AttemptId) -> WebAnswer {
+        let exported = self.inner().pool.export(attempt);
+        match exported.map(|kv| serde_json::to_vec(&kv)) {
+            Some(Ok(bytes)) => typed_answer(StatusCode::OK, "application/octet-stream", bytes),
+            _ => text_answer(
+                StatusCode::NOT_FOUND,
+                "no such stream, or its prompt is unread",
+            ),
+        }
+    }
+
+    /// Takes a KV cache for a stream that is still to start.
+    pub fn import_kv(&self, attempt: AttemptId, bytes: &[u8]) -> WebAnswer {
+        match parse_json::<KvCache>(bytes) {
+            Ok(kv) => {
+                self.inner().pool.import(attempt, kv);
+                text_answer(StatusCode::OK, "")
+            }
+            Err(error) => text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    fn costs(&self) -> StepCosts {
+        StepCosts {
+            step: Duration::from_micros(self.options.step_us),
+            stream: Duration::from_micros(self.options.stream_us),
+            prompt_token: Duration::from_micros(self.options.prompt_token_us),
+        }
+    }
+}
+
+fn busy(text: &str) -> WebAnswer {
+    let mut answer = text_answer(StatusCode::SERVICE_UNAVAILABLE, text);
+    answer
+        .headers_mut()
+        .insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+    answer
+}
+
+/// Follows an order; loading goes on behind the answer.
+pub fn follow(core: &Arc<EngineCore>, order: EngineOrder) -> WebAnswer {
+    let mut inner = core.inner();
+    if core.options.fencing && order.epoch < inner.highest_epoch {
+        drop(inner);
+        return json_answer(StatusCode::CONFLICT, &core.state());
+    }
+    inner.highest_epoch = inner.highest_epoch.max(order.epoch);
+    let before = inner.assignment.clone();
+    if before != order.assignment {
+        inner.pool.clear();
+        inner.peers = PeerHealth::Loading;
+        inner.ready = false;
+        inner.assignment.clone_from(&order.assignment);
+    }
+    let loaded = inner.loaded.clone();
+    drop(inner);
+    if let Some(wanted) = order.assignment
+        && before.as_ref() != Some(&wanted)
+    {
+        let need = load_need(loaded.as_ref(), before.as_ref(), &wanted);
+        let instant = core.options.load_ms == 0 && core.options.weights.is_none();
+        if need == LoadNeed::Nothing || instant {
+            core.finish_load(&wanted);
+        } else {
+            tokio::spawn(load(Arc::clone(core), wanted, need));
+        }
+    }
+    json_answer(StatusCode::OK, &core.state())
+}
+
+/// Steps the batch for ever; sleeps while there is nothing to do.
+pub async fn run_batch(core: Arc<EngineCore>) {
+    let costs = core.costs();
+    loop {
+        let busy = core.inner().pool.is_busy();
+        if !busy {
+            core.wake.notified().await;
+        }
+        let plan = core.faults.plan();
+        let stalled = core.inner().peers != PeerHealth::Whole;
+        if plan.outage == OutageMode::Hang || stalled {
+            tokio::time::sleep(STALL_PAUSE).await;
+            continue;
+        }
+        let step = core.inner().pool.plan();
+        let time = step.time(&costs).mul_f64(plan.slow_factor.max(1.0));
+        tokio::time::sleep(time).await;
+        let now = Instant::now();
+        let mut inner = core.inner();
+        if inner.peers == PeerHealth::Whole {
+            inner.pool.apply(&step, time, now);
+        }
+        let load = inner.pool.load();
+        inner.report.note(load, now);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,126 @@
+//! Stand-in for a model engine on one host.
+//!
+//! [`batch`] decides what one step of the batch does, [`stream`] keeps a stream with its reader,
+//! [`pool`] holds all of them, [`cache`] is the prefix cache, [`report`] the lagged load,
+//! [`peers`] watches the other hosts of the replica, [`loading`] fetches weights and [`core`]
+//! ties them together.
+
+pub mod batch;
+pub mod cache;
+pub mod core;
+pub mod loading;
+pub mod peers;
+pub mod pool;
+pub mod report;
+pub mod stream;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use domain::{AttemptId, HostId};
+use eyre::WrapErr;
+use http::{Method, Request, StatusCode};
+use web::{WebAnswer, json_answer, parse_json, text_answer};
+use wire::engine::ResumeOrder;
+
+use crate::engine::core::EngineCore;
+use crate::faults::FaultSwitch;
+use crate::options::EngineOptions;
+use crate::serve::{StandinHandler, serve_standin};
+use crate::table::query_value;
+
+/// Runs the engine.
+///
+/// # Errors
+///
+/// When the host's name is none or the address can't be bound.
+pub async fn run(options: EngineOptions) -> eyre::Result<()> {
+    let host: HostId = options.host.parse().wrap_err("--host")?;
+    let listen = options.listen;
+    let faults = Arc::new(FaultSwitch::default());
+    let core = Arc::new(EngineCore::new(host, options, Arc::clone(&faults)));
+    tokio::spawn(core::run_batch(Arc::clone(&core)));
+    tokio::spawn(peers::watch_peers(Arc::clone(&core)));
+    let server = Arc::new(EngineServer { core });
+    serve_standin("engine", listen, server, faults).await
+}
+
+/// The engine's HTTP side.
+#[derive(Debug)]
+pub struct EngineServer {
+    core: Arc<EngineCore>,
+}
+
+impl EngineServer {
+    fn follow(&self, body: &[u8]) -> WebAnswer {
+        match parse_json(body) {
+            Ok(order) => core::follow(&self.core, order),
+            Err(error) => text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    fn start(&self, body: &[u8]) -> WebAnswer {
+        match parse_json(body) {
+            Ok(order) => self.core.start(order),
+            Err(error) => text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    fn answer_stream(&self, method: &Method, path: &str, body: &[u8]) -> WebAnswer {
+        let (name, resume) = match path.strip_suffix("/resume") {
+            Some(name) => (name, true),
+            None => (path, false),
+        };
+        let Ok(attempt) = name.parse::<AttemptId>() else {
+            return text_answer(StatusCode::NOT_FOUND, "no such stream");
+        };
+        if *method == Method::DELETE {
+            self.core.cancel(&attempt);
+            return text_answer(StatusCode::OK, "");
+        }
+        if !resume || *method != Method::POST {
+            return text_answer(StatusCode::NOT_FOUND, "no such call");
+        }
+        match parse_json::<ResumeOrder>(body) {
+            Ok(order) => self.core.resume(&attempt, order.from),
+            Err(error) => text_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    fn answer_kv(&self, method: &Method, name: &str, body: &[u8]) -> WebAnswer {
+        let Ok(attempt) = name.parse::<AttemptId>() else {
+            return text_answer(StatusCode::NOT_FOUND, "no such stream");
+        };
+        match *method {
+            Method::GET => self.core.export_kv(&attempt),
+            Method::PUT => self.core.import_kv(attempt, body),
+            _ => text_answer(StatusCode::METHOD_NOT_ALLOWED, "use GET or PUT"),
+        }
+    }
+}
+
+impl StandinHandler for EngineServer {
+    async fn answer(&self, request: Request<Bytes>) -> WebAnswer {
+        let method = request.method().clone();
+        let uri = request.uri().clone();
+        let body = request.into_body();
+        if let Some(path) = uri.path().strip_prefix("/streams/") {
+            return self.answer_stream(&method, path, &body);
+        }
+        if let Some(name) = uri.path().strip_prefix("/kv/") {
+            return self.answer_kv(&method, name, &body);
+        }
+        match (method, uri.path()) {
+            (Method::GET, "/state") => json_answer(StatusCode::OK, &self.core.state()),
+            (Method::GET, "/cache/events") => {
+                let after = query_value(uri.query().unwrap_or_default(), "after")
+                    .and_then(|text| text.parse().ok())
+                    .unwrap_or(0);
+                json_answer(StatusCode::OK, &self.core.cache_events(after))
+            }
+            (Method::POST, "/orders") => self.follow(&body),
+            (Method::POST, "/streams") => self.start(&body),
+            _ => text_answer(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/stream.rs
@@ -0,0 +1,192 @@
+//! One stream: its tokens so far and the caller that reads them.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use web::body::channel_body;
+use web::{WebAnswer, text_answer};
+use wire::engine::{StreamEvent, StreamOrder};
+
+/// Events that wait for a slow reader on the connection; the rest waits in the stream.
+const READER_BUFFER: usize = 64;
+
+/// Words that answers are made of.
+const WORDS: [&str; 12] = [
+    "the", "licence", "form", "needs", "a", "stall", "number", "and", "fee", "receipt", "from",
+    "Sandaga",
+];
+
+/// How far a stream is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamPhase {
+    /// It waits for a place in the batch.
+    Waiting,
+    /// Its prompt is being read; so many tokens are left.
+    Prefill(u64),
+    /// It gets a token a step.
+    Decode,
+    /// It has ended, whole or not.
+    Ended,
+}
+
+/// A stream. It outlives its connection for a while, so that it can be resumed.
+#[derive(Debug)]
+pub struct KeptStream {
+    /// What was ordered.
+    pub order: StreamOrder,
+    /// Number of its arrival.
+    pub arrival: u64,
+    /// How far it is.
+    pub phase: StreamPhase,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Prompt tokens that need not be read.
+    pub cached_tokens: u32,
+    tokens: Vec<String>,
+    end: Option<StreamEvent>,
+    sent: usize,
+    reader: Option<mpsc::Sender<Bytes>>,
+    unread_since: Instant,
+}
+
+impl KeptStream {
+    /// A stream that waits.
+    #[must_use]
+    pub fn new(order: StreamOrder, arrival: u64, now: Instant) -> Self {
+        let words = order.prompt.split_whitespace().count();
+        let tokens = order.resume.clone();
+        Self {
+            arrival,
+            phase: StreamPhase::Waiting,
+            prompt_tokens: u32::try_from(words).unwrap_or(u32::MAX),
+            cached_tokens: 0,
+            sent: tokens.len(),
+            tokens,
+            end: None,
+            reader: None,
+            unread_since: now,
+            order,
+        }
+    }
+
+    /// Answers with the events from an index on; an earlier reader gets no more.
+    pub fn attach(&mut self, from: u32, now: Instant) -> WebAnswer {
+        if from as usize > self.tokens.len() {
+            return text_answer(http::StatusCode::NOT_FOUND, "no such token yet");
+        }
+        let (sender, body) = channel_body(READER_BUFFER);
+        self.sent = from as usize;
+        self.reader = Some(sender);
+        self.flush(now);
+        http::Response::new(body)
+    }
+
+    /// Whether it has something to do or to send.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.phase != StreamPhase::Ended || self.reader.is_some()
+    }
+
+    /// Whether nobody has read it for so long.
+    #[must_use]
+    pub fn is_abandoned(&self, linger: Duration, now: Instant) -> bool {
+        self.reader.is_none() && now.duration_since(self.unread_since) >= linger
+    }
+
+    /// Whether it has a token to get; otherwise the next step ends it.
+    fn wants_token(&self) -> bool {
+        let count = u32::try_from(self.tokens.len()).unwrap_or(u32::MAX);
+        count < self.order.max_tokens
+    }
+
+    /// Gets one token, and its end behind the last one.
+    pub fn advance(&mut self) {
+        if self.wants_token() {
+            let index = u32::try_from(self.tokens.len()).unwrap_or(u32::MAX);
+            self.tokens.push(token_text(&self.order, index));
+        }
+        if !self.wants_token() {
+            self.end(StreamEvent::Done {
+                attempt: self.order.attempt.clone(),
+                incarnation: self.order.incarnation,
+                count: u32::try_from(self.tokens.len()).unwrap_or(u32::MAX),
+                prompt_tokens: self.prompt_tokens,
+                cached_tokens: self.cached_tokens,
+                finish: "length".to_owned(),
+            });
+        }
+    }
+
+    /// Gives the stream up.
+    pub fn fail(&mut self, reason: &str) {
+        if self.phase == StreamPhase::Ended {
+            return;
+        }
+        self.end(StreamEvent::Failed {
+            attempt: self.order.attempt.clone(),
+            reason: reason.to_owned(),
+        });
+    }
+
+    fn end(&mut self, event: StreamEvent) {
+        self.phase = StreamPhase::Ended;
+        self.end = Some(event);
+    }
+
+    /// Sends what the reader can take.
+    pub fn flush(&mut self, now: Instant) {
+        let Some(reader) = self.reader.take() else {
+            return;
+        };
+        self.unread_since = now;
+        loop {
+            let Some(event) = self.event_at(self.sent) else {
+                self.reader = Some(reader);
+                break;
+            };
+            let last = self.sent == self.tokens.len();
+            match reader.try_send(event_line(&event)) {
+                Ok(()) if last => return,
+                Ok(()) => self.sent += 1,
+                Err(mpsc::error::TrySendError::Full(_)) => {
+                    self.reader = Some(reader);
+                    return;
+                }
+                Err(mpsc::error::TrySendError::Closed(_)) => return,
+            }
+        }
+        if self.reader.as_ref().is_some_and(mpsc::Sender::is_closed) {
+            self.reader = None;
+        }
+    }
+
+    fn event_at(&self, index: usize) -> Option<StreamEvent> {
+        let Some(text) = self.tokens.get(index) else {
+            return self.end.clone();
+        };
+        Some(StreamEvent::Token {
+            attempt: self.order.attempt.clone(),
+            incarnation: self.order.incarnation,
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+            text: text.clone(),
+        })
+    }
+}
+
+/// The token at an index: the same for the same prompt and seed on every replica.
+fn token_text(order: &StreamOrder, index: u32) -> String {
+    let mut state = order.seed ^ (u64::from(index) << 20);
+    for byte in order.prompt.bytes() {
+        state = state.rotate_left(5) ^ u64::from(byte);
+        state = state.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    }
+    let choice = usize::try_from(state >> 40).unwrap_or(0) % WORDS.len();
+    format!("{} ", WORDS[choice])
+}
+
+fn event_line(event: &StreamEvent) -> Bytes {
+    let mut line = serde_json::to_vec(event).unwrap_or_default();
+    line.push(b'\n');
+    Bytes::from(line)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod service;
 pub mod stack;
 pub mod table;
+pub mod weights;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,7 +4,7 @@
 
 use gumdrop::Options;
 use standin::options::{StandinCommand, StandinOptions};
-use standin::{engine, hostlist, objects, service, table};
+use standin::{engine, hostlist, objects, service, table, weights};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -23,8 +23,11 @@
         Some(StandinCommand::Table(options)) => table::run(options).await,
         Some(StandinCommand::Objects(options)) => objects::run(options).await,
         Some(StandinCommand::Hostlist(options)) => hostlist::run(options).await,
+        Some(StandinCommand::Weights(options)) => weights::run(options).await,
         Some(StandinCommand::Engine(options)) => engine::run(options).await,
         Some(StandinCommand::Service(options)) => service::run(options).await,
-        None => eyre::bail!("name a stand-in: table, objects, hostlist, engine or service"),
+        None => {
+            eyre::bail!("name a stand-in: table, objects, hostlist, weights, engine or service")
+        }
     }
 }
--- a/crates/standin/src/stack/mod.rs
+++ b/crates/standin/src/stack/mod.rs
@@ -37,6 +37,8 @@
     pub objects: StackProcess,
     /// The host list.
     pub hostlist: StackProcess,
+    /// The weight store, where there is one.
+    pub weights: Option<StackProcess>,
     /// The instances of the plain service.
     pub services: Vec<StackProcess>,
     /// The engines, one for each host.
--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -34,6 +34,7 @@
     domains: Vec<String>,
     engine_options: Vec<String>,
     hostlist_options: Vec<String>,
+    weights_options: Option<Vec<String>>,
 }
 
 impl StackPlan {
@@ -55,6 +56,7 @@
             domains: vec!["plateau".to_owned()],
             engine_options: Vec::new(),
             hostlist_options: Vec::new(),
+            weights_options: None,
         }
     }
 
@@ -129,6 +131,13 @@
         self
     }
 
+    /// A weight store that every engine loads from, with options such as `["--rate", "1000000"]`.
+    #[must_use]
+    pub fn weights(mut self, options: &[&str]) -> Self {
+        self.weights_options = Some(options.iter().map(|&text| text.to_owned()).collect());
+        self
+    }
+
     fn place(&self, engine: usize) -> StackPlace {
         let run = self.engines.div_ceil(self.fabrics);
         let fabric = engine / run;
@@ -162,6 +171,12 @@
         let services = (0..self.services)
             .map(|number| start_standin(&format!("s{number}"), &["service", "--book", &book]))
             .collect();
+        let weights = self.weights_options.as_ref().map(|options| {
+            let mut arguments = vec!["weights"];
+            arguments.extend(options.iter().map(String::as_str));
+            start_standin("weights", &arguments)
+        });
+        let store = weights.as_ref().map(|store| store.address.to_string());
         let step = self.step_us.to_string();
         let mut engines = Vec::new();
         let mut places = Vec::new();
@@ -169,6 +184,9 @@
             let host = format!("h{number:02}");
             let mut arguments = vec!["engine", "--host", &host, "--step-us", &step];
             arguments.extend(self.engine_options.iter().map(String::as_str));
+            if let Some(store) = &store {
+                arguments.extend(["--weights", store]);
+            }
             engines.push(start_standin(&host, &arguments));
             places.push(self.place(number));
         }
@@ -181,6 +199,7 @@
             table,
             objects,
             hostlist,
+            weights,
             services,
             engines,
             entries: Vec::new(),
--- /dev/null
+++ b/crates/standin/src/weights.rs
@@ -0,0 +1,85 @@
+//! Stand-in for the weight store: `GET /weights/{model}/{version}` streams bytes. All downloads
+//! share one rate.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use tokio::sync::mpsc;
+use web::body::channel_body;
+use web::{WebAnswer, text_answer};
+
+use crate::faults::FaultSwitch;
+use crate::options::WeightsOptions;
+use crate::serve::{StandinHandler, serve_standin};
+
+const CHUNK_BYTES: usize = 64 << 10;
+const CHUNK_BUFFER: usize = 4;
+
+/// Runs the weight store.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub async fn run(options: WeightsOptions) -> eyre::Result<()> {
+    let server = Arc::new(WeightServer {
+        bytes: options.bytes,
+        rate: Arc::new(SharedRate {
+            bytes_per_second: options.rate.max(1),
+            free_at: Mutex::new(Instant::now()),
+        }),
+    });
+    let faults = Arc::new(FaultSwitch::default());
+    serve_standin("weights", options.listen, server, faults).await
+}
+
+/// The weight store.
+#[derive(Debug)]
+pub struct WeightServer {
+    bytes: usize,
+    rate: Arc<SharedRate>,
+}
+
+#[derive(Debug)]
+struct SharedRate {
+    bytes_per_second: u32,
+    free_at: Mutex<Instant>,
+}
+
+impl SharedRate {
+    /// Waits for the turn of so many bytes; turns of all downloads form one line.
+    async fn take(&self, bytes: usize) {
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        let time = Duration::from_secs_f64(f64::from(bytes) / f64::from(self.bytes_per_second));
+        let until = {
+            let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+            *free_at = (*free_at).max(Instant::now()) + time;
+            *free_at
+        };
+        tokio::time::sleep_until(until.into()).await;
+    }
+}
+
+async fn send_weights(rate: Arc<SharedRate>, mut left: usize, sender: mpsc::Sender<Bytes>) {
+    let chunk = Bytes::from(vec![0; CHUNK_BYTES]);
+    while left > 0 {
+        let piece = chunk.slice(..left.min(CHUNK_BYTES));
+        left -= piece.len();
+        rate.take(piece.len()).await;
+        if sender.send(piece).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl StandinHandler for WeightServer {
+    async fn answer(&self, request: Request<Bytes>) -> WebAnswer {
+        if !request.uri().path().starts_with("/weights/") {
+            return text_answer(StatusCode::NOT_FOUND, "no such call");
+        }
+        let (sender, body) = channel_body(CHUNK_BUFFER);
+        tokio::spawn(send_weights(Arc::clone(&self.rate), self.bytes, sender));
+        http::Response::new(body)
+    }
+}
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -4,13 +4,17 @@
 //! * `POST /orders` with an [`EngineOrder`]: 200 with the new [`EngineState`], or 409 with the
 //!   current one when the engine checks fencing numbers and the order's epoch is old.
 //! * `POST /streams` with a [`StreamOrder`]: lines of JSON, each a [`StreamEvent`]; 409 when the
-//!   replica or its incarnation is another, 503 with `Retry-After` when its queue is full. Either
-//!   proves that the request was not run.
+//!   replica or its incarnation is another, 503 with `Retry-After` when its queue is full or its
+//!   weights are not loaded. Either proves that the request was not run.
 //! * `POST /streams/{attempt}/resume` with a [`ResumeOrder`]: goes on with a stream whose
-//!   connection was lost, as long as the engine keeps it; 404 when it does not.
-//! * `DELETE /streams/{attempt}`: cancels.
+//!   connection was lost, as long as the engine keeps it; 404 when it does not, or when the first
+//!   token that is wanted lies behind the next one. An earlier reader of the stream gets no more.
+//! * `DELETE /streams/{attempt}`: cancels. A stream whose connection broke is generated further
+//!   for a while, so a caller that wants no more of it says so.
 //! * `GET /cache/events?after=N`: a [`CachePage`], late and with gaps.
-//! * `GET /kv/{attempt}` and `PUT /kv/{attempt}`: a KV cache as opaque bytes.
+//! * `GET /kv/{attempt}`: the KV cache of a stream whose prompt is read, as opaque bytes; 404
+//!   otherwise. `PUT /kv/{attempt}` hands it to the engine that will get the stream of that name;
+//!   its prompt then counts as cached.
 
 use std::net::SocketAddr;
 
--- /dev/null
+++ b/tests/system/host_list.rs
@@ -0,0 +1,38 @@
+//! The stand-in of the host list lags.
+
+use std::time::{Duration, Instant};
+
+use http::Method;
+use standin::stack::{PATIENCE, StackPlan, TestStack};
+use web::client::JsonAnswer;
+use wire::hostlist::HostListBody;
+
+use crate::PRODUCT;
+
+async fn is_leaving(stack: &TestStack) -> bool {
+    let address = stack.hostlist.address;
+    let list: JsonAnswer<HostListBody> = stack
+        .client
+        .json(Method::GET, address, "/hosts", None::<&()>, PATIENCE)
+        .await
+        .expect("a list");
+    list.value.hosts.iter().any(|host| host.leaving)
+}
+
+// A host is marked as leaving, and the list goes on for a while without the mark.
+#[tokio::test(flavor = "multi_thread")]
+async fn list_lags() {
+    let stack = StackPlan::new("list-lags", PRODUCT)
+        .engines(2)
+        .entries(0)
+        .hostlist_options(&["--lag-ms", "1500"])
+        .start_bare()
+        .await;
+    let marked = Instant::now();
+    stack.set_leaving(&["h01"]);
+    while !is_leaving(&stack).await {
+        assert!(marked.elapsed() < PATIENCE, "the mark never shows");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(marked.elapsed() >= Duration::from_millis(1500), "no lag");
+}
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,6 +1,10 @@
 //! End-to-end tests: the built binaries as separate processes on loopback, one module a feature.
 
+mod direct;
+mod engine_load;
 mod fault_switches;
+mod host_list;
+mod stream_linger;
 mod whole_path;
 
 /// The built product.
