--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,7 +1,7 @@
 //! The callers' listener: from a request to the part that answers it.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use control::{CallLedger, ConfigView};
@@ -183,7 +183,7 @@
 }
 
 fn known_config(view: &ConfigView) -> Result<(), CallerFailure> {
-    if view.revision.0 > 0 {
+    if view.revision.0 > 0 && view.gate.is_open(Instant::now()) {
         return Ok(());
     }
     let message = "this node does not know the configuration in force";
--- a/crates/entry/tests/resume_tokens.rs
+++ b/crates/entry/tests/resume_tokens.rs
@@ -57,6 +57,10 @@
 /// end the process.
 #[test]
 fn any_text() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "the library hands values over"
+    )]
     fn property(text: String) -> bool {
         sealer("shared").open(&text).is_err()
     }
--- a/crates/entry/tests/stream_matching.rs
+++ b/crates/entry/tests/stream_matching.rs
@@ -158,6 +158,10 @@
 /// sees the words of its own answer, each once and in order, and an end only after the last.
 #[test]
 fn whole_or_prefix() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "the library hands values over"
+    )]
     fn property(length: u8, attempts: Vec<Vec<EventFate>>) -> TestResult {
         let length = u32::from(length % 24);
         let whole = whole_answer(length);
@@ -190,6 +194,10 @@
 /// digest. The caller gets the rest of the same answer, each word once.
 #[test]
 fn resumed_elsewhere() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "the library hands values over"
+    )]
     fn property(length: u8, have: u8, attempts: Vec<Vec<EventFate>>) -> TestResult {
         let length = u32::from(length % 24) + 1;
         let have = u32::from(have) % (length + 1);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod entry;
+mod peers;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,10 +30,6 @@
 struct NodeContext {
     settings: NodeSettings,
     table: HttpTable,
-    #[expect(
-        dead_code,
-        reason = "snapshots of the configuration are not written yet"
-    )]
     objects: HttpObjects,
     list: HttpHostList,
     engine: HttpEngine,
@@ -67,7 +64,9 @@
 /// When an address can't be bound.
 pub async fn serve(settings: NodeSettings) -> eyre::Result<()> {
     let context = NodeContext::new(settings);
+    let peers = peers::bind(&context).await?;
     control::start(&context);
+    peers.start(&context);
     let running = entry::bind(&context).await?;
     let address = running.address;
     context.recorder.note(
@@ -82,6 +81,7 @@
         recorder.note(EventCode::NodeStopping, EventSubject::default(), "");
     };
     running.serve(stop).await;
+    peers.leave().await;
     Ok(())
 }
 
