--- a/crates/settings/src/catalogue.rs
+++ b/crates/settings/src/catalogue.rs
@@ -3,7 +3,7 @@
 use crate::field::{FieldKind, SettingField};
 
 /// Sections, in the order of the docs.
-pub const SECTIONS: &[&str] = &["platform", "secrets", "config", "members", "log"];
+pub const SECTIONS: &[&str] = &["platform", "secrets", "entry", "config", "members", "log"];
 
 /// What a section is about.
 #[must_use]
@@ -13,6 +13,7 @@
         "secrets" => {
             "Where secrets are read from: a file or an environment variable, never this file."
         }
+        "entry" => "The request path.",
         "config" => "Following the configuration.",
         "members" => "Knowing the other entry hosts.",
         "log" => "Logs and the time line.",
@@ -114,6 +115,126 @@
         None,
         "Environment variable with the operators' key.",
     ),
+    field(
+        "secrets",
+        "resume_key_file",
+        FieldKind::Path,
+        None,
+        "File with the key that seals resume tokens, the same on every entry host. Without a key \
+a token works only at the process that gave it.",
+    ),
+    field(
+        "secrets",
+        "resume_key_env",
+        FieldKind::Variable,
+        None,
+        "Environment variable with the key that seals resume tokens.",
+    ),
+    field(
+        "entry",
+        "max_body",
+        FieldKind::Size(1 << 10, 64 << 20),
+        Some("4MiB"),
+        "Largest body of a request: a long conversation with room to spare.",
+    ),
+    field(
+        "entry",
+        "default_max_tokens",
+        FieldKind::Count(1, 1_000_000),
+        Some("256"),
+        "Tokens of an answer when the caller names no limit.",
+    ),
+    field(
+        "entry",
+        "max_tokens",
+        FieldKind::Count(1, 1_000_000),
+        Some("32768"),
+        "Most tokens that a caller may ask for.",
+    ),
+    field(
+        "entry",
+        "max_attempts",
+        FieldKind::Count(1, 100),
+        Some("8"),
+        "Attempts of one request before it is given up.",
+    ),
+    field(
+        "entry",
+        "request_timeout",
+        FieldKind::Duration(SECOND, 60 * MINUTE),
+        Some("30s"),
+        "Wait for the answer's begin when the caller names none in `X-Request-Timeout`.",
+    ),
+    field(
+        "entry",
+        "max_request_timeout",
+        FieldKind::Duration(SECOND, 60 * MINUTE),
+        Some("10m"),
+        "Longest wait that a caller may name.",
+    ),
+    field(
+        "entry",
+        "start_timeout",
+        FieldKind::Duration(100, MINUTE),
+        Some("10s"),
+        "Wait for an engine to take a stream.",
+    ),
+    field(
+        "entry",
+        "silence",
+        FieldKind::Duration(100, MINUTE),
+        Some("8s"),
+        "Silence within a stream, with fresh evidence that the replica is whole.",
+    ),
+    field(
+        "entry",
+        "doubt_silence",
+        FieldKind::Duration(100, MINUTE),
+        Some("1500ms"),
+        "Silence within a stream without such evidence.",
+    ),
+    field(
+        "entry",
+        "evidence",
+        FieldKind::Duration(500, MINUTE),
+        Some("3s"),
+        "Oldest evidence of wholeness that allows dispatch.",
+    ),
+    field(
+        "entry",
+        "recovery",
+        FieldKind::Duration(SECOND, 10 * MINUTE),
+        Some("15s"),
+        "Wait for another replica after one was lost within a stream.",
+    ),
+    field(
+        "entry",
+        "call_timeout",
+        FieldKind::Duration(100, 10 * MINUTE),
+        Some("10s"),
+        "Wait for an answer of a plain service.",
+    ),
+    field(
+        "entry",
+        "drain_grace",
+        FieldKind::Duration(0, MINUTE),
+        Some("3s"),
+        "Time between `/readyz` turning 503 and the listener's close, so that the balancer notices.",
+    ),
+    field(
+        "entry",
+        "finish",
+        FieldKind::Duration(0, 60 * MINUTE),
+        Some("20s"),
+        "Time after the listener's close in which streams may finish before they are handed over.",
+    ),
+    field(
+        "entry",
+        "stop_limit",
+        FieldKind::Duration(SECOND, 60 * MINUTE),
+        Some("1m"),
+        "Time after the hand-over after which what still runs is cut off.",
+    ),
     field(
         "config",
         "poll",
@@ -149,6 +270,48 @@
         Some("5000"),
         "Changes that stay in the log behind the newest snapshot.",
     ),
+    field(
+        "members",
+        "beat",
+        FieldKind::Duration(500, MINUTE),
+        Some("5s"),
+        "Mean time between two heartbeats over the peers.",
+    ),
+    field(
+        "members",
+        "write",
+        FieldKind::Duration(SECOND, MINUTE),
+        Some("10s"),
+        "Mean time between two writes of the node's row.",
+    ),
+    field(
+        "members",
+        "list",
+        FieldKind::Duration(10 * SECOND, 60 * MINUTE),
+        Some("5m"),
+        "Mean time between two listings of all rows by a node that has peers.",
+    ),
+    field(
+        "members",
+        "dead",
+        FieldKind::Duration(SECOND, 10 * MINUTE),
+        Some("20s"),
+        "A node that is silent for this time is taken to be dead; at least three heartbeats.",
+    ),
+    field(
+        "members",
+        "unheard",
+        FieldKind::Duration(SECOND, 16 * SECOND),
+        Some("10s"),
+        "A node whose heartbeat no peer passed on for this time is not heard; below the 16 s in which a change has to be in force everywhere.",
+    ),
+    field(
+        "members",
+        "expire",
+        FieldKind::Duration(10 * SECOND, 60 * MINUTE),
+        Some("2m"),
+        "The row of a node that is silent for this time is deleted.",
+    ),
     field(
         "log",
         "level",
--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use serde_json::{Map, Value};
 use tokio::sync::Semaphore;
 use web::WebClient;
 
@@ -35,6 +36,7 @@
     engine_options: Vec<String>,
     hostlist_options: Vec<String>,
     weights_options: Option<Vec<String>>,
+    settings: Map<String, Value>,
 }
 
 impl StackPlan {
@@ -57,6 +59,7 @@
             engine_options: Vec::new(),
             hostlist_options: Vec::new(),
             weights_options: None,
+            settings: Map::new(),
         }
     }
 
@@ -102,6 +105,13 @@
         self
     }
 
+    /// One section of the entries' settings, such as `("config", json!({"poll": "200ms"}))`.
+    #[must_use]
+    pub fn settings(mut self, section: &str, values: Value) -> Self {
+        self.settings.insert(section.to_owned(), values);
+        self
+    }
+
     /// Fabric domains `f0`, `f1`, …, each with an equal run of the hosts.
     #[must_use]
     pub fn fabrics(mut self, count: usize) -> Self {
@@ -206,6 +216,7 @@
             client: WebClient::default(),
             places,
             entry_domains: self.domains,
+            settings: self.settings,
             product: self.product,
             folder,
             _permit: permit,
