Weigh the targets whose slots the entry itself has just freed

At full load nearly every drawn target is full, so a request waited at one engine while another had a slot idle, and the shares' allowance and claims added to the engines' queues. Now the targets on which own streams ended last are weighed besides the drawn ones, the allowance is 0 and what all give back pays for the claims.

--- /dev/null
+++ b/crates/policy/examples/compare.rs
@@ -0,0 +1,220 @@
+//! Prints the tables of docs/DECISIONS.md: each decision beside its baselines, with fixed seeds.
+
+#[path = "../tests/baseline/mod.rs"]
+mod baseline;
+#[path = "../tests/driver/mod.rs"]
+mod driver;
+
+use baseline::{PlaceKind, QueueKind, ShareKind};
+use driver::callers::{merged, steady};
+use driver::{Call, Driver, RunResult, Setup};
+
+fn main() {
+    let wanted: Vec<String> = std::env::args().skip(1).collect();
+    let all: [(&str, fn()); 4] = [
+        ("admission", admission),
+        ("saturation", saturation),
+        ("placement", placement),
+        ("shares", shares),
+    ];
+    for (name, table) in all {
+        if !wanted.is_empty() && !wanted.iter().any(|want| want == name) {
+            continue;
+        }
+        println!("\n## {name}\n");
+        table();
+    }
+}
+
+fn queue_kinds() -> [(&'static str, QueueKind); 3] {
+    [
+        ("fair queue with refusal", QueueKind::Fair),
+        ("first come, 200 wait", QueueKind::FirstCome { bound: 200 }),
+        (
+            "first come, no bound",
+            QueueKind::FirstCome { bound: usize::MAX },
+        ),
+    ]
+}
+
+/// A burst of one large customer beside three small ones.
+fn admission() {
+    println!(
+        "| queue | small on time | small p50 s | small p95 s | burst on time | p95 without burst s |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for (name, queue) in queue_kinds() {
+        let setup = Setup {
+            queue,
+            ..Setup::plain(10, 1)
+        };
+        let rate = setup.capacity(400, 100);
+        let small = || {
+            steady(2, rate * 0.3, (0.0, 60.0), |call, rng| {
+                call.customer =
+                    1 + usize::try_from(rand::Rng::random_range(rng, 0..3_u32)).unwrap_or(0);
+            })
+        };
+        let burst = steady(3, rate * 4.0, (20.0, 40.0), |_, _| {});
+        let quiet = Driver::new(&setup).run(&small());
+        let result = Driver::new(&setup).run(&merged(vec![small(), burst]));
+        let during =
+            |job: &driver::Job| job.call.customer > 0 && job.call.at >= 20.0 && job.call.at < 40.0;
+        println!(
+            "| {name} | {:.3} | {:.2} | {:.2} | {:.3} | {:.2} |",
+            result.on_time(during),
+            result.first_token(0.5, during),
+            result.first_token(0.95, during),
+            result.on_time(|job| job.call.customer == 0),
+            quiet.first_token(0.95, during),
+        );
+    }
+}
+
+fn row(result: &RunResult, rate: f64, span: (f64, f64)) -> String {
+    let inside = |job: &driver::Job| (span.0..span.1).contains(&job.call.at);
+    let good = result.goodput(span.0, span.1) / (rate * 100.0);
+    let all = result.pick(inside);
+    let late = all
+        .iter()
+        .filter(|job| job.first_token.is_some() && !job.on_time());
+    let refused = all.iter().filter(|job| job.refused);
+    #[allow(clippy::cast_precision_loss)]
+    let part = |count: usize| count as f64 / all.len() as f64;
+    format!(
+        "{good:.3} | {:.3} | {:.3} | {:.2} | {:.2}",
+        part(late.count()),
+        part(refused.count()),
+        result.first_token(0.5, inside),
+        result.first_token(0.95, inside)
+    )
+}
+
+/// Demand of half, 1, 2 and 10 times the capacity.
+fn saturation() {
+    println!("| demand | queue | goodput / capacity | late | refused | p50 s | p95 s |");
+    println!("|---|---|---|---|---|---|---|");
+    for times in [0.5, 1.0, 2.0, 10.0] {
+        for (name, queue) in queue_kinds() {
+            let setup = Setup {
+                queue,
+                ..Setup::plain(10, 4)
+            };
+            let rate = setup.capacity(400, 100);
+            let calls = steady(5, rate * times, (0.0, 60.0), |call, rng| {
+                call.customer =
+                    usize::try_from(rand::Rng::random_range(rng, 0..4_u32)).unwrap_or(0);
+            });
+            let result = Driver::new(&setup).run(&calls);
+            println!(
+                "| {times} | {name} | {} |",
+                row(&result, rate, (10.0, 60.0))
+            );
+        }
+    }
+}
+
+type CaseForm = fn(&mut Setup);
+
+/// Choosing a target: two entries before 40 engines at 75% of capacity.
+fn placement() {
+    println!("| case | choice | on time | p50 s | p95 s | p99 s | failed attempts |");
+    println!("|---|---|---|---|---|---|---|");
+    let kinds = [
+        ("predicted, 2 drawn", PlaceKind::Predicted, 2),
+        ("predicted, 4 drawn", PlaceKind::Predicted, 4),
+        ("predicted, 8 drawn", PlaceKind::Predicted, 8),
+        ("random", PlaceKind::Random, 0),
+        ("round robin", PlaceKind::RoundRobin, 0),
+        ("least reported", PlaceKind::LeastReported, 0),
+        ("two choices, reported", PlaceKind::TwoReported, 0),
+    ];
+    let cases: [(&str, CaseForm); 4] = [
+        ("all well", |_| {}),
+        ("one slow ×4, 10–30 s", |setup| {
+            setup.engines[3].slow = (4.0, 10.0, 30.0)
+        }),
+        ("one fails fast, 10–30 s", |setup| {
+            setup.engines[3].fails = (10.0, 30.0)
+        }),
+        ("no reports, 10–30 s", |setup| {
+            setup.blackout = (10.0, 30.0)
+        }),
+    ];
+    for (case, form) in cases {
+        for (name, place, draws) in kinds {
+            let mut setup = Setup {
+                entries: 2,
+                place,
+                draws,
+                share: ShareKind::Unlimited,
+                queue: QueueKind::FirstCome { bound: usize::MAX },
+                ..Setup::plain(40, 6)
+            };
+            form(&mut setup);
+            let result = Driver::new(&setup).run(&mixed_calls(&setup, 0.75));
+            let after = |job: &driver::Job| job.call.at > 5.0;
+            let failed: u32 = result.jobs.iter().map(|job| job.failures).sum();
+            println!(
+                "| {case} | {name} | {:.4} | {:.3} | {:.3} | {:.3} | {failed} |",
+                result.on_time(after),
+                result.first_token(0.5, after),
+                result.first_token(0.95, after),
+                result.first_token(0.99, after),
+            );
+        }
+    }
+}
+
+/// Short and long work: one call in ten has a prompt and an answer several times as long.
+fn mixed_calls(setup: &Setup, part: f64) -> Vec<Call> {
+    let rate = setup.capacity(400, 100) * part / 1.35;
+    let entries = setup.entries;
+    steady(7, rate, (0.0, 40.0), |call, rng| {
+        call.entry = rand::Rng::random_range(rng, 0..entries);
+        if rand::Rng::random_bool(rng, 0.1) {
+            call.prompt *= 8;
+            call.answer *= 4;
+        }
+    })
+}
+
+/// Parts of the slots of several entries under an uneven balancer.
+fn shares() {
+    println!(
+        "| entries | demand | share | goodput / capacity | late | refused | p50 s | p95 s | deepest engine queues |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
+    for entries in [3, 6, 24] {
+        for times in [0.8, 2.0] {
+            for (name, share) in [
+                ("scaled by occupancy", ShareKind::Scaled),
+                ("even part", ShareKind::EvenPart),
+                ("all free slots", ShareKind::AllFree),
+            ] {
+                let setup = Setup {
+                    entries,
+                    share,
+                    ..Setup::plain(20, 8)
+                };
+                let rate = setup.capacity(400, 100);
+                let calls = steady(9, rate * times, (0.0, 60.0), |call, rng| {
+                    // The first third of the entries gets four fifths of the calls.
+                    let few = (entries / 3).max(1);
+                    let few = if rand::Rng::random_bool(rng, 0.8) {
+                        0..few
+                    } else {
+                        few..entries
+                    };
+                    call.entry = rand::Rng::random_range(rng, few);
+                });
+                let result = Driver::new(&setup).run(&calls);
+                println!(
+                    "| {entries} | {times} | {name} | {} | {} |",
+                    row(&result, rate, (15.0, 60.0)),
+                    result.deepest
+                );
+            }
+        }
+    }
+}
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -44,7 +44,7 @@
     ///
     /// A small queue keeps a slot from idling between one answer's end and the next request's
     /// arrival; a longer one only hides requests where they can't be reordered.
-    #[builder(default = 0.03)]
+    #[builder(default = 0.0)]
     pub allowance: f64,
 }
 
@@ -213,11 +213,14 @@
         let aim = slots * (1.0 + self.settings.allowance);
         let occupied = f64::from(report.running) + f64::from(report.waiting);
         let used = f64::from(self.used_at(now.saturating_sub(report.age)));
-        let ratio = (aim / occupied.max(1.0)).clamp(MAX_SHRINK, MAX_GROWTH);
+        // What all give back for claims is taken off first, so that the claims fill it again
+        // instead of piling up at the targets.
+        let kept = aim * (1.0 - self.settings.claim);
+        let ratio = (kept / occupied.max(1.0)).clamp(MAX_SHRINK, MAX_GROWTH);
         let idle = (aim - occupied).max(0.0);
         let even_part = idle / f64::from(self.settings.entries.max(1));
         let unmet = (self.demand.streams() - used).max(0.0);
-        let claim = unmet * self.settings.claim;
+        let claim = unmet.min(used.max(1.0)) * self.settings.claim;
         let window = used * ratio + even_part.max(claim);
         self.window = window.clamp(self.least_window(), aim);
     }
--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -17,6 +17,12 @@
 /// Holders of a prompt's prefix that are weighed besides the drawn targets.
 const MAX_HOLDERS: usize = 4;
 
+/// Lately freed targets that are weighed besides the drawn ones.
+///
+/// Made for full targets: the slot that an own stream has just left is free for certain, while
+/// nearly every drawn target is full, and a request sent there waits beside an idle slot.
+const FREED_WEIGHED: usize = 3;
+
 /// Longest prediction in seconds; beyond it targets are equally hopeless.
 const LONGEST_PREDICTED: f64 = 3_600.0;
 
@@ -51,6 +57,13 @@
             }
             self.weigh(holder.target, &prefix, request, now, &mut best);
         }
+        for target in self.freed.iter().rev().copied().take(FREED_WEIGHED) {
+            let listed = candidates.contains(target);
+            if !listed || !self.is_open(target, now) || !usable(target) {
+                continue;
+            }
+            self.weigh(target, &prefix, request, now, &mut best);
+        }
         let mut drawn = 0;
         for draw in 0..MAX_DRAWS {
             if drawn >= self.settings.draws {
@@ -69,6 +82,9 @@
             best = self.search(candidates, &prefix, request, now, &usable, rng);
         }
         let choice = best?;
+        if let Some(place) = self.freed.iter().rposition(|freed| *freed == choice.target) {
+            self.freed.remove(place);
+        }
         if let Some(state) = self.targets.get_mut(choice.target)
             && state.health.verdict(now) == HealthVerdict::Trial
         {
--- a/crates/policy/src/placement/pool.rs
+++ b/crates/policy/src/placement/pool.rs
@@ -1,5 +1,6 @@
 //! The targets of an entry and what is noted of each.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use domain::TargetKey;
@@ -12,6 +13,9 @@
 /// Weight of a new observation in the pool's means.
 const MEAN_WEIGHT: f64 = 0.05;
 
+/// Freed targets that are remembered; more would be taken by others before they are looked at.
+const MAX_FREED: usize = 8;
+
 /// Shortest time to a first token that slowness is judged by, in seconds; below it the noise of
 /// the network would look like slowness.
 const LEAST_EXPECTED: f64 = 0.05;
@@ -22,6 +26,8 @@
     pub(super) settings: PlacementSettings,
     pub(super) targets: SlotMap<TargetKey, TargetState>,
     pub(super) prefixes: PrefixIndex,
+    /// Targets on which own streams ended lately, the newest last.
+    pub(super) freed: VecDeque<TargetKey>,
     pub(super) stay: f64,
     pub(super) median_slowness: f64,
     pub(super) surveyed_at: Option<Duration>,
@@ -34,6 +40,7 @@
         Self {
             targets: SlotMap::with_key(),
             prefixes: PrefixIndex::new(settings.prefixes),
+            freed: VecDeque::new(),
             stay: settings.stay.as_secs_f64(),
             median_slowness: 1.0,
             surveyed_at: None,
@@ -117,6 +124,10 @@
         state.note_ended(now);
         match outcome {
             TargetOutcome::Finished => {
+                self.freed.push_back(target);
+                if self.freed.len() > MAX_FREED {
+                    self.freed.pop_front();
+                }
                 self.stay += (stay.as_secs_f64() - self.stay) * MEAN_WEIGHT;
             }
             TargetOutcome::Full => state.note_full(now),
--- /dev/null
+++ b/crates/policy/tests/baseline/mod.rs
@@ -0,0 +1,89 @@
+//! The ways of deciding that the policies are compared with.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use policy::placement::PlacementChoice;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::driver::{Entry, Job};
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum QueueKind {
+    Fair,
+    FirstCome { bound: usize },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum PlaceKind {
+    Predicted,
+    Random,
+    RoundRobin,
+    LeastReported,
+    TwoReported,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ShareKind {
+    Scaled,
+    EvenPart,
+    AllFree,
+    Unlimited,
+}
+
+impl PlaceKind {
+    pub fn choose(
+        self,
+        entry: &mut Entry,
+        job: &Job,
+        now: Duration,
+        affinity: bool,
+        rng: &mut SmallRng,
+    ) -> PlacementChoice {
+        let count = entry.reported.len();
+        let load = |index: &usize| entry.reported[*index].running + entry.reported[*index].waiting;
+        let index = match self {
+            Self::Predicted => {
+                let request = job.request(affinity);
+                let choice = entry.pool.choose(&entry.list, &request, now, |_| true, rng);
+                return choice.expect("there is always a target");
+            }
+            Self::Random => rng.random_range(0..count),
+            Self::RoundRobin => {
+                entry.turn += 1;
+                entry.turn % count
+            }
+            Self::LeastReported => (0..count).min_by_key(load).unwrap_or(0),
+            Self::TwoReported => {
+                let drawn = [rng.random_range(0..count), rng.random_range(0..count)];
+                drawn.into_iter().min_by_key(load).unwrap_or(0)
+            }
+        };
+        PlacementChoice {
+            target: entry.list.as_slice()[index],
+            predicted: Duration::from_millis(100),
+            unslowed: Duration::from_millis(100),
+            cached_tokens: 0,
+        }
+    }
+}
+
+impl ShareKind {
+    pub fn free(self, entry: &Entry, slots: u32, entries: usize) -> usize {
+        let reported = entry
+            .reported
+            .iter()
+            .map(|load| load.running + load.waiting);
+        let occupied = i64::from(reported.sum::<u32>()) + entry.since.iter().sum::<i64>();
+        match self {
+            Self::Scaled => entry.share.free(),
+            Self::EvenPart => {
+                (slots as usize / entries).saturating_sub(entry.share.in_use() as usize)
+            }
+            Self::AllFree => usize::try_from(i64::from(slots) - occupied).unwrap_or(0),
+            Self::Unlimited => usize::MAX,
+        }
+    }
+}
