--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! Each is a small process of its own; none is part of the product.
 
+pub mod deployment;
 pub mod engine;
 pub mod faults;
 pub mod hostlist;
 pub mod objects;
 pub mod options;
+pub mod quickstart;
 pub mod serve;
 pub mod service;
 pub mod stack;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,7 +4,7 @@
 
 use gumdrop::Options;
 use standin::options::{StandinCommand, StandinOptions};
-use standin::{engine, hostlist, objects, service, table, weights};
+use standin::{engine, hostlist, objects, quickstart, service, table, weights};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -26,8 +26,7 @@
         Some(StandinCommand::Weights(options)) => weights::run(options).await,
         Some(StandinCommand::Engine(options)) => engine::run(options).await,
         Some(StandinCommand::Service(options)) => service::run(options).await,
-        None => {
-            eyre::bail!("name a stand-in: table, objects, hostlist, weights, engine or service")
-        }
+        Some(StandinCommand::Quickstart(options)) => quickstart::run(options).await,
+        None => eyre::bail!("name a command: see --help"),
     }
 }
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -5,6 +5,8 @@
 
 use gumdrop::Options;
 
+use crate::deployment::Deployment;
+
 /// Command line of `standin`.
 #[derive(Debug, Options)]
 pub struct StandinOptions {
@@ -37,6 +39,33 @@
     /// A plain service.
     #[options(help = "a plain service with repeatable and non-repeatable calls")]
     Service(ServiceOptions),
+    /// A whole system.
+    #[options(help = "start a whole example system, call it and stop it")]
+    Quickstart(QuickstartOptions),
+}
+
+/// Command line of the quickstart.
+#[derive(Debug, Options)]
+pub struct QuickstartOptions {
+    /// Prints this help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Whether to stay up.
+    #[options(help = "stay up until interrupted")]
+    pub keep: bool,
+    /// The example.
+    #[options(
+        help = "example to run: ndiaye or agency",
+        meta = "NAME",
+        default = "ndiaye"
+    )]
+    pub deployment: Deployment,
+    /// Folder of the sheets that --keep writes.
+    #[options(
+        help = "folder for processes.json and callers.json",
+        default = "target/quickstart"
+    )]
+    pub folder: PathBuf,
 }
 
 /// Command line of a stand-in that needs only an address.
--- /dev/null
+++ b/crates/standin/src/quickstart.rs
@@ -0,0 +1,226 @@
+//! A whole system for a newcomer: started, called once in both ways, and stopped.
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use eyre::{OptionExt, WrapErr};
+use http_body_util::BodyExt;
+use serde::Serialize;
+use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::deployment::{CallerPlan, Deployment};
+use crate::options::QuickstartOptions;
+use crate::stack::{StackPlan, StackProcess, TestStack};
+
+const PROCESSES: &str = "processes.json";
+const CALLERS: &str = "callers.json";
+
+/// One process, as `processes.json` lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct ProcessEntry {
+    name: String,
+    role: &'static str,
+    pid: u32,
+    address: String,
+}
+
+/// One entry, as `callers.json` lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct EntryAddress {
+    name: String,
+    base_url: String,
+    openai_base_url: String,
+}
+
+/// What a caller needs, as `callers.json` holds it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct CallerSheet {
+    entries: Vec<EntryAddress>,
+    customer_key: String,
+    model: String,
+    non_repeatable_path: String,
+    repeatable_path: String,
+}
+
+/// Runs the quickstart.
+///
+/// # Errors
+///
+/// When the product is not built beside this program, or a call fails.
+pub async fn run(options: QuickstartOptions) -> eyre::Result<()> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let deployment = options.deployment;
+    let mut stack = tokio::select! {
+        stack = start(deployment) => stack?,
+        _ = interrupt.recv() => return Ok(()),
+        _ = terminate.recv() => return Ok(()),
+    };
+    let callers = deployment.callers()?;
+    let tried = tokio::select! {
+        tried = try_calls(&stack, deployment, &callers) => tried,
+        _ = interrupt.recv() => Ok(()),
+        _ = terminate.recv() => Ok(()),
+    };
+    if options.keep && tried.is_ok() {
+        let sheets = write_sheets(&options.folder, &stack, &callers)?;
+        println!(
+            "\nrunning until interrupted; see {}",
+            options.folder.display()
+        );
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+        for sheet in sheets {
+            let _ = std::fs::remove_file(sheet);
+        }
+    }
+    stack.stop();
+    println!("everything is stopped");
+    tried
+}
+
+async fn start(deployment: Deployment) -> eyre::Result<TestStack> {
+    let own = std::env::current_exe().wrap_err("this program's own path is unknown")?;
+    let product = own.with_file_name("bramleyspring");
+    eyre::ensure!(
+        product.exists(),
+        "{} is not built: run scripts/quickstart",
+        product.display()
+    );
+    println!("starting two replicas of four hosts, three service instances and three entries");
+    let stack = StackPlan::new("quickstart", product)
+        .deployment(deployment)
+        .services(3)
+        .fabrics(2)
+        .domains(&deployment.domains())
+        .weights(&[])
+        .start()
+        .await;
+    println!("every entry serves");
+    Ok(stack)
+}
+
+async fn try_calls(
+    stack: &TestStack,
+    deployment: Deployment,
+    callers: &CallerPlan,
+) -> eyre::Result<()> {
+    let prompts = deployment.prompts();
+    let prompt = prompts.first().ok_or_eyre("no example prompt")?;
+    println!("\n{prompt}");
+    stream_chat(stack, &callers.model, prompt).await?;
+    let calls = deployment.calls()?;
+    let call = calls.first().ok_or_eyre("no example call")?;
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH)?;
+    let key = format!("quickstart-{}", since_epoch.as_millis());
+    let path = callers.non_repeatable_path();
+    println!("\nPOST {path}\n{call}");
+    let answer = stack
+        .try_call(1, &path, &[("idempotency-key", &key)], call)
+        .await?;
+    println!("{}: {}", answer.status, answer.text());
+    eyre::ensure!(answer.status.is_success(), "the call was refused");
+    Ok(())
+}
+
+async fn stream_chat(stack: &TestStack, model: &str, prompt: &str) -> eyre::Result<()> {
+    let body = json!({
+        "model": model, "stream": true, "max_tokens": 16,
+        "messages": [{ "role": "user", "content": prompt }],
+    });
+    let answer = stack.open(0, "/v1/chat/completions", &[], &body).await?;
+    let status = answer.status();
+    let mut body = answer.into_body();
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        std::io::stdout().write_all(&data)?;
+        whole.extend_from_slice(&data);
+    }
+    eyre::ensure!(status.is_success(), "the completion was refused: {status}");
+    let text = String::from_utf8_lossy(&whole);
+    eyre::ensure!(
+        text.trim_end().ends_with("data: [DONE]"),
+        "the stream did not end whole"
+    );
+    Ok(())
+}
+
+fn write_sheets(
+    folder: &Path,
+    stack: &TestStack,
+    callers: &CallerPlan,
+) -> eyre::Result<[PathBuf; 2]> {
+    std::fs::create_dir_all(folder).wrap_err_with(|| format!("can't make {}", folder.display()))?;
+    let processes = folder.join(PROCESSES);
+    let sheet = folder.join(CALLERS);
+    write_json(&sheet, &caller_sheet(stack, callers)?)?;
+    write_json(&processes, &process_entries(stack))?;
+    Ok([processes, sheet])
+}
+
+/// Writes beside and renames, so that a reader who waits for the file never sees half of it.
+fn write_json<T: Serialize>(path: &Path, value: &T) -> eyre::Result<()> {
+    let fresh = path.with_extension("new");
+    let text = serde_json::to_string_pretty(value)?;
+    std::fs::write(&fresh, text).wrap_err_with(|| format!("can't write {}", fresh.display()))?;
+    std::fs::rename(&fresh, path).wrap_err_with(|| format!("can't write {}", path.display()))
+}
+
+fn process_entries(stack: &TestStack) -> Vec<ProcessEntry> {
+    let entry = |role: &'static str, process: &StackProcess| ProcessEntry {
+        name: process.name.clone(),
+        role,
+        pid: process.pid(),
+        address: process.address.to_string(),
+    };
+    let mut entries = vec![
+        entry("table", &stack.table),
+        entry("objects", &stack.objects),
+        entry("hostlist", &stack.hostlist),
+    ];
+    entries.extend(
+        stack
+            .weights
+            .iter()
+            .map(|process| entry("weights", process)),
+    );
+    entries.extend(
+        stack
+            .services
+            .iter()
+            .map(|process| entry("service", process)),
+    );
+    entries.extend(stack.engines.iter().map(|process| entry("engine", process)));
+    entries.extend(stack.entries.iter().map(|process| entry("entry", process)));
+    entries
+}
+
+fn caller_sheet(stack: &TestStack, callers: &CallerPlan) -> eyre::Result<CallerSheet> {
+    let customer = callers
+        .customers
+        .first()
+        .ok_or_eyre("no example customer")?;
+    let entries = stack
+        .entries
+        .iter()
+        .map(|process| EntryAddress {
+            name: process.name.clone(),
+            base_url: format!("http://{}", process.address),
+            openai_base_url: format!("http://{}/v1", process.address),
+        })
+        .collect();
+    Ok(CallerSheet {
+        entries,
+        customer_key: customer.key.clone(),
+        model: callers.model.clone(),
+        non_repeatable_path: callers.non_repeatable_path(),
+        repeatable_path: callers.repeatable_path(),
+    })
+}
--- a/crates/standin/src/stack/caller.rs
+++ b/crates/standin/src/stack/caller.rs
@@ -57,7 +57,10 @@
         let mut builder = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{address}{path}"))
-            .header("authorization", format!("Bearer {CUSTOMER_KEY}"));
+            .header(
+                "authorization",
+                format!("Bearer {}", self.callers.customers[0].key),
+            );
         for (name, value) in headers {
             builder = builder.header(*name, *value);
         }
@@ -112,7 +115,8 @@
 
     /// Asks an entry for a completion, not streamed.
     pub async fn complete(&self, entry: usize, prompt: &str, max_tokens: u32) -> CallerAnswer {
-        let body = json!({ "model": "trader-help", "prompt": prompt, "max_tokens": max_tokens });
+        let body =
+            json!({ "model": self.callers.model, "prompt": prompt, "max_tokens": max_tokens });
         self.call(entry, "/v1/completions", &[], &body).await
     }
 
--- a/crates/standin/src/stack/mod.rs
+++ b/crates/standin/src/stack/mod.rs
@@ -18,6 +18,8 @@
 use tokio::sync::SemaphorePermit;
 use web::WebClient;
 
+use crate::deployment::{CallerPlan, Deployment};
+
 pub use caller::{CUSTOMER_KEY, CallerAnswer};
 pub use plan::{StackPlace, StackPlan};
 pub use process::StackProcess;
@@ -28,6 +30,9 @@
 const POLL: Duration = Duration::from_millis(50);
 const PROBE: Duration = Duration::from_secs(1);
 
+/// Longest wait for a graceful stop.
+const STOP_LIMIT: Duration = Duration::from_secs(15);
+
 /// A whole system in processes.
 #[derive(Debug)]
 pub struct TestStack {
@@ -48,20 +53,29 @@
     /// A caller's client.
     pub client: WebClient,
     places: Vec<StackPlace>,
+    deployment: Deployment,
+    callers: CallerPlan,
     entry_domains: Vec<String>,
     product: PathBuf,
     folder: PathBuf,
     _permit: SemaphorePermit<'static>,
 }
 
-fn write_hosts(folder: &Path, engines: &[StackProcess], places: &[StackPlace], leaving: &[&str]) {
+fn write_hosts(
+    folder: &Path,
+    deployment: Deployment,
+    engines: &[StackProcess],
+    places: &[StackPlace],
+    leaving: &[&str],
+) {
+    let region = deployment.region();
     let hosts: Vec<Value> = engines
         .iter()
         .zip(places)
         .map(|(engine, place)| {
             json!({
                 "host": engine.name, "address": engine.address, "fabric": place.fabric,
-                "domain": place.domain, "region": "dakar",
+                "domain": place.domain, "region": region,
                 "leaving": leaving.contains(&engine.name.as_str()),
             })
         })
@@ -74,17 +88,21 @@
 
 impl TestStack {
     fn records(&self, replicas: u32, hosts_per_replica: u32) -> Value {
-        let text = include_str!("../../../../examples/ndiaye/records.json");
-        let mut records: Value = serde_json::from_str(text).expect("the example is JSON");
-        records[0]["spec"]["hosts_per_replica"] = json!(hosts_per_replica);
-        records[0]["spec"]["versions"][0]["replicas"] = json!(replicas);
+        let mut records = self.deployment.records().expect("a sound example");
+        let spec = &mut records[0]["spec"];
+        spec["hosts_per_replica"] = json!(hosts_per_replica);
+        if spec["versions"].is_array() {
+            spec["versions"][0]["replicas"] = json!(replicas);
+        } else {
+            spec["replicas"] = json!(replicas);
+        }
         let targets: Vec<_> = self
             .services
             .iter()
             .map(|service| service.address)
             .collect();
         records[1]["spec"]["targets"] = json!(targets);
-        records
+        Value::from(records)
     }
 
     /// Starts one more entry; entries take the plan's failure domains in turn.
@@ -97,7 +115,7 @@
 
     fn write_settings(&self, name: &str, domain: &str) -> String {
         let settings = json!({
-            "node": name, "region": "dakar", "domain": domain, "listen": "127.0.0.1:0",
+            "node": name, "region": self.deployment.region(), "domain": domain, "listen": "127.0.0.1:0",
             "platform": {
                 "table": self.table.address,
                 "objects": self.objects.address,
@@ -130,7 +148,27 @@
 
     /// Marks hosts as leaving in the host list.
     pub fn set_leaving(&self, leaving: &[&str]) {
-        write_hosts(&self.folder, &self.engines, &self.places, leaving);
+        let places = &self.places;
+        write_hosts(
+            &self.folder,
+            self.deployment,
+            &self.engines,
+            places,
+            leaving,
+        );
+    }
+
+    /// Stops every process: entries are asked first, so that they end what is in progress.
+    pub fn stop(&mut self) {
+        for entry in &self.entries {
+            entry.signal("TERM");
+        }
+        for entry in &mut self.entries {
+            entry.wait_or_kill(STOP_LIMIT);
+        }
+        self.entries.clear();
+        self.engines.clear();
+        self.services.clear();
     }
 
     /// Kills an engine and starts it anew under the same host name and address, with a new boot
--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -5,6 +5,8 @@
 use tokio::sync::Semaphore;
 use web::WebClient;
 
+use crate::deployment::Deployment;
+
 use super::{StackProcess, TestStack, write_hosts};
 
 /// Whole systems at once, so that a busy machine does not make healthy processes look dead.
@@ -35,6 +37,7 @@
     engine_options: Vec<String>,
     hostlist_options: Vec<String>,
     weights_options: Option<Vec<String>>,
+    deployment: Deployment,
 }
 
 impl StackPlan {
@@ -57,6 +60,7 @@
             engine_options: Vec::new(),
             hostlist_options: Vec::new(),
             weights_options: None,
+            deployment: Deployment::Ndiaye,
         }
     }
 
@@ -138,6 +142,13 @@
         self
     }
 
+    /// Records, customers and region of another example.
+    #[must_use]
+    pub fn deployment(mut self, deployment: Deployment) -> Self {
+        self.deployment = deployment;
+        self
+    }
+
     fn place(&self, engine: usize) -> StackPlace {
         let run = self.engines.div_ceil(self.fabrics);
         let fabric = engine / run;
@@ -190,7 +201,7 @@
             engines.push(start_standin(&host, &arguments));
             places.push(self.place(number));
         }
-        write_hosts(&folder, &engines, &places, &[]);
+        write_hosts(&folder, self.deployment, &engines, &places, &[]);
         let hosts = folder.join("hosts.json").display().to_string();
         let mut arguments = vec!["hostlist", "--hosts", &hosts];
         arguments.extend(self.hostlist_options.iter().map(String::as_str));
@@ -205,6 +216,8 @@
             entries: Vec::new(),
             client: WebClient::default(),
             places,
+            deployment: self.deployment,
+            callers: self.deployment.callers().expect("a sound example"),
             entry_domains: self.domains,
             product: self.product,
             folder,
--- a/crates/standin/src/stack/process.rs
+++ b/crates/standin/src/stack/process.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::{Arc, OnceLock};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{PATIENCE, POLL};
 
@@ -83,6 +83,18 @@
         self.child.wait().expect("the process can be waited for");
     }
 
+    /// Waits until the process ended by itself, and kills it after a limit.
+    pub fn wait_or_kill(&mut self, limit: Duration) {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return;
+            }
+            std::thread::sleep(POLL);
+        }
+        self.kill();
+    }
+
     /// Kills the process; its address refuses connections from then on.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
