--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -6,6 +6,8 @@
 use tokio::sync::Semaphore;
 use web::WebClient;
 
+use crate::deployment::Deployment;
+
 use super::{StackProcess, TestStack, write_hosts};
 
 /// Whole systems at once, so that a busy machine does not make healthy processes look dead.
@@ -37,6 +39,7 @@
     hostlist_options: Vec<String>,
     weights_options: Option<Vec<String>>,
     settings: Map<String, Value>,
+    deployment: Deployment,
 }
 
 impl StackPlan {
@@ -60,6 +63,7 @@
             hostlist_options: Vec::new(),
             weights_options: None,
             settings: Map::new(),
+            deployment: Deployment::Ndiaye,
         }
     }
 
@@ -148,6 +152,13 @@
         self
     }
 
+    /// Records, customers and region of another example.
+    #[must_use]
+    pub fn deployment(mut self, deployment: Deployment) -> Self {
+        self.deployment = deployment;
+        self
+    }
+
     fn place(&self, engine: usize) -> StackPlace {
         let run = self.engines.div_ceil(self.fabrics);
         let fabric = engine / run;
@@ -200,7 +211,7 @@
             engines.push(start_standin(&host, &arguments));
             places.push(self.place(number));
         }
-        write_hosts(&folder, &engines, &places, &[]);
+        write_hosts(&folder, self.deployment, &engines, &places, &[]);
         let hosts = folder.join("hosts.json").display().to_string();
         let mut arguments = vec!["hostlist", "--hosts", &hosts];
         arguments.extend(self.hostlist_options.iter().map(String::as_str));
@@ -215,6 +226,8 @@
             entries: Vec::new(),
             client: WebClient::default(),
             places,
+            deployment: self.deployment,
+            callers: self.deployment.callers().expect("a sound example"),
             entry_domains: self.domains,
             settings: self.settings,
             product: self.product,
