Link the nodes and pass on head, changes, members and evidence

Cause: a node learned of everything from the table alone, so an entry that lost the table could not tell whether its configuration was still in force, and a node that started during an outage could not serve at all.

Ages count from the moment at which the question was sent, so a frozen process or a full buffer makes knowledge look older, never newer.

--- a/crates/control/src/config/follow.rs
+++ b/crates/control/src/config/follow.rs
@@ -90,6 +90,7 @@
             .learn(ConfigLesson {
                 update,
                 confirmation,
+                known: head.revision,
             })
             .await;
         Ok(())
--- a/crates/control/src/config/keeper.rs
+++ b/crates/control/src/config/keeper.rs
@@ -56,6 +56,7 @@
     rule: StandingRule,
     news: ConfigNews,
     pending: Option<HeadConfirmation>,
+    served: bool,
     majority_since: Option<Instant>,
     members: MemberBook,
     gate: ServiceGate,
@@ -78,6 +79,8 @@
     pub update: ConfigUpdate,
     /// How well the head is known.
     pub confirmation: Option<HeadConfirmation>,
+    /// A revision of which it was learned that it exists.
+    pub known: ConfigRevision,
 }
 
 struct Learn(ConfigLesson);
@@ -103,6 +106,7 @@
             rule,
             news: ConfigNews::default(),
             pending: None,
+            served: false,
             majority_since: None,
             members,
             gate: ServiceGate::closed(),
@@ -180,6 +184,7 @@
         let facts = StandingFacts {
             applied: self.news.revision > ConfigRevision(0),
             confirmed_age: as_of.map(|moment| now.saturating_duration_since(moment)),
+            served: self.served,
             behind: self.news.known > self.news.revision,
             reach,
             reach_held: self
@@ -193,6 +198,7 @@
             _ => now,
         };
         self.gate.open_until(until);
+        self.served |= standing.serves();
         if standing != self.news.standing {
             self.news.standing = standing;
             self.note_standing(standing);
@@ -231,6 +237,7 @@
 
     async fn handle(&mut self, message: Learn, _: &mut Context<Self>) {
         let Learn(lesson) = message;
+        self.news.known = self.news.known.max(lesson.known);
         self.apply(lesson.update);
         if let Some(confirmation) = lesson.confirmation {
             self.confirm(confirmation);
--- a/crates/control/src/config/mod.rs
+++ b/crates/control/src/config/mod.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 
 pub use follow::{ConfigFollower, follow_config};
-pub use keeper::{ConfigHandle, ConfigKeeper, ConfigNews, HeadConfirmation};
+pub use keeper::{ConfigHandle, ConfigKeeper, ConfigLesson, ConfigNews, HeadConfirmation};
 pub use standing::{NodeStanding, StandingFacts, StandingRule};
 pub use state::{ConfigSnapshot, ConfigState};
 
--- a/crates/control/src/config/standing.rs
+++ b/crates/control/src/config/standing.rs
@@ -68,6 +68,9 @@
     pub applied: bool,
     /// Age of the newest confirmation that counts.
     pub confirmed_age: Option<Duration>,
+    /// Whether the node served before. A confirmation alone does not tell: peers that are cut off
+    /// pass on the last one that they had, however old.
+    pub served: bool,
     /// Whether a revision is known to exist that is not applied.
     pub behind: bool,
     /// How much of the roster is heard.
@@ -95,10 +98,9 @@
         {
             return NodeStanding::Confirmed;
         }
-        let started = facts.confirmed_age.is_some();
-        let settled = started || facts.reach_held >= self.settle;
+        let settled = facts.served || facts.reach_held >= self.settle;
         let majority = facts.applied && facts.reach.is_majority() && !facts.behind;
-        match (started, majority && settled) {
+        match (facts.served, majority && settled) {
             (_, true) => NodeStanding::StoreDown,
             (true, false) => NodeStanding::CutOff,
             (false, false) => NodeStanding::Starting,
--- a/crates/control/src/members/state.rs
+++ b/crates/control/src/members/state.rs
@@ -17,6 +17,7 @@
     own: MemberRow,
     limits: SilenceLimits,
     rostered: bool,
+    leaving: bool,
     tracked: FastMap<NodeId, TrackedMember>,
 }
 
@@ -39,6 +40,10 @@
     Left,
 }
 
+/// A node that left or was removed is remembered for this time, so that a late digest does not
+/// bring it back. At a hundred restarts a day about four are remembered.
+const KEEP_REMOVED: Duration = Duration::from_hours(1);
+
 /// Where a sign of life comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SignSource {
@@ -68,6 +73,7 @@
             },
             limits,
             rostered: false,
+            leaving: false,
             tracked: FastMap::default(),
         }
     }
@@ -84,6 +90,11 @@
         &self.own
     }
 
+    /// Says goodbye: the node counts itself out, and peers are told.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
     /// Takes in a row from the table or a peer; returns whether it was news.
     ///
     /// Late, repeated and reordered rows change nothing: only a higher heartbeat counts. The first
@@ -92,6 +103,7 @@
         if row.member.node == self.own.member.node {
             return false;
         }
+        self.rostered |= source == SignSource::Peer;
         let Some(tracked) = self.tracked.get_mut(&row.member.node) else {
             let node = row.member.node.clone();
             let tracked = TrackedMember {
@@ -141,6 +153,10 @@
     pub fn observe_listing(&mut self, listed: &FastSet<NodeId>, now: Instant) {
         self.rostered = true;
         let limit = self.limits.dead;
+        self.tracked.retain(|_, tracked| {
+            let silence = now.saturating_duration_since(tracked.signed);
+            tracked.removal == MemberRemoval::None || silence <= KEEP_REMOVED
+        });
         for (node, tracked) in &mut self.tracked {
             let silent = now.saturating_duration_since(tracked.signed) > limit;
             if listed.contains(node) || !silent || tracked.removal != MemberRemoval::None {
@@ -222,10 +238,13 @@
         rows
     }
 
-    /// The nodes that said goodbye.
+    /// The nodes that said goodbye a short while ago, this one included.
     #[must_use]
     pub fn departed(&self) -> Vec<NodeId> {
         let mut departed = Vec::new();
+        if self.leaving {
+            departed.push(self.own.member.node.clone());
+        }
         for (node, tracked) in &self.tracked {
             if tracked.removal == MemberRemoval::Left {
                 departed.push(node.clone());
--- /dev/null
+++ b/crates/peers/src/evidence.rs
@@ -0,0 +1,36 @@
+//! What the links carry of evidence of wholeness, and where it comes from and goes to.
+
+use std::time::Instant;
+
+use domain::WholenessEvidence;
+
+/// Evidence with the moment on this node's monotonic clock of the oldest report in it; the
+/// evidence's own `age` is of no account.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldEvidence {
+    /// The evidence.
+    pub evidence: WholenessEvidence,
+    /// The moment of its oldest report, or an earlier one.
+    pub as_of: Instant,
+}
+
+/// Where evidence comes from and goes to.
+pub trait EvidencePort: Clone + Send + Sync + 'static {
+    /// The newest evidence on each replica.
+    fn export(&self) -> Vec<HeldEvidence>;
+
+    /// Takes in evidence of a peer.
+    fn import(&self, evidence: HeldEvidence);
+}
+
+/// Passes on no evidence.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NoEvidence;
+
+impl EvidencePort for NoEvidence {
+    fn export(&self) -> Vec<HeldEvidence> {
+        Vec::new()
+    }
+
+    fn import(&self, _: HeldEvidence) {}
+}
--- /dev/null
+++ b/crates/peers/src/hub.rs
@@ -0,0 +1,159 @@
+//! Where the links of a node meet what it knows: makes digests and takes them in.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use control::config::load::ConfigUpdate;
+use control::config::{ConfigHandle, ConfigLesson, ConfigSnapshot, HeadConfirmation};
+use control::members::{MemberBook, SignSource};
+use domain::ConfigRevision;
+use tokio::sync::Notify;
+use wire::peer::{PeerChange, PeerConfirmation, PeerDigest};
+
+use crate::evidence::EvidencePort;
+use crate::memory::{LinkMemory, millis};
+use crate::traffic::PeerTraffic;
+
+/// Changes of one digest; the rest follows with the next.
+const MAX_CHANGES: usize = 16;
+
+/// Bytes of changes after which a digest takes no more.
+const CHANGE_BYTES: usize = 64 << 10;
+
+/// What the links of a node share. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct PeerHub<E> {
+    /// The configuration in force.
+    pub config: ConfigHandle,
+    /// The membership.
+    pub book: MemberBook,
+    /// Evidence of wholeness.
+    pub evidence: E,
+    /// Counts what goes over the links.
+    pub traffic: PeerTraffic,
+    /// Wakes the links when something must go out at once.
+    pub wake: Arc<Notify>,
+}
+
+impl<E: EvidencePort> PeerHub<E> {
+    /// Makes the digest for a peer of which `memory` knows what it has.
+    pub async fn outgoing(&self, memory: &mut LinkMemory, echo: u64) -> PeerDigest {
+        let news = self.config.news();
+        let now = Instant::now();
+        let confirmation = news.confirmation.map(|known| PeerConfirmation {
+            revision: known.revision.0,
+            age_ms: millis(now.saturating_duration_since(known.as_of)),
+        });
+        let mut digest = PeerDigest {
+            echo,
+            revision: news.revision.0,
+            confirmation,
+            ..PeerDigest::default()
+        };
+        if memory.revision < news.revision {
+            self.add_changes(&mut digest, memory).await;
+        }
+        let (rows, departed) = {
+            let state = self.book.state();
+            (state.rows(), state.departed())
+        };
+        memory.add_members(&mut digest, rows);
+        memory.add_departed(&mut digest, departed);
+        memory.add_evidence(&mut digest, self.evidence.export(), now);
+        digest
+    }
+
+    async fn add_changes(&self, digest: &mut PeerDigest, memory: &mut LinkMemory) {
+        let kept = self
+            .config
+            .changes_after(memory.revision, MAX_CHANGES)
+            .await;
+        let mut bytes = 0;
+        for change in kept.unwrap_or_default() {
+            let Ok(entry) = serde_json::to_vec(&change) else {
+                return;
+            };
+            bytes += entry.len();
+            if bytes > CHANGE_BYTES && !digest.changes.is_empty() {
+                return;
+            }
+            memory.revision = change.revision;
+            digest.changes.push(PeerChange {
+                revision: change.revision.0,
+                entry,
+            });
+        }
+    }
+
+    /// Takes in a peer's digest. `asked_at` is a moment on this node's clock before which the
+    /// digest was certainly not made; ages count from there.
+    pub async fn incoming(&self, memory: &mut LinkMemory, digest: PeerDigest, asked_at: Instant) {
+        memory.revision = memory.revision.max(digest.revision());
+        self.take_members(memory, &digest);
+        for held in memory.take_evidence(&digest, asked_at) {
+            self.evidence.import(held);
+        }
+        let confirmation = digest.confirmation.and_then(|known| {
+            let as_of = asked_at.checked_sub(Duration::from_millis(known.age_ms))?;
+            let revision = ConfigRevision(known.revision);
+            Some(HeadConfirmation { revision, as_of })
+        });
+        let mut changes = Vec::new();
+        for change in &digest.changes {
+            let Ok(entry) = serde_json::from_slice(&change.entry) else {
+                break;
+            };
+            changes.push(entry);
+        }
+        let lesson = ConfigLesson {
+            update: ConfigUpdate {
+                snapshot: None,
+                changes,
+            },
+            confirmation,
+            known: digest.revision(),
+        };
+        self.config.learn(lesson).await;
+    }
+
+    fn take_members(&self, memory: &mut LinkMemory, digest: &PeerDigest) {
+        let now = Instant::now();
+        let news = memory.take_members(digest);
+        let mut changed = !news.rows.is_empty() || !digest.departed.is_empty();
+        {
+            let mut state = self.book.state();
+            for row in news.rows {
+                changed |= state.observe(row, SignSource::Peer, now);
+            }
+            for beat in news.beats {
+                state.observe_beat(&beat.node, beat.beat, now);
+            }
+            for node in &digest.departed {
+                state.observe_leave(node);
+            }
+        }
+        if changed {
+            self.book.publish(now);
+        }
+    }
+
+    /// Takes in a peer's whole configuration.
+    pub async fn take_snapshot(&self, snapshot: ConfigSnapshot) {
+        let lesson = ConfigLesson {
+            known: snapshot.revision,
+            update: ConfigUpdate {
+                snapshot: Some(snapshot),
+                changes: Vec::new(),
+            },
+            confirmation: None,
+        };
+        self.config.learn(lesson).await;
+    }
+
+    /// Tells the peers that this node goes, as far as they can be reached within `limit`.
+    pub async fn say_goodbye(&self, limit: Duration) {
+        self.book.state().leave();
+        self.wake.notify_waiters();
+        tokio::time::sleep(limit).await;
+    }
+}
--- /dev/null
+++ b/crates/peers/src/link.rs
@@ -0,0 +1,243 @@
+//! The calling side of a link.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use control::config::ConfigNews;
+use control::config::follow::spread;
+use domain::{ConfigRevision, NodeId};
+use events::{EventCode, EventRecorder, EventSubject};
+use h2::RecvStream;
+use h2::client::SendRequest;
+use http::{Method, Request, StatusCode};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use wire::peer::{
+    MAX_DIGEST_BYTES, MAX_HELLO_BYTES, MAX_SNAPSHOT_BYTES, NEWEST_VERSION, NONCE_BYTES,
+    OLDEST_VERSION, PeerDigest, PeerHello, PeerWelcome, decode_body, encode_body,
+};
+
+use crate::auth::{FrameSeal, FrameSide, SharedKey};
+use crate::error::LinkError;
+use crate::evidence::EvidencePort;
+use crate::hub::PeerHub;
+use crate::memory::LinkMemory;
+use crate::settings::PeerSettings;
+
+/// Exchanges after which a node that is still behind its peer asks for everything. The table
+/// brings the changes sooner, so this happens when the node can't reach it.
+const PATIENT_EXCHANGES: u32 = 3;
+
+/// News of the configuration wait this long for more of it before they go out.
+const NEWS_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a link needs beside its address.
+#[derive(Debug, Clone)]
+pub struct LinkParts<E> {
+    /// What the links share.
+    pub hub: PeerHub<E>,
+    /// The deployment's key.
+    pub key: SharedKey,
+    /// Settings.
+    pub settings: PeerSettings,
+    /// Events.
+    pub recorder: EventRecorder,
+}
+
+struct OpenLink {
+    requests: SendRequest<Bytes>,
+    seal: FrameSeal,
+    memory: LinkMemory,
+    timeout: Duration,
+    peer: NodeId,
+}
+
+/// Keeps one link until it fails. `expected` is the node that should answer, where it is known.
+///
+/// # Errors
+///
+/// [`LinkError`], always: a link ends only by failing.
+pub async fn run_link<E: EvidencePort>(
+    parts: &LinkParts<E>,
+    address: SocketAddr,
+    expected: Option<&NodeId>,
+) -> Result<std::convert::Infallible, LinkError> {
+    let mut link = within(
+        parts.settings.timeout(),
+        open_link(parts, address, expected),
+    )
+    .await?;
+    parts.recorder.note(
+        EventCode::PeerLinked,
+        EventSubject::default(),
+        format!("{} at {address}", link.peer),
+    );
+    let mut news = parts.hub.config.watch();
+    let mut behind = 0;
+    loop {
+        let revision = parts.hub.config.news().revision;
+        link.exchange(parts).await?;
+        if parts.hub.config.news().revision < link.memory.revision {
+            behind += 1;
+        } else {
+            behind = 0;
+        }
+        if behind >= PATIENT_EXCHANGES {
+            link.fetch_snapshot(parts).await?;
+            behind = 0;
+        }
+        let pause = tokio::time::sleep(spread(parts.settings.exchange()));
+        tokio::select! {
+            () = pause => {}
+            () = parts.hub.wake.notified() => {}
+            changed = newer_revision(&mut news, revision) => changed?,
+        }
+    }
+}
+
+async fn newer_revision(
+    news: &mut watch::Receiver<ConfigNews>,
+    revision: ConfigRevision,
+) -> Result<(), LinkError> {
+    if news
+        .wait_for(|news| news.revision > revision)
+        .await
+        .is_err()
+    {
+        return Err(LinkError::Connection("the node stops".to_owned()));
+    }
+    tokio::time::sleep(NEWS_PAUSE).await;
+    Ok(())
+}
+
+async fn within<T>(
+    limit: Duration,
+    step: impl Future<Output = Result<T, LinkError>>,
+) -> Result<T, LinkError> {
+    match tokio::time::timeout(limit, step).await {
+        Ok(result) => result,
+        Err(_) => Err(LinkError::TimedOut),
+    }
+}
+
+async fn open_link<E: EvidencePort>(
+    parts: &LinkParts<E>,
+    address: SocketAddr,
+    expected: Option<&NodeId>,
+) -> Result<OpenLink, LinkError> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let stream = parts.hub.traffic.watch(stream);
+    let (mut requests, connection) = h2::client::handshake(stream).await?;
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    let hello = PeerHello {
+        newest: NEWEST_VERSION,
+        oldest: OLDEST_VERSION,
+        nonce: rand::random::<[u8; NONCE_BYTES]>(),
+        node: parts.hub.book.node().clone(),
+    };
+    let answer = post(
+        &mut requests,
+        "/hello",
+        encode_body(&hello)?,
+        MAX_HELLO_BYTES,
+    )
+    .await?;
+    let welcome: PeerWelcome = decode_body::<_, MAX_HELLO_BYTES>(&answer)?;
+    parts.key.check(&hello, &welcome)?;
+    if expected.is_some_and(|node| *node != welcome.node) {
+        return Err(LinkError::OtherNode(welcome.node));
+    }
+    Ok(OpenLink {
+        requests,
+        seal: parts.key.seal(&hello, &welcome, FrameSide::Caller),
+        memory: LinkMemory::default(),
+        timeout: parts.settings.timeout(),
+        peer: welcome.node,
+    })
+}
+
+impl OpenLink {
+    async fn exchange<E: EvidencePort>(&mut self, parts: &LinkParts<E>) -> Result<(), LinkError> {
+        let asked_at = Instant::now();
+        let echo = self.seal.received();
+        let digest = parts.hub.outgoing(&mut self.memory, echo).await;
+        let payload = encode_body(&digest)?;
+        let answer = self.ask::<MAX_DIGEST_BYTES>("/digest", payload).await?;
+        parts.hub.traffic.count_exchange();
+        // A process that was frozen finds the answer before its own timeout: the answer may tell
+        // of heartbeats that were heard long ago.
+        if asked_at.elapsed() > self.timeout {
+            return Err(LinkError::Late);
+        }
+        let answer: PeerDigest = decode_body::<_, MAX_DIGEST_BYTES>(&answer)?;
+        parts.hub.incoming(&mut self.memory, answer, asked_at).await;
+        Ok(())
+    }
+
+    async fn fetch_snapshot<E: EvidencePort>(
+        &mut self,
+        parts: &LinkParts<E>,
+    ) -> Result<(), LinkError> {
+        let answer = self
+            .ask::<MAX_SNAPSHOT_BYTES>("/snapshot", Vec::new())
+            .await?;
+        let Ok(snapshot) = serde_json::from_slice(&answer) else {
+            return Err(LinkError::Connection("an unreadable snapshot".to_owned()));
+        };
+        parts.hub.take_snapshot(snapshot).await;
+        Ok(())
+    }
+
+    async fn ask<const LIMIT: usize>(
+        &mut self,
+        path: &str,
+        payload: Vec<u8>,
+    ) -> Result<Vec<u8>, LinkError> {
+        let frame = self.seal.seal(payload)?;
+        let step = post(&mut self.requests, path, frame, LIMIT);
+        let answer = within(self.timeout, step).await?;
+        Ok(self.seal.open::<LIMIT>(&answer)?.payload)
+    }
+}
+
+async fn post(
+    requests: &mut SendRequest<Bytes>,
+    path: &str,
+    body: Vec<u8>,
+    limit: usize,
+) -> Result<Vec<u8>, LinkError> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://peer{path}"))
+        .body(())?;
+    let mut ready = requests.clone().ready().await?;
+    let (answer, mut sender) = ready.send_request(request, false)?;
+    sender.send_data(Bytes::from(body), true)?;
+    let answer = answer.await?;
+    if answer.status() != StatusCode::OK {
+        return Err(LinkError::Refused(answer.status().as_u16()));
+    }
+    read_stream(answer.into_body(), limit).await
+}
+
+/// Reads a stream of at most `limit` bytes.
+///
+/// # Errors
+///
+/// [`LinkError::TooLarge`] and [`LinkError::Connection`].
+pub async fn read_stream(mut stream: RecvStream, limit: usize) -> Result<Vec<u8>, LinkError> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = stream.data().await {
+        let chunk = chunk?;
+        if bytes.len() + chunk.len() > limit {
+            return Err(LinkError::TooLarge(limit));
+        }
+        stream.flow_control().release_capacity(chunk.len())?;
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/peers/src/manage.rs
@@ -0,0 +1,135 @@
+//! Keeps the node's links: makes the chosen ones, drops the others, avoids peers that failed.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use control::config::follow::spread;
+use domain::{FastMap, FastSet, NodeId};
+use events::{EventCode, EventSubject};
+use tokio::task::{AbortHandle, JoinSet};
+
+use crate::choose::choose_peers;
+use crate::error::LinkError;
+use crate::evidence::EvidencePort;
+use crate::link::{LinkParts, run_link};
+
+/// The choice is made anew so often; a change of members is never urgent here.
+const CHOOSE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Where a link goes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum LinkPlace {
+    /// To a member.
+    Member(NodeId),
+    /// To an address from the settings, whoever answers there.
+    Seed(SocketAddr),
+}
+
+struct LinkEnd {
+    place: LinkPlace,
+    error: LinkError,
+}
+
+/// Keeps the node's links until the task is dropped.
+pub async fn keep_links<E: EvidencePort>(parts: LinkParts<E>) {
+    let mut keeper = LinkKeeper {
+        parts,
+        running: FastMap::default(),
+        tasks: JoinSet::new(),
+        avoided: FastMap::default(),
+    };
+    let mut ticks = tokio::time::interval(CHOOSE_PERIOD);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => keeper.choose(Instant::now()),
+            Some(ended) = keeper.tasks.join_next() => {
+                if let Ok(ended) = ended {
+                    keeper.note_end(ended, Instant::now());
+                }
+            }
+        }
+    }
+}
+
+struct LinkKeeper<E> {
+    parts: LinkParts<E>,
+    running: FastMap<LinkPlace, AbortHandle>,
+    tasks: JoinSet<LinkEnd>,
+    avoided: FastMap<LinkPlace, Instant>,
+}
+
+impl<E: EvidencePort> LinkKeeper<E> {
+    fn choose(&mut self, now: Instant) {
+        self.avoided.retain(|_, until| *until > now);
+        let view = self.parts.hub.book.view(now);
+        let avoided: FastSet<NodeId> = self
+            .avoided
+            .keys()
+            .filter_map(|place| match place {
+                LinkPlace::Member(node) => Some(node.clone()),
+                LinkPlace::Seed(_) => None,
+            })
+            .collect();
+        let own = self.parts.hub.book.own();
+        let degree = self.parts.settings.degree;
+        let mut wanted: FastMap<LinkPlace, SocketAddr> = FastMap::default();
+        for member in choose_peers(&own, &view, degree, &avoided) {
+            wanted.insert(LinkPlace::Member(member.node), member.address);
+        }
+        if wanted.is_empty() {
+            for seed in &self.parts.settings.seeds {
+                let place = LinkPlace::Seed(*seed);
+                if *seed == own.address || self.avoided.contains_key(&place) {
+                    continue;
+                }
+                wanted.insert(place, *seed);
+            }
+        }
+        self.running.retain(|place, task| {
+            let keep = wanted.contains_key(place);
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        for (place, address) in wanted {
+            self.start(place, address);
+        }
+    }
+
+    fn start(&mut self, place: LinkPlace, address: SocketAddr) {
+        if self.running.contains_key(&place) {
+            return;
+        }
+        let parts = self.parts.clone();
+        let target = place.clone();
+        let task = self.tasks.spawn(async move {
+            let expected = match &target {
+                LinkPlace::Member(node) => Some(node),
+                LinkPlace::Seed(_) => None,
+            };
+            let ended = run_link(&parts, address, expected).await;
+            let error = match ended {
+                Ok(never) => match never {},
+                Err(error) => error,
+            };
+            LinkEnd {
+                place: target,
+                error,
+            }
+        });
+        self.running.insert(place, task);
+    }
+
+    /// A peer whose link failed is avoided for a while, and another takes its place: retried at
+    /// once, a frozen peer would hold the place and a returning one be run over.
+    fn note_end(&mut self, ended: LinkEnd, now: Instant) {
+        let until = now + spread(self.parts.settings.avoid());
+        self.running.remove(&ended.place);
+        let detail = format!("{:?}: {}", ended.place, ended.error);
+        self.parts
+            .recorder
+            .note(EventCode::PeerLost, EventSubject::default(), detail);
+        self.avoided.insert(ended.place, until);
+    }
+}
--- /dev/null
+++ b/crates/peers/src/memory.rs
@@ -0,0 +1,237 @@
+//! What the peer at the other end of a connection is known to have.
+//!
+//! A connection delivers in order or ends, and the memory ends with it. So what was sent counts as
+//! known: without this, 410 nodes would send each other the whole membership once a second.
+
+use std::time::{Duration, Instant};
+
+use control::Member;
+use control::members::MemberRow;
+use domain::{ConfigRevision, FastMap, FastSet, NodeId, ReplicaId, WholenessEvidence};
+use wire::peer::{PeerBeat, PeerDigest, PeerEvidence, PeerLook, PeerRow};
+
+use crate::evidence::HeldEvidence;
+
+/// Member rows of one digest; the rest follows with the next.
+const MAX_ROWS: usize = 200;
+
+/// Evidence older than this opens no gate and is not passed on.
+const EVIDENCE_LIMIT: Duration = Duration::from_secs(10);
+
+/// A newer look is passed on when it is this much newer: every look of two watchers a second on
+/// each replica would not fit into the 3 KB/s that a node may spend.
+const LOOK_STEP: Duration = Duration::from_secs(1);
+
+/// What a peer is known to have, on one connection.
+#[derive(Debug, Default)]
+pub struct LinkMemory {
+    /// The highest revision that the peer has or was sent.
+    pub revision: ConfigRevision,
+    sent_rows: Vec<NodeId>,
+    received_rows: Vec<NodeId>,
+    places: FastMap<NodeId, u32>,
+    beats: FastMap<NodeId, u64>,
+    departed: FastSet<NodeId>,
+    sent_evidence: FastMap<ReplicaId, SentEvidence>,
+    evidence_count: u32,
+    received_evidence: Vec<WholenessEvidence>,
+}
+
+#[derive(Debug)]
+struct SentEvidence {
+    place: u32,
+    evidence: WholenessEvidence,
+    as_of: Instant,
+}
+
+impl LinkMemory {
+    /// Adds the members, heartbeats and goodbyes that the peer lacks.
+    pub fn add_members(&mut self, digest: &mut PeerDigest, rows: Vec<MemberRow>) {
+        for row in rows {
+            let node = row.member.node.clone();
+            let Some(place) = self.places.get(&node) else {
+                if digest.rows.len() == MAX_ROWS {
+                    continue;
+                }
+                let place = u32::try_from(self.sent_rows.len()).unwrap_or(u32::MAX);
+                self.places.insert(node.clone(), place * 2);
+                self.sent_rows.push(node.clone());
+                self.beats.insert(node, row.beat);
+                digest.rows.push(row_to_wire(row));
+                continue;
+            };
+            let known = self.beats.get(&node).copied().unwrap_or_default();
+            if row.beat <= known {
+                continue;
+            }
+            digest.beats.push(PeerBeat {
+                place: *place,
+                beat: row.beat,
+            });
+            self.beats.insert(node, row.beat);
+        }
+    }
+
+    /// Adds the goodbyes that the peer lacks.
+    pub fn add_departed(&mut self, digest: &mut PeerDigest, departed: Vec<NodeId>) {
+        for node in departed {
+            if self.departed.insert(node.clone()) {
+                digest.departed.push(node);
+            }
+        }
+    }
+
+    /// Adds the evidence that the peer lacks.
+    pub fn add_evidence(&mut self, digest: &mut PeerDigest, held: Vec<HeldEvidence>, now: Instant) {
+        for HeldEvidence { evidence, as_of } in held {
+            let age = now.saturating_duration_since(as_of);
+            if age > EVIDENCE_LIMIT {
+                continue;
+            }
+            let age_ms = millis(age);
+            if let Some(sent) = self.sent_evidence.get_mut(&evidence.replica)
+                && same_finding(&sent.evidence, &evidence)
+            {
+                if as_of < sent.as_of + LOOK_STEP {
+                    continue;
+                }
+                sent.as_of = as_of;
+                let place = sent.place;
+                digest.looks.push(PeerLook { place, age_ms });
+                continue;
+            }
+            digest.evidence.push(PeerEvidence {
+                replica: evidence.replica.clone(),
+                incarnation: evidence.incarnation,
+                hosts: evidence.hosts.clone(),
+                leaving: evidence.leaving,
+                age_ms,
+            });
+            let sent = SentEvidence {
+                place: self.evidence_count,
+                evidence: evidence.clone(),
+                as_of,
+            };
+            self.evidence_count += 1;
+            self.sent_evidence.insert(evidence.replica, sent);
+        }
+    }
+
+    /// Takes in the members of a digest: whole rows, and heartbeats with their node.
+    pub fn take_members(&mut self, digest: &PeerDigest) -> MemberNews {
+        let mut news = MemberNews::default();
+        for row in &digest.rows {
+            let place = u32::try_from(self.received_rows.len()).unwrap_or(u32::MAX);
+            self.received_rows.push(row.node.clone());
+            self.places.entry(row.node.clone()).or_insert(place * 2 + 1);
+            self.raise_beat(&row.node, row.beat);
+            news.rows.push(row_from_wire(row.clone()));
+        }
+        for beat in &digest.beats {
+            let index = beat.place as usize / 2;
+            let rows = if beat.place % 2 == 0 {
+                &self.received_rows
+            } else {
+                &self.sent_rows
+            };
+            let Some(node) = rows.get(index).cloned() else {
+                continue;
+            };
+            self.raise_beat(&node, beat.beat);
+            news.beats.push(NodeBeat {
+                node,
+                beat: beat.beat,
+            });
+        }
+        for node in &digest.departed {
+            self.departed.insert(node.clone());
+        }
+        news
+    }
+
+    fn raise_beat(&mut self, node: &NodeId, beat: u64) {
+        let known = self.beats.entry(node.clone()).or_default();
+        *known = beat.max(*known);
+    }
+
+    /// Takes in the evidence of a digest that answers a question sent at `asked_at`.
+    pub fn take_evidence(&mut self, digest: &PeerDigest, asked_at: Instant) -> Vec<HeldEvidence> {
+        let mut taken = Vec::new();
+        for wire in &digest.evidence {
+            let evidence = WholenessEvidence {
+                replica: wire.replica.clone(),
+                incarnation: wire.incarnation,
+                hosts: wire.hosts.clone(),
+                leaving: wire.leaving,
+                age: Duration::ZERO,
+            };
+            self.received_evidence.push(evidence.clone());
+            taken.extend(held(evidence, wire.age_ms, asked_at));
+        }
+        for look in &digest.looks {
+            let Some(evidence) = self.received_evidence.get(look.place as usize) else {
+                continue;
+            };
+            taken.extend(held(evidence.clone(), look.age_ms, asked_at));
+        }
+        taken
+    }
+}
+
+/// Members that a digest brought.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct MemberNews {
+    /// Whole rows.
+    pub rows: Vec<MemberRow>,
+    /// Heartbeats of members whose row came before.
+    pub beats: Vec<NodeBeat>,
+}
+
+/// A member's heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NodeBeat {
+    /// The member.
+    pub node: NodeId,
+    /// Its heartbeat.
+    pub beat: u64,
+}
+
+fn same_finding(left: &WholenessEvidence, right: &WholenessEvidence) -> bool {
+    left.incarnation == right.incarnation
+        && left.hosts == right.hosts
+        && left.leaving == right.leaving
+}
+
+/// None when the age reaches back before the start of this host's clock.
+fn held(evidence: WholenessEvidence, age_ms: u64, asked_at: Instant) -> Option<HeldEvidence> {
+    let as_of = asked_at.checked_sub(Duration::from_millis(age_ms))?;
+    Some(HeldEvidence { evidence, as_of })
+}
+
+/// A duration in whole milliseconds, rounded up: an age may look older, never younger.
+#[must_use]
+pub fn millis(age: Duration) -> u64 {
+    u64::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
+}
+
+fn row_to_wire(row: MemberRow) -> PeerRow {
+    PeerRow {
+        node: row.member.node,
+        address: row.member.address,
+        domain: row.member.domain,
+        region: row.member.region,
+        beat: row.beat,
+    }
+}
+
+fn row_from_wire(row: PeerRow) -> MemberRow {
+    MemberRow {
+        member: Member {
+            node: row.node,
+            address: row.address,
+            domain: row.domain,
+            region: row.region,
+        },
+        beat: row.beat,
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod hostlist;
 pub mod openai;
+pub mod peer;
 pub mod record;
 pub mod service;
 pub mod table;
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,220 @@
+//! Protocol between the nodes: `h2` requests whose bodies are `bincode`.
+//!
+//! * `POST /hello` with a [`PeerHello`]: a [`PeerWelcome`]. Both name the versions they speak and
+//!   a nonce; the rest of the connection is sealed with a key made of both nonces.
+//! * `POST /digest` with a [`SealedFrame`] of a [`PeerDigest`]: the same back.
+//! * `POST /snapshot` with an empty [`SealedFrame`]: one with a snapshot as JSON.
+//!
+//! Within a version fields are only ever added at the end: `bincode` leaves what follows unread,
+//! so an old node reads what a newer one sends. Times are ages in milliseconds, never wall times.
+
+use std::net::SocketAddr;
+
+use domain::{
+    ConfigRevision, DomainId, HostId, IdError, IncarnationNumber, NodeId, RegionId, ReplicaId,
+};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// Newest version of the protocol that this program speaks.
+pub const NEWEST_VERSION: u8 = 1;
+
+/// Oldest version of the protocol that this program speaks.
+pub const OLDEST_VERSION: u8 = 1;
+
+/// Largest hello, in bytes.
+pub const MAX_HELLO_BYTES: usize = 1 << 10;
+
+/// Largest digest, in bytes: a few hundred member rows, or one large record.
+pub const MAX_DIGEST_BYTES: usize = 1 << 20;
+
+/// Largest snapshot, in bytes: 1,500 records with hundreds of key hashes each.
+pub const MAX_SNAPSHOT_BYTES: usize = 16 << 20;
+
+/// Length of a nonce, in bytes.
+pub const NONCE_BYTES: usize = 32;
+
+/// Length of a frame's tag, in bytes: half of an HMAC-SHA256.
+pub const TAG_BYTES: usize = 16;
+
+/// Why bytes of a peer can't be used.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PeerBodyError {
+    /// They are no `bincode` of the expected shape, or more than allowed.
+    #[error("the peer's message can't be read: {0}")]
+    Undecodable(String),
+    /// A name in them is none.
+    #[error("the peer's message holds a bad name: {0}")]
+    BadName(#[from] IdError),
+}
+
+/// First request on a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerHello {
+    /// Newest version that the caller speaks.
+    pub newest: u8,
+    /// Oldest version that the caller speaks.
+    pub oldest: u8,
+    /// Fresh random bytes.
+    pub nonce: [u8; NONCE_BYTES],
+    /// The caller.
+    pub node: NodeId,
+}
+
+/// Answer to a [`PeerHello`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerWelcome {
+    /// The version to speak.
+    pub version: u8,
+    /// Fresh random bytes.
+    pub nonce: [u8; NONCE_BYTES],
+    /// The answerer.
+    pub node: NodeId,
+    /// Proof that the answerer has the shared key.
+    pub proof: [u8; TAG_BYTES],
+}
+
+/// A message with a keyed hash over direction, sequence and payload.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SealedFrame {
+    /// Version of the payload.
+    pub version: u8,
+    /// Rises by at least one with each frame of a connection and direction.
+    pub sequence: u64,
+    /// The keyed hash.
+    pub tag: [u8; TAG_BYTES],
+    /// The message.
+    pub payload: Vec<u8>,
+}
+
+/// What one node tells another beyond what that one is known to have.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerDigest {
+    /// Sequence of the newest answer that the sender got on this connection; 0 before the first.
+    pub echo: u64,
+    /// Revision in force at the sender.
+    pub revision: u64,
+    /// How well the sender knows the head.
+    pub confirmation: Option<PeerConfirmation>,
+    /// Changes that the receiver lacks, in order.
+    pub changes: Vec<PeerChange>,
+    /// Members that the receiver lacks.
+    pub rows: Vec<PeerRow>,
+    /// Newer heartbeats of members whose row went over this connection.
+    pub beats: Vec<PeerBeat>,
+    /// Members that said goodbye.
+    pub departed: Vec<NodeId>,
+    /// Evidence that the receiver lacks.
+    pub evidence: Vec<PeerEvidence>,
+    /// Newer looks at evidence that went over this connection in the sender's direction.
+    pub looks: Vec<PeerLook>,
+}
+
+/// That the head was at most at a revision, so long before the message was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerConfirmation {
+    /// The revision.
+    pub revision: u64,
+    /// Age of the knowledge.
+    pub age_ms: u64,
+}
+
+/// A change of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerChange {
+    /// Its revision.
+    pub revision: u64,
+    /// The change-log entry as JSON: its record keeps its own schema version and shape, which this
+    /// protocol must not depend on.
+    pub entry: Vec<u8>,
+}
+
+/// A member with its heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerRow {
+    /// The node.
+    pub node: NodeId,
+    /// Where its peers connect.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its region.
+    pub region: RegionId,
+    /// Its heartbeat.
+    pub beat: u64,
+}
+
+/// A newer heartbeat. Names are long and rows go over a connection once, so this one counts rows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerBeat {
+    /// Place of the member's row among those that the sender sent (even numbers) or received (odd
+    /// numbers) over this connection, doubled.
+    pub place: u32,
+    /// The heartbeat.
+    pub beat: u64,
+}
+
+/// Evidence on one replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerEvidence {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// The incarnation that its hosts reported.
+    pub incarnation: IncarnationNumber,
+    /// The hosts that reported it, by rank.
+    pub hosts: Vec<HostId>,
+    /// Whether any said that it is leaving.
+    pub leaving: bool,
+    /// Age of the oldest report.
+    pub age_ms: u64,
+}
+
+/// A newer look that found the same as an earlier [`PeerEvidence`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerLook {
+    /// Place of the evidence among those that the sender sent over this connection.
+    pub place: u32,
+    /// Age of the oldest report.
+    pub age_ms: u64,
+}
+
+impl PeerDigest {
+    /// The revision in force at the sender.
+    #[must_use]
+    pub fn revision(&self) -> ConfigRevision {
+        ConfigRevision(self.revision)
+    }
+}
+
+/// Picks the version for a connection; none when there is none that both speak.
+#[must_use]
+pub fn common_version(hello: &PeerHello) -> Option<u8> {
+    let version = hello.newest.min(NEWEST_VERSION);
+    (version >= OLDEST_VERSION.max(hello.oldest)).then_some(version)
+}
+
+/// Writes a message.
+///
+/// # Errors
+///
+/// [`PeerBodyError::Undecodable`] when the value can't be written.
+pub fn encode_body<T: Serialize>(value: &T) -> Result<Vec<u8>, PeerBodyError> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .map_err(|error| PeerBodyError::Undecodable(error.to_string()))
+}
+
+/// Reads a message of at most `LIMIT` bytes; what follows it is left unread.
+///
+/// The limit also bounds what a hostile length inside the message can make this node allocate.
+///
+/// # Errors
+///
+/// [`PeerBodyError::Undecodable`].
+pub fn decode_body<T: DeserializeOwned, const LIMIT: usize>(
+    bytes: &[u8],
+) -> Result<T, PeerBodyError> {
+    let config = bincode::config::standard().with_limit::<LIMIT>();
+    bincode::serde::decode_from_slice(bytes, config)
+        .map(|(value, _)| value)
+        .map_err(|error| PeerBodyError::Undecodable(error.to_string()))
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -62,7 +62,7 @@
     let context = NodeContext::new(settings);
     let peers = peers::bind(&context).await?;
     control::start(&context);
-    peers.start(&context);
+    let peers = peers.start(&context)?;
     let running = entry::bind(&context).await?;
     let address = running.address;
     context.recorder.note(
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,10 +1,15 @@
 //! Wiring of what nodes know of each other: configuration, membership and links.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
-use control::config::{ConfigFollower, ConfigKeeper, follow_config};
+use control::config::{ConfigFollower, ConfigHandle, ConfigKeeper, follow_config};
 use control::members::{Member, MemberBook, MemberKeeper, MemberState};
 use eyre::WrapErr;
+use peers::{
+    LinkParts, NoEvidence, PeerHub, PeerSettings, PeerTraffic, SharedKey, accept_links, keep_links,
+};
 use platform::http::HttpTable;
 use tokio::net::TcpListener;
 
@@ -12,12 +17,24 @@
 
 /// A bound listener for peers, with what is shared with them.
 pub struct PeerListener {
-    #[expect(dead_code, reason = "links are accepted on it once they stand")]
     listener: TcpListener,
     book: MemberBook,
     members: MemberKeeper<HttpTable>,
+    config: ConfigHandle,
 }
 
+/// The running links.
+pub struct PeerTasks {
+    hub: PeerHub<NoEvidence>,
+    members: MemberKeeper<HttpTable>,
+}
+
+/// Time that a node that stops gives its peers to hear of it.
+const GOODBYE_LIMIT: Duration = Duration::from_millis(300);
+
+/// Environment variable with the shared key, for hosts whose settings come without files.
+const KEY_VARIABLE: &str = "BRAMLEYSPRING_PEER_KEY";
+
 /// Binds the listener for peers.
 ///
 /// # Errors
@@ -25,7 +42,8 @@
 /// When the address can't be bound.
 pub async fn bind(context: &NodeContext) -> eyre::Result<PeerListener> {
     let settings = &context.settings;
-    let wanted = SocketAddr::new(settings.listen.ip(), 0);
+    let any_port = SocketAddr::new(settings.listen.ip(), 0);
+    let wanted = settings.peers.listen.unwrap_or(any_port);
     let listener = TcpListener::bind(wanted)
         .await
         .wrap_err_with(|| format!("can't listen for peers on {wanted}"))?;
@@ -42,27 +60,45 @@
         .recorder(context.recorder.clone())
         .settings(settings.members)
         .build();
+    let config = ConfigKeeper::start(
+        settings.config.rule(),
+        book.clone(),
+        context.config_sender.clone(),
+        context.recorder.clone(),
+    );
     Ok(PeerListener {
         listener,
         book,
         members,
+        config,
     })
 }
 
+fn shared_key(settings: &PeerSettings) -> eyre::Result<Option<SharedKey>> {
+    let text = match &settings.key_file {
+        Some(path) => std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("can't read peers.key_file {}", path.display()))?,
+        None => match std::env::var(KEY_VARIABLE) {
+            Ok(text) => text,
+            Err(_) => return Ok(None),
+        },
+    };
+    Ok(Some(SharedKey::new(&text)?))
+}
+
 impl PeerListener {
     /// Starts the tasks.
-    pub fn start(&self, context: &NodeContext) {
+    ///
+    /// # Errors
+    ///
+    /// When the shared key can't be read or is too short.
+    pub fn start(self, context: &NodeContext) -> eyre::Result<PeerTasks> {
         let settings = &context.settings;
-        let keeper = ConfigKeeper::start(
-            settings.config.rule(),
-            self.book.clone(),
-            context.config_sender.clone(),
-            context.recorder.clone(),
-        );
+        let key = shared_key(&settings.peers)?;
         let follower = ConfigFollower::builder()
             .table(context.table.clone())
             .objects(context.objects.clone())
-            .keeper(keeper)
+            .keeper(self.config.clone())
             .members(self.book.clone())
             .recorder(context.recorder.clone())
             .settings(settings.config)
@@ -71,10 +107,33 @@
         tokio::spawn(self.members.clone().write_forever());
         tokio::spawn(self.members.clone().beat_forever());
         tokio::spawn(self.members.clone().list_forever());
+        let hub = PeerHub {
+            config: self.config,
+            book: self.book,
+            evidence: NoEvidence,
+            traffic: PeerTraffic::default(),
+            wake: Arc::default(),
+        };
+        if let Some(key) = key {
+            let parts = LinkParts {
+                hub: hub.clone(),
+                key,
+                settings: settings.peers.clone(),
+                recorder: context.recorder.clone(),
+            };
+            tokio::spawn(accept_links(self.listener, parts.clone()));
+            tokio::spawn(keep_links(parts));
+        }
+        Ok(PeerTasks {
+            hub,
+            members: self.members,
+        })
     }
+}
 
+impl PeerTasks {
     /// Says goodbye to the other nodes.
     pub async fn leave(&self) {
-        self.members.leave().await;
+        tokio::join!(self.hub.say_goodbye(GOODBYE_LIMIT), self.members.leave());
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 use control::members::MemberSettings;
 use domain::{DomainId, NodeId, RegionId};
 use eyre::WrapErr;
+use peers::PeerSettings;
 use serde::Deserialize;
 
 /// Settings of a node, read from a JSON file.
@@ -29,6 +30,9 @@
     /// The membership.
     #[serde(default)]
     pub members: MemberSettings,
+    /// The links to other nodes.
+    #[serde(default)]
+    pub peers: PeerSettings,
 }
 
 /// Where the platform's services are.
