--- a/crates/peers/src/settings.rs
+++ b/crates/peers/src/settings.rs
@@ -14,6 +14,8 @@
     pub listen: Option<SocketAddr>,
     /// File with the key that all nodes share. Without one the node makes and takes no links.
     pub key_file: Option<PathBuf>,
+    /// Environment variable with that key, for hosts whose settings come without files.
+    pub key_env: Option<String>,
     /// Addresses of some nodes, asked while the node knows no other, such as when it starts while
     /// the store is down.
     #[builder(default)]
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -7,10 +7,10 @@
 use control::config::{ConfigFollower, ConfigHandle, ConfigKeeper, follow_config};
 use control::members::{Member, MemberBook, MemberKeeper, MemberState};
 use eyre::WrapErr;
-use peers::{
-    LinkParts, NoEvidence, PeerHub, PeerSettings, PeerTraffic, SharedKey, accept_links, keep_links,
-};
+use peers::{LinkParts, NoEvidence, PeerHub, PeerTraffic, SharedKey, accept_links, keep_links};
 use platform::http::HttpTable;
+use settings::NodeSettings;
+use settings::node::peer_key;
 use tokio::net::TcpListener;
 
 use super::NodeContext;
@@ -32,9 +32,6 @@
 /// Time that a node that stops gives its peers to hear of it.
 const GOODBYE_LIMIT: Duration = Duration::from_millis(300);
 
-/// Environment variable with the shared key, for hosts whose settings come without files.
-const KEY_VARIABLE: &str = "BRAMLEYSPRING_PEER_KEY";
-
 /// Binds the listener for peers.
 ///
 /// # Errors
@@ -74,16 +71,11 @@
     })
 }
 
-fn shared_key(settings: &PeerSettings) -> eyre::Result<Option<SharedKey>> {
-    let text = match &settings.key_file {
-        Some(path) => std::fs::read_to_string(path)
-            .wrap_err_with(|| format!("can't read peers.key_file {}", path.display()))?,
-        None => match std::env::var(KEY_VARIABLE) {
-            Ok(text) => text,
-            Err(_) => return Ok(None),
-        },
+fn shared_key(settings: &NodeSettings) -> eyre::Result<Option<SharedKey>> {
+    let Some(text) = peer_key(&settings.peers)? else {
+        return Ok(None);
     };
-    Ok(Some(SharedKey::new(&text)?))
+    Ok(Some(SharedKey::new(text.expose())?))
 }
 
 impl PeerListener {
@@ -94,7 +86,7 @@
     /// When the shared key can't be read or is too short.
     pub fn start(self, context: &NodeContext) -> eyre::Result<PeerTasks> {
         let settings = &context.settings;
-        let key = shared_key(&settings.peers)?;
+        let key = shared_key(settings)?;
         let follower = ConfigFollower::builder()
             .table(context.table.clone())
             .objects(context.objects.clone())
