--- a/crates/policy/examples/compare.rs
+++ b/crates/policy/examples/compare.rs
@@ -178,7 +178,7 @@
             setup.engines[3].fails = (10.0, 30.0);
         }),
         ("no reports, 10–30 s", |setup| {
-            setup.blackout = (10.0, 30.0)
+            setup.blackout = (10.0, 30.0);
         }),
     ];
     for (case, form) in cases {
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -13,6 +13,8 @@
     Id,
     /// An IP address with its port, such as `127.0.0.1:7100`.
     Address,
+    /// A list of such addresses.
+    Addresses,
     /// A path of a file.
     Path,
     /// The name of an environment variable.
@@ -75,6 +77,10 @@
             FieldKind::Address => {
                 "write an IP address with its port, such as 127.0.0.1:7100".to_owned()
             }
+            FieldKind::Addresses => {
+                "write a list of IP addresses with their ports, such as [\"127.0.0.1:7200\"]"
+                    .to_owned()
+            }
             FieldKind::Path => "write the path of a file".to_owned(),
             FieldKind::Variable => "write the name of an environment variable".to_owned(),
             FieldKind::Duration(low, high) => {
@@ -110,6 +116,12 @@
                 .parse::<SocketAddr>()
                 .ok()
                 .map(|_| value.clone()),
+            FieldKind::Addresses => {
+                for address in value.as_array()? {
+                    address.as_str()?.parse::<SocketAddr>().ok()?;
+                }
+                Some(value.clone())
+            }
             FieldKind::Path | FieldKind::Variable => {
                 let text = value.as_str()?;
                 (!text.is_empty()).then(|| value.clone())
@@ -136,7 +148,9 @@
     pub fn default_value(&self) -> Option<Value> {
         let text = self.default?;
         match self.kind {
-            FieldKind::Count(..) | FieldKind::Share(..) => serde_json::from_str(text).ok(),
+            FieldKind::Count(..) | FieldKind::Share(..) | FieldKind::Addresses => {
+                serde_json::from_str(text).ok()
+            }
             _ => Some(Value::from(text)),
         }
     }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -9,6 +9,7 @@
 use domain::{DomainId, FindingList, NodeId, RegionId};
 use entry::EntrySettings;
 use events::EventLevel;
+use peers::PeerSettings;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -41,6 +42,8 @@
     pub config: ConfigSettings,
     /// Knowing the other entry hosts.
     pub members: MemberSettings,
+    /// Links to other entry hosts.
+    pub peers: PeerSettings,
     /// Logs and the time line.
     pub log: LogSettings,
 }
@@ -107,6 +110,15 @@
     }
 }
 
+/// The key that all nodes share, for their links; none when no place is named.
+///
+/// # Errors
+///
+/// [`SecretError`].
+pub fn peer_key(peers: &PeerSettings) -> Result<Option<SecretText>, SecretError> {
+    load_secret(peers.key_file.as_deref(), peers.key_env.as_deref())
+}
+
 fn load_secret(
     file: Option<&Path>,
     variable: Option<&str>,
