--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,5 +26,6 @@
 pub use board::EvidenceBoard;
 pub use gate::ServiceGate;
 pub use ledger::{CallLedger, ClaimKey, ClaimOutcome, ClaimTicket};
+pub use members::{Member, MemberView};
 pub use settings::ControlSettings;
 pub use view::{ConfigView, ReplicaView, TargetView};
--- a/crates/control/tests/fake/engine.rs
+++ b/crates/control/tests/fake/engine.rs
@@ -9,7 +9,7 @@
 use target::engine::TokenStream;
 use target::{EnginePort, OrderOutcome, StreamStart};
 use web::ClientError;
-use wire::engine::{EngineLoad, EngineOrder, EngineState, StreamEvent, StreamOrder};
+use wire::engine::{EngineLoad, EngineOrder, EngineState, ResumeOrder, StreamEvent, StreamOrder};
 
 use super::SeededDice;
 
@@ -202,6 +202,16 @@
         Err(ClientError::NotConnected(address))
     }
 
+    async fn resume(
+        &self,
+        address: SocketAddr,
+        _: &AttemptId,
+        _: ResumeOrder,
+        _: Duration,
+    ) -> Result<StreamStart<NoStream>, ClientError> {
+        Err(ClientError::NotConnected(address))
+    }
+
     async fn cancel(&self, _: SocketAddr, _: &AttemptId, _: Duration) -> Result<(), ClientError> {
         Ok(())
     }
--- a/crates/standin/src/stack/mod.rs
+++ b/crates/standin/src/stack/mod.rs
@@ -14,10 +14,12 @@
 use std::process::Command;
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 use tokio::sync::SemaphorePermit;
 use web::WebClient;
 
+use crate::deployment::{CallerPlan, Deployment};
+
 pub use caller::{CUSTOMER_KEY, CallerAnswer};
 pub use plan::{StackPlace, StackPlan};
 pub use process::StackProcess;
@@ -25,9 +27,24 @@
 /// Generous bound on anything that a test waits for.
 pub const PATIENCE: Duration = Duration::from_mins(1);
 
+/// The operators' key of a test's system.
+pub const OPERATOR_KEY: &str = "operators-of-the-test-stack";
+
+/// The key that seals resume tokens in a test's system.
+const RESUME_KEY: &str = "resume-key-of-the-test-stack";
+
+/// Variables with the keys of the entries, and of the operators' client.
+const OPERATOR_VARIABLE: &str = "STACK_OPERATOR_KEY";
+const RESUME_VARIABLE: &str = "STACK_RESUME_KEY";
+const KEY_VARIABLE: &str = "BRAMLEYSPRING_KEY";
+const NODES_VARIABLE: &str = "BRAMLEYSPRING_NODES";
+
 const POLL: Duration = Duration::from_millis(50);
 const PROBE: Duration = Duration::from_secs(1);
 
+/// Longest wait for a graceful stop.
+const STOP_LIMIT: Duration = Duration::from_secs(15);
+
 /// A whole system in processes.
 #[derive(Debug)]
 pub struct TestStack {
@@ -37,6 +54,8 @@
     pub objects: StackProcess,
     /// The host list.
     pub hostlist: StackProcess,
+    /// The weight store, where there is one.
+    pub weights: Option<StackProcess>,
     /// The instances of the plain service.
     pub services: Vec<StackProcess>,
     /// The engines, one for each host.
@@ -46,20 +65,30 @@
     /// A caller's client.
     pub client: WebClient,
     places: Vec<StackPlace>,
+    deployment: Deployment,
+    callers: CallerPlan,
     entry_domains: Vec<String>,
+    settings: Map<String, Value>,
     product: PathBuf,
     folder: PathBuf,
     _permit: SemaphorePermit<'static>,
 }
 
-fn write_hosts(folder: &Path, engines: &[StackProcess], places: &[StackPlace], leaving: &[&str]) {
+fn write_hosts(
+    folder: &Path,
+    deployment: Deployment,
+    engines: &[StackProcess],
+    places: &[StackPlace],
+    leaving: &[&str],
+) {
+    let region = deployment.region();
     let hosts: Vec<Value> = engines
         .iter()
         .zip(places)
         .map(|(engine, place)| {
             json!({
                 "host": engine.name, "address": engine.address, "fabric": place.fabric,
-                "domain": place.domain, "region": "dakar",
+                "domain": place.domain, "region": region,
                 "leaving": leaving.contains(&engine.name.as_str()),
             })
         })
@@ -72,17 +101,21 @@
 
 impl TestStack {
     fn records(&self, replicas: u32, hosts_per_replica: u32) -> Value {
-        let text = include_str!("../../../../examples/ndiaye/records.json");
-        let mut records: Value = serde_json::from_str(text).expect("the example is JSON");
-        records[0]["spec"]["hosts_per_replica"] = json!(hosts_per_replica);
-        records[0]["spec"]["versions"][0]["replicas"] = json!(replicas);
+        let mut records = self.deployment.records().expect("a sound example");
+        let spec = &mut records[0]["spec"];
+        spec["hosts_per_replica"] = json!(hosts_per_replica);
+        if spec["versions"].is_array() {
+            spec["versions"][0]["replicas"] = json!(replicas);
+        } else {
+            spec["replicas"] = json!(replicas);
+        }
         let targets: Vec<_> = self
             .services
             .iter()
             .map(|service| service.address)
             .collect();
         records[1]["spec"]["targets"] = json!(targets);
-        records
+        Value::from(records)
     }
 
     /// Starts one more entry; entries take the plan's failure domains in turn.
@@ -94,14 +127,19 @@
     }
 
     fn write_settings(&self, name: &str, domain: &str) -> String {
-        let settings = json!({
-            "node": name, "region": "dakar", "domain": domain, "listen": "127.0.0.1:0",
+        let mut settings = json!({
+            "node": name, "region": self.deployment.region(), "domain": domain,
+            "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+            "secrets": { "operator_key_env": OPERATOR_VARIABLE, "resume_key_env": RESUME_VARIABLE },
             "platform": {
                 "table": self.table.address,
                 "objects": self.objects.address,
                 "hostlist": self.hostlist.address,
             },
         });
+        for (section, values) in &self.settings {
+            settings[section] = values.clone();
+        }
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("writable");
         path.display().to_string()
@@ -113,22 +151,50 @@
         std::fs::File::create(&path)
             .and_then(|mut file| file.write_all(records.to_string().as_bytes()))
             .expect("writable");
-        let settings = self.write_settings("operator", &self.entry_domains[0]);
-        let status = Command::new(&self.product)
-            .args([
-                "apply",
-                "--settings",
-                &settings,
-                &path.display().to_string(),
-            ])
-            .status()
-            .expect("the client runs");
+        let mut command = self.operator();
+        command.args(["apply", &path.display().to_string()]);
+        let status = command.status().expect("the client runs");
         assert!(status.success(), "the records are not accepted");
     }
 
+    /// The operators' client with its access to every entry; add a command and run it.
+    #[must_use]
+    pub fn operator(&self) -> Command {
+        let admins: Vec<String> = self
+            .entries
+            .iter()
+            .map(|entry| entry.admin_now().to_string())
+            .collect();
+        let mut command = Command::new(&self.product);
+        command
+            .env(NODES_VARIABLE, admins.join(","))
+            .env(KEY_VARIABLE, OPERATOR_KEY);
+        command
+    }
+
     /// Marks hosts as leaving in the host list.
     pub fn set_leaving(&self, leaving: &[&str]) {
-        write_hosts(&self.folder, &self.engines, &self.places, leaving);
+        let places = &self.places;
+        write_hosts(
+            &self.folder,
+            self.deployment,
+            &self.engines,
+            places,
+            leaving,
+        );
+    }
+
+    /// Stops every process: entries are asked first, so that they end what is in progress.
+    pub fn stop(&mut self) {
+        for entry in &self.entries {
+            entry.signal("TERM");
+        }
+        for entry in &mut self.entries {
+            entry.wait_or_kill(STOP_LIMIT);
+        }
+        self.entries.clear();
+        self.engines.clear();
+        self.services.clear();
     }
 
     /// Kills an engine and starts it anew under the same host name and address, with a new boot
--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -2,9 +2,12 @@
 
 use std::path::{Path, PathBuf};
 
+use serde_json::{Map, Value};
 use tokio::sync::Semaphore;
 use web::WebClient;
 
+use crate::deployment::Deployment;
+
 use super::{StackProcess, TestStack, write_hosts};
 
 /// Whole systems at once, so that a busy machine does not make healthy processes look dead.
@@ -34,6 +37,9 @@
     domains: Vec<String>,
     engine_options: Vec<String>,
     hostlist_options: Vec<String>,
+    weights_options: Option<Vec<String>>,
+    settings: Map<String, Value>,
+    deployment: Deployment,
 }
 
 impl StackPlan {
@@ -55,6 +61,9 @@
             domains: vec!["plateau".to_owned()],
             engine_options: Vec::new(),
             hostlist_options: Vec::new(),
+            weights_options: None,
+            settings: Map::new(),
+            deployment: Deployment::Ndiaye,
         }
     }
 
@@ -100,6 +109,13 @@
         self
     }
 
+    /// One section of the entries' settings, such as `("config", json!({"poll": "200ms"}))`.
+    #[must_use]
+    pub fn settings(mut self, section: &str, values: Value) -> Self {
+        self.settings.insert(section.to_owned(), values);
+        self
+    }
+
     /// Fabric domains `f0`, `f1`, …, each with an equal run of the hosts.
     #[must_use]
     pub fn fabrics(mut self, count: usize) -> Self {
@@ -129,6 +145,20 @@
         self
     }
 
+    /// A weight store that every engine loads from, with options such as `["--rate", "1000000"]`.
+    #[must_use]
+    pub fn weights(mut self, options: &[&str]) -> Self {
+        self.weights_options = Some(options.iter().map(|&text| text.to_owned()).collect());
+        self
+    }
+
+    /// Records, customers and region of another example.
+    #[must_use]
+    pub fn deployment(mut self, deployment: Deployment) -> Self {
+        self.deployment = deployment;
+        self
+    }
+
     fn place(&self, engine: usize) -> StackPlace {
         let run = self.engines.div_ceil(self.fabrics);
         let fabric = engine / run;
@@ -162,6 +192,12 @@
         let services = (0..self.services)
             .map(|number| start_standin(&format!("s{number}"), &["service", "--book", &book]))
             .collect();
+        let weights = self.weights_options.as_ref().map(|options| {
+            let mut arguments = vec!["weights"];
+            arguments.extend(options.iter().map(String::as_str));
+            start_standin("weights", &arguments)
+        });
+        let store = weights.as_ref().map(|store| store.address.to_string());
         let step = self.step_us.to_string();
         let mut engines = Vec::new();
         let mut places = Vec::new();
@@ -169,10 +205,13 @@
             let host = format!("h{number:02}");
             let mut arguments = vec!["engine", "--host", &host, "--step-us", &step];
             arguments.extend(self.engine_options.iter().map(String::as_str));
+            if let Some(store) = &store {
+                arguments.extend(["--weights", store]);
+            }
             engines.push(start_standin(&host, &arguments));
             places.push(self.place(number));
         }
-        write_hosts(&folder, &engines, &places, &[]);
+        write_hosts(&folder, self.deployment, &engines, &places, &[]);
         let hosts = folder.join("hosts.json").display().to_string();
         let mut arguments = vec!["hostlist", "--hosts", &hosts];
         arguments.extend(self.hostlist_options.iter().map(String::as_str));
@@ -181,12 +220,16 @@
             table,
             objects,
             hostlist,
+            weights,
             services,
             engines,
             entries: Vec::new(),
             client: WebClient::default(),
             places,
+            deployment: self.deployment,
+            callers: self.deployment.callers().expect("a sound example"),
             entry_domains: self.domains,
+            settings: self.settings,
             product: self.product,
             folder,
             _permit: permit,
--- a/crates/standin/src/stack/process.rs
+++ b/crates/standin/src/stack/process.rs
@@ -5,9 +5,9 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::{Arc, OnceLock};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use super::{PATIENCE, POLL};
+use super::{OPERATOR_KEY, OPERATOR_VARIABLE, PATIENCE, POLL, RESUME_KEY, RESUME_VARIABLE};
 
 /// One started process; killed when it is dropped.
 #[derive(Debug)]
@@ -28,6 +28,8 @@
     pub fn start(name: &str, program: &Path, arguments: &[&str]) -> Self {
         let mut child = Command::new(program)
             .args(arguments)
+            .env(OPERATOR_VARIABLE, OPERATOR_KEY)
+            .env(RESUME_VARIABLE, RESUME_KEY)
             .stdout(Stdio::piped())
             .spawn()
             .unwrap_or_else(|error| panic!("{name} does not start: {error}"));
@@ -53,6 +55,23 @@
         self.child.id()
     }
 
+    /// Where its admin listener is; blocks until the process says so.
+    #[must_use]
+    pub fn admin_now(&self) -> SocketAddr {
+        let started = Instant::now();
+        loop {
+            if let Some(address) = self.admin.get() {
+                return *address;
+            }
+            assert!(
+                started.elapsed() < PATIENCE,
+                "{} names no admin address",
+                self.name
+            );
+            std::thread::sleep(POLL);
+        }
+    }
+
     /// Where its admin listener is; waits until the process says so.
     pub async fn admin(&self) -> SocketAddr {
         let started = Instant::now();
@@ -83,6 +102,18 @@
         self.child.wait().expect("the process can be waited for");
     }
 
+    /// Waits until the process ended by itself, and kills it after a limit.
+    pub fn wait_or_kill(&mut self, limit: Duration) {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return;
+            }
+            std::thread::sleep(POLL);
+        }
+        self.kill();
+    }
+
     /// Kills the process; its address refuses connections from then on.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control::EvidenceBoard;
 use control::assembly::{AssemblyParts, FirstHosts, SupervisorInputs, supervise_leases};
 use control::directory::{HostDirectory, follow_hosts};
 use control::fleet::{FleetInputs, follow_fleet};
@@ -29,14 +28,10 @@
     }
 }
 
-/// Starts the tasks of control. The board takes in what peers saw and gives them what this node
-/// saw.
-pub fn start(
-    context: &NodeContext,
-    members: &watch::Receiver<Arc<MemberView>>,
-    board: &EvidenceBoard,
-) -> ControlTasks {
-    let settings = context.settings.control;
+/// Starts the tasks of control. The context's board takes in what peers saw and gives them what
+/// this node saw.
+pub fn start(context: &NodeContext, members: &watch::Receiver<Arc<MemberView>>) -> ControlTasks {
+    let settings = context.control;
     let hosts = watch::Sender::new(Arc::new(HostDirectory::default()));
     let directory = hosts.subscribe();
     let replicas = watch::Sender::new(Arc::new(FleetPlans::default()));
@@ -55,7 +50,7 @@
     tokio::spawn(follow_wholeness(
         inputs,
         engine,
-        board.clone(),
+        context.board.clone(),
         settings.watch,
     ));
     let inputs = FleetInputs {
@@ -65,24 +60,23 @@
     };
     tokio::spawn(follow_fleet(
         inputs,
-        board.clone(),
+        context.board.clone(),
         context.target_sender.clone(),
     ));
-    start_leases(context, members, board, directory)
+    start_leases(context, members, directory)
 }
 
 fn start_leases(
     context: &NodeContext,
     members: &watch::Receiver<Arc<MemberView>>,
-    board: &EvidenceBoard,
     directory: watch::Receiver<Arc<HostDirectory>>,
 ) -> ControlTasks {
-    let settings = context.settings.control;
+    let settings = context.control;
     let parts = AssemblyParts {
         table: context.table.clone(),
         engine: context.engine.clone(),
         chooser: FirstHosts,
-        board: board.clone(),
+        board: context.board.clone(),
         directory,
         config: context.config_sender.subscribe(),
         recorder: context.recorder.clone(),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -2,11 +2,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use control::config::{ConfigFollower, ConfigKeeper, follow_config};
+use control::EvidenceBoard;
+use control::config::{ConfigFollower, ConfigHandle, ConfigKeeper, follow_config};
 use control::members::{Member, MemberBook, MemberKeeper, MemberState, MemberView};
 use eyre::WrapErr;
+use peers::{
+    EvidencePort, HeldEvidence, LinkParts, PeerHub, PeerTraffic, SharedKey, accept_links,
+    keep_links,
+};
 use platform::http::HttpTable;
+use settings::NodeSettings;
+use settings::node::peer_key;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -14,12 +22,21 @@
 
 /// A bound listener for peers, with what is shared with them.
 pub struct PeerListener {
-    #[expect(dead_code, reason = "links are accepted on it once they stand")]
     listener: TcpListener,
     book: MemberBook,
     members: MemberKeeper<HttpTable>,
+    config: ConfigHandle,
 }
 
+/// The running links.
+pub struct PeerTasks {
+    hub: PeerHub<BoardEvidence>,
+    members: MemberKeeper<HttpTable>,
+}
+
+/// Time that a node that stops gives its peers to hear of it.
+const GOODBYE_LIMIT: Duration = Duration::from_millis(300);
+
 /// Binds the listener for peers.
 ///
 /// # Errors
@@ -27,7 +44,8 @@
 /// When the address can't be bound.
 pub async fn bind(context: &NodeContext) -> eyre::Result<PeerListener> {
     let settings = &context.settings;
-    let wanted = SocketAddr::new(settings.listen.ip(), 0);
+    let any_port = SocketAddr::new(settings.listen.ip(), 0);
+    let wanted = settings.peers.listen.unwrap_or(any_port);
     let listener = TcpListener::bind(wanted)
         .await
         .wrap_err_with(|| format!("can't listen for peers on {wanted}"))?;
@@ -44,13 +62,52 @@
         .recorder(context.recorder.clone())
         .settings(settings.members)
         .build();
+    let config = ConfigKeeper::start(
+        settings.config.rule(),
+        book.clone(),
+        context.config_sender.clone(),
+        context.recorder.clone(),
+    );
     Ok(PeerListener {
         listener,
         book,
         members,
+        config,
     })
 }
 
+fn shared_key(settings: &NodeSettings) -> eyre::Result<Option<SharedKey>> {
+    let Some(text) = peer_key(&settings.peers)? else {
+        return Ok(None);
+    };
+    Ok(Some(SharedKey::new(text.expose())?))
+}
+
+/// Evidence of wholeness between the board and the links.
+#[derive(Debug, Clone)]
+pub struct BoardEvidence(EvidenceBoard);
+
+impl EvidencePort for BoardEvidence {
+    fn export(&self) -> Vec<HeldEvidence> {
+        let now = Instant::now();
+        let mut held = Vec::new();
+        for evidence in self.0.export(usize::MAX) {
+            // Evidence from before the clock's own start is too old for anything.
+            let Some(as_of) = now.checked_sub(evidence.age) else {
+                continue;
+            };
+            held.push(HeldEvidence { evidence, as_of });
+        }
+        held
+    }
+
+    fn import(&self, held: HeldEvidence) {
+        let mut evidence = held.evidence;
+        evidence.age = held.as_of.elapsed();
+        self.0.record(evidence);
+    }
+}
+
 impl PeerListener {
     /// The nodes that are taken to be alive, told of every change.
     pub fn members(&self) -> watch::Receiver<Arc<MemberView>> {
@@ -58,18 +115,17 @@
     }
 
     /// Starts the tasks.
-    pub fn start(&self, context: &NodeContext) {
+    ///
+    /// # Errors
+    ///
+    /// When the shared key can't be read or is too short.
+    pub fn start(self, context: &NodeContext) -> eyre::Result<PeerTasks> {
         let settings = &context.settings;
-        let keeper = ConfigKeeper::start(
-            settings.config.rule(),
-            self.book.clone(),
-            context.config_sender.clone(),
-            context.recorder.clone(),
-        );
+        let key = shared_key(settings)?;
         let follower = ConfigFollower::builder()
             .table(context.table.clone())
             .objects(context.objects.clone())
-            .keeper(keeper)
+            .keeper(self.config.clone())
             .members(self.book.clone())
             .recorder(context.recorder.clone())
             .settings(settings.config)
@@ -78,10 +134,33 @@
         tokio::spawn(self.members.clone().write_forever());
         tokio::spawn(self.members.clone().beat_forever());
         tokio::spawn(self.members.clone().list_forever());
+        let hub = PeerHub {
+            config: self.config,
+            book: self.book,
+            evidence: BoardEvidence(context.board.clone()),
+            traffic: PeerTraffic::default(),
+            wake: Arc::default(),
+        };
+        if let Some(key) = key {
+            let parts = LinkParts {
+                hub: hub.clone(),
+                key,
+                settings: settings.peers.clone(),
+                recorder: context.recorder.clone(),
+            };
+            tokio::spawn(accept_links(self.listener, parts.clone()));
+            tokio::spawn(keep_links(parts));
+        }
+        Ok(PeerTasks {
+            hub,
+            members: self.members,
+        })
     }
+}
 
+impl PeerTasks {
     /// Says goodbye to the other nodes.
     pub async fn leave(&self) {
-        self.members.leave().await;
+        tokio::join!(self.hub.say_goodbye(GOODBYE_LIMIT), self.members.leave());
     }
 }
