--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -1,11 +1,10 @@
 //! Routes of the admin listener.
 
-use std::sync::Arc;
-
 use control::amend::AmendError;
 use control::history::{HistoryQuery, get_record, list_records, read_history};
 use control::{ConfigView, amend_record};
 use domain::record::RecordKind;
+use domain::{FindingList, RecordSpec};
 use events::{EventRecorder, NodeMetrics};
 use http::{Method, StatusCode};
 use platform::TableStore;
@@ -31,9 +30,6 @@
     /// The status now.
     fn status(&self) -> NodeStatus;
 
-    /// The configuration in force on it.
-    fn config(&self) -> Arc<ConfigView>;
-
     /// Why no amendment can be taken through this node now; none when it can.
     fn amend_hindrance(&self) -> Option<String>;
 }
@@ -89,7 +85,10 @@
     }
 
     async fn amended(&self, body: AmendBody) -> AmendAnswer {
-        let view = self.parts.source.config();
+        let view = match self.stored_view().await {
+            Ok(view) => view,
+            Err(error) => return answer_from(Err(error), FindingList::default()),
+        };
         let report = match review_amendment(&view, &body) {
             Ok(report) => report,
             Err(findings) => return AmendAnswer::Refused { findings },
@@ -102,6 +101,19 @@
         answer_from(amend_record(&self.parts.table, &amendment).await, warnings)
     }
 
+    /// The records as the table has them: what is in force here may lag behind the record that
+    /// the operator wrote a moment ago, and a warning about its absence would be wrong.
+    async fn stored_view(&self) -> Result<ConfigView, AmendError> {
+        let mut view = ConfigView::default();
+        for stored in list_records(&self.parts.table, None).await? {
+            let Ok(record) = RecordSpec::try_from(stored.record) else {
+                continue;
+            };
+            view.insert(record);
+        }
+        Ok(view)
+    }
+
     async fn records(&self, path: &str, query: &str) -> WebAnswer {
         let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
         match parts.as_slice() {
--- a/crates/events/src/logs.rs
+++ b/crates/events/src/logs.rs
@@ -1,12 +1,13 @@
 //! Logs as lines of JSON on standard error.
 
 use log::LevelFilter;
+use log::kv::{Error as KvError, Key, Source, Value, VisitSource};
 use logforth::append;
 use logforth::layout::JsonLayout;
 use logforth::record::LevelFilter as AppendFilter;
 
-use crate::code::{EventCode, EventLevel};
-use crate::recorder::{EventRecord, EventSubject};
+use crate::code::EventLevel;
+use crate::recorder::EventRecord;
 
 /// Starts logging of events at `level` and above; a second call changes the level only.
 pub fn start_logs(level: EventLevel) {
@@ -46,16 +47,35 @@
 
 /// Writes an event to the log.
 pub(crate) fn log_event(event: &EventRecord) {
-    let code: EventCode = event.code;
-    let subject: &EventSubject = &event.subject;
-    log::log!(
-        target: "bramleyspring",
-        log::Level::from(code.level()),
-        number = code.number(),
-        event = code.name(),
-        node = event.node.as_str(),
-        subject:serde = subject;
-        "{}",
-        event.detail
+    let level = log::Level::from(event.code.level());
+    if level > log::max_level() {
+        return;
+    }
+    log::logger().log(
+        &log::Record::builder()
+            .target("bramleyspring")
+            .level(level)
+            .key_values(&EventPairs { event })
+            .args(format_args!("{}", event.detail))
+            .build(),
     );
 }
+
+/// The parts of an event that stand as pairs in its line; absent ones are left out.
+struct EventPairs<'event> {
+    event: &'event EventRecord,
+}
+
+impl Source for EventPairs<'_> {
+    fn visit<'pair>(&'pair self, visitor: &mut dyn VisitSource<'pair>) -> Result<(), KvError> {
+        let event = self.event;
+        visitor.visit_pair(Key::from("number"), Value::from(event.code.number()))?;
+        visitor.visit_pair(Key::from("event"), Value::from(event.code.name()))?;
+        visitor.visit_pair(Key::from("node"), Value::from(event.node.as_str()))?;
+        for (name, value) in event.subject.pairs() {
+            let Some(value) = value else { continue };
+            visitor.visit_pair(Key::from(name), Value::from(value))?;
+        }
+        Ok(())
+    }
+}
--- a/crates/events/src/recorder.rs
+++ b/crates/events/src/recorder.rs
@@ -68,6 +68,18 @@
         }
     }
 
+    /// Every part with its name.
+    #[must_use]
+    pub fn pairs(&self) -> [(&'static str, Option<&str>); 5] {
+        [
+            ("request", self.request.as_ref().map(RequestId::as_str)),
+            ("customer", self.customer.as_ref().map(CustomerId::as_str)),
+            ("replica", self.replica.as_ref().map(ReplicaId::as_str)),
+            ("host", self.host.as_ref().map(HostId::as_str)),
+            ("lease", self.lease.as_ref().map(LeaseName::as_str)),
+        ]
+    }
+
     /// The same event, also about a customer.
     #[must_use]
     pub fn and_customer(mut self, customer: &CustomerId) -> Self {
--- a/crates/events/src/timeline.rs
+++ b/crates/events/src/timeline.rs
@@ -32,33 +32,21 @@
 
 impl TimelineFilter {
     fn matches(&self, event: &EventRecord) -> bool {
-        let subject = &event.subject;
-        let pairs = [
-            (
-                &self.request,
-                subject.request.as_ref().map(domain::RequestId::as_str),
-            ),
-            (
-                &self.replica,
-                subject.replica.as_ref().map(domain::ReplicaId::as_str),
-            ),
-            (
-                &self.host,
-                subject.host.as_ref().map(domain::HostId::as_str),
-            ),
-            (
-                &self.customer,
-                subject.customer.as_ref().map(domain::CustomerId::as_str),
-            ),
-            (
-                &self.lease,
-                subject.lease.as_ref().map(domain::LeaseName::as_str),
-            ),
+        let wanted = [
+            &self.request,
+            &self.customer,
+            &self.replica,
+            &self.host,
+            &self.lease,
         ];
-        pairs.iter().all(|(wanted, given)| match wanted {
-            Some(wanted) => *given == Some(wanted.as_str()),
-            None => true,
-        })
+        let given = event.subject.pairs();
+        wanted
+            .into_iter()
+            .zip(given)
+            .all(|(wanted, (_, given))| match wanted {
+                Some(wanted) => given == Some(wanted.as_str()),
+                None => true,
+            })
     }
 }
 
@@ -131,28 +119,8 @@
 /// What an event is about, in one line.
 #[must_use]
 pub fn subject_text(event: &EventRecord) -> String {
-    let subject = &event.subject;
     let mut parts = Vec::new();
-    let pairs = [
-        (
-            "request",
-            subject.request.as_ref().map(domain::RequestId::as_str),
-        ),
-        (
-            "customer",
-            subject.customer.as_ref().map(domain::CustomerId::as_str),
-        ),
-        (
-            "replica",
-            subject.replica.as_ref().map(domain::ReplicaId::as_str),
-        ),
-        ("host", subject.host.as_ref().map(domain::HostId::as_str)),
-        (
-            "lease",
-            subject.lease.as_ref().map(domain::LeaseName::as_str),
-        ),
-    ];
-    for (name, value) in pairs {
+    for (name, value) in event.subject.pairs() {
         let Some(value) = value else { continue };
         parts.push(format!("{name}={value}"));
     }
--- a/crates/standin/src/stack/mod.rs
+++ b/crates/standin/src/stack/mod.rs
@@ -129,7 +129,7 @@
     fn write_settings(&self, name: &str, domain: &str) -> String {
         let mut settings = json!({
             "node": name, "region": self.deployment.region(), "domain": domain,
-            "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+            "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "log": { "level": "error" },
             "secrets": { "operator_key_env": OPERATOR_VARIABLE, "resume_key_env": RESUME_VARIABLE },
             "platform": {
                 "table": self.table.address,
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -220,10 +220,6 @@
         }
     }
 
-    fn config(&self) -> Arc<ConfigView> {
-        Arc::clone(&self.config.borrow())
-    }
-
     fn amend_hindrance(&self) -> Option<String> {
         None
     }
