--- /dev/null
+++ b/crates/policy/examples/compare/main.rs
@@ -0,0 +1,34 @@
+//! Prints the tables of docs/DECISIONS.md: each decision beside its baselines, with fixed seeds.
+//!
+//! Names of tables as arguments print only these.
+
+#[path = "../../tests/baseline/mod.rs"]
+mod baseline;
+#[path = "../../tests/driver/mod.rs"]
+mod driver;
+#[path = "../../tests/year/mod.rs"]
+mod year;
+
+mod hosts;
+mod requests;
+
+fn main() {
+    let wanted: Vec<String> = std::env::args().skip(1).collect();
+    let all: [(&str, fn()); 8] = [
+        ("admission", requests::admission),
+        ("saturation", requests::saturation),
+        ("placement", requests::placement),
+        ("affinity", requests::affinity),
+        ("shares", requests::shares),
+        ("assembly", hosts::assembly),
+        ("weights", hosts::weights),
+        ("outages", hosts::outages),
+    ];
+    for (name, table) in all {
+        if !wanted.is_empty() && !wanted.iter().any(|want| want == name) {
+            continue;
+        }
+        println!("\n## {name}\n");
+        table();
+    }
+}
--- a/crates/policy/examples/compare.rs
+++ b/crates/policy/examples/compare/requests.rs
@@ -1,31 +1,8 @@
-//! Prints the tables of docs/DECISIONS.md: each decision beside its baselines, with fixed seeds.
+//! Tables of the decisions on the request path.
 
-#[path = "../tests/baseline/mod.rs"]
-mod baseline;
-#[path = "../tests/driver/mod.rs"]
-mod driver;
-
-use baseline::{PlaceKind, QueueKind, ShareKind};
-use driver::callers::{merged, steady};
-use driver::{Call, Driver, RunResult, Setup};
-
-fn main() {
-    let wanted: Vec<String> = std::env::args().skip(1).collect();
-    let all: [(&str, fn()); 5] = [
-        ("admission", admission),
-        ("saturation", saturation),
-        ("placement", placement),
-        ("affinity", affinity),
-        ("shares", shares),
-    ];
-    for (name, table) in all {
-        if !wanted.is_empty() && !wanted.iter().any(|want| want == name) {
-            continue;
-        }
-        println!("\n## {name}\n");
-        table();
-    }
-}
+use crate::baseline::{PlaceKind, QueueKind, ShareKind};
+use crate::driver::callers::{merged, steady};
+use crate::driver::{self, Call, Driver, RunResult, Setup};
 
 fn queue_kinds() -> [(&'static str, QueueKind); 3] {
     [
@@ -39,7 +16,7 @@
 }
 
 /// A burst of one large customer beside three small ones.
-fn admission() {
+pub fn admission() {
     println!(
         "| queue | small on time | small p50 s | small p95 s | burst on time | p95 without burst s |"
     );
@@ -92,7 +69,7 @@
 }
 
 /// Demand of half, 1, 2 and 10 times the capacity.
-fn saturation() {
+pub fn saturation() {
     println!("| demand | queue | goodput / capacity | late | refused | p50 s | p95 s |");
     println!("|---|---|---|---|---|---|---|");
     for times in [0.5, 1.0, 2.0, 10.0] {
@@ -116,7 +93,7 @@
 }
 
 /// Shared prompts of 2,400 tokens, more than the caches of the engines hold together twice.
-fn affinity() {
+pub fn affinity() {
     println!("| choice | on time | p50 s | p95 s | p99 s |");
     println!("|---|---|---|---|---|");
     for (name, place, affinity) in [
@@ -157,7 +134,7 @@
 type CaseForm = fn(&mut Setup);
 
 /// Choosing a target: two entries before 40 engines at 75% of capacity.
-fn placement() {
+pub fn placement() {
     println!("| case | choice | on time | p50 s | p95 s | p99 s | failed attempts |");
     println!("|---|---|---|---|---|---|---|");
     let kinds = [
@@ -178,7 +155,7 @@
             setup.engines[3].fails = (10.0, 30.0);
         }),
         ("no reports, 10–30 s", |setup| {
-            setup.blackout = (10.0, 30.0)
+            setup.blackout = (10.0, 30.0);
         }),
     ];
     for (case, form) in cases {
@@ -220,7 +197,7 @@
 }
 
 /// Parts of the slots of several entries under an uneven balancer.
-fn shares() {
+pub fn shares() {
     println!(
         "| entries | demand | share | goodput / capacity | late | refused | p50 s | p95 s | deepest engine queues |"
     );
--- a/crates/policy/src/assembly/settings.rs
+++ b/crates/policy/src/assembly/settings.rs
@@ -22,11 +22,11 @@
     /// replacement has to fetch them first. Longer than the load itself it is never worth it.
     #[builder(default = Duration::from_secs(30))]
     pub patience: Duration,
-    /// Time in which one host fetches its part of the weights at the store's full rate.
-    #[builder(default = Duration::from_mins(2))]
+    /// Time in which one host fetches its part of the weights while the store is not overloaded.
+    #[builder(default = Duration::from_mins(1))]
     pub load_time: Duration,
-    /// Hosts that may fetch weights at once under the store's rate limit.
-    #[builder(default = 16)]
+    /// Hosts that can fetch weights at once, each at its own full rate, under the store's limit.
+    #[builder(default = 4)]
     pub parallel_loads: usize,
     /// Time to drain a replica whose hosts are needed elsewhere.
     #[builder(default = Duration::from_mins(2))]
--- a/crates/policy/tests/baseline/mod.rs
+++ b/crates/policy/tests/baseline/mod.rs
@@ -10,6 +10,8 @@
 
 use crate::driver::{Entry, Job};
 
+pub mod assembly;
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum QueueKind {
     Fair,
