--- /dev/null
+++ b/crates/settings/examples/page.rs
@@ -0,0 +1,5 @@
+//! Prints docs/SETTINGS.md.
+
+fn main() {
+    print!("{}", settings::page::settings_page());
+}
--- a/crates/standin/src/stack/mod.rs
+++ b/crates/standin/src/stack/mod.rs
@@ -14,7 +14,7 @@
 use std::process::Command;
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 use tokio::sync::SemaphorePermit;
 use web::WebClient;
 
@@ -27,6 +27,18 @@
 /// Generous bound on anything that a test waits for.
 pub const PATIENCE: Duration = Duration::from_mins(1);
 
+/// The operators' key of a test's system.
+pub const OPERATOR_KEY: &str = "operators-of-the-test-stack";
+
+/// The key that seals resume tokens in a test's system.
+const RESUME_KEY: &str = "resume-key-of-the-test-stack";
+
+/// Variables with the keys of the entries, and of the operators' client.
+const OPERATOR_VARIABLE: &str = "STACK_OPERATOR_KEY";
+const RESUME_VARIABLE: &str = "STACK_RESUME_KEY";
+const KEY_VARIABLE: &str = "BRAMLEYSPRING_KEY";
+const NODES_VARIABLE: &str = "BRAMLEYSPRING_NODES";
+
 const POLL: Duration = Duration::from_millis(50);
 const PROBE: Duration = Duration::from_secs(1);
 
@@ -56,6 +68,7 @@
     deployment: Deployment,
     callers: CallerPlan,
     entry_domains: Vec<String>,
+    settings: Map<String, Value>,
     product: PathBuf,
     folder: PathBuf,
     _permit: SemaphorePermit<'static>,
@@ -114,14 +127,19 @@
     }
 
     fn write_settings(&self, name: &str, domain: &str) -> String {
-        let settings = json!({
-            "node": name, "region": self.deployment.region(), "domain": domain, "listen": "127.0.0.1:0",
+        let mut settings = json!({
+            "node": name, "region": self.deployment.region(), "domain": domain,
+            "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+            "secrets": { "operator_key_env": OPERATOR_VARIABLE, "resume_key_env": RESUME_VARIABLE },
             "platform": {
                 "table": self.table.address,
                 "objects": self.objects.address,
                 "hostlist": self.hostlist.address,
             },
         });
+        for (section, values) in &self.settings {
+            settings[section] = values.clone();
+        }
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("writable");
         path.display().to_string()
@@ -133,19 +151,27 @@
         std::fs::File::create(&path)
             .and_then(|mut file| file.write_all(records.to_string().as_bytes()))
             .expect("writable");
-        let settings = self.write_settings("operator", &self.entry_domains[0]);
-        let status = Command::new(&self.product)
-            .args([
-                "apply",
-                "--settings",
-                &settings,
-                &path.display().to_string(),
-            ])
-            .status()
-            .expect("the client runs");
+        let mut command = self.operator();
+        command.args(["apply", &path.display().to_string()]);
+        let status = command.status().expect("the client runs");
         assert!(status.success(), "the records are not accepted");
     }
 
+    /// The operators' client with its access to every entry; add a command and run it.
+    #[must_use]
+    pub fn operator(&self) -> Command {
+        let admins: Vec<String> = self
+            .entries
+            .iter()
+            .map(|entry| entry.admin_now().to_string())
+            .collect();
+        let mut command = Command::new(&self.product);
+        command
+            .env(NODES_VARIABLE, admins.join(","))
+            .env(KEY_VARIABLE, OPERATOR_KEY);
+        command
+    }
+
     /// Marks hosts as leaving in the host list.
     pub fn set_leaving(&self, leaving: &[&str]) {
         let places = &self.places;
--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use serde_json::{Map, Value};
 use tokio::sync::Semaphore;
 use web::WebClient;
 
@@ -38,6 +39,7 @@
     hostlist_options: Vec<String>,
     weights_options: Option<Vec<String>>,
     deployment: Deployment,
+    settings: Map<String, Value>,
 }
 
 impl StackPlan {
@@ -61,6 +63,7 @@
             hostlist_options: Vec::new(),
             weights_options: None,
             deployment: Deployment::Ndiaye,
+            settings: Map::new(),
         }
     }
 
@@ -106,6 +109,13 @@
         self
     }
 
+    /// One section of the entries' settings, such as `("config", json!({"poll": "200ms"}))`.
+    #[must_use]
+    pub fn settings(mut self, section: &str, values: Value) -> Self {
+        self.settings.insert(section.to_owned(), values);
+        self
+    }
+
     /// Fabric domains `f0`, `f1`, …, each with an equal run of the hosts.
     #[must_use]
     pub fn fabrics(mut self, count: usize) -> Self {
@@ -219,6 +229,7 @@
             deployment: self.deployment,
             callers: self.deployment.callers().expect("a sound example"),
             entry_domains: self.domains,
+            settings: self.settings,
             product: self.product,
             folder,
             _permit: permit,
--- a/src/output.rs
+++ b/src/output.rs
@@ -52,7 +52,9 @@
             let line = cells.join("  ");
             let line = line.trim_end();
             if number == 0 && self.bold_head {
-                out.push_str(&format!("\u{1b}[1m{line}\u{1b}[0m\n"));
+                out.push_str("\u{1b}[1m");
+                out.push_str(line);
+                out.push_str("\u{1b}[0m\n");
                 continue;
             }
             out.push_str(line);
