--- /dev/null
+++ b/crates/control/tests/config_load.rs
@@ -0,0 +1,132 @@
+//! Reading a configuration that is far ahead: log, snapshot, scan, compaction.
+
+mod fake;
+
+use control::config::load::load_update;
+use control::config::snapshot::publish_snapshot;
+use control::config::{ConfigSnapshot, ConfigState};
+use control::history::config_head;
+use control::{AmendOutcome, Expect, RecordAmendment, amend_record};
+use domain::ConfigRevision;
+use domain::record::RecordKind;
+use fake::{FakeObjects, FakeTable};
+use platform::keys;
+use serde_json::json;
+use wire::record::RecordFrame;
+
+async fn amend(table: &FakeTable, number: u64) {
+    let name = format!("d{}", number % 7);
+    let kind = RecordKind::Drain;
+    let amendment = RecordAmendment {
+        kind,
+        name: name.clone(),
+        record: Some(RecordFrame {
+            schema: 2,
+            kind,
+            name,
+            spec: json!({ "hosts": [format!("h{number}")] }),
+        }),
+        expect: Expect::Any,
+        operator: "test".to_owned(),
+        token: format!("t{number}").parse().expect("a token"),
+    };
+    let outcome = amend_record(table, &amendment).await.expect("settled");
+    assert!(matches!(outcome, AmendOutcome::Accepted(_)));
+}
+
+async fn follow(table: &FakeTable, objects: &FakeObjects, state: &mut ConfigState) {
+    let head = config_head(table).await.expect("a head");
+    let update = load_update(table, objects, state.revision(), head)
+        .await
+        .expect("an update");
+    if let Some(snapshot) = update.snapshot {
+        state.apply_snapshot(snapshot);
+    }
+    for change in update.changes {
+        state.apply_change(change);
+    }
+    assert_eq!(state.revision(), head);
+}
+
+async fn filled(changes: u64) -> (FakeTable, ConfigSnapshot) {
+    let table = FakeTable::default();
+    for number in 1..=changes {
+        amend(&table, number).await;
+    }
+    let mut state = ConfigState::default();
+    follow(&table, &FakeObjects::default(), &mut state).await;
+    (table, state.snapshot())
+}
+
+#[tokio::test]
+async fn only_missing_read() {
+    let (table, _) = filled(20).await;
+    let objects = FakeObjects::default();
+    let mut state = ConfigState::default();
+    follow(&table, &objects, &mut state).await;
+    let scans = table.scans();
+    amend(&table, 21).await;
+    amend(&table, 22).await;
+    let reads = table.reads();
+    follow(&table, &objects, &mut state).await;
+    assert_eq!(table.reads() - reads, 3, "the head and two changes");
+    assert_eq!(table.scans(), scans);
+}
+
+// The log of a node that was away for days is compacted. It reads the snapshot and what follows
+// it; otherwise it would be out of service for good.
+#[tokio::test]
+async fn compacted_log_followed() {
+    let (table, _) = filled(5).await;
+    let objects = FakeObjects::default();
+    let mut stale = ConfigState::default();
+    follow(&table, &objects, &mut stale).await;
+    for number in 6..=300 {
+        amend(&table, number).await;
+    }
+    let mut fresh = ConfigState::default();
+    follow(&table, &objects, &mut fresh).await;
+    publish_snapshot(&table, &objects, &fresh.snapshot(), 20, "e1")
+        .await
+        .expect("published");
+    assert_eq!(table.keys(keys::CONFIG_LOG).len(), 20);
+    for number in 301..=310 {
+        amend(&table, number).await;
+    }
+    follow(&table, &objects, &mut fresh).await;
+    let scans = table.scans();
+    follow(&table, &objects, &mut stale).await;
+    assert_eq!(table.scans(), scans, "it read the snapshot");
+    assert_eq!(stale.snapshot(), fresh.snapshot());
+}
+
+// The object store loses the snapshot, or is down, while a node starts. It reads all records from
+// the table instead.
+#[tokio::test]
+async fn lost_snapshot_survived() {
+    let (table, truth) = filled(120).await;
+    let objects = FakeObjects::default();
+    publish_snapshot(&table, &objects, &truth, 10, "e1")
+        .await
+        .expect("published");
+    objects.clear();
+    let mut state = ConfigState::default();
+    follow(&table, &objects, &mut state).await;
+    assert_eq!(state.snapshot(), truth);
+}
+
+#[tokio::test]
+async fn snapshots_race() {
+    let (table, truth) = filled(150).await;
+    let objects = FakeObjects::default();
+    let (first, second) = tokio::join!(
+        publish_snapshot(&table, &objects, &truth, 30, "e1"),
+        publish_snapshot(&table, &objects, &truth, 30, "e2")
+    );
+    assert!(first.is_ok() && second.is_ok());
+    assert!(table.keys(keys::CONFIG_LOG).len() >= 30);
+    let mut state = ConfigState::default();
+    follow(&table, &objects, &mut state).await;
+    assert_eq!(state.snapshot(), truth);
+    assert_eq!(state.revision(), ConfigRevision(150));
+}
--- /dev/null
+++ b/crates/control/tests/config_state.rs
@@ -0,0 +1,227 @@
+//! The configuration in force under reordered, repeated, lost and late messages.
+
+use std::time::Duration;
+
+use control::amend::ChangeEntry;
+use control::config::state::ApplyOutcome;
+use control::config::{ConfigSnapshot, ConfigState, NodeStanding, StandingFacts, StandingRule};
+use control::members::MemberReach;
+use domain::ConfigRevision;
+use domain::record::RecordKind;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use serde_json::json;
+use wire::record::RecordFrame;
+
+const TESTS: u64 = 500;
+const SEED: u64 = 0x5eed_0c0f;
+
+fn check<A: quickcheck::Testable>(property: A) {
+    let source = Gen::from_size_and_seed(60, SEED);
+    QuickCheck::new()
+        .rng(source)
+        .tests(TESTS)
+        .quickcheck(property);
+}
+
+/// What operators wrote, in order, and in which order a node hears of it.
+#[derive(Debug, Clone)]
+struct ConfigRun {
+    history: Vec<ChangeEntry>,
+    deliveries: Vec<Delivery>,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Delivery {
+    Change(usize),
+    Snapshot(usize),
+}
+
+impl Arbitrary for ConfigRun {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let count = u64::arbitrary(source) % 12 + 1;
+        let mut history = Vec::new();
+        for revision in 1..=count {
+            let name = format!("r{}", u8::arbitrary(source) % 3);
+            let deleted = u8::arbitrary(source).is_multiple_of(4);
+            let schema = u32::from(u8::arbitrary(source) % 3) + 1;
+            let record = (!deleted).then(|| RecordFrame {
+                schema,
+                kind: RecordKind::Drain,
+                name: name.clone(),
+                spec: json!({ "hosts": [format!("h{revision}")] }),
+            });
+            history.push(ChangeEntry {
+                revision: ConfigRevision(revision),
+                kind: RecordKind::Drain,
+                name,
+                record,
+                operator: "test".to_owned(),
+            });
+        }
+        let mut deliveries = Vec::new();
+        for _ in 0..source.size() {
+            let place = usize::arbitrary(source) % history.len();
+            if u8::arbitrary(source).is_multiple_of(5) {
+                deliveries.push(Delivery::Snapshot(place));
+            } else {
+                deliveries.push(Delivery::Change(place));
+            }
+        }
+        Self {
+            history,
+            deliveries,
+        }
+    }
+}
+
+impl ConfigRun {
+    /// The configuration after the first changes, by replaying them in order.
+    fn truth(&self, changes: u64) -> ConfigSnapshot {
+        let mut state = ConfigState::default();
+        for change in &self.history {
+            if change.revision.0 > changes {
+                break;
+            }
+            assert_eq!(state.apply_change(change.clone()), ApplyOutcome::Applied);
+        }
+        state.snapshot()
+    }
+
+    fn deliver(&self, state: &mut ConfigState, delivery: Delivery) {
+        match delivery {
+            Delivery::Change(place) => {
+                state.apply_change(self.history[place].clone());
+            }
+            Delivery::Snapshot(place) => {
+                let revision = self.history[place].revision.0;
+                state.apply_snapshot(self.truth(revision));
+            }
+        }
+    }
+}
+
+#[test]
+fn never_reverts() {
+    fn property(run: ConfigRun) -> bool {
+        let mut state = ConfigState::default();
+        for delivery in &run.deliveries {
+            let before = state.revision();
+            run.deliver(&mut state, *delivery);
+            let fine =
+                state.revision() >= before && state.snapshot() == run.truth(state.revision().0);
+            if !fine {
+                return false;
+            }
+        }
+        true
+    }
+    check(property as fn(ConfigRun) -> bool);
+}
+
+#[test]
+fn changes_pass_on() {
+    fn property(run: ConfigRun) -> bool {
+        let mut ahead = ConfigState::default();
+        let mut behind = ConfigState::default();
+        for (step, delivery) in run.deliveries.iter().enumerate() {
+            run.deliver(&mut ahead, *delivery);
+            if step % 3 != 0 {
+                continue;
+            }
+            let missing = ahead.changes_after(behind.revision(), 4);
+            let Some(changes) = missing else {
+                behind.apply_snapshot(ahead.snapshot());
+                continue;
+            };
+            for change in changes {
+                if behind.apply_change(change) != ApplyOutcome::Applied {
+                    return false;
+                }
+            }
+            if behind.snapshot() != run.truth(behind.revision().0) {
+                return false;
+            }
+        }
+        true
+    }
+    check(property as fn(ConfigRun) -> bool);
+}
+
+#[test]
+fn unknown_schema_listed() {
+    fn property(run: ConfigRun) -> bool {
+        let snapshot = run.truth(run.history.len() as u64);
+        let unknown = snapshot
+            .records
+            .iter()
+            .filter(|stored| stored.record.schema == 3)
+            .count();
+        let mut state = ConfigState::default();
+        state.apply_snapshot(snapshot.clone());
+        let view = state.view();
+        view.unknown.len() == unknown && view.drains.len() == snapshot.records.len() - unknown
+    }
+    check(property as fn(ConfigRun) -> bool);
+}
+
+/// Steps of one node's knowledge, in tenths of a second.
+#[derive(Debug, Clone)]
+struct StandingStep(StandingFacts);
+
+impl Arbitrary for StandingStep {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let tenths = |source: &mut Gen| Duration::from_millis(u64::arbitrary(source) % 300 * 100);
+        let rostered = usize::arbitrary(source) % 20 + 1;
+        Self(StandingFacts {
+            applied: bool::arbitrary(source),
+            confirmed_age: bool::arbitrary(source).then(|| tenths(source)),
+            served: bool::arbitrary(source),
+            behind: bool::arbitrary(source),
+            reach: MemberReach {
+                heard: usize::arbitrary(source) % (rostered + 1),
+                rostered,
+            },
+            reach_held: tenths(source),
+        })
+    }
+}
+
+const RULE: StandingRule = StandingRule {
+    confirm_limit: Duration::from_secs(8),
+    settle: Duration::from_secs(12),
+};
+
+// A small side of a partition that goes on serving shows callers records that were amended since;
+// so does a node that knows of a newer revision and can't get it.
+#[test]
+fn minority_never_serves() {
+    fn property(step: StandingStep) -> bool {
+        let facts = step.0;
+        let confirmed = facts
+            .confirmed_age
+            .is_some_and(|age| age <= RULE.confirm_limit);
+        let minority = facts.reach.heard * 2 <= facts.reach.rostered;
+        let standing = RULE.judge(&facts);
+        if confirmed {
+            return standing == NodeStanding::Confirmed;
+        }
+        !(standing.serves() && (minority || facts.behind || !facts.applied))
+    }
+    check(property as fn(StandingStep) -> bool);
+}
+
+#[test]
+fn starter_settles() {
+    fn property(step: StandingStep) -> bool {
+        let facts = StandingFacts {
+            served: false,
+            ..step.0
+        };
+        let confirmed = facts
+            .confirmed_age
+            .is_some_and(|age| age <= RULE.confirm_limit);
+        let early = facts.reach_held < RULE.settle;
+        confirmed || !early || !RULE.judge(&facts).serves()
+    }
+    check(property as fn(StandingStep) -> bool);
+}
--- /dev/null
+++ b/crates/control/tests/member_state.rs
@@ -0,0 +1,172 @@
+//! The membership under reordered, repeated, lost and late heartbeats.
+
+use std::time::{Duration, Instant};
+
+use control::Member;
+use control::members::{MemberRow, MemberState, SignSource, SilenceLimits};
+use domain::FastSet;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const TESTS: u64 = 500;
+const SEED: u64 = 0x5eed_0e3b;
+const LIMITS: SilenceLimits = SilenceLimits {
+    dead: Duration::from_secs(20),
+    unheard: Duration::from_secs(10),
+};
+
+fn member(number: u8) -> Member {
+    Member {
+        node: format!("e{number}").parse().expect("a node"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: "plateau".parse().expect("a domain"),
+        region: "dakar".parse().expect("a region"),
+    }
+}
+
+fn row(number: u8, beat: u64) -> MemberRow {
+    MemberRow {
+        member: member(number),
+        beat,
+    }
+}
+
+#[derive(Debug, Clone)]
+enum MemberStep {
+    Hear(u8, u64),
+    Read(u8, u64),
+    Leave(u8),
+    List(Vec<u8>),
+    Wait(u64),
+}
+
+impl Arbitrary for MemberStep {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let node = u8::arbitrary(source) % 5 + 1;
+        let beat = u64::arbitrary(source) % 10;
+        match u8::arbitrary(source) % 10 {
+            0..=3 => Self::Hear(node, beat),
+            4..=5 => Self::Read(node, beat),
+            6 => Self::Leave(node),
+            7 => Self::List((1..=5).filter(|_| bool::arbitrary(source)).collect()),
+            _ => Self::Wait(u64::arbitrary(source) % 8),
+        }
+    }
+}
+
+fn run(state: &mut MemberState, step: &MemberStep, now: &mut Instant) {
+    match step {
+        MemberStep::Hear(node, beat) => {
+            state.observe(row(*node, *beat), SignSource::Peer, *now);
+        }
+        MemberStep::Read(node, beat) => {
+            state.observe(row(*node, *beat), SignSource::Table, *now);
+        }
+        MemberStep::Leave(node) => {
+            state.observe_leave(&member(*node).node);
+        }
+        MemberStep::List(nodes) => {
+            let listed: FastSet<_> = nodes.iter().map(|node| member(*node).node).collect();
+            state.observe_listing(&listed, *now);
+        }
+        MemberStep::Wait(seconds) => *now += Duration::from_secs(*seconds),
+    }
+}
+
+fn check(property: fn(Vec<MemberStep>) -> bool) {
+    let source = Gen::from_size_and_seed(80, SEED);
+    QuickCheck::new()
+        .rng(source)
+        .tests(TESTS)
+        .quickcheck(property);
+}
+
+// A node that left is brought back by a late digest; watchers are then chosen that do not exist,
+// and replicas go without evidence.
+#[test]
+fn left_stays_gone() {
+    fn property(steps: Vec<MemberStep>) -> bool {
+        let mut state = MemberState::new(member(0), LIMITS);
+        let mut now = Instant::now();
+        state.observe(row(1, 0), SignSource::Peer, now);
+        state.observe_leave(&member(1).node);
+        for step in &steps {
+            run(&mut state, step, &mut now);
+            let view = state.view(now);
+            if view
+                .members
+                .iter()
+                .any(|other| other.node == member(1).node)
+            {
+                return false;
+            }
+        }
+        true
+    }
+    check(property);
+}
+
+// Nodes that hear nothing must not shrink their roster by themselves: the small side of a
+// partition would take itself for the majority.
+#[test]
+fn silence_keeps_roster() {
+    fn property(steps: Vec<MemberStep>) -> bool {
+        let mut state = MemberState::new(member(0), LIMITS);
+        let mut now = Instant::now();
+        for step in &steps {
+            run(&mut state, step, &mut now);
+        }
+        let before = state.reach(now);
+        let long_after = now + Duration::from_hours(1);
+        let after = state.reach(long_after);
+        after.rostered == before.rostered && after.heard == 1
+    }
+    check(property);
+}
+
+// The same heartbeat heard again and again, from a buffer or by a detour, is no sign of life.
+#[test]
+fn repeats_prove_nothing() {
+    fn property(steps: Vec<MemberStep>) -> bool {
+        let mut state = MemberState::new(member(0), LIMITS);
+        let mut now = Instant::now();
+        for step in &steps {
+            run(&mut state, step, &mut now);
+        }
+        for _ in 0..40 {
+            now += Duration::from_secs(1);
+            for step in &steps {
+                if matches!(step, MemberStep::Hear(..)) {
+                    run(&mut state, step, &mut now);
+                }
+            }
+        }
+        state.reach(now).heard == 1
+    }
+    check(property);
+}
+
+#[test]
+fn order_is_free() {
+    fn property(steps: Vec<MemberStep>) -> bool {
+        let now = Instant::now();
+        let hears: Vec<_> = steps
+            .iter()
+            .filter(|step| matches!(step, MemberStep::Hear(..)))
+            .collect();
+        let mut forward = MemberState::new(member(0), LIMITS);
+        let mut backward = MemberState::new(member(0), LIMITS);
+        for step in &hears {
+            run(&mut forward, step, &mut now.clone());
+        }
+        for step in hears.iter().rev() {
+            run(&mut backward, step, &mut now.clone());
+        }
+        let sorted = |state: &MemberState| {
+            let mut rows = state.rows();
+            rows.sort_by(|left, right| left.member.node.cmp(&right.member.node));
+            rows
+        };
+        sorted(&forward) == sorted(&backward)
+    }
+    check(property);
+}
--- /dev/null
+++ b/crates/control/tests/record_amend.rs
@@ -0,0 +1,204 @@
+//! Amendments against a table in memory: races, lost answers, schema versions.
+
+mod fake;
+
+use control::amend::{AmendError, StoredRecord};
+use control::history::{AmendFate, amendment_fate, config_head, get_record};
+use control::{AmendOutcome, Expect, RecordAmendment, amend_record};
+use domain::ConfigRevision;
+use domain::record::RecordKind;
+use fake::{CommitFault, FakeTable};
+use serde_json::{Value, json};
+use wire::record::RecordFrame;
+
+fn amendment(name: &str, schema: u32, spec: Value, token: &str) -> RecordAmendment {
+    let kind = RecordKind::Customer;
+    RecordAmendment {
+        kind,
+        name: name.to_owned(),
+        record: Some(RecordFrame {
+            schema,
+            kind,
+            name: name.to_owned(),
+            spec,
+        }),
+        expect: Expect::Any,
+        operator: token.to_owned(),
+        token: token.parse().expect("a token"),
+    }
+}
+
+fn share(share: u32) -> Value {
+    json!({ "key_hashes": [], "grants": [], "share": share })
+}
+
+async fn stored(table: &FakeTable, name: &str) -> Option<StoredRecord> {
+    get_record(table, RecordKind::Customer, name)
+        .await
+        .expect("readable")
+}
+
+// Two operators amend the same record at the same moment. One is accepted; the other learns who
+// was faster and with what, instead of taking his own record for the one in force.
+#[tokio::test]
+async fn operators_race() {
+    for round in 0..50 {
+        let table = FakeTable::default();
+        let first = amendment("c", 2, share(1), &format!("a{round}"));
+        let second = amendment("c", 2, share(2), &format!("b{round}"));
+        let (first, second) =
+            tokio::join!(amend_record(&table, &first), amend_record(&table, &second));
+        let outcomes = [first.expect("settled"), second.expect("settled")];
+        let accepted = outcomes
+            .iter()
+            .filter(|outcome| matches!(outcome, AmendOutcome::Accepted(_)))
+            .count();
+        assert_eq!(accepted, 1, "{outcomes:?}");
+        for outcome in outcomes {
+            let AmendOutcome::Conflict(conflict) = outcome else {
+                continue;
+            };
+            let change = conflict.change.expect("the change is kept");
+            assert_eq!(change.record, conflict.current.map(|stored| stored.record));
+        }
+        assert_eq!(config_head(&table).await.expect("a head").0, 1);
+    }
+}
+
+#[tokio::test]
+async fn others_retried() {
+    let table = FakeTable::default();
+    let tasks: Vec<_> = (0..16)
+        .map(|number| {
+            let table = table.clone();
+            tokio::spawn(async move {
+                let amendment =
+                    amendment(&format!("c{number}"), 2, share(1), &format!("t{number}"));
+                amend_record(&table, &amendment).await
+            })
+        })
+        .collect();
+    for task in tasks {
+        let outcome = task.await.expect("no panic").expect("settled");
+        assert!(matches!(outcome, AmendOutcome::Accepted(_)), "{outcome:?}");
+    }
+    assert_eq!(config_head(&table).await.expect("a head").0, 16);
+}
+
+#[tokio::test]
+async fn expectation_kept() {
+    let table = FakeTable::default();
+    let mut next = amendment("c", 2, share(1), "t1");
+    next.expect = Expect::Revision(ConfigRevision(7));
+    let outcome = amend_record(&table, &next).await.expect("settled");
+    assert!(matches!(outcome, AmendOutcome::Conflict(_)));
+    next.expect = Expect::Absent;
+    let outcome = amend_record(&table, &next).await.expect("settled");
+    assert_eq!(outcome, AmendOutcome::Accepted(ConfigRevision(1)));
+    let mut again = amendment("c", 2, share(2), "t2");
+    again.expect = Expect::Absent;
+    let outcome = amend_record(&table, &again).await.expect("settled");
+    assert!(matches!(outcome, AmendOutcome::Conflict(_)));
+    again.expect = Expect::Revision(ConfigRevision(1));
+    let outcome = amend_record(&table, &again).await.expect("settled");
+    assert_eq!(outcome, AmendOutcome::Accepted(ConfigRevision(2)));
+    assert_eq!(stored(&table, "c").await.expect("there").revision.0, 2);
+}
+
+// The table takes an amendment and its answer is lost. The operator would amend again and take
+// the conflict with himself for another operator's work; the change log tells that it was his.
+#[tokio::test(start_paused = true)]
+async fn lost_answer_settled() {
+    for faults in [
+        vec![CommitFault::LoseAnswer],
+        vec![CommitFault::LoseWrite, CommitFault::LoseAnswer],
+        vec![CommitFault::LoseWrite, CommitFault::LoseWrite],
+        vec![CommitFault::LoseAnswer, CommitFault::LoseWrite],
+    ] {
+        let table = FakeTable::default();
+        table.set_faults(&faults);
+        let outcome = amend_record(&table, &amendment("c", 2, share(3), "t")).await;
+        let outcome = outcome.expect("settled");
+        assert_eq!(outcome, AmendOutcome::Accepted(ConfigRevision(1)));
+        assert_eq!(config_head(&table).await.expect("a head").0, 1);
+    }
+}
+
+// Every answer is lost, the amendment takes effect long after the operator's client gave up. The
+// client says that it does not know; what it names tells the outcome afterwards.
+#[tokio::test(start_paused = true)]
+async fn late_write_found() {
+    let table = FakeTable::default();
+    table.set_faults(&[CommitFault::Delay; 5]);
+    let outcome = amend_record(&table, &amendment("c", 2, share(3), "t")).await;
+    let Err(AmendError::Unsettled {
+        revision, token, ..
+    }) = outcome
+    else {
+        panic!("{outcome:?}");
+    };
+    let fate = |table: FakeTable| async move {
+        amendment_fate(&table, revision, token.as_str())
+            .await
+            .expect("readable")
+    };
+    assert_eq!(fate.clone()(table.clone()).await, AmendFate::Open);
+    table.deliver();
+    assert_eq!(fate(table.clone()).await, AmendFate::Accepted);
+    assert_eq!(config_head(&table).await.expect("a head").0, 1);
+}
+
+// A delayed amendment reaches the table after another operator's. It must not take effect: the
+// other operator was told that his record is in force.
+#[tokio::test(start_paused = true)]
+async fn late_write_refused() {
+    let table = FakeTable::default();
+    table.set_faults(&[CommitFault::Delay; 5]);
+    let late = amend_record(&table, &amendment("c", 2, share(3), "late")).await;
+    let Err(AmendError::Unsettled {
+        revision, token, ..
+    }) = late
+    else {
+        panic!("{late:?}");
+    };
+    let other = amend_record(&table, &amendment("c", 2, share(4), "other")).await;
+    assert_eq!(
+        other.expect("settled"),
+        AmendOutcome::Accepted(ConfigRevision(1))
+    );
+    table.deliver();
+    let record = stored(&table, "c").await.expect("there").record;
+    assert_eq!(record.spec["share"], 4);
+    let fate = amendment_fate(&table, revision, token.as_str()).await;
+    assert_eq!(fate.expect("readable"), AmendFate::NotAccepted);
+}
+
+// A client that knows schema version 1 alone reads a customer, does not see its share, and writes
+// it back. Accepted, it would cut a large customer's share to the default behind his back.
+#[tokio::test]
+async fn old_schema_refused() {
+    let table = FakeTable::default();
+    let rich = amend_record(&table, &amendment("c", 2, share(4), "t1")).await;
+    assert!(matches!(rich, Ok(AmendOutcome::Accepted(_))));
+    let poor = json!({ "key_hashes": [], "models": [] });
+    let outcome = amend_record(&table, &amendment("c", 1, poor.clone(), "t2")).await;
+    let Ok(AmendOutcome::Refused(findings)) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(findings.as_slice()[0].place, "spec.share");
+    let plain = amend_record(&table, &amendment("c", 2, share(1), "t3")).await;
+    assert!(matches!(plain, Ok(AmendOutcome::Accepted(_))));
+    let outcome = amend_record(&table, &amendment("c", 1, poor, "t4")).await;
+    assert!(
+        matches!(outcome, Ok(AmendOutcome::Accepted(_))),
+        "{outcome:?}"
+    );
+}
+
+#[tokio::test]
+async fn unknown_schema_refused() {
+    let table = FakeTable::default();
+    let outcome = amend_record(&table, &amendment("c", 3, json!({}), "t1")).await;
+    assert!(matches!(outcome, Ok(AmendOutcome::Refused(_))));
+    assert_eq!(config_head(&table).await.expect("a head").0, 0);
+}
