--- a/crates/control/tests/config_load.rs
+++ b/crates/control/tests/config_load.rs
@@ -130,3 +130,26 @@
     assert_eq!(state.snapshot(), truth);
     assert_eq!(state.revision(), ConfigRevision(150));
 }
+
+// Operators amend while a starting node reads all records. A read that takes in half of their
+// work under the older head would miss the other half for good.
+#[tokio::test]
+async fn scan_is_consistent() {
+    let (table, _) = filled(100).await;
+    let objects = FakeObjects::default();
+    for round in 0..20 {
+        let head = config_head(&table).await.expect("a head");
+        let load = load_update(&table, &objects, ConfigRevision(0), head);
+        let writes = async {
+            for step in 0..round % 3 {
+                amend(&table, 1_000 + round * 10 + step).await;
+            }
+        };
+        let (update, ()) = tokio::join!(load, writes);
+        let Ok(update) = update else { continue };
+        let snapshot = update.snapshot.expect("a scan");
+        for record in &snapshot.records {
+            assert!(record.revision <= snapshot.revision, "{record:?}");
+        }
+    }
+}
--- a/crates/control/tests/record_amend.rs
+++ b/crates/control/tests/record_amend.rs
@@ -124,6 +124,28 @@
     }
 }
 
+// The answer to a delete is lost, and before the client asks again another operator amends another
+// record. The head is his now and the record is gone; only the change log still tells that the
+// delete was accepted. Without it the client would report a conflict and delete again.
+#[tokio::test(start_paused = true)]
+async fn lost_delete_settled() {
+    let table = FakeTable::default();
+    let first = amend_record(&table, &amendment("c", 2, share(1), "t1")).await;
+    assert!(matches!(first, Ok(AmendOutcome::Accepted(_))));
+    table.set_faults(&[CommitFault::LoseAnswer]);
+    let mut delete = amendment("c", 2, share(1), "t2");
+    delete.record = None;
+    let other = async {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        amend_record(&table, &amendment("d", 2, share(1), "t3")).await
+    };
+    let (deleted, other) = tokio::join!(amend_record(&table, &delete), other);
+    let deleted = deleted.expect("settled");
+    assert_eq!(deleted, AmendOutcome::Accepted(ConfigRevision(2)));
+    let other = other.expect("settled");
+    assert_eq!(other, AmendOutcome::Accepted(ConfigRevision(3)));
+}
+
 // Every answer is lost, the amendment takes effect long after the operator's client gave up. The
 // client says that it does not know; what it names tells the outcome afterwards.
 #[tokio::test(start_paused = true)]
