--- a/crates/control/tests/config_state.rs
+++ b/crates/control/tests/config_state.rs
@@ -1,4 +1,8 @@
 //! The configuration in force under reordered, repeated, lost and late messages.
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck hands its inputs over by value"
+)]
 
 use std::time::Duration;
 
