--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -7,6 +7,7 @@
 use control::config::ConfigSettings;
 use control::members::MemberSettings;
 use domain::{DomainId, FindingList, NodeId, RegionId};
+use entry::EntrySettings;
 use events::EventLevel;
 use peers::PeerSettings;
 use serde::Deserialize;
@@ -35,6 +36,8 @@
     /// Where secrets come from.
     #[serde(default)]
     pub secrets: SecretSettings,
+    /// The request path.
+    pub entry: EntrySettings,
     /// Following the configuration.
     pub config: ConfigSettings,
     /// Knowing the other entry hosts.
@@ -75,6 +78,10 @@
     pub operator_key_file: Option<PathBuf>,
     /// Variable with the operators' key.
     pub operator_key_env: Option<String>,
+    /// File with the key that seals resume tokens.
+    pub resume_key_file: Option<PathBuf>,
+    /// Variable with the key that seals resume tokens.
+    pub resume_key_env: Option<String>,
 }
 
 impl SecretSettings {
@@ -89,6 +96,18 @@
             self.operator_key_env.as_deref(),
         )
     }
+
+    /// The key that seals resume tokens; none when no place is named.
+    ///
+    /// # Errors
+    ///
+    /// [`SecretError`].
+    pub fn resume_key(&self) -> Result<Option<SecretText>, SecretError> {
+        load_secret(
+            self.resume_key_file.as_deref(),
+            self.resume_key_env.as_deref(),
+        )
+    }
 }
 
 /// The key that all nodes share, for their links; none when no place is named.
