--- a/crates/control/tests/assembly_rounds.rs
+++ b/crates/control/tests/assembly_rounds.rs
@@ -1,7 +1,7 @@
 //! Controllers that race, pause and lose answers over engines that die, restart and get orders
 //! late: no host in two replicas, and everything stands again afterwards.
 
-mod fake;
+mod dice;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -14,9 +14,9 @@
 use domain::record::{ModelRecord, VersionPlan};
 use domain::{ConfigRevision, FabricFleet, FabricId, HostSlot, LeaseEpoch, RecordSpec, RowVersion};
 use events::EventRecorder;
-use fake::SeededDice;
-use fake::engine::{FakeEngines, host_address, host_name};
-use fake::table::{FakeTable, FaultRates};
+use dice::SeededDice;
+use dice::engine::{FakeEngines, host_address, host_name};
+use dice::table::{FakeTable, FaultRates};
 use platform::{HostEntry, RowExpectation, TableStore, WriteBatch, keys};
 use quickcheck::{Gen, QuickCheck};
 use tokio::sync::watch;
--- a/crates/control/tests/lease_fencing.rs
+++ b/crates/control/tests/lease_fencing.rs
@@ -1,6 +1,6 @@
 //! Leases under pauses, slow and lost answers: one holder at a time, and a late one writes nothing.
 
-mod fake;
+mod dice;
 
 use std::time::{Duration, Instant};
 
@@ -9,8 +9,8 @@
 };
 use domain::{LeaseName, LeaseTerm, NodeId, RowVersion};
 use events::EventRecorder;
-use fake::SeededDice;
-use fake::table::{FakeTable, FaultRates};
+use dice::SeededDice;
+use dice::table::{FakeTable, FaultRates};
 use platform::{CommitOutcome, RowExpectation, RowRead, TableStore, WriteBatch, keys};
 use quickcheck::{Gen, QuickCheck};
 use tokio::sync::watch;
--- a/crates/control/tests/ledger_once.rs
+++ b/crates/control/tests/ledger_once.rs
@@ -1,6 +1,6 @@
 //! Claims whose answers are lost, repeated and late: a call runs at most once.
 
-mod fake;
+mod dice;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -8,8 +8,8 @@
 
 use control::ledger::{CallLedger, ClaimKey, ClaimOutcome, LedgerSettings};
 use domain::{AttemptId, ClaimState, NodeId};
-use fake::SeededDice;
-use fake::table::{FakeTable, FaultRates};
+use dice::SeededDice;
+use dice::table::{FakeTable, FaultRates};
 use platform::{StoreError, TableStore};
 use quickcheck::{Gen, QuickCheck};
 
