Send an open-loop load, reckon its payments, and lose hosts under it

standin load sends Poisson arrivals from a seed as several weighted customers and tells time to first token, time between tokens, refused, late, failed and cut chats, and payments lost, doubled or run though denied, as the service counted them.

The test host_loss kills a host under that load, once a member and once the leader, while at least two streams run on its replica: every chat came whole.

--- /dev/null
+++ b/crates/standin/src/load/call.rs
@@ -0,0 +1,284 @@
+//! Sending one request and judging its answer.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, BytesMut};
+use http::{Method, Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use web::body::full_body;
+use web::{ClientError, WebBody, WebClient, read_body};
+use wire::caller::{ErrorBody, ExecutionState};
+use wire::service::IDEMPOTENCY_HEADER;
+
+use super::plan::{LoadPlan, LoadRequest, LoadWork};
+use crate::deployment::CallerPlan;
+
+/// Longest wait for the head of an answer.
+const HEAD_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Longest silence within an answer.
+const SILENCE_LIMIT: Duration = Duration::from_secs(30);
+
+const MAX_ANSWER: usize = 1 << 20;
+
+/// What became of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadOutcome {
+    /// Who sent it.
+    pub customer: String,
+    /// What became of it.
+    pub result: LoadResult,
+}
+
+/// What became of a chat or of a non-repeatable call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LoadResult {
+    /// A chat.
+    Chat {
+        /// How it ended.
+        end: ChatEnd,
+        /// From when it was due until the first token.
+        first: Option<Duration>,
+        /// Between tokens.
+        gaps: Vec<Duration>,
+    },
+    /// A non-repeatable call.
+    Payment {
+        /// Its idempotency key.
+        key: String,
+        /// What the caller was told.
+        told: PaymentTold,
+        /// From when it was due until its answer.
+        time: Duration,
+    },
+}
+
+/// How a chat ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChatEnd {
+    /// Whole, with as many tokens as asked for.
+    Whole,
+    /// Refused without being run.
+    Refused,
+    /// An explicit error.
+    Failed,
+    /// Ended silently, or with another count of tokens: what never may be.
+    Cut,
+}
+
+/// What a caller was told of its non-repeatable call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PaymentTold {
+    /// It was run.
+    Ran,
+    /// It was not run.
+    NotRun,
+    /// Nobody knows.
+    Unknown,
+}
+
+/// Sends requests.
+#[derive(Debug)]
+pub struct LoadCaller {
+    client: WebClient,
+    entries: Vec<SocketAddr>,
+    callers: CallerPlan,
+    key_prefix: String,
+}
+
+impl LoadCaller {
+    /// A caller of a plan's entries.
+    ///
+    /// # Errors
+    ///
+    /// When the example is broken.
+    pub fn new(plan: LoadPlan) -> eyre::Result<Self> {
+        let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH)?;
+        Ok(Self {
+            client: WebClient::default(),
+            callers: plan.deployment.callers()?,
+            entries: plan.entries,
+            key_prefix: format!("load-{}-{}", plan.seed, since_epoch.as_millis()),
+        })
+    }
+
+    /// Sends a request that is due at a time, and waits for its end.
+    pub async fn send(&self, request: &LoadRequest, due: Instant) -> LoadOutcome {
+        let result = match &request.work {
+            LoadWork::Chat { prompt, max_tokens } => {
+                self.chat(request, prompt, *max_tokens, due).await
+            }
+            LoadWork::Payment { body } => self.pay(request, body, due).await,
+        };
+        LoadOutcome {
+            customer: request.customer.name.clone(),
+            result,
+        }
+    }
+
+    async fn open(
+        &self,
+        request: &LoadRequest,
+        path: &str,
+        key: Option<&str>,
+        body: &Value,
+    ) -> Result<Response<Incoming>, ClientError> {
+        let mut last = None;
+        for turn in 0..self.entries.len() {
+            let entry = self.entries[(request.entry + turn) % self.entries.len()];
+            let head = caller_request(entry, path, &request.customer.key, key, body)?;
+            match self.client.send(entry, head, HEAD_TIMEOUT).await {
+                // A balancer tries another host when one is not there.
+                Err(error) if error.is_unsent() => last = Some(error),
+                result => return result,
+            }
+        }
+        Err(last.unwrap_or_else(|| ClientError::NotConnected(self.entries[0])))
+    }
+
+    async fn chat(
+        &self,
+        request: &LoadRequest,
+        prompt: &str,
+        max_tokens: u32,
+        due: Instant,
+    ) -> LoadResult {
+        let body = json!({
+            "model": self.callers.model, "stream": true, "max_tokens": max_tokens,
+            "messages": [{ "role": "user", "content": prompt }],
+        });
+        let ended = |end| LoadResult::Chat {
+            end,
+            first: None,
+            gaps: Vec::new(),
+        };
+        let answer = match self
+            .open(request, "/v1/chat/completions", None, &body)
+            .await
+        {
+            Ok(answer) => answer,
+            Err(error) if error.is_unsent() => return ended(ChatEnd::Refused),
+            Err(_) => return ended(ChatEnd::Failed),
+        };
+        if answer.status().is_success() {
+            return read_chat(answer.into_body(), max_tokens, due).await;
+        }
+        match read_execution(answer.into_body()).await {
+            Some(ExecutionState::NotRun) => ended(ChatEnd::Refused),
+            _ => ended(ChatEnd::Failed),
+        }
+    }
+
+    async fn pay(&self, request: &LoadRequest, body: &Value, due: Instant) -> LoadResult {
+        let key = format!("{}-{}", self.key_prefix, request.number);
+        let path = self.callers.non_repeatable_path();
+        let told = match self.open(request, &path, Some(&key), body).await {
+            Ok(answer) if answer.status().is_success() => PaymentTold::Ran,
+            Ok(answer) => match read_execution(answer.into_body()).await {
+                Some(ExecutionState::Ran) => PaymentTold::Ran,
+                Some(ExecutionState::NotRun) => PaymentTold::NotRun,
+                Some(ExecutionState::Unknown) | None => PaymentTold::Unknown,
+            },
+            Err(error) if error.is_unsent() => PaymentTold::NotRun,
+            Err(_) => PaymentTold::Unknown,
+        };
+        LoadResult::Payment {
+            key,
+            told,
+            time: due.elapsed(),
+        }
+    }
+}
+
+fn caller_request(
+    entry: SocketAddr,
+    path: &str,
+    customer_key: &str,
+    key: Option<&str>,
+    body: &Value,
+) -> Result<Request<WebBody>, ClientError> {
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{entry}{path}"))
+        .header("authorization", format!("Bearer {customer_key}"))
+        .header("content-type", "application/json");
+    if let Some(key) = key {
+        builder = builder.header(IDEMPOTENCY_HEADER, key);
+    }
+    builder
+        .body(full_body(body.to_string()))
+        .map_err(|error| ClientError::Broken(entry, error.to_string()))
+}
+
+async fn read_execution(body: Incoming) -> Option<ExecutionState> {
+    let bytes = read_body(body, MAX_ANSWER).await.ok()?;
+    let error: ErrorBody = serde_json::from_slice(&bytes).ok()?;
+    Some(error.error.execution)
+}
+
+/// Reads a chat's events to their end.
+async fn read_chat(mut body: Incoming, max_tokens: u32, due: Instant) -> LoadResult {
+    let mut buffer = BytesMut::new();
+    let mut first = None;
+    let mut gaps = Vec::new();
+    let mut last = due;
+    let mut end = ChatEnd::Cut;
+    while let Ok(Some(Ok(frame))) = tokio::time::timeout(SILENCE_LIMIT, body.frame()).await {
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        buffer.extend_from_slice(&data);
+        while let Some(length) = buffer.iter().position(|byte| *byte == b'\n') {
+            let line = buffer.split_to(length);
+            buffer.advance(1);
+            match judge_line(&line) {
+                ChatLine::Token => {
+                    let now = Instant::now();
+                    if first.is_none() {
+                        first = Some(now.duration_since(due));
+                    } else {
+                        gaps.push(now.duration_since(last));
+                    }
+                    last = now;
+                }
+                ChatLine::Done => end = ChatEnd::Whole,
+                ChatLine::Error => end = ChatEnd::Failed,
+                ChatLine::Other => {}
+            }
+        }
+    }
+    let tokens = gaps.len() + usize::from(first.is_some());
+    if end == ChatEnd::Whole && tokens != max_tokens as usize {
+        end = ChatEnd::Cut;
+    }
+    LoadResult::Chat { end, first, gaps }
+}
+
+enum ChatLine {
+    Token,
+    Done,
+    Error,
+    Other,
+}
+
+fn judge_line(line: &[u8]) -> ChatLine {
+    if line == b"data: [DONE]" {
+        return ChatLine::Done;
+    }
+    if line == b"event: error" {
+        return ChatLine::Error;
+    }
+    let Some(json) = line.strip_prefix(b"data: ") else {
+        return ChatLine::Other;
+    };
+    let event: Value = serde_json::from_slice(json).unwrap_or_default();
+    let content = &event["choices"][0]["delta"]["content"];
+    if content.as_str().is_some_and(|text| !text.is_empty()) {
+        ChatLine::Token
+    } else {
+        ChatLine::Other
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/mod.rs
@@ -0,0 +1,132 @@
+//! An open-loop load tool: requests come when they come, however slow the answers are.
+//!
+//! [`plan`] decides beforehand from a seed who asks what when, [`call`] sends one request,
+//! [`tally`] counts outcomes and [`report`] shows them.
+
+pub mod call;
+pub mod plan;
+pub mod report;
+pub mod tally;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eyre::WrapErr;
+use http::Method;
+use serde_json::Value;
+use tokio::sync::mpsc;
+use web::WebClient;
+use web::client::JsonAnswer;
+use wire::service::LookupBody;
+
+use crate::options::LoadOptions;
+use call::LoadCaller;
+use plan::LoadPlan;
+use report::LoadReport;
+use tally::LoadTally;
+
+const LOOKUP_TIMEOUT: Duration = Duration::from_secs(10);
+const OUTCOME_BUFFER: usize = 1_024;
+
+/// Runs the tool and prints what it found.
+///
+/// # Errors
+///
+/// When no entry is known or the service does not tell its executions.
+pub async fn run(options: LoadOptions) -> eyre::Result<()> {
+    let (entries, service) = find_targets(&options)?;
+    let plan = LoadPlan::builder()
+        .deployment(options.deployment)
+        .entries(entries)
+        .maybe_service(service)
+        .rate(options.rate)
+        .duration(Duration::from_secs(options.seconds))
+        .seed(options.seed)
+        .payment_share(options.payments)
+        .late_after(Duration::from_millis(options.late_ms))
+        .build();
+    let report = run_load(plan).await?;
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{report}");
+    }
+    Ok(())
+}
+
+/// Sends a plan's requests and waits for all their outcomes.
+///
+/// # Errors
+///
+/// When the example is broken, or the service does not tell its executions.
+pub async fn run_load(plan: LoadPlan) -> eyre::Result<LoadReport> {
+    let requests = plan.requests()?;
+    let started = Instant::now();
+    let service = plan.service;
+    let duration = plan.duration;
+    let mut tally = LoadTally::new(plan.late_after);
+    let (sender, mut outcomes) = mpsc::channel(OUTCOME_BUFFER);
+    let caller = Arc::new(LoadCaller::new(plan)?);
+    tokio::spawn(async move {
+        for request in requests {
+            let due = started + request.at;
+            tokio::time::sleep_until(due.into()).await;
+            let caller = Arc::clone(&caller);
+            let sender = sender.clone();
+            tokio::spawn(async move {
+                let outcome = caller.send(&request, due).await;
+                let _ = sender.send(outcome).await;
+            });
+        }
+    });
+    while let Some(outcome) = outcomes.recv().await {
+        tally.add(outcome);
+    }
+    if let Some(service) = service {
+        let executions = read_executions(service).await?;
+        tally.reckon(&executions);
+    }
+    Ok(tally.report(duration))
+}
+
+async fn read_executions(service: SocketAddr) -> eyre::Result<Vec<LookupBody>> {
+    let answer: JsonAnswer<Vec<LookupBody>> = WebClient::default()
+        .json(
+            Method::GET,
+            service,
+            "/executions",
+            None::<&()>,
+            LOOKUP_TIMEOUT,
+        )
+        .await
+        .wrap_err("the service does not tell its executions")?;
+    Ok(answer.value)
+}
+
+/// Entries and service from the command line, else from the sheets of a kept quickstart.
+fn find_targets(options: &LoadOptions) -> eyre::Result<(Vec<SocketAddr>, Option<SocketAddr>)> {
+    if !options.entry.is_empty() {
+        return Ok((options.entry.clone(), options.service));
+    }
+    let sheet = options.folder.join("processes.json");
+    let entries = addresses_of(&sheet, "entry")
+        .wrap_err("name --entry, or run scripts/quickstart --keep beside")?;
+    let services = addresses_of(&sheet, "service")?;
+    Ok((entries, services.first().copied()))
+}
+
+fn addresses_of(sheet: &Path, role: &str) -> eyre::Result<Vec<SocketAddr>> {
+    let bytes = std::fs::read(sheet).wrap_err_with(|| format!("can't read {}", sheet.display()))?;
+    let processes: Vec<Value> = serde_json::from_slice(&bytes)?;
+    let mut addresses = Vec::new();
+    for process in processes {
+        if process["role"] != role {
+            continue;
+        }
+        let text = process["address"].as_str().unwrap_or_default();
+        addresses.push(text.parse().wrap_err("an address in the sheet")?);
+    }
+    Ok(addresses)
+}
--- /dev/null
+++ b/crates/standin/src/load/tally.rs
@@ -0,0 +1,118 @@
+//! Counting outcomes, and reckoning payments against what the service ran.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use wire::service::LookupBody;
+
+use super::call::{LoadOutcome, LoadResult, PaymentTold};
+use super::report::{ChatCounts, LoadReport, PaymentCounts, TimeSummary};
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Longest time of the histograms in microseconds; a longer one counts as this.
+const LONGEST_MICROS: u64 = 600_000_000;
+
+/// Outcomes so far.
+#[derive(Debug)]
+pub struct LoadTally {
+    late_after: Duration,
+    chats: ChatCounts,
+    customers: BTreeMap<String, ChatCounts>,
+    first: Histogram<u64>,
+    gaps: Histogram<u64>,
+    payment_times: Histogram<u64>,
+    payments: PaymentCounts,
+    told: BTreeMap<String, PaymentTold>,
+}
+
+impl LoadTally {
+    /// Nothing yet; a first token after `late_after` counts as late.
+    ///
+    /// # Panics
+    ///
+    /// Never: the histograms' settings are sound.
+    #[must_use]
+    pub fn new(late_after: Duration) -> Self {
+        let histogram = || Histogram::new_with_max(LONGEST_MICROS, DIGITS).expect("sound bounds");
+        Self {
+            late_after,
+            chats: ChatCounts::default(),
+            customers: BTreeMap::new(),
+            first: histogram(),
+            gaps: histogram(),
+            payment_times: histogram(),
+            payments: PaymentCounts::default(),
+            told: BTreeMap::new(),
+        }
+    }
+
+    /// Counts an outcome.
+    pub fn add(&mut self, outcome: LoadOutcome) {
+        match outcome.result {
+            LoadResult::Chat { end, first, gaps } => {
+                let late = first.is_some_and(|time| time > self.late_after);
+                let tokens = gaps.len() + usize::from(first.is_some());
+                self.chats.add(end, late, tokens);
+                let customer = self.customers.entry(outcome.customer).or_default();
+                customer.add(end, late, tokens);
+                if let Some(time) = first {
+                    record(&mut self.first, time);
+                }
+                for gap in gaps {
+                    record(&mut self.gaps, gap);
+                }
+            }
+            LoadResult::Payment { key, told, time } => {
+                self.payments.offered += 1;
+                match told {
+                    PaymentTold::Ran => self.payments.ran += 1,
+                    PaymentTold::NotRun => self.payments.not_run += 1,
+                    PaymentTold::Unknown => self.payments.unknown += 1,
+                }
+                record(&mut self.payment_times, time);
+                self.told.insert(key, told);
+            }
+        }
+    }
+
+    /// Compares what callers were told with what the service ran.
+    pub fn reckon(&mut self, executions: &[LookupBody]) {
+        let counts: BTreeMap<&str, u64> = executions
+            .iter()
+            .map(|entry| (entry.key.as_str(), entry.executions))
+            .collect();
+        for (key, told) in &self.told {
+            let ran = counts.get(key.as_str()).copied().unwrap_or(0);
+            if ran > 1 {
+                self.payments.doubled += 1;
+            }
+            match (told, ran) {
+                (PaymentTold::Ran, 0) => self.payments.lost += 1,
+                (PaymentTold::NotRun, 1..) => self.payments.run_though_denied += 1,
+                (PaymentTold::Unknown, 1..) => self.payments.unknown_but_run += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// All of it.
+    #[must_use]
+    pub fn report(&self, duration: Duration) -> LoadReport {
+        LoadReport {
+            seconds: duration.as_secs_f64(),
+            chats: self.chats,
+            customers: self.customers.clone(),
+            first_token: TimeSummary::of(&self.first),
+            between_tokens: TimeSummary::of(&self.gaps),
+            payments: self.payments,
+            payment_time: TimeSummary::of(&self.payment_times),
+        }
+    }
+}
+
+fn record(histogram: &mut Histogram<u64>, time: Duration) {
+    histogram.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,7 +4,7 @@
 
 use gumdrop::Options;
 use standin::options::{StandinCommand, StandinOptions};
-use standin::{engine, hostlist, objects, quickstart, service, table, weights};
+use standin::{engine, hostlist, load, objects, quickstart, service, table, weights};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -27,6 +27,7 @@
         Some(StandinCommand::Engine(options)) => engine::run(options).await,
         Some(StandinCommand::Service(options)) => service::run(options).await,
         Some(StandinCommand::Quickstart(options)) => quickstart::run(options).await,
+        Some(StandinCommand::Load(options)) => load::run(options).await,
         None => eyre::bail!("name a command: see --help"),
     }
 }
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -42,6 +42,53 @@
     /// A whole system.
     #[options(help = "start a whole example system, call it and stop it")]
     Quickstart(QuickstartOptions),
+    /// The load tool.
+    #[options(help = "send an open-loop load to entries and reckon its payments")]
+    Load(LoadOptions),
+}
+
+/// Command line of the load tool.
+#[derive(Debug, Options)]
+pub struct LoadOptions {
+    /// Prints this help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The entries.
+    #[options(help = "address of an entry; repeat for several (default: from the folder)")]
+    pub entry: Vec<SocketAddr>,
+    /// The service.
+    #[options(help = "address of the plain service, to reckon payments")]
+    pub service: Option<SocketAddr>,
+    /// Folder of a kept quickstart.
+    #[options(
+        help = "folder with the sheets of scripts/quickstart --keep",
+        default = "target/quickstart"
+    )]
+    pub folder: PathBuf,
+    /// The example.
+    #[options(help = "example: ndiaye or agency", meta = "NAME", default = "ndiaye")]
+    pub deployment: Deployment,
+    /// Requests a second.
+    #[options(help = "requests a second on average", default = "20")]
+    pub rate: f64,
+    /// Seconds.
+    #[options(help = "seconds over which requests are sent", default = "10")]
+    pub seconds: u64,
+    /// Seed.
+    #[options(help = "seed of arrivals and choices", default = "1")]
+    pub seed: u64,
+    /// Share of payments.
+    #[options(help = "share of non-repeatable calls, from 0 to 1", default = "0.2")]
+    pub payments: f64,
+    /// Limit of lateness.
+    #[options(
+        help = "milliseconds after which a first token is late",
+        default = "1700"
+    )]
+    pub late_ms: u64,
+    /// Whether to print JSON.
+    #[options(help = "print JSON")]
+    pub json: bool,
 }
 
 /// Command line of the quickstart.
--- /dev/null
+++ b/crates/standin/tests/load_plan.rs
@@ -0,0 +1,82 @@
+//! A load is decided by its seed, and its outcomes are reckoned against what the service ran.
+
+use std::time::Duration;
+
+use standin::load::call::{LoadOutcome, LoadResult, PaymentTold};
+use standin::load::plan::{LoadPlan, LoadWork};
+use standin::load::tally::LoadTally;
+use wire::service::LookupBody;
+
+fn plan(seed: u64) -> LoadPlan {
+    LoadPlan::builder()
+        .entries(vec!["127.0.0.1:1".parse().expect("an address")])
+        .rate(200.0)
+        .duration(Duration::from_secs(50))
+        .seed(seed)
+        .build()
+}
+
+#[test]
+fn seed_decides() {
+    let requests = plan(3).requests().expect("a sound plan");
+    assert_eq!(requests, plan(3).requests().expect("a sound plan"));
+    assert_ne!(requests, plan(4).requests().expect("a sound plan"));
+}
+
+#[test]
+fn rates_hold() {
+    let requests = plan(3).requests().expect("a sound plan");
+    let expected = 10_000;
+    assert!(
+        requests.len().abs_diff(expected) < 400,
+        "{}",
+        requests.len()
+    );
+    let paying = |work: &LoadWork| matches!(work, LoadWork::Payment { .. });
+    let payments = requests.iter().filter(|one| paying(&one.work)).count();
+    assert!(payments.abs_diff(expected / 5) < 200, "{payments}");
+    let largest = requests
+        .iter()
+        .filter(|one| one.customer.name == "sandaga-traders");
+    assert!(largest.count().abs_diff(expected * 6 / 10) < 300);
+}
+
+#[test]
+fn payments_reckoned() {
+    use PaymentTold::{NotRun, Ran, Unknown};
+    let mut tally = LoadTally::new(Duration::from_secs(1));
+    let cases = [
+        ("fine", Ran, 1),
+        ("lost", Ran, 0),
+        ("doubled", Ran, 2),
+        ("denied", NotRun, 1),
+        ("refused", NotRun, 0),
+        ("unknown", Unknown, 1),
+        ("unknown-too", Unknown, 0),
+    ];
+    let mut book = Vec::new();
+    for (key, told, executions) in cases {
+        let result = LoadResult::Payment {
+            key: key.to_owned(),
+            told,
+            time: Duration::from_millis(5),
+        };
+        let customer = "sandaga-traders".to_owned();
+        tally.add(LoadOutcome { customer, result });
+        if executions > 0 {
+            book.push(LookupBody {
+                key: key.to_owned(),
+                executions,
+                answer: None,
+            });
+        }
+    }
+    tally.reckon(&book);
+    let report = tally.report(Duration::from_secs(1));
+    let counts = report.payments;
+    assert_eq!((counts.offered, counts.ran), (7, 3));
+    assert_eq!((counts.not_run, counts.unknown), (2, 2));
+    assert_eq!((counts.lost, counts.doubled), (1, 1));
+    assert_eq!((counts.run_though_denied, counts.unknown_but_run), (1, 1));
+    assert!((report.payment_time.p50_ms - 5.0).abs() < 0.1);
+}
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -4,6 +4,7 @@
 mod engine_load;
 mod fault_switches;
 mod host_list;
+mod host_loss;
 mod quickstart_keep;
 mod stream_linger;
 mod whole_path;
