--- a/crates/settings/src/catalogue.rs
+++ b/crates/settings/src/catalogue.rs
@@ -3,7 +3,9 @@
 use crate::field::{FieldKind, SettingField};
 
 /// Sections, in the order of the docs.
-pub const SECTIONS: &[&str] = &["platform", "secrets", "entry", "config", "members", "log"];
+pub const SECTIONS: &[&str] = &[
+    "platform", "secrets", "entry", "config", "members", "peers", "log",
+];
 
 /// What a section is about.
 #[must_use]
@@ -16,6 +18,7 @@
         "entry" => "The request path.",
         "config" => "Following the configuration.",
         "members" => "Knowing the other entry hosts.",
+        "peers" => "Links to other entry hosts.",
         "log" => "Logs and the time line.",
         _ => "",
     }
@@ -273,21 +276,21 @@
     field(
         "members",
         "beat",
-        FieldKind::Duration(500, MINUTE),
+        FieldKind::Duration(200, MINUTE),
         Some("5s"),
-        "Mean time between two heartbeats over the peers.",
+        "Mean time between two heartbeats over the links.",
     ),
     field(
         "members",
         "write",
-        FieldKind::Duration(SECOND, MINUTE),
+        FieldKind::Duration(200, MINUTE),
         Some("10s"),
         "Mean time between two writes of the node's row.",
     ),
     field(
         "members",
         "list",
-        FieldKind::Duration(10 * SECOND, 60 * MINUTE),
+        FieldKind::Duration(SECOND, 60 * MINUTE),
         Some("5m"),
         "Mean time between two listings of all rows by a node that has peers.",
     ),
@@ -296,22 +299,78 @@
         "dead",
         FieldKind::Duration(SECOND, 10 * MINUTE),
         Some("20s"),
-        "A node that is silent for this time is taken to be dead; at least three heartbeats.",
+        "A node that is silent for this time counts as dead; three heartbeats at least.",
     ),
     field(
         "members",
         "unheard",
-        FieldKind::Duration(SECOND, 16 * SECOND),
+        FieldKind::Duration(SECOND, 15 * SECOND),
         Some("10s"),
-        "A node whose heartbeat no peer passed on for this time is not heard; below the 16 s in which a change has to be in force everywhere.",
+        "A node whose heartbeat no link brought for this time is not heard; the small side of a partition goes on for so long.",
     ),
     field(
         "members",
         "expire",
-        FieldKind::Duration(10 * SECOND, 60 * MINUTE),
+        FieldKind::Duration(5 * SECOND, 60 * MINUTE),
         Some("2m"),
         "The row of a node that is silent for this time is deleted.",
     ),
+    field(
+        "peers",
+        "listen",
+        FieldKind::Address,
+        None,
+        "Where other nodes connect; left out, a free port on the callers' address.",
+    ),
+    field(
+        "peers",
+        "key_file",
+        FieldKind::Path,
+        None,
+        "File with the key that all nodes share. Without a key there are no links.",
+    ),
+    field(
+        "peers",
+        "key_env",
+        FieldKind::Variable,
+        None,
+        "Environment variable with the key that all nodes share.",
+    ),
+    field(
+        "peers",
+        "seeds",
+        FieldKind::Addresses,
+        Some("[]"),
+        "Peer addresses of some nodes, asked while this one knows no other.",
+    ),
+    field(
+        "peers",
+        "degree",
+        FieldKind::Count(2, 8),
+        Some("4"),
+        "Links that the node makes; about as many are made to it.",
+    ),
+    field(
+        "peers",
+        "exchange",
+        FieldKind::Duration(100, 10 * SECOND),
+        Some("1s"),
+        "Mean time between two exchanges on a link; news of the configuration go out at once.",
+    ),
+    field(
+        "peers",
+        "timeout",
+        FieldKind::Duration(200, 5 * SECOND),
+        Some("2s"),
+        "An exchange that takes longer ends the link.",
+    ),
+    field(
+        "peers",
+        "avoid",
+        FieldKind::Duration(500, MINUTE),
+        Some("10s"),
+        "A peer whose link failed is avoided for this time.",
+    ),
     field(
         "log",
         "level",
--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -38,8 +38,8 @@
     engine_options: Vec<String>,
     hostlist_options: Vec<String>,
     weights_options: Option<Vec<String>>,
-    deployment: Deployment,
     settings: Map<String, Value>,
+    deployment: Deployment,
 }
 
 impl StackPlan {
@@ -62,8 +62,8 @@
             engine_options: Vec::new(),
             hostlist_options: Vec::new(),
             weights_options: None,
-            deployment: Deployment::Ndiaye,
             settings: Map::new(),
+            deployment: Deployment::Ndiaye,
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod hostlist;
 pub mod openai;
+pub mod peer;
 pub mod record;
 pub mod service;
 pub mod table;
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -5,6 +5,7 @@
 mod fault_switches;
 mod host_list;
 mod host_loss;
+mod operator_client;
 mod quickstart_keep;
 mod stream_linger;
 mod whole_path;
