Measure what the request path adds and costs

scripts/measure-path builds optimised binaries and runs standin measure-path: pairs of streams through an entry and straight from the engine in turns; processor time of one entry for tokens and for requests; memory of one entry for each open stream.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod faults;
 pub mod hostlist;
 pub mod load;
+pub mod measure;
 pub mod objects;
 pub mod options;
 pub mod quickstart;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,7 +4,7 @@
 
 use gumdrop::Options;
 use standin::options::{StandinCommand, StandinOptions};
-use standin::{engine, hostlist, load, objects, quickstart, service, table, weights};
+use standin::{engine, hostlist, load, measure, objects, quickstart, service, table, weights};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -28,6 +28,7 @@
         Some(StandinCommand::Service(options)) => service::run(options).await,
         Some(StandinCommand::Quickstart(options)) => quickstart::run(options).await,
         Some(StandinCommand::Load(options)) => load::run(options).await,
+        Some(StandinCommand::MeasurePath(options)) => measure::run(options).await,
         None => eyre::bail!("name a command: see --help"),
     }
 }
--- /dev/null
+++ b/crates/standin/src/measure/cost.rs
@@ -0,0 +1,183 @@
+//! What one entry costs: processor time of requests and tokens, memory of open streams.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use eyre::{OptionExt, WrapErr};
+use futures::future::try_join_all;
+use http_body_util::BodyExt;
+
+use super::RoundSpread;
+use super::chat::{open_path, read_times};
+use super::path::PATH_MARK;
+use crate::stack::{StackPlan, TestStack};
+
+/// Streams at once.
+const CALLERS: usize = 64;
+
+/// Time of one round.
+const ROUND_TIME: Duration = Duration::from_secs(4);
+
+/// Tokens of a long answer, so that tokens outweigh the request.
+const LONG_ANSWER: u32 = 256;
+
+/// Open streams at which memory is read.
+const OPEN_STREAMS: [usize; 3] = [100, 600, 1_100];
+
+/// Unit of processor times in `/proc`, a second over this; the kernel's constant on all its
+/// common platforms.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Measures and prints.
+///
+/// # Errors
+///
+/// When a stream fails or `/proc` can't be read.
+pub async fn run(product: &Path, rounds: usize) -> eyre::Result<()> {
+    let options = [
+        "--slots",
+        "4096",
+        "--stream-us",
+        "0",
+        "--report-lag-ms",
+        "0",
+    ];
+    let stack = StackPlan::new("measure-cost", product)
+        .entries(1)
+        .step_us(2_000)
+        .engine_options(&options)
+        .start()
+        .await;
+    let idle = measure_idle(&stack).await?;
+    println!("\none entry, {rounds} rounds of {ROUND_TIME:?} with {CALLERS} streams at once;");
+    println!("per second of its processor time, median round (lowest to highest)");
+    println!("  idle: {:.2}% of a core", idle * 100.0);
+    let mut token_rates = Vec::new();
+    let mut request_rates = Vec::new();
+    for _ in 0..rounds {
+        let long = measure_rate(&stack, LONG_ANSWER).await?;
+        token_rates.push(long.tokens / long.processor);
+        let short = measure_rate(&stack, 1).await?;
+        request_rates.push(short.requests / short.processor);
+    }
+    println!("  tokens: {:.0}", RoundSpread::of(&token_rates));
+    println!(
+        "  requests of one token: {:.0}",
+        RoundSpread::of(&request_rates)
+    );
+    drop(stack);
+    let mut slopes = Vec::new();
+    for _ in 0..rounds {
+        slopes.push(measure_memory(product).await?);
+    }
+    println!("\nmemory of one entry for each open stream, {rounds} fresh entries,");
+    println!("from {OPEN_STREAMS:?} open streams");
+    println!("  KiB a stream: {:.1}", RoundSpread::of(&slopes));
+    Ok(())
+}
+
+/// Work of one round and the entry's processor time for it, in seconds.
+struct RoundWork {
+    requests: f64,
+    tokens: f64,
+    processor: f64,
+}
+
+async fn measure_idle(stack: &TestStack) -> eyre::Result<f64> {
+    let before = processor_seconds(stack)?;
+    tokio::time::sleep(ROUND_TIME).await;
+    Ok((processor_seconds(stack)? - before) / ROUND_TIME.as_secs_f64())
+}
+
+async fn measure_rate(stack: &TestStack, max_tokens: u32) -> eyre::Result<RoundWork> {
+    let before = processor_seconds(stack)?;
+    let end = Instant::now() + ROUND_TIME;
+    let callers = (0..CALLERS).map(|_| ask_until(stack, max_tokens, end));
+    let answered: u32 = try_join_all(callers).await?.into_iter().sum();
+    let processor = processor_seconds(stack)? - before;
+    Ok(RoundWork {
+        requests: f64::from(answered),
+        tokens: f64::from(answered) * f64::from(max_tokens),
+        processor,
+    })
+}
+
+async fn ask_until(stack: &TestStack, max_tokens: u32, end: Instant) -> eyre::Result<u32> {
+    let entry = stack.entries[0].address;
+    let mut answered = 0;
+    while Instant::now() < end {
+        let answer = open_path(stack, entry, max_tokens).await?;
+        read_times(answer, PATH_MARK, max_tokens, Instant::now()).await?;
+        answered += 1;
+    }
+    Ok(answered)
+}
+
+/// Opens more and more streams at a fresh entry; KiB for each, from the first to the last count.
+async fn measure_memory(product: &Path) -> eyre::Result<f64> {
+    let options = [
+        "--slots",
+        "4096",
+        "--stream-us",
+        "0",
+        "--report-lag-ms",
+        "0",
+    ];
+    let stack = StackPlan::new("measure-memory", product)
+        .entries(1)
+        .step_us(250_000)
+        .engine_options(&options)
+        .start()
+        .await;
+    let entry = stack.entries[0].address;
+    let mut open = Vec::new();
+    let mut readings = Vec::new();
+    for count in OPEN_STREAMS {
+        while open.len() < count {
+            let mut answer = open_path(&stack, entry, 10_000).await?;
+            let first = answer.body_mut().frame().await;
+            first.ok_or_eyre("a stream ended")??;
+            open.push(tokio::spawn(drain(answer)));
+            if open.len().is_multiple_of(10) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        let resident = resident_kib(&stack)?;
+        readings.push((f64::from(u32::try_from(count)?), resident));
+    }
+    for task in open {
+        task.abort();
+    }
+    let (first, last) = (readings[0], readings[readings.len() - 1]);
+    Ok((last.1 - first.1) / (last.0 - first.0))
+}
+
+async fn drain(answer: http::Response<hyper::body::Incoming>) {
+    let mut body = answer.into_body();
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
+fn proc_file(stack: &TestStack, name: &str) -> eyre::Result<String> {
+    let path = format!("/proc/{}/{name}", stack.entries[0].pid());
+    std::fs::read_to_string(&path).wrap_err_with(|| format!("can't read {path}"))
+}
+
+/// Processor time of the entry so far, in the program and in the kernel for it.
+fn processor_seconds(stack: &TestStack) -> eyre::Result<f64> {
+    let text = proc_file(stack, "stat")?;
+    let (_, fields) = text.rsplit_once(')').ok_or_eyre("no process stat")?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    // Fields 14 and 15 of the line, counted from 1; the split starts at field 3.
+    let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
+    Ok(ticks / TICKS_PER_SECOND)
+}
+
+fn resident_kib(stack: &TestStack) -> eyre::Result<f64> {
+    let text = proc_file(stack, "status")?;
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .ok_or_eyre("no VmRSS")?;
+    let number = line.split_whitespace().next().unwrap_or_default();
+    Ok(number.parse()?)
+}
--- /dev/null
+++ b/crates/standin/src/measure/mod.rs
@@ -0,0 +1,73 @@
+//! Measuring the request path: what it adds to an engine called directly, and what it costs.
+//!
+//! Every figure compares two ways within one run, or divides by processor time of the entry's
+//! process, so that other work on the machine distorts it little.
+
+pub mod chat;
+pub mod cost;
+pub mod path;
+
+use std::path::PathBuf;
+
+use eyre::WrapErr;
+
+use crate::options::MeasureOptions;
+
+/// Runs all measurements and prints them.
+///
+/// # Errors
+///
+/// When the product is not built beside this program, or a call fails.
+pub async fn run(options: MeasureOptions) -> eyre::Result<()> {
+    let product = product_path()?;
+    path::run(&product, options.rounds).await?;
+    cost::run(&product, options.rounds).await
+}
+
+fn product_path() -> eyre::Result<PathBuf> {
+    let own = std::env::current_exe().wrap_err("this program's own path is unknown")?;
+    let product = own.with_file_name("bramleyspring");
+    eyre::ensure!(
+        product.exists(),
+        "{} is not built: run scripts/measure-path",
+        product.display()
+    );
+    Ok(product)
+}
+
+/// Median with the lowest and highest of some rounds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RoundSpread {
+    /// The middle.
+    pub median: f64,
+    /// The lowest round.
+    pub lowest: f64,
+    /// The highest round.
+    pub highest: f64,
+}
+
+impl RoundSpread {
+    /// Spread of the rounds; of no round it is all zero.
+    #[must_use]
+    pub fn of(rounds: &[f64]) -> Self {
+        let mut sorted = rounds.to_vec();
+        sorted.sort_by(f64::total_cmp);
+        let at = |index: usize| sorted.get(index).copied().unwrap_or_default();
+        Self {
+            median: at(sorted.len() / 2),
+            lowest: at(0),
+            highest: at(sorted.len().saturating_sub(1)),
+        }
+    }
+}
+
+impl std::fmt::Display for RoundSpread {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let digits = out.precision().unwrap_or(3);
+        write!(
+            out,
+            "{:.digits$} ({:.digits$} to {:.digits$})",
+            self.median, self.lowest, self.highest
+        )
+    }
+}
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -45,6 +45,20 @@
     /// The load tool.
     #[options(help = "send an open-loop load to entries and reckon its payments")]
     Load(LoadOptions),
+    /// The measurements of the request path.
+    #[options(help = "measure what the request path adds and costs")]
+    MeasurePath(MeasureOptions),
+}
+
+/// Command line of the measurements.
+#[derive(Debug, Options)]
+pub struct MeasureOptions {
+    /// Prints this help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Rounds.
+    #[options(help = "rounds of each measurement", default = "5")]
+    pub rounds: usize,
 }
 
 /// Command line of the load tool.
