Fail hosts, leases and the table under whole systems, and mend faster

Cause: a host's silence counted only from the moment at which the last evidence had become too old, and a replica's new incarnation was probed only when its old turn came.

Now the silence counts from the last moment at which any watcher saw the host, and a new incarnation is probed at once.

--- a/crates/control/src/assembly/controller.rs
+++ b/crates/control/src/assembly/controller.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use domain::{FabricId, FastSet, HostId, HostSlot, LeaseEpoch, ReplicaId, ReplicaPlan};
+use domain::{FabricId, FastMap, FastSet, HostId, HostSlot, LeaseEpoch, ReplicaId, ReplicaPlan};
 use events::{EventCode, EventRecorder, EventSubject};
 use futures::future::join_all;
 use platform::{StoreError, TableStore};
@@ -155,7 +155,7 @@
             .slots
             .iter()
             .map(|(host, (slot, _))| (host.clone(), slot.clone()))
-            .collect::<domain::FastMap<HostId, HostSlot>>();
+            .collect::<FastMap<HostId, HostSlot>>();
         let steps = plan_round(&RoundInput {
             fleet: &rows.fleet.0,
             slots: &slots,
@@ -206,10 +206,10 @@
 
     /// Hosts of replicas that some node found whole a moment ago. They need no question of the
     /// controller, and a controller that is cut off from them does not take them for lost.
-    fn trusted_hosts(&self, rows: &FabricRows) -> FastSet<HostId> {
+    fn trusted_hosts(&self, rows: &FabricRows) -> FastMap<HostId, Instant> {
         let limit = Duration::from_millis(self.parts.settings.trust_ms);
         let now = Instant::now();
-        let mut trusted = FastSet::default();
+        let mut trusted = FastMap::default();
         for plan in &rows.fleet.0.plans {
             let Some(entry) = self.parts.board.newest_for(&plan.id) else {
                 continue;
@@ -219,7 +219,8 @@
             if plan.draining || !evidence.allows(plan, limit) {
                 continue;
             }
-            trusted.extend(plan.hosts.iter().cloned());
+            let seen = now.checked_sub(evidence.age).unwrap_or(now);
+            trusted.extend(plan.hosts.iter().map(|host| (host.clone(), seen)));
         }
         trusted
     }
@@ -227,7 +228,7 @@
     async fn ask_hosts(
         &self,
         names: &[HostId],
-        trusted: &FastSet<HostId>,
+        trusted: &FastMap<HostId, Instant>,
         directory: &HostDirectory,
         drains: &DrainSet,
     ) -> BTreeMap<HostId, HostHealth> {
@@ -235,7 +236,7 @@
         let questions = names.iter().map(|host| async move {
             let entry = directory.hosts.get(host);
             let state = match entry {
-                Some(entry) if !trusted.contains(host) => {
+                Some(entry) if !trusted.contains_key(host) => {
                     let answer = self.parts.engine.state(entry.address, timeout).await;
                     answer.ok().filter(|state| state.host == *host)
                 }
--- a/crates/control/src/assembly/health.rs
+++ b/crates/control/src/assembly/health.rs
@@ -24,32 +24,36 @@
 /// them anew, which only delays a step.
 #[derive(Debug, Default)]
 pub struct FabricHealth {
-    silent: FastMap<HostId, Instant>,
+    seen: FastMap<HostId, Instant>,
     draining: FastMap<ReplicaId, Instant>,
     idle: FastMap<ReplicaId, Instant>,
 }
 
 impl FabricHealth {
-    /// Notes who answered in this round and marks the lost ones.
+    /// Notes who answered in this round and marks the lost ones. `trusted` has the moment at which
+    /// another watcher saw a host well; the silence counts from there, not from the moment at
+    /// which that evidence became too old.
     ///
     /// When nobody at all answers, nobody is marked: either the whole fabric domain is dark, and
     /// nothing can be formed there, or this node is cut off, and others may serve from it.
     pub fn note_round(
         &mut self,
         hosts: &mut BTreeMap<HostId, HostHealth>,
-        trusted: &FastSet<HostId>,
+        trusted: &FastMap<HostId, Instant>,
         settings: AssemblySettings,
         now: Instant,
     ) {
-        self.silent.retain(|host, _| hosts.contains_key(host));
+        self.seen.retain(|host, _| hosts.contains_key(host));
         let answered = !trusted.is_empty() || hosts.values().any(|host| host.state.is_some());
         let limit = Duration::from_millis(settings.loss_ms);
         for (host, health) in hosts.iter_mut() {
-            if health.state.is_some() || trusted.contains(host) {
-                self.silent.remove(host);
+            let trusted_at = trusted.get(host);
+            if health.state.is_some() || trusted_at.is_some() {
+                let at = trusted_at.copied().unwrap_or(now);
+                self.seen.insert(host.clone(), at);
                 continue;
             }
-            let since = *self.silent.entry(host.clone()).or_insert(now);
+            let since = *self.seen.entry(host.clone()).or_insert(now);
             health.lost = answered && now.saturating_duration_since(since) >= limit;
         }
     }
--- a/crates/control/src/wholeness.rs
+++ b/crates/control/src/wholeness.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use domain::{FastMap, FastSet, NodeId, ReplicaId, ReplicaPlan};
+use domain::{FastMap, FastSet, IncarnationNumber, NodeId, ReplicaId, ReplicaPlan};
 use serde::{Deserialize, Serialize};
 use target::EnginePort;
 use tokio::sync::watch;
@@ -77,6 +77,7 @@
     due: Instant,
     pause: RetryPause,
     watcher: bool,
+    incarnation: IncarnationNumber,
 }
 
 /// Probes replicas and records what they report; runs until it is dropped.
@@ -112,7 +113,13 @@
             let first = !turns.contains_key(&plan.id);
             let turn = turns
                 .entry(plan.id.clone())
-                .or_insert_with(|| new_turn(settings));
+                .or_insert_with(|| new_turn(plan, settings));
+            if turn.incarnation != plan.incarnation {
+                *turn = ProbeTurn {
+                    watcher: turn.watcher,
+                    ..new_turn(plan, settings)
+                };
+            }
             if first || moved {
                 turn.watcher = is_watcher(&inputs.node, plan, &directory, &members);
             }
@@ -138,13 +145,15 @@
     }
 }
 
-fn new_turn(settings: WatchSettings) -> ProbeTurn {
+/// A replica in a new incarnation is asked at once: it serves nobody before it is seen whole.
+fn new_turn(plan: &ReplicaPlan, settings: WatchSettings) -> ProbeTurn {
     let period = Duration::from_millis(settings.period_ms);
     let longest = Duration::from_millis(settings.longest_pause_ms);
     ProbeTurn {
         due: Instant::now(),
         pause: RetryPause::new(period, longest),
         watcher: false,
+        incarnation: plan.incarnation,
     }
 }
 
--- a/crates/control/tests/assembly_rounds.rs
+++ b/crates/control/tests/assembly_rounds.rs
@@ -11,12 +11,12 @@
 use control::directory::HostDirectory;
 use control::lease::{EpochRow, LeaseGrant};
 use control::{ConfigView, EvidenceBoard};
-use domain::record::{ModelRecord, VersionPlan};
-use domain::{ConfigRevision, FabricFleet, FabricId, HostSlot, LeaseEpoch, RecordSpec, RowVersion};
-use events::EventRecorder;
 use dice::SeededDice;
 use dice::engine::{FakeEngines, host_address, host_name};
 use dice::table::{FakeTable, FaultRates};
+use domain::record::{ModelRecord, VersionPlan};
+use domain::{ConfigRevision, FabricFleet, FabricId, HostSlot, LeaseEpoch, RecordSpec, RowVersion};
+use events::EventRecorder;
 use platform::{HostEntry, RowExpectation, TableStore, WriteBatch, keys};
 use quickcheck::{Gen, QuickCheck};
 use tokio::sync::watch;
--- a/crates/control/tests/lease_fencing.rs
+++ b/crates/control/tests/lease_fencing.rs
@@ -7,10 +7,10 @@
 use control::lease::{
     EpochRow, LeaseGrant, LeasePlace, LeaseSettings, LeaseStep, LeaseTracker, start_keeper,
 };
-use domain::{LeaseName, LeaseTerm, NodeId, RowVersion};
-use events::EventRecorder;
 use dice::SeededDice;
 use dice::table::{FakeTable, FaultRates};
+use domain::{LeaseName, LeaseTerm, NodeId, RowVersion};
+use events::EventRecorder;
 use platform::{CommitOutcome, RowExpectation, RowRead, TableStore, WriteBatch, keys};
 use quickcheck::{Gen, QuickCheck};
 use tokio::sync::watch;
--- a/crates/control/tests/ledger_once.rs
+++ b/crates/control/tests/ledger_once.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use control::ledger::{CallLedger, ClaimKey, ClaimOutcome, LedgerSettings};
-use domain::{AttemptId, ClaimState, NodeId};
 use dice::SeededDice;
 use dice::table::{FakeTable, FaultRates};
+use domain::{AttemptId, ClaimState, NodeId};
 use platform::{StoreError, TableStore};
 use quickcheck::{Gen, QuickCheck};
 
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -3,9 +3,13 @@
 mod direct;
 mod engine_load;
 mod fault_switches;
+mod host_leaving;
 mod host_list;
 mod host_loss;
+mod host_missing;
+mod lease_pause;
 mod operator_client;
+mod outage;
 mod quickstart_keep;
 mod stream_linger;
 mod whole_path;
