Look at a lease when it runs out, and measure batched claims

Cause: a candidate looked only every beat of 3 s, so a free lease waited for up to two beats, and a stopping node kept its leases until its last stream ended.

A candidate now looks when the lease may be taken, and a stopping node releases at once.

--- a/crates/control/src/lease/keeper.rs
+++ b/crates/control/src/lease/keeper.rs
@@ -1,6 +1,6 @@
 //! The actor that takes, renews and releases one lease.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use domain::{LeaseTerm, NodeId, RowVersion};
 use events::{EventCode, EventRecorder, EventSubject};
@@ -81,24 +81,37 @@
     let address = xtra::spawn_tokio(keeper, Mailbox::bounded(MAILBOX));
     let weak = address.downgrade();
     tokio::spawn(async move {
-        while weak.send(LeaseBeat).await.is_ok() {
-            tokio::time::sleep(spread(settings.beat(), BEAT_SPREAD)).await;
+        while let Ok(look) = weak.send(LeaseBeat).await {
+            // Regular beats are spread; a look that waits for a lease to run out comes on time.
+            let beat = settings.beat();
+            let pause = if look < beat {
+                look
+            } else {
+                spread(beat, BEAT_SPREAD)
+            };
+            tokio::time::sleep(pause).await;
         }
     });
     LeaseHandle { address, grants }
 }
 
 impl<T: TableStore> Handler<LeaseBeat> for LeaseKeeper<T> {
-    type Return = ();
+    type Return = Duration;
 
-    async fn handle(&mut self, _: LeaseBeat, _: &mut Context<Self>) {
+    async fn handle(&mut self, _: LeaseBeat, _: &mut Context<Self>) -> Duration {
         if self.stopping {
-            return;
+            return Duration::MAX;
         }
         // The store's failures need no event each: the circuit of the table tells of them, and a
         // lease that runs out tells of its loss.
-        let _ = self.beat().await;
+        let done = self.beat().await;
         self.publish();
+        if done.is_err() {
+            // Looking more often at a table that is down helps nobody.
+            return Duration::MAX;
+        }
+        let place = *self.place.borrow();
+        self.tracker.next_look(place, Instant::now())
     }
 }
 
--- a/crates/control/src/lease/tracker.rs
+++ b/crates/control/src/lease/tracker.rs
@@ -13,6 +13,9 @@
 /// for a moment; a tenth is far above what any clock drifts.
 const DRIFT_DIVISOR: u32 = 10;
 
+/// Added to the time until a lease may be taken, so that the look does not come just before it.
+const LOOK_MARGIN: Duration = Duration::from_millis(20);
+
 /// The row that changes only with the holder.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EpochRow {
@@ -166,6 +169,23 @@
             .map_or(LeaseStep::Wait, LeaseStep::Take)
     }
 
+    /// Time until the next look at the row: a beat, or less when the lease may be taken before.
+    #[must_use]
+    pub fn next_look(&self, place: Option<LeasePlace>, now: Instant) -> Duration {
+        let beat = self.settings.beat();
+        let (Some(seen), Some(LeasePlace(place)), None) = (&self.seen, place, &self.held) else {
+            return beat;
+        };
+        let held_for = match seen.term.holder {
+            Some(_) => seen.term.ttl(),
+            None => Duration::ZERO,
+        };
+        let unchanged = now.saturating_duration_since(seen.since);
+        let due = held_for + self.settings.stagger() * place;
+        let left = due.saturating_sub(unchanged) + LOOK_MARGIN;
+        left.min(beat)
+    }
+
     /// The step that lets go of the lease now.
     #[must_use]
     pub fn release_step(&self) -> LeaseStep {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,7 +14,7 @@
 use settings::NodeSettings;
 use target::{HttpEngine, HttpService};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use web::WebClient;
 
 /// Exit status after a second signal, as shells give it for an interrupted process.
@@ -87,12 +87,17 @@
         admin.start();
     }
     let recorder = context.recorder.clone();
+    let (released, release) = oneshot::channel();
     let stop = async move {
         stop_signal().await;
         recorder.note(EventCode::NodeStopping, EventSubject::default(), "");
+        // Others take the leases over while this node still finishes its streams.
+        let _ = released.send(tokio::spawn(tasks.release()));
     };
     running.serve(stop).await;
-    tasks.release().await;
+    if let Ok(release) = release.await {
+        let _ = release.await;
+    }
     peers.leave().await;
     Ok(())
 }
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests: the built binaries as separate processes on loopback, one module a feature.
 
+mod claim_batches;
 mod direct;
 mod engine_load;
 mod fault_switches;
