Check the configuration rules by explicit-state search

Cause: who may serve when the table can't be reached rests on partitions, outages, restarts and the age of what peers say, together.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -6,6 +6,7 @@
 //! can't fail proves nothing.
 
 pub mod assembly;
+pub mod config;
 pub mod lease;
 pub mod ledger;
 pub mod search;
@@ -42,6 +43,7 @@
     run_spec::<lease::LeaseModel>(&mut runs);
     run_spec::<assembly::AssemblyModel>(&mut runs);
     run_spec::<ledger::LedgerModel>(&mut runs);
+    run_spec::<config::ConfigModel>(&mut runs);
     runs
 }
 
