Admit, queue, place and retry completions by the crate policy

Cause: an attempt took the replica with the least reported load at once; nothing waited, was refused in time or held to a share.

One actor owns the queues, shares and replicas of all models; it applies the decisions of policy without I/O. The retry budget is kept for requests that failed before their first token; a caller with a part of its answer is never given up for it, since the replica that it went on from is lost anyway.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use wire::engine::{ResumeOrder, StreamEvent, StreamOrder};
 
+use crate::desk::ask::PlacedSlot;
 use crate::order::CompletionOrder;
 use crate::parts::EntryParts;
 use crate::progress::{AnswerEnd, AnswerProgress, MatchFault, MatchStep, StreamMatcher};
@@ -116,52 +117,70 @@
     }
 }
 
-/// Runs an attempt.
-pub async fn run_attempt<E: EnginePort, A: AnswerSink>(
-    parts: &EntryParts<E>,
-    order: &CompletionOrder,
-    site: &AttemptSite,
-    kind: AttemptKind,
-    progress: &mut AnswerProgress,
-    sink: &mut A,
-) -> AttemptEnd {
-    let mut guard = CancelGuard {
-        engine: parts.engine.clone(),
-        leader: site.leader,
-        attempt: Some(site.attempt.clone()),
-    };
-    let stream = match open_stream(parts, order, site, kind, progress).await {
-        Ok(stream) => stream,
-        Err(fault) => {
-            if fault.is_not_run() {
+/// An attempt about to run.
+#[derive(Debug)]
+pub struct AttemptRun<'a, E> {
+    /// What the request path works with.
+    pub parts: &'a EntryParts<E>,
+    /// What is wanted.
+    pub order: &'a CompletionOrder,
+    /// Where.
+    pub site: &'a AttemptSite,
+    /// How it begins.
+    pub kind: AttemptKind,
+    /// The slot that it fills; none for a stream that fills one since an earlier connection.
+    pub slot: Option<&'a mut PlacedSlot>,
+}
+
+impl<E: EnginePort> AttemptRun<'_, E> {
+    /// Runs it.
+    pub async fn run<A: AnswerSink>(
+        self,
+        progress: &mut AnswerProgress,
+        sink: &mut A,
+    ) -> AttemptEnd {
+        let (parts, order, site) = (self.parts, self.order, self.site);
+        let mut guard = CancelGuard {
+            engine: parts.engine.clone(),
+            leader: site.leader,
+            attempt: Some(site.attempt.clone()),
+        };
+        let stream = match open_stream(parts, order, site, self.kind, progress).await {
+            Ok(stream) => stream,
+            Err(fault) => {
+                if fault.is_not_run() {
+                    guard.disarm();
+                }
+                return AttemptEnd::Failed(fault);
+            }
+        };
+        let scope = TokenScope {
+            request: order.request.clone(),
+            customer: order.customer.clone(),
+            attempt: site.attempt.clone(),
+            replica: site.plan.id.clone(),
+            incarnation: site.plan.incarnation,
+            content: order.content(),
+        };
+        sink.begin(parts.sealer.scope(&scope), progress.offset());
+        let mut follower = StreamFollower {
+            parts,
+            site,
+            targets: parts.targets.clone(),
+            stream,
+            matcher: matcher(site, self.kind, progress),
+            begin_limit: order.deadline.saturating_duration_since(Instant::now()),
+            slot: self.slot,
+        };
+        let end = follower.follow(progress, sink).await;
+        match end {
+            AttemptEnd::Finished(_) | AttemptEnd::CallerGone | AttemptEnd::HandOver => {
                 guard.disarm();
             }
-            return AttemptEnd::Failed(fault);
+            AttemptEnd::Failed(_) => {}
         }
-    };
-    let scope = TokenScope {
-        request: order.request.clone(),
-        customer: order.customer.clone(),
-        attempt: site.attempt.clone(),
-        replica: site.plan.id.clone(),
-        incarnation: site.plan.incarnation,
-        content: order.content(),
-    };
-    sink.begin(parts.sealer.scope(&scope), progress.offset());
-    let mut follower = StreamFollower {
-        parts,
-        site,
-        targets: parts.targets.clone(),
-        stream,
-        matcher: matcher(site, kind, progress),
-        begin_limit: order.deadline.saturating_duration_since(Instant::now()),
-    };
-    let end = follower.follow(progress, sink).await;
-    match end {
-        AttemptEnd::Finished(_) | AttemptEnd::CallerGone | AttemptEnd::HandOver => guard.disarm(),
-        AttemptEnd::Failed(_) => {}
+        end
     }
-    end
 }
 
 fn matcher(site: &AttemptSite, kind: AttemptKind, progress: &AnswerProgress) -> StreamMatcher {
@@ -227,6 +246,7 @@
     stream: E::Stream,
     matcher: StreamMatcher,
     begin_limit: Duration,
+    slot: Option<&'a mut PlacedSlot>,
 }
 
 /// What a follower waited for.
@@ -286,6 +306,9 @@
             }
             last_event = Instant::now();
             begun = true;
+            if let Some(slot) = &mut self.slot {
+                slot.note_first_token();
+            }
         }
     }
 
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -2,13 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use domain::{FastSet, ReplicaId};
+use domain::ReplicaId;
 use events::{EventCode, EventSubject};
+use policy::placement::TargetOutcome;
+use policy::retry::RetryDecision;
 use target::EnginePort;
 use wire::caller::ErrorCode;
 
-use crate::attempt::{AttemptEnd, AttemptFault, AttemptKind, AttemptSite, run_attempt};
-use crate::desk::PlacementAsk;
+use crate::attempt::{AttemptEnd, AttemptFault, AttemptKind, AttemptRun, AttemptSite};
+use crate::desk::ask::{PlacedSlot, PlacementAsk, SlotOutcome};
 use crate::failure::CallerFailure;
 use crate::order::CompletionOrder;
 use crate::parts::EntryParts;
@@ -19,6 +21,9 @@
 /// When to come back after every attempt failed.
 const FAILED_RETRY: Duration = Duration::from_secs(2);
 
+/// Shortest pause before a replica is asked again after one was full.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+
 /// How a completion ended.
 #[derive(Debug)]
 pub enum CompletionEnd {
@@ -38,14 +43,12 @@
     parts: &'a EntryParts<E>,
     order: &'a CompletionOrder,
     progress: AnswerProgress,
-    /// Replicas that failed this request.
-    tried: FastSet<ReplicaId>,
+    /// What the desk is asked for the next attempt.
+    ask: PlacementAsk,
     /// Attempts so far.
     attempts: u32,
     /// Whether an engine may have run something.
     may_have_run: bool,
-    /// Moment by which the next attempt shall be placed.
-    place_by: Instant,
 }
 
 impl<'a, E: EnginePort> CompletionRun<'a, E> {
@@ -56,10 +59,9 @@
             parts,
             order,
             progress: AnswerProgress::default(),
-            tried: FastSet::default(),
+            ask: PlacementAsk::new(order),
             attempts: 0,
             may_have_run: false,
-            place_by: order.deadline,
         }
     }
 
@@ -77,13 +79,14 @@
     ) -> CompletionEnd {
         self.progress = AnswerProgress::resumed(token.offset);
         self.may_have_run = true;
+        self.ask.admitted = true;
         let subject = self.subject().and_replica(&token.scope.replica);
         let detail = format!("behind token {}", token.offset.count);
         self.parts
             .recorder
             .note(EventCode::RequestResumed, subject, detail);
         if let Some(site) = self.kept_site(token)
-            && let Some(end) = self.attempt(site, AttemptKind::Kept, sink).await
+            && let Ok(end) = self.attempt(&site, AttemptKind::Kept, None, sink).await
         {
             return end;
         }
@@ -108,30 +111,30 @@
 
     async fn run_placed<A: AnswerSink>(&mut self, sink: &mut A) -> CompletionEnd {
         while self.attempts < self.parts.settings.max_attempts {
-            let ask = PlacementAsk {
-                order: self.order,
-                tried: &self.tried,
-                begun: self.may_have_run,
-                deadline: self.place_by,
-            };
             let placed = tokio::select! {
-                placed = self.parts.desk.place(ask) => placed,
+                placed = self.parts.desk.place(self.ask.clone()) => placed,
                 () = sink.gone() => return CompletionEnd::CallerGone,
             };
-            let slot = match placed {
+            let mut slot = match placed {
                 Ok(slot) => slot,
                 Err(failure) => return CompletionEnd::Failed(self.judged(failure)),
             };
-            let attempt = self.parts.names.attempt(&self.order.request);
+            self.ask.admitted = true;
             let site = AttemptSite {
-                attempt,
+                attempt: self.parts.names.attempt(&self.order.request),
                 plan: slot.plan.clone(),
                 leader: slot.leader,
             };
-            let end = self.attempt(site, AttemptKind::Start, sink).await;
-            slot.release(end.is_some());
-            if let Some(end) = end {
-                return end;
+            let followed = self
+                .attempt(&site, AttemptKind::Start, Some(&mut slot), sink)
+                .await;
+            slot.end(self.slot_outcome(&followed));
+            let fault = match followed {
+                Ok(end) => return end,
+                Err(fault) => fault,
+            };
+            if let Err(failure) = self.before_next(&fault).await {
+                return CompletionEnd::Failed(self.judged(failure));
             }
         }
         let message = format!("{} attempts failed to finish the answer", self.attempts);
@@ -139,44 +142,105 @@
         CompletionEnd::Failed(self.judged(failure))
     }
 
-    /// Runs one attempt; none when the request shall go on elsewhere.
+    fn slot_outcome(&self, followed: &Result<CompletionEnd, AttemptFault>) -> SlotOutcome {
+        let delivered = self.progress.offset().count;
+        let (outcome, cached_tokens) = match followed {
+            Ok(CompletionEnd::Finished(end)) => (TargetOutcome::Finished, Some(end.cached_tokens)),
+            Ok(_) => (TargetOutcome::Cancelled, None),
+            Err(AttemptFault::Refused { moved: false, .. }) => (TargetOutcome::Full, None),
+            Err(_) => (TargetOutcome::Failed, None),
+        };
+        SlotOutcome {
+            outcome,
+            actual: self.ask.prompt_tokens.saturating_add(delivered),
+            cached_tokens,
+        }
+    }
+
+    /// Waits as long as the next attempt has to, or gives up.
+    ///
+    /// The retry budget is for requests that failed before their first token: they add load. A
+    /// caller that has a part of its answer is never given up for the budget's sake, since the
+    /// work that goes on elsewhere has left the lost replica; and neither a refusal nor a missing
+    /// host has cost any target anything.
+    async fn before_next(&mut self, fault: &AttemptFault) -> Result<(), CallerFailure> {
+        if self.progress.offset().count > 0 {
+            self.ask.deadline = Instant::now() + self.parts.settings.recovery();
+            return Ok(());
+        }
+        match fault {
+            AttemptFault::Refused { moved: true, .. }
+            | AttemptFault::HostMissing
+            | AttemptFault::Unsent(_) => Ok(()),
+            AttemptFault::Refused {
+                moved: false,
+                retry_after,
+            } => {
+                // An engine that is full took nothing; waiting for it counts as no attempt.
+                self.attempts -= 1;
+                let left = self.ask.deadline.saturating_duration_since(Instant::now());
+                let pause = retry_after
+                    .unwrap_or(FULL_PAUSE)
+                    .clamp(FULL_PAUSE, FULL_PAUSE * 10);
+                if left <= pause {
+                    let message = format!("every replica of {} is full", self.order.model);
+                    let failure = CallerFailure::not_run(ErrorCode::Overloaded, message);
+                    return Err(failure.retry(FAILED_RETRY));
+                }
+                tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+                Ok(())
+            }
+            AttemptFault::Broken(_) | AttemptFault::Silent(_) | AttemptFault::Mismatch(_) => {
+                let deadline = self.ask.deadline;
+                match self.parts.desk.decide_retry(self.attempts, deadline).await {
+                    RetryDecision::Retry { wait } => {
+                        tokio::time::sleep(wait).await;
+                        Ok(())
+                    }
+                    RetryDecision::GiveUp(reason) => {
+                        let message = format!("{fault}; {reason}");
+                        let failure = CallerFailure::not_run(ErrorCode::TargetFailed, message);
+                        Err(failure.retry(FAILED_RETRY))
+                    }
+                }
+            }
+        }
+    }
+
+    /// Runs one attempt; a fault means that the request shall go on elsewhere.
     async fn attempt<A: AnswerSink>(
         &mut self,
-        site: AttemptSite,
+        site: &AttemptSite,
         kind: AttemptKind,
+        slot: Option<&mut PlacedSlot>,
         sink: &mut A,
-    ) -> Option<CompletionEnd> {
+    ) -> Result<CompletionEnd, AttemptFault> {
         self.attempts += 1;
-        let replica = site.plan.id.clone();
-        self.note(EventCode::AttemptStarted, &replica, site.attempt.as_str());
-        let end = run_attempt(
-            self.parts,
-            self.order,
-            &site,
+        let replica = &site.plan.id;
+        self.note(EventCode::AttemptStarted, replica, site.attempt.as_str());
+        let attempt = AttemptRun {
+            parts: self.parts,
+            order: self.order,
+            site,
             kind,
-            &mut self.progress,
-            sink,
-        )
-        .await;
-        let fault = match end {
-            AttemptEnd::Finished(end) => return Some(CompletionEnd::Finished(end)),
-            AttemptEnd::CallerGone => return Some(CompletionEnd::CallerGone),
-            AttemptEnd::HandOver => return Some(CompletionEnd::HandOver),
+            slot,
+        };
+        let fault = match attempt.run(&mut self.progress, sink).await {
+            AttemptEnd::Finished(end) => return Ok(CompletionEnd::Finished(end)),
+            AttemptEnd::CallerGone => return Ok(CompletionEnd::CallerGone),
+            AttemptEnd::HandOver => return Ok(CompletionEnd::HandOver),
             AttemptEnd::Failed(fault) => fault,
         };
         let detail = format!("{}: {fault}", site.attempt);
-        self.note(EventCode::AttemptFailed, &replica, &detail);
+        self.note(EventCode::AttemptFailed, replica, &detail);
         self.may_have_run |= !fault.is_not_run();
-        if self.progress.offset().count > 0 {
-            self.place_by = Instant::now() + self.parts.settings.recovery();
-        }
         if fault == AttemptFault::Mismatch(MatchFault::TextDiffers) {
-            return Some(CompletionEnd::Failed(text_differs()));
+            return Ok(CompletionEnd::Failed(text_differs()));
         }
         if kind == AttemptKind::Start {
-            self.tried.insert(replica);
+            self.ask.tried.insert(replica.clone());
         }
-        None
+        Err(fault)
     }
 
     /// A failure with the truth about whether the request was run.
--- /dev/null
+++ b/crates/entry/src/desk/floor.rs
@@ -0,0 +1,162 @@
+//! The replicas as the desk sees them: their views, loads and the choice among them.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use control::{ReplicaView, TargetView};
+use domain::{DomainId, FastMap, ModelName, ReplicaId, TargetKey};
+use policy::capacity::PoolReport;
+use policy::placement::{
+    CandidateList, PlacementChoice, PlacementRequest, PlacementSettings, TargetFacts, TargetLoad,
+    TargetPool,
+};
+use rand::rngs::SmallRng;
+
+use super::ask::PlacementAsk;
+
+/// Assumed round trip to a replica in another failure domain of the region.
+const OTHER_DOMAIN: Duration = Duration::from_millis(1);
+
+/// All replicas.
+#[derive(Debug)]
+pub(super) struct ReplicaFloor {
+    pub pool: TargetPool,
+    keys: FastMap<ReplicaId, TargetKey>,
+    views: FastMap<TargetKey, Arc<ReplicaView>>,
+    pub rng: SmallRng,
+    evidence_limit: Duration,
+    home: Option<DomainId>,
+}
+
+/// Replicas of one model after a change of the view.
+#[derive(Debug, Default)]
+pub(super) struct ModelTargets {
+    pub keys: Vec<TargetKey>,
+    pub report: Option<PoolReport>,
+}
+
+impl ReplicaFloor {
+    pub fn new(rng: SmallRng, evidence_limit: Duration, home: Option<DomainId>) -> Self {
+        Self {
+            pool: TargetPool::new(PlacementSettings::builder().build()),
+            keys: FastMap::default(),
+            views: FastMap::default(),
+            rng,
+            evidence_limit,
+            home,
+        }
+    }
+
+    /// Takes a new view in and tells each model's replicas.
+    pub fn take_view(
+        &mut self,
+        view: &TargetView,
+        now: Duration,
+        instant: Instant,
+    ) -> FastMap<ModelName, ModelTargets> {
+        let mut models: FastMap<ModelName, ModelTargets> = FastMap::default();
+        let mut keys = FastMap::default();
+        let mut views = FastMap::default();
+        for replica in &view.replicas {
+            let facts = self.facts(replica);
+            let key = match self.keys.remove(&replica.plan.id) {
+                Some(key) => {
+                    self.pool.set_facts(key, facts);
+                    key
+                }
+                None => self.pool.insert(facts),
+            };
+            keys.insert(replica.plan.id.clone(), key);
+            views.insert(key, Arc::clone(replica));
+            let targets = models.entry(replica.plan.model.clone()).or_default();
+            targets.keys.push(key);
+            let Some((load, received)) = replica.load else {
+                continue;
+            };
+            let age = instant.saturating_duration_since(received);
+            let age = age + Duration::from_millis(load.age_ms);
+            let load = TargetLoad {
+                running: load.running,
+                waiting: load.waiting,
+                prompt_backlog: load.prompt_backlog,
+                prompt_rate: load.prompt_rate,
+                age,
+            };
+            self.pool.note_load(key, now, load);
+            if replica.dispatchable(instant, self.evidence_limit) {
+                add_report(&mut targets.report, replica, load);
+            }
+        }
+        for (_, gone) in self.keys.drain() {
+            self.pool.remove(gone);
+        }
+        self.keys = keys;
+        self.views = views;
+        models
+    }
+
+    fn facts(&self, replica: &ReplicaView) -> TargetFacts {
+        let near = self.home.is_none() || replica.domain == self.home;
+        TargetFacts {
+            slots: replica.load.map_or(0, |(load, _)| load.slots),
+            distance: if near { Duration::ZERO } else { OTHER_DOMAIN },
+            adapters: replica.plan.adapters.clone(),
+        }
+    }
+
+    /// Whether any of these takes work now.
+    pub fn any_usable(&self, candidates: &CandidateList, instant: Instant) -> bool {
+        candidates.as_slice().iter().any(|key| {
+            let view = self.views.get(key);
+            view.is_some_and(|view| view.dispatchable(instant, self.evidence_limit))
+        })
+    }
+
+    /// Chooses a replica and counts the attempt as sent.
+    ///
+    /// A replica that failed this request once may have recovered; it is better than none.
+    pub fn place(
+        &mut self,
+        candidates: &CandidateList,
+        ask: &PlacementAsk,
+        now: Duration,
+        instant: Instant,
+    ) -> Option<(PlacementChoice, Arc<ReplicaView>)> {
+        let request = PlacementRequest {
+            prompt_tokens: ask.prompt_tokens,
+            prefixes: &ask.prefixes,
+            adapter: ask.adapter.as_ref(),
+        };
+        let (views, limit) = (&self.views, self.evidence_limit);
+        let fits = |key: TargetKey| {
+            views.get(&key).is_some_and(|view| {
+                let version = ask.version.as_ref();
+                version.is_none_or(|version| view.plan.version == *version)
+                    && view.dispatchable(instant, limit)
+            })
+        };
+        let fresh = |key: TargetKey| {
+            let tried = views
+                .get(&key)
+                .is_some_and(|view| ask.tried.contains(&view.plan.id));
+            !tried && fits(key)
+        };
+        let pool = &mut self.pool;
+        let choice = pool
+            .choose(candidates, &request, now, fresh, &mut self.rng)
+            .or_else(|| pool.choose(candidates, &request, now, fits, &mut self.rng))?;
+        let view = Arc::clone(views.get(&choice.target)?);
+        pool.note_sent(&choice, &request, now);
+        Some((choice, view))
+    }
+}
+
+fn add_report(report: &mut Option<PoolReport>, replica: &ReplicaView, load: TargetLoad) {
+    let sum = report.get_or_insert_default();
+    // A replica of unknown size takes at least one stream.
+    let slots = replica.load.map_or(1, |(load, _)| load.slots.max(1));
+    sum.slots += slots;
+    sum.running += load.running;
+    sum.waiting += load.waiting;
+    sum.age = sum.age.max(load.age);
+}
--- /dev/null
+++ b/crates/entry/src/desk/mod.rs
@@ -0,0 +1,105 @@
+//! The desk: admits requests, lets them wait and finds a replica for each attempt.
+//!
+//! The decisions are those of the crate `policy`; [`state`] applies them without I/O, and one
+//! actor owns the state.
+
+mod actor;
+pub mod ask;
+mod floor;
+mod model;
+pub mod state;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use control::TargetView;
+use domain::ModelName;
+use policy::retry::{GiveUpReason, RetryDecision};
+use tokio::sync::{mpsc, oneshot, watch};
+use wire::caller::ErrorCode;
+use xtra::{Address, Mailbox};
+
+use crate::failure::CallerFailure;
+use actor::{DecideRetry, DeskActor, OfferAsk, SetEntries};
+use ask::{DeskNote, NoteSender, PlacedSlot, PlacementAsk};
+use state::{DeskSettings, DeskState};
+
+/// Messages that wait for the actor; senders wait beyond that.
+const MAILBOX: usize = 1_024;
+
+/// A handle of the desk. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct DispatchDesk {
+    address: Address<DeskActor>,
+    notes: NoteSender,
+    numbers: Arc<AtomicU64>,
+}
+
+impl DispatchDesk {
+    /// Starts a desk. Needs a tokio runtime.
+    #[must_use]
+    pub fn start(settings: DeskSettings, targets: watch::Receiver<Arc<TargetView>>) -> Self {
+        let (notes, received) = mpsc::unbounded_channel();
+        let state = DeskState::new(settings, Instant::now(), notes.clone());
+        let address = xtra::spawn_tokio(DeskActor::new(state), Mailbox::bounded(MAILBOX));
+        tokio::spawn(actor::forward_notes(received, address.downgrade()));
+        tokio::spawn(actor::follow_targets(targets, address.downgrade()));
+        Self {
+            address,
+            notes,
+            numbers: Arc::default(),
+        }
+    }
+
+    /// Waits for a replica.
+    ///
+    /// # Errors
+    ///
+    /// [`CallerFailure`] as not run: refused at once, or given up at its deadline.
+    pub async fn place(&self, ask: PlacementAsk) -> Result<PlacedSlot, CallerFailure> {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let (reply, answer) = oneshot::channel();
+        let mut leave = LeaveGuard {
+            notes: &self.notes,
+            model: Some(ask.model.clone()),
+            number,
+        };
+        let offer = OfferAsk { number, ask, reply };
+        let sent = self.address.send(offer).await.is_ok();
+        let result = if sent { answer.await.ok() } else { None };
+        leave.model = None;
+        result.unwrap_or_else(|| {
+            let message = "the desk has stopped";
+            Err(CallerFailure::not_run(ErrorCode::Internal, message))
+        })
+    }
+
+    /// Decides whether a request that failed without a token is tried again; `number` counts its
+    /// attempts.
+    pub async fn decide_retry(&self, number: u32, deadline: Instant) -> RetryDecision {
+        let decided = self.address.send(DecideRetry { number, deadline }).await;
+        decided.unwrap_or(RetryDecision::GiveUp(GiveUpReason::AttemptsSpent))
+    }
+
+    /// Tells how many entries share the replicas.
+    pub async fn set_entries(&self, entries: u32) {
+        let _ = self.address.send(SetEntries(entries)).await;
+    }
+}
+
+/// Tells the desk when a waiting caller is gone, so that it doesn't fill a place in the queue.
+struct LeaveGuard<'a> {
+    notes: &'a NoteSender,
+    model: Option<ModelName>,
+    number: u64,
+}
+
+impl Drop for LeaveGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(model) = self.model.take() {
+            let number = self.number;
+            let _ = self.notes.send(DeskNote::Left { model, number });
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod models;
 pub mod order;
 pub mod parts;
-pub mod place;
 pub mod progress;
 pub mod routes;
 pub mod server;
--- a/crates/entry/src/progress.rs
+++ b/crates/entry/src/progress.rs
@@ -65,6 +65,8 @@
 pub struct AnswerEnd {
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
+    /// Prompt tokens that the prefix cache held.
+    pub cached_tokens: u32,
     /// Tokens of the answer.
     pub count: u32,
     /// Why it ended: `stop` or `length`.
@@ -186,8 +188,8 @@
                 incarnation,
                 count,
                 prompt_tokens,
+                cached_tokens,
                 finish,
-                ..
             } => {
                 if !self.is_own(&attempt, incarnation) {
                     return MatchStep::Drop;
@@ -200,6 +202,7 @@
                 }
                 MatchStep::Finished(AnswerEnd {
                     prompt_tokens,
+                    cached_tokens,
                     count,
                     finish,
                 })
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -1,11 +1,13 @@
 //! Wiring of the callers' listener.
 
 use std::future::Future;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 
 use control::CallLedger;
+use entry::desk::state::DeskSettings;
 use entry::{
     DispatchDesk, EntryParts, EntryServer, EntrySettings, NameSource, StopPhase, TokenSealer,
 };
@@ -34,12 +36,15 @@
 pub async fn bind(context: &NodeContext) -> eyre::Result<EntryListener> {
     let settings = Arc::new(context.settings.entry.clone());
     let targets = context.target_sender.subscribe();
+    let desk = DeskSettings::builder()
+        .evidence_limit(settings.evidence_limit())
+        .home(context.settings.domain.clone())
+        .max_attempts(settings.max_attempts)
+        .seed(process_seed())
+        .build();
     let parts = EntryParts::builder()
         .config(context.config_sender.subscribe())
-        .desk(DispatchDesk::new(
-            targets.clone(),
-            settings.evidence_limit(),
-        ))
+        .desk(DispatchDesk::start(desk, targets.clone()))
         .targets(targets)
         .engine(context.engine.clone())
         .recorder(context.recorder.clone())
@@ -62,6 +67,11 @@
     })
 }
 
+/// Differs between processes, so that entries that start together don't decide alike.
+fn process_seed() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
+
 impl EntryListener {
     /// Serves until `stop` completes, then stops without cutting off a request; see
     /// [`entry::stop`].
