Test lost hosts, lost entries, planned stops and failing services

Real processes over the stand-ins. Seen to fail on a scratch change: with max_attempts 1 both tests of stream_failover end in an error event; with drain_grace_ms 0 none_cut_off gets a refused connection.

--- a/crates/standin/src/stack/mod.rs
+++ b/crates/standin/src/stack/mod.rs
@@ -49,6 +49,7 @@
     pub client: WebClient,
     places: Vec<StackPlace>,
     entry_domains: Vec<String>,
+    entry_settings: Value,
     product: PathBuf,
     folder: PathBuf,
     _permit: SemaphorePermit<'static>,
@@ -103,6 +104,7 @@
                 "objects": self.objects.address,
                 "hostlist": self.hostlist.address,
             },
+            "entry": self.entry_settings,
         });
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("writable");
--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use serde_json::{Value, json};
 use tokio::sync::Semaphore;
 use web::WebClient;
 
@@ -35,6 +36,7 @@
     engine_options: Vec<String>,
     hostlist_options: Vec<String>,
     weights_options: Option<Vec<String>>,
+    entry_settings: Value,
 }
 
 impl StackPlan {
@@ -57,6 +59,7 @@
             engine_options: Vec::new(),
             hostlist_options: Vec::new(),
             weights_options: None,
+            entry_settings: json!({ "resume_key": "one key for all entries" }),
         }
     }
 
@@ -138,6 +141,18 @@
         self
     }
 
+    /// Settings of the entries' request path besides their common resume key.
+    #[must_use]
+    pub fn entry_settings(mut self, settings: &Value) -> Self {
+        if let (Some(all), Some(more)) = (
+            self.entry_settings.as_object_mut(),
+            settings.as_object().cloned(),
+        ) {
+            all.extend(more);
+        }
+        self
+    }
+
     fn place(&self, engine: usize) -> StackPlace {
         let run = self.engines.div_ceil(self.fabrics);
         let fabric = engine / run;
@@ -206,6 +221,7 @@
             client: WebClient::default(),
             places,
             entry_domains: self.domains,
+            entry_settings: self.entry_settings,
             product: self.product,
             folder,
             _permit: permit,
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -2,9 +2,14 @@
 
 mod direct;
 mod engine_load;
+mod event_stream;
 mod fault_switches;
+mod graceful_stop;
 mod host_list;
+mod service_calls;
+mod stream_failover;
 mod stream_linger;
+mod stream_resume;
 mod whole_path;
 
 /// The built product.
