--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -10,11 +10,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
+use domain::CustomerId;
 use eyre::WrapErr;
 use http::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use web::{WebAnswer, json_answer, parse_json, text_answer};
-use wire::service::{IDEMPOTENCY_HEADER, LookupBody, ServiceLoad};
+use wire::service::{CUSTOMER_HEADER, IDEMPOTENCY_HEADER, LookupBody, ServiceLoad};
 
 use crate::faults::FaultSwitch;
 use crate::options::ServiceOptions;
@@ -49,7 +51,37 @@
 struct ExecutionBook {
     file: Option<File>,
     read_up_to: u64,
-    entries: BTreeMap<String, LookupBody>,
+    entries: BTreeMap<CallName, LookupBody>,
+}
+
+/// What names a call: two customers may use the same key.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct CallName {
+    key: String,
+    customer: Option<CustomerId>,
+}
+
+impl CallName {
+    fn new(key: &str, request: &Request<Bytes>) -> Self {
+        let customer = request
+            .headers()
+            .get(CUSTOMER_HEADER)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|name| name.parse().ok());
+        Self {
+            key: key.to_owned(),
+            customer,
+        }
+    }
+
+    fn absent(&self) -> LookupBody {
+        LookupBody {
+            key: self.key.clone(),
+            customer: self.customer.clone(),
+            executions: 0,
+            answer: None,
+        }
+    }
 }
 
 impl ExecutionBook {
@@ -73,20 +105,18 @@
     }
 
     /// Notes one execution. A line is one write in append mode, so lines never mix.
-    fn note(&mut self, key: &str, answer: Value) -> std::io::Result<()> {
+    fn note(&mut self, name: CallName, answer: Value) -> std::io::Result<()> {
         let Some(file) = &mut self.file else {
-            self.count(key, answer);
+            self.count(name, answer);
             return Ok(());
         };
-        let line = format!("{}\n", json!([key, answer]));
+        let line = format!("{}\n", json!([name, answer]));
         file.write_all(line.as_bytes())
     }
 
-    fn count(&mut self, key: &str, answer: Value) {
-        let entry = self
-            .entries
-            .entry(key.to_owned())
-            .or_insert_with(|| absent(key));
+    fn count(&mut self, name: CallName, answer: Value) {
+        let absent = name.absent();
+        let entry = self.entries.entry(name).or_insert(absent);
         entry.executions += 1;
         entry.answer = Some(answer);
     }
@@ -102,23 +132,15 @@
         let whole = text.rfind('\n').map_or(0, |end| end + 1);
         self.read_up_to += whole as u64;
         for line in text[..whole].lines() {
-            let Ok((key, answer)) = serde_json::from_str::<(String, Value)>(line) else {
+            let Ok((name, answer)) = serde_json::from_str::<(CallName, Value)>(line) else {
                 continue;
             };
-            self.count(&key, answer);
+            self.count(name, answer);
         }
         Ok(())
     }
 }
 
-fn absent(key: &str) -> LookupBody {
-    LookupBody {
-        key: key.to_owned(),
-        executions: 0,
-        answer: None,
-    }
-}
-
 fn broken(error: &std::io::Error) -> WebAnswer {
     text_answer(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string())
 }
@@ -130,10 +152,10 @@
         Ok(read(&book))
     }
 
-    fn lookup(&self, key: &str) -> WebAnswer {
-        let found = self.read_book(|book| book.entries.get(key).cloned());
+    fn lookup(&self, name: &CallName) -> WebAnswer {
+        let found = self.read_book(|book| book.entries.get(name).cloned());
         match found {
-            Ok(entry) => json_answer(StatusCode::OK, &entry.unwrap_or_else(|| absent(key))),
+            Ok(entry) => json_answer(StatusCode::OK, &entry.unwrap_or_else(|| name.absent())),
             Err(error) => broken(&error),
         }
     }
@@ -154,7 +176,7 @@
         let receipt = json!({ "call": path, "key": key, "input": input, "done": true });
         if let Some(key) = key {
             let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
-            if let Err(error) = book.note(key, receipt.clone()) {
+            if let Err(error) = book.note(CallName::new(key, request), receipt.clone()) {
                 return broken(&error);
             }
         }
@@ -173,7 +195,7 @@
     async fn answer(&self, request: Request<Bytes>) -> WebAnswer {
         let path = request.uri().path().to_owned();
         if let Some(key) = path.strip_prefix("/executions/") {
-            return self.lookup(key);
+            return self.lookup(&CallName::new(key, &request));
         }
         match (request.method().clone(), path.as_str()) {
             (Method::GET, "/load") => json_answer(StatusCode::OK, &self.load()),
--- a/crates/standin/src/stack/faults.rs
+++ b/crates/standin/src/stack/faults.rs
@@ -65,13 +65,14 @@
         self.set_faults(self.engines[engine].address, plan).await;
     }
 
-    /// Executions at the service by idempotency key, over all its instances.
+    /// Executions at the service by idempotency key, over all its instances and customers.
     pub async fn executions(&self) -> BTreeMap<String, u64> {
         let entries: Vec<LookupBody> = self.get(self.services[0].address, "/executions").await;
-        entries
-            .into_iter()
-            .map(|entry| (entry.key, entry.executions))
-            .collect()
+        let mut executions = BTreeMap::new();
+        for entry in entries {
+            *executions.entry(entry.key).or_default() += entry.executions;
+        }
+        executions
     }
 
     /// What an engine reports of itself.
--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -2,10 +2,12 @@
 
 use std::path::{Path, PathBuf};
 
-use serde_json::{Value, json};
+use serde_json::{Map, Value};
 use tokio::sync::Semaphore;
 use web::WebClient;
 
+use crate::deployment::Deployment;
+
 use super::{StackProcess, TestStack, write_hosts};
 
 /// Whole systems at once, so that a busy machine does not make healthy processes look dead.
@@ -36,7 +38,8 @@
     engine_options: Vec<String>,
     hostlist_options: Vec<String>,
     weights_options: Option<Vec<String>>,
-    entry_settings: Value,
+    settings: Map<String, Value>,
+    deployment: Deployment,
 }
 
 impl StackPlan {
@@ -59,7 +62,8 @@
             engine_options: Vec::new(),
             hostlist_options: Vec::new(),
             weights_options: None,
-            entry_settings: json!({ "resume_key": "one key for all entries" }),
+            settings: Map::new(),
+            deployment: Deployment::Ndiaye,
         }
     }
 
@@ -105,6 +109,13 @@
         self
     }
 
+    /// One section of the entries' settings, such as `("config", json!({"poll": "200ms"}))`.
+    #[must_use]
+    pub fn settings(mut self, section: &str, values: Value) -> Self {
+        self.settings.insert(section.to_owned(), values);
+        self
+    }
+
     /// Fabric domains `f0`, `f1`, …, each with an equal run of the hosts.
     #[must_use]
     pub fn fabrics(mut self, count: usize) -> Self {
@@ -141,15 +152,10 @@
         self
     }
 
-    /// Settings of the entries' request path besides their common resume key.
+    /// Records, customers and region of another example.
     #[must_use]
-    pub fn entry_settings(mut self, settings: &Value) -> Self {
-        if let (Some(all), Some(more)) = (
-            self.entry_settings.as_object_mut(),
-            settings.as_object().cloned(),
-        ) {
-            all.extend(more);
-        }
+    pub fn deployment(mut self, deployment: Deployment) -> Self {
+        self.deployment = deployment;
         self
     }
 
@@ -205,7 +211,7 @@
             engines.push(start_standin(&host, &arguments));
             places.push(self.place(number));
         }
-        write_hosts(&folder, &engines, &places, &[]);
+        write_hosts(&folder, self.deployment, &engines, &places, &[]);
         let hosts = folder.join("hosts.json").display().to_string();
         let mut arguments = vec!["hostlist", "--hosts", &hosts];
         arguments.extend(self.hostlist_options.iter().map(String::as_str));
@@ -220,8 +226,10 @@
             entries: Vec::new(),
             client: WebClient::default(),
             places,
+            deployment: self.deployment,
+            callers: self.deployment.callers().expect("a sound example"),
             entry_domains: self.domains,
-            entry_settings: self.entry_settings,
+            settings: self.settings,
             product: self.product,
             folder,
             _permit: permit,
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -3,6 +3,7 @@
 //! A call carries `Idempotency-Key` and `X-Customer`; a look-up is `GET {lookup}/{key}`, with
 //! `X-Customer` too: 200 with a [`LookupBody`]. Reported load stands at `GET /load`.
 
+use domain::CustomerId;
 use serde::{Deserialize, Serialize};
 
 /// Header that names a non-idempotent call.
@@ -19,6 +20,9 @@
 pub struct LookupBody {
     /// The idempotency key.
     pub key: String,
+    /// Whose key it is; a service that does not tell the keys of customers apart leaves it out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<CustomerId>,
     /// Times that the call was run.
     pub executions: u64,
     /// Its answer, when it ran.
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -8,6 +8,7 @@
 
 use control::CallLedger;
 use entry::desk::state::DeskSettings;
+use entry::settings::SecretText;
 use entry::{
     DispatchDesk, EntryParts, EntryServer, EntrySettings, NameSource, StopPhase, TokenSealer,
 };
@@ -32,9 +33,12 @@
 ///
 /// # Errors
 ///
-/// When the address can't be bound.
+/// When the address can't be bound or the resume key can't be read.
 pub async fn bind(context: &NodeContext) -> eyre::Result<EntryListener> {
-    let settings = Arc::new(context.settings.entry.clone());
+    let mut settings = context.settings.entry.clone();
+    let resume_key = context.settings.secrets.resume_key()?;
+    settings.resume_key = resume_key.map(|key| SecretText::from(key.expose()));
+    let settings = Arc::new(settings);
     let targets = context.target_sender.subscribe();
     let desk = DeskSettings::builder()
         .evidence_limit(settings.evidence_limit())
--- a/tests/system/graceful_stop.rs
+++ b/tests/system/graceful_stop.rs
@@ -30,8 +30,8 @@
 /// sends new requests elsewhere; none that reached the entry may be cut off.
 #[tokio::test(flavor = "multi_thread")]
 async fn none_cut_off() {
-    let settings = json!({ "drain_grace_ms": 2_000 });
-    let plan = StackPlan::new("none-cut-off", PRODUCT).entry_settings(&settings);
+    let settings = json!({ "drain_grace": "2s" });
+    let plan = StackPlan::new("none-cut-off", PRODUCT).settings("entry", settings);
     let mut stack = plan.start().await;
     let away = Arc::new(AtomicBool::new(false));
     let served = Arc::new(AtomicUsize::new(0));
@@ -75,8 +75,8 @@
 /// entry and loses nothing; a caller that doesn't stream gets its whole answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn handed_over() {
-    let settings = json!({ "drain_grace_ms": 300, "finish_ms": 300 });
-    let plan = StackPlan::new("handed-over", PRODUCT).entry_settings(&settings);
+    let settings = json!({ "drain_grace": "300ms", "finish": "300ms" });
+    let plan = StackPlan::new("handed-over", PRODUCT).settings("entry", settings);
     let mut stack = plan.start().await;
     let body = question(21, 600);
     let expected = undisturbed_text(&stack, 1, &body).await;
@@ -101,8 +101,8 @@
 /// An operator can't wait and sends the signal again; the process must end at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn second_signal() {
-    let settings = json!({ "drain_grace_ms": 600_000 });
-    let plan = StackPlan::new("second-signal", PRODUCT).entry_settings(&settings);
+    let settings = json!({ "drain_grace": "1m" });
+    let plan = StackPlan::new("second-signal", PRODUCT).settings("entry", settings);
     let mut stack = plan.start().await;
     stack.entries[0].signal("TERM");
     let started = Instant::now();
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -6,6 +6,7 @@
 mod fault_switches;
 mod graceful_stop;
 mod host_list;
+mod quickstart_keep;
 mod service_calls;
 mod stream_failover;
 mod stream_linger;
--- a/tests/system/service_calls.rs
+++ b/tests/system/service_calls.rs
@@ -149,8 +149,8 @@
 /// read by whatever it is, so its outcome is unknown, not "not run".
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_service() {
-    let settings = json!({ "call_timeout_ms": 500 });
-    let plan = StackPlan::new("silent-service", PRODUCT).entry_settings(&settings);
+    let settings = json!({ "call_timeout": "500ms" });
+    let plan = StackPlan::new("silent-service", PRODUCT).settings("entry", settings);
     let mut stack = plan.start().await;
     let address = stack.services[0].address;
     stack.services[0].kill();
