--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -6,6 +6,7 @@
 mod fault_switches;
 mod graceful_stop;
 mod host_list;
+mod host_loss;
 mod operator_client;
 mod quickstart_keep;
 mod service_calls;
