Provoke the configuration's failures with real processes

Entries in the stack know each other now (a shared key, a free port each, the earlier ones as seeds), and one entry's settings can differ. A process gets an id of its own at every start; under the old one peers took its heartbeats for late ones.

--- a/crates/standin/src/stack/mod.rs
+++ b/crates/standin/src/stack/mod.rs
@@ -10,6 +10,7 @@
 mod process;
 
 use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
@@ -33,9 +34,13 @@
 /// The key that seals resume tokens in a test's system.
 const RESUME_KEY: &str = "resume-key-of-the-test-stack";
 
+/// The key that the entries share for their links.
+const PEER_KEY: &str = "peer-key-of-the-test-stack";
+
 /// Variables with the keys of the entries, and of the operators' client.
 const OPERATOR_VARIABLE: &str = "STACK_OPERATOR_KEY";
 const RESUME_VARIABLE: &str = "STACK_RESUME_KEY";
+const PEER_VARIABLE: &str = "STACK_PEER_KEY";
 const KEY_VARIABLE: &str = "BRAMLEYSPRING_KEY";
 const NODES_VARIABLE: &str = "BRAMLEYSPRING_NODES";
 
@@ -69,6 +74,7 @@
     callers: CallerPlan,
     entry_domains: Vec<String>,
     settings: Map<String, Value>,
+    peer_addresses: Vec<SocketAddr>,
     product: PathBuf,
     folder: PathBuf,
     _permit: SemaphorePermit<'static>,
@@ -99,6 +105,19 @@
     std::fs::rename(&written, folder.join("hosts.json")).expect("renamable");
 }
 
+fn merge_section(section: &mut Value, values: &Value) {
+    for (key, value) in values.as_object().into_iter().flatten() {
+        section[key] = value.clone();
+    }
+}
+
+/// An address with a port that was free a moment ago: entries must know each other's before they
+/// start.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
 impl TestStack {
     fn records(&self, replicas: u32, hosts_per_replica: u32) -> Value {
         let mut records = self.deployment.records().expect("a sound example");
@@ -120,13 +139,19 @@
 
     /// Starts one more entry; entries take the plan's failure domains in turn.
     pub fn add_entry(&mut self, name: &str) {
+        self.add_entry_with(name, &json!({}));
+    }
+
+    /// Starts one more entry whose settings differ in the sections of `patch`.
+    pub fn add_entry_with(&mut self, name: &str, patch: &Value) {
         let domain = self.entry_domains[self.entries.len() % self.entry_domains.len()].clone();
-        let settings = self.write_settings(name, &domain);
+        let settings = self.write_settings(name, &domain, patch);
         let entry = StackProcess::start(name, &self.product, &["serve", "--settings", &settings]);
         self.entries.push(entry);
     }
 
-    fn write_settings(&self, name: &str, domain: &str) -> String {
+    fn write_settings(&mut self, name: &str, domain: &str, patch: &Value) -> String {
+        let peer_address = free_address();
         let mut settings = json!({
             "node": name, "region": self.deployment.region(), "domain": domain,
             "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
@@ -136,13 +161,20 @@
                 "objects": self.objects.address,
                 "hostlist": self.hostlist.address,
             },
+            "peers": {
+                "key_env": PEER_VARIABLE, "listen": peer_address, "seeds": self.peer_addresses,
+            },
         });
+        self.peer_addresses.push(peer_address);
         for (section, values) in &self.settings {
-            settings[section] = values.clone();
+            merge_section(&mut settings[section], values);
+        }
+        for (section, values) in patch.as_object().into_iter().flatten() {
+            merge_section(&mut settings[section], values);
         }
-        let path = self.folder.join(format!("{name}.json"));
-        std::fs::write(&path, settings.to_string()).expect("writable");
-        path.display().to_string()
+        let file = self.folder.join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).expect("writable");
+        file.display().to_string()
     }
 
     /// Writes records with the operators' client.
--- a/crates/standin/src/stack/plan.rs
+++ b/crates/standin/src/stack/plan.rs
@@ -230,6 +230,7 @@
             callers: self.deployment.callers().expect("a sound example"),
             entry_domains: self.domains,
             settings: self.settings,
+            peer_addresses: Vec::new(),
             product: self.product,
             folder,
             _permit: permit,
--- a/crates/standin/src/stack/process.rs
+++ b/crates/standin/src/stack/process.rs
@@ -7,7 +7,10 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use super::{OPERATOR_KEY, OPERATOR_VARIABLE, PATIENCE, POLL, RESUME_KEY, RESUME_VARIABLE};
+use super::{
+    OPERATOR_KEY, OPERATOR_VARIABLE, PATIENCE, PEER_KEY, PEER_VARIABLE, POLL, RESUME_KEY,
+    RESUME_VARIABLE,
+};
 
 /// One started process; killed when it is dropped.
 #[derive(Debug)]
@@ -30,6 +33,7 @@
             .args(arguments)
             .env(OPERATOR_VARIABLE, OPERATOR_KEY)
             .env(RESUME_VARIABLE, RESUME_KEY)
+            .env(PEER_VARIABLE, PEER_KEY)
             .stdout(Stdio::piped())
             .spawn()
             .unwrap_or_else(|error| panic!("{name} does not start: {error}"));
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,8 +6,10 @@
 mod peers;
 
 use std::sync::Arc;
+use std::time::SystemTime;
 
 use ::control::{ConfigView, TargetView};
+use domain::NodeId;
 use events::logs::start_logs;
 use events::{EventCode, EventRecorder, EventSubject, NodeMetrics};
 use platform::http::{HttpHostList, HttpObjects, HttpTable, ServiceEndpoint};
@@ -61,8 +63,9 @@
 /// # Errors
 ///
 /// When an address can't be bound.
-pub async fn serve(settings: NodeSettings) -> eyre::Result<()> {
+pub async fn serve(mut settings: NodeSettings) -> eyre::Result<()> {
     start_logs(settings.log.level);
+    settings.node = renewed_id(&settings.node)?;
     let context = NodeContext::new(settings)?;
     let peers = peers::bind(&context).await?;
     control::start(&context);
@@ -92,6 +95,15 @@
     Ok(())
 }
 
+/// An id that no earlier process of this host had.
+///
+/// Under the old id, peers would take the new process's heartbeats for late ones of the old, and a
+/// lease that the old process held would look like the new one's own.
+fn renewed_id(name: &NodeId) -> eyre::Result<NodeId> {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
+    Ok(format!("{name}.{:x}", since_epoch.as_millis()).parse()?)
+}
+
 /// Completes at the first signal to stop; a second one ends the process at once.
 async fn stop_signal() {
     next_signal().await;
