--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,5 +1,7 @@
 //! End-to-end tests: the built binaries as separate processes on loopback, one module a feature.
 
+mod config_faults;
+mod config_follow;
 mod direct;
 mod engine_load;
 mod event_stream;
@@ -13,6 +15,7 @@
 mod stream_failover;
 mod stream_linger;
 mod stream_resume;
+mod table_cut;
 mod whole_path;
 
 /// The built product.
