Refuse amendments on the small side and find every node through one

A node that hears no more than half of the members for longer than its start now refuses and says so.

Seen to fail first: without the rule, apply over a node whose two peers are frozen ended with 0.

--- a/crates/control/src/members/mod.rs
+++ b/crates/control/src/members/mod.rs
@@ -26,6 +26,9 @@
     pub domain: DomainId,
     /// Its region.
     pub region: RegionId,
+    /// Where operators connect, so that the client finds every node through any one.
+    #[serde(default)]
+    pub admin: Option<SocketAddr>,
 }
 
 /// A member's row in the table.
--- a/crates/control/tests/member_state.rs
+++ b/crates/control/tests/member_state.rs
@@ -24,6 +24,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: "plateau".parse().expect("a domain"),
         region: "dakar".parse().expect("a region"),
+        admin: None,
     }
 }
 
--- a/crates/peers/src/hub.rs
+++ b/crates/peers/src/hub.rs
@@ -7,8 +7,9 @@
 use control::config::{ConfigHandle, ConfigLesson, ConfigSnapshot, HeadConfirmation};
 use control::members::{MemberBook, SignSource};
 use domain::ConfigRevision;
+use events::{EventRecorder, HybridStamp};
 use tokio::sync::Notify;
-use wire::peer::{PeerChange, PeerConfirmation, PeerDigest};
+use wire::peer::{PeerChange, PeerConfirmation, PeerDigest, PeerStamp};
 
 use crate::evidence::EvidencePort;
 use crate::memory::{LinkMemory, millis};
@@ -31,6 +32,8 @@
     pub evidence: E,
     /// Counts what goes over the links.
     pub traffic: PeerTraffic,
+    /// Its clock orders the events of all nodes.
+    pub recorder: EventRecorder,
     /// Wakes the links when something must go out at once.
     pub wake: Arc<Notify>,
 }
@@ -44,8 +47,13 @@
             revision: known.revision.0,
             age_ms: millis(now.saturating_duration_since(known.as_of)),
         });
+        let stamp = self.recorder.clock().next();
         let mut digest = PeerDigest {
             echo,
+            stamp: PeerStamp {
+                millis: stamp.millis,
+                counter: stamp.counter,
+            },
             revision: news.revision.0,
             confirmation,
             ..PeerDigest::default()
@@ -88,6 +96,10 @@
     /// Takes in a peer's digest. `asked_at` is a moment on this node's clock before which the
     /// digest was certainly not made; ages count from there.
     pub async fn incoming(&self, memory: &mut LinkMemory, digest: PeerDigest, asked_at: Instant) {
+        let PeerStamp { millis, counter } = digest.stamp;
+        self.recorder
+            .clock()
+            .observe(HybridStamp { millis, counter });
         memory.revision = memory.revision.max(digest.revision());
         self.take_members(memory, &digest);
         for held in memory.take_evidence(&digest, asked_at) {
--- a/crates/peers/src/memory.rs
+++ b/crates/peers/src/memory.rs
@@ -220,6 +220,7 @@
         address: row.member.address,
         domain: row.member.domain,
         region: row.member.region,
+        admin: row.member.admin,
         beat: row.beat,
     }
 }
@@ -231,6 +232,7 @@
             address: row.address,
             domain: row.domain,
             region: row.region,
+            admin: row.admin,
         },
         beat: row.beat,
     }
--- a/crates/peers/tests/mesh/mod.rs
+++ b/crates/peers/tests/mesh/mod.rs
@@ -84,6 +84,7 @@
             address,
             domain: "plateau".parse().expect("a domain"),
             region: "dakar".parse().expect("a region"),
+            admin: None,
         };
         let book = MemberBook::new(MemberState::new(own.clone(), self.limits));
         let recorder = EventRecorder::new(own.node.clone(), 1_000);
@@ -93,6 +94,7 @@
             config: config.clone(),
             book: book.clone(),
             evidence: NoEvidence,
+            recorder: recorder.clone(),
             traffic: PeerTraffic::default(),
             wake: Arc::default(),
         };
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -92,6 +92,8 @@
 pub struct PeerDigest {
     /// Sequence of the newest answer that the sender got on this connection; 0 before the first.
     pub echo: u64,
+    /// The sender's hybrid logical clock, so that events here sort behind what caused them there.
+    pub stamp: PeerStamp,
     /// Revision in force at the sender.
     pub revision: u64,
     /// How well the sender knows the head.
@@ -110,6 +112,15 @@
     pub looks: Vec<PeerLook>,
 }
 
+/// A moment of a hybrid logical clock.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerStamp {
+    /// Milliseconds since 1970.
+    pub millis: u64,
+    /// Order within one millisecond.
+    pub counter: u32,
+}
+
 /// That the head was at most at a revision, so long before the message was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerConfirmation {
@@ -140,6 +151,8 @@
     pub domain: DomainId,
     /// Its region.
     pub region: RegionId,
+    /// Where operators connect.
+    pub admin: Option<SocketAddr>,
     /// Its heartbeat.
     pub beat: u64,
 }
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -5,19 +5,22 @@
 use std::time::{Duration, Instant};
 
 use admin::{AdminParts, AdminServer, OperatorKey, StatusSource};
+use control::config::ConfigHandle;
+use control::members::{Member, MemberBook};
 use control::{ConfigView, ReplicaView, TargetView};
 use domain::{FastSet, HostId, NodeId};
 use events::NodeMetrics;
 use events::metrics::NodeGauge;
 use eyre::WrapErr;
 use platform::HostListPort;
-use platform::http::{HttpHostList, HttpTable};
+use platform::http::HttpHostList;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use web::serve_listener;
 use wire::admin::{MemberStatus, NodeStatus, ReplicaState, ReplicaStatus};
 
 use super::NodeContext;
+use super::peers::PeerTasks;
 
 /// Oldest evidence of wholeness with which a replica is shown as whole.
 const EVIDENCE_LIMIT: Duration = Duration::from_secs(3);
@@ -33,53 +36,55 @@
     /// Where operators connect.
     pub address: SocketAddr,
     listener: TcpListener,
-    server: Arc<AdminServer<HttpTable, NodeReport>>,
 }
 
 /// Binds the admin listener when the settings name one.
 ///
 /// # Errors
 ///
-/// When the address can't be bound or the operators' key can't be read.
+/// When the address can't be bound.
 pub async fn bind(context: &NodeContext) -> eyre::Result<Option<AdminListener>> {
-    let report = NodeReport::new(context);
-    tokio::spawn(
-        report
-            .clone()
-            .sample_forever(context.list.clone(), context.metrics.clone()),
-    );
     let Some(wanted) = context.settings.admin else {
         return Ok(None);
     };
     let listener = TcpListener::bind(wanted)
         .await
         .wrap_err_with(|| format!("can't listen on {wanted}"))?;
+    let address = listener.local_addr()?;
+    Ok(Some(AdminListener { address, listener }))
+}
+
+/// Starts sampling, and serving on the listener for as long as the process lives.
+///
+/// # Errors
+///
+/// When the operators' key can't be read.
+pub fn start(
+    context: &NodeContext,
+    peers: &PeerTasks,
+    bound: Option<AdminListener>,
+) -> eyre::Result<()> {
+    let report = NodeReport::new(context, peers);
+    tokio::spawn(
+        report
+            .clone()
+            .sample_forever(context.list.clone(), context.metrics.clone()),
+    );
+    let Some(bound) = bound else { return Ok(()) };
     let key = context.settings.secrets.operator_key()?;
-    let parts = AdminParts {
+    let server = AdminServer::new(AdminParts {
         table: context.table.clone(),
         source: report,
         recorder: context.recorder.clone(),
         metrics: context.metrics.clone(),
         key: key.map(|key| OperatorKey::new(key.expose())),
-    };
-    let address = listener.local_addr()?;
-    let server = Arc::new(AdminServer::new(parts));
-    Ok(Some(AdminListener {
-        address,
-        listener,
-        server,
-    }))
-}
-
-impl AdminListener {
-    /// Serves for as long as the process lives.
-    pub fn start(self) {
-        tokio::spawn(serve_listener(
-            self.listener,
-            self.server,
-            std::future::pending(),
-        ));
-    }
+    });
+    tokio::spawn(serve_listener(
+        bound.listener,
+        Arc::new(server),
+        std::future::pending(),
+    ));
+    Ok(())
 }
 
 /// What a node says of itself. Clones share the counts.
@@ -88,6 +93,10 @@
     node: NodeId,
     config: watch::Receiver<Arc<ConfigView>>,
     targets: watch::Receiver<Arc<TargetView>>,
+    follower: ConfigHandle,
+    book: MemberBook,
+    started: Instant,
+    settle: Duration,
     counts: Arc<Mutex<ReportCounts>>,
 }
 
@@ -100,11 +109,15 @@
 }
 
 impl NodeReport {
-    fn new(context: &NodeContext) -> Self {
+    fn new(context: &NodeContext, peers: &PeerTasks) -> Self {
         Self {
             node: context.settings.node.clone(),
             config: context.config_sender.subscribe(),
             targets: context.target_sender.subscribe(),
+            follower: peers.config().clone(),
+            book: peers.book().clone(),
+            started: Instant::now(),
+            settle: context.settings.members.limits().dead,
             counts: Arc::default(),
         }
     }
@@ -163,6 +176,17 @@
         metrics.set_gauge(NodeGauge::GroupDowntime, counts.group_downtime_seconds);
     }
 
+    fn members(&self, now: Instant) -> Vec<MemberStatus> {
+        let view = self.book.view(now);
+        let status = |member: &Member| MemberStatus {
+            node: member.node.clone(),
+            domain: member.domain.clone(),
+            region: member.region.clone(),
+            admin: member.admin,
+        };
+        view.members.iter().map(status).collect()
+    }
+
     fn counts(&self) -> std::sync::MutexGuard<'_, ReportCounts> {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -208,7 +232,7 @@
         NodeStatus {
             node: self.node.clone(),
             ready: config.revision.0 > 0 && config.gate.is_open(now),
-            standing: String::new(),
+            standing: self.follower.news().standing.as_str().to_owned(),
             revision: config.revision,
             unknown_records: config.unknown.clone(),
             replicas,
@@ -216,11 +240,26 @@
             group_downtime_seconds: counts.group_downtime_seconds,
             stranded_seconds: counts.stranded_seconds,
             leases: Vec::new(),
-            members: Vec::<MemberStatus>::new(),
+            members: self.members(now),
         }
     }
 
+    /// Why this node takes no amendments: the small side of a partition must not change what the
+    /// large side can't hear of. Whoever amends there would be told that it is in force within
+    /// seconds, while most callers are still served by the old configuration.
     fn amend_hindrance(&self) -> Option<String> {
-        None
+        // A node that has just started has heard nobody yet and would refuse for no reason.
+        if self.started.elapsed() < self.settle {
+            return None;
+        }
+        let reach = self.book.reach(Instant::now());
+        if reach.rostered <= 1 || reach.is_majority() {
+            return None;
+        }
+        Some(format!(
+            "this node hears {} of {} entry hosts, less than half: it may be cut off from the \
+             others; try again through another node, or when they are back",
+            reach.heard, reach.rostered
+        ))
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -67,7 +67,8 @@
     start_logs(settings.log.level);
     settings.node = renewed_id(&settings.node)?;
     let context = NodeContext::new(settings)?;
-    let peers = peers::bind(&context).await?;
+    let admin = admin::bind(&context).await?;
+    let peers = peers::bind(&context, admin.as_ref().map(|admin| admin.address)).await?;
     control::start(&context);
     let peers = peers.start(&context)?;
     let running = entry::bind(&context).await?;
@@ -78,13 +79,13 @@
         address.to_string(),
     );
     println!("{} listens on {address}", context.settings.node);
-    if let Some(admin) = admin::bind(&context).await? {
+    if let Some(admin) = &admin {
         println!(
             "{} admin listens on {}",
             context.settings.node, admin.address
         );
-        admin.start();
     }
+    admin::start(&context, &peers, admin)?;
     let recorder = context.recorder.clone();
     let stop = async move {
         stop_signal().await;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -32,12 +32,12 @@
 /// Time that a node that stops gives its peers to hear of it.
 const GOODBYE_LIMIT: Duration = Duration::from_millis(300);
 
-/// Binds the listener for peers.
+/// Binds the listener for peers. `admin` is the address at which operators find this node.
 ///
 /// # Errors
 ///
 /// When the address can't be bound.
-pub async fn bind(context: &NodeContext) -> eyre::Result<PeerListener> {
+pub async fn bind(context: &NodeContext, admin: Option<SocketAddr>) -> eyre::Result<PeerListener> {
     let settings = &context.settings;
     let any_port = SocketAddr::new(settings.listen.ip(), 0);
     let wanted = settings.peers.listen.unwrap_or(any_port);
@@ -49,6 +49,7 @@
         address: listener.local_addr()?,
         domain: settings.domain.clone(),
         region: settings.region.clone(),
+        admin,
     };
     let book = MemberBook::new(MemberState::new(own, settings.members.limits()));
     let members = MemberKeeper::builder()
@@ -103,6 +104,7 @@
             config: self.config,
             book: self.book,
             evidence: NoEvidence,
+            recorder: context.recorder.clone(),
             traffic: PeerTraffic::default(),
             wake: Arc::default(),
         };
@@ -124,6 +126,16 @@
 }
 
 impl PeerTasks {
+    /// The configuration in force, and how well it is known.
+    pub fn config(&self) -> &ConfigHandle {
+        &self.hub.config
+    }
+
+    /// The membership.
+    pub fn book(&self) -> &MemberBook {
+        &self.hub.book
+    }
+
     /// Says goodbye to the other nodes.
     pub async fn leave(&self) {
         tokio::join!(self.hub.say_goodbye(GOODBYE_LIMIT), self.members.leave());
--- a/tests/system/operator_client.rs
+++ b/tests/system/operator_client.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Output};
 
 use serde_json::{Value, json};
-use standin::stack::{OPERATOR_KEY, StackPlan, TestStack};
+use standin::stack::{OPERATOR_KEY, PATIENCE, StackPlan, TestStack};
 
 use crate::PRODUCT;
 
@@ -220,3 +220,48 @@
         .expect("the client runs");
     assert!(text(&help).contains("Examples:"), "{}", text(&help));
 }
+
+/// Two of three entry hosts are frozen, which to the third looks like a partition with itself on
+/// the small side. An amendment over it would be told to be in force within seconds while most
+/// callers still get the old configuration. The operator must be told to go elsewhere, and when
+/// the others are back the same amendment must be accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn small_side_refused() {
+    let members = json!({ "beat": "200ms", "write": "1s", "dead": "2s", "unheard": "1s" });
+    let plan = StackPlan::new("small-side", PRODUCT)
+        .engines(2)
+        .replicas(1)
+        .hosts_per_replica(2);
+    let stack = plan.settings("members", members).start().await;
+    let path = file("small-side.json", &drain_of(&["h99"]));
+    for entry in &stack.entries[1..] {
+        entry.signal("STOP");
+    }
+    let refused = apply_until(&stack, &path, FAILED).await;
+    assert!(
+        problem(&refused).contains("less than half"),
+        "{}",
+        problem(&refused)
+    );
+    for entry in &stack.entries[1..] {
+        entry.signal("CONT");
+    }
+    apply_until(&stack, &path, DONE).await;
+}
+
+async fn apply_until(stack: &TestStack, path: &str, wanted: Option<i32>) -> Output {
+    let started = std::time::Instant::now();
+    loop {
+        let output = run(stack, &["apply", path]);
+        if output.status.code() == wanted {
+            return output;
+        }
+        assert!(
+            started.elapsed() < PATIENCE,
+            "{}{}",
+            text(&output),
+            problem(&output)
+        );
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    }
+}
