Test the request path in one process over small fakes

Bad input, shape of answers, faults of engines, waiting and refusing, and claims with a claimant frozen between claim and send. bad_bodies first failed with place "?" for a body that breaks off; the place of a parse error is now written as the field, or as "body".

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -190,6 +190,15 @@
     Err(CallerFailure::not_run(ErrorCode::NotReady, message).retry(NOT_READY_RETRY))
 }
 
+/// Place of a parse error as a caller writes it: a body that breaks off inside a field is given
+/// with that field, one that can't be read at all as a whole.
+fn body_place(path: &str) -> &str {
+    match path.trim_end_matches(['.', '?']) {
+        "" => "body",
+        place => place,
+    }
+}
+
 fn body_failure(error: BodyError) -> CallerFailure {
     let message = error.to_string();
     match error {
@@ -200,12 +209,7 @@
             CallerFailure::not_run(ErrorCode::InvalidRequest, message).at("body")
         }
         BodyError::Json { place, .. } => {
-            let place = if place == "." {
-                "body".to_owned()
-            } else {
-                place
-            };
-            CallerFailure::not_run(ErrorCode::InvalidRequest, message).at(place)
+            CallerFailure::not_run(ErrorCode::InvalidRequest, message).at(body_place(&place))
         }
     }
 }
--- /dev/null
+++ b/crates/entry/tests/request_path/fake_entry.rs
@@ -0,0 +1,269 @@
+//! An entry over the fakes.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use control::{CallLedger, ConfigView, ReplicaView, TargetView};
+use domain::record::{
+    CustomerRecord, ModelGrant, ModelRecord, ServiceCall, ServiceRecord, VersionPlan,
+};
+use domain::{
+    ConfigRevision, IncarnationNumber, LeaseEpoch, RecordSpec, ReplicaPlan, WholenessEvidence,
+};
+use entry::desk::state::DeskSettings;
+use entry::{DispatchDesk, EntryParts, EntryServer, EntrySettings, NameSource, TokenSealer};
+use events::EventRecorder;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde_json::Value;
+use tokio::sync::watch;
+use web::WebAnswer;
+use wire::engine::EngineLoad;
+
+use crate::fake_engine::FakeEngine;
+use crate::fake_service::FakeService;
+use crate::fake_table::FakeTable;
+
+/// Bearer key of the customer `traders`.
+pub const TRADERS_KEY: &str = "traders-key";
+
+/// Bearer key of the customer `clerks`.
+pub const CLERKS_KEY: &str = "clerks-key";
+
+/// An entry with what it works on.
+pub struct FakeEntry {
+    pub engine: FakeEngine,
+    pub table: FakeTable,
+    pub service: FakeService,
+    pub targets: watch::Sender<Arc<TargetView>>,
+    pub recorder: EventRecorder,
+    server: EntryServer<FakeEngine, FakeTable, FakeService>,
+    _config: watch::Sender<Arc<ConfigView>>,
+}
+
+/// An answer read whole.
+#[derive(Debug)]
+pub struct FakeAnswer {
+    pub status: StatusCode,
+    pub retry_after: Option<String>,
+    pub allow: Option<String>,
+    pub text: String,
+}
+
+impl FakeAnswer {
+    /// The body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or(Value::Null)
+    }
+
+    /// A field of the error.
+    pub fn error(&self, field: &str) -> String {
+        let value = &self.json()["error"][field];
+        value.as_str().unwrap_or_default().to_owned()
+    }
+
+    /// The data of the events of a stream.
+    pub fn data(&self) -> Vec<String> {
+        let lines = self.text.lines();
+        lines
+            .filter_map(|line| line.strip_prefix("data: "))
+            .map(str::to_owned)
+            .collect()
+    }
+}
+
+fn customer(name: &str, key: &str) -> RecordSpec {
+    RecordSpec::Customer(CustomerRecord {
+        name: name.parse().expect("an id"),
+        key_hashes: vec![entry::caller::hex_hash(key.as_bytes())],
+        grants: vec![ModelGrant {
+            model: "help".parse().expect("an id"),
+            version: None,
+            adapters: vec!["wolof".parse().expect("an id")],
+        }],
+        services: vec!["licences".parse().expect("an id")],
+        share: 1,
+    })
+}
+
+fn model(name: &str) -> RecordSpec {
+    RecordSpec::Model(ModelRecord {
+        name: name.parse().expect("an id"),
+        hosts_per_replica: 2,
+        versions: vec![VersionPlan {
+            version: "v1".parse().expect("an id"),
+            replicas: 2,
+        }],
+        adapters: Vec::new(),
+    })
+}
+
+fn service(name: &str) -> RecordSpec {
+    let call = |path: &str, idempotent: bool| ServiceCall {
+        path: path.to_owned(),
+        idempotent,
+        lookup: (!idempotent).then(|| "executions".to_owned()),
+    };
+    RecordSpec::Service(ServiceRecord {
+        name: name.parse().expect("an id"),
+        targets: vec!["127.0.0.1:9".parse().expect("an address")],
+        calls: vec![call("fees/pay", false), call("licences/find", true)],
+    })
+}
+
+fn config() -> ConfigView {
+    let mut view = ConfigView {
+        revision: ConfigRevision(1),
+        ..ConfigView::default()
+    };
+    let records = [
+        customer("traders", TRADERS_KEY),
+        customer("clerks", CLERKS_KEY),
+        model("help"),
+        model("secret"),
+        service("licences"),
+        service("registry"),
+    ];
+    for record in records {
+        view.insert(record);
+    }
+    view
+}
+
+/// A whole replica of two hosts whose leader listens on a port.
+pub fn replica(number: u16) -> ReplicaView {
+    let hosts = vec![
+        format!("h{number}a").parse().expect("an id"),
+        format!("h{number}b").parse().expect("an id"),
+    ];
+    let plan = ReplicaPlan {
+        id: format!("r{number}").parse().expect("an id"),
+        incarnation: IncarnationNumber(1),
+        epoch: LeaseEpoch(1),
+        fabric: "f0".parse().expect("an id"),
+        hosts: hosts.clone(),
+        model: "help".parse().expect("an id"),
+        version: "v1".parse().expect("an id"),
+        adapters: Vec::new(),
+        role: domain::replica::ReplicaRole::Both,
+        draining: false,
+    };
+    let evidence = WholenessEvidence {
+        replica: plan.id.clone(),
+        incarnation: plan.incarnation,
+        hosts,
+        leaving: false,
+        age: Duration::ZERO,
+    };
+    let load = EngineLoad {
+        slots: 8,
+        ..EngineLoad::default()
+    };
+    ReplicaView {
+        plan,
+        leader: Some(([127, 0, 0, 1], number).into()),
+        domain: None,
+        evidence: Some((evidence, Instant::now())),
+        load: Some((load, Instant::now())),
+        draining: false,
+    }
+}
+
+/// A view of replicas.
+pub fn view_of(replicas: Vec<ReplicaView>) -> Arc<TargetView> {
+    Arc::new(TargetView {
+        replicas: replicas.into_iter().map(Arc::new).collect(),
+    })
+}
+
+impl FakeEntry {
+    /// An entry with two whole replicas.
+    pub fn new() -> Self {
+        let settings = EntrySettings::builder()
+            .evidence_ms(60_000)
+            .silence_ms(400)
+            .build();
+        Self::start("e0", settings, FakeTable::default(), FakeService::default())
+    }
+
+    /// An entry.
+    pub fn start(
+        node: &str,
+        settings: EntrySettings,
+        table: FakeTable,
+        service: FakeService,
+    ) -> Self {
+        let node: domain::NodeId = node.parse().expect("an id");
+        let settings = Arc::new(settings);
+        let targets = watch::Sender::new(view_of(vec![replica(1), replica(2)]));
+        let (config, config_seen) = watch::channel(Arc::new(config()));
+        let engine = FakeEngine::default();
+        let recorder = EventRecorder::new(node.clone(), 1_000);
+        let desk = DeskSettings::builder()
+            .evidence_limit(settings.evidence_limit())
+            .max_attempts(settings.max_attempts)
+            .seed(1)
+            .build();
+        let parts = EntryParts::builder()
+            .config(config_seen)
+            .targets(targets.subscribe())
+            .engine(engine.clone())
+            .recorder(recorder.clone())
+            .sealer(TokenSealer::new(Some(&"one key".into())))
+            .desk(DispatchDesk::start(desk, targets.subscribe()))
+            .names(NameSource::new(&node))
+            .settings(settings)
+            .build();
+        let ledger = CallLedger::new(table.clone(), node);
+        Self {
+            server: EntryServer::new(parts, ledger, service.clone()),
+            engine,
+            table,
+            service,
+            targets,
+            recorder,
+            _config: config,
+        }
+    }
+
+    /// Sends a request as it is.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> FakeAnswer {
+        read_answer(self.server.answer_parts(request).await).await
+    }
+
+    /// Posts a body as the customer `traders`.
+    pub async fn post(&self, path: &str, headers: &[(&str, &str)], body: &str) -> FakeAnswer {
+        self.send(post(TRADERS_KEY, path, headers, body)).await
+    }
+}
+
+/// A request with a body.
+pub fn post(key: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("authorization", format!("Bearer {key}"));
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder
+        .body(Full::from(body.to_owned()))
+        .expect("a request")
+}
+
+async fn read_answer(answer: WebAnswer) -> FakeAnswer {
+    let status = answer.status();
+    let header = |name: &str| {
+        let value = answer.headers().get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let (retry_after, allow) = (header("retry-after"), header("allow"));
+    let body = answer.into_body().collect().await.expect("a body");
+    FakeAnswer {
+        status,
+        retry_after,
+        allow,
+        text: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+    }
+}
