--- a/crates/standin/tests/load_plan.rs
+++ b/crates/standin/tests/load_plan.rs
@@ -66,6 +66,7 @@
         if executions > 0 {
             book.push(LookupBody {
                 key: key.to_owned(),
+                customer: None,
                 executions,
                 answer: None,
             });
