--- a/crates/policy/examples/compare/hosts.rs
+++ b/crates/policy/examples/compare/hosts.rs
@@ -79,26 +79,39 @@
     for ratio in [AGENCY, 100.0, 300.0, NDIAYE, 3_000.0, 10_000.0] {
         for size in [4, 16] {
             let wanted = vec![
-                wanted("lookup", if size == 4 { 16 } else { 8 }, 0, size),
+                wanted("lookup", if size == 4 { 16 } else { 6 }, 0, size),
                 wanted("help", if size == 4 { 30 } else { 12 }, 64, size),
             ];
-            let plan = fleet_plan(6, if size == 4 { 36 } else { 72 });
+            let plan = fleet_plan(6, if size == 4 { 36 } else { 64 });
             let result = YearDriver::new(plan, wanted, settings(ratio)).run(plan_round);
             let loss = ratio * result.group_downtime
                 + result.stranded_part
                     * 365.0
                     * 24.0
                     * f64::from(u32::try_from(plan.fabrics * plan.hosts).unwrap_or(0));
-            let idle = settings(ratio).idle_spares(plan.hosts);
-            print(
-                &format!("{ratio} : 1, {size} hosts"),
-                &format!("{idle} idle spares each, loss {loss:.0}"),
-                &result,
-            );
+            let case = format!("{ratio} : 1, {size} hosts");
+            print(&case, &format!("loss {loss:.0}"), &result);
         }
     }
 }
 
+/// How long a replica waits for an absent host, when every host is paused 20 times a year.
+pub fn patience() {
+    header("patience");
+    for seconds in [0, 10, 30, 120, 600] {
+        let plan = FleetPlan {
+            pauses: (20.0, Duration::from_secs(10)),
+            ..fleet_plan(6, 36)
+        };
+        let settings = AssemblySettings::builder()
+            .patience(Duration::from_secs(seconds))
+            .build();
+        let wanted = vec![wanted("help", 50, 0, 4)];
+        let result = YearDriver::new(plan, wanted, settings).run(plan_round);
+        print(&format!("{seconds} s"), "plan_round", &result);
+    }
+}
+
 /// Fabric domains that go dark, 12 a year each for an hour, and all loads under the store's rate.
 pub fn outages() {
     header("fabric domains go dark");
--- a/crates/policy/examples/compare/main.rs
+++ b/crates/policy/examples/compare/main.rs
@@ -14,7 +14,7 @@
 
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
-    let all: [(&str, fn()); 8] = [
+    let all: [(&str, fn()); 9] = [
         ("admission", requests::admission),
         ("saturation", requests::saturation),
         ("placement", requests::placement),
@@ -22,6 +22,7 @@
         ("shares", requests::shares),
         ("assembly", hosts::assembly),
         ("weights", hosts::weights),
+        ("patience", hosts::patience),
         ("outages", hosts::outages),
     ];
     for (name, table) in all {
--- a/crates/policy/src/assembly/fabric.rs
+++ b/crates/policy/src/assembly/fabric.rs
@@ -6,7 +6,8 @@
 
 use super::settings::AssemblySettings;
 use super::state::{
-    AssemblyHost, AssemblyReplica, AssemblyState, HostPresence, ReplicaStage, WantedReplicas,
+    AssemblyHost, AssemblyReplica, AssemblyState, AssemblyStep, DrainReason, HostPresence,
+    ReplicaStage, WantedReplicas,
 };
 
 /// One fabric domain during a round; hosts leave `free` as steps claim them.
@@ -58,6 +59,8 @@
     pub hosts: FastMap<&'a HostId, &'a AssemblyHost>,
     pub fabrics: BTreeMap<&'a FabricId, FabricView<'a>>,
     pub replicas: Vec<ReplicaView<'a>>,
+    /// Replicas that give their hosts back; no longer among `replicas`.
+    pub retired: Vec<ReplicaView<'a>>,
 }
 
 impl<'a> RoundView<'a> {
@@ -80,6 +83,7 @@
             hosts,
             fabrics,
             replicas: Vec::new(),
+            retired: Vec::new(),
         };
         // A host that a replica names is not free, whatever its slot says: the slot may be read
         // before the replica was written.
@@ -135,39 +139,59 @@
         wanted.is_none_or(|wanted| self.whole(wanted) >= wanted.replicas as usize)
     }
 
+    /// Hosts of a fabric domain in replicas whose model has none to spare.
+    pub fn needing(&self, fabric: &FabricId) -> usize {
+        let mut hosts = 0;
+        for view in &self.replicas {
+            let replica = view.replica;
+            let wanted = self.wanted_for(replica);
+            let spared = wanted.is_none_or(|wanted| self.whole(wanted) > wanted.replicas as usize);
+            if replica.fabric == *fabric && !spared {
+                hosts += replica.hosts.len();
+            }
+        }
+        hosts
+    }
+
     fn whole(&self, wanted: &WantedReplicas) -> usize {
         let whole = self.replicas.iter().filter(|view| {
             let of = view.replica.model == wanted.model && view.replica.version == wanted.version;
-            of && !view.broken && !view.is_leaving_service()
+            let stays = self
+                .retired
+                .iter()
+                .all(|other| other.replica.id != view.replica.id);
+            of && stays && !view.broken && !view.is_leaving_service()
         });
         whole.count()
     }
 
-    /// A whole replica that its model can spare; none while one is being drained already, so
-    /// that one need does not take two.
-    pub fn find_extra(&self, fits: impl Fn(&ReplicaView<'_>) -> bool) -> Option<&ReplicaView<'a>> {
-        let draining = self
-            .replicas
-            .iter()
-            .any(|view| view.is_leaving_service() && fits(view));
-        if draining {
+    /// Drains a whole replica that its model can spare; none while one that fits gives its hosts
+    /// back already. Without that check each round until the end of the drain takes another one.
+    pub fn drain_extra(&mut self, fits: impl Fn(&ReplicaView<'_>) -> bool) -> Option<AssemblyStep> {
+        if self.retired.iter().any(&fits) {
             return None;
         }
-        for wanted in self.wanted {
-            if self.whole(wanted) <= wanted.replicas as usize {
-                continue;
-            }
-            let extra = self.replicas.iter().find(|view| {
-                view.replica.model == wanted.model
-                    && view.replica.version == wanted.version
-                    && !view.broken
-                    && fits(view)
-            });
-            if extra.is_some() {
-                return extra;
-            }
-        }
-        None
+        let spared = |view: &&ReplicaView<'_>| {
+            let wanted = self.wanted_for(view.replica);
+            wanted.is_some_and(|wanted| self.whole(wanted) > wanted.replicas as usize)
+        };
+        let extra = self
+            .replicas
+            .iter()
+            .find(|view| !view.broken && fits(view) && spared(view))?
+            .clone();
+        let replica = extra.replica.id.clone();
+        self.retired.push(extra);
+        Some(AssemblyStep::Drain {
+            replica,
+            reason: DrainReason::HostsNeeded,
+        })
+    }
+
+    fn wanted_for(&self, replica: &AssemblyReplica) -> Option<&'a WantedReplicas> {
+        self.wanted
+            .iter()
+            .find(|wanted| wanted.model == replica.model && wanted.version == replica.version)
     }
 
     /// Takes the best free host of a fabric for a rank: one that holds that rank's weights, else
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -3,7 +3,7 @@
 use domain::{FabricId, FastMap, HostId};
 
 use super::fabric::{ReplicaView, RoundView};
-use super::state::{AssemblyStep, DissolveReason, DrainReason, WantedReplicas};
+use super::state::{AssemblyStep, DissolveReason, WantedReplicas};
 
 /// Forms what is missing, then what is allowed beyond that.
 ///
@@ -53,18 +53,16 @@
 }
 
 /// An extra replica of another model gives its hosts to one that is missing.
-fn drain_extra(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<AssemblyStep> {
-    let extra = view.find_extra(|other| {
-        let free = view
-            .fabrics
-            .get(&other.replica.fabric)
-            .map_or(0, |fabric| fabric.free.len());
-        let others = other.replica.model != wanted.model;
-        others && free + other.replica.hosts.len() >= wanted.hosts_per_replica as usize
-    })?;
-    Some(AssemblyStep::Drain {
-        replica: extra.replica.id.clone(),
-        reason: DrainReason::HostsNeeded,
+fn drain_extra(view: &mut RoundView<'_>, wanted: &WantedReplicas) -> Option<AssemblyStep> {
+    let size = wanted.hosts_per_replica as usize;
+    let mut enough = FastMap::default();
+    for (fabric, state) in &view.fabrics {
+        enough.insert((*fabric).clone(), size.saturating_sub(state.free.len()));
+    }
+    view.drain_extra(|other| {
+        let needed = enough.get(&other.replica.fabric).copied();
+        let suffices = needed.is_some_and(|needed| other.replica.hosts.len() >= needed);
+        other.replica.model != wanted.model && suffices
     })
 }
 
@@ -88,12 +86,19 @@
     }
 }
 
-/// Whether a replica's lost hosts could not be replaced within its fabric domain in this round.
+/// Whether a replica's lost hosts can't be replaced within its fabric domain, now or as soon as
+/// the replicas that are being drained there have given their hosts back.
 fn is_stuck(view: &RoundView<'_>, replica: &ReplicaView<'_>) -> bool {
     let free = view
         .fabrics
         .get(&replica.replica.fabric)
         .map_or(0, |fabric| fabric.free.len());
+    let coming = view
+        .retired
+        .iter()
+        .filter(|retired| retired.replica.fabric == replica.replica.fabric)
+        .map(ReplicaView::survivors);
+    let free = free + coming.sum::<usize>();
     replica.broken && replica.lost.len() > free && !replica.lost.is_empty()
 }
 
@@ -109,25 +114,27 @@
     })
 }
 
+/// The fabric domain with the most hosts that are worth more in an extra replica than as spares.
 fn best_extra_fabric(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<FabricId> {
+    let size = wanted.hosts_per_replica as usize;
     let mut best: Option<(usize, &FabricId)> = None;
     for (fabric, state) in &view.fabrics {
-        let idle = view.settings.idle_spares(state.total);
-        let needed = wanted.hosts_per_replica as usize + idle;
-        if state.free.len() < needed {
+        let free = state.free.len();
+        if free < size || best.is_some_and(|(most, _)| free <= most) {
             continue;
         }
-        if best.is_none_or(|(free, _)| state.free.len() > free) {
-            best = Some((state.free.len(), fabric));
+        let needing = view.needing(fabric);
+        if view.settings.keeps_idle(needing, free, size) {
+            continue;
         }
+        best = Some((free, fabric));
     }
     best.map(|(_, fabric)| fabric.clone())
 }
 
 /// The fabric domain in which a replica costs least.
 ///
-/// It should leave no useless remainder for the largest size, keep spares where hosts are lost,
-/// and not put all replicas of a model into one failure domain, whose loss would end its service.
+/// It should leave no useless remainder for the largest size, keep a spare for the next loss, and not put all replicas of a model into one failure domain, whose loss would end its service.
 fn best_fabric(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<FabricId> {
     let size = wanted.hosts_per_replica as usize;
     let largest = view
@@ -144,7 +151,6 @@
         }
         let broken_large = free / largest - (free - size) / largest;
         let broken_large = if size == largest { 0 } else { broken_large };
-        let idle = view.settings.idle_spares(state.total).max(1);
         let cost = FabricCost {
             broken_large,
             in_domain: state
@@ -152,7 +158,7 @@
                 .and_then(|domain| in_domain.get(domain))
                 .copied()
                 .unwrap_or(0),
-            missing_spares: idle.saturating_sub(free - size),
+            without_spare: free == size,
             left: free - size,
         };
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
@@ -166,7 +172,7 @@
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct FabricCost {
     broken_large: usize,
-    missing_spares: usize,
+    without_spare: bool,
     in_domain: usize,
     left: usize,
 }
--- a/crates/policy/src/assembly/repair.rs
+++ b/crates/policy/src/assembly/repair.rs
@@ -3,7 +3,7 @@
 use domain::{FabricId, FastMap, HostId, ReplicaId};
 
 use super::fabric::{ReplicaView, RoundView};
-use super::state::{AssemblyStep, DissolveReason, DrainReason};
+use super::state::{AssemblyStep, DissolveReason};
 
 /// Replaces lost hosts by free ones; where these don't suffice, regroups what losses left over.
 ///
@@ -25,12 +25,16 @@
     }
     let mut fabrics: Vec<_> = short.into_iter().collect();
     fabrics.sort();
-    let mut dissolved = Vec::new();
     for (fabric, indices) in fabrics {
-        regroup(view, &fabric, &indices, &mut dissolved, steps);
+        regroup(view, &fabric, &indices, steps);
     }
+    let retired: Vec<ReplicaId> = view
+        .retired
+        .iter()
+        .map(|view| view.replica.id.clone())
+        .collect();
     view.replicas
-        .retain(|view| !dissolved.contains(&view.replica.id));
+        .retain(|view| !retired.contains(&view.replica.id));
 }
 
 /// Broken replicas, the one with the most to win for each weight load first.
@@ -85,10 +89,9 @@
 /// is dark nothing is taken apart: no donor there has a host to give, and when it comes back its
 /// replicas are complete as they were.
 fn regroup(
-    view: &RoundView<'_>,
+    view: &mut RoundView<'_>,
     fabric: &FabricId,
     short: &[usize],
-    dissolved: &mut Vec<ReplicaId>,
     steps: &mut Vec<AssemblyStep>,
 ) {
     let free = view.fabrics.get(fabric).map_or(0, |view| view.free.len());
@@ -101,8 +104,9 @@
         .rev()
         .find(|index| view.replicas[**index].survivors() >= need);
     if let Some(donor) = donor {
-        let replica = view.replicas[*donor].replica.id.clone();
-        dissolved.push(replica.clone());
+        let donor = view.replicas[*donor].clone();
+        let replica = donor.replica.id.clone();
+        view.retired.push(donor);
         steps.push(AssemblyStep::Dissolve {
             replica,
             reason: DissolveReason::Regrouped,
@@ -113,12 +117,7 @@
     if view.is_spared(&replica.model, &replica.version) {
         return;
     }
-    let extra = view
-        .find_extra(|other| other.replica.fabric == *fabric && other.replica.hosts.len() >= need);
-    if let Some(extra) = extra {
-        steps.push(AssemblyStep::Drain {
-            replica: extra.replica.id.clone(),
-            reason: DrainReason::HostsNeeded,
-        });
-    }
+    let drain = view
+        .drain_extra(|other| other.replica.fabric == *fabric && other.replica.hosts.len() >= need);
+    steps.extend(drain);
 }
--- a/crates/policy/src/assembly/retire.rs
+++ b/crates/policy/src/assembly/retire.rs
@@ -41,12 +41,11 @@
             steps.push(step);
         }
     }
-    let mut index = 0;
-    view.replicas.retain(|_| {
-        let keep = !leave.contains(&index);
-        index += 1;
-        keep
-    });
+    leave.sort_unstable();
+    for index in leave.into_iter().rev() {
+        let retired = view.replicas.remove(index);
+        view.retired.push(retired);
+    }
     for replica in &view.replicas {
         let in_service = !replica.is_leaving_service() && replica.is_busy();
         if !replica.leaving || !in_service {
--- a/crates/policy/src/assembly/settings.rs
+++ b/crates/policy/src/assembly/settings.rs
@@ -32,10 +32,10 @@
     #[builder(default = Duration::from_mins(2))]
     pub drain_time: Duration,
     /// Losses of one host a year that outlast the patience.
-    #[builder(default = 10.0)]
+    #[builder(default = 15.0)]
     pub losses_a_year: f64,
     /// Mean time until a lost host is back.
-    #[builder(default = Duration::from_hours(4))]
+    #[builder(default = Duration::from_hours(1))]
     pub repair_time: Duration,
 }
 
@@ -47,34 +47,35 @@
 
 const HOURS_A_YEAR: f64 = 8_760.0;
 
-/// Most spares that a fabric domain keeps idle.
-const MAX_IDLE: usize = 64;
-
 impl AssemblySettings {
-    /// Hosts of a fabric domain of `hosts` that stay idle as spares instead of forming an extra
-    /// replica.
+    /// Whether `size` of `free` hosts of a fabric domain stay idle as spares instead of forming
+    /// an extra replica, when `needing` hosts there serve in replicas that can't be missed.
     ///
     /// An idle spare takes a lost host's rank at once; a host of an extra replica only after that
-    /// replica is drained. So the n-th spare saves the drain on each loss that meets fewer than n
-    /// hosts in repair beyond it, and costs its own idleness. It is kept while it saves more.
+    /// replica is drained. So the n-th spare saves one drain on each loss that finds the others
+    /// used up. The hosts stay idle while that saves more than they would serve.
     #[must_use]
-    pub fn idle_spares(&self, hosts: usize) -> usize {
-        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-        let losses_an_hour = f64::from(hosts) * self.losses_a_year / HOURS_A_YEAR;
+    pub fn keeps_idle(&self, needing: usize, free: usize, size: usize) -> bool {
+        let saved = self.spare_value(needing, free) - self.spare_value(needing, free - size);
+        let size = u32::try_from(size).unwrap_or(u32::MAX);
+        saved > self.stranded * f64::from(size)
+    }
+
+    /// Loss per hour that `spares` idle hosts avoid.
+    fn spare_value(&self, needing: usize, spares: usize) -> f64 {
+        let needing = u32::try_from(needing).unwrap_or(u32::MAX);
+        let losses_an_hour = f64::from(needing) * self.losses_a_year / HOURS_A_YEAR;
         let in_repair = losses_an_hour * self.repair_time.as_secs_f64() / 3_600.0;
         let drain_hours = self.drain_time.as_secs_f64() / 3_600.0;
-        let mut chance = (-in_repair).exp();
+        let mut exactly = (-in_repair).exp();
         let mut at_least = 1.0;
-        for spares in 0..MAX_IDLE {
-            let saved = self.group_downtime * losses_an_hour * at_least * drain_hours;
-            if saved <= self.stranded {
-                return spares;
-            }
-            at_least = (at_least - chance).max(0.0);
-            let next = u32::try_from(spares + 1).unwrap_or(u32::MAX);
-            chance *= in_repair / f64::from(next);
+        let mut saved = 0.0;
+        for used in 0..u32::try_from(spares).unwrap_or(u32::MAX) {
+            saved += self.group_downtime * losses_an_hour * at_least * drain_hours;
+            at_least = (at_least - exactly).max(0.0);
+            exactly *= in_repair / f64::from(used + 1);
         }
-        MAX_IDLE
+        saved
     }
 
     /// Loss per hour while a wanted replica of `hosts` hosts does not serve.
