--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,58 +1,60 @@
 //! Wiring of one node, a module for each part.
 
+mod admin;
 mod control;
 mod entry;
+mod peers;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::SystemTime;
 
 use ::control::{ConfigView, TargetView};
-use events::{EventCode, EventRecorder, EventSubject};
+use domain::NodeId;
+use events::logs::start_logs;
+use events::{EventCode, EventRecorder, EventSubject, NodeMetrics};
 use platform::http::{HttpHostList, HttpObjects, HttpTable, ServiceEndpoint};
+use settings::NodeSettings;
 use target::{HttpEngine, HttpService};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use web::WebClient;
 
-use crate::settings::NodeSettings;
-
-/// Longest wait for an answer of the platform.
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Events that the node keeps for the time line.
-const EVENT_CAPACITY: usize = 20_000;
+/// Exit status after a second signal, as shells give it for an interrupted process.
+const SECOND_SIGNAL_STATUS: i32 = 130;
 
 /// What the parts of a node share.
 struct NodeContext {
     settings: NodeSettings,
     table: HttpTable,
-    #[expect(
-        dead_code,
-        reason = "snapshots of the configuration are not written yet"
-    )]
     objects: HttpObjects,
     list: HttpHostList,
     engine: HttpEngine,
     service: HttpService,
     recorder: EventRecorder,
+    metrics: NodeMetrics,
     config_sender: watch::Sender<Arc<ConfigView>>,
     target_sender: watch::Sender<Arc<TargetView>>,
 }
 
 impl NodeContext {
-    fn new(settings: NodeSettings) -> Self {
+    fn new(settings: NodeSettings) -> eyre::Result<Self> {
         let client = WebClient::default();
-        let endpoint = |address| ServiceEndpoint::new(client.clone(), address, PLATFORM_TIMEOUT);
-        Self {
+        let timeout = settings.platform.timeout();
+        let endpoint = |address| ServiceEndpoint::new(client.clone(), address, timeout);
+        let metrics = NodeMetrics::new()?;
+        let capacity = settings.log.events;
+        Ok(Self {
             table: HttpTable::new(endpoint(settings.platform.table)),
             objects: HttpObjects::new(endpoint(settings.platform.objects)),
             list: HttpHostList::new(endpoint(settings.platform.hostlist)),
             engine: HttpEngine::new(client.clone()),
             service: HttpService::new(client),
-            recorder: EventRecorder::new(settings.node.clone(), EVENT_CAPACITY),
+            recorder: EventRecorder::counted(settings.node.clone(), capacity, metrics.clone()),
+            metrics,
             config_sender: watch::Sender::new(Arc::new(ConfigView::default())),
             target_sender: watch::Sender::new(Arc::new(TargetView::default())),
             settings,
-        }
+        })
     }
 }
 
@@ -61,9 +63,13 @@
 /// # Errors
 ///
 /// When an address can't be bound.
-pub async fn serve(settings: NodeSettings) -> eyre::Result<()> {
-    let context = NodeContext::new(settings);
+pub async fn serve(mut settings: NodeSettings) -> eyre::Result<()> {
+    start_logs(settings.log.level);
+    settings.node = renewed_id(&settings.node)?;
+    let context = NodeContext::new(settings)?;
+    let peers = peers::bind(&context).await?;
     control::start(&context);
+    let peers = peers.start(&context)?;
     let running = entry::bind(&context).await?;
     let address = running.address;
     context.recorder.note(
@@ -72,10 +78,48 @@
         address.to_string(),
     );
     println!("{} listens on {address}", context.settings.node);
-    running.serve(stop_signal()).await;
+    if let Some(admin) = admin::bind(&context).await? {
+        println!(
+            "{} admin listens on {}",
+            context.settings.node, admin.address
+        );
+        admin.start();
+    }
+    let recorder = context.recorder.clone();
+    let stop = async move {
+        stop_signal().await;
+        recorder.note(EventCode::NodeStopping, EventSubject::default(), "");
+    };
+    running.serve(stop).await;
+    peers.leave().await;
     Ok(())
 }
 
+/// An id that no earlier process of this host had.
+///
+/// Under the old id, peers would take the new process's heartbeats for late ones of the old, and a
+/// lease that the old process held would look like the new one's own.
+fn renewed_id(name: &NodeId) -> eyre::Result<NodeId> {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
+    Ok(format!("{name}.{:x}", since_epoch.as_millis()).parse()?)
+}
+
+/// Completes at the first signal to stop; a second one ends the process at once.
 async fn stop_signal() {
-    let _ = tokio::signal::ctrl_c().await;
+    next_signal().await;
+    tokio::spawn(async {
+        next_signal().await;
+        std::process::exit(SECOND_SIGNAL_STATUS);
+    });
+}
+
+async fn next_signal() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        let _ = tokio::signal::ctrl_c().await;
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
 }
