Read sent prompts one after another in the prediction

Causes: the prompts sent after a report counted as read since the report, that is before they were sent; on a tie the targets freed last won every time, so an idle fleet's work went to three of them; holders of an adapter were only met by chance.

--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -4,6 +4,7 @@
 
 use domain::TargetKey;
 use rand::Rng;
+use rand::seq::IndexedRandom;
 
 use super::affinity::PrefixMatch;
 use super::health::HealthVerdict;
@@ -17,6 +18,12 @@
 /// Holders of a prompt's prefix that are weighed besides the drawn targets.
 const MAX_HOLDERS: usize = 4;
 
+/// Holders of the adapter that are drawn besides.
+///
+/// With an adapter on 3 of 1,500 engines hardly any drawn target would have it, and the caller
+/// would wait until it is loaded.
+const ADAPTER_DRAWS: usize = 3;
+
 /// Lately freed targets that are weighed besides the drawn ones.
 ///
 /// Made for full targets: the slot that an own stream has just left is free for certain, while
@@ -57,13 +64,6 @@
             }
             self.weigh(holder.target, &prefix, request, now, &mut best);
         }
-        for target in self.freed.iter().rev().copied().take(FREED_WEIGHED) {
-            let listed = candidates.contains(target);
-            if !listed || !self.is_open(target, now) || !usable(target) {
-                continue;
-            }
-            self.weigh(target, &prefix, request, now, &mut best);
-        }
         let mut drawn = 0;
         for draw in 0..MAX_DRAWS {
             if drawn >= self.settings.draws {
@@ -78,6 +78,23 @@
             drawn += 1;
             self.weigh(target, &prefix, request, now, &mut best);
         }
+        for _ in 0..ADAPTER_DRAWS {
+            let holders = request.adapter.and_then(|name| self.adapters.get(name));
+            let Some(target) = holders.and_then(|holders| holders.choose(rng)).copied() else {
+                break;
+            };
+            let listed = candidates.contains(target);
+            if listed && self.is_open(target, now) && usable(target) {
+                self.weigh(target, &prefix, request, now, &mut best);
+            }
+        }
+        for target in self.freed.iter().rev().copied().take(FREED_WEIGHED) {
+            let listed = candidates.contains(target);
+            if !listed || !self.is_open(target, now) || !usable(target) {
+                continue;
+            }
+            self.weigh(target, &prefix, request, now, &mut best);
+        }
         if best.is_none() {
             best = self.search(candidates, &prefix, request, now, &usable, rng);
         }
@@ -192,9 +209,8 @@
         } else {
             0.0
         };
-        let rate = load.prompt_rate.max(self.settings.prompt_rate);
         let unread = f64::from(request.prompt_tokens.saturating_sub(cached_tokens));
-        let reading = (load.prompt_backlog + unread) / rate;
+        let reading = load.reading + unread / load.prompt_rate.max(1.0);
         // Streams in the batch slow each other a little; it also tells idle targets apart.
         let crowding = load.streams / slots * 0.05;
         let missing = request
--- a/crates/policy/src/placement/pool.rs
+++ b/crates/policy/src/placement/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use domain::TargetKey;
+use domain::{AdapterName, FastMap, TargetKey};
 use slotmap::SlotMap;
 
 use super::affinity::PrefixIndex;
@@ -26,6 +26,8 @@
     pub(super) settings: PlacementSettings,
     pub(super) targets: SlotMap<TargetKey, TargetState>,
     pub(super) prefixes: PrefixIndex,
+    /// Targets by the adapters that they have loaded.
+    pub(super) adapters: FastMap<AdapterName, Vec<TargetKey>>,
     /// Targets on which own streams ended lately, the newest last.
     pub(super) freed: VecDeque<TargetKey>,
     pub(super) stay: f64,
@@ -40,6 +42,7 @@
         Self {
             targets: SlotMap::with_key(),
             prefixes: PrefixIndex::new(settings.prefixes),
+            adapters: FastMap::default(),
             freed: VecDeque::new(),
             stay: settings.stay.as_secs_f64(),
             median_slowness: 1.0,
@@ -50,21 +53,52 @@
 
     /// Adds a target.
     pub fn insert(&mut self, facts: TargetFacts) -> TargetKey {
-        self.targets.insert(TargetState::new(facts))
+        let state = TargetState::new(facts, self.settings.prompt_rate);
+        let target = self.targets.insert(state);
+        self.list_adapters(target);
+        target
     }
 
     /// Changes what is fixed about a target; its load and health stay.
     pub fn set_facts(&mut self, target: TargetKey, facts: TargetFacts) {
+        self.unlist_adapters(target);
         if let Some(state) = self.targets.get_mut(target) {
             state.facts = facts;
         }
+        self.list_adapters(target);
     }
 
     /// Forgets a target.
     pub fn remove(&mut self, target: TargetKey) {
+        self.unlist_adapters(target);
         self.targets.remove(target);
     }
 
+    fn list_adapters(&mut self, target: TargetKey) {
+        let Some(state) = self.targets.get(target) else {
+            return;
+        };
+        for adapter in &state.facts.adapters {
+            let holders = self.adapters.entry(adapter.clone()).or_default();
+            holders.push(target);
+        }
+    }
+
+    fn unlist_adapters(&mut self, target: TargetKey) {
+        let Some(state) = self.targets.get(target) else {
+            return;
+        };
+        for adapter in &state.facts.adapters {
+            let Some(holders) = self.adapters.get_mut(adapter) else {
+                continue;
+            };
+            holders.retain(|holder| *holder != target);
+            if holders.is_empty() {
+                self.adapters.remove(adapter);
+            }
+        }
+    }
+
     /// Orders targets for [`Self::choose`]; call it when targets change, not for each request.
     #[must_use]
     pub fn candidates(&self, targets: impl IntoIterator<Item = TargetKey>) -> CandidateList {
--- a/crates/policy/src/placement/state.rs
+++ b/crates/policy/src/placement/state.rs
@@ -53,6 +53,9 @@
     Cancelled,
 }
 
+/// Longest time in seconds that a prompt backlog is believed to take.
+const LONGEST_READING: f64 = 600.0;
+
 #[derive(Debug, Clone, Copy)]
 struct LoadChange {
     at: Duration,
@@ -69,24 +72,30 @@
     reported_at: Duration,
     changes: VecDeque<LoadChange>,
     changed_streams: i32,
-    changed_prompt: u64,
+    /// Prompt tokens read a second, as far as it is known.
+    prompt_rate: f64,
+    /// When the prompts that were sent before now will have been read.
+    reads_until: Duration,
     pub in_flight: u32,
     /// Part of the predicted cached tokens that were really cached; fades towards trust.
     pub cache_trust: f64,
 }
 
-/// Streams and prompt tokens at a target, as far as an entry can tell.
+/// Streams and prompts at a target, as far as an entry can tell.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct LoadEstimate {
     pub streams: f64,
-    pub prompt_backlog: f64,
+    /// Seconds until the prompts that are there have been read.
+    pub reading: f64,
+    /// Prompt tokens read a second.
     pub prompt_rate: f64,
 }
 
 impl TargetState {
-    pub fn new(facts: TargetFacts) -> Self {
+    pub fn new(facts: TargetFacts, prompt_rate: f64) -> Self {
         Self {
             facts,
+            prompt_rate,
             cache_trust: 1.0,
             ..Self::default()
         }
@@ -100,30 +109,44 @@
         }
         self.load = load;
         self.reported_at = at;
+        self.prompt_rate = self.prompt_rate.max(load.prompt_rate);
         while let Some(change) = self.changes.front().copied() {
             if change.at > at {
                 break;
             }
             self.changes.pop_front();
-            self.forget(change);
+            self.changed_streams -= change.streams;
+        }
+        #[allow(clippy::cast_precision_loss)]
+        let backlog = load.prompt_backlog as f64;
+        self.reads_until = at + self.reading_time(backlog);
+        for index in 0..self.changes.len() {
+            self.queue_prompt(self.changes[index]);
         }
     }
 
-    fn forget(&mut self, change: LoadChange) {
-        self.changed_streams -= change.streams;
-        self.changed_prompt = self
-            .changed_prompt
-            .saturating_sub(u64::from(change.prompt_tokens));
+    fn reading_time(&self, tokens: f64) -> Duration {
+        let seconds = tokens / self.prompt_rate.max(1.0);
+        Duration::from_secs_f64(seconds.clamp(0.0, LONGEST_READING))
+    }
+
+    /// Prompts are read one after another, each not before it was sent.
+    fn queue_prompt(&mut self, change: LoadChange) {
+        if change.prompt_tokens == 0 {
+            return;
+        }
+        let time = self.reading_time(f64::from(change.prompt_tokens));
+        self.reads_until = self.reads_until.max(change.at) + time;
     }
 
     fn change(&mut self, change: LoadChange) {
         if self.changes.len() == MAX_CHANGES
             && let Some(oldest) = self.changes.pop_front()
         {
-            self.forget(oldest);
+            self.changed_streams -= oldest.streams;
         }
         self.changed_streams += change.streams;
-        self.changed_prompt += u64::from(change.prompt_tokens);
+        self.queue_prompt(change);
         self.changes.push_back(change);
     }
 
@@ -159,14 +182,10 @@
     pub fn estimate(&self, now: Duration) -> LoadEstimate {
         let reported = f64::from(self.load.running) + f64::from(self.load.waiting);
         let streams = (reported + f64::from(self.changed_streams)).max(f64::from(self.in_flight));
-        let elapsed = now.saturating_sub(self.reported_at).as_secs_f64();
-        let read = elapsed * self.load.prompt_rate;
-        #[allow(clippy::cast_precision_loss)]
-        let pending = self.load.prompt_backlog as f64 + self.changed_prompt as f64;
         LoadEstimate {
             streams,
-            prompt_backlog: (pending - read).max(0.0),
-            prompt_rate: self.load.prompt_rate,
+            reading: self.reads_until.saturating_sub(now).as_secs_f64(),
+            prompt_rate: self.prompt_rate,
         }
     }
 }
--- /dev/null
+++ b/crates/policy/tests/service_choice.rs
@@ -0,0 +1,83 @@
+//! Choosing an instance of a plain service.
+
+use std::time::Duration;
+
+use policy::service::{CallOutcome, ServiceInstance, choose_instance};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn instances() -> Vec<ServiceInstance> {
+    vec![ServiceInstance::default(); 3]
+}
+
+/// Sends a call each 10 ms; `answer` gives each instance's time and outcome.
+fn send_calls(
+    instances: &mut [ServiceInstance],
+    calls: u64,
+    answer: impl Fn(usize) -> (Duration, CallOutcome),
+) -> [usize; 3] {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut counts = [0; 3];
+    let mut open: Vec<(Duration, usize, Duration, CallOutcome)> = Vec::new();
+    for call in 0..calls {
+        let now = Duration::from_millis(call * 10);
+        open.retain(|(end, index, elapsed, outcome)| {
+            if *end <= now {
+                instances[*index].note_ended(*end, *elapsed, *outcome);
+            }
+            *end > now
+        });
+        let index = choose_instance(instances, now, |_| true, &mut rng).expect("there are three");
+        instances[index].note_sent();
+        counts[index] += 1;
+        let (elapsed, outcome) = answer(index);
+        open.push((now + elapsed, index, elapsed, outcome));
+    }
+    counts
+}
+
+/// Equal instances share the calls.
+#[test]
+fn equal_instances_share() {
+    let even = |_| (Duration::from_millis(20), CallOutcome::Answered);
+    let counts = send_calls(&mut instances(), 3_000, even);
+    assert!(counts.iter().all(|count| *count > 700), "{counts:?}");
+}
+
+/// One instance of the registry is ten times slower. Clerks notice if they still meet it.
+#[test]
+fn slow_instance_gets_little() {
+    let counts = send_calls(&mut instances(), 3_000, |index| {
+        let slow = if index == 0 { 10 } else { 1 };
+        (Duration::from_millis(20 * slow), CallOutcome::Answered)
+    });
+    assert!(counts[0] < 450, "{counts:?}");
+}
+
+/// One instance refuses every connection at once and so looks idle.
+#[test]
+fn failing_instance_gets_hardly_any() {
+    let counts = send_calls(&mut instances(), 3_000, |index| match index {
+        0 => (Duration::from_millis(1), CallOutcome::Failed),
+        _ => (Duration::from_millis(20), CallOutcome::Answered),
+    });
+    assert!((2..=40).contains(&counts[0]), "{counts:?}");
+}
+
+/// All instances failed. One is still chosen, because only a call finds out that it is back; an
+/// instance that the caller rules out never is.
+#[test]
+fn last_resort_is_tried() {
+    let mut instances = instances();
+    for instance in &mut instances {
+        for _ in 0..4 {
+            instance.note_sent();
+            instance.note_ended(Duration::ZERO, Duration::ZERO, CallOutcome::Failed);
+        }
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let chosen = choose_instance(&instances, Duration::ZERO, |index| index == 2, &mut rng);
+    assert_eq!(chosen, Some(2));
+    let none = choose_instance(&instances, Duration::ZERO, |_| false, &mut rng);
+    assert_eq!(none, None);
+}
