--- /dev/null
+++ b/crates/events/examples/page.rs
@@ -0,0 +1,5 @@
+//! Prints docs/EVENTS.md.
+
+fn main() {
+    print!("{}", events::code::events_page());
+}
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -1,7 +1,9 @@
-//! The catalogue of events. Numbers are never used again; docs/EVENTS.md explains each.
+//! The catalogue of events. Numbers are never used again; docs/EVENTS.md is written from it.
 //!
 //! 1xx: the node itself. 2xx: the request path. 3xx: control. 4xx: peers.
 
+use std::fmt::Write;
+
 /// How much an event matters to an operator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -17,14 +19,14 @@
 }
 
 macro_rules! event_codes {
-    ($($(#[$doc:meta])* $name:ident = $number:literal, $text:literal, $level:ident;)*) => {
+    ($($(#[doc = $doc:literal])* $name:ident = $number:literal, $text:literal, $level:ident;)*) => {
         /// Kind of an event.
         #[derive(
             Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize,
         )]
         #[serde(rename_all = "snake_case")]
         pub enum EventCode {
-            $($(#[$doc])* $name,)*
+            $($(#[doc = $doc])* $name,)*
         }
 
         impl EventCode {
@@ -47,6 +49,14 @@
                 }
             }
 
+            /// What happened, and what an operator should make of it.
+            #[must_use]
+            pub fn explanation(self) -> &'static str {
+                match self {
+                    $(Self::$name => concat!($($doc),*),)*
+                }
+            }
+
             /// How much it matters.
             #[must_use]
             pub fn level(self) -> EventLevel {
@@ -133,3 +143,33 @@
     /// attack: look at the address.
     PeerRefused = 403, "peer_refused", Error;
 }
+
+/// Writes docs/EVENTS.md.
+#[must_use]
+pub fn events_page() -> String {
+    let mut out = String::from(
+        "# Events\n\n\
+Every event has a number that is never used again. It stands in the log as a line of JSON with \
+`number`, `event`, `node` and what it is about (`request`, `customer`, `replica`, `host`, \
+`lease`), on the time line, and in the metric `bramleyspring_event_count_total`. 1xx: the node \
+itself; 2xx: the request path; 3xx: control; 4xx: peers. This page is written from the crate \
+`events` (`cargo run -p events --example page`); a test holds both together.\n\n\
+| number | event | level | meaning |\n|---|---|---|---|\n",
+    );
+    for code in EventCode::ALL {
+        let level = match code.level() {
+            EventLevel::Debug => "debug",
+            EventLevel::Info => "info",
+            EventLevel::Warn => "warn",
+            EventLevel::Error => "error",
+        };
+        let meaning = code.explanation().trim();
+        let _ = writeln!(
+            out,
+            "| {} | `{}` | {level} | {meaning} |",
+            code.number(),
+            code.name()
+        );
+    }
+    out
+}
