--- a/crates/events/src/metrics.rs
+++ b/crates/events/src/metrics.rs
@@ -45,6 +45,10 @@
     LeasesHeld,
     /// Entry hosts that the node knows.
     Members,
+    /// Bytes that went out over the links to peers since the process's start.
+    PeerSent,
+    /// Bytes that came in over the links to peers since the process's start.
+    PeerReceived,
 }
 
 /// Instruments of one node. Cheap to clone.
@@ -76,6 +80,8 @@
     queue_length: Gauge<f64>,
     leases_held: Gauge<f64>,
     members: Gauge<f64>,
+    peer_sent: Gauge<f64>,
+    peer_received: Gauge<f64>,
 }
 
 /// Why metrics can't be set up or read.
@@ -240,6 +246,16 @@
                 "{member}",
                 "Entry hosts that the node knows",
             ),
+            peer_sent: gauge(
+                "bramleyspring.peer.sent",
+                "By",
+                "Bytes that went out over the links to peers since the start",
+            ),
+            peer_received: gauge(
+                "bramleyspring.peer.received",
+                "By",
+                "Bytes that came in over the links to peers since the start",
+            ),
         }
     }
 
@@ -255,6 +271,8 @@
             NodeGauge::QueueLength => &self.queue_length,
             NodeGauge::LeasesHeld => &self.leases_held,
             NodeGauge::Members => &self.members,
+            NodeGauge::PeerSent => &self.peer_sent,
+            NodeGauge::PeerReceived => &self.peer_received,
         }
     }
 }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -29,6 +29,7 @@
         Some(StandinCommand::Quickstart(options)) => quickstart::run(options).await,
         Some(StandinCommand::Load(options)) => load::run(options).await,
         Some(StandinCommand::MeasurePath(options)) => measure::run(options).await,
+        Some(StandinCommand::MeasureControl(_)) => measure::run_control().await,
         None => eyre::bail!("name a command: see --help"),
     }
 }
--- /dev/null
+++ b/crates/standin/src/measure/control.rs
@@ -0,0 +1,231 @@
+//! What control costs a node: processor time, memory, bytes over the links and calls of the table,
+//! by the number of nodes, of records and of hosts; with the slopes worked out to letter size.
+
+use std::path::Path;
+use std::time::Duration;
+
+use eyre::OptionExt;
+use serde_json::{Value, json};
+
+use super::RoundSpread;
+use super::process::{processor_seconds, resident_kib};
+use crate::stack::{StackPlan, TestStack};
+
+/// Nodes, records and hosts that are measured.
+const NODE_COUNTS: [usize; 5] = [3, 6, 12, 24, 48];
+const RECORD_COUNTS: [usize; 4] = [50, 200, 600, 1_500];
+const HOST_COUNTS: [usize; 4] = [24, 48, 96, 192];
+
+/// The sizes to which the slopes are worked out.
+const LETTER_NODES: f64 = 410.0;
+const LETTER_RECORDS: f64 = 2_000.0;
+const LETTER_HOSTS: f64 = 1_500.0;
+
+/// Hosts of one replica in these runs.
+const HOSTS_PER_REPLICA: usize = 4;
+
+/// Time in which a system comes to rest, and time of one reading.
+const SETTLE_TIME: Duration = Duration::from_secs(15);
+const READING_TIME: Duration = Duration::from_secs(15);
+
+/// Records of one file of the operators' client.
+const FILE_RECORDS: usize = 250;
+
+/// Measures and prints.
+///
+/// # Errors
+///
+/// When `/proc`, a node's metrics or the table's counts can't be read.
+pub async fn run(product: &Path) -> eyre::Result<()> {
+    let mut nodes = Vec::new();
+    for count in NODE_COUNTS {
+        let stack = small_plan("nodes", product).entries(count).start().await;
+        nodes.push((count, read_cost(&stack).await?));
+    }
+    print_costs("nodes", &nodes, LETTER_NODES);
+    let mut records = Vec::new();
+    for count in RECORD_COUNTS {
+        let stack = small_plan("records", product).start().await;
+        apply_customers(&stack, count);
+        records.push((count, read_cost(&stack).await?));
+    }
+    print_costs("records", &records, LETTER_RECORDS);
+    let mut hosts = Vec::new();
+    for count in HOST_COUNTS {
+        let replicas = u32::try_from(count / HOSTS_PER_REPLICA)?;
+        let stack = StackPlan::new("measure-hosts", product)
+            .engines(count)
+            .replicas(replicas)
+            .hosts_per_replica(u32::try_from(HOSTS_PER_REPLICA)?)
+            .step_us(50_000)
+            .start()
+            .await;
+        hosts.push((count, read_cost(&stack).await?));
+    }
+    print_costs("hosts", &hosts, LETTER_HOSTS);
+    Ok(())
+}
+
+fn small_plan(name: &str, product: &Path) -> StackPlan {
+    StackPlan::new(&format!("measure-{name}"), product)
+        .engines(2)
+        .replicas(1)
+        .hosts_per_replica(2)
+        .step_us(50_000)
+}
+
+/// Customers like those of the example, each with a key of its own.
+fn apply_customers(stack: &TestStack, count: usize) {
+    let numbers: Vec<usize> = (0..count).collect();
+    for part in numbers.chunks(FILE_RECORDS) {
+        let records: Vec<Value> = part.iter().map(|number| customer(*number)).collect();
+        stack.apply(&Value::from(records));
+    }
+}
+
+fn customer(number: usize) -> Value {
+    json!({
+        "schema": 2, "kind": "customer", "name": format!("customer-{number}"),
+        "spec": {
+            "key_hashes": [format!("{number:064x}")],
+            "grants": [{ "model": "trader-help", "adapters": ["wolof"] }],
+            "services": ["licences"], "share": 1,
+        },
+    })
+}
+
+/// What control costs while nobody calls.
+struct ControlCost {
+    /// Processor time of a node in hundredths of a core.
+    processor: RoundSpread,
+    /// Resident memory of a node in MiB.
+    memory: RoundSpread,
+    /// Bytes that a node sends and receives over its links in a second.
+    bytes: RoundSpread,
+    /// Reads and writes of the table in a second, of all nodes together.
+    reads: f64,
+    writes: f64,
+}
+
+async fn read_cost(stack: &TestStack) -> eyre::Result<ControlCost> {
+    tokio::time::sleep(SETTLE_TIME).await;
+    let before = read_nodes(stack).await?;
+    let table_before = stack.fault_report(stack.table.address).await.counts;
+    tokio::time::sleep(READING_TIME).await;
+    let after = read_nodes(stack).await?;
+    let table_after = stack.fault_report(stack.table.address).await.counts;
+    let seconds = READING_TIME.as_secs_f64();
+    let rate = |before: f64, after: f64| (after - before) / seconds;
+    let (mut processor, mut memory, mut bytes) = (Vec::new(), Vec::new(), Vec::new());
+    for (before, after) in before.iter().zip(&after) {
+        processor.push(100.0 * rate(before.processor, after.processor));
+        memory.push(after.resident_kib / 1_024.0);
+        bytes.push(rate(before.bytes, after.bytes));
+    }
+    Ok(ControlCost {
+        processor: RoundSpread::of(&processor),
+        memory: RoundSpread::of(&memory),
+        bytes: RoundSpread::of(&bytes),
+        reads: rate(count(table_before.reads), count(table_after.reads)),
+        writes: rate(count(table_before.writes), count(table_after.writes)),
+    })
+}
+
+fn count(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
+struct NodeReading {
+    processor: f64,
+    resident_kib: f64,
+    bytes: f64,
+}
+
+async fn read_nodes(stack: &TestStack) -> eyre::Result<Vec<NodeReading>> {
+    let mut readings = Vec::new();
+    for entry in &stack.entries {
+        let text = stack.metrics(entry.admin_now()).await?;
+        let sent = metric(&text, "bramleyspring_peer_sent_bytes").unwrap_or_default();
+        let received = metric(&text, "bramleyspring_peer_received_bytes").unwrap_or_default();
+        readings.push(NodeReading {
+            processor: processor_seconds(entry.pid())?,
+            resident_kib: resident_kib(entry.pid())?,
+            bytes: sent + received,
+        });
+    }
+    Ok(readings)
+}
+
+fn metric(text: &str, name: &str) -> Option<f64> {
+    let line = text.lines().find(|line| line.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+fn print_costs(what: &str, costs: &[(usize, ControlCost)], letter: f64) {
+    println!(
+        "\n{what:>8} | cpu % of a core a node | MiB a node | bytes/s a node | reads/s | writes/s"
+    );
+    for (number, cost) in costs {
+        println!(
+            "{number:>8} | {:.2} | {:.1} | {:.0} | {:.1} | {:.1}",
+            cost.processor, cost.memory, cost.bytes, cost.reads, cost.writes
+        );
+    }
+    let columns: [(&str, Vec<f64>); 5] = [
+        (
+            "cpu %",
+            costs
+                .iter()
+                .map(|(_, cost)| cost.processor.median)
+                .collect(),
+        ),
+        (
+            "MiB",
+            costs.iter().map(|(_, cost)| cost.memory.median).collect(),
+        ),
+        (
+            "bytes/s",
+            costs.iter().map(|(_, cost)| cost.bytes.median).collect(),
+        ),
+        (
+            "reads/s",
+            costs.iter().map(|(_, cost)| cost.reads).collect(),
+        ),
+        (
+            "writes/s",
+            costs.iter().map(|(_, cost)| cost.writes).collect(),
+        ),
+    ];
+    let numbers: Vec<f64> = costs
+        .iter()
+        .map(|(number, _)| count(*number as u64))
+        .collect();
+    for (name, values) in columns {
+        let Some((base, slope)) = fit_line(&numbers, &values).ok_or_eyre("one size only").ok()
+        else {
+            continue;
+        };
+        println!(
+            "  {name}: {base:.3} + {slope:.5} for each of the {what}; at {letter:.0}: {:.2}",
+            base + slope * letter
+        );
+    }
+}
+
+/// Least-squares line through points: its value at 0 and its slope.
+fn fit_line(xs: &[f64], ys: &[f64]) -> Option<(f64, f64)> {
+    let size = count(xs.len() as u64);
+    let mean_x = xs.iter().sum::<f64>() / size;
+    let mean_y = ys.iter().sum::<f64>() / size;
+    let spread: f64 = xs.iter().map(|x| (x - mean_x).powi(2)).sum();
+    if spread <= 0.0 {
+        return None;
+    }
+    let joint: f64 = xs
+        .iter()
+        .zip(ys)
+        .map(|(x, y)| (x - mean_x) * (y - mean_y))
+        .sum();
+    let slope = joint / spread;
+    Some((mean_y - slope * mean_x, slope))
+}
--- a/crates/standin/src/measure/cost.rs
+++ b/crates/standin/src/measure/cost.rs
@@ -3,13 +3,14 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use eyre::{OptionExt, WrapErr};
+use eyre::OptionExt;
 use futures::future::try_join_all;
 use http_body_util::BodyExt;
 
 use super::RoundSpread;
 use super::chat::{open_path, read_times};
 use super::path::PATH_MARK;
+use super::process::{processor_seconds, resident_kib};
 use crate::stack::{StackPlan, TestStack};
 
 /// Streams at once.
@@ -24,10 +25,6 @@
 /// Open streams at which memory is read.
 const OPEN_STREAMS: [usize; 3] = [100, 600, 1_100];
 
-/// Unit of processor times in `/proc`, a second over this; the kernel's constant on all its
-/// common platforms.
-const TICKS_PER_SECOND: f64 = 100.0;
-
 /// Measures and prints.
 ///
 /// # Errors
@@ -84,17 +81,17 @@
 }
 
 async fn measure_idle(stack: &TestStack) -> eyre::Result<f64> {
-    let before = processor_seconds(stack)?;
+    let before = processor_seconds(stack.entries[0].pid())?;
     tokio::time::sleep(ROUND_TIME).await;
-    Ok((processor_seconds(stack)? - before) / ROUND_TIME.as_secs_f64())
+    Ok((processor_seconds(stack.entries[0].pid())? - before) / ROUND_TIME.as_secs_f64())
 }
 
 async fn measure_rate(stack: &TestStack, max_tokens: u32) -> eyre::Result<RoundWork> {
-    let before = processor_seconds(stack)?;
+    let before = processor_seconds(stack.entries[0].pid())?;
     let end = Instant::now() + ROUND_TIME;
     let callers = (0..CALLERS).map(|_| ask_until(stack, max_tokens, end));
     let answered: u32 = try_join_all(callers).await?.into_iter().sum();
-    let processor = processor_seconds(stack)? - before;
+    let processor = processor_seconds(stack.entries[0].pid())? - before;
     Ok(RoundWork {
         requests: f64::from(answered),
         tokens: f64::from(answered) * f64::from(max_tokens),
@@ -142,7 +139,7 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         }
-        let resident = resident_kib(&stack)?;
+        let resident = resident_kib(stack.entries[0].pid())?;
         readings.push((f64::from(u32::try_from(count)?), resident));
     }
     for task in open {
@@ -156,28 +153,3 @@
     let mut body = answer.into_body();
     while let Some(Ok(_)) = body.frame().await {}
 }
-
-fn proc_file(stack: &TestStack, name: &str) -> eyre::Result<String> {
-    let path = format!("/proc/{}/{name}", stack.entries[0].pid());
-    std::fs::read_to_string(&path).wrap_err_with(|| format!("can't read {path}"))
-}
-
-/// Processor time of the entry so far, in the program and in the kernel for it.
-fn processor_seconds(stack: &TestStack) -> eyre::Result<f64> {
-    let text = proc_file(stack, "stat")?;
-    let (_, fields) = text.rsplit_once(')').ok_or_eyre("no process stat")?;
-    let fields: Vec<&str> = fields.split_whitespace().collect();
-    // Fields 14 and 15 of the line, counted from 1; the split starts at field 3.
-    let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
-    Ok(ticks / TICKS_PER_SECOND)
-}
-
-fn resident_kib(stack: &TestStack) -> eyre::Result<f64> {
-    let text = proc_file(stack, "status")?;
-    let line = text
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .ok_or_eyre("no VmRSS")?;
-    let number = line.split_whitespace().next().unwrap_or_default();
-    Ok(number.parse()?)
-}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -4,8 +4,10 @@
 //! process, so that other work on the machine distorts it little.
 
 pub mod chat;
+pub mod control;
 pub mod cost;
 pub mod path;
+pub mod process;
 
 use std::path::PathBuf;
 
@@ -24,6 +26,15 @@
     cost::run(&product, options.rounds).await
 }
 
+/// Runs the measurements of control and prints them.
+///
+/// # Errors
+///
+/// When the product is not built beside this program, or a reading fails.
+pub async fn run_control() -> eyre::Result<()> {
+    control::run(&product_path()?).await
+}
+
 fn product_path() -> eyre::Result<PathBuf> {
     let own = std::env::current_exe().wrap_err("this program's own path is unknown")?;
     let product = own.with_file_name("bramleyspring");
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -48,6 +48,17 @@
     /// The measurements of the request path.
     #[options(help = "measure what the request path adds and costs")]
     MeasurePath(MeasureOptions),
+    /// The measurements of control.
+    #[options(help = "measure what control costs a node, by nodes, records and hosts")]
+    MeasureControl(ControlOptions),
+}
+
+/// Command line of the measurements of control.
+#[derive(Debug, Options)]
+pub struct ControlOptions {
+    /// Prints this help.
+    #[options(help = "print this help")]
+    pub help: bool,
 }
 
 /// Command line of the measurements.
--- a/crates/standin/src/stack/faults.rs
+++ b/crates/standin/src/stack/faults.rs
@@ -6,13 +6,17 @@
 use domain::ReplicaId;
 use http::Method;
 use serde::de::DeserializeOwned;
-use web::client::JsonAnswer;
+use web::client::{JsonAnswer, json_request};
+use web::read_body;
 use wire::engine::EngineState;
 use wire::service::LookupBody;
 
 use super::{PATIENCE, TestStack};
 use crate::faults::{FAULTS_PATH, FaultPlan, FaultReport};
 
+/// Largest text of a node's metrics, in bytes.
+const MAX_METRICS: usize = 4 << 20;
+
 impl TestStack {
     async fn get<A: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> A {
         let answer: JsonAnswer<A> = self
@@ -23,6 +27,18 @@
         answer.value
     }
 
+    /// A node's metrics as Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// When the admin listener does not answer.
+    pub async fn metrics(&self, admin: SocketAddr) -> eyre::Result<String> {
+        let request = json_request(Method::GET, admin, "/metrics", None::<&()>)?;
+        let answer = self.client.send(admin, request, PATIENCE).await?;
+        let body = read_body(answer.into_body(), MAX_METRICS).await?;
+        Ok(String::from_utf8(body.to_vec())?)
+    }
+
     /// Replaces the faults of the stand-in at an address; the default plan ends all of them.
     pub async fn set_faults(&self, address: SocketAddr, plan: &FaultPlan) {
         let answer: JsonAnswer<FaultReport> = self
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -12,6 +12,7 @@
 use events::NodeMetrics;
 use events::metrics::NodeGauge;
 use eyre::WrapErr;
+use peers::PeerTraffic;
 use platform::HostListPort;
 use platform::http::HttpHostList;
 use tokio::net::TcpListener;
@@ -95,6 +96,7 @@
     targets: watch::Receiver<Arc<TargetView>>,
     follower: ConfigHandle,
     book: MemberBook,
+    traffic: PeerTraffic,
     started: Instant,
     settle: Duration,
     counts: Arc<Mutex<ReportCounts>>,
@@ -116,6 +118,7 @@
             targets: context.target_sender.subscribe(),
             follower: peers.config().clone(),
             book: peers.book().clone(),
+            traffic: peers.traffic().clone(),
             started: Instant::now(),
             settle: context.settings.members.limits().dead,
             counts: Arc::default(),
@@ -137,6 +140,7 @@
             let passed = sampled.elapsed();
             sampled = Instant::now();
             self.sample(passed, &metrics);
+            self.sample_links(&metrics);
         }
     }
 
@@ -176,6 +180,21 @@
         metrics.set_gauge(NodeGauge::GroupDowntime, counts.group_downtime_seconds);
     }
 
+    fn sample_links(&self, metrics: &NodeMetrics) {
+        let now = Instant::now();
+        let traffic = self.traffic.counts();
+        metrics.set_gauge(NodeGauge::PeerSent, bytes_f64(traffic.sent));
+        metrics.set_gauge(NodeGauge::PeerReceived, bytes_f64(traffic.received));
+        metrics.set_gauge(
+            NodeGauge::Members,
+            count_f64(self.book.view(now).members.len()),
+        );
+        if let Some(known) = self.follower.news().confirmation {
+            let age = now.saturating_duration_since(known.as_of);
+            metrics.set_gauge(NodeGauge::ConfigAge, age.as_secs_f64());
+        }
+    }
+
     fn members(&self, now: Instant) -> Vec<MemberStatus> {
         let view = self.book.view(now);
         let status = |member: &Member| MemberStatus {
@@ -196,6 +215,11 @@
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
+#[expect(clippy::cast_precision_loss, reason = "a gauge of bytes")]
+fn bytes_f64(bytes: u64) -> f64 {
+    bytes as f64
+}
+
 fn wanted_replicas(config: &ConfigView) -> u32 {
     let plans = config.models.values().flat_map(|model| &model.versions);
     plans.map(|plan| plan.replicas).sum()
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -131,6 +131,11 @@
         &self.hub.config
     }
 
+    /// What went over the links.
+    pub fn traffic(&self) -> &PeerTraffic {
+        &self.hub.traffic
+    }
+
     /// The membership.
     pub fn book(&self) -> &MemberBook {
         &self.hub.book
