Go over to another version in steps

A record that names v2 instead of v1 drained every replica of v1 in one round, and the model served nobody until v2's weights were loaded.

The year driver also counts the time after its last event, which it had left out.

--- a/crates/policy/examples/compare/hosts.rs
+++ b/crates/policy/examples/compare/hosts.rs
@@ -132,3 +132,33 @@
         }
     }
 }
+
+/// A record names another version: all at once, or in steps, with free hosts and without.
+pub fn rollouts() {
+    println!("| hosts | steps | least of 20 that serve | replica hours missing |");
+    println!("|---|---|---|---|");
+    for hosts in [40, 48] {
+        for steps in [1, 5, 20] {
+            let plan = FleetPlan {
+                days: 1.0,
+                failures: (0.0, Duration::ZERO),
+                restarts: (0.0, Duration::ZERO),
+                pauses: (0.0, Duration::ZERO),
+                outages: (0.0, Duration::ZERO),
+                ..fleet_plan(2, hosts)
+            };
+            let settings = AssemblySettings::builder().rollout_steps(steps).build();
+            let old = wanted("help", 20, 0, 4);
+            let mut new = old.clone();
+            new.version = "v2".parse().expect("a version");
+            let driver = YearDriver::new(plan, vec![old], settings);
+            let result = driver
+                .amended(Duration::from_hours(1), vec![new])
+                .run(plan_round);
+            println!(
+                "| 2 x {hosts} | {steps} | {} | {:.2} |",
+                result.least_serving, result.group_downtime
+            );
+        }
+    }
+}
--- a/crates/policy/examples/compare/main.rs
+++ b/crates/policy/examples/compare/main.rs
@@ -14,7 +14,7 @@
 
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
-    let all: [(&str, fn()); 9] = [
+    let all: [(&str, fn()); 10] = [
         ("admission", requests::admission),
         ("saturation", requests::saturation),
         ("placement", requests::placement),
@@ -24,6 +24,7 @@
         ("weights", hosts::weights),
         ("patience", hosts::patience),
         ("outages", hosts::outages),
+        ("rollouts", hosts::rollouts),
     ];
     for (name, table) in all {
         if !wanted.is_empty() && !wanted.iter().any(|want| want == name) {
--- a/crates/policy/src/assembly/settings.rs
+++ b/crates/policy/src/assembly/settings.rs
@@ -31,6 +31,10 @@
     /// Time to drain a replica whose hosts are needed elsewhere.
     #[builder(default = Duration::from_mins(2))]
     pub drain_time: Duration,
+    /// Steps in which a model goes over to another version where no free hosts are left: in each
+    /// at most one part in so many of its replicas is missing. More steps dip less and take longer.
+    #[builder(default = 20)]
+    pub rollout_steps: usize,
     /// Losses of one host a year that outlast the patience.
     #[builder(default = 15.0)]
     pub losses_a_year: f64,
--- a/crates/policy/tests/year/mod.rs
+++ b/crates/policy/tests/year/mod.rs
@@ -37,6 +37,7 @@
     Back(usize),
     Loaded(u64),
     Drained(u64),
+    Amended,
     Look,
 }
 
@@ -51,6 +52,9 @@
     pub stranded_part: f64,
     pub fetches: u64,
     pub rounds: u64,
+    /// Fewest replicas that served at once, after the first hour, and how many did in the end.
+    pub least_serving: usize,
+    pub serving_at_end: usize,
     /// Times that a serving replica was drained for its hosts.
     pub drains: u64,
 }
@@ -65,6 +69,7 @@
     plan: FleetPlan,
     settings: AssemblySettings,
     state: AssemblyState,
+    amended: Vec<WantedReplicas>,
     up: Vec<u32>,
     gone_at: Vec<Duration>,
     groups: BTreeMap<ReplicaId, Group>,
@@ -72,6 +77,7 @@
     next: u64,
     result: YearResult,
     host_hours: f64,
+    hours: f64,
 }
 
 fn id<T: std::str::FromStr>(text: &str) -> T {
@@ -118,19 +124,31 @@
                 replicas: Vec::new(),
                 wanted,
             },
+            amended: Vec::new(),
             up: vec![0; count],
             gone_at: vec![Duration::ZERO; count],
             groups: BTreeMap::new(),
             changes: BTreeMap::new(),
             next: 0,
-            result: YearResult::default(),
+            result: YearResult {
+                least_serving: usize::MAX,
+                ..YearResult::default()
+            },
             host_hours: 0.0,
+            hours: 0.0,
         };
         driver.draw_changes();
         driver.at(Duration::ZERO, Change::Look);
         driver
     }
 
+    /// Wants something else from a moment on.
+    pub fn amended(mut self, at: Duration, wanted: Vec<WantedReplicas>) -> Self {
+        self.amended = wanted;
+        self.at(at, Change::Amended);
+        self
+    }
+
     fn at(&mut self, at: Duration, change: Change) {
         self.next += 1;
         self.changes.insert((at, self.next), change);
@@ -179,6 +197,7 @@
             }
             self.plan_rounds(now, planner);
         }
+        self.account(end.saturating_sub(last));
         let hours = self.plan.days * 24.0;
         let groups: u32 = self.state.wanted.iter().map(|wanted| wanted.replicas).sum();
         self.result.downtime_part = self.result.group_downtime / (f64::from(groups) * hours);
@@ -210,6 +229,13 @@
     fn account(&mut self, elapsed: Duration) {
         let hours = elapsed.as_secs_f64() / 3_600.0;
         let mut serving_hosts = 0;
+        let all = self.groups.values().filter(|group| self.serves(group));
+        let all = all.count();
+        if hours > 0.0 && self.hours > 1.0 {
+            self.result.least_serving = self.result.least_serving.min(all);
+        }
+        self.result.serving_at_end = all;
+        self.hours += hours;
         for wanted in &self.state.wanted {
             let serving = self
                 .groups
@@ -245,6 +271,7 @@
                     }
                 }
             }
+            Change::Amended => self.state.wanted = std::mem::take(&mut self.amended),
             Change::Look => {}
         }
         self.refresh(now);
