--- a/crates/policy/examples/compare/hosts.rs
+++ b/crates/policy/examples/compare/hosts.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use policy::assembly::{AssemblySettings, plan_round};
+use policy::shifting::ShiftSettings;
 
 use crate::baseline::assembly::{plan_first_fit, plan_fixed_groups};
+use crate::tide::{run_day, without_hysteresis};
 use crate::year::{FleetPlan, Planner, YearDriver, YearResult, wanted};
 
 /// Ratio of the weights of a group hour and a host hour, for an operator like Ndiaye.
@@ -162,3 +164,24 @@
         }
     }
 }
+
+/// Two models whose demand moves over a day, with noise.
+pub fn shifting() {
+    println!("| noise | moves | unmet streams | moves a day |");
+    println!("|---|---|---|---|");
+    for noise in [0.2, 0.4] {
+        let cases = [
+            ("with hysteresis", Some(ShiftSettings::default())),
+            ("each minute's demand", Some(without_hysteresis())),
+            ("none", None),
+        ];
+        for (name, settings) in cases {
+            let result = run_day(1, noise, settings);
+            println!(
+                "| {noise} | {name} | {:.3}% | {} |",
+                result.unmet * 100.0,
+                result.moves
+            );
+        }
+    }
+}
--- a/crates/policy/examples/compare/main.rs
+++ b/crates/policy/examples/compare/main.rs
@@ -6,6 +6,8 @@
 mod baseline;
 #[path = "../../tests/driver/mod.rs"]
 mod driver;
+#[path = "../../tests/tide/mod.rs"]
+mod tide;
 #[path = "../../tests/year/mod.rs"]
 mod year;
 
@@ -14,7 +16,7 @@
 
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
-    let all: [(&str, fn()); 10] = [
+    let all: [(&str, fn()); 11] = [
         ("admission", requests::admission),
         ("saturation", requests::saturation),
         ("placement", requests::placement),
@@ -25,6 +27,7 @@
         ("patience", hosts::patience),
         ("outages", hosts::outages),
         ("rollouts", hosts::rollouts),
+        ("shifting", hosts::shifting),
     ];
     for (name, table) in all {
         if !wanted.is_empty() && !wanted.iter().any(|want| want == name) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod placement;
 pub mod retry;
 pub mod service;
+pub mod shifting;
