--- a/crates/policy/tests/baseline/mod.rs
+++ b/crates/policy/examples/compare/baseline/mod.rs
@@ -2,13 +2,19 @@
 
 #![allow(dead_code)]
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-use policy::placement::PlacementChoice;
+use domain::FastMap;
+use policy::admission::{AdmissionQueue, WaitKey};
+use policy::capacity::{CapacityShare, ShareSettings};
+use policy::placement::{
+    CandidateList, PlacementChoice, PlacementSettings, TargetFacts, TargetLoad, TargetPool,
+};
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::driver::{Entry, Job};
+use crate::driver::{Job, Setup};
 
 pub mod assembly;
 
@@ -35,6 +41,43 @@
     Unlimited,
 }
 
+/// One entry with all that decides for it.
+#[derive(Debug)]
+pub struct Entry {
+    pub queue: AdmissionQueue,
+    pub line: VecDeque<usize>,
+    pub keys: FastMap<WaitKey, usize>,
+    pub pool: TargetPool,
+    pub list: CandidateList,
+    pub share: CapacityShare,
+    pub reported: Vec<TargetLoad>,
+    pub since: Vec<i64>,
+    pub turn: usize,
+}
+
+impl Entry {
+    pub fn new(setup: &Setup, index: usize) -> Self {
+        let mut pool = TargetPool::new(PlacementSettings::builder().draws(setup.draws).build());
+        let mut targets = Vec::new();
+        for engine in &setup.engines {
+            targets.push(pool.insert(TargetFacts::builder().slots(engine.slots).build()));
+        }
+        let seed = setup.seed * 1_000 + index as u64 * 37;
+        let entries = u32::try_from(setup.entries).unwrap_or(u32::MAX);
+        Self {
+            queue: AdmissionQueue::builder().seed(seed).build(),
+            line: VecDeque::new(),
+            keys: FastMap::default(),
+            list: pool.candidates(targets),
+            pool,
+            share: CapacityShare::new(ShareSettings::builder().entries(entries).build(), seed),
+            reported: vec![TargetLoad::default(); setup.engines.len()],
+            since: vec![0; setup.engines.len()],
+            turn: index,
+        }
+    }
+}
+
 impl PlaceKind {
     pub fn choose(
         self,
--- a/crates/policy/examples/compare/main.rs
+++ b/crates/policy/examples/compare/main.rs
@@ -2,13 +2,10 @@
 //!
 //! Names of tables as arguments print only these.
 
-#[path = "../../tests/baseline/mod.rs"]
 mod baseline;
 #[path = "../../tests/driver/mod.rs"]
 mod driver;
-#[path = "../../tests/tide/mod.rs"]
 mod tide;
-#[path = "../../tests/year/mod.rs"]
 mod year;
 
 mod hosts;
--- a/crates/policy/examples/compare/requests.rs
+++ b/crates/policy/examples/compare/requests.rs
@@ -200,7 +200,7 @@
 /// Parts of the slots of several entries under an uneven balancer.
 pub fn shares() {
     println!(
-        "| entries | demand | share | goodput / capacity | late | refused | p50 s | p95 s | deepest engine queues |"
+        "| entries | demand | share | goodput / capacity | late | refused | p50 s | p95 s | deepest engine queues | slots in use |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|");
     for (entries, engines) in [(3, 20), (6, 20), (24, 20), (410, 100)] {
--- a/crates/policy/tests/year/mod.rs
+++ b/crates/policy/examples/compare/year.rs
@@ -7,28 +7,19 @@
 
 use domain::ReplicaId;
 use policy::assembly::{
-    AssemblyHost, AssemblyReplica, AssemblySettings, AssemblyState, AssemblyStep, HostPresence,
-    LoadedWeights, ReplicaStage, WantedReplicas,
+    AssemblyReplica, AssemblySettings, AssemblyState, AssemblyStep, HostPresence, LoadedWeights,
+    ReplicaStage, WantedReplicas,
 };
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
-pub type Planner = fn(&AssemblyState, &AssemblySettings) -> Vec<AssemblyStep>;
+#[path = "fleet.rs"]
+mod fleet;
 
-/// What happens to the hosts.
-#[derive(Debug, Clone, Copy)]
-pub struct FleetPlan {
-    pub fabrics: usize,
-    pub hosts: usize,
-    pub days: f64,
-    /// Events of one host a year, each with its mean length.
-    pub failures: (f64, Duration),
-    pub restarts: (f64, Duration),
-    pub pauses: (f64, Duration),
-    /// Losses of one fabric domain a year.
-    pub outages: (f64, Duration),
-    pub seed: u64,
-}
+pub use fleet::{FleetPlan, fleet, wanted};
+use fleet::{id, occurrences};
+
+pub type Planner = fn(&AssemblyState, &AssemblySettings) -> Vec<AssemblyStep>;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Change {
@@ -80,38 +71,6 @@
     hours: f64,
 }
 
-fn id<T: std::str::FromStr>(text: &str) -> T {
-    text.parse().unwrap_or_else(|_| panic!("{text} is no id"))
-}
-
-pub fn wanted(model: &str, replicas: u32, extra: u32, hosts_per_replica: u32) -> WantedReplicas {
-    WantedReplicas {
-        model: id(model),
-        version: id("v1"),
-        replicas,
-        extra,
-        hosts_per_replica,
-    }
-}
-
-/// Hosts that are all there and free, spread over fabric domains.
-pub fn fleet(fabrics: usize, hosts: usize) -> Vec<AssemblyHost> {
-    let mut fleet = Vec::new();
-    for fabric in 0..fabrics {
-        for host in 0..hosts {
-            fleet.push(AssemblyHost {
-                id: id(&format!("f{fabric:02}-h{host:03}")),
-                fabric: id(&format!("f{fabric:02}")),
-                domain: id(&format!("d{}", fabric % 3)),
-                presence: HostPresence::Present,
-                replica: None,
-                loaded: None,
-            });
-        }
-    }
-    fleet
-}
-
 impl YearDriver {
     pub fn new(plan: FleetPlan, wanted: Vec<WantedReplicas>, settings: AssemblySettings) -> Self {
         let hosts = fleet(plan.fabrics, plan.hosts);
@@ -434,22 +393,3 @@
         }
     }
 }
-
-fn occurrences(
-    rate: f64,
-    length: Duration,
-    end: f64,
-    rng: &mut SmallRng,
-) -> Vec<(Duration, Duration)> {
-    let mut found = Vec::new();
-    let mut at = 0.0;
-    let mean = 365.0 * 86_400.0 / rate.max(1e-9);
-    loop {
-        at += -rng.random_range(f64::EPSILON..1.0).ln() * mean;
-        if at >= end {
-            return found;
-        }
-        let part = -rng.random_range(f64::EPSILON..1.0).ln();
-        found.push((Duration::from_secs_f64(at), length.mul_f64(part)));
-    }
-}
--- a/crates/policy/tests/assembly_round.rs
+++ b/crates/policy/tests/assembly_round.rs
@@ -1,5 +1,6 @@
 //! Single rounds of assembly.
 
+#[path = "../examples/compare/year.rs"]
 mod year;
 
 use std::time::Duration;
--- a/crates/policy/tests/assembly_year.rs
+++ b/crates/policy/tests/assembly_year.rs
@@ -1,7 +1,8 @@
 //! Weeks of host losses and returns under each planner.
 
-#[path = "baseline/assembly.rs"]
+#[path = "../examples/compare/baseline/assembly.rs"]
 mod baseline;
+#[path = "../examples/compare/year.rs"]
 mod year;
 
 use std::time::Duration;
--- a/crates/policy/tests/capacity_share.rs
+++ b/crates/policy/tests/capacity_share.rs
@@ -1,5 +1,6 @@
 //! Each entry's part of the targets' slots.
 
+#[path = "../examples/compare/baseline/mod.rs"]
 mod baseline;
 mod driver;
 
--- a/crates/policy/tests/driver/mod.rs
+++ b/crates/policy/tests/driver/mod.rs
@@ -5,17 +5,15 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use domain::{CustomerKey, FastMap, TargetKey};
-use policy::admission::{AdmissionQueue, FinishedWork, OfferOutcome, WaitKey, WaitingRequest};
-use policy::capacity::{CapacityShare, PoolReport, ShareSettings};
-use policy::placement::{
-    CandidateList, PlacementSettings, TargetFacts, TargetLoad, TargetOutcome, TargetPool,
-};
+use domain::{CustomerKey, TargetKey};
+use policy::admission::{FinishedWork, OfferOutcome, WaitingRequest};
+use policy::capacity::PoolReport;
+use policy::placement::{TargetLoad, TargetOutcome};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 
-use crate::baseline::QueueKind;
+use crate::baseline::{Entry, QueueKind};
 
 pub mod callers;
 
@@ -42,19 +40,6 @@
     cache: VecDeque<u64>,
 }
 
-#[derive(Debug)]
-pub struct Entry {
-    queue: AdmissionQueue,
-    line: VecDeque<usize>,
-    keys: FastMap<WaitKey, usize>,
-    pub pool: TargetPool,
-    pub list: CandidateList,
-    pub share: CapacityShare,
-    pub reported: Vec<TargetLoad>,
-    pub since: Vec<i64>,
-    pub turn: usize,
-}
-
 #[derive(Debug)]
 pub struct Driver {
     setup: Setup,
@@ -78,7 +63,7 @@
         let mut arena: SlotMap<CustomerKey, ()> = SlotMap::with_key();
         let customers = (0..setup.customers).map(|_| arena.insert(())).collect();
         let entries: Vec<Entry> = (0..setup.entries)
-            .map(|index| new_entry(setup, index))
+            .map(|index| Entry::new(setup, index))
             .collect();
         let targets = entries[0].list.as_slice().to_vec();
         Self {
@@ -392,24 +377,3 @@
         self.pump(now, number);
     }
 }
-
-fn new_entry(setup: &Setup, index: usize) -> Entry {
-    let mut pool = TargetPool::new(PlacementSettings::builder().draws(setup.draws).build());
-    let mut targets = Vec::new();
-    for engine in &setup.engines {
-        targets.push(pool.insert(TargetFacts::builder().slots(engine.slots).build()));
-    }
-    let seed = setup.seed * 1_000 + index as u64 * 37;
-    let entries = u32::try_from(setup.entries).unwrap_or(u32::MAX);
-    Entry {
-        queue: AdmissionQueue::builder().seed(seed).build(),
-        line: VecDeque::new(),
-        keys: FastMap::default(),
-        list: pool.candidates(targets),
-        pool,
-        share: CapacityShare::new(ShareSettings::builder().entries(entries).build(), seed),
-        reported: vec![TargetLoad::default(); setup.engines.len()],
-        since: vec![0; setup.engines.len()],
-        turn: index,
-    }
-}
--- a/crates/policy/tests/early_refusal.rs
+++ b/crates/policy/tests/early_refusal.rs
@@ -1,5 +1,6 @@
 //! Refusal at arrival, expiry and the times to come back.
 
+#[path = "../examples/compare/baseline/mod.rs"]
 mod baseline;
 mod driver;
 
--- a/crates/policy/tests/fair_admission.rs
+++ b/crates/policy/tests/fair_admission.rs
@@ -1,5 +1,6 @@
 //! Fairness between customers at one entry.
 
+#[path = "../examples/compare/baseline/mod.rs"]
 mod baseline;
 mod driver;
 
--- a/crates/policy/tests/model_shifting.rs
+++ b/crates/policy/tests/model_shifting.rs
@@ -1,5 +1,6 @@
 //! Moving replicas between models.
 
+#[path = "../examples/compare/tide.rs"]
 mod tide;
 
 use std::time::Duration;
--- a/crates/policy/tests/prefix_affinity.rs
+++ b/crates/policy/tests/prefix_affinity.rs
@@ -1,5 +1,6 @@
 //! Sending prompts to the targets that hold their prefixes.
 
+#[path = "../examples/compare/baseline/mod.rs"]
 mod baseline;
 mod driver;
 
--- a/crates/policy/tests/target_choice.rs
+++ b/crates/policy/tests/target_choice.rs
@@ -1,5 +1,6 @@
 //! Choosing a target by its predicted time to the first token.
 
+#[path = "../examples/compare/baseline/mod.rs"]
 mod baseline;
 mod driver;
 
--- a/crates/policy/tests/version_rollout.rs
+++ b/crates/policy/tests/version_rollout.rs
@@ -1,5 +1,6 @@
 //! Going over from one version of a model to the next.
 
+#[path = "../examples/compare/year.rs"]
 mod year;
 
 use std::time::Duration;
