--- /dev/null
+++ b/crates/peers/benches/link_traffic.rs
@@ -0,0 +1,168 @@
+//! What the links cost a node: bytes and processor time a second over the number of nodes and of
+//! replicas with evidence, under the default settings, all nodes in one process on loopback.
+//!
+//! `cargo bench -p peers --bench link_traffic [-- SECONDS] [-- replicas]` prints one line a mesh, or only
+//! those with evidence. Bytes are those
+//! of TCP's payload in both directions; processor time is that of the whole process by node, with
+//! both ends of every link in it.
+
+#[path = "../tests/mesh/mod.rs"]
+#[allow(dead_code, reason = "the tests need the rest of it")]
+mod mesh;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use control::members::SilenceLimits;
+use domain::{FastMap, IncarnationNumber, ReplicaId, WholenessEvidence};
+use mesh::{KEY, MeshNode, MeshPlan};
+use peers::{EvidencePort, HeldEvidence, PeerSettings};
+
+/// Watchers look at each replica so often.
+const LOOK_PERIOD: Duration = Duration::from_secs(1);
+
+/// The head is confirmed by the table so often.
+const CONFIRM_PERIOD: Duration = Duration::from_secs(2);
+
+/// Ticks of the kernel's clock of processor time a second, as Linux fixes it for programs.
+const TICKS: f64 = 100.0;
+
+#[derive(Debug, Clone, Default)]
+struct BenchBoard {
+    held: Arc<Mutex<FastMap<ReplicaId, HeldEvidence>>>,
+}
+
+impl BenchBoard {
+    fn held(&self) -> MutexGuard<'_, FastMap<ReplicaId, HeldEvidence>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl EvidencePort for BenchBoard {
+    fn export(&self) -> Vec<HeldEvidence> {
+        self.held().values().cloned().collect()
+    }
+
+    fn import(&self, evidence: HeldEvidence) {
+        let mut held = self.held();
+        let newer = held
+            .get(&evidence.evidence.replica)
+            .is_none_or(|known| evidence.as_of > known.as_of);
+        if newer {
+            held.insert(evidence.evidence.replica.clone(), evidence);
+        }
+    }
+}
+
+fn evidence(replica: usize) -> HeldEvidence {
+    let hosts = (0..16)
+        .map(|rank| format!("dakar-plateau-{}", replica * 16 + rank))
+        .filter_map(|name| name.parse().ok())
+        .collect();
+    let id = format!("trader-help.{replica}").parse();
+    HeldEvidence {
+        evidence: WholenessEvidence {
+            replica: id.unwrap_or_else(|_| unreachable!("an id")),
+            incarnation: IncarnationNumber(1),
+            hosts,
+            leaving: false,
+            age: Duration::ZERO,
+        },
+        as_of: Instant::now(),
+    }
+}
+
+fn processor_seconds() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split(' ').collect();
+    let ticks = |index: usize| -> f64 {
+        let field = fields.get(index).and_then(|text| text.parse().ok());
+        field.unwrap_or(0.0)
+    };
+    (ticks(12) + ticks(13)) / TICKS
+}
+
+fn default_plan() -> MeshPlan {
+    MeshPlan {
+        beat: Duration::from_secs(5),
+        limits: SilenceLimits {
+            dead: Duration::from_secs(20),
+            unheard: Duration::from_secs(10),
+        },
+        rule: control::config::ConfigSettings::default().rule(),
+        settings: PeerSettings::default(),
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "counts of a short run")]
+async fn measure(nodes: usize, replicas: usize, time: Duration) {
+    let plan = default_plan();
+    let mut mesh: Vec<MeshNode> = Vec::new();
+    let mut boards = Vec::new();
+    for number in 0..nodes {
+        let seeds: Vec<_> = mesh.iter().take(3).map(|node| node.address).collect();
+        let board = BenchBoard::default();
+        let name = format!("dakar-plateau-e{number:03}.1a239188b18");
+        mesh.push(plan.start_with(&name, KEY, &seeds, board.clone()).await);
+        boards.push(board);
+    }
+    for node in &mesh {
+        mesh::wait_until("all know all", || node.alive() == nodes).await;
+    }
+    let looks = boards.clone();
+    let looking = tokio::spawn(async move {
+        loop {
+            for replica in 0..replicas {
+                looks[replica % looks.len()].import(evidence(replica));
+                looks[(replica + 1) % looks.len()].import(evidence(replica));
+            }
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+    });
+    mesh[0].learn(1).await;
+    tokio::time::sleep(time / 2).await;
+    let before: u64 = mesh.iter().map(|node| node.traffic.counts().sent).sum();
+    let exchanges: u64 = mesh
+        .iter()
+        .map(|node| node.traffic.counts().exchanges)
+        .sum();
+    let spent = processor_seconds();
+    let started = Instant::now();
+    while started.elapsed() < time {
+        mesh[0].confirm(1).await;
+        tokio::time::sleep(CONFIRM_PERIOD).await;
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let after: u64 = mesh.iter().map(|node| node.traffic.counts().sent).sum();
+    let later: u64 = mesh
+        .iter()
+        .map(|node| node.traffic.counts().exchanges)
+        .sum();
+    let per_node = |count: u64| count as f64 / seconds / nodes as f64;
+    let processor = (processor_seconds() - spent) / seconds / nodes as f64;
+    let served = mesh.iter().filter(|node| node.standing().serves()).count();
+    println!(
+        "nodes {nodes:3}  replicas {replicas:4}  sent {:6.0} B/s  digests {:4.1}/s  processor {:.3} %  \
+         served {served}",
+        per_node(after - before),
+        per_node(later - exchanges),
+        processor * 100.0,
+    );
+    looking.abort();
+}
+
+#[tokio::main]
+async fn main() {
+    let seconds = std::env::args().find_map(|text| text.parse().ok());
+    let time = Duration::from_secs(seconds.unwrap_or(20));
+    let only_replicas = std::env::args().any(|text| text == "replicas");
+    for nodes in [3, 6, 12, 24, 48] {
+        if only_replicas {
+            continue;
+        }
+        measure(nodes, 0, time).await;
+    }
+    for replicas in [24, 47, 94] {
+        measure(24, replicas, time).await;
+    }
+}
--- a/crates/peers/tests/mesh/mod.rs
+++ b/crates/peers/tests/mesh/mod.rs
@@ -15,7 +15,8 @@
 use domain::record::RecordKind;
 use events::EventRecorder;
 use peers::{
-    LinkParts, NoEvidence, PeerHub, PeerSettings, PeerTraffic, SharedKey, accept_links, keep_links,
+    EvidencePort, LinkParts, NoEvidence, PeerHub, PeerSettings, PeerTraffic, SharedKey,
+    accept_links, keep_links,
 };
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -75,6 +76,17 @@
 
     /// Starts a node that knows the given seeds and no table.
     pub async fn start(&self, name: &str, key: &str, seeds: &[SocketAddr]) -> MeshNode {
+        self.start_with(name, key, seeds, NoEvidence).await
+    }
+
+    /// Starts such a node that passes on evidence.
+    pub async fn start_with<E: EvidencePort>(
+        &self,
+        name: &str,
+        key: &str,
+        seeds: &[SocketAddr],
+        evidence: E,
+    ) -> MeshNode {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("a free port");
@@ -92,7 +104,7 @@
         let hub = PeerHub {
             config: config.clone(),
             book: book.clone(),
-            evidence: NoEvidence,
+            evidence,
             traffic: PeerTraffic::default(),
             wake: Arc::default(),
         };
@@ -159,6 +171,20 @@
 }
 
 impl MeshNode {
+    /// Learns the head as if from the table, now.
+    #[allow(dead_code, reason = "the measurement needs it")]
+    pub async fn confirm(&self, revision: u64) {
+        let lesson = ConfigLesson {
+            update: ConfigUpdate::default(),
+            confirmation: Some(HeadConfirmation {
+                revision: ConfigRevision(revision),
+                as_of: Instant::now(),
+            }),
+            known: ConfigRevision(revision),
+        };
+        self.config.learn(lesson).await;
+    }
+
     /// Learns a change and the head as if from the table, now.
     pub async fn learn(&self, revision: u64) {
         let update = ConfigUpdate {
