--- a/crates/peers/src/memory.rs
+++ b/crates/peers/src/memory.rs
@@ -8,7 +8,7 @@
 use control::Member;
 use control::members::MemberRow;
 use domain::{ConfigRevision, FastMap, FastSet, NodeId, ReplicaId, WholenessEvidence};
-use wire::peer::{PeerBeat, PeerDigest, PeerEvidence, PeerLook, PeerRow};
+use wire::peer::{LookAge, PeerBeat, PeerDigest, PeerEvidence, PeerLook, PeerRow};
 
 use crate::evidence::HeldEvidence;
 
@@ -35,6 +35,7 @@
     sent_evidence: FastMap<ReplicaId, SentEvidence>,
     evidence_count: u32,
     received_evidence: Vec<WholenessEvidence>,
+    peer_evidence: FastMap<ReplicaId, HeldEvidence>,
 }
 
 #[derive(Debug)]
@@ -88,7 +89,10 @@
             if age > EVIDENCE_LIMIT {
                 continue;
             }
-            let age_ms = millis(age);
+            let age = LookAge::from(age);
+            if self.peer_has(&evidence, as_of) {
+                continue;
+            }
             if let Some(sent) = self.sent_evidence.get_mut(&evidence.replica)
                 && same_finding(&sent.evidence, &evidence)
             {
@@ -97,7 +101,7 @@
                 }
                 sent.as_of = as_of;
                 let place = sent.place;
-                digest.looks.push(PeerLook { place, age_ms });
+                digest.looks.push(PeerLook { place, age });
                 continue;
             }
             digest.evidence.push(PeerEvidence {
@@ -105,7 +109,7 @@
                 incarnation: evidence.incarnation,
                 hosts: evidence.hosts.clone(),
                 leaving: evidence.leaving,
-                age_ms,
+                age,
             });
             let sent = SentEvidence {
                 place: self.evidence_count,
@@ -117,6 +121,15 @@
         }
     }
 
+    /// Whether the peer itself sent a look that is about as new: it must not get it back.
+    fn peer_has(&self, evidence: &WholenessEvidence, as_of: Instant) -> bool {
+        self.peer_evidence
+            .get(&evidence.replica)
+            .is_some_and(|known| {
+                same_finding(&known.evidence, evidence) && as_of < known.as_of + LOOK_STEP
+            })
+    }
+
     /// Takes in the members of a digest: whole rows, and heartbeats with their node.
     pub fn take_members(&mut self, digest: &PeerDigest) -> MemberNews {
         let mut news = MemberNews::default();
@@ -166,13 +179,17 @@
                 age: Duration::ZERO,
             };
             self.received_evidence.push(evidence.clone());
-            taken.extend(held(evidence, wire.age_ms, asked_at));
+            taken.extend(held(evidence, wire.age, asked_at));
         }
         for look in &digest.looks {
             let Some(evidence) = self.received_evidence.get(look.place as usize) else {
                 continue;
             };
-            taken.extend(held(evidence.clone(), look.age_ms, asked_at));
+            taken.extend(held(evidence.clone(), look.age, asked_at));
+        }
+        for held in &taken {
+            self.peer_evidence
+                .insert(held.evidence.replica.clone(), held.clone());
         }
         taken
     }
@@ -203,8 +220,8 @@
 }
 
 /// None when the age reaches back before the start of this host's clock.
-fn held(evidence: WholenessEvidence, age_ms: u64, asked_at: Instant) -> Option<HeldEvidence> {
-    let as_of = asked_at.checked_sub(Duration::from_millis(age_ms))?;
+fn held(evidence: WholenessEvidence, age: LookAge, asked_at: Instant) -> Option<HeldEvidence> {
+    let as_of = asked_at.checked_sub(Duration::from(age))?;
     Some(HeldEvidence { evidence, as_of })
 }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -9,6 +9,7 @@
 //! so an old node reads what a newer one sends. Times are ages in milliseconds, never wall times.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use domain::{
     ConfigRevision, DomainId, HostId, IdError, IncarnationNumber, NodeId, RegionId, ReplicaId,
@@ -166,7 +167,7 @@
     /// Whether any said that it is leaving.
     pub leaving: bool,
     /// Age of the oldest report.
-    pub age_ms: u64,
+    pub age: LookAge,
 }
 
 /// A newer look that found the same as an earlier [`PeerEvidence`].
@@ -175,7 +176,25 @@
     /// Place of the evidence among those that the sender sent over this connection.
     pub place: u32,
     /// Age of the oldest report.
-    pub age_ms: u64,
+    pub age: LookAge,
+}
+
+/// Age of a look in tenths of a second, rounded up: up to 25 s in one byte. Looks are most of what
+/// goes over the links, and evidence counts for a few seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct LookAge(u64);
+
+impl From<Duration> for LookAge {
+    fn from(age: Duration) -> Self {
+        Self(u64::try_from(age.as_micros().div_ceil(100_000)).unwrap_or(u64::MAX))
+    }
+}
+
+impl From<LookAge> for Duration {
+    fn from(age: LookAge) -> Self {
+        Self::from_millis(age.0.saturating_mul(100))
+    }
 }
 
 impl PeerDigest {
