--- a/crates/policy/examples/compare/hosts.rs
+++ b/crates/policy/examples/compare/hosts.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use policy::assembly::{AssemblySettings, plan_round};
+use policy::shifting::ShiftSettings;
 
 use crate::baseline::assembly::{plan_first_fit, plan_fixed_groups};
+use crate::tide::{run_day, without_hysteresis};
 use crate::year::{FleetPlan, Planner, YearDriver, YearResult, wanted};
 
 /// Ratio of the weights of a group hour and a host hour, for an operator like Ndiaye.
@@ -79,26 +81,39 @@
     for ratio in [AGENCY, 100.0, 300.0, NDIAYE, 3_000.0, 10_000.0] {
         for size in [4, 16] {
             let wanted = vec![
-                wanted("lookup", if size == 4 { 16 } else { 8 }, 0, size),
+                wanted("lookup", if size == 4 { 16 } else { 6 }, 0, size),
                 wanted("help", if size == 4 { 30 } else { 12 }, 64, size),
             ];
-            let plan = fleet_plan(6, if size == 4 { 36 } else { 72 });
+            let plan = fleet_plan(6, if size == 4 { 36 } else { 64 });
             let result = YearDriver::new(plan, wanted, settings(ratio)).run(plan_round);
             let loss = ratio * result.group_downtime
                 + result.stranded_part
                     * 365.0
                     * 24.0
                     * f64::from(u32::try_from(plan.fabrics * plan.hosts).unwrap_or(0));
-            let idle = settings(ratio).idle_spares(plan.hosts);
-            print(
-                &format!("{ratio} : 1, {size} hosts"),
-                &format!("{idle} idle spares each, loss {loss:.0}"),
-                &result,
-            );
+            let case = format!("{ratio} : 1, {size} hosts");
+            print(&case, &format!("loss {loss:.0}"), &result);
         }
     }
 }
 
+/// How long a replica waits for an absent host, when every host is paused 20 times a year.
+pub fn patience() {
+    header("patience");
+    for seconds in [0, 10, 30, 120, 600] {
+        let plan = FleetPlan {
+            pauses: (20.0, Duration::from_secs(10)),
+            ..fleet_plan(6, 36)
+        };
+        let settings = AssemblySettings::builder()
+            .patience(Duration::from_secs(seconds))
+            .build();
+        let wanted = vec![wanted("help", 50, 0, 4)];
+        let result = YearDriver::new(plan, wanted, settings).run(plan_round);
+        print(&format!("{seconds} s"), "plan_round", &result);
+    }
+}
+
 /// Fabric domains that go dark, 12 a year each for an hour, and all loads under the store's rate.
 pub fn outages() {
     header("fabric domains go dark");
@@ -119,3 +134,54 @@
         }
     }
 }
+
+/// A record names another version: all at once, or in steps, with free hosts and without.
+pub fn rollouts() {
+    println!("| hosts | steps | least of 20 that serve | replica hours missing |");
+    println!("|---|---|---|---|");
+    for hosts in [40, 48] {
+        for steps in [1, 5, 20] {
+            let plan = FleetPlan {
+                days: 1.0,
+                failures: (0.0, Duration::ZERO),
+                restarts: (0.0, Duration::ZERO),
+                pauses: (0.0, Duration::ZERO),
+                outages: (0.0, Duration::ZERO),
+                ..fleet_plan(2, hosts)
+            };
+            let settings = AssemblySettings::builder().rollout_steps(steps).build();
+            let old = wanted("help", 20, 0, 4);
+            let mut new = old.clone();
+            new.version = "v2".parse().expect("a version");
+            let driver = YearDriver::new(plan, vec![old], settings);
+            let result = driver
+                .amended(Duration::from_hours(1), vec![new])
+                .run(plan_round);
+            println!(
+                "| 2 x {hosts} | {steps} | {} | {:.2} |",
+                result.least_serving, result.group_downtime
+            );
+        }
+    }
+}
+
+/// Two models whose demand moves over a day, with noise.
+pub fn shifting() {
+    println!("| noise | moves | unmet streams | moves a day |");
+    println!("|---|---|---|---|");
+    for noise in [0.2, 0.4] {
+        let cases = [
+            ("with hysteresis", Some(ShiftSettings::default())),
+            ("each minute's demand", Some(without_hysteresis())),
+            ("none", None),
+        ];
+        for (name, settings) in cases {
+            let result = run_day(1, noise, settings);
+            println!(
+                "| {noise} | {name} | {:.3}% | {} |",
+                result.unmet * 100.0,
+                result.moves
+            );
+        }
+    }
+}
--- a/crates/policy/tests/year/mod.rs
+++ b/crates/policy/examples/compare/year.rs
@@ -7,28 +7,19 @@
 
 use domain::ReplicaId;
 use policy::assembly::{
-    AssemblyHost, AssemblyReplica, AssemblySettings, AssemblyState, AssemblyStep, HostPresence,
-    LoadedWeights, ReplicaStage, WantedReplicas,
+    AssemblyReplica, AssemblySettings, AssemblyState, AssemblyStep, HostPresence, LoadedWeights,
+    ReplicaStage, WantedReplicas,
 };
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
-pub type Planner = fn(&AssemblyState, &AssemblySettings) -> Vec<AssemblyStep>;
+#[path = "fleet.rs"]
+mod fleet;
 
-/// What happens to the hosts.
-#[derive(Debug, Clone, Copy)]
-pub struct FleetPlan {
-    pub fabrics: usize,
-    pub hosts: usize,
-    pub days: f64,
-    /// Events of one host a year, each with its mean length.
-    pub failures: (f64, Duration),
-    pub restarts: (f64, Duration),
-    pub pauses: (f64, Duration),
-    /// Losses of one fabric domain a year.
-    pub outages: (f64, Duration),
-    pub seed: u64,
-}
+pub use fleet::{FleetPlan, fleet, wanted};
+use fleet::{id, occurrences};
+
+pub type Planner = fn(&AssemblyState, &AssemblySettings) -> Vec<AssemblyStep>;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Change {
@@ -37,6 +28,7 @@
     Back(usize),
     Loaded(u64),
     Drained(u64),
+    Amended,
     Look,
 }
 
@@ -51,6 +43,9 @@
     pub stranded_part: f64,
     pub fetches: u64,
     pub rounds: u64,
+    /// Fewest replicas that served at once, after the first hour, and how many did in the end.
+    pub least_serving: usize,
+    pub serving_at_end: usize,
     /// Times that a serving replica was drained for its hosts.
     pub drains: u64,
 }
@@ -65,6 +60,7 @@
     plan: FleetPlan,
     settings: AssemblySettings,
     state: AssemblyState,
+    amended: Vec<WantedReplicas>,
     up: Vec<u32>,
     gone_at: Vec<Duration>,
     groups: BTreeMap<ReplicaId, Group>,
@@ -72,38 +68,7 @@
     next: u64,
     result: YearResult,
     host_hours: f64,
-}
-
-fn id<T: std::str::FromStr>(text: &str) -> T {
-    text.parse().unwrap_or_else(|_| panic!("{text} is no id"))
-}
-
-pub fn wanted(model: &str, replicas: u32, extra: u32, hosts_per_replica: u32) -> WantedReplicas {
-    WantedReplicas {
-        model: id(model),
-        version: id("v1"),
-        replicas,
-        extra,
-        hosts_per_replica,
-    }
-}
-
-/// Hosts that are all there and free, spread over fabric domains.
-pub fn fleet(fabrics: usize, hosts: usize) -> Vec<AssemblyHost> {
-    let mut fleet = Vec::new();
-    for fabric in 0..fabrics {
-        for host in 0..hosts {
-            fleet.push(AssemblyHost {
-                id: id(&format!("f{fabric:02}-h{host:03}")),
-                fabric: id(&format!("f{fabric:02}")),
-                domain: id(&format!("d{}", fabric % 3)),
-                presence: HostPresence::Present,
-                replica: None,
-                loaded: None,
-            });
-        }
-    }
-    fleet
+    hours: f64,
 }
 
 impl YearDriver {
@@ -118,19 +83,31 @@
                 replicas: Vec::new(),
                 wanted,
             },
+            amended: Vec::new(),
             up: vec![0; count],
             gone_at: vec![Duration::ZERO; count],
             groups: BTreeMap::new(),
             changes: BTreeMap::new(),
             next: 0,
-            result: YearResult::default(),
+            result: YearResult {
+                least_serving: usize::MAX,
+                ..YearResult::default()
+            },
             host_hours: 0.0,
+            hours: 0.0,
         };
         driver.draw_changes();
         driver.at(Duration::ZERO, Change::Look);
         driver
     }
 
+    /// Wants something else from a moment on.
+    pub fn amended(mut self, at: Duration, wanted: Vec<WantedReplicas>) -> Self {
+        self.amended = wanted;
+        self.at(at, Change::Amended);
+        self
+    }
+
     fn at(&mut self, at: Duration, change: Change) {
         self.next += 1;
         self.changes.insert((at, self.next), change);
@@ -179,6 +156,7 @@
             }
             self.plan_rounds(now, planner);
         }
+        self.account(end.saturating_sub(last));
         let hours = self.plan.days * 24.0;
         let groups: u32 = self.state.wanted.iter().map(|wanted| wanted.replicas).sum();
         self.result.downtime_part = self.result.group_downtime / (f64::from(groups) * hours);
@@ -210,6 +188,13 @@
     fn account(&mut self, elapsed: Duration) {
         let hours = elapsed.as_secs_f64() / 3_600.0;
         let mut serving_hosts = 0;
+        let all = self.groups.values().filter(|group| self.serves(group));
+        let all = all.count();
+        if hours > 0.0 && self.hours > 1.0 {
+            self.result.least_serving = self.result.least_serving.min(all);
+        }
+        self.result.serving_at_end = all;
+        self.hours += hours;
         for wanted in &self.state.wanted {
             let serving = self
                 .groups
@@ -245,6 +230,7 @@
                     }
                 }
             }
+            Change::Amended => self.state.wanted = std::mem::take(&mut self.amended),
             Change::Look => {}
         }
         self.refresh(now);
@@ -407,22 +393,3 @@
         }
     }
 }
-
-fn occurrences(
-    rate: f64,
-    length: Duration,
-    end: f64,
-    rng: &mut SmallRng,
-) -> Vec<(Duration, Duration)> {
-    let mut found = Vec::new();
-    let mut at = 0.0;
-    let mean = 365.0 * 86_400.0 / rate.max(1e-9);
-    loop {
-        at += -rng.random_range(f64::EPSILON..1.0).ln() * mean;
-        if at >= end {
-            return found;
-        }
-        let part = -rng.random_range(f64::EPSILON..1.0).ln();
-        found.push((Duration::from_secs_f64(at), length.mul_f64(part)));
-    }
-}
--- a/crates/policy/src/assembly/fabric.rs
+++ b/crates/policy/src/assembly/fabric.rs
@@ -6,7 +6,8 @@
 
 use super::settings::AssemblySettings;
 use super::state::{
-    AssemblyHost, AssemblyReplica, AssemblyState, HostPresence, ReplicaStage, WantedReplicas,
+    AssemblyHost, AssemblyReplica, AssemblyState, AssemblyStep, DrainReason, HostPresence,
+    ReplicaStage, WantedReplicas,
 };
 
 /// One fabric domain during a round; hosts leave `free` as steps claim them.
@@ -58,6 +59,8 @@
     pub hosts: FastMap<&'a HostId, &'a AssemblyHost>,
     pub fabrics: BTreeMap<&'a FabricId, FabricView<'a>>,
     pub replicas: Vec<ReplicaView<'a>>,
+    /// Replicas that give their hosts back; no longer among `replicas`.
+    pub retired: Vec<ReplicaView<'a>>,
 }
 
 impl<'a> RoundView<'a> {
@@ -80,6 +83,7 @@
             hosts,
             fabrics,
             replicas: Vec::new(),
+            retired: Vec::new(),
         };
         // A host that a replica names is not free, whatever its slot says: the slot may be read
         // before the replica was written.
@@ -135,39 +139,75 @@
         wanted.is_none_or(|wanted| self.whole(wanted) >= wanted.replicas as usize)
     }
 
+    /// Hosts of a fabric domain in replicas whose model has none to spare.
+    pub fn needing(&self, fabric: &FabricId) -> usize {
+        let mut hosts = 0;
+        for view in &self.replicas {
+            let replica = view.replica;
+            let wanted = self.wanted_for(replica);
+            let spared = wanted.is_none_or(|wanted| self.whole(wanted) > wanted.replicas as usize);
+            if replica.fabric == *fabric && !spared {
+                hosts += replica.hosts.len();
+            }
+        }
+        hosts
+    }
+
     fn whole(&self, wanted: &WantedReplicas) -> usize {
         let whole = self.replicas.iter().filter(|view| {
             let of = view.replica.model == wanted.model && view.replica.version == wanted.version;
-            of && !view.broken && !view.is_leaving_service()
+            of && self.stays(view) && !view.broken && !view.is_leaving_service()
         });
         whole.count()
     }
 
-    /// A whole replica that its model can spare; none while one is being drained already, so
-    /// that one need does not take two.
-    pub fn find_extra(&self, fits: impl Fn(&ReplicaView<'_>) -> bool) -> Option<&ReplicaView<'a>> {
-        let draining = self
-            .replicas
-            .iter()
-            .any(|view| view.is_leaving_service() && fits(view));
-        if draining {
-            return None;
-        }
+    /// Whole replicas of a fabric domain that their models can spare, but for `besides`.
+    pub fn extras(&self, fabric: &FabricId, besides: Option<&ModelName>) -> Vec<ReplicaView<'a>> {
+        let mut extras = Vec::new();
         for wanted in self.wanted {
-            if self.whole(wanted) <= wanted.replicas as usize {
+            if besides == Some(&wanted.model) {
                 continue;
             }
-            let extra = self.replicas.iter().find(|view| {
-                view.replica.model == wanted.model
-                    && view.replica.version == wanted.version
-                    && !view.broken
-                    && fits(view)
+            let spared = self.whole(wanted).saturating_sub(wanted.replicas as usize);
+            let of = self.replicas.iter().filter(|view| {
+                let replica = view.replica;
+                let of = replica.model == wanted.model && replica.version == wanted.version;
+                of && replica.fabric == *fabric && !view.broken && self.stays(view)
             });
-            if extra.is_some() {
-                return extra;
-            }
+            extras.extend(of.take(spared).cloned());
+        }
+        extras
+    }
+
+    fn stays(&self, view: &ReplicaView<'_>) -> bool {
+        let id = &view.replica.id;
+        self.retired.iter().all(|other| other.replica.id != *id)
+    }
+
+    /// Drains a replica for its hosts; from now on it counts as one that gives them back.
+    pub fn drain_extra(&mut self, extra: ReplicaView<'a>) -> AssemblyStep {
+        let replica = extra.replica.id.clone();
+        self.retired.push(extra);
+        AssemblyStep::Drain {
+            replica,
+            reason: DrainReason::HostsNeeded,
         }
-        None
+    }
+
+    /// Hosts of a fabric domain that replicas are about to give back. Without counting them each
+    /// round until the end of a drain would drain another replica for the same need.
+    pub fn retired_hosts(&self, fabric: &FabricId) -> usize {
+        let there = self
+            .retired
+            .iter()
+            .filter(|view| view.replica.fabric == *fabric);
+        there.map(ReplicaView::survivors).sum()
+    }
+
+    fn wanted_for(&self, replica: &AssemblyReplica) -> Option<&'a WantedReplicas> {
+        self.wanted
+            .iter()
+            .find(|wanted| wanted.model == replica.model && wanted.version == replica.version)
     }
 
     /// Takes the best free host of a fabric for a rank: one that holds that rank's weights, else
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -3,7 +3,7 @@
 use domain::{FabricId, FastMap, HostId};
 
 use super::fabric::{ReplicaView, RoundView};
-use super::state::{AssemblyStep, DissolveReason, DrainReason, WantedReplicas};
+use super::state::{AssemblyStep, DissolveReason, WantedReplicas};
 
 /// Forms what is missing, then what is allowed beyond that.
 ///
@@ -37,7 +37,7 @@
         .count();
     for made in 0..missing {
         let Some(fabric) = best_fabric(view, wanted) else {
-            steps.extend(drain_extra(view, wanted));
+            drain_extras(view, wanted, steps);
             return;
         };
         // The new one stands in for a broken one whose lost hosts nobody can replace; the broken
@@ -52,20 +52,42 @@
     }
 }
 
-/// An extra replica of another model gives its hosts to one that is missing.
-fn drain_extra(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<AssemblyStep> {
-    let extra = view.find_extra(|other| {
-        let free = view
-            .fabrics
-            .get(&other.replica.fabric)
-            .map_or(0, |fabric| fabric.free.len());
-        let others = other.replica.model != wanted.model;
-        others && free + other.replica.hosts.len() >= wanted.hosts_per_replica as usize
-    })?;
-    Some(AssemblyStep::Drain {
-        replica: extra.replica.id.clone(),
-        reason: DrainReason::HostsNeeded,
-    })
+/// Extra replicas give their hosts to one that is missing: in the fabric domain where the fewest
+/// have to, and none while hosts enough are on their way there.
+fn drain_extras(view: &mut RoundView<'_>, wanted: &WantedReplicas, steps: &mut Vec<AssemblyStep>) {
+    let size = wanted.hosts_per_replica as usize;
+    let mut best: Option<(usize, FabricId)> = None;
+    for (fabric, state) in &view.fabrics {
+        let coming = view.retired_hosts(fabric);
+        if state.free.len() + coming >= size {
+            return;
+        }
+        let missing = size - state.free.len() - coming;
+        let extras = view.extras(fabric, Some(&wanted.model));
+        let mut hosts = 0;
+        let mut drains = 0;
+        for extra in &extras {
+            if hosts >= missing {
+                break;
+            }
+            hosts += extra.replica.hosts.len();
+            drains += 1;
+        }
+        let fewer = best.as_ref().is_none_or(|(least, _)| drains < *least);
+        if hosts >= missing && fewer {
+            best = Some((drains, (*fabric).clone()));
+        }
+    }
+    let Some((drains, fabric)) = best else {
+        return;
+    };
+    for extra in view
+        .extras(&fabric, Some(&wanted.model))
+        .into_iter()
+        .take(drains)
+    {
+        steps.push(view.drain_extra(extra));
+    }
 }
 
 fn form_extra(view: &mut RoundView<'_>, wanted: &WantedReplicas, steps: &mut Vec<AssemblyStep>) {
@@ -88,12 +110,14 @@
     }
 }
 
-/// Whether a replica's lost hosts could not be replaced within its fabric domain in this round.
+/// Whether a replica's lost hosts can't be replaced within its fabric domain, now or as soon as
+/// the replicas that are being drained there have given their hosts back.
 fn is_stuck(view: &RoundView<'_>, replica: &ReplicaView<'_>) -> bool {
     let free = view
         .fabrics
         .get(&replica.replica.fabric)
         .map_or(0, |fabric| fabric.free.len());
+    let free = free + view.retired_hosts(&replica.replica.fabric);
     replica.broken && replica.lost.len() > free && !replica.lost.is_empty()
 }
 
@@ -109,25 +133,27 @@
     })
 }
 
+/// The fabric domain with the most hosts that are worth more in an extra replica than as spares.
 fn best_extra_fabric(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<FabricId> {
+    let size = wanted.hosts_per_replica as usize;
     let mut best: Option<(usize, &FabricId)> = None;
     for (fabric, state) in &view.fabrics {
-        let idle = view.settings.idle_spares(state.total);
-        let needed = wanted.hosts_per_replica as usize + idle;
-        if state.free.len() < needed {
+        let free = state.free.len();
+        if free < size || best.is_some_and(|(most, _)| free <= most) {
             continue;
         }
-        if best.is_none_or(|(free, _)| state.free.len() > free) {
-            best = Some((state.free.len(), fabric));
+        let needing = view.needing(fabric);
+        if view.settings.keeps_idle(needing, free, size) {
+            continue;
         }
+        best = Some((free, fabric));
     }
     best.map(|(_, fabric)| fabric.clone())
 }
 
 /// The fabric domain in which a replica costs least.
 ///
-/// It should leave no useless remainder for the largest size, keep spares where hosts are lost,
-/// and not put all replicas of a model into one failure domain, whose loss would end its service.
+/// It should leave no useless remainder for the largest size, keep a spare for the next loss, and not put all replicas of a model into one failure domain, whose loss would end its service.
 fn best_fabric(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<FabricId> {
     let size = wanted.hosts_per_replica as usize;
     let largest = view
@@ -144,7 +170,6 @@
         }
         let broken_large = free / largest - (free - size) / largest;
         let broken_large = if size == largest { 0 } else { broken_large };
-        let idle = view.settings.idle_spares(state.total).max(1);
         let cost = FabricCost {
             broken_large,
             in_domain: state
@@ -152,7 +177,7 @@
                 .and_then(|domain| in_domain.get(domain))
                 .copied()
                 .unwrap_or(0),
-            missing_spares: idle.saturating_sub(free - size),
+            without_spare: free == size,
             left: free - size,
         };
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
@@ -166,7 +191,7 @@
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct FabricCost {
     broken_large: usize,
-    missing_spares: usize,
+    without_spare: bool,
     in_domain: usize,
     left: usize,
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -9,6 +9,7 @@
 //! so an old node reads what a newer one sends. Times are ages in milliseconds, never wall times.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use domain::{
     ConfigRevision, DomainId, HostId, IdError, IncarnationNumber, NodeId, RegionId, ReplicaId,
@@ -92,6 +93,8 @@
 pub struct PeerDigest {
     /// Sequence of the newest answer that the sender got on this connection; 0 before the first.
     pub echo: u64,
+    /// The sender's hybrid logical clock, so that events here sort behind what caused them there.
+    pub stamp: PeerStamp,
     /// Revision in force at the sender.
     pub revision: u64,
     /// How well the sender knows the head.
@@ -110,6 +113,15 @@
     pub looks: Vec<PeerLook>,
 }
 
+/// A moment of a hybrid logical clock.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerStamp {
+    /// Milliseconds since 1970.
+    pub millis: u64,
+    /// Order within one millisecond.
+    pub counter: u32,
+}
+
 /// That the head was at most at a revision, so long before the message was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerConfirmation {
@@ -140,6 +152,8 @@
     pub domain: DomainId,
     /// Its region.
     pub region: RegionId,
+    /// Where operators connect.
+    pub admin: Option<SocketAddr>,
     /// Its heartbeat.
     pub beat: u64,
 }
@@ -166,7 +180,7 @@
     /// Whether any said that it is leaving.
     pub leaving: bool,
     /// Age of the oldest report.
-    pub age_ms: u64,
+    pub age: LookAge,
 }
 
 /// A newer look that found the same as an earlier [`PeerEvidence`].
@@ -175,7 +189,25 @@
     /// Place of the evidence among those that the sender sent over this connection.
     pub place: u32,
     /// Age of the oldest report.
-    pub age_ms: u64,
+    pub age: LookAge,
+}
+
+/// Age of a look in tenths of a second, rounded up: up to 25 s in one byte. Looks are most of what
+/// goes over the links, and evidence counts for a few seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct LookAge(u64);
+
+impl From<Duration> for LookAge {
+    fn from(age: Duration) -> Self {
+        Self(u64::try_from(age.as_micros().div_ceil(100_000)).unwrap_or(u64::MAX))
+    }
+}
+
+impl From<LookAge> for Duration {
+    fn from(age: LookAge) -> Self {
+        Self::from_millis(age.0.saturating_mul(100))
+    }
 }
 
 impl PeerDigest {
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -1,11 +1,13 @@
 //! Wiring of the callers' listener.
 
 use std::future::Future;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 
 use control::CallLedger;
+use entry::desk::state::DeskSettings;
 use entry::settings::SecretText;
 use entry::{
     DispatchDesk, EntryParts, EntryServer, EntrySettings, NameSource, StopPhase, TokenSealer,
@@ -38,12 +40,15 @@
     settings.resume_key = resume_key.map(|key| SecretText::from(key.expose()));
     let settings = Arc::new(settings);
     let targets = context.target_sender.subscribe();
+    let desk = DeskSettings::builder()
+        .evidence_limit(settings.evidence_limit())
+        .home(context.settings.domain.clone())
+        .max_attempts(settings.max_attempts)
+        .seed(process_seed())
+        .build();
     let parts = EntryParts::builder()
         .config(context.config_sender.subscribe())
-        .desk(DispatchDesk::new(
-            targets.clone(),
-            settings.evidence_limit(),
-        ))
+        .desk(DispatchDesk::start(desk, targets.clone()))
         .targets(targets)
         .engine(context.engine.clone())
         .recorder(context.recorder.clone())
@@ -70,6 +75,11 @@
     })
 }
 
+/// Differs between processes, so that entries that start together don't decide alike.
+fn process_seed() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
+
 impl EntryListener {
     /// Serves until `stop` completes, then stops without cutting off a request; see
     /// [`entry::stop`].
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,8 +6,10 @@
 mod peers;
 
 use std::sync::Arc;
+use std::time::SystemTime;
 
 use ::control::{ConfigView, ControlSettings, EvidenceBoard, TargetView};
+use domain::NodeId;
 use events::logs::start_logs;
 use events::{EventCode, EventRecorder, EventSubject, NodeMetrics};
 use platform::http::{HttpHostList, HttpObjects, HttpTable, ServiceEndpoint};
@@ -65,10 +67,12 @@
 /// # Errors
 ///
 /// When an address can't be bound.
-pub async fn serve(settings: NodeSettings) -> eyre::Result<()> {
+pub async fn serve(mut settings: NodeSettings) -> eyre::Result<()> {
     start_logs(settings.log.level);
+    settings.node = renewed_id(&settings.node)?;
     let context = NodeContext::new(settings)?;
-    let peers = peers::bind(&context).await?;
+    let admin = admin::bind(&context).await?;
+    let peers = peers::bind(&context, admin.as_ref().map(|admin| admin.address)).await?;
     let tasks = control::start(&context, &peers.members());
     let peers = peers.start(&context)?;
     let running = entry::bind(&context).await?;
@@ -79,13 +83,13 @@
         address.to_string(),
     );
     println!("{} listens on {address}", context.settings.node);
-    if let Some(admin) = admin::bind(&context).await? {
+    if let Some(admin) = &admin {
         println!(
             "{} admin listens on {}",
             context.settings.node, admin.address
         );
-        admin.start();
     }
+    admin::start(&context, &peers, admin)?;
     let recorder = context.recorder.clone();
     let (released, release) = oneshot::channel();
     let stop = async move {
@@ -102,6 +106,15 @@
     Ok(())
 }
 
+/// An id that no earlier process of this host had.
+///
+/// Under the old id, peers would take the new process's heartbeats for late ones of the old, and a
+/// lease that the old process held would look like the new one's own.
+fn renewed_id(name: &NodeId) -> eyre::Result<NodeId> {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
+    Ok(format!("{name}.{:x}", since_epoch.as_millis()).parse()?)
+}
+
 /// Completes at the first signal to stop; a second one ends the process at once.
 async fn stop_signal() {
     next_signal().await;
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,9 +1,13 @@
 //! End-to-end tests: the built binaries as separate processes on loopback, one module a feature.
 
 mod claim_batches;
+mod config_faults;
+mod config_follow;
 mod direct;
 mod engine_load;
+mod event_stream;
 mod fault_switches;
+mod graceful_stop;
 mod host_leaving;
 mod host_list;
 mod host_loss;
@@ -12,7 +16,11 @@
 mod operator_client;
 mod outage;
 mod quickstart_keep;
+mod service_calls;
+mod stream_failover;
 mod stream_linger;
+mod stream_resume;
+mod table_cut;
 mod whole_path;
 
 /// The built product.
