Keep each node within its share of the table's limits

Cause: nothing in the code kept 410 nodes below the table's several hundred writes and two thousand reads a second, and a store that returned after an outage was met by everybody at once.

A node's share follows the number of members, claims and leases go before polling, and a circuit refuses calls at once while the store is down and lets one through after a random time to find out. Operators' amendments pass the circuit: with it, config_faults::store_down_served failed for an amendment sent in the moment of the store's return.

Also: load of a replica that this node stopped probing is forgotten after 3 s (graceful_stop::none_cut_off failed once with "the first token would be late" on a node that kept an old report; not seen since), and a node that probes for want of peers keeps its period.

--- a/crates/control/src/assembly/rows.rs
+++ b/crates/control/src/assembly/rows.rs
@@ -21,6 +21,9 @@
 /// Sends of one transaction before its outcome is left to the next round.
 const COMMIT_TRIES: u32 = 3;
 
+/// Most slots that are read one by one.
+const SINGLE_READS: usize = 8;
+
 /// Count of the replicas of one version that stand and do not drain, over all fabric domains.
 ///
 /// Controllers of several fabric domains see the same replica missing. The row makes the second
@@ -138,6 +141,9 @@
             .filter(|host| !self.slots.contains_key(host))
             .cloned()
             .collect();
+        if unknown.len() > SINGLE_READS {
+            return self.scan_slots(table, unknown).await;
+        }
         for host in unknown {
             let slot = read_row(table, &keys::host_key(&host)).await?;
             self.slots.insert(host, slot);
@@ -145,6 +151,28 @@
         Ok(())
     }
 
+    /// Reads all slots at once, for a take-over: one read in place of a hundred.
+    async fn scan_slots<T: TableStore>(
+        &mut self,
+        table: &T,
+        unknown: Vec<HostId>,
+    ) -> Result<(), StoreError> {
+        let mut found = FastMap::default();
+        for row in table.scan(keys::HOSTS).await? {
+            let Ok(host) = row.key.trim_start_matches(keys::HOSTS).parse::<HostId>() else {
+                continue;
+            };
+            let slot: HostSlot = serde_json::from_value(row.value)
+                .map_err(|error| StoreError::Malformed(error.to_string()))?;
+            found.insert(host, (slot, Some(row.version)));
+        }
+        for host in unknown {
+            let slot = found.remove(&host).unwrap_or_default();
+            self.slots.insert(host, slot);
+        }
+        Ok(())
+    }
+
     /// Commits a step under a lease; the rows then hold what the table holds.
     ///
     /// # Errors
--- a/crates/control/src/board.rs
+++ b/crates/control/src/board.rs
@@ -7,6 +7,10 @@
 use tokio::sync::watch;
 use wire::engine::EngineLoad;
 
+/// Longest time for which a load report is passed on. A node that stopped probing a replica would
+/// otherwise take its last, perhaps long, queue for the present one and refuse callers for it.
+const LOAD_LIMIT: Duration = Duration::from_secs(3);
+
 /// Evidence with the moment at which this node got it, and the load that came with it.
 #[derive(Debug, Clone)]
 pub struct BoardEntry {
@@ -14,8 +18,10 @@
     pub evidence: WholenessEvidence,
     /// When this node got it.
     pub received: Instant,
-    /// Load of the leading host, where this node itself asked for it.
+    /// Load of the leading host, where this node itself asked for it lately.
     pub load: Option<(EngineLoad, Instant)>,
+    /// Whether this node saw it itself.
+    pub own: bool,
 }
 
 impl BoardEntry {
@@ -54,15 +60,18 @@
 
     /// Takes in evidence from a peer, unless what is known is as new.
     pub fn record(&self, evidence: WholenessEvidence) {
-        self.record_report(evidence, None);
+        self.take(evidence, None, false);
     }
 
     /// Takes in what this node saw itself, unless what is known is as new.
-    ///
+    pub fn record_report(&self, evidence: WholenessEvidence, load: Option<EngineLoad>) {
+        self.take(evidence, load, true);
+    }
+
     /// A higher incarnation beats a lower one, whatever their ages: the lower one comes from a
     /// watcher that has not read the newer plan. Within one incarnation the newer observation
     /// wins, compared by ages alone.
-    pub fn record_report(&self, evidence: WholenessEvidence, load: Option<EngineLoad>) {
+    fn take(&self, evidence: WholenessEvidence, load: Option<EngineLoad>, own: bool) {
         let now = Instant::now();
         let mut rows = self.rows();
         if let Some(known) = rows.entries.get(&evidence.replica) {
@@ -73,11 +82,16 @@
             }
         }
         let replica = evidence.replica.clone();
-        let known_load = rows.entries.get(&replica).and_then(|entry| entry.load);
+        let known_load = rows
+            .entries
+            .get(&replica)
+            .and_then(|entry| entry.load)
+            .filter(|(_, at)| now.saturating_duration_since(*at) <= LOAD_LIMIT);
         let entry = BoardEntry {
             evidence,
             received: now,
             load: load.map(|load| (load, now)).or(known_load),
+            own,
         };
         rows.entries.insert(replica.clone(), entry);
         rows.changed.insert(replica);
--- a/crates/control/src/wholeness.rs
+++ b/crates/control/src/wholeness.rs
@@ -193,8 +193,10 @@
         return true;
     }
     let silence = Duration::from_millis(settings.silence_ms);
+    // Evidence of its own is no reason to stop: nobody else provides it.
     let heard = board.newest_for(&plan.id).is_some_and(|entry| {
-        entry.evidence.incarnation >= plan.incarnation && entry.age(now) < silence
+        let current = entry.evidence.incarnation >= plan.incarnation;
+        current && !entry.own && entry.age(now) < silence
     });
     !heard
 }
--- /dev/null
+++ b/crates/control/tests/store_share.rs
@@ -0,0 +1,67 @@
+//! A node within its share of the table's limits.
+
+mod dice;
+
+use std::time::{Duration, Instant};
+
+use dice::table::{FakeTable, FaultRates};
+use platform::{BudgetSettings, BudgetedTable, CircuitState, StoreError, TableStore, WriteBatch};
+
+fn settings() -> BudgetSettings {
+    BudgetSettings::builder()
+        .writes_a_second(400)
+        .burst_ms(1_000)
+        .wait_ms(0)
+        .open_after(3)
+        .build()
+}
+
+async fn write(table: &BudgetedTable<FakeTable>) -> Result<(), StoreError> {
+    let token = "t".parse().expect("an id");
+    table.commit(&WriteBatch::new(token)).await.map(|_| ())
+}
+
+/// One of 410 nodes goes wild and writes in a loop. The table sees only its share, and the
+/// payments of the other nodes pass.
+#[tokio::test]
+async fn wild_node() {
+    let fake = FakeTable::new(1, FaultRates::default());
+    let table = BudgetedTable::new(fake.clone(), settings());
+    table.share_among(410);
+    let started = Instant::now();
+    let mut refused = 0_u32;
+    for _ in 0..500 {
+        let result = write(&table.urgent()).await;
+        refused += u32::from(matches!(result, Err(StoreError::Throttled { .. })));
+    }
+    let allowed = 3 + 3 * (started.elapsed().as_secs() + 1);
+    assert!(u64::try_from(fake.commits()).expect("small") <= allowed);
+    assert!(refused > 400);
+}
+
+/// The table is down. After a few failures a claim is refused without a try, so that nobody waits
+/// for a timeout; when the table answers again, calls pass.
+#[tokio::test]
+async fn table_down() {
+    let down = FaultRates {
+        down: 100,
+        ..FaultRates::default()
+    };
+    let fake = FakeTable::new(1, down);
+    let table = BudgetedTable::new(fake.clone(), settings());
+    for _ in 0..10 {
+        assert!(matches!(
+            write(&table).await,
+            Err(StoreError::Unavailable(_))
+        ));
+    }
+    assert!(fake.commits() <= 4, "{}", fake.commits());
+    assert_eq!(table.circuit(), CircuitState::Open);
+    fake.set_rates(FaultRates::default());
+    let started = Instant::now();
+    while write(&table).await.is_err() {
+        assert!(started.elapsed() < Duration::from_secs(30));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(table.circuit(), CircuitState::Closed);
+}
--- /dev/null
+++ b/crates/platform/src/budget.rs
@@ -0,0 +1,273 @@
+//! This process's share of the table's limits, and a circuit that opens while the table is down.
+//!
+//! The table takes several hundred writes and about two thousand reads a second from all nodes
+//! together. Without a share in the code, one busy node would take what the others' leases and
+//! claims need, and after an outage everybody's backlog would come at once and bring the table
+//! down again. Seen as leases that are lost all over the system whenever one node polls hard.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use domain::RowVersion;
+use serde::{Deserialize, Serialize};
+
+use crate::circuit::{CircuitState, StoreCircuit};
+use crate::error::StoreError;
+use crate::table::{CommitOutcome, RowRead, TableRow, TableStore, WriteBatch};
+
+/// The table's limits for all nodes together, and how one node uses its share of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, bon::Builder)]
+#[serde(default, deny_unknown_fields)]
+pub struct BudgetSettings {
+    /// Reads a second of all nodes; the table gives about 2,000.
+    #[builder(default = 1_600)]
+    pub reads_a_second: u32,
+    /// Transactions a second of all nodes; the table gives several hundred.
+    #[builder(default = 400)]
+    pub writes_a_second: u32,
+    /// How many times its even share a node may use. Nodes are seldom busy together: one that
+    /// holds leases or takes a rush of payments needs more than one that does not.
+    #[builder(default = 3)]
+    pub oversubscription: u32,
+    /// Time whose share may be used at once, in milliseconds: a take-over reads a whole fabric
+    /// domain's hosts.
+    #[builder(default = 2_000)]
+    pub burst_ms: u64,
+    /// Share of the burst, in percent, that only urgent calls may use. Polling that fills the
+    /// budget would otherwise cost a lease or a payment.
+    #[builder(default = 50)]
+    pub reserve_percent: u32,
+    /// Longest wait for the budget, in milliseconds; a call is then refused, unsent.
+    #[builder(default = 1_000)]
+    pub wait_ms: u64,
+    /// Failures in a row that open the circuit.
+    #[builder(default = 5)]
+    pub open_after: u32,
+    /// First time for which the circuit stays open, in milliseconds; it doubles, and each time is
+    /// shortened at random by up to a half.
+    #[builder(default = 200)]
+    pub first_open_ms: u64,
+    /// Longest time for which the circuit stays open, in milliseconds. It must stay well below a
+    /// lease's time to live.
+    #[builder(default = 1_500)]
+    pub longest_open_ms: u64,
+}
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+/// Least reads a second of a node: it must be able to follow configuration and replicas.
+const LEAST_READS: u32 = 10;
+
+/// Least transactions a second of a node: it must be able to renew a lease and to claim.
+const LEAST_WRITES: u32 = 3;
+
+/// Who goes first when the budget is short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallUrgency {
+    /// Operators' amendments: rare, and never refused for an open circuit, because the person
+    /// behind one must not guess whether to repeat it.
+    Operator,
+    /// Claims and leases.
+    Urgent,
+    /// Polling and housekeeping.
+    Routine,
+}
+
+/// A bucket of tokens that fills at a steady rate.
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    rate: f64,
+    capacity: f64,
+    reserve: f64,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl TokenBucket {
+    /// A full bucket.
+    #[must_use]
+    pub fn new(rate: u32, settings: BudgetSettings, now: Instant) -> Self {
+        let mut bucket = Self {
+            rate: 0.0,
+            capacity: 0.0,
+            reserve: 0.0,
+            tokens: 0.0,
+            filled: now,
+        };
+        bucket.set_rate(rate, settings);
+        bucket.tokens = bucket.capacity;
+        bucket
+    }
+
+    /// Changes the rate; what is in the bucket stays, up to the new size.
+    pub fn set_rate(&mut self, rate: u32, settings: BudgetSettings) {
+        let burst = Duration::from_millis(settings.burst_ms).as_secs_f64();
+        self.rate = f64::from(rate.max(1));
+        self.capacity = (self.rate * burst).max(1.0);
+        self.reserve = self.capacity * f64::from(settings.reserve_percent.min(100)) / 100.0;
+        self.tokens = self.tokens.min(self.capacity);
+    }
+
+    /// Takes a token, or says how long to wait for one.
+    ///
+    /// # Errors
+    ///
+    /// The time until there may be one.
+    pub fn take(&mut self, urgency: CallUrgency, now: Instant) -> Result<(), Duration> {
+        let passed = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + passed * self.rate).min(self.capacity);
+        self.filled = self.filled.max(now);
+        // At most what leaves room for one token, or routine calls of a small budget would starve.
+        let kept = match urgency {
+            CallUrgency::Operator | CallUrgency::Urgent => 0.0,
+            CallUrgency::Routine => self.reserve.min(self.capacity - 1.0),
+        };
+        if self.tokens - kept >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let missing = 1.0 - (self.tokens - kept);
+        Err(Duration::from_secs_f64(missing / self.rate))
+    }
+}
+
+#[derive(Debug)]
+struct SharedBudget {
+    reads: Mutex<TokenBucket>,
+    writes: Mutex<TokenBucket>,
+    circuit: Mutex<StoreCircuit>,
+    settings: BudgetSettings,
+}
+
+/// A table within a budget. Clones share the budget, whatever their urgency.
+#[derive(Debug, Clone)]
+pub struct BudgetedTable<T> {
+    table: T,
+    urgency: CallUrgency,
+    shared: Arc<SharedBudget>,
+}
+
+impl<T: TableStore> BudgetedTable<T> {
+    /// A table within a budget, for routine calls.
+    #[must_use]
+    pub fn new(table: T, settings: BudgetSettings) -> Self {
+        let now = Instant::now();
+        let shared = SharedBudget {
+            reads: Mutex::new(TokenBucket::new(settings.reads_a_second / 2, settings, now)),
+            writes: Mutex::new(TokenBucket::new(
+                settings.writes_a_second / 2,
+                settings,
+                now,
+            )),
+            circuit: Mutex::new(StoreCircuit::new(settings)),
+            settings,
+        };
+        Self {
+            table,
+            urgency: CallUrgency::Routine,
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// The same table and budget for urgent calls.
+    #[must_use]
+    pub fn urgent(&self) -> Self {
+        self.with_urgency(CallUrgency::Urgent)
+    }
+
+    /// The same table and budget for operators' amendments.
+    #[must_use]
+    pub fn for_operators(&self) -> Self {
+        self.with_urgency(CallUrgency::Operator)
+    }
+
+    fn with_urgency(&self, urgency: CallUrgency) -> Self {
+        Self {
+            urgency,
+            ..self.clone()
+        }
+    }
+
+    /// Shares the limits among so many nodes, this one included.
+    pub fn share_among(&self, nodes: usize) {
+        let settings = self.shared.settings;
+        let reads = node_share(settings.reads_a_second, settings, nodes).max(LEAST_READS);
+        let writes = node_share(settings.writes_a_second, settings, nodes).max(LEAST_WRITES);
+        lock(&self.shared.reads).set_rate(reads, settings);
+        lock(&self.shared.writes).set_rate(writes, settings);
+    }
+
+    /// Whether calls pass at the moment.
+    #[must_use]
+    pub fn circuit(&self) -> CircuitState {
+        lock(&self.shared.circuit).state(Instant::now())
+    }
+
+    /// Waits for the budget, unless the circuit is open.
+    async fn admit(&self, bucket: &Mutex<TokenBucket>) -> Result<(), StoreError> {
+        let limit = Instant::now() + Duration::from_millis(self.shared.settings.wait_ms);
+        loop {
+            let now = Instant::now();
+            if self.urgency != CallUrgency::Operator {
+                lock(&self.shared.circuit).admit(now)?;
+            }
+            let taken = lock(bucket).take(self.urgency, now);
+            let Err(wait) = taken else { return Ok(()) };
+            if now + wait > limit {
+                return Err(StoreError::Throttled { retry_after: wait });
+            }
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    fn note<R>(&self, result: Result<R, StoreError>) -> Result<R, StoreError> {
+        let mut circuit = lock(&self.shared.circuit);
+        match &result {
+            Ok(_) => circuit.note_success(),
+            Err(error) => circuit.note_failure(error, Instant::now(), rand::random()),
+        }
+        result
+    }
+}
+
+/// A node's share of a limit; never more than half, so that no single node takes all.
+fn node_share(limit: u32, settings: BudgetSettings, nodes: usize) -> u32 {
+    let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+    let share = limit.saturating_mul(settings.oversubscription) / nodes;
+    share.min(limit / 2)
+}
+
+fn lock<G>(mutex: &Mutex<G>) -> MutexGuard<'_, G> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<T: TableStore> TableStore for BudgetedTable<T> {
+    async fn read(&self, key: &str, known: Option<RowVersion>) -> Result<RowRead, StoreError> {
+        self.admit(&self.shared.reads).await?;
+        self.note(self.table.read(key, known).await)
+    }
+
+    async fn scan(&self, prefix: &str) -> Result<Vec<TableRow>, StoreError> {
+        self.admit(&self.shared.reads).await?;
+        self.note(self.table.scan(prefix).await)
+    }
+
+    async fn scan_page(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<TableRow>, StoreError> {
+        self.admit(&self.shared.reads).await?;
+        self.note(self.table.scan_page(prefix, after, limit).await)
+    }
+
+    async fn commit(&self, batch: &WriteBatch) -> Result<CommitOutcome, StoreError> {
+        self.admit(&self.shared.writes).await?;
+        self.note(self.table.commit(batch).await)
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,8 @@
 //! The traits are what the rest of the program knows; [`http`] holds the clients that speak the
 //! platform's protocol. Another platform is one new client behind the same traits.
 
+pub mod budget;
+pub mod circuit;
 pub mod error;
 pub mod hostlist;
 pub mod http;
@@ -11,6 +13,8 @@
 pub mod settle;
 pub mod table;
 
+pub use budget::{BudgetSettings, BudgetedTable};
+pub use circuit::CircuitState;
 pub use error::StoreError;
 pub use hostlist::{HostEntry, HostListPort, HostListing};
 pub use objects::ObjectStore;
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -9,10 +9,15 @@
 use control::members::MemberView;
 use control::plans::{FleetPlans, follow_plans};
 use control::wholeness::{WatchInputs, follow_wholeness};
+use events::{EventCode, EventRecorder, EventSubject};
+use platform::CircuitState;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
-use super::NodeContext;
+use super::{NodeContext, NodeTable};
+
+/// Time between two looks at the table's circuit.
+const CIRCUIT_LOOK: Duration = Duration::from_millis(250);
 
 /// The running tasks of control.
 pub struct ControlTasks {
@@ -32,6 +37,11 @@
 /// this node saw.
 pub fn start(context: &NodeContext, members: &watch::Receiver<Arc<MemberView>>) -> ControlTasks {
     let settings = context.control;
+    tokio::spawn(follow_share(context.table.clone(), members.clone()));
+    tokio::spawn(follow_circuit(
+        context.table.clone(),
+        context.recorder.clone(),
+    ));
     let hosts = watch::Sender::new(Arc::new(HostDirectory::default()));
     let directory = hosts.subscribe();
     let replicas = watch::Sender::new(Arc::new(FleetPlans::default()));
@@ -73,7 +83,7 @@
 ) -> ControlTasks {
     let settings = context.control;
     let parts = AssemblyParts {
-        table: context.table.clone(),
+        table: context.table.urgent(),
         engine: context.engine.clone(),
         chooser: FirstHosts,
         board: context.board.clone(),
@@ -94,3 +104,33 @@
     }));
     ControlTasks { stop, leases }
 }
+
+/// Keeps the node's share of the table's limits in step with the number of nodes.
+async fn follow_share(table: NodeTable, mut members: watch::Receiver<Arc<MemberView>>) {
+    loop {
+        let nodes = members.borrow_and_update().members.len();
+        table.share_among(nodes);
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells operators when calls to the table begin to be refused, and when they pass again.
+async fn follow_circuit(table: NodeTable, recorder: EventRecorder) {
+    let mut closed = true;
+    loop {
+        tokio::time::sleep(CIRCUIT_LOOK).await;
+        let now_closed = table.circuit() == CircuitState::Closed;
+        if now_closed == closed {
+            continue;
+        }
+        closed = now_closed;
+        let code = if closed {
+            EventCode::StoreCircuitClosed
+        } else {
+            EventCode::StoreCircuitOpened
+        };
+        recorder.note(code, EventSubject::default(), "table");
+    }
+}
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -13,19 +13,18 @@
     DispatchDesk, EntryParts, EntryServer, EntrySettings, NameSource, StopPhase, TokenSealer,
 };
 use eyre::WrapErr;
-use platform::http::HttpTable;
 use target::{HttpEngine, HttpService};
 use tokio::net::TcpListener;
 use web::serve_listener;
 
-use super::NodeContext;
+use super::{NodeContext, NodeTable};
 
 /// A bound callers' listener.
 pub struct EntryListener {
     /// Where callers connect.
     pub address: SocketAddr,
     listener: TcpListener,
-    server: Arc<EntryServer<HttpEngine, HttpTable, HttpService>>,
+    server: Arc<EntryServer<HttpEngine, NodeTable, HttpService>>,
     settings: Arc<EntrySettings>,
 }
 
@@ -57,7 +56,7 @@
         .settings(Arc::clone(&settings))
         .build();
     let ledger = CallLedger::with_settings(
-        context.table.clone(),
+        context.table.urgent(),
         context.settings.node.clone(),
         context.control.ledger,
     );
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 use events::logs::start_logs;
 use events::{EventCode, EventRecorder, EventSubject, NodeMetrics};
 use platform::http::{HttpHostList, HttpObjects, HttpTable, ServiceEndpoint};
+use platform::{BudgetSettings, BudgetedTable};
 use settings::NodeSettings;
 use target::{HttpEngine, HttpService};
 use tokio::signal::unix::{SignalKind, signal};
@@ -22,12 +23,15 @@
 /// Exit status after a second signal, as shells give it for an interrupted process.
 const SECOND_SIGNAL_STATUS: i32 = 130;
 
+/// The table within the node's share of its limits.
+type NodeTable = BudgetedTable<HttpTable>;
+
 /// What the parts of a node share.
 struct NodeContext {
     settings: NodeSettings,
     control: ControlSettings,
     board: EvidenceBoard,
-    table: HttpTable,
+    table: NodeTable,
     objects: HttpObjects,
     list: HttpHostList,
     engine: HttpEngine,
@@ -46,7 +50,10 @@
         let metrics = NodeMetrics::new()?;
         let capacity = settings.log.events;
         Ok(Self {
-            table: HttpTable::new(endpoint(settings.platform.table)),
+            table: BudgetedTable::new(
+                HttpTable::new(endpoint(settings.platform.table)),
+                BudgetSettings::default(),
+            ),
             objects: HttpObjects::new(endpoint(settings.platform.objects)),
             list: HttpHostList::new(endpoint(settings.platform.hostlist)),
             engine: HttpEngine::new(client.clone()),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -12,26 +12,25 @@
     EvidencePort, HeldEvidence, LinkParts, PeerHub, PeerTraffic, SharedKey, accept_links,
     keep_links,
 };
-use platform::http::HttpTable;
 use settings::NodeSettings;
 use settings::node::peer_key;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use super::NodeContext;
+use super::{NodeContext, NodeTable};
 
 /// A bound listener for peers, with what is shared with them.
 pub struct PeerListener {
     listener: TcpListener,
     book: MemberBook,
-    members: MemberKeeper<HttpTable>,
+    members: MemberKeeper<NodeTable>,
     config: ConfigHandle,
 }
 
 /// The running links.
 pub struct PeerTasks {
     hub: PeerHub<BoardEvidence>,
-    members: MemberKeeper<HttpTable>,
+    members: MemberKeeper<NodeTable>,
 }
 
 /// Time that a node that stops gives its peers to hear of it.
