Keep a broken replica's hosts until its lost one is back

Cause: without a spare a replica was dissolved after 3 s of silence, and all its other hosts then loaded their weights anew, though the lost one might be back in a moment.

It now keeps its hosts and does not count as standing, so that another fabric domain may form one. Of two broken replicas one is taken apart when that makes the other whole. Ruled out: waiting without giving the count up, which leaves the model short while another domain has hosts to spare.

Seen to fail: broken_regrouped without the regrouping, silent_host_back when the replica is dissolved.

--- a/crates/control/src/assembly/controller.rs
+++ b/crates/control/src/assembly/controller.rs
@@ -4,17 +4,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use domain::{FabricId, FastMap, FastSet, HostId, HostSlot, LeaseEpoch, ReplicaId, ReplicaPlan};
+use domain::{FabricId, FastMap, FastSet, HostId, HostSlot, LeaseEpoch, ReplicaId};
 use events::{EventCode, EventRecorder, EventSubject};
 use futures::future::join_all;
 use platform::{StoreError, TableStore};
 use target::EnginePort;
 use tokio::sync::watch;
 
+use super::journal::StepJournal;
 use super::orders::send_orders;
 use super::{
-    AssemblySettings, AssemblyStep, FabricHealth, FabricRows, HostChooser, HostHealth, RoundInput,
-    StepError, VersionTarget, plan_round, wanted_orders,
+    AssemblySettings, FabricHealth, FabricRows, HostChooser, HostHealth, RoundInput, StepError,
+    VersionTarget, plan_round, wanted_orders,
 };
 use crate::board::EvidenceBoard;
 use crate::directory::HostDirectory;
@@ -164,13 +165,14 @@
             drained: &drained,
             chooser: &self.parts.chooser,
         });
+        let journal = StepJournal::new(&self.parts.recorder);
         for step in steps {
             let known = rows.fleet.0.clone();
             match rows
                 .commit_step(&self.parts.table, grant, &step, &hosts)
                 .await
             {
-                Ok(()) => self.note_step(&step, &known.plans, rows, &hosts),
+                Ok(()) => journal.note_step(&step, &known, &rows.fleet.0, &hosts),
                 Err(error @ (StepError::Store(_) | StepError::Conflict)) => return Err(error),
                 Err(StepError::Slot(_) | StepError::Fleet(_) | StepError::Id(_)) => {}
             }
@@ -279,83 +281,6 @@
         self.health.retain_drains(&draining);
         drained
     }
-
-    fn note_step(
-        &self,
-        step: &AssemblyStep,
-        before: &[ReplicaPlan],
-        rows: &FabricRows,
-        hosts: &BTreeMap<HostId, HostHealth>,
-    ) {
-        let note = |code, subject, detail: String| self.parts.recorder.note(code, subject, detail);
-        match step {
-            AssemblyStep::Free(host) => {
-                note(
-                    EventCode::HostFreed,
-                    EventSubject::host(host),
-                    String::new(),
-                );
-            }
-            AssemblyStep::Form { .. } => {
-                let Some(plan) = rows.fleet.0.plans.last() else {
-                    return;
-                };
-                let subject = EventSubject::replica(&plan.id);
-                note(EventCode::ReplicaFormed, subject, host_list(&plan.hosts));
-            }
-            AssemblyStep::Reform { replica, hosts, .. } => {
-                let subject = EventSubject::replica(replica);
-                note(EventCode::ReplicaReformed, subject, host_list(hosts));
-            }
-            AssemblyStep::Drain(replica, cause) => {
-                let subject = EventSubject::replica(replica);
-                note(
-                    EventCode::ReplicaDraining,
-                    subject,
-                    cause.as_str().to_owned(),
-                );
-            }
-            AssemblyStep::Undrain(replica) => {
-                let subject = EventSubject::replica(replica);
-                note(EventCode::ReplicaDraining, subject, "no longer".to_owned());
-            }
-            AssemblyStep::Dissolve(replica) => {
-                note(
-                    EventCode::ReplicaDissolved,
-                    EventSubject::replica(replica),
-                    String::new(),
-                );
-            }
-        }
-        if let AssemblyStep::Reform { replica, .. } | AssemblyStep::Dissolve(replica) = step {
-            self.note_lost(replica, before, hosts);
-        }
-    }
-
-    fn note_lost(
-        &self,
-        replica: &ReplicaId,
-        before: &[ReplicaPlan],
-        hosts: &BTreeMap<HostId, HostHealth>,
-    ) {
-        let Some(plan) = before.iter().find(|plan| plan.id == *replica) else {
-            return;
-        };
-        for host in &plan.hosts {
-            if !hosts.get(host).is_some_and(|health| health.lost) {
-                continue;
-            }
-            let subject = EventSubject::host(host).and_replica(replica);
-            self.parts
-                .recorder
-                .note(EventCode::HostLost, subject, String::new());
-        }
-    }
-}
-
-fn host_list(hosts: &[HostId]) -> String {
-    let names: Vec<&str> = hosts.iter().map(HostId::as_str).collect();
-    names.join(" ")
 }
 
 /// What the records ask for, with the counts in the table.
--- a/crates/control/src/assembly/mod.rs
+++ b/crates/control/src/assembly/mod.rs
@@ -22,6 +22,7 @@
 mod chooser;
 mod controller;
 mod health;
+mod journal;
 mod orders;
 mod round;
 mod rows;
--- a/crates/control/src/assembly/round.rs
+++ b/crates/control/src/assembly/round.rs
@@ -83,6 +83,7 @@
         input,
         free: free_hosts(input),
         targets: input.targets.to_vec(),
+        short: Vec::new(),
         steps: Vec::new(),
     };
     round.free_slots();
@@ -96,6 +97,7 @@
             round.finish_drain(plan);
         }
     }
+    round.regroup();
     round.form();
     round.steps
 }
@@ -124,10 +126,12 @@
     input: &'round RoundInput<'round, C>,
     free: Vec<HostId>,
     targets: Vec<VersionTarget>,
+    /// Broken replicas that are wanted and find no spares.
+    short: Vec<&'round ReplicaPlan>,
     steps: Vec<AssemblyStep>,
 }
 
-impl<C: HostChooser> Round<'_, C> {
+impl<'round, C: HostChooser> Round<'round, C> {
     fn free_slots(&mut self) {
         for (host, slot) in self.input.slots {
             let Some(assignment) = &slot.assignment else {
@@ -248,6 +252,7 @@
             let fits = target.standing <= target.wanted;
             (fits, target.size, target.adapters.clone())
         });
+        let fits = wanted.as_ref().map(|(fits, ..)| *fits);
         let refilled = match wanted {
             Some((true, size, adapters)) => self.refill(plan, size).map(|hosts| (hosts, adapters)),
             Some((false, ..)) | None => None,
@@ -263,11 +268,17 @@
         if let Some(target) = self.target(plan) {
             target.standing = target.standing.saturating_sub(1);
         }
-        self.steps.push(AssemblyStep::Dissolve(plan.id.clone()));
+        // It keeps its hosts, which hold their weights, and goes on when the lost one is back.
+        // Since it does not count as standing any more, another fabric domain may form one.
+        let step = match fits {
+            Some(true) => AssemblyStep::Drain(plan.id.clone(), DrainCause::HostLost),
+            Some(false) | None => AssemblyStep::Dissolve(plan.id.clone()),
+        };
+        self.steps.push(step);
     }
 
     /// A replica that takes no new work: it takes work again, waits, is formed anew or ends.
-    fn finish_drain(&mut self, plan: &ReplicaPlan) {
+    fn finish_drain(&mut self, plan: &'round ReplicaPlan) {
         let broken = plan
             .hosts
             .iter()
@@ -286,9 +297,11 @@
         if !broken && !self.input.drained.contains(&plan.id) {
             return;
         }
-        if let Some(target) = wanted
-            && let Some(hosts) = self.refill(plan, target.size)
-        {
+        if let Some(target) = wanted {
+            let Some(hosts) = self.refill(plan, target.size) else {
+                self.wait_for_hosts(plan, broken);
+                return;
+            };
             self.raise_standing(plan);
             self.steps.push(AssemblyStep::Reform {
                 replica: plan.id.clone(),
@@ -300,6 +313,37 @@
         self.steps.push(AssemblyStep::Dissolve(plan.id.clone()));
     }
 
+    /// A broken replica waits for its hosts; one whose host leaves ends, since that host is gone
+    /// for good.
+    fn wait_for_hosts(&mut self, plan: &'round ReplicaPlan, broken: bool) {
+        let leaves = plan.hosts.iter().any(|host| self.is_draining(host));
+        if broken && !leaves {
+            self.short.push(plan);
+            return;
+        }
+        self.steps.push(AssemblyStep::Dissolve(plan.id.clone()));
+    }
+
+    /// Takes one broken replica apart when its hosts make another one whole.
+    ///
+    /// With one host lost in each of two 16-host replicas, 30 hosts would wait for two. Taken
+    /// apart alone it would help nobody, and its hosts would load their weights anew.
+    fn regroup(&mut self) {
+        let mut short = std::mem::take(&mut self.short);
+        short.sort_by_key(|plan| self.lost_hosts(plan));
+        let [first, .., donor] = short.as_slice() else {
+            return;
+        };
+        let survivors = donor.hosts.len() - self.lost_hosts(donor);
+        if survivors + self.free.len() >= self.lost_hosts(first) {
+            self.steps.push(AssemblyStep::Dissolve(donor.id.clone()));
+        }
+    }
+
+    fn lost_hosts(&self, plan: &ReplicaPlan) -> usize {
+        plan.hosts.iter().filter(|host| self.is_lost(host)).count()
+    }
+
     fn raise_standing(&mut self, plan: &ReplicaPlan) {
         if let Some(target) = self.target(plan) {
             target.standing += 1;
--- a/crates/control/src/drains.rs
+++ b/crates/control/src/drains.rs
@@ -19,6 +19,8 @@
     Record,
     /// A host's engine says that it leaves.
     Engine,
+    /// A host is lost and no spare can take its place.
+    HostLost,
     /// More replicas stand than the model's record asks for, or none is asked for.
     Surplus,
     /// The model's record asks for other adapters or another number of hosts.
@@ -33,6 +35,7 @@
             Self::HostList => "the host list says that a host leaves",
             Self::Record => "an operator's record drains a host",
             Self::Engine => "an engine reports that it leaves",
+            Self::HostLost => "a host is lost and no spare is there",
             Self::Surplus => "the model's record asks for fewer replicas",
             Self::Changed => "the model's record changed",
         }
--- a/crates/control/tests/assembly_rounds.rs
+++ b/crates/control/tests/assembly_rounds.rs
@@ -330,8 +330,8 @@
     assert!(world.engines.state_of(0).assignment.is_none());
 }
 
-/// Two hosts of two replicas die with one spare in the fabric domain. One replica is whole again,
-/// the other is dissolved, and its last host waits as a spare.
+/// Two hosts of two replicas die with one spare in the fabric domain. One replica is whole again;
+/// the other keeps its last host, which holds its weights, and goes on when the lost one is back.
 #[tokio::test(start_paused = true)]
 async fn short_of_spares() {
     let mut world = formed_world().await;
@@ -349,6 +349,47 @@
     assert_eq!(world.whole(), REPLICAS as usize);
 }
 
+/// One host of each replica dies with one spare. Two broken replicas could wait for their hosts
+/// for hours; one of them is taken apart, and its last host makes the other one whole.
+#[tokio::test(start_paused = true)]
+async fn broken_regrouped() {
+    let mut world = formed_world().await;
+    for number in [0, 2, 4] {
+        world.engines.change(number, |host| host.alive = false);
+    }
+    for _ in 0..6 {
+        world.round(0).await;
+    }
+    assert!(world.is_sound());
+    assert_eq!(world.whole(), 2);
+}
+
+/// A switch restarts and a host is silent for a while, without a spare. Its replica takes no work
+/// meanwhile; nothing is loaded anew when the host is back, since it still holds its rank.
+#[tokio::test(start_paused = true)]
+async fn silent_host_back() {
+    let mut world = formed_world().await;
+    world.engines.change(HOSTS - 1, |host| host.alive = false);
+    world.engines.change(0, |host| host.alive = false);
+    for _ in 0..3 {
+        world.round(0).await;
+    }
+    let replica = world
+        .fleet()
+        .replica_of(&host_name(0))
+        .expect("kept")
+        .clone();
+    assert!(replica.draining);
+    world.engines.change(0, |host| host.alive = true);
+    for _ in 0..3 {
+        world.round(0).await;
+    }
+    let after = world.fleet().plan(&replica.id).expect("kept").clone();
+    assert!(!after.draining);
+    assert_eq!(after.incarnation, replica.incarnation);
+    assert_eq!(world.whole(), REPLICAS as usize);
+}
+
 /// The whole fabric domain goes dark: a power cut. Nothing is torn apart meanwhile, and all its
 /// replicas stand again after the hosts restarted.
 #[tokio::test(start_paused = true)]
--- a/crates/control/tests/dice/engine.rs
+++ b/crates/control/tests/dice/engine.rs
@@ -102,12 +102,13 @@
         self.inner().hosts[&host_address(number)].state.clone()
     }
 
-    /// What all engines report.
+    /// What all engines report that answer.
     pub fn states(&self) -> Vec<EngineState> {
         let inner = self.inner();
         inner
             .hosts
             .values()
+            .filter(|host| host.alive)
             .map(|host| host.state.clone())
             .collect()
     }
