--- a/crates/entry/src/desk/model.rs
+++ b/crates/entry/src/desk/model.rs
@@ -155,6 +155,13 @@
             let Some(waiting) = self.queued.remove(&key) else {
                 continue;
             };
+            // Without a usable replica the queue's rate says nothing of when to come back, and
+            // "too late" would send an operator after load where a host is missing.
+            if !self.usable {
+                let failure = waiting.absent();
+                waiting.fail(failure);
+                continue;
+            }
             let after = self.queue.retry_after(at.now, waiting.ask.cost);
             let message = "the answer could not begin within the request's timeout";
             let failure = CallerFailure::not_run(ErrorCode::DeadlineExceeded, message);
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -2,16 +2,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use control::EvidenceBoard;
 use control::config::{ConfigFollower, ConfigHandle, ConfigKeeper, follow_config};
-use control::members::{Member, MemberBook, MemberKeeper, MemberState};
+use control::members::{Member, MemberBook, MemberKeeper, MemberState, MemberView};
 use eyre::WrapErr;
-use peers::{LinkParts, NoEvidence, PeerHub, PeerTraffic, SharedKey, accept_links, keep_links};
+use peers::{
+    EvidencePort, HeldEvidence, LinkParts, PeerHub, PeerTraffic, SharedKey, accept_links,
+    keep_links,
+};
 use platform::http::HttpTable;
 use settings::NodeSettings;
 use settings::node::peer_key;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use super::NodeContext;
 
@@ -25,7 +30,7 @@
 
 /// The running links.
 pub struct PeerTasks {
-    hub: PeerHub<NoEvidence>,
+    hub: PeerHub<BoardEvidence>,
     members: MemberKeeper<HttpTable>,
 }
 
@@ -79,7 +84,37 @@
     Ok(Some(SharedKey::new(text.expose())?))
 }
 
+/// Evidence of wholeness between the board and the links.
+#[derive(Debug, Clone)]
+pub struct BoardEvidence(EvidenceBoard);
+
+impl EvidencePort for BoardEvidence {
+    fn export(&self) -> Vec<HeldEvidence> {
+        let now = Instant::now();
+        let mut held = Vec::new();
+        for evidence in self.0.export(usize::MAX) {
+            // Evidence from before the clock's own start is too old for anything.
+            let Some(as_of) = now.checked_sub(evidence.age) else {
+                continue;
+            };
+            held.push(HeldEvidence { evidence, as_of });
+        }
+        held
+    }
+
+    fn import(&self, held: HeldEvidence) {
+        let mut evidence = held.evidence;
+        evidence.age = held.as_of.elapsed();
+        self.0.record(evidence);
+    }
+}
+
 impl PeerListener {
+    /// The nodes that are taken to be alive, told of every change.
+    pub fn members(&self) -> watch::Receiver<Arc<MemberView>> {
+        self.book.watch()
+    }
+
     /// Starts the tasks.
     ///
     /// # Errors
@@ -103,7 +138,7 @@
         let hub = PeerHub {
             config: self.config,
             book: self.book,
-            evidence: NoEvidence,
+            evidence: BoardEvidence(context.board.clone()),
             recorder: context.recorder.clone(),
             traffic: PeerTraffic::default(),
             wake: Arc::default(),
