--- a/crates/control/src/assembly/controller.rs
+++ b/crates/control/src/assembly/controller.rs
@@ -156,6 +156,7 @@
             .iter()
             .map(|(host, (slot, _))| (host.clone(), slot.clone()))
             .collect::<FastMap<HostId, HostSlot>>();
+        self.health.note_empty(&mut hosts, &slots, settings, now);
         let steps = plan_round(&RoundInput {
             fleet: &rows.fleet.0,
             slots: &slots,
@@ -245,8 +246,8 @@
             let drain = drains.host_cause(host, directory, state.as_ref());
             let health = HostHealth {
                 state,
-                lost: false,
                 drain,
+                ..HostHealth::default()
             };
             (host.clone(), health)
         });
--- a/crates/control/src/assembly/health.rs
+++ b/crates/control/src/assembly/health.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use domain::{FastMap, FastSet, HostId, ReplicaId};
+use domain::{FastMap, FastSet, HostId, HostSlot, LeaseEpoch, ReplicaId};
 use wire::engine::EngineState;
 
 use super::AssemblySettings;
@@ -18,6 +18,11 @@
     pub lost: bool,
     /// Why it takes no new work.
     pub drain: Option<DrainCause>,
+    /// Whether it is empty, and was in a replica so lately that entries may still hold evidence
+    /// which names it there.
+    pub resting: bool,
+    /// The replica that it ran lately, where it now runs none.
+    pub left: Option<ReplicaId>,
 }
 
 /// Clocks that run over the rounds. They are this process's own; a new holder of the lease starts
@@ -27,6 +32,8 @@
     seen: FastMap<HostId, Instant>,
     draining: FastMap<ReplicaId, Instant>,
     idle: FastMap<ReplicaId, Instant>,
+    empty: FastMap<HostId, Instant>,
+    ran: FastMap<HostId, (ReplicaId, Instant)>,
 }
 
 impl FabricHealth {
@@ -58,6 +65,41 @@
         }
     }
 
+    /// Notes since when each host has been empty.
+    ///
+    /// Evidence of wholeness lasts a few seconds. A host that moves from one replica to another
+    /// within that time makes both look whole at once to an entry that holds older evidence, when
+    /// a late order brings the old replica's leader back (specification `assembly`, 11 steps). So
+    /// a host rests before it is used again. One that was never in a replica needs no rest.
+    pub fn note_empty(
+        &mut self,
+        hosts: &mut BTreeMap<HostId, HostHealth>,
+        slots: &FastMap<HostId, HostSlot>,
+        settings: AssemblySettings,
+        now: Instant,
+    ) {
+        self.ran.retain(|host, _| hosts.contains_key(host));
+        self.empty.retain(|host, _| hosts.contains_key(host));
+        let rest = Duration::from_millis(settings.rest_ms);
+        for (host, health) in hosts.iter_mut() {
+            let Some(state) = &health.state else { continue };
+            if let Some(assignment) = &state.assignment {
+                self.ran
+                    .insert(host.clone(), (assignment.replica.clone(), now));
+                self.empty.remove(host);
+                continue;
+            }
+            let since = *self.empty.entry(host.clone()).or_insert(now);
+            let unused = slots
+                .get(host)
+                .is_none_or(|slot| slot.epoch == LeaseEpoch::default());
+            health.resting = !unused && now.saturating_duration_since(since) < rest;
+            let ran = self.ran.get(host);
+            let lately = ran.filter(|(_, at)| now.saturating_duration_since(*at) < rest);
+            health.left = lately.map(|(replica, _)| replica.clone());
+        }
+    }
+
     /// Notes whether a draining replica is idle, and tells whether its hosts may be taken.
     pub fn note_drain(
         &mut self,
--- a/crates/control/src/assembly/mod.rs
+++ b/crates/control/src/assembly/mod.rs
@@ -68,6 +68,10 @@
     /// Longest time that a drain waits for streams.
     #[builder(default = 600_000)]
     pub drain_limit_ms: u64,
+    /// Time for which a host must be empty before it joins another replica; longer than entries
+    /// trust evidence of wholeness.
+    #[builder(default = 3_500)]
+    pub rest_ms: u64,
     /// Time between two looks at what other controllers changed.
     #[builder(default = 5_000)]
     pub refresh_ms: u64,
--- a/crates/control/src/assembly/orders.rs
+++ b/crates/control/src/assembly/orders.rs
@@ -7,7 +7,7 @@
 use domain::{FabricFleet, HostId, ReplicaPlan};
 use futures::future::join_all;
 use target::{EnginePort, OrderOutcome};
-use wire::engine::{EngineAssignment, EngineOrder, RankAddress};
+use wire::engine::{EngineAssignment, EngineOrder, EngineState, RankAddress};
 
 use super::{AssemblySettings, HostHealth};
 use crate::directory::HostDirectory;
@@ -52,6 +52,19 @@
                 loads |= !state.ready;
                 continue;
             }
+            if runs_other(state, plan) {
+                // A late order took it there. It is emptied and rests before it comes back.
+                orders.push(HostOrder {
+                    host,
+                    address,
+                    assignment: None,
+                });
+                continue;
+            }
+            let left = hosts.get(&host).and_then(|health| health.left.as_ref());
+            if left.is_some_and(|replica| *replica != plan.id) {
+                continue;
+            }
             wanted.push(HostOrder {
                 host,
                 address,
@@ -83,7 +96,7 @@
             .state
             .as_ref()
             .is_some_and(|state| state.assignment.is_some());
-        if !runs || fleet.replica_of(host).is_some() {
+        if !runs || fleet.replica_of(host).is_some() || leader_runs(host, health, hosts) {
             continue;
         }
         let Some(entry) = directory.hosts.get(host) else {
@@ -98,6 +111,45 @@
     orders
 }
 
+fn runs_other(state: &EngineState, plan: &ReplicaPlan) -> bool {
+    state
+        .assignment
+        .as_ref()
+        .is_some_and(|assignment| assignment.replica != plan.id)
+}
+
+/// Whether the host that leads this host's old replica may still answer for it.
+///
+/// Entries learn of a dissolved replica after a moment. As long as its leader runs, it takes their
+/// requests; were another host emptied first, those requests would hang on it. So the leader goes
+/// first (specification `assembly`, 8 steps), and a silent one counts as running until it is lost.
+/// A leader that went on in a newer incarnation takes none of the old one's requests.
+fn leader_runs(host: &HostId, health: &HostHealth, hosts: &BTreeMap<HostId, HostHealth>) -> bool {
+    let assignment = health
+        .state
+        .as_ref()
+        .and_then(|state| state.assignment.as_ref());
+    let Some(assignment) = assignment else {
+        return false;
+    };
+    let Some(leader) = assignment
+        .hosts
+        .first()
+        .filter(|leader| leader.host != *host)
+    else {
+        return false;
+    };
+    let Some(leading) = hosts.get(&leader.host) else {
+        return false;
+    };
+    match &leading.state {
+        Some(state) => state.assignment.as_ref().is_some_and(|running| {
+            running.replica == assignment.replica && running.incarnation == assignment.incarnation
+        }),
+        None => !leading.lost,
+    }
+}
+
 type RankAssignment = (HostId, SocketAddr, EngineAssignment);
 
 fn plan_assignments(plan: &ReplicaPlan, directory: &HostDirectory) -> Option<Vec<RankAssignment>> {
--- a/crates/control/src/assembly/round.rs
+++ b/crates/control/src/assembly/round.rs
@@ -112,7 +112,7 @@
             .state
             .as_ref()
             .is_some_and(|state| state.assignment.is_none());
-        if slot_taken || !empty || health.drain.is_some() {
+        if slot_taken || !empty || health.resting || health.drain.is_some() {
             continue;
         }
         free.push(host.clone());
--- a/crates/control/src/probe.rs
+++ b/crates/control/src/probe.rs
@@ -6,6 +6,7 @@
 use domain::{HostId, ReplicaPlan, WholenessEvidence};
 use futures::future::join_all;
 use target::EnginePort;
+use web::ClientError;
 use wire::engine::{EngineLoad, EngineState};
 
 use crate::directory::HostDirectory;
@@ -32,26 +33,49 @@
         let address = directory.hosts.get(host).map(|entry| entry.address);
         probe_host(engine, address, timeout)
     });
-    let states = join_all(probes).await;
+    let reports = join_all(probes).await;
     // The age counts from before the first question: an answer may have been on its way.
-    judge_states(plan, &states, started.elapsed())
+    judge_reports(plan, &reports, started.elapsed())
+}
+
+/// What one host said.
+#[derive(Debug, Clone, PartialEq)]
+pub enum HostReport {
+    /// Its engine's state.
+    State(Box<EngineState>),
+    /// The host itself refused the connection: no engine runs there.
+    Gone,
+    /// Nothing. The host may be gone, or cut off from this node alone.
+    Silent,
+}
+
+impl HostReport {
+    fn state(&self) -> Option<&EngineState> {
+        match self {
+            Self::State(state) => Some(state),
+            Self::Gone | Self::Silent => None,
+        }
+    }
 }
 
 async fn probe_host<E: EnginePort>(
     engine: &E,
     address: Option<SocketAddr>,
     timeout: Duration,
-) -> Option<EngineState> {
-    engine.state(address?, timeout).await.ok()
+) -> HostReport {
+    let Some(address) = address else {
+        return HostReport::Silent;
+    };
+    match engine.state(address, timeout).await {
+        Ok(state) => HostReport::State(Box::new(state)),
+        Err(ClientError::Refused(_)) => HostReport::Gone,
+        Err(_) => HostReport::Silent,
+    }
 }
 
-/// Judges the states that a replica's hosts reported, in the order of its hosts.
+/// Judges what a replica's hosts said, in the order of its hosts.
 #[must_use]
-pub fn judge_states(
-    plan: &ReplicaPlan,
-    states: &[Option<EngineState>],
-    age: Duration,
-) -> ProbeOutcome {
+pub fn judge_reports(plan: &ReplicaPlan, reports: &[HostReport], age: Duration) -> ProbeOutcome {
     let mut evidence = WholenessEvidence {
         replica: plan.id.clone(),
         incarnation: plan.incarnation,
@@ -60,8 +84,11 @@
         age,
     };
     let mut denied = false;
-    for (host, state) in plan.hosts.iter().zip(states) {
-        let Some(state) = state else { continue };
+    for (host, report) in plan.hosts.iter().zip(reports) {
+        denied |= *report == HostReport::Gone;
+        let Some(state) = report.state() else {
+            continue;
+        };
         if !runs_rank(plan, host, state) {
             denied = true;
             continue;
@@ -73,7 +100,7 @@
     if !whole && !denied && !evidence.leaving {
         return ProbeOutcome::Silent;
     }
-    let load = states.first().and_then(|state| state.as_ref());
+    let load = reports.first().and_then(HostReport::state);
     ProbeOutcome::Evidence(evidence, load.map(|state| state.load))
 }
 
--- a/crates/control/tests/assembly_rounds.rs
+++ b/crates/control/tests/assembly_rounds.rs
@@ -128,6 +128,7 @@
         let settings = AssemblySettings::builder()
             .loss_ms(0)
             .settle_ms(0)
+            .rest_ms(0)
             .refresh_ms(0)
             .build();
         let parts = AssemblyParts {
--- /dev/null
+++ b/crates/control/tests/host_moves.rs
@@ -0,0 +1,227 @@
+//! Moving hosts between replicas: the traces that the specification `assembly` found, on the real
+//! code.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use control::assembly::{AssemblySettings, FabricHealth, HostHealth, HostOrder, wanted_orders};
+use control::directory::HostDirectory;
+use domain::replica::ReplicaRole;
+use domain::{
+    BootNumber, FabricFleet, FastMap, HostId, HostSlot, IncarnationNumber, LeaseEpoch, ReplicaPlan,
+};
+use platform::HostEntry;
+use wire::engine::{EngineAssignment, EngineLoad, EngineState, RankAddress};
+
+const LOADS_AT_ONCE: usize = 4;
+
+fn host(name: &str) -> HostId {
+    name.parse().expect("an id")
+}
+
+fn address() -> SocketAddr {
+    "127.0.0.1:1".parse().expect("an address")
+}
+
+fn directory(names: &[&str]) -> HostDirectory {
+    let entries = names.iter().map(|name| HostEntry {
+        host: host(name),
+        address: address(),
+        fabric: "f0".parse().expect("an id"),
+        domain: "plateau".parse().expect("an id"),
+        region: "dakar".parse().expect("an id"),
+        leaving: false,
+    });
+    HostDirectory {
+        hosts: entries.map(|entry| (entry.host.clone(), entry)).collect(),
+    }
+}
+
+fn assignment(replica: &str, members: &[&str], rank: u32) -> EngineAssignment {
+    let ranks = members.iter().map(|name| RankAddress {
+        host: host(name),
+        address: address(),
+    });
+    EngineAssignment {
+        replica: replica.parse().expect("an id"),
+        incarnation: IncarnationNumber(1),
+        epoch: LeaseEpoch(1),
+        hosts: ranks.collect(),
+        rank,
+        model: "trader-help".parse().expect("an id"),
+        version: "v1".parse().expect("an id"),
+        adapters: Vec::new(),
+        role: ReplicaRole::Both,
+    }
+}
+
+fn reported(name: &str, assignment: Option<EngineAssignment>) -> (HostId, HostHealth) {
+    let state = EngineState {
+        host: host(name),
+        boot: BootNumber(1),
+        ready: assignment.is_some(),
+        assignment,
+        leaving: false,
+        load: EngineLoad::default(),
+    };
+    (
+        host(name),
+        HostHealth {
+            state: Some(state),
+            ..HostHealth::default()
+        },
+    )
+}
+
+fn plan(replica: &str, members: &[&str]) -> ReplicaPlan {
+    let like = assignment(replica, members, 0);
+    ReplicaPlan {
+        id: like.replica,
+        incarnation: like.incarnation,
+        epoch: like.epoch,
+        fabric: "f0".parse().expect("an id"),
+        hosts: members.iter().map(|name| host(name)).collect(),
+        model: like.model,
+        version: like.version,
+        adapters: Vec::new(),
+        role: like.role,
+        draining: false,
+    }
+}
+
+fn fleet(plans: Vec<ReplicaPlan>) -> FabricFleet {
+    FabricFleet {
+        next_number: 9,
+        plans,
+    }
+}
+
+fn emptied(orders: &[HostOrder]) -> Vec<&str> {
+    let empty = orders.iter().filter(|order| order.assignment.is_none());
+    empty.map(|order| order.host.as_str()).collect()
+}
+
+/// A replica was dissolved, and an entry has not heard of it yet. Were its second host emptied
+/// first, the leader would still take that entry's requests and never answer them; a trader would
+/// wait in vain.
+#[test]
+fn leader_emptied_first() {
+    let members = ["h0", "h1"];
+    let mut hosts = BTreeMap::from([
+        reported("h0", Some(assignment("r0", &members, 0))),
+        reported("h1", Some(assignment("r0", &members, 1))),
+    ]);
+    let directory = directory(&members);
+    let orders = wanted_orders(&fleet(Vec::new()), &hosts, &directory, LOADS_AT_ONCE);
+    assert_eq!(emptied(&orders), ["h0"]);
+
+    hosts.extend([reported("h0", None)]);
+    let orders = wanted_orders(&fleet(Vec::new()), &hosts, &directory, LOADS_AT_ONCE);
+    assert_eq!(emptied(&orders), ["h1"]);
+}
+
+/// The leader of a dissolved replica is silent. It may still answer callers, so the others wait
+/// until it counts as lost.
+#[test]
+fn silent_leader_waited_for() {
+    let members = ["h0", "h1"];
+    let mut hosts = BTreeMap::from([
+        (host("h0"), HostHealth::default()),
+        reported("h1", Some(assignment("r0", &members, 1))),
+    ]);
+    let directory = directory(&members);
+    let orders = wanted_orders(&fleet(Vec::new()), &hosts, &directory, LOADS_AT_ONCE);
+    assert_eq!(orders, []);
+
+    hosts.insert(
+        host("h0"),
+        HostHealth {
+            lost: true,
+            ..HostHealth::default()
+        },
+    );
+    let orders = wanted_orders(&fleet(Vec::new()), &hosts, &directory, LOADS_AT_ONCE);
+    assert_eq!(emptied(&orders), ["h1"]);
+}
+
+/// A late order of a paused controller took a host back into its old replica. It must not be
+/// ordered across: an entry with evidence of the old replica would find it whole for a moment.
+#[test]
+fn strayed_host_emptied() {
+    let hosts = BTreeMap::from([
+        reported("h1", Some(assignment("r0", &["h0", "h1"], 1))),
+        reported("h2", Some(assignment("r1", &["h2", "h1"], 0))),
+    ]);
+    let fleet = fleet(vec![plan("r1", &["h2", "h1"])]);
+    let orders = wanted_orders(&fleet, &hosts, &directory(&["h1", "h2"]), LOADS_AT_ONCE);
+    assert_eq!(emptied(&orders), ["h1"]);
+    assert_eq!(orders.len(), 1);
+}
+
+/// The host is empty again. It rests for longer than any entry trusts old evidence, and only then
+/// joins its own replica.
+#[test]
+fn strayed_host_rests() {
+    let settings = AssemblySettings::default();
+    let mut health = FabricHealth::default();
+    let used = HostSlot {
+        assignment: None,
+        epoch: LeaseEpoch(1),
+    };
+    let slots: FastMap<HostId, HostSlot> = [(host("h1"), used)].into_iter().collect();
+    let fleet = fleet(vec![plan("r1", &["h1"])]);
+    let directory = directory(&["h1"]);
+    let start = Instant::now();
+
+    let mut strayed = BTreeMap::from([reported("h1", Some(assignment("r0", &["h1"], 0)))]);
+    health.note_empty(&mut strayed, &slots, settings, start);
+
+    let orders_after = |health: &mut FabricHealth, passed: Duration| {
+        let mut hosts = BTreeMap::from([reported("h1", None)]);
+        health.note_empty(&mut hosts, &slots, settings, start + passed);
+        wanted_orders(&fleet, &hosts, &directory, LOADS_AT_ONCE).len()
+    };
+    assert_eq!(orders_after(&mut health, Duration::from_secs(1)), 0);
+    let rest = Duration::from_millis(settings.rest_ms);
+    assert_eq!(orders_after(&mut health, rest + Duration::from_secs(1)), 1);
+}
+
+#[test]
+fn new_host_needs_no_rest() {
+    let mut health = FabricHealth::default();
+    let mut hosts = BTreeMap::from([reported("h1", None), reported("h2", None)]);
+    let used = HostSlot {
+        assignment: None,
+        epoch: LeaseEpoch(4),
+    };
+    let slots: FastMap<HostId, HostSlot> = [(host("h1"), HostSlot::default()), (host("h2"), used)]
+        .into_iter()
+        .collect();
+    health.note_empty(
+        &mut hosts,
+        &slots,
+        AssemblySettings::default(),
+        Instant::now(),
+    );
+    assert!(!hosts[&host("h1")].resting);
+    assert!(hosts[&host("h2")].resting);
+}
+
+/// A host was lost and its replica went on without it, under a new incarnation and with the same
+/// leader. When the host wakes up with its old rank it must be emptied, though the leader runs; it
+/// would otherwise stay stranded for ever.
+#[test]
+fn woken_host_emptied() {
+    let mut newer = assignment("r0", &["h0", "h2"], 0);
+    newer.incarnation = IncarnationNumber(2);
+    let hosts = BTreeMap::from([
+        reported("h0", Some(newer)),
+        reported("h1", Some(assignment("r0", &["h0", "h1"], 1))),
+    ]);
+    let mut next = plan("r0", &["h0", "h2"]);
+    next.incarnation = IncarnationNumber(2);
+    let directory = directory(&["h0", "h1"]);
+    let orders = wanted_orders(&fleet(vec![next]), &hosts, &directory, LOADS_AT_ONCE);
+    assert_eq!(emptied(&orders), ["h1"]);
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -107,7 +107,9 @@
 impl From<ClientError> for StoreError {
     fn from(error: ClientError) -> Self {
         match error {
-            ClientError::NotConnected(_) => Self::Unavailable(error.to_string()),
+            ClientError::NotConnected(_) | ClientError::Refused(_) => {
+                Self::Unavailable(error.to_string())
+            }
             ClientError::TimedOut(_) | ClientError::Broken(..) => {
                 Self::AnswerLost(error.to_string())
             }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -29,6 +29,9 @@
     /// The connection was never made: no byte of the request reached the server.
     #[error("no connection to {0}")]
     NotConnected(SocketAddr),
+    /// The server's host refused the connection: nothing listens there.
+    #[error("{0} refuses connections")]
+    Refused(SocketAddr),
     /// The request may have reached the server; no answer came in time.
     #[error("no answer from {0} in time")]
     TimedOut(SocketAddr),
@@ -44,7 +47,7 @@
     /// Whether it is certain that no byte of the request reached the server.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::NotConnected(_))
+        matches!(self, Self::NotConnected(_) | Self::Refused(_))
     }
 }
 
@@ -106,6 +109,7 @@
     ) -> Result<Response<Incoming>, ClientError> {
         match tokio::time::timeout(timeout, self.client.request(request)).await {
             Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error)) if is_refused(&error) => Err(ClientError::Refused(address)),
             Ok(Err(error)) if error.is_connect() => Err(ClientError::NotConnected(address)),
             Ok(Err(error)) => Err(ClientError::Broken(address, error.to_string())),
             Err(_) => Err(ClientError::TimedOut(address)),
@@ -143,6 +147,24 @@
     }
 }
 
+/// Whether the other host itself answered that nothing listens there.
+fn is_refused(error: &hyper_util::client::legacy::Error) -> bool {
+    if !error.is_connect() {
+        return false;
+    }
+    let mut cause = std::error::Error::source(error);
+    while let Some(source) = cause {
+        let kind = source
+            .downcast_ref::<std::io::Error>()
+            .map(std::io::Error::kind);
+        if kind == Some(std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = source.source();
+    }
+    false
+}
+
 /// Builds a request with a JSON body, or with none.
 ///
 /// # Errors
--- a/src/client.rs
+++ b/src/client.rs
@@ -172,7 +172,7 @@
             .insert(header::AUTHORIZATION, self.authorization.clone());
         let answer = match self.client.send(address, request, ANSWER_TIMEOUT).await {
             Ok(answer) => answer,
-            Err(error @ ClientError::NotConnected(_)) => {
+            Err(error @ (ClientError::NotConnected(_) | ClientError::Refused(_))) => {
                 return Err(AdminError::Unreached(error.to_string()));
             }
             Err(_) => return Err(AdminError::AnswerLost(address)),
