Settle claims by the service's books and share capacity by the membership

A claim whose answer was lost stayed "claimed" for good; the look-up that shows an execution now settles it. It now waits as long as a living claimant may take. A claimant that was frozen beyond its ticket's time sends no more. The desk learns from the membership how many entries share the replicas.

--- a/crates/entry/src/services/claimed.rs
+++ b/crates/entry/src/services/claimed.rs
@@ -8,7 +8,8 @@
 //! * The claimant is frozen between its claim and its send, for however long. Its claim stays, so
 //!   nobody else sends for the key meanwhile, and nobody concludes from a look-up that shows no
 //!   execution that the call was not run: the frozen claimant could still send it. When it goes on,
-//!   it sends at most once, and not at all when the caller's deadline has passed meanwhile.
+//!   it sends at most once, and not at all when the caller's deadline or the ticket's time has
+//!   passed meanwhile.
 //! * The connection breaks after the send. The call may have run, so it is never sent again; the
 //!   claim stays until the service's own books, or the claimant, settle it.
 //! * The client library sends a request again. Each call has a connection of its own and the
@@ -17,10 +18,10 @@
 //! A connection that was never made proves that no byte left. The call is then tried at the next
 //! instance under the same claim, and after the last one the claim is withdrawn.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use control::{ClaimKey, ClaimOutcome};
+use control::{ClaimKey, ClaimOutcome, ClaimTicket};
 use domain::{AttemptId, CallClaim, ClaimState, FastSet};
 use events::EventCode;
 use http::StatusCode;
@@ -35,6 +36,9 @@
 use crate::caller::hex_hash;
 use crate::failure::CallerFailure;
 
+/// Time that a claimant has to record an answer, besides the service's own.
+const CLAIMANT_GRACE: Duration = Duration::from_secs(2);
+
 /// What became of the one send.
 enum SendOutcome {
     Answered(ServiceAnswer),
@@ -65,7 +69,7 @@
             .unwrap_or_else(|error| unreachable!("one id is as good as the other: {error}"));
         let claimed = self
             .ledger
-            .claim(claim_key, attempt, body_hash(run))
+            .claim(claim_key.clone(), attempt, body_hash(run))
             .await
             .map_err(|error| store_failure(&error))?;
         match claimed {
@@ -73,7 +77,9 @@
                 self.note(EventCode::ClaimGranted, run, "");
                 self.send_claimed(run, ticket).await
             }
-            ClaimOutcome::Existing(claim) => self.existing_answer(run, key, &claim).await,
+            ClaimOutcome::Existing(claim) => {
+                self.existing_answer(run, key, &claim_key, &claim).await
+            }
             ClaimOutcome::Reused => {
                 let message = "the idempotency key was used with another call or body";
                 let failure = CallerFailure::not_run(ErrorCode::KeyReused, message);
@@ -85,9 +91,9 @@
     async fn send_claimed(
         &self,
         run: &ServiceRun,
-        ticket: control::ClaimTicket,
+        ticket: ClaimTicket,
     ) -> Result<WebAnswer, CallerFailure> {
-        match self.send_once(run).await {
+        match self.send_once(run, &ticket).await {
             SendOutcome::Answered(answer) => {
                 self.note_settled(
                     run,
@@ -115,16 +121,17 @@
     }
 
     /// Sends a claimed call, to the first instance that can be connected to.
-    async fn send_once(&self, run: &ServiceRun) -> SendOutcome {
+    async fn send_once(&self, run: &ServiceRun, ticket: &ClaimTicket) -> SendOutcome {
         let addresses = &run.found.service.targets;
         let mut tried = FastSet::default();
         let mut problem = "no instance can be reached".to_owned();
         while let Some(address) = self.pool.choose(addresses, &tried) {
             tried.insert(address);
-            if run.left().is_zero() {
-                // Frozen or kept waiting for too long: the caller was told something else by now.
+            if run.left().is_zero() || !ticket.is_fresh() {
+                // Frozen or kept waiting for too long: the caller was told something else by now,
+                // and the ledger may clean up settled rows that are far older than a ticket.
                 self.pool
-                    .note_ended(address, std::time::Duration::ZERO, CallOutcome::Answered);
+                    .note_ended(address, Duration::ZERO, CallOutcome::Answered);
                 return SendOutcome::Unsent(
                     "the deadline passed before the call was sent".to_owned(),
                 );
@@ -157,6 +164,7 @@
         &self,
         run: &ServiceRun,
         key: &str,
+        claim_key: &ClaimKey,
         claim: &CallClaim,
     ) -> Result<WebAnswer, CallerFailure> {
         if let ClaimState::Answered {
@@ -173,6 +181,7 @@
         }
         if let Some(answer) = self.look_up(run, key).await {
             self.note(EventCode::ClaimFound, run, "");
+            self.settle_later(claim_key, claim, answered_state(&answer));
             return Ok(answer_from_service(&answer));
         }
         let message = "a call with this idempotency key may have run; it is not sent again. Ask \
@@ -181,6 +190,21 @@
         Err(failure.retry(CALL_RETRY))
     }
 
+    /// Settles a claim by the look-up, once a claimant that lives would have settled it itself.
+    ///
+    /// The claimant may be reading the service's answer at this moment. Its own receipt is the one
+    /// to keep, or two requests with the same key would get different ones.
+    fn settle_later(&self, claim_key: &ClaimKey, claim: &CallClaim, state: ClaimState) {
+        let ledger = self.ledger.clone();
+        let (claim_key, claim) = (claim_key.clone(), claim.clone());
+        let wait = self.settings.call_timeout() + CLAIMANT_GRACE;
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            // When the store is down the next request with this key looks it up again.
+            let _ = ledger.settle_found(&claim_key, &claim, state).await;
+        });
+    }
+
     /// The answer of a call that the service says it ran.
     ///
     /// A service that shows no execution proves nothing, since the call may still be on its way.
--- a/crates/entry/tests/request_path/claimed_calls.rs
+++ b/crates/entry/tests/request_path/claimed_calls.rs
@@ -93,17 +93,30 @@
     assert_eq!(service.runs("traders", "k3"), 1);
 }
 
-/// The answer of a payment is lost. It is never sent again; the service's books settle it.
+/// The answer of a payment is lost. It is never sent again; the service's books settle it for good,
+/// so that later requests need them no more.
 #[tokio::test]
 async fn answer_lost() {
     let (table, service) = (FakeTable::default(), FakeService::default());
-    let entry = entry_on("e0", &table, &service);
+    let settings = EntrySettings::builder().call_timeout_ms(50).build();
+    let entry = FakeEntry::start("e0", settings, table.clone(), service.clone());
     service.script(&[ServiceScript::LoseAnswer]);
     let headers = [("idempotency-key", "k4")];
     let lost = entry.post(PAY, &headers, "{}").await;
     assert_eq!(lost.error("execution"), "unknown", "{}", lost.text);
     let found = entry.post(PAY, &headers, "{}").await;
     assert_eq!(found.text, "\"found\"");
+    let commits = table.commits();
+    for _ in 0..400 {
+        if table.commits() > commits {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let lookups = service.lookups();
+    let settled = entry.post(PAY, &headers, "{}").await;
+    assert_eq!(settled.text, "\"found\"");
+    assert_eq!(service.lookups(), lookups, "the books are needed no more");
     assert_eq!(service.sends(), 1);
 }
 
--- a/crates/entry/tests/request_path/fake_service.rs
+++ b/crates/entry/tests/request_path/fake_service.rs
@@ -33,6 +33,7 @@
 struct ServiceBook {
     scripts: VecDeque<ServiceScript>,
     sends: usize,
+    lookups: usize,
     runs: Vec<(String, String)>,
 }
 
@@ -51,6 +52,11 @@
         self.book().sends
     }
 
+    /// Look-ups that were asked.
+    pub fn lookups(&self) -> usize {
+        self.book().lookups
+    }
+
     /// Times that a customer's key was run.
     pub fn runs(&self, customer: &str, key: &str) -> usize {
         let wanted = (customer.to_owned(), key.to_owned());
@@ -94,6 +100,7 @@
         lookup: &LookupOrder,
         _: Duration,
     ) -> Result<LookupBody, ClientError> {
+        self.book().lookups += 1;
         let executions = self.runs(lookup.customer.as_str(), &lookup.key);
         Ok(LookupBody {
             key: lookup.key.clone(),
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use control::CallLedger;
+use control::members::MemberView;
 use entry::desk::state::DeskSettings;
 use entry::settings::SecretText;
 use entry::{
@@ -16,6 +17,7 @@
 use platform::http::HttpTable;
 use target::{HttpEngine, HttpService};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use web::serve_listener;
 
 use super::NodeContext;
@@ -34,7 +36,10 @@
 /// # Errors
 ///
 /// When the address can't be bound or the resume key can't be read.
-pub async fn bind(context: &NodeContext) -> eyre::Result<EntryListener> {
+pub async fn bind(
+    context: &NodeContext,
+    members: watch::Receiver<Arc<MemberView>>,
+) -> eyre::Result<EntryListener> {
     let mut settings = context.settings.entry.clone();
     let resume_key = context.settings.secrets.resume_key()?;
     settings.resume_key = resume_key.map(|key| SecretText::from(key.expose()));
@@ -46,9 +51,11 @@
         .max_attempts(settings.max_attempts)
         .seed(process_seed())
         .build();
+    let desk = DispatchDesk::start(desk, targets.clone());
+    tokio::spawn(follow_members(desk.clone(), members));
     let parts = EntryParts::builder()
         .config(context.config_sender.subscribe())
-        .desk(DispatchDesk::start(desk, targets.clone()))
+        .desk(desk)
         .targets(targets)
         .engine(context.engine.clone())
         .recorder(context.recorder.clone())
@@ -75,6 +82,18 @@
     })
 }
 
+/// Tells the desk how many entries share the replicas.
+async fn follow_members(desk: DispatchDesk, mut members: watch::Receiver<Arc<MemberView>>) {
+    loop {
+        let count = members.borrow_and_update().members.len();
+        let entries = u32::try_from(count).unwrap_or(u32::MAX).max(1);
+        desk.set_entries(entries).await;
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Differs between processes, so that entries that start together don't decide alike.
 fn process_seed() -> u64 {
     RandomState::new().build_hasher().finish()
