--- a/crates/policy/examples/compare/baseline/mod.rs
+++ b/crates/policy/examples/compare/baseline/mod.rs
@@ -8,6 +8,7 @@
 use domain::FastMap;
 use policy::admission::{AdmissionQueue, WaitKey};
 use policy::capacity::{CapacityShare, ShareSettings};
+use policy::hedge::{HedgeBudget, HedgeSettings};
 use policy::placement::{
     CandidateList, PlacementChoice, PlacementSettings, TargetFacts, TargetLoad, TargetPool,
 };
@@ -50,6 +51,7 @@
     pub pool: TargetPool,
     pub list: CandidateList,
     pub share: CapacityShare,
+    pub hedges: HedgeBudget,
     pub reported: Vec<TargetLoad>,
     pub since: Vec<i64>,
     pub turn: usize,
@@ -67,6 +69,7 @@
         Self {
             queue: AdmissionQueue::builder().seed(seed).build(),
             line: VecDeque::new(),
+            hedges: HedgeBudget::new(HedgeSettings::default()),
             keys: FastMap::default(),
             list: pool.candidates(targets),
             pool,
--- a/crates/policy/examples/compare/main.rs
+++ b/crates/policy/examples/compare/main.rs
@@ -13,11 +13,12 @@
 
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
-    let all: [(&str, fn()); 11] = [
+    let all: [(&str, fn()); 12] = [
         ("admission", requests::admission),
         ("saturation", requests::saturation),
         ("placement", requests::placement),
         ("affinity", requests::affinity),
+        ("hedges", requests::hedges),
         ("shares", requests::shares),
         ("assembly", hosts::assembly),
         ("weights", hosts::weights),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod assembly;
 pub mod capacity;
+pub mod hedge;
 pub mod placement;
 pub mod retry;
 pub mod service;
--- a/crates/policy/tests/driver/callers.rs
+++ b/crates/policy/tests/driver/callers.rs
@@ -66,6 +66,8 @@
     pub blackout: (f64, f64),
     /// How often a refused caller comes back.
     pub returns: u32,
+    /// Whether a second target is asked for late first tokens.
+    pub hedges: bool,
     pub seed: u64,
 }
 
@@ -84,6 +86,7 @@
             reports: (0.5, 0.5),
             blackout: (0.0, 0.0),
             returns: 0,
+            hedges: false,
             seed,
         }
     }
@@ -147,6 +150,10 @@
     pub sent: Duration,
     pub arrived: Duration,
     pub attempts: u32,
+    /// The other job of a hedge.
+    pub twin: Option<usize>,
+    pub is_hedge: bool,
+    pub started: bool,
     pub returns: u32,
     /// Time from sending to the first token.
     pub first: Option<Duration>,
@@ -175,6 +182,9 @@
             sent: Duration::ZERO,
             arrived: Duration::ZERO,
             attempts: 0,
+            twin: None,
+            is_hedge: false,
+            started: false,
             returns: 0,
             first: None,
             prefixes: (0..u64::from(call.prompt / 16)).map(hash).collect(),
@@ -209,6 +219,7 @@
     pub jobs: Vec<Job>,
     pub deepest: usize,
     pub busy_slots: f64,
+    pub hedges: usize,
 }
 
 impl RunResult {
--- a/crates/policy/tests/driver/mod.rs
+++ b/crates/policy/tests/driver/mod.rs
@@ -16,6 +16,7 @@
 use crate::baseline::{Entry, QueueKind};
 
 pub mod callers;
+mod hedging;
 
 use callers::TOKEN_TIME;
 pub use callers::{Call, Job, PATIENCE, RunResult, Setup, seconds};
@@ -27,6 +28,7 @@
 enum Event {
     Arrive(usize),
     FirstToken(usize, u32),
+    Hedge(usize, u32),
     Ended(usize, u32, TargetOutcome),
     Report,
     Tick,
@@ -106,7 +108,10 @@
             self.last = now;
             self.step(now, event);
         }
+        let all = self.jobs.len();
+        self.jobs.retain(|job| !job.is_hedge);
         RunResult {
+            hedges: all - self.jobs.len(),
             jobs: self.jobs,
             deepest: self.deepest,
             busy_slots: self.busy_slots,
@@ -116,6 +121,7 @@
     fn step(&mut self, now: Duration, event: Event) {
         match event {
             Event::Arrive(job) => self.arrive(now, job),
+            Event::Hedge(job, attempt) => self.hedge(now, job, attempt),
             Event::FirstToken(job, attempt) => self.first_token(now, job, attempt),
             Event::Ended(job, attempt, outcome) => self.ended(now, job, attempt, outcome),
             Event::Report => {
@@ -285,6 +291,7 @@
         }
         let engine = job.engine;
         self.engines[engine].waiting.push_back(ticket);
+        self.plan_hedge(now, index);
         self.fill(now, engine);
     }
 
@@ -299,6 +306,7 @@
                 break;
             };
             engine.running += 1;
+            self.jobs[index].started = true;
             let call = self.jobs[index].call;
             let held = engine.cache.contains(&call.shared.0);
             engine.cache.retain(|shared| *shared != call.shared.0);
@@ -337,6 +345,7 @@
         job.refused = false;
         job.first = Some(now.saturating_sub(job.sent));
         job.first_token = Some(now.saturating_sub(job.arrived).as_secs_f64());
+        self.settle_hedge(now, index);
     }
 
     fn ended(&mut self, now: Duration, index: usize, attempt: u32, outcome: TargetOutcome) {
