--- a/crates/policy/src/admission/lane.rs
+++ b/crates/policy/src/admission/lane.rs
@@ -8,6 +8,9 @@
 
 use super::request::WaitKey;
 
+/// Customers that are remembered before idle ones are forgotten.
+const MAX_LINES: usize = 1_024;
+
 /// Place of a request among its customer's own: priority first, then deadline, then arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct LineRank {
@@ -83,6 +86,7 @@
     }
 
     pub fn push(&mut self, ticket: LaneTicket, share: f64) {
+        self.forget_idle();
         let level = self.start_level();
         let line = self.lines.entry(ticket.customer).or_default();
         line.share = share;
@@ -94,6 +98,19 @@
         line.waiting.insert(ticket.rank, ticket);
     }
 
+    /// Forgets customers that have nothing waiting and no debt, when there are many.
+    ///
+    /// Keys of customers change with the configuration; without this a node that runs for months
+    /// keeps a line for each key there ever was.
+    fn forget_idle(&mut self) {
+        if self.lines.len() < MAX_LINES {
+            return;
+        }
+        let level = self.level;
+        self.lines
+            .retain(|_, line| !line.waiting.is_empty() || line.served > level);
+    }
+
     pub fn pop(&mut self) -> Option<LaneTicket> {
         let customer = self.least_served()?;
         let line = self.lines.get_mut(&customer)?;
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -42,7 +42,7 @@
         };
         // The new one stands in for a broken one whose lost hosts nobody can replace; the broken
         // one's other hosts become spares, or else they would idle until the last one is back.
-        let allowed = (wanted.replicas + wanted.extra) as usize;
+        let allowed = wanted.most() as usize;
         if present + made >= allowed
             && let Some(stuck) = take_stuck(view, wanted)
         {
@@ -101,7 +101,7 @@
         .filter(|replica| is_of(replica, wanted))
         .count()
         + formed.count();
-    let room = ((wanted.replicas + wanted.extra) as usize).saturating_sub(present);
+    let room = (wanted.most() as usize).saturating_sub(present);
     for _ in 0..room {
         let Some(fabric) = best_extra_fabric(view, wanted) else {
             return;
--- a/crates/policy/src/assembly/retire.rs
+++ b/crates/policy/src/assembly/retire.rs
@@ -22,7 +22,7 @@
                 && wanted.hosts_per_replica as usize == replica.replica.hosts.len()
         });
         if let Some(place) = wanted {
-            let limit = view.wanted[place].replicas + view.wanted[place].extra;
+            let limit = view.wanted[place].most();
             let count = kept.entry(place).or_default();
             // One that was drained for a host that leaves, or has left, is repaired; any other
             // drained one was meant to go.
--- a/crates/policy/src/assembly/state.rs
+++ b/crates/policy/src/assembly/state.rs
@@ -101,6 +101,14 @@
     pub hosts_per_replica: u32,
 }
 
+impl WantedReplicas {
+    /// Most replicas that may stand at once.
+    #[must_use]
+    pub fn most(&self) -> u32 {
+        self.replicas.saturating_add(self.extra)
+    }
+}
+
 /// One step towards the plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AssemblyStep {
--- a/crates/policy/tests/target_choice.rs
+++ b/crates/policy/tests/target_choice.rs
@@ -167,6 +167,28 @@
     assert!(back > 30, "{back} of 250 requests after its recovery");
 }
 
+/// A target fails in every other second. Its good seconds must not win it back at once, or callers
+/// of the bad ones meet it as often as by chance, which is 150 times.
+#[test]
+fn flapping_target_costs_little() {
+    let mut fixture = Fixture::new(4);
+    let bad = fixture.targets[0];
+    let mut failures = 0;
+    for step in 0..1_200 {
+        let now = Duration::from_millis(step * 100);
+        let failing = (step / 10) % 2 == 1;
+        let target = fixture.send(now, |target| {
+            if failing && target == bad {
+                TargetOutcome::Failed
+            } else {
+                TargetOutcome::Finished
+            }
+        });
+        failures += usize::from(failing && target == bad);
+    }
+    assert!(failures < 75, "{failures} failures");
+}
+
 /// The entry's own network fails, so that every target seems to fail. It must go on trying, or
 /// callers would be refused long after the network is back.
 #[test]
