Stop drawing after two full targets, else draw four

Fewer draws help only where every target is full. Now up to four are drawn, and two suffice when both are full.

--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -15,6 +15,12 @@
 /// Draws before a search falls back to looking at every candidate in turn.
 const MAX_DRAWS: usize = 24;
 
+/// Draws that suffice when each of them is full.
+///
+/// A gap that a report shows among full targets is taken by the time it is known, and every entry
+/// would run to the same one; seen as engines that queue beside idle slots.
+const FULL_DRAWS: usize = 2;
+
 /// Holders of a prompt's prefix that are weighed besides the drawn targets.
 const MAX_HOLDERS: usize = 4;
 
@@ -65,8 +71,10 @@
             self.weigh(holder.target, &prefix, request, now, &mut best);
         }
         let mut drawn = 0;
+        let mut full = 0;
         for draw in 0..MAX_DRAWS {
-            if drawn >= self.settings.draws {
+            let all_full = full == drawn && drawn >= FULL_DRAWS;
+            if drawn >= self.settings.draws || all_full {
                 break;
             }
             let Some(target) = candidates.draw(draw, rng) else {
@@ -76,6 +84,7 @@
                 continue;
             }
             drawn += 1;
+            full += usize::from(self.is_full(target, now));
             self.weigh(target, &prefix, request, now, &mut best);
         }
         for _ in 0..ADAPTER_DRAWS {
@@ -143,6 +152,13 @@
         None
     }
 
+    fn is_full(&self, target: TargetKey, now: Duration) -> bool {
+        self.targets.get(target).is_some_and(|state| {
+            let slots = state.facts.slots;
+            slots > 0 && state.estimate(now).streams >= f64::from(slots)
+        })
+    }
+
     fn is_open(&self, target: TargetKey, now: Duration) -> bool {
         let Some(state) = self.targets.get(target) else {
             return false;
--- a/crates/policy/src/placement/request.rs
+++ b/crates/policy/src/placement/request.rs
@@ -16,12 +16,11 @@
 /// Settings of a [`TargetPool`].
 #[derive(Debug, Clone, Copy, PartialEq, Builder)]
 pub struct PlacementSettings {
-    /// Candidates drawn for a choice.
+    /// Candidates drawn for a choice, fewer while all of them are full.
     ///
-    /// The better of two spreads requests so that lagged reports can't make every entry run to the
-    /// same idle target; with more, nearly full targets are overrun. docs/DECISIONS.md has the
-    /// figures.
-    #[builder(default = 2)]
+    /// The best of a few spreads requests so that lagged reports can't make every entry run to the
+    /// same idle target; docs/DECISIONS.md has the figures for other numbers.
+    #[builder(default = 4)]
     pub draws: usize,
     /// Prompt tokens a second that a target reads when nothing is known of it.
     #[builder(default = 8_000.0)]
--- a/crates/policy/tests/driver/callers.rs
+++ b/crates/policy/tests/driver/callers.rs
@@ -80,7 +80,7 @@
             customers: 4,
             queue: QueueKind::Fair,
             place: PlaceKind::Predicted,
-            draws: 2,
+            draws: 4,
             affinity: true,
             share: ShareKind::Scaled,
             reports: (0.5, 0.5),
