--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -56,7 +56,11 @@
         .names(NameSource::new(&context.settings.node))
         .settings(Arc::clone(&settings))
         .build();
-    let ledger = CallLedger::new(context.table.clone(), context.settings.node.clone());
+    let ledger = CallLedger::with_settings(
+        context.table.clone(),
+        context.settings.node.clone(),
+        context.control.ledger,
+    );
     let server = Arc::new(EntryServer::new(parts, ledger, context.service.clone()));
     let wanted = context.settings.listen;
     let listener = TcpListener::bind(wanted)
