Open streams in batches when memory is measured, and stop in order

Interrupted, it left its stand-ins behind; both signals now end a measurement with everything that it started.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod faults;
 pub mod hostlist;
+pub mod interrupt;
 pub mod load;
 pub mod measure;
 pub mod objects;
--- a/crates/standin/src/measure/cost.rs
+++ b/crates/standin/src/measure/cost.rs
@@ -6,6 +6,7 @@
 use eyre::{OptionExt, WrapErr};
 use futures::future::try_join_all;
 use http_body_util::BodyExt;
+use tokio::task::JoinHandle;
 
 use super::RoundSpread;
 use super::chat::{open_path, read_times};
@@ -24,6 +25,9 @@
 /// Open streams at which memory is read.
 const OPEN_STREAMS: [usize; 3] = [100, 600, 1_100];
 
+/// Streams that are opened at once.
+const OPEN_BATCH: usize = 50;
+
 /// Unit of processor times in `/proc`, a second over this; the kernel's constant on all its
 /// common platforms.
 const TICKS_PER_SECOND: f64 = 100.0;
@@ -129,18 +133,12 @@
         .engine_options(&options)
         .start()
         .await;
-    let entry = stack.entries[0].address;
-    let mut open = Vec::new();
+    let mut open: Vec<JoinHandle<()>> = Vec::new();
     let mut readings = Vec::new();
     for count in OPEN_STREAMS {
         while open.len() < count {
-            let mut answer = open_path(&stack, entry, 10_000).await?;
-            let first = answer.body_mut().frame().await;
-            first.ok_or_eyre("a stream ended")??;
-            open.push(tokio::spawn(drain(answer)));
-            if open.len().is_multiple_of(10) {
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
+            let batch = (0..OPEN_BATCH).map(|_| open_one(&stack));
+            open.extend(try_join_all(batch).await?);
         }
         let resident = resident_kib(&stack)?;
         readings.push((f64::from(u32::try_from(count)?), resident));
@@ -152,6 +150,15 @@
     Ok((last.1 - first.1) / (last.0 - first.0))
 }
 
+/// Opens one stream and reads on; the entry has it whole once its first token came.
+async fn open_one(stack: &TestStack) -> eyre::Result<JoinHandle<()>> {
+    let entry = stack.entries[0].address;
+    let mut answer = open_path(stack, entry, 10_000).await?;
+    let first = answer.body_mut().frame().await;
+    first.ok_or_eyre("a stream ended")??;
+    Ok(tokio::spawn(drain(answer)))
+}
+
 async fn drain(answer: http::Response<hyper::body::Incoming>) {
     let mut body = answer.into_body();
     while let Some(Ok(_)) = body.frame().await {}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -7,10 +7,11 @@
 pub mod cost;
 pub mod path;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use eyre::WrapErr;
 
+use crate::interrupt::StopSignals;
 use crate::options::MeasureOptions;
 
 /// Runs all measurements and prints them.
@@ -20,8 +21,16 @@
 /// When the product is not built beside this program, or a call fails.
 pub async fn run(options: MeasureOptions) -> eyre::Result<()> {
     let product = product_path()?;
-    path::run(&product, options.rounds).await?;
-    cost::run(&product, options.rounds).await
+    let mut signals = StopSignals::catch()?;
+    tokio::select! {
+        measured = measure(&product, options.rounds) => measured,
+        () = signals.wait() => eyre::bail!("interrupted"),
+    }
+}
+
+async fn measure(product: &Path, rounds: usize) -> eyre::Result<()> {
+    path::run(product, rounds).await?;
+    cost::run(product, rounds).await
 }
 
 fn product_path() -> eyre::Result<PathBuf> {
--- a/crates/standin/src/quickstart.rs
+++ b/crates/standin/src/quickstart.rs
@@ -8,9 +8,9 @@
 use http_body_util::BodyExt;
 use serde::Serialize;
 use serde_json::json;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::deployment::{CallerPlan, Deployment};
+use crate::interrupt::StopSignals;
 use crate::options::QuickstartOptions;
 use crate::stack::{StackPlan, StackProcess, TestStack};
 
@@ -50,19 +50,16 @@
 ///
 /// When the product is not built beside this program, or a call fails.
 pub async fn run(options: QuickstartOptions) -> eyre::Result<()> {
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut terminate = signal(SignalKind::terminate())?;
+    let mut signals = StopSignals::catch()?;
     let deployment = options.deployment;
     let mut stack = tokio::select! {
         stack = start(deployment) => stack?,
-        _ = interrupt.recv() => return Ok(()),
-        _ = terminate.recv() => return Ok(()),
+        () = signals.wait() => return Ok(()),
     };
     let callers = deployment.callers()?;
     let tried = tokio::select! {
         tried = try_calls(&stack, deployment, &callers) => tried,
-        _ = interrupt.recv() => Ok(()),
-        _ = terminate.recv() => Ok(()),
+        () = signals.wait() => Ok(()),
     };
     if options.keep && tried.is_ok() {
         let sheets = write_sheets(&options.folder, &stack, &callers)?;
@@ -70,10 +67,7 @@
             "\nrunning until interrupted; see {}",
             options.folder.display()
         );
-        tokio::select! {
-            _ = interrupt.recv() => {}
-            _ = terminate.recv() => {}
-        }
+        signals.wait().await;
         for sheet in sheets {
             let _ = std::fs::remove_file(sheet);
         }
