--- a/crates/policy/examples/compare/requests.rs
+++ b/crates/policy/examples/compare/requests.rs
@@ -4,9 +4,10 @@
 use crate::driver::callers::{merged, steady};
 use crate::driver::{self, Call, Driver, RunResult, Setup};
 
-fn queue_kinds() -> [(&'static str, QueueKind); 3] {
+fn queue_kinds() -> [(&'static str, QueueKind); 4] {
     [
         ("fair queue with refusal", QueueKind::Fair),
+        ("first come, 40 wait", QueueKind::FirstCome { bound: 40 }),
         ("first come, 200 wait", QueueKind::FirstCome { bound: 200 }),
         (
             "first come, no bound",
@@ -199,7 +200,7 @@
 /// Parts of the slots of several entries under an uneven balancer.
 pub fn shares() {
     println!(
-        "| entries | demand | share | goodput / capacity | late | refused | p50 s | p95 s | deepest engine queues |"
+        "| entries | demand | share | goodput / capacity | late | refused | p50 s | p95 s | deepest engine queues | slots in use |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|");
     for (entries, engines) in [(3, 20), (6, 20), (24, 20), (410, 100)] {
