--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -4,6 +4,7 @@
 mod config_follow;
 mod direct;
 mod engine_load;
+mod engine_roles;
 mod event_stream;
 mod fault_switches;
 mod graceful_stop;
