Name admin addresses in the caller sheet, and stop the quickstart sooner

No balancer watches the example's entries, so their grace before the listener closes is 200 ms instead of 3 s: scripts/quickstart took 3.6 s with everything built.

--- a/crates/standin/src/quickstart.rs
+++ b/crates/standin/src/quickstart.rs
@@ -12,11 +12,14 @@
 use crate::deployment::{CallerPlan, Deployment};
 use crate::interrupt::StopSignals;
 use crate::options::QuickstartOptions;
-use crate::stack::{StackPlan, StackProcess, TestStack};
+use crate::stack::{OPERATOR_KEY, StackPlan, StackProcess, TestStack};
 
 const PROCESSES: &str = "processes.json";
 const CALLERS: &str = "callers.json";
 
+/// No balancer has to notice that these entries stop, so that a newcomer need not wait for it.
+const NO_BALANCER_GRACE: &str = "200ms";
+
 /// One process, as `processes.json` lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 struct ProcessEntry {
@@ -32,6 +35,7 @@
     name: String,
     base_url: String,
     openai_base_url: String,
+    admin: String,
 }
 
 /// What a caller needs, as `callers.json` holds it.
@@ -39,6 +43,7 @@
 struct CallerSheet {
     entries: Vec<EntryAddress>,
     customer_key: String,
+    operator_key: String,
     model: String,
     non_repeatable_path: String,
     repeatable_path: String,
@@ -92,6 +97,7 @@
         .fabrics(2)
         .domains(&deployment.domains())
         .weights(&[])
+        .settings("entry", json!({ "drain_grace": NO_BALANCER_GRACE }))
         .start()
         .await;
     println!("every entry serves");
@@ -208,11 +214,13 @@
             name: process.name.clone(),
             base_url: format!("http://{}", process.address),
             openai_base_url: format!("http://{}/v1", process.address),
+            admin: process.admin_now().to_string(),
         })
         .collect();
     Ok(CallerSheet {
         entries,
         customer_key: customer.key.clone(),
+        operator_key: OPERATOR_KEY.to_owned(),
         model: callers.model.clone(),
         non_repeatable_path: callers.non_repeatable_path(),
         repeatable_path: callers.repeatable_path(),
