--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -4,10 +4,17 @@
 mod config_follow;
 mod direct;
 mod engine_load;
+mod event_stream;
 mod fault_switches;
+mod graceful_stop;
 mod host_list;
+mod host_loss;
+mod operator_client;
 mod quickstart_keep;
+mod service_calls;
+mod stream_failover;
 mod stream_linger;
+mod stream_resume;
 mod table_cut;
 mod whole_path;
 
