--- a/crates/peers/benches/link_traffic.rs
+++ b/crates/peers/benches/link_traffic.rs
@@ -1,8 +1,8 @@
 //! What the links cost a node: bytes and processor time a second over the number of nodes and of
 //! replicas with evidence, under the default settings, all nodes in one process on loopback.
 //!
-//! `cargo bench -p peers --bench link_traffic [-- SECONDS] [-- replicas]` prints one line a mesh, or only
-//! those with evidence. Bytes are those
+//! `cargo bench -p peers --bench link_traffic [-- SECONDS] [replicas|full]` prints one line a mesh; with
+//! `replicas` only those with evidence, with `full` one mesh of 410 nodes and 94 replicas. Bytes are those
 //! of TCP's payload in both directions; processor time is that of the whole process by node, with
 //! both ends of every link in it.
 
@@ -156,6 +156,9 @@
     let seconds = std::env::args().find_map(|text| text.parse().ok());
     let time = Duration::from_secs(seconds.unwrap_or(20));
     let only_replicas = std::env::args().any(|text| text == "replicas");
+    if std::env::args().any(|text| text == "full") {
+        return measure(410, 94, time).await;
+    }
     for nodes in [3, 6, 12, 24, 48] {
         if only_replicas {
             continue;
