Pass on looks that come a little early

Cause: watchers look about once a second and a look was passed on only when a whole second newer, so each link skipped those that came a little early and the evidence behind it aged by a whole period.

--- a/crates/peers/src/memory.rs
+++ b/crates/peers/src/memory.rs
@@ -18,9 +18,10 @@
 /// Evidence older than this opens no gate and is not passed on.
 const EVIDENCE_LIMIT: Duration = Duration::from_secs(10);
 
-/// A newer look is passed on when it is this much newer: every look of two watchers a second on
-/// each replica would not fit into the 3 KB/s that a node may spend.
-const LOOK_STEP: Duration = Duration::from_secs(1);
+/// A newer look is passed on when it is this much newer. Watchers look about once a second; a step
+/// of a whole second skipped every look that came a little early, and every look of both watchers
+/// of a replica would not fit into the 3 KB/s that a node may spend.
+const LOOK_STEP: Duration = Duration::from_millis(600);
 
 /// What a peer is known to have, on one connection.
 #[derive(Debug, Default)]
