--- a/crates/policy/examples/compare/hosts.rs
+++ b/crates/policy/examples/compare/hosts.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use policy::assembly::{AssemblySettings, plan_round};
+use policy::shifting::ShiftSettings;
 
 use crate::baseline::assembly::{plan_first_fit, plan_fixed_groups};
+use crate::tide::{run_day, without_hysteresis};
 use crate::year::{FleetPlan, Planner, YearDriver, YearResult, wanted};
 
 /// Ratio of the weights of a group hour and a host hour, for an operator like Ndiaye.
@@ -132,3 +134,54 @@
         }
     }
 }
+
+/// A record names another version: all at once, or in steps, with free hosts and without.
+pub fn rollouts() {
+    println!("| hosts | steps | least of 20 that serve | replica hours missing |");
+    println!("|---|---|---|---|");
+    for hosts in [40, 48] {
+        for steps in [1, 5, 20] {
+            let plan = FleetPlan {
+                days: 1.0,
+                failures: (0.0, Duration::ZERO),
+                restarts: (0.0, Duration::ZERO),
+                pauses: (0.0, Duration::ZERO),
+                outages: (0.0, Duration::ZERO),
+                ..fleet_plan(2, hosts)
+            };
+            let settings = AssemblySettings::builder().rollout_steps(steps).build();
+            let old = wanted("help", 20, 0, 4);
+            let mut new = old.clone();
+            new.version = "v2".parse().expect("a version");
+            let driver = YearDriver::new(plan, vec![old], settings);
+            let result = driver
+                .amended(Duration::from_hours(1), vec![new])
+                .run(plan_round);
+            println!(
+                "| 2 x {hosts} | {steps} | {} | {:.2} |",
+                result.least_serving, result.group_downtime
+            );
+        }
+    }
+}
+
+/// Two models whose demand moves over a day, with noise.
+pub fn shifting() {
+    println!("| noise | moves | unmet streams | moves a day |");
+    println!("|---|---|---|---|");
+    for noise in [0.2, 0.4] {
+        let cases = [
+            ("with hysteresis", Some(ShiftSettings::default())),
+            ("each minute's demand", Some(without_hysteresis())),
+            ("none", None),
+        ];
+        for (name, settings) in cases {
+            let result = run_day(1, noise, settings);
+            println!(
+                "| {noise} | {name} | {:.3}% | {} |",
+                result.unmet * 100.0,
+                result.moves
+            );
+        }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
-use ::control::{ConfigView, TargetView};
+use ::control::{ConfigView, ControlSettings, EvidenceBoard, TargetView};
 use domain::NodeId;
 use events::logs::start_logs;
 use events::{EventCode, EventRecorder, EventSubject, NodeMetrics};
@@ -25,6 +25,8 @@
 /// What the parts of a node share.
 struct NodeContext {
     settings: NodeSettings,
+    control: ControlSettings,
+    board: EvidenceBoard,
     table: HttpTable,
     objects: HttpObjects,
     list: HttpHostList,
@@ -53,6 +55,8 @@
             metrics,
             config_sender: watch::Sender::new(Arc::new(ConfigView::default())),
             target_sender: watch::Sender::new(Arc::new(TargetView::default())),
+            control: ControlSettings::default(),
+            board: EvidenceBoard::default(),
             settings,
         })
     }
@@ -69,7 +73,7 @@
     let context = NodeContext::new(settings)?;
     let admin = admin::bind(&context).await?;
     let peers = peers::bind(&context, admin.as_ref().map(|admin| admin.address)).await?;
-    control::start(&context);
+    let tasks = control::start(&context, &peers.members());
     let peers = peers.start(&context)?;
     let running = entry::bind(&context).await?;
     let address = running.address;
@@ -92,6 +96,7 @@
         recorder.note(EventCode::NodeStopping, EventSubject::default(), "");
     };
     running.serve(stop).await;
+    tasks.release().await;
     peers.leave().await;
     Ok(())
 }
