--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -9,10 +9,11 @@
 pub mod path;
 pub mod process;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use eyre::WrapErr;
 
+use crate::interrupt::StopSignals;
 use crate::options::MeasureOptions;
 
 /// Runs all measurements and prints them.
@@ -22,8 +23,16 @@
 /// When the product is not built beside this program, or a call fails.
 pub async fn run(options: MeasureOptions) -> eyre::Result<()> {
     let product = product_path()?;
-    path::run(&product, options.rounds).await?;
-    cost::run(&product, options.rounds).await
+    let mut signals = StopSignals::catch()?;
+    tokio::select! {
+        measured = measure(&product, options.rounds) => measured,
+        () = signals.wait() => eyre::bail!("interrupted"),
+    }
+}
+
+async fn measure(product: &Path, rounds: usize) -> eyre::Result<()> {
+    path::run(product, rounds).await?;
+    cost::run(product, rounds).await
 }
 
 /// Runs the measurements of control and prints them.
--- a/crates/standin/src/quickstart.rs
+++ b/crates/standin/src/quickstart.rs
@@ -8,15 +8,18 @@
 use http_body_util::BodyExt;
 use serde::Serialize;
 use serde_json::json;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::deployment::{CallerPlan, Deployment};
+use crate::interrupt::StopSignals;
 use crate::options::QuickstartOptions;
-use crate::stack::{StackPlan, StackProcess, TestStack};
+use crate::stack::{OPERATOR_KEY, StackPlan, StackProcess, TestStack};
 
 const PROCESSES: &str = "processes.json";
 const CALLERS: &str = "callers.json";
 
+/// No balancer has to notice that these entries stop, so that a newcomer need not wait for it.
+const NO_BALANCER_GRACE: &str = "200ms";
+
 /// One process, as `processes.json` lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 struct ProcessEntry {
@@ -32,6 +35,7 @@
     name: String,
     base_url: String,
     openai_base_url: String,
+    admin: String,
 }
 
 /// What a caller needs, as `callers.json` holds it.
@@ -39,6 +43,7 @@
 struct CallerSheet {
     entries: Vec<EntryAddress>,
     customer_key: String,
+    operator_key: String,
     model: String,
     non_repeatable_path: String,
     repeatable_path: String,
@@ -50,19 +55,16 @@
 ///
 /// When the product is not built beside this program, or a call fails.
 pub async fn run(options: QuickstartOptions) -> eyre::Result<()> {
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut terminate = signal(SignalKind::terminate())?;
+    let mut signals = StopSignals::catch()?;
     let deployment = options.deployment;
     let mut stack = tokio::select! {
         stack = start(deployment) => stack?,
-        _ = interrupt.recv() => return Ok(()),
-        _ = terminate.recv() => return Ok(()),
+        () = signals.wait() => return Ok(()),
     };
     let callers = deployment.callers()?;
     let tried = tokio::select! {
         tried = try_calls(&stack, deployment, &callers) => tried,
-        _ = interrupt.recv() => Ok(()),
-        _ = terminate.recv() => Ok(()),
+        () = signals.wait() => Ok(()),
     };
     if options.keep && tried.is_ok() {
         let sheets = write_sheets(&options.folder, &stack, &callers)?;
@@ -70,10 +72,7 @@
             "\nrunning until interrupted; see {}",
             options.folder.display()
         );
-        tokio::select! {
-            _ = interrupt.recv() => {}
-            _ = terminate.recv() => {}
-        }
+        signals.wait().await;
         for sheet in sheets {
             let _ = std::fs::remove_file(sheet);
         }
@@ -98,6 +97,7 @@
         .fabrics(2)
         .domains(&deployment.domains())
         .weights(&[])
+        .settings("entry", json!({ "drain_grace": NO_BALANCER_GRACE }))
         .start()
         .await;
     println!("every entry serves");
@@ -214,11 +214,13 @@
             name: process.name.clone(),
             base_url: format!("http://{}", process.address),
             openai_base_url: format!("http://{}/v1", process.address),
+            admin: process.admin_now().to_string(),
         })
         .collect();
     Ok(CallerSheet {
         entries,
         customer_key: customer.key.clone(),
+        operator_key: OPERATOR_KEY.to_owned(),
         model: callers.model.clone(),
         non_repeatable_path: callers.non_repeatable_path(),
         repeatable_path: callers.repeatable_path(),
