--- a/crates/control/src/board.rs
+++ b/crates/control/src/board.rs
@@ -20,8 +20,8 @@
     pub received: Instant,
     /// Load of the leading host, where this node itself asked for it lately.
     pub load: Option<(EngineLoad, Instant)>,
-    /// Whether this node saw it itself.
-    pub own: bool,
+    /// The newest observation that a peer passed on, whether or not this node's own is newer.
+    pub heard: Option<Instant>,
 }
 
 impl BoardEntry {
@@ -73,10 +73,16 @@
     /// wins, compared by ages alone.
     fn take(&self, evidence: WholenessEvidence, load: Option<EngineLoad>, own: bool) {
         let now = Instant::now();
+        let as_of = now.checked_sub(evidence.age).filter(|_| !own);
         let mut rows = self.rows();
-        if let Some(known) = rows.entries.get(&evidence.replica) {
+        let mut heard = as_of;
+        if let Some(known) = rows.entries.get_mut(&evidence.replica) {
             let stale = evidence.incarnation < known.evidence.incarnation;
             let same = evidence.incarnation == known.evidence.incarnation;
+            if !stale {
+                known.heard = known.heard.max(as_of);
+                heard = known.heard;
+            }
             if stale || (same && evidence.age >= known.age(now)) {
                 return;
             }
@@ -91,7 +97,7 @@
             evidence,
             received: now,
             load: load.map(|load| (load, now)).or(known_load),
-            own,
+            heard,
         };
         rows.entries.insert(replica.clone(), entry);
         rows.changed.insert(replica);
--- a/crates/control/src/wholeness.rs
+++ b/crates/control/src/wholeness.rs
@@ -193,10 +193,12 @@
         return true;
     }
     let silence = Duration::from_millis(settings.silence_ms);
-    // Evidence of its own is no reason to stop: nobody else provides it.
+    // Evidence of its own is no reason to stop, since nobody else provides it; nor is it one to go
+    // on, once peers pass theirs on again.
     let heard = board.newest_for(&plan.id).is_some_and(|entry| {
         let current = entry.evidence.incarnation >= plan.incarnation;
-        current && !entry.own && entry.age(now) < silence
+        let fresh = |at: Instant| now.saturating_duration_since(at) < silence;
+        current && entry.heard.is_some_and(fresh)
     });
     !heard
 }
--- /dev/null
+++ b/crates/control/tests/evidence_board.rs
@@ -0,0 +1,84 @@
+//! Evidence that comes late, twice and out of order.
+
+use std::time::{Duration, Instant};
+
+use control::EvidenceBoard;
+use domain::{IncarnationNumber, ReplicaId, WholenessEvidence};
+use quickcheck::{Gen, QuickCheck};
+
+fn replica() -> ReplicaId {
+    "r1".parse().expect("an id")
+}
+
+fn evidence(incarnation: u64, whole: bool, age: Duration) -> WholenessEvidence {
+    let hosts = ["h0", "h1"];
+    let seen = if whole { &hosts[..] } else { &hosts[..1] };
+    WholenessEvidence {
+        replica: replica(),
+        incarnation: IncarnationNumber(incarnation),
+        hosts: seen
+            .iter()
+            .map(|host| host.parse().expect("an id"))
+            .collect(),
+        leaving: false,
+        age,
+    }
+}
+
+/// Peers pass evidence on by detours, so that old pieces come after new ones. What stands on the
+/// board is always the newest observation of the highest incarnation; otherwise an old "whole"
+/// would open the gate to a replica that lost a host since.
+#[test]
+fn newest_stands() {
+    fn holds(pieces: Vec<(u8, bool, u16)>) -> bool {
+        let board = EvidenceBoard::default();
+        let start = Instant::now();
+        let mut newest: Option<(u64, Duration, bool)> = None;
+        for (incarnation, whole, age) in pieces {
+            let incarnation = u64::from(incarnation % 3);
+            // Whole seconds, so that the test's own run time does not matter.
+            let age = Duration::from_secs(u64::from(age));
+            board.record(evidence(incarnation, whole, age));
+            // The same age at a later moment is a newer observation.
+            let better = newest.is_none_or(|(known, known_age, _)| {
+                incarnation > known || (incarnation == known && age <= known_age)
+            });
+            if better {
+                newest = Some((incarnation, age, whole));
+            }
+        }
+        let Some((incarnation, age, whole)) = newest else {
+            return board.newest_for(&replica()).is_none();
+        };
+        let Some(entry) = board.newest_for(&replica()) else {
+            return false;
+        };
+        let now = Instant::now();
+        entry.evidence.incarnation.0 == incarnation
+            && (entry.evidence.hosts.len() == 2) == whole
+            && entry.age(now) >= age
+            && entry.age(now) <= age + start.elapsed()
+    }
+    QuickCheck::new()
+        .tests(500)
+        .rng(Gen::from_size_and_seed(40, 13))
+        .quickcheck(holds as fn(Vec<(u8, bool, u16)>) -> bool);
+}
+
+/// Evidence grows older while it lies on the board, and is passed on with its age of that moment;
+/// a peer can't make it look fresh.
+#[test]
+fn ages_go_on() {
+    let board = EvidenceBoard::default();
+    let age = Duration::from_secs(2);
+    board.record(evidence(1, true, age));
+    std::thread::sleep(Duration::from_millis(30));
+    let exported = board.export(10);
+    assert_eq!(exported.len(), 1);
+    assert!(exported[0].age >= age + Duration::from_millis(30));
+    let peer = EvidenceBoard::default();
+    peer.record(exported[0].clone());
+    board.record(exported[0].clone());
+    let entry = peer.newest_for(&replica()).expect("recorded");
+    assert!(entry.age(Instant::now()) >= exported[0].age);
+}
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -22,6 +22,7 @@
 mod stream_linger;
 mod stream_resume;
 mod table_cut;
+mod watch_share;
 mod whole_path;
 
 /// The built product.
