Hang every part's settings into the catalogue and check rules between them

Cause: control's settings could not be set, and values that are each within their bounds could together let a host serve two replicas (rest shorter than the age limit of evidence) or a node leave service after one lost answer.

Ruled out: narrower bounds for each; they would forbid sound combinations.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,9 +9,10 @@
 pub mod node;
 pub mod page;
 pub mod reader;
+pub mod rules;
 pub mod secret;
 
-pub use catalogue::FIELDS;
+pub use catalogue::fields;
 pub use field::{FieldKind, SettingField};
 pub use node::{NodeSettings, SettingsError};
 pub use reader::read_settings;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -4,8 +4,14 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use control::ControlSettings;
+use control::assembly::AssemblySettings;
 use control::config::ConfigSettings;
+use control::housekeeping::HousekeepingSettings;
+use control::lease::LeaseSettings;
+use control::ledger::LedgerSettings;
 use control::members::MemberSettings;
+use control::wholeness::WatchSettings;
 use domain::{DomainId, FindingList, NodeId, RegionId};
 use entry::EntrySettings;
 use events::EventLevel;
@@ -14,6 +20,7 @@
 use serde_json::Value;
 
 use crate::reader::read_settings;
+use crate::rules::check_rules;
 use crate::secret::{SecretError, SecretText};
 
 /// Settings of a node.
@@ -44,10 +51,32 @@
     pub members: MemberSettings,
     /// Links to other entry hosts.
     pub peers: PeerSettings,
+    /// Following hosts and replicas.
+    pub control: FollowSettings,
+    /// Leases.
+    pub leases: LeaseSettings,
+    /// Assembly of replicas.
+    pub assembly: AssemblySettings,
+    /// Evidence that replicas are whole.
+    pub watch: WatchSettings,
+    /// Claims of non-idempotent calls.
+    pub ledger: LedgerSettings,
+    /// Cleaning up.
+    pub housekeeping: HousekeepingSettings,
     /// Logs and the time line.
     pub log: LogSettings,
 }
 
+/// Following hosts and replicas. Times are milliseconds.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FollowSettings {
+    /// Time between two looks at the host list.
+    pub hosts_ms: u64,
+    /// Time between two looks at the replicas in the table.
+    pub plans_ms: u64,
+}
+
 /// Where the platform's services are.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -170,6 +199,20 @@
 }
 
 impl NodeSettings {
+    /// The settings of control as one.
+    #[must_use]
+    pub fn control_settings(&self) -> ControlSettings {
+        ControlSettings {
+            leases: self.leases,
+            assembly: self.assembly,
+            watch: self.watch,
+            ledger: self.ledger,
+            housekeeping: self.housekeeping,
+            hosts_ms: self.control.hosts_ms,
+            plans_ms: self.control.plans_ms,
+        }
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
@@ -198,14 +241,13 @@
     /// Every finding.
     pub fn from_value(file: &Value) -> Result<Self, FindingList> {
         let typed = read_settings(file)?;
-        serde_json::from_value(typed).map_err(|error| {
+        let settings: Self = serde_json::from_value(typed).map_err(|error| {
             let mut findings = FindingList::default();
-            findings.add(
-                ".",
-                error.to_string(),
-                "report this: the catalogue lacks a check",
-            );
+            let advice = "report this: the catalogue lacks a check";
+            findings.add(".", error.to_string(), advice);
             findings
-        })
+        })?;
+        check_rules(&settings)?;
+        Ok(settings)
     }
 }
--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use crate::catalogue::{FIELDS, SECTIONS, section_text};
+use crate::catalogue::{SECTIONS, fields, section_text};
 
 /// Writes docs/SETTINGS.md.
 #[must_use]
@@ -27,7 +27,7 @@
         let _ = write!(out, "\n## {title}\n");
     }
     out.push_str("\n| key | default | what to write | meaning |\n|---|---|---|---|\n");
-    for field in FIELDS.iter().filter(|field| field.section == section) {
+    for field in fields().filter(|field| field.section == section) {
         let default = match (field.required, field.default) {
             (true, _) => "required".to_owned(),
             (false, Some(text)) => format!("`{text}`"),
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -3,7 +3,7 @@
 use domain::FindingList;
 use serde_json::{Map, Value};
 
-use crate::catalogue::{FIELDS, SECTIONS};
+use crate::catalogue::{SECTIONS, fields};
 use crate::field::SettingField;
 
 /// Greatest edit distance at which a known key is suggested for an unknown one.
@@ -23,7 +23,7 @@
     };
     find_unknown_keys(top, &mut findings);
     let mut typed = Map::new();
-    for field in FIELDS {
+    for field in fields() {
         let section = if field.section.is_empty() {
             Some(top)
         } else {
@@ -111,8 +111,7 @@
 }
 
 fn keys_of(section: &str) -> Vec<&'static str> {
-    FIELDS
-        .iter()
+    fields()
         .filter(|field| field.section == section)
         .map(|field| field.key)
         .collect()
--- a/crates/settings/tests/file_checks.rs
+++ b/crates/settings/tests/file_checks.rs
@@ -1,10 +1,11 @@
 //! Reading a settings file: findings with their places, defaults, units.
 
+use control::ControlSettings;
 use control::config::ConfigSettings;
 use control::members::MemberSettings;
 use entry::EntrySettings;
 use serde_json::{Value, json};
-use settings::{FIELDS, NodeSettings, SecretText};
+use settings::{NodeSettings, SecretText, fields};
 
 fn smallest() -> Value {
     json!({
@@ -32,6 +33,7 @@
     assert_eq!(settings.config, ConfigSettings::default());
     assert_eq!(settings.members, MemberSettings::default());
     assert_eq!(settings.entry, EntrySettings::default());
+    assert_eq!(settings.control_settings(), ControlSettings::default());
 }
 
 #[test]
@@ -74,7 +76,7 @@
 
 #[test]
 fn bounds_kept() {
-    for field in FIELDS {
+    for field in fields() {
         let Some(default) = field.default_value() else {
             continue;
         };
@@ -103,3 +105,13 @@
         "docs/SETTINGS.md is not what the catalogue says: cargo run -p settings --example page"
     );
 }
+
+/// Each value is within its bounds, and together they let a node leave service after one lost
+/// answer, or a host serve two replicas. The operator must hear of it before the node starts.
+#[test]
+fn rules_between() {
+    let mut file = smallest();
+    file["config"] = json!({ "poll": "5s", "confirm": "6s" });
+    file["assembly"] = json!({ "rest": "1s" });
+    assert_eq!(findings_of(&file), ["config.confirm", "assembly.rest"]);
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -55,7 +55,7 @@
             metrics,
             config_sender: watch::Sender::new(Arc::new(ConfigView::default())),
             target_sender: watch::Sender::new(Arc::new(TargetView::default())),
-            control: ControlSettings::default(),
+            control: settings.control_settings(),
             board: EvidenceBoard::default(),
             settings,
         })
