--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,9 +1,11 @@
 //! End-to-end tests: the built binaries as separate processes on loopback, one module a feature.
 
+mod claim_batches;
 mod config_faults;
 mod config_follow;
 mod direct;
 mod engine_load;
+mod engine_roles;
 mod event_stream;
 mod fault_switches;
 mod graceful_stop;
