--- a/crates/policy/examples/compare/hosts.rs
+++ b/crates/policy/examples/compare/hosts.rs
@@ -19,7 +19,7 @@
     AssemblySettings::builder().group_downtime(ratio).build()
 }
 
-/// Losses of a host in a year as the letter counts them: 18 a day and 100 restarts among 2,900.
+/// Losses of a host in a year at the target size: 18 a day and 100 restarts among 2,900 hosts.
 fn fleet_plan(fabrics: usize, hosts: usize) -> FleetPlan {
     FleetPlan {
         fabrics,
--- a/crates/policy/examples/compare/year.rs
+++ b/crates/policy/examples/compare/year.rs
@@ -32,7 +32,7 @@
     Look,
 }
 
-/// Losses in a year, as the brief counts them.
+/// Losses in a year by the two measures of docs/DECISIONS.md.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct YearResult {
     /// Hours in which a wanted replica did not serve, over all of them.
