--- a/crates/policy/src/assembly/mod.rs
+++ b/crates/policy/src/assembly/mod.rs
@@ -10,10 +10,12 @@
 mod load;
 mod repair;
 mod retire;
+mod rollout;
 mod round;
 mod settings;
 mod state;
 
+pub use rollout::drain_room;
 pub use round::plan_round;
 pub use settings::AssemblySettings;
 pub use state::{
--- a/crates/policy/src/assembly/retire.rs
+++ b/crates/policy/src/assembly/retire.rs
@@ -1,8 +1,9 @@
 //! Replicas that are not wanted, and hosts that leave.
 
-use domain::{FastMap, ModelName};
+use domain::FastMap;
 
 use super::fabric::{ReplicaView, RoundView};
+use super::rollout::DrainRoom;
 use super::state::{AssemblyStep, DissolveReason, DrainReason, ReplicaStage};
 
 /// Drains and dissolves what should not be there; the rest stays in the view.
@@ -67,49 +68,6 @@
     }
 }
 
-/// How many replicas of each model may be drained because they are not wanted any more.
-///
-/// Made for a record that names a new version instead of the old one. If every replica of the old
-/// one were drained at once, the model would serve nobody until the new one's weights are loaded;
-/// seen as refusals to all its callers for minutes. So old replicas go as new ones come to serve,
-/// with at most a small part missing at a time where no free hosts let the new ones come first.
-struct DrainRoom<'a> {
-    room: FastMap<&'a ModelName, usize>,
-}
-
-impl<'a> DrainRoom<'a> {
-    fn new(view: &RoundView<'a>, leave: &[usize]) -> Self {
-        let mut room = FastMap::default();
-        for index in leave {
-            let model = &view.replicas[*index].replica.model;
-            let of = view
-                .wanted
-                .iter()
-                .filter(|wanted| wanted.model == *model)
-                .map(|wanted| wanted.replicas as usize);
-            let wanted: usize = of.sum();
-            let missing = wanted
-                .div_ceil(view.settings.rollout_steps.max(1))
-                .min(wanted);
-            let serving = view.replicas.iter().filter(|view| {
-                let ready = view.replica.stage == ReplicaStage::Ready;
-                view.replica.model == *model && ready && !view.broken
-            });
-            room.insert(model, (serving.count() + missing).saturating_sub(wanted));
-        }
-        Self { room }
-    }
-
-    fn take(&mut self, model: &ModelName) -> bool {
-        let Some(room) = self.room.get_mut(model) else {
-            return true;
-        };
-        let some = *room > 0;
-        *room = room.saturating_sub(1);
-        some
-    }
-}
-
 fn rank_for_keeping(view: &ReplicaView<'_>) -> u8 {
     match view.replica.stage {
         _ if view.broken => 3,
--- a/crates/policy/tests/version_rollout.rs
+++ b/crates/policy/tests/version_rollout.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use policy::assembly::{AssemblySettings, WantedReplicas, plan_round};
+use policy::assembly::{AssemblySettings, WantedReplicas, drain_room, plan_round};
 use year::{FleetPlan, YearDriver, wanted};
 
 /// A day without losses, in which the record names version v2 instead of v1 after an hour.
@@ -48,3 +48,14 @@
     assert!(result.least_serving >= 19, "{}", result.least_serving);
     assert_eq!(result.serving_at_end, 20);
 }
+
+/// The room follows what serves, a model of few replicas still gets on, and one that nobody wants
+/// goes at once.
+#[test]
+fn room_follows_what_serves() {
+    assert_eq!(drain_room(20, 20, 20), 1);
+    assert_eq!(drain_room(20, 19, 20), 0);
+    assert_eq!(drain_room(20, 24, 20), 5);
+    assert_eq!(drain_room(3, 3, 20), 1);
+    assert_eq!(drain_room(0, 7, 20), 7);
+}
