--- a/crates/policy/examples/compare/main.rs
+++ b/crates/policy/examples/compare/main.rs
@@ -13,9 +13,11 @@
 
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
-    let all: [(&str, fn()); 12] = [
+    let all: [(&str, fn()); 14] = [
         ("admission", requests::admission),
         ("saturation", requests::saturation),
+        ("slowdown", requests::slowdown),
+        ("returns", requests::returns),
         ("placement", requests::placement),
         ("affinity", requests::affinity),
         ("hedges", requests::hedges),
--- a/crates/policy/examples/compare/requests.rs
+++ b/crates/policy/examples/compare/requests.rs
@@ -1,5 +1,7 @@
 //! Tables of the decisions on the request path.
 
+use std::time::Duration;
+
 use crate::baseline::{PlaceKind, QueueKind, ShareKind};
 use crate::driver::callers::{merged, steady};
 use crate::driver::{self, Call, Driver, RunResult, Setup};
@@ -132,6 +134,58 @@
     }
 }
 
+/// Twice the capacity, and from 20 s on every engine takes three times as long.
+pub fn slowdown() {
+    println!("| queue | goodput / capacity left | late | refused | p50 s | p95 s |");
+    println!("|---|---|---|---|---|---|");
+    for (name, queue) in queue_kinds() {
+        let mut setup = Setup {
+            queue,
+            ..Setup::plain(10, 15)
+        };
+        for engine in &mut setup.engines {
+            engine.slow = (3.0, 20.0, 90.0);
+        }
+        let rate = setup.capacity(400, 100);
+        let calls = steady(16, rate * 2.0, (0.0, 60.0), |_, _| {});
+        let result = Driver::new(&setup).run(&calls);
+        println!("| {name} | {} |", row(&result, rate / 3.0, (30.0, 60.0)));
+    }
+}
+
+/// A burst of four times the capacity for 10 s, whose refused callers come back five times at most.
+pub fn returns() {
+    println!("| return | answered on time | offers a caller | refused in the end |");
+    println!("|---|---|---|---|");
+    for (name, fixed_return) in [
+        ("as told", None),
+        ("after 1 s", Some(Duration::from_secs(1))),
+        ("after 5 s", Some(Duration::from_secs(5))),
+    ] {
+        let setup = Setup {
+            returns: 5,
+            fixed_return,
+            ..Setup::plain(10, 12)
+        };
+        let rate = setup.capacity(400, 100);
+        let burst = steady(13, rate * 4.0, (5.0, 15.0), |_, _| {});
+        let rest = steady(14, rate * 0.5, (0.0, 60.0), |call, _| call.customer = 1);
+        let result = Driver::new(&setup).run(&merged(vec![burst, rest]));
+        let callers = result.pick(|job| job.call.customer == 0);
+        let offers: u32 = callers.iter().map(|job| job.returns + 1).sum();
+        let refused = callers.iter().filter(|job| job.refused).count();
+        #[allow(clippy::cast_precision_loss)]
+        let count = callers.len() as f64;
+        #[allow(clippy::cast_precision_loss)]
+        let refused = refused as f64 / count;
+        println!(
+            "| {name} | {:.3} | {:.2} | {refused:.3} |",
+            result.on_time(|job| job.call.customer == 0),
+            f64::from(offers) / count,
+        );
+    }
+}
+
 type CaseForm = fn(&mut Setup);
 
 /// Choosing a target: two entries before 40 engines at 75% of capacity.
--- a/crates/policy/tests/driver/callers.rs
+++ b/crates/policy/tests/driver/callers.rs
@@ -66,6 +66,8 @@
     pub blackout: (f64, f64),
     /// How often a refused caller comes back.
     pub returns: u32,
+    /// Time after which it does, instead of the one it was told.
+    pub fixed_return: Option<Duration>,
     /// Whether a second target is asked for late first tokens.
     pub hedges: bool,
     pub seed: u64,
@@ -86,6 +88,7 @@
             reports: (0.5, 0.5),
             blackout: (0.0, 0.0),
             returns: 0,
+            fixed_return: None,
             hedges: false,
             seed,
         }
--- a/crates/policy/tests/driver/mod.rs
+++ b/crates/policy/tests/driver/mod.rs
@@ -216,6 +216,7 @@
     }
 
     fn refuse(&mut self, now: Duration, index: usize, retry_after: Duration) {
+        let retry_after = self.setup.fixed_return.unwrap_or(retry_after);
         let job = &mut self.jobs[index];
         job.refused = true;
         job.retry_after = retry_after.as_secs_f64();
--- a/crates/policy/tests/early_refusal.rs
+++ b/crates/policy/tests/early_refusal.rs
@@ -8,7 +8,7 @@
 
 use baseline::QueueKind;
 use domain::CustomerKey;
-use driver::callers::steady;
+use driver::callers::{merged, steady};
 use driver::{Driver, RunResult, Setup};
 use policy::admission::{AdmissionQueue, OfferOutcome, WaitingRequest};
 use quickcheck::{Arbitrary, Gen};
@@ -52,6 +52,50 @@
     assert!(goodput > 0.93, "{goodput}");
 }
 
+/// At twice the capacity every engine becomes three times slower. A bound that was right before now
+/// keeps every caller waiting for too long, and no answer is on time.
+#[test]
+fn refusal_follows_the_capacity() {
+    let run = |queue| {
+        let mut setup = Setup {
+            queue,
+            ..Setup::plain(10, 15)
+        };
+        for engine in &mut setup.engines {
+            engine.slow = (3.0, 20.0, 90.0);
+        }
+        let rate = setup.capacity(400, 100);
+        let calls = steady(16, rate * 2.0, (0.0, 50.0), |_, _| {});
+        let result = Driver::new(&setup).run(&calls);
+        result.goodput(30.0, 50.0) / (rate / 3.0 * 100.0)
+    };
+    let (ours, bound) = (
+        run(QueueKind::Fair),
+        run(QueueKind::FirstCome { bound: 40 }),
+    );
+    assert!(ours > 0.9 && bound < 0.2, "{ours} against {bound}");
+}
+
+/// A burst of four times the capacity lasts 10 seconds. Those who come back when they were told
+/// are all served in the end; those who come back each second meet the same crowd again.
+#[test]
+fn told_times_serve_the_burst() {
+    let run = |fixed_return| {
+        let setup = Setup {
+            returns: 5,
+            fixed_return,
+            ..Setup::plain(10, 12)
+        };
+        let rate = setup.capacity(400, 100);
+        let burst = steady(13, rate * 4.0, (5.0, 15.0), |_, _| {});
+        let rest = steady(14, rate * 0.5, (0.0, 60.0), |call, _| call.customer = 1);
+        let result = Driver::new(&setup).run(&merged(vec![burst, rest]));
+        result.on_time(|job| job.call.customer == 0)
+    };
+    let (told, fixed) = (run(None), run(Some(Duration::from_secs(1))));
+    assert!(told > 0.95 && fixed < 0.5, "{told} against {fixed}");
+}
+
 fn customer() -> CustomerKey {
     SlotMap::<CustomerKey, ()>::with_key().insert(())
 }
