--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -1,7 +1,8 @@
 //! Protocol of a plain service: calls below its address, by path.
 //!
 //! A call carries `Idempotency-Key` and `X-Customer`; a look-up is `GET {lookup}/{key}`, with
-//! `X-Customer` too: 200 with a [`LookupBody`]. Reported load stands at `GET /load`.
+//! `X-Customer` too: 200 with a [`LookupBody`], whichever instance of the service ran the call.
+//! Reported load stands at `GET /load`.
 
 use domain::CustomerId;
 use serde::{Deserialize, Serialize};
--- a/tests/system/host_loss.rs
+++ b/tests/system/host_loss.rs
@@ -23,7 +23,8 @@
     }
 }
 
-async fn load_while(stack: &mut TestStack, rank: usize) -> LoadReport {
+/// Sends a load and kills, in the midst of it, the host of a rank in so many replicas.
+async fn load_while(stack: &mut TestStack, rank: usize, replicas_hit: usize) -> LoadReport {
     let plan = LoadPlan::builder()
         .entries(stack.entries.iter().map(|entry| entry.address).collect())
         .service(stack.services[0].address)
@@ -33,9 +34,11 @@
     let load = tokio::spawn(run_load(plan));
     tokio::time::sleep(LOSS_AFTER).await;
     let replicas = stack.replica_engines().await;
-    let members = replicas.values().next().expect("a replica");
-    wait_running(stack, members[0]).await;
-    stack.engines[members[rank]].kill();
+    assert_eq!(replicas.len(), 2);
+    for members in replicas.values().take(replicas_hit) {
+        wait_running(stack, members[0]).await;
+        stack.engines[members[rank]].kill();
+    }
     load.await.expect("no panic").expect("a report")
 }
 
@@ -54,7 +57,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn member_killed() {
     let mut stack = plan("member-killed").start().await;
-    let report = load_while(&mut stack, 2).await;
+    let report = load_while(&mut stack, 2, 1).await;
     assert_all_whole(&report);
 }
 
@@ -62,6 +65,22 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn leader_killed() {
     let mut stack = plan("leader-killed").start().await;
-    let report = load_while(&mut stack, 0).await;
+    let report = load_while(&mut stack, 0, 1).await;
     assert_all_whole(&report);
 }
+
+// Both replicas lose a host at once, and for a while nobody serves. Callers get a whole answer or
+// are told at once that there is none; no stream ends silently. The hosts that are left form a
+// new replica, and the next question is answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn both_hit() {
+    let mut stack = plan("both-hit").start().await;
+    let report = load_while(&mut stack, 1, 2).await;
+    assert_eq!(report.chats.cut, 0, "{report}");
+    let payments = report.payments;
+    assert_eq!(payments.ran, payments.offered, "{report}");
+    assert_eq!((payments.lost, payments.doubled), (0, 0), "{report}");
+    for entry in 0..stack.entries.len() {
+        stack.wait_serving(entry).await;
+    }
+}
