--- a/tests/system/fault_switches.rs
+++ b/tests/system/fault_switches.rs
@@ -102,6 +102,26 @@
     assert_eq!(row_status(&stack, "down").await, StatusCode::NOT_FOUND);
 }
 
+// A flaky network loses the answers of some writes, chosen by a seed, so that a test that failed
+// once fails again.
+#[tokio::test(flavor = "multi_thread")]
+async fn share_lost() {
+    let stack = bare_stack("share-lost").await;
+    let flaky = FaultPlan::builder().lose_share(0.5).seed(5).build();
+    let mut runs = Vec::new();
+    for _ in 0..2 {
+        stack.table_faults(&flaky).await;
+        let mut lost = Vec::new();
+        for _ in 0..40 {
+            lost.push(put_row(&stack, "flaky", SHORT * 10).await.is_err());
+        }
+        runs.push(lost);
+    }
+    assert_eq!(runs[0], runs[1]);
+    let count = runs[0].iter().filter(|lost| **lost).count();
+    assert!((10..=30).contains(&count), "{count} of 40");
+}
+
 // A payment runs and its answer is lost. Any instance of the service tells that it ran once,
 // because they share their book.
 #[tokio::test(flavor = "multi_thread")]
