--- /dev/null
+++ b/crates/control/src/amend/step.rs
@@ -0,0 +1,121 @@
+//! One transaction of an amendment.
+
+use domain::{ConfigRevision, WriteToken};
+use platform::{CommitOutcome, RowExpectation, TableStore, WriteBatch, keys, settled_commit};
+
+use super::rows::{HeadRead, RecordRead, read_change, read_head, to_value};
+use super::{AmendError, ChangeEntry, ConfigHead, RecordAmendment, StoredRecord};
+
+/// Sends of one transaction before its outcome is reported as unknown.
+const COMMIT_TRIES: u32 = 5;
+
+/// One try of an amendment against one head.
+#[derive(Debug)]
+pub(super) struct AmendStep {
+    pub(super) revision: ConfigRevision,
+    record_key: String,
+    change_key: String,
+    batch: WriteBatch,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StepOutcome {
+    /// It took effect.
+    Accepted,
+    /// Another record was amended first.
+    HeadMoved,
+    /// This record was amended first.
+    RecordMoved,
+}
+
+impl AmendStep {
+    pub(super) fn new(
+        amendment: &RecordAmendment,
+        begun: &RecordRead,
+        head: &HeadRead,
+        round: u32,
+    ) -> Result<Self, AmendError> {
+        let revision = head.head.revision.next();
+        let record_key = keys::record_key(amendment.kind, &amendment.name);
+        let change_key = keys::change_key(revision);
+        let entry = ChangeEntry {
+            revision,
+            kind: amendment.kind,
+            name: amendment.name.clone(),
+            record: amendment.record.clone(),
+            operator: amendment.operator.clone(),
+        };
+        let head_value = to_value(keys::CONFIG_HEAD, &ConfigHead { revision })?;
+        let batch = WriteBatch::new(step_token(&amendment.token, round)?)
+            .put(keys::CONFIG_HEAD, head.expectation, head_value)
+            .put(
+                change_key.clone(),
+                RowExpectation::Absent,
+                to_value(&change_key, &entry)?,
+            );
+        let batch = match &amendment.record {
+            Some(record) => {
+                let stored = StoredRecord {
+                    revision,
+                    record: record.clone(),
+                };
+                let value = to_value(&record_key, &stored)?;
+                batch.put(record_key.clone(), begun.expectation, value)
+            }
+            None => batch.delete(record_key.clone(), begun.expectation),
+        };
+        Ok(Self {
+            revision,
+            record_key,
+            change_key,
+            batch,
+        })
+    }
+
+    pub(super) async fn commit<T: TableStore>(&self, table: &T) -> Result<StepOutcome, AmendError> {
+        let conflicts = match settled_commit(table, &self.batch, COMMIT_TRIES).await {
+            Ok(CommitOutcome::Committed(_)) => return Ok(StepOutcome::Accepted),
+            Ok(CommitOutcome::Conflict(conflicts)) => conflicts,
+            Err(error) if error.is_unwritten() => return Err(error.into()),
+            Err(error) => return Err(self.unsettled(error.to_string())),
+        };
+        let log_row = conflicts
+            .iter()
+            .find(|conflict| conflict.key == self.change_key);
+        if log_row.is_none() && self.is_compacted(table).await? {
+            // The head went past this revision, yet the row that would tell whose it is has been
+            // compacted: a conflict here may be with an earlier send of this very amendment.
+            return Err(self.unsettled("the change log no longer keeps it".to_owned()));
+        }
+        let record_moved = conflicts
+            .iter()
+            .any(|conflict| conflict.key == self.record_key);
+        if record_moved {
+            return Ok(StepOutcome::RecordMoved);
+        }
+        Ok(StepOutcome::HeadMoved)
+    }
+
+    async fn is_compacted<T: TableStore>(&self, table: &T) -> Result<bool, AmendError> {
+        let head = read_head(table).await?;
+        if head.head.revision < self.revision {
+            return Ok(false);
+        }
+        Ok(read_change(table, self.revision).await?.is_none())
+    }
+
+    fn unsettled(&self, cause: String) -> AmendError {
+        AmendError::Unsettled {
+            revision: self.revision,
+            token: self.batch.token.clone(),
+            cause,
+        }
+    }
+}
+
+/// A token for each round: a batch's token marks that batch alone.
+fn step_token(token: &WriteToken, round: u32) -> Result<WriteToken, AmendError> {
+    format!("{token}.{round}")
+        .parse()
+        .map_err(|_| AmendError::BadRow(format!("token {token} is too long")))
+}
