--- /dev/null
+++ b/crates/entry/benches/event_cost.rs
@@ -0,0 +1,77 @@
+//! Cost of one streamed token at an entry, from its text to the bytes of its event.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use criterion::{Criterion, Throughput, criterion_group, criterion_main};
+use domain::IncarnationNumber;
+use entry::digest::TextDigest;
+use entry::frame::AnswerFrame;
+use entry::order::{AnswerShape, CompletionOrder};
+use entry::sink::{AnswerSink, EventSink};
+use entry::token::{StreamOffset, TokenScope, TokenSealer};
+use tokio::sync::{mpsc, oneshot};
+
+const TOKENS: u32 = 256;
+
+fn order(shape: AnswerShape) -> CompletionOrder {
+    CompletionOrder {
+        request: "e0.0123456789abcdef.17".parse().expect("an id"),
+        customer: "sandaga-traders".parse().expect("an id"),
+        share: 1,
+        model: "trader-help".parse().expect("an id"),
+        version: None,
+        adapter: None,
+        prompt: "Which form renews a licence?".to_owned(),
+        max_tokens: TOKENS,
+        seed: 1,
+        deadline: Instant::now(),
+        shape,
+    }
+}
+
+/// Feeds a stream of tokens and reads its events at once.
+async fn feed(order: &CompletionOrder, sealer: &TokenSealer) {
+    let (events, mut read) = mpsc::channel(4);
+    let (head, _begun) = oneshot::channel();
+    let mut sink = EventSink::new(AnswerFrame::new(order), events, head, false, false);
+    let scope = TokenScope {
+        request: order.request.clone(),
+        customer: order.customer.clone(),
+        attempt: "e0.0123456789abcdef.17.01234567.1".parse().expect("an id"),
+        replica: "trader-help.12".parse().expect("an id"),
+        incarnation: IncarnationNumber(3),
+        content: order.content(),
+    };
+    sink.begin(sealer.scope(&scope), StreamOffset::default());
+    let mut offset = StreamOffset::default();
+    let mut digest = TextDigest::default();
+    for count in 1..=TOKENS {
+        digest = digest.extended("licence ");
+        offset.count = count;
+        offset.digest = digest;
+        let _ = sink.token("licence ".to_owned(), offset).await;
+        while let Ok(event) = read.try_recv() {
+            black_box(event);
+        }
+    }
+}
+
+fn event_cost(criterion: &mut Criterion) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .expect("a runtime");
+    let sealer = TokenSealer::new(Some(&"one key for all entries".into()));
+    let mut group = criterion.benchmark_group("event");
+    group.throughput(Throughput::Elements(u64::from(TOKENS)));
+    for (name, shape) in [("chat", AnswerShape::Chat), ("text", AnswerShape::Text)] {
+        let order = order(shape);
+        group.bench_function(name, |bencher| {
+            bencher.iter(|| runtime.block_on(feed(&order, &sealer)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, event_cost);
+criterion_main!(benches);
