Make payments while entries die and freeze and answers are lost

2,160 payments of 24 traders over four entries and three instances of the service; two entries are killed, one is frozen four times, once for 6.5 s, and 5% of the service's and of the store's answers to writes are lost.

--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -15,6 +15,7 @@
 mod lease_pause;
 mod operator_client;
 mod outage;
+mod payment_storm;
 mod quickstart_keep;
 mod service_calls;
 mod stream_failover;
