--- a/crates/control/src/assembly/supervise.rs
+++ b/crates/control/src/assembly/supervise.rs
@@ -32,6 +32,8 @@
     pub leases: LeaseSettings,
     /// Limits of housekeeping.
     pub housekeeping: HousekeepingSettings,
+    /// Gets the names of the leases that the node holds, at each look.
+    pub held: watch::Sender<Vec<LeaseName>>,
 }
 
 struct KeptLease<T: TableStore> {
@@ -103,6 +105,17 @@
                 changed
             });
         }
+        self.publish_held();
+    }
+
+    fn publish_held(&self) {
+        let mut held = Vec::new();
+        for (name, kept) in &self.kept {
+            if kept.handle.grants().borrow().is_some() {
+                held.push(name.clone());
+            }
+        }
+        self.inputs.held.send_replace(held);
     }
 
     fn place(
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -8,7 +8,7 @@
 use control::config::ConfigHandle;
 use control::members::{Member, MemberBook};
 use control::{ConfigView, ReplicaView, TargetView};
-use domain::{FastSet, HostId, NodeId};
+use domain::{FastSet, HostId, LeaseName, NodeId};
 use events::NodeMetrics;
 use events::metrics::NodeGauge;
 use eyre::WrapErr;
@@ -21,6 +21,7 @@
 use wire::admin::{MemberStatus, NodeStatus, ReplicaState, ReplicaStatus};
 
 use super::NodeContext;
+use super::control::ControlTasks;
 use super::peers::PeerTasks;
 
 /// Oldest evidence of wholeness with which a replica is shown as whole.
@@ -63,9 +64,10 @@
 pub fn start(
     context: &NodeContext,
     peers: &PeerTasks,
+    tasks: &ControlTasks,
     bound: Option<AdminListener>,
 ) -> eyre::Result<()> {
-    let report = NodeReport::new(context, peers);
+    let report = NodeReport::new(context, peers, tasks);
     tokio::spawn(
         report
             .clone()
@@ -96,6 +98,7 @@
     targets: watch::Receiver<Arc<TargetView>>,
     follower: ConfigHandle,
     book: MemberBook,
+    held: watch::Receiver<Vec<LeaseName>>,
     traffic: PeerTraffic,
     started: Instant,
     settle: Duration,
@@ -111,13 +114,14 @@
 }
 
 impl NodeReport {
-    fn new(context: &NodeContext, peers: &PeerTasks) -> Self {
+    fn new(context: &NodeContext, peers: &PeerTasks, tasks: &ControlTasks) -> Self {
         Self {
             node: context.settings.node.clone(),
             config: context.config_sender.subscribe(),
             targets: context.target_sender.subscribe(),
             follower: peers.config().clone(),
             book: peers.book().clone(),
+            held: tasks.held(),
             traffic: peers.traffic().clone(),
             started: Instant::now(),
             settle: context.settings.members.limits().dead,
@@ -182,6 +186,7 @@
 
     fn sample_links(&self, metrics: &NodeMetrics) {
         let now = Instant::now();
+        metrics.set_gauge(NodeGauge::LeasesHeld, count_f64(self.held.borrow().len()));
         let traffic = self.traffic.counts();
         metrics.set_gauge(NodeGauge::PeerSent, bytes_f64(traffic.sent));
         metrics.set_gauge(NodeGauge::PeerReceived, bytes_f64(traffic.received));
@@ -263,7 +268,7 @@
             stranded_hosts: counts.stranded_hosts.clone(),
             group_downtime_seconds: counts.group_downtime_seconds,
             stranded_seconds: counts.stranded_seconds,
-            leases: Vec::new(),
+            leases: self.held.borrow().iter().map(ToString::to_string).collect(),
             members: self.members(now),
         }
     }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -9,6 +9,7 @@
 use control::members::MemberView;
 use control::plans::{FleetPlans, follow_plans};
 use control::wholeness::{WatchInputs, follow_wholeness};
+use domain::LeaseName;
 use events::{EventCode, EventRecorder, EventSubject};
 use platform::CircuitState;
 use tokio::sync::{oneshot, watch};
@@ -22,10 +23,16 @@
 /// The running tasks of control.
 pub struct ControlTasks {
     stop: oneshot::Sender<()>,
+    held: watch::Receiver<Vec<LeaseName>>,
     leases: JoinHandle<()>,
 }
 
 impl ControlTasks {
+    /// Names of the leases that the node holds.
+    pub fn held(&self) -> watch::Receiver<Vec<LeaseName>> {
+        self.held.clone()
+    }
+
     /// Gives up the leases, so that other nodes need not wait for them to run out.
     pub async fn release(self) {
         let _ = self.stop.send(());
@@ -92,17 +99,19 @@
         recorder: context.recorder.clone(),
         settings: settings.assembly,
     };
+    let (held_sender, held) = watch::channel(Vec::new());
     let inputs = SupervisorInputs {
         node: context.settings.node.clone(),
         members: members.clone(),
         leases: settings.leases,
         housekeeping: settings.housekeeping,
+        held: held_sender,
     };
     let (stop, stopped) = oneshot::channel();
     let leases = tokio::spawn(supervise_leases(parts, inputs, async {
         let _ = stopped.await;
     }));
-    ControlTasks { stop, leases }
+    ControlTasks { stop, held, leases }
 }
 
 /// Keeps the node's share of the table's limits in step with the number of nodes.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -96,7 +96,7 @@
             context.settings.node, admin.address
         );
     }
-    admin::start(&context, &peers, admin)?;
+    admin::start(&context, &peers, &tasks, admin)?;
     let recorder = context.recorder.clone();
     let (released, release) = oneshot::channel();
     let stop = async move {
