Let the age test see a tenth of a second

Cause: with the ages rounded down instead of up the test still passed, because 130 ms lay between question and answer; 7 ms lie there now and it fails. Each other guard of the link's memory was taken out once and seen to fail: the parity of a place and the check of a known heartbeat (sides_agree), the age of a look (age_never_shrinks), the return of looks (looks_not_returned), the wear (memory_wears_out).

--- a/crates/peers/tests/link_memory.rs
+++ b/crates/peers/tests/link_memory.rs
@@ -118,8 +118,8 @@
     for hop in 1..6_u64 {
         let mut sender = LinkMemory::default();
         let mut receiver = LinkMemory::default();
-        let asked_at = seen + Duration::from_millis(700 * hop);
-        let answered_at = asked_at + Duration::from_millis(130);
+        let asked_at = seen + Duration::from_millis(733 * hop);
+        let answered_at = asked_at + Duration::from_millis(7);
         let mut digest = PeerDigest::default();
         sender.add_evidence(&mut digest, vec![held.clone()], answered_at);
         let taken = receiver.take_evidence(&digest, asked_at);
