Refuse no burst beside idle replicas

Seen first as stream_resume::entry_killed with several streams: 429 "the first token would be late" with Retry-After 28 on replicas that were nearly idle. Two causes, each with a test in queue_limits that failed before and passes after:

* burst_served: the rate of finished work was taken over idle time too, so a few short requests in a quiet minute made a burst of long ones look hopeless.
Only time in which no more could be sent counts now.
* absence_forgotten: the time without any replica counted as a queue that stands still, and the rate from it outlived the absence.
The rate is forgotten when replicas come back.

--- a/crates/entry/src/desk/model.rs
+++ b/crates/entry/src/desk/model.rs
@@ -77,8 +77,12 @@
 
     /// Judges whether any replica takes work.
     pub fn refresh(&mut self, floor: &ReplicaFloor, at: DeskMoment) {
+        let was_usable = self.usable;
         self.usable = floor.any_usable(&self.candidates, at.instant);
         if self.usable {
+            if !was_usable {
+                self.queue.forget_rate();
+            }
             self.absent_since = at.now;
         }
     }
--- a/crates/entry/tests/request_path/queue_limits.rs
+++ b/crates/entry/tests/request_path/queue_limits.rs
@@ -105,3 +105,42 @@
     tokio::time::sleep(Duration::from_millis(200)).await;
     assert!(entry.engine.orders().is_empty());
 }
+
+/// A quiet time with a few short requests is followed by twenty long ones at once, on replicas that
+/// are nearly idle. Traders who are refused then stand before idle accelerators.
+#[tokio::test]
+async fn burst_served() {
+    let entry = FakeEntry::new();
+    for _ in 0..4 {
+        let answer = entry.post(TEXT, &[], BODY).await;
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let long = r#"{"model": "help", "prompt": "p", "max_tokens": 2000}"#;
+    let calls = (0..20).map(|_| entry.post(TEXT, &[], long));
+    for answer in futures::future::join_all(calls).await {
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+    }
+}
+
+/// While no replica was there, requests waited in vain. Once it is back, callers with long answers
+/// must not be refused for the speed at which the queue moved without it.
+#[tokio::test]
+async fn absence_forgotten() {
+    let entry = FakeEntry::new();
+    entry.targets.send_replace(view_of(Vec::new()));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let waiting = (0..4).map(|_| entry.post(TEXT, &[], BODY));
+    let back = async {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        entry
+            .targets
+            .send_replace(view_of(vec![replica(1), replica(2)]));
+    };
+    futures::future::join(futures::future::join_all(waiting), back).await;
+    let long = r#"{"model": "help", "prompt": "p", "max_tokens": 2000}"#;
+    let calls = (0..20).map(|_| entry.post(TEXT, &[], long));
+    for answer in futures::future::join_all(calls).await {
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+    }
+}
--- a/crates/policy/src/admission/drain.rs
+++ b/crates/policy/src/admission/drain.rs
@@ -17,7 +17,7 @@
     blocked: DecayedRate,
     finished: DecayedRate,
     blocked_since: Option<Duration>,
-    finished_at: Option<Duration>,
+    full_since: Option<Duration>,
 }
 
 /// Work and time, both fading.
@@ -42,15 +42,20 @@
 }
 
 impl DrainRate {
-    /// Lets time pass; `blocked` tells whether requests wait for want of capacity from now on.
+    /// Lets time pass; `full` tells whether no more may be sent from now on, and `blocked` whether
+    /// requests wait for that reason.
     ///
-    /// Only time spent blocked counts: a queue that is empty half of the time drains no slower
-    /// for it, and a rate taken over idle time would refuse the first burst after a quiet hour.
-    pub fn pass(&mut self, now: Duration, blocked: bool) {
+    /// Only such time counts: a queue that is empty half of the time drains no slower for it, and
+    /// a rate taken over idle time would refuse the first burst after a quiet hour.
+    pub fn pass(&mut self, now: Duration, full: bool, blocked: bool) {
         if let Some(since) = self.blocked_since {
             self.blocked.pass(now.saturating_sub(since));
         }
+        if let Some(since) = self.full_since {
+            self.finished.pass(now.saturating_sub(since));
+        }
         self.blocked_since = blocked.then_some(now);
+        self.full_since = full.then_some(now);
     }
 
     /// Work left the queue while others waited for capacity.
@@ -61,11 +66,14 @@
     }
 
     /// A target finished work; used until the queue has been blocked for a while.
-    pub fn note_finished(&mut self, now: Duration, cost: f64) {
-        let since = self.finished_at.unwrap_or(now);
-        self.finished.pass(now.saturating_sub(since));
-        self.finished.work += cost;
-        self.finished_at = Some(now);
+    ///
+    /// Work that is finished while more could have been sent tells only how much was asked for. A
+    /// few short requests in a quiet minute would make a burst of long ones look hopeless, and it
+    /// would be refused beside idle targets.
+    pub fn note_finished(&mut self, cost: f64) {
+        if self.full_since.is_some() {
+            self.finished.work += cost;
+        }
     }
 
     /// Units of cost a second; none before anything was observed.
--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -110,7 +110,7 @@
     /// while hardly an answer is on time. So it is refused while its caller can still do
     /// something else, with a time to return at which there will be room.
     pub fn offer(&mut self, now: Duration, request: WaitingRequest) -> OfferOutcome {
-        self.drain.pass(now, self.is_blocked());
+        self.pass(now);
         let cost = f64::from(request.cost.max(1));
         let rank = self.next_rank(&request);
         let wait = self.predict_wait(&request);
@@ -137,6 +137,18 @@
         held >= left
     }
 
+    /// Forgets how fast the queue drains, because the capacity is another from now on.
+    ///
+    /// While no target is there the queue stands still, and a rate taken from that time would
+    /// refuse everyone once the targets are back, as if they were still gone.
+    pub fn forget_rate(&mut self) {
+        self.drain = DrainRate::default();
+    }
+
+    fn pass(&mut self, now: Duration) {
+        self.drain.pass(now, self.free == 0, self.is_blocked());
+    }
+
     fn is_blocked(&self) -> bool {
         self.free == 0 && !self.entries.is_empty()
     }
@@ -235,7 +247,7 @@
     /// It gives one whenever one waits and `free` is not zero: a slot is never held back for a
     /// customer that has nothing to run.
     pub fn next(&mut self, now: Duration, free: usize) -> Option<WaitKey> {
-        self.drain.pass(now, self.is_blocked());
+        self.pass(now);
         self.free = free;
         if free == 0 {
             return None;
@@ -252,7 +264,7 @@
         self.due.remove(&(entry.send_by, ticket.key));
         self.drain.note_dispatched(ticket.cost);
         self.free -= 1;
-        self.drain.pass(now, self.is_blocked());
+        self.pass(now);
         Some(ticket.key)
     }
 
@@ -269,7 +281,7 @@
             self.cancel(key);
             expired.push(key);
         }
-        self.drain.pass(now, self.is_blocked());
+        self.pass(now);
         expired
     }
 
@@ -298,7 +310,8 @@
 
     /// A target finished a request that [`Self::next`] had named.
     pub fn note_finished(&mut self, now: Duration, work: FinishedWork) {
-        self.drain.note_finished(now, f64::from(work.actual));
+        self.pass(now);
+        self.drain.note_finished(f64::from(work.actual));
         let difference = f64::from(work.actual) - f64::from(work.predicted);
         self.normal.correct(work.customer, difference);
         if let Some(first_token) = work.first_token {
--- a/tests/system/stream_resume.rs
+++ b/tests/system/stream_resume.rs
@@ -1,30 +1,47 @@
 //! Callers that go on with a stream at another entry.
 
+use futures::future::join_all;
 use http::StatusCode;
 use serde_json::json;
 use standin::stack::StackPlan;
 
 use crate::PRODUCT;
-use crate::event_stream::{open_stream, question, undisturbed_text};
+use crate::event_stream::{EventStream, open_stream, question, undisturbed_text};
 
 const TOKENS: u32 = 300;
+/// So many run at once at one entry of three; more would wait for the first to end.
+const STREAMS: u64 = 8;
+const LONG: u32 = 600;
 
-/// An entry host dies in the midst of an answer. The trader's client connects to another entry with
-/// the id of the last event it has, and must get the rest: no word missing, none twice.
+/// An entry host dies in the midst of many answers. Each trader's client connects to another entry
+/// with the id of the last event it has, and must get the rest: no word missing, none twice.
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_killed() {
     let mut stack = StackPlan::new("entry-killed", PRODUCT).start().await;
-    let body = question(7, TOKENS);
-    let expected = undisturbed_text(&stack, 1, &body).await;
-    let mut first = open_stream(&stack, 0, &body, None).await;
-    first.read_words(20).await;
+    let begun = &stack;
+    let opened = (0..STREAMS).map(|seed| async move {
+        let mut stream = open_stream(begun, 0, &question(seed, LONG), None).await;
+        stream.read_words(5).await;
+        stream
+    });
+    let mut streams = join_all(opened).await;
     stack.entries[0].kill();
-    first.read_all().await;
-    assert!(first.closing.is_empty(), "it can't have ended by itself");
-    let mut second = open_stream(&stack, 1, &body, Some(&first.last_id)).await;
-    second.read_all().await;
-    assert_eq!(second.closing, "[DONE]");
-    assert_eq!(format!("{}{}", first.text, second.text), expected);
+    join_all(streams.iter_mut().map(EventStream::read_all)).await;
+    let shared = &stack;
+    let resumed = streams.iter().zip(0..).map(|(first, seed)| async move {
+        assert_eq!(first.closing, "", "it can't have ended by itself");
+        let entry = if seed % 2 == 0 { 1 } else { 2 };
+        let mut rest =
+            open_stream(shared, entry, &question(seed, LONG), Some(&first.last_id)).await;
+        rest.read_all().await;
+        assert_eq!(rest.closing, "[DONE]");
+        format!("{}{}", first.text, rest.text)
+    });
+    let texts = join_all(resumed).await;
+    let expected = (0..STREAMS)
+        .map(|seed| async move { undisturbed_text(shared, 1, &question(seed, LONG)).await });
+    assert_eq!(texts, join_all(expected).await);
+    println!("{} streams of a killed entry, all resumed", texts.len());
 }
 
 /// The entry and the host that kept the stream die together. The other entry has nothing but the
