--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -62,7 +62,7 @@
             metrics,
             config_sender: watch::Sender::new(Arc::new(ConfigView::default())),
             target_sender: watch::Sender::new(Arc::new(TargetView::default())),
-            control: ControlSettings::default(),
+            control: settings.control_settings(),
             board: EvidenceBoard::default(),
             settings,
         })
@@ -96,7 +96,7 @@
             context.settings.node, admin.address
         );
     }
-    admin::start(&context, &peers, admin)?;
+    admin::start(&context, &peers, &tasks, admin)?;
     let recorder = context.recorder.clone();
     let (released, release) = oneshot::channel();
     let stop = async move {
