Drain a changed model's replicas as new ones come to serve

Cause: a record that names a new version made every old replica a surplus in one round, so the model served nobody until the new weights were loaded. Found by reading the controller beside the policy's model of it; seen on real processes as 8,042 requests refused during a change of two replicas.

Now the room for drains comes from policy::assembly::drain_room, over all versions and fabric domains: none while new replicas can be formed or load, else one part in twenty at a time. Ruled out: counting standing replicas only, since those that load count as well (the lower of the table's count and the targets that may be dispatched to is taken).

--- a/crates/control/src/assembly/controller.rs
+++ b/crates/control/src/assembly/controller.rs
@@ -11,6 +11,7 @@
 use target::EnginePort;
 use tokio::sync::watch;
 
+use super::counts::model_counts;
 use super::journal::StepJournal;
 use super::orders::send_orders;
 use super::{
@@ -22,7 +23,7 @@
 use crate::drains::DrainSet;
 use crate::lease::LeaseGrant;
 use crate::pause::spread;
-use crate::view::ConfigView;
+use crate::view::{ConfigView, TargetView};
 
 /// What a controller works with.
 #[derive(Debug, Clone)]
@@ -35,6 +36,8 @@
     pub chooser: C,
     /// Evidence of wholeness.
     pub board: EvidenceBoard,
+    /// The replicas as entries see them; without them every replica that stands counts as serving.
+    pub targets: Option<watch::Receiver<Arc<TargetView>>>,
     /// The hosts.
     pub directory: watch::Receiver<Arc<HostDirectory>>,
     /// The configuration in force.
@@ -158,7 +161,10 @@
             .map(|(host, (slot, _))| (host.clone(), slot.clone()))
             .collect::<FastMap<HostId, HostSlot>>();
         self.health.note_empty(&mut hosts, &slots, settings, now);
+        let targets = self.parts.targets.as_ref();
+        let targets = targets.map(|targets| Arc::clone(&targets.borrow()));
         let steps = plan_round(&RoundInput {
+            counts: &model_counts(rows, targets.as_deref(), now),
             fleet: &rows.fleet.0,
             slots: &slots,
             hosts: &hosts,
--- a/crates/control/src/assembly/mod.rs
+++ b/crates/control/src/assembly/mod.rs
@@ -21,6 +21,7 @@
 
 mod chooser;
 mod controller;
+mod counts;
 mod health;
 mod journal;
 mod orders;
@@ -32,7 +33,7 @@
 pub use controller::{AssemblyParts, FabricController, run_controller};
 pub use health::{FabricHealth, HostHealth};
 pub use orders::{HostOrder, wanted_orders};
-pub use round::{AssemblyStep, RoundInput, VersionTarget, plan_round};
+pub use round::{AssemblyStep, ModelCounts, RoundInput, VersionTarget, plan_round};
 pub use rows::{CensusRow, FabricRows, StepError};
 pub use supervise::{SupervisorInputs, supervise_leases};
 
--- a/crates/control/src/assembly/round.rs
+++ b/crates/control/src/assembly/round.rs
@@ -7,9 +7,15 @@
     ReplicaPlan, VersionName,
 };
 
+use policy::assembly::drain_room;
+
 use super::{HostChooser, HostHealth};
 use crate::drains::DrainCause;
 
+/// Steps in which a model goes over to other replicas where no free hosts are left: in each at most
+/// one part in so many is missing. At 20 a model of up to 20 replicas misses one at a time.
+const ROLLOUT_STEPS: usize = 20;
+
 /// What a model's record asks of one version, and how many replicas stand in all fabric domains.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionTarget {
@@ -27,6 +33,15 @@
     pub adapters: Vec<AdapterName>,
 }
 
+/// Replicas of one model over all its versions and all fabric domains.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ModelCounts {
+    /// Those that stand and do not drain, whether they serve or not.
+    pub standing: usize,
+    /// Those that may be dispatched to.
+    pub serving: usize,
+}
+
 /// One step; each is one transaction.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AssemblyStep {
@@ -67,6 +82,8 @@
     pub hosts: &'round BTreeMap<HostId, HostHealth>,
     /// What the records ask for.
     pub targets: &'round [VersionTarget],
+    /// How many replicas of each model stand and serve.
+    pub counts: &'round FastMap<ModelName, ModelCounts>,
     /// Draining replicas whose hosts may be taken.
     pub drained: &'round FastSet<ReplicaId>,
     /// Which free hosts to take.
@@ -84,6 +101,7 @@
         free: free_hosts(input),
         targets: input.targets.to_vec(),
         short: Vec::new(),
+        room: FastMap::default(),
         steps: Vec::new(),
     };
     round.free_slots();
@@ -128,6 +146,8 @@
     targets: Vec<VersionTarget>,
     /// Broken replicas that are wanted and find no spares.
     short: Vec<&'round ReplicaPlan>,
+    /// How many replicas of a model may still be drained in this round.
+    room: FastMap<ModelName, usize>,
     steps: Vec<AssemblyStep>,
 }
 
@@ -209,17 +229,53 @@
                 return cause;
             }
         }
+        let cause = self.record_cause(plan)?;
+        self.take_room(&plan.model).then_some(cause)
+    }
+
+    /// Why the records want the replica gone or formed anew.
+    fn record_cause(&mut self, plan: &ReplicaPlan) -> Option<DrainCause> {
         let Some(target) = self.target(plan) else {
             return Some(DrainCause::Surplus);
         };
         if target.standing > target.wanted {
             return Some(DrainCause::Surplus);
         }
-        // One replica at a time: the others go on serving while this one loads anew. The count of
-        // standing replicas is checked in the transaction, over all fabric domains.
         let changed = target.adapters != plan.adapters || target.size != plan.hosts.len();
-        let rest_stands = target.standing == target.wanted;
-        (changed && rest_stands).then_some(DrainCause::Changed)
+        changed.then_some(DrainCause::Changed)
+    }
+
+    /// Whether one more replica of a model may be drained in this round.
+    ///
+    /// A record that names a new version makes every replica of the old one a surplus. Drained all
+    /// at once, the model would serve nobody until the new weights are loaded, and its callers be
+    /// refused for minutes. So old ones go as new ones come to serve.
+    fn take_room(&mut self, model: &ModelName) -> bool {
+        if !self.room.contains_key(model) {
+            let room = self.drain_room(model);
+            self.room.insert(model.clone(), room);
+        }
+        let Some(room) = self.room.get_mut(model) else {
+            return false;
+        };
+        let some = *room > 0;
+        *room = room.saturating_sub(1);
+        some
+    }
+
+    /// While new replicas can be formed from free hosts, or stand and load, nothing may be missing
+    /// for the change; else a small part at a time.
+    fn drain_room(&self, model: &ModelName) -> usize {
+        let of_model = self.targets.iter().filter(|target| target.model == *model);
+        let wanted: usize = of_model.clone().map(|target| target.wanted as usize).sum();
+        let counts = self.input.counts.get(model).copied().unwrap_or_default();
+        let mut lacking = of_model.filter(|target| target.standing < target.wanted);
+        let formable =
+            lacking.any(|target| self.input.chooser.choose(&self.free, target.size).is_some());
+        if wanted > 0 && (formable || counts.standing > wanted) {
+            return counts.serving.saturating_sub(wanted);
+        }
+        drain_room(wanted, counts.serving, ROLLOUT_STEPS)
     }
 
     /// The hosts that go on, filled up from the free ones; none when they do not suffice.
--- a/crates/control/tests/assembly_rounds.rs
+++ b/crates/control/tests/assembly_rounds.rs
@@ -136,6 +136,7 @@
             engine: self.engines.clone(),
             chooser: FirstHosts,
             board: EvidenceBoard::default(),
+            targets: None,
             directory: self.hosts.subscribe(),
             config: self.config.subscribe(),
             recorder: EventRecorder::new("n0".parse().expect("an id"), 100),
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -94,6 +94,7 @@
         engine: context.engine.clone(),
         chooser: FirstHosts,
         board: context.board.clone(),
+        targets: Some(context.target_sender.subscribe()),
         directory,
         config: context.config_sender.subscribe(),
         recorder: context.recorder.clone(),
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -23,6 +23,7 @@
 mod stream_linger;
 mod stream_resume;
 mod table_cut;
+mod version_change;
 mod watch_share;
 mod whole_path;
 
