Keep the peers' ports of a test system apart from its connections

Cause: entries' peer ports are picked as free and taken a moment later; a connection of another process could get the port first. Seen in 2 of 42 tests over two runs: "can't listen for peers on 127.0.0.1:34349: Address already in use". Connections start from 127.0.0.1, so the listeners now stand on 127.0.0.2.

--- a/crates/standin/src/stack/mod.rs
+++ b/crates/standin/src/stack/mod.rs
@@ -111,10 +111,14 @@
     }
 }
 
+/// Loopback address of the entries' listeners for peers. Connections within a system start from
+/// 127.0.0.1; on that address one of them could take a free port before its entry listens there.
+const PEER_HOST: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
 /// An address with a port that was free a moment ago: entries must know each other's before they
 /// start.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let listener = TcpListener::bind((PEER_HOST, 0)).expect("a free port");
     listener.local_addr().expect("bound")
 }
 
