--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -16,6 +16,7 @@
 use crate::parts::EntryParts;
 use crate::progress::{AnswerEnd, AnswerProgress, MatchFault};
 use crate::sink::AnswerSink;
+use crate::timing::TimedSink;
 use crate::token::ResumeToken;
 
 /// When to come back after every attempt failed.
@@ -67,7 +68,8 @@
 
     /// Runs the order from its begin.
     pub async fn run<A: AnswerSink>(mut self, sink: &mut A) -> CompletionEnd {
-        self.run_placed(sink).await
+        let mut timed = TimedSink::new(sink, &self.parts.recorder, &self.order.model);
+        self.run_placed(&mut timed).await
     }
 
     /// Goes on with a stream that the caller has a part of: first with the one that the engine may
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod sink;
 pub mod standing;
 pub mod stop;
+pub mod timing;
 pub mod token;
 
 pub use desk::DispatchDesk;
--- a/crates/entry/src/sink.rs
+++ b/crates/entry/src/sink.rs
@@ -16,7 +16,7 @@
 pub struct CallerGone;
 
 /// Takes the tokens of an answer.
-pub trait AnswerSink: Send {
+pub trait AnswerSink: Send + Sync {
     /// A new attempt feeds the answer from here on.
     fn begin(&mut self, sealer: ScopeSealer, offset: StreamOffset);
 
--- a/crates/events/src/recorder.rs
+++ b/crates/events/src/recorder.rs
@@ -174,6 +174,12 @@
         &self.inner.clock
     }
 
+    /// The process's metrics, where it has any.
+    #[must_use]
+    pub fn metrics(&self) -> Option<&NodeMetrics> {
+        self.inner.metrics.as_ref()
+    }
+
     /// Records an event.
     pub fn note(&self, code: EventCode, subject: EventSubject, detail: impl Into<String>) {
         let event = self.store(code, subject, detail.into());
--- a/tests/system/operator_client.rs
+++ b/tests/system/operator_client.rs
@@ -169,6 +169,15 @@
     for step in ["request_admitted", "attempt_started"] {
         assert!(shown.contains(step), "{step} is missing in {shown}");
     }
+    let metrics = stack
+        .metrics(stack.entries[1].admin_now())
+        .await
+        .expect("metrics");
+    let gaps = "bramleyspring_request_token_gap_duration_seconds_count";
+    assert!(
+        metrics.lines().any(|line| line.starts_with(gaps)),
+        "{metrics}"
+    );
     let page = text(&run(&stack, &["timeline", "--format", "html"]));
     assert!(page.starts_with("<!doctype html>") && page.contains("node_started"));
 }
