--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -23,6 +23,8 @@
 mod stream_linger;
 mod stream_resume;
 mod table_cut;
+mod version_change;
+mod watch_share;
 mod whole_path;
 
 /// The built product.
