Serve callers over TLS from files, reloaded without a restart

Cause: keys and answers went over the wire in the clear wherever the balancer does not end TLS itself. The listener takes any opener of streams; TLS is one.

Ruled out: watching the files for events, since replacing them by rename or mount is seen differently on each system; a signal, since a process that gets it by mistake would end.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -73,6 +73,11 @@
     NodeStarted = 100, "node_started", Info;
     /// The process stops gracefully.
     NodeStopping = 101, "node_stopping", Info;
+    /// A renewed certificate is in use for new connections of callers.
+    CertificateLoaded = 102, "certificate_loaded", Info;
+    /// The certificate's files changed and can't be used; the old certificate stays in use until
+    /// it expires. Put a matching pair of certificate and key there.
+    CertificateRefused = 103, "certificate_refused", Error;
 
     /// A request was admitted.
     RequestAdmitted = 200, "request_admitted", Debug;
--- a/crates/settings/src/catalogue/mod.rs
+++ b/crates/settings/src/catalogue/mod.rs
@@ -11,6 +11,7 @@
 pub const SECTIONS: &[&str] = &[
     "platform",
     "secrets",
+    "tls",
     "entry",
     "config",
     "members",
@@ -32,6 +33,7 @@
         "secrets" => {
             "Where secrets are read from: a file or an environment variable, never this file."
         }
+        "tls" => "TLS towards callers.",
         "entry" => "The request path.",
         "config" => "Following the configuration.",
         "members" => "Knowing the other entry hosts.",
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -18,6 +18,7 @@
 use peers::PeerSettings;
 use serde::Deserialize;
 use serde_json::Value;
+use web::TlsFiles;
 
 use crate::reader::read_settings;
 use crate::rules::check_rules;
@@ -43,6 +44,8 @@
     /// Where secrets come from.
     #[serde(default)]
     pub secrets: SecretSettings,
+    /// TLS towards callers.
+    pub tls: TlsSettings,
     /// The request path.
     pub entry: EntrySettings,
     /// Following the configuration.
@@ -99,6 +102,36 @@
     }
 }
 
+/// TLS towards callers.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// Certificate with its chain, as PEM.
+    #[serde(default)]
+    pub certificate_file: Option<PathBuf>,
+    /// Its private key, as PEM.
+    #[serde(default)]
+    pub key_file: Option<PathBuf>,
+    /// Time between two looks at the files, in milliseconds.
+    pub reload_ms: u64,
+}
+
+impl TlsSettings {
+    /// The files, when both are named.
+    #[must_use]
+    pub fn files(&self) -> Option<TlsFiles> {
+        let certificate = self.certificate_file.clone()?;
+        let key = self.key_file.clone()?;
+        Some(TlsFiles { certificate, key })
+    }
+
+    /// Time between two looks at the files.
+    #[must_use]
+    pub fn reload(&self) -> Duration {
+        Duration::from_millis(self.reload_ms)
+    }
+}
+
 /// Where secrets come from.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -67,5 +67,14 @@
         100 * settings.ledger.send_limit_ms,
         "a claim could be cleaned up while its claimant may still send",
     );
+    let tls = &settings.tls;
+    if tls.certificate_file.is_some() != tls.key_file.is_some() {
+        let problem = "only one of certificate and key is named";
+        findings.add(
+            "tls",
+            problem,
+            "name both certificate_file and key_file, or neither",
+        );
+    }
     findings.into_result(())
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -4,8 +4,10 @@
 pub mod body;
 pub mod client;
 pub mod server;
+pub mod tls;
 
 pub use answer::{WebAnswer, json_answer, text_answer};
 pub use body::{BodyError, WebBody, parse_json, read_body};
 pub use client::{ClientError, WebClient};
-pub use server::{WebHandler, WebRequest, serve_listener};
+pub use server::{WebHandler, WebRequest, serve_listener, serve_opened};
+pub use tls::{TlsError, TlsFiles, TlsSource};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,10 +11,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::TcpListener;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_rustls::server::TlsStream;
 
 use crate::answer::WebAnswer;
+use crate::tls::TlsSource;
 
 /// A request whose body is still arriving.
 pub type WebRequest = Request<Incoming>;
@@ -31,11 +35,50 @@
     fn answer(&self, request: WebRequest) -> impl Future<Output = WebAnswer> + Send;
 }
 
+/// Makes the stream that HTTP is spoken on out of a TCP connection.
+pub trait StreamOpener: Clone + Send + Sync + 'static {
+    /// The stream.
+    type Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static;
+
+    /// Opens the stream.
+    fn open(&self, stream: TcpStream) -> impl Future<Output = io::Result<Self::Stream>> + Send;
+}
+
+/// Speaks HTTP on the connection itself.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PlainOpener;
+
+impl StreamOpener for PlainOpener {
+    type Stream = TcpStream;
+
+    async fn open(&self, stream: TcpStream) -> io::Result<TcpStream> {
+        Ok(stream)
+    }
+}
+
+impl StreamOpener for TlsSource {
+    type Stream = TlsStream<TcpStream>;
+
+    async fn open(&self, stream: TcpStream) -> io::Result<Self::Stream> {
+        self.acceptor().accept(stream).await
+    }
+}
+
 /// Serves HTTP/1.1 and HTTP/2 until `stop` completes, then lets the running requests finish.
 pub async fn serve_listener<H: WebHandler>(
     listener: TcpListener,
     handler: Arc<H>,
     stop: impl Future<Output = ()> + Send,
+) {
+    serve_opened(listener, PlainOpener, handler, stop).await;
+}
+
+/// Like [`serve_listener`], on streams that `opener` makes of the connections.
+pub async fn serve_opened<H: WebHandler, O: StreamOpener>(
+    listener: TcpListener,
+    opener: O,
+    handler: Arc<H>,
+    stop: impl Future<Output = ()> + Send,
 ) {
     let graceful = GracefulShutdown::new();
     tokio::pin!(stop);
@@ -49,24 +92,35 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let handler = Arc::clone(&handler);
-        let service = service_fn(move |request| {
-            let handler = Arc::clone(&handler);
-            async move { Ok::<_, Infallible>(handler.answer(request).await) }
-        });
-        let mut builder = Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT);
-        let connection = builder
-            .serve_connection_with_upgrades(TokioIo::new(stream), service)
-            .into_owned();
-        let watched = graceful.watch(connection);
+        let (opener, handler) = (opener.clone(), Arc::clone(&handler));
+        let watcher = graceful.watcher();
         tokio::spawn(async move {
-            let _ = watched.await;
+            // A caller that never ends its handshake would hold a file descriptor for ever.
+            let handshake = tokio::time::timeout(HEAD_TIMEOUT, opener.open(stream)).await;
+            if let Ok(Ok(stream)) = handshake {
+                serve_stream(stream, handler, watcher).await;
+            }
         });
     }
     drop(listener);
     graceful.shutdown().await;
 }
+
+async fn serve_stream<H: WebHandler, S>(stream: S, handler: Arc<H>, watcher: Watcher)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.answer(request).await) }
+    });
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT);
+    let connection = builder
+        .serve_connection_with_upgrades(TokioIo::new(stream), service)
+        .into_owned();
+    let _ = watcher.watch(connection).await;
+}
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use control::CallLedger;
 use control::members::MemberView;
@@ -13,11 +14,13 @@
 use entry::{
     DispatchDesk, EntryParts, EntryServer, EntrySettings, NameSource, StopPhase, TokenSealer,
 };
+use events::{EventCode, EventRecorder, EventSubject};
 use eyre::WrapErr;
 use target::{HttpEngine, HttpService};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use web::serve_listener;
+use web::server::{PlainOpener, StreamOpener};
+use web::{TlsSource, serve_opened};
 
 use super::{NodeContext, NodeTable};
 
@@ -28,17 +31,19 @@
     listener: TcpListener,
     server: Arc<EntryServer<HttpEngine, NodeTable, HttpService>>,
     settings: Arc<EntrySettings>,
+    tls: Option<TlsSource>,
 }
 
 /// Binds the callers' listener.
 ///
 /// # Errors
 ///
-/// When the address can't be bound or the resume key can't be read.
+/// When the address can't be bound, or the resume key or the certificate can't be read.
 pub async fn bind(
     context: &NodeContext,
     members: watch::Receiver<Arc<MemberView>>,
 ) -> eyre::Result<EntryListener> {
+    let tls = load_certificate(context)?;
     let mut settings = context.settings.entry.clone();
     let resume_key = context.settings.secrets.resume_key()?;
     settings.resume_key = resume_key.map(|key| SecretText::from(key.expose()));
@@ -78,6 +83,7 @@
         listener,
         server,
         settings,
+        tls,
     })
 }
 
@@ -93,6 +99,41 @@
     }
 }
 
+/// Loads the certificate when the settings name one, and follows its files.
+fn load_certificate(context: &NodeContext) -> eyre::Result<Option<TlsSource>> {
+    let Some(files) = context.settings.tls.files() else {
+        return Ok(None);
+    };
+    let source = TlsSource::load(files)?;
+    let period = context.settings.tls.reload();
+    tokio::spawn(follow_certificate(
+        source.clone(),
+        period,
+        context.recorder.clone(),
+    ));
+    Ok(Some(source))
+}
+
+async fn follow_certificate(source: TlsSource, period: Duration, recorder: EventRecorder) {
+    loop {
+        tokio::time::sleep(period).await;
+        match source.reload() {
+            Ok(true) => {
+                recorder.note(EventCode::CertificateLoaded, EventSubject::default(), "");
+            }
+            Ok(false) => {}
+            Err(error) => {
+                let detail = error.to_string();
+                recorder.note(
+                    EventCode::CertificateRefused,
+                    EventSubject::default(),
+                    detail,
+                );
+            }
+        }
+    }
+}
+
 /// Differs between processes, so that entries that start together don't decide alike.
 fn process_seed() -> u64 {
     RandomState::new().build_hasher().finish()
@@ -102,6 +143,13 @@
     /// Serves until `stop` completes, then stops without cutting off a request; see
     /// [`entry::stop`].
     pub async fn serve(self, stop: impl Future<Output = ()> + Send) {
+        match self.tls.clone() {
+            Some(source) => self.serve_opened(source, stop).await,
+            None => self.serve_opened(PlainOpener, stop).await,
+        }
+    }
+
+    async fn serve_opened<O: StreamOpener>(self, opener: O, stop: impl Future<Output = ()> + Send) {
         let switch = self.server.stop_switch();
         let grace = self.settings.drain_grace();
         let close = async {
@@ -109,8 +157,9 @@
             switch.advance(StopPhase::Draining);
             tokio::time::sleep(grace).await;
         };
-        let mut serving = pin!(serve_listener(
+        let mut serving = pin!(serve_opened(
             self.listener,
+            opener,
             Arc::clone(&self.server),
             close
         ));
