--- a/crates/control/src/assembly/controller.rs
+++ b/crates/control/src/assembly/controller.rs
@@ -11,12 +11,11 @@
 use target::EnginePort;
 use tokio::sync::watch;
 
-use super::counts::model_counts;
 use super::journal::StepJournal;
 use super::orders::send_orders;
 use super::{
-    AssemblySettings, FabricHealth, FabricRows, HostChooser, HostHealth, RoundInput, StepError,
-    VersionTarget, plan_round, wanted_orders,
+    AssemblySettings, FabricHealth, FabricRows, HostChooser, HostHealth, RoundInput,
+    ServingReplicas, StepError, VersionTarget, plan_round, wanted_orders,
 };
 use crate::board::EvidenceBoard;
 use crate::directory::HostDirectory;
@@ -164,7 +163,7 @@
         let targets = self.parts.targets.as_ref();
         let targets = targets.map(|targets| Arc::clone(&targets.borrow()));
         let steps = plan_round(&RoundInput {
-            counts: &model_counts(rows, targets.as_deref(), now),
+            serving: &ServingReplicas::new(rows, targets.as_deref(), now),
             fleet: &rows.fleet.0,
             slots: &slots,
             hosts: &hosts,
--- a/crates/control/src/assembly/mod.rs
+++ b/crates/control/src/assembly/mod.rs
@@ -21,20 +21,23 @@
 
 mod chooser;
 mod controller;
-mod counts;
 mod health;
 mod journal;
 mod orders;
 mod round;
 mod rows;
+mod serving;
+mod step;
 mod supervise;
 
 pub use chooser::{FirstHosts, HostChooser};
 pub use controller::{AssemblyParts, FabricController, run_controller};
 pub use health::{FabricHealth, HostHealth};
 pub use orders::{HostOrder, wanted_orders};
-pub use round::{AssemblyStep, ModelCounts, RoundInput, VersionTarget, plan_round};
+pub use round::{RoundInput, plan_round};
 pub use rows::{CensusRow, FabricRows, StepError};
+pub use serving::{ModelCounts, ServingReplicas};
+pub use step::{AssemblyStep, VersionTarget};
 pub use supervise::{SupervisorInputs, supervise_leases};
 
 use std::time::Duration;
--- a/crates/control/src/assembly/round.rs
+++ b/crates/control/src/assembly/round.rs
@@ -2,75 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use domain::{
-    AdapterName, FabricFleet, FastMap, FastSet, HostId, HostSlot, ModelName, ReplicaId,
-    ReplicaPlan, VersionName,
-};
+use domain::{FabricFleet, FastMap, FastSet, HostId, HostSlot, ModelName, ReplicaId, ReplicaPlan};
 
-use policy::assembly::drain_room;
-
-use super::{HostChooser, HostHealth};
+use super::{AssemblyStep, HostChooser, HostHealth, ServingReplicas, VersionTarget};
 use crate::drains::DrainCause;
 
-/// Steps in which a model goes over to other replicas where no free hosts are left: in each at most
-/// one part in so many is missing. At 20 a model of up to 20 replicas misses one at a time.
-const ROLLOUT_STEPS: usize = 20;
-
-/// What a model's record asks of one version, and how many replicas stand in all fabric domains.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct VersionTarget {
-    /// The model.
-    pub model: ModelName,
-    /// The version.
-    pub version: VersionName,
-    /// Replicas wanted.
-    pub wanted: u32,
-    /// Replicas that stand and do not drain.
-    pub standing: u32,
-    /// Hosts of one replica.
-    pub size: usize,
-    /// Adapters that every replica loads.
-    pub adapters: Vec<AdapterName>,
-}
-
-/// Replicas of one model over all its versions and all fabric domains.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ModelCounts {
-    /// Those that stand and do not drain, whether they serve or not.
-    pub standing: usize,
-    /// Those that may be dispatched to.
-    pub serving: usize,
-}
-
-/// One step; each is one transaction.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AssemblyStep {
-    /// The host reported that it is empty: its slot is free.
-    Free(HostId),
-    /// A new replica.
-    Form {
-        /// Its model, version and adapters.
-        target: VersionTarget,
-        /// Its hosts.
-        hosts: Vec<HostId>,
-    },
-    /// A new incarnation, with other hosts or with the same after a restart of one.
-    Reform {
-        /// The replica.
-        replica: ReplicaId,
-        /// Its hosts from now on.
-        hosts: Vec<HostId>,
-        /// Its adapters from now on.
-        adapters: Vec<AdapterName>,
-    },
-    /// No new work.
-    Drain(ReplicaId, DrainCause),
-    /// New work again.
-    Undrain(ReplicaId),
-    /// No more such replica.
-    Dissolve(ReplicaId),
-}
-
 /// What a round goes by.
 #[derive(Debug)]
 pub struct RoundInput<'round, C> {
@@ -82,8 +18,8 @@
     pub hosts: &'round BTreeMap<HostId, HostHealth>,
     /// What the records ask for.
     pub targets: &'round [VersionTarget],
-    /// How many replicas of each model stand and serve.
-    pub counts: &'round FastMap<ModelName, ModelCounts>,
+    /// Which replicas stand and serve.
+    pub serving: &'round ServingReplicas,
     /// Draining replicas whose hosts may be taken.
     pub drained: &'round FastSet<ReplicaId>,
     /// Which free hosts to take.
@@ -230,7 +166,9 @@
             }
         }
         let cause = self.record_cause(plan)?;
-        self.take_room(&plan.model).then_some(cause)
+        // One that serves nobody can go at once.
+        let free = !self.input.serving.serves(&plan.id) || self.take_room(&plan.model);
+        free.then_some(cause)
     }
 
     /// Why the records want the replica gone or formed anew.
@@ -245,37 +183,22 @@
         changed.then_some(DrainCause::Changed)
     }
 
-    /// Whether one more replica of a model may be drained in this round.
-    ///
-    /// A record that names a new version makes every replica of the old one a surplus. Drained all
-    /// at once, the model would serve nobody until the new weights are loaded, and its callers be
-    /// refused for minutes. So old ones go as new ones come to serve.
     fn take_room(&mut self, model: &ModelName) -> bool {
-        if !self.room.contains_key(model) {
-            let room = self.drain_room(model);
-            self.room.insert(model.clone(), room);
-        }
-        let Some(room) = self.room.get_mut(model) else {
-            return false;
-        };
-        let some = *room > 0;
-        *room = room.saturating_sub(1);
-        some
-    }
-
-    /// While new replicas can be formed from free hosts, or stand and load, nothing may be missing
-    /// for the change; else a small part at a time.
-    fn drain_room(&self, model: &ModelName) -> usize {
-        let of_model = self.targets.iter().filter(|target| target.model == *model);
-        let wanted: usize = of_model.clone().map(|target| target.wanted as usize).sum();
-        let counts = self.input.counts.get(model).copied().unwrap_or_default();
-        let mut lacking = of_model.filter(|target| target.standing < target.wanted);
-        let formable =
-            lacking.any(|target| self.input.chooser.choose(&self.free, target.size).is_some());
-        if wanted > 0 && (formable || counts.standing > wanted) {
-            return counts.serving.saturating_sub(wanted);
-        }
-        drain_room(wanted, counts.serving, ROLLOUT_STEPS)
+        let room = self.room.get(model).copied().unwrap_or_else(|| {
+            let of_model = self.targets.iter().filter(|target| target.model == *model);
+            let mut lacking = of_model
+                .clone()
+                .filter(|target| target.standing < target.wanted);
+            let chooser = self.input.chooser;
+            let formable = lacking.any(|target| chooser.choose(&self.free, target.size).is_some());
+            let wanted = of_model.map(|target| target.wanted as usize).sum();
+            self.input
+                .serving
+                .counts(model)
+                .drain_room(wanted, formable)
+        });
+        self.room.insert(model.clone(), room.saturating_sub(1));
+        room > 0
     }
 
     /// The hosts that go on, filled up from the free ones; none when they do not suffice.
