--- a/crates/control/src/assembly/mod.rs
+++ b/crates/control/src/assembly/mod.rs
@@ -27,14 +27,16 @@
 mod orders;
 mod round;
 mod rows;
+mod steps;
 mod supervise;
 
 pub use chooser::{FirstHosts, HostChooser};
 pub use controller::{AssemblyParts, FabricController, run_controller};
 pub use health::{FabricHealth, HostHealth};
 pub use orders::{HostOrder, wanted_orders};
-pub use round::{AssemblyStep, ModelCounts, RoundInput, VersionTarget, plan_round};
+pub use round::{RoundInput, plan_round};
 pub use rows::{CensusRow, FabricRows, StepError};
+pub use steps::{AssemblyStep, ModelCounts, VersionTarget};
 pub use supervise::{SupervisorInputs, supervise_leases};
 
 use std::time::Duration;
--- a/crates/control/src/assembly/round.rs
+++ b/crates/control/src/assembly/round.rs
@@ -2,75 +2,17 @@
 
 use std::collections::BTreeMap;
 
-use domain::{
-    AdapterName, FabricFleet, FastMap, FastSet, HostId, HostSlot, ModelName, ReplicaId,
-    ReplicaPlan, VersionName,
-};
+use domain::{FabricFleet, FastMap, FastSet, HostId, HostSlot, ModelName, ReplicaId, ReplicaPlan};
 
 use policy::assembly::drain_room;
 
-use super::{HostChooser, HostHealth};
+use super::{AssemblyStep, HostChooser, HostHealth, ModelCounts, VersionTarget};
 use crate::drains::DrainCause;
 
 /// Steps in which a model goes over to other replicas where no free hosts are left: in each at most
 /// one part in so many is missing. At 20 a model of up to 20 replicas misses one at a time.
 const ROLLOUT_STEPS: usize = 20;
 
-/// What a model's record asks of one version, and how many replicas stand in all fabric domains.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct VersionTarget {
-    /// The model.
-    pub model: ModelName,
-    /// The version.
-    pub version: VersionName,
-    /// Replicas wanted.
-    pub wanted: u32,
-    /// Replicas that stand and do not drain.
-    pub standing: u32,
-    /// Hosts of one replica.
-    pub size: usize,
-    /// Adapters that every replica loads.
-    pub adapters: Vec<AdapterName>,
-}
-
-/// Replicas of one model over all its versions and all fabric domains.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ModelCounts {
-    /// Those that stand and do not drain, whether they serve or not.
-    pub standing: usize,
-    /// Those that may be dispatched to.
-    pub serving: usize,
-}
-
-/// One step; each is one transaction.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AssemblyStep {
-    /// The host reported that it is empty: its slot is free.
-    Free(HostId),
-    /// A new replica.
-    Form {
-        /// Its model, version and adapters.
-        target: VersionTarget,
-        /// Its hosts.
-        hosts: Vec<HostId>,
-    },
-    /// A new incarnation, with other hosts or with the same after a restart of one.
-    Reform {
-        /// The replica.
-        replica: ReplicaId,
-        /// Its hosts from now on.
-        hosts: Vec<HostId>,
-        /// Its adapters from now on.
-        adapters: Vec<AdapterName>,
-    },
-    /// No new work.
-    Drain(ReplicaId, DrainCause),
-    /// New work again.
-    Undrain(ReplicaId),
-    /// No more such replica.
-    Dissolve(ReplicaId),
-}
-
 /// What a round goes by.
 #[derive(Debug)]
 pub struct RoundInput<'round, C> {
