Share one table in memory between the tests' fakes

Cause: three fakes of the table each had the conditional batch written out again, and their unused parts needed leave to be dead.

--- a/crates/control/tests/assembly_rounds.rs
+++ b/crates/control/tests/rules/assembly_rounds.rs
@@ -1,19 +1,17 @@
 //! Controllers that race, pause and lose answers over engines that die, restart and get orders
 //! late: no host in two replicas, and everything stands again afterwards.
 
-mod dice;
-
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::dice::SeededDice;
+use crate::dice::engine::{FakeEngines, host_address, host_name};
+use crate::dice::table::{FakeTable, FaultRates};
 use control::assembly::{AssemblyParts, AssemblySettings, FabricController, FirstHosts};
 use control::directory::HostDirectory;
 use control::lease::{EpochRow, LeaseGrant};
 use control::{ConfigView, EvidenceBoard};
-use dice::SeededDice;
-use dice::engine::{FakeEngines, host_address, host_name};
-use dice::table::{FakeTable, FaultRates};
 use domain::record::{ModelRecord, VersionPlan};
 use domain::{ConfigRevision, FabricFleet, FabricId, HostSlot, LeaseEpoch, RecordSpec, RowVersion};
 use events::EventRecorder;
--- a/crates/control/tests/claim_cleanup.rs
+++ b/crates/control/tests/rules/claim_cleanup.rs
@@ -1,13 +1,11 @@
 //! Old settled claims leave the ledger, and nothing else does.
 
-mod dice;
-
 use std::time::Duration;
 
+use crate::dice::table::{FakeTable, FaultRates};
 use control::housekeeping::{advance_log, clean_rows};
 use control::lease::LeaseGrant;
 use control::ledger::{CallLedger, ClaimKey, ClaimOutcome, ClaimTicket};
-use dice::table::{FakeTable, FaultRates};
 use domain::{ClaimState, LeaseEpoch, LeaseName};
 use platform::{CommitOutcome, RowExpectation, TableStore, WriteBatch, keys};
 
--- a/crates/control/tests/config_load.rs
+++ b/crates/control/tests/rules/config_load.rs
@@ -1,7 +1,6 @@
 //! Reading a configuration that is far ahead: log, snapshot, scan, compaction.
 
-mod fake;
-
+use crate::fake::{FakeObjects, FakeTable};
 use control::config::load::load_update;
 use control::config::snapshot::publish_snapshot;
 use control::config::{ConfigSnapshot, ConfigState};
@@ -9,7 +8,6 @@
 use control::{AmendOutcome, Expect, RecordAmendment, amend_record};
 use domain::ConfigRevision;
 use domain::record::RecordKind;
-use fake::{FakeObjects, FakeTable};
 use platform::keys;
 use serde_json::json;
 use wire::record::RecordFrame;
--- a/crates/control/tests/dice/mod.rs
+++ b/crates/control/tests/rules/dice/mod.rs
@@ -1,5 +1,4 @@
 //! A table in memory whose answers get lost, for property tests.
-#![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod engine;
 pub mod table;
--- a/crates/control/tests/dice/table.rs
+++ b/crates/control/tests/rules/dice/table.rs
@@ -1,13 +1,10 @@
 //! The table: one lock, versions, and faults that dice choose.
 
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use domain::RowVersion;
-use platform::{
-    CommitOutcome, RowChange, RowConflict, RowExpectation, RowRead, StoreError, TableRow,
-    TableStore, WriteBatch,
-};
+use platform::{CommitOutcome, RowRead, StoreError, TableRow, TableStore, WriteBatch};
+use standin::rows::MemoryRows;
 
 use super::SeededDice;
 
@@ -32,26 +29,22 @@
 
 #[derive(Debug)]
 struct TableInner {
-    version: u64,
-    rows: BTreeMap<String, TableRow>,
+    rows: MemoryRows,
     dice: SeededDice,
     rates: FaultRates,
     late: Vec<WriteBatch>,
     commits: usize,
-    reads: usize,
 }
 
 impl FakeTable {
     /// An empty table.
     pub fn new(seed: u64, rates: FaultRates) -> Self {
         let inner = TableInner {
-            version: 0,
-            rows: BTreeMap::new(),
+            rows: MemoryRows::default(),
             dice: SeededDice::new(seed),
             rates,
             late: Vec::new(),
             commits: 0,
-            reads: 0,
         };
         Self {
             inner: Arc::new(Mutex::new(inner)),
@@ -72,90 +65,33 @@
         self.inner().commits
     }
 
-    /// Reads and scans.
-    pub fn reads(&self) -> usize {
-        self.inner().reads
-    }
-
     /// A row as it stands.
     pub fn row(&self, key: &str) -> Option<TableRow> {
-        self.inner().rows.get(key).cloned()
+        self.inner().rows.row(key)
     }
 
     /// All rows below a prefix.
     pub fn rows(&self, prefix: &str) -> Vec<TableRow> {
-        let inner = self.inner();
-        let below = inner.rows.values();
-        below
-            .filter(|row| row.key.starts_with(prefix))
-            .cloned()
-            .collect()
+        self.inner().rows.scan(prefix)
     }
 
     /// Lets every write that is under way take effect or fail.
     pub fn flush_late(&self) {
         let mut inner = self.inner();
         while let Some(batch) = inner.late.pop() {
-            let _ = inner.apply(&batch);
+            let _ = inner.rows.commit(&batch);
         }
     }
 }
 
 impl TableInner {
-    fn conflicts(&self, batch: &WriteBatch) -> Vec<RowConflict> {
-        let mut conflicts = Vec::new();
-        for (key, expect, _) in &batch.writes {
-            let row = self.rows.get(key);
-            let holds = match expect {
-                RowExpectation::Any => true,
-                RowExpectation::Absent => row.is_none(),
-                RowExpectation::Version(version) => row.is_some_and(|row| row.version == *version),
-            };
-            if holds {
-                continue;
-            }
-            conflicts.push(RowConflict {
-                key: key.clone(),
-                row: row.cloned(),
-            });
-        }
-        conflicts
-    }
-
-    fn apply(&mut self, batch: &WriteBatch) -> CommitOutcome {
-        let conflicts = self.conflicts(batch);
-        if !conflicts.is_empty() {
-            return CommitOutcome::Conflict(conflicts);
-        }
-        self.version += 1;
-        let version = RowVersion(self.version);
-        for (key, _, change) in &batch.writes {
-            match change {
-                RowChange::Check => {}
-                RowChange::Delete => {
-                    self.rows.remove(key);
-                }
-                RowChange::Put(value) => {
-                    let row = TableRow {
-                        key: key.clone(),
-                        version,
-                        token: batch.token.to_string(),
-                        value: value.clone(),
-                    };
-                    self.rows.insert(key.clone(), row);
-                }
-            }
-        }
-        CommitOutcome::Committed(version)
-    }
-
     fn land_some_late(&mut self) {
         if self.late.is_empty() || !self.dice.chance(30) {
             return;
         }
         let index = self.dice.index(self.late.len());
         let batch = self.late.swap_remove(index);
-        let _ = self.apply(&batch);
+        let _ = self.rows.commit(&batch);
     }
 }
 
@@ -167,22 +103,16 @@
     async fn read(&self, key: &str, known: Option<RowVersion>) -> Result<RowRead, StoreError> {
         tokio::task::yield_now().await;
         let mut inner = self.inner();
-        inner.reads += 1;
         inner.land_some_late();
         let down = inner.rates.down;
         if inner.dice.chance(down) {
             return Err(StoreError::Unavailable("the test's outage".to_owned()));
         }
-        Ok(match inner.rows.get(key) {
-            None => RowRead::Absent,
-            Some(row) if Some(row.version) == known => RowRead::Unchanged,
-            Some(row) => RowRead::Found(row.clone()),
-        })
+        Ok(inner.rows.read(key, known))
     }
 
     async fn scan(&self, prefix: &str) -> Result<Vec<TableRow>, StoreError> {
         tokio::task::yield_now().await;
-        self.inner().reads += 1;
         Ok(self.rows(prefix))
     }
 
@@ -202,7 +132,7 @@
             inner.late.push(batch.clone());
             return Err(lost());
         }
-        let outcome = inner.apply(batch);
+        let outcome = inner.rows.commit(batch);
         if inner.dice.chance(rates.lost_after) {
             return Err(lost());
         }
--- a/crates/control/tests/lease_fencing.rs
+++ b/crates/control/tests/rules/lease_fencing.rs
@@ -1,14 +1,12 @@
 //! Leases under pauses, slow and lost answers: one holder at a time, and a late one writes nothing.
 
-mod dice;
-
 use std::time::{Duration, Instant};
 
+use crate::dice::SeededDice;
+use crate::dice::table::{FakeTable, FaultRates};
 use control::lease::{
     EpochRow, LeaseGrant, LeasePlace, LeaseSettings, LeaseStep, LeaseTracker, start_keeper,
 };
-use dice::SeededDice;
-use dice::table::{FakeTable, FaultRates};
 use domain::{LeaseName, LeaseTerm, NodeId, RowVersion};
 use events::EventRecorder;
 use platform::{CommitOutcome, RowExpectation, RowRead, TableStore, WriteBatch, keys};
--- a/crates/control/tests/ledger_once.rs
+++ b/crates/control/tests/rules/ledger_once.rs
@@ -1,14 +1,12 @@
 //! Claims whose answers are lost, repeated and late: a call runs at most once.
 
-mod dice;
-
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use crate::dice::SeededDice;
+use crate::dice::table::{FakeTable, FaultRates};
 use control::ledger::{CallLedger, ClaimKey, ClaimOutcome, LedgerSettings};
-use dice::SeededDice;
-use dice::table::{FakeTable, FaultRates};
 use domain::{AttemptId, ClaimState, NodeId};
 use platform::{StoreError, TableStore};
 use quickcheck::{Gen, QuickCheck};
--- a/crates/control/tests/record_amend.rs
+++ b/crates/control/tests/rules/record_amend.rs
@@ -1,13 +1,11 @@
 //! Amendments against a table in memory: races, lost answers, schema versions.
 
-mod fake;
-
+use crate::fake::{CommitFault, FakeTable};
 use control::amend::{AmendError, StoredRecord};
 use control::history::{AmendFate, amendment_fate, config_head, get_record};
 use control::{AmendOutcome, Expect, RecordAmendment, amend_record};
 use domain::ConfigRevision;
 use domain::record::RecordKind;
-use fake::{CommitFault, FakeTable};
 use serde_json::{Value, json};
 use wire::record::RecordFrame;
 
--- a/crates/control/tests/store_share.rs
+++ b/crates/control/tests/rules/store_share.rs
@@ -1,10 +1,8 @@
 //! A node within its share of the table's limits.
 
-mod dice;
-
 use std::time::{Duration, Instant};
 
-use dice::table::{FakeTable, FaultRates};
+use crate::dice::table::{FakeTable, FaultRates};
 use platform::{BudgetSettings, BudgetedTable, CircuitState, StoreError, TableStore, WriteBatch};
 
 fn settings() -> BudgetSettings {
--- a/crates/entry/tests/request_path/fake_table.rs
+++ b/crates/entry/tests/request_path/fake_table.rs
@@ -1,30 +1,21 @@
 //! A table in memory that can hold commits back, as for a claimant that is frozen.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use domain::RowVersion;
-use platform::{
-    CommitOutcome, RowChange, RowConflict, RowExpectation, RowRead, StoreError, TableRow,
-    TableStore, WriteBatch,
-};
+use platform::{CommitOutcome, RowRead, StoreError, TableRow, TableStore, WriteBatch};
+use standin::rows::MemoryRows;
 use tokio::sync::Semaphore;
 
 /// A handle of the table. Clones share the rows; each has faults of its own.
 #[derive(Debug, Clone)]
 pub struct FakeTable {
-    rows: Arc<Mutex<RowBook>>,
+    rows: Arc<Mutex<MemoryRows>>,
     down: Arc<Mutex<bool>>,
     answers: Arc<Semaphore>,
     commits: Arc<Mutex<usize>>,
 }
 
-#[derive(Debug, Default)]
-struct RowBook {
-    version: u64,
-    rows: BTreeMap<String, TableRow>,
-}
-
 impl Default for FakeTable {
     fn default() -> Self {
         Self {
@@ -75,70 +66,28 @@
     }
 
     fn apply(&self, batch: &WriteBatch) -> CommitOutcome {
-        let mut book = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut conflicts = Vec::new();
-        for (key, expect, _) in &batch.writes {
-            let row = book.rows.get(key);
-            let holds = match expect {
-                RowExpectation::Any => true,
-                RowExpectation::Absent => row.is_none(),
-                RowExpectation::Version(version) => row.is_some_and(|row| row.version == *version),
-            };
-            if holds {
-                continue;
-            }
-            conflicts.push(RowConflict {
-                key: key.clone(),
-                row: row.cloned(),
-            });
-        }
-        if !conflicts.is_empty() {
-            return CommitOutcome::Conflict(conflicts);
+        let outcome = self.rows().commit(batch);
+        if matches!(outcome, CommitOutcome::Committed(_)) {
+            *self.commits.lock().unwrap_or_else(PoisonError::into_inner) += 1;
         }
-        book.version += 1;
-        let version = RowVersion(book.version);
-        for (key, _, change) in &batch.writes {
-            match change {
-                RowChange::Check => {}
-                RowChange::Delete => {
-                    book.rows.remove(key);
-                }
-                RowChange::Put(value) => {
-                    let row = TableRow {
-                        key: key.clone(),
-                        version,
-                        token: batch.token.to_string(),
-                        value: value.clone(),
-                    };
-                    book.rows.insert(key.clone(), row);
-                }
-            }
-        }
-        *self.commits.lock().unwrap_or_else(PoisonError::into_inner) += 1;
-        CommitOutcome::Committed(version)
+        outcome
+    }
+
+    fn rows(&self) -> MutexGuard<'_, MemoryRows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl TableStore for FakeTable {
-    async fn read(&self, key: &str, _: Option<RowVersion>) -> Result<RowRead, StoreError> {
+    async fn read(&self, key: &str, known: Option<RowVersion>) -> Result<RowRead, StoreError> {
         self.check()?;
         self.answer().await;
-        let book = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
-        Ok(book
-            .rows
-            .get(key)
-            .cloned()
-            .map_or(RowRead::Absent, RowRead::Found))
+        Ok(self.rows().read(key, known))
     }
 
     async fn scan(&self, prefix: &str) -> Result<Vec<TableRow>, StoreError> {
         self.check()?;
-        let book = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
-        let rows = book.rows.values();
-        Ok(rows
-            .filter(|row| row.key.starts_with(prefix))
-            .cloned()
-            .collect())
+        Ok(self.rows().scan(prefix))
     }
 
     async fn commit(&self, batch: &WriteBatch) -> Result<CommitOutcome, StoreError> {
