--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -24,6 +24,7 @@
 pub struct ControlTasks {
     stop: oneshot::Sender<()>,
     held: watch::Receiver<Vec<LeaseName>>,
+    directory: watch::Receiver<Arc<HostDirectory>>,
     leases: JoinHandle<()>,
 }
 
@@ -33,6 +34,11 @@
         self.held.clone()
     }
 
+    /// The hosts as last listed.
+    pub fn directory(&self) -> watch::Receiver<Arc<HostDirectory>> {
+        self.directory.clone()
+    }
+
     /// Gives up the leases, so that other nodes need not wait for them to run out.
     pub async fn release(self) {
         let _ = self.stop.send(());
@@ -88,6 +94,7 @@
     members: &watch::Receiver<Arc<MemberView>>,
     directory: watch::Receiver<Arc<HostDirectory>>,
 ) -> ControlTasks {
+    let listed = directory.clone();
     let settings = context.control;
     let parts = AssemblyParts {
         table: context.table.urgent(),
@@ -112,7 +119,12 @@
     let leases = tokio::spawn(supervise_leases(parts, inputs, async {
         let _ = stopped.await;
     }));
-    ControlTasks { stop, held, leases }
+    ControlTasks {
+        stop,
+        held,
+        directory: listed,
+        leases,
+    }
 }
 
 /// Keeps the node's share of the table's limits in step with the number of nodes.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod entry;
 mod peers;
+mod report;
 
 use std::sync::Arc;
 use std::time::SystemTime;
--- a/tests/system/stream_resume.rs
+++ b/tests/system/stream_resume.rs
@@ -11,7 +11,8 @@
 const TOKENS: u32 = 300;
 /// So many run at once at one entry of three; more would wait for the first to end.
 const STREAMS: u64 = 8;
-const LONG: u32 = 600;
+/// Long enough that none ends before the last of them has begun, on a busy machine too.
+const LONG: u32 = 1_500;
 
 /// An entry host dies in the midst of many answers. Each trader's client connects to another entry
 /// with the id of the last event it has, and must get the rest: no word missing, none twice.
