--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -8,7 +8,9 @@
 use events::{EventRecorder, NodeMetrics};
 use http::{Method, StatusCode};
 use platform::TableStore;
-use web::{WebAnswer, WebHandler, WebRequest, json_answer, parse_json, read_body, text_answer};
+use web::{
+    WebAnswer, WebHandler, WebRequest, json_answer, parse_json, query_value, read_body, text_answer,
+};
 use wire::admin::{AmendAnswer, AmendBody, ChangeBody, NodeStatus, RecordBody};
 
 use crate::access::OperatorKey;
@@ -181,19 +183,6 @@
     text.map(str::parse).transpose()
 }
 
-/// A value of a query string; names and kinds need no escapes.
-fn query_value<'query>(query: &'query str, name: &str) -> Option<&'query str> {
-    for pair in query.split('&') {
-        let Some((key, value)) = pair.split_once('=') else {
-            continue;
-        };
-        if key == name {
-            return Some(value);
-        }
-    }
-    None
-}
-
 impl<T: TableStore, S: StatusSource> WebHandler for AdminServer<T, S> {
     async fn answer(&self, request: WebRequest) -> WebAnswer {
         let path = request.uri().path().to_owned();
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -20,14 +20,13 @@
 use domain::{AttemptId, HostId};
 use eyre::WrapErr;
 use http::{Method, Request, StatusCode};
-use web::{WebAnswer, json_answer, parse_json, text_answer};
+use web::{WebAnswer, json_answer, parse_json, query_value, text_answer};
 use wire::engine::ResumeOrder;
 
 use crate::engine::core::EngineCore;
 use crate::faults::FaultSwitch;
 use crate::options::EngineOptions;
 use crate::serve::{StandinHandler, serve_standin};
-use crate::table::query_value;
 
 /// Runs the engine.
 ///
--- a/crates/standin/src/measure/cost.rs
+++ b/crates/standin/src/measure/cost.rs
@@ -29,24 +29,26 @@
 /// Streams that are opened at once.
 const OPEN_BATCH: usize = 50;
 
+/// An engine that never keeps the entry waiting.
+const ROOMY_ENGINE: [&str; 6] = [
+    "--slots",
+    "4096",
+    "--stream-us",
+    "0",
+    "--report-lag-ms",
+    "0",
+];
+
 /// Measures and prints.
 ///
 /// # Errors
 ///
 /// When a stream fails or `/proc` can't be read.
 pub async fn run(product: &Path, rounds: usize) -> eyre::Result<()> {
-    let options = [
-        "--slots",
-        "4096",
-        "--stream-us",
-        "0",
-        "--report-lag-ms",
-        "0",
-    ];
     let stack = StackPlan::new("measure-cost", product)
         .entries(1)
         .step_us(2_000)
-        .engine_options(&options)
+        .engine_options(&ROOMY_ENGINE)
         .start()
         .await;
     let idle = measure_idle(&stack).await?;
@@ -116,18 +118,10 @@
 
 /// Opens more and more streams at a fresh entry; KiB for each, from the first to the last count.
 async fn measure_memory(product: &Path) -> eyre::Result<f64> {
-    let options = [
-        "--slots",
-        "4096",
-        "--stream-us",
-        "0",
-        "--report-lag-ms",
-        "0",
-    ];
     let stack = StackPlan::new("measure-memory", product)
         .entries(1)
         .step_us(250_000)
-        .engine_options(&options)
+        .engine_options(&ROOMY_ENGINE)
         .start()
         .await;
     let mut open: Vec<JoinHandle<()>> = Vec::new();
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use serde_json::Value;
-use web::{WebAnswer, json_answer, parse_json, text_answer};
+use web::{WebAnswer, json_answer, parse_json, query_value, text_answer};
 use wire::table::{
     BatchBody, BatchDone, BatchRefused, ChangeBody, ExpectBody, RowBody, ScanPage,
     WRITE_TOKEN_HEADER,
@@ -158,20 +158,6 @@
     }
 }
 
-/// A value of a query string; keys of this protocol need no escapes.
-#[must_use]
-pub fn query_value<'query>(query: &'query str, name: &str) -> Option<&'query str> {
-    for pair in query.split('&') {
-        let Some((key, value)) = pair.split_once('=') else {
-            continue;
-        };
-        if key == name {
-            return Some(value);
-        }
-    }
-    None
-}
-
 impl StandinHandler for TableServer {
     async fn answer(&self, request: Request<Bytes>) -> WebAnswer {
         let path = request.uri().path().to_owned();
