Let operators set the node's part of the table's limits

Cause: the budget stood at its defaults for every platform, though the table's limits are the platform's. A rule keeps the longest time for which a failing table is left alone below half of a lease's time to live.

--- a/crates/settings/src/catalogue/mod.rs
+++ b/crates/settings/src/catalogue/mod.rs
@@ -22,6 +22,7 @@
     "watch",
     "ledger",
     "housekeeping",
+    "budget",
     "log",
 ];
 
@@ -44,6 +45,9 @@
         "watch" => "Evidence that replicas are whole.",
         "ledger" => "Claims of non-idempotent calls.",
         "housekeeping" => "Cleaning up, by the holder of the housekeeping lease.",
+        "budget" => {
+            "The node's part of the table's limits, and what it does while the table fails."
+        }
         "log" => "Logs and the time line.",
         _ => "",
     }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -16,6 +16,7 @@
 use entry::EntrySettings;
 use events::EventLevel;
 use peers::PeerSettings;
+use platform::BudgetSettings;
 use serde::Deserialize;
 use serde_json::Value;
 use web::TlsFiles;
@@ -66,6 +67,8 @@
     pub ledger: LedgerSettings,
     /// Cleaning up.
     pub housekeeping: HousekeepingSettings,
+    /// The node's part of the table's limits.
+    pub budget: BudgetSettings,
     /// Logs and the time line.
     pub log: LogSettings,
 }
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -67,6 +67,15 @@
         100 * settings.ledger.send_limit_ms,
         "a claim could be cleaned up while its claimant may still send",
     );
+    let longest = settings.leases.ttl_ms / 2;
+    if settings.budget.longest_open_ms > longest {
+        let problem = "the table would be left alone until leases run out";
+        findings.add(
+            "budget.longest_open",
+            problem,
+            format!("write at most {}", time_text(longest)),
+        );
+    }
     let tls = &settings.tls;
     if tls.certificate_file.is_some() != tls.key_file.is_some() {
         let problem = "only one of certificate and key is named";
--- a/crates/settings/tests/file_checks.rs
+++ b/crates/settings/tests/file_checks.rs
@@ -4,6 +4,7 @@
 use control::config::ConfigSettings;
 use control::members::MemberSettings;
 use entry::EntrySettings;
+use platform::BudgetSettings;
 use serde_json::{Value, json};
 use settings::{NodeSettings, SecretText, fields};
 
@@ -34,6 +35,7 @@
     assert_eq!(settings.members, MemberSettings::default());
     assert_eq!(settings.entry, EntrySettings::default());
     assert_eq!(settings.control_settings(), ControlSettings::default());
+    assert_eq!(settings.budget, BudgetSettings::default());
 }
 
 #[test]
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,8 +13,8 @@
 use domain::NodeId;
 use events::logs::start_logs;
 use events::{EventCode, EventRecorder, EventSubject, NodeMetrics};
+use platform::BudgetedTable;
 use platform::http::{HttpHostList, HttpObjects, HttpTable, ServiceEndpoint};
-use platform::{BudgetSettings, BudgetedTable};
 use settings::NodeSettings;
 use target::{HttpEngine, HttpService};
 use tokio::signal::unix::{SignalKind, signal};
@@ -53,7 +53,7 @@
         Ok(Self {
             table: BudgetedTable::new(
                 HttpTable::new(endpoint(settings.platform.table)),
-                BudgetSettings::default(),
+                settings.budget,
             ),
             objects: HttpObjects::new(endpoint(settings.platform.objects)),
             list: HttpHostList::new(endpoint(settings.platform.hostlist)),
