--- a/crates/entry/src/desk/mod.rs
+++ b/crates/entry/src/desk/mod.rs
@@ -10,7 +10,7 @@
 pub mod state;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Instant;
 
 use control::TargetView;
@@ -34,6 +34,7 @@
     address: Address<DeskActor>,
     notes: NoteSender,
     numbers: Arc<AtomicU64>,
+    waiting: Arc<AtomicUsize>,
 }
 
 impl DispatchDesk {
@@ -49,6 +50,7 @@
             address,
             notes,
             numbers: Arc::default(),
+            waiting: Arc::default(),
         }
     }
 
@@ -60,7 +62,9 @@
     pub async fn place(&self, ask: PlacementAsk) -> Result<PlacedSlot, CallerFailure> {
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
+        self.waiting.fetch_add(1, Ordering::Relaxed);
         let mut leave = LeaveGuard {
+            waiting: &self.waiting,
             notes: &self.notes,
             model: Some(ask.model.clone()),
             number,
@@ -75,6 +79,12 @@
         })
     }
 
+    /// Requests that wait for a replica now.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// Decides whether a request that failed without a token is tried again; `number` counts its
     /// attempts.
     pub async fn decide_retry(&self, number: u32, deadline: Instant) -> RetryDecision {
@@ -88,8 +98,10 @@
     }
 }
 
-/// Tells the desk when a waiting caller is gone, so that it doesn't fill a place in the queue.
+/// Counts a waiting caller, and tells the desk when it is gone, so that it doesn't fill a place in
+/// the queue.
 struct LeaveGuard<'a> {
+    waiting: &'a AtomicUsize,
     notes: &'a NoteSender,
     model: Option<ModelName>,
     number: u64,
@@ -97,6 +109,7 @@
 
 impl Drop for LeaveGuard<'_> {
     fn drop(&mut self) {
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
         if let Some(model) = self.model.take() {
             let number = self.number;
             let _ = self.notes.send(DeskNote::Left { model, number });
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use admin::{AdminParts, AdminServer, OperatorKey};
+use entry::DispatchDesk;
 use eyre::WrapErr;
 use tokio::net::TcpListener;
 use web::serve_listener;
@@ -45,9 +46,10 @@
     context: &NodeContext,
     peers: &PeerTasks,
     tasks: &ControlTasks,
+    desk: &DispatchDesk,
     bound: Option<AdminListener>,
 ) -> eyre::Result<()> {
-    let report = NodeReport::new(context, peers, tasks);
+    let report = NodeReport::new(context, peers, tasks, desk);
     tokio::spawn(report.clone().sample_forever(context.metrics.clone()));
     let Some(bound) = bound else { return Ok(()) };
     let key = context.settings.secrets.operator_key()?;
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -32,6 +32,7 @@
     server: Arc<EntryServer<HttpEngine, NodeTable, HttpService>>,
     settings: Arc<EntrySettings>,
     tls: Option<TlsSource>,
+    desk: DispatchDesk,
 }
 
 /// Binds the callers' listener.
@@ -59,7 +60,7 @@
     tokio::spawn(follow_members(desk.clone(), members));
     let parts = EntryParts::builder()
         .config(context.config_sender.subscribe())
-        .desk(desk)
+        .desk(desk.clone())
         .targets(targets)
         .engine(context.engine.clone())
         .recorder(context.recorder.clone())
@@ -84,6 +85,7 @@
         server,
         settings,
         tls,
+        desk,
     })
 }
 
@@ -140,6 +142,11 @@
 }
 
 impl EntryListener {
+    /// Where requests wait for a replica.
+    pub fn desk(&self) -> &DispatchDesk {
+        &self.desk
+    }
+
     /// Serves until `stop` completes, then stops without cutting off a request; see
     /// [`entry::stop`].
     pub async fn serve(self, stop: impl Future<Output = ()> + Send) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -97,7 +97,7 @@
             context.settings.node, admin.address
         );
     }
-    admin::start(&context, &peers, &tasks, admin)?;
+    admin::start(&context, &peers, &tasks, running.desk(), admin)?;
     let recorder = context.recorder.clone();
     let (released, release) = oneshot::channel();
     let stop = async move {
