--- a/crates/control/src/assembly/orders.rs
+++ b/crates/control/src/assembly/orders.rs
@@ -42,45 +42,74 @@
         let Some(assignments) = plan_assignments(plan, directory) else {
             continue;
         };
-        let mut loads = false;
-        let mut wanted = Vec::new();
-        for (host, address, assignment) in assignments {
-            let Some(state) = hosts.get(&host).and_then(|health| health.state.as_ref()) else {
-                continue;
-            };
-            if state.assignment.as_ref() == Some(&assignment) {
-                loads |= !state.ready;
-                continue;
-            }
-            if runs_other(state, plan) {
-                // A late order took it there. It is emptied and rests before it comes back.
-                orders.push(HostOrder {
-                    host,
-                    address,
-                    assignment: None,
-                });
-                continue;
-            }
-            let left = hosts.get(&host).and_then(|health| health.left.as_ref());
-            if left.is_some_and(|replica| *replica != plan.id) {
-                continue;
-            }
-            wanted.push(HostOrder {
+        let PlanOrders {
+            strayed,
+            wanted,
+            loads,
+        } = plan_orders(plan, assignments, hosts);
+        orders.extend(strayed);
+        if !loads || loading >= loads_at_once {
+            continue;
+        }
+        loading += 1;
+        orders.extend(wanted);
+    }
+    orders
+}
+
+/// Orders for the hosts of one replica.
+#[derive(Debug, Default)]
+struct PlanOrders {
+    /// They empty hosts that a late order took elsewhere.
+    strayed: Vec<HostOrder>,
+    /// They make hosts run their ranks.
+    wanted: Vec<HostOrder>,
+    /// Whether any host loads weights, or will once it is ordered.
+    loads: bool,
+}
+
+fn plan_orders(
+    plan: &ReplicaPlan,
+    assignments: Vec<RankAssignment>,
+    hosts: &BTreeMap<HostId, HostHealth>,
+) -> PlanOrders {
+    let mut orders = PlanOrders::default();
+    for (host, address, assignment) in assignments {
+        let Some(health) = hosts.get(&host) else {
+            continue;
+        };
+        let Some(state) = &health.state else {
+            continue;
+        };
+        if state.assignment.as_ref() == Some(&assignment) {
+            orders.loads |= !state.ready;
+            continue;
+        }
+        if runs_other(state, plan) {
+            // It is emptied and rests before it comes back.
+            let assignment = None;
+            orders.strayed.push(HostOrder {
                 host,
                 address,
-                assignment: Some(assignment),
+                assignment,
             });
-        }
-        loads |= !wanted.is_empty();
-        if !loads {
             continue;
         }
-        if loading >= loads_at_once {
+        if health
+            .left
+            .as_ref()
+            .is_some_and(|replica| *replica != plan.id)
+        {
             continue;
         }
-        loading += 1;
-        orders.extend(wanted);
+        let assignment = Some(assignment);
+        orders.wanted.push(HostOrder {
+            host,
+            address,
+            assignment,
+        });
     }
+    orders.loads |= !orders.wanted.is_empty();
     orders
 }
 
