--- a/crates/control/src/assembly/controller.rs
+++ b/crates/control/src/assembly/controller.rs
@@ -17,9 +17,9 @@
     AssemblySettings, FabricHealth, FabricRows, HostChooser, HostHealth, RoundInput,
     ServingReplicas, StepError, VersionTarget, plan_round, wanted_orders,
 };
-use crate::board::EvidenceBoard;
 use crate::directory::HostDirectory;
 use crate::drains::DrainSet;
+use crate::evidence_store::EvidenceStore;
 use crate::lease::LeaseGrant;
 use crate::pause::spread;
 use crate::view::{ConfigView, TargetView};
@@ -34,7 +34,7 @@
     /// Which free hosts to take.
     pub chooser: C,
     /// Evidence of wholeness.
-    pub board: EvidenceBoard,
+    pub evidence_store: EvidenceStore,
     /// The replicas as entries see them; without them every replica that stands counts as serving.
     pub targets: Option<watch::Receiver<Arc<TargetView>>>,
     /// The hosts.
@@ -219,7 +219,7 @@
         let now = Instant::now();
         let mut trusted = FastMap::default();
         for plan in &rows.fleet.0.plans {
-            let Some(entry) = self.parts.board.newest_for(&plan.id) else {
+            let Some(entry) = self.parts.evidence_store.newest_for(&plan.id) else {
                 continue;
             };
             let mut evidence = entry.evidence.clone();
--- a/crates/control/src/board.rs
+++ b/crates/control/src/evidence_store.rs
@@ -13,7 +13,7 @@
 
 /// Evidence with the moment at which this node got it, and the load that came with it.
 #[derive(Debug, Clone)]
-pub struct BoardEntry {
+pub struct EvidenceEntry {
     /// The evidence; its age counts up to `received`.
     pub evidence: WholenessEvidence,
     /// When this node got it.
@@ -24,7 +24,7 @@
     pub heard: Option<Instant>,
 }
 
-impl BoardEntry {
+impl EvidenceEntry {
     /// Age of the evidence at a moment.
     #[must_use]
     pub fn age(&self, now: Instant) -> Duration {
@@ -34,24 +34,24 @@
 
 /// Evidence of all replicas. Cheap to clone; clones share it.
 #[derive(Debug, Clone, Default)]
-pub struct EvidenceBoard {
-    inner: Arc<BoardInner>,
+pub struct EvidenceStore {
+    inner: Arc<StoreInner>,
 }
 
 #[derive(Debug, Default)]
-struct BoardInner {
-    rows: Mutex<BoardRows>,
+struct StoreInner {
+    rows: Mutex<StoreRows>,
     changes: watch::Sender<u64>,
 }
 
 #[derive(Debug, Default)]
-struct BoardRows {
-    entries: FastMap<ReplicaId, BoardEntry>,
+struct StoreRows {
+    entries: FastMap<ReplicaId, EvidenceEntry>,
     changed: FastSet<ReplicaId>,
 }
 
-impl EvidenceBoard {
-    fn rows(&self) -> MutexGuard<'_, BoardRows> {
+impl EvidenceStore {
+    fn rows(&self) -> MutexGuard<'_, StoreRows> {
         self.inner
             .rows
             .lock()
@@ -93,7 +93,7 @@
             .get(&replica)
             .and_then(|entry| entry.load)
             .filter(|(_, at)| now.saturating_duration_since(*at) <= LOAD_LIMIT);
-        let entry = BoardEntry {
+        let entry = EvidenceEntry {
             evidence,
             received: now,
             load: load.map(|load| (load, now)).or(known_load),
@@ -107,7 +107,7 @@
 
     /// The newest evidence for a replica.
     #[must_use]
-    pub fn newest_for(&self, replica: &ReplicaId) -> Option<BoardEntry> {
+    pub fn newest_for(&self, replica: &ReplicaId) -> Option<EvidenceEntry> {
         self.rows().entries.get(replica).cloned()
     }
 
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -7,9 +7,9 @@
 use domain::{FastMap, ReplicaId, ReplicaPlan};
 use tokio::sync::watch;
 
-use crate::board::EvidenceBoard;
 use crate::directory::HostDirectory;
 use crate::drains::DrainSet;
+use crate::evidence_store::EvidenceStore;
 use crate::plans::FleetPlans;
 use crate::view::{ConfigView, ReplicaView, TargetView};
 
@@ -33,12 +33,12 @@
 /// Publishes the targets at each change and each new evidence; runs until it is dropped.
 pub async fn follow_fleet(
     mut inputs: FleetInputs,
-    board: EvidenceBoard,
+    evidence_store: EvidenceStore,
     views: watch::Sender<Arc<TargetView>>,
 ) {
-    let mut evidence = board.changes();
+    let mut evidence = evidence_store.changes();
     let mut fleet = FleetIndex::default();
-    fleet.rebuild(&mut inputs, &board);
+    fleet.rebuild(&mut inputs, &evidence_store);
     loop {
         let replicas = fleet.replicas.values().cloned().collect();
         views.send_replace(Arc::new(TargetView { replicas }));
@@ -50,8 +50,8 @@
             changed = evidence.changed() => changed.map(|()| false),
         };
         match rebuilt {
-            Ok(true) => fleet.rebuild(&mut inputs, &board),
-            Ok(false) => fleet.update(&board),
+            Ok(true) => fleet.rebuild(&mut inputs, &evidence_store),
+            Ok(false) => fleet.update(&evidence_store),
             Err(_) => return,
         }
     }
@@ -63,28 +63,28 @@
 }
 
 impl FleetIndex {
-    fn rebuild(&mut self, inputs: &mut FleetInputs, board: &EvidenceBoard) {
+    fn rebuild(&mut self, inputs: &mut FleetInputs, evidence_store: &EvidenceStore) {
         let plans = Arc::clone(&inputs.plans.borrow_and_update());
         let directory = Arc::clone(&inputs.directory.borrow_and_update());
         let drains = DrainSet::new(&inputs.config.borrow_and_update());
-        let _ = board.take_changed();
+        let _ = evidence_store.take_changed();
         let mut known: FastMap<&ReplicaId, &ReplicaPlan> = FastMap::default();
         for plan in plans.plans() {
             known.insert(&plan.id, plan);
         }
         self.replicas.retain(|id, _| known.contains_key(id));
         for plan in plans.plans() {
-            let view = replica_view(plan, &directory, &drains, board);
+            let view = replica_view(plan, &directory, &drains, evidence_store);
             self.replicas.insert(plan.id.clone(), Arc::new(view));
         }
     }
 
-    fn update(&mut self, board: &EvidenceBoard) {
-        for id in board.take_changed() {
+    fn update(&mut self, evidence_store: &EvidenceStore) {
+        for id in evidence_store.take_changed() {
             let Some(replica) = self.replicas.get_mut(&id) else {
                 continue;
             };
-            let entry = board.newest_for(&id);
+            let entry = evidence_store.newest_for(&id);
             let mut view = ReplicaView::clone(replica);
             view.load = entry.as_ref().and_then(|entry| entry.load);
             view.evidence = entry.map(|entry| (entry.evidence, entry.received));
@@ -97,10 +97,10 @@
     plan: &ReplicaPlan,
     directory: &HostDirectory,
     drains: &DrainSet,
-    board: &EvidenceBoard,
+    evidence_store: &EvidenceStore,
 ) -> ReplicaView {
     let leading = plan.leader().and_then(|host| directory.hosts.get(host));
-    let entry = board.newest_for(&plan.id);
+    let entry = evidence_store.newest_for(&plan.id);
     let load = entry.as_ref().and_then(|entry| entry.load);
     ReplicaView {
         plan: plan.clone(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,10 +2,10 @@
 
 pub mod amend;
 pub mod assembly;
-pub mod board;
 pub mod config;
 pub mod directory;
 pub mod drains;
+pub mod evidence_store;
 pub mod fleet;
 pub mod gate;
 pub mod history;
@@ -23,7 +23,7 @@
 pub mod wholeness;
 
 pub use amend::{AmendError, AmendOutcome, Expect, RecordAmendment, amend_record};
-pub use board::EvidenceBoard;
+pub use evidence_store::EvidenceStore;
 pub use gate::ServiceGate;
 pub use ledger::{CallLedger, ClaimKey, ClaimOutcome, ClaimTicket};
 pub use members::{Member, MemberView};
--- a/crates/control/src/members/state.rs
+++ b/crates/control/src/members/state.rs
@@ -127,7 +127,8 @@
         true
     }
 
-    /// Takes in a heartbeat that a peer passed on of a node whose row is known; returns whether it was news.
+    /// Takes in a heartbeat that a peer passed on of a node whose row is known; returns whether it
+    /// was news.
     pub fn observe_beat(&mut self, node: &NodeId, beat: u64, now: Instant) -> bool {
         let Some(tracked) = self.tracked.get(node) else {
             return false;
--- a/crates/control/src/wholeness.rs
+++ b/crates/control/src/wholeness.rs
@@ -16,8 +16,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::board::EvidenceBoard;
 use crate::directory::HostDirectory;
+use crate::evidence_store::EvidenceStore;
 use crate::lease::ranked_nodes;
 use crate::members::MemberView;
 use crate::pause::{RetryPause, spread};
@@ -84,7 +84,7 @@
 pub async fn follow_wholeness<E: EnginePort>(
     mut inputs: WatchInputs,
     engine: E,
-    board: EvidenceBoard,
+    evidence_store: EvidenceStore,
     settings: WatchSettings,
 ) {
     let period = Duration::from_millis(settings.period_ms);
@@ -124,13 +124,14 @@
                 turn.watcher = is_watcher(&inputs.node, plan, &directory, &members);
             }
             let full = probing.len() >= settings.probes_at_once;
-            if full || probing.contains(&plan.id) || !is_due(turn, plan, &board, settings) {
+            if full || probing.contains(&plan.id) || !is_due(turn, plan, &evidence_store, settings)
+            {
                 continue;
             }
             probing.insert(plan.id.clone());
             let probe = ProbeTask {
                 engine: engine.clone(),
-                board: board.clone(),
+                evidence_store: evidence_store.clone(),
                 plan: plan.clone(),
                 directory: Arc::clone(&directory),
                 timeout: Duration::from_millis(settings.timeout_ms),
@@ -139,7 +140,7 @@
         }
         if turns.len() > current.len() {
             turns.retain(|id, _| current.contains(id));
-            board.retain(&current);
+            evidence_store.retain(&current);
         }
         tokio::time::sleep(period / TICKS_PER_PERIOD).await;
     }
@@ -182,7 +183,7 @@
 fn is_due(
     turn: &ProbeTurn,
     plan: &ReplicaPlan,
-    board: &EvidenceBoard,
+    evidence_store: &EvidenceStore,
     settings: WatchSettings,
 ) -> bool {
     let now = Instant::now();
@@ -195,7 +196,7 @@
     let silence = Duration::from_millis(settings.silence_ms);
     // Evidence of its own is no reason to stop, since nobody else provides it; nor is it one to go
     // on, once peers pass theirs on again.
-    let heard = board.newest_for(&plan.id).is_some_and(|entry| {
+    let heard = evidence_store.newest_for(&plan.id).is_some_and(|entry| {
         let current = entry.evidence.incarnation >= plan.incarnation;
         let fresh = |at: Instant| now.saturating_duration_since(at) < silence;
         current && entry.heard.is_some_and(fresh)
@@ -223,7 +224,7 @@
 
 struct ProbeTask<E> {
     engine: E,
-    board: EvidenceBoard,
+    evidence_store: EvidenceStore,
     plan: ReplicaPlan,
     directory: Arc<HostDirectory>,
     timeout: Duration,
@@ -234,7 +235,7 @@
         let outcome = probe_replica(&self.engine, &self.plan, &self.directory, self.timeout).await;
         let answered = match outcome {
             ProbeOutcome::Evidence(evidence, load) => {
-                self.board.record_report(evidence, load);
+                self.evidence_store.record_report(evidence, load);
                 true
             }
             ProbeOutcome::Silent => false,
--- a/crates/control/tests/rules/assembly_rounds.rs
+++ b/crates/control/tests/rules/assembly_rounds.rs
@@ -11,7 +11,7 @@
 use control::assembly::{AssemblyParts, AssemblySettings, FabricController, FirstHosts};
 use control::directory::HostDirectory;
 use control::lease::{EpochRow, LeaseGrant};
-use control::{ConfigView, EvidenceBoard};
+use control::{ConfigView, EvidenceStore};
 use domain::record::{ModelRecord, VersionPlan};
 use domain::{ConfigRevision, FabricFleet, FabricId, HostSlot, LeaseEpoch, RecordSpec, RowVersion};
 use events::EventRecorder;
@@ -133,7 +133,7 @@
             table: self.table.clone(),
             engine: self.engines.clone(),
             chooser: FirstHosts,
-            board: EvidenceBoard::default(),
+            evidence_store: EvidenceStore::default(),
             targets: None,
             directory: self.hosts.subscribe(),
             config: self.config.subscribe(),
--- a/crates/control/tests/rules/evidence_board.rs
+++ b/crates/control/tests/rules/evidence_store.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use control::EvidenceBoard;
+use control::EvidenceStore;
 use domain::{IncarnationNumber, ReplicaId, WholenessEvidence};
 use quickcheck::{Gen, QuickCheck};
 
@@ -26,19 +26,19 @@
 }
 
 /// Peers pass evidence on by detours, so that old pieces come after new ones. What stands on the
-/// board is always the newest observation of the highest incarnation; otherwise an old "whole"
-/// would open the gate to a replica that lost a host since.
+/// evidence store is always the newest observation of the highest incarnation; otherwise an old
+/// "whole" would open the gate to a replica that lost a host since.
 #[test]
 fn newest_stands() {
     fn holds(pieces: Vec<(u8, bool, u16)>) -> bool {
-        let board = EvidenceBoard::default();
+        let evidence_store = EvidenceStore::default();
         let start = Instant::now();
         let mut newest: Option<(u64, Duration, bool)> = None;
         for (incarnation, whole, age) in pieces {
             let incarnation = u64::from(incarnation % 3);
             // Whole seconds, so that the test's own run time does not matter.
             let age = Duration::from_secs(u64::from(age));
-            board.record(evidence(incarnation, whole, age));
+            evidence_store.record(evidence(incarnation, whole, age));
             // The same age at a later moment is a newer observation.
             let better = newest.is_none_or(|(known, known_age, _)| {
                 incarnation > known || (incarnation == known && age <= known_age)
@@ -48,9 +48,9 @@
             }
         }
         let Some((incarnation, age, whole)) = newest else {
-            return board.newest_for(&replica()).is_none();
+            return evidence_store.newest_for(&replica()).is_none();
         };
-        let Some(entry) = board.newest_for(&replica()) else {
+        let Some(entry) = evidence_store.newest_for(&replica()) else {
             return false;
         };
         let now = Instant::now();
@@ -65,20 +65,20 @@
         .quickcheck(holds as fn(Vec<(u8, bool, u16)>) -> bool);
 }
 
-/// Evidence grows older while it lies on the board, and is passed on with its age of that moment;
+/// Evidence grows older while it lies in the store, and is passed on with its age of that moment;
 /// a peer can't make it look fresh.
 #[test]
 fn ages_go_on() {
-    let board = EvidenceBoard::default();
+    let evidence_store = EvidenceStore::default();
     let age = Duration::from_secs(2);
-    board.record(evidence(1, true, age));
+    evidence_store.record(evidence(1, true, age));
     std::thread::sleep(Duration::from_millis(30));
-    let exported = board.export(10);
+    let exported = evidence_store.export(10);
     assert_eq!(exported.len(), 1);
     assert!(exported[0].age >= age + Duration::from_millis(30));
-    let peer = EvidenceBoard::default();
+    let peer = EvidenceStore::default();
     peer.record(exported[0].clone());
-    board.record(exported[0].clone());
+    evidence_store.record(exported[0].clone());
     let entry = peer.newest_for(&replica()).expect("recorded");
     assert!(entry.age(Instant::now()) >= exported[0].age);
 }
--- a/crates/control/tests/rules/main.rs
+++ b/crates/control/tests/rules/main.rs
@@ -6,7 +6,7 @@
 mod config_state;
 mod dice;
 mod drain_room;
-mod evidence_board;
+mod evidence_store;
 mod fake;
 mod host_moves;
 mod lease_fencing;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 use wire::engine::{ResumeOrder, StreamEvent, StreamOrder};
 
-use crate::desk::ask::PlacedSlot;
+use crate::dispatch::ask::PlacedSlot;
 use crate::order::CompletionOrder;
 use crate::parts::EntryParts;
 use crate::progress::{AnswerEnd, AnswerProgress, MatchFault, MatchStep, StreamMatcher};
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -10,7 +10,7 @@
 use wire::caller::ErrorCode;
 
 use crate::attempt::{AttemptEnd, AttemptFault, AttemptKind, AttemptRun, AttemptSite};
-use crate::desk::ask::{PlacedSlot, PlacementAsk, SlotOutcome};
+use crate::dispatch::ask::{PlacedSlot, PlacementAsk, SlotOutcome};
 use crate::failure::CallerFailure;
 use crate::order::CompletionOrder;
 use crate::parts::EntryParts;
@@ -44,7 +44,7 @@
     parts: &'a EntryParts<E>,
     order: &'a CompletionOrder,
     progress: AnswerProgress,
-    /// What the desk is asked for the next attempt.
+    /// What the dispatcher is asked for the next attempt.
     ask: PlacementAsk,
     /// Attempts so far.
     attempts: u32,
@@ -114,7 +114,7 @@
     async fn run_placed<A: AnswerSink>(&mut self, sink: &mut A) -> CompletionEnd {
         while self.attempts < self.parts.settings.max_attempts {
             let placed = tokio::select! {
-                placed = self.parts.desk.place(self.ask.clone()) => placed,
+                placed = self.parts.dispatcher.place(self.ask.clone()) => placed,
                 () = sink.gone() => return CompletionEnd::CallerGone,
             };
             let mut slot = match placed {
@@ -194,7 +194,12 @@
             }
             AttemptFault::Broken(_) | AttemptFault::Silent(_) | AttemptFault::Mismatch(_) => {
                 let deadline = self.ask.deadline;
-                match self.parts.desk.decide_retry(self.attempts, deadline).await {
+                match self
+                    .parts
+                    .dispatcher
+                    .decide_retry(self.attempts, deadline)
+                    .await
+                {
                     RetryDecision::Retry { wait } => {
                         tokio::time::sleep(wait).await;
                         Ok(())
--- a/crates/entry/src/desk/actor.rs
+++ b/crates/entry/src/dispatch/actor.rs
@@ -1,4 +1,4 @@
-//! The actor that owns the desk's state, and the tasks that feed it.
+//! The actor that owns the dispatcher's state, and the tasks that feed it.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,20 +8,20 @@
 use tokio::sync::{mpsc, watch};
 use xtra::{Context, Handler, WeakAddress};
 
-use super::ask::{DeskNote, PlacementAsk};
-use super::state::{DeskState, SlotReply};
+use super::ask::{DispatchNote, PlacementAsk};
+use super::state::{DispatchState, SlotReply};
 
 /// Time between two looks at what expired: a refusal may come so much late.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Owns the desk's state.
+/// Owns the dispatcher's state.
 #[derive(Debug, xtra::Actor)]
-pub struct DeskActor {
-    state: DeskState,
+pub struct DispatchActor {
+    state: DispatchState,
 }
 
-impl DeskActor {
-    pub fn new(state: DeskState) -> Self {
+impl DispatchActor {
+    pub fn new(state: DispatchState) -> Self {
         Self { state }
     }
 }
@@ -45,7 +45,7 @@
 /// Tells how many entries there are.
 pub struct SetEntries(pub u32);
 
-impl Handler<OfferAsk> for DeskActor {
+impl Handler<OfferAsk> for DispatchActor {
     type Return = ();
 
     async fn handle(&mut self, offer: OfferAsk, _: &mut Context<Self>) {
@@ -54,7 +54,7 @@
     }
 }
 
-impl Handler<TakeView> for DeskActor {
+impl Handler<TakeView> for DispatchActor {
     type Return = ();
 
     async fn handle(&mut self, view: TakeView, _: &mut Context<Self>) {
@@ -66,16 +66,16 @@
     }
 }
 
-impl Handler<DeskNote> for DeskActor {
+impl Handler<DispatchNote> for DispatchActor {
     type Return = ();
 
-    async fn handle(&mut self, note: DeskNote, _: &mut Context<Self>) {
+    async fn handle(&mut self, note: DispatchNote, _: &mut Context<Self>) {
         let at = self.state.moment();
         self.state.take_note(at, note);
     }
 }
 
-impl Handler<DecideRetry> for DeskActor {
+impl Handler<DecideRetry> for DispatchActor {
     type Return = RetryDecision;
 
     async fn handle(&mut self, ask: DecideRetry, _: &mut Context<Self>) -> RetryDecision {
@@ -84,7 +84,7 @@
     }
 }
 
-impl Handler<SetEntries> for DeskActor {
+impl Handler<SetEntries> for DispatchActor {
     type Return = ();
 
     async fn handle(&mut self, entries: SetEntries, _: &mut Context<Self>) {
@@ -94,8 +94,8 @@
 
 /// Hands notes on; they come from places that can't wait.
 pub async fn forward_notes(
-    mut notes: mpsc::UnboundedReceiver<DeskNote>,
-    address: WeakAddress<DeskActor>,
+    mut notes: mpsc::UnboundedReceiver<DispatchNote>,
+    address: WeakAddress<DispatchActor>,
 ) {
     while let Some(note) = notes.recv().await {
         if address.send(note).await.is_err() {
@@ -107,7 +107,7 @@
 /// Hands new views on, and ticks in between.
 pub async fn follow_targets(
     mut targets: watch::Receiver<Arc<TargetView>>,
-    address: WeakAddress<DeskActor>,
+    address: WeakAddress<DispatchActor>,
 ) {
     targets.mark_changed();
     loop {
--- a/crates/entry/src/desk/ask.rs
+++ b/crates/entry/src/dispatch/ask.rs
@@ -1,4 +1,4 @@
-//! What a request asks of the desk, and the slot that it gets.
+//! What a request asks of the dispatcher, and the slot that it gets.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +16,7 @@
 /// Bytes of a prompt that count as one token, for predictions only.
 const BYTES_PER_TOKEN: usize = 4;
 
-/// What a request asks of the desk.
+/// What a request asks of the dispatcher.
 #[derive(Debug, Clone)]
 pub struct PlacementAsk {
     /// Who asks.
@@ -66,7 +66,7 @@
     }
 }
 
-/// What the desk has to know of a slot that it gave.
+/// What the dispatcher has to know of a slot that it gave.
 #[derive(Debug, Clone)]
 pub struct SlotFacts {
     /// The model.
@@ -90,9 +90,9 @@
     pub cached_tokens: Option<u32>,
 }
 
-/// What the desk is told.
+/// What the dispatcher is told.
 #[derive(Debug)]
-pub enum DeskNote {
+pub enum DispatchNote {
     /// The first token of an attempt came.
     FirstToken {
         /// The slot.
@@ -120,8 +120,8 @@
     },
 }
 
-/// Sends notes to the desk.
-pub type NoteSender = mpsc::UnboundedSender<DeskNote>;
+/// Sends notes to the dispatcher.
+pub type NoteSender = mpsc::UnboundedSender<DispatchNote>;
 
 /// A replica's slot for one attempt; it is given back when it is dropped.
 ///
@@ -167,7 +167,7 @@
         let elapsed = self.given.elapsed();
         self.first_token = Some(elapsed);
         let facts = self.facts.clone();
-        let _ = self.notes.send(DeskNote::FirstToken { facts, elapsed });
+        let _ = self.notes.send(DispatchNote::FirstToken { facts, elapsed });
     }
 
     /// Gives the slot back.
@@ -178,7 +178,7 @@
 
 impl Drop for PlacedSlot {
     fn drop(&mut self) {
-        let _ = self.notes.send(DeskNote::Ended {
+        let _ = self.notes.send(DispatchNote::Ended {
             facts: self.facts.clone(),
             outcome: self.outcome,
             stay: self.given.elapsed(),
--- a/crates/entry/src/desk/floor.rs
+++ b/crates/entry/src/dispatch/index.rs
@@ -1,4 +1,4 @@
-//! The replicas as the desk sees them: their views, loads and the choice among them.
+//! The replicas as the dispatcher sees them: their views, loads and the choice among them.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,7 +19,7 @@
 
 /// All replicas.
 #[derive(Debug)]
-pub(super) struct ReplicaFloor {
+pub(super) struct ReplicaIndex {
     pub pool: TargetPool,
     keys: FastMap<ReplicaId, TargetKey>,
     views: FastMap<TargetKey, Arc<ReplicaView>>,
@@ -35,7 +35,7 @@
     pub report: Option<PoolReport>,
 }
 
-impl ReplicaFloor {
+impl ReplicaIndex {
     pub fn new(rng: SmallRng, evidence_limit: Duration, home: Option<DomainId>) -> Self {
         Self {
             pool: TargetPool::new(PlacementSettings::builder().build()),
--- a/crates/entry/src/desk/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -1,12 +1,12 @@
-//! The desk: admits requests, lets them wait and finds a replica for each attempt.
+//! The dispatcher: admits requests, lets them wait and finds a replica for each attempt.
 //!
 //! The decisions are those of the crate `policy`; [`state`] applies them without I/O, and one
 //! actor owns the state.
 
 mod actor;
 pub mod ask;
-mod floor;
-mod model;
+mod index;
+mod queue;
 pub mod state;
 
 use std::sync::Arc;
@@ -21,29 +21,29 @@
 use xtra::{Address, Mailbox};
 
 use crate::failure::CallerFailure;
-use actor::{DecideRetry, DeskActor, OfferAsk, SetEntries};
-use ask::{DeskNote, NoteSender, PlacedSlot, PlacementAsk};
-use state::{DeskSettings, DeskState};
+use actor::{DecideRetry, DispatchActor, OfferAsk, SetEntries};
+use ask::{DispatchNote, NoteSender, PlacedSlot, PlacementAsk};
+use state::{DispatchSettings, DispatchState};
 
 /// Messages that wait for the actor; senders wait beyond that.
 const MAILBOX: usize = 1_024;
 
-/// A handle of the desk. Cheap to clone.
+/// A handle of the dispatcher. Cheap to clone.
 #[derive(Debug, Clone)]
-pub struct DispatchDesk {
-    address: Address<DeskActor>,
+pub struct RequestDispatcher {
+    address: Address<DispatchActor>,
     notes: NoteSender,
     numbers: Arc<AtomicU64>,
     waiting: Arc<AtomicUsize>,
 }
 
-impl DispatchDesk {
-    /// Starts a desk. Needs a tokio runtime.
+impl RequestDispatcher {
+    /// Starts a dispatcher. Needs a tokio runtime.
     #[must_use]
-    pub fn start(settings: DeskSettings, targets: watch::Receiver<Arc<TargetView>>) -> Self {
+    pub fn start(settings: DispatchSettings, targets: watch::Receiver<Arc<TargetView>>) -> Self {
         let (notes, received) = mpsc::unbounded_channel();
-        let state = DeskState::new(settings, Instant::now(), notes.clone());
-        let address = xtra::spawn_tokio(DeskActor::new(state), Mailbox::bounded(MAILBOX));
+        let state = DispatchState::new(settings, Instant::now(), notes.clone());
+        let address = xtra::spawn_tokio(DispatchActor::new(state), Mailbox::bounded(MAILBOX));
         tokio::spawn(actor::forward_notes(received, address.downgrade()));
         tokio::spawn(actor::follow_targets(targets, address.downgrade()));
         Self {
@@ -74,7 +74,7 @@
         let result = if sent { answer.await.ok() } else { None };
         leave.model = None;
         result.unwrap_or_else(|| {
-            let message = "the desk has stopped";
+            let message = "the dispatcher has stopped";
             Err(CallerFailure::not_run(ErrorCode::Internal, message))
         })
     }
@@ -98,8 +98,8 @@
     }
 }
 
-/// Counts a waiting caller, and tells the desk when it is gone, so that it doesn't fill a place in
-/// the queue.
+/// Counts a waiting caller, and tells the dispatcher when it is gone, so that it doesn't fill a
+/// place in the queue.
 struct LeaveGuard<'a> {
     waiting: &'a AtomicUsize,
     notes: &'a NoteSender,
@@ -112,7 +112,7 @@
         self.waiting.fetch_sub(1, Ordering::Relaxed);
         if let Some(model) = self.model.take() {
             let number = self.number;
-            let _ = self.notes.send(DeskNote::Left { model, number });
+            let _ = self.notes.send(DispatchNote::Left { model, number });
         }
     }
 }
--- a/crates/entry/src/desk/model.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -9,8 +9,8 @@
 use wire::caller::ErrorCode;
 
 use super::ask::{NoteSender, PlacedSlot, PlacementAsk, SlotFacts};
-use super::floor::ReplicaFloor;
-use super::state::{DeskMoment, SlotReply};
+use super::index::ReplicaIndex;
+use super::state::{DispatchMoment, SlotReply};
 use crate::failure::CallerFailure;
 
 /// Time without any whole replica after which waiting is hopeless.
@@ -46,7 +46,7 @@
 
 /// One model at this entry.
 #[derive(Debug)]
-pub(super) struct ModelDesk {
+pub(super) struct ModelQueue {
     pub queue: AdmissionQueue,
     pub share: CapacityShare,
     pub candidates: CandidateList,
@@ -57,7 +57,7 @@
     absent_since: Duration,
 }
 
-impl ModelDesk {
+impl ModelQueue {
     pub fn new(entries: u32, seed: u64, now: Duration) -> Self {
         let settings = ShareSettings::builder().entries(entries).build();
         Self {
@@ -76,9 +76,9 @@
     }
 
     /// Judges whether any replica takes work.
-    pub fn refresh(&mut self, floor: &ReplicaFloor, at: DeskMoment) {
+    pub fn refresh(&mut self, index: &ReplicaIndex, at: DispatchMoment) {
         let was_usable = self.usable;
-        self.usable = floor.any_usable(&self.candidates, at.instant);
+        self.usable = index.any_usable(&self.candidates, at.instant);
         if self.usable {
             if !was_usable {
                 self.queue.forget_rate();
@@ -92,7 +92,7 @@
     }
 
     /// Lets an ask in, or answers it at once.
-    pub fn offer(&mut self, at: DeskMoment, waiting: WaitingAsk) {
+    pub fn offer(&mut self, at: DispatchMoment, waiting: WaitingAsk) {
         if waiting.ask.admitted {
             self.parked.push(waiting);
             return;
@@ -137,10 +137,10 @@
     }
 
     /// Answers what expired and gives out what may be sent.
-    pub fn pump(&mut self, floor: &mut ReplicaFloor, at: DeskMoment, notes: &NoteSender) {
+    pub fn pump(&mut self, index: &mut ReplicaIndex, at: DispatchMoment, notes: &NoteSender) {
         self.expire(at);
         for waiting in std::mem::take(&mut self.parked) {
-            self.give(floor, at, notes, waiting);
+            self.give(index, at, notes, waiting);
         }
         loop {
             let free = if self.usable { self.share.free() } else { 0 };
@@ -150,11 +150,11 @@
             let Some(waiting) = self.queued.remove(&key) else {
                 continue;
             };
-            self.give(floor, at, notes, waiting);
+            self.give(index, at, notes, waiting);
         }
     }
 
-    fn expire(&mut self, at: DeskMoment) {
+    fn expire(&mut self, at: DispatchMoment) {
         for key in self.queue.expire(at.now) {
             let Some(waiting) = self.queued.remove(&key) else {
                 continue;
@@ -192,15 +192,15 @@
     /// Gives an ask its slot, or parks it until a replica fits it.
     fn give(
         &mut self,
-        floor: &mut ReplicaFloor,
-        at: DeskMoment,
+        index: &mut ReplicaIndex,
+        at: DispatchMoment,
         notes: &NoteSender,
         waiting: WaitingAsk,
     ) {
         if waiting.reply.is_closed() {
             return;
         }
-        let placed = floor.place(&self.candidates, &waiting.ask, at.now, at.instant);
+        let placed = index.place(&self.candidates, &waiting.ask, at.now, at.instant);
         let Some((choice, view)) = placed else {
             self.parked.push(waiting);
             return;
--- a/crates/entry/src/desk/state.rs
+++ b/crates/entry/src/dispatch/state.rs
@@ -1,4 +1,4 @@
-//! The desk's decisions over all models, without I/O: time comes in with each call.
+//! The dispatcher's decisions over all models, without I/O: time comes in with each call.
 
 use std::time::{Duration, Instant};
 
@@ -12,17 +12,17 @@
 use slotmap::SlotMap;
 use tokio::sync::oneshot;
 
-use super::ask::{DeskNote, NoteSender, PlacedSlot, PlacementAsk, SlotFacts, SlotOutcome};
-use super::floor::ReplicaFloor;
-use super::model::{ModelDesk, WaitingAsk};
+use super::ask::{DispatchNote, NoteSender, PlacedSlot, PlacementAsk, SlotFacts, SlotOutcome};
+use super::index::ReplicaIndex;
+use super::queue::{ModelQueue, WaitingAsk};
 use crate::failure::CallerFailure;
 
 /// The answer to an ask.
 pub type SlotReply = oneshot::Sender<Result<PlacedSlot, CallerFailure>>;
 
-/// Settings of a desk.
+/// Settings of a dispatcher.
 #[derive(Debug, Clone, bon::Builder)]
-pub struct DeskSettings {
+pub struct DispatchSettings {
     /// Oldest evidence of wholeness that allows dispatch.
     pub evidence_limit: Duration,
     /// The entry's own failure domain.
@@ -36,8 +36,8 @@
 
 /// A moment, on the clock of the policies and on that of the evidence.
 #[derive(Debug, Clone, Copy)]
-pub struct DeskMoment {
-    /// Since the desk's start.
+pub struct DispatchMoment {
+    /// Since the dispatcher's start.
     pub now: Duration,
     /// The same moment.
     pub instant: Instant,
@@ -45,11 +45,11 @@
 
 /// Queues, shares and replicas of all models.
 #[derive(Debug)]
-pub struct DeskState {
-    settings: DeskSettings,
+pub struct DispatchState {
+    settings: DispatchSettings,
     started: Instant,
-    floor: ReplicaFloor,
-    models: FastMap<ModelName, ModelDesk>,
+    index: ReplicaIndex,
+    models: FastMap<ModelName, ModelQueue>,
     customers: FastMap<CustomerId, CustomerKey>,
     customer_keys: SlotMap<CustomerKey, ()>,
     budget: RetryBudget,
@@ -57,16 +57,16 @@
     entries: u32,
 }
 
-impl DeskState {
-    /// A desk without replicas; slots report to `notes`.
+impl DispatchState {
+    /// A dispatcher without replicas; slots report to `notes`.
     #[must_use]
-    pub fn new(settings: DeskSettings, started: Instant, notes: NoteSender) -> Self {
+    pub fn new(settings: DispatchSettings, started: Instant, notes: NoteSender) -> Self {
         let rng = SmallRng::seed_from_u64(settings.seed);
         let retry = RetrySettings::builder()
             .max_attempts(settings.max_attempts)
             .build();
         Self {
-            floor: ReplicaFloor::new(rng, settings.evidence_limit, settings.home.clone()),
+            index: ReplicaIndex::new(rng, settings.evidence_limit, settings.home.clone()),
             models: FastMap::default(),
             customers: FastMap::default(),
             customer_keys: SlotMap::with_key(),
@@ -80,9 +80,9 @@
 
     /// The moment now.
     #[must_use]
-    pub fn moment(&self) -> DeskMoment {
+    pub fn moment(&self) -> DispatchMoment {
         let instant = Instant::now();
-        DeskMoment {
+        DispatchMoment {
             now: instant.saturating_duration_since(self.started),
             instant,
         }
@@ -94,51 +94,51 @@
             return;
         }
         self.entries = entries;
-        for desk in self.models.values_mut() {
-            desk.share.set_entries(entries);
+        for dispatcher in self.models.values_mut() {
+            dispatcher.share.set_entries(entries);
         }
     }
 
     /// Takes a new view of the replicas in and gives out what became free.
-    pub fn take_view(&mut self, at: DeskMoment, view: &TargetView) {
-        let mut targets = self.floor.take_view(view, at.now, at.instant);
+    pub fn take_view(&mut self, at: DispatchMoment, view: &TargetView) {
+        let mut targets = self.index.take_view(view, at.now, at.instant);
         for name in targets.keys() {
             if !self.models.contains_key(name) {
-                let desk = self.new_model(at);
-                self.models.insert(name.clone(), desk);
+                let dispatcher = self.new_model(at);
+                self.models.insert(name.clone(), dispatcher);
             }
         }
-        for (name, desk) in &mut self.models {
+        for (name, dispatcher) in &mut self.models {
             let targets = targets.remove(name).unwrap_or_default();
-            desk.candidates = self.floor.pool.candidates(targets.keys);
+            dispatcher.candidates = self.index.pool.candidates(targets.keys);
             if let Some(report) = targets.report {
-                desk.share.note_report(at.now, report);
+                dispatcher.share.note_report(at.now, report);
             }
         }
         self.tick(at);
     }
 
-    fn new_model(&self, at: DeskMoment) -> ModelDesk {
-        ModelDesk::new(self.entries, self.settings.seed, at.now)
+    fn new_model(&self, at: DispatchMoment) -> ModelQueue {
+        ModelQueue::new(self.entries, self.settings.seed, at.now)
     }
 
     /// Answers what expired and gives out what became free.
-    pub fn tick(&mut self, at: DeskMoment) {
-        for desk in self.models.values_mut() {
-            desk.refresh(&self.floor, at);
-            desk.pump(&mut self.floor, at, &self.notes);
+    pub fn tick(&mut self, at: DispatchMoment) {
+        for dispatcher in self.models.values_mut() {
+            dispatcher.refresh(&self.index, at);
+            dispatcher.pump(&mut self.index, at, &self.notes);
         }
     }
 
     /// Takes an ask; its reply comes now or when its turn comes.
-    pub fn offer(&mut self, at: DeskMoment, number: u64, ask: PlacementAsk, reply: SlotReply) {
+    pub fn offer(&mut self, at: DispatchMoment, number: u64, ask: PlacementAsk, reply: SlotReply) {
         let customer = self.customer_key(&ask.customer);
         if !self.models.contains_key(&ask.model) {
-            let desk = self.new_model(at);
-            self.models.insert(ask.model.clone(), desk);
+            let dispatcher = self.new_model(at);
+            self.models.insert(ask.model.clone(), dispatcher);
         }
         let deadline = ask.deadline.saturating_duration_since(self.started);
-        let Some(desk) = self.models.get_mut(&ask.model) else {
+        let Some(dispatcher) = self.models.get_mut(&ask.model) else {
             return;
         };
         let waiting = WaitingAsk {
@@ -148,8 +148,8 @@
             deadline,
             reply,
         };
-        desk.offer(at, waiting);
-        desk.pump(&mut self.floor, at, &self.notes);
+        dispatcher.offer(at, waiting);
+        dispatcher.pump(&mut self.index, at, &self.notes);
     }
 
     fn customer_key(&mut self, customer: &CustomerId) -> CustomerKey {
@@ -162,19 +162,19 @@
     }
 
     /// Takes a note in.
-    pub fn take_note(&mut self, at: DeskMoment, note: DeskNote) {
+    pub fn take_note(&mut self, at: DispatchMoment, note: DispatchNote) {
         match note {
-            DeskNote::FirstToken { facts, elapsed } => {
-                self.floor
+            DispatchNote::FirstToken { facts, elapsed } => {
+                self.index
                     .pool
                     .note_first_token(&facts.choice, at.now, elapsed);
             }
-            DeskNote::Left { model, number } => {
-                if let Some(desk) = self.models.get_mut(&model) {
-                    desk.leave(number);
+            DispatchNote::Left { model, number } => {
+                if let Some(dispatcher) = self.models.get_mut(&model) {
+                    dispatcher.leave(number);
                 }
             }
-            DeskNote::Ended {
+            DispatchNote::Ended {
                 facts,
                 outcome,
                 stay,
@@ -185,13 +185,13 @@
 
     fn end(
         &mut self,
-        at: DeskMoment,
+        at: DispatchMoment,
         facts: &SlotFacts,
         outcome: SlotOutcome,
         stay: Duration,
         first_token: Option<Duration>,
     ) {
-        let pool = &mut self.floor.pool;
+        let pool = &mut self.index.pool;
         pool.note_ended(facts.choice.target, at.now, stay, outcome.outcome);
         if let Some(cached) = outcome.cached_tokens {
             pool.note_cached(&facts.choice, cached);
@@ -199,12 +199,12 @@
         if outcome.outcome == TargetOutcome::Finished {
             self.budget.note_success();
         }
-        let Some(desk) = self.models.get_mut(&facts.model) else {
+        let Some(dispatcher) = self.models.get_mut(&facts.model) else {
             return;
         };
-        desk.share.note_finished(at.now, stay);
+        dispatcher.share.note_finished(at.now, stay);
         if outcome.outcome == TargetOutcome::Full {
-            desk.share.note_full(at.now);
+            dispatcher.share.note_full(at.now);
         }
         let work = FinishedWork::builder()
             .customer(facts.customer)
@@ -212,14 +212,14 @@
             .actual(outcome.actual)
             .maybe_first_token(first_token)
             .build();
-        desk.queue.note_finished(at.now, work);
-        desk.pump(&mut self.floor, at, &self.notes);
+        dispatcher.queue.note_finished(at.now, work);
+        dispatcher.pump(&mut self.index, at, &self.notes);
     }
 
     /// Decides whether a request that failed without a token is tried again.
     pub fn decide_retry(
         &mut self,
-        at: DeskMoment,
+        at: DispatchMoment,
         number: u32,
         deadline: Instant,
     ) -> RetryDecision {
@@ -229,12 +229,12 @@
             .begun(true)
             .deadline(deadline.saturating_duration_since(self.started))
             .build();
-        self.budget.decide(at.now, &failed, &mut self.floor.rng)
+        self.budget.decide(at.now, &failed, &mut self.index.rng)
     }
 
     /// Requests that wait, over all models.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.models.values().map(ModelDesk::waiting).sum()
+        self.models.values().map(ModelQueue::waiting).sum()
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,8 +4,8 @@
 pub mod attempt;
 pub mod caller;
 pub mod completion;
-pub mod desk;
 pub mod digest;
+pub mod dispatch;
 pub mod failure;
 pub mod frame;
 pub mod headers;
@@ -23,7 +23,7 @@
 pub mod timing;
 pub mod token;
 
-pub use desk::DispatchDesk;
+pub use dispatch::RequestDispatcher;
 pub use parts::{EntryParts, NameSource};
 pub use server::EntryServer;
 pub use settings::EntrySettings;
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -9,7 +9,7 @@
 use events::EventRecorder;
 use tokio::sync::watch;
 
-use crate::desk::DispatchDesk;
+use crate::dispatch::RequestDispatcher;
 use crate::settings::EntrySettings;
 use crate::stop::StopSwitch;
 use crate::token::TokenSealer;
@@ -33,7 +33,7 @@
     /// Seals resume tokens.
     pub sealer: TokenSealer,
     /// Finds replicas.
-    pub desk: DispatchDesk,
+    pub dispatcher: RequestDispatcher,
     /// Names requests and attempts.
     pub names: NameSource,
     /// How far a stop is.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -23,7 +23,7 @@
 use crate::order::CompletionAsk;
 use crate::parts::EntryParts;
 use crate::routes::{CallerRoute, find_route};
-use crate::services::{ServiceDesk, find_call};
+use crate::services::{ServiceDispatcher, find_call};
 use crate::stop::StopSwitch;
 
 /// When to come back to a node that does not know its configuration yet, or that stops.
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub struct EntryServer<E, T: TableStore, S> {
     parts: EntryParts<E>,
-    services: ServiceDesk<T, S>,
+    services: ServiceDispatcher<T, S>,
 }
 
 impl<E: EnginePort, T: TableStore, S: ServicePort> EntryServer<E, T, S> {
@@ -41,7 +41,7 @@
     #[must_use]
     pub fn new(parts: EntryParts<E>, ledger: CallLedger<T>, service: S) -> Self {
         let settings = Arc::clone(&parts.settings);
-        let services = ServiceDesk::new(ledger, service, parts.recorder.clone(), settings);
+        let services = ServiceDispatcher::new(ledger, service, parts.recorder.clone(), settings);
         Self { parts, services }
     }
 
--- a/crates/entry/src/services/claimed.rs
+++ b/crates/entry/src/services/claimed.rs
@@ -32,7 +32,9 @@
 use web::WebAnswer;
 use wire::caller::ErrorCode;
 
-use super::{CALL_RETRY, STORE_RETRY, ServiceDesk, ServiceRun, answer_from_service, no_instance};
+use super::{
+    CALL_RETRY, STORE_RETRY, ServiceDispatcher, ServiceRun, answer_from_service, no_instance,
+};
 use crate::caller::hex_hash;
 use crate::failure::CallerFailure;
 
@@ -48,7 +50,7 @@
     Lost(String),
 }
 
-impl<T: TableStore, S: ServicePort> ServiceDesk<T, S> {
+impl<T: TableStore, S: ServicePort> ServiceDispatcher<T, S> {
     pub(super) async fn call_claimed(
         &self,
         run: &ServiceRun,
--- a/crates/entry/src/services/mod.rs
+++ b/crates/entry/src/services/mod.rs
@@ -87,7 +87,7 @@
 
 /// Sends calls to plain services.
 #[derive(Debug)]
-pub struct ServiceDesk<T: TableStore, S> {
+pub struct ServiceDispatcher<T: TableStore, S> {
     ledger: CallLedger<T>,
     service: S,
     pool: InstancePool,
@@ -95,8 +95,8 @@
     settings: Arc<EntrySettings>,
 }
 
-impl<T: TableStore, S: ServicePort> ServiceDesk<T, S> {
-    /// A desk.
+impl<T: TableStore, S: ServicePort> ServiceDispatcher<T, S> {
+    /// A dispatcher.
     #[must_use]
     pub fn new(
         ledger: CallLedger<T>,
--- a/crates/entry/src/services/repeated.rs
+++ b/crates/entry/src/services/repeated.rs
@@ -12,7 +12,7 @@
 use web::WebAnswer;
 use wire::caller::ErrorCode;
 
-use super::{CALL_RETRY, ServiceDesk, ServiceRun, answer_from_service, no_instance};
+use super::{CALL_RETRY, ServiceDispatcher, ServiceRun, answer_from_service, no_instance};
 use crate::failure::CallerFailure;
 
 /// Answers of an instance that another one may do better than.
@@ -23,7 +23,7 @@
     )
 }
 
-impl<T: TableStore, S: ServicePort> ServiceDesk<T, S> {
+impl<T: TableStore, S: ServicePort> ServiceDispatcher<T, S> {
     /// A clerk's look-up must not fail because one of three instances is down, so it goes to
     /// another one. The budget keeps a service that fails as a whole from getting a multiple of
     /// its load.
--- a/crates/entry/tests/request_path/fake_entry.rs
+++ b/crates/entry/tests/request_path/fake_entry.rs
@@ -11,8 +11,8 @@
 use domain::{
     ConfigRevision, IncarnationNumber, LeaseEpoch, RecordSpec, ReplicaPlan, WholenessEvidence,
 };
-use entry::desk::state::DeskSettings;
-use entry::{DispatchDesk, EntryParts, EntryServer, EntrySettings, NameSource, TokenSealer};
+use entry::dispatch::state::DispatchSettings;
+use entry::{EntryParts, EntryServer, EntrySettings, NameSource, RequestDispatcher, TokenSealer};
 use events::EventRecorder;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -200,7 +200,7 @@
         let (config, config_seen) = watch::channel(Arc::new(config()));
         let engine = FakeEngine::default();
         let recorder = EventRecorder::new(node.clone(), 1_000);
-        let desk = DeskSettings::builder()
+        let dispatcher = DispatchSettings::builder()
             .evidence_limit(settings.evidence_limit())
             .max_attempts(settings.max_attempts)
             .seed(1)
@@ -211,7 +211,7 @@
             .engine(engine.clone())
             .recorder(recorder.clone())
             .sealer(TokenSealer::new(Some(&"one key".into())))
-            .desk(DispatchDesk::start(desk, targets.subscribe()))
+            .dispatcher(RequestDispatcher::start(dispatcher, targets.subscribe()))
             .names(NameSource::new(&node))
             .settings(settings)
             .build();
--- a/crates/entry/tests/request_path/openai_shape.rs
+++ b/crates/entry/tests/request_path/openai_shape.rs
@@ -14,7 +14,7 @@
         "model": "help:wolof", "stream": stream, "max_tokens": 3, "temperature": 0.2,
         "stream_options": { "include_usage": true, "unknown": 1 }, "tools": [],
         "messages": [
-            { "role": "system", "content": "Be brief.", "name": "desk" },
+            { "role": "system", "content": "Be brief.", "name": "dispatcher" },
             { "role": "user", "content": [{ "type": "text", "text": "Which form?" }] },
         ],
     })
--- a/crates/peers/benches/link_traffic.rs
+++ b/crates/peers/benches/link_traffic.rs
@@ -113,10 +113,13 @@
     let mut boards = Vec::new();
     for number in 0..nodes {
         let seeds: Vec<_> = mesh.iter().take(3).map(|node| node.address).collect();
-        let board = BenchBoard::default();
+        let evidence_store = BenchBoard::default();
         let name = format!("dakar-plateau-e{number:03}.1a239188b18");
-        mesh.push(plan.start_with(&name, KEY, &seeds, board.clone()).await);
-        boards.push(board);
+        mesh.push(
+            plan.start_with(&name, KEY, &seeds, evidence_store.clone())
+                .await,
+        );
+        boards.push(evidence_store);
     }
     for node in &mesh {
         mesh::wait_until("all know all", || node.alive() == nodes).await;
@@ -144,8 +147,13 @@
     while started.elapsed() < time {
         mesh[0].confirm(1).await;
         tokio::time::sleep(CONFIRM_PERIOD).await;
-        for board in &boards {
-            ages.extend(board.held().values().map(|held| held.as_of.elapsed()));
+        for evidence_store in &boards {
+            ages.extend(
+                evidence_store
+                    .held()
+                    .values()
+                    .map(|held| held.as_of.elapsed()),
+            );
         }
     }
     let seconds = started.elapsed().as_secs_f64();
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -153,7 +153,8 @@
 
 /// The fabric domain in which a replica costs least.
 ///
-/// It should leave no useless remainder for the largest size, keep a spare for the next loss, and not put all replicas of a model into one failure domain, whose loss would end its service.
+/// It should leave no useless remainder for the largest size, keep a spare for the next loss, and
+/// not put all replicas of a model into one failure domain, whose loss would end its service.
 fn best_fabric(view: &RoundView<'_>, wanted: &WantedReplicas) -> Option<FabricId> {
     let size = wanted.hosts_per_replica as usize;
     let largest = view
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -7,11 +7,12 @@
 /// Settings of hedges.
 #[derive(Debug, Clone, Copy, PartialEq, Builder)]
 pub struct HedgeSettings {
-    /// How many times its predicted time an attempt gets before another target is asked. Predictions
-    /// are often missed by half, hardly ever fourfold by a target that is well.
+    /// How many times its predicted time an attempt gets before another target is asked.
+    /// Predictions are often missed by half, hardly ever fourfold by a target that is well.
     #[builder(default = 4.0)]
     pub factor: f64,
-    /// Shortest time before another target is asked; below it the network's noise would start hedges.
+    /// Shortest time before another target is asked; below it the network's noise would start
+    /// hedges.
     #[builder(default = Duration::from_millis(300))]
     pub least: Duration,
     /// Hedges that each send allows.
--- a/crates/policy/src/placement/request.rs
+++ b/crates/policy/src/placement/request.rs
@@ -121,8 +121,8 @@
 
     /// Draws a candidate; every other draw is among the near ones only.
     ///
-    /// A region away the first token comes tens of milliseconds later, so far targets are drawn less
-    /// often, but still enough to take work over when the near ones are loaded or lost.
+    /// A region away the first token comes tens of milliseconds later, so far targets are drawn
+    /// less often, but still enough to take work over when the near ones are loaded or lost.
     pub(super) fn draw<R: Rng>(&self, number: usize, rng: &mut R) -> Option<TargetKey> {
         let count = if number.is_multiple_of(2) {
             self.near
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use admin::{AdminParts, AdminServer, OperatorKey};
-use entry::DispatchDesk;
+use entry::RequestDispatcher;
 use eyre::WrapErr;
 use tokio::net::TcpListener;
 use web::serve_listener;
@@ -46,10 +46,10 @@
     context: &NodeContext,
     peers: &PeerTasks,
     tasks: &ControlTasks,
-    desk: &DispatchDesk,
+    dispatcher: &RequestDispatcher,
     bound: Option<AdminListener>,
 ) -> eyre::Result<()> {
-    let report = NodeReport::new(context, peers, tasks, desk);
+    let report = NodeReport::new(context, peers, tasks, dispatcher);
     tokio::spawn(report.clone().sample_forever(context.metrics.clone()));
     let Some(bound) = bound else { return Ok(()) };
     let key = context.settings.secrets.operator_key()?;
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -46,8 +46,8 @@
     }
 }
 
-/// Starts the tasks of control. The context's board takes in what peers saw and gives them what
-/// this node saw.
+/// Starts the tasks of control. The context's evidence store takes in what peers saw and gives them
+/// what this node saw.
 pub fn start(context: &NodeContext, members: &watch::Receiver<Arc<MemberView>>) -> ControlTasks {
     let settings = context.control;
     tokio::spawn(follow_share(context.table.clone(), members.clone()));
@@ -73,7 +73,7 @@
     tokio::spawn(follow_wholeness(
         inputs,
         engine,
-        context.board.clone(),
+        context.evidence_store.clone(),
         settings.watch,
     ));
     let inputs = FleetInputs {
@@ -83,7 +83,7 @@
     };
     tokio::spawn(follow_fleet(
         inputs,
-        context.board.clone(),
+        context.evidence_store.clone(),
         context.target_sender.clone(),
     ));
     start_leases(context, members, directory)
@@ -100,7 +100,7 @@
         table: context.table.urgent(),
         engine: context.engine.clone(),
         chooser: FirstHosts,
-        board: context.board.clone(),
+        evidence_store: context.evidence_store.clone(),
         targets: Some(context.target_sender.subscribe()),
         directory,
         config: context.config_sender.subscribe(),
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -9,10 +9,10 @@
 
 use control::CallLedger;
 use control::members::MemberView;
-use entry::desk::state::DeskSettings;
+use entry::dispatch::state::DispatchSettings;
 use entry::settings::SecretText;
 use entry::{
-    DispatchDesk, EntryParts, EntryServer, EntrySettings, NameSource, StopPhase, TokenSealer,
+    EntryParts, EntryServer, EntrySettings, NameSource, RequestDispatcher, StopPhase, TokenSealer,
 };
 use events::{EventCode, EventRecorder, EventSubject};
 use eyre::WrapErr;
@@ -32,7 +32,7 @@
     server: Arc<EntryServer<HttpEngine, NodeTable, HttpService>>,
     settings: Arc<EntrySettings>,
     tls: Option<TlsSource>,
-    desk: DispatchDesk,
+    dispatcher: RequestDispatcher,
 }
 
 /// Binds the callers' listener.
@@ -50,17 +50,17 @@
     settings.resume_key = resume_key.map(|key| SecretText::from(key.expose()));
     let settings = Arc::new(settings);
     let targets = context.target_sender.subscribe();
-    let desk = DeskSettings::builder()
+    let dispatcher = DispatchSettings::builder()
         .evidence_limit(settings.evidence_limit())
         .home(context.settings.domain.clone())
         .max_attempts(settings.max_attempts)
         .seed(process_seed())
         .build();
-    let desk = DispatchDesk::start(desk, targets.clone());
-    tokio::spawn(follow_members(desk.clone(), members));
+    let dispatcher = RequestDispatcher::start(dispatcher, targets.clone());
+    tokio::spawn(follow_members(dispatcher.clone(), members));
     let parts = EntryParts::builder()
         .config(context.config_sender.subscribe())
-        .desk(desk.clone())
+        .dispatcher(dispatcher.clone())
         .targets(targets)
         .engine(context.engine.clone())
         .recorder(context.recorder.clone())
@@ -85,16 +85,19 @@
         server,
         settings,
         tls,
-        desk,
+        dispatcher,
     })
 }
 
-/// Tells the desk how many entries share the replicas.
-async fn follow_members(desk: DispatchDesk, mut members: watch::Receiver<Arc<MemberView>>) {
+/// Tells the dispatcher how many entries share the replicas.
+async fn follow_members(
+    dispatcher: RequestDispatcher,
+    mut members: watch::Receiver<Arc<MemberView>>,
+) {
     loop {
         let count = members.borrow_and_update().members.len();
         let entries = u32::try_from(count).unwrap_or(u32::MAX).max(1);
-        desk.set_entries(entries).await;
+        dispatcher.set_entries(entries).await;
         if members.changed().await.is_err() {
             return;
         }
@@ -143,8 +146,8 @@
 
 impl EntryListener {
     /// Where requests wait for a replica.
-    pub fn desk(&self) -> &DispatchDesk {
-        &self.desk
+    pub fn dispatcher(&self) -> &RequestDispatcher {
+        &self.dispatcher
     }
 
     /// Serves until `stop` completes, then stops without cutting off a request; see
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
-use ::control::{ConfigView, ControlSettings, EvidenceBoard, TargetView};
+use ::control::{ConfigView, ControlSettings, EvidenceStore, TargetView};
 use domain::NodeId;
 use events::logs::start_logs;
 use events::{EventCode, EventRecorder, EventSubject, NodeMetrics};
@@ -31,7 +31,7 @@
 struct NodeContext {
     settings: NodeSettings,
     control: ControlSettings,
-    board: EvidenceBoard,
+    evidence_store: EvidenceStore,
     table: NodeTable,
     objects: HttpObjects,
     list: HttpHostList,
@@ -64,7 +64,7 @@
             config_sender: watch::Sender::new(Arc::new(ConfigView::default())),
             target_sender: watch::Sender::new(Arc::new(TargetView::default())),
             control: settings.control_settings(),
-            board: EvidenceBoard::default(),
+            evidence_store: EvidenceStore::default(),
             settings,
         })
     }
@@ -97,7 +97,7 @@
             context.settings.node, admin.address
         );
     }
-    admin::start(&context, &peers, &tasks, running.desk(), admin)?;
+    admin::start(&context, &peers, &tasks, running.dispatcher(), admin)?;
     let recorder = context.recorder.clone();
     let (released, release) = oneshot::channel();
     let stop = async move {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use control::EvidenceBoard;
+use control::EvidenceStore;
 use control::config::{ConfigFollower, ConfigHandle, ConfigKeeper, follow_config};
 use control::members::{Member, MemberBook, MemberKeeper, MemberState, MemberView};
 use eyre::WrapErr;
@@ -29,7 +29,7 @@
 
 /// The running links.
 pub struct PeerTasks {
-    hub: PeerHub<BoardEvidence>,
+    hub: PeerHub<StoreEvidence>,
     members: MemberKeeper<NodeTable>,
 }
 
@@ -83,11 +83,11 @@
     Ok(Some(SharedKey::new(text.expose())?))
 }
 
-/// Evidence of wholeness between the board and the links.
+/// Evidence of wholeness between the evidence store and the links.
 #[derive(Debug, Clone)]
-pub struct BoardEvidence(EvidenceBoard);
+pub struct StoreEvidence(EvidenceStore);
 
-impl EvidencePort for BoardEvidence {
+impl EvidencePort for StoreEvidence {
     fn export(&self) -> Vec<HeldEvidence> {
         let now = Instant::now();
         let mut held = Vec::new();
@@ -137,7 +137,7 @@
         let hub = PeerHub {
             config: self.config,
             book: self.book,
-            evidence: BoardEvidence(context.board.clone()),
+            evidence: StoreEvidence(context.evidence_store.clone()),
             recorder: context.recorder.clone(),
             traffic: PeerTraffic::default(),
             wake: Arc::default(),
--- a/src/node/report.rs
+++ b/src/node/report.rs
@@ -9,7 +9,7 @@
 use control::members::{Member, MemberBook};
 use control::{ConfigView, ReplicaView, TargetView};
 use domain::{FastSet, HostId, LeaseName, NodeId};
-use entry::DispatchDesk;
+use entry::RequestDispatcher;
 use events::NodeMetrics;
 use events::metrics::NodeGauge;
 use peers::PeerTraffic;
@@ -31,7 +31,7 @@
     targets: watch::Receiver<Arc<TargetView>>,
     follower: ConfigHandle,
     book: MemberBook,
-    desk: DispatchDesk,
+    dispatcher: RequestDispatcher,
     held: watch::Receiver<Vec<LeaseName>>,
     directory: watch::Receiver<Arc<HostDirectory>>,
     evidence_limit: Duration,
@@ -54,7 +54,7 @@
         context: &NodeContext,
         peers: &PeerTasks,
         tasks: &ControlTasks,
-        desk: &DispatchDesk,
+        dispatcher: &RequestDispatcher,
     ) -> Self {
         Self {
             node: context.settings.node.clone(),
@@ -62,7 +62,7 @@
             targets: context.target_sender.subscribe(),
             follower: peers.config().clone(),
             book: peers.book().clone(),
-            desk: desk.clone(),
+            dispatcher: dispatcher.clone(),
             held: tasks.held(),
             directory: tasks.directory(),
             evidence_limit: context.settings.entry.evidence_limit(),
@@ -125,7 +125,7 @@
     fn sample_links(&self, metrics: &NodeMetrics) {
         let now = Instant::now();
         metrics.set_gauge(NodeGauge::LeasesHeld, count_f64(self.held.borrow().len()));
-        metrics.set_gauge(NodeGauge::QueueLength, count_f64(self.desk.waiting()));
+        metrics.set_gauge(NodeGauge::QueueLength, count_f64(self.dispatcher.waiting()));
         let traffic = self.traffic.counts();
         metrics.set_gauge(NodeGauge::PeerSent, bytes_f64(traffic.sent));
         metrics.set_gauge(NodeGauge::PeerReceived, bytes_f64(traffic.received));
