--- a/crates/control/tests/rules/main.rs
+++ b/crates/control/tests/rules/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real aggregates and state machines of control, over fakes in memory.
 
 mod assembly_rounds;
+mod assembly_world;
 mod claim_cleanup;
 mod config_load;
 mod config_state;
