--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -99,6 +99,16 @@
     CallerLeft = 207, "caller_left", Info;
     /// A stopping entry asked the caller of a stream to go on at another one.
     StreamHandedOver = 208, "stream_handed_over", Info;
+    /// A gateway ended a request; the line holds its route, targets, attempts and times.
+    GatewayAnswered = 240, "gateway_answered", Info;
+    /// A gateway refused a request before it ran anywhere; the reason stands in the line.
+    GatewayRefused = 241, "gateway_refused", Warn;
+    /// One attempt at a target failed; whether another follows stands in the line.
+    GatewayAttemptFailed = 242, "gateway_attempt_failed", Warn;
+    /// A stream goes on at another target.
+    StreamMoved = 243, "stream_moved", Warn;
+    /// A stream was cut off, because no target could go on with it or its time was over.
+    StreamCut = 244, "stream_cut", Warn;
     /// A call of a plain service was sent.
     CallSent = 220, "call_sent", Debug;
     /// An instance of a plain service failed a call; look at the instance when they repeat.
@@ -161,6 +171,33 @@
     /// The store answers again.
     StoreCircuitClosed = 341, "store_circuit_closed", Info;
 
+    /// The registry of targets was read whole.
+    RegistryRead = 350, "registry_read", Info;
+    /// An entry of the registry can't be read; it names no target.
+    EntryUnreadable = 351, "entry_unreadable", Warn;
+    /// A target came or changed.
+    TargetChanged = 352, "target_changed", Debug;
+    /// A target is gone from the registry.
+    TargetGone = 353, "target_gone", Info;
+    /// A target does not answer; nothing is sent to it or its replica until it does.
+    TargetSuspected = 354, "target_suspected", Warn;
+    /// A suspected target answers again.
+    TargetBack = 355, "target_back", Info;
+    /// A step of the plan is being taken.
+    StepTaken = 356, "step_taken", Info;
+    /// An order to an engine ended; its outcome stands in the line.
+    OrderEnded = 357, "order_ended", Info;
+    /// The store does not answer; the node serves on with what it knows.
+    StoreLost = 358, "store_lost", Warn;
+    /// The store answers again.
+    StoreRegained = 359, "store_regained", Info;
+    /// A configuration can't be read; the one before it stays in force.
+    ConfigUnreadable = 360, "config_unreadable", Error;
+    /// The settings file was read again.
+    SettingsReread = 361, "settings_reread", Info;
+    /// The set of live nodes changed.
+    NodesCounted = 362, "nodes_counted", Info;
+
     /// A node was silent for long and its row was cleaned from the table.
     MemberExpired = 400, "member_expired", Info;
     /// A link to a peer stands.
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,133 @@
+//! A caller's request on its way to targets, and the choice of one.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use domain::{CustomerId, FastSet, HostId, ModelName, RequestId, ServiceName};
+use http::{HeaderMap, Method, Uri};
+use serving::choose::{NoTarget, TargetChoice, choose_target};
+use serving::rank::stable_hash;
+use serving::{ChoiceLimits, GatewayConfig, RouteKind, ServiceShape, TargetEntry};
+
+use crate::node::GatewayNode;
+
+/// A request that was admitted, with all that its attempts need.
+#[derive(Debug)]
+pub struct ForwardRequest {
+    /// Caller's id of it.
+    pub id: Option<RequestId>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Caller's headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Name of its route.
+    pub route: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Service.
+    pub service: ServiceName,
+    /// Model, where the service has replicas.
+    pub model: Option<ModelName>,
+    /// Customer.
+    pub customer: Option<CustomerId>,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Targets that it may be sent to.
+    pub max_attempts: u32,
+    /// Time within which its answer is worth most.
+    pub target_latency: Duration,
+    /// When it arrived.
+    pub arrived: Duration,
+    /// When its time is over.
+    pub deadline: Duration,
+    /// Last event that its caller has.
+    pub last_event: Option<u64>,
+}
+
+/// Part of the target latency that a request may spend in a target's queue. The rest is for
+/// reading its prompt and for the way.
+const QUEUE_PART: f64 = 0.8;
+
+/// Requests that may wait at one target of a plain service for each that it runs. Its calls take
+/// milliseconds, so a short queue empties within their target latency.
+const PLAIN_QUEUE: f64 = 1.0;
+
+impl ForwardRequest {
+    /// Requests that may wait at a target before this one would be late.
+    fn queue_limit(&self, service: &ServiceShape, slots: u32) -> f64 {
+        let model = self.model.as_ref().and_then(|name| service.model(name));
+        let Some(model) = model else {
+            return f64::from(slots) * PLAIN_QUEUE;
+        };
+        let step = service.queue_step.as_secs_f64() * model.pace;
+        if step <= 0.0 {
+            return f64::from(slots);
+        }
+        self.target_latency.as_secs_f64() * QUEUE_PART / step
+    }
+
+    /// Chooses a target that is not among `tried`.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none.
+    pub fn choose(
+        &self,
+        node: &GatewayNode,
+        config: &GatewayConfig,
+        tried: &FastSet<HostId>,
+    ) -> Result<TargetEntry, NoTarget> {
+        let Some(service) = config.services.get(&self.service) else {
+            return Err(NoTarget::Absent);
+        };
+        let mut entries: Vec<TargetEntry> = match &self.model {
+            Some(model) if !service.models.is_empty() => node.serving_heads(service, model),
+            _ => node.plain_targets(&self.service),
+        };
+        entries.retain(|entry| !tried.contains(&entry.id));
+        // Each node goes through the targets in an order of its own, so that ties spread.
+        entries.sort_by_cached_key(|entry| {
+            stable_hash(&(node.settings.node.as_str(), entry.id.as_str(), self.id.as_ref()))
+        });
+        let now = node.now();
+        let slots = |entry: &TargetEntry| {
+            if service.models.is_empty() {
+                entry.slots
+            } else {
+                service.slots
+            }
+        };
+        let choices: Vec<TargetChoice> = entries
+            .iter()
+            .map(|entry| TargetChoice {
+                load: node.load(&entry.id),
+                slots: slots(entry),
+                near: entry.domain == node.settings.failure_domain,
+            })
+            .collect();
+        let most = entries.first().map_or(0, slots);
+        let limits = ChoiceLimits {
+            queue: self.queue_limit(service, most),
+            nodes: node.node_count(),
+        };
+        let index = choose_target(&choices, limits, now)?;
+        let entry = entries.swap_remove(index);
+        Ok(entry)
+    }
+
+    /// Whether it may be sent again after it may have run.
+    #[must_use]
+    pub fn may_repeat(&self) -> bool {
+        self.kind.may_repeat()
+    }
+
+    /// Time that is left.
+    #[must_use]
+    pub fn time_left(&self, now: Duration) -> Duration {
+        self.deadline.saturating_sub(now)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/handle.rs
@@ -0,0 +1,405 @@
+//! What becomes of a caller's request, from its head to its final answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::RequestFacts;
+use bytes::Bytes;
+use domain::{FastSet, HostId, RequestId};
+use events::{EventCode, EventLine};
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use serving::choose::NoTarget;
+use serving::rank::stable_hash;
+use serving::{CallerRoute, GatewayConfig, RouteKind};
+
+use crate::answer::OwnAnswer;
+use crate::forward::ForwardRequest;
+use crate::node::{GatewayNode, RunningRequest};
+use crate::relay::{StreamEnd, StreamRelay, StreamSource};
+use crate::send::{AttemptEnd, TargetAnswer, send_attempt};
+
+/// Wait before a request comes back that found no configuration or no replica: about the time in
+/// which one is read or a replica is repaired.
+const ABSENT_WAIT: Duration = Duration::from_millis(700);
+
+/// Wait before a request comes back that found all targets full: some places become free in it.
+const FULL_WAIT: Duration = Duration::from_millis(250);
+
+/// Connections that may fail for one request before it is given up; each costs its caller time.
+const MAX_UNSENT: usize = 4;
+
+/// Largest answer that is held whole, in bytes. Only answers of plain services are.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+
+/// Times the target latency that an idempotent request waits for a first answer before it is
+/// sent to another target. An answer takes a tenth of it in the usual case.
+const REPEAT_AFTER: f64 = 1.2;
+
+/// Longest wait for a caller's body.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Answers a request.
+pub async fn handle_request(
+    node: Rc<GatewayNode>,
+    request: Request<Incoming>,
+) -> Response<Either<Full<Bytes>, impl Body<Data = Bytes, Error = StreamEnd>>> {
+    let running = RunningRequest::new(&node);
+    let mut response = answer_request(&node, request, running).await;
+    if node.is_stopping() {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn answer_request(
+    node: &Rc<GatewayNode>,
+    request: Request<Incoming>,
+    running: RunningRequest,
+) -> Response<Either<Full<Bytes>, impl Body<Data = Bytes, Error = StreamEnd> + use<>>> {
+    let facts = RequestFacts::from(request.headers());
+    let Some(config) = node.config() else {
+        let answer = OwnAnswer::NotRun(ABSENT_WAIT);
+        return own(node, &facts, None, answer, "no configuration yet").map(Either::Left);
+    };
+    let forward = match admit(node, &config, request, &facts).await {
+        Ok(forward) => Rc::new(forward),
+        Err((answer, reason)) => {
+            return own(node, &facts, None, answer, reason).map(Either::Left);
+        }
+    };
+    let now = node.now();
+    node.with_budget(&forward.service, |budget| budget.note_request(now));
+    match run_attempts(node, &config, &forward).await {
+        Outcome::Own(answer, reason) => {
+            own(node, &facts, Some(&forward), answer, &reason).map(Either::Left)
+        }
+        Outcome::Whole(response) => {
+            log_answered(node, &forward, &response);
+            response.map(Either::Left)
+        }
+        Outcome::Stream(source) => {
+            let relay = StreamRelay::new(node, config, forward, *source, running);
+            relay.into_response().map(Either::Right)
+        }
+    }
+}
+
+fn own(
+    node: &GatewayNode,
+    facts: &RequestFacts,
+    forward: Option<&ForwardRequest>,
+    answer: OwnAnswer,
+    reason: &str,
+) -> Response<Full<Bytes>> {
+    let not_run = matches!(answer, OwnAnswer::NotRun(_));
+    let code = if not_run {
+        EventCode::GatewayRefused
+    } else {
+        EventCode::RequestFailed
+    };
+    let status = answer.status();
+    let mut line = EventLine::new(code)
+        .text("request", facts.id.as_ref().map_or("", RequestId::as_str))
+        .number("status", u64::from(status.as_u16()))
+        .text("reason", reason);
+    if let Some(forward) = forward {
+        let held = node.now().saturating_sub(forward.arrived);
+        line = line
+            .text("route", &forward.route)
+            .text("service", forward.service.as_str())
+            .millis("held_ms", held);
+        node.metrics.end(&forward.route, status, held);
+    }
+    node.log(&line);
+    answer.response(facts.id.as_ref())
+}
+
+fn log_answered(node: &GatewayNode, forward: &ForwardRequest, response: &Response<Full<Bytes>>) {
+    let held = node.now().saturating_sub(forward.arrived);
+    node.metrics.end(&forward.route, response.status(), held);
+    let line = EventLine::new(EventCode::GatewayAnswered)
+        .text("request", forward.id.as_ref().map_or("", RequestId::as_str))
+        .text("route", &forward.route)
+        .number("status", u64::from(response.status().as_u16()))
+        .millis("took_ms", held);
+    node.log(&line);
+}
+
+type Refusal = (OwnAnswer, &'static str);
+
+async fn admit(
+    node: &Rc<GatewayNode>,
+    config: &GatewayConfig,
+    request: Request<Incoming>,
+    facts: &RequestFacts,
+) -> Result<ForwardRequest, Refusal> {
+    let arrived = node.now();
+    let (head, body) = request.into_parts();
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
+    let route = config
+        .route(&host, head.uri.path())
+        .ok_or((OwnAnswer::NoRoute, "no route"))?;
+    let key = find_key(config, route, facts)?;
+    let service = route
+        .service_for(stable_hash(&facts.id))
+        .ok_or((OwnAnswer::NoRoute, "the route has no service"))?
+        .clone();
+    let body = read_body(body, config.limits.body_bytes).await?;
+    let wait = facts.time_left.map_or(route.timeout, |left| left.min(route.timeout));
+    Ok(ForwardRequest {
+        id: facts.id.clone(),
+        method: head.method,
+        uri: path_only(head.uri),
+        headers: head.headers,
+        body,
+        route: route.name.clone(),
+        kind: route.kind,
+        service,
+        model: facts.model.clone(),
+        customer: key.as_ref().map(|(customer, _)| customer.clone()),
+        priority: key.and_then(|(_, rank)| rank).unwrap_or(route.priority),
+        max_attempts: route.max_attempts,
+        target_latency: route.target_latency,
+        arrived,
+        deadline: arrived + wait,
+        last_event: facts.last_event,
+    })
+}
+
+type KnownCaller = (domain::CustomerId, Option<u8>);
+
+fn find_key(
+    config: &GatewayConfig,
+    route: &CallerRoute,
+    facts: &RequestFacts,
+) -> Result<Option<KnownCaller>, Refusal> {
+    let Some(keys) = &config.keys else {
+        return Ok(None);
+    };
+    let key = facts.key.as_ref().and_then(|key| keys.get(key));
+    match key {
+        Some(key) => Ok(Some((key.customer.clone(), key.priority))),
+        None if route.public => Ok(None),
+        None => Err((OwnAnswer::UnknownKey, "unknown key")),
+    }
+}
+
+async fn read_body(body: Incoming, most: usize) -> Result<Bytes, Refusal> {
+    let reading = Limited::new(body, most).collect();
+    match tokio::time::timeout(BODY_LIMIT, reading).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err((OwnAnswer::TooLarge, "the body is too large"))
+        }
+        Ok(Err(_)) | Err(_) => Err((OwnAnswer::BadBody, "the body did not arrive whole")),
+    }
+}
+
+/// The path and query alone, for callers that write a whole URI in the request line.
+fn path_only(uri: http::Uri) -> http::Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or(uri)
+}
+
+enum Outcome {
+    Own(OwnAnswer, String),
+    Whole(Response<Full<Bytes>>),
+    Stream(Box<StreamSource>),
+}
+
+/// What is known after the attempts so far.
+#[derive(Default)]
+struct AttemptTally {
+    sent: u32,
+    unsent: usize,
+    may_have_run: bool,
+    tried: FastSet<HostId>,
+    /// Failure that a target answered, kept while another target is tried.
+    failure: Option<Response<Full<Bytes>>>,
+    last: String,
+}
+
+impl AttemptTally {
+    /// The final answer once no further attempt is made.
+    fn give_up(self, wait: Duration, timed_out: bool) -> Outcome {
+        if let Some(failure) = self.failure {
+            return Outcome::Whole(failure);
+        }
+        let answer = match (self.may_have_run, timed_out) {
+            (false, _) => OwnAnswer::NotRun(wait),
+            (true, true) => OwnAnswer::TimedOut,
+            (true, false) => OwnAnswer::Lost,
+        };
+        Outcome::Own(answer, self.last)
+    }
+}
+
+async fn run_attempts(
+    node: &Rc<GatewayNode>,
+    config: &GatewayConfig,
+    forward: &Rc<ForwardRequest>,
+) -> Outcome {
+    let mut tally = AttemptTally::default();
+    loop {
+        let now = node.now();
+        if forward.time_left(now).is_zero() {
+            return tally.give_up(FULL_WAIT, true);
+        }
+        let repeat_left = tally.sent < forward.max_attempts && tally.unsent < MAX_UNSENT;
+        if !repeat_left {
+            return tally.give_up(FULL_WAIT, false);
+        }
+        let target = match forward.choose(node, config, &tally.tried) {
+            Ok(target) => target,
+            Err(reason) => {
+                if tally.last.is_empty() {
+                    tally.last = no_target_text(reason).to_owned();
+                }
+                let wait = match reason {
+                    NoTarget::Absent => ABSENT_WAIT,
+                    NoTarget::Full => FULL_WAIT,
+                };
+                return tally.give_up(wait, false);
+            }
+        };
+        let allowed = tally.sent == 0 || {
+            let nodes = node.node_count();
+            node.with_budget(&forward.service, |budget| budget.take(now, nodes))
+        };
+        if !allowed {
+            tally.last.push_str("; no repeats left");
+            return tally.give_up(FULL_WAIT, false);
+        }
+        tally.tried.insert(target.id.clone());
+        let limit = attempt_limit(forward, &tally, now);
+        let end = send_attempt(node, forward, &target, None, limit).await;
+        match end {
+            AttemptEnd::Answered(answer) => {
+                tally.sent += 1;
+                match take_answer(node, forward, *answer, &mut tally).await {
+                    Some(outcome) => return outcome,
+                    None => continue,
+                }
+            }
+            AttemptEnd::Unsent(reason) => {
+                tally.unsent += 1;
+                tally.last = reason;
+            }
+            AttemptEnd::NotRun(status) => {
+                tally.sent += 1;
+                tally.last = format!("the target is full: {status}");
+            }
+            AttemptEnd::Lost(reason) => {
+                tally.sent += 1;
+                tally.may_have_run = true;
+                tally.last = reason;
+                log_failed(node, forward, &target.id, &tally.last);
+                if !forward.may_repeat() {
+                    let over = forward.time_left(node.now()).is_zero();
+                    return tally.give_up(FULL_WAIT, over);
+                }
+            }
+        }
+    }
+}
+
+fn no_target_text(reason: NoTarget) -> &'static str {
+    match reason {
+        NoTarget::Absent => "no target serves it",
+        NoTarget::Full => "all targets are full",
+    }
+}
+
+fn log_failed(node: &GatewayNode, forward: &ForwardRequest, host: &HostId, reason: &str) {
+    let line = EventLine::new(EventCode::GatewayAttemptFailed)
+        .text("request", forward.id.as_ref().map_or("", RequestId::as_str))
+        .text("route", &forward.route)
+        .text("host", host.as_str())
+        .text("reason", reason)
+        .millis("after_ms", node.now().saturating_sub(forward.arrived));
+    node.log(&line);
+}
+
+/// How long one attempt may take to its answer's head. Only a request that may be repeated, and
+/// still can be, is taken back early from a target that hangs.
+fn attempt_limit(forward: &ForwardRequest, tally: &AttemptTally, now: Duration) -> Duration {
+    let left = forward.time_left(now);
+    let repeatable = forward.kind == RouteKind::Idempotent && tally.sent + 1 < forward.max_attempts;
+    if !repeatable {
+        return left;
+    }
+    let early = forward.target_latency.mul_f64(REPEAT_AFTER);
+    left.min(early)
+}
+
+/// Reads an answer, or hands a stream on; `None` if another attempt should follow.
+async fn take_answer(
+    node: &Rc<GatewayNode>,
+    forward: &Rc<ForwardRequest>,
+    answer: TargetAnswer,
+    tally: &mut AttemptTally,
+) -> Option<Outcome> {
+    let is_stream = matches!(forward.kind, RouteKind::Streaming { .. });
+    if is_stream && answer.status == StatusCode::OK {
+        let tried = std::mem::take(&mut tally.tried);
+        let source = StreamSource {
+            answer,
+            attempts: tally.sent,
+            tried,
+        };
+        return Some(Outcome::Stream(Box::new(source)));
+    }
+    let host = answer.host.clone();
+    match read_whole(node, forward, answer).await {
+        Ok(response) => {
+            let failed = response.status().is_server_error();
+            if failed && forward.may_repeat() && tally.sent < forward.max_attempts {
+                tally.last = format!("the target failed with {}", response.status());
+                log_failed(node, forward, &host, &tally.last);
+                tally.may_have_run = true;
+                tally.failure = Some(response);
+                return None;
+            }
+            Some(Outcome::Whole(response))
+        }
+        Err(reason) => {
+            log_failed(node, forward, &host, &reason);
+            tally.may_have_run = true;
+            tally.last = reason;
+            if forward.may_repeat() {
+                return None;
+            }
+            let over = forward.time_left(node.now()).is_zero();
+            let answer = if over { OwnAnswer::TimedOut } else { OwnAnswer::Lost };
+            Some(Outcome::Own(answer, tally.last.clone()))
+        }
+    }
+}
+
+async fn read_whole(
+    node: &GatewayNode,
+    forward: &ForwardRequest,
+    mut answer: TargetAnswer,
+) -> Result<Response<Full<Bytes>>, String> {
+    let left = forward.time_left(node.now());
+    let reading = Limited::new(&mut answer.body, MAX_ANSWER_BYTES).collect();
+    let bytes = match tokio::time::timeout(left, reading).await {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) => return Err(format!("the answer broke off: {error}")),
+        Err(_) => return Err("the answer did not end in time".to_owned()),
+    };
+    let mut response = Response::new(Full::new(bytes));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers.clone();
+    answer.finish(node);
+    Ok(response)
+}
--- /dev/null
+++ b/crates/gateway/src/listen.rs
@@ -0,0 +1,144 @@
+//! Listening: callers, the balancer's questions, metrics.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::handle::handle_request;
+use crate::node::GatewayNode;
+
+/// Pause after a failed accept; without it a process out of file descriptors spins.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Idle time allowed while no configuration is known.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Idle time of connections to the readiness and metrics addresses.
+const SMALL_IDLE: Duration = Duration::from_secs(10);
+
+/// Time after the start of a stop during which idle connections stay open and new ones are
+/// answered. The balancer takes a node out after two missed answers, a second apart.
+const LINGER: Duration = Duration::from_millis(2600);
+
+/// Pause between two looks at the stop.
+const STOP_PAUSE: Duration = Duration::from_millis(200);
+
+/// Binds an address.
+///
+/// # Errors
+///
+/// The address and what is wrong with it.
+pub async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| eyre::eyre!("can't listen on {address}: {error}"))
+}
+
+/// Serves callers for ever.
+pub async fn serve_callers(node: Rc<GatewayNode>, listener: TcpListener) {
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        tokio::task::spawn_local(serve_caller(Rc::clone(&node), stream));
+    }
+}
+
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            // Only a delay is lost where the option can't be set.
+            drop(stream.set_nodelay(true));
+            Some(stream)
+        }
+        Err(error) => {
+            if error.kind() != io::ErrorKind::ConnectionAborted {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+            None
+        }
+    }
+}
+
+/// Counts a connection until it is dropped.
+struct OpenConnection(Rc<GatewayNode>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.end_connection();
+    }
+}
+
+async fn serve_caller(node: Rc<GatewayNode>, stream: TcpStream) {
+    node.begin_connection();
+    let _open = OpenConnection(Rc::clone(&node));
+    let idle = node.config().map_or(DEFAULT_IDLE, |config| config.limits.idle_timeout);
+    let handler = {
+        let node = Rc::clone(&node);
+        service_fn(move |request| {
+            let node = Rc::clone(&node);
+            async move { Ok::<_, Infallible>(handle_request(node, request).await) }
+        })
+    };
+    let mut builder = Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(idle);
+    let connection = builder.serve_connection(TokioIo::new(stream), handler);
+    tokio::pin!(connection);
+    let mut closing = false;
+    loop {
+        tokio::select! {
+            // Its failure concerns one caller, who sees it; the request's own line tells of it.
+            _ = connection.as_mut() => return,
+            () = wait_for_stop(&node), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// Completes when connections should close after the request in progress.
+async fn wait_for_stop(node: &GatewayNode) {
+    loop {
+        if node.stopping_for().is_some_and(|time| time >= LINGER) {
+            return;
+        }
+        tokio::time::sleep(if node.is_stopping() { STOP_PAUSE } else { STOP_PAUSE * 2 }).await;
+    }
+}
+
+/// Answers questions with a status and a text, for ever.
+pub async fn serve_questions<F>(listener: TcpListener, answer: F)
+where
+    F: Fn() -> (StatusCode, String) + Clone + 'static,
+{
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let answer = answer.clone();
+        let handler = service_fn(move |_| {
+            let (status, text) = answer();
+            let mut response = Response::new(Full::new(Bytes::from(text)));
+            *response.status_mut() = status;
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::task::spawn_local(async move {
+            let mut builder = Builder::new();
+            builder
+                .timer(TokioTimer::new())
+                .header_read_timeout(SMALL_IDLE);
+            // Whoever asked sees the failure and asks again.
+            drop(builder.serve_connection(TokioIo::new(stream), handler).await);
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/members.rs
@@ -0,0 +1,83 @@
+//! Counting the nodes that live.
+//!
+//! The count sets each node's part of the budgets that all share, and the order in which nodes
+//! act for a fabric domain. Nothing that must hold rests on it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::{StoreClient, StoreError};
+use serde::{Deserialize, Serialize};
+
+use crate::node::GatewayNode;
+
+/// Table with a row for each node.
+const NODES_TABLE: &str = "nodes";
+
+/// Pause between two heartbeats. Each costs a write and a read of the store.
+const HEARTBEAT_PAUSE: Duration = Duration::from_secs(4);
+
+/// Pause while the node counts nobody yet.
+const FIRST_PAUSE: Duration = Duration::from_millis(700);
+
+/// Age of a heartbeat at which its node counts as gone; two may be lost.
+const MAX_AGE: Duration = Duration::from_secs(11);
+
+/// Longest wait for the store.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Serialize, Deserialize)]
+struct NodeRow {
+    /// The store's clock at the heartbeat, in milliseconds.
+    clock_ms: u64,
+}
+
+/// Writes heartbeats and counts those of others.
+pub async fn count_nodes(node: Rc<GatewayNode>) {
+    let mut client = StoreClient::new(node.settings.store);
+    let mut clock = None;
+    loop {
+        let counted = beat(&node, &mut client, clock).await;
+        let pause = match &counted {
+            Ok(_) if clock.is_some() => HEARTBEAT_PAUSE,
+            Ok(_) | Err(_) => FIRST_PAUSE,
+        };
+        if let Ok(now) = counted {
+            clock = Some((now, node.now()));
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+type KnownClock = (Duration, Duration);
+
+async fn beat(
+    node: &GatewayNode,
+    client: &mut StoreClient,
+    clock: Option<KnownClock>,
+) -> Result<Duration, StoreError> {
+    // The first heartbeat follows the first read, which tells the store's clock.
+    if let Some((store, own)) = clock {
+        let now = store + node.now().saturating_sub(own);
+        let row = NodeRow {
+            clock_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+        };
+        let value =
+            serde_json::to_vec(&row).map_err(|error| StoreError::Unreadable(error.to_string()))?;
+        let name = node.settings.node.as_str();
+        client.put_row(NODES_TABLE, name, &value, CALL_LIMIT).await?;
+    }
+    let page = client.read_table(NODES_TABLE, CALL_LIMIT).await?;
+    let mut live = Vec::new();
+    for row in &page.rows {
+        let parsed = row.value.as_ref().map(|value| serde_json::from_slice::<NodeRow>(value));
+        let Some(Ok(parsed)) = parsed else { continue };
+        let age = page.clock.saturating_sub(Duration::from_millis(parsed.clock_ms));
+        if age <= MAX_AGE {
+            live.push(row.key.clone());
+        }
+    }
+    live.sort();
+    node.set_nodes(live);
+    Ok(page.clock)
+}
--- /dev/null
+++ b/crates/gateway/src/orders.rs
@@ -0,0 +1,235 @@
+//! Giving orders to engines so that each takes effect once or not at all.
+//!
+//! An order names the number of orders that the engine must have accepted before it. An order
+//! that was not answered may be carried out seconds later; sending the very same order again
+//! settles it, because only one of the two can fit that number. The number also stands in for a
+//! lease: of two nodes that plan for the same engine, one wins and the other is refused.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::OrderAnswer;
+use adapter::orders::HostOrder;
+use domain::{BootNumber, FastMap, FastSet, HostId, ReplicaId};
+use events::{EventCode, EventLine};
+use serving::{MemberState, ReplicaMembership};
+
+use crate::node::GatewayNode;
+use crate::probe::order_target;
+
+/// Longest wait for an answer to an order or a report; they come within milliseconds.
+const ORDER_LIMIT: Duration = Duration::from_millis(180);
+
+/// Times that an unanswered order is sent. With a third of the answers lost, one order in a
+/// thousand stays unsettled.
+const ORDER_TRIES: u32 = 6;
+
+/// Pause between two of them.
+const ORDER_PAUSE: Duration = Duration::from_millis(60);
+
+/// Reports that may go unanswered before an engine is suspected.
+const REPORT_TRIES: u32 = 2;
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// It took effect.
+    Done,
+    /// The engine is in another state than planned for.
+    Stale,
+    /// The engine does not answer.
+    Silent,
+}
+
+/// What is known of orders from this node.
+#[derive(Debug, Default)]
+pub struct OrderDesk {
+    /// Accepted orders by engine, as far as this node knows. A report may be older than the
+    /// answer to the last order.
+    accepted: RefCell<FastMap<HostId, (BootNumber, u64)>>,
+    /// Engines with an order that is not settled.
+    open: RefCell<FastSet<HostId>>,
+}
+
+impl OrderDesk {
+    /// Whether an order to an engine is not settled.
+    #[must_use]
+    pub fn is_open(&self, id: &HostId) -> bool {
+        self.open.borrow().contains(id)
+    }
+
+    /// Reserves engines, or none of them.
+    pub fn reserve(&self, ids: &[HostId]) -> bool {
+        let mut open = self.open.borrow_mut();
+        if ids.iter().any(|id| open.contains(id)) {
+            return false;
+        }
+        open.extend(ids.iter().cloned());
+        true
+    }
+
+    /// Gives reserved engines free.
+    pub fn release(&self, ids: &[HostId]) {
+        let mut open = self.open.borrow_mut();
+        for id in ids {
+            open.remove(id);
+        }
+    }
+
+    fn note(&self, id: &HostId, boot: BootNumber, orders: u64) -> u64 {
+        let mut accepted = self.accepted.borrow_mut();
+        let known = accepted.entry(id.clone()).or_insert((boot, orders));
+        if known.0 != boot || known.1 < orders {
+            *known = (boot, orders);
+        }
+        known.1
+    }
+
+    fn forget(&self, id: &HostId) {
+        self.accepted.borrow_mut().remove(id);
+    }
+}
+
+/// An order with the state that it was planned for.
+#[derive(Debug, Clone)]
+pub struct PlannedOrder {
+    /// Engine.
+    pub host: HostId,
+    /// Order.
+    pub order: HostOrder,
+    /// Membership that the engine must still have, by name and epoch.
+    pub expected: Option<(ReplicaId, u64)>,
+}
+
+/// Gives an order and waits until it is settled.
+pub async fn settle_order(
+    node: &Rc<GatewayNode>,
+    desk: &OrderDesk,
+    planned: &PlannedOrder,
+) -> OrderEnd {
+    let began = node.now();
+    let (end, tries, detail) = settle(node, desk, planned).await;
+    let line = EventLine::new(EventCode::OrderEnded)
+        .text("host", planned.host.as_str())
+        .text("order", planned.order.name())
+        .text("outcome", &format!("{end:?}"))
+        .text("detail", &detail)
+        .number("tries", u64::from(tries))
+        .millis("took_ms", node.now().saturating_sub(began));
+    node.log(&line);
+    end
+}
+
+async fn settle(
+    node: &Rc<GatewayNode>,
+    desk: &OrderDesk,
+    planned: &PlannedOrder,
+) -> (OrderEnd, u32, String) {
+    let (boot, accepted) = match read_state(node, desk, planned).await {
+        Ok(state) => state,
+        Err((end, detail)) => return (end, 0, detail),
+    };
+    let fence = node.settings.bounds.fencing.then(|| fence_of(node));
+    let mut detail = String::new();
+    for trial in 1..=ORDER_TRIES {
+        let Some(target) = order_target(node, &planned.host) else {
+            return (OrderEnd::Stale, trial, "the engine is gone".to_owned());
+        };
+        let given = target
+            .give(&planned.order, accepted, fence, ORDER_LIMIT)
+            .await;
+        match given {
+            Ok(OrderAnswer::Begun) => {
+                desk.note(&planned.host, boot, accepted + 1);
+                return (OrderEnd::Done, trial, format!("as order {}", accepted + 1));
+            }
+            Ok(OrderAnswer::Holds) => return (OrderEnd::Done, trial, "holds".to_owned()),
+            Ok(OrderAnswer::Conflict) => {
+                desk.forget(&planned.host);
+                // The first of two equal orders may have been carried out unanswered.
+                let done = trial > 1 && is_done(node, planned).await;
+                let end = if done { OrderEnd::Done } else { OrderEnd::Stale };
+                return (end, trial, format!("conflict after order {accepted}"));
+            }
+            Ok(answer) => {
+                desk.forget(&planned.host);
+                return (OrderEnd::Stale, trial, format!("{answer:?}"));
+            }
+            Err(error) if error.is_refused() => {
+                node.suspect(&planned.host, &error.to_string());
+                return (OrderEnd::Silent, trial, error.to_string());
+            }
+            Err(error) => detail = error.to_string(),
+        }
+        tokio::time::sleep(ORDER_PAUSE).await;
+    }
+    // Its number of orders is not known any more: the last one may come into effect late.
+    desk.forget(&planned.host);
+    (OrderEnd::Silent, ORDER_TRIES, detail)
+}
+
+fn fence_of(node: &GatewayNode) -> u64 {
+    node.registry_version().map_or(0, |version| version.0)
+}
+
+/// The engine's start and accepted orders, if its membership is the one planned for.
+async fn read_state(
+    node: &Rc<GatewayNode>,
+    desk: &OrderDesk,
+    planned: &PlannedOrder,
+) -> Result<(BootNumber, u64), (OrderEnd, String)> {
+    let mut detail = String::new();
+    for _ in 0..REPORT_TRIES {
+        let Some(target) = order_target(node, &planned.host) else {
+            return Err((OrderEnd::Stale, "the engine is gone".to_owned()));
+        };
+        match target.report(ORDER_LIMIT).await {
+            Ok(report) => {
+                let found = report.holding.membership.as_ref().map(key);
+                if found != planned.expected {
+                    let found = found.map_or("none".to_owned(), |(name, _)| name.to_string());
+                    return Err((OrderEnd::Stale, format!("its replica is {found}")));
+                }
+                let orders = desk.note(&planned.host, report.boot(), report.orders);
+                return Ok((report.boot(), orders));
+            }
+            Err(error) => detail = error.to_string(),
+        }
+    }
+    node.suspect(&planned.host, &detail);
+    Err((OrderEnd::Silent, detail))
+}
+
+/// The part of a membership that an order is planned for.
+#[must_use]
+pub fn key(membership: &ReplicaMembership) -> (ReplicaId, u64) {
+    (membership.replica.clone(), membership.epoch)
+}
+
+/// Whether an engine's report shows the effect of an order.
+async fn is_done(node: &Rc<GatewayNode>, planned: &PlannedOrder) -> bool {
+    let Some(target) = order_target(node, &planned.host) else {
+        return false;
+    };
+    let Ok(report) = target.report(ORDER_LIMIT).await else {
+        return false;
+    };
+    let found = report.holding.membership;
+    let (replica, epoch) = match &planned.order {
+        HostOrder::Join { replica, epoch, .. }
+        | HostOrder::Open { replica, epoch }
+        | HostOrder::Close { replica, epoch, .. }
+        | HostOrder::Leave { replica, epoch } => (replica, *epoch),
+    };
+    let Some(found) = found.filter(|found| found.replica == *replica && found.epoch == epoch)
+    else {
+        return matches!(planned.order, HostOrder::Leave { .. });
+    };
+    match &planned.order {
+        HostOrder::Join { .. } => true,
+        HostOrder::Open { .. } => found.state == MemberState::Open,
+        HostOrder::Close { .. } => found.state != MemberState::Open,
+        HostOrder::Leave { .. } => false,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/probe.rs
@@ -0,0 +1,108 @@
+//! Asking the members of silent replicas, and suspected targets, whether they live.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::OrderTarget;
+use domain::HostId;
+
+use crate::node::GatewayNode;
+
+/// Pause between two looks at the replicas' pulses.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest wait for a report. Engines answer one within milliseconds, whatever they run.
+const REPORT_LIMIT: Duration = Duration::from_millis(160);
+
+/// Pause before a suspected target is asked again.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(700);
+
+/// How long nothing is sent to a plain service's target that could not be reached.
+const PLAIN_SUSPECT_TIME: Duration = Duration::from_secs(2);
+
+/// Looks for replicas that stand still.
+pub async fn watch_replicas(node: Rc<GatewayNode>) {
+    loop {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        for head in node.silent_heads() {
+            tokio::task::spawn_local(ask_members(Rc::clone(&node), head));
+        }
+    }
+}
+
+async fn ask_members(node: Rc<GatewayNode>, head: HostId) {
+    let members: Vec<HostId> = node.registry(|registry| {
+        let replica = registry
+            .get(&head)
+            .and_then(|entry| entry.membership.as_ref())
+            .and_then(|membership| registry.replica(membership));
+        replica.map_or_else(Vec::new, |replica| replica.members.values().cloned().collect())
+    });
+    for member in members {
+        tokio::task::spawn_local(ask(Rc::clone(&node), member));
+    }
+}
+
+/// Asks a target twice before it is suspected: one lost packet is not the end of a host.
+async fn ask(node: Rc<GatewayNode>, id: HostId) {
+    if node.is_suspect(&id) {
+        return;
+    }
+    let mut reason = String::new();
+    for _ in 0..2 {
+        let Some(target) = order_target(&node, &id) else {
+            return;
+        };
+        match target.report(REPORT_LIMIT).await {
+            Ok(_) => return,
+            Err(error) => {
+                let refused = error.is_refused();
+                reason = error.to_string();
+                if refused {
+                    break;
+                }
+            }
+        }
+    }
+    node.suspect(&id, &reason);
+}
+
+/// Asks suspected targets again until they answer or are gone.
+pub async fn ask_suspects(node: Rc<GatewayNode>) {
+    loop {
+        tokio::time::sleep(SUSPECT_PAUSE).await;
+        let now = node.now();
+        for (id, since) in node.suspects() {
+            // Targets of plain services give no reports; a request shows whether one is back.
+            let plain = node.registry(|registry| {
+                registry.get(&id).is_some_and(|entry| entry.fabric.is_none())
+            });
+            if !plain {
+                tokio::task::spawn_local(ask_suspect(Rc::clone(&node), id));
+            } else if now.saturating_sub(since) > PLAIN_SUSPECT_TIME {
+                node.trust(&id);
+            }
+        }
+    }
+}
+
+async fn ask_suspect(node: Rc<GatewayNode>, id: HostId) {
+    let Some(target) = order_target(&node, &id) else {
+        node.trust(&id);
+        return;
+    };
+    if target.report(REPORT_LIMIT).await.is_ok() {
+        node.trust(&id);
+    }
+}
+
+/// Where a known target takes orders and questions.
+pub fn order_target(node: &GatewayNode, id: &HostId) -> Option<OrderTarget> {
+    node.registry(|registry| {
+        let entry = registry.get(id)?;
+        Some(OrderTarget {
+            id: entry.id.clone(),
+            address: entry.address,
+        })
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,132 @@
+//! Starting and stopping a gateway.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use events::{EventCode, EventLevel, EventLine, LineSink};
+use http::StatusCode;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::node::GatewayNode;
+use crate::settings::GatewaySettings;
+use crate::{care, listen, members, probe, watch};
+
+/// Time kept for the end of the process itself.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Least time from SIGTERM to the end, in which the balancer learns of it.
+const LEAST_STOP: Duration = Duration::from_millis(3200);
+
+/// Pause between two sweeps of idle connections to targets.
+const SWEEP_PAUSE: Duration = Duration::from_secs(1);
+
+/// Runs a gateway until SIGTERM, on the current thread.
+///
+/// # Errors
+///
+/// Settings that can't be used, or an address that can't be listened on.
+pub fn run_gateway(path: &Path) -> eyre::Result<()> {
+    let settings = GatewaySettings::load(path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    runtime.block_on(local.run_until(serve(settings, path)))
+}
+
+async fn serve(settings: GatewaySettings, path: &Path) -> eyre::Result<()> {
+    let listen = settings.listen;
+    let sink = LineSink::to_stdout(settings.node.as_str(), EventLevel::Info);
+    let callers = listen::bind(listen.requests).await?;
+    let readiness = listen::bind(listen.readiness).await?;
+    let metrics = listen::bind(listen.metrics).await?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let node = Rc::new(GatewayNode::new(settings, sink));
+    node.log(
+        &EventLine::new(EventCode::NodeStarted)
+            .text("version", env!("CARGO_PKG_VERSION"))
+            .text("requests", &listen.requests.to_string()),
+    );
+    spawn_local(listen::serve_callers(Rc::clone(&node), callers));
+    spawn_questions(&node, readiness, metrics);
+    spawn_local(watch::follow_config(Rc::clone(&node)));
+    spawn_local(watch::follow_registry(Rc::clone(&node)));
+    spawn_local(members::count_nodes(Rc::clone(&node)));
+    spawn_local(care::care_for_replicas(Rc::clone(&node)));
+    spawn_local(probe::watch_replicas(Rc::clone(&node)));
+    spawn_local(probe::ask_suspects(Rc::clone(&node)));
+    spawn_local(sweep_pool(Rc::clone(&node)));
+    spawn_local(reread_settings(Rc::clone(&node), hangup, path.to_owned()));
+    terminate.recv().await;
+    stop(&node).await;
+    Ok(())
+}
+
+fn spawn_questions(
+    node: &Rc<GatewayNode>,
+    readiness: tokio::net::TcpListener,
+    metrics: tokio::net::TcpListener,
+) {
+    let asked = Rc::clone(node);
+    spawn_local(listen::serve_questions(readiness, move || {
+        if asked.is_ready() {
+            (StatusCode::OK, String::new())
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, String::new())
+        }
+    }));
+    let measured = Rc::clone(node);
+    spawn_local(listen::serve_questions(metrics, move || {
+        (StatusCode::OK, measured.metrics_text())
+    }));
+}
+
+async fn sweep_pool(node: Rc<GatewayNode>) {
+    loop {
+        tokio::time::sleep(SWEEP_PAUSE).await;
+        node.pool.sweep();
+    }
+}
+
+/// Reads the settings again at SIGHUP. Addresses and names hold for the life of a process, so a
+/// file that differs takes effect at the next start; one that can't be read is reported now.
+async fn reread_settings(node: Rc<GatewayNode>, mut hangup: Signal, path: std::path::PathBuf) {
+    while hangup.recv().await.is_some() {
+        let outcome = match GatewaySettings::load(&path) {
+            Ok(_) => "usable".to_owned(),
+            Err(error) => format!("{error:#}"),
+        };
+        node.log(&EventLine::new(EventCode::SettingsReread).text("outcome", &outcome));
+    }
+}
+
+/// Stops: no longer ready at once, but serving on until callers have learned it and what runs has
+/// ended, or the grace time is over.
+async fn stop(node: &GatewayNode) {
+    node.stop();
+    let began = node.now();
+    node.log(&stop_line(node, "begun"));
+    let grace = node.settings.bounds.stop_grace().saturating_sub(STOP_MARGIN);
+    loop {
+        let time = node.now().saturating_sub(began);
+        let idle = node.running() == 0 && node.connections() == 0;
+        if time >= grace || (idle && time >= LEAST_STOP) {
+            break;
+        }
+        drop(tokio::time::timeout(Duration::from_millis(50), node.ended.notified()).await);
+    }
+    node.log(&stop_line(node, "done"));
+    // The writer's thread gets a moment for the last lines.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+}
+
+fn stop_line(node: &GatewayNode, phase: &str) -> EventLine {
+    let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    EventLine::new(EventCode::NodeStopping)
+        .text("phase", phase)
+        .number("requests", count(node.running()))
+        .number("connections", count(node.connections()))
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,211 @@
+//! One attempt at one target.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::{AnswerFacts, ForwardFacts};
+use domain::HostId;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serving::TargetEntry;
+use web::HttpLink;
+
+use crate::forward::ForwardRequest;
+use crate::node::GatewayNode;
+
+/// A request that runs at a target, counted there until it is dropped.
+#[derive(Debug)]
+pub struct RunningTicket {
+    node: Rc<GatewayNode>,
+    host: HostId,
+}
+
+impl RunningTicket {
+    fn new(node: &Rc<GatewayNode>, host: &HostId) -> Self {
+        let now = node.now();
+        node.with_load(host, serving::TargetLoad::start);
+        node.with_pulse(host, |pulse| pulse.start(now));
+        Self {
+            node: Rc::clone(node),
+            host: host.clone(),
+        }
+    }
+
+    /// Notes that bytes of the answer came.
+    pub fn moved(&self) {
+        let now = self.node.now();
+        self.node.with_pulse(&self.host, |pulse| pulse.moved(now));
+    }
+}
+
+impl Drop for RunningTicket {
+    fn drop(&mut self) {
+        self.node.with_load(&self.host, serving::TargetLoad::end);
+        self.node
+            .with_pulse(&self.host, serving::silence::ReplicaPulse::end);
+    }
+}
+
+/// A target's answer whose body is still to be read.
+#[derive(Debug)]
+pub struct TargetAnswer {
+    /// Target.
+    pub host: HostId,
+    /// Status.
+    pub status: StatusCode,
+    /// Its headers, without those of the connection.
+    pub headers: HeaderMap,
+    /// What they say.
+    pub facts: AnswerFacts,
+    /// Body.
+    pub body: Incoming,
+    /// Its connection, to be kept after the body's end.
+    pub link: HttpLink,
+    /// Counts the request at the target.
+    pub ticket: RunningTicket,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The target answered.
+    Answered(Box<TargetAnswer>),
+    /// No byte of the request reached the target.
+    Unsent(String),
+    /// The target says that it did not run the request.
+    NotRun(StatusCode),
+    /// The request may have run.
+    Lost(String),
+}
+
+/// Sends a request to a target and waits for the head of its answer, at most for `limit`.
+pub async fn send_attempt(
+    node: &Rc<GatewayNode>,
+    request: &ForwardRequest,
+    target: &TargetEntry,
+    last_event: Option<u64>,
+    limit: Duration,
+) -> AttemptEnd {
+    let id = &target.id;
+    let ticket = RunningTicket::new(node, id);
+    let signal = node.loss_signal(id);
+    let attempt = async {
+        tokio::select! {
+            end = exchange(node, request, target, last_event) => end,
+            () = signal.lost() => Err(AttemptEnd::Lost("the replica stands still".to_owned())),
+        }
+    };
+    let exchanged = match tokio::time::timeout(limit, attempt).await {
+        Ok(Ok(exchanged)) => exchanged,
+        Ok(Err(end)) => {
+            note_failure(node, id, &end);
+            return end;
+        }
+        Err(_) => {
+            let end = AttemptEnd::Lost("no answer in time".to_owned());
+            note_failure(node, id, &end);
+            return end;
+        }
+    };
+    ticket.moved();
+    judge(node, request, exchanged, ticket, id)
+}
+
+struct Exchanged {
+    link: HttpLink,
+    answer: http::Response<Incoming>,
+}
+
+async fn exchange(
+    node: &Rc<GatewayNode>,
+    request: &ForwardRequest,
+    target: &TargetEntry,
+    last_event: Option<u64>,
+) -> Result<Exchanged, AttemptEnd> {
+    let mut link = match node.pool.take(target).await {
+        Ok(link) => link,
+        Err(error) => {
+            // Nothing listens there any more, or its host is gone.
+            node.suspect(&target.id, &error.to_string());
+            return Err(AttemptEnd::Unsent(error.to_string()));
+        }
+    };
+    let facts = ForwardFacts {
+        time_left: request.time_left(node.now()),
+        host: &target.id,
+        customer: request.customer.as_ref(),
+        priority: request.priority,
+        last_event,
+    };
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.uri.clone();
+    *outgoing.headers_mut() = facts.apply(&request.headers);
+    match link.send(outgoing).await {
+        Ok(answer) => Ok(Exchanged { link, answer }),
+        Err(error) if error.is_unsent() => Err(AttemptEnd::Unsent(error.to_string())),
+        Err(error) => Err(AttemptEnd::Lost(error.to_string())),
+    }
+}
+
+fn note_failure(node: &GatewayNode, id: &HostId, end: &AttemptEnd) {
+    if matches!(end, AttemptEnd::Lost(_)) {
+        node.with_load(id, |load| load.failures += 1);
+    }
+}
+
+fn judge(
+    node: &Rc<GatewayNode>,
+    request: &ForwardRequest,
+    exchanged: Exchanged,
+    ticket: RunningTicket,
+    id: &HostId,
+) -> AttemptEnd {
+    let (head, body) = exchanged.answer.into_parts();
+    let facts = AnswerFacts::from(&head.headers);
+    let own = request.id.as_ref().map(domain::RequestId::as_str);
+    // An answer to another request: the target sent one too many on this connection.
+    if facts.request.is_some() && facts.request.as_deref() != own {
+        return AttemptEnd::Lost("the answer belongs to another request".to_owned());
+    }
+    if let Some(load) = facts.load {
+        let now = node.now();
+        node.with_load(id, |known| known.report(load, now));
+    }
+    if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+        if let Some(faulty) = &facts.faulty_host {
+            node.suspect(faulty, "its head misses it");
+        }
+        if facts.faulty_host.is_none() && head.status == StatusCode::MISDIRECTED_REQUEST {
+            node.suspect(id, "another target has its address");
+        }
+        return AttemptEnd::NotRun(head.status);
+    }
+    let success = head.status.is_success();
+    if success && (!facts.signed || facts.encoded) {
+        node.with_load(id, |load| load.failures += 1);
+        return AttemptEnd::Lost("the answer is not the target's".to_owned());
+    }
+    node.with_load(id, |load| {
+        load.failures = if success { 0 } else { load.failures + 1 };
+    });
+    AttemptEnd::Answered(Box::new(TargetAnswer {
+        host: id.clone(),
+        status: head.status,
+        headers: adapter::headers::without_connection_headers(&head.headers),
+        facts,
+        body,
+        link: exchanged.link,
+        ticket,
+    }))
+}
+
+impl TargetAnswer {
+    /// Gives the connection back after the body's end.
+    pub fn finish(self, node: &GatewayNode) {
+        if !self.facts.closes {
+            node.pool.keep(&self.host, self.link, self.facts.idle);
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,23 @@
+//! What a gateway knows of its deployment and what it decides from it.
+//!
+//! Everything here is plain data with rules: no input, output, clocks or hidden randomness. A
+//! time is a [`std::time::Duration`] since the start of the process, on its own monotonic clock.
+
+pub mod budget;
+pub mod choose;
+pub mod events;
+pub mod plan;
+pub mod rank;
+pub mod registry;
+pub mod route;
+pub mod silence;
+pub mod target;
+
+pub use budget::RepeatBudget;
+pub use choose::{ChoiceLimits, TargetLoad, choose_target};
+pub use events::EventSplitter;
+pub use registry::{ReplicaView, TargetRegistry};
+pub use route::{
+    CallerRoute, CustomerKey, GatewayConfig, ModelShape, RequestLimits, RouteKind, ServiceShape,
+};
+pub use target::{MemberState, ReplicaMembership, TargetEntry, TargetState};
--- /dev/null
+++ b/crates/serving/src/plan/fabric.rs
@@ -0,0 +1,370 @@
+//! The plan for one fabric domain.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId};
+
+use super::step::{CloseMode, PlanStep};
+use crate::route::ModelShape;
+use crate::target::{MemberState, ReplicaMembership};
+
+/// Age of the last change of an incomplete replica after which its formation counts as given up:
+/// orders are answered within milliseconds, and a lost answer is settled within a second.
+const FORMING_PATIENCE: Duration = Duration::from_millis(2500);
+
+/// Wait for the requests of a closing replica before they are cancelled. A leaving host serves on
+/// for two seconds at least; what runs longer is resumed elsewhere rather than lost with it.
+const CLOSING_PATIENCE: Duration = Duration::from_millis(2500);
+
+/// What is known of a host.
+#[derive(Debug, Clone)]
+pub struct HostSituation {
+    /// The host.
+    pub id: HostId,
+    /// Whether it answers and stays.
+    pub usable: bool,
+    /// Whether it is leaving, and serves on for a while.
+    pub leaving: bool,
+    /// Whether an order to it is not settled yet.
+    pub ordered: bool,
+    /// Model that it held last.
+    pub loaded: Option<ModelName>,
+    /// Models on its disk or memory.
+    pub staged: Vec<ModelName>,
+    /// Its replica.
+    pub membership: Option<ReplicaMembership>,
+    /// Time since the last change of its membership, as this node saw it.
+    pub unchanged: Duration,
+}
+
+impl HostSituation {
+    fn is_warm(&self, model: &ModelName) -> bool {
+        self.loaded.as_ref() == Some(model)
+    }
+
+    fn has_weights(&self, model: &ModelName) -> bool {
+        self.is_warm(model) || self.staged.contains(model)
+    }
+
+    fn has_any_weights(&self) -> bool {
+        self.loaded.is_some() || !self.staged.is_empty()
+    }
+
+    fn is_joining(&self) -> bool {
+        self.membership
+            .as_ref()
+            .is_some_and(|membership| membership.state == MemberState::Joining)
+    }
+}
+
+/// A fabric domain with what is wanted of it.
+#[derive(Debug)]
+pub struct FabricSituation<'a> {
+    /// Models.
+    pub models: &'a [ModelShape],
+    /// Replicas wanted by model.
+    pub wanted: &'a BTreeMap<ModelName, usize>,
+    /// Hosts.
+    pub hosts: &'a [HostSituation],
+    /// Replicas that were seen serving; such a one is not opened again once it was closed.
+    pub served: &'a FastSet<(ReplicaId, u64)>,
+    /// Whether hosts without weights may join replicas: true before the first request, when
+    /// loads are quick and nobody waits for a spare.
+    pub may_load_members: bool,
+}
+
+struct GroupView<'a> {
+    replica: &'a ReplicaId,
+    epoch: u64,
+    members: BTreeMap<u32, &'a HostSituation>,
+}
+
+enum GroupFate {
+    /// Serves, or is about to.
+    Stays,
+    /// In its way of forming or closing.
+    Changing,
+    /// Its members can join others.
+    Over,
+}
+
+/// Plans the next steps.
+#[must_use]
+pub fn plan_fabric(situation: &FabricSituation<'_>) -> Vec<PlanStep> {
+    let mut steps = Vec::new();
+    let mut taken: FastMap<&HostId, ()> = FastMap::default();
+    let mut standing: FastMap<&ModelName, usize> = FastMap::default();
+    for group in groups(situation.hosts) {
+        let model = group_model(&group, situation.models);
+        let fate = judge(&group, model, situation, &mut steps);
+        if matches!(fate, GroupFate::Over) {
+            continue;
+        }
+        for host in group.members.values() {
+            taken.insert(&host.id, ());
+        }
+        if let Some(model) = model {
+            *standing.entry(&model.name).or_default() += 1;
+        }
+    }
+    let mut free: Vec<&HostSituation> = situation
+        .hosts
+        .iter()
+        .filter(|host| host.usable && !host.leaving && !host.ordered)
+        .filter(|host| !taken.contains_key(&host.id))
+        .collect();
+    form_replicas(situation, &mut standing, &mut free, &mut steps);
+    warm_spares(situation, &standing, &free, &mut steps);
+    steps
+}
+
+fn groups(hosts: &[HostSituation]) -> Vec<GroupView<'_>> {
+    let mut groups: BTreeMap<(&ReplicaId, u64), GroupView> = BTreeMap::new();
+    for host in hosts {
+        let Some(membership) = &host.membership else {
+            continue;
+        };
+        let group = groups
+            .entry((&membership.replica, membership.epoch))
+            .or_insert_with(|| GroupView {
+                replica: &membership.replica,
+                epoch: membership.epoch,
+                members: BTreeMap::new(),
+            });
+        group.members.insert(membership.rank, host);
+    }
+    groups.into_values().collect()
+}
+
+fn group_model<'a>(group: &GroupView<'_>, models: &'a [ModelShape]) -> Option<&'a ModelShape> {
+    let loaded = group.members.values().find_map(|host| host.loaded.as_ref())?;
+    models.iter().find(|model| model.name == *loaded)
+}
+
+fn judge(
+    group: &GroupView<'_>,
+    model: Option<&ModelShape>,
+    situation: &FabricSituation<'_>,
+    steps: &mut Vec<PlanStep>,
+) -> GroupFate {
+    let states = group.members.values().filter_map(|host| {
+        let membership = host.membership.as_ref()?;
+        Some(membership.state)
+    });
+    let youngest = group.members.values().map(|host| host.unchanged).min();
+    let youngest = youngest.unwrap_or_default();
+    let ordered = group.members.values().any(|host| host.ordered);
+    let Some(head) = group.members.get(&0) else {
+        // The head is gone. Its members leave the replica before they join another.
+        let forming = ordered || youngest < FORMING_PATIENCE;
+        return if forming && !has_served(situation, group) {
+            GroupFate::Changing
+        } else {
+            GroupFate::Over
+        };
+    };
+    let complete = model.is_some_and(|model| group.members.len() == model.size);
+    let usable = group.members.values().all(|host| host.usable);
+    let leaving = group.members.values().any(|host| host.leaving);
+    let head_state = head.membership.as_ref().map(|membership| membership.state);
+    let close = |mode| PlanStep::Close {
+        head: head.id.clone(),
+        replica: group.replica.clone(),
+        epoch: group.epoch,
+        mode,
+    };
+    match head_state {
+        Some(MemberState::Open) if complete && usable && !leaving => GroupFate::Stays,
+        Some(MemberState::Open | MemberState::Closing) if !head.usable => GroupFate::Changing,
+        Some(MemberState::Open) => {
+            let mode = if complete && usable {
+                CloseMode::Wait
+            } else {
+                CloseMode::Cancel
+            };
+            steps.push(close(mode));
+            GroupFate::Changing
+        }
+        Some(MemberState::Closing) => {
+            if !complete || !usable || head.unchanged > CLOSING_PATIENCE {
+                steps.push(close(CloseMode::Cancel));
+            }
+            GroupFate::Changing
+        }
+        Some(MemberState::Broken) | None => GroupFate::Over,
+        Some(MemberState::Ready | MemberState::Joining) => {
+            let served = has_served(situation, group);
+            if !usable || leaving || served {
+                return GroupFate::Over;
+            }
+            if !complete {
+                let forming = ordered || youngest < FORMING_PATIENCE;
+                let is_spare = model.is_none_or(|model| model.size > 1)
+                    && group.members.len() == 1
+                    && is_spare_name(group.replica);
+                return if forming && !is_spare {
+                    GroupFate::Changing
+                } else {
+                    GroupFate::Over
+                };
+            }
+            let mut states = states;
+            if states.all(|state| state == MemberState::Ready) {
+                steps.push(PlanStep::Open {
+                    head: head.id.clone(),
+                    replica: group.replica.clone(),
+                    epoch: group.epoch,
+                });
+            }
+            GroupFate::Changing
+        }
+    }
+}
+
+fn has_served(situation: &FabricSituation<'_>, group: &GroupView<'_>) -> bool {
+    let key = (group.replica.clone(), group.epoch);
+    situation.served.contains(&key)
+}
+
+/// Beginning of the names of one-host groups that only hold a spare's weights in memory.
+pub const SPARE_PREFIX: &str = "spare-";
+
+fn is_spare_name(replica: &ReplicaId) -> bool {
+    replica.as_str().starts_with(SPARE_PREFIX)
+}
+
+fn form_replicas<'a>(
+    situation: &FabricSituation<'a>,
+    standing: &mut FastMap<&'a ModelName, usize>,
+    free: &mut Vec<&HostSituation>,
+    steps: &mut Vec<PlanStep>,
+) {
+    for model in by_lack(situation, standing) {
+        let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
+        loop {
+            let have = standing.get(&model.name).copied().unwrap_or(0);
+            // Beyond what is wanted one host stays a spare, so that the next loss costs a second.
+            let reserve = usize::from(have >= wanted);
+            let may_load = situation.may_load_members && have < wanted;
+            let Some(members) = take_members(free, model, reserve, may_load) else {
+                break;
+            };
+            steps.push(PlanStep::Form {
+                model: model.name.clone(),
+                members,
+            });
+            *standing.entry(&model.name).or_default() += 1;
+        }
+    }
+}
+
+fn by_lack<'a>(
+    situation: &FabricSituation<'a>,
+    standing: &FastMap<&'a ModelName, usize>,
+) -> Vec<&'a ModelShape> {
+    let mut models: Vec<&ModelShape> = situation.models.iter().collect();
+    models.sort_by_key(|model| {
+        let have = standing.get(&model.name).copied().unwrap_or(0);
+        let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
+        let satisfied = have >= wanted;
+        (satisfied, std::cmp::Reverse(model.size))
+    });
+    models
+}
+
+fn take_members(
+    free: &mut Vec<&HostSituation>,
+    model: &ModelShape,
+    reserve: usize,
+    may_load: bool,
+) -> Option<Vec<HostId>> {
+    let fits = |host: &&HostSituation| {
+        if host.has_weights(&model.name) {
+            return !host.is_joining();
+        }
+        may_load && !host.has_any_weights() && !host.is_joining()
+    };
+    let fitting = free.iter().copied().filter(|host| fits(host)).count();
+    if model.size == 0 || fitting < model.size + reserve {
+        return None;
+    }
+    let mut chosen: Vec<&HostSituation> = free.iter().copied().filter(|host| fits(host)).collect();
+    chosen.sort_by(|left, right| {
+        let cold = |host: &HostSituation| (!host.is_warm(&model.name), !host.has_weights(&model.name));
+        cold(left).cmp(&cold(right)).then(left.id.cmp(&right.id))
+    });
+    chosen.truncate(model.size);
+    free.retain(|host| !chosen.iter().any(|taken| taken.id == host.id));
+    Some(chosen.into_iter().map(|host| host.id.clone()).collect())
+}
+
+fn warm_spares(
+    situation: &FabricSituation<'_>,
+    standing: &FastMap<&ModelName, usize>,
+    free: &[&HostSituation],
+    steps: &mut Vec<PlanStep>,
+) {
+    let mut spares: Vec<usize> = situation
+        .models
+        .iter()
+        .map(|model| {
+            let held = free.iter().filter(|host| host.has_weights(&model.name));
+            held.count()
+        })
+        .collect();
+    for host in free {
+        if host.is_joining() {
+            continue;
+        }
+        let owned = situation
+            .models
+            .iter()
+            .find(|model| host.has_weights(&model.name));
+        if let Some(model) = owned {
+            if !host.is_warm(&model.name) {
+                steps.push(warm_step(host, model));
+            }
+            continue;
+        }
+        let Some(index) = neediest(situation, standing, &spares) else {
+            continue;
+        };
+        spares[index] += 1;
+        steps.push(warm_step(host, &situation.models[index]));
+    }
+}
+
+fn warm_step(host: &HostSituation, model: &ModelShape) -> PlanStep {
+    PlanStep::Warm {
+        host: host.id.clone(),
+        model: model.name.clone(),
+    }
+}
+
+/// The model for the next spare: first one whose missing replica it helps to form, then the one
+/// with the most hosts at risk for each spare.
+fn neediest(
+    situation: &FabricSituation<'_>,
+    standing: &FastMap<&ModelName, usize>,
+    spares: &[usize],
+) -> Option<usize> {
+    let mut best: Option<(f64, usize)> = None;
+    for (index, model) in situation.models.iter().enumerate() {
+        let have = standing.get(&model.name).copied().unwrap_or(0);
+        let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
+        let lacking = wanted.saturating_sub(have) * model.size;
+        let lacking = lacking.saturating_sub(spares[index]);
+        let at_risk = have * model.size;
+        let count = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        let need = if lacking > 0 {
+            1000.0 - count(lacking)
+        } else {
+            count(at_risk) / count(spares[index] + 1)
+        };
+        if best.is_none_or(|(most, _)| need > most) {
+            best = Some((need, index));
+        }
+    }
+    best.map(|(_, index)| index)
+}
--- /dev/null
+++ b/crates/serving/src/plan/mod.rs
@@ -0,0 +1,14 @@
+//! Which hosts form which replicas.
+//!
+//! The plan is a pure function of what the registry says, so any node may act on it at any time,
+//! and a node that takes over goes on where another one died. Safety does not rest on who acts:
+//! each order names the state of the host that it was planned for, and the host refuses it in any
+//! other (see [`PlanStep`]).
+
+mod fabric;
+mod layout;
+mod step;
+
+pub use fabric::{FabricSituation, HostSituation, SPARE_PREFIX, plan_fabric};
+pub use layout::{FabricLayout, lay_out};
+pub use step::{CloseMode, PlanStep};
--- /dev/null
+++ b/crates/serving/src/rank.rs
@@ -0,0 +1,51 @@
+//! Which node acts first for a fabric domain.
+
+use std::hash::{Hash, Hasher};
+
+/// A stable hash (FNV-1a), the same on all nodes and in all versions of the program.
+#[derive(Debug, Clone, Copy)]
+pub struct StableHasher(u64);
+
+impl Default for StableHasher {
+    fn default() -> Self {
+        Self(0xcbf2_9ce4_8422_2325)
+    }
+}
+
+impl Hasher for StableHasher {
+    fn finish(&self) -> u64 {
+        // The last bytes of an FNV hash reach few of its high bits; one more mixing spreads them.
+        let mixed = (self.0 ^ (self.0 >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        mixed ^ (mixed >> 29)
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 ^= u64::from(*byte);
+            self.0 = self.0.wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+}
+
+/// A stable hash of a value.
+#[must_use]
+pub fn stable_hash(value: &impl Hash) -> u64 {
+    let mut hasher = StableHasher::default();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// How many nodes go before `node` for a subject, by rendezvous hashing: the loss of a node moves
+/// only what it acted for, and each node finds the same order without a message.
+#[must_use]
+pub fn rendezvous_rank<'a>(
+    node: &str,
+    nodes: impl IntoIterator<Item = &'a str>,
+    subject: &str,
+) -> usize {
+    let own = (stable_hash(&(node, subject)), node);
+    let before = nodes
+        .into_iter()
+        .filter(|other| *other != node && (stable_hash(&(*other, subject)), *other) > own);
+    before.count()
+}
--- /dev/null
+++ b/crates/serving/src/silence.rs
@@ -0,0 +1,64 @@
+//! Noticing a replica that stands still.
+
+use std::time::Duration;
+
+/// Silence after which the members of a replica are asked whether they live.
+///
+/// A pass of a full replica that also reads prompts takes up to a quarter of a second; a head
+/// whose member is gone moves nothing for seconds and goes on accepting. Twice the longest pass
+/// separates the two.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(450);
+
+/// Pause between two rounds of questions while the silence lasts.
+pub const ASK_PAUSE: Duration = Duration::from_millis(500);
+
+/// When something last moved on one replica, as one node sees it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ReplicaPulse {
+    running: u32,
+    moved: Duration,
+    asked: Option<Duration>,
+}
+
+impl ReplicaPulse {
+    /// A request was sent. The first one after an idle time starts the clock: nothing could have
+    /// moved before.
+    pub fn start(&mut self, now: Duration) {
+        if self.running == 0 {
+            self.moved = now;
+        }
+        self.running += 1;
+    }
+
+    /// A request ended.
+    pub fn end(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Bytes of an answer came.
+    pub fn moved(&mut self, now: Duration) {
+        self.moved = now;
+    }
+
+    /// How long nothing has moved, while requests run.
+    #[must_use]
+    pub fn silence(&self, now: Duration) -> Duration {
+        if self.running == 0 {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(self.moved)
+    }
+
+    /// Whether the members should be asked now; true once a pause.
+    pub fn should_ask(&mut self, now: Duration) -> bool {
+        if self.silence(now) < SILENCE_LIMIT {
+            self.asked = None;
+            return false;
+        }
+        if self.asked.is_some_and(|asked| now < asked + ASK_PAUSE) {
+            return false;
+        }
+        self.asked = Some(now);
+        true
+    }
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod body;
 pub mod client;
+pub mod link;
 pub mod query;
 pub mod server;
 pub mod tls;
@@ -10,6 +11,7 @@
 pub use answer::{WebAnswer, json_answer, text_answer};
 pub use body::{BodyError, WebBody, parse_json, read_body};
 pub use client::{ClientError, WebClient};
+pub use link::{HttpLink, LinkError};
 pub use query::query_value;
 pub use server::{WebHandler, WebRequest, serve_listener, serve_opened};
 pub use tls::{TlsError, TlsFiles, TlsSource};
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,8 +18,7 @@
 /// Exit code when it is not known whether a command took effect.
 const OUTCOME_UNKNOWN: u8 = 3;
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let plan = match parse_arguments(&arguments) {
         Ok(plan) => plan,
@@ -28,7 +27,7 @@
             return ExitCode::from(BAD_COMMAND_LINE);
         }
     };
-    match run(plan).await {
+    match run(plan) {
         Ok(CommandEnd::Done) => ExitCode::SUCCESS,
         Ok(CommandEnd::Failed) => ExitCode::FAILURE,
         Ok(CommandEnd::Unknown) => ExitCode::from(OUTCOME_UNKNOWN),
@@ -39,8 +38,20 @@
     }
 }
 
-async fn run(plan: CommandPlan) -> eyre::Result<CommandEnd> {
+fn run(plan: CommandPlan) -> eyre::Result<CommandEnd> {
+    // A gateway runs on one thread: it has a part of one core, and passes a stream's events on
+    // without a hop between threads.
+    if let CommandPlan::Gateway { settings } = &plan {
+        gateway::run_gateway(settings)?;
+        return Ok(CommandEnd::Done);
+    }
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(run_plan(plan))
+}
+
+async fn run_plan(plan: CommandPlan) -> eyre::Result<CommandEnd> {
     match plan {
+        CommandPlan::Gateway { .. } => Ok(CommandEnd::Failed),
         CommandPlan::Serve { settings } => {
             node::serve(NodeSettings::load(&settings)?).await?;
             Ok(CommandEnd::Done)
--- a/src/options/mod.rs
+++ b/src/options/mod.rs
@@ -61,6 +61,9 @@
         Some(CommandWord::Serve(serve)) => Ok(CommandPlan::Serve {
             settings: serve.settings,
         }),
+        Some(CommandWord::Gateway(gateway)) => Ok(CommandPlan::Gateway {
+            settings: gateway.settings,
+        }),
         Some(CommandWord::Check(check)) => plan_check(check),
         Some(CommandWord::Apply(apply)) => plan_apply(apply).map(CommandPlan::Apply),
         Some(CommandWord::Diff(diff)) => plan_apply(diff).map(CommandPlan::Diff),
--- a/src/options/plan.rs
+++ b/src/options/plan.rs
@@ -87,6 +87,11 @@
         /// File with the settings.
         settings: PathBuf,
     },
+    /// Serve as a gateway until the process is told to stop.
+    Gateway {
+        /// File with the settings.
+        settings: PathBuf,
+    },
     /// Check files.
     Check {
         /// File with settings.
--- a/src/options/words.rs
+++ b/src/options/words.rs
@@ -21,6 +21,8 @@
 pub(super) enum CommandWord {
     #[options(help = "serve callers on this host")]
     Serve(ServeOptions),
+    #[options(help = "serve callers on a platform with a registry of its own")]
+    Gateway(ServeOptions),
     #[options(help = "check settings and records without a server")]
     Check(CheckOptions),
     #[options(help = "write records from files")]
