Form a lost replica anew at once: head leaves, then all join

Plans made before the registry showed the node's own joins took the same hosts twice. Ruled out: too few spares (two models' spares were free); engines refusing on their own.

--- a/crates/gateway/src/care.rs
+++ b/crates/gateway/src/care.rs
@@ -33,11 +33,21 @@
 const GATHER_TIME: Duration = Duration::from_millis(700);
 
 /// Age of what is known of the registry at which the node leaves planning to others.
-const STALE_REGISTRY: Duration = Duration::from_millis(2500);
+const STALE_REGISTRY: Duration = Duration::from_millis(3500);
 
 /// Window over which weight loads are counted.
 const LOAD_WINDOW: Duration = Duration::from_secs(5);
 
+/// Time for which a head that was told to open may go on reporting itself as ready.
+const OPENING_TIME: Duration = Duration::from_millis(900);
+
+/// Time within which the effect of an order stands in the registry.
+const EFFECT_TIME: Duration = Duration::from_millis(150);
+
+/// Pause after an order that was refused or not answered. What refused it is on its way to the
+/// registry; asking again at once only costs calls.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
 /// Cares for the replicas of all services.
 pub async fn care_for_replicas(node: Rc<GatewayNode>) {
     let care = Rc::new(ReplicaCare {
@@ -92,7 +102,7 @@
             })
             .collect();
         let layout: FabricLayout = lay_out(&counts, &service.models);
-        let served = self.node.served();
+        let spent = self.node.spent();
         let lead = self.node.is_lead_time();
         for (fabric, hosts) in &fabrics {
             let Some(wanted) = layout.get(fabric) else {
@@ -102,7 +112,7 @@
                 models: &service.models,
                 wanted,
                 hosts,
-                served: &served,
+                spent: &spent,
                 may_load_members: lead || !any_weights(hosts),
             };
             for step in plan_fabric(&situation) {
@@ -133,7 +143,7 @@
     fn situation(&self, entry: &TargetEntry) -> HostSituation {
         HostSituation {
             id: entry.id.clone(),
-            usable: !self.node.is_suspect(&entry.id),
+            silent: self.node.silent_for(&entry.id),
             leaving: entry.state == TargetState::Draining,
             ordered: self.desk.is_open(&entry.id),
             loaded: entry.loaded.clone(),
@@ -168,11 +178,6 @@
     fn turn(&self, fabric: &FabricId, step: &PlanStep) -> Duration {
         let node = &self.node;
         let own = node.settings.node.as_str();
-        let lead = node.is_lead_time();
-        let forms = matches!(step, PlanStep::Form { .. } | PlanStep::Warm { .. });
-        if lead && forms && node.hosts_unchanged() < GATHER_TIME {
-            return Duration::MAX;
-        }
         let made_here = match step {
             PlanStep::Open { replica, .. } | PlanStep::Close { replica, .. } => {
                 replica.as_str().contains(&self.tag())
@@ -192,7 +197,17 @@
         } else {
             rank
         };
-        TURN * rank
+        let turn = TURN * rank;
+        match step {
+            PlanStep::Form { .. } | PlanStep::Warm { .. } if node.is_lead_time() => {
+                // The wait counts from the last new host: all have waited since their start.
+                let quiet = node.hosts_unchanged();
+                if quiet < GATHER_TIME + turn { Duration::MAX } else { turn }
+            }
+            PlanStep::Form { .. } | PlanStep::Warm { .. } => turn,
+            // Whoever formed or closed a replica goes on with it at once.
+            PlanStep::Open { .. } | PlanStep::Close { .. } => turn + TURN,
+        }
     }
 
     /// Marks the names that this process gives.
@@ -216,7 +231,8 @@
         self.node.log(&line);
         let care = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            care.take(step).await;
+            let hold = care.take(step).await;
+            tokio::time::sleep(hold).await;
             care.desk.release(&hosts);
             care.node.changed.notify_waiters();
         });
@@ -260,7 +276,8 @@
         part
     }
 
-    async fn take(&self, step: PlanStep) {
+    /// Takes a step; returns how long its hosts are left alone afterwards.
+    async fn take(&self, step: PlanStep) -> Duration {
         match step {
             PlanStep::Open {
                 head,
@@ -271,7 +288,8 @@
                     replica: replica.clone(),
                     epoch,
                 };
-                self.give(&head, order, Some((replica, epoch))).await;
+                let end = self.give(&head, order, Some((replica, epoch))).await;
+                hold_after(end, OPENING_TIME)
             }
             PlanStep::Close {
                 head,
@@ -284,10 +302,17 @@
                     epoch,
                     mode,
                 };
-                self.give(&head, order, Some((replica, epoch))).await;
+                let end = self.give(&head, order, Some((replica, epoch))).await;
+                hold_after(end, EFFECT_TIME)
+            }
+            PlanStep::Form { model, members } => {
+                let end = self.form(model, members, "r-").await;
+                hold_after(end, EFFECT_TIME)
+            }
+            PlanStep::Warm { host, model } => {
+                let end = self.form(model, vec![host], SPARE_PREFIX).await;
+                hold_after(end, EFFECT_TIME)
             }
-            PlanStep::Form { model, members } => self.form(model, members, "r-").await,
-            PlanStep::Warm { host, model } => self.form(model, vec![host], SPARE_PREFIX).await,
         }
     }
 
@@ -307,16 +332,31 @@
 
     /// Joins hosts to a new replica. Hosts that were heads go first: once a head has left its old
     /// replica, nobody can open that one again, and its members are free.
-    async fn form(&self, model: ModelName, members: Vec<HostId>, prefix: &str) {
-        let Some(replica) = self.new_name(prefix) else {
-            return;
-        };
-        let Some(version) = self.node.registry_version() else {
-            return;
+    async fn form(&self, model: ModelName, members: Vec<HostId>, prefix: &str) -> OrderEnd {
+        let name = self.new_name(prefix).zip(self.node.registry_version());
+        let Some((replica, version)) = name else {
+            return OrderEnd::Stale;
         };
+        // Versions of the store only grow, for all nodes alike, and an epoch that was taken at one
+        // is above each that stood in the registry by then.
+        let epoch = version.0;
+        let end = self.join_all(model, members, replica.clone(), epoch).await;
+        if end != OrderEnd::Done {
+            self.node.give_up_replica(&replica, epoch);
+        }
+        end
+    }
+
+    async fn join_all(
+        &self,
+        model: ModelName,
+        members: Vec<HostId>,
+        replica: ReplicaId,
+        epoch: u64,
+    ) -> OrderEnd {
         let join = HostOrder::Join {
             replica,
-            epoch: version.0,
+            epoch,
             model,
             members: members.clone(),
         };
@@ -329,49 +369,65 @@
             }
         }
         for (host, expected) in heads {
-            if self.give(&host, join.clone(), Some(expected)).await != OrderEnd::Done {
-                return;
+            let end = self.join_head(&host, expected, &join).await;
+            if end != OrderEnd::Done {
+                return end;
             }
         }
         let joins = others
             .into_iter()
             .map(|(host, place)| self.join_member(host, place, &join));
-        futures::future::join_all(joins).await;
+        let ends = futures::future::join_all(joins).await;
+        let failed = ends.into_iter().find(|end| *end != OrderEnd::Done);
+        failed.unwrap_or(OrderEnd::Done)
     }
 
-    async fn join_member(&self, host: HostId, place: MemberPlace, join: &HostOrder) {
+    /// Joins the head of an old replica. An engine that opens still reports itself as ready, so it
+    /// leaves first: joined at once, it could be serving and belong to two replicas.
+    async fn join_head(
+        &self,
+        host: &HostId,
+        old: (ReplicaId, u64),
+        join: &HostOrder,
+    ) -> OrderEnd {
+        if old.0.as_str().starts_with(SPARE_PREFIX) {
+            return self.give(host, join.clone(), Some(old)).await;
+        }
+        let end = self.leave(host, &old).await;
+        if end != OrderEnd::Done {
+            return end;
+        }
+        self.give(host, join.clone(), None).await
+    }
+
+    async fn join_member(&self, host: HostId, place: MemberPlace, join: &HostOrder) -> OrderEnd {
         let expected = match place {
             MemberPlace::Free => None,
             MemberPlace::Head(key) | MemberPlace::FreedMember(key) => Some(key),
             MemberPlace::MemberOf(key, head) => {
-                if !self.end_replica(&host, &key, head).await {
-                    return;
+                let end = self.leave(&head, &key).await;
+                if end != OrderEnd::Done {
+                    return end;
+                }
+                Some(key)
+            }
+            MemberPlace::Orphan(key) => {
+                let end = self.leave(&host, &key).await;
+                if end != OrderEnd::Done {
+                    return end;
                 }
                 None
             }
         };
-        self.give(&host, join.clone(), expected).await;
+        self.give(&host, join.clone(), expected).await
     }
 
-    /// Takes a host out of its old replica: its head leaves first, so that nobody opens it again
-    /// while its members join another one.
-    async fn end_replica(
-        &self,
-        host: &HostId,
-        key: &(ReplicaId, u64),
-        head: Option<HostId>,
-    ) -> bool {
-        let leave = HostOrder::Leave {
-            replica: key.0.clone(),
-            epoch: key.1,
+    async fn leave(&self, host: &HostId, old: &(ReplicaId, u64)) -> OrderEnd {
+        let order = HostOrder::Leave {
+            replica: old.0.clone(),
+            epoch: old.1,
         };
-        if let Some(head) = head {
-            let end = self.give(&head, leave.clone(), Some(key.clone())).await;
-            if end != OrderEnd::Done {
-                return false;
-            }
-        }
-        self.give(host, leave, Some(key.clone())).await == OrderEnd::Done
+        self.give(host, order, Some(old.clone())).await
     }
 
     fn place(&self, host: &HostId, joined: &[HostId]) -> MemberPlace {
@@ -384,12 +440,17 @@
             if membership.rank == 0 {
                 return MemberPlace::Head(key(membership));
             }
-            let replica = registry.replica(membership);
-            let head = replica.and_then(|replica| replica.head().cloned());
-            if head.as_ref().is_some_and(|head| joined.contains(head)) {
-                return MemberPlace::FreedMember(key(membership));
+            let old = key(membership);
+            let head = self.node.head_of(&old);
+            let entry = head.as_ref().and_then(|head| registry.get(head));
+            let Some(entry) = entry.filter(|entry| !self.node.is_suspect(&entry.id)) else {
+                return MemberPlace::Orphan(old);
+            };
+            let stays = entry.membership.as_ref().is_some_and(|now| key(now) == old);
+            if !stays || joined.contains(&entry.id) {
+                return MemberPlace::FreedMember(old);
             }
-            MemberPlace::MemberOf(key(membership), head)
+            MemberPlace::MemberOf(old, entry.id.clone())
         })
     }
 
@@ -410,12 +471,23 @@
 enum MemberPlace {
     /// In no replica.
     Free,
-    /// Head of a replica that does not serve.
+    /// Head of a replica.
     Head((ReplicaId, u64)),
-    /// Member of a replica, with its head if that is known.
-    MemberOf((ReplicaId, u64), Option<HostId>),
-    /// Member of a replica whose head has joined the new one.
+    /// Member of a replica whose head is still in it. The head leaves first, so that nobody opens
+    /// the old replica while its members join another one.
+    MemberOf((ReplicaId, u64), HostId),
+    /// Member of a replica whose head left it, or joins the same new one before.
     FreedMember((ReplicaId, u64)),
+    /// Member of a replica whose head is gone. It leaves before it joins: should the head live
+    /// after all, its replica stands still rather than share a host with another one.
+    Orphan((ReplicaId, u64)),
+}
+
+fn hold_after(end: OrderEnd, done: Duration) -> Duration {
+    match end {
+        OrderEnd::Done => done,
+        OrderEnd::Stale | OrderEnd::Silent => RETRY_PAUSE,
+    }
 }
 
 fn any_weights(hosts: &[HostSituation]) -> bool {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,6 +1,7 @@
 //! What a gateway knows, shared by its tasks.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use events::{EventCode, EventLine, LineSink};
 use serving::silence::ReplicaPulse;
 use serving::{
-    GatewayConfig, MemberState, RepeatBudget, ReplicaView, ServiceShape, TargetEntry, TargetLoad,
+    GatewayConfig, MemberState, RepeatBudget, ReplicaMembership, ReplicaView, ServiceShape, TargetEntry, TargetLoad,
     TargetRegistry, TargetState,
 };
 use tokio::sync::Notify;
@@ -84,7 +85,8 @@
     registry_heard: Cell<Duration>,
     hosts_changed: Cell<Duration>,
     memberships: RefCell<FastMap<HostId, Duration>>,
-    served: RefCell<FastSet<(ReplicaId, u64)>>,
+    spent: RefCell<FastSet<(ReplicaId, u64)>>,
+    heads: RefCell<FastMap<(ReplicaId, u64), HostId>>,
     loads: RefCell<FastMap<HostId, TargetLoad>>,
     pulses: RefCell<FastMap<HostId, ReplicaPulse>>,
     signals: RefCell<FastMap<HostId, Rc<LossSignal>>>,
@@ -119,7 +121,8 @@
             registry_heard: Cell::default(),
             hosts_changed: Cell::default(),
             memberships: RefCell::default(),
-            served: RefCell::default(),
+            spent: RefCell::default(),
+            heads: RefCell::default(),
             loads: RefCell::default(),
             pulses: RefCell::default(),
             signals: RefCell::default(),
@@ -219,16 +222,29 @@
         if membership_before != entry.membership.as_ref() {
             self.memberships.borrow_mut().insert(id.clone(), now);
         }
-        if let Some(membership) = &entry.membership
-            && matches!(membership.state, MemberState::Open | MemberState::Closing)
-        {
-            let key = (membership.replica.clone(), membership.epoch);
-            self.served.borrow_mut().insert(key);
+        if let Some(membership) = &entry.membership {
+            self.note_membership(&id, membership);
         }
         self.log(&target_line(EventCode::TargetChanged, &entry));
         self.after_change();
     }
 
+    fn note_membership(&self, id: &HostId, membership: &ReplicaMembership) {
+        let key = (membership.replica.clone(), membership.epoch);
+        if membership.rank == 0 {
+            self.heads.borrow_mut().insert(key.clone(), id.clone());
+        }
+        if matches!(membership.state, MemberState::Open | MemberState::Closing) {
+            self.spent.borrow_mut().insert(key);
+        }
+    }
+
+    /// The head of a replica, also of one that it has left since.
+    #[must_use]
+    pub fn head_of(&self, replica: &(ReplicaId, u64)) -> Option<HostId> {
+        self.heads.borrow().get(replica).cloned()
+    }
+
     /// Takes note that a target is gone.
     pub fn remove_target(&self, id: &HostId) {
         let removed = self.registry.borrow_mut().remove(id);
@@ -241,6 +257,26 @@
         self.after_change();
     }
 
+    /// The target that listens at an address.
+    #[must_use]
+    pub fn target_at(&self, address: SocketAddr) -> Option<HostId> {
+        self.registry(|registry| {
+            let mut targets = registry.targets();
+            targets
+                .find(|entry| entry.address == address)
+                .map(|entry| entry.id.clone())
+        })
+    }
+
+    /// Takes the effect of an order that an engine accepted, ahead of the registry. Without it the
+    /// next plan would start from the state before the order, and take the same hosts again.
+    pub fn foresee(&self, id: &HostId, change: impl FnOnce(&mut TargetEntry)) {
+        let known = self.registry(|registry| registry.get(id).cloned());
+        let Some(mut entry) = known else { return };
+        change(&mut entry);
+        self.put_target(entry);
+    }
+
     /// Time since a host's membership changed, as this node saw it.
     #[must_use]
     pub fn membership_age(&self, id: &HostId) -> Duration {
@@ -248,10 +284,22 @@
         self.now().saturating_sub(since.unwrap_or_default())
     }
 
-    /// Replicas that were seen serving.
+    /// Replicas that were seen serving, or whose formation failed.
+    #[must_use]
+    pub fn spent(&self) -> FastSet<(ReplicaId, u64)> {
+        self.spent.borrow().clone()
+    }
+
+    /// Notes that the formation of a replica failed.
+    pub fn give_up_replica(&self, replica: &ReplicaId, epoch: u64) {
+        self.spent.borrow_mut().insert((replica.clone(), epoch));
+    }
+
+    /// Time since when a target does not answer, if it does not.
     #[must_use]
-    pub fn served(&self) -> FastSet<(ReplicaId, u64)> {
-        self.served.borrow().clone()
+    pub fn silent_for(&self, id: &HostId) -> Option<Duration> {
+        let since = self.suspects.borrow().get(id).copied()?;
+        Some(self.now().saturating_sub(since))
     }
 
     /// Whether a target is suspected.
@@ -270,10 +318,12 @@
     /// Suspects a target; its replica gets nothing more.
     pub fn suspect(&self, id: &HostId, reason: &str) {
         let now = self.now();
-        let known = self.suspects.borrow_mut().insert(id.clone(), now).is_some();
-        if known {
+        let mut suspects = self.suspects.borrow_mut();
+        if suspects.contains_key(id) {
             return;
         }
+        suspects.insert(id.clone(), now);
+        drop(suspects);
         let line = EventLine::new(EventCode::TargetSuspected)
             .text("host", id.as_str())
             .text("reason", reason);
@@ -311,6 +361,13 @@
         }
     }
 
+    /// Tells the requests at one head to go elsewhere.
+    pub fn raise_loss(&self, head: &HostId) {
+        if let Some(signal) = self.signals.borrow_mut().remove(head) {
+            signal.raise();
+        }
+    }
+
     fn has_suspect(&self, replica: &ReplicaView) -> bool {
         let suspects = self.suspects.borrow();
         replica.members.values().any(|id| suspects.contains_key(id))
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -42,12 +42,24 @@
     Silent,
 }
 
+/// Time for which the answer to this node's last order stands for a report. Reports lag by some
+/// hundred milliseconds, so one that is asked for now may tell of the time before that order.
+const ANSWER_TIME: Duration = Duration::from_millis(1200);
+
+#[derive(Debug, Clone, Copy)]
+struct KnownOrders {
+    boot: BootNumber,
+    orders: u64,
+    /// When an order of this node was accepted as the last one of them.
+    answered: Option<Duration>,
+}
+
 /// What is known of orders from this node.
 #[derive(Debug, Default)]
 pub struct OrderDesk {
     /// Accepted orders by engine, as far as this node knows. A report may be older than the
     /// answer to the last order.
-    accepted: RefCell<FastMap<HostId, (BootNumber, u64)>>,
+    accepted: RefCell<FastMap<HostId, KnownOrders>>,
     /// Engines with an order that is not settled.
     open: RefCell<FastSet<HostId>>,
 }
@@ -77,13 +89,35 @@
         }
     }
 
-    fn note(&self, id: &HostId, boot: BootNumber, orders: u64) -> u64 {
+    /// Takes what a report says; returns the orders that count.
+    fn note_report(&self, id: &HostId, boot: BootNumber, orders: u64) -> u64 {
         let mut accepted = self.accepted.borrow_mut();
-        let known = accepted.entry(id.clone()).or_insert((boot, orders));
-        if known.0 != boot || known.1 < orders {
-            *known = (boot, orders);
+        let reported = KnownOrders {
+            boot,
+            orders,
+            answered: None,
+        };
+        let known = accepted.entry(id.clone()).or_insert(reported);
+        if known.boot != boot || known.orders < orders {
+            *known = reported;
         }
-        known.1
+        known.orders
+    }
+
+    fn note_answer(&self, id: &HostId, boot: BootNumber, orders: u64, now: Duration) {
+        let known = KnownOrders {
+            boot,
+            orders,
+            answered: Some(now),
+        };
+        self.accepted.borrow_mut().insert(id.clone(), known);
+    }
+
+    /// The orders that an engine had accepted with this node's last one, if that was just now.
+    fn just_answered(&self, id: &HostId, now: Duration) -> Option<(BootNumber, u64)> {
+        let known = self.accepted.borrow().get(id).copied()?;
+        let recent = now.saturating_sub(known.answered?) < ANSWER_TIME;
+        recent.then_some((known.boot, known.orders))
     }
 
     fn forget(&self, id: &HostId) {
@@ -118,9 +152,41 @@
         .number("tries", u64::from(tries))
         .millis("took_ms", node.now().saturating_sub(began));
     node.log(&line);
+    if end == OrderEnd::Done {
+        foresee(node, planned);
+    }
     end
 }
 
+/// Notes what an accepted order leads to.
+fn foresee(node: &GatewayNode, planned: &PlannedOrder) {
+    node.foresee(&planned.host, |entry| match &planned.order {
+        HostOrder::Join {
+            replica,
+            epoch,
+            model,
+            members,
+        } => {
+            let rank = members.iter().position(|member| *member == planned.host);
+            entry.loaded = Some(model.clone());
+            entry.membership = Some(ReplicaMembership {
+                replica: replica.clone(),
+                epoch: *epoch,
+                rank: rank.and_then(|rank| u32::try_from(rank).ok()).unwrap_or(0),
+                state: MemberState::Joining,
+            });
+        }
+        HostOrder::Close { .. } => {
+            if let Some(membership) = &mut entry.membership {
+                membership.state = MemberState::Closing;
+            }
+        }
+        HostOrder::Leave { .. } => entry.membership = None,
+        // It reports itself as open once it is.
+        HostOrder::Open { .. } => {}
+    });
+}
+
 async fn settle(
     node: &Rc<GatewayNode>,
     desk: &OrderDesk,
@@ -141,10 +207,16 @@
             .await;
         match given {
             Ok(OrderAnswer::Begun) => {
-                desk.note(&planned.host, boot, accepted + 1);
+                desk.note_answer(&planned.host, boot, accepted + 1, node.now());
                 return (OrderEnd::Done, trial, format!("as order {}", accepted + 1));
             }
-            Ok(OrderAnswer::Holds) => return (OrderEnd::Done, trial, "holds".to_owned()),
+            Ok(OrderAnswer::Holds) => {
+                // To leave takes effect before it is answered, and counts like an order that began.
+                if matches!(planned.order, HostOrder::Leave { .. }) {
+                    desk.note_answer(&planned.host, boot, accepted + 1, node.now());
+                }
+                return (OrderEnd::Done, trial, "holds".to_owned());
+            }
             Ok(OrderAnswer::Conflict) => {
                 desk.forget(&planned.host);
                 // The first of two equal orders may have been carried out unanswered.
@@ -179,6 +251,9 @@
     desk: &OrderDesk,
     planned: &PlannedOrder,
 ) -> Result<(BootNumber, u64), (OrderEnd, String)> {
+    if let Some(known) = desk.just_answered(&planned.host, node.now()) {
+        return Ok(known);
+    }
     let mut detail = String::new();
     for _ in 0..REPORT_TRIES {
         let Some(target) = order_target(node, &planned.host) else {
@@ -191,7 +266,7 @@
                     let found = found.map_or("none".to_owned(), |(name, _)| name.to_string());
                     return Err((OrderEnd::Stale, format!("its replica is {found}")));
                 }
-                let orders = desk.note(&planned.host, report.boot(), report.orders);
+                let orders = desk.note_report(&planned.host, report.boot(), report.orders);
                 return Ok((report.boot(), orders));
             }
             Err(error) => detail = error.to_string(),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -52,7 +52,7 @@
         let links = idle.get_mut(id)?;
         let now = Instant::now();
         while let Some(last) = links.pop() {
-            if last.until > now && last.link.is_ready() {
+            if last.until > now && last.link.is_open() {
                 return Some(last.link);
             }
         }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -5,6 +5,7 @@
 
 use adapter::OrderTarget;
 use domain::HostId;
+use serving::ReplicaView;
 
 use crate::node::GatewayNode;
 
@@ -31,18 +32,29 @@
 }
 
 async fn ask_members(node: Rc<GatewayNode>, head: HostId) {
-    let members: Vec<HostId> = node.registry(|registry| {
-        let replica = registry
-            .get(&head)
-            .and_then(|entry| entry.membership.as_ref())
-            .and_then(|membership| registry.replica(membership));
-        replica.map_or_else(Vec::new, |replica| replica.members.values().cloned().collect())
+    let replica = node.registry(|registry| {
+        let membership = registry.get(&head)?.membership.as_ref()?;
+        registry.replica(membership).cloned()
     });
-    for member in members {
+    let size = replica.as_ref().and_then(|replica| size_of(&node, replica));
+    let Some(replica) = replica.filter(|replica| size.is_some_and(|size| replica.is_complete(size)))
+    else {
+        // A member left for another replica, or is gone: nothing will move again.
+        node.raise_loss(&head);
+        return;
+    };
+    for member in replica.members.into_values() {
         tokio::task::spawn_local(ask(Rc::clone(&node), member));
     }
 }
 
+fn size_of(node: &GatewayNode, replica: &ReplicaView) -> Option<usize> {
+    let config = node.config()?;
+    let service = config.services.get(&replica.service)?;
+    let model = service.model(replica.model.as_ref()?)?;
+    Some(model.size)
+}
+
 /// Asks a target twice before it is suspected: one lost packet is not the end of a host.
 async fn ask(node: Rc<GatewayNode>, id: HostId) {
     if node.is_suspect(&id) {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::{AnswerFacts, ForwardFacts};
+use adapter::{AnswerFacts, FaultyTarget, ForwardFacts};
 use domain::HostId;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
@@ -109,7 +109,7 @@
         }
     };
     ticket.moved();
-    judge(node, request, exchanged, ticket, id)
+    judge(node, request, exchanged, ticket, target)
 }
 
 struct Exchanged {
@@ -160,8 +160,9 @@
     request: &ForwardRequest,
     exchanged: Exchanged,
     ticket: RunningTicket,
-    id: &HostId,
+    target: &TargetEntry,
 ) -> AttemptEnd {
+    let id = &target.id;
     let (head, body) = exchanged.answer.into_parts();
     let facts = AnswerFacts::from(&head.headers);
     let own = request.id.as_ref().map(domain::RequestId::as_str);
@@ -174,11 +175,19 @@
         node.with_load(id, |known| known.report(load, now));
     }
     if facts.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
-        if let Some(faulty) = &facts.faulty_host {
-            node.suspect(faulty, "its head misses it");
-        }
-        if facts.faulty_host.is_none() && head.status == StatusCode::MISDIRECTED_REQUEST {
-            node.suspect(id, "another target has its address");
+        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        match &facts.faulty {
+            Some(FaultyTarget::Id(faulty)) if faulty != id => {
+                node.suspect(faulty, "its head misses it");
+            }
+            Some(FaultyTarget::Address(address)) if *address != target.address => {
+                if let Some(faulty) = node.target_at(*address) {
+                    node.suspect(&faulty, "its head misses it");
+                }
+            }
+            // Another target has its address, or it is the head of no replica any more.
+            _ if misdirected => node.suspect(id, "it is not whom the request is for"),
+            _ => {}
         }
         return AttemptEnd::NotRun(head.status);
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -13,11 +13,15 @@
 use crate::node::GatewayNode;
 
 /// How long one call waits for changes. A connection may fall silent without an end, and a node
-/// must hear of a new configuration within two seconds, so each call ends well before.
-const FOLLOW_WAIT: Duration = Duration::from_millis(1000);
+/// must know what is in force three seconds after that, so each call ends before.
+const FOLLOW_WAIT: Duration = Duration::from_millis(2000);
 
 /// What a call may take beyond its wait.
-const FOLLOW_SLACK: Duration = Duration::from_millis(600);
+const FOLLOW_SLACK: Duration = Duration::from_millis(500);
+
+/// Pause after a call that brought changes. Changes come in series, as when the hosts of a fabric
+/// domain join replicas, and each call is paid for; one call then brings several.
+const SERIES_PAUSE: Duration = Duration::from_millis(80);
 
 /// Longest time for reading a table whole.
 const READ_LIMIT: Duration = Duration::from_secs(2);
@@ -71,13 +75,16 @@
     loop {
         let result = follow_once(&mut client, &mut follower, known).await;
         match result {
-            Ok(version) => {
+            Ok((version, changed)) => {
                 if failures > 0 {
                     log_regained(&node, follower.table(), failures);
                 }
                 failures = 0;
                 known = Some(version);
                 follower.confirm(version);
+                if changed {
+                    tokio::time::sleep(SERIES_PAUSE).await;
+                }
             }
             Err(StoreError::Compacted) => known = None,
             Err(error) => {
@@ -97,21 +104,22 @@
     client: &mut StoreClient,
     follower: &mut F,
     known: Option<RowVersion>,
-) -> Result<RowVersion, StoreError> {
+) -> Result<(RowVersion, bool), StoreError> {
     let table = follower.table();
     let Some(after) = known else {
         let page = client.read_table(table, READ_LIMIT).await?;
         let version = page.version;
         follower.take_page(page);
-        return Ok(version);
+        return Ok((version, true));
     };
     let answer = client
         .follow_table(table, after, FOLLOW_WAIT, FOLLOW_SLACK)
         .await?;
+    let changed = !answer.rows.is_empty();
     for row in answer.rows {
         follower.take_row(row);
     }
-    Ok(answer.version.max(after))
+    Ok((answer.version.max(after), changed))
 }
 
 fn log_lost(node: &GatewayNode, table: &str, error: &StoreError) {
--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -17,13 +17,19 @@
 /// for two seconds at least; what runs longer is resumed elsewhere rather than lost with it.
 const CLOSING_PATIENCE: Duration = Duration::from_millis(2500);
 
+/// Silence of a head after which its members are given to another replica. It is asked again
+/// meanwhile. A head that lives and that only this node can't reach then stands still and its
+/// requests move; waiting for the registry instead costs the replica three more seconds each time
+/// a head dies.
+const HEAD_PATIENCE: Duration = Duration::from_millis(300);
+
 /// What is known of a host.
 #[derive(Debug, Clone)]
 pub struct HostSituation {
     /// The host.
     pub id: HostId,
-    /// Whether it answers and stays.
-    pub usable: bool,
+    /// Time since when it does not answer, if it does not.
+    pub silent: Option<Duration>,
     /// Whether it is leaving, and serves on for a while.
     pub leaving: bool,
     /// Whether an order to it is not settled yet.
@@ -39,6 +45,10 @@
 }
 
 impl HostSituation {
+    fn answers(&self) -> bool {
+        self.silent.is_none()
+    }
+
     fn is_warm(&self, model: &ModelName) -> bool {
         self.loaded.as_ref() == Some(model)
     }
@@ -67,8 +77,8 @@
     pub wanted: &'a BTreeMap<ModelName, usize>,
     /// Hosts.
     pub hosts: &'a [HostSituation],
-    /// Replicas that were seen serving; such a one is not opened again once it was closed.
-    pub served: &'a FastSet<(ReplicaId, u64)>,
+    /// Replicas that were seen serving, or whose formation failed; none of them is opened again.
+    pub spent: &'a FastSet<(ReplicaId, u64)>,
     /// Whether hosts without weights may join replicas: true before the first request, when
     /// loads are quick and nobody waits for a spare.
     pub may_load_members: bool,
@@ -87,19 +97,26 @@
     Changing,
     /// Its members can join others.
     Over,
+    /// Its members can join others; where none does, this step ends its requests.
+    Lost(PlanStep),
 }
 
 /// Plans the next steps.
 #[must_use]
 pub fn plan_fabric(situation: &FabricSituation<'_>) -> Vec<PlanStep> {
     let mut steps = Vec::new();
+    let mut lost = Vec::new();
     let mut taken: FastMap<&HostId, ()> = FastMap::default();
     let mut standing: FastMap<&ModelName, usize> = FastMap::default();
     for group in groups(situation.hosts) {
         let model = group_model(&group, situation.models);
-        let fate = judge(&group, model, situation, &mut steps);
-        if matches!(fate, GroupFate::Over) {
-            continue;
+        match judge(&group, model, situation, &mut steps) {
+            GroupFate::Over => continue,
+            GroupFate::Lost(close) => {
+                lost.push(close);
+                continue;
+            }
+            GroupFate::Stays | GroupFate::Changing => {}
         }
         for host in group.members.values() {
             taken.insert(&host.id, ());
@@ -111,10 +128,21 @@
     let mut free: Vec<&HostSituation> = situation
         .hosts
         .iter()
-        .filter(|host| host.usable && !host.leaving && !host.ordered)
+        .filter(|host| host.answers() && !host.leaving && !host.ordered)
         .filter(|host| !taken.contains_key(&host.id))
         .collect();
     form_replicas(situation, &mut standing, &mut free, &mut steps);
+    let mut idle_heads = Vec::new();
+    for close in lost {
+        let PlanStep::Close { head, .. } = &close else {
+            continue;
+        };
+        if free.iter().any(|host| host.id == *head) {
+            idle_heads.push(head.clone());
+            steps.push(close);
+        }
+    }
+    free.retain(|host| !idle_heads.contains(&host.id));
     warm_spares(situation, &standing, &free, &mut steps);
     steps
 }
@@ -158,14 +186,14 @@
     let Some(head) = group.members.get(&0) else {
         // The head is gone. Its members leave the replica before they join another.
         let forming = ordered || youngest < FORMING_PATIENCE;
-        return if forming && !has_served(situation, group) {
+        return if forming && !is_spent(situation, group) {
             GroupFate::Changing
         } else {
             GroupFate::Over
         };
     };
     let complete = model.is_some_and(|model| group.members.len() == model.size);
-    let usable = group.members.values().all(|host| host.usable);
+    let answers = group.members.values().all(|host| host.answers());
     let leaving = group.members.values().any(|host| host.leaving);
     let head_state = head.membership.as_ref().map(|membership| membership.state);
     let close = |mode| PlanStep::Close {
@@ -174,28 +202,28 @@
         epoch: group.epoch,
         mode,
     };
+    let head_lost = head.silent.is_some_and(|silent| silent >= HEAD_PATIENCE);
     match head_state {
-        Some(MemberState::Open) if complete && usable && !leaving => GroupFate::Stays,
-        Some(MemberState::Open | MemberState::Closing) if !head.usable => GroupFate::Changing,
-        Some(MemberState::Open) => {
-            let mode = if complete && usable {
-                CloseMode::Wait
-            } else {
-                CloseMode::Cancel
-            };
-            steps.push(close(mode));
+        Some(MemberState::Open) if complete && answers && !leaving => GroupFate::Stays,
+        Some(MemberState::Open | MemberState::Closing) if head_lost => GroupFate::Over,
+        Some(MemberState::Open | MemberState::Closing) if !head.answers() => GroupFate::Changing,
+        Some(MemberState::Open) if complete && answers => {
+            steps.push(close(CloseMode::Wait));
             GroupFate::Changing
         }
+        // A member is lost and nothing moves any more. Its head leaves first whoever joins it, so
+        // its requests end at once and move.
+        Some(MemberState::Open) => GroupFate::Lost(close(CloseMode::Cancel)),
         Some(MemberState::Closing) => {
-            if !complete || !usable || head.unchanged > CLOSING_PATIENCE {
-                steps.push(close(CloseMode::Cancel));
+            if !complete || !answers || head.unchanged > CLOSING_PATIENCE {
+                return GroupFate::Lost(close(CloseMode::Cancel));
             }
             GroupFate::Changing
         }
         Some(MemberState::Broken) | None => GroupFate::Over,
         Some(MemberState::Ready | MemberState::Joining) => {
-            let served = has_served(situation, group);
-            if !usable || leaving || served {
+            let spent = is_spent(situation, group);
+            if !answers || leaving || spent {
                 return GroupFate::Over;
             }
             if !complete {
@@ -222,9 +250,9 @@
     }
 }
 
-fn has_served(situation: &FabricSituation<'_>, group: &GroupView<'_>) -> bool {
+fn is_spent(situation: &FabricSituation<'_>, group: &GroupView<'_>) -> bool {
     let key = (group.replica.clone(), group.epoch);
-    situation.served.contains(&key)
+    situation.spent.contains(&key)
 }
 
 /// Beginning of the names of one-host groups that only hold a spare's weights in memory.
@@ -360,7 +388,8 @@
         let need = if lacking > 0 {
             1000.0 - count(lacking)
         } else {
-            count(at_risk) / count(spares[index] + 1)
+            // Of two in equal need the one with fewer spares goes first.
+            count(at_risk) / count(spares[index] + 1) - count(spares[index]) * 1e-3
         };
         if best.is_none_or(|(most, _)| need > most) {
             best = Some((need, index));
--- a/crates/serving/src/plan/layout.rs
+++ b/crates/serving/src/plan/layout.rs
@@ -11,7 +11,8 @@
 
 /// Spreads models over fabric domains in proportion to their shares.
 ///
-/// The model that lacks most goes first, into the fabric domain with the most hosts left. Once a
+/// The model that lacks most goes first, into a fabric domain that has no replica of it, of these
+/// into the one with the most hosts left. Once a
 /// domain has a replica of a model, a further one must leave a spare host for each model: a lost
 /// host is then replaced within a second instead of after a load of many seconds.
 #[must_use]
@@ -61,7 +62,7 @@
     model: &ModelShape,
     spares: usize,
 ) -> Option<FabricId> {
-    let mut best: Option<(usize, &FabricId)> = None;
+    let mut best: Option<((bool, usize), &FabricId)> = None;
     for (fabric, left) in free {
         let has_one = layout
             .get(fabric)
@@ -70,8 +71,10 @@
         if model.size == 0 || *left < model.size + reserve {
             continue;
         }
-        if best.is_none_or(|(most, _)| *left > most) {
-            best = Some((*left, fabric));
+        // A domain without the model goes first: the loss of one then leaves the others.
+        let rank = (!has_one, *left);
+        if best.is_none_or(|(most, _)| rank > most) {
+            best = Some((rank, fabric));
         }
     }
     best.map(|(_, fabric)| fabric.clone())
--- a/crates/web/src/link.rs
+++ b/crates/web/src/link.rs
@@ -73,10 +73,10 @@
         Ok(Self { sender })
     }
 
-    /// Whether a request can be written now.
+    /// Whether the connection still stands, as far as is known.
     #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed()
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
     }
 
     /// Sends a request and returns the answer's head.
