--- /dev/null
+++ b/crates/serving/tests/fabric_plan.rs
@@ -0,0 +1,296 @@
+//! The plan for one fabric domain: which replicas are opened, closed, formed and prepared for.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use domain::{FastSet, HostId, ModelName, ReplicaId};
+use quickcheck::quickcheck;
+use serving::plan::{CloseMode, FabricSituation, HostSituation, PlanStep, plan_fabric};
+use serving::{MemberState, ModelShape, ReplicaMembership};
+
+const LONG: Duration = Duration::from_secs(60);
+
+fn model(name: &str, size: usize, share: f64) -> ModelShape {
+    ModelShape {
+        name: name.parse().expect("a model"),
+        size,
+        share,
+        pace: 1.0,
+        load: Duration::from_secs(16),
+    }
+}
+
+fn models() -> Vec<ModelShape> {
+    vec![model("large", 4, 0.67), model("small", 2, 0.33)]
+}
+
+fn host(id: &str) -> HostSituation {
+    HostSituation {
+        id: id.parse().expect("a host"),
+        silent: None,
+        leaving: false,
+        ordered: false,
+        loaded: None,
+        staged: Vec::new(),
+        membership: None,
+        unchanged: LONG,
+    }
+}
+
+fn warm(id: &str, model: &str) -> HostSituation {
+    let name: ModelName = model.parse().expect("a model");
+    HostSituation {
+        loaded: Some(name.clone()),
+        staged: vec![name],
+        ..host(id)
+    }
+}
+
+fn member(id: &str, model: &str, replica: &str, rank: u32, state: MemberState) -> HostSituation {
+    HostSituation {
+        membership: Some(ReplicaMembership {
+            replica: replica.parse().expect("a replica"),
+            epoch: 7,
+            rank,
+            state,
+        }),
+        ..warm(id, model)
+    }
+}
+
+/// Four members of the large model; the head in `state`.
+fn large_replica(state: MemberState) -> Vec<HostSituation> {
+    vec![
+        member("a", "large", "r-1", 0, state),
+        member("b", "large", "r-1", 1, MemberState::Ready),
+        member("c", "large", "r-1", 2, MemberState::Ready),
+        member("d", "large", "r-1", 3, MemberState::Ready),
+    ]
+}
+
+struct Domain {
+    hosts: Vec<HostSituation>,
+    wanted: BTreeMap<ModelName, usize>,
+    spent: FastSet<(ReplicaId, u64)>,
+    may_load: bool,
+}
+
+impl Domain {
+    fn of(hosts: Vec<HostSituation>) -> Self {
+        let mut wanted = BTreeMap::new();
+        wanted.insert("large".parse().expect("a model"), 1);
+        wanted.insert("small".parse().expect("a model"), 1);
+        Self {
+            hosts,
+            wanted,
+            spent: FastSet::default(),
+            may_load: false,
+        }
+    }
+
+    fn spent(mut self, replica: &str) -> Self {
+        self.spent.insert((replica.parse().expect("a replica"), 7));
+        self
+    }
+
+    fn loading(mut self) -> Self {
+        self.may_load = true;
+        self
+    }
+
+    fn plan(&self) -> Vec<PlanStep> {
+        plan_fabric(&FabricSituation {
+            models: &models(),
+            wanted: &self.wanted,
+            hosts: &self.hosts,
+            spent: &self.spent,
+            may_load_members: self.may_load,
+        })
+    }
+}
+
+fn formed(steps: &[PlanStep]) -> Vec<Vec<&str>> {
+    let mut formed = Vec::new();
+    for step in steps {
+        let PlanStep::Form { members, .. } = step else {
+            continue;
+        };
+        formed.push(members.iter().map(HostId::as_str).collect());
+    }
+    formed
+}
+
+fn closed(steps: &[PlanStep]) -> Option<CloseMode> {
+    steps.iter().find_map(|step| match step {
+        PlanStep::Close { mode, .. } => Some(*mode),
+        _ => None,
+    })
+}
+
+fn opens(steps: &[PlanStep]) -> bool {
+    steps
+        .iter()
+        .any(|step| matches!(step, PlanStep::Open { .. }))
+}
+
+#[test]
+fn whole_replica_stays() {
+    let steps = Domain::of(large_replica(MemberState::Open)).plan();
+    assert_eq!(steps, Vec::new());
+}
+
+/// A member still loads its weights when the head is ready. Opened now, the replica would take a
+/// trader's request that one of its hosts can't work on.
+#[test]
+fn open_waits_for_all() {
+    let mut hosts = large_replica(MemberState::Ready);
+    hosts[2] = member("c", "large", "r-1", 2, MemberState::Joining);
+    assert!(!opens(&Domain::of(hosts).plan()));
+    assert!(opens(&Domain::of(large_replica(MemberState::Ready)).plan()));
+}
+
+/// A replica was closed because a host was lost, and the registry still names that host. Opened
+/// again, it would accept requests and move none of them.
+#[test]
+fn spent_replica_stays_shut() {
+    let steps = Domain::of(large_replica(MemberState::Ready))
+        .spent("r-1")
+        .plan();
+    assert!(!opens(&steps), "{steps:?}");
+}
+
+/// One member dies and a spare holds the weights. Callers of the replica see their streams stop;
+/// the three that are left and the spare serve again within a second.
+#[test]
+fn lost_member_replaced() {
+    let mut hosts = large_replica(MemberState::Open);
+    hosts[1].silent = Some(Duration::ZERO);
+    hosts.push(warm("s", "large"));
+    let steps = Domain::of(hosts).plan();
+    assert_eq!(formed(&steps), [["a", "c", "d", "s"]]);
+}
+
+/// One member dies and nobody can replace it. The head goes on accepting requests that never
+/// move; it is told to cancel them, so their callers are told at once.
+#[test]
+fn lost_member_unreplaced() {
+    let mut hosts = large_replica(MemberState::Open);
+    hosts[1].silent = Some(Duration::ZERO);
+    let steps = Domain::of(hosts).plan();
+    assert_eq!(closed(&steps), Some(CloseMode::Cancel));
+    assert!(formed(&steps).is_empty());
+}
+
+/// The head itself stops answering. For a moment it may only be slow, so nothing is done; then
+/// its members and a spare serve without it.
+#[test]
+fn dead_head_replaced() {
+    let mut hosts = large_replica(MemberState::Open);
+    hosts.push(warm("s", "large"));
+    hosts[0].silent = Some(Duration::from_millis(100));
+    assert!(formed(&Domain::of(hosts.clone()).plan()).is_empty());
+    hosts[0].silent = Some(Duration::from_millis(500));
+    assert_eq!(formed(&Domain::of(hosts).plan()), [["b", "c", "d", "s"]]);
+}
+
+/// A member is about to leave. Its replica ends what runs instead of dying with it.
+#[test]
+fn leaving_member_closes() {
+    let mut hosts = large_replica(MemberState::Open);
+    hosts[3].leaving = true;
+    let steps = Domain::of(hosts).plan();
+    assert_eq!(closed(&steps), Some(CloseMode::Wait));
+}
+
+/// Some joins of a new replica are done, others are on their way. Another node that takes these
+/// hosts now would break up what is about to serve.
+#[test]
+fn forming_replica_left_alone() {
+    let mut hosts = large_replica(MemberState::Joining);
+    hosts.truncate(2);
+    for host in &mut hosts {
+        host.unchanged = Duration::from_millis(50);
+    }
+    hosts.extend([warm("s", "large"), warm("t", "large")]);
+    let steps = Domain::of(hosts.clone()).plan();
+    assert!(formed(&steps).is_empty(), "{steps:?}");
+    // Whoever formed it died: the hosts are used after a while.
+    for host in &mut hosts[..2] {
+        host.unchanged = LONG;
+        if let Some(membership) = &mut host.membership {
+            membership.state = MemberState::Ready;
+        }
+    }
+    assert_eq!(formed(&Domain::of(hosts).plan()).len(), 1);
+}
+
+/// All hosts are empty when the system starts. Both models get their replica, and the last two
+/// hosts become one spare for each.
+#[test]
+fn first_start_fills() {
+    let hosts = (0..8).map(|index| host(&format!("h{index}"))).collect();
+    let steps = Domain::of(hosts).loading().plan();
+    assert_eq!(formed(&steps).len(), 2);
+    let warmed: Vec<&str> = steps
+        .iter()
+        .filter_map(|step| match step {
+            PlanStep::Warm { model, .. } => Some(model.as_str()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(warmed, ["large", "small"]);
+}
+
+/// An empty host comes during the day. A replica that waited for it would wait for a load of many
+/// seconds; it becomes a spare first.
+#[test]
+fn empty_host_warmed() {
+    let mut hosts = large_replica(MemberState::Open);
+    hosts.push(host("new"));
+    let steps = Domain::of(hosts).plan();
+    assert!(formed(&steps).is_empty());
+    assert!(matches!(steps.as_slice(), [PlanStep::Warm { .. }]));
+}
+
+quickcheck! {
+    /// Whatever the hosts report, no host is in two steps, and no member of a replica that serves
+    /// whole is in any.
+    fn steps_share_no_host(states: Vec<(u8, u8, bool, bool)>) -> bool {
+        let mut hosts = large_replica(MemberState::Open);
+        for (index, (kind, rank, silent, leaving)) in states.into_iter().take(12).enumerate() {
+            let id = format!("x{index}");
+            let states = [
+                MemberState::Joining,
+                MemberState::Ready,
+                MemberState::Open,
+                MemberState::Closing,
+                MemberState::Broken,
+            ];
+            let replica = format!("r-{}", 2 + kind % 4);
+            let mut host = match kind % 7 {
+                0 => host(&id),
+                1 => warm(&id, "small"),
+                2 => warm(&id, "large"),
+                _ => member(&id, "large", &replica, u32::from(rank % 5), states[usize::from(rank % 5)]),
+            };
+            host.silent = silent.then_some(Duration::from_secs(1));
+            host.leaving = leaving;
+            hosts.push(host);
+        }
+        let steps = Domain::of(hosts).loading().plan();
+        let mut seen: FastSet<HostId> = FastSet::default();
+        for step in &steps {
+            let touched: Vec<HostId> = match step {
+                PlanStep::Open { head, .. } | PlanStep::Close { head, .. } => vec![head.clone()],
+                PlanStep::Form { members, .. } => members.clone(),
+                PlanStep::Warm { host, .. } => vec![host.clone()],
+            };
+            for host in touched {
+                if ["a", "b", "c", "d"].contains(&host.as_str()) || !seen.insert(host) {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+}
