--- a/crates/gateway/src/care.rs
+++ b/crates/gateway/src/care/mod.rs
@@ -1,21 +1,20 @@
 //! Caring for replicas: planning, waiting for one's turn, and taking the steps.
 
-use std::cell::Cell;
+mod steps;
+
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::orders::HostOrder;
-use domain::{FabricId, FastMap, HostId, ModelName, ReplicaId};
+use domain::{FabricId, FastMap, HostId};
 use events::{EventCode, EventLine};
-use serving::plan::{
-    FabricLayout, FabricSituation, HostSituation, PlanStep, SPARE_PREFIX, lay_out, plan_fabric,
-};
+use serving::plan::{FabricLayout, FabricSituation, HostSituation, PlanStep, lay_out, plan_fabric};
 use serving::rank::{rendezvous_rank, stable_hash};
 use serving::{ServiceShape, TargetEntry, TargetState};
 
 use crate::node::GatewayNode;
-use crate::orders::{OrderDesk, OrderEnd, PlannedOrder, key, settle_order};
+use crate::orders::OrderDesk;
 
 /// Longest time between two plans; changes of the registry lead to one at once.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
@@ -38,24 +37,14 @@
 /// Window over which weight loads are counted.
 const LOAD_WINDOW: Duration = Duration::from_secs(5);
 
-/// Time for which a head that was told to open may go on reporting itself as ready.
-const OPENING_TIME: Duration = Duration::from_millis(900);
-
-/// Time within which the effect of an order stands in the registry.
-const EFFECT_TIME: Duration = Duration::from_millis(150);
-
-/// Pause after an order that was refused or not answered. What refused it is on its way to the
-/// registry; asking again at once only costs calls.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
-
 /// Cares for the replicas of all services.
 pub async fn care_for_replicas(node: Rc<GatewayNode>) {
     let care = Rc::new(ReplicaCare {
         node: Rc::clone(&node),
         desk: OrderDesk::default(),
-        waiting: std::cell::RefCell::default(),
+        waiting: RefCell::default(),
         formed: Cell::new(0),
-        loads: std::cell::RefCell::default(),
+        loads: RefCell::default(),
     });
     loop {
         let changed = node.changed.notified();
@@ -70,9 +59,9 @@
     node: Rc<GatewayNode>,
     desk: OrderDesk,
     /// Steps that wait for this node's turn, with the time since when.
-    waiting: std::cell::RefCell<FastMap<PlanStep, Duration>>,
+    waiting: RefCell<FastMap<PlanStep, Duration>>,
     formed: Cell<u64>,
-    loads: std::cell::RefCell<Vec<Duration>>,
+    loads: RefCell<Vec<Duration>>,
 }
 
 impl ReplicaCare {
@@ -126,7 +115,9 @@
         let mut fabrics: BTreeMap<FabricId, Vec<HostSituation>> = BTreeMap::new();
         node.registry(|registry| {
             for entry in registry.targets() {
-                let Some(fabric) = &entry.fabric else { continue };
+                let Some(fabric) = &entry.fabric else {
+                    continue;
+                };
                 if entry.service != service.name {
                     continue;
                 }
@@ -202,7 +193,11 @@
             PlanStep::Form { .. } | PlanStep::Warm { .. } if node.is_lead_time() => {
                 // The wait counts from the last new host: all have waited since their start.
                 let quiet = node.hosts_unchanged();
-                if quiet < GATHER_TIME + turn { Duration::MAX } else { turn }
+                if quiet < GATHER_TIME + turn {
+                    Duration::MAX
+                } else {
+                    turn
+                }
             }
             PlanStep::Form { .. } | PlanStep::Warm { .. } => turn,
             // Whoever formed or closed a replica goes on with it at once.
@@ -247,7 +242,9 @@
             return true;
         }
         let cold = self.node.registry(|registry| {
-            registry.get(host).is_none_or(|entry| !entry.has_weights(model))
+            registry
+                .get(host)
+                .is_none_or(|entry| !entry.has_weights(model))
         });
         if !cold {
             return true;
@@ -266,7 +263,10 @@
         let Some(config) = self.node.config() else {
             return 1;
         };
-        let rates = config.services.values().map(|service| service.loads_per_second);
+        let rates = config
+            .services
+            .values()
+            .map(|service| service.loads_per_second);
         let rate = rates.fold(0.0, f64::max);
         let nodes = f64::from(u32::try_from(self.node.node_count()).unwrap_or(u32::MAX));
         let part = rate * LOAD_WINDOW.as_secs_f64() / nodes;
@@ -275,219 +275,6 @@
         let part = part.clamp(1.0, 1e6) as usize;
         part
     }
-
-    /// Takes a step; returns how long its hosts are left alone afterwards.
-    async fn take(&self, step: PlanStep) -> Duration {
-        match step {
-            PlanStep::Open {
-                head,
-                replica,
-                epoch,
-            } => {
-                let order = HostOrder::Open {
-                    replica: replica.clone(),
-                    epoch,
-                };
-                let end = self.give(&head, order, Some((replica, epoch))).await;
-                hold_after(end, OPENING_TIME)
-            }
-            PlanStep::Close {
-                head,
-                replica,
-                epoch,
-                mode,
-            } => {
-                let order = HostOrder::Close {
-                    replica: replica.clone(),
-                    epoch,
-                    mode,
-                };
-                let end = self.give(&head, order, Some((replica, epoch))).await;
-                hold_after(end, EFFECT_TIME)
-            }
-            PlanStep::Form { model, members } => {
-                let end = self.form(model, members, "r-").await;
-                hold_after(end, EFFECT_TIME)
-            }
-            PlanStep::Warm { host, model } => {
-                let end = self.form(model, vec![host], SPARE_PREFIX).await;
-                hold_after(end, EFFECT_TIME)
-            }
-        }
-    }
-
-    async fn give(
-        &self,
-        host: &HostId,
-        order: HostOrder,
-        expected: Option<(ReplicaId, u64)>,
-    ) -> OrderEnd {
-        let planned = PlannedOrder {
-            host: host.clone(),
-            order,
-            expected,
-        };
-        settle_order(&self.node, &self.desk, &planned).await
-    }
-
-    /// Joins hosts to a new replica. Hosts that were heads go first: once a head has left its old
-    /// replica, nobody can open that one again, and its members are free.
-    async fn form(&self, model: ModelName, members: Vec<HostId>, prefix: &str) -> OrderEnd {
-        let name = self.new_name(prefix).zip(self.node.registry_version());
-        let Some((replica, version)) = name else {
-            return OrderEnd::Stale;
-        };
-        // Versions of the store only grow, for all nodes alike, and an epoch that was taken at one
-        // is above each that stood in the registry by then.
-        let epoch = version.0;
-        let end = self.join_all(model, members, replica.clone(), epoch).await;
-        if end != OrderEnd::Done {
-            self.node.give_up_replica(&replica, epoch);
-        }
-        end
-    }
-
-    async fn join_all(
-        &self,
-        model: ModelName,
-        members: Vec<HostId>,
-        replica: ReplicaId,
-        epoch: u64,
-    ) -> OrderEnd {
-        let join = HostOrder::Join {
-            replica,
-            epoch,
-            model,
-            members: members.clone(),
-        };
-        let mut heads = Vec::new();
-        let mut others = Vec::new();
-        for member in &members {
-            match self.place(member, &members) {
-                MemberPlace::Head(key) => heads.push((member.clone(), key)),
-                place => others.push((member.clone(), place)),
-            }
-        }
-        for (host, expected) in heads {
-            let end = self.join_head(&host, expected, &join).await;
-            if end != OrderEnd::Done {
-                return end;
-            }
-        }
-        let joins = others
-            .into_iter()
-            .map(|(host, place)| self.join_member(host, place, &join));
-        let ends = futures::future::join_all(joins).await;
-        let failed = ends.into_iter().find(|end| *end != OrderEnd::Done);
-        failed.unwrap_or(OrderEnd::Done)
-    }
-
-    /// Joins the head of an old replica. An engine that opens still reports itself as ready, so it
-    /// leaves first: joined at once, it could be serving and belong to two replicas.
-    async fn join_head(
-        &self,
-        host: &HostId,
-        old: (ReplicaId, u64),
-        join: &HostOrder,
-    ) -> OrderEnd {
-        if old.0.as_str().starts_with(SPARE_PREFIX) {
-            return self.give(host, join.clone(), Some(old)).await;
-        }
-        let end = self.leave(host, &old).await;
-        if end != OrderEnd::Done {
-            return end;
-        }
-        self.give(host, join.clone(), None).await
-    }
-
-    async fn join_member(&self, host: HostId, place: MemberPlace, join: &HostOrder) -> OrderEnd {
-        let expected = match place {
-            MemberPlace::Free => None,
-            MemberPlace::Head(key) | MemberPlace::FreedMember(key) => Some(key),
-            MemberPlace::MemberOf(key, head) => {
-                let end = self.leave(&head, &key).await;
-                if end != OrderEnd::Done {
-                    return end;
-                }
-                Some(key)
-            }
-            MemberPlace::Orphan(key) => {
-                let end = self.leave(&host, &key).await;
-                if end != OrderEnd::Done {
-                    return end;
-                }
-                None
-            }
-        };
-        self.give(&host, join.clone(), expected).await
-    }
-
-    async fn leave(&self, host: &HostId, old: &(ReplicaId, u64)) -> OrderEnd {
-        let order = HostOrder::Leave {
-            replica: old.0.clone(),
-            epoch: old.1,
-        };
-        self.give(host, order, Some(old.clone())).await
-    }
-
-    fn place(&self, host: &HostId, joined: &[HostId]) -> MemberPlace {
-        self.node.registry(|registry| {
-            let entry = registry.get(host);
-            let membership = entry.and_then(|entry| entry.membership.as_ref());
-            let Some(membership) = membership else {
-                return MemberPlace::Free;
-            };
-            if membership.rank == 0 {
-                return MemberPlace::Head(key(membership));
-            }
-            let old = key(membership);
-            let head = self.node.head_of(&old);
-            let entry = head.as_ref().and_then(|head| registry.get(head));
-            let Some(entry) = entry.filter(|entry| !self.node.is_suspect(&entry.id)) else {
-                return MemberPlace::Orphan(old);
-            };
-            let stays = entry.membership.as_ref().is_some_and(|now| key(now) == old);
-            if !stays || joined.contains(&entry.id) {
-                return MemberPlace::FreedMember(old);
-            }
-            MemberPlace::MemberOf(old, entry.id.clone())
-        })
-    }
-
-    fn new_name(&self, prefix: &str) -> Option<ReplicaId> {
-        let number = self.formed.get() + 1;
-        self.formed.set(number);
-        // The start of the process stands in the name: a restarted node counts from 1 again.
-        let started = std::process::id();
-        let wall = std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .map_or(0, |wall| wall.as_millis());
-        let tag = self.tag();
-        let name = format!("{prefix}{tag}-{:x}-{number}", (wall as u64) ^ u64::from(started));
-        name.parse().ok()
-    }
-}
-
-enum MemberPlace {
-    /// In no replica.
-    Free,
-    /// Head of a replica.
-    Head((ReplicaId, u64)),
-    /// Member of a replica whose head is still in it. The head leaves first, so that nobody opens
-    /// the old replica while its members join another one.
-    MemberOf((ReplicaId, u64), HostId),
-    /// Member of a replica whose head left it, or joins the same new one before.
-    FreedMember((ReplicaId, u64)),
-    /// Member of a replica whose head is gone. It leaves before it joins: should the head live
-    /// after all, its replica stands still rather than share a host with another one.
-    Orphan((ReplicaId, u64)),
-}
-
-fn hold_after(end: OrderEnd, done: Duration) -> Duration {
-    match end {
-        OrderEnd::Done => done,
-        OrderEnd::Stale | OrderEnd::Silent => RETRY_PAUSE,
-    }
 }
 
 fn any_weights(hosts: &[HostSituation]) -> bool {
--- /dev/null
+++ b/crates/gateway/src/care/steps.rs
@@ -0,0 +1,232 @@
+//! Taking the steps of a plan.
+
+use std::time::Duration;
+
+use adapter::orders::HostOrder;
+use domain::{HostId, ModelName, ReplicaId};
+use serving::plan::{PlanStep, SPARE_PREFIX};
+use serving::rank::stable_hash;
+
+use super::ReplicaCare;
+use crate::orders::{OrderEnd, PlannedOrder, key, settle_order};
+
+/// Time for which a head that was told to open may go on reporting itself as ready.
+const OPENING_TIME: Duration = Duration::from_millis(900);
+
+/// Time within which the effect of an order stands in the registry.
+const EFFECT_TIME: Duration = Duration::from_millis(150);
+
+/// Pause after an order that was refused or not answered. What refused it is on its way to the
+/// registry; asking again at once only costs calls.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+impl ReplicaCare {
+    /// Takes a step; returns how long its hosts are left alone afterwards.
+    pub(super) async fn take(&self, step: PlanStep) -> Duration {
+        match step {
+            PlanStep::Open {
+                head,
+                replica,
+                epoch,
+            } => {
+                let order = HostOrder::Open {
+                    replica: replica.clone(),
+                    epoch,
+                };
+                let end = self.give(&head, order, Some((replica, epoch))).await;
+                hold_after(end, OPENING_TIME)
+            }
+            PlanStep::Close {
+                head,
+                replica,
+                epoch,
+                mode,
+            } => {
+                let order = HostOrder::Close {
+                    replica: replica.clone(),
+                    epoch,
+                    mode,
+                };
+                let end = self.give(&head, order, Some((replica, epoch))).await;
+                hold_after(end, EFFECT_TIME)
+            }
+            PlanStep::Form { model, members } => {
+                let end = self.form(model, members, "r-").await;
+                hold_after(end, EFFECT_TIME)
+            }
+            PlanStep::Warm { host, model } => {
+                let end = self.form(model, vec![host], SPARE_PREFIX).await;
+                hold_after(end, EFFECT_TIME)
+            }
+        }
+    }
+
+    async fn give(
+        &self,
+        host: &HostId,
+        order: HostOrder,
+        expected: Option<(ReplicaId, u64)>,
+    ) -> OrderEnd {
+        let planned = PlannedOrder {
+            host: host.clone(),
+            order,
+            expected,
+        };
+        settle_order(&self.node, &self.desk, &planned).await
+    }
+
+    /// Joins hosts to a new replica. Hosts that were heads go first: once a head has left its old
+    /// replica, nobody can open that one again, and its members are free.
+    async fn form(&self, model: ModelName, members: Vec<HostId>, prefix: &str) -> OrderEnd {
+        let name = self.new_name(prefix).zip(self.node.registry_version());
+        let Some((replica, version)) = name else {
+            return OrderEnd::Stale;
+        };
+        // Versions of the store only grow, for all nodes alike, and an epoch that was taken at one
+        // is above each that stood in the registry by then.
+        let epoch = version.0;
+        let end = self.join_all(model, members, replica.clone(), epoch).await;
+        if end != OrderEnd::Done {
+            self.node.give_up_replica(&replica, epoch);
+        }
+        end
+    }
+
+    async fn join_all(
+        &self,
+        model: ModelName,
+        members: Vec<HostId>,
+        replica: ReplicaId,
+        epoch: u64,
+    ) -> OrderEnd {
+        let join = HostOrder::Join {
+            replica,
+            epoch,
+            model,
+            members: members.clone(),
+        };
+        let mut heads = Vec::new();
+        let mut others = Vec::new();
+        for member in &members {
+            match self.place(member, &members) {
+                MemberPlace::Head(key) => heads.push((member.clone(), key)),
+                place => others.push((member.clone(), place)),
+            }
+        }
+        for (host, expected) in heads {
+            let end = self.join_head(&host, expected, &join).await;
+            if end != OrderEnd::Done {
+                return end;
+            }
+        }
+        let joins = others
+            .into_iter()
+            .map(|(host, place)| self.join_member(host, place, &join));
+        let ends = futures::future::join_all(joins).await;
+        let failed = ends.into_iter().find(|end| *end != OrderEnd::Done);
+        failed.unwrap_or(OrderEnd::Done)
+    }
+
+    /// Joins the head of an old replica. An engine that opens still reports itself as ready, so it
+    /// leaves first: joined at once, it could be serving and belong to two replicas.
+    async fn join_head(&self, host: &HostId, old: (ReplicaId, u64), join: &HostOrder) -> OrderEnd {
+        if old.0.as_str().starts_with(SPARE_PREFIX) {
+            return self.give(host, join.clone(), Some(old)).await;
+        }
+        let end = self.leave(host, &old).await;
+        if end != OrderEnd::Done {
+            return end;
+        }
+        self.give(host, join.clone(), None).await
+    }
+
+    async fn join_member(&self, host: HostId, place: MemberPlace, join: &HostOrder) -> OrderEnd {
+        let expected = match place {
+            MemberPlace::Free => None,
+            MemberPlace::Head(key) | MemberPlace::FreedMember(key) => Some(key),
+            MemberPlace::MemberOf(key, head) => {
+                let end = self.leave(&head, &key).await;
+                if end != OrderEnd::Done {
+                    return end;
+                }
+                Some(key)
+            }
+            MemberPlace::Orphan(key) => {
+                let end = self.leave(&host, &key).await;
+                if end != OrderEnd::Done {
+                    return end;
+                }
+                None
+            }
+        };
+        self.give(&host, join.clone(), expected).await
+    }
+
+    async fn leave(&self, host: &HostId, old: &(ReplicaId, u64)) -> OrderEnd {
+        let order = HostOrder::Leave {
+            replica: old.0.clone(),
+            epoch: old.1,
+        };
+        self.give(host, order, Some(old.clone())).await
+    }
+
+    fn place(&self, host: &HostId, joined: &[HostId]) -> MemberPlace {
+        self.node.registry(|registry| {
+            let entry = registry.get(host);
+            let membership = entry.and_then(|entry| entry.membership.as_ref());
+            let Some(membership) = membership else {
+                return MemberPlace::Free;
+            };
+            if membership.rank == 0 {
+                return MemberPlace::Head(key(membership));
+            }
+            let old = key(membership);
+            let head = self.node.head_of(&old);
+            let entry = head.as_ref().and_then(|head| registry.get(head));
+            let Some(entry) = entry.filter(|entry| !self.node.is_suspect(&entry.id)) else {
+                return MemberPlace::Orphan(old);
+            };
+            let stays = entry.membership.as_ref().is_some_and(|now| key(now) == old);
+            if !stays || joined.contains(&entry.id) {
+                return MemberPlace::FreedMember(old);
+            }
+            MemberPlace::MemberOf(old, entry.id.clone())
+        })
+    }
+
+    fn new_name(&self, prefix: &str) -> Option<ReplicaId> {
+        let number = self.formed.get() + 1;
+        self.formed.set(number);
+        // The start of the process stands in the name: a restarted node counts from 1 again.
+        let wall = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(Duration::ZERO, |wall| wall);
+        let start = wall.saturating_sub(self.node.now());
+        let tag = self.tag();
+        let mark = stable_hash(&(start.as_millis(), std::process::id())) & 0xffff_ffff;
+        let name = format!("{prefix}{tag}-{mark:x}-{number}");
+        name.parse().ok()
+    }
+}
+
+enum MemberPlace {
+    /// In no replica.
+    Free,
+    /// Head of a replica.
+    Head((ReplicaId, u64)),
+    /// Member of a replica whose head is still in it. The head leaves first, so that nobody opens
+    /// the old replica while its members join another one.
+    MemberOf((ReplicaId, u64), HostId),
+    /// Member of a replica whose head left it, or joins the same new one before.
+    FreedMember((ReplicaId, u64)),
+    /// Member of a replica whose head is gone. It leaves before it joins: should the head live
+    /// after all, its replica stands still rather than share a host with another one.
+    Orphan((ReplicaId, u64)),
+}
+
+fn hold_after(end: OrderEnd, done: Duration) -> Duration {
+    match end {
+        OrderEnd::Done => done,
+        OrderEnd::Stale | OrderEnd::Silent => RETRY_PAUSE,
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,6 +9,7 @@
 use serving::rank::stable_hash;
 use serving::{ChoiceLimits, GatewayConfig, RouteKind, ServiceShape, TargetEntry};
 
+use crate::metrics::RequestLabels;
 use crate::node::GatewayNode;
 
 /// A request that was admitted, with all that its attempts need.
@@ -91,7 +92,11 @@
         entries.retain(|entry| !tried.contains(&entry.id));
         // Each node goes through the targets in an order of its own, so that ties spread.
         entries.sort_by_cached_key(|entry| {
-            stable_hash(&(node.settings.node.as_str(), entry.id.as_str(), self.id.as_ref()))
+            stable_hash(&(
+                node.settings.node.as_str(),
+                entry.id.as_str(),
+                self.id.as_ref(),
+            ))
         });
         let now = node.now();
         let slots = |entry: &TargetEntry| {
@@ -125,6 +130,15 @@
         self.kind.may_repeat()
     }
 
+    /// What its metrics are filed under.
+    #[must_use]
+    pub fn labels(&self) -> RequestLabels<'_> {
+        RequestLabels {
+            kind: self.kind,
+            service: self.service.as_str(),
+        }
+    }
+
     /// Time that is left.
     #[must_use]
     pub fn time_left(&self, now: Duration) -> Duration {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -8,12 +8,12 @@
 use domain::{FastSet, HostId, RequestId};
 use events::{EventCode, EventLine};
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Incoming};
 use serving::choose::NoTarget;
-use serving::rank::stable_hash;
-use serving::{CallerRoute, GatewayConfig, RouteKind};
+use serving::{GatewayConfig, RouteKind};
 
+use crate::admit::admit;
 use crate::answer::OwnAnswer;
 use crate::forward::ForwardRequest;
 use crate::node::{GatewayNode, RunningRequest};
@@ -37,9 +37,6 @@
 /// sent to another target. An answer takes a tenth of it in the usual case.
 const REPEAT_AFTER: f64 = 1.2;
 
-/// Longest wait for a caller's body.
-const BODY_LIMIT: Duration = Duration::from_secs(10);
-
 /// Answers a request.
 pub async fn handle_request(
     node: Rc<GatewayNode>,
@@ -111,7 +108,7 @@
             .text("route", &forward.route)
             .text("service", forward.service.as_str())
             .millis("held_ms", held);
-        node.metrics.end(&forward.route, status, held);
+        node.metrics.end(forward.labels(), status, held);
     }
     node.log(&line);
     answer.response(facts.id.as_ref())
@@ -119,7 +116,7 @@
 
 fn log_answered(node: &GatewayNode, forward: &ForwardRequest, response: &Response<Full<Bytes>>) {
     let held = node.now().saturating_sub(forward.arrived);
-    node.metrics.end(&forward.route, response.status(), held);
+    node.metrics.end(forward.labels(), response.status(), held);
     let line = EventLine::new(EventCode::GatewayAnswered)
         .text("request", forward.id.as_ref().map_or("", RequestId::as_str))
         .text("route", &forward.route)
@@ -128,88 +125,6 @@
     node.log(&line);
 }
 
-type Refusal = (OwnAnswer, &'static str);
-
-async fn admit(
-    node: &Rc<GatewayNode>,
-    config: &GatewayConfig,
-    request: Request<Incoming>,
-    facts: &RequestFacts,
-) -> Result<ForwardRequest, Refusal> {
-    let arrived = node.now();
-    let (head, body) = request.into_parts();
-    let host = head
-        .headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| head.uri.host())
-        .unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
-    let route = config
-        .route(&host, head.uri.path())
-        .ok_or((OwnAnswer::NoRoute, "no route"))?;
-    let key = find_key(config, route, facts)?;
-    let service = route
-        .service_for(stable_hash(&facts.id))
-        .ok_or((OwnAnswer::NoRoute, "the route has no service"))?
-        .clone();
-    let body = read_body(body, config.limits.body_bytes).await?;
-    let wait = facts.time_left.map_or(route.timeout, |left| left.min(route.timeout));
-    Ok(ForwardRequest {
-        id: facts.id.clone(),
-        method: head.method,
-        uri: path_only(head.uri),
-        headers: head.headers,
-        body,
-        route: route.name.clone(),
-        kind: route.kind,
-        service,
-        model: facts.model.clone(),
-        customer: key.as_ref().map(|(customer, _)| customer.clone()),
-        priority: key.and_then(|(_, rank)| rank).unwrap_or(route.priority),
-        max_attempts: route.max_attempts,
-        target_latency: route.target_latency,
-        arrived,
-        deadline: arrived + wait,
-        last_event: facts.last_event,
-    })
-}
-
-type KnownCaller = (domain::CustomerId, Option<u8>);
-
-fn find_key(
-    config: &GatewayConfig,
-    route: &CallerRoute,
-    facts: &RequestFacts,
-) -> Result<Option<KnownCaller>, Refusal> {
-    let Some(keys) = &config.keys else {
-        return Ok(None);
-    };
-    let key = facts.key.as_ref().and_then(|key| keys.get(key));
-    match key {
-        Some(key) => Ok(Some((key.customer.clone(), key.priority))),
-        None if route.public => Ok(None),
-        None => Err((OwnAnswer::UnknownKey, "unknown key")),
-    }
-}
-
-async fn read_body(body: Incoming, most: usize) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, most).collect();
-    match tokio::time::timeout(BODY_LIMIT, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((OwnAnswer::TooLarge, "the body is too large"))
-        }
-        Ok(Err(_)) | Err(_) => Err((OwnAnswer::BadBody, "the body did not arrive whole")),
-    }
-}
-
-/// The path and query alone, for callers that write a whole URI in the request line.
-fn path_only(uri: http::Uri) -> http::Uri {
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    path.parse().unwrap_or(uri)
-}
-
 enum Outcome {
     Own(OwnAnswer, String),
     Whole(Response<Full<Bytes>>),
@@ -262,7 +177,7 @@
             Ok(target) => target,
             Err(reason) => {
                 if tally.last.is_empty() {
-                    tally.last = no_target_text(reason).to_owned();
+                    tally.last.push_str(no_target_text(reason));
                 }
                 let wait = match reason {
                     NoTarget::Absent => ABSENT_WAIT,
@@ -279,15 +194,19 @@
             tally.last.push_str("; no repeats left");
             return tally.give_up(FULL_WAIT, false);
         }
+        if tally.tried.is_empty() {
+            let held = now.saturating_sub(forward.arrived);
+            node.metrics.first_send(forward.labels(), held);
+        }
         tally.tried.insert(target.id.clone());
         let limit = attempt_limit(forward, &tally, now);
         let end = send_attempt(node, forward, &target, None, limit).await;
         match end {
             AttemptEnd::Answered(answer) => {
                 tally.sent += 1;
-                match take_answer(node, forward, *answer, &mut tally).await {
-                    Some(outcome) => return outcome,
-                    None => continue,
+                let outcome = take_answer(node, forward, *answer, &mut tally).await;
+                if let Some(outcome) = outcome {
+                    return outcome;
                 }
             }
             AttemptEnd::Unsent(reason) => {
@@ -379,7 +298,11 @@
                 return None;
             }
             let over = forward.time_left(node.now()).is_zero();
-            let answer = if over { OwnAnswer::TimedOut } else { OwnAnswer::Lost };
+            let answer = if over {
+                OwnAnswer::TimedOut
+            } else {
+                OwnAnswer::Lost
+            };
             Some(Outcome::Own(answer, tally.last.clone()))
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! One thread runs everything. What the gateway knows lives in [`node::GatewayNode`], and nothing
 //! of it outlasts the process: configuration, targets and replicas are read from the store again.
 
+mod admit;
 mod answer;
 mod care;
 mod forward;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,5 +1,6 @@
 //! Listening: callers, the balancer's questions, metrics.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -20,9 +21,6 @@
 /// Pause after a failed accept; without it a process out of file descriptors spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Idle time allowed while no configuration is known.
-const DEFAULT_IDLE: Duration = Duration::from_secs(15);
-
 /// Idle time of connections to the readiness and metrics addresses.
 const SMALL_IDLE: Duration = Duration::from_secs(10);
 
@@ -30,8 +28,8 @@
 /// answered. The balancer takes a node out after two missed answers, a second apart.
 const LINGER: Duration = Duration::from_millis(2600);
 
-/// Pause between two looks at the stop.
-const STOP_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two looks at whether a connection should close.
+const CLOSE_PAUSE: Duration = Duration::from_millis(400);
 
 /// Binds an address.
 ///
@@ -81,16 +79,18 @@
 async fn serve_caller(node: Rc<GatewayNode>, stream: TcpStream) {
     node.begin_connection();
     let _open = OpenConnection(Rc::clone(&node));
-    let idle = node.config().map_or(DEFAULT_IDLE, |config| config.limits.idle_timeout);
+    let usage = Rc::new(ConnectionUsage::new(node.now()));
     let handler = {
         let node = Rc::clone(&node);
+        let usage = Rc::clone(&usage);
         service_fn(move |request| {
             let node = Rc::clone(&node);
+            usage.used(node.now());
             async move { Ok::<_, Infallible>(handle_request(node, request).await) }
         })
     };
     let mut builder = Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle);
+    builder.timer(TokioTimer::new()).header_read_timeout(None);
     let connection = builder.serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let mut closing = false;
@@ -98,7 +98,7 @@
         tokio::select! {
             // Its failure concerns one caller, who sees it; the request's own line tells of it.
             _ = connection.as_mut() => return,
-            () = wait_for_stop(&node), if !closing => {
+            () = wait_for_close(&node, &usage), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -106,13 +106,30 @@
     }
 }
 
-/// Completes when connections should close after the request in progress.
-async fn wait_for_stop(node: &GatewayNode) {
+/// When a connection last brought a request.
+struct ConnectionUsage(Cell<Duration>);
+
+impl ConnectionUsage {
+    fn new(now: Duration) -> Self {
+        Self(Cell::new(now))
+    }
+
+    fn used(&self, now: Duration) {
+        self.0.set(now);
+    }
+}
+
+/// Completes when a connection should close after the request in progress: it was idle for as
+/// long as the configuration in force allows, or the process stops.
+async fn wait_for_close(node: &GatewayNode, usage: &ConnectionUsage) {
     loop {
         if node.stopping_for().is_some_and(|time| time >= LINGER) {
             return;
         }
-        tokio::time::sleep(if node.is_stopping() { STOP_PAUSE } else { STOP_PAUSE * 2 }).await;
+        if node.now().saturating_sub(usage.0.get()) > node.idle_limit() {
+            return;
+        }
+        tokio::time::sleep(CLOSE_PAUSE).await;
     }
 }
 
@@ -138,7 +155,11 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(SMALL_IDLE);
             // Whoever asked sees the failure and asks again.
-            drop(builder.serve_connection(TokioIo::new(stream), handler).await);
+            drop(
+                builder
+                    .serve_connection(TokioIo::new(stream), handler)
+                    .await,
+            );
         });
     }
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -65,14 +65,21 @@
         let value =
             serde_json::to_vec(&row).map_err(|error| StoreError::Unreadable(error.to_string()))?;
         let name = node.settings.node.as_str();
-        client.put_row(NODES_TABLE, name, &value, CALL_LIMIT).await?;
+        client
+            .put_row(NODES_TABLE, name, &value, CALL_LIMIT)
+            .await?;
     }
     let page = client.read_table(NODES_TABLE, CALL_LIMIT).await?;
     let mut live = Vec::new();
     for row in &page.rows {
-        let parsed = row.value.as_ref().map(|value| serde_json::from_slice::<NodeRow>(value));
+        let parsed = row
+            .value
+            .as_ref()
+            .map(|value| serde_json::from_slice::<NodeRow>(value));
         let Some(Ok(parsed)) = parsed else { continue };
-        let age = page.clock.saturating_sub(Duration::from_millis(parsed.clock_ms));
+        let age = page
+            .clock
+            .saturating_sub(Duration::from_millis(parsed.clock_ms));
         if age <= MAX_AGE {
             live.push(row.key.clone());
         }
--- /dev/null
+++ b/crates/gateway/src/node/health.rs
@@ -0,0 +1,145 @@
+//! Which targets answer, how loaded they are, and whether replicas move.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use domain::HostId;
+use events::{EventCode, EventLine};
+use serving::silence::ReplicaPulse;
+use serving::{ReplicaView, TargetLoad};
+use tokio::sync::Notify;
+
+use super::GatewayNode;
+
+/// Tells the requests at a replica that it stands still.
+#[derive(Debug, Default)]
+pub struct LossSignal {
+    lost: Cell<bool>,
+    notify: Notify,
+}
+
+impl LossSignal {
+    /// Completes once the replica is lost.
+    pub async fn lost(&self) {
+        while !self.lost.get() {
+            self.notify.notified().await;
+        }
+    }
+
+    fn raise(&self) {
+        self.lost.set(true);
+        self.notify.notify_waiters();
+    }
+}
+
+impl GatewayNode {
+    /// Time since when a target does not answer, if it does not.
+    #[must_use]
+    pub fn silent_for(&self, id: &HostId) -> Option<Duration> {
+        let since = self.suspects.borrow().get(id).copied()?;
+        Some(self.now().saturating_sub(since))
+    }
+
+    /// Whether a target is suspected.
+    #[must_use]
+    pub fn is_suspect(&self, id: &HostId) -> bool {
+        self.suspects.borrow().contains_key(id)
+    }
+
+    /// Targets that are suspected, with the time since when.
+    #[must_use]
+    pub fn suspects(&self) -> Vec<(HostId, Duration)> {
+        let suspects = self.suspects.borrow();
+        suspects.iter().map(|(id, at)| (id.clone(), *at)).collect()
+    }
+
+    /// Suspects a target; its replica gets nothing more.
+    pub fn suspect(&self, id: &HostId, reason: &str) {
+        let now = self.now();
+        let mut suspects = self.suspects.borrow_mut();
+        if suspects.contains_key(id) {
+            return;
+        }
+        suspects.insert(id.clone(), now);
+        drop(suspects);
+        let line = EventLine::new(EventCode::TargetSuspected)
+            .text("host", id.as_str())
+            .text("reason", reason);
+        self.log(&line);
+        self.after_change();
+    }
+
+    /// Trusts a target again.
+    pub fn trust(&self, id: &HostId) {
+        if self.suspects.borrow_mut().remove(id).is_none() {
+            return;
+        }
+        let line = EventLine::new(EventCode::TargetBack).text("host", id.as_str());
+        self.log(&line);
+        self.after_change();
+    }
+
+    /// Tells the requests at replicas with a suspected member to go elsewhere.
+    pub(super) fn raise_losses(&self) {
+        let registry = self.registry.borrow();
+        let mut signals = self.signals.borrow_mut();
+        for replica in registry.replicas() {
+            let Some(head) = replica.head() else { continue };
+            if !self.has_suspect(replica) {
+                continue;
+            }
+            if let Some(signal) = signals.remove(head) {
+                signal.raise();
+            }
+        }
+    }
+
+    /// Tells the requests at one head to go elsewhere.
+    pub fn raise_loss(&self, head: &HostId) {
+        if let Some(signal) = self.signals.borrow_mut().remove(head) {
+            signal.raise();
+        }
+    }
+
+    pub(super) fn has_suspect(&self, replica: &ReplicaView) -> bool {
+        let suspects = self.suspects.borrow();
+        replica.members.values().any(|id| suspects.contains_key(id))
+    }
+
+    /// The signal for requests at a replica's head.
+    #[must_use]
+    pub fn loss_signal(&self, head: &HostId) -> Rc<LossSignal> {
+        let mut signals = self.signals.borrow_mut();
+        Rc::clone(signals.entry(head.clone()).or_default())
+    }
+
+    /// A target's load.
+    #[must_use]
+    pub fn load(&self, id: &HostId) -> TargetLoad {
+        self.loads.borrow().get(id).copied().unwrap_or_default()
+    }
+
+    /// Changes a target's load.
+    pub fn with_load(&self, id: &HostId, change: impl FnOnce(&mut TargetLoad)) {
+        change(self.loads.borrow_mut().entry(id.clone()).or_default());
+    }
+
+    /// Changes a replica's pulse.
+    pub fn with_pulse<R>(&self, head: &HostId, change: impl FnOnce(&mut ReplicaPulse) -> R) -> R {
+        change(self.pulses.borrow_mut().entry(head.clone()).or_default())
+    }
+
+    /// Heads at which requests of this node run and that should be asked about now.
+    #[must_use]
+    pub fn silent_heads(&self) -> Vec<HostId> {
+        let now = self.now();
+        let mut silent = Vec::new();
+        for (head, pulse) in self.pulses.borrow_mut().iter_mut() {
+            if pulse.should_ask(now) {
+                silent.push(head.clone());
+            }
+        }
+        silent
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node/mod.rs
@@ -0,0 +1,206 @@
+//! What a gateway knows, shared by its tasks.
+
+mod health;
+mod process;
+mod targets;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use domain::{FastMap, FastSet, HostId, ReplicaId, RowVersion, ServiceName};
+use events::{EventCode, EventLine, LineSink};
+use serving::silence::ReplicaPulse;
+use serving::{GatewayConfig, RepeatBudget, TargetLoad, TargetRegistry};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::metrics::GatewayMetrics;
+use crate::pool::TargetPool;
+use crate::settings::GatewaySettings;
+
+pub use health::LossSignal;
+pub use process::RunningRequest;
+
+/// State of a gateway.
+#[derive(Debug)]
+pub struct GatewayNode {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Log.
+    pub sink: LineSink,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// Connections to targets.
+    pub pool: TargetPool,
+    /// Wakes the care for replicas.
+    pub changed: Notify,
+    /// Wakes who waits for the end of a request or connection.
+    pub ended: Notify,
+    started: Instant,
+    config: RefCell<Option<Rc<GatewayConfig>>>,
+    idle_limit: Cell<Duration>,
+    registry: RefCell<TargetRegistry>,
+    registry_version: Cell<Option<RowVersion>>,
+    registry_heard: Cell<Duration>,
+    hosts_changed: Cell<Duration>,
+    memberships: RefCell<FastMap<HostId, Duration>>,
+    spent: RefCell<FastSet<(ReplicaId, u64)>>,
+    heads: RefCell<FastMap<(ReplicaId, u64), HostId>>,
+    loads: RefCell<FastMap<HostId, TargetLoad>>,
+    pulses: RefCell<FastMap<HostId, ReplicaPulse>>,
+    signals: RefCell<FastMap<HostId, Rc<LossSignal>>>,
+    suspects: RefCell<FastMap<HostId, Duration>>,
+    budgets: RefCell<FastMap<ServiceName, RepeatBudget>>,
+    nodes: RefCell<Vec<String>>,
+    stopping: Cell<Option<Duration>>,
+    running: Cell<usize>,
+    connections: Cell<usize>,
+    seen_request: Cell<bool>,
+}
+
+/// Idle time allowed while no configuration is known.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Nodes assumed while none are counted: a part of the budgets that is safe in any deployment of
+/// today's size.
+const NODES_UNKNOWN: usize = 16;
+impl GatewayNode {
+    /// A node that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: GatewaySettings, sink: LineSink, metrics: GatewayMetrics) -> Self {
+        Self {
+            settings,
+            sink,
+            metrics,
+            pool: TargetPool::default(),
+            changed: Notify::new(),
+            ended: Notify::new(),
+            started: Instant::now(),
+            config: RefCell::default(),
+            idle_limit: Cell::new(DEFAULT_IDLE),
+            registry: RefCell::default(),
+            registry_version: Cell::default(),
+            registry_heard: Cell::default(),
+            hosts_changed: Cell::default(),
+            memberships: RefCell::default(),
+            spent: RefCell::default(),
+            heads: RefCell::default(),
+            loads: RefCell::default(),
+            pulses: RefCell::default(),
+            signals: RefCell::default(),
+            suspects: RefCell::default(),
+            budgets: RefCell::default(),
+            nodes: RefCell::default(),
+            stopping: Cell::default(),
+            running: Cell::default(),
+            connections: Cell::default(),
+            seen_request: Cell::default(),
+        }
+    }
+
+    /// Time since the start of the process.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Writes a line to the log.
+    pub fn log(&self, line: &EventLine) {
+        self.sink.write(line, self.now());
+    }
+
+    /// The configuration in force, once one is known.
+    #[must_use]
+    pub fn config(&self) -> Option<Rc<GatewayConfig>> {
+        self.config.borrow().clone()
+    }
+
+    /// Puts a configuration into force, unless a newer one is; whether it did.
+    pub fn set_config(&self, config: GatewayConfig) -> bool {
+        let mut current = self.config.borrow_mut();
+        let idle = |config: &GatewayConfig| config.limits.idle_timeout;
+        let older = current
+            .as_ref()
+            .is_some_and(|current| config.revision <= current.revision);
+        if older {
+            return false;
+        }
+        // Callers that have not heard of a shorter limit yet still go by the one before.
+        let before = current
+            .as_ref()
+            .map_or(Duration::ZERO, |before| idle(before));
+        self.idle_limit.set(idle(&config).max(before));
+        *current = Some(Rc::new(config));
+        drop(current);
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// How long a caller's connection may be idle.
+    #[must_use]
+    pub fn idle_limit(&self) -> Duration {
+        self.idle_limit.get()
+    }
+
+    /// Reads the registry.
+    pub fn registry<R>(&self, read: impl FnOnce(&TargetRegistry) -> R) -> R {
+        read(&self.registry.borrow())
+    }
+
+    /// Newest version of the store that the registry is known at.
+    #[must_use]
+    pub fn registry_version(&self) -> Option<RowVersion> {
+        self.registry_version.get()
+    }
+
+    /// Time since the registry was last confirmed by the store.
+    #[must_use]
+    pub fn registry_age(&self) -> Duration {
+        self.now().saturating_sub(self.registry_heard.get())
+    }
+
+    /// Time since a host last came or went.
+    #[must_use]
+    pub fn hosts_unchanged(&self) -> Duration {
+        self.now().saturating_sub(self.hosts_changed.get())
+    }
+
+    /// Uses the budget of repeats of a service.
+    pub fn with_budget<R>(
+        &self,
+        service: &ServiceName,
+        use_it: impl FnOnce(&mut RepeatBudget) -> R,
+    ) -> R {
+        let mut budgets = self.budgets.borrow_mut();
+        let limits = self.settings.bounds.repeats();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RepeatBudget::new(limits));
+        use_it(budget)
+    }
+
+    /// How many nodes live, at least one.
+    #[must_use]
+    pub fn node_count(&self) -> usize {
+        let count = self.nodes.borrow().len();
+        if count == 0 { NODES_UNKNOWN } else { count }
+    }
+
+    /// Names of the nodes that live.
+    #[must_use]
+    pub fn nodes(&self) -> Vec<String> {
+        self.nodes.borrow().clone()
+    }
+
+    /// Takes the names of the nodes that live.
+    pub fn set_nodes(&self, nodes: Vec<String>) {
+        if *self.nodes.borrow() == nodes {
+            return;
+        }
+        let count = u64::try_from(nodes.len()).unwrap_or(u64::MAX);
+        let line = EventLine::new(EventCode::NodesCounted).number("nodes", count);
+        *self.nodes.borrow_mut() = nodes;
+        self.log(&line);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node/process.rs
@@ -0,0 +1,137 @@
+//! The process itself: requests and connections in progress, readiness, the stop, figures.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use events::metrics::MetricsError;
+use serving::MemberState;
+
+use super::GatewayNode;
+use crate::metrics::NodeFigures;
+
+/// Counts a request in its process until it is dropped, with its answer's last byte.
+#[derive(Debug)]
+pub struct RunningRequest {
+    node: Rc<GatewayNode>,
+}
+
+impl RunningRequest {
+    /// Counts a request.
+    #[must_use]
+    pub fn new(node: &Rc<GatewayNode>) -> Self {
+        node.begin_request();
+        Self {
+            node: Rc::clone(node),
+        }
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.node.end_request();
+    }
+}
+
+impl GatewayNode {
+    /// Whether the node can serve: it knows a configuration and the targets, and does not stop.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let known = self.config.borrow().is_some() && self.registry_version.get().is_some();
+        known && !self.is_stopping()
+    }
+
+    /// Whether the process stops.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+
+    /// Time since the stop began.
+    #[must_use]
+    pub fn stopping_for(&self) -> Option<Duration> {
+        let began = self.stopping.get()?;
+        Some(self.now().saturating_sub(began))
+    }
+
+    /// Metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError::Encoder`].
+    pub fn metrics_text(&self) -> Result<String, MetricsError> {
+        self.metrics.text(&self.figures())
+    }
+
+    /// The figures of this moment.
+    #[must_use]
+    pub fn figures(&self) -> NodeFigures {
+        let registry = self.registry.borrow();
+        let mut figures = NodeFigures {
+            config_revision: self.config().map_or(0, |config| config.revision.0),
+            registry_age: self.registry_age(),
+            suspects: self.suspects.borrow().len(),
+            nodes: self.nodes.borrow().len(),
+            running: self.running(),
+            connections: self.connections(),
+            dropped_lines: self.sink.dropped(),
+            ..NodeFigures::default()
+        };
+        let mut serving_hosts = 0;
+        for replica in registry.replicas() {
+            if replica.head_state == Some(MemberState::Open) && !self.has_suspect(replica) {
+                figures.serving_replicas += 1;
+                serving_hosts += replica.members.len();
+            } else {
+                figures.idle_replicas += 1;
+            }
+        }
+        let hosts = registry.targets().filter(|entry| entry.fabric.is_some());
+        figures.stranded_hosts = hosts.count().saturating_sub(serving_hosts);
+        figures
+    }
+
+    /// Begins to stop.
+    pub fn stop(&self) {
+        self.stopping.set(Some(self.now()));
+    }
+
+    pub(super) fn begin_request(&self) {
+        self.seen_request.set(true);
+        self.running.set(self.running.get() + 1);
+    }
+
+    pub(super) fn end_request(&self) {
+        self.running.set(self.running.get().saturating_sub(1));
+        self.ended.notify_waiters();
+    }
+
+    /// Requests that run in this process.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.get()
+    }
+
+    /// Counts a caller's connection.
+    pub fn begin_connection(&self) {
+        self.connections.set(self.connections.get() + 1);
+    }
+
+    /// Counts the end of a caller's connection.
+    pub fn end_connection(&self) {
+        self.connections
+            .set(self.connections.get().saturating_sub(1));
+        self.ended.notify_waiters();
+    }
+
+    /// Callers' connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Whether the whole system starts and nobody has asked for anything yet.
+    #[must_use]
+    pub fn is_lead_time(&self) -> bool {
+        self.settings.first_start && !self.seen_request.get()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node/targets.rs
@@ -0,0 +1,205 @@
+//! The targets that a node knows, and which of them take work.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use domain::{FastSet, HostId, ModelName, ReplicaId, RowVersion, ServiceName};
+use events::{EventCode, EventLine};
+use serving::{MemberState, ReplicaMembership, ServiceShape, TargetEntry, TargetState};
+
+use super::GatewayNode;
+
+impl GatewayNode {
+    /// Notes that the registry is known as of a version.
+    pub fn confirm_registry(&self, version: RowVersion) {
+        self.registry_heard.set(self.now());
+        if self
+            .registry_version
+            .get()
+            .is_none_or(|known| known < version)
+        {
+            self.registry_version.set(Some(version));
+        }
+    }
+
+    /// Takes a target's entry.
+    pub fn put_target(&self, entry: &TargetEntry) {
+        let id = entry.id.clone();
+        let mut registry = self.registry.borrow_mut();
+        let before = registry.get(&id).cloned();
+        if !registry.put(entry.clone()) {
+            return;
+        }
+        drop(registry);
+        let now = self.now();
+        let is_new = before
+            .as_ref()
+            .is_none_or(|before| before.boot != entry.boot || before.address != entry.address);
+        if is_new {
+            self.hosts_changed.set(now);
+            self.suspects.borrow_mut().remove(&id);
+            self.loads.borrow_mut().remove(&id);
+            self.pool.forget(&id);
+        }
+        let membership_before = before
+            .as_ref()
+            .and_then(|before| before.membership.as_ref());
+        if membership_before != entry.membership.as_ref() {
+            self.memberships.borrow_mut().insert(id.clone(), now);
+        }
+        if let Some(membership) = &entry.membership {
+            self.note_membership(&id, membership);
+        }
+        self.log(&target_line(EventCode::TargetChanged, entry));
+        self.after_change();
+    }
+
+    fn note_membership(&self, id: &HostId, membership: &ReplicaMembership) {
+        let key = (membership.replica.clone(), membership.epoch);
+        if membership.rank == 0 {
+            self.heads.borrow_mut().insert(key.clone(), id.clone());
+        }
+        if matches!(membership.state, MemberState::Open | MemberState::Closing) {
+            self.spent.borrow_mut().insert(key);
+        }
+    }
+
+    /// The head of a replica, also of one that it has left since.
+    #[must_use]
+    pub fn head_of(&self, replica: &(ReplicaId, u64)) -> Option<HostId> {
+        self.heads.borrow().get(replica).cloned()
+    }
+
+    /// Takes note that a target is gone.
+    pub fn remove_target(&self, id: &HostId) {
+        let removed = self.registry.borrow_mut().remove(id);
+        let Some(entry) = removed else { return };
+        self.hosts_changed.set(self.now());
+        self.suspects.borrow_mut().remove(id);
+        self.loads.borrow_mut().remove(id);
+        self.pool.forget(id);
+        self.log(&target_line(EventCode::TargetGone, &entry));
+        self.after_change();
+    }
+
+    /// The target that listens at an address.
+    #[must_use]
+    pub fn target_at(&self, address: SocketAddr) -> Option<HostId> {
+        self.registry(|registry| {
+            let mut targets = registry.targets();
+            targets
+                .find(|entry| entry.address == address)
+                .map(|entry| entry.id.clone())
+        })
+    }
+
+    /// Takes the effect of an order that an engine accepted, ahead of the registry. Without it the
+    /// next plan would start from the state before the order, and take the same hosts again.
+    pub fn foresee(&self, id: &HostId, change: impl FnOnce(&mut TargetEntry)) {
+        let known = self.registry(|registry| registry.get(id).cloned());
+        let Some(mut entry) = known else { return };
+        change(&mut entry);
+        self.put_target(&entry);
+    }
+
+    /// Time since a host's membership changed, as this node saw it.
+    #[must_use]
+    pub fn membership_age(&self, id: &HostId) -> Duration {
+        let since = self.memberships.borrow().get(id).copied();
+        self.now().saturating_sub(since.unwrap_or_default())
+    }
+
+    /// Replicas that were seen serving, or whose formation failed.
+    #[must_use]
+    pub fn spent(&self) -> FastSet<(ReplicaId, u64)> {
+        self.spent.borrow().clone()
+    }
+
+    /// Notes that the formation of a replica failed.
+    pub fn give_up_replica(&self, replica: &ReplicaId, epoch: u64) {
+        self.spent.borrow_mut().insert((replica.clone(), epoch));
+    }
+
+    /// Heads of replicas that serve a model now.
+    #[must_use]
+    pub fn serving_heads(&self, service: &ServiceShape, model: &ModelName) -> Vec<TargetEntry> {
+        let Some(shape) = service.model(model) else {
+            return Vec::new();
+        };
+        let registry = self.registry.borrow();
+        let mut heads = Vec::new();
+        for replica in registry.replicas() {
+            let serves = replica.service == service.name
+                && replica.model.as_ref() == Some(model)
+                && replica.head_state == Some(MemberState::Open)
+                && replica.is_complete(shape.size);
+            if !serves || self.has_suspect(replica) {
+                continue;
+            }
+            let head = replica.head().and_then(|head| registry.get(head));
+            let Some(head) = head else { continue };
+            if head.state == TargetState::Ready {
+                heads.push(head.clone());
+            }
+        }
+        heads
+    }
+
+    /// Targets of a plain service that take work now.
+    #[must_use]
+    pub fn plain_targets(&self, service: &ServiceName) -> Vec<TargetEntry> {
+        let registry = self.registry.borrow();
+        let suspects = self.suspects.borrow();
+        let mut targets: Vec<TargetEntry> = registry
+            .targets()
+            .filter(|entry| entry.service == *service && entry.state == TargetState::Ready)
+            .filter(|entry| !suspects.contains_key(&entry.id))
+            .cloned()
+            .collect();
+        targets.sort_by(|left, right| left.id.cmp(&right.id));
+        targets
+    }
+
+    pub(super) fn after_change(&self) {
+        self.raise_losses();
+        self.changed.notify_waiters();
+    }
+}
+
+fn target_line(code: EventCode, entry: &TargetEntry) -> EventLine {
+    let mut line = EventLine::new(code)
+        .text("host", entry.id.as_str())
+        .text("service", entry.service.as_str())
+        .text("state", state_name(entry.state));
+    if let Some(fabric) = &entry.fabric {
+        line = line.text("fabric", fabric.as_str());
+    }
+    if let Some(model) = &entry.loaded {
+        line = line.text("model", model.as_str());
+    }
+    if let Some(membership) = &entry.membership {
+        line = line
+            .text("replica", membership.replica.as_str())
+            .number("epoch", membership.epoch)
+            .number("rank", u64::from(membership.rank))
+            .text("member", member_name(membership.state));
+    }
+    line
+}
+
+fn state_name(state: TargetState) -> &'static str {
+    match state {
+        TargetState::Ready => "ready",
+        TargetState::Draining => "draining",
+    }
+}
+
+fn member_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Joining => "joining",
+        MemberState::Ready => "ready",
+        MemberState::Open => "open",
+        MemberState::Closing => "closing",
+        MemberState::Broken => "broken",
+    }
+}
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -54,6 +54,16 @@
     answered: Option<Duration>,
 }
 
+impl OrderEnd {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Stale => "stale",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// What is known of orders from this node.
 #[derive(Debug, Default)]
 pub struct OrderDesk {
@@ -147,11 +157,13 @@
     let line = EventLine::new(EventCode::OrderEnded)
         .text("host", planned.host.as_str())
         .text("order", planned.order.name())
-        .text("outcome", &format!("{end:?}"))
+        .text("outcome", end.name())
         .text("detail", &detail)
         .number("tries", u64::from(tries))
         .millis("took_ms", node.now().saturating_sub(began));
     node.log(&line);
+    let took = node.now().saturating_sub(began);
+    node.metrics.order(planned.order.name(), end.name(), took);
     if end == OrderEnd::Done {
         foresee(node, planned);
     }
@@ -221,7 +233,11 @@
                 desk.forget(&planned.host);
                 // The first of two equal orders may have been carried out unanswered.
                 let done = trial > 1 && is_done(node, planned).await;
-                let end = if done { OrderEnd::Done } else { OrderEnd::Stale };
+                let end = if done {
+                    OrderEnd::Done
+                } else {
+                    OrderEnd::Stale
+                };
                 return (end, trial, format!("conflict after order {accepted}"));
             }
             Ok(answer) => {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -26,25 +26,26 @@
     loop {
         tokio::time::sleep(LOOK_PAUSE).await;
         for head in node.silent_heads() {
-            tokio::task::spawn_local(ask_members(Rc::clone(&node), head));
+            ask_members(&node, &head);
         }
     }
 }
 
-async fn ask_members(node: Rc<GatewayNode>, head: HostId) {
+fn ask_members(node: &Rc<GatewayNode>, head: &HostId) {
     let replica = node.registry(|registry| {
-        let membership = registry.get(&head)?.membership.as_ref()?;
+        let membership = registry.get(head)?.membership.as_ref()?;
         registry.replica(membership).cloned()
     });
-    let size = replica.as_ref().and_then(|replica| size_of(&node, replica));
-    let Some(replica) = replica.filter(|replica| size.is_some_and(|size| replica.is_complete(size)))
+    let size = replica.as_ref().and_then(|replica| size_of(node, replica));
+    let Some(replica) =
+        replica.filter(|replica| size.is_some_and(|size| replica.is_complete(size)))
     else {
         // A member left for another replica, or is gone: nothing will move again.
-        node.raise_loss(&head);
+        node.raise_loss(head);
         return;
     };
     for member in replica.members.into_values() {
-        tokio::task::spawn_local(ask(Rc::clone(&node), member));
+        tokio::task::spawn_local(ask(Rc::clone(node), member));
     }
 }
 
@@ -87,7 +88,9 @@
         for (id, since) in node.suspects() {
             // Targets of plain services give no reports; a request shows whether one is back.
             let plain = node.registry(|registry| {
-                registry.get(&id).is_some_and(|entry| entry.fabric.is_none())
+                registry
+                    .get(&id)
+                    .is_some_and(|entry| entry.fabric.is_none())
             });
             if !plain {
                 tokio::task::spawn_local(ask_suspect(Rc::clone(&node), id));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -61,6 +61,8 @@
     attempts: u32,
     tried: FastSet<HostId>,
     first_event: Option<Duration>,
+    /// Whether it waits for a target that stands still, because no other can go on.
+    stays: bool,
     ended: bool,
     _running: RunningRequest,
 }
@@ -68,7 +70,9 @@
 enum SourceEvent {
     Bytes(Bytes),
     End,
-    Lost(String),
+    Broken(String),
+    /// Its replica stands still; the connection itself is sound.
+    Stalled,
     TimedOut,
 }
 
@@ -90,6 +94,7 @@
             attempts: source.attempts,
             tried: source.tried,
             first_event: None,
+            stays: false,
             ended: false,
             forward,
             _running: running,
@@ -118,7 +123,7 @@
             if self.ended {
                 return None;
             }
-            let lost = match self.read().await {
+            let broken = match self.read().await {
                 SourceEvent::Bytes(bytes) => match self.splitter.push(&bytes) {
                     Ok(None) => continue,
                     Ok(Some(events)) => {
@@ -133,14 +138,19 @@
                     return None;
                 }
                 SourceEvent::End => "the stream ended inside an event".to_owned(),
-                SourceEvent::Lost(reason) => reason,
+                SourceEvent::Broken(reason) => reason,
+                SourceEvent::Stalled => {
+                    self.leave_stalled().await;
+                    continue;
+                }
                 SourceEvent::TimedOut => {
                     self.cut("its time is over");
                     return Some(Err(StreamEnd));
                 }
             };
-            if let Err(reason) = self.go_elsewhere(&lost).await {
-                self.cut(&format!("{lost}; {reason}"));
+            self.source = None;
+            if let Err(reason) = self.go_elsewhere(&broken).await {
+                self.cut(&format!("{broken}; {reason}"));
                 return Some(Err(StreamEnd));
             }
         }
@@ -149,27 +159,33 @@
     async fn read(&mut self) -> SourceEvent {
         let left = self.forward.time_left(self.node.now());
         let Some(source) = &mut self.source else {
-            return SourceEvent::Lost("no target".to_owned());
+            return SourceEvent::Broken("no target".to_owned());
         };
         tokio::select! {
             biased;
             frame = source.body.frame() => match frame {
                 None => SourceEvent::End,
-                Some(Err(error)) => SourceEvent::Lost(error.to_string()),
+                Some(Err(error)) => SourceEvent::Broken(error.to_string()),
                 Some(Ok(frame)) => {
                     source.ticket.moved();
                     SourceEvent::Bytes(frame.into_data().unwrap_or_default())
                 }
             },
-            () = self.signal.lost() => SourceEvent::Lost("the replica stands still".to_owned()),
+            () = self.signal.lost(), if !self.stays => SourceEvent::Stalled,
             () = tokio::time::sleep(left) => SourceEvent::TimedOut,
         }
     }
 
+    /// Tries another target for a stream whose replica stands still. Where none goes on, the
+    /// stream stays: silence is no reason to cut off an answer that may still come.
+    async fn leave_stalled(&mut self) {
+        if self.go_elsewhere("the replica stands still").await.is_err() {
+            self.stays = true;
+        }
+    }
+
     /// Lets another target go on after the last whole event.
     async fn go_elsewhere(&mut self, lost: &str) -> Result<(), String> {
-        self.source = None;
-        self.splitter.drop_partial();
         if self.forward.kind != (RouteKind::Streaming { resumable: true }) {
             return Err("it may not be resumed".to_owned());
         }
@@ -191,18 +207,23 @@
             let now = self.node.now();
             let nodes = self.node.node_count();
             let service = &self.forward.service;
-            if !self.node.with_budget(service, |budget| budget.take(now, nodes)) {
+            if !self
+                .node
+                .with_budget(service, |budget| budget.take(now, nodes))
+            {
                 return Err("no repeats left".to_owned());
             }
             let limit = self.forward.time_left(now).min(MOVE_LIMIT);
             self.tried.insert(target.id.clone());
-            let last = self.splitter.last_id();
-            let end = send_attempt(&self.node, &self.forward, &target, last, limit).await;
+            let after = self.splitter.last_id();
+            let end = send_attempt(&self.node, &self.forward, &target, after, limit).await;
             match end {
                 AttemptEnd::Answered(answer) if answer.status == StatusCode::OK => {
                     self.attempts += 1;
                     self.signal = self.node.loss_signal(&answer.host);
                     self.log_move(lost, &answer.host);
+                    // What the first target left of an event is not joined with the other's.
+                    self.splitter.drop_partial();
                     self.source = Some(*answer);
                     return Ok(());
                 }
@@ -241,10 +262,12 @@
 
     fn note_end(&self, status: StatusCode) {
         let took = self.node.now().saturating_sub(self.forward.arrived);
-        let first = self.first_event.map(|at| at.saturating_sub(self.forward.arrived));
-        self.node.metrics.end(&self.forward.route, status, took);
+        let first = self
+            .first_event
+            .map(|at| at.saturating_sub(self.forward.arrived));
+        self.node.metrics.end(self.forward.labels(), status, took);
         if let Some(first) = first {
-            self.node.metrics.first_event(&self.forward.route, first);
+            self.node.metrics.first_event(self.forward.labels(), first);
         }
     }
 
@@ -259,7 +282,10 @@
     fn line(&self, code: EventCode) -> EventLine {
         let since = |at: Duration| at.saturating_sub(self.forward.arrived);
         let line = EventLine::new(code)
-            .text("request", self.forward.id.as_ref().map_or("", RequestId::as_str))
+            .text(
+                "request",
+                self.forward.id.as_ref().map_or("", RequestId::as_str),
+            )
             .text("route", &self.forward.route)
             .number("status", 200)
             .number("attempts", u64::from(self.attempts))
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::metrics::GatewayMetrics;
 use crate::node::GatewayNode;
 use crate::settings::GatewaySettings;
 use crate::{care, listen, members, probe, watch};
@@ -44,7 +45,7 @@
     let metrics = listen::bind(listen.metrics).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
-    let node = Rc::new(GatewayNode::new(settings, sink));
+    let node = Rc::new(GatewayNode::new(settings, sink, GatewayMetrics::new()?));
     node.log(
         &EventLine::new(EventCode::NodeStarted)
             .text("version", env!("CARGO_PKG_VERSION"))
@@ -58,7 +59,7 @@
     spawn_local(care::care_for_replicas(Rc::clone(&node)));
     spawn_local(probe::watch_replicas(Rc::clone(&node)));
     spawn_local(probe::ask_suspects(Rc::clone(&node)));
-    spawn_local(sweep_pool(Rc::clone(&node)));
+    spawn_local(sweep(Rc::clone(&node)));
     spawn_local(reread_settings(Rc::clone(&node), hangup, path.to_owned()));
     terminate.recv().await;
     stop(&node).await;
@@ -80,14 +81,24 @@
     }));
     let measured = Rc::clone(node);
     spawn_local(listen::serve_questions(metrics, move || {
-        (StatusCode::OK, measured.metrics_text())
+        match measured.metrics_text() {
+            Ok(text) => (StatusCode::OK, text),
+            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
     }));
 }
 
-async fn sweep_pool(node: Rc<GatewayNode>) {
+/// Closes old idle connections and adds up what stood idle meanwhile.
+async fn sweep(node: Rc<GatewayNode>) {
     loop {
+        let began = node.now();
         tokio::time::sleep(SWEEP_PAUSE).await;
         node.pool.sweep();
+        let passed = node.now().saturating_sub(began);
+        let figures = node.figures();
+        let times = |count: usize| passed * u32::try_from(count).unwrap_or(u32::MAX);
+        node.metrics
+            .lost_time(times(figures.stranded_hosts), times(figures.idle_replicas));
     }
 }
 
@@ -109,7 +120,11 @@
     node.stop();
     let began = node.now();
     node.log(&stop_line(node, "begun"));
-    let grace = node.settings.bounds.stop_grace().saturating_sub(STOP_MARGIN);
+    let grace = node
+        .settings
+        .bounds
+        .stop_grace()
+        .saturating_sub(STOP_MARGIN);
     loop {
         let time = node.now().saturating_sub(began);
         let idle = node.running() == 0 && node.connections() == 0;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -79,6 +79,17 @@
     Lost(String),
 }
 
+impl AttemptEnd {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Unsent(_) => "unsent",
+            Self::NotRun(_) => "not_run",
+            Self::Lost(_) => "lost",
+        }
+    }
+}
+
 /// Sends a request to a target and waits for the head of its answer, at most for `limit`.
 pub async fn send_attempt(
     node: &Rc<GatewayNode>,
@@ -98,18 +109,16 @@
     };
     let exchanged = match tokio::time::timeout(limit, attempt).await {
         Ok(Ok(exchanged)) => exchanged,
-        Ok(Err(end)) => {
-            note_failure(node, id, &end);
-            return end;
-        }
+        Ok(Err(end)) => return failed(node, request, id, end),
         Err(_) => {
             let end = AttemptEnd::Lost("no answer in time".to_owned());
-            note_failure(node, id, &end);
-            return end;
+            return failed(node, request, id, end);
         }
     };
     ticket.moved();
-    judge(node, request, exchanged, ticket, target)
+    let end = judge(node, request, exchanged, ticket, target);
+    node.metrics.attempt(request.service.as_str(), end.name());
+    end
 }
 
 struct Exchanged {
@@ -149,10 +158,17 @@
     }
 }
 
-fn note_failure(node: &GatewayNode, id: &HostId, end: &AttemptEnd) {
+fn failed(
+    node: &GatewayNode,
+    request: &ForwardRequest,
+    id: &HostId,
+    end: AttemptEnd,
+) -> AttemptEnd {
     if matches!(end, AttemptEnd::Lost(_)) {
         node.with_load(id, |load| load.failures += 1);
     }
+    node.metrics.attempt(request.service.as_str(), end.name());
+    end
 }
 
 fn judge(
@@ -192,7 +208,7 @@
         return AttemptEnd::NotRun(head.status);
     }
     let success = head.status.is_success();
-    if success && (!facts.signed || facts.encoded) {
+    if success && !facts.genuine {
         node.with_load(id, |load| load.failures += 1);
         return AttemptEnd::Lost("the answer is not the target's".to_owned());
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -14,7 +14,7 @@
 
 /// How long one call waits for changes. A connection may fall silent without an end, and a node
 /// must know what is in force three seconds after that, so each call ends before.
-const FOLLOW_WAIT: Duration = Duration::from_millis(2000);
+const FOLLOW_WAIT: Duration = Duration::from_secs(2);
 
 /// What a call may take beyond its wait.
 const FOLLOW_SLACK: Duration = Duration::from_millis(500);
@@ -73,7 +73,11 @@
     let mut known: Option<RowVersion> = None;
     let mut failures = 0_u32;
     loop {
+        let began = node.now();
         let result = follow_once(&mut client, &mut follower, known).await;
+        let outcome = if result.is_ok() { "answered" } else { "failed" };
+        let took = node.now().saturating_sub(began);
+        node.metrics.store_call(follower.table(), outcome, took);
         match result {
             Ok((version, changed)) => {
                 if failures > 0 {
@@ -226,19 +230,16 @@
     }
 
     fn take_row(&mut self, row: StoreRow) {
-        let decoded = match &row.value {
-            Some(bytes) => decode_target(&row.key, bytes),
-            None => {
-                if let Ok(id) = row.key.parse::<HostId>() {
-                    self.take_gone(id);
-                }
-                return;
+        let Some(bytes) = &row.value else {
+            if let Ok(id) = row.key.parse::<HostId>() {
+                self.take_gone(id);
             }
+            return;
         };
-        match decoded {
+        match decode_target(&row.key, bytes) {
             Ok(entry) => {
                 self.pending.retain(|id| *id != entry.id);
-                self.node.put_target(entry);
+                self.node.put_target(&entry);
             }
             Err(error) => {
                 let line = EventLine::new(EventCode::EntryUnreadable)
--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -106,7 +106,7 @@
 pub fn plan_fabric(situation: &FabricSituation<'_>) -> Vec<PlanStep> {
     let mut steps = Vec::new();
     let mut lost = Vec::new();
-    let mut taken: FastMap<&HostId, ()> = FastMap::default();
+    let mut taken: FastSet<&HostId> = FastSet::default();
     let mut standing: FastMap<&ModelName, usize> = FastMap::default();
     for group in groups(situation.hosts) {
         let model = group_model(&group, situation.models);
@@ -119,7 +119,7 @@
             GroupFate::Stays | GroupFate::Changing => {}
         }
         for host in group.members.values() {
-            taken.insert(&host.id, ());
+            taken.insert(&host.id);
         }
         if let Some(model) = model {
             *standing.entry(&model.name).or_default() += 1;
@@ -129,7 +129,7 @@
         .hosts
         .iter()
         .filter(|host| host.answers() && !host.leaving && !host.ordered)
-        .filter(|host| !taken.contains_key(&host.id))
+        .filter(|host| !taken.contains(&host.id))
         .collect();
     form_replicas(situation, &mut standing, &mut free, &mut steps);
     let mut idle_heads = Vec::new();
@@ -166,7 +166,10 @@
 }
 
 fn group_model<'a>(group: &GroupView<'_>, models: &'a [ModelShape]) -> Option<&'a ModelShape> {
-    let loaded = group.members.values().find_map(|host| host.loaded.as_ref())?;
+    let loaded = group
+        .members
+        .values()
+        .find_map(|host| host.loaded.as_ref())?;
     models.iter().find(|model| model.name == *loaded)
 }
 
@@ -319,7 +322,8 @@
     }
     let mut chosen: Vec<&HostSituation> = free.iter().copied().filter(|host| fits(host)).collect();
     chosen.sort_by(|left, right| {
-        let cold = |host: &HostSituation| (!host.is_warm(&model.name), !host.has_weights(&model.name));
+        let cold =
+            |host: &HostSituation| (!host.is_warm(&model.name), !host.has_weights(&model.name));
         cold(left).cmp(&cold(right)).then(left.id.cmp(&right.id))
     });
     chosen.truncate(model.size);
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -58,7 +58,11 @@
     /// without a count kept anywhere.
     #[must_use]
     pub fn service_for(&self, hash: u64) -> Option<&ServiceName> {
-        let total: u64 = self.services.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let total: u64 = self
+            .services
+            .iter()
+            .map(|(_, weight)| u64::from(*weight))
+            .sum();
         if total == 0 {
             return self.services.first().map(|(service, _)| service);
         }
--- a/crates/serving/tests/fabric_plan.rs
+++ b/crates/serving/tests/fabric_plan.rs
@@ -8,7 +8,7 @@
 use serving::plan::{CloseMode, FabricSituation, HostSituation, PlanStep, plan_fabric};
 use serving::{MemberState, ModelShape, ReplicaMembership};
 
-const LONG: Duration = Duration::from_secs(60);
+const LONG: Duration = Duration::from_mins(1);
 
 fn model(name: &str, size: usize, share: f64) -> ModelShape {
     ModelShape {
--- a/crates/serving/tests/replica_silence.rs
+++ b/crates/serving/tests/replica_silence.rs
@@ -8,8 +8,8 @@
 #[test]
 fn idle_time_ignored() {
     let mut pulse = ReplicaPulse::default();
-    pulse.start(Duration::from_secs(60));
-    assert!(!pulse.should_ask(Duration::from_secs(60) + SILENCE_LIMIT / 2));
+    pulse.start(Duration::from_mins(1));
+    assert!(!pulse.should_ask(Duration::from_mins(1) + SILENCE_LIMIT / 2));
 }
 
 /// All streams of a replica stop at once: a member is gone, and callers would wait for seconds
@@ -23,7 +23,10 @@
     assert!(!pulse.should_ask(SILENCE_LIMIT));
     let silent = SILENCE_LIMIT * 2;
     assert!(pulse.should_ask(silent));
-    assert!(!pulse.should_ask(silent + ASK_PAUSE / 2), "asked once a pause");
+    assert!(
+        !pulse.should_ask(silent + ASK_PAUSE / 2),
+        "asked once a pause"
+    );
     assert!(pulse.should_ask(silent + ASK_PAUSE));
 }
 
--- a/crates/serving/tests/route_choice.rs
+++ b/crates/serving/tests/route_choice.rs
@@ -42,8 +42,15 @@
 
 #[test]
 fn longest_prefix_wins() {
-    let config = config(vec![route("/a/b/", &[("two", 1)]), route("/a/", &[("one", 1)])]);
-    let found = |path| config.route("desk.example", path).map(|route| route.name.as_str());
+    let config = config(vec![
+        route("/a/b/", &[("two", 1)]),
+        route("/a/", &[("one", 1)]),
+    ]);
+    let found = |path| {
+        config
+            .route("desk.example", path)
+            .map(|route| route.name.as_str())
+    };
     assert_eq!(found("/a/b/c"), Some("/a/b/"));
     assert_eq!(found("/a/c"), Some("/a/"));
     assert_eq!(found("/b/"), None);
--- a/crates/serving/tests/target_choice.rs
+++ b/crates/serving/tests/target_choice.rs
@@ -27,7 +27,11 @@
 
 #[test]
 fn least_loaded_wins() {
-    let choices = [choice(reported(20)), choice(reported(5)), choice(reported(11))];
+    let choices = [
+        choice(reported(20)),
+        choice(reported(5)),
+        choice(reported(11)),
+    ];
     assert_eq!(choose_target(&choices, limits(6.0), NOW), Ok(1));
 }
 
@@ -36,7 +40,10 @@
 #[test]
 fn full_targets_refuse() {
     let choices = [choice(reported(32)), choice(reported(40))];
-    assert_eq!(choose_target(&choices, limits(6.0), NOW), Err(NoTarget::Full));
+    assert_eq!(
+        choose_target(&choices, limits(6.0), NOW),
+        Err(NoTarget::Full)
+    );
     assert_eq!(choose_target(&[], limits(6.0), NOW), Err(NoTarget::Absent));
 }
 
--- a/crates/serving/tests/turn_order.rs
+++ b/crates/serving/tests/turn_order.rs
@@ -7,7 +7,12 @@
 fn order(nodes: &[&str], subject: &str) -> Vec<String> {
     let mut ranked: Vec<(usize, String)> = nodes
         .iter()
-        .map(|node| (rendezvous_rank(node, nodes.iter().copied(), subject), (*node).to_owned()))
+        .map(|node| {
+            (
+                rendezvous_rank(node, nodes.iter().copied(), subject),
+                (*node).to_owned(),
+            )
+        })
         .collect();
     ranked.sort();
     ranked.into_iter().map(|(_, node)| node).collect()
@@ -42,8 +47,14 @@
     for subject in 0..600 {
         let subject = format!("fabric-{subject}");
         let first = order(&NODES, &subject).remove(0);
-        let index = NODES.iter().position(|node| *node == first).expect("a node");
+        let index = NODES
+            .iter()
+            .position(|node| *node == first)
+            .expect("a node");
         firsts[index] += 1;
     }
-    assert!(firsts.iter().all(|count| (60..=150).contains(count)), "{firsts:?}");
+    assert!(
+        firsts.iter().all(|count| (60..=150).contains(count)),
+        "{firsts:?}"
+    );
 }
