--- a/crates/control/src/assembly/serving.rs
+++ b/crates/control/src/assembly/serving.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use domain::{FastMap, FastSet, ModelName, ReplicaId};
-use policy::assembly::drain_room;
+use policy::rollout::drain_room;
 
 use super::rows::FabricRows;
 use crate::view::TargetView;
--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -6,22 +6,14 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use domain::CustomerKey;
 use policy::admission::{AdmissionQueue, OfferOutcome, WaitingRequest};
-use policy::assembly::{
-    AssemblyHost, AssemblyReplica, AssemblySettings, AssemblyState, HostPresence, ReplicaStage,
-    WantedReplicas, plan_round,
-};
 use policy::capacity::{CapacityShare, PoolReport, ShareSettings};
 use policy::placement::{PlacementRequest, PlacementSettings, TargetFacts, TargetLoad, TargetPool};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 
-/// Engines today and in two years, with the hosts of one replica.
-const SIZES: [(u32, u32); 2] = [(50, 4), (1_500, 16)];
-
-fn id<T: std::str::FromStr>(text: &str) -> T {
-    text.parse().unwrap_or_else(|_| panic!("{text} is no id"))
-}
+/// Engines today and in two years.
+const SIZES: [u32; 2] = [50, 1_500];
 
 /// One request offered and one sent, with 10 and with 400 customers waiting.
 fn admission(criterion: &mut Criterion) {
@@ -59,7 +51,7 @@
 /// One choice for a prompt of 4 KB and the note of its sending.
 fn placement(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("placement");
-    for (engines, _) in SIZES {
+    for engines in SIZES {
         let mut pool = TargetPool::new(PlacementSettings::builder().build());
         let facts = TargetFacts::builder().slots(64).build();
         let targets: Vec<_> = (0..engines).map(|_| pool.insert(facts.clone())).collect();
@@ -116,71 +108,5 @@
     });
 }
 
-/// A state with every replica formed, one host of each twentieth lost, in fabric domains of 64
-/// hosts and a spare for each group of 16.
-fn assembled(engines: u32, size: u32) -> AssemblyState {
-    let per_fabric = 64 / size;
-    let mut state = AssemblyState {
-        wanted: vec![WantedReplicas {
-            model: id("help"),
-            version: id("v1"),
-            replicas: engines,
-            extra: 0,
-            hosts_per_replica: size,
-        }],
-        ..AssemblyState::default()
-    };
-    for engine in 0..engines {
-        let fabric = engine / per_fabric;
-        let replica = id(&format!("r{engine}"));
-        let lost = engine % 20 == 7;
-        let count = size + u32::from(engine % per_fabric == 0);
-        let mut hosts = Vec::new();
-        for rank in 0..count {
-            let spare = rank == size;
-            let host: domain::HostId = id(&format!("h{engine:04}-{rank:02}"));
-            let absent = lost && rank == 0;
-            state.hosts.push(AssemblyHost {
-                id: host.clone(),
-                fabric: id(&format!("f{fabric}")),
-                domain: id(&format!("d{}", fabric % 13)),
-                presence: if absent {
-                    HostPresence::Absent(Duration::from_mins(5))
-                } else {
-                    HostPresence::Present
-                },
-                replica: (!spare).then(|| Clone::clone(&replica)),
-                loaded: None,
-            });
-            if !spare {
-                hosts.push(host);
-            }
-        }
-        state.replicas.push(AssemblyReplica {
-            id: replica,
-            model: id("help"),
-            version: id("v1"),
-            fabric: id(&format!("f{fabric}")),
-            hosts,
-            stage: ReplicaStage::Ready,
-        });
-    }
-    state
-}
-
-/// One round over all fabric domains; a lease holder plans only its own.
-fn assembly(criterion: &mut Criterion) {
-    let mut group = criterion.benchmark_group("assembly");
-    group.sample_size(20);
-    let settings = AssemblySettings::default();
-    for (engines, size) in SIZES {
-        let state = assembled(engines, size);
-        group.bench_function(BenchmarkId::new("engines", engines), |bencher| {
-            bencher.iter(|| black_box(plan_round(&state, &settings)));
-        });
-    }
-    group.finish();
-}
-
-criterion_group!(decisions, admission, placement, capacity, assembly);
+criterion_group!(decisions, admission, placement, capacity);
 criterion_main!(decisions);
--- a/crates/policy/examples/compare/baseline/mod.rs
+++ b/crates/policy/examples/compare/baseline/mod.rs
@@ -8,7 +8,6 @@
 use domain::FastMap;
 use policy::admission::{AdmissionQueue, WaitKey};
 use policy::capacity::{CapacityShare, ShareSettings};
-use policy::hedge::{HedgeBudget, HedgeSettings};
 use policy::placement::{
     CandidateList, PlacementChoice, PlacementSettings, TargetFacts, TargetLoad, TargetPool,
 };
@@ -17,8 +16,6 @@
 
 use crate::driver::{Job, Setup};
 
-pub mod assembly;
-
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum QueueKind {
     Fair,
@@ -51,7 +48,6 @@
     pub pool: TargetPool,
     pub list: CandidateList,
     pub share: CapacityShare,
-    pub hedges: HedgeBudget,
     pub reported: Vec<TargetLoad>,
     pub since: Vec<i64>,
     pub turn: usize,
@@ -69,7 +65,6 @@
         Self {
             queue: AdmissionQueue::builder().seed(seed).build(),
             line: VecDeque::new(),
-            hedges: HedgeBudget::new(HedgeSettings::default()),
             keys: FastMap::default(),
             list: pool.candidates(targets),
             pool,
--- a/crates/policy/examples/compare/main.rs
+++ b/crates/policy/examples/compare/main.rs
@@ -5,29 +5,19 @@
 mod baseline;
 #[path = "../../tests/driver/mod.rs"]
 mod driver;
-mod tide;
-mod year;
 
-mod hosts;
 mod requests;
 
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).collect();
-    let all: [(&str, fn()); 14] = [
+    let all: [(&str, fn()); 7] = [
         ("admission", requests::admission),
         ("saturation", requests::saturation),
         ("slowdown", requests::slowdown),
         ("returns", requests::returns),
         ("placement", requests::placement),
         ("affinity", requests::affinity),
-        ("hedges", requests::hedges),
         ("shares", requests::shares),
-        ("assembly", hosts::assembly),
-        ("weights", hosts::weights),
-        ("patience", hosts::patience),
-        ("outages", hosts::outages),
-        ("rollouts", hosts::rollouts),
-        ("shifting", hosts::shifting),
     ];
     for (name, table) in all {
         if !wanted.is_empty() && !wanted.iter().any(|want| want == name) {
--- a/crates/policy/examples/compare/requests.rs
+++ b/crates/policy/examples/compare/requests.rs
@@ -238,42 +238,6 @@
     }
 }
 
-/// A second target for late first tokens, at 95% of capacity.
-pub fn hedges() {
-    println!("| case | hedges | on time | p95 s | p99 s | second targets asked |");
-    println!("|---|---|---|---|---|---|");
-    let cases: [(&str, CaseForm); 3] = [
-        ("all well", |_| {}),
-        ("one stalls, 10–30 s", |setup| {
-            setup.engines[3].slow = (60.0, 10.0, 30.0);
-        }),
-        ("no reports, 10–30 s", |setup| {
-            setup.blackout = (10.0, 30.0);
-        }),
-    ];
-    for (case, form) in cases {
-        for hedges in [false, true] {
-            let mut setup = Setup {
-                entries: 2,
-                hedges,
-                ..Setup::plain(40, 6)
-            };
-            form(&mut setup);
-            let result = Driver::new(&setup).run(&mixed_calls(&setup, 0.95));
-            let after = |job: &driver::Job| job.call.at > 5.0;
-            println!(
-                "| {case} | {} | {:.4} | {:.3} | {:.3} | {} |",
-                if hedges { "with" } else { "without" },
-                result.on_time(after),
-                result.first_token(0.95, after),
-                result.first_token(0.99, after),
-                result.hedges,
-            );
-        }
-    }
-}
-
-/// Short and long work: one call in ten has a prompt and an answer several times as long.
 fn mixed_calls(setup: &Setup, part: f64) -> Vec<Call> {
     let rate = setup.capacity(400, 100) * part / 1.35;
     let entries = setup.entries;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,10 +5,8 @@
 //! be replayed in a test.
 
 pub mod admission;
-pub mod assembly;
 pub mod capacity;
-pub mod hedge;
 pub mod placement;
 pub mod retry;
+pub mod rollout;
 pub mod service;
-pub mod shifting;
--- a/crates/policy/tests/driver/callers.rs
+++ b/crates/policy/tests/driver/callers.rs
@@ -68,8 +68,6 @@
     pub returns: u32,
     /// Time after which it does, instead of the one it was told.
     pub fixed_return: Option<Duration>,
-    /// Whether a second target is asked for late first tokens.
-    pub hedges: bool,
     pub seed: u64,
 }
 
@@ -89,7 +87,6 @@
             blackout: (0.0, 0.0),
             returns: 0,
             fixed_return: None,
-            hedges: false,
             seed,
         }
     }
@@ -153,9 +150,6 @@
     pub sent: Duration,
     pub arrived: Duration,
     pub attempts: u32,
-    /// The other job of a hedge.
-    pub twin: Option<usize>,
-    pub is_hedge: bool,
     pub started: bool,
     pub returns: u32,
     /// Time from sending to the first token.
@@ -185,8 +179,6 @@
             sent: Duration::ZERO,
             arrived: Duration::ZERO,
             attempts: 0,
-            twin: None,
-            is_hedge: false,
             started: false,
             returns: 0,
             first: None,
@@ -222,7 +214,6 @@
     pub jobs: Vec<Job>,
     pub deepest: usize,
     pub busy_slots: f64,
-    pub hedges: usize,
 }
 
 impl RunResult {
--- a/crates/policy/tests/driver/mod.rs
+++ b/crates/policy/tests/driver/mod.rs
@@ -16,7 +16,6 @@
 use crate::baseline::{Entry, QueueKind};
 
 pub mod callers;
-mod hedging;
 
 use callers::TOKEN_TIME;
 pub use callers::{Call, Job, PATIENCE, RunResult, Setup, seconds};
@@ -28,7 +27,6 @@
 enum Event {
     Arrive(usize),
     FirstToken(usize, u32),
-    Hedge(usize, u32),
     Ended(usize, u32, TargetOutcome),
     Report,
     Tick,
@@ -108,10 +106,7 @@
             self.last = now;
             self.step(now, event);
         }
-        let all = self.jobs.len();
-        self.jobs.retain(|job| !job.is_hedge);
         RunResult {
-            hedges: all - self.jobs.len(),
             jobs: self.jobs,
             deepest: self.deepest,
             busy_slots: self.busy_slots,
@@ -121,7 +116,6 @@
     fn step(&mut self, now: Duration, event: Event) {
         match event {
             Event::Arrive(job) => self.arrive(now, job),
-            Event::Hedge(job, attempt) => self.hedge(now, job, attempt),
             Event::FirstToken(job, attempt) => self.first_token(now, job, attempt),
             Event::Ended(job, attempt, outcome) => self.ended(now, job, attempt, outcome),
             Event::Report => {
@@ -292,7 +286,6 @@
         }
         let engine = job.engine;
         self.engines[engine].waiting.push_back(ticket);
-        self.plan_hedge(now, index);
         self.fill(now, engine);
     }
 
@@ -346,7 +339,6 @@
         job.refused = false;
         job.first = Some(now.saturating_sub(job.sent));
         job.first_token = Some(now.saturating_sub(job.arrived).as_secs_f64());
-        self.settle_hedge(now, index);
     }
 
     fn ended(&mut self, now: Duration, index: usize, attempt: u32, outcome: TargetOutcome) {
