Specify forming replicas without a lease; names never come twice

Names were fresh in the product but for a restart at a clock that went back; they now hold a random mark for each process. Settings of a gateway are checked whole, by 'check' too.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -99,16 +99,6 @@
     CallerLeft = 207, "caller_left", Info;
     /// A stopping entry asked the caller of a stream to go on at another one.
     StreamHandedOver = 208, "stream_handed_over", Info;
-    /// A gateway ended a request; the line holds its route, targets, attempts and times.
-    GatewayAnswered = 240, "gateway_answered", Info;
-    /// A gateway refused a request before it ran anywhere; the reason stands in the line.
-    GatewayRefused = 241, "gateway_refused", Warn;
-    /// One attempt at a target failed; whether another follows stands in the line.
-    GatewayAttemptFailed = 242, "gateway_attempt_failed", Warn;
-    /// A stream goes on at another target.
-    StreamMoved = 243, "stream_moved", Warn;
-    /// A stream was cut off, because no target could go on with it or its time was over.
-    StreamCut = 244, "stream_cut", Warn;
     /// A call of a plain service was sent.
     CallSent = 220, "call_sent", Debug;
     /// An instance of a plain service failed a call; look at the instance when they repeat.
@@ -124,6 +114,16 @@
     ClaimUnknown = 233, "claim_unknown", Warn;
     /// A claimed call was settled by the service's look-up.
     ClaimFound = 234, "claim_found", Info;
+    /// A gateway ended a request; the line holds its route, targets, attempts and times.
+    GatewayAnswered = 240, "gateway_answered", Info;
+    /// A gateway refused a request before it ran anywhere; the reason stands in the line.
+    GatewayRefused = 241, "gateway_refused", Warn;
+    /// One attempt at a target failed; whether another follows stands in the line.
+    GatewayAttemptFailed = 242, "gateway_attempt_failed", Warn;
+    /// A stream goes on at another target.
+    StreamMoved = 243, "stream_moved", Warn;
+    /// A stream was cut off, because no target could go on with it or its time was over.
+    StreamCut = 244, "stream_cut", Warn;
 
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
--- a/crates/gateway/src/care/mod.rs
+++ b/crates/gateway/src/care/mod.rs
@@ -5,6 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::hash::{BuildHasher as _, RandomState};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -45,6 +46,9 @@
         formed: Cell::new(0),
         loads: RefCell::default(),
         asked: RefCell::default(),
+        // Different at each start: the count of names begins anew, and a name that came twice
+        // would have a late order join a host to a replica that it was meant for before.
+        mark: RandomState::new().hash_one(&node.settings.node) & 0xffff_ffff,
     });
     loop {
         let changed = node.changed.notified();
@@ -63,6 +67,7 @@
     formed: Cell<u64>,
     loads: RefCell<Vec<Duration>>,
     asked: RefCell<AskedFabrics>,
+    mark: u64,
 }
 
 impl ReplicaCare {
--- a/crates/gateway/src/care/steps.rs
+++ b/crates/gateway/src/care/steps.rs
@@ -5,7 +5,6 @@
 use adapter::orders::HostOrder;
 use domain::{HostId, ModelName, ReplicaId};
 use serving::plan::{PlanStep, SPARE_PREFIX};
-use serving::rank::stable_hash;
 
 use super::ReplicaCare;
 use crate::orders::{OrderEnd, PlannedOrder, key, settle_order};
@@ -197,13 +196,7 @@
     fn new_name(&self, prefix: &str) -> Option<ReplicaId> {
         let number = self.formed.get() + 1;
         self.formed.set(number);
-        // The start of the process stands in the name: a restarted node counts from 1 again.
-        let wall = std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .map_or(Duration::ZERO, |wall| wall);
-        let start = wall.saturating_sub(self.node.now());
-        let tag = self.tag();
-        let mark = stable_hash(&(start.as_millis(), std::process::id())) & 0xffff_ffff;
+        let (tag, mark) = (self.tag(), self.mark);
         let name = format!("{prefix}{tag}-{mark:x}-{number}");
         name.parse().ok()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,4 +23,4 @@
 mod watch;
 
 pub use run::run_gateway;
-pub use settings::GatewaySettings;
+pub use settings::{GatewaySettings, is_gateway_file};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,9 +4,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-use domain::{DomainId, NodeId};
+use domain::{DomainId, FindingList, NodeId};
 use eyre::WrapErr;
 use serde::Deserialize;
+use serde_json::Value;
 use serving::budget::RepeatLimits;
 
 /// What a gateway needs to know before it starts.
@@ -76,6 +77,78 @@
     Duration::try_from_secs_f64(value).unwrap_or_default()
 }
 
+/// What a setting must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SettingKind {
+    Name,
+    Address,
+    Positive,
+    Flag,
+}
+
+/// Every setting, for the check and for docs/SETTINGS.md.
+const FIELDS: [(&str, SettingKind); 13] = [
+    ("node", SettingKind::Name),
+    ("failure_domain", SettingKind::Name),
+    ("listen.requests", SettingKind::Address),
+    ("listen.readiness", SettingKind::Address),
+    ("listen.metrics", SettingKind::Address),
+    ("store", SettingKind::Address),
+    ("first_start", SettingKind::Flag),
+    ("bounds.stop_grace_s", SettingKind::Positive),
+    ("bounds.repeat_ratio", SettingKind::Positive),
+    ("bounds.repeat_window_s", SettingKind::Positive),
+    ("bounds.repeat_extra", SettingKind::Positive),
+    ("bounds.load_window_s", SettingKind::Positive),
+    ("bounds.fencing", SettingKind::Flag),
+];
+
+impl SettingKind {
+    fn fits(self, value: &Value) -> bool {
+        match self {
+            Self::Name => value
+                .as_str()
+                .is_some_and(|name| name.parse::<NodeId>().is_ok()),
+            Self::Address => value
+                .as_str()
+                .is_some_and(|address| address.parse::<SocketAddr>().is_ok()),
+            Self::Positive => value.as_f64().is_some_and(|number| number >= 0.0),
+            Self::Flag => value.is_boolean(),
+        }
+    }
+
+    fn advice(self) -> &'static str {
+        match self {
+            Self::Name => "a text of letters, digits, '.', '_', ':' and '-'",
+            Self::Address => "an address with its port, such as \"10.1.0.40:8227\"",
+            Self::Positive => "a number that is not negative",
+            Self::Flag => "true or false",
+        }
+    }
+}
+
+/// Whether a settings file is a gateway's.
+#[must_use]
+pub fn is_gateway_file(text: &str) -> bool {
+    let value: Result<Value, _> = serde_json::from_str(text);
+    value.is_ok_and(|value| value.get("first_start").is_some() || value.get("bounds").is_some())
+}
+
+fn check(value: &Value) -> Result<(), FindingList> {
+    let mut findings = FindingList::default();
+    for (path, kind) in FIELDS {
+        let pointer = format!("/{}", path.replace('.', "/"));
+        match value.pointer(&pointer) {
+            None => findings.add(path, "missing", kind.advice()),
+            Some(given) if !kind.fits(given) => {
+                findings.add(path, format!("can't be {given}"), kind.advice());
+            }
+            Some(_) => {}
+        }
+    }
+    findings.into_result(())
+}
+
 impl GatewaySettings {
     /// Reads and checks a settings file.
     ///
@@ -92,9 +165,10 @@
     ///
     /// # Errors
     ///
-    /// A report with the place.
+    /// A report with every finding and its place.
     pub fn parse(text: &str) -> eyre::Result<Self> {
-        let settings: Self = web::parse_json(text.as_bytes())?;
-        Ok(settings)
+        let value: Value = web::parse_json(text.as_bytes())?;
+        check(&value)?;
+        Ok(serde_json::from_value(value)?)
     }
 }
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod assembly;
 pub mod config;
+pub mod formation;
 pub mod lease;
 pub mod ledger;
 pub mod search;
@@ -44,6 +45,7 @@
     run_spec::<assembly::AssemblyModel>(&mut runs);
     run_spec::<ledger::LedgerModel>(&mut runs);
     run_spec::<config::ConfigModel>(&mut runs);
+    run_spec::<formation::FormationModel>(&mut runs);
     runs
 }
 
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use gateway::GatewaySettings;
 use settings::NodeSettings;
 
 use super::CommandEnd;
@@ -11,10 +12,10 @@
 pub fn check_files(settings: Option<&Path>, files: &[PathBuf]) -> CommandEnd {
     let mut end = CommandEnd::Done;
     if let Some(path) = settings {
-        match NodeSettings::load(path) {
-            Ok(_) => println!("{}: fine", path.display()),
+        match check_settings(path) {
+            Ok(()) => println!("{}: fine", path.display()),
             Err(error) => {
-                eprintln!("{error}");
+                eprintln!("{error:#}");
                 end = CommandEnd::Failed;
             }
         }
@@ -30,3 +31,14 @@
     }
     end
 }
+
+/// Checks the settings of an entry or of a gateway, whichever the file is for.
+fn check_settings(path: &Path) -> eyre::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    if gateway::is_gateway_file(&text) {
+        GatewaySettings::load(path)?;
+    } else {
+        NodeSettings::load(path)?;
+    }
+    Ok(())
+}
--- a/tests/gateway/bad_input.rs
+++ b/tests/gateway/bad_input.rs
@@ -52,19 +52,32 @@
     assert_eq!(answer.status, StatusCode::OK);
 }
 
-/// A setting is missing. The program says which one and ends.
+/// Settings are missing or wrong. The program names all of them, each with its place and what
+/// belongs there, and ends; `check` says the same without starting.
 #[test]
 fn wrong_settings() {
     let path =
         std::env::temp_dir().join(format!("bramleyspring-wrong-{}.json", std::process::id()));
-    std::fs::write(&path, "{\"node\": \"n0\", \"failure_domain\": 7}").expect("a file");
-    let output = Command::new(PRODUCT)
-        .args(["gateway", "--settings"])
-        .arg(&path)
-        .output()
-        .expect("the product");
-    let error = String::from_utf8_lossy(&output.stderr);
-    assert!(!output.status.success());
-    assert!(error.contains("failure_domain"), "{error}");
+    std::fs::write(
+        &path,
+        "{\"node\": \"n0\", \"failure_domain\": 7, \"first_start\": true}",
+    )
+    .expect("a file");
+    for command in ["gateway", "check"] {
+        let output = Command::new(PRODUCT)
+            .args([command, "--settings"])
+            .arg(&path)
+            .output()
+            .expect("the product");
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success());
+        for place in [
+            "failure_domain: can't be 7",
+            "listen.requests: missing",
+            "store: missing",
+        ] {
+            assert!(error.contains(place), "{command}: {error}");
+        }
+    }
     std::fs::remove_file(&path).expect("the file");
 }
