--- a/crates/events/src/metrics.rs
+++ b/crates/events/src/metrics.rs
@@ -95,6 +95,32 @@
     Encoder(String),
 }
 
+/// A registry with a provider whose instruments are read out there.
+///
+/// # Errors
+///
+/// [`MetricsError::Exporter`].
+pub fn open_exporter() -> Result<(Registry, SdkMeterProvider), MetricsError> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .build()
+        .map_err(|error| MetricsError::Exporter(error.to_string()))?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    Ok((registry, provider))
+}
+
+/// What a registry holds, as Prometheus text.
+///
+/// # Errors
+///
+/// [`MetricsError::Encoder`].
+pub fn registry_text(registry: &Registry) -> Result<String, MetricsError> {
+    TextEncoder::new()
+        .encode_to_string(&registry.gather())
+        .map_err(|error| MetricsError::Encoder(error.to_string()))
+}
+
 impl NodeMetrics {
     /// A set of instruments with a registry of its own.
     ///
@@ -102,12 +128,7 @@
     ///
     /// [`MetricsError::Exporter`].
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| MetricsError::Exporter(error.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = open_exporter()?;
         let meter = provider.meter("bramleyspring");
         let inner = MetricsInner {
             registry,
@@ -164,9 +185,7 @@
     ///
     /// [`MetricsError::Encoder`].
     pub fn text(&self) -> Result<String, MetricsError> {
-        TextEncoder::new()
-            .encode_to_string(&self.inner.registry.gather())
-            .map_err(|error| MetricsError::Encoder(error.to_string()))
+        registry_text(&self.inner.registry)
     }
 
     fn bounded_name(&self, name: &str) -> String {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
-use events::metrics::MetricsError;
+use events::metrics::{MetricsError, open_exporter, registry_text};
 use http::StatusCode;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
+use prometheus::Registry;
 use serving::RouteKind;
 
 /// Bounds of the histograms of times, in seconds: from an order's answer to the longest request.
@@ -92,12 +92,7 @@
     ///
     /// [`MetricsError::Exporter`].
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| MetricsError::Exporter(error.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = open_exporter()?;
         let meter = provider.meter("bramleyspring");
         let count = |name| meter.u64_counter(name).build();
         let seconds = |name| meter.f64_counter(name).with_unit("s").build();
@@ -179,9 +174,7 @@
         for (gauge, read) in &self.gauges {
             gauge.record(read(figures), &[]);
         }
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .map_err(|error| MetricsError::Encoder(error.to_string()))
+        registry_text(&self.registry)
     }
 }
 
--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -5,6 +5,7 @@
 
 use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId};
 
+use super::spares::{is_spare_name, warm_spares};
 use super::step::{CloseMode, PlanStep};
 use crate::route::ModelShape;
 use crate::target::{MemberState, ReplicaMembership};
@@ -49,19 +50,19 @@
         self.silent.is_none()
     }
 
-    fn is_warm(&self, model: &ModelName) -> bool {
+    pub(super) fn is_warm(&self, model: &ModelName) -> bool {
         self.loaded.as_ref() == Some(model)
     }
 
-    fn has_weights(&self, model: &ModelName) -> bool {
+    pub(super) fn has_weights(&self, model: &ModelName) -> bool {
         self.is_warm(model) || self.staged.contains(model)
     }
 
-    fn has_any_weights(&self) -> bool {
+    pub(super) fn has_any_weights(&self) -> bool {
         self.loaded.is_some() || !self.staged.is_empty()
     }
 
-    fn is_joining(&self) -> bool {
+    pub(super) fn is_joining(&self) -> bool {
         self.membership
             .as_ref()
             .is_some_and(|membership| membership.state == MemberState::Joining)
@@ -258,13 +259,6 @@
     situation.spent.contains(&key)
 }
 
-/// Beginning of the names of one-host groups that only hold a spare's weights in memory.
-pub const SPARE_PREFIX: &str = "spare-";
-
-fn is_spare_name(replica: &ReplicaId) -> bool {
-    replica.as_str().starts_with(SPARE_PREFIX)
-}
-
 fn form_replicas<'a>(
     situation: &FabricSituation<'a>,
     standing: &mut FastMap<&'a ModelName, usize>,
@@ -330,74 +324,3 @@
     free.retain(|host| !chosen.iter().any(|taken| taken.id == host.id));
     Some(chosen.into_iter().map(|host| host.id.clone()).collect())
 }
-
-fn warm_spares(
-    situation: &FabricSituation<'_>,
-    standing: &FastMap<&ModelName, usize>,
-    free: &[&HostSituation],
-    steps: &mut Vec<PlanStep>,
-) {
-    let mut spares: Vec<usize> = situation
-        .models
-        .iter()
-        .map(|model| {
-            let held = free.iter().filter(|host| host.has_weights(&model.name));
-            held.count()
-        })
-        .collect();
-    for host in free {
-        if host.is_joining() {
-            continue;
-        }
-        let owned = situation
-            .models
-            .iter()
-            .find(|model| host.has_weights(&model.name));
-        if let Some(model) = owned {
-            if !host.is_warm(&model.name) {
-                steps.push(warm_step(host, model));
-            }
-            continue;
-        }
-        let Some(index) = neediest(situation, standing, &spares) else {
-            continue;
-        };
-        spares[index] += 1;
-        steps.push(warm_step(host, &situation.models[index]));
-    }
-}
-
-fn warm_step(host: &HostSituation, model: &ModelShape) -> PlanStep {
-    PlanStep::Warm {
-        host: host.id.clone(),
-        model: model.name.clone(),
-    }
-}
-
-/// The model for the next spare: first one whose missing replica it helps to form, then the one
-/// with the most hosts at risk for each spare.
-fn neediest(
-    situation: &FabricSituation<'_>,
-    standing: &FastMap<&ModelName, usize>,
-    spares: &[usize],
-) -> Option<usize> {
-    let mut best: Option<(f64, usize)> = None;
-    for (index, model) in situation.models.iter().enumerate() {
-        let have = standing.get(&model.name).copied().unwrap_or(0);
-        let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
-        let lacking = wanted.saturating_sub(have) * model.size;
-        let lacking = lacking.saturating_sub(spares[index]);
-        let at_risk = have * model.size;
-        let count = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
-        let need = if lacking > 0 {
-            1000.0 - count(lacking)
-        } else {
-            // Of two in equal need the one with fewer spares goes first.
-            count(at_risk) / count(spares[index] + 1) - count(spares[index]) * 1e-3
-        };
-        if best.is_none_or(|(most, _)| need > most) {
-            best = Some((need, index));
-        }
-    }
-    best.map(|(_, index)| index)
-}
--- a/crates/serving/src/plan/mod.rs
+++ b/crates/serving/src/plan/mod.rs
@@ -7,8 +7,10 @@
 
 mod fabric;
 mod layout;
+mod spares;
 mod step;
 
-pub use fabric::{FabricSituation, HostSituation, SPARE_PREFIX, plan_fabric};
+pub use fabric::{FabricSituation, HostSituation, plan_fabric};
 pub use layout::{FabricLayout, lay_out};
+pub use spares::SPARE_PREFIX;
 pub use step::{CloseMode, PlanStep};
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -2,48 +2,34 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use futures::stream;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
 use serde_json::{Value, json};
 
 use super::http::{SiteAnswer, SiteRequest, SiteServer, json as json_answer, plain};
+use super::run::Run;
 use super::store::SiteStore;
 
-/// Time for a join; a spare that held the model and one that did not take the same here.
-const JOIN_TIME: Duration = Duration::from_millis(60);
-
-/// Time from the order to open until the head serves.
-const OPEN_TIME: Duration = Duration::from_millis(60);
-
-/// Pause between two events of a stream.
-const EVENT_PAUSE: Duration = Duration::from_millis(40);
-
-/// Time after which a head that misses a member breaks.
-const STALL_TIME: Duration = Duration::from_secs(4);
-
 #[derive(Debug, Clone, PartialEq)]
-struct Group {
-    name: String,
-    epoch: u64,
-    rank: usize,
-    members: Vec<String>,
-    state: &'static str,
+pub(super) struct Group {
+    pub name: String,
+    pub epoch: u64,
+    pub rank: usize,
+    pub members: Vec<String>,
+    pub state: &'static str,
 }
 
 #[derive(Debug)]
-struct EngineState {
+pub(super) struct EngineState {
     fabric: String,
     zone: String,
     address: String,
-    orders: u64,
-    loaded: Option<String>,
-    group: Option<Group>,
-    dark: bool,
+    pub orders: u64,
+    pub loaded: Option<String>,
+    pub group: Option<Group>,
+    pub dark: bool,
     draining: bool,
     events: usize,
     /// Ids of requests that began to run here.
@@ -79,7 +65,11 @@
         }
     }
 
-    fn with<R>(&self, id: &str, use_it: impl FnOnce(&mut EngineState) -> R) -> Option<R> {
+    pub(super) fn with<R>(
+        &self,
+        id: &str,
+        use_it: impl FnOnce(&mut EngineState) -> R,
+    ) -> Option<R> {
         let mut engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
         engines.get_mut(id).map(use_it)
     }
@@ -185,14 +175,14 @@
         violations.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    fn violate(&self, text: String) {
+    pub(super) fn violate(&self, text: String) {
         let violations = self.violations.lock();
         violations
             .unwrap_or_else(PoisonError::into_inner)
             .push(text);
     }
 
-    fn register(&self, id: &str) {
+    pub(super) fn register(&self, id: &str) {
         let row = self.with(id, |engine| {
             let mut row = describe(engine);
             row["service"] = json!("assistant");
@@ -231,137 +221,13 @@
         }
     }
 
-    fn order(&self, id: &str, request: &SiteRequest) -> SiteAnswer {
-        let Ok(order) = serde_json::from_slice::<Value>(&request.body) else {
-            return plain(StatusCode::BAD_REQUEST, "");
-        };
-        let accepted = self.with(id, |engine| engine.orders).unwrap_or(0);
-        if order["precondition"]
-            .as_u64()
-            .is_some_and(|expected| expected != accepted)
-        {
-            return plain(StatusCode::CONFLICT, "");
-        }
-        let status = match order["operation"].as_str() {
-            Some("join") => self.join(id, &order),
-            Some("open") => self.open(id, &order),
-            Some("close") => self.close(id, &order),
-            Some("leave") => self.leave(id, &order),
-            _ => StatusCode::BAD_REQUEST,
-        };
-        self.register(id);
-        plain(status, "")
-    }
-
-    fn is_serving_group(&self, group: &Group) -> bool {
-        let head = &group.members[0];
-        let state = self.with(head, |head| {
-            let same = head.group.as_ref().filter(|own| own.name == group.name);
-            same.is_some_and(|own| own.state == "open") && !head.dark
-        });
-        state.unwrap_or(false)
-    }
-
-    fn join(&self, id: &str, order: &Value) -> StatusCode {
-        let text = |name: &str| order[name].as_str().unwrap_or_default().to_owned();
-        let members: Vec<String> = order["members"]
-            .as_array()
-            .into_iter()
-            .flatten()
-            .filter_map(|member| member.as_str().map(str::to_owned))
-            .collect();
-        let Some(rank) = members.iter().position(|member| member == id) else {
-            return StatusCode::BAD_REQUEST;
-        };
-        let old = self.with(id, |engine| engine.group.clone()).flatten();
-        if let Some(old) = old.filter(|old| self.is_serving_group(old)) {
-            self.violate(format!(
-                "{id} joined {} while {} was open",
-                text("group"),
-                old.name
-            ));
-        }
-        self.with(id, |engine| {
-            engine.orders += 1;
-            engine.loaded = Some(text("model"));
-            engine.group = Some(Group {
-                name: text("group"),
-                epoch: order["epoch"].as_u64().unwrap_or(0),
-                rank,
-                members,
-                state: "joining",
-            });
-        });
-        self.later(id, JOIN_TIME, "joining", "ready");
-        StatusCode::ACCEPTED
-    }
-
-    fn open(&self, id: &str, order: &Value) -> StatusCode {
-        let fits = self.with(id, |engine| {
-            let fits = engine.group.as_ref().is_some_and(|group| {
-                order["group"] == json!(group.name) && group.state == "ready" && group.rank == 0
-            });
-            engine.orders += u64::from(fits);
-            fits
-        });
-        if fits != Some(true) {
-            return StatusCode::CONFLICT;
-        }
-        self.later(id, OPEN_TIME, "ready", "open");
-        StatusCode::ACCEPTED
-    }
-
-    fn close(&self, id: &str, order: &Value) -> StatusCode {
-        let closed = self.with(id, |engine| {
-            let group = engine.group.as_mut()?;
-            if order["group"] != json!(group.name) {
-                return None;
-            }
-            group.state = "ready";
-            engine.orders += 1;
-            Some(())
-        });
-        match closed.flatten() {
-            Some(()) => StatusCode::ACCEPTED,
-            None => StatusCode::CONFLICT,
-        }
-    }
-
-    fn leave(&self, id: &str, order: &Value) -> StatusCode {
-        self.with(id, |engine| {
-            let member = engine.group.as_ref();
-            if member.is_some_and(|group| order["group"] == json!(group.name)) {
-                engine.group = None;
-                engine.orders += 1;
-            }
-        });
-        StatusCode::OK
-    }
-
-    fn later(&self, id: &str, time: Duration, from: &'static str, to: &'static str) {
-        let (groups, id) = (self.clone(), id.to_owned());
-        let name = self.group_name(&id);
-        tokio::spawn(async move {
-            tokio::time::sleep(time).await;
-            groups.with(&id, |engine| {
-                if let Some(group) = &mut engine.group
-                    && Some(&group.name) == name.as_ref()
-                    && group.state == from
-                {
-                    group.state = to;
-                }
-            });
-            groups.register(&id);
-        });
-    }
-
-    fn group_name(&self, id: &str) -> Option<String> {
+    pub(super) fn group_name(&self, id: &str) -> Option<String> {
         let group = self.with(id, |engine| engine.group.clone()).flatten()?;
         Some(group.name)
     }
 
     /// Whether all members of a head's group live and are in it.
-    fn is_whole(&self, group: &Group) -> bool {
+    pub(super) fn is_whole(&self, group: &Group) -> bool {
         let engines = self.lock();
         group.members.iter().all(|member| {
             let engine = engines.get(member).filter(|engine| !engine.dark);
@@ -442,34 +308,3 @@
     headers.insert("x-not-executed", HeaderValue::from_static("1"));
     answer
 }
-
-/// A stream in progress.
-struct Run {
-    groups: SiteGroups,
-    id: String,
-    group: Group,
-    next: usize,
-    last: usize,
-}
-
-impl Run {
-    async fn event(&mut self) -> Option<Result<Frame<Bytes>, std::io::Error>> {
-        if self.next > self.last {
-            return None;
-        }
-        tokio::time::sleep(EVENT_PAUSE).await;
-        let began = Instant::now();
-        // Without a member nothing moves; its own process may be gone as well.
-        while !self.groups.is_whole(&self.group) {
-            let left = self.groups.group_name(&self.id).as_ref() != Some(&self.group.name);
-            if left || began.elapsed() > STALL_TIME {
-                return Some(Err(std::io::Error::other("the replica broke")));
-            }
-            tokio::time::sleep(EVENT_PAUSE).await;
-        }
-        let id = self.next;
-        self.next += 1;
-        let event = format!("id: {id}\ndata: piece {id}\n\n");
-        Some(Ok(Frame::data(Bytes::from(event))))
-    }
-}
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -5,7 +5,9 @@
 
 mod engine;
 mod http;
+mod orders;
 mod plain;
+mod run;
 mod store;
 
 pub use engine::{SiteEngine, SiteGroups};
--- /dev/null
+++ b/crates/standin/src/site/orders.rs
@@ -0,0 +1,141 @@
+//! How an engine takes orders.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use serde_json::{Value, json};
+
+use super::engine::{Group, SiteGroups};
+use super::http::{SiteAnswer, SiteRequest, plain};
+
+/// Time for a join; a spare that held the model and one that did not take the same here.
+const JOIN_TIME: Duration = Duration::from_millis(60);
+
+/// Time from the order to open until the head serves.
+const OPEN_TIME: Duration = Duration::from_millis(60);
+
+impl SiteGroups {
+    pub(super) fn order(&self, id: &str, request: &SiteRequest) -> SiteAnswer {
+        let Ok(order) = serde_json::from_slice::<Value>(&request.body) else {
+            return plain(StatusCode::BAD_REQUEST, "");
+        };
+        let accepted = self.with(id, |engine| engine.orders).unwrap_or(0);
+        if order["precondition"]
+            .as_u64()
+            .is_some_and(|expected| expected != accepted)
+        {
+            return plain(StatusCode::CONFLICT, "");
+        }
+        let status = match order["operation"].as_str() {
+            Some("join") => self.join(id, &order),
+            Some("open") => self.open(id, &order),
+            Some("close") => self.close(id, &order),
+            Some("leave") => self.leave(id, &order),
+            _ => StatusCode::BAD_REQUEST,
+        };
+        self.register(id);
+        plain(status, "")
+    }
+
+    fn is_serving_group(&self, group: &Group) -> bool {
+        let head = &group.members[0];
+        let state = self.with(head, |head| {
+            let same = head.group.as_ref().filter(|own| own.name == group.name);
+            same.is_some_and(|own| own.state == "open") && !head.dark
+        });
+        state.unwrap_or(false)
+    }
+
+    fn join(&self, id: &str, order: &Value) -> StatusCode {
+        let text = |name: &str| order[name].as_str().unwrap_or_default().to_owned();
+        let members: Vec<String> = order["members"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(|member| member.as_str().map(str::to_owned))
+            .collect();
+        let Some(rank) = members.iter().position(|member| member == id) else {
+            return StatusCode::BAD_REQUEST;
+        };
+        let old = self.with(id, |engine| engine.group.clone()).flatten();
+        if let Some(old) = old.filter(|old| self.is_serving_group(old)) {
+            self.violate(format!(
+                "{id} joined {} while {} was open",
+                text("group"),
+                old.name
+            ));
+        }
+        self.with(id, |engine| {
+            engine.orders += 1;
+            engine.loaded = Some(text("model"));
+            engine.group = Some(Group {
+                name: text("group"),
+                epoch: order["epoch"].as_u64().unwrap_or(0),
+                rank,
+                members,
+                state: "joining",
+            });
+        });
+        self.later(id, JOIN_TIME, "joining", "ready");
+        StatusCode::ACCEPTED
+    }
+
+    fn open(&self, id: &str, order: &Value) -> StatusCode {
+        let fits = self.with(id, |engine| {
+            let fits = engine.group.as_ref().is_some_and(|group| {
+                order["group"] == json!(group.name) && group.state == "ready" && group.rank == 0
+            });
+            engine.orders += u64::from(fits);
+            fits
+        });
+        if fits != Some(true) {
+            return StatusCode::CONFLICT;
+        }
+        self.later(id, OPEN_TIME, "ready", "open");
+        StatusCode::ACCEPTED
+    }
+
+    fn close(&self, id: &str, order: &Value) -> StatusCode {
+        let closed = self.with(id, |engine| {
+            let group = engine.group.as_mut()?;
+            if order["group"] != json!(group.name) {
+                return None;
+            }
+            group.state = "ready";
+            engine.orders += 1;
+            Some(())
+        });
+        match closed.flatten() {
+            Some(()) => StatusCode::ACCEPTED,
+            None => StatusCode::CONFLICT,
+        }
+    }
+
+    fn leave(&self, id: &str, order: &Value) -> StatusCode {
+        self.with(id, |engine| {
+            let member = engine.group.as_ref();
+            if member.is_some_and(|group| order["group"] == json!(group.name)) {
+                engine.group = None;
+                engine.orders += 1;
+            }
+        });
+        StatusCode::OK
+    }
+
+    fn later(&self, id: &str, time: Duration, from: &'static str, to: &'static str) {
+        let (groups, id) = (self.clone(), id.to_owned());
+        let name = self.group_name(&id);
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            groups.with(&id, |engine| {
+                if let Some(group) = &mut engine.group
+                    && Some(&group.name) == name.as_ref()
+                    && group.state == from
+                {
+                    group.state = to;
+                }
+            });
+            groups.register(&id);
+        });
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site/run.rs
@@ -0,0 +1,45 @@
+//! A stream that an engine writes, as long as its replica is whole.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::body::Frame;
+
+use super::engine::{Group, SiteGroups};
+
+/// Pause between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(40);
+
+/// Time after which a head that misses a member breaks.
+const STALL_TIME: Duration = Duration::from_secs(4);
+
+/// A stream in progress.
+pub(super) struct Run {
+    pub groups: SiteGroups,
+    pub id: String,
+    pub group: Group,
+    pub next: usize,
+    pub last: usize,
+}
+
+impl Run {
+    pub async fn event(&mut self) -> Option<Result<Frame<Bytes>, std::io::Error>> {
+        if self.next > self.last {
+            return None;
+        }
+        tokio::time::sleep(EVENT_PAUSE).await;
+        let began = Instant::now();
+        // Without a member nothing moves; its own process may be gone as well.
+        while !self.groups.is_whole(&self.group) {
+            let left = self.groups.group_name(&self.id).as_ref() != Some(&self.group.name);
+            if left || began.elapsed() > STALL_TIME {
+                return Some(Err(std::io::Error::other("the replica broke")));
+            }
+            tokio::time::sleep(EVENT_PAUSE).await;
+        }
+        let id = self.next;
+        self.next += 1;
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        Some(Ok(Frame::data(Bytes::from(event))))
+    }
+}
--- a/tests/gateway/bad_input.rs
+++ b/tests/gateway/bad_input.rs
@@ -6,7 +6,8 @@
 use serde_json::json;
 
 use crate::PRODUCT;
-use crate::kit::{TestCall, TestSite, configuration};
+use crate::call::TestCall;
+use crate::kit::{TestSite, configuration};
 
 /// Another writer leaves entries that name no target, and one that is cut off. The others hold,
 /// and one line says which entry and field it was.
--- a/tests/gateway/failed_requests.rs
+++ b/tests/gateway/failed_requests.rs
@@ -3,7 +3,8 @@
 use http::StatusCode;
 use standin::site::PlainMode;
 
-use crate::kit::{TestCall, TestSite, read_rest};
+use crate::call::{TestCall, read_rest};
+use crate::kit::TestSite;
 
 /// No replica of the model serves. The line of the refusal names the reason, and the lines of its
 /// hosts say what became of them.
--- a/tests/gateway/kit.rs
+++ b/tests/gateway/kit.rs
@@ -1,6 +1,5 @@
 //! A site of stand-ins and gateways, and a caller.
 
-use std::fmt::Write as _;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -8,15 +7,14 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use serde_json::{Value, json};
 use standin::site::{SiteEngine, SiteGroups, SiteInstance, SiteStore};
 use web::HttpLink;
 
 use crate::PRODUCT;
+use crate::call::read_rest;
 
 /// Longest wait for something that should come; only a failing test waits for it.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -220,108 +218,6 @@
     assert!(waited.is_ok(), "waited in vain for {what}");
 }
 
-/// An answer read to its end, or as far as it came.
-#[derive(Debug)]
-pub struct TestAnswer {
-    pub status: StatusCode,
-    pub headers: http::HeaderMap,
-    pub text: String,
-    /// Whether the end of the answer was marked.
-    pub whole: bool,
-}
-
-/// A caller's request in the making.
-#[derive(Clone)]
-pub struct TestCall {
-    path: String,
-    id: String,
-    headers: Vec<(&'static str, String)>,
-    body: Bytes,
-}
-
-impl TestCall {
-    pub fn new(path: &str, id: &str) -> Self {
-        let call = Self {
-            path: path.to_owned(),
-            id: id.to_owned(),
-            headers: Vec::new(),
-            body: Bytes::from_static(b"{}"),
-        };
-        call.header("x-credential", KEY)
-            .header("x-deadline-ms", "5000")
-    }
-
-    pub fn chat(id: &str) -> Self {
-        Self::new("/chat/x", id)
-            .header("x-model", "helper")
-            .header("x-token-usage", "100,60")
-    }
-
-    pub fn header(mut self, name: &'static str, value: &str) -> Self {
-        self.headers.retain(|(known, _)| *known != name);
-        self.headers.push((name, value.to_owned()));
-        self
-    }
-
-    pub fn body(mut self, bytes: Vec<u8>) -> Self {
-        self.body = Bytes::from(bytes);
-        self
-    }
-
-    /// Sends it and returns the answer's head.
-    pub async fn begin(&self, node: &TestNode) -> (HttpLink, Response<Incoming>) {
-        let mut link = HttpLink::connect(node.requests, PATIENCE)
-            .await
-            .expect("a connection");
-        let mut request = Request::post(&self.path)
-            .header("host", HOST)
-            .header("x-request-id", &self.id);
-        for (name, value) in &self.headers {
-            request = request.header(*name, value);
-        }
-        let request = request
-            .body(Full::new(self.body.clone()))
-            .expect("a request");
-        let answer = link.send(request).await.expect("an answer");
-        (link, answer)
-    }
-
-    /// Sends it and reads the whole answer.
-    pub async fn send(&self, node: &TestNode) -> TestAnswer {
-        let (_link, answer) = self.begin(node).await;
-        read_rest(answer).await
-    }
-}
-
-/// Reads an answer as far as it comes.
-pub async fn read_rest(answer: Response<Incoming>) -> TestAnswer {
-    let (head, mut body) = answer.into_parts();
-    let mut bytes = Vec::new();
-    let mut whole = true;
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            whole = false;
-            break;
-        };
-        bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data.as_ref()));
-    }
-    TestAnswer {
-        status: head.status,
-        headers: head.headers,
-        text: String::from_utf8_lossy(&bytes).into_owned(),
-        whole,
-    }
-}
-
-/// The stream of a whole answer of `events` events.
-pub fn whole_stream(events: usize) -> String {
-    let mut text = String::new();
-    for id in 1..=events {
-        writeln!(text, "id: {id}\ndata: piece {id}\n").expect("a text takes all");
-    }
-    text
-}
-
 impl TestNode {
     async fn question(&self, address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
         let limit = Duration::from_secs(1);
--- a/tests/gateway/lost_hosts.rs
+++ b/tests/gateway/lost_hosts.rs
@@ -2,7 +2,8 @@
 
 use http::StatusCode;
 
-use crate::kit::{TestCall, TestSite, read_rest, whole_stream};
+use crate::call::{TestCall, read_rest, whole_stream};
+use crate::kit::TestSite;
 
 /// A member of a replica loses power in the middle of an answer. The head goes on holding the
 /// connection and nothing moves. The caller sees a pause and then the rest of the answer from
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! one module a feature.
 
 mod bad_input;
+mod call;
 mod failed_requests;
 mod kit;
 mod lost_hosts;
--- a/tests/gateway/plain_calls.rs
+++ b/tests/gateway/plain_calls.rs
@@ -3,7 +3,8 @@
 use http::StatusCode;
 use standin::site::PlainMode;
 
-use crate::kit::{TestCall, TestSite};
+use crate::call::TestCall;
+use crate::kit::TestSite;
 
 /// Both instances are full when a trader pays. The payment did not run, and the trader is told so
 /// and when to come back.
--- a/tests/gateway/restart_all.rs
+++ b/tests/gateway/restart_all.rs
@@ -2,7 +2,8 @@
 
 use http::StatusCode;
 
-use crate::kit::{TestCall, TestSite};
+use crate::call::TestCall;
+use crate::kit::TestSite;
 
 /// All nodes lose power while replicas serve. The new ones find the replicas as they stand: none
 /// is formed again, and callers are served as soon as a node has read the store.
--- a/tests/gateway/stop_signal.rs
+++ b/tests/gateway/stop_signal.rs
@@ -2,7 +2,8 @@
 
 use http::StatusCode;
 
-use crate::kit::{TestCall, TestSite, read_rest, whole_stream};
+use crate::call::{TestCall, read_rest, whole_stream};
+use crate::kit::TestSite;
 
 /// A node is stopped in the middle of an answer. It is not ready at once, so the balancer sends
 /// new callers elsewhere; the answer ends whole, and the process ends by itself.
--- a/tests/gateway/whole_path.rs
+++ b/tests/gateway/whole_path.rs
@@ -3,7 +3,8 @@
 use http::StatusCode;
 use serde_json::json;
 
-use crate::kit::{TestCall, TestSite, configuration, wait_for, whole_stream};
+use crate::call::{TestCall, whole_stream};
+use crate::kit::{TestSite, configuration, wait_for};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_and_call() {
