Bound the log and say what it left out

A stopped reader of standard output does not hold up callers (test reader_stopped); lines beyond the rate are counted in a metric and in a line of their own.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -197,6 +197,9 @@
     SettingsReread = 361, "settings_reread", Info;
     /// The set of live nodes changed.
     NodesCounted = 362, "nodes_counted", Info;
+    /// Log lines found no place since the last such line: more came than are written a second, or
+    /// whoever reads the log is slow.
+    LinesDropped = 363, "lines_dropped", Warn;
 
     /// A node was silent for long and its row was cleaned from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -92,12 +92,19 @@
 
 /// Closes old idle connections and adds up what stood idle meanwhile.
 async fn sweep(node: Rc<GatewayNode>) {
+    let mut said = 0;
     loop {
         let began = node.now();
         tokio::time::sleep(SWEEP_PAUSE).await;
         node.pool.sweep();
         let passed = node.now().saturating_sub(began);
         let figures = node.figures();
+        if figures.dropped_lines > said {
+            let line = EventLine::new(EventCode::LinesDropped)
+                .number("lines", figures.dropped_lines - said);
+            said = figures.dropped_lines;
+            node.log(&line);
+        }
         let times = |count: usize| passed * u32::try_from(count).unwrap_or(u32::MAX);
         node.metrics
             .lost_time(times(figures.stranded_hosts), times(figures.idle_replicas));
--- a/tests/gateway/kit.rs
+++ b/tests/gateway/kit.rs
@@ -1,9 +1,10 @@
 //! A site of stand-ins and gateways, and a caller.
 
 use std::fs::File;
+use std::io::{BufRead as _, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -38,18 +39,21 @@
 
 /// A running gateway; killed when it is dropped.
 pub struct TestNode {
-    child: Child,
+    child: Option<Child>,
     pub requests: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
     log: PathBuf,
+    unread: Option<BufReader<ChildStdout>>,
 }
 
 impl Drop for TestNode {
     fn drop(&mut self) {
         // It may have ended by itself.
-        drop(self.child.kill());
-        drop(self.child.wait());
+        if let Some(child) = &mut self.child {
+            drop(child.kill());
+            drop(child.wait());
+        }
     }
 }
 
@@ -160,7 +164,30 @@
         self.start_node(name, true).await
     }
 
+    /// Starts a gateway whose log nobody reads after its first line.
+    pub fn unread_node(&self, name: &str) -> TestNode {
+        let (mut node, mut command) = self.prepare_node(name, true);
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("the product");
+        let mut output = BufReader::new(child.stdout.take().expect("its output"));
+        node.child = Some(child);
+        let mut first = String::new();
+        output.read_line(&mut first).expect("its first line");
+        node.take_addresses(&serde_json::from_str(&first).expect("a line of JSON"));
+        node.unread = Some(output);
+        node
+    }
+
     async fn start_node(&self, name: &str, first_start: bool) -> TestNode {
+        let (mut node, mut command) = self.prepare_node(name, first_start);
+        let log = File::create(&node.log).expect("the log");
+        let child = command.stdout(Stdio::from(log)).spawn();
+        node.child = Some(child.expect("the product"));
+        let line = node.wait_line(&["node_started"]).await;
+        node.take_addresses(&line);
+        node
+    }
+
+    fn prepare_node(&self, name: &str, first_start: bool) -> (TestNode, Command) {
         let any = "127.0.0.1:0";
         let settings = json!({
             "node": name, "failure_domain": "z0", "store": self.store_address,
@@ -173,29 +200,18 @@
         std::fs::write(&path, settings.to_string()).expect("the settings");
         let number = self.started.fetch_add(1, Ordering::Relaxed);
         let log = self.folder.join(format!("{name}-{number}.log"));
-        let child = Command::new(PRODUCT)
-            .args(["gateway", "--settings"])
-            .arg(&path)
-            .stdout(Stdio::from(File::create(&log).expect("the log")))
-            .spawn()
-            .expect("the product");
+        let mut command = Command::new(PRODUCT);
+        command.args(["gateway", "--settings"]).arg(&path);
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut node = TestNode {
-            child,
+        let node = TestNode {
+            child: None,
             requests: nowhere,
             readiness: nowhere,
             metrics: nowhere,
             log,
+            unread: None,
         };
-        let line = node.wait_line(&["node_started"]).await;
-        let address = |name: &str| {
-            let text = line[name].as_str().expect("an address");
-            text.parse().expect("an address")
-        };
-        node.requests = address("requests");
-        node.readiness = address("readiness");
-        node.metrics = address("metrics");
-        node
+        (node, command)
     }
 
     /// Waits until `count` replicas serve.
@@ -219,6 +235,16 @@
 }
 
 impl TestNode {
+    fn take_addresses(&mut self, line: &Value) {
+        let address = |name: &str| {
+            let text = line[name].as_str().expect("an address");
+            text.parse().expect("an address")
+        };
+        self.requests = address("requests");
+        self.readiness = address("readiness");
+        self.metrics = address("metrics");
+    }
+
     async fn question(&self, address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
         let limit = Duration::from_secs(1);
         let mut link = HttpLink::connect(address, limit).await.ok()?;
@@ -292,7 +318,10 @@
 
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill")
-            .args([format!("-{name}"), self.child.id().to_string()])
+            .args([
+                format!("-{name}"),
+                self.child.as_ref().expect("a process").id().to_string(),
+            ])
             .status();
         assert!(
             sent.is_ok_and(|status| status.success()),
@@ -302,7 +331,7 @@
 
     /// Waits for the end of the process; its exit code.
     pub async fn wait_end(&mut self) -> Option<i32> {
-        let child = &mut self.child;
+        let child = self.child.as_mut().expect("a process");
         let mut code = None;
         wait_for("the end of the process", || match child.try_wait() {
             Ok(Some(status)) => {
--- /dev/null
+++ b/tests/gateway/log_reader.rs
@@ -0,0 +1,27 @@
+//! Whoever reads the log stops reading.
+
+use http::StatusCode;
+
+use crate::call::TestCall;
+use crate::kit::TestSite;
+
+/// The process that collects the log hangs, and the pipe fills up. Callers must not notice: they
+/// are answered, and the lines that found no place are counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn reader_stopped() {
+    let site = TestSite::start(0, 1).await;
+    let node = site.unread_node("n0");
+    node.wait_ready(true).await;
+    for number in 0..1500 {
+        let call = TestCall::new("/nowhere/x", &format!("r-{number}"));
+        assert_eq!(call.send(&node).await.status, StatusCode::NOT_FOUND);
+    }
+    let served = TestCall::new("/look/x", "last").send(&node).await;
+    assert_eq!(served.status, StatusCode::OK);
+    let metrics = node.metrics().await;
+    let dropped = metrics
+        .lines()
+        .find(|line| line.starts_with("bramleyspring_gateway_log_dropped"))
+        .expect("the count");
+    assert!(!dropped.ends_with(" 0"), "{dropped}");
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod call;
 mod failed_requests;
 mod kit;
+mod log_reader;
 mod lost_hosts;
 mod plain_calls;
 mod restart_all;
