Keep to a node's part of a target's connections, and bound the wait for a head

Cause: a target resets connections beyond its limit over all nodes, and nothing kept the nodes within it; six nodes with 32 idle connections each came to 192 of the 96 that the records service takes. Test connection_part_kept fails without the limit.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -113,6 +113,19 @@
 /// milliseconds, so a short queue empties within their target latency.
 const PLAIN_QUEUE: f64 = 1.0;
 
+/// Part of a target's connections that is used for requests; idle ones take up the rest.
+const CONNECTION_PART: f64 = 0.75;
+
+/// This node's part of the connections that one target of a service takes, at least two.
+fn connection_part(service: &ServiceShape, nodes: usize) -> u32 {
+    let nodes = f64::from(u32::try_from(nodes.max(1)).unwrap_or(u32::MAX));
+    let part = f64::from(service.max_connections) * CONNECTION_PART / nodes;
+    // In range: the whole is a u32 and the factor below 1.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let part = part as u32;
+    part.max(2)
+}
+
 impl ForwardRequest {
     /// Requests that may wait at a target before this one would be late.
     fn queue_limit(&self, service: &ServiceShape, slots: u32) -> f64 {
@@ -168,6 +181,7 @@
                 load: node.load(&entry.id),
                 slots: slots(entry),
                 near: entry.domain == node.settings.failure_domain,
+                own_limit: connection_part(service, node.node_count()),
             })
             .collect();
         let most = entries.first().map_or(0, slots);
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -18,6 +18,10 @@
 use crate::handle::handle_request;
 use crate::node::GatewayNode;
 
+/// Longest wait for a whole head, idle time included: well above what any configuration allows a
+/// connection to be idle. A caller that sends a head byte by byte would hold it for ever.
+const HEAD_LIMIT: Duration = Duration::from_mins(2);
+
 /// Pause after a failed accept; without it a process out of file descriptors spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -90,7 +94,9 @@
         })
     };
     let mut builder = Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(None);
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT);
     let connection = builder.serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let mut closing = false;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -18,8 +18,9 @@
 /// Taken off what a target allows, so that it does not close a connection under a request.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Connections kept for one target; more than a node's part of a full replica.
-const MAX_IDLE: usize = 32;
+/// Idle connections kept for one target: a node's part of a full replica. The requests in progress
+/// and these, of all nodes, stay within what a target takes.
+const MAX_IDLE: usize = 6;
 
 #[derive(Debug)]
 struct IdleLink {
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -72,6 +72,9 @@
     pub slots: u32,
     /// Whether it stands in this node's failure domain.
     pub near: bool,
+    /// Requests that this node may have there: its part of the connections that the target takes
+    /// from all nodes. Beyond them the target resets connections, and requests with them.
+    pub own_limit: u32,
 }
 
 /// Limits of a choice.
@@ -111,7 +114,7 @@
     for (index, choice) in choices.iter().enumerate() {
         let slots = f64::from(choice.slots.max(1));
         let estimate = choice.load.estimate(now, limits.nodes);
-        if estimate >= slots + limits.queue {
+        if estimate >= slots + limits.queue || choice.load.own >= choice.own_limit {
             continue;
         }
         let far = if choice.near { 0.0 } else { FAR_COST };
--- a/crates/serving/tests/target_choice.rs
+++ b/crates/serving/tests/target_choice.rs
@@ -22,6 +22,7 @@
         load,
         slots: 26,
         near: true,
+        own_limit: 60,
     }
 }
 
@@ -96,3 +97,21 @@
     load.own = 2;
     assert!((load.estimate(NOW, 6) - 12.0).abs() < 1e-9);
 }
+
+/// A target takes few connections from all nodes together. Sent more, it would reset some of
+/// them, and their callers would lose answers.
+#[test]
+fn connection_part_kept() {
+    let narrow = TargetChoice {
+        own_limit: 3,
+        load: TargetLoad {
+            own: 3,
+            ..reported(3)
+        },
+        ..choice(reported(3))
+    };
+    let choices = [narrow, choice(reported(20))];
+    assert_eq!(choose_target(&choices, limits(6.0), NOW), Ok(1));
+    let alone = choose_target(&[narrow], limits(6.0), NOW);
+    assert_eq!(alone, Err(NoTarget::Full));
+}
