Send on a new connection what met a closed idle one

Cause: a request whose pooled connection had closed before it was written counted as an unreachable target and went to another one; with one target left, or all of them closing early, it was refused. Nothing was written, so a new connection to the same target serves.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -44,6 +44,15 @@
         if let Some(link) = self.take_idle(&target.id) {
             return Ok(link);
         }
+        self.connect(target).await
+    }
+
+    /// A new connection.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`]; nothing was sent.
+    pub async fn connect(&self, target: &TargetEntry) -> Result<HttpLink, LinkError> {
         HttpLink::connect(target.address, CONNECT_LIMIT).await
     }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serving::TargetEntry;
-use web::HttpLink;
+use web::{HttpLink, LinkError};
 
 use crate::forward::ForwardRequest;
 use crate::node::GatewayNode;
@@ -146,11 +146,7 @@
 ) -> Result<Exchanged, AttemptEnd> {
     let mut link = match node.pool.take(target).await {
         Ok(link) => link,
-        Err(error) => {
-            // Nothing listens there any more, or its host is gone.
-            node.suspect(&target.id, &error.to_string());
-            return Err(AttemptEnd::Unsent(error.to_string()));
-        }
+        Err(error) => return Err(unreachable_target(node, target, &error)),
     };
     let facts = ForwardFacts {
         time_left: request.time_left(node.now()),
@@ -159,17 +155,38 @@
         priority: request.priority,
         last_event,
     };
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
-    *outgoing.method_mut() = request.method.clone();
-    *outgoing.uri_mut() = request.uri.clone();
-    *outgoing.headers_mut() = facts.apply(&request.headers);
-    match link.send(outgoing).await {
+    let headers = facts.apply(&request.headers);
+    let outgoing = || {
+        let mut outgoing = Request::new(Full::new(request.body.clone()));
+        *outgoing.method_mut() = request.method.clone();
+        *outgoing.uri_mut() = request.uri.clone();
+        *outgoing.headers_mut() = headers.clone();
+        outgoing
+    };
+    let mut sent = link.send(outgoing()).await;
+    if matches!(sent, Err(LinkError::Unsent)) {
+        // The target had closed the idle connection. Nothing was written, so it is not at fault,
+        // and a new connection serves; counted as a failure, a target that closes early would
+        // lose each request that meets an old connection.
+        link = match node.pool.connect(target).await {
+            Ok(link) => link,
+            Err(error) => return Err(unreachable_target(node, target, &error)),
+        };
+        sent = link.send(outgoing()).await;
+    }
+    match sent {
         Ok(answer) => Ok(Exchanged { link, answer }),
         Err(error) if error.is_unsent() => Err(AttemptEnd::Unsent(error.to_string())),
         Err(error) => Err(AttemptEnd::Lost(error.to_string())),
     }
 }
 
+/// Nothing listens there any more, or its host is gone.
+fn unreachable_target(node: &GatewayNode, target: &TargetEntry, error: &LinkError) -> AttemptEnd {
+    node.suspect(&target.id, &error.to_string());
+    AttemptEnd::Unsent(error.to_string())
+}
+
 fn failed(
     node: &GatewayNode,
     request: &ForwardRequest,
--- a/crates/standin/src/site/http.rs
+++ b/crates/standin/src/site/http.rs
@@ -3,6 +3,8 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -12,7 +14,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 
 pub(super) type SiteBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -46,6 +49,13 @@
     }
 }
 
+/// Marks an answer after which the connection is closed without a word.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CloseAfter;
+
+/// Time from such an answer to the close; the answer is written in it.
+const CLOSE_PAUSE: Duration = Duration::from_millis(15);
+
 /// A running server; dropped, it closes its listener and all its connections at once.
 #[derive(Debug)]
 pub(super) struct SiteServer {
@@ -71,25 +81,43 @@
             let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 let handler = handler.clone();
-                connections.spawn(async move {
-                    let service = service_fn(move |request| {
-                        let handler = handler.clone();
-                        async move { Ok::<_, Infallible>(answer(handler, request).await) }
-                    });
-                    let builder = http1::Builder::new();
-                    // The other side sees how its connection ends.
-                    drop(
-                        builder
-                            .serve_connection(TokioIo::new(stream), service)
-                            .await,
-                    );
-                });
+                connections.spawn(serve(stream, handler));
             }
         });
         Ok(Self { address, task })
     }
 }
 
+/// Serves one connection; after an answer marked [`CloseAfter`] it is closed, as if for its age.
+async fn serve<H, F>(stream: TcpStream, handler: H)
+where
+    H: Fn(SiteRequest) -> F + Clone + Send + 'static,
+    F: Future<Output = SiteAnswer> + Send + 'static,
+{
+    let close = Arc::new(Notify::new());
+    let marked = Arc::clone(&close);
+    let service = service_fn(move |request| {
+        let (handler, marked) = (handler.clone(), Arc::clone(&marked));
+        async move {
+            let answer = answer(handler, request).await;
+            if answer.extensions().get::<CloseAfter>().is_some() {
+                marked.notify_one();
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    // The other side sees how its connection ends.
+    tokio::select! {
+        ended = connection.as_mut() => drop(ended),
+        () = async {
+            close.notified().await;
+            tokio::time::sleep(CLOSE_PAUSE).await;
+        } => {}
+    }
+}
+
 async fn answer<H, F>(handler: H, request: Request<Incoming>) -> SiteAnswer
 where
     H: Fn(SiteRequest) -> F,
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -5,7 +5,7 @@
 use http::{HeaderValue, StatusCode};
 use serde_json::json;
 
-use super::http::{SiteAnswer, SiteRequest, SiteServer, plain};
+use super::http::{CloseAfter, SiteAnswer, SiteRequest, SiteServer, plain};
 use super::store::SiteStore;
 
 /// How an instance behaves.
@@ -21,6 +21,8 @@
     Failing,
     /// It answers as if another request had been asked for.
     Crossed,
+    /// It answers and closes the connection a moment later, without saying so.
+    Closing,
 }
 
 #[derive(Debug)]
@@ -100,11 +102,16 @@
         state.mode
     };
     let mut answer = match mode {
-        PlainMode::Sound | PlainMode::Crossed => plain(StatusCode::OK, "receipt"),
+        PlainMode::Sound | PlainMode::Crossed | PlainMode::Closing => {
+            plain(StatusCode::OK, "receipt")
+        }
         PlainMode::Full => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
         PlainMode::Mute => std::future::pending().await,
         PlainMode::Failing => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
     };
+    if mode == PlainMode::Closing {
+        answer.extensions_mut().insert(CloseAfter);
+    }
     let headers = answer.headers_mut();
     if mode == PlainMode::Full {
         headers.insert("x-not-executed", HeaderValue::from_static("1"));
--- a/tests/gateway/plain_calls.rs
+++ b/tests/gateway/plain_calls.rs
@@ -1,5 +1,7 @@
 //! Calls of plain services whose targets are full, mute, failing or confused.
 
+use std::time::Duration;
+
 use http::StatusCode;
 use standin::site::PlainMode;
 
@@ -87,3 +89,20 @@
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
     assert!(answer.text.is_empty());
 }
+
+/// The only instance closes its idle connections sooner than it says. A payment that finds a closed
+/// one goes on a new connection and its caller notices nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_idle_connection() {
+    let site = TestSite::start(0, 1).await;
+    let node = site.node("n0").await;
+    site.instances[0].set_mode(PlainMode::Closing);
+    for call in 0..8 {
+        let id = format!("p-{call}");
+        let paid = TestCall::new("/pay/fee", &id).send(&node).await;
+        assert_eq!(paid.status, StatusCode::OK, "call {call}");
+        assert_eq!(site.instances[0].runs(&id), 1);
+        // Each call comes long after the close of the connection before.
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+}
