--- a/crates/gateway/src/care/blind.rs
+++ b/crates/gateway/src/care/blind.rs
@@ -94,7 +94,7 @@
 }
 
 /// Whether each host that answers serves in a whole replica, or waits as a spare.
-fn is_settled(hosts: &[HostSituation]) -> bool {
+pub(super) fn is_settled(hosts: &[HostSituation]) -> bool {
     hosts
         .iter()
         .filter(|host| host.silent.is_none())
--- a/crates/gateway/src/care/mod.rs
+++ b/crates/gateway/src/care/mod.rs
@@ -2,6 +2,7 @@
 
 mod blind;
 mod steps;
+mod turns;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -9,19 +10,34 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use domain::{FabricId, FastMap, HostId};
+use domain::{ConfigRevision, FabricId, FastMap, HostId};
 use events::{EventCode, EventLine};
-use serving::plan::{FabricLayout, FabricSituation, HostSituation, PlanStep, lay_out, plan_fabric};
-use serving::rank::{rendezvous_rank, stable_hash};
+use serving::plan::{FabricLayout, FabricSituation, HostSituation, PlanStep, plan_fabric};
+use serving::rank::stable_hash;
 use serving::{ServiceShape, TargetEntry, TargetState};
 
 use crate::node::GatewayNode;
 use crate::orders::OrderDesk;
+
 use blind::AskedFabrics;
+use turns::{KeptLayouts, TurnRanks};
 
 /// Longest time between two plans; changes of the registry lead to one at once.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest time between two plans while nothing is to be done or waited for.
+const CALM_PAUSE: Duration = Duration::from_millis(500);
+
+/// Wait for further changes after one; the registry brings them in series.
+const SERIES_PAUSE: Duration = Duration::from_millis(5);
+
+/// Rank up to which a node plans for a fabric domain at each change. Seven nodes have to be gone
+/// at once before a domain waits for one of the others.
+const FAR_RANK: usize = 6;
+
+/// Pause between two plans for the other domains.
+const FAR_PAUSE: Duration = Duration::from_secs(2);
+
 /// Time that each node leaves to the one before it. Orders are answered within milliseconds and
 /// their effect stands in the registry soon after, so a step that still waits was not taken.
 const TURN: Duration = Duration::from_millis(350);
@@ -49,12 +65,21 @@
         // Different at each start: the count of names begins anew, and a name that came twice
         // would have a late order join a host to a replica that it was meant for before.
         mark: RandomState::new().hash_one(&node.settings.node) & 0xffff_ffff,
+        ranks: RefCell::default(),
+        layouts: RefCell::default(),
+        restless: Cell::new(true),
+        far_round: Cell::default(),
     });
     loop {
         let changed = node.changed.notified();
+        let pause = if care.restless.get() {
+            PLAN_PAUSE
+        } else {
+            CALM_PAUSE
+        };
+        drop(tokio::time::timeout(pause, changed).await);
         // A pause lets several changes that come together lead to one plan.
-        drop(tokio::time::timeout(PLAN_PAUSE, changed).await);
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        tokio::time::sleep(SERIES_PAUSE).await;
         care.plan();
     }
 }
@@ -68,6 +93,12 @@
     loads: RefCell<Vec<Duration>>,
     asked: RefCell<AskedFabrics>,
     mark: u64,
+    ranks: RefCell<TurnRanks>,
+    layouts: RefCell<KeptLayouts>,
+    /// Whether the last plan found something to do or to wait for.
+    restless: Cell<bool>,
+    /// When all fabric domains were last planned, not only this node's own.
+    far_round: Cell<Duration>,
 }
 
 impl ReplicaCare {
@@ -77,44 +108,66 @@
         if node.is_stopping() || node.registry_version().is_none() {
             return;
         }
+        let now = node.now();
+        let far = now.saturating_sub(self.far_round.get()) >= FAR_PAUSE;
+        if far {
+            self.far_round.set(now);
+        }
+        self.restless.set(false);
         let mut steps = Vec::new();
         for service in config.services.values() {
             if service.models.is_empty() {
                 continue;
             }
-            self.plan_service(service, &mut steps);
+            let layout = self.layout(service, config.revision);
+            self.plan_service(service, &layout, far, &mut steps);
         }
         self.take_turns(steps);
     }
 
+    fn layout(&self, service: &ServiceShape, revision: ConfigRevision) -> Rc<FabricLayout> {
+        let mut counts: BTreeMap<FabricId, usize> = BTreeMap::new();
+        self.node.registry(|registry| {
+            for entry in registry.targets() {
+                let fabric = entry.fabric.as_ref();
+                let Some(fabric) = fabric.filter(|_| entry.service == service.name) else {
+                    continue;
+                };
+                if let Some(count) = counts.get_mut(fabric) {
+                    *count += usize::from(entry.state == TargetState::Ready);
+                } else {
+                    let count = usize::from(entry.state == TargetState::Ready);
+                    counts.insert(fabric.clone(), count);
+                }
+            }
+        });
+        self.layouts.borrow_mut().layout(service, revision, counts)
+    }
+
     fn plan_service(
         self: &Rc<Self>,
         service: &ServiceShape,
+        layout: &FabricLayout,
+        far: bool,
         steps: &mut Vec<(FabricId, PlanStep)>,
     ) {
-        let fabrics = self.fabrics(service);
-        let counts: BTreeMap<FabricId, usize> = fabrics
-            .iter()
-            .map(|(fabric, hosts)| {
-                let staying = hosts.iter().filter(|host| !host.leaving);
-                (fabric.clone(), staying.count())
-            })
-            .collect();
-        let layout: FabricLayout = lay_out(&counts, &service.models);
-        let spent = self.node.spent();
         let lead = self.node.is_lead_time();
-        for (fabric, hosts) in &fabrics {
+        for (fabric, hosts) in &self.fabrics(service, far) {
             let Some(wanted) = layout.get(fabric) else {
                 continue;
             };
-            let situation = FabricSituation {
-                models: &service.models,
-                wanted,
-                hosts,
-                spent: &spent,
-                may_load_members: lead || !any_weights(hosts),
-            };
-            let planned = plan_fabric(&situation);
+            let planned = self.node.with_spent(|spent| {
+                plan_fabric(&FabricSituation {
+                    models: &service.models,
+                    wanted,
+                    hosts,
+                    spent,
+                    may_load_members: lead || !any_weights(hosts),
+                })
+            });
+            if !planned.is_empty() || !blind::is_settled(hosts) {
+                self.restless.set(true);
+            }
             // What the registry says of the domain may be long past.
             let fresh = !self.node.is_registry_doubtful()
                 || self.ask_fabric(fabric, hosts, !planned.is_empty());
@@ -127,19 +180,28 @@
         }
     }
 
-    fn fabrics(&self, service: &ServiceShape) -> BTreeMap<FabricId, Vec<HostSituation>> {
+    /// The hosts of the fabric domains that this node plans for now.
+    fn fabrics(&self, service: &ServiceShape, far: bool) -> BTreeMap<FabricId, Vec<HostSituation>> {
         let node = &self.node;
         let mut fabrics: BTreeMap<FabricId, Vec<HostSituation>> = BTreeMap::new();
+        let mut ranks = self.ranks.borrow_mut();
         node.registry(|registry| {
             for entry in registry.targets() {
-                let Some(fabric) = &entry.fabric else {
+                let fabric = entry.fabric.as_ref();
+                let Some(fabric) = fabric.filter(|_| entry.service == service.name) else {
                     continue;
                 };
-                if entry.service != service.name {
+                // The first nodes in turn care for a domain; the others look now and then, in
+                // case all of those are gone.
+                if !far && ranks.rank(node, fabric) > FAR_RANK {
                     continue;
                 }
                 let situation = self.situation(entry);
-                fabrics.entry(fabric.clone()).or_default().push(situation);
+                if let Some(hosts) = fabrics.get_mut(fabric) {
+                    hosts.push(situation);
+                } else {
+                    fabrics.insert(fabric.clone(), vec![situation]);
+                }
             }
         });
         for hosts in fabrics.values_mut() {
@@ -195,11 +257,10 @@
         if made_here {
             return Duration::ZERO;
         }
-        let nodes = node.nodes();
-        let rank = rendezvous_rank(own, nodes.iter().map(String::as_str), fabric.as_str());
+        let rank = self.ranks.borrow_mut().rank(node, fabric);
         let rank = u32::try_from(rank).unwrap_or(MAX_TURNS).min(MAX_TURNS);
         // Until the others are known, nodes take turns by chance.
-        let rank = if nodes.is_empty() {
+        let rank = if node.with_nodes(<[String]>::is_empty) {
             let chance = stable_hash(&(own, fabric.as_str())) % u64::from(MAX_TURNS);
             u32::try_from(chance).unwrap_or(0)
         } else {
--- a/crates/gateway/src/node/health.rs
+++ b/crates/gateway/src/node/health.rs
@@ -82,6 +82,9 @@
 
     /// Tells the requests at replicas with a suspected member to go elsewhere.
     pub(super) fn raise_losses(&self) {
+        if self.suspects.borrow().is_empty() {
+            return;
+        }
         let registry = self.registry.borrow();
         let mut signals = self.signals.borrow_mut();
         for replica in registry.replicas() {
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -56,6 +56,7 @@
     suspects: RefCell<FastMap<HostId, Duration>>,
     budgets: RefCell<FastMap<ServiceName, RepeatBudget>>,
     nodes: RefCell<Vec<String>>,
+    nodes_counted: Cell<u64>,
     stopping: Cell<Option<Duration>>,
     running: Cell<usize>,
     connections: Cell<usize>,
@@ -101,6 +102,7 @@
             suspects: RefCell::default(),
             budgets: RefCell::default(),
             nodes: RefCell::default(),
+            nodes_counted: Cell::default(),
             stopping: Cell::default(),
             running: Cell::default(),
             connections: Cell::default(),
@@ -222,10 +224,15 @@
         if count == 0 { NODES_UNKNOWN } else { count }
     }
 
-    /// Names of the nodes that live.
+    /// Uses the names of the nodes that live.
+    pub fn with_nodes<R>(&self, use_them: impl FnOnce(&[String]) -> R) -> R {
+        use_them(&self.nodes.borrow())
+    }
+
+    /// A number that changes with the nodes that live.
     #[must_use]
-    pub fn nodes(&self) -> Vec<String> {
-        self.nodes.borrow().clone()
+    pub fn nodes_counted(&self) -> u64 {
+        self.nodes_counted.get()
     }
 
     /// Takes the names of the nodes that live.
@@ -236,6 +243,7 @@
         let count = u64::try_from(nodes.len()).unwrap_or(u64::MAX);
         let line = EventLine::new(EventCode::NodesCounted).number("nodes", count);
         *self.nodes.borrow_mut() = nodes;
+        self.nodes_counted.set(self.nodes_counted.get() + 1);
         self.log(&line);
     }
 }
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -113,10 +113,9 @@
         self.now().saturating_sub(since.unwrap_or_default())
     }
 
-    /// Replicas that were seen serving, or whose formation failed.
-    #[must_use]
-    pub fn spent(&self) -> FastSet<(ReplicaId, u64)> {
-        self.spent.borrow().clone()
+    /// Uses the replicas that were seen serving, or whose formation failed.
+    pub fn with_spent<R>(&self, use_them: impl FnOnce(&FastSet<(ReplicaId, u64)>) -> R) -> R {
+        use_them(&self.spent.borrow())
     }
 
     /// Notes that the formation of a replica failed.
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -1,5 +1,6 @@
 //! The targets that are known, and the replicas that they say they form.
 
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 
 use domain::{FabricId, FastMap, HostId, ModelName, ReplicaId, ServiceName};
@@ -55,7 +56,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct TargetRegistry {
     targets: FastMap<HostId, TargetEntry>,
-    replicas: BTreeMap<(ReplicaId, u64), ReplicaView>,
+    /// Made at the first look after a change: a series of changes, as at the start of a large
+    /// deployment, then costs one arrangement instead of one for each.
+    replicas: OnceCell<BTreeMap<(ReplicaId, u64), ReplicaView>>,
 }
 
 impl TargetRegistry {
@@ -65,14 +68,14 @@
             return false;
         }
         self.targets.insert(entry.id.clone(), entry);
-        self.arrange();
+        self.replicas.take();
         true
     }
 
     /// Removes a target.
     pub fn remove(&mut self, id: &HostId) -> Option<TargetEntry> {
         let entry = self.targets.remove(id)?;
-        self.arrange();
+        self.replicas.take();
         Some(entry)
     }
 
@@ -101,24 +104,28 @@
 
     /// All replicas, by name.
     pub fn replicas(&self) -> impl Iterator<Item = &ReplicaView> {
-        self.replicas.values()
+        self.arranged().values()
     }
 
     /// A replica.
     #[must_use]
     pub fn replica(&self, membership: &ReplicaMembership) -> Option<&ReplicaView> {
-        self.replicas
+        self.arranged()
             .get(&(membership.replica.clone(), membership.epoch))
     }
 
-    fn arrange(&mut self) {
-        self.replicas.clear();
+    fn arranged(&self) -> &BTreeMap<(ReplicaId, u64), ReplicaView> {
+        self.replicas.get_or_init(|| self.arrange())
+    }
+
+    fn arrange(&self) -> BTreeMap<(ReplicaId, u64), ReplicaView> {
+        let mut replicas: BTreeMap<(ReplicaId, u64), ReplicaView> = BTreeMap::new();
         for entry in self.targets.values() {
             let Some(membership) = &entry.membership else {
                 continue;
             };
             let key = (membership.replica.clone(), membership.epoch);
-            let view = self.replicas.entry(key).or_insert_with(|| ReplicaView {
+            let view = replicas.entry(key).or_insert_with(|| ReplicaView {
                 id: membership.replica.clone(),
                 epoch: membership.epoch,
                 service: entry.service.clone(),
@@ -135,6 +142,7 @@
                 view.model.clone_from(&entry.loaded);
             }
         }
+        replicas
     }
 
     /// Whether a member of a replica is leaving.
