Keep members that the registry names no more while they answer

At 24 s three of six replicas of the larger model were left ('all 3 targets are full'). Members of a serving replica are asked themselves when their entry goes, and are gone once they don't answer; nothing new is built on them. Tests unlisted_member_kept, member_unlisted.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -200,6 +200,9 @@
     /// Log lines found no place since the last such line: more came than are written a second, or
     /// whoever reads the log is slow.
     LinesDropped = 363, "lines_dropped", Warn;
+    /// The registry names a member of a serving replica no more. It is kept as long as it answers:
+    /// it may only be cut off from the registry.
+    TargetUnlisted = 364, "target_unlisted", Warn;
 
     /// A node was silent for long and its row was cleaned from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/care/mod.rs
+++ b/crates/gateway/src/care/mod.rs
@@ -215,6 +215,7 @@
             id: entry.id.clone(),
             silent: self.node.silent_for(&entry.id),
             leaving: entry.state == TargetState::Draining,
+            unlisted: self.node.is_unlisted(&entry.id),
             ordered: self.desk.is_open(&entry.id),
             loaded: entry.loaded.clone(),
             staged: entry.staged.clone(),
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -58,6 +58,12 @@
         self.after_change();
     }
 
+    /// Takes a target's entry as the registry has it.
+    pub fn list_target(&self, entry: &TargetEntry) {
+        self.unlisted.borrow_mut().remove(&entry.id);
+        self.put_target(entry);
+    }
+
     fn note_membership(&self, id: &HostId, membership: &ReplicaMembership) {
         let key = (membership.replica.clone(), membership.epoch);
         if membership.rank == 0 {
@@ -74,8 +80,53 @@
         self.heads.borrow().get(replica).cloned()
     }
 
+    /// Takes note that the registry names a target no more. A member of a replica that serves is
+    /// kept as long as it answers: it may only be cut off from the registry, and its head works on.
+    pub fn unlist_target(&self, id: &HostId) {
+        if self.is_unlisted(id) {
+            return;
+        }
+        if !self.works_for_serving_head(id) {
+            self.remove_target(id);
+            return;
+        }
+        self.unlisted.borrow_mut().insert(id.clone());
+        let line = EventLine::new(EventCode::TargetUnlisted).text("host", id.as_str());
+        self.log(&line);
+        self.after_change();
+    }
+
+    /// Whether the registry does not name a target that is still known.
+    #[must_use]
+    pub fn is_unlisted(&self, id: &HostId) -> bool {
+        self.unlisted.borrow().contains(id)
+    }
+
+    /// Targets that the registry does not name and that are still known.
+    #[must_use]
+    pub fn unlisted(&self) -> Vec<HostId> {
+        self.unlisted.borrow().iter().cloned().collect()
+    }
+
+    /// Whether a target is a member, but not the head, of a replica that serves.
+    #[must_use]
+    pub fn works_for_serving_head(&self, id: &HostId) -> bool {
+        if self.is_suspect(id) {
+            return false;
+        }
+        self.registry(|registry| {
+            let membership = registry.get(id).and_then(|entry| entry.membership.as_ref());
+            let Some(membership) = membership.filter(|membership| membership.rank > 0) else {
+                return false;
+            };
+            let replica = registry.replica(membership);
+            replica.is_some_and(|replica| replica.head_state == Some(MemberState::Open))
+        })
+    }
+
     /// Takes note that a target is gone.
     pub fn remove_target(&self, id: &HostId) {
+        self.unlisted.borrow_mut().remove(id);
         let removed = self.registry.borrow_mut().remove(id);
         let Some(entry) = removed else { return };
         self.hosts_changed.set(self.now());
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -101,6 +101,26 @@
     }
 }
 
+/// Asks targets that the registry names no more until they don't answer, or work for no serving
+/// head; then they are gone.
+pub async fn ask_unlisted(node: Rc<GatewayNode>) {
+    loop {
+        tokio::time::sleep(SUSPECT_PAUSE).await;
+        for id in node.unlisted() {
+            tokio::task::spawn_local(ask_unlisted_one(Rc::clone(&node), id));
+        }
+    }
+}
+
+async fn ask_unlisted_one(node: Rc<GatewayNode>, id: HostId) {
+    if let Some(target) = order_target(&node, &id) {
+        ask_host(&node, target).await;
+    }
+    if node.is_unlisted(&id) && !node.works_for_serving_head(&id) {
+        node.remove_target(&id);
+    }
+}
+
 async fn ask_suspect(node: Rc<GatewayNode>, id: HostId) {
     let Some(target) = order_target(&node, &id) else {
         node.trust(&id);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -61,6 +61,7 @@
     spawn_local(care::care_for_replicas(Rc::clone(&node)));
     spawn_local(probe::watch_replicas(Rc::clone(&node)));
     spawn_local(probe::ask_suspects(Rc::clone(&node)));
+    spawn_local(probe::ask_unlisted(Rc::clone(&node)));
     spawn_local(sweep(Rc::clone(&node)));
     spawn_local(reread_settings(Rc::clone(&node), hangup, path.to_owned()));
     terminate.recv().await;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -202,7 +202,7 @@
             self.pending.push(id);
             return;
         }
-        self.node.remove_target(&id);
+        self.node.unlist_target(&id);
     }
 }
 
@@ -240,7 +240,7 @@
         match decode_target(&row.key, bytes) {
             Ok(entry) => {
                 self.pending.retain(|id| *id != entry.id);
-                self.node.put_target(&entry);
+                self.node.list_target(&entry);
             }
             Err(error) => {
                 let line = EventLine::new(EventCode::EntryUnreadable)
@@ -261,7 +261,7 @@
             return;
         }
         for id in std::mem::take(&mut self.pending) {
-            self.node.remove_target(&id);
+            self.node.unlist_target(&id);
         }
     }
 
--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -33,6 +33,9 @@
     pub silent: Option<Duration>,
     /// Whether it is leaving, and serves on for a while.
     pub leaving: bool,
+    /// Whether the registry does not name it any more, though it still answers. It works on in its
+    /// replica; nothing new is built on it.
+    pub unlisted: bool,
     /// Whether an order to it is not settled yet.
     pub ordered: bool,
     /// Model that it held last.
@@ -129,7 +132,7 @@
     let mut free: Vec<&HostSituation> = situation
         .hosts
         .iter()
-        .filter(|host| host.answers() && !host.leaving && !host.ordered)
+        .filter(|host| host.answers() && !host.leaving && !host.unlisted && !host.ordered)
         .filter(|host| !taken.contains(&host.id))
         .collect();
     form_replicas(situation, &mut standing, &mut free, &mut steps);
--- a/crates/serving/tests/fabric_plan.rs
+++ b/crates/serving/tests/fabric_plan.rs
@@ -29,6 +29,7 @@
         id: id.parse().expect("a host"),
         silent: None,
         leaving: false,
+        unlisted: false,
         ordered: false,
         loaded: None,
         staged: Vec::new(),
@@ -202,6 +203,22 @@
     assert_eq!(closed(&steps), Some(CloseMode::Wait));
 }
 
+/// A member is cut off from the registry and works on. Its replica serves as before; taken apart,
+/// its callers would lose their streams for nothing. No new replica is built on such a host.
+#[test]
+fn unlisted_member_kept() {
+    let mut hosts = large_replica(MemberState::Open);
+    hosts[2].unlisted = true;
+    hosts.push(warm("s", "large"));
+    assert_eq!(Domain::of(hosts).plan(), Vec::new());
+    let mut spares: Vec<HostSituation> = ["p", "q", "r", "s"]
+        .iter()
+        .map(|id| warm(id, "large"))
+        .collect();
+    spares[0].unlisted = true;
+    assert!(formed(&Domain::of(spares).plan()).is_empty());
+}
+
 /// Some joins of a new replica are done, others are on their way. Another node that takes these
 /// hosts now would break up what is about to serve.
 #[test]
--- a/tests/gateway/lost_hosts.rs
+++ b/tests/gateway/lost_hosts.rs
@@ -93,3 +93,29 @@
     .await;
     assert_eq!(site.groups.violations(), Vec::<String>::new());
 }
+
+/// A member loses its way to the registry and works on; the platform takes its entry away. Callers
+/// must notice nothing: the replica is whole. When the member dies after all, the spare steps in.
+#[tokio::test(flavor = "multi_thread")]
+async fn member_unlisted() {
+    let mut site = TestSite::start(5, 0).await;
+    let node = site.node("n0").await;
+    node.wait_replicas(1).await;
+    let before = site.groups.serving();
+    let member = before[0][2].clone();
+    site.groups.expire(&member);
+    node.wait_line(&["target_unlisted", &member]).await;
+    for call in 0..3 {
+        let answer = TestCall::chat(&format!("c-{call}")).send(&node).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(site.groups.serving(), before);
+    site.kill_engine(&member);
+    node.wait_line(&["target_gone", &member]).await;
+    crate::kit::wait_for("a replica without the lost member", || {
+        let serving = site.groups.serving();
+        serving.len() == 1 && !serving[0].contains(&member)
+    })
+    .await;
+    assert_eq!(site.groups.violations(), Vec::<String>::new());
+}
