--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -88,13 +88,40 @@
     pub may_load_members: bool,
 }
 
-struct GroupView<'a> {
+/// A replica as the hosts describe it.
+struct KnownReplica<'a> {
     replica: &'a ReplicaId,
     epoch: u64,
     members: BTreeMap<u32, &'a HostSituation>,
 }
 
-enum GroupFate {
+impl KnownReplica<'_> {
+    /// Whether orders to its members may still be on their way.
+    fn may_be_forming(&self) -> bool {
+        let youngest = self.members.values().map(|host| host.unchanged).min();
+        let ordered = self.members.values().any(|host| host.ordered);
+        ordered || youngest.is_some_and(|youngest| youngest < FORMING_PATIENCE)
+    }
+
+    /// Whether each known member has its weights and does not serve.
+    fn is_ready(&self) -> bool {
+        self.members.values().all(|host| {
+            let membership = host.membership.as_ref();
+            membership.is_some_and(|membership| membership.state == MemberState::Ready)
+        })
+    }
+
+    fn close(&self, head: &HostSituation, mode: CloseMode) -> PlanStep {
+        PlanStep::Close {
+            head: head.id.clone(),
+            replica: self.replica.clone(),
+            epoch: self.epoch,
+            mode,
+        }
+    }
+}
+
+enum ReplicaFate {
     /// Serves, or is about to.
     Stays,
     /// In its way of forming or closing.
@@ -112,17 +139,17 @@
     let mut lost = Vec::new();
     let mut taken: FastSet<&HostId> = FastSet::default();
     let mut standing: FastMap<&ModelName, usize> = FastMap::default();
-    for group in groups(situation.hosts) {
-        let model = group_model(&group, situation.models);
-        match judge(&group, model, situation, &mut steps) {
-            GroupFate::Over => continue,
-            GroupFate::Lost(close) => {
+    for known in known_replicas(situation.hosts) {
+        let model = replica_model(&known, situation.models);
+        match judge(&known, model, situation, &mut steps) {
+            ReplicaFate::Over => continue,
+            ReplicaFate::Lost(close) => {
                 lost.push(close);
                 continue;
             }
-            GroupFate::Stays | GroupFate::Changing => {}
+            ReplicaFate::Stays | ReplicaFate::Changing => {}
         }
-        for host in group.members.values() {
+        for host in known.members.values() {
             taken.insert(&host.id);
         }
         if let Some(model) = model {
@@ -151,26 +178,26 @@
     steps
 }
 
-fn groups(hosts: &[HostSituation]) -> Vec<GroupView<'_>> {
-    let mut groups: BTreeMap<(&ReplicaId, u64), GroupView> = BTreeMap::new();
+fn known_replicas(hosts: &[HostSituation]) -> Vec<KnownReplica<'_>> {
+    let mut replicas: BTreeMap<(&ReplicaId, u64), KnownReplica> = BTreeMap::new();
     for host in hosts {
         let Some(membership) = &host.membership else {
             continue;
         };
-        let group = groups
+        let known = replicas
             .entry((&membership.replica, membership.epoch))
-            .or_insert_with(|| GroupView {
+            .or_insert_with(|| KnownReplica {
                 replica: &membership.replica,
                 epoch: membership.epoch,
                 members: BTreeMap::new(),
             });
-        group.members.insert(membership.rank, host);
+        known.members.insert(membership.rank, host);
     }
-    groups.into_values().collect()
+    replicas.into_values().collect()
 }
 
-fn group_model<'a>(group: &GroupView<'_>, models: &'a [ModelShape]) -> Option<&'a ModelShape> {
-    let loaded = group
+fn replica_model<'a>(known: &KnownReplica<'_>, models: &'a [ModelShape]) -> Option<&'a ModelShape> {
+    let loaded = known
         .members
         .values()
         .find_map(|host| host.loaded.as_ref())?;
@@ -178,87 +205,85 @@
 }
 
 fn judge(
-    group: &GroupView<'_>,
+    known: &KnownReplica<'_>,
     model: Option<&ModelShape>,
     situation: &FabricSituation<'_>,
     steps: &mut Vec<PlanStep>,
-) -> GroupFate {
-    let states = group.members.values().filter_map(|host| {
-        let membership = host.membership.as_ref()?;
-        Some(membership.state)
-    });
-    let youngest = group.members.values().map(|host| host.unchanged).min();
-    let youngest = youngest.unwrap_or_default();
-    let ordered = group.members.values().any(|host| host.ordered);
-    let Some(head) = group.members.get(&0) else {
+) -> ReplicaFate {
+    let Some(head) = known.members.get(&0) else {
         // The head is gone. Its members leave the replica before they join another.
-        let forming = ordered || youngest < FORMING_PATIENCE;
-        return if forming && !is_spent(situation, group) {
-            GroupFate::Changing
+        return if known.may_be_forming() && !is_spent(situation, known) {
+            ReplicaFate::Changing
         } else {
-            GroupFate::Over
+            ReplicaFate::Over
         };
     };
-    let complete = model.is_some_and(|model| group.members.len() == model.size);
-    let answers = group.members.values().all(|host| host.answers());
-    let leaving = group.members.values().any(|host| host.leaving);
-    let head_state = head.membership.as_ref().map(|membership| membership.state);
-    let close = |mode| PlanStep::Close {
-        head: head.id.clone(),
-        replica: group.replica.clone(),
-        epoch: group.epoch,
-        mode,
-    };
-    let head_lost = head.silent.is_some_and(|silent| silent >= HEAD_PATIENCE);
-    match head_state {
-        Some(MemberState::Open) if complete && answers && !leaving => GroupFate::Stays,
-        Some(MemberState::Open | MemberState::Closing) if head_lost => GroupFate::Over,
-        Some(MemberState::Open | MemberState::Closing) if !head.answers() => GroupFate::Changing,
-        Some(MemberState::Open) if complete && answers => {
-            steps.push(close(CloseMode::Wait));
-            GroupFate::Changing
+    let complete = model.is_some_and(|model| known.members.len() == model.size);
+    let whole = complete && known.members.values().all(|host| host.answers());
+    let leaving = known.members.values().any(|host| host.leaving);
+    match head.membership.as_ref().map(|membership| membership.state) {
+        Some(MemberState::Open) if whole && !leaving => ReplicaFate::Stays,
+        Some(MemberState::Open | MemberState::Closing) if !head.answers() => {
+            judge_silent_head(head)
+        }
+        Some(MemberState::Open) if whole => {
+            steps.push(known.close(head, CloseMode::Wait));
+            ReplicaFate::Changing
         }
         // A member is lost and nothing moves any more. Its head leaves first whoever joins it, so
         // its requests end at once and move.
-        Some(MemberState::Open) => GroupFate::Lost(close(CloseMode::Cancel)),
-        Some(MemberState::Closing) => {
-            if !complete || !answers || head.unchanged > CLOSING_PATIENCE {
-                return GroupFate::Lost(close(CloseMode::Cancel));
-            }
-            GroupFate::Changing
+        Some(MemberState::Open) => ReplicaFate::Lost(known.close(head, CloseMode::Cancel)),
+        Some(MemberState::Closing) if whole && head.unchanged <= CLOSING_PATIENCE => {
+            ReplicaFate::Changing
         }
-        Some(MemberState::Broken) | None => GroupFate::Over,
+        Some(MemberState::Closing) => ReplicaFate::Lost(known.close(head, CloseMode::Cancel)),
+        Some(MemberState::Broken) | None => ReplicaFate::Over,
         Some(MemberState::Ready | MemberState::Joining) => {
-            let spent = is_spent(situation, group);
-            if !answers || leaving || spent {
-                return GroupFate::Over;
+            let answering = known.members.values().all(|host| host.answers());
+            if !answering || leaving || is_spent(situation, known) {
+                return ReplicaFate::Over;
             }
-            if !complete {
-                let forming = ordered || youngest < FORMING_PATIENCE;
-                let is_spare = model.is_none_or(|model| model.size > 1)
-                    && group.members.len() == 1
-                    && is_spare_name(group.replica);
-                return if forming && !is_spare {
-                    GroupFate::Changing
-                } else {
-                    GroupFate::Over
-                };
-            }
-            let mut states = states;
-            if states.all(|state| state == MemberState::Ready) {
-                steps.push(PlanStep::Open {
-                    head: head.id.clone(),
-                    replica: group.replica.clone(),
-                    epoch: group.epoch,
-                });
-            }
-            GroupFate::Changing
+            judge_unopened(known, head, complete, steps)
         }
     }
 }
 
-fn is_spent(situation: &FabricSituation<'_>, group: &GroupView<'_>) -> bool {
-    let key = (group.replica.clone(), group.epoch);
+fn judge_silent_head(head: &HostSituation) -> ReplicaFate {
+    let lost = head.silent.is_some_and(|silent| silent >= HEAD_PATIENCE);
+    if lost {
+        ReplicaFate::Over
+    } else {
+        ReplicaFate::Changing
+    }
+}
+
+/// A replica that has never served: it forms, is about to open, or was given up.
+fn judge_unopened(
+    known: &KnownReplica<'_>,
+    head: &HostSituation,
+    complete: bool,
+    steps: &mut Vec<PlanStep>,
+) -> ReplicaFate {
+    if !complete {
+        let is_spare = known.members.len() == 1 && is_spare_name(known.replica);
+        return if known.may_be_forming() && !is_spare {
+            ReplicaFate::Changing
+        } else {
+            ReplicaFate::Over
+        };
+    }
+    if known.is_ready() {
+        steps.push(PlanStep::Open {
+            head: head.id.clone(),
+            replica: known.replica.clone(),
+            epoch: known.epoch,
+        });
+    }
+    ReplicaFate::Changing
+}
+
+fn is_spent(situation: &FabricSituation<'_>, known: &KnownReplica<'_>) -> bool {
+    let key = (known.replica.clone(), known.epoch);
     situation.spent.contains(&key)
 }
 
