--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -230,13 +230,14 @@
             steps.push(known.close(head, CloseMode::Wait));
             ReplicaFate::Changing
         }
-        // A member is lost and nothing moves any more. Its head leaves first whoever joins it, so
-        // its requests end at once and move.
-        Some(MemberState::Open) => ReplicaFate::Lost(known.close(head, CloseMode::Cancel)),
         Some(MemberState::Closing) if whole && head.unchanged <= CLOSING_PATIENCE => {
             ReplicaFate::Changing
         }
-        Some(MemberState::Closing) => ReplicaFate::Lost(known.close(head, CloseMode::Cancel)),
+        // A member is lost and nothing moves any more, or what should end does not. Its head leaves
+        // first whoever joins it, so its requests end at once and move.
+        Some(MemberState::Open | MemberState::Closing) => {
+            ReplicaFate::Lost(known.close(head, CloseMode::Cancel))
+        }
         Some(MemberState::Broken) | None => ReplicaFate::Over,
         Some(MemberState::Ready | MemberState::Joining) => {
             let answering = known.members.values().all(|host| host.answers());
