--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use domain::{CustomerId, FastSet, HostId, ModelName, RequestId, ServiceName};
 use http::{HeaderMap, Method, Uri};
+use policy::admission::{ArrivalStanding, WAIT_PART};
 use serving::choose::{NoTarget, TargetChoice, choose_target};
 use serving::rank::stable_hash;
 use serving::{ChoiceLimits, GatewayConfig, RouteKind, ServiceShape, TargetEntry};
@@ -105,10 +106,6 @@
     }
 }
 
-/// Part of the target latency that a request may spend in a target's queue. The rest is for
-/// reading its prompt and for the way.
-const QUEUE_PART: f64 = 0.8;
-
 /// Requests that may wait at one target of a plain service for each that it runs. Its calls take
 /// milliseconds, so a short queue empties within their target latency.
 const PLAIN_QUEUE: f64 = 1.0;
@@ -127,17 +124,34 @@
 }
 
 impl ForwardRequest {
-    /// Requests that may wait at a target before this one would be late.
-    fn queue_limit(&self, service: &ServiceShape, slots: u32) -> f64 {
+    /// Requests that may wait at a target where this one still goes.
+    fn queue_limit(&self, service: &ServiceShape, slots: u32, standing: ArrivalStanding) -> f64 {
         let model = self.model.as_ref().and_then(|name| service.model(name));
         let Some(model) = model else {
-            return f64::from(slots) * PLAIN_QUEUE;
+            return f64::from(slots) * PLAIN_QUEUE * standing.part();
         };
         let step = service.queue_step.as_secs_f64() * model.pace;
         if step <= 0.0 {
-            return f64::from(slots);
+            return f64::from(slots) * standing.part();
+        }
+        self.target_latency.as_secs_f64() * WAIT_PART * standing.part() / step
+    }
+
+    /// What it is among those that compete with it. One that goes on elsewhere was let in before,
+    /// and what it has cost would be lost.
+    fn standing(
+        &self,
+        node: &GatewayNode,
+        service: &ServiceShape,
+        tried: &FastSet<HostId>,
+    ) -> ArrivalStanding {
+        if !tried.is_empty() {
+            return ArrivalStanding::default();
+        }
+        ArrivalStanding {
+            ranks_before: service.ranks_before(self.priority),
+            over_share: node.is_over_share(self),
         }
-        self.target_latency.as_secs_f64() * QUEUE_PART / step
     }
 
     /// Chooses a target that is not among `tried`.
@@ -159,7 +173,7 @@
             _ => node.plain_targets(&self.service),
         };
         entries.retain(|entry| !tried.contains(&entry.id));
-        // Each node goes through the targets in an order of its own, so that ties spread.
+        // A draw that a later reader of the log can repeat.
         entries.sort_by_cached_key(|entry| {
             stable_hash(&(
                 node.settings.node.as_str(),
@@ -180,13 +194,12 @@
             .map(|entry| TargetChoice {
                 load: node.load(&entry.id),
                 slots: slots(entry),
-                near: entry.domain == node.settings.failure_domain,
                 own_limit: connection_part(service, node.node_count()),
             })
             .collect();
         let most = entries.first().map_or(0, slots);
         let limits = ChoiceLimits {
-            queue: self.queue_limit(service, most),
+            queue: self.queue_limit(service, most, self.standing(node, service, tried)),
             nodes: node.node_count(),
         };
         let index = choose_target(&choices, limits, now)
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -67,8 +67,7 @@
             return own(node, &facts, None, answer, reason).map(Either::Left);
         }
     };
-    let now = node.now();
-    node.with_budget(&forward.service, |budget| budget.note_request(now));
+    node.note_arrival(&forward);
     match run_attempts(node, &config, &forward).await {
         Outcome::Own(answer, reason) => {
             own(node, &facts, Some(&forward), answer, &reason).map(Either::Left)
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -10,13 +10,14 @@
 
 use domain::{FastMap, FastSet, HostId, ReplicaId, RowVersion, ServiceName};
 use events::{EventCode, EventLine, LineSink};
+use policy::admission::CustomerShares;
 use serving::silence::ReplicaPulse;
 use serving::{GatewayConfig, RepeatBudget, TargetLoad, TargetRegistry};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::metrics::GatewayMetrics;
-use crate::pool::TargetPool;
+use crate::pool::LinkPool;
 use crate::settings::GatewaySettings;
 
 pub use health::LossSignal;
@@ -32,7 +33,7 @@
     /// Metrics.
     pub metrics: GatewayMetrics,
     /// Connections to targets.
-    pub pool: TargetPool,
+    pub pool: LinkPool,
     /// Wakes the care for replicas.
     pub changed: Notify,
     /// Wakes who waits for the end of a request or connection.
@@ -56,6 +57,7 @@
     suspects: RefCell<FastMap<HostId, Duration>>,
     unlisted: RefCell<FastSet<HostId>>,
     budgets: RefCell<FastMap<ServiceName, RepeatBudget>>,
+    shares: RefCell<FastMap<ServiceName, CustomerShares>>,
     nodes: RefCell<Vec<String>>,
     nodes_counted: Cell<u64>,
     stopping: Cell<Option<Duration>>,
@@ -82,7 +84,7 @@
             settings,
             sink,
             metrics,
-            pool: TargetPool::default(),
+            pool: LinkPool::default(),
             changed: Notify::new(),
             ended: Notify::new(),
             started: Instant::now(),
@@ -103,6 +105,7 @@
             suspects: RefCell::default(),
             unlisted: RefCell::default(),
             budgets: RefCell::default(),
+            shares: RefCell::default(),
             nodes: RefCell::default(),
             nodes_counted: Cell::default(),
             stopping: Cell::default(),
@@ -144,7 +147,7 @@
             .as_ref()
             .map_or(Duration::ZERO, |before| idle(before));
         self.idle_limit.set(idle(&config).max(before));
-        *current = Some(Rc::new(config));
+        *current = Some(Rc::new(config.with_ranks()));
         drop(current);
         self.changed.notify_waiters();
         true
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -3,10 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use domain::ServiceName;
 use events::metrics::MetricsError;
+use policy::admission::CustomerShares;
 use serving::MemberState;
 
 use super::GatewayNode;
+use crate::forward::ForwardRequest;
 use crate::metrics::NodeFigures;
 
 /// Counts a request in its process until it is dropped, with its answer's last byte.
@@ -90,6 +93,39 @@
         figures
     }
 
+    /// Notes that a request arrived, whatever becomes of it.
+    pub fn note_arrival(&self, request: &ForwardRequest) {
+        let now = self.now();
+        let service = &request.service;
+        self.with_budget(service, |budget| budget.note_request(now));
+        let Some(customer) = &request.customer else {
+            return;
+        };
+        self.with_shares(service, |shares| shares.note_arrival(customer, now));
+    }
+
+    /// Whether a request's customer uses more than its share of the service.
+    #[must_use]
+    pub fn is_over_share(&self, request: &ForwardRequest) -> bool {
+        let now = self.now();
+        let Some(customer) = &request.customer else {
+            return false;
+        };
+        self.with_shares(&request.service, |shares| {
+            shares.is_over_share(customer, now)
+        })
+    }
+
+    /// Uses what the customers use of a service.
+    pub fn with_shares<R>(
+        &self,
+        service: &ServiceName,
+        use_them: impl FnOnce(&mut CustomerShares) -> R,
+    ) -> R {
+        let mut shares = self.shares.borrow_mut();
+        use_them(shares.entry(service.clone()).or_default())
+    }
+
     /// Begins to stop.
     pub fn stop(&self) {
         self.stopping.set(Some(self.now()));
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -30,11 +30,11 @@
 
 /// Idle connections by target.
 #[derive(Debug, Default)]
-pub struct TargetPool {
+pub struct LinkPool {
     idle: RefCell<FastMap<HostId, Vec<IdleLink>>>,
 }
 
-impl TargetPool {
+impl LinkPool {
     /// An idle connection that is still good, or a new one.
     ///
     /// # Errors
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use adapter::{AnswerFacts, FaultyTarget, ForwardFacts};
-use domain::HostId;
+use domain::{CustomerId, HostId, ServiceName};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -23,11 +23,16 @@
     /// Whether the target is the head of a replica. Only such a one is asked about when nothing
     /// moves: a call of a plain service may take its time, and says nothing until its end.
     is_head: bool,
+    service: ServiceName,
+    customer: Option<CustomerId>,
 }
 
 impl RunningTicket {
-    fn new(node: &Rc<GatewayNode>, target: &TargetEntry) -> Self {
+    fn new(node: &Rc<GatewayNode>, request: &ForwardRequest, target: &TargetEntry) -> Self {
         let now = node.now();
+        if let Some(customer) = &request.customer {
+            node.with_shares(&request.service, |shares| shares.note_sent(customer));
+        }
         let is_head = target.membership.is_some();
         node.with_load(&target.id, serving::TargetLoad::start);
         if is_head {
@@ -37,6 +42,8 @@
             node: Rc::clone(node),
             host: target.id.clone(),
             is_head,
+            service: request.service.clone(),
+            customer: request.customer.clone(),
         }
     }
 
@@ -52,6 +59,10 @@
 impl Drop for RunningTicket {
     fn drop(&mut self) {
         self.node.with_load(&self.host, serving::TargetLoad::end);
+        if let Some(customer) = &self.customer {
+            self.node
+                .with_shares(&self.service, |shares| shares.note_ended(customer));
+        }
         if self.is_head {
             self.node
                 .with_pulse(&self.host, serving::silence::ReplicaPulse::end);
@@ -114,7 +125,7 @@
     limit: Duration,
 ) -> AttemptEnd {
     let id = &target.id;
-    let ticket = RunningTicket::new(node, target);
+    let ticket = RunningTicket::new(node, request, target);
     let signal = node.loss_signal(id);
     let attempt = async {
         tokio::select! {
@@ -194,7 +205,8 @@
     end: AttemptEnd,
 ) -> AttemptEnd {
     if matches!(end, AttemptEnd::Lost(_) | AttemptEnd::TimedOut) {
-        node.with_load(id, |load| load.failures += 1);
+        let now = node.now();
+        node.with_load(id, |load| load.fail(now));
     }
     node.metrics.attempt(request.service.as_str(), end.name());
     end
@@ -239,12 +251,16 @@
     }
     let success = head.status.is_success();
     if success && !facts.genuine {
-        node.with_load(id, |load| load.failures += 1);
+        let now = node.now();
+        node.with_load(id, |load| load.fail(now));
         return AttemptEnd::Lost("the answer is not the target's".to_owned());
     }
-    node.with_load(id, |load| {
-        load.failures = if success { 0 } else { load.failures + 1 };
-    });
+    if success {
+        node.with_load(id, serving::TargetLoad::succeed);
+    } else {
+        let now = node.now();
+        node.with_load(id, |load| load.fail(now));
+    }
     AttemptEnd::Answered(Box::new(TargetAnswer {
         host: id.clone(),
         status: head.status,
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -1,11 +1,19 @@
-//! Admission of requests to one model at one entry: queueing, order and refusal.
+//! Admission of requests: queueing, order and refusal.
+//!
+//! There are two kinds of targets. Engines that run what they are sent in the order of arrival get
+//! hardly more than they can run, and [`AdmissionQueue`] orders the rest at the entry. Engines that
+//! queue by rank themselves are sent every request that accepts their queue ([`ArrivalStanding`]).
 
+mod arrival;
 mod drain;
 mod first_token;
 mod lane;
 mod queue;
 mod request;
+mod shares;
 mod spread;
 
+pub use arrival::{ArrivalStanding, WAIT_PART};
 pub use queue::AdmissionQueue;
 pub use request::{FinishedWork, OfferOutcome, RefusalReason, WaitKey, WaitingRequest};
+pub use shares::CustomerShares;
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -6,12 +6,13 @@
 /// several times a second under load, so an older report means that little runs there.
 const REPORT_AGE: Duration = Duration::from_millis(1500);
 
-/// Cost of leaving the failure domain, in parts of a full target. It decides between targets that
-/// are about equally loaded, so bytes stay within the domain where that costs nobody time.
-const FAR_COST: f64 = 0.08;
+/// Failures in a row after which a target is taken only where no other has room. One may be the
+/// request's own doing; a target that fails fast has no load and would look like the best one.
+const MOST_FAILURES: u32 = 2;
 
-/// Cost of each failure in a row, in parts of a full target.
-const FAILURE_COST: f64 = 0.35;
+/// Time after its last failure in which a target is avoided. Without an end to it a replica that
+/// has recovered would get nothing while others have room, and so never show that it has.
+const FAILURE_MEMORY: Duration = Duration::from_secs(1);
 
 /// Load of one target, as one node knows it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -26,6 +27,8 @@
     pub since: i32,
     /// Failures since the last success.
     pub failures: u32,
+    /// When the last of them was.
+    pub failed_at: Duration,
 }
 
 impl TargetLoad {
@@ -41,6 +44,24 @@
         self.since -= 1;
     }
 
+    /// Notes a failure.
+    pub fn fail(&mut self, now: Duration) {
+        self.failures += 1;
+        self.failed_at = now;
+    }
+
+    /// Notes an answer that is no failure.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Whether it failed in a row until just now.
+    #[must_use]
+    pub fn is_failing(&self, now: Duration) -> bool {
+        let recent = now.saturating_sub(self.failed_at) < FAILURE_MEMORY;
+        recent && self.failures >= MOST_FAILURES
+    }
+
     /// Notes a report.
     pub fn report(&mut self, total: u32, now: Duration) {
         self.reported = total;
@@ -70,13 +91,18 @@
     pub load: TargetLoad,
     /// Requests it runs at once.
     pub slots: u32,
-    /// Whether it stands in this node's failure domain.
-    pub near: bool,
     /// Requests that this node may have there: its part of the connections that the target takes
     /// from all nodes. Beyond them the target resets connections, and requests with them.
     pub own_limit: u32,
 }
 
+impl TargetChoice {
+    fn has_room(&self, limits: ChoiceLimits, now: Duration) -> bool {
+        let places = f64::from(self.slots.max(1)) + limits.queue;
+        self.load.estimate(now, limits.nodes) < places && self.load.own < self.own_limit
+    }
+}
+
 /// Limits of a choice.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceLimits {
@@ -95,12 +121,18 @@
     Full,
 }
 
-/// The target with the least load for its size; ties go to the earlier one, and callers pass
-/// candidates in an order of their own, so that nodes do not all pick the same one.
+/// The first target that has room. Callers pass candidates in an order drawn for each request, so
+/// this is one by chance.
+///
+/// Made for several nodes that send to a dozen replicas and learn of each other's requests only
+/// from reports. If each went to the least loaded one, all would send to the same replica until its
+/// next report, most of all to one that has just begun to serve; its queue of unread prompts, which
+/// no report tells, then delays the first token of each. Seen as first tokens that are late beside
+/// replicas that are half empty: chance has a third fewer of them.
 ///
-/// Made for bursts: when each target has as much waiting as can begin in time, one more request
-/// would be late and make those behind it late as well. It is refused at once instead, while its
-/// caller still has time to come back.
+/// Where each target has as much waiting as can begin in time, one more request would be late and
+/// make those behind it late as well. It is refused at once instead, while its caller still has
+/// time to come back.
 ///
 /// # Errors
 ///
@@ -110,22 +142,18 @@
     limits: ChoiceLimits,
     now: Duration,
 ) -> Result<usize, NoTarget> {
-    let mut best: Option<(f64, usize)> = None;
+    let mut failing = None;
     for (index, choice) in choices.iter().enumerate() {
-        let slots = f64::from(choice.slots.max(1));
-        let estimate = choice.load.estimate(now, limits.nodes);
-        if estimate >= slots + limits.queue || choice.load.own >= choice.own_limit {
+        if !choice.has_room(limits, now) {
             continue;
         }
-        let far = if choice.near { 0.0 } else { FAR_COST };
-        let failing = f64::from(choice.load.failures.min(8)) * FAILURE_COST;
-        let cost = estimate / slots + far + failing;
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, index));
+        if !choice.load.is_failing(now) {
+            return Ok(index);
         }
+        failing = failing.or(Some(index));
     }
-    match best {
-        Some((_, index)) => Ok(index),
+    match failing {
+        Some(index) => Ok(index),
         None if choices.is_empty() => Err(NoTarget::Absent),
         None => Err(NoTarget::Full),
     }
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -1,5 +1,6 @@
 //! The configuration as a gateway uses it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use domain::{ConfigRevision, CustomerId, FastMap, ModelName, ServiceName};
@@ -107,6 +108,9 @@
     pub queue_step: Duration,
     /// Weight loads that may start a second.
     pub loads_per_second: f64,
+    /// Ranks of the requests that may come, the most urgent first; see
+    /// [`GatewayConfig::with_ranks`].
+    pub ranks: Vec<u8>,
 }
 
 impl ServiceShape {
@@ -115,6 +119,12 @@
     pub fn model(&self, name: &ModelName) -> Option<&ModelShape> {
         self.models.iter().find(|model| model.name == *name)
     }
+
+    /// How many ranks in use go before one.
+    #[must_use]
+    pub fn ranks_before(&self, rank: u8) -> usize {
+        self.ranks.iter().filter(|other| **other < rank).count()
+    }
 }
 
 /// What a caller may send, and how long it may take.
@@ -155,6 +165,25 @@
 }
 
 impl GatewayConfig {
+    /// The same configuration, with the ranks in use noted at each service: those of the routes
+    /// to it, and those of customers, whose requests may come on any route.
+    #[must_use]
+    pub fn with_ranks(mut self) -> Self {
+        let keys = self.keys.iter().flat_map(FastMap::values);
+        let customers: BTreeSet<u8> = keys.filter_map(|key| key.priority).collect();
+        let routes: Vec<&CallerRoute> = self.routes.values().flatten().collect();
+        for service in self.services.values_mut() {
+            let mut ranks = customers.clone();
+            for route in &routes {
+                if route.services.iter().any(|(name, _)| *name == service.name) {
+                    ranks.insert(route.priority);
+                }
+            }
+            service.ranks = ranks.into_iter().collect();
+        }
+        self
+    }
+
     /// The route of a request: the longest prefix among the routes of its host.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&CallerRoute> {
