--- a/crates/control/src/config/follow.rs
+++ b/crates/control/src/config/follow.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use domain::{ConfigRevision, RowVersion};
-use events::{EventCode, EventRecorder, EventSubject};
+use events::{EventCode, EventRecorder, EventSubject, log_skipped};
 use platform::{ObjectStore, RowRead, StoreError, TableStore, keys};
 use rand::Rng;
 
@@ -41,7 +41,8 @@
     let mut known = None;
     let mut published = ConfigRevision(0);
     loop {
-        let _ = follower.poll(&mut known).await;
+        // The next poll repeats it, and the circuit of the table tells when the store is down.
+        log_skipped("poll configuration", follower.poll(&mut known).await);
         follower.tend_snapshots(&mut published).await;
         tokio::time::sleep(spread(follower.settings.poll())).await;
     }
--- a/crates/control/src/config/keeper.rs
+++ b/crates/control/src/config/keeper.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use domain::ConfigRevision;
-use events::{EventCode, EventRecorder, EventSubject};
+use events::{EventCode, EventRecorder, EventSubject, log_skipped};
 use tokio::sync::watch;
 use xtra::{Address, Context, Handler, Mailbox};
 
@@ -277,7 +277,11 @@
 impl ConfigHandle {
     /// Hands over what was learned and waits until it is in force.
     pub async fn learn(&self, lesson: ConfigLesson) {
-        let _ = self.address.send(Learn(lesson)).await;
+        // Nobody keeps the configuration any more only while the node stops.
+        log_skipped(
+            "learn configuration",
+            self.address.send(Learn(lesson)).await,
+        );
     }
 
     /// Everything in force.
--- a/crates/control/src/lease/keeper.rs
+++ b/crates/control/src/lease/keeper.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use domain::{LeaseTerm, NodeId, RowVersion};
-use events::{EventCode, EventRecorder, EventSubject};
+use events::{EventCode, EventRecorder, EventSubject, log_skipped};
 use platform::{
     CommitOutcome, RowExpectation, RowRead, StoreError, TableStore, WriteBatch, keys,
     settled_commit,
@@ -45,7 +45,7 @@
 
     /// Gives the lease up, so that another node need not wait for it to run out.
     pub async fn release(&self) {
-        let _ = self.address.send(ReleaseLease).await;
+        log_skipped("release lease", self.address.send(ReleaseLease).await);
     }
 }
 
@@ -121,7 +121,8 @@
     async fn handle(&mut self, _: ReleaseLease, _: &mut Context<Self>) {
         self.stopping = true;
         let step = self.tracker.release_step();
-        let _ = self.follow(step).await;
+        // A lease that could not be given up runs out, which takes others a little longer.
+        log_skipped("give lease up", self.follow(step).await);
         self.publish();
     }
 }
--- a/crates/control/src/ledger/writer.rs
+++ b/crates/control/src/ledger/writer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use domain::{NodeId, RowVersion, WriteToken};
+use events::log_skipped;
 use platform::{
     CommitOutcome, RowConflict, RowExpectation, StoreError, TableRow, TableStore, WriteBatch,
     settled_commit,
@@ -107,7 +108,7 @@
             let address = ctx.mailbox().address();
             tokio::spawn(async move {
                 commit_rows(&table, &prefix, rows).await;
-                let _ = address.send(FlightEnded).detach().await;
+                log_skipped("end flight", address.send(FlightEnded).detach().await);
             });
         }
     }
@@ -121,7 +122,7 @@
         let address = ctx.mailbox().address();
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
-            let _ = address.send(FlushQueue).detach().await;
+            log_skipped("flush rows", address.send(FlushQueue).detach().await);
         });
     }
 }
--- a/crates/control/src/members/table.rs
+++ b/crates/control/src/members/table.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use domain::{FastSet, NodeId, WriteToken};
-use events::{EventCode, EventRecorder, EventSubject};
+use events::{EventCode, EventRecorder, EventSubject, log_skipped};
 use platform::{
     RowExpectation, StoreError, TableRow, TableStore, WriteBatch, keys, settled_commit,
 };
@@ -34,7 +34,8 @@
     pub async fn write_forever(self) {
         loop {
             self.book.state().beat();
-            let _ = self.write_row().await;
+            // The next beat writes it again; peers go by the links meanwhile.
+            log_skipped("write member row", self.write_row().await);
             tokio::time::sleep(spread(self.settings.write())).await;
         }
     }
@@ -70,7 +71,9 @@
         };
         let key = keys::member_key(self.book.node());
         let batch = WriteBatch::new(token).delete(key, RowExpectation::Any);
-        let _ = settled_commit(&self.table, &batch, COMMIT_TRIES).await;
+        // A row that stays is deleted once nobody has heard the node for long.
+        let left = settled_commit(&self.table, &batch, COMMIT_TRIES).await;
+        log_skipped("delete member row", left);
     }
 
     fn token(&self, step: &str, number: u64) -> Result<WriteToken, StoreError> {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -6,6 +6,7 @@
 
 use control::TargetView;
 use domain::{AttemptId, ReplicaPlan};
+use events::log_skipped;
 use target::{EnginePort, StreamStart, TokenStream};
 use tokio::sync::watch;
 use wire::engine::{ResumeOrder, StreamEvent, StreamOrder};
@@ -112,7 +113,11 @@
         let engine = self.engine.clone();
         let leader = self.leader;
         tokio::spawn(async move {
-            let _ = engine.cancel(leader, &attempt, CANCEL_TIMEOUT).await;
+            // The engine also ends an attempt whose caller reads nothing for long.
+            log_skipped(
+                "cancel attempt",
+                engine.cancel(leader, &attempt, CANCEL_TIMEOUT).await,
+            );
         });
     }
 }
--- /dev/null
+++ b/crates/entry/src/call.rs
@@ -0,0 +1,17 @@
+//! The head of a caller's request.
+
+use domain::RequestId;
+use http::HeaderMap;
+
+/// Head of a caller's request.
+#[derive(Debug)]
+pub struct CallerCall {
+    /// Name of the request.
+    pub request: RequestId,
+    /// Method.
+    pub method: http::Method,
+    /// Path.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+}
--- a/crates/entry/src/dispatch/actor.rs
+++ b/crates/entry/src/dispatch/actor.rs
@@ -9,7 +9,8 @@
 use xtra::{Context, Handler, WeakAddress};
 
 use super::ask::{DispatchNote, PlacementAsk};
-use super::state::{DispatchState, SlotReply};
+use super::moment::SlotReply;
+use super::state::DispatchState;
 
 /// Time between two looks at what expired: a refusal may come so much late.
 const TICK: Duration = Duration::from_millis(20);
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -6,9 +6,11 @@
 mod actor;
 pub mod ask;
 mod index;
+mod moment;
 mod queue;
 pub mod state;
 
+use events::log_skipped;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Instant;
@@ -94,7 +96,10 @@
 
     /// Tells how many entries share the replicas.
     pub async fn set_entries(&self, entries: u32) {
-        let _ = self.address.send(SetEntries(entries)).await;
+        log_skipped(
+            "count entries",
+            self.address.send(SetEntries(entries)).await,
+        );
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/dispatch/moment.rs
@@ -0,0 +1,20 @@
+//! What a decision of the dispatcher comes with: its time, and where the answer goes.
+
+use std::time::{Duration, Instant};
+
+use tokio::sync::oneshot;
+
+use super::ask::PlacedSlot;
+use crate::failure::CallerFailure;
+
+/// The answer to an ask.
+pub type SlotReply = oneshot::Sender<Result<PlacedSlot, CallerFailure>>;
+
+/// A moment, on the clock of the policies and on that of the evidence.
+#[derive(Debug, Clone, Copy)]
+pub struct DispatchMoment {
+    /// Since the dispatcher's start.
+    pub now: Duration,
+    /// The same moment.
+    pub instant: Instant,
+}
--- a/crates/entry/src/dispatch/queue.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -10,7 +10,7 @@
 
 use super::ask::{NoteSender, PlacedSlot, PlacementAsk, SlotFacts};
 use super::index::ReplicaIndex;
-use super::state::{DispatchMoment, SlotReply};
+use super::moment::{DispatchMoment, SlotReply};
 use crate::failure::CallerFailure;
 
 /// Time without any whole replica after which waiting is hopeless.
--- a/crates/entry/src/dispatch/state.rs
+++ b/crates/entry/src/dispatch/state.rs
@@ -10,15 +10,11 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
-use tokio::sync::oneshot;
 
-use super::ask::{DispatchNote, NoteSender, PlacedSlot, PlacementAsk, SlotFacts, SlotOutcome};
+use super::ask::{DispatchNote, NoteSender, PlacementAsk, SlotFacts, SlotOutcome};
 use super::index::ReplicaIndex;
+use super::moment::{DispatchMoment, SlotReply};
 use super::queue::{ModelQueue, WaitingAsk};
-use crate::failure::CallerFailure;
-
-/// The answer to an ask.
-pub type SlotReply = oneshot::Sender<Result<PlacedSlot, CallerFailure>>;
 
 /// Settings of a dispatcher.
 #[derive(Debug, Clone, bon::Builder)]
@@ -34,15 +30,6 @@
     pub seed: u64,
 }
 
-/// A moment, on the clock of the policies and on that of the evidence.
-#[derive(Debug, Clone, Copy)]
-pub struct DispatchMoment {
-    /// Since the dispatcher's start.
-    pub now: Duration,
-    /// The same moment.
-    pub instant: Instant,
-}
-
 /// Queues, shares and replicas of all models.
 #[derive(Debug)]
 pub struct DispatchState {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod call;
 pub mod caller;
 pub mod completion;
 pub mod digest;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,7 +8,7 @@
 use domain::RequestId;
 use domain::record::CustomerRecord;
 use events::{EventCode, EventSubject};
-use http::{HeaderMap, HeaderValue, StatusCode, Version, header};
+use http::{HeaderValue, StatusCode, Version, header};
 use hyper::body::Body;
 use platform::TableStore;
 use target::{EnginePort, ServicePort};
@@ -17,6 +17,7 @@
 use wire::openai::{ChatRequest, CompletionRequest};
 
 use crate::answer::{CompletionCall, answer_completion};
+use crate::call::CallerCall;
 use crate::caller::find_customer;
 use crate::failure::CallerFailure;
 use crate::models::{list_models, show_model};
@@ -169,19 +170,6 @@
 {
 }
 
-/// Head of a caller's request.
-#[derive(Debug)]
-pub struct CallerCall {
-    /// Name of the request.
-    pub request: RequestId,
-    /// Method.
-    pub method: http::Method,
-    /// Path.
-    pub path: String,
-    /// Headers.
-    pub headers: HeaderMap,
-}
-
 fn known_config(view: &ConfigView) -> Result<(), CallerFailure> {
     if view.revision.0 > 0 && view.gate.is_open(Instant::now()) {
         return Ok(());
--- a/crates/entry/src/services/claimed.rs
+++ b/crates/entry/src/services/claimed.rs
@@ -23,7 +23,7 @@
 use bytes::Bytes;
 use control::{ClaimKey, ClaimOutcome, ClaimTicket};
 use domain::{AttemptId, CallClaim, ClaimState, FastSet};
-use events::EventCode;
+use events::{EventCode, log_skipped};
 use http::StatusCode;
 use platform::{StoreError, TableStore};
 use policy::service::CallOutcome;
@@ -203,7 +203,8 @@
         tokio::spawn(async move {
             tokio::time::sleep(wait).await;
             // When the store is down the next request with this key looks it up again.
-            let _ = ledger.settle_found(&claim_key, &claim, state).await;
+            let settled = ledger.settle_found(&claim_key, &claim, state).await;
+            log_skipped("settle claim", settled);
         });
     }
 
--- a/crates/entry/src/services/mod.rs
+++ b/crates/entry/src/services/mod.rs
@@ -19,9 +19,9 @@
 use web::body::full_body;
 use wire::caller::ErrorCode;
 
+use crate::call::CallerCall;
 use crate::failure::CallerFailure;
 use crate::headers::{idempotency_key, request_deadline};
-use crate::server::CallerCall;
 use crate::settings::EntrySettings;
 use instances::InstancePool;
 
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -78,6 +78,9 @@
     /// The certificate's files changed and can't be used; the old certificate stays in use until
     /// it expires. Put a matching pair of certificate and key there.
     CertificateRefused = 103, "certificate_refused", Error;
+    /// A step failed that is repeated anyway or only spares others a wait; its line names the step
+    /// and the reason. It calls for nothing alone; look here when something else came late.
+    StepSkipped = 104, "step_skipped", Debug;
 
     /// A request was admitted.
     RequestAdmitted = 200, "request_admitted", Debug;
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -6,12 +6,15 @@
 pub mod logs;
 pub mod metrics;
 pub mod page;
+pub mod record;
 pub mod recorder;
 pub mod timeline;
 
 pub use clock::{HybridClock, HybridStamp};
 pub use code::{EventCode, EventLevel};
 pub use lines::{EventLine, LineSink};
+pub use logs::log_skipped;
 pub use metrics::NodeMetrics;
-pub use recorder::{EventRecord, EventRecorder, EventSubject};
+pub use record::{EventRecord, EventSubject};
+pub use recorder::EventRecorder;
 pub use timeline::{NodeEvents, TimelineFilter, TimelineView};
--- a/crates/events/src/logs.rs
+++ b/crates/events/src/logs.rs
@@ -6,8 +6,8 @@
 use logforth::layout::JsonLayout;
 use logforth::record::LevelFilter as AppendFilter;
 
-use crate::code::EventLevel;
-use crate::recorder::EventRecord;
+use crate::code::{EventCode, EventLevel};
+use crate::record::EventRecord;
 
 /// Starts logging of events at `level` and above; a second call changes the level only.
 pub fn start_logs(level: EventLevel) {
@@ -61,6 +61,32 @@
     );
 }
 
+/// Logs an error that calls for nothing, at the level of [`EventCode::StepSkipped`].
+///
+/// For steps that are repeated anyway, or that only spare others a wait: each failure alone is no
+/// event, but whoever looks for a cause finds it here.
+pub fn log_skipped<T, E: std::fmt::Display>(step: &str, result: Result<T, E>) {
+    let Err(problem) = result else { return };
+    let code = EventCode::StepSkipped;
+    let level = log::Level::from(code.level());
+    if level > log::max_level() {
+        return;
+    }
+    let pairs = [
+        ("number", Value::from(code.number())),
+        ("event", Value::from(code.name())),
+        ("step", Value::from(step)),
+    ];
+    log::logger().log(
+        &log::Record::builder()
+            .target("bramleyspring")
+            .level(level)
+            .key_values(&pairs)
+            .args(format_args!("{problem}"))
+            .build(),
+    );
+}
+
 /// The parts of an event that stand as pairs in its line; absent ones are left out.
 struct EventPairs<'event> {
     event: &'event EventRecord,
--- a/crates/events/src/page.rs
+++ b/crates/events/src/page.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 use crate::code::EventLevel;
-use crate::recorder::EventRecord;
+use crate::record::EventRecord;
 use crate::timeline::{TimelineView, clock_text, subject_text};
 
 const STYLE: &str = "body{font:13px system-ui;margin:16px}table{border-collapse:collapse}\
--- a/crates/events/src/timeline.rs
+++ b/crates/events/src/timeline.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::recorder::EventRecord;
+use crate::record::EventRecord;
 
 /// What one node answered.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/platform/src/circuit.rs
+++ b/crates/platform/src/circuit.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use crate::budget::BudgetSettings;
 use crate::error::StoreError;
+use crate::limits::BudgetSettings;
 
 /// Whether calls pass.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,14 +9,16 @@
 pub mod hostlist;
 pub mod http;
 pub mod keys;
+pub mod limits;
 pub mod objects;
 pub mod settle;
 pub mod table;
 
-pub use budget::{BudgetSettings, BudgetedTable};
+pub use budget::BudgetedTable;
 pub use circuit::CircuitState;
 pub use error::StoreError;
 pub use hostlist::{HostEntry, HostListPort, HostListing};
+pub use limits::BudgetSettings;
 pub use objects::ObjectStore;
 pub use settle::settled_commit;
 pub use table::{
--- a/crates/platform/tests/store_budget.rs
+++ b/crates/platform/tests/store_budget.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use platform::BudgetSettings;
 use platform::StoreError;
-use platform::budget::{BudgetSettings, CallUrgency, TokenBucket};
+use platform::budget::{CallUrgency, TokenBucket};
 use platform::circuit::{CircuitState, StoreCircuit};
 use quickcheck::{Gen, QuickCheck};
 
--- a/crates/policy/examples/compare/baseline/mod.rs
+++ b/crates/policy/examples/compare/baseline/mod.rs
@@ -1,7 +1,5 @@
 //! The ways of deciding that the policies are compared with.
 
-#![allow(dead_code)]
-
 use std::collections::VecDeque;
 use std::time::Duration;
 
--- a/crates/policy/examples/compare/main.rs
+++ b/crates/policy/examples/compare/main.rs
@@ -3,7 +3,7 @@
 //! Names of tables as arguments print only these.
 
 mod baseline;
-#[path = "../../tests/driver/mod.rs"]
+#[path = "../../tests/load/driver/mod.rs"]
 mod driver;
 
 mod requests;
--- a/crates/policy/tests/capacity_share.rs
+++ b/crates/policy/tests/load/capacity_share.rs
@@ -1,14 +1,10 @@
 //! Each entry's part of the targets' slots.
 
-#[path = "../examples/compare/baseline/mod.rs"]
-mod baseline;
-mod driver;
-
 use std::time::Duration;
 
-use baseline::ShareKind;
-use driver::callers::steady;
-use driver::{Driver, RunResult, Setup};
+use crate::baseline::ShareKind;
+use crate::driver::callers::steady;
+use crate::driver::{Driver, RunResult, Setup};
 use policy::capacity::{CapacityShare, PoolReport, ShareSettings};
 use rand::Rng;
 
@@ -36,7 +32,8 @@
 fn uneven_balancer_leaves_no_slot_idle() {
     for entries in [3, 24] {
         let (scaled, goodput) = run(entries, 0.8, ShareKind::Scaled, (0.0, 0.0));
-        let (_, even) = run(entries, 0.8, ShareKind::EvenPart, (0.0, 0.0));
+        let (parts, even) = run(entries, 0.8, ShareKind::EvenPart, (0.0, 0.0));
+        assert!(scaled.busy_slots > parts.busy_slots * 1.2, "slots idle");
         assert!(goodput > 0.76, "{goodput} of 0.8 with {entries} entries");
         assert!(even < 0.6, "even parts gave {even}");
         let refused = scaled.pick(|job| job.refused).len();
--- a/crates/policy/tests/driver/mod.rs
+++ b/crates/policy/tests/load/driver/mod.rs
@@ -1,6 +1,6 @@
 //! Callers, entries and engines on a virtual clock, to see what a decision does for callers.
 
-#![allow(dead_code, clippy::cast_precision_loss)]
+#![allow(clippy::cast_precision_loss)]
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
--- a/crates/policy/tests/early_refusal.rs
+++ b/crates/policy/tests/load/early_refusal.rs
@@ -1,15 +1,11 @@
 //! Refusal at arrival, expiry and the times to come back.
 
-#[path = "../examples/compare/baseline/mod.rs"]
-mod baseline;
-mod driver;
-
 use std::time::Duration;
 
-use baseline::QueueKind;
+use crate::baseline::QueueKind;
+use crate::driver::callers::{merged, steady};
+use crate::driver::{Driver, RunResult, Setup};
 use domain::CustomerKey;
-use driver::callers::{merged, steady};
-use driver::{Driver, RunResult, Setup};
 use policy::admission::{AdmissionQueue, OfferOutcome, WaitingRequest};
 use quickcheck::{Arbitrary, Gen};
 use rand::Rng;
--- a/crates/policy/tests/fair_admission.rs
+++ b/crates/policy/tests/load/fair_admission.rs
@@ -1,15 +1,11 @@
 //! Fairness between customers at one entry.
 
-#[path = "../examples/compare/baseline/mod.rs"]
-mod baseline;
-mod driver;
-
 use std::time::Duration;
 
-use baseline::QueueKind;
+use crate::baseline::QueueKind;
+use crate::driver::callers::{merged, steady};
+use crate::driver::{Call, Driver, Job, Setup};
 use domain::CustomerKey;
-use driver::callers::{merged, steady};
-use driver::{Call, Driver, Job, Setup};
 use policy::admission::{AdmissionQueue, OfferOutcome, WaitKey, WaitingRequest};
 use quickcheck::{Arbitrary, Gen};
 use rand::Rng;
--- a/crates/policy/tests/prefix_affinity.rs
+++ b/crates/policy/tests/load/prefix_affinity.rs
@@ -1,13 +1,9 @@
 //! Sending prompts to the targets that hold their prefixes.
 
-#[path = "../examples/compare/baseline/mod.rs"]
-mod baseline;
-mod driver;
-
-use baseline::{PlaceKind, QueueKind, ShareKind};
+use crate::baseline::{PlaceKind, QueueKind, ShareKind};
+use crate::driver::callers::steady;
+use crate::driver::{Driver, RunResult, Setup};
 use domain::TargetKey;
-use driver::callers::steady;
-use driver::{Driver, RunResult, Setup};
 use policy::placement::PrefixIndex;
 use quickcheck::{Arbitrary, Gen};
 use rand::Rng;
--- a/crates/policy/tests/target_choice.rs
+++ b/crates/policy/tests/load/target_choice.rs
@@ -1,15 +1,11 @@
 //! Choosing a target by its predicted time to the first token.
 
-#[path = "../examples/compare/baseline/mod.rs"]
-mod baseline;
-mod driver;
-
 use std::time::Duration;
 
-use baseline::{PlaceKind, QueueKind, ShareKind};
+use crate::baseline::{PlaceKind, QueueKind, ShareKind};
+use crate::driver::callers::steady;
+use crate::driver::{Call, Driver, Job, RunResult, Setup};
 use domain::{AdapterName, TargetKey};
-use driver::callers::steady;
-use driver::{Call, Driver, Job, RunResult, Setup};
 use policy::placement::{
     PlacementRequest, PlacementSettings, TargetFacts, TargetLoad, TargetOutcome, TargetPool,
 };
--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -5,10 +5,11 @@
 
 use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId};
 
+use super::situation::{FabricSituation, HostSituation};
 use super::spares::{is_spare_name, warm_spares};
 use super::step::{CloseMode, PlanStep};
 use crate::route::ModelShape;
-use crate::target::{MemberState, ReplicaMembership};
+use crate::target::MemberState;
 
 /// Age of the last change of an incomplete replica after which its formation counts as given up:
 /// orders are answered within milliseconds, and a lost answer is settled within a second.
@@ -24,70 +25,6 @@
 /// a head dies.
 const HEAD_PATIENCE: Duration = Duration::from_millis(300);
 
-/// What is known of a host.
-#[derive(Debug, Clone)]
-pub struct HostSituation {
-    /// The host.
-    pub id: HostId,
-    /// Time since when it does not answer, if it does not.
-    pub silent: Option<Duration>,
-    /// Whether it is leaving, and serves on for a while.
-    pub leaving: bool,
-    /// Whether the registry does not name it any more, though it still answers. It works on in its
-    /// replica; nothing new is built on it.
-    pub unlisted: bool,
-    /// Whether an order to it is not settled yet.
-    pub ordered: bool,
-    /// Model that it held last.
-    pub loaded: Option<ModelName>,
-    /// Models on its disk or memory.
-    pub staged: Vec<ModelName>,
-    /// Its replica.
-    pub membership: Option<ReplicaMembership>,
-    /// Time since the last change of its membership, as this node saw it.
-    pub unchanged: Duration,
-}
-
-impl HostSituation {
-    fn answers(&self) -> bool {
-        self.silent.is_none()
-    }
-
-    pub(super) fn is_warm(&self, model: &ModelName) -> bool {
-        self.loaded.as_ref() == Some(model)
-    }
-
-    pub(super) fn has_weights(&self, model: &ModelName) -> bool {
-        self.is_warm(model) || self.staged.contains(model)
-    }
-
-    pub(super) fn has_any_weights(&self) -> bool {
-        self.loaded.is_some() || !self.staged.is_empty()
-    }
-
-    pub(super) fn is_joining(&self) -> bool {
-        self.membership
-            .as_ref()
-            .is_some_and(|membership| membership.state == MemberState::Joining)
-    }
-}
-
-/// A fabric domain with what is wanted of it.
-#[derive(Debug)]
-pub struct FabricSituation<'a> {
-    /// Models.
-    pub models: &'a [ModelShape],
-    /// Replicas wanted by model.
-    pub wanted: &'a BTreeMap<ModelName, usize>,
-    /// Hosts.
-    pub hosts: &'a [HostSituation],
-    /// Replicas that were seen serving, or whose formation failed; none of them is opened again.
-    pub spent: &'a FastSet<(ReplicaId, u64)>,
-    /// Whether hosts without weights may join replicas: true before the first request, when
-    /// loads are quick and nobody waits for a spare.
-    pub may_load_members: bool,
-}
-
 /// A replica as the hosts describe it.
 struct KnownReplica<'a> {
     replica: &'a ReplicaId,
--- a/crates/serving/src/plan/mod.rs
+++ b/crates/serving/src/plan/mod.rs
@@ -7,10 +7,12 @@
 
 mod fabric;
 mod layout;
+mod situation;
 mod spares;
 mod step;
 
-pub use fabric::{FabricSituation, HostSituation, plan_fabric};
+pub use fabric::plan_fabric;
 pub use layout::{FabricLayout, lay_out};
+pub use situation::{FabricSituation, HostSituation};
 pub use spares::SPARE_PREFIX;
 pub use step::{CloseMode, PlanStep};
--- /dev/null
+++ b/crates/serving/src/plan/situation.rs
@@ -0,0 +1,73 @@
+//! What a plan starts from: hosts of one fabric domain, and what is wanted of them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use domain::{FastSet, HostId, ModelName, ReplicaId};
+
+use crate::route::ModelShape;
+use crate::target::{MemberState, ReplicaMembership};
+
+/// What is known of a host.
+#[derive(Debug, Clone)]
+pub struct HostSituation {
+    /// The host.
+    pub id: HostId,
+    /// Time since when it does not answer, if it does not.
+    pub silent: Option<Duration>,
+    /// Whether it is leaving, and serves on for a while.
+    pub leaving: bool,
+    /// Whether the registry does not name it any more, though it still answers. It works on in its
+    /// replica; nothing new is built on it.
+    pub unlisted: bool,
+    /// Whether an order to it is not settled yet.
+    pub ordered: bool,
+    /// Model that it held last.
+    pub loaded: Option<ModelName>,
+    /// Models on its disk or memory.
+    pub staged: Vec<ModelName>,
+    /// Its replica.
+    pub membership: Option<ReplicaMembership>,
+    /// Time since the last change of its membership, as this node saw it.
+    pub unchanged: Duration,
+}
+
+impl HostSituation {
+    pub(super) fn answers(&self) -> bool {
+        self.silent.is_none()
+    }
+
+    pub(super) fn is_warm(&self, model: &ModelName) -> bool {
+        self.loaded.as_ref() == Some(model)
+    }
+
+    pub(super) fn has_weights(&self, model: &ModelName) -> bool {
+        self.is_warm(model) || self.staged.contains(model)
+    }
+
+    pub(super) fn has_any_weights(&self) -> bool {
+        self.loaded.is_some() || !self.staged.is_empty()
+    }
+
+    pub(super) fn is_joining(&self) -> bool {
+        self.membership
+            .as_ref()
+            .is_some_and(|membership| membership.state == MemberState::Joining)
+    }
+}
+
+/// A fabric domain with what is wanted of it.
+#[derive(Debug)]
+pub struct FabricSituation<'a> {
+    /// Models.
+    pub models: &'a [ModelShape],
+    /// Replicas wanted by model.
+    pub wanted: &'a BTreeMap<ModelName, usize>,
+    /// Hosts.
+    pub hosts: &'a [HostSituation],
+    /// Replicas that were seen serving, or whose formation failed; none of them is opened again.
+    pub spent: &'a FastSet<(ReplicaId, u64)>,
+    /// Whether hosts without weights may join replicas: true before the first request, when
+    /// loads are quick and nobody waits for a spare.
+    pub may_load_members: bool,
+}
--- a/crates/serving/src/plan/spares.rs
+++ b/crates/serving/src/plan/spares.rs
@@ -2,7 +2,7 @@
 
 use domain::{FastMap, ModelName, ReplicaId};
 
-use super::fabric::{FabricSituation, HostSituation};
+use super::situation::{FabricSituation, HostSituation};
 use super::step::PlanStep;
 use crate::route::ModelShape;
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod catalogue;
 pub mod field;
+mod load;
 pub mod node;
 pub mod page;
 pub mod reader;
@@ -14,6 +15,7 @@
 
 pub use catalogue::fields;
 pub use field::{FieldKind, SettingField};
-pub use node::{NodeSettings, SettingsError};
+pub use load::SettingsError;
+pub use node::NodeSettings;
 pub use reader::read_settings;
 pub use secret::SecretText;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -12,17 +12,14 @@
 use control::ledger::LedgerSettings;
 use control::members::MemberSettings;
 use control::wholeness::WatchSettings;
-use domain::{DomainId, FindingList, NodeId, RegionId};
+use domain::{DomainId, NodeId, RegionId};
 use entry::EntrySettings;
 use events::EventLevel;
 use peers::PeerSettings;
 use platform::BudgetSettings;
 use serde::Deserialize;
-use serde_json::Value;
 use web::TlsFiles;
 
-use crate::reader::read_settings;
-use crate::rules::check_rules;
 use crate::secret::{SecretError, SecretText};
 
 /// Settings of a node.
@@ -205,35 +202,6 @@
     pub events: usize,
 }
 
-/// Why a settings file can't be used.
-#[derive(Debug, thiserror::Error)]
-pub enum SettingsError {
-    /// The file can't be read.
-    #[error("can't read {path}: {problem}")]
-    File {
-        /// The path.
-        path: String,
-        /// Why.
-        problem: String,
-    },
-    /// The file is no JSON.
-    #[error("{path} is no JSON: {problem}")]
-    Json {
-        /// The path.
-        path: String,
-        /// Why, with line and column.
-        problem: String,
-    },
-    /// Its content breaks rules.
-    #[error("{path} has {} finding(s):\n{findings}", findings.as_slice().len())]
-    Findings {
-        /// The path.
-        path: String,
-        /// The findings.
-        findings: FindingList,
-    },
-}
-
 impl NodeSettings {
     /// The settings of control as one.
     #[must_use]
@@ -248,42 +216,4 @@
             plans_ms: self.control.plans_ms,
         }
     }
-
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// [`SettingsError`].
-    pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let shown = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| SettingsError::File {
-            path: shown.clone(),
-            problem: error.to_string(),
-        })?;
-        let file: Value = serde_json::from_str(&text).map_err(|error| SettingsError::Json {
-            path: shown.clone(),
-            problem: error.to_string(),
-        })?;
-        Self::from_value(&file).map_err(|findings| SettingsError::Findings {
-            path: shown,
-            findings,
-        })
-    }
-
-    /// Checks settings that are already JSON.
-    ///
-    /// # Errors
-    ///
-    /// Every finding.
-    pub fn from_value(file: &Value) -> Result<Self, FindingList> {
-        let typed = read_settings(file)?;
-        let settings: Self = serde_json::from_value(typed).map_err(|error| {
-            let mut findings = FindingList::default();
-            let advice = "report this: the catalogue lacks a check";
-            findings.add(".", error.to_string(), advice);
-            findings
-        })?;
-        check_rules(&settings)?;
-        Ok(settings)
-    }
 }
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -12,8 +12,8 @@
 
 use super::batch::StepCosts;
 use super::cache::PrefixCache;
+use super::health::PeerHealth;
 use super::loading::{LoadNeed, LoadedWeights, load, load_need};
-use super::peers::PeerHealth;
 use super::pool::{KvCache, StreamPool};
 use super::report::LoadReport;
 use crate::faults::{FaultSwitch, OutageMode};
@@ -262,7 +262,11 @@
         if need == LoadNeed::Nothing || instant {
             core.finish_load(&wanted);
         } else {
-            tokio::spawn(load(Arc::clone(core), wanted, need));
+            let core = Arc::clone(core);
+            tokio::spawn(async move {
+                load(&core.client, &core.options, &wanted, need).await;
+                core.finish_load(&wanted);
+            });
         }
     }
     json_answer(StatusCode::OK, &core.state())
--- a/crates/standin/src/engine/loading.rs
+++ b/crates/standin/src/engine/loading.rs
@@ -1,7 +1,6 @@
 //! Loading weights and adapters, which takes time.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use domain::{ModelName, VersionName};
@@ -11,7 +10,7 @@
 use web::{ClientError, WebClient};
 use wire::engine::EngineAssignment;
 
-use super::core::EngineCore;
+use crate::options::EngineOptions;
 
 /// Adapters and a change of role take this part of the time of whole weights.
 const SMALL_PART: u32 = 10;
@@ -63,20 +62,24 @@
     }
 }
 
-/// Loads what an assignment needs, then makes the engine ready, unless it has another one by then.
-pub async fn load(core: Arc<EngineCore>, wanted: EngineAssignment, need: LoadNeed) {
-    let time = Duration::from_millis(core.options.load_ms);
-    match (need, core.options.weights) {
+/// Takes as long as loading what an assignment needs.
+pub async fn load(
+    client: &WebClient,
+    options: &EngineOptions,
+    wanted: &EngineAssignment,
+    need: LoadNeed,
+) {
+    let time = Duration::from_millis(options.load_ms);
+    match (need, options.weights) {
         (LoadNeed::Nothing, _) => {}
         (LoadNeed::Small, _) => tokio::time::sleep(time / SMALL_PART).await,
         (LoadNeed::Weights, None) => tokio::time::sleep(time).await,
         (LoadNeed::Weights, Some(store)) => {
-            while fetch(&core.client, store, &wanted).await.is_err() {
+            while fetch(client, store, wanted).await.is_err() {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
     }
-    core.finish_load(&wanted);
 }
 
 /// Reads a model's weights to their end.
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -8,6 +8,7 @@
 pub mod batch;
 pub mod cache;
 pub mod core;
+mod health;
 pub mod loading;
 pub mod peers;
 pub mod pool;
--- a/crates/standin/src/engine/peers.rs
+++ b/crates/standin/src/engine/peers.rs
@@ -13,21 +13,11 @@
 use wire::engine::{EngineAssignment, EngineState};
 
 use super::core::EngineCore;
+use super::health::PeerHealth;
 
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// What rank 0 knows of its peers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PeerHealth {
-    /// All take part.
-    Whole,
-    /// Some still load; steps wait for them.
-    Loading,
-    /// Some are gone, since then.
-    Gone(Instant),
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum PeerState {
     Whole,
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -1,50 +1,13 @@
 //! Model engines that form replicas by orders and stream events.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
-
 use futures::stream;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use serde_json::{Value, json};
 
+use super::groups::{EngineState, SiteGroups};
 use super::http::{SiteAnswer, SiteRequest, SiteServer, json as json_answer, plain};
 use super::run::Run;
-use super::store::SiteStore;
-
-#[derive(Debug, Clone, PartialEq)]
-pub(super) struct Group {
-    pub name: String,
-    pub epoch: u64,
-    pub rank: usize,
-    pub members: Vec<String>,
-    pub state: &'static str,
-}
-
-#[derive(Debug)]
-pub(super) struct EngineState {
-    fabric: String,
-    zone: String,
-    address: String,
-    pub orders: u64,
-    pub loaded: Option<String>,
-    pub group: Option<Group>,
-    pub dark: bool,
-    draining: bool,
-    events: usize,
-    /// Ids of requests that began to run here.
-    ran: Vec<String>,
-}
-
-/// What all engines of a site share: who is where, and who lives.
-#[derive(Debug, Clone)]
-pub struct SiteGroups {
-    store: SiteStore,
-    engines: Arc<Mutex<BTreeMap<String, EngineState>>>,
-    /// Joins of a host whose group's head was open, and requests that began in an incomplete
-    /// replica. Both must stay empty.
-    violations: Arc<Mutex<Vec<String>>>,
-}
 
 /// One engine; dropped, its process is gone.
 #[derive(Debug)]
@@ -55,25 +18,6 @@
 }
 
 impl SiteGroups {
-    /// No engines yet.
-    #[must_use]
-    pub fn new(store: &SiteStore) -> Self {
-        Self {
-            store: store.clone(),
-            engines: Arc::default(),
-            violations: Arc::default(),
-        }
-    }
-
-    pub(super) fn with<R>(
-        &self,
-        id: &str,
-        use_it: impl FnOnce(&mut EngineState) -> R,
-    ) -> Option<R> {
-        let mut engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
-        engines.get_mut(id).map(use_it)
-    }
-
     /// Starts an engine in a fabric domain and registers it.
     ///
     /// # Errors
@@ -107,10 +51,6 @@
         })
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, EngineState>> {
-        self.engines.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Lets an engine fall silent: its connections stand and nothing comes any more.
     pub fn go_dark(&self, id: &str) {
         self.with(id, |engine| engine.dark = true);
@@ -168,20 +108,6 @@
         ran.unwrap_or(false)
     }
 
-    /// What must never have happened.
-    #[must_use]
-    pub fn violations(&self) -> Vec<String> {
-        let violations = self.violations.lock();
-        violations.unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    pub(super) fn violate(&self, text: String) {
-        let violations = self.violations.lock();
-        violations
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(text);
-    }
-
     pub(super) fn register(&self, id: &str) {
         let row = self.with(id, |engine| {
             let mut row = describe(engine);
@@ -221,21 +147,6 @@
         }
     }
 
-    pub(super) fn group_name(&self, id: &str) -> Option<String> {
-        let group = self.with(id, |engine| engine.group.clone()).flatten()?;
-        Some(group.name)
-    }
-
-    /// Whether all members of a head's group live and are in it.
-    pub(super) fn is_whole(&self, group: &Group) -> bool {
-        let engines = self.lock();
-        group.members.iter().all(|member| {
-            let engine = engines.get(member).filter(|engine| !engine.dark);
-            let own = engine.and_then(|engine| engine.group.as_ref());
-            own.is_some_and(|own| own.name == group.name)
-        })
-    }
-
     fn generate(&self, id: &str, request: &SiteRequest) -> SiteAnswer {
         let group = self.with(id, |engine| engine.group.clone()).flatten();
         let open = group.filter(|group| group.rank == 0 && group.state == "open");
@@ -280,11 +191,6 @@
         }
         answer
     }
-
-    fn is_elsewhere(&self, member: &str, group: &Group) -> bool {
-        let own = self.with(member, |engine| engine.group.clone()).flatten();
-        own.is_some_and(|own| own.name != group.name)
-    }
 }
 
 fn describe(engine: &EngineState) -> Value {
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -4,12 +4,14 @@
 //! loopback, so that tests run the clients that are shipped.
 
 mod engine;
+mod groups;
 mod http;
 mod orders;
 mod plain;
 mod run;
 mod store;
 
-pub use engine::{SiteEngine, SiteGroups};
+pub use engine::SiteEngine;
+pub use groups::SiteGroups;
 pub use plain::{PlainMode, SiteInstance};
 pub use store::{SiteStore, StoreMode};
--- a/crates/standin/src/site/orders.rs
+++ b/crates/standin/src/site/orders.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use serde_json::{Value, json};
 
-use super::engine::{Group, SiteGroups};
+use super::groups::{Group, SiteGroups};
 use super::http::{SiteAnswer, SiteRequest, plain};
 
 /// Time for a join; a spare that held the model and one that did not take the same here.
--- a/crates/standin/src/site/run.rs
+++ b/crates/standin/src/site/run.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::body::Frame;
 
-use super::engine::{Group, SiteGroups};
+use super::groups::{Group, SiteGroups};
 
 /// Pause between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
