--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -11,7 +11,7 @@
 use web::{
     WebAnswer, WebHandler, WebRequest, json_answer, parse_json, query_value, read_body, text_answer,
 };
-use wire::admin::{AmendAnswer, AmendBody, ChangeBody, NodeStatus, RecordBody};
+use wire::admin::{AmendAnswer, AmendBody, ChangeBody, NO_CALL, NO_RECORD, NodeStatus, RecordBody};
 
 use crate::access::OperatorKey;
 use crate::records::{
@@ -139,11 +139,11 @@
                     Err(problem) => return text_answer(StatusCode::BAD_REQUEST, &problem),
                 };
                 match get_record(&self.parts.table, kind, name).await {
-                    Ok(None) => text_answer(StatusCode::NOT_FOUND, "no such record"),
+                    Ok(None) => text_answer(StatusCode::NOT_FOUND, NO_RECORD),
                     found => table_answer(found.map(|stored| stored.map(record_body))),
                 }
             }
-            _ => text_answer(StatusCode::NOT_FOUND, "no such call"),
+            _ => text_answer(StatusCode::NOT_FOUND, NO_CALL),
         }
     }
 
@@ -205,7 +205,7 @@
             (Method::GET, "/events") => json_answer(StatusCode::OK, &self.parts.recorder.recent()),
             (Method::GET, "/history") => self.history(&query).await,
             (Method::GET, _) if path.starts_with("/records") => self.records(&path, &query).await,
-            _ => text_answer(StatusCode::NOT_FOUND, "no such call"),
+            _ => text_answer(StatusCode::NOT_FOUND, NO_CALL),
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,14 @@
     pub serving_replicas: usize,
     /// Replicas that are known and don't serve.
     pub idle_replicas: usize,
+    /// Of these: some members still load, or the head was not opened yet.
+    pub forming_replicas: usize,
+    /// Of these: the head ends its requests.
+    pub closing_replicas: usize,
+    /// Of these: a member is lost.
+    pub broken_replicas: usize,
+    /// Repeats that may be made now, at the service that has the fewest left.
+    pub repeats_left: f64,
     /// Hosts of model services that serve nothing.
     pub stranded_hosts: usize,
     /// Targets that don't answer.
@@ -80,7 +88,7 @@
     store_calls: Histogram<f64>,
     stranded_time: Counter<f64>,
     downtime: Counter<f64>,
-    gauges: [(Gauge<f64>, NodeFigure); 10],
+    gauges: [(Gauge<f64>, NodeFigure); 14],
 }
 
 type NodeFigure = fn(&NodeFigures) -> f64;
@@ -178,7 +186,7 @@
     }
 }
 
-fn gauges(meter: &Meter) -> [(Gauge<f64>, NodeFigure); 10] {
+fn gauges(meter: &Meter) -> [(Gauge<f64>, NodeFigure); 14] {
     let gauge = |name| meter.f64_gauge(name).build();
     [
         (gauge("bramleyspring.gateway.config.revision"), |figures| {
@@ -193,6 +201,18 @@
         (gauge("bramleyspring.gateway.replica.idle"), |figures| {
             count(figures.idle_replicas)
         }),
+        (gauge("bramleyspring.gateway.replica.forming"), |figures| {
+            count(figures.forming_replicas)
+        }),
+        (gauge("bramleyspring.gateway.replica.closing"), |figures| {
+            count(figures.closing_replicas)
+        }),
+        (gauge("bramleyspring.gateway.replica.broken"), |figures| {
+            count(figures.broken_replicas)
+        }),
+        (gauge("bramleyspring.gateway.repeat.left"), |figures| {
+            figures.repeats_left
+        }),
         (gauge("bramleyspring.gateway.host.stranded"), |figures| {
             count(figures.stranded_hosts)
         }),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -77,15 +77,25 @@
             running: self.running(),
             connections: self.connections(),
             dropped_lines: self.sink.dropped(),
+            repeats_left: self.repeats_left(),
             ..NodeFigures::default()
         };
         let mut serving_hosts = 0;
         for replica in registry.replicas() {
-            if replica.head_state == Some(MemberState::Open) && !self.has_suspect(replica) {
+            let lost = self.has_suspect(replica);
+            if replica.head_state == Some(MemberState::Open) && !lost {
                 figures.serving_replicas += 1;
                 serving_hosts += replica.members.len();
-            } else {
-                figures.idle_replicas += 1;
+                continue;
+            }
+            figures.idle_replicas += 1;
+            match replica.head_state {
+                _ if lost => figures.broken_replicas += 1,
+                Some(MemberState::Joining | MemberState::Ready) => figures.forming_replicas += 1,
+                Some(MemberState::Closing) => figures.closing_replicas += 1,
+                Some(MemberState::Broken | MemberState::Open) | None => {
+                    figures.broken_replicas += 1;
+                }
             }
         }
         let hosts = registry.targets().filter(|entry| entry.fabric.is_some());
@@ -126,6 +136,15 @@
         use_them(shares.entry(service.clone()).or_default())
     }
 
+    /// Repeats that may be made now, at the service that has the fewest left; 0 before the first
+    /// request.
+    fn repeats_left(&self) -> f64 {
+        let (now, nodes) = (self.now(), self.node_count());
+        let mut budgets = self.budgets.borrow_mut();
+        let left = budgets.values_mut().map(|budget| budget.left(now, nodes));
+        left.reduce(f64::min).unwrap_or(0.0)
+    }
+
     /// Begins to stop.
     pub fn stop(&self) {
         self.stopping.set(Some(self.now()));
--- a/crates/serving/src/budget.rs
+++ b/crates/serving/src/budget.rs
@@ -74,14 +74,19 @@
         self.slice(now).requests += 1;
     }
 
-    /// Takes one repeat, if `nodes` nodes that all do so stay within the limit.
-    pub fn take(&mut self, now: Duration, nodes: usize) -> bool {
+    /// Repeats that this node may make now, if `nodes` nodes share the limit.
+    pub fn left(&mut self, now: Duration, nodes: usize) -> f64 {
         self.slice(now);
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let repeats: u32 = self.slices.iter().map(|slice| slice.repeats).sum();
         let nodes = f64::from(u32::try_from(nodes.max(1)).unwrap_or(u32::MAX));
         let allowed = self.limits.ratio * f64::from(requests) + self.limits.extra / nodes;
-        if f64::from(repeats + 1) > allowed * USED_PART {
+        allowed * USED_PART - f64::from(repeats)
+    }
+
+    /// Takes one repeat, if `nodes` nodes that all do so stay within the limit.
+    pub fn take(&mut self, now: Duration, nodes: usize) -> bool {
+        if self.left(now, nodes) < 1.0 {
             return false;
         }
         self.slice(now).repeats += 1;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod objects;
 pub mod options;
 pub mod quickstart;
+pub mod relay;
 pub mod rows;
 pub mod serve;
 pub mod service;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,7 +4,9 @@
 
 use gumdrop::Options;
 use standin::options::{StandinCommand, StandinOptions};
-use standin::{engine, hostlist, load, measure, objects, quickstart, service, table, weights};
+use standin::{
+    engine, hostlist, load, measure, objects, quickstart, relay, service, table, weights,
+};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -29,6 +31,8 @@
         Some(StandinCommand::Quickstart(options)) => quickstart::run(options).await,
         Some(StandinCommand::Load(options)) => load::run(options).await,
         Some(StandinCommand::MeasurePath(options)) => measure::run(options).await,
+        Some(StandinCommand::MeasureGateway(options)) => measure::run_gateway(options).await,
+        Some(StandinCommand::Relay(options)) => relay::run(options).await,
         Some(StandinCommand::MeasureControl(_)) => measure::run_control().await,
         None => eyre::bail!("name a command: see --help"),
     }
--- /dev/null
+++ b/crates/standin/src/measure/gateway.rs
@@ -0,0 +1,317 @@
+//! What a gateway costs beside a plain relay: processor time of requests and events, memory of
+//! open streams.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eyre::{OptionExt, WrapErr};
+use futures::future::try_join_all;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::task::JoinHandle;
+use web::HttpLink;
+
+use super::RoundSpread;
+use super::process::{processor_seconds, resident_kib};
+use crate::site::{SiteEngine, SiteGroups, SiteInstance, SiteStore};
+
+/// Callers at once of plain calls, within what one instance takes, and of streams.
+const PLAIN_CALLERS: usize = 8;
+const STREAM_CALLERS: usize = 200;
+
+/// Streams at which memory is read.
+const OPEN_STREAMS: usize = 300;
+
+/// Events of a stream, and of one that is to stay open.
+const EVENTS: usize = 30;
+const OPEN_EVENTS: usize = 10_000;
+
+/// Time of one round.
+const ROUND_TIME: Duration = Duration::from_secs(4);
+
+/// Longest wait for a connection on loopback, and for a replica to serve.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// A platform with one replica and one instance, in this process.
+struct MeasuredSite {
+    store: SiteStore,
+    groups: SiteGroups,
+    engines: Vec<SiteEngine>,
+    instance: SiteInstance,
+}
+
+/// A process that forwards.
+struct Forwarder {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// One way to forward, with its figures.
+#[derive(Debug, Default)]
+struct ForwardCost {
+    plain_us: Vec<f64>,
+    event_us: Vec<f64>,
+    stream_kib: f64,
+}
+
+/// Measures and prints.
+///
+/// # Errors
+///
+/// When a process does not start, a call fails, or `/proc` can't be read.
+pub async fn run(product: &Path, rounds: usize) -> eyre::Result<()> {
+    let site = MeasuredSite::start().await?;
+    let gateway = site.gateway(product).await?;
+    let head = site.head()?;
+    let plain_relay = site.relay(site.instance.address()).await?;
+    let stream_relay = site.relay(head).await?;
+    site.groups.set_events(OPEN_EVENTS);
+    let mut costs = [ForwardCost::default(), ForwardCost::default()];
+    // First of all: what later rounds need lies in memory that was freed before.
+    costs[0].stream_kib = measure_memory(&gateway).await?;
+    costs[1].stream_kib = measure_memory(&stream_relay).await?;
+    site.groups.set_events(EVENTS);
+    for _ in 0..rounds {
+        for (cost, plain, stream) in [(0, &gateway, &gateway), (1, &plain_relay, &stream_relay)] {
+            costs[cost].plain_us.push(measure_plain(plain).await?);
+            costs[cost].event_us.push(measure_events(stream).await?);
+        }
+    }
+    println!("a gateway beside a plain relay, {rounds} rounds of {ROUND_TIME:?};");
+    println!("median round (lowest to highest)");
+    for (name, cost) in ["gateway", "relay"].iter().zip(&costs) {
+        println!("  {name}:");
+        println!(
+            "    us a plain request: {:.0}",
+            RoundSpread::of(&cost.plain_us)
+        );
+        println!("    us an event: {:.1}", RoundSpread::of(&cost.event_us));
+        println!(
+            "    KiB a stream at {OPEN_STREAMS} open: {:.1}",
+            cost.stream_kib
+        );
+    }
+    println!(
+        "  memory of the gateway at the end: {:.0} KiB",
+        resident_kib(gateway.child.id())?
+    );
+    Ok(())
+}
+
+impl MeasuredSite {
+    async fn start() -> eyre::Result<Self> {
+        let store = SiteStore::default();
+        let groups = SiteGroups::new(&store);
+        let instance = SiteInstance::start(&store, "s0", "z0").await?;
+        let mut engines = Vec::new();
+        for index in 0..2 {
+            engines.push(groups.start(&format!("e{index}"), "f0", "z0").await?);
+        }
+        store.put("op", "config", configuration().to_string().as_bytes());
+        Ok(Self {
+            store,
+            groups,
+            engines,
+            instance,
+        })
+    }
+
+    /// The address of the replica's head.
+    fn head(&self) -> eyre::Result<SocketAddr> {
+        let serving = self.groups.serving();
+        let head = serving.first().and_then(|members| members.first());
+        let head = head.ok_or_eyre("no replica serves")?;
+        let engine = self.engines.iter().find(|engine| engine.id == *head);
+        Ok(engine.ok_or_eyre("the head is gone")?.address())
+    }
+
+    async fn gateway(&self, product: &Path) -> eyre::Result<Forwarder> {
+        let any = "127.0.0.1:0";
+        let settings = json!({
+            "node": "measured", "failure_domain": "z0", "store": self.store.serve().await?,
+            "first_start": true,
+            "listen": {"requests": any, "readiness": any, "metrics": any},
+            "bounds": {"stop_grace_s": 8, "repeat_ratio": 0.2, "repeat_window_s": 10,
+                "repeat_extra": 130, "load_window_s": 5, "fencing": false},
+        });
+        let file = std::env::temp_dir().join(format!("measured-{}.json", std::process::id()));
+        std::fs::write(&file, settings.to_string())?;
+        let mut command = Command::new(product);
+        command.args(["gateway", "--settings"]).arg(&file);
+        let (forwarder, line) = start(command).await?;
+        std::fs::remove_file(&file)?;
+        let line: serde_json::Value = serde_json::from_str(&line)?;
+        let address = line["requests"].as_str().ok_or_eyre("no address")?;
+        let waiting = async {
+            while self.groups.serving().is_empty() {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            // The registry tells of the replica a moment after it serves.
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        };
+        tokio::time::timeout(PATIENCE, waiting)
+            .await
+            .wrap_err("no replica came to serve")?;
+        Ok(Forwarder {
+            child: forwarder,
+            address: address.parse()?,
+        })
+    }
+
+    async fn relay(&self, server: SocketAddr) -> eyre::Result<Forwarder> {
+        let mut command = Command::new(std::env::current_exe()?);
+        command.args(["relay", "--to", &server.to_string()]);
+        let (child, line) = start(command).await?;
+        let address = line.trim().rsplit(' ').next().unwrap_or_default();
+        Ok(Forwarder {
+            child,
+            address: address.parse()?,
+        })
+    }
+}
+
+/// Starts a process and reads the first line of its output; the others are read and dropped.
+async fn start(mut command: Command) -> eyre::Result<(Child, String)> {
+    let mut child = command.stdout(Stdio::piped()).spawn()?;
+    let output = child.stdout.take().ok_or_eyre("no output")?;
+    let output = tokio::process::ChildStdout::from_std(output)?;
+    let mut lines = BufReader::new(output).lines();
+    let line = tokio::time::timeout(PATIENCE, lines.next_line())
+        .await
+        .wrap_err("the process does not say where it listens")??
+        .ok_or_eyre("no first line")?;
+    tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+    Ok((child, line))
+}
+
+fn configuration() -> serde_json::Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": "desk.example", "prefix": prefix, "route_type": kind,
+            "service": service, "timeout_ms": 600_000, "target_latency_ms": 300, "priority": 1,
+            "max_attempts": 2, "public": true, "resumable": kind == "streaming",
+        })
+    };
+    json!({
+        "version": 1,
+        "routes": [
+            route("chat", "/chat/", "streaming", "assistant"),
+            route("look", "/look/", "idempotent", "records"),
+        ],
+        "services": [
+            {"name": "assistant", "max_connections": 4000, "engine": {
+                "slots": 1000, "step_ms": 6.0, "per_seq_ms": 0.2, "read_per_s": 46000.0,
+                "usual": {"prompt": 1000.0, "answer": 100.0}, "loads_per_s": 50.0,
+                "models": [{"name": "helper", "size": 2, "share": 1.0, "pace": 1.0, "load_s": 1.0}],
+            }},
+            {"name": "records", "max_connections": 4000},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [],
+    })
+}
+
+async fn ask(link: &mut HttpLink, path: &str, id: &str) -> eyre::Result<Response<Incoming>> {
+    let request = Request::post(path)
+        .header("host", "desk.example")
+        .header("x-request-id", id)
+        .header("x-deadline-ms", "600000")
+        .header("x-model", "helper")
+        .header("x-token-usage", "100,60")
+        .body(Full::new(Bytes::from_static(b"{}")))?;
+    let answer = link.send(request).await?;
+    eyre::ensure!(answer.status().is_success(), "answered {}", answer.status());
+    Ok(answer)
+}
+
+/// Reads an answer to its end; how many events it held.
+async fn read_events(answer: Response<Incoming>) -> eyre::Result<u32> {
+    let mut body = answer.into_body();
+    let mut events = 0;
+    while let Some(frame) = body.frame().await {
+        let data = frame?.into_data().unwrap_or_default();
+        let ends = data.windows(2).filter(|pair| *pair == b"\n\n").count();
+        events += u32::try_from(ends)?;
+    }
+    Ok(events)
+}
+
+/// Microseconds of the forwarder's processor time for each unit that the callers got.
+async fn measure<F, C>(forwarder: &Forwarder, callers: usize, caller: C) -> eyre::Result<f64>
+where
+    F: Future<Output = eyre::Result<u32>>,
+    C: Fn(usize, Instant) -> F,
+{
+    let before = processor_seconds(forwarder.child.id())?;
+    let end = Instant::now() + ROUND_TIME;
+    let units = try_join_all((0..callers).map(|number| caller(number, end))).await?;
+    let spent = processor_seconds(forwarder.child.id())? - before;
+    let units: u32 = units.into_iter().sum();
+    Ok(spent * 1e6 / f64::from(units.max(1)))
+}
+
+async fn measure_plain(forwarder: &Forwarder) -> eyre::Result<f64> {
+    let address = forwarder.address;
+    measure(forwarder, PLAIN_CALLERS, |number, end| async move {
+        let mut link = HttpLink::connect(address, PATIENCE).await?;
+        let mut calls = 0;
+        while Instant::now() < end {
+            let answer = ask(&mut link, "/look/x", &format!("p{number}-{calls}")).await?;
+            answer.into_body().collect().await?;
+            calls += 1;
+        }
+        Ok(calls)
+    })
+    .await
+}
+
+async fn measure_events(forwarder: &Forwarder) -> eyre::Result<f64> {
+    let address = forwarder.address;
+    measure(forwarder, STREAM_CALLERS, |number, end| async move {
+        let mut link = HttpLink::connect(address, PATIENCE).await?;
+        let mut events = 0;
+        while Instant::now() < end {
+            let answer = ask(&mut link, "/chat/x", &format!("e{number}-{events}")).await?;
+            events += read_events(answer).await?;
+        }
+        Ok(events)
+    })
+    .await
+}
+
+/// KiB of the forwarder for each stream that it holds open.
+async fn measure_memory(forwarder: &Forwarder) -> eyre::Result<f64> {
+    let before = resident_kib(forwarder.child.id())?;
+    let mut open: Vec<JoinHandle<()>> = Vec::new();
+    for number in 0..OPEN_STREAMS {
+        let mut link = HttpLink::connect(forwarder.address, PATIENCE).await?;
+        let answer = ask(&mut link, "/chat/x", &format!("m{number}")).await?;
+        open.push(tokio::spawn(async move {
+            // The connection must live as long as its answer is read.
+            let _link = link;
+            drop(read_events(answer).await);
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let after = resident_kib(forwarder.child.id())?;
+    for task in open {
+        task.abort();
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    Ok((after - before) / f64::from(u32::try_from(OPEN_STREAMS)?))
+}
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -6,6 +6,7 @@
 pub mod chat;
 pub mod control;
 pub mod cost;
+pub mod gateway;
 pub mod path;
 pub mod process;
 
@@ -35,6 +36,20 @@
     cost::run(product, rounds).await
 }
 
+/// Runs the measurements of a gateway and prints them.
+///
+/// # Errors
+///
+/// When the product is not built beside this program, or a call fails.
+pub async fn run_gateway(options: MeasureOptions) -> eyre::Result<()> {
+    let product = product_path()?;
+    let mut signals = StopSignals::catch()?;
+    tokio::select! {
+        measured = gateway::run(&product, options.rounds) => measured,
+        () = signals.wait() => eyre::bail!("interrupted"),
+    }
+}
+
 /// Runs the measurements of control and prints them.
 ///
 /// # Errors
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -48,11 +48,28 @@
     /// The measurements of the request path.
     #[options(help = "measure what the request path adds and costs")]
     MeasurePath(MeasureOptions),
+    /// The measurements of a gateway.
+    #[options(help = "measure what a gateway costs beside a plain relay")]
+    MeasureGateway(MeasureOptions),
+    /// The plain relay.
+    #[options(help = "relay each request to one server, as a baseline")]
+    Relay(RelayOptions),
     /// The measurements of control.
     #[options(help = "measure what control costs a node, by nodes, records and hosts")]
     MeasureControl(ControlOptions),
 }
 
+/// Command line of the plain relay.
+#[derive(Debug, Options)]
+pub struct RelayOptions {
+    /// Prints this help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The server.
+    #[options(help = "address of the server", required)]
+    pub to: Option<SocketAddr>,
+}
+
 /// Command line of the measurements of control.
 #[derive(Debug, Options)]
 pub struct ControlOptions {
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,110 @@
+//! A relay that decides nothing: what forwarding costs at least.
+//!
+//! One thread, as a gateway has, and the same libraries; each request goes to one fixed server and
+//! its answer back as it comes. What a gateway costs beyond this is the price of its decisions.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::OptionExt;
+use futures::stream;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Builder;
+use tokio::task::{LocalSet, spawn_local};
+use web::{HttpLink, LinkError};
+
+use crate::options::RelayOptions;
+
+/// Longest wait for a connection on loopback.
+const CONNECT_LIMIT: Duration = Duration::from_secs(5);
+
+/// Idle connections to the server.
+type LinkStore = Rc<RefCell<Vec<HttpLink>>>;
+
+/// Relays until the process is ended, and says on standard output where.
+///
+/// # Errors
+///
+/// When no port is free.
+pub async fn run(options: RelayOptions) -> eyre::Result<()> {
+    let server = options.to.ok_or_eyre("name the server with --to")?;
+    // A thread and runtime of its own, or the connections would run on all cores.
+    let thread = tokio::task::spawn_blocking(move || {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        LocalSet::new().block_on(&runtime, relay(server))
+    });
+    thread.await?
+}
+
+async fn relay(server: SocketAddr) -> eyre::Result<()> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    println!("relay listens on {}", listener.local_addr()?);
+    let links = LinkStore::default();
+    loop {
+        let (stream, _) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        spawn_local(serve(stream, server, Rc::clone(&links)));
+    }
+}
+
+async fn serve(stream: TcpStream, server: SocketAddr, links: LinkStore) {
+    let service = service_fn(move |request| pass_on(request, server, Rc::clone(&links)));
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // The caller sees how its connection ends.
+    drop(connection.await);
+}
+
+/// Why a request was not relayed; its connection is closed.
+#[derive(Debug, thiserror::Error)]
+enum RelayError {
+    #[error("the request broke off")]
+    Request(#[from] hyper::Error),
+    #[error("the server gave no answer")]
+    Server(#[from] LinkError),
+}
+
+async fn pass_on(
+    request: Request<Incoming>,
+    server: SocketAddr,
+    links: LinkStore,
+) -> Result<Response<impl Body<Data = Bytes, Error = hyper::Error>>, RelayError> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await?.to_bytes();
+    let kept = links.borrow_mut().pop().filter(HttpLink::is_open);
+    let mut link = match kept {
+        Some(link) => link,
+        None => HttpLink::connect(server, CONNECT_LIMIT).await?,
+    };
+    let answer = link
+        .send(Request::from_parts(head, Full::new(body)))
+        .await?;
+    let (head, body) = answer.into_parts();
+    let frames = stream::unfold(Some((body, link)), move |state| {
+        let links = Rc::clone(&links);
+        async move {
+            let (mut body, link) = state?;
+            match body.frame().await {
+                Some(Ok(frame)) => Some((Ok(data_only(frame)), Some((body, link)))),
+                Some(Err(error)) => Some((Err(error), None)),
+                None => {
+                    links.borrow_mut().push(link);
+                    None
+                }
+            }
+        }
+    });
+    Ok(Response::from_parts(head, StreamBody::new(frames)))
+}
+
+fn data_only(frame: Frame<Bytes>) -> Frame<Bytes> {
+    Frame::data(frame.into_data().unwrap_or_default())
+}
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -1,5 +1,7 @@
 //! Model engines that form replicas by orders and stream events.
 
+use std::net::SocketAddr;
+
 use futures::stream;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -14,7 +16,15 @@
 pub struct SiteEngine {
     /// Its id.
     pub id: String,
-    _server: SiteServer,
+    server: SiteServer,
+}
+
+impl SiteEngine {
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
 }
 
 impl SiteGroups {
@@ -47,7 +57,7 @@
         self.register(id);
         Ok(SiteEngine {
             id: id.to_owned(),
-            _server: server,
+            server,
         })
     }
 
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -1,5 +1,6 @@
 //! Instances of a plain service.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use http::{HeaderValue, StatusCode};
@@ -36,7 +37,7 @@
 #[derive(Debug)]
 pub struct SiteInstance {
     state: Arc<Mutex<InstanceState>>,
-    _server: SiteServer,
+    server: SiteServer,
 }
 
 impl SiteInstance {
@@ -62,10 +63,13 @@
             "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
         });
         store.put("servers", id, row.to_string().as_bytes());
-        Ok(Self {
-            state,
-            _server: server,
-        })
+        Ok(Self { state, server })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
     }
 
     fn with<R>(&self, use_it: impl FnOnce(&mut InstanceState) -> R) -> R {
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -18,6 +18,12 @@
 
 use crate::record::RecordFrame;
 
+/// Text of a 404 for a record that is not there.
+pub const NO_RECORD: &str = "no such record";
+
+/// Text of a 404 for a path that is no call.
+pub const NO_CALL: &str = "no such call";
+
 /// What an operator expects of the record that is to be amended.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "is", rename_all = "snake_case")]
--- a/src/client.rs
+++ b/src/client.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use web::client::json_request;
 use web::{ClientError, WebClient, parse_json, read_body};
-use wire::admin::{AmendAnswer, AmendBody, ChangeBody, NodeStatus, RecordBody};
+use wire::admin::{AmendAnswer, AmendBody, ChangeBody, NO_CALL, NO_RECORD, NodeStatus, RecordBody};
 
 use crate::options::OperatorAccess;
 
@@ -40,6 +40,12 @@
     /// There is no such record.
     #[error("there is no such record")]
     NotFound,
+    /// Something else listens at the address.
+    #[error(
+        "{0} is no admin listener. A gateway has none: its configuration is in the platform's \
+         store, and its log and its metrics address tell the rest (docs/OPERATIONS.md)"
+    )]
+    NotAdmin(SocketAddr),
 }
 
 /// Calls nodes' admin listeners.
@@ -186,6 +192,9 @@
             return Err(AdminError::AnswerLost(address));
         };
         match status {
+            // A gateway's callers, readiness and metrics addresses answer too, with other texts.
+            StatusCode::OK if !is_json(&bytes) => Err(AdminError::NotAdmin(address)),
+            StatusCode::NOT_FOUND if !is_admin_text(&bytes) => Err(AdminError::NotAdmin(address)),
             StatusCode::OK => parse_json(&bytes).map_err(|error| AdminError::Refused {
                 address,
                 problem: format!("an answer of another release? {error}"),
@@ -199,4 +208,14 @@
     }
 }
 
+fn is_json(bytes: &[u8]) -> bool {
+    serde_json::from_slice::<serde::de::IgnoredAny>(bytes).is_ok()
+}
+
+fn is_admin_text(bytes: &[u8]) -> bool {
+    [NO_RECORD, NO_CALL]
+        .iter()
+        .any(|text| text.as_bytes() == bytes.trim_ascii())
+}
+
 const NO_BODY: Option<&()> = None;
--- a/tests/gateway/failed_requests.rs
+++ b/tests/gateway/failed_requests.rs
@@ -24,6 +24,11 @@
     assert_eq!(line["service"], "assistant");
     let gone = node.wait_line(&["target_gone"]).await;
     assert_eq!(gone["host"], member.as_str());
+    let metrics = node.metrics().await;
+    for name in ["replica_forming", "replica_broken", "repeat_left"] {
+        let full = format!("bramleyspring_gateway_{name}");
+        assert!(metrics.contains(&full), "{metrics}");
+    }
 }
 
 /// A stream breaks off with its replica and nobody can go on. The line of the cut names what the
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod kit;
 mod log_reader;
 mod lost_hosts;
+mod operator_calls;
 mod plain_calls;
 mod restart_all;
 mod stop_signal;
