Send on what a stopping node can't end in time

Cause: with too few ready nodes in a failure domain the balancer goes on opening connections to nodes that stop; a stopping node took requests until its last moment.

Ruled out: kept connections; those are closed 2.6 s after the signal. The requests came on new connections, some of which were closed unread and some served, by the chance of which future was polled first.

Change: serving::stop holds the course of a stop. After the balancer's 2.6 s a request is served only if its own time is over before the process ends; any other gets 503 and 50 ms at once. A new connection has 400 ms to bring its request.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -27,6 +27,9 @@
 /// Wait before a request comes back that found all targets full: some places become free in it.
 const FULL_WAIT: Duration = Duration::from_millis(250);
 
+/// Wait before a request comes back that met a stopping node. Another one can serve it at once.
+const STOPPING_WAIT: Duration = Duration::from_millis(50);
+
 /// Connections that may fail for one request before it is given up; each costs its caller time.
 const MAX_UNSENT: usize = 4;
 
@@ -67,6 +70,11 @@
             return own(node, &facts, None, answer, reason).map(Either::Left);
         }
     };
+    let stop = node.stop_plan();
+    if stop.is_some_and(|stop| !stop.serves(forward.arrived, forward.deadline)) {
+        let answer = OwnAnswer::NotRun(STOPPING_WAIT);
+        return own(node, &facts, Some(&forward), answer, "the node stops").map(Either::Left);
+    }
     node.note_arrival(&forward);
     match run_attempts(node, &config, &forward).await {
         Outcome::Own(answer, reason) => {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -28,10 +28,6 @@
 /// Idle time of connections to the readiness and metrics addresses.
 const SMALL_IDLE: Duration = Duration::from_secs(10);
 
-/// Time after the start of a stop during which idle connections stay open and new ones are
-/// answered. The balancer takes a node out after two missed answers, a second apart.
-const LINGER: Duration = Duration::from_millis(2600);
-
 /// Pause between two looks at whether a connection should close.
 const CLOSE_PAUSE: Duration = Duration::from_millis(400);
 
@@ -129,13 +125,16 @@
 /// long as the configuration in force allows, or the process stops.
 async fn wait_for_close(node: &GatewayNode, usage: &ConnectionUsage) {
     loop {
-        if node.stopping_for().is_some_and(|time| time >= LINGER) {
+        // A connection that was opened just now gets the time to bring its request: closed unread,
+        // its caller would not learn when to come back.
+        tokio::time::sleep(CLOSE_PAUSE).await;
+        let stop = node.stop_plan();
+        if stop.is_some_and(|stop| stop.closes_connections(node.now())) {
             return;
         }
         if node.now().saturating_sub(usage.0.get()) > node.idle_limit() {
             return;
         }
-        tokio::time::sleep(CLOSE_PAUSE).await;
     }
 }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -12,7 +12,7 @@
 use events::{EventCode, EventLine, LineSink};
 use policy::admission::CustomerShares;
 use serving::silence::ReplicaPulse;
-use serving::{GatewayConfig, RepeatBudget, TargetLoad, TargetRegistry};
+use serving::{GatewayConfig, RepeatBudget, StopPlan, TargetLoad, TargetRegistry};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -60,7 +60,7 @@
     shares: RefCell<FastMap<ServiceName, CustomerShares>>,
     nodes: RefCell<Vec<String>>,
     nodes_counted: Cell<u64>,
-    stopping: Cell<Option<Duration>>,
+    stopping: Cell<Option<StopPlan>>,
     running: Cell<usize>,
     connections: Cell<usize>,
     seen_request: Cell<bool>,
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -1,12 +1,11 @@
 //! The process itself: requests and connections in progress, readiness, the stop, figures.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use domain::ServiceName;
 use events::metrics::MetricsError;
 use policy::admission::CustomerShares;
-use serving::MemberState;
+use serving::{MemberState, StopPlan};
 
 use super::GatewayNode;
 use crate::forward::ForwardRequest;
@@ -49,11 +48,10 @@
         self.stopping.get().is_some()
     }
 
-    /// Time since the stop began.
+    /// The course of the stop, once it has begun.
     #[must_use]
-    pub fn stopping_for(&self) -> Option<Duration> {
-        let began = self.stopping.get()?;
-        Some(self.now().saturating_sub(began))
+    pub fn stop_plan(&self) -> Option<StopPlan> {
+        self.stopping.get()
     }
 
     /// Metrics as text.
@@ -146,8 +144,10 @@
     }
 
     /// Begins to stop.
-    pub fn stop(&self) {
-        self.stopping.set(Some(self.now()));
+    pub fn stop(&self) -> StopPlan {
+        let plan = StopPlan::new(self.now(), self.settings.bounds.stop_grace());
+        self.stopping.set(Some(plan));
+        plan
     }
 
     pub(super) fn begin_request(&self) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,11 +14,8 @@
 use crate::settings::GatewaySettings;
 use crate::{care, listen, members, probe, watch};
 
-/// Time kept for the end of the process itself.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-
-/// Least time from SIGTERM to the end, in which the balancer learns of it.
-const LEAST_STOP: Duration = Duration::from_millis(3200);
+/// Pause between two looks at whether a stopping process may end.
+const STOP_PAUSE: Duration = Duration::from_millis(50);
 
 /// Pause between two sweeps of idle connections to targets.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
@@ -127,21 +124,14 @@
 /// Stops: no longer ready at once, but serving on until callers have learned it and what runs has
 /// ended, or the grace time is over.
 async fn stop(node: &GatewayNode) {
-    node.stop();
-    let began = node.now();
+    let plan = node.stop();
     node.log(&stop_line(node, "begun"));
-    let grace = node
-        .settings
-        .bounds
-        .stop_grace()
-        .saturating_sub(STOP_MARGIN);
     loop {
-        let time = node.now().saturating_sub(began);
         let idle = node.running() == 0 && node.connections() == 0;
-        if time >= grace || (idle && time >= LEAST_STOP) {
+        if plan.is_over(node.now(), idle) {
             break;
         }
-        drop(tokio::time::timeout(Duration::from_millis(50), node.ended.notified()).await);
+        drop(tokio::time::timeout(STOP_PAUSE, node.ended.notified()).await);
     }
     node.log(&stop_line(node, "done"));
     // The writer's thread gets a moment for the last lines.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod registry;
 pub mod route;
 pub mod silence;
+pub mod stop;
 pub mod target;
 
 pub use budget::RepeatBudget;
@@ -20,4 +21,5 @@
 pub use route::{
     CallerRoute, CustomerKey, GatewayConfig, ModelShape, RequestLimits, RouteKind, ServiceShape,
 };
+pub use stop::StopPlan;
 pub use target::{MemberState, ReplicaMembership, TargetEntry, TargetState};
--- a/tests/gateway/call.rs
+++ b/tests/gateway/call.rs
@@ -64,9 +64,14 @@
 
     /// Sends it and returns the answer's head.
     pub async fn begin(&self, node: &TestNode) -> (HttpLink, Response<Incoming>) {
-        let mut link = HttpLink::connect(node.requests, CONNECT_LIMIT)
-            .await
-            .expect("a connection");
+        let began = self.try_begin(node).await;
+        began.expect("a connection and an answer")
+    }
+
+    /// Sends it and returns the answer's head; nothing where nobody listens or answers any more.
+    pub async fn try_begin(&self, node: &TestNode) -> Option<(HttpLink, Response<Incoming>)> {
+        let connected = HttpLink::connect(node.requests, CONNECT_LIMIT).await;
+        let mut link = connected.ok()?;
         let mut request = Request::post(&self.path)
             .header("host", HOST)
             .header("x-request-id", &self.id);
@@ -76,8 +81,8 @@
         let request = request
             .body(Full::new(self.body.clone()))
             .expect("a request");
-        let answer = link.send(request).await.expect("an answer");
-        (link, answer)
+        let answer = link.send(request).await.ok()?;
+        Some((link, answer))
     }
 
     /// Sends it and reads the whole answer.
--- a/tests/gateway/kit.rs
+++ b/tests/gateway/kit.rs
@@ -329,6 +329,12 @@
         );
     }
 
+    /// Whether the process has not ended yet.
+    pub fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut().expect("a process");
+        matches!(child.try_wait(), Ok(None))
+    }
+
     /// Waits for the end of the process; its exit code.
     pub async fn wait_end(&mut self) -> Option<i32> {
         let child = self.child.as_mut().expect("a process");
--- a/tests/gateway/stop_signal.rs
+++ b/tests/gateway/stop_signal.rs
@@ -1,10 +1,21 @@
 //! Graceful stops.
 
+use std::time::Duration;
+
 use http::StatusCode;
 
 use crate::call::{TestCall, read_rest, whole_stream};
 use crate::kit::TestSite;
 
+/// Events of a stream that lasts about two seconds, so that one taken late can't end in time.
+const STREAM_EVENTS: usize = 50;
+
+/// Pause between two callers; the one replica has room for their streams.
+const CALLER_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time for which the process is paused while a caller connects.
+const PAUSED_TIME: Duration = Duration::from_millis(20);
+
 /// A node is stopped in the middle of an answer. It is not ready at once, so the balancer sends
 /// new callers elsewhere; the answer ends whole, and the process ends by itself.
 #[tokio::test(flavor = "multi_thread")]
@@ -27,6 +38,57 @@
     assert_eq!(node.lines(&["node_stopping"]).len(), 2);
 }
 
+/// Nodes of one failure domain are stopped one after the other, so that the balancer, with too few
+/// ready ones, goes on opening connections to those that stop. Callers see either a whole answer or
+/// a refusal that sends them elsewhere at once; none is cut off in the middle of an answer, however
+/// late it came.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_callers_whole() {
+    let site = TestSite::start(4, 1).await;
+    let mut node = site.node("n0").await;
+    node.wait_replicas(1).await;
+    site.groups.set_events(STREAM_EVENTS);
+    node.signal("TERM");
+    let mut streams = Vec::new();
+    for number in 0.. {
+        if !node.is_running() {
+            break;
+        }
+        tokio::time::sleep(CALLER_PAUSE).await;
+        let call = TestCall::chat(&format!("c-{number}"));
+        // A busy host takes a connection when its request is already there.
+        node.signal("STOP");
+        let resume = async {
+            tokio::time::sleep(PAUSED_TIME).await;
+            node.signal("CONT");
+        };
+        let (began, ()) = tokio::join!(call.try_begin(&node), resume);
+        let Some((link, answer)) = began else {
+            continue;
+        };
+        if answer.status() != StatusCode::OK {
+            assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+            assert!(answer.headers().contains_key("retry-after"));
+            continue;
+        }
+        // The connection stays open until its answer was read.
+        streams.push(tokio::spawn(async move {
+            let answer = read_rest(answer).await;
+            drop(link);
+            answer
+        }));
+    }
+    assert_eq!(node.wait_end().await, Some(0));
+    assert!(!streams.is_empty(), "the first callers are still served");
+    let sent_on = node.lines(&["gateway_refused", "the node stops"]);
+    assert!(!sent_on.is_empty(), "the last ones are sent elsewhere");
+    for stream in streams {
+        let answer = stream.await.expect("a stream");
+        assert!(answer.whole, "cut off: {answer:?}");
+        assert_eq!(answer.text, whole_stream(STREAM_EVENTS));
+    }
+}
+
 /// The settings file changes while the process runs.
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_reread() {
