Close the door before a stopping process ends

Cause: a stopping process looked whether it was idle, then slept 20 ms for its log; whoever connected in between had its request run and got no answer.

Ruled out: the grace time (2.3 s were left) and the refusal of late requests (the call was over in time for certain).

Change: the listener closes once nothing is left, what came in just before is served, then the process ends. A connection counts from its accept, not from its task's first turn.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -41,13 +41,16 @@
     bound.map_err(|error| eyre::eyre!("can't listen on {address}: {error}"))
 }
 
-/// Serves callers for ever.
+/// Serves callers until the node closes its door; connections that were taken go on.
 pub async fn serve_callers(node: Rc<GatewayNode>, listener: TcpListener) {
     loop {
-        let Some(stream) = accept(&listener).await else {
-            continue;
+        let accepted = tokio::select! {
+            () = node.door_closed() => return,
+            accepted = accept(&listener) => accepted,
         };
-        tokio::task::spawn_local(serve_caller(Rc::clone(&node), stream));
+        let Some(stream) = accepted else { continue };
+        let open = OpenConnection::new(&node);
+        tokio::task::spawn_local(serve_caller(Rc::clone(&node), stream, open));
     }
 }
 
@@ -70,15 +73,20 @@
 /// Counts a connection until it is dropped.
 struct OpenConnection(Rc<GatewayNode>);
 
+impl OpenConnection {
+    fn new(node: &Rc<GatewayNode>) -> Self {
+        node.begin_connection();
+        Self(Rc::clone(node))
+    }
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.0.end_connection();
     }
 }
 
-async fn serve_caller(node: Rc<GatewayNode>, stream: TcpStream) {
-    node.begin_connection();
-    let _open = OpenConnection(Rc::clone(&node));
+async fn serve_caller(node: Rc<GatewayNode>, stream: TcpStream, _open: OpenConnection) {
     let usage = Rc::new(ConnectionUsage::new(node.now()));
     let handler = {
         let node = Rc::clone(&node);
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -13,7 +13,7 @@
 use policy::admission::CustomerShares;
 use serving::silence::ReplicaPulse;
 use serving::{GatewayConfig, RepeatBudget, StopPlan, TargetLoad, TargetRegistry};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
 use crate::metrics::GatewayMetrics;
@@ -61,6 +61,8 @@
     nodes: RefCell<Vec<String>>,
     nodes_counted: Cell<u64>,
     stopping: Cell<Option<StopPlan>>,
+    /// Closed when callers' connections are taken no more.
+    door: Semaphore,
     running: Cell<usize>,
     connections: Cell<usize>,
     seen_request: Cell<bool>,
@@ -109,6 +111,7 @@
             nodes: RefCell::default(),
             nodes_counted: Cell::default(),
             stopping: Cell::default(),
+            door: Semaphore::new(0),
             running: Cell::default(),
             connections: Cell::default(),
             seen_request: Cell::default(),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -150,6 +150,17 @@
         plan
     }
 
+    /// Takes no more connections.
+    pub fn close_door(&self) {
+        self.door.close();
+    }
+
+    /// Completes once no more connections are taken.
+    pub async fn door_closed(&self) {
+        // A semaphore without permits only ever answers that it was closed.
+        drop(self.door.acquire().await);
+    }
+
     pub(super) fn begin_request(&self) {
         self.seen_request.set(true);
         self.running.set(self.running.get() + 1);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,6 +6,7 @@
 
 use events::{EventCode, EventLevel, EventLine, LineSink};
 use http::StatusCode;
+use serving::StopPlan;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -17,6 +18,9 @@
 /// Pause between two looks at whether a stopping process may end.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for the log's writer after the last line.
+const LAST_LINES: Duration = Duration::from_millis(20);
+
 /// Pause between two sweeps of idle connections to targets.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 
@@ -126,16 +130,26 @@
 async fn stop(node: &GatewayNode) {
     let plan = node.stop();
     node.log(&stop_line(node, "begun"));
+    wait_until_over(node, plan).await;
+    // A caller that connects between the last look and the end of the process would have its
+    // request run and see no answer. With the door closed it connects elsewhere, and whoever came
+    // in just before is still served.
+    node.close_door();
+    tokio::task::yield_now().await;
+    wait_until_over(node, plan).await;
+    node.log(&stop_line(node, "done"));
+    // The writer's thread gets a moment for the last lines.
+    tokio::time::sleep(LAST_LINES).await;
+}
+
+async fn wait_until_over(node: &GatewayNode, plan: StopPlan) {
     loop {
         let idle = node.running() == 0 && node.connections() == 0;
         if plan.is_over(node.now(), idle) {
-            break;
+            return;
         }
         drop(tokio::time::timeout(STOP_PAUSE, node.ended.notified()).await);
     }
-    node.log(&stop_line(node, "done"));
-    // The writer's thread gets a moment for the last lines.
-    tokio::time::sleep(Duration::from_millis(20)).await;
 }
 
 fn stop_line(node: &GatewayNode, phase: &str) -> EventLine {
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use http::{HeaderValue, StatusCode};
 use serde_json::json;
@@ -9,11 +10,16 @@
 use super::http::{CloseAfter, SiteAnswer, SiteRequest, SiteServer, plain};
 use super::store::SiteStore;
 
+/// Time that a slow instance takes for a call.
+const SLOW_TIME: Duration = Duration::from_millis(40);
+
 /// How an instance behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlainMode {
     /// It answers.
     Sound,
+    /// It answers after [`SLOW_TIME`].
+    Slow,
     /// It says that it is full.
     Full,
     /// It runs a call and its answer never comes.
@@ -109,6 +115,10 @@
         PlainMode::Sound | PlainMode::Crossed | PlainMode::Closing => {
             plain(StatusCode::OK, "receipt")
         }
+        PlainMode::Slow => {
+            tokio::time::sleep(SLOW_TIME).await;
+            plain(StatusCode::OK, "receipt")
+        }
         PlainMode::Full => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
         PlainMode::Mute => std::future::pending().await,
         PlainMode::Failing => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
--- a/tests/gateway/stop_signal.rs
+++ b/tests/gateway/stop_signal.rs
@@ -4,6 +4,8 @@
 
 use http::StatusCode;
 
+use standin::site::PlainMode;
+
 use crate::call::{TestCall, read_rest, whole_stream};
 use crate::kit::TestSite;
 
@@ -89,6 +91,33 @@
     }
 }
 
+/// The last callers have gone, and the process is about to end when another one connects. Either
+/// its payment is made and it gets the receipt, or the connection closes before any target has seen
+/// the payment; a payment that is made without a receipt looks lost to the trader.
+#[tokio::test(flavor = "multi_thread")]
+async fn last_caller_answered() {
+    let site = TestSite::start(0, 1).await;
+    let mut node = site.node("n0").await;
+    site.instances[0].set_mode(PlainMode::Slow);
+    node.signal("TERM");
+    for number in 0.. {
+        if !node.is_running() {
+            break;
+        }
+        let id = format!("p-{number}");
+        // Short enough to be over before the process must end.
+        let call = TestCall::new("/pay/x", &id).header("x-deadline-ms", "1000");
+        let Some((_link, answer)) = call.try_begin(&node).await else {
+            assert_eq!(site.instances[0].runs(&id), 0, "{id} was paid unanswered");
+            continue;
+        };
+        let answer = read_rest(answer).await;
+        let refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(refused || answer.status == StatusCode::OK, "{answer:?}");
+    }
+    assert_eq!(node.wait_end().await, Some(0));
+}
+
 /// The settings file changes while the process runs.
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_reread() {
