Stage a second model on each host before the traffic

Ruled out: detection (members are asked within 0.8 s) and the order of repairs.

Hypothesis: a host that has its own model in memory and the other one staged can step in for any replica of its domain within 0.2 to 1.6 s. Before the first request loads are quick and not counted, so staging costs nothing then.

Change: PlanStep::Stage, ordered in the lead time once a host holds its model. Spares with a model in memory are left as they are. Ranks beyond the first wait for as long as a load may take, since only the registry shows that it is done.

The plan's tests are one target (tests/plan) with their kit.

--- a/crates/gateway/src/care/mod.rs
+++ b/crates/gateway/src/care/mod.rs
@@ -1,6 +1,7 @@
 //! Caring for replicas: planning, waiting for one's turn, and taking the steps.
 
 mod blind;
+mod staging;
 mod steps;
 mod turns;
 
@@ -10,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use domain::{ConfigRevision, FabricId, FastMap, HostId};
+use domain::{ConfigRevision, FabricId, FastMap, HostId, ModelName};
 use events::{EventCode, EventLine};
 use serving::plan::{FabricLayout, FabricSituation, HostSituation, PlanStep, plan_fabric};
 use serving::rank::stable_hash;
@@ -59,6 +60,7 @@
         node: Rc::clone(&node),
         desk: OrderDesk::default(),
         waiting: RefCell::default(),
+        staging: RefCell::default(),
         formed: Cell::new(0),
         loads: RefCell::default(),
         asked: RefCell::default(),
@@ -89,6 +91,8 @@
     desk: OrderDesk,
     /// Steps that wait for this node's turn, with the time since when.
     waiting: RefCell<FastMap<PlanStep, Duration>>,
+    /// Second models that hosts were told to load, and until when they may be at it.
+    staging: RefCell<FastMap<HostId, (ModelName, Duration)>>,
     formed: Cell<u64>,
     loads: RefCell<Vec<Duration>>,
     asked: RefCell<AskedFabrics>,
@@ -163,6 +167,7 @@
                     hosts,
                     spent,
                     may_load_members: lead || !any_weights(hosts),
+                    may_stage: lead,
                 })
             });
             if !planned.is_empty() || !blind::is_settled(hosts) {
@@ -219,6 +224,7 @@
             ordered: self.desk.is_open(&entry.id),
             loaded: entry.loaded.clone(),
             staged: entry.staged.clone(),
+            staging: self.staging_at(&entry.id),
             membership: entry.membership.clone(),
             unchanged: self.node.membership_age(&entry.id),
         }
@@ -253,7 +259,7 @@
             PlanStep::Open { replica, .. } | PlanStep::Close { replica, .. } => {
                 replica.as_str().contains(&self.tag())
             }
-            PlanStep::Form { .. } | PlanStep::Warm { .. } => false,
+            PlanStep::Form { .. } | PlanStep::Warm { .. } | PlanStep::Stage { .. } => false,
         };
         if made_here {
             return Duration::ZERO;
@@ -281,6 +287,8 @@
                 }
             }
             PlanStep::Form { .. } | PlanStep::Warm { .. } => turn,
+            // Its effect shows only when the weights are there, and nobody waits for them.
+            PlanStep::Stage { model, .. } => self.staging_time(model) * (rank + blind),
             // Whoever formed or closed a replica goes on with it at once.
             PlanStep::Open { .. } | PlanStep::Close { .. } => turn + TURN,
         }
@@ -293,7 +301,7 @@
     }
 
     fn begin(self: &Rc<Self>, step: PlanStep) {
-        let hosts = step_hosts(&step);
+        let hosts = step.hosts().to_vec();
         if !self.desk.reserve(&hosts) {
             return;
         }
@@ -364,14 +372,6 @@
         .any(|host| host.loaded.is_some() || !host.staged.is_empty())
 }
 
-fn step_hosts(step: &PlanStep) -> Vec<HostId> {
-    match step {
-        PlanStep::Open { head, .. } | PlanStep::Close { head, .. } => vec![head.clone()],
-        PlanStep::Form { members, .. } => members.clone(),
-        PlanStep::Warm { host, .. } => vec![host.clone()],
-    }
-}
-
 fn step_text(step: &PlanStep) -> String {
     match step {
         PlanStep::Open { head, replica, .. } => format!("open {replica} at {head}"),
@@ -385,6 +385,7 @@
             let members: Vec<&str> = members.iter().map(HostId::as_str).collect();
             format!("form {model} of {}", members.join(" "))
         }
+        PlanStep::Stage { host, model } => format!("stage {model} on {host}"),
         PlanStep::Warm { host, model } => format!("warm {model} on {host}"),
     }
 }
--- a/crates/gateway/src/care/steps.rs
+++ b/crates/gateway/src/care/steps.rs
@@ -53,6 +53,7 @@
                 let end = self.form(model, members, "r-").await;
                 hold_after(end, EFFECT_TIME)
             }
+            PlanStep::Stage { host, model } => self.stage(&host, model).await,
             PlanStep::Warm { host, model } => {
                 let end = self.form(model, vec![host], SPARE_PREFIX).await;
                 hold_after(end, EFFECT_TIME)
@@ -60,7 +61,7 @@
         }
     }
 
-    async fn give(
+    pub(super) async fn give(
         &self,
         host: &HostId,
         order: HostOrder,
@@ -217,7 +218,7 @@
     Orphan((ReplicaId, u64)),
 }
 
-fn hold_after(end: OrderEnd, done: Duration) -> Duration {
+pub(super) fn hold_after(end: OrderEnd, done: Duration) -> Duration {
     match end {
         OrderEnd::Done => done,
         OrderEnd::Stale | OrderEnd::Silent => RETRY_PAUSE,
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -194,8 +194,8 @@
             }
         }
         HostOrder::Leave { .. } => entry.membership = None,
-        // It reports itself as open once it is.
-        HostOrder::Open { .. } => {}
+        // It reports itself as open, and the weights as staged, once it is so.
+        HostOrder::Open { .. } | HostOrder::Stage { .. } => {}
     });
 }
 
@@ -306,12 +306,16 @@
     let Ok(report) = target.report(ORDER_LIMIT).await else {
         return false;
     };
+    if let HostOrder::Stage { model } = &planned.order {
+        return report.holding.staged.contains(model);
+    }
     let found = report.holding.membership;
     let (replica, epoch) = match &planned.order {
         HostOrder::Join { replica, epoch, .. }
         | HostOrder::Open { replica, epoch }
         | HostOrder::Close { replica, epoch, .. }
         | HostOrder::Leave { replica, epoch } => (replica, *epoch),
+        HostOrder::Stage { .. } => return false,
     };
     let Some(found) = found.filter(|found| found.replica == *replica && found.epoch == epoch)
     else {
@@ -321,6 +325,6 @@
         HostOrder::Join { .. } => true,
         HostOrder::Open { .. } => found.state == MemberState::Open,
         HostOrder::Close { .. } => found.state != MemberState::Open,
-        HostOrder::Leave { .. } => false,
+        HostOrder::Leave { .. } | HostOrder::Stage { .. } => false,
     }
 }
--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -7,6 +7,7 @@
 
 use super::situation::{FabricSituation, HostSituation};
 use super::spares::{is_spare_name, warm_spares};
+use super::staging::stage_second;
 use super::step::{CloseMode, PlanStep};
 use crate::route::ModelShape;
 use crate::target::MemberState;
@@ -112,6 +113,7 @@
     }
     free.retain(|host| !idle_heads.contains(&host.id));
     warm_spares(situation, &standing, &free, &mut steps);
+    stage_second(situation, &mut steps);
     steps
 }
 
--- a/crates/serving/src/plan/mod.rs
+++ b/crates/serving/src/plan/mod.rs
@@ -9,6 +9,7 @@
 mod layout;
 mod situation;
 mod spares;
+mod staging;
 mod step;
 
 pub use fabric::plan_fabric;
--- a/crates/serving/src/plan/situation.rs
+++ b/crates/serving/src/plan/situation.rs
@@ -26,6 +26,8 @@
     pub loaded: Option<ModelName>,
     /// Models on its disk or memory.
     pub staged: Vec<ModelName>,
+    /// Second model that this node told it to load, if that may still be under way.
+    pub staging: Option<ModelName>,
     /// Its replica.
     pub membership: Option<ReplicaMembership>,
     /// Time since the last change of its membership, as this node saw it.
@@ -70,4 +72,6 @@
     /// Whether hosts without weights may join replicas: true before the first request, when
     /// loads are quick and nobody waits for a spare.
     pub may_load_members: bool,
+    /// Whether the weight store has time for weights that nobody waits for.
+    pub may_stage: bool,
 }
--- a/crates/serving/src/plan/spares.rs
+++ b/crates/serving/src/plan/spares.rs
@@ -28,7 +28,12 @@
         })
         .collect();
     for host in free {
-        if host.is_joining() {
+        // One that has a model in memory joins at once, or soon where another one is staged.
+        let is_warm = situation
+            .models
+            .iter()
+            .any(|model| host.is_warm(&model.name));
+        if host.is_joining() || is_warm {
             continue;
         }
         let owned = situation
@@ -36,9 +41,7 @@
             .iter()
             .find(|model| host.has_weights(&model.name));
         if let Some(model) = owned {
-            if !host.is_warm(&model.name) {
-                steps.push(warm_step(host, model));
-            }
+            steps.push(warm_step(host, model));
             continue;
         }
         let Some(index) = neediest(situation, standing, &spares) else {
--- a/crates/serving/src/plan/step.rs
+++ b/crates/serving/src/plan/step.rs
@@ -42,6 +42,13 @@
         /// Members by rank.
         members: Vec<HostId>,
     },
+    /// Load a second model's weights onto a host, which goes on with its work meanwhile.
+    Stage {
+        /// The host.
+        host: HostId,
+        /// The model.
+        model: ModelName,
+    },
     /// Load a model on a spare host, so that it can step in within a fraction of a second.
     Warm {
         /// The host.
@@ -50,3 +57,15 @@
         model: ModelName,
     },
 }
+
+impl PlanStep {
+    /// The hosts that get an order by it.
+    #[must_use]
+    pub fn hosts(&self) -> &[HostId] {
+        match self {
+            Self::Open { head, .. } | Self::Close { head, .. } => std::slice::from_ref(head),
+            Self::Form { members, .. } => members,
+            Self::Warm { host, .. } | Self::Stage { host, .. } => std::slice::from_ref(host),
+        }
+    }
+}
--- a/crates/serving/tests/fabric_plan.rs
+++ b/crates/serving/tests/plan/fabric_plan.rs
@@ -1,125 +1,13 @@
-//! The plan for one fabric domain: which replicas are opened, closed, formed and prepared for.
+//! Which replicas are opened, closed, formed and prepared for.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use domain::{FastSet, HostId, ModelName, ReplicaId};
+use domain::{FastSet, HostId};
 use quickcheck::quickcheck;
-use serving::plan::{CloseMode, FabricSituation, HostSituation, PlanStep, plan_fabric};
-use serving::{MemberState, ModelShape, ReplicaMembership};
+use serving::MemberState;
+use serving::plan::{CloseMode, HostSituation, PlanStep};
 
-const LONG: Duration = Duration::from_mins(1);
-
-fn model(name: &str, size: usize, share: f64) -> ModelShape {
-    ModelShape {
-        name: name.parse().expect("a model"),
-        size,
-        share,
-        pace: 1.0,
-        load: Duration::from_secs(16),
-    }
-}
-
-fn models() -> Vec<ModelShape> {
-    vec![model("large", 4, 0.67), model("small", 2, 0.33)]
-}
-
-fn host(id: &str) -> HostSituation {
-    HostSituation {
-        id: id.parse().expect("a host"),
-        silent: None,
-        leaving: false,
-        unlisted: false,
-        ordered: false,
-        loaded: None,
-        staged: Vec::new(),
-        membership: None,
-        unchanged: LONG,
-    }
-}
-
-fn warm(id: &str, model: &str) -> HostSituation {
-    let name: ModelName = model.parse().expect("a model");
-    HostSituation {
-        loaded: Some(name.clone()),
-        staged: vec![name],
-        ..host(id)
-    }
-}
-
-fn member(id: &str, model: &str, replica: &str, rank: u32, state: MemberState) -> HostSituation {
-    HostSituation {
-        membership: Some(ReplicaMembership {
-            replica: replica.parse().expect("a replica"),
-            epoch: 7,
-            rank,
-            state,
-        }),
-        ..warm(id, model)
-    }
-}
-
-/// Four members of the large model; the head in `state`.
-fn large_replica(state: MemberState) -> Vec<HostSituation> {
-    vec![
-        member("a", "large", "r-1", 0, state),
-        member("b", "large", "r-1", 1, MemberState::Ready),
-        member("c", "large", "r-1", 2, MemberState::Ready),
-        member("d", "large", "r-1", 3, MemberState::Ready),
-    ]
-}
-
-struct Domain {
-    hosts: Vec<HostSituation>,
-    wanted: BTreeMap<ModelName, usize>,
-    spent: FastSet<(ReplicaId, u64)>,
-    may_load: bool,
-}
-
-impl Domain {
-    fn of(hosts: Vec<HostSituation>) -> Self {
-        let mut wanted = BTreeMap::new();
-        wanted.insert("large".parse().expect("a model"), 1);
-        wanted.insert("small".parse().expect("a model"), 1);
-        Self {
-            hosts,
-            wanted,
-            spent: FastSet::default(),
-            may_load: false,
-        }
-    }
-
-    fn spent(mut self, replica: &str) -> Self {
-        self.spent.insert((replica.parse().expect("a replica"), 7));
-        self
-    }
-
-    fn loading(mut self) -> Self {
-        self.may_load = true;
-        self
-    }
-
-    fn plan(&self) -> Vec<PlanStep> {
-        plan_fabric(&FabricSituation {
-            models: &models(),
-            wanted: &self.wanted,
-            hosts: &self.hosts,
-            spent: &self.spent,
-            may_load_members: self.may_load,
-        })
-    }
-}
-
-fn formed(steps: &[PlanStep]) -> Vec<Vec<&str>> {
-    let mut formed = Vec::new();
-    for step in steps {
-        let PlanStep::Form { members, .. } = step else {
-            continue;
-        };
-        formed.push(members.iter().map(HostId::as_str).collect());
-    }
-    formed
-}
+use crate::kit::{Domain, LONG, formed, host, large_replica, member, warm};
 
 fn closed(steps: &[PlanStep]) -> Option<CloseMode> {
     steps.iter().find_map(|step| match step {
@@ -297,13 +185,8 @@
         let steps = Domain::of(hosts).loading().plan();
         let mut seen: FastSet<HostId> = FastSet::default();
         for step in &steps {
-            let touched: Vec<HostId> = match step {
-                PlanStep::Open { head, .. } | PlanStep::Close { head, .. } => vec![head.clone()],
-                PlanStep::Form { members, .. } => members.clone(),
-                PlanStep::Warm { host, .. } => vec![host.clone()],
-            };
-            for host in touched {
-                if ["a", "b", "c", "d"].contains(&host.as_str()) || !seen.insert(host) {
+            for host in step.hosts() {
+                if ["a", "b", "c", "d"].contains(&host.as_str()) || !seen.insert(host.clone()) {
                     return false;
                 }
             }
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -47,6 +47,7 @@
             address: server.address.to_string(),
             orders: 0,
             loaded: None,
+            staged: None,
             group: None,
             dark: false,
             draining: false,
@@ -214,7 +215,7 @@
     });
     json!({
         "stage": "both", "models": models, "domain": engine.fabric, "born": 1,
-        "staged": engine.loaded.iter().collect::<Vec<_>>(), "group": group,
+        "staged": engine.staged.iter().collect::<Vec<_>>(), "group": group,
     })
 }
 
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -21,6 +21,8 @@
     pub address: String,
     pub orders: u64,
     pub loaded: Option<String>,
+    /// Models on its host; it keeps the last one.
+    pub staged: Option<String>,
     pub group: Option<Group>,
     pub dark: bool,
     pub draining: bool,
--- a/crates/standin/src/site/orders.rs
+++ b/crates/standin/src/site/orders.rs
@@ -31,6 +31,7 @@
             Some("open") => self.open(id, &order),
             Some("close") => self.close(id, &order),
             Some("leave") => self.leave(id, &order),
+            Some("stage") => self.stage(id, &order),
             _ => StatusCode::BAD_REQUEST,
         };
         self.register(id);
@@ -68,6 +69,7 @@
         self.with(id, |engine| {
             engine.orders += 1;
             engine.loaded = Some(text("model"));
+            engine.staged = Some(text("model"));
             engine.group = Some(Group {
                 name: text("group"),
                 epoch: order["epoch"].as_u64().unwrap_or(0),
@@ -80,6 +82,14 @@
         StatusCode::ACCEPTED
     }
 
+    fn stage(&self, id: &str, order: &Value) -> StatusCode {
+        self.with(id, |engine| {
+            engine.orders += 1;
+            engine.staged = order["model"].as_str().map(str::to_owned);
+        });
+        StatusCode::ACCEPTED
+    }
+
     fn open(&self, id: &str, order: &Value) -> StatusCode {
         let fits = self.with(id, |engine| {
             let fits = engine.group.as_ref().is_some_and(|group| {
