Let what the whole fleet lacks go first, and spares say what they load

Each domain formed and loaded by its own lack alone; a host that loads does not say which model, so each new host loaded what the one before did. Three hosts that could serve the smaller model stood by where the larger one lacked a fourth.

--- a/crates/gateway/src/care/mod.rs
+++ b/crates/gateway/src/care/mod.rs
@@ -156,6 +156,7 @@
         steps: &mut Vec<(FabricId, PlanStep)>,
     ) {
         let lead = self.node.is_lead_time();
+        let fleet = self.node.standing_replicas(service);
         for (fabric, hosts) in &self.fabrics(service, far) {
             let Some(wanted) = layout.get(fabric) else {
                 continue;
@@ -165,6 +166,7 @@
                     models: &service.models,
                     wanted,
                     hosts,
+                    fleet: &fleet,
                     spent,
                     may_load_members: lead || !any_weights(hosts),
                     may_stage: lead,
--- a/crates/gateway/src/care/steps.rs
+++ b/crates/gateway/src/care/steps.rs
@@ -4,7 +4,7 @@
 
 use adapter::orders::HostOrder;
 use domain::{HostId, ModelName, ReplicaId};
-use serving::plan::{PlanStep, SPARE_PREFIX};
+use serving::plan::{PlanStep, SPARE_PREFIX, spare_prefix};
 
 use super::ReplicaCare;
 use crate::orders::{OrderEnd, PlannedOrder, key, settle_order};
@@ -55,7 +55,8 @@
             }
             PlanStep::Stage { host, model } => self.stage(&host, model).await,
             PlanStep::Warm { host, model } => {
-                let end = self.form(model, vec![host], SPARE_PREFIX).await;
+                let prefix = spare_prefix(&model);
+                let end = self.form(model, vec![host], &prefix).await;
                 hold_after(end, EFFECT_TIME)
             }
         }
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use domain::{FastSet, HostId, ModelName, ReplicaId, RowVersion, ServiceName};
+use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId, RowVersion, ServiceName};
 use events::{EventCode, EventLine};
 use serving::{MemberState, ReplicaMembership, ServiceShape, TargetEntry, TargetState};
 
@@ -199,6 +199,28 @@
         heads
     }
 
+    /// Replicas of each model of a service that serve, or are about to.
+    #[must_use]
+    pub fn standing_replicas(&self, service: &ServiceShape) -> FastMap<ModelName, usize> {
+        let registry = self.registry.borrow();
+        let mut standing = FastMap::default();
+        for replica in registry.replicas() {
+            let Some(model) = replica.model.as_ref().and_then(|name| service.model(name)) else {
+                continue;
+            };
+            let stands = replica.service == service.name && replica.is_complete(model.size);
+            let ends = matches!(
+                replica.head_state,
+                Some(MemberState::Closing | MemberState::Broken) | None
+            );
+            if !stands || ends || self.has_suspect(replica) {
+                continue;
+            }
+            *standing.entry(model.name.clone()).or_default() += 1;
+        }
+        standing
+    }
+
     /// Targets of a plain service that take work now.
     #[must_use]
     pub fn plain_targets(&self, service: &ServiceName) -> Vec<TargetEntry> {
--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -233,35 +233,70 @@
     free: &mut Vec<&HostSituation>,
     steps: &mut Vec<PlanStep>,
 ) {
-    for model in by_lack(situation, standing) {
+    let mut formed: FastMap<&ModelName, usize> = FastMap::default();
+    while let Some((model, members)) = next_replica(situation, standing, &formed, free) {
+        steps.push(PlanStep::Form {
+            model: model.name.clone(),
+            members,
+        });
+        *standing.entry(&model.name).or_default() += 1;
+        *formed.entry(&model.name).or_default() += 1;
+    }
+}
+
+fn next_replica<'a>(
+    situation: &FabricSituation<'a>,
+    standing: &FastMap<&'a ModelName, usize>,
+    formed: &FastMap<&'a ModelName, usize>,
+    free: &mut Vec<&HostSituation>,
+) -> Option<(&'a ModelShape, Vec<HostId>)> {
+    let lacking = is_lacking(situation, standing);
+    for model in by_lack(situation, standing, formed) {
         let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
-        loop {
-            let have = standing.get(&model.name).copied().unwrap_or(0);
-            // Beyond what is wanted one host stays a spare, so that the next loss costs a second.
-            let reserve = usize::from(have >= wanted);
-            let may_load = situation.may_load_members && have < wanted;
-            let Some(members) = take_members(free, model, reserve, may_load) else {
-                break;
-            };
-            steps.push(PlanStep::Form {
-                model: model.name.clone(),
-                members,
-            });
-            *standing.entry(&model.name).or_default() += 1;
+        let have = standing.get(&model.name).copied().unwrap_or(0);
+        // Beyond what is wanted one host stays a spare, so that the next loss costs a second.
+        // Where a wanted replica has too few hosts, those that are left serve another model
+        // instead of nobody; a member that is lost from it leaves them as spares again.
+        let reserve = usize::from(have >= wanted && !lacking);
+        let may_load = situation.may_load_members && have < wanted;
+        if let Some(members) = take_members(free, model, reserve, may_load) {
+            return Some((model, members));
         }
     }
+    None
+}
+
+/// Whether a replica that the domain should have is missing.
+fn is_lacking(situation: &FabricSituation<'_>, standing: &FastMap<&ModelName, usize>) -> bool {
+    let mut models = situation.models.iter();
+    models.any(|model| {
+        let have = standing.get(&model.name).copied().unwrap_or(0);
+        let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
+        have < wanted
+    })
 }
 
+/// The models in the order in which they get hosts: what the domain lacks goes first, and of that
+/// what the whole fleet has least of.
 fn by_lack<'a>(
     situation: &FabricSituation<'a>,
     standing: &FastMap<&'a ModelName, usize>,
+    formed: &FastMap<&'a ModelName, usize>,
 ) -> Vec<&'a ModelShape> {
     let mut models: Vec<&ModelShape> = situation.models.iter().collect();
-    models.sort_by_key(|model| {
-        let have = standing.get(&model.name).copied().unwrap_or(0);
-        let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
-        let satisfied = have >= wanted;
-        (satisfied, std::cmp::Reverse(model.size))
+    models.sort_by(|left, right| {
+        let satisfied = |model: &ModelShape| {
+            let have = standing.get(&model.name).copied().unwrap_or(0);
+            have >= situation.wanted.get(&model.name).copied().unwrap_or(0)
+        };
+        let cover = |model: &ModelShape| {
+            let formed = formed.get(&model.name).copied().unwrap_or(0);
+            situation.cover(model, formed)
+        };
+        satisfied(left)
+            .cmp(&satisfied(right))
+            .then(cover(left).total_cmp(&cover(right)))
+            .then(right.size.cmp(&left.size))
     });
     models
 }
--- a/crates/serving/src/plan/mod.rs
+++ b/crates/serving/src/plan/mod.rs
@@ -15,5 +15,5 @@
 pub use fabric::plan_fabric;
 pub use layout::{FabricLayout, lay_out};
 pub use situation::{FabricSituation, HostSituation};
-pub use spares::SPARE_PREFIX;
+pub use spares::{SPARE_PREFIX, spare_prefix};
 pub use step::{CloseMode, PlanStep};
--- a/crates/serving/src/plan/situation.rs
+++ b/crates/serving/src/plan/situation.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use domain::{FastSet, HostId, ModelName, ReplicaId};
+use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId};
 
 use crate::route::ModelShape;
 use crate::target::{MemberState, ReplicaMembership};
@@ -67,6 +67,8 @@
     pub wanted: &'a BTreeMap<ModelName, usize>,
     /// Hosts.
     pub hosts: &'a [HostSituation],
+    /// Replicas of each model that stand in all fabric domains together.
+    pub fleet: &'a FastMap<ModelName, usize>,
     /// Replicas that were seen serving, or whose formation failed; none of them is opened again.
     pub spent: &'a FastSet<(ReplicaId, u64)>,
     /// Whether hosts without weights may join replicas: true before the first request, when
@@ -75,3 +77,17 @@
     /// Whether the weight store has time for weights that nobody waits for.
     pub may_stage: bool,
 }
+
+impl FabricSituation<'_> {
+    /// Hosts that serve a model in all fabric domains for each part of the work that is expected
+    /// for it; `formed` replicas are new. The model with the least has the callers that are refused
+    /// most, so it goes first when a domain can hold only one of two.
+    pub(super) fn cover(&self, model: &ModelShape, formed: usize) -> f64 {
+        let standing = self.fleet.get(&model.name).copied().unwrap_or(0) + formed;
+        let hosts = u32::try_from(standing * model.size).unwrap_or(u32::MAX);
+        f64::from(hosts) / model.share.max(LEAST_SHARE)
+    }
+}
+
+/// Share that counts for a model without one, so that it is not divided by zero.
+const LEAST_SHARE: f64 = 1e-6;
--- a/crates/serving/src/plan/spares.rs
+++ b/crates/serving/src/plan/spares.rs
@@ -4,15 +4,31 @@
 
 use super::situation::{FabricSituation, HostSituation};
 use super::step::PlanStep;
+use crate::rank::stable_hash;
 use crate::route::ModelShape;
 
 /// Beginning of the names of one-host groups that only hold a spare's weights in memory.
 pub const SPARE_PREFIX: &str = "spare-";
 
+/// Beginning of the names of the groups of one host that load a model. A host does not say which
+/// model it loads, so the name does: otherwise each new host would load what the last one does.
+#[must_use]
+pub fn spare_prefix(model: &ModelName) -> String {
+    let mark = stable_hash(&model.as_str()) & 0xffff_ffff;
+    format!("{SPARE_PREFIX}{mark:08x}-")
+}
+
 pub(super) fn is_spare_name(replica: &ReplicaId) -> bool {
     replica.as_str().starts_with(SPARE_PREFIX)
 }
 
+/// Whether a host that joins nothing else is loading a model.
+fn is_loading(host: &HostSituation, model: &ModelName) -> bool {
+    let membership = host.membership.as_ref();
+    let name = membership.map_or("", |membership| membership.replica.as_str());
+    host.is_joining() && name.starts_with(&spare_prefix(model))
+}
+
 pub(super) fn warm_spares(
     situation: &FabricSituation<'_>,
     standing: &FastMap<&ModelName, usize>,
@@ -23,7 +39,9 @@
         .models
         .iter()
         .map(|model| {
-            let held = free.iter().filter(|host| host.has_weights(&model.name));
+            let held = free
+                .iter()
+                .filter(|host| host.has_weights(&model.name) || is_loading(host, &model.name));
             held.count()
         })
         .collect();
@@ -59,30 +77,36 @@
     }
 }
 
-/// The model for the next spare: first one whose missing replica it helps to form, then the one
-/// with the most hosts at risk for each spare.
+/// The model for the next spare: the one whose next replica here is the nearest, where the fleet
+/// has little of it, counting the time that the missing hosts take to load.
+///
+/// Where the domain has all that it should, the one with the most hosts at risk for each spare.
 fn neediest(
     situation: &FabricSituation<'_>,
     standing: &FastMap<&ModelName, usize>,
     spares: &[usize],
 ) -> Option<usize> {
-    let mut best: Option<(f64, usize)> = None;
+    let mut best: Option<((bool, f64), usize)> = None;
     for (index, model) in situation.models.iter().enumerate() {
         let have = standing.get(&model.name).copied().unwrap_or(0);
         let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
-        let lacking = wanted.saturating_sub(have) * model.size;
-        let lacking = lacking.saturating_sub(spares[index]);
-        let at_risk = have * model.size;
-        let count = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
-        let need = if lacking > 0 {
-            1000.0 - count(lacking)
+        let lacks = have < wanted && spares[index] < model.size;
+        let need = if lacks {
+            let missing = to_f64(model.size - spares[index]) * model.load.as_secs_f64();
+            // One replica more, so that a model of which nothing stands is still compared by time.
+            1.0 / (missing.max(1.0) * situation.cover(model, 1))
         } else {
             // Of two in equal need the one with fewer spares goes first.
-            count(at_risk) / count(spares[index] + 1) - count(spares[index]) * 1e-3
+            to_f64(have * model.size) / to_f64(spares[index] + 1) - to_f64(spares[index]) * 1e-3
         };
-        if best.is_none_or(|(most, _)| need > most) {
-            best = Some((need, index));
+        let rank = (lacks, need);
+        if best.is_none_or(|(most, _)| rank > most) {
+            best = Some((rank, index));
         }
     }
     best.map(|(_, index)| index)
 }
+
+fn to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/crates/serving/tests/plan/kit.rs
+++ b/crates/serving/tests/plan/kit.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use domain::{FastSet, HostId, ModelName, ReplicaId};
+use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId};
 use serving::plan::{FabricSituation, HostSituation, PlanStep, plan_fabric};
 use serving::{MemberState, ModelShape, ReplicaMembership};
 
@@ -79,6 +79,7 @@
     hosts: Vec<HostSituation>,
     wanted: BTreeMap<ModelName, usize>,
     spent: FastSet<(ReplicaId, u64)>,
+    pub fleet: FastMap<ModelName, usize>,
     may_load: bool,
     may_stage: bool,
 }
@@ -92,6 +93,7 @@
             hosts,
             wanted,
             spent: FastSet::default(),
+            fleet: FastMap::default(),
             may_load: false,
             may_stage: false,
         }
@@ -117,6 +119,7 @@
             models: &models(),
             wanted: &self.wanted,
             hosts: &self.hosts,
+            fleet: &self.fleet,
             spent: &self.spent,
             may_load_members: self.may_load,
             may_stage: self.may_stage,
