Form no replica beyond what is wanted of a model the fleet has more of

One domain had three small replicas, two spares and no large one for twenty seconds.

Change: a replica beyond what is wanted is formed only of a model of which the fleet has no more, for its share, than of those the domain lacks.

Tests: staged_hosts::large_model_not_starved (failed before), loads_under_way_count.

--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -250,14 +250,12 @@
     formed: &FastMap<&'a ModelName, usize>,
     free: &mut Vec<&HostSituation>,
 ) -> Option<(&'a ModelShape, Vec<HostId>)> {
-    let lacking = is_lacking(situation, standing);
     for model in by_lack(situation, standing, formed) {
         let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
         let have = standing.get(&model.name).copied().unwrap_or(0);
-        // Beyond what is wanted one host stays a spare, so that the next loss costs a second.
-        // Where a wanted replica has too few hosts, those that are left serve another model
-        // instead of nobody; a member that is lost from it leaves them as spares again.
-        let reserve = usize::from(have >= wanted && !lacking);
+        let Some(reserve) = spares_kept(situation, standing, formed, model) else {
+            continue;
+        };
         let may_load = situation.may_load_members && have < wanted;
         if let Some(members) = take_members(free, model, reserve, may_load) {
             return Some((model, members));
@@ -266,14 +264,54 @@
     None
 }
 
-/// Whether a replica that the domain should have is missing.
-fn is_lacking(situation: &FabricSituation<'_>, standing: &FastMap<&ModelName, usize>) -> bool {
-    let mut models = situation.models.iter();
-    models.any(|model| {
-        let have = standing.get(&model.name).copied().unwrap_or(0);
-        let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
-        have < wanted
-    })
+/// Hosts that stay free when one more replica of a model is formed; nothing if it should not be.
+///
+/// Beyond what is wanted one host stays a spare, so that the next loss costs a second. Where a wanted
+/// replica of another model lacks hosts, those that are left would serve nobody: they serve this
+/// one, unless the fleet has more of it already. A host that has changed its model takes a load of
+/// many seconds to change back, so small replicas would else use up one by one what a large one
+/// needs at once.
+fn spares_kept(
+    situation: &FabricSituation<'_>,
+    standing: &FastMap<&ModelName, usize>,
+    formed: &FastMap<&ModelName, usize>,
+    model: &ModelShape,
+) -> Option<usize> {
+    if is_lacking(situation, standing, model) {
+        return Some(0);
+    }
+    let own = cover(situation, formed, model);
+    let mut reserve = 1;
+    for other in situation.models {
+        if !is_lacking(situation, standing, other) {
+            continue;
+        }
+        if own > cover(situation, formed, other) {
+            return None;
+        }
+        reserve = 0;
+    }
+    Some(reserve)
+}
+
+/// Whether a domain should have a further replica of a model.
+fn is_lacking(
+    situation: &FabricSituation<'_>,
+    standing: &FastMap<&ModelName, usize>,
+    model: &ModelShape,
+) -> bool {
+    let have = standing.get(&model.name).copied().unwrap_or(0);
+    let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
+    have < wanted
+}
+
+fn cover(
+    situation: &FabricSituation<'_>,
+    formed: &FastMap<&ModelName, usize>,
+    model: &ModelShape,
+) -> f64 {
+    let formed = formed.get(&model.name).copied().unwrap_or(0);
+    situation.cover(model, formed)
 }
 
 /// The models in the order in which they get hosts: what the domain lacks goes first, and of that
@@ -285,16 +323,10 @@
 ) -> Vec<&'a ModelShape> {
     let mut models: Vec<&ModelShape> = situation.models.iter().collect();
     models.sort_by(|left, right| {
-        let satisfied = |model: &ModelShape| {
-            let have = standing.get(&model.name).copied().unwrap_or(0);
-            have >= situation.wanted.get(&model.name).copied().unwrap_or(0)
-        };
-        let cover = |model: &ModelShape| {
-            let formed = formed.get(&model.name).copied().unwrap_or(0);
-            situation.cover(model, formed)
-        };
-        satisfied(left)
-            .cmp(&satisfied(right))
+        let lacks = |model: &ModelShape| is_lacking(situation, standing, model);
+        let cover = |model: &ModelShape| cover(situation, formed, model);
+        lacks(right)
+            .cmp(&lacks(left))
             .then(cover(left).total_cmp(&cover(right)))
             .then(right.size.cmp(&left.size))
     });
--- a/crates/serving/tests/plan/staged_hosts.rs
+++ b/crates/serving/tests/plan/staged_hosts.rs
@@ -4,7 +4,7 @@
 //! load from the weight store takes twelve to sixteen seconds and callers fill all replicas.
 
 use serving::MemberState;
-use serving::plan::{HostSituation, PlanStep};
+use serving::plan::{HostSituation, PlanStep, spare_prefix};
 
 use crate::kit::{Domain, formed, host, member, warm};
 
@@ -89,3 +89,49 @@
             .any(|step| matches!(step, PlanStep::Warm { .. }))
     );
 }
+
+/// A domain has lost its large replica and has three hosts left that hold both models; the fleet has
+/// more of the small model already. If they formed small replicas, each of two hosts, the large one
+/// would never find its fourth host: callers of the large model are refused for the rest of the day
+/// beside small replicas that stand half idle.
+#[test]
+fn large_model_not_starved() {
+    let hosts = vec![
+        member("a", "small", "r-1", 0, MemberState::Open),
+        member("b", "small", "r-1", 1, MemberState::Ready),
+        universal("x", "large", "small"),
+        universal("y", "large", "small"),
+        universal("z", "large", "small"),
+    ];
+    let fleet = |large: usize, small: usize| {
+        let mut domain = Domain::of(hosts.clone());
+        domain
+            .fleet
+            .insert("large".parse().expect("a model"), large);
+        domain
+            .fleet
+            .insert("small".parse().expect("a model"), small);
+        domain
+    };
+    assert_eq!(formed(&fleet(4, 7).plan()), Vec::<Vec<&str>>::new());
+    // Where the fleet lacks the small model more, hosts that would serve nobody serve it.
+    assert_eq!(formed(&fleet(6, 3).plan()).len(), 1);
+}
+
+/// Two hosts come to a domain one after the other while the first one still loads. The name of its
+/// group tells which model that is, so the second loads towards the same replica.
+#[test]
+fn loads_under_way_count() {
+    let mut loading = host("a");
+    loading.membership = member("a", "small", "r-1", 0, MemberState::Joining).membership;
+    let prefix = spare_prefix(&"small".parse().expect("a model"));
+    if let Some(membership) = &mut loading.membership {
+        membership.replica = format!("{prefix}n-1").parse().expect("a replica");
+    }
+    let steps = Domain::of(vec![loading, host("b")]).plan();
+    let warmed = steps.iter().find_map(|step| match step {
+        PlanStep::Warm { model, .. } => Some(model.as_str()),
+        _ => None,
+    });
+    assert_eq!(warmed, Some("small"));
+}
