--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -51,11 +51,11 @@
     bound.map_err(|error| eyre::eyre!("can't take datagrams on {address}: {error}"))
 }
 
-/// Serves callers until the node closes its door; connections that were taken go on.
+/// Serves callers until the node stops accepting; connections that were taken go on.
 pub async fn serve_callers(node: Rc<GatewayNode>, listener: TcpListener) {
     loop {
         let accepted = tokio::select! {
-            () = node.door_closed() => return,
+            () = node.accepting_stopped() => return,
             accepted = accept(&listener) => accepted,
         };
         let Some(stream) = accepted else { continue };
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -69,7 +69,7 @@
     nodes_counted: Cell<u64>,
     stopping: Cell<Option<StopPlan>>,
     /// Closed when callers' connections are taken no more.
-    door: Semaphore,
+    accepting: Semaphore,
     running: Cell<usize>,
     connections: Cell<usize>,
     seen_request: Cell<bool>,
@@ -126,7 +126,7 @@
             nodes: RefCell::default(),
             nodes_counted: Cell::default(),
             stopping: Cell::default(),
-            door: Semaphore::new(0),
+            accepting: Semaphore::new(0),
             running: Cell::default(),
             connections: Cell::default(),
             seen_request: Cell::default(),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -151,14 +151,14 @@
     }
 
     /// Takes no more connections.
-    pub fn close_door(&self) {
-        self.door.close();
+    pub fn stop_accepting(&self) {
+        self.accepting.close();
     }
 
     /// Completes once no more connections are taken.
-    pub async fn door_closed(&self) {
+    pub async fn accepting_stopped(&self) {
         // A semaphore without permits only ever answers that it was closed.
-        drop(self.door.acquire().await);
+        drop(self.accepting.acquire().await);
     }
 
     pub(super) fn begin_request(&self) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -142,9 +142,9 @@
     node.log(&stop_line(node, "begun"));
     wait_until_over(node, plan).await;
     // A caller that connects between the last look and the end of the process would have its
-    // request run and see no answer. With the door closed it connects elsewhere, and whoever came
+    // request run and see no answer. With the listener closed it connects elsewhere, and whoever came
     // in just before is still served.
-    node.close_door();
+    node.stop_accepting();
     tokio::task::yield_now().await;
     wait_until_over(node, plan).await;
     node.log(&stop_line(node, "done"));
--- a/tests/gateway/kit.rs
+++ b/tests/gateway/kit.rs
@@ -11,7 +11,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
-use standin::site::{SiteEngine, SiteGroups, SiteInstance, SiteStore};
+use standin::site::{PlainMode, SiteEngine, SiteGroups, SiteInstance, SiteStore};
 use web::HttpLink;
 
 use crate::PRODUCT;
@@ -130,6 +130,21 @@
         site
     }
 
+    /// Changes how all instances behave.
+    pub fn set_modes(&self, mode: PlainMode) {
+        for instance in &self.instances {
+            instance.set_mode(mode);
+        }
+    }
+
+    /// How often a call ran, at any instance.
+    pub fn plain_runs(&self, id: &str) -> usize {
+        self.instances
+            .iter()
+            .map(|instance| instance.runs(id))
+            .sum()
+    }
+
     pub async fn add_engine(&mut self, id: &str) {
         let engine = self.groups.start(id, "f0", "z0").await.expect("an engine");
         self.engines.push(engine);
--- a/tests/gateway/plain_calls.rs
+++ b/tests/gateway/plain_calls.rs
@@ -14,9 +14,7 @@
 async fn full_service() {
     let site = TestSite::start(0, 2).await;
     let node = site.node("n0").await;
-    for instance in &site.instances {
-        instance.set_mode(PlainMode::Full);
-    }
+    site.set_modes(PlainMode::Full);
     let answer = TestCall::new("/pay/fee", "p-1").send(&node).await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(answer.headers.contains_key("retry-after"));
@@ -28,18 +26,11 @@
 async fn lost_payment_answer() {
     let site = TestSite::start(0, 2).await;
     let node = site.node("n0").await;
-    for instance in &site.instances {
-        instance.set_mode(PlainMode::Mute);
-    }
+    site.set_modes(PlainMode::Mute);
     let call = TestCall::new("/pay/fee", "p-1").header("x-deadline-ms", "600");
     let answer = call.send(&node).await;
     assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
-    let runs: usize = site
-        .instances
-        .iter()
-        .map(|instance| instance.runs("p-1"))
-        .sum();
-    assert_eq!(runs, 1);
+    assert_eq!(site.plain_runs("p-1"), 1);
 }
 
 /// One of two instances hangs. A clerk's look-up may be repeated and gets its answer from the
@@ -70,12 +61,7 @@
     let paid = TestCall::new("/pay/fee", "p-1").send(&node).await;
     assert_eq!(paid.status, StatusCode::INTERNAL_SERVER_ERROR);
     assert_eq!(paid.headers["x-response-signature"], "signed");
-    let runs: usize = site
-        .instances
-        .iter()
-        .map(|instance| instance.runs("p-1"))
-        .sum();
-    assert_eq!(runs, 1);
+    assert_eq!(site.plain_runs("p-1"), 1);
 }
 
 /// An answer that belongs to another request turns up. It is never passed on: a trader would hold
