--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -127,6 +127,8 @@
     StreamMoved = 243, "stream_moved", Warn;
     /// A stream was cut off, because no target could go on with it or its time was over.
     StreamCut = 244, "stream_cut", Warn;
+    /// A stream waits for a replica that stands still, because no other target could go on with it.
+    StreamStays = 245, "stream_stays", Warn;
 
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -195,8 +195,10 @@
     /// Tries another target for a stream whose replica stands still. Where none goes on, the
     /// stream stays: silence is no reason to cut off an answer that may still come.
     async fn leave_stalled(&mut self) {
-        if self.go_elsewhere("the replica stands still").await.is_err() {
+        if let Err(reason) = self.go_elsewhere("the replica stands still").await {
             self.stays = true;
+            let line = self.line(EventCode::StreamStays).text("reason", &reason);
+            self.node.log(&line);
         }
     }
 
