Count a connection's idle time from the end of its last answer

What callers saw: a connection that they kept, within what the configuration allows, was closed under the next request.

Cause: read in the code, not in a log. The idle time counted from the beginning of the last request, so a stream took its own length off the caller's allowance, and one that takes longer than a connection may be idle closed it with its last byte.

Test, failed before: kept_connection::idle_from_answer ('an answer on the kept connection').

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -44,8 +44,8 @@
 pub async fn handle_request(
     node: Rc<GatewayNode>,
     request: Request<Incoming>,
+    running: RunningRequest,
 ) -> Response<Either<Full<Bytes>, impl Body<Data = Bytes, Error = StreamEnd>>> {
-    let running = RunningRequest::new(&node);
     let mut response = answer_request(&node, request, running).await;
     if node.is_stopping() {
         let close = http::HeaderValue::from_static("close");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod run;
 mod send;
 mod settings;
+mod usage;
 mod watch;
 
 pub use hints::{HostMark, LoadHint};
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,6 +1,5 @@
 //! Listening: callers, the balancer's questions, metrics.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -16,7 +15,8 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::handle::handle_request;
-use crate::node::GatewayNode;
+use crate::node::{GatewayNode, RunningRequest};
+use crate::usage::ConnectionUsage;
 
 /// Longest wait for a whole head, idle time included: well above what any configuration allows a
 /// connection to be idle. A caller that sends a head byte by byte would hold it for ever.
@@ -97,14 +97,14 @@
 }
 
 async fn serve_caller(node: Rc<GatewayNode>, stream: TcpStream, _open: OpenConnection) {
-    let usage = Rc::new(ConnectionUsage::new(node.now()));
+    let usage = ConnectionUsage::new(node.now());
     let handler = {
         let node = Rc::clone(&node);
         let usage = Rc::clone(&usage);
         service_fn(move |request| {
+            let running = RunningRequest::new(&node, &usage);
             let node = Rc::clone(&node);
-            usage.used(node.now());
-            async move { Ok::<_, Infallible>(handle_request(node, request).await) }
+            async move { Ok::<_, Infallible>(handle_request(node, request, running).await) }
         })
     };
     let mut builder = Builder::new();
@@ -126,19 +126,6 @@
     }
 }
 
-/// When a connection last brought a request.
-struct ConnectionUsage(Cell<Duration>);
-
-impl ConnectionUsage {
-    fn new(now: Duration) -> Self {
-        Self(Cell::new(now))
-    }
-
-    fn used(&self, now: Duration) {
-        self.0.set(now);
-    }
-}
-
 /// Completes when a connection should close after the request in progress: it was idle for as
 /// long as the configuration in force allows, or the process stops.
 async fn wait_for_close(node: &GatewayNode, usage: &ConnectionUsage) {
@@ -150,7 +137,7 @@
         if stop.is_some_and(|stop| stop.closes_connections(node.now())) {
             return;
         }
-        if node.now().saturating_sub(usage.0.get()) > node.idle_limit() {
+        if usage.idle_time(node.now()) > node.idle_limit() {
             return;
         }
     }
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -10,26 +10,32 @@
 use super::GatewayNode;
 use crate::forward::ForwardRequest;
 use crate::metrics::NodeFigures;
+use crate::usage::ConnectionUsage;
 
-/// Counts a request in its process until it is dropped, with its answer's last byte.
+/// Counts a request in its process and on its connection until it is dropped, with its answer's last
+/// byte.
 #[derive(Debug)]
 pub struct RunningRequest {
     node: Rc<GatewayNode>,
+    usage: Rc<ConnectionUsage>,
 }
 
 impl RunningRequest {
     /// Counts a request.
     #[must_use]
-    pub fn new(node: &Rc<GatewayNode>) -> Self {
+    pub fn new(node: &Rc<GatewayNode>, usage: &Rc<ConnectionUsage>) -> Self {
         node.begin_request();
+        usage.begin();
         Self {
             node: Rc::clone(node),
+            usage: Rc::clone(usage),
         }
     }
 }
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
+        self.usage.end(self.node.now());
         self.node.end_request();
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod call;
 mod failed_requests;
+mod kept_connection;
 mod kit;
 mod log_reader;
 mod lost_hosts;
