Let a stream that lost its replica wait elsewhere as long as its caller does

What callers saw: half an answer and then nothing, until they gave up (stream_stays, caller_left).

Cause, from the line that was added for the known failure: of the streams whose replica was lost, those that found 'all N targets are full' stayed with it for good, with an attempt left. They were held to the places in which a new request begins in time, two to four, and tried for 0.75 s only.

Mend: the places beyond a full target are reckoned with what is left of the caller's patience, 1.8 s from the last event, for a stream that goes on elsewhere; a new request's are as before.

Test, failed before: lost_hosts::streams_move_to_full (streams ended in the middle).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -126,10 +126,17 @@
 }
 
 impl ForwardRequest {
-    /// Requests that may wait at a target where this one still goes.
-    fn queue_limit(&self, service: &ServiceShape, slots: u32, standing: ArrivalStanding) -> f64 {
+    /// Requests that may wait at a target where this one still goes, with a caller who waits for
+    /// `patience`.
+    fn queue_limit(
+        &self,
+        service: &ServiceShape,
+        slots: u32,
+        standing: ArrivalStanding,
+        patience: Duration,
+    ) -> f64 {
         let pace = self.replica_pace(service);
-        let places = pace.and_then(|pace| pace.queue_places(self.target_latency));
+        let places = pace.and_then(|pace| pace.queue_places(patience));
         // Without a step model, and at a plain service, a short queue empties in time.
         places.unwrap_or(f64::from(slots) * PLAIN_QUEUE) * standing.part()
     }
@@ -164,7 +171,7 @@
         }
     }
 
-    /// Chooses a target that is not among `tried`.
+    /// Chooses a target that is not among `tried` and begins within `patience`.
     ///
     /// # Errors
     ///
@@ -174,6 +181,7 @@
         node: &GatewayNode,
         config: &GatewayConfig,
         tried: &FastSet<HostId>,
+        patience: Duration,
     ) -> Result<TargetEntry, ChoiceFailure> {
         let Some(service) = config.services.get(&self.service) else {
             return Err(ChoiceFailure::absent());
@@ -211,8 +219,9 @@
             })
             .collect();
         let most = entries.first().map_or(0, slots);
+        let standing = self.standing(node, service, tried);
         let limits = ChoiceLimits {
-            queue: self.queue_limit(service, most, self.standing(node, service, tried)),
+            queue: self.queue_limit(service, most, standing, patience),
             nodes: node.node_count(),
         };
         let index = choose_target(&choices, limits, now)
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -193,7 +193,7 @@
         if !repeat_left {
             return tally.give_up(FULL_WAIT, false);
         }
-        let target = match forward.choose(node, config, &tally.tried) {
+        let target = match forward.choose(node, config, &tally.tried, forward.target_latency) {
             Ok(target) => target,
             Err(failure) => {
                 if tally.last.is_empty() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -202,6 +202,18 @@
         }
     }
 
+    /// How long the caller still waits for the next event.
+    ///
+    /// Its answer is late already and half of it is there. Held to the few places in which a new
+    /// request begins in time, a stream whose replica was lost found all others full and lost the
+    /// rest; a new caller can come back instead.
+    fn patience(&self) -> Duration {
+        let heard = self.last_moved.max(self.forward.arrived);
+        let silent = self.node.now().saturating_sub(heard);
+        let left = MOVE_LIMIT.saturating_sub(silent);
+        left.max(self.forward.target_latency)
+    }
+
     /// Lets another target go on after the last whole event.
     async fn go_elsewhere(&mut self, lost: &str) -> Result<(), String> {
         if self.forward.kind != (RouteKind::Streaming { resumable: true }) {
@@ -215,7 +227,11 @@
             if trial > 0 {
                 tokio::time::sleep(MOVE_PAUSE).await;
             }
-            let target = match self.forward.choose(&self.node, &self.config, &self.tried) {
+            let patience = self.patience();
+            let chosen = self
+                .forward
+                .choose(&self.node, &self.config, &self.tried, patience);
+            let target = match chosen {
                 Ok(target) => target,
                 Err(none) => {
                     reason = none.to_string();
--- a/tests/gateway/lost_hosts.rs
+++ b/tests/gateway/lost_hosts.rs
@@ -235,3 +235,42 @@
     assert_eq!(site.groups.serving(), before);
     assert!(node.lines(&["order_ended", "\"leave\""]).is_empty());
 }
+
+/// A replica loses a member while the only other one has hardly a place left. The callers whose streams
+/// stand still have their answers in part; each must get the rest from the other replica, though it
+/// begins there later than a new request should. Streams that found all targets full waited at the
+/// lost replica until their callers gave up.
+///
+/// Seen in the log: `stream_stays` with `all 1 targets are full` and one attempt used, and the caller
+/// gone a second later.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_move_to_full() {
+    let mut site = TestSite::start(9, 0);
+    let node = site.node("n0").await;
+    node.wait_replicas(2).await;
+    // Without its spare the lost replica has no successor.
+    let members = site.groups.serving().concat();
+    let ids = site.engines.iter().map(|engine| engine.id.clone());
+    let spares: Vec<String> = ids.filter(|id| !members.contains(id)).collect();
+    site.kill_engine(&spares[0]);
+    site.groups.expire(&spares[0]);
+    node.wait_line(&["target_gone", &spares[0]]).await;
+    site.groups.set_events(60);
+    let mut streams = Vec::new();
+    for number in 0..12 {
+        let (link, answer) = TestCall::chat(&format!("c-{number}")).begin(&node).await;
+        assert_eq!(answer.status(), StatusCode::OK, "c-{number}");
+        streams.push(tokio::spawn(async move {
+            let answer = read_rest(answer).await;
+            drop(link);
+            answer
+        }));
+    }
+    let member = site.replica_running("c-0").remove(1);
+    site.kill_engine(&member);
+    for stream in streams {
+        let answer = stream.await.expect("a stream");
+        assert!(answer.whole, "{}", answer.text);
+        assert_eq!(answer.text, whole_stream(60));
+    }
+}
