Part what a node knows of loads from what it knows of losses

node/health.rs had grown to 370 lines with two jobs: which targets answer or leave, and how loaded they are by own sends, reports and hints. The second is node/loads.rs now.

--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! What a gateway knows, shared by its tasks.
 
 mod health;
+mod loads;
 mod process;
 mod targets;
 
