Keep what runs at a host whose entry can't be read

What callers would see: a stream that stands still and moves, or is lost, when another writer puts bytes that can't be read over the registry's entry of the head that serves it.

Test, failed before: lost_hosts::unreadable_entry (stream_moved 'the replica stands still' after the first event).

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -273,8 +273,9 @@
                     .number("row_version", row.version.0)
                     .text("reason", &error.to_string());
                 self.node.log(&line);
+                // It names nobody to use; what runs at the one that it named goes on.
                 if let Ok(id) = row.key.parse::<HostId>() {
-                    self.node.remove_target(&id);
+                    self.unlist(id);
                 }
             }
         }
--- a/tests/gateway/lost_hosts.rs
+++ b/tests/gateway/lost_hosts.rs
@@ -274,3 +274,18 @@
         assert_eq!(answer.text, whole_stream(60));
     }
 }
+
+/// Another writer puts bytes that can't be read over the registry's entry of a head, in the middle of
+/// an answer. Such an entry names nobody, and the stream must go on where it began; the node took the
+/// head for gone at once and gave its members to a new replica under the stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_entry() {
+    let site = TestSite::start(10, 0);
+    let node = site.node("n0").await;
+    node.wait_replicas(2).await;
+    site.groups.set_events(50);
+    let (_link, answer) = TestCall::chat("c-1").begin(&node).await;
+    let head = site.replica_running("c-1").remove(0);
+    site.store.put("servers", &head, b"{\"service\":");
+    expect_undisturbed(&node, answer).await;
+}
