--- /dev/null
+++ b/crates/serving/src/plan/forming.rs
@@ -0,0 +1,169 @@
+//! Which hosts join which new replicas.
+
+use domain::{FastMap, HostId, ModelName};
+
+use super::situation::{FabricSituation, HostSituation};
+use super::step::PlanStep;
+use crate::route::ModelShape;
+
+/// Takes out of `free` the hosts that replicas which end will need beside those of their own that
+/// stay.
+///
+/// A replica ends within seconds. Were its spare given to another one meanwhile, the hosts that stay
+/// would be too few for a successor: with one host that left, a model then lost four, and its
+/// callers were refused.
+pub(super) fn keep_for_successors<'a>(
+    ending: &[(&ModelShape, usize)],
+    free: &mut Vec<&'a HostSituation>,
+) -> Vec<&'a HostSituation> {
+    let mut kept: Vec<&HostSituation> = Vec::new();
+    for (model, missing) in ending {
+        let mut fitting: Vec<&HostSituation> = free
+            .iter()
+            .copied()
+            .filter(|host| host.has_weights(&model.name) && !host.is_joining())
+            .collect();
+        // Too few for a successor, they may serve in another replica.
+        if fitting.len() < *missing {
+            continue;
+        }
+        fitting.sort_by_key(|host| !host.is_warm(&model.name));
+        fitting.truncate(*missing);
+        free.retain(|host| !fitting.iter().any(|taken| taken.id == host.id));
+        kept.extend(fitting);
+    }
+    kept
+}
+
+pub(super) fn form_replicas<'a>(
+    situation: &FabricSituation<'a>,
+    standing: &mut FastMap<&'a ModelName, usize>,
+    free: &mut Vec<&HostSituation>,
+    steps: &mut Vec<PlanStep>,
+) {
+    let mut formed: FastMap<&ModelName, usize> = FastMap::default();
+    while let Some((model, members)) = next_replica(situation, standing, &formed, free) {
+        steps.push(PlanStep::Form {
+            model: model.name.clone(),
+            members,
+        });
+        *standing.entry(&model.name).or_default() += 1;
+        *formed.entry(&model.name).or_default() += 1;
+    }
+}
+
+fn next_replica<'a>(
+    situation: &FabricSituation<'a>,
+    standing: &FastMap<&'a ModelName, usize>,
+    formed: &FastMap<&'a ModelName, usize>,
+    free: &mut Vec<&HostSituation>,
+) -> Option<(&'a ModelShape, Vec<HostId>)> {
+    for model in by_lack(situation, standing, formed) {
+        let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
+        let have = standing.get(&model.name).copied().unwrap_or(0);
+        let Some(reserve) = spares_kept(situation, standing, formed, model) else {
+            continue;
+        };
+        let may_load = situation.may_load_members && have < wanted;
+        if let Some(members) = take_members(free, model, reserve, may_load) {
+            return Some((model, members));
+        }
+    }
+    None
+}
+
+/// Hosts that stay free when one more replica of a model is formed; nothing if it should not be.
+///
+/// Beyond what is wanted one host stays a spare, so that the next loss costs a second. Where a wanted
+/// replica of another model lacks hosts, those that are left would serve nobody: they serve this
+/// one, unless the fleet has more of it already. A host that has changed its model takes a load of
+/// many seconds to change back, so small replicas would else use up one by one what a large one
+/// needs at once.
+fn spares_kept(
+    situation: &FabricSituation<'_>,
+    standing: &FastMap<&ModelName, usize>,
+    formed: &FastMap<&ModelName, usize>,
+    model: &ModelShape,
+) -> Option<usize> {
+    if is_lacking(situation, standing, model) {
+        return Some(0);
+    }
+    let own = cover(situation, formed, model);
+    let mut reserve = 1;
+    for other in situation.models {
+        if !is_lacking(situation, standing, other) {
+            continue;
+        }
+        if own > cover(situation, formed, other) {
+            return None;
+        }
+        reserve = 0;
+    }
+    Some(reserve)
+}
+
+/// Whether a domain should have a further replica of a model.
+pub(super) fn is_lacking(
+    situation: &FabricSituation<'_>,
+    standing: &FastMap<&ModelName, usize>,
+    model: &ModelShape,
+) -> bool {
+    let have = standing.get(&model.name).copied().unwrap_or(0);
+    let wanted = situation.wanted.get(&model.name).copied().unwrap_or(0);
+    have < wanted
+}
+
+pub(super) fn cover(
+    situation: &FabricSituation<'_>,
+    formed: &FastMap<&ModelName, usize>,
+    model: &ModelShape,
+) -> f64 {
+    let formed = formed.get(&model.name).copied().unwrap_or(0);
+    situation.cover(model, formed)
+}
+
+/// The models in the order in which they get hosts: what the domain lacks goes first, and of that
+/// what the whole fleet has least of.
+fn by_lack<'a>(
+    situation: &FabricSituation<'a>,
+    standing: &FastMap<&'a ModelName, usize>,
+    formed: &FastMap<&'a ModelName, usize>,
+) -> Vec<&'a ModelShape> {
+    let mut models: Vec<&ModelShape> = situation.models.iter().collect();
+    models.sort_by(|left, right| {
+        let lacks = |model: &ModelShape| is_lacking(situation, standing, model);
+        let cover = |model: &ModelShape| cover(situation, formed, model);
+        lacks(right)
+            .cmp(&lacks(left))
+            .then(cover(left).total_cmp(&cover(right)))
+            .then(right.size.cmp(&left.size))
+    });
+    models
+}
+
+fn take_members(
+    free: &mut Vec<&HostSituation>,
+    model: &ModelShape,
+    reserve: usize,
+    may_load: bool,
+) -> Option<Vec<HostId>> {
+    let fits = |host: &&HostSituation| {
+        if host.has_weights(&model.name) {
+            return !host.is_joining();
+        }
+        may_load && !host.has_any_weights() && !host.is_joining()
+    };
+    let fitting = free.iter().copied().filter(|host| fits(host)).count();
+    if model.size == 0 || fitting < model.size + reserve {
+        return None;
+    }
+    let mut chosen: Vec<&HostSituation> = free.iter().copied().filter(|host| fits(host)).collect();
+    chosen.sort_by(|left, right| {
+        let cold =
+            |host: &HostSituation| (!host.is_warm(&model.name), !host.has_weights(&model.name));
+        cold(left).cmp(&cold(right)).then(left.id.cmp(&right.id))
+    });
+    chosen.truncate(model.size);
+    free.retain(|host| !chosen.iter().any(|taken| taken.id == host.id));
+    Some(chosen.into_iter().map(|host| host.id.clone()).collect())
+}
--- a/crates/serving/src/plan/mod.rs
+++ b/crates/serving/src/plan/mod.rs
@@ -6,13 +6,16 @@
 //! other (see [`PlanStep`]).
 
 mod fabric;
+mod fate;
+mod forming;
 mod layout;
 mod situation;
 mod spares;
 mod staging;
 mod step;
 
-pub use fabric::{CLOSING_PATIENCE, plan_fabric};
+pub use fabric::plan_fabric;
+pub use fate::CLOSING_PATIENCE;
 pub use layout::{FabricLayout, lay_out};
 pub use situation::{FabricSituation, HostSituation, HostStay};
 pub use spares::{SPARE_PREFIX, spare_prefix};
