Log what each fabric domain has and should have of each model

The timeline of the larger model's shortfall could not tell whether the layout, the repair or the callers' need was at fault: no line said how many replicas a domain is meant to have and has, and how many hosts are idle beside a lack. The node that acts first for a domain now says so at each change (fabric_counted). The turns of steps moved to turns.rs with their constants, unchanged.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -213,6 +213,10 @@
     /// A target does not answer this node, though answers of its replica go on; it is not suspected.
     /// Many of them point at a link that loses packets.
     TargetDoubted = 366, "target_doubted", Info;
+    /// What the plan found in a fabric domain that this node acts for first: replicas that stand and
+    /// that should, by model, and idle hosts. A model that stays below beside idle hosts or beside
+    /// more of another model than wanted is held up by something.
+    FabricCounted = 367, "fabric_counted", Info;
 
     /// A node was silent for long and its row was cleaned from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/care/mod.rs
+++ b/crates/gateway/src/care/mod.rs
@@ -14,7 +14,7 @@
 use domain::{ConfigRevision, FabricId, FastMap, HostId, ModelName};
 use events::{EventCode, EventLine};
 use serving::plan::{
-    FabricLayout, FabricSituation, HostSituation, HostStay, PlanStep, plan_fabric,
+    FabricCensus, FabricLayout, FabricSituation, HostSituation, HostStay, PlanStep, plan_fabric,
 };
 use serving::rank::stable_hash;
 use serving::{ServiceShape, TargetEntry, TargetState};
@@ -41,18 +41,6 @@
 /// Pause between two plans for the other domains.
 const FAR_PAUSE: Duration = Duration::from_secs(2);
 
-/// Time that each node leaves to the one before it. Orders are answered within milliseconds and
-/// their effect stands in the registry soon after, so a step that still waits was not taken.
-const TURN: Duration = Duration::from_millis(350);
-
-/// Turns counted at most; of many nodes the later ones act at about the same time, and the
-/// engines refuse all but one.
-const MAX_TURNS: u32 = 8;
-
-/// Quiet time after the last new host before replicas are formed at the first start. Hosts
-/// register over the first seconds, and a plan on the first few forms the wrong replicas.
-const GATHER_TIME: Duration = Duration::from_millis(700);
-
 /// Window over which weight loads are counted.
 const LOAD_WINDOW: Duration = Duration::from_secs(5);
 
@@ -71,6 +59,7 @@
         mark: RandomState::new().hash_one(&node.settings.node) & 0xffff_ffff,
         ranks: RefCell::default(),
         layouts: RefCell::default(),
+        counted: RefCell::default(),
         restless: Cell::new(true),
         far_round: Cell::default(),
     });
@@ -101,6 +90,8 @@
     mark: u64,
     ranks: RefCell<TurnRanks>,
     layouts: RefCell<KeptLayouts>,
+    /// What was last logged of the fabric domains that this node acts for first.
+    counted: RefCell<FastMap<FabricId, FabricCensus>>,
     /// Whether the last plan found something to do or to wait for.
     restless: Cell<bool>,
     /// When all fabric domains were last planned, not only this node's own.
@@ -174,6 +165,8 @@
                     may_stage: lead,
                 })
             });
+            self.log_census(fabric, planned.census);
+            let planned = planned.steps;
             if !planned.is_empty() || !blind::is_settled(hosts) {
                 self.restless.set(true);
             }
@@ -189,6 +182,29 @@
         }
     }
 
+    fn log_census(&self, fabric: &FabricId, census: FabricCensus) {
+        let is_first = self.ranks.borrow_mut().rank(&self.node, fabric) == 0;
+        let mut counted = self.counted.borrow_mut();
+        if !is_first || counted.get(fabric) == Some(&census) {
+            return;
+        }
+        let models = census.models.iter().map(|found| {
+            let (standing, wanted) = (found.standing, found.wanted);
+            format!("{} {standing} of {wanted}", found.model)
+        });
+        let models: Vec<String> = models.collect();
+        let line = EventLine::new(EventCode::FabricCounted)
+            .text("fabric", fabric.as_str())
+            .text("models", &models.join(", "))
+            .number(
+                "idle_hosts",
+                u64::try_from(census.idle_hosts).unwrap_or(u64::MAX),
+            )
+            .millis("registry_age_ms", self.node.registry_age());
+        self.node.log(&line);
+        counted.insert(fabric.clone(), census);
+    }
+
     /// The hosts of the fabric domains that this node plans for now.
     fn fabrics(&self, service: &ServiceShape, far: bool) -> BTreeMap<FabricId, Vec<HostSituation>> {
         let node = &self.node;
@@ -271,48 +287,6 @@
         }
     }
 
-    fn turn(&self, fabric: &FabricId, step: &PlanStep) -> Duration {
-        let node = &self.node;
-        let own = node.settings.node.as_str();
-        let made_here = match step {
-            PlanStep::Open { replica, .. } | PlanStep::Close { replica, .. } => {
-                replica.as_str().contains(&self.tag())
-            }
-            PlanStep::Form { .. } | PlanStep::Warm { .. } | PlanStep::Stage { .. } => false,
-        };
-        if made_here {
-            return Duration::ZERO;
-        }
-        let rank = self.ranks.borrow_mut().rank(node, fabric);
-        let rank = u32::try_from(rank).unwrap_or(MAX_TURNS).min(MAX_TURNS);
-        // Until the others are known, nodes take turns by chance.
-        let rank = if node.with_nodes(<[String]>::is_empty) {
-            let chance = stable_hash(&(own, fabric.as_str())) % u64::from(MAX_TURNS);
-            u32::try_from(chance).unwrap_or(0)
-        } else {
-            rank
-        };
-        // Others may still reach the store, and know more.
-        let blind = u32::from(node.is_store_lost());
-        let turn = TURN * (rank + blind);
-        match step {
-            PlanStep::Form { .. } | PlanStep::Warm { .. } if node.is_lead_time() => {
-                // The wait counts from the last new host: all have waited since their start.
-                let quiet = node.hosts_unchanged();
-                if quiet < GATHER_TIME + turn {
-                    Duration::MAX
-                } else {
-                    turn
-                }
-            }
-            PlanStep::Form { .. } | PlanStep::Warm { .. } => turn,
-            // Its effect shows only when the weights are there, and nobody waits for them.
-            PlanStep::Stage { model, .. } => self.staging_time(model) * (rank + blind),
-            // Whoever formed or closed a replica goes on with it at once.
-            PlanStep::Open { .. } | PlanStep::Close { .. } => turn + TURN,
-        }
-    }
-
     /// Marks the names that this process gives.
     fn tag(&self) -> String {
         let settings = &self.node.settings;
--- a/crates/gateway/src/care/turns.rs
+++ b/crates/gateway/src/care/turns.rs
@@ -6,14 +6,28 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use domain::{ConfigRevision, FabricId, FastMap, ServiceName};
 use serving::ServiceShape;
-use serving::plan::{FabricLayout, lay_out};
-use serving::rank::rendezvous_rank;
+use serving::plan::{FabricLayout, PlanStep, lay_out};
+use serving::rank::{rendezvous_rank, stable_hash};
 
+use super::ReplicaCare;
 use crate::node::GatewayNode;
 
+/// Time that each node leaves to the one before it. Orders are answered within milliseconds and
+/// their effect stands in the registry soon after, so a step that still waits was not taken.
+const TURN: Duration = Duration::from_millis(350);
+
+/// Turns counted at most; of many nodes the later ones act at about the same time, and the
+/// engines refuse all but one.
+const MAX_TURNS: u32 = 8;
+
+/// Quiet time after the last new host before replicas are formed at the first start. Hosts
+/// register over the first seconds, and a plan on the first few forms the wrong replicas.
+const GATHER_TIME: Duration = Duration::from_millis(700);
+
 /// Ranks of this node for fabric domains.
 #[derive(Debug, Default)]
 pub(super) struct TurnRanks {
@@ -77,3 +91,48 @@
         layout
     }
 }
+
+impl ReplicaCare {
+    /// How long this node leaves a step to those before it.
+    pub(super) fn turn(&self, fabric: &FabricId, step: &PlanStep) -> Duration {
+        let node = &self.node;
+        let own = node.settings.node.as_str();
+        let made_here = match step {
+            PlanStep::Open { replica, .. } | PlanStep::Close { replica, .. } => {
+                replica.as_str().contains(&self.tag())
+            }
+            PlanStep::Form { .. } | PlanStep::Warm { .. } | PlanStep::Stage { .. } => false,
+        };
+        if made_here {
+            return Duration::ZERO;
+        }
+        let rank = self.ranks.borrow_mut().rank(node, fabric);
+        let rank = u32::try_from(rank).unwrap_or(MAX_TURNS).min(MAX_TURNS);
+        // Until the others are known, nodes take turns by chance.
+        let rank = if node.with_nodes(<[String]>::is_empty) {
+            let chance = stable_hash(&(own, fabric.as_str())) % u64::from(MAX_TURNS);
+            u32::try_from(chance).unwrap_or(0)
+        } else {
+            rank
+        };
+        // Others may still reach the store, and know more.
+        let blind = u32::from(node.is_store_lost());
+        let turn = TURN * (rank + blind);
+        match step {
+            PlanStep::Form { .. } | PlanStep::Warm { .. } if node.is_lead_time() => {
+                // The wait counts from the last new host: all have waited since their start.
+                let quiet = node.hosts_unchanged();
+                if quiet < GATHER_TIME + turn {
+                    Duration::MAX
+                } else {
+                    turn
+                }
+            }
+            PlanStep::Form { .. } | PlanStep::Warm { .. } => turn,
+            // Its effect shows only when the weights are there, and nobody waits for them.
+            PlanStep::Stage { model, .. } => self.staging_time(model) * (rank + blind),
+            // Whoever formed or closed a replica goes on with it at once.
+            PlanStep::Open { .. } | PlanStep::Close { .. } => turn + TURN,
+        }
+    }
+}
--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -8,10 +8,40 @@
 use super::spares::warm_spares;
 use super::staging::stage_second;
 use super::step::PlanStep;
+use crate::route::ModelShape;
+
+/// What to do in a fabric domain, and what was found there.
+#[derive(Debug, Default)]
+pub struct FabricPlan {
+    /// The next steps.
+    pub steps: Vec<PlanStep>,
+    /// What was found.
+    pub census: FabricCensus,
+}
+
+/// Replicas and idle hosts of a fabric domain before the steps of a plan.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FabricCensus {
+    /// Its models.
+    pub models: Vec<ModelCensus>,
+    /// Usable hosts in no replica that stands.
+    pub idle_hosts: usize,
+}
+
+/// Replicas of one model in a fabric domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelCensus {
+    /// The model.
+    pub model: ModelName,
+    /// Replicas that serve, form or end.
+    pub standing: usize,
+    /// Replicas that the domain should have.
+    pub wanted: usize,
+}
 
 /// Plans the next steps.
 #[must_use]
-pub fn plan_fabric(situation: &FabricSituation<'_>) -> Vec<PlanStep> {
+pub fn plan_fabric(situation: &FabricSituation<'_>) -> FabricPlan {
     let mut steps = Vec::new();
     let mut lost = Vec::new();
     let mut ending = Vec::new();
@@ -41,6 +71,7 @@
         .filter(|host| host.is_usable())
         .filter(|host| !taken.contains(&host.id))
         .collect();
+    let census = take_census(situation, &standing, free.len());
     let kept = keep_for_successors(&ending, &mut free);
     form_replicas(situation, &mut standing, &mut free, &mut steps);
     free.extend(kept);
@@ -57,5 +88,21 @@
     free.retain(|host| !idle_heads.contains(&host.id));
     warm_spares(situation, &standing, &free, &mut steps);
     stage_second(situation, &mut steps);
-    steps
+    FabricPlan { steps, census }
+}
+
+fn take_census(
+    situation: &FabricSituation<'_>,
+    standing: &FastMap<&ModelName, usize>,
+    idle_hosts: usize,
+) -> FabricCensus {
+    let count = |model: &ModelShape| ModelCensus {
+        model: model.name.clone(),
+        standing: standing.get(&model.name).copied().unwrap_or(0),
+        wanted: situation.wanted.get(&model.name).copied().unwrap_or(0),
+    };
+    FabricCensus {
+        models: situation.models.iter().map(count).collect(),
+        idle_hosts,
+    }
 }
--- a/crates/serving/src/plan/mod.rs
+++ b/crates/serving/src/plan/mod.rs
@@ -14,7 +14,7 @@
 mod staging;
 mod step;
 
-pub use fabric::plan_fabric;
+pub use fabric::{FabricCensus, FabricPlan, ModelCensus, plan_fabric};
 pub use fate::CLOSING_PATIENCE;
 pub use layout::{FabricLayout, lay_out};
 pub use situation::{FabricSituation, HostSituation, HostStay};
--- a/crates/serving/tests/plan/kit.rs
+++ b/crates/serving/tests/plan/kit.rs
@@ -123,6 +123,7 @@
             may_load_members: self.may_load,
             may_stage: self.may_stage,
         })
+        .steps
     }
 }
 
