Failing tests: a model with less for its share lacks replicas another could give

Two causes, both seen in that log, and a third behind them: - The layout wants no large replica in one of six domains (0/0, 8/8 from the first second); worked through for six domains of 37 it gives 5 and 29 replicas where 6 and 24 fit. - Domains that lost their large replica stay so for 10 s and more beside small ones beyond what is wanted (0 of 1, 7 or 8 of 4, with 7 hosts idle): nothing that serves is ever given back. - Which domain is to have no large one changes with each lost host, so small ones are formed in it.

Their cases are drawn from a fixed seed; SOAK_SEED draws others.

--- a/crates/serving/tests/plan/fabric_layout.rs
+++ b/crates/serving/tests/plan/fabric_layout.rs
@@ -8,6 +8,8 @@
 use serving::ModelShape;
 use serving::plan::{FabricLayout, lay_out};
 
+use crate::kit::seeded;
+
 fn model(name: &str, size: usize, share: f64) -> ModelShape {
     ModelShape {
         name: name.parse().expect("a model"),
@@ -67,6 +69,49 @@
     assert_eq!(count(&layout, "f1", "large"), 1);
 }
 
+/// The larger of two models with equal shares had no replica in a sixth of the domains: small
+/// replicas went where most hosts were left until it found no room there, and its callers waited at
+/// the others.
+#[test]
+fn large_model_placed() {
+    let models = [model("large", 16, 0.5), model("small", 4, 0.5)];
+    let layout = lay_out(&domains(&[37; 6]), &models);
+    for fabric in layout.keys() {
+        assert_eq!(count(&layout, fabric.as_str(), "large"), 1, "{layout:?}");
+    }
+}
+
+/// Whether a domain could hold a replica more of `poor` in place of some of `rich`, and `rich` would
+/// still have at least as many hosts for its share.
+fn could_give(
+    hosts: &BTreeMap<FabricId, usize>,
+    layout: &FabricLayout,
+    poor: &ModelShape,
+    rich: &ModelShape,
+) -> bool {
+    let held = |fabric: &FabricId, model: &ModelShape| {
+        layout[fabric].get(&model.name).copied().unwrap_or(0)
+    };
+    let cover = |model: &ModelShape, more: i32| {
+        let placed: usize = layout.keys().map(|fabric| held(fabric, model)).sum();
+        let placed = i32::try_from(placed).expect("few replicas") + more;
+        let size = i32::try_from(model.size).expect("few hosts");
+        f64::from(placed * size) / model.share
+    };
+    for (fabric, hosts) in hosts {
+        // Beside one that it has, a further replica of a model leaves a spare for each model.
+        let spares = if held(fabric, poor) > 0 { 2 } else { 0 };
+        let used = held(fabric, poor) * poor.size + held(fabric, rich) * rich.size;
+        let missing = (poor.size + spares).saturating_sub(hosts - used);
+        let given = missing.div_ceil(rich.size);
+        let given_signed = i32::try_from(given).expect("few replicas");
+        if given <= held(fabric, rich) && cover(rich, -given_signed) >= cover(poor, 1) {
+            return true;
+        }
+    }
+    false
+}
+
 quickcheck! {
     /// No domain is promised more hosts than it has.
     fn never_over(sizes: Vec<u8>, first: u8, second: u8) -> bool {
@@ -86,3 +131,22 @@
         })
     }
 }
+
+/// Whatever the sizes and shares, no model is left with less while another has room to give.
+#[test]
+fn no_model_starved() {
+    fn holds(sizes: Vec<u8>, first: u8, second: u8, share: u8) -> bool {
+        let sizes = sizes.into_iter().take(8);
+        let sizes: Vec<usize> = sizes.map(|size| usize::from(size % 48)).collect();
+        let share = 0.1 + 0.8 * f64::from(share) / 255.0;
+        let models = [
+            model("one", 1 + usize::from(first % 16), share),
+            model("two", 1 + usize::from(second % 16), 1.0 - share),
+        ];
+        let hosts = domains(&sizes);
+        let layout = lay_out(&hosts, &models);
+        !could_give(&hosts, &layout, &models[0], &models[1])
+            && !could_give(&hosts, &layout, &models[1], &models[0])
+    }
+    seeded().quickcheck(holds as fn(Vec<u8>, u8, u8, u8) -> bool);
+}
--- a/crates/serving/tests/plan/main.rs
+++ b/crates/serving/tests/plan/main.rs
@@ -2,5 +2,6 @@
 
 mod fabric_layout;
 mod fabric_plan;
+mod fair_repair;
 mod kit;
 mod staged_hosts;
