Give a model a domain's hosts back in the layout from one with room to give

Cause, one of three: lay_out placed small replicas where most hosts were left, which is the domain that has no large one yet, until no large one fitted there. Six domains of 37 got 5 and 29 replicas of two models with equal shares (logged as 0/0 and 8/8 from the first second), nine of 19 got 7 or 8 large ones. Why this works: after filling, a model takes a replica's place from another that still has as much for its share without it, in a domain without it first. Each exchange raises the lesser of the two, so it ends. Ruled out: placing by a common level with the larger first; the same counts, but its wanted replicas jump between domains when a host is lost at a boundary. Conclusion: kept; replicas that are lost still do not come back.

--- a/crates/serving/src/plan/forming.rs
+++ b/crates/serving/src/plan/forming.rs
@@ -2,6 +2,7 @@
 
 use domain::{FastMap, HostId, ModelName};
 
+use super::cover::Cover;
 use super::situation::{FabricSituation, HostSituation};
 use super::step::PlanStep;
 use crate::route::ModelShape;
@@ -117,7 +118,7 @@
     situation: &FabricSituation<'_>,
     formed: &FastMap<&ModelName, usize>,
     model: &ModelShape,
-) -> f64 {
+) -> Cover {
     let formed = formed.get(&model.name).copied().unwrap_or(0);
     situation.cover(model, formed)
 }
@@ -135,7 +136,7 @@
         let cover = |model: &ModelShape| cover(situation, formed, model);
         lacks(right)
             .cmp(&lacks(left))
-            .then(cover(left).total_cmp(&cover(right)))
+            .then(cover(left).cmp(&cover(right)))
             .then(right.size.cmp(&left.size))
     });
     models
--- a/crates/serving/src/plan/layout.rs
+++ b/crates/serving/src/plan/layout.rs
@@ -4,6 +4,7 @@
 
 use domain::{FabricId, ModelName};
 
+use super::cover::Cover;
 use crate::route::ModelShape;
 
 /// Replicas wanted in each fabric domain, by model.
@@ -12,70 +13,184 @@
 /// Spreads models over fabric domains in proportion to their shares.
 ///
 /// The model that lacks most goes first, into a fabric domain that has no replica of it, of these
-/// into the one with the most hosts left. Once a
-/// domain has a replica of a model, a further one must leave a spare host for each model: a lost
-/// host is then replaced within a second instead of after a load of many seconds.
+/// into the one with the most hosts left. Once a domain has a replica of a model, a further one must
+/// leave a spare host for each model: a lost host is then replaced within a second instead of after
+/// a load of many seconds.
+///
+/// Small replicas fill the gaps between large ones, never their places: a model gets hosts back from
+/// one that still has as much for its share without them.
 #[must_use]
 pub fn lay_out(hosts: &BTreeMap<FabricId, usize>, models: &[ModelShape]) -> FabricLayout {
-    let mut free = hosts.clone();
-    let mut layout: FabricLayout = hosts
-        .keys()
-        .map(|fabric| (fabric.clone(), BTreeMap::new()))
-        .collect();
-    let mut placed: Vec<usize> = vec![0; models.len()];
-    loop {
-        let mut order: Vec<usize> = (0..models.len()).collect();
+    let mut draft = LayoutDraft::new(hosts, models);
+    while draft.place_next() {}
+    while draft.exchange() {
+        while draft.place_next() {}
+    }
+    draft.into_layout(hosts, models)
+}
+
+/// Room of one fabric domain.
+#[derive(Debug, Clone)]
+struct DomainRoom {
+    left: usize,
+    /// Replicas by the index of their model.
+    held: Vec<usize>,
+}
+
+/// Replicas of one model given up in a domain for one of another.
+#[derive(Debug, Clone, Copy)]
+struct RoomExchange {
+    room: usize,
+    rich: usize,
+    given: usize,
+}
+
+/// Domains and models by index, in the order of their names and of the configuration.
+struct LayoutDraft<'a> {
+    models: &'a [ModelShape],
+    rooms: Vec<DomainRoom>,
+    /// Replicas placed in all domains, by model.
+    placed: Vec<usize>,
+}
+
+impl<'a> LayoutDraft<'a> {
+    fn new(hosts: &BTreeMap<FabricId, usize>, models: &'a [ModelShape]) -> Self {
+        let room = |left: &usize| DomainRoom {
+            left: *left,
+            held: vec![0; models.len()],
+        };
+        Self {
+            models,
+            rooms: hosts.values().map(room).collect(),
+            placed: vec![0; models.len()],
+        }
+    }
+
+    fn cover(&self, model: usize, replicas: usize) -> Cover {
+        Cover::of(&self.models[model], replicas)
+    }
+
+    /// Models, the one with the least for its share first, of equal ones the larger.
+    fn by_lack(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.models.len()).collect();
         order.sort_by(|left, right| {
-            let lack = |index: usize| to_f64(placed[index]) / models[index].share.max(1e-6);
-            let sizes = models[*right].size.cmp(&models[*left].size);
-            lack(*left).total_cmp(&lack(*right)).then(sizes)
+            let cover = |model: usize| self.cover(model, self.placed[model]);
+            let sizes = self.models[*right].size.cmp(&self.models[*left].size);
+            cover(*left).cmp(&cover(*right)).then(sizes)
         });
-        let mut progress = false;
-        for index in order {
-            let model = &models[index];
-            let Some(fabric) = best_fabric(&free, &layout, model, models.len()) else {
+        order
+    }
+
+    /// Places one replica more; whether there was room.
+    fn place_next(&mut self) -> bool {
+        for model in self.by_lack() {
+            let Some(room) = self.best_room(model) else {
                 continue;
             };
-            if let Some(left) = free.get_mut(&fabric) {
-                *left -= model.size;
+            self.place(model, room);
+            return true;
+        }
+        false
+    }
+
+    fn place(&mut self, model: usize, room: usize) {
+        self.rooms[room].left -= self.models[model].size;
+        self.rooms[room].held[model] += 1;
+        self.placed[model] += 1;
+    }
+
+    /// Hosts that a domain must have left for one replica more of a model.
+    fn needed(&self, model: usize, room: usize) -> usize {
+        let has_one = self.rooms[room].held[model] > 0;
+        let spares = if has_one { self.models.len() } else { 0 };
+        self.models[model].size + spares
+    }
+
+    /// A domain without the model goes first: the loss of one then leaves the others.
+    fn best_room(&self, model: usize) -> Option<usize> {
+        if self.models[model].size == 0 {
+            return None;
+        }
+        let mut best: Option<((bool, usize), usize)> = None;
+        for (index, room) in self.rooms.iter().enumerate() {
+            if room.left < self.needed(model, index) {
+                continue;
             }
-            if let Some(wanted) = layout.get_mut(&fabric) {
-                *wanted.entry(model.name.clone()).or_default() += 1;
+            let rank = (room.held[model] == 0, room.left);
+            if best.is_none_or(|(most, _)| rank > most) {
+                best = Some((rank, index));
             }
-            placed[index] += model.size;
-            progress = true;
-            break;
         }
-        if !progress {
-            return layout;
+        best.map(|(_, index)| index)
+    }
+
+    /// Gives a model a replica in place of some of another model that has room to give; whether any
+    /// could be.
+    fn exchange(&mut self) -> bool {
+        for poor in self.by_lack() {
+            let Some(exchange) = self.best_exchange(poor) else {
+                continue;
+            };
+            let RoomExchange { room, rich, given } = exchange;
+            self.rooms[room].left += given * self.models[rich].size;
+            self.rooms[room].held[rich] -= given;
+            self.placed[rich] -= given;
+            self.place(poor, room);
+            return true;
         }
+        false
     }
-}
 
-fn to_f64(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
+    /// The exchange for one replica more of a model: in a domain without it where there is one, and
+    /// for as few hosts as can be.
+    fn best_exchange(&self, poor: usize) -> Option<RoomExchange> {
+        if self.models[poor].size == 0 {
+            return None;
+        }
+        let mut best: Option<((bool, usize), RoomExchange)> = None;
+        for room in 0..self.rooms.len() {
+            let Some((rich, given)) = self.giver(poor, room) else {
+                continue;
+            };
+            let has_one = self.rooms[room].held[poor] > 0;
+            let rank = (has_one, given * self.models[rich].size);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, RoomExchange { room, rich, given }));
+            }
+        }
+        best.map(|(_, exchange)| exchange)
+    }
 
-fn best_fabric(
-    free: &BTreeMap<FabricId, usize>,
-    layout: &FabricLayout,
-    model: &ModelShape,
-    spares: usize,
-) -> Option<FabricId> {
-    let mut best: Option<((bool, usize), &FabricId)> = None;
-    for (fabric, left) in free {
-        let has_one = layout
-            .get(fabric)
-            .is_some_and(|wanted| wanted.contains_key(&model.name));
-        let reserve = if has_one { spares } else { 0 };
-        if model.size == 0 || *left < model.size + reserve {
-            continue;
+    /// The model that gives up replicas in a domain for one of `poor`, and how many.
+    fn giver(&self, poor: usize, room: usize) -> Option<(usize, usize)> {
+        let gained = self.cover(poor, self.placed[poor] + 1);
+        let missing = self.needed(poor, room).checked_sub(self.rooms[room].left)?;
+        for (rich, model) in self.models.iter().enumerate() {
+            if rich == poor || model.size == 0 {
+                continue;
+            }
+            let given = missing.div_ceil(model.size);
+            if given > self.rooms[room].held[rich] {
+                continue;
+            }
+            if self.cover(rich, self.placed[rich] - given) >= gained {
+                return Some((rich, given));
+            }
         }
-        // A domain without the model goes first: the loss of one then leaves the others.
-        let rank = (!has_one, *left);
-        if best.is_none_or(|(most, _)| rank > most) {
-            best = Some((rank, fabric));
+        None
+    }
+
+    fn into_layout(self, hosts: &BTreeMap<FabricId, usize>, models: &[ModelShape]) -> FabricLayout {
+        let mut layout = FabricLayout::new();
+        for (fabric, room) in hosts.keys().zip(self.rooms) {
+            let mut wanted = BTreeMap::new();
+            for (model, held) in models.iter().zip(room.held) {
+                if held > 0 {
+                    wanted.insert(model.name.clone(), held);
+                }
+            }
+            layout.insert(fabric.clone(), wanted);
         }
+        layout
     }
-    best.map(|(_, fabric)| fabric.clone())
 }
--- a/crates/serving/src/plan/mod.rs
+++ b/crates/serving/src/plan/mod.rs
@@ -5,6 +5,7 @@
 //! each order names the state of the host that it was planned for, and the host refuses it in any
 //! other (see [`PlanStep`]).
 
+mod cover;
 mod fabric;
 mod fate;
 mod forming;
--- a/crates/serving/src/plan/situation.rs
+++ b/crates/serving/src/plan/situation.rs
@@ -5,6 +5,7 @@
 
 use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId};
 
+use super::cover::Cover;
 use crate::route::ModelShape;
 use crate::target::{MemberState, ReplicaMembership};
 
@@ -103,15 +104,9 @@
 }
 
 impl FabricSituation<'_> {
-    /// Hosts that serve a model in all fabric domains for each part of the work that is expected
-    /// for it; `formed` replicas are new. The model with the least has the callers that are refused
-    /// most, so it goes first when a domain can hold only one of two.
-    pub(super) fn cover(&self, model: &ModelShape, formed: usize) -> f64 {
-        let standing = self.fleet.get(&model.name).copied().unwrap_or(0) + formed;
-        let hosts = u32::try_from(standing * model.size).unwrap_or(u32::MAX);
-        f64::from(hosts) / model.share.max(LEAST_SHARE)
+    /// The cover of a model in all fabric domains; `formed` replicas are new.
+    pub(super) fn cover(&self, model: &ModelShape, formed: usize) -> Cover {
+        let standing = self.fleet.get(&model.name).copied().unwrap_or(0);
+        Cover::of(model, standing + formed)
     }
 }
-
-/// Share that counts for a model without one, so that it is not divided by zero.
-const LEAST_SHARE: f64 = 1e-6;
--- a/crates/serving/src/plan/spares.rs
+++ b/crates/serving/src/plan/spares.rs
@@ -94,7 +94,7 @@
         let need = if lacks {
             let missing = to_f64(model.size - spares[index]) * model.load.as_secs_f64();
             // One replica more, so that a model of which nothing stands is still compared by time.
-            1.0 / (missing.max(1.0) * situation.cover(model, 1))
+            1.0 / (missing.max(1.0) * situation.cover(model, 1).hosts_per_share())
         } else {
             // Of two in equal need the one with fewer spares goes first.
             to_f64(have * model.size) / to_f64(spares[index] + 1) - to_f64(spares[index]) * 1e-3
