Log which requests were at a target whose process ended

The timeline of the request that ends engines could not tell its two first hypotheses apart: no line named what ran at an engine that ended, nor that two requests were the same one. A connection that breaks in the middle of an answer now leads to a look at the target, and where nobody listens there any more (or another process does) the line target_ended names the marks of what was there, each with the time for which its answer had been under way. Silent hosts and replicas that stand still are no such ends. Nothing is decided by it yet.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -130,6 +130,10 @@
     /// A stream waits for a replica that stands still, because no other target could go on with it.
     StreamStays = 245, "stream_stays", Warn;
 
+    /// A target's process ended under the requests whose marks the line names, each with the
+    /// milliseconds for which its answer had been under way. One mark in several such lines is a
+    /// request that ends what runs it.
+    TargetEnded = 246, "target_ended", Warn;
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
     /// A record has a schema version that this node does not know, or breaks one of its rules. The
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,10 @@
 use policy::admission::ArrivalStanding;
 use serving::choose::{NoTarget, TargetChoice, choose_target};
 use serving::rank::stable_hash;
-use serving::{ChoiceLimits, GatewayConfig, ReplicaPace, RouteKind, ServiceShape, TargetEntry};
+use serving::{
+    ChoiceLimits, GatewayConfig, ReplicaPace, RequestMark, RouteKind, ServiceShape, TargetEntry,
+};
+use sha2::{Digest, Sha256};
 
 use crate::metrics::RequestLabels;
 use crate::node::GatewayNode;
@@ -230,6 +233,21 @@
         Ok(entry)
     }
 
+    /// What stands for it when it comes again.
+    #[must_use]
+    pub fn mark(&self) -> RequestMark {
+        let customer = self.customer.as_ref().map_or("", CustomerId::as_str);
+        let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+        let mut hash = Sha256::new();
+        for part in [customer.as_bytes(), path.as_bytes(), &self.body] {
+            hash.update(u64::try_from(part.len()).unwrap_or(u64::MAX).to_be_bytes());
+            hash.update(part);
+        }
+        let mut half = [0; 16];
+        half.copy_from_slice(&hash.finalize()[..16]);
+        RequestMark(u128::from_be_bytes(half))
+    }
+
     /// Whether it may be sent again after it may have run.
     #[must_use]
     pub fn may_repeat(&self) -> bool {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -327,7 +327,7 @@
 }
 
 async fn read_whole(
-    node: &GatewayNode,
+    node: &Rc<GatewayNode>,
     forward: &ForwardRequest,
     mut answer: TargetAnswer,
 ) -> Result<Response<Full<Bytes>>, String> {
@@ -335,7 +335,10 @@
     let reading = Limited::new(&mut answer.body, MAX_ANSWER_BYTES).collect();
     let bytes = match tokio::time::timeout(left, reading).await {
         Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) => return Err(format!("the answer broke off: {error}")),
+        Ok(Err(error)) => {
+            answer.note_broken(node, forward);
+            return Err(format!("the answer broke off: {error}"));
+        }
         Err(_) => return Err("the answer did not end in time".to_owned()),
     };
     let mut response = Response::new(Full::new(bytes));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod answer;
 mod care;
+mod crash;
 mod forward;
 mod handle;
 mod hints;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
+use crate::crash::BrokenRuns;
 use crate::hints::{HintLine, HostMark};
 use crate::metrics::GatewayMetrics;
 use crate::pool::LinkPool;
@@ -69,6 +70,8 @@
     /// When heads last began an answer for another node.
     served_others: RefCell<FastMap<HostId, Duration>>,
     unlisted: RefCell<FastSet<HostId>>,
+    /// Runs that broke off, until it is known whether their targets ended.
+    broken_runs: RefCell<BrokenRuns>,
     /// Targets that leave and take no connections any more, with the time since when.
     retired: RefCell<FastMap<HostId, Duration>>,
     budgets: RefCell<FastMap<ServiceName, RepeatBudget>>,
@@ -131,6 +134,7 @@
             asking: RefCell::default(),
             served_others: RefCell::default(),
             unlisted: RefCell::default(),
+            broken_runs: RefCell::default(),
             retired: RefCell::default(),
             budgets: RefCell::default(),
             shares: RefCell::default(),
@@ -251,6 +255,11 @@
         use_it(budget)
     }
 
+    /// Uses the runs that broke off.
+    pub fn with_broken_runs<R>(&self, use_them: impl FnOnce(&mut BrokenRuns) -> R) -> R {
+        use_them(&mut self.broken_runs.borrow_mut())
+    }
+
     /// How many nodes live, at least one.
     #[must_use]
     pub fn node_count(&self) -> usize {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -144,7 +144,12 @@
                     return None;
                 }
                 SourceEvent::End => "the stream ended inside an event".to_owned(),
-                SourceEvent::Broken(reason) => reason,
+                SourceEvent::Broken(reason) => {
+                    if let Some(source) = &self.source {
+                        source.note_broken(&self.node, &self.forward);
+                    }
+                    reason
+                }
                 SourceEvent::Stalled => {
                     self.leave_stalled().await;
                     continue;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use adapter::{AnswerFacts, FaultyTarget, ForwardFacts};
-use domain::{CustomerId, HostId, ServiceName};
+use domain::{BootNumber, CustomerId, HostId, ServiceName};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serving::TargetEntry;
 use web::{HttpLink, LinkError};
 
+use crate::crash::note_broken_run;
 use crate::forward::ForwardRequest;
 use crate::hints::LoadHint;
 use crate::node::{GatewayNode, LossSign};
@@ -92,6 +93,10 @@
 pub struct TargetAnswer {
     /// Target.
     pub host: HostId,
+    /// Start of the target's process.
+    pub boot: BootNumber,
+    /// When its head came.
+    pub began: Duration,
     /// Status.
     pub status: StatusCode,
     /// Its headers, without those of the connection.
@@ -191,6 +196,7 @@
         *outgoing.headers_mut() = headers.clone();
         outgoing
     };
+    let sent_at = node.now();
     let mut sent = link.send(outgoing()).await;
     if matches!(sent, Err(LinkError::Unsent)) {
         // The target had closed the idle connection. Nothing was written, so it is not at fault,
@@ -205,7 +211,13 @@
     match sent {
         Ok(answer) => Ok(Exchanged { link, answer }),
         Err(error) if error.is_unsent() => Err(AttemptEnd::Unsent(error.to_string())),
-        Err(error) => Err(AttemptEnd::Lost(error.to_string())),
+        Err(error) => {
+            // A call of a plain service runs from its sending on, a stream from its first event.
+            let is_plain = target.membership.is_none();
+            let ran = is_plain.then(|| node.now().saturating_sub(sent_at));
+            note_broken_run(node, request, (&target.id, target.boot), ran);
+            Err(AttemptEnd::Lost(error.to_string()))
+        }
     }
 }
 
@@ -315,6 +327,8 @@
     }
     AttemptEnd::Answered(Box::new(TargetAnswer {
         host: id.clone(),
+        boot: target.boot,
+        began: node.now(),
         status: head.status,
         headers: adapter::headers::without_connection_headers(&head.headers),
         facts,
@@ -325,6 +339,12 @@
 }
 
 impl TargetAnswer {
+    /// Notes that its connection broke off before its end.
+    pub fn note_broken(&self, node: &Rc<GatewayNode>, request: &ForwardRequest) {
+        let ran = node.now().saturating_sub(self.began);
+        note_broken_run(node, request, (&self.host, self.boot), Some(ran));
+    }
+
     /// Gives the connection back after the body's end.
     pub fn finish(self, node: &GatewayNode) {
         if !self.facts.closes {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is plain data with rules: no input, output, clocks or hidden randomness. A
 //! time is a [`std::time::Duration`] since the start of the process, on its own monotonic clock.
 
+pub mod blame;
 pub mod budget;
 pub mod choose;
 pub mod events;
@@ -16,6 +17,7 @@
 pub mod target;
 pub mod unread;
 
+pub use blame::{EndedRun, RequestMark};
 pub use budget::RepeatBudget;
 pub use choose::{ChoiceLimits, TargetLoad, choose_target};
 pub use events::EventSplitter;
