Failing tests: a request that has ended three engines is sent to more

The stand-in's engines end under a request whose body says so, after its first event. Sent to three nodes in turn it ends as many engines as it reaches, and a node that starts later sends it on as well. Two tests that pass today hold what the mend must keep: requests that ran beside it are served when they come again, and hosts that lose power under a request blame nobody.

--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -1,6 +1,8 @@
 //! Model engines that form replicas by orders and stream events.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use futures::stream;
 use http::{HeaderValue, Response, StatusCode};
@@ -11,6 +13,9 @@
 use super::http::{LostWay, SiteAnswer, SiteRequest, SiteServer, json as json_answer, plain};
 use super::run::Run;
 
+/// What a request's body holds that ends the engine which begins to run it.
+pub const ENDING_BODY: &[u8] = b"ends what runs it";
+
 /// One engine; dropped, its process is gone.
 #[derive(Debug)]
 pub struct SiteEngine {
@@ -66,6 +71,7 @@
             running: 0,
             cancelled: None,
             ran: Vec::new(),
+            crash: Arc::clone(&server.crash),
         };
         self.lock().insert(id.to_owned(), state);
         self.register(id);
@@ -87,6 +93,22 @@
         self.store.remove("servers", id);
     }
 
+    /// Ends an engine's process, as a request does whose body holds [`ENDING_BODY`]: connections break
+    /// and nobody listens any more.
+    pub fn crash(&self, id: &str) {
+        self.with(id, |engine| {
+            engine.dark = true;
+            engine.crash.notify_one();
+        });
+        self.crashed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Engines whose processes have crashed.
+    #[must_use]
+    pub fn crashed(&self) -> usize {
+        self.crashed.load(Ordering::Relaxed)
+    }
+
     /// Puts an entry into the registry that knows nothing of the engine's replica.
     pub fn write_old_entry(&self, id: &str) {
         let group = self.with(id, |engine| engine.group.take()).flatten();
@@ -210,6 +232,8 @@
             group,
             next: first + 1,
             last: events,
+            ends_engine: holds(&request.body, ENDING_BODY),
+            began: false,
         };
         let frames = stream::unfold(run, |mut run| async move {
             let frame = run.event().await?;
@@ -229,6 +253,10 @@
     }
 }
 
+fn holds(body: &[u8], part: &[u8]) -> bool {
+    body.windows(part.len()).any(|window| window == part)
+}
+
 fn describe(engine: &EngineState) -> Value {
     let models: Vec<Value> = engine
         .loaded
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -1,8 +1,11 @@
 //! Which engines of a site form which replicas.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use tokio::sync::Notify;
+
 use super::store::SiteStore;
 
 #[derive(Debug, Clone, PartialEq)]
@@ -35,6 +38,8 @@
     pub cancelled: Option<String>,
     /// Ids of requests that began to run here.
     pub ran: Vec<String>,
+    /// Ends its process.
+    pub crash: Arc<Notify>,
 }
 
 /// What all engines of a site share: who is where, and who lives.
@@ -45,6 +50,8 @@
     /// Joins of a host whose group's head was open, and requests that began in an incomplete
     /// replica. Both must stay empty.
     violations: Arc<Mutex<Vec<String>>>,
+    /// Engines whose processes have crashed.
+    pub(super) crashed: Arc<AtomicUsize>,
 }
 
 impl SiteGroups {
@@ -55,6 +62,7 @@
             store: store.clone(),
             engines: Arc::default(),
             violations: Arc::default(),
+            crashed: Arc::default(),
         }
     }
 
--- a/crates/standin/src/site/http.rs
+++ b/crates/standin/src/site/http.rs
@@ -56,7 +56,6 @@
 /// Time from such an answer to the close; the answer is written in it.
 const CLOSE_PAUSE: Duration = Duration::from_millis(15);
 
-/// A running server; dropped, it closes its listener and all its connections at once.
 /// Connections that wait to be taken; few, so that the queue can be filled.
 const BACKLOG: u32 = 64;
 
@@ -76,9 +75,12 @@
     }
 }
 
+/// A running server; dropped, it closes its listener and all its connections at once.
 #[derive(Debug)]
 pub(super) struct SiteServer {
     pub address: SocketAddr,
+    /// Ends it as if it were dropped.
+    pub crash: Arc<Notify>,
     closing: Arc<Notify>,
     paused: watch::Sender<bool>,
     task: JoinHandle<()>,
@@ -103,7 +105,9 @@
         let closing = Arc::new(Notify::new());
         let closed = Arc::clone(&closing);
         let (paused, mut pause) = watch::channel(false);
-        let task = tokio::spawn(async move {
+        let crash = Arc::new(Notify::new());
+        let crashed = Arc::clone(&crash);
+        let serving = async move {
             let mut connections = JoinSet::new();
             loop {
                 // The sender lives as long as this task.
@@ -119,9 +123,16 @@
             }
             drop(listener);
             while connections.join_next().await.is_some() {}
+        };
+        let task = tokio::spawn(async move {
+            tokio::select! {
+                () = serving => {}
+                () = crashed.notified() => {}
+            }
         });
         Ok(Self {
             address,
+            crash,
             closing,
             paused,
             task,
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -11,7 +11,7 @@
 mod run;
 mod store;
 
-pub use engine::SiteEngine;
+pub use engine::{ENDING_BODY, SiteEngine};
 pub use groups::SiteGroups;
 pub use http::LostWay;
 pub use plain::{PlainMode, SiteInstance};
--- a/crates/standin/src/site/run.rs
+++ b/crates/standin/src/site/run.rs
@@ -20,6 +20,10 @@
     pub group: Group,
     pub next: usize,
     pub last: usize,
+    /// Whether its request ends the engine after the first event.
+    pub ends_engine: bool,
+    /// Whether its first event was written.
+    pub began: bool,
 }
 
 impl Run {
@@ -43,6 +47,11 @@
         if cancelled.flatten().as_ref() == Some(&self.group.name) {
             return Some(Err(std::io::Error::other("the request was cancelled")));
         }
+        if self.ends_engine && self.began {
+            self.groups.crash(&self.id);
+            std::future::pending::<()>().await;
+        }
+        self.began = true;
         let id = self.next;
         self.next += 1;
         let event = format!("id: {id}\ndata: piece {id}\n\n");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_input;
 mod call;
+mod crashing_request;
 mod failed_requests;
 mod kept_connection;
 mod kit;
