Keep in the store what ran at targets that ended, and bar the request that explains it

Cause: nothing remembered an end beyond one arrival, so each return, at any node, began anew with two engines, and the dozens of requests beside it were moved together with it to the next engine. Class: a retry without memory of what it did, retries of retries by callers on top. Why this works: an end counts where the connection broke and nobody listens any more, with all that ran there. Each node writes its part as a row of the store and, once a request is suspected, has the others read it (three datagrams that say nothing else, heartbeats where they are lost, a read at the start). All judge alike: the request that was at most open ends, of equal ones the one whose answers had been under way for the least, is barred from three ends on and explains them; two open ends make a request a suspect, sent to one target for each arrival. A barred one gets 400 at once: callers don't send that again, and it is true of the request, not of the moment. Cost: nothing until a connection breaks; two store calls a node and end; bodies are hashed on arrival only while a request is suspected.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -134,6 +134,10 @@
     /// milliseconds for which its answer had been under way. One mark in several such lines is a
     /// request that ends what runs it.
     TargetEnded = 246, "target_ended", Warn;
+    /// Targets ended under a request, again and again: it is refused from now on, or was cleared by
+    /// what was learned since. Find the caller by the refusals of the same time and look at what it
+    /// sends.
+    RequestBarred = 247, "request_barred", Error;
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
     /// A record has a schema version that this node does not know, or breaks one of its rules. The
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -18,6 +18,9 @@
     TooLarge,
     /// The body did not arrive whole.
     BadBody,
+    /// Targets end under the request, and it is sent to no more. A caller that sends it again gets the
+    /// same answer.
+    EndsTargets,
     /// The request did not run and never will; worth trying again after this time.
     NotRun(Duration),
     /// The request may have run; its answer is lost.
@@ -34,7 +37,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BadBody => StatusCode::BAD_REQUEST,
+            Self::BadBody | Self::EndsTargets => StatusCode::BAD_REQUEST,
             Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -10,9 +10,10 @@
 
 use domain::{BootNumber, FastMap, HostId};
 use events::{EventCode, EventLine};
-use serving::EndedRun;
+use serving::{EndedRun, TargetEnd};
 use web::{HttpLink, LinkError};
 
+use crate::ends::share_end;
 use crate::forward::ForwardRequest;
 use crate::node::GatewayNode;
 
@@ -66,9 +67,14 @@
     tokio::time::sleep(GATHER_TIME).await;
     let ended = has_ended(&node, &host, boot).await;
     let runs = node.with_broken_runs(|broken| broken.take(&host, boot));
-    if ended {
-        log_end(&node, &host, boot, &runs);
+    if !ended {
+        return;
     }
+    log_end(&node, &host, boot, &runs);
+    let end = TargetEnd { host, boot };
+    let now = node.now();
+    node.take_ends(|ledger| ledger.note(end.clone(), now, &runs));
+    share_end(&node, &end, &runs).await;
 }
 
 /// Whether a target's process has ended: nobody listens at its address, or another one does.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -233,6 +233,13 @@
         Ok(entry)
     }
 
+    /// The same, to be sent to one target only.
+    #[must_use]
+    pub fn with_one_target(mut self) -> Self {
+        self.max_attempts = self.max_attempts.min(1);
+        self
+    }
+
     /// What stands for it when it comes again.
     #[must_use]
     pub fn mark(&self) -> RequestMark {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Incoming};
 use serving::choose::NoTarget;
-use serving::{GatewayConfig, RouteKind};
+use serving::{BlameStanding, GatewayConfig, RouteKind};
 
 use crate::admit::admit;
 use crate::answer::OwnAnswer;
@@ -65,11 +65,20 @@
         return own(node, &facts, None, answer, "no configuration yet").map(Either::Left);
     };
     let forward = match admit(node, &config, request, &facts).await {
-        Ok(forward) => Rc::new(forward),
+        Ok(forward) => forward,
         Err((answer, reason)) => {
             return own(node, &facts, None, answer, reason).map(Either::Left);
         }
     };
+    let forward = match node.blame_standing(&forward) {
+        BlameStanding::Clear => Rc::new(forward),
+        BlameStanding::Suspect => Rc::new(forward.with_one_target()),
+        BlameStanding::Barred => {
+            let answer = OwnAnswer::EndsTargets;
+            let reason = "targets end under it";
+            return own(node, &facts, Some(&forward), answer, reason).map(Either::Left);
+        }
+    };
     let stop = node.stop_plan();
     if stop.is_some_and(|stop| !stop.serves(forward.arrived, forward.deadline)) {
         let answer = OwnAnswer::NotRun(STOPPING_WAIT);
@@ -206,6 +215,10 @@
                 return tally.give_up(wait, false);
             }
         };
+        if tally.sent > 0 && node.blame_standing(forward) != BlameStanding::Clear {
+            tally.last.push_str("; targets may end under it");
+            return tally.give_up(FULL_WAIT, false);
+        }
         let allowed = tally.sent == 0 || {
             let nodes = node.node_count();
             node.with_budget(&forward.service, |budget| budget.take(now, nodes))
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -64,6 +64,9 @@
         /// Whether it said so with the beginning of an answer, so that its replica moves.
         served: bool,
     },
+    /// The store tells of ended targets what other nodes should read now. What is said against a
+    /// request stands in the store alone, where no stranger writes.
+    EndsWritten,
 }
 
 impl LoadHint {
@@ -79,6 +82,8 @@
 pub struct HintLine {
     socket: Option<Rc<UdpSocket>>,
     listeners: RefCell<Vec<SocketAddr>>,
+    /// All other nodes, also where they are too many to be told of loads.
+    everyone: RefCell<Vec<SocketAddr>>,
 }
 
 impl HintLine {
@@ -88,6 +93,7 @@
         Self {
             socket: socket.map(Rc::new),
             listeners: RefCell::default(),
+            everyone: RefCell::default(),
         }
     }
 
@@ -106,14 +112,24 @@
     /// Takes the addresses of the other nodes.
     pub fn set_listeners(&self, listeners: Vec<SocketAddr>) {
         let few = listeners.len() <= MOST_LISTENERS;
+        self.everyone.borrow_mut().clone_from(&listeners);
         *self.listeners.borrow_mut() = if few { listeners } else { Vec::new() };
     }
 
-    /// Tells the other nodes.
+    /// Tells the other nodes, where they are few.
     pub fn tell(&self, hint: LoadHint) {
+        self.send(hint, &self.listeners.borrow());
+    }
+
+    /// Tells all other nodes; for what is seldom.
+    pub fn tell_everyone(&self, hint: LoadHint) {
+        self.send(hint, &self.everyone.borrow());
+    }
+
+    fn send(&self, hint: LoadHint, listeners: &[SocketAddr]) {
         let Some(socket) = &self.socket else { return };
         let Some(bytes) = hint.encode() else { return };
-        for listener in self.listeners.borrow().iter() {
+        for listener in listeners {
             // A hint that the system can't take now is out of date when it could be sent again.
             drop(socket.try_send_to(&bytes, *listener));
         }
@@ -139,6 +155,7 @@
                 requests,
                 served,
             }) => node.hear_report(head, requests, served),
+            Some(LoadHint::EndsWritten) => node.ends_written.notify_one(),
             None => {}
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod care;
 mod crash;
+mod ends;
 mod forward;
 mod handle;
 mod hints;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -38,6 +38,9 @@
     /// Where the node hears hints.
     #[serde(default)]
     hints: Option<SocketAddr>,
+    /// Whether the node suspects a request of ending targets.
+    #[serde(default)]
+    suspects: bool,
 }
 
 /// Writes heartbeats and counts those of others.
@@ -52,6 +55,7 @@
         };
         if let Ok(now) = counted {
             clock = Some((now, node.now()));
+            node.set_store_clock(now);
         }
         tokio::time::sleep(pause).await;
     }
@@ -76,6 +80,7 @@
         let row = NodeRow {
             clock_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
             hints: node.hints.address(),
+            suspects: !node.blames_nobody(),
         };
         let value =
             serde_json::to_vec(&row).map_err(|error| StoreError::Unreadable(error.to_string()))?;
@@ -88,6 +93,7 @@
     let oldest = heartbeat_pause(page.rows.len()).mul_f64(MAX_PAUSES);
     let mut live = Vec::new();
     let mut listeners = Vec::new();
+    let mut others_suspect = false;
     for row in &page.rows {
         let parsed = row
             .value
@@ -103,6 +109,11 @@
         live.push(row.key.clone());
         let is_other = row.key != node.settings.node.as_str();
         listeners.extend(parsed.hints.filter(|_| is_other));
+        others_suspect |= is_other && parsed.suspects;
+    }
+    // The datagrams that told it were lost.
+    if others_suspect && node.blames_nobody() {
+        node.ends_written.notify_one();
     }
     node.hints.set_listeners(listeners);
     live.sort();
--- /dev/null
+++ b/crates/gateway/src/node/blame.rs
@@ -0,0 +1,70 @@
+//! What the node holds against requests under which targets ended.
+
+use std::time::Duration;
+
+use events::{EventCode, EventLine};
+use serving::{BlameLedger, BlameStanding, RequestMark};
+
+use super::GatewayNode;
+use crate::crash::BrokenRuns;
+use crate::forward::ForwardRequest;
+
+impl GatewayNode {
+    /// Uses the runs that broke off.
+    pub fn with_broken_runs<R>(&self, use_them: impl FnOnce(&mut BrokenRuns) -> R) -> R {
+        use_them(&mut self.broken_runs.borrow_mut())
+    }
+
+    /// What is held against a request.
+    #[must_use]
+    pub fn blame_standing(&self, request: &ForwardRequest) -> BlameStanding {
+        let blame = self.blame.borrow();
+        // Bodies are hashed only while some request is suspected.
+        if blame.is_clear() {
+            return BlameStanding::Clear;
+        }
+        blame.standing(request.mark())
+    }
+
+    /// Whether no request is barred or suspected.
+    #[must_use]
+    pub fn blames_nobody(&self) -> bool {
+        self.blame.borrow().is_clear()
+    }
+
+    /// Adds to what is known of ended targets, and judges anew.
+    pub fn take_ends(&self, add: impl FnOnce(&mut BlameLedger)) {
+        let mut blame = self.blame.borrow_mut();
+        let before = blame.barred();
+        add(&mut blame);
+        blame.judge(self.now());
+        let after = blame.barred();
+        drop(blame);
+        self.log_barred(&before, &after, "barred");
+        self.log_barred(&after, &before, "cleared");
+    }
+
+    fn log_barred(&self, known: &[RequestMark], marks: &[RequestMark], outcome: &str) {
+        for mark in marks {
+            if known.contains(mark) {
+                continue;
+            }
+            let line = EventLine::new(EventCode::RequestBarred)
+                .text("mark", &mark.to_string())
+                .text("outcome", outcome);
+            self.log(&line);
+        }
+    }
+
+    /// Takes what the store's clock shows now.
+    pub fn set_store_clock(&self, clock: Duration) {
+        self.store_clock.set(Some((clock, self.now())));
+    }
+
+    /// What the store's clock shows now, once it is known.
+    #[must_use]
+    pub fn store_clock(&self) -> Option<Duration> {
+        let (clock, at) = self.store_clock.get()?;
+        Some(clock + self.now().saturating_sub(at))
+    }
+}
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! What a gateway knows, shared by its tasks.
 
+mod blame;
 mod health;
 mod loads;
 mod process;
@@ -13,7 +14,9 @@
 use events::{EventCode, EventLine, LineSink};
 use policy::admission::CustomerShares;
 use serving::silence::ReplicaPulse;
-use serving::{GatewayConfig, RepeatBudget, StopPlan, TargetLoad, TargetRegistry, UnreadPrompts};
+use serving::{
+    BlameLedger, GatewayConfig, RepeatBudget, StopPlan, TargetLoad, TargetRegistry, UnreadPrompts,
+};
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
@@ -44,6 +47,8 @@
     pub changed: Notify,
     /// Wakes who waits for the end of a request or connection.
     pub ended: Notify,
+    /// Wakes who reads what the store tells of ended targets.
+    pub ends_written: Notify,
     started: Instant,
     config: RefCell<Option<Rc<GatewayConfig>>>,
     idle_limit: Cell<Duration>,
@@ -72,6 +77,10 @@
     unlisted: RefCell<FastSet<HostId>>,
     /// Runs that broke off, until it is known whether their targets ended.
     broken_runs: RefCell<BrokenRuns>,
+    /// What ran at targets that ended.
+    blame: RefCell<BlameLedger>,
+    /// The store's clock at a moment of this process.
+    store_clock: Cell<Option<(Duration, Duration)>>,
     /// Targets that leave and take no connections any more, with the time since when.
     retired: RefCell<FastMap<HostId, Duration>>,
     budgets: RefCell<FastMap<ServiceName, RepeatBudget>>,
@@ -113,6 +122,7 @@
             pool: LinkPool::default(),
             changed: Notify::new(),
             ended: Notify::new(),
+            ends_written: Notify::new(),
             started: Instant::now(),
             config: RefCell::default(),
             idle_limit: Cell::new(DEFAULT_IDLE),
@@ -135,6 +145,8 @@
             served_others: RefCell::default(),
             unlisted: RefCell::default(),
             broken_runs: RefCell::default(),
+            blame: RefCell::default(),
+            store_clock: Cell::default(),
             retired: RefCell::default(),
             budgets: RefCell::default(),
             shares: RefCell::default(),
@@ -255,11 +267,6 @@
         use_it(budget)
     }
 
-    /// Uses the runs that broke off.
-    pub fn with_broken_runs<R>(&self, use_them: impl FnOnce(&mut BrokenRuns) -> R) -> R {
-        use_them(&mut self.broken_runs.borrow_mut())
-    }
-
     /// How many nodes live, at least one.
     #[must_use]
     pub fn node_count(&self) -> usize {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::node::GatewayNode;
 use crate::settings::GatewaySettings;
-use crate::{care, listen, members, probe, watch};
+use crate::{care, ends, listen, members, probe, watch};
 
 /// Pause between two looks at whether a stopping process may end.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
@@ -69,6 +69,7 @@
     spawn_local(watch::follow_registry(Rc::clone(&node)));
     spawn_local(hear_hints(Rc::clone(&node)));
     spawn_local(members::count_nodes(Rc::clone(&node)));
+    spawn_local(ends::follow_ends(Rc::clone(&node)));
     spawn_local(care::care_for_replicas(Rc::clone(&node)));
     spawn_local(probe::watch_replicas(Rc::clone(&node)));
     spawn_local(probe::ask_suspects(Rc::clone(&node)));
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod target;
 pub mod unread;
 
-pub use blame::{EndedRun, RequestMark};
+pub use blame::{BlameLedger, BlameStanding, EndedRun, RequestMark, TargetEnd};
 pub use budget::RepeatBudget;
 pub use choose::{ChoiceLimits, TargetLoad, choose_target};
 pub use events::EventSplitter;
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -88,6 +88,16 @@
         self.write(table, key, Some(value.to_vec()));
     }
 
+    /// Keys of a table's rows.
+    #[must_use]
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        self.with(|state| {
+            let rows = state.rows.iter();
+            let rows = rows.filter(|((name, _), (value, _))| name == table && value.is_some());
+            rows.map(|((_, key), _)| key.clone()).collect()
+        })
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         self.write(table, key, None);
@@ -190,6 +200,10 @@
             };
             self.put(&text("table"), &text("key"), &value);
         }
+        for removed in body["remove"].as_array().into_iter().flatten() {
+            let text = |name: &str| removed[name].as_str().unwrap_or_default();
+            self.remove(text("table"), text("key"));
+        }
         self.page(&[], false)
     }
 
--- a/tests/gateway/crashing_request.rs
+++ b/tests/gateway/crashing_request.rs
@@ -88,6 +88,29 @@
     assert_eq!(site.groups.crashed(), ended);
 }
 
+/// A node that no datagram reaches learns of the request from the heartbeats of the others. Rows of ends
+/// that are long past, or can't be read, are removed on the way.
+#[tokio::test(flavor = "multi_thread")]
+async fn untold_node_knows() {
+    let site = TestSite::start(26, 0);
+    site.store.put("ends", "torn", b"{");
+    let nodes = three_nodes(&site).await;
+    let deaf = site.deaf_node("n3").await;
+    deaf.wait_replicas(6).await;
+    end_three(&site, &nodes).await;
+    deaf.wait_line(&["request_barred"]).await;
+    let answer = send(&ending("y-0"), &deaf).await;
+    assert_eq!(
+        answer.map(|answer| answer.status),
+        Some(StatusCode::BAD_REQUEST)
+    );
+    let keys = site.store.keys("ends");
+    assert!(
+        !keys.is_empty() && !keys.iter().any(|key| key == "torn"),
+        "{keys:?}"
+    );
+}
+
 /// Requests that ran beside it when engines ended are served when they come again.
 #[tokio::test(flavor = "multi_thread")]
 async fn neighbours_served() {
--- a/tests/gateway/kit.rs
+++ b/tests/gateway/kit.rs
@@ -205,6 +205,25 @@
         node
     }
 
+    /// Starts a gateway that hears no hints, and waits until it is ready.
+    pub async fn deaf_node(&self, name: &str) -> TestNode {
+        let (mut node, mut command) = self.prepare_node(name, true);
+        let path = self.folder.join(format!("{name}.json"));
+        let text = std::fs::read_to_string(&path).expect("the settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings");
+        if let Some(listen) = settings["listen"].as_object_mut() {
+            listen.remove("hints");
+        }
+        std::fs::write(&path, settings.to_string()).expect("the settings");
+        let log = File::create(&node.log).expect("the log");
+        let child = command.stdout(Stdio::from(log)).spawn();
+        node.child = Some(child.expect("the product"));
+        let line = node.wait_line(&["node_started"]).await;
+        node.take_addresses(&line);
+        node.wait_ready(true).await;
+        node
+    }
+
     /// Starts a gateway on ports that the system chooses.
     pub async fn unready_node(&self, name: &str) -> TestNode {
         self.start_node(name, true).await
@@ -290,7 +309,9 @@
         self.requests = address("requests");
         self.readiness = address("readiness");
         self.metrics = address("metrics");
-        self.hints = address("hints");
+        if line["hints"] != "none" {
+            self.hints = address("hints");
+        }
     }
 
     async fn question(&self, address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
