Keep models where hosts hold them when the layout is made anew

The old place was given to small replicas, the new one had to load the model. Why this works: the layout starts from what hosts hold in memory, the largest first, one that lost up to half of its hosts counted, and goes on from there by the same fair exchanges. Ruled out: hosts that hold a model as a second criterion of the greedy choice; a small replica placed in between took the room of the large one all the same (places_kept failed with it). Test failed before: places_kept (a host of f0 lost: [0, 1, 1, 0]). It went in with the mend.

--- a/crates/gateway/src/care/mod.rs
+++ b/crates/gateway/src/care/mod.rs
@@ -14,7 +14,8 @@
 use domain::{ConfigRevision, FabricId, FastMap, HostId, ModelName};
 use events::{EventCode, EventLine};
 use serving::plan::{
-    FabricCensus, FabricLayout, FabricSituation, HostSituation, HostStay, PlanStep, plan_fabric,
+    FabricCensus, FabricLayout, FabricRoom, FabricSituation, HostSituation, HostStay, PlanStep,
+    plan_fabric,
 };
 use serving::rank::stable_hash;
 use serving::{ServiceShape, TargetEntry, TargetState};
@@ -123,22 +124,25 @@
     }
 
     fn layout(&self, service: &ServiceShape, revision: ConfigRevision) -> Rc<FabricLayout> {
-        let mut counts: BTreeMap<FabricId, usize> = BTreeMap::new();
+        let mut rooms: BTreeMap<FabricId, FabricRoom> = BTreeMap::new();
         self.node.registry(|registry| {
             for entry in registry.targets() {
                 let fabric = entry.fabric.as_ref();
                 let Some(fabric) = fabric.filter(|_| entry.service == service.name) else {
                     continue;
                 };
-                if let Some(count) = counts.get_mut(fabric) {
-                    *count += usize::from(entry.state == TargetState::Ready);
-                } else {
-                    let count = usize::from(entry.state == TargetState::Ready);
-                    counts.insert(fabric.clone(), count);
+                if !rooms.contains_key(fabric) {
+                    rooms.insert(fabric.clone(), FabricRoom::default());
+                }
+                let Some(room) = rooms.get_mut(fabric) else {
+                    continue;
+                };
+                if entry.state == TargetState::Ready {
+                    room.add(entry.loaded.as_ref());
                 }
             }
         });
-        self.layouts.borrow_mut().layout(service, revision, counts)
+        self.layouts.borrow_mut().layout(service, revision, rooms)
     }
 
     fn plan_service(
--- a/crates/gateway/src/care/turns.rs
+++ b/crates/gateway/src/care/turns.rs
@@ -10,7 +10,7 @@
 
 use domain::{ConfigRevision, FabricId, FastMap, ServiceName};
 use serving::ServiceShape;
-use serving::plan::{FabricLayout, PlanStep, lay_out};
+use serving::plan::{FabricLayout, FabricRoom, PlanStep, lay_out};
 use serving::rank::{rendezvous_rank, stable_hash};
 
 use super::ReplicaCare;
@@ -63,28 +63,28 @@
 #[derive(Debug)]
 struct KeptLayout {
     revision: ConfigRevision,
-    hosts: BTreeMap<FabricId, usize>,
+    rooms: BTreeMap<FabricId, FabricRoom>,
     layout: Rc<FabricLayout>,
 }
 
 impl KeptLayouts {
-    /// The layout for the hosts that each fabric domain has.
+    /// The layout for what each fabric domain has.
     pub fn layout(
         &mut self,
         service: &ServiceShape,
         revision: ConfigRevision,
-        hosts: BTreeMap<FabricId, usize>,
+        rooms: BTreeMap<FabricId, FabricRoom>,
     ) -> Rc<FabricLayout> {
         if let Some(kept) = self.kept.get(&service.name)
             && kept.revision == revision
-            && kept.hosts == hosts
+            && kept.rooms == rooms
         {
             return Rc::clone(&kept.layout);
         }
-        let layout = Rc::new(lay_out(&hosts, &service.models));
+        let layout = Rc::new(lay_out(&rooms, &service.models));
         let kept = KeptLayout {
             revision,
-            hosts,
+            rooms,
             layout: Rc::clone(&layout),
         };
         self.kept.insert(service.name.clone(), kept);
--- a/crates/serving/src/plan/layout.rs
+++ b/crates/serving/src/plan/layout.rs
@@ -10,29 +10,54 @@
 /// Replicas wanted in each fabric domain, by model.
 pub type FabricLayout = BTreeMap<FabricId, BTreeMap<ModelName, usize>>;
 
+/// What a fabric domain has for a layout.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FabricRoom {
+    /// Its hosts.
+    pub hosts: usize,
+    /// Of these: hosts that hold a model in memory, by model.
+    pub loaded: BTreeMap<ModelName, usize>,
+}
+
+impl FabricRoom {
+    /// Counts a host that may hold a model in memory.
+    pub fn add(&mut self, loaded: Option<&ModelName>) {
+        self.hosts += 1;
+        let Some(model) = loaded else { return };
+        if let Some(count) = self.loaded.get_mut(model) {
+            *count += 1;
+        } else {
+            self.loaded.insert(model.clone(), 1);
+        }
+    }
+}
+
 /// Spreads models over fabric domains in proportion to their shares.
 ///
-/// The model that lacks most goes first, into a fabric domain that has no replica of it, of these
-/// into the one with the most hosts left. Once a domain has a replica of a model, a further one must
+/// Models stay where hosts hold them. Beyond that the one that lacks most goes first, into a fabric
+/// domain that has no replica of it, of these into the one with the most hosts left. Once a domain has a replica of a model, a further one must
 /// leave a spare host for each model: a lost host is then replaced within a second instead of after
 /// a load of many seconds.
 ///
 /// Small replicas fill the gaps between large ones, never their places: a model gets hosts back from
 /// one that still has as much for its share without them.
 #[must_use]
-pub fn lay_out(hosts: &BTreeMap<FabricId, usize>, models: &[ModelShape]) -> FabricLayout {
-    let mut draft = LayoutDraft::new(hosts, models);
+pub fn lay_out(rooms: &BTreeMap<FabricId, FabricRoom>, models: &[ModelShape]) -> FabricLayout {
+    let mut draft = LayoutDraft::new(rooms, models);
+    draft.keep_places();
     while draft.place_next() {}
     while draft.exchange() {
         while draft.place_next() {}
     }
-    draft.into_layout(hosts, models)
+    draft.into_layout(rooms, models)
 }
 
 /// Room of one fabric domain.
 #[derive(Debug, Clone)]
 struct DomainRoom {
     left: usize,
+    /// Hosts that hold a model, by its index.
+    loaded: Vec<usize>,
     /// Replicas by the index of their model.
     held: Vec<usize>,
 }
@@ -54,14 +79,21 @@
 }
 
 impl<'a> LayoutDraft<'a> {
-    fn new(hosts: &BTreeMap<FabricId, usize>, models: &'a [ModelShape]) -> Self {
-        let room = |left: &usize| DomainRoom {
-            left: *left,
-            held: vec![0; models.len()],
+    fn new(rooms: &BTreeMap<FabricId, FabricRoom>, models: &'a [ModelShape]) -> Self {
+        let room = |room: &FabricRoom| {
+            let loaded = |model: &ModelShape| room.loaded.get(&model.name).copied();
+            DomainRoom {
+                left: room.hosts,
+                loaded: models
+                    .iter()
+                    .map(|model| loaded(model).unwrap_or(0))
+                    .collect(),
+                held: vec![0; models.len()],
+            }
         };
         Self {
             models,
-            rooms: hosts.values().map(room).collect(),
+            rooms: rooms.values().map(room).collect(),
             placed: vec![0; models.len()],
         }
     }
@@ -81,6 +113,28 @@
         order
     }
 
+    /// Places the replicas that stand, the largest first. One that has lost up to half of its hosts
+    /// counts: a spare repairs it sooner than another domain loads its model.
+    fn keep_places(&mut self) {
+        let mut order: Vec<usize> = (0..self.models.len()).collect();
+        order.sort_by_key(|model| std::cmp::Reverse(self.models[*model].size));
+        for model in order {
+            let size = self.models[model].size;
+            if size == 0 {
+                continue;
+            }
+            for room in 0..self.rooms.len() {
+                let standing = (self.rooms[room].loaded[model] + size / 2) / size;
+                for _ in 0..standing {
+                    if self.rooms[room].left < self.needed(model, room) {
+                        break;
+                    }
+                    self.place(model, room);
+                }
+            }
+        }
+    }
+
     /// Places one replica more; whether there was room.
     fn place_next(&mut self) -> bool {
         for model in self.by_lack() {
@@ -180,9 +234,13 @@
         None
     }
 
-    fn into_layout(self, hosts: &BTreeMap<FabricId, usize>, models: &[ModelShape]) -> FabricLayout {
+    fn into_layout(
+        self,
+        rooms: &BTreeMap<FabricId, FabricRoom>,
+        models: &[ModelShape],
+    ) -> FabricLayout {
         let mut layout = FabricLayout::new();
-        for (fabric, room) in hosts.keys().zip(self.rooms) {
+        for (fabric, room) in rooms.keys().zip(self.rooms) {
             let mut wanted = BTreeMap::new();
             for (model, held) in models.iter().zip(room.held) {
                 if held > 0 {
--- a/crates/serving/src/plan/mod.rs
+++ b/crates/serving/src/plan/mod.rs
@@ -19,7 +19,7 @@
 
 pub use fabric::{FabricCensus, FabricPlan, ModelCensus, plan_fabric};
 pub use fate::CLOSING_PATIENCE;
-pub use layout::{FabricLayout, lay_out};
+pub use layout::{FabricLayout, FabricRoom, lay_out};
 pub use situation::{FabricSituation, HostSituation, HostStay};
 pub use spares::{SPARE_PREFIX, spare_prefix};
 pub use step::{CloseMode, PlanStep};
--- a/crates/serving/tests/plan/fabric_layout.rs
+++ b/crates/serving/tests/plan/fabric_layout.rs
@@ -6,7 +6,7 @@
 use domain::FabricId;
 use quickcheck::quickcheck;
 use serving::ModelShape;
-use serving::plan::{FabricLayout, lay_out};
+use serving::plan::{FabricLayout, FabricRoom, lay_out};
 
 use crate::kit::seeded;
 
@@ -20,10 +20,18 @@
     }
 }
 
-fn domains(sizes: &[usize]) -> BTreeMap<FabricId, usize> {
+fn fabric(index: usize) -> FabricId {
+    format!("f{index}").parse().expect("a fabric")
+}
+
+fn domains(sizes: &[usize]) -> BTreeMap<FabricId, FabricRoom> {
     let named = sizes.iter().enumerate();
+    let room = |size: &usize| FabricRoom {
+        hosts: *size,
+        ..FabricRoom::default()
+    };
     named
-        .map(|(index, size)| (format!("f{index}").parse().expect("a fabric"), *size))
+        .map(|(index, size)| (fabric(index), room(size)))
         .collect()
 }
 
@@ -81,10 +89,29 @@
     }
 }
 
+/// Two of four domains have the large model. Where it is wanted must not move when a host is lost: its
+/// old place would be given to small replicas and the new one has to load it.
+#[test]
+fn places_kept() {
+    let models = [model("large", 16, 0.5), model("small", 4, 0.5)];
+    let name = models[0].name.clone();
+    for lost in 0..4 {
+        let mut rooms = domains(&[20; 4]);
+        for index in [1, 3] {
+            let room = rooms.get_mut(&fabric(index)).expect("a domain");
+            room.loaded.insert(name.clone(), 16);
+        }
+        rooms.get_mut(&fabric(lost)).expect("a domain").hosts -= 1;
+        let layout = lay_out(&rooms, &models);
+        let held = [0, 1, 2, 3].map(|index| count(&layout, &format!("f{index}"), "large"));
+        assert_eq!(held, [0, 1, 0, 1], "a host of f{lost} is lost");
+    }
+}
+
 /// Whether a domain could hold a replica more of `poor` in place of some of `rich`, and `rich` would
 /// still have at least as many hosts for its share.
 fn could_give(
-    hosts: &BTreeMap<FabricId, usize>,
+    rooms: &BTreeMap<FabricId, FabricRoom>,
     layout: &FabricLayout,
     poor: &ModelShape,
     rich: &ModelShape,
@@ -98,11 +125,11 @@
         let size = i32::try_from(model.size).expect("few hosts");
         f64::from(placed * size) / model.share
     };
-    for (fabric, hosts) in hosts {
+    for (fabric, room) in rooms {
         // Beside one that it has, a further replica of a model leaves a spare for each model.
         let spares = if held(fabric, poor) > 0 { 2 } else { 0 };
         let used = held(fabric, poor) * poor.size + held(fabric, rich) * rich.size;
-        let missing = (poor.size + spares).saturating_sub(hosts - used);
+        let missing = (poor.size + spares).saturating_sub(room.hosts - used);
         let given = missing.div_ceil(rich.size);
         let given_signed = i32::try_from(given).expect("few replicas");
         if given <= held(fabric, rich) && cover(rich, -given_signed) >= cover(poor, 1) {
@@ -127,7 +154,7 @@
                 .iter()
                 .map(|model| wanted.get(&model.name).copied().unwrap_or(0) * model.size)
                 .sum();
-            used <= hosts[fabric]
+            used <= hosts[fabric].hosts
         })
     }
 }
--- a/crates/serving/tests/plan/fair_repair.rs
+++ b/crates/serving/tests/plan/fair_repair.rs
@@ -7,7 +7,7 @@
 
 use domain::{FabricId, FastMap, FastSet, HostId, ModelName, ReplicaId};
 use quickcheck::TestResult;
-use serving::plan::{FabricSituation, HostSituation, PlanStep, lay_out, plan_fabric};
+use serving::plan::{FabricRoom, FabricSituation, HostSituation, PlanStep, lay_out, plan_fabric};
 use serving::{MemberState, ModelShape, ReplicaMembership};
 
 use crate::kit::{Domain, LONG, formed, member, model, seeded, warm};
@@ -123,9 +123,15 @@
     }
 
     fn wanted(&self) -> BTreeMap<FabricId, BTreeMap<ModelName, usize>> {
-        let counts = self.fabrics.iter();
-        let counts = counts.map(|(fabric, hosts)| (fabric.clone(), hosts.len()));
-        lay_out(&counts.collect(), &self.models)
+        let mut rooms = BTreeMap::new();
+        for (fabric, hosts) in &self.fabrics {
+            let mut room = FabricRoom::default();
+            for host in hosts {
+                room.add(host.loaded.as_ref());
+            }
+            rooms.insert(fabric.clone(), room);
+        }
+        lay_out(&rooms, &self.models)
     }
 
     /// Replicas that serve in a domain, and hosts in none.
