Test that calls which end instances of a plain service are barred too

The same ledger stands under plain calls; the stand-in's instances now end under a body that says so.

--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -253,7 +253,7 @@
     }
 }
 
-fn holds(body: &[u8], part: &[u8]) -> bool {
+pub(super) fn holds(body: &[u8], part: &[u8]) -> bool {
     body.windows(part.len()).any(|window| window == part)
 }
 
--- a/crates/standin/src/site/plain.rs
+++ b/crates/standin/src/site/plain.rs
@@ -6,7 +6,9 @@
 
 use http::{HeaderValue, StatusCode};
 use serde_json::json;
+use tokio::sync::Notify;
 
+use super::engine::{ENDING_BODY, holds};
 use super::http::{CloseAfter, SiteAnswer, SiteRequest, SiteServer, plain};
 use super::store::SiteStore;
 
@@ -37,6 +39,8 @@
     mode: PlainMode,
     ran: Vec<String>,
     seen: Vec<String>,
+    /// Ends its process.
+    crash: Option<Arc<Notify>>,
 }
 
 /// One instance; dropped, its process is gone.
@@ -57,12 +61,15 @@
             mode: PlainMode::Sound,
             ran: Vec::new(),
             seen: Vec::new(),
+            crash: None,
         }));
         let shared = Arc::clone(&state);
         let server = SiteServer::start(move |request| {
             let shared = Arc::clone(&shared);
             async move { answer(&shared, request).await }
         })?;
+        let crash = Arc::clone(&server.crash);
+        state.lock().unwrap_or_else(PoisonError::into_inner).crash = Some(crash);
         let row = json!({
             "service": "records", "address": server.address.to_string(), "zone": zone,
             "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
@@ -100,6 +107,13 @@
     }
 }
 
+fn end_process(state: &Mutex<InstanceState>) {
+    let state = state.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(crash) = &state.crash {
+        crash.notify_one();
+    }
+}
+
 async fn answer(state: &Mutex<InstanceState>, request: SiteRequest) -> SiteAnswer {
     let id = request.header("x-request-id").to_owned();
     let mode = {
@@ -110,6 +124,10 @@
         }
         state.mode
     };
+    if holds(&request.body, ENDING_BODY) {
+        end_process(state);
+        std::future::pending::<()>().await;
+    }
     let mut answer = match mode {
         PlainMode::Sound | PlainMode::Crossed | PlainMode::Closing => {
             plain(StatusCode::OK, "receipt")
--- a/tests/gateway/crashing_request.rs
+++ b/tests/gateway/crashing_request.rs
@@ -135,6 +135,26 @@
     }
 }
 
+/// A call that ends instances of a plain service, of a kind that may be repeated, is barred as well;
+/// the instances that are left answer other calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_calls_barred() {
+    let site = TestSite::start(0, 5);
+    let node = site.node("n0").await;
+    let look = |id: &str, body: &[u8]| TestCall::new("/look/x", id).body(body.to_vec());
+    for index in 0..2 {
+        let answer = look(&format!("x-{index}"), ENDING_BODY).send(&node).await;
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{}", answer.text);
+    }
+    node.wait_line(&["request_barred"]).await;
+    let answer = look("x-2", ENDING_BODY).send(&node).await;
+    assert_eq!(answer.status, StatusCode::BAD_REQUEST);
+    for index in 0..4 {
+        let answer = look(&format!("y-{index}"), b"{}").send(&node).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
 /// Three hosts lose power under a long request, one after the other. That is no doing of the request:
 /// it is served when it comes again.
 #[tokio::test(flavor = "multi_thread")]
