Draw the cases of properties from a fixed seed everywhere

They use the macro of the new crate cases now, which takes the functions as they stood; SOAK_SEED draws other cases by hand. No property was changed.

--- a/crates/serving/tests/blame_ledger.rs
+++ b/crates/serving/tests/blame_ledger.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use cases::seeded;
 use domain::{BootNumber, HostId};
-use quickcheck::{Gen, QuickCheck};
 use serving::blame::{BLAME_MEMORY, MOST_ENDS};
 use serving::{BlameLedger, BlameStanding, EndedRun, RequestMark, TargetEnd};
 
@@ -136,7 +136,5 @@
             && barred == (ends >= MOST_ENDS)
             && forward.barred().len() <= ends / MOST_ENDS
     }
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(40, 24))
-        .quickcheck(holds as fn(Vec<Vec<(u8, u16)>>) -> bool);
+    seeded().quickcheck(holds as fn(Vec<Vec<(u8, u16)>>) -> bool);
 }
--- a/crates/serving/tests/event_split.rs
+++ b/crates/serving/tests/event_split.rs
@@ -1,6 +1,6 @@
 //! Cutting a stream into whole events.
 
-use quickcheck::quickcheck;
+use cases::properties;
 use serving::EventSplitter;
 
 fn stream(ids: impl IntoIterator<Item = u64>) -> Vec<u8> {
@@ -45,7 +45,7 @@
     assert!(splitter.push(&chunk).is_err());
 }
 
-quickcheck! {
+properties! {
     /// However the network cuts a stream, its caller gets the same bytes.
     fn any_chunks(count: u8, cuts: Vec<u8>) -> bool {
         let bytes = stream(1..=u64::from(count));
--- a/crates/serving/tests/plan/fabric_layout.rs
+++ b/crates/serving/tests/plan/fabric_layout.rs
@@ -3,13 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use cases::properties;
 use domain::FabricId;
-use quickcheck::quickcheck;
 use serving::ModelShape;
 use serving::plan::{FabricLayout, FabricRoom, lay_out};
 
-use crate::kit::seeded;
-
 fn model(name: &str, size: usize, share: f64) -> ModelShape {
     ModelShape {
         name: name.parse().expect("a model"),
@@ -139,7 +137,7 @@
     false
 }
 
-quickcheck! {
+properties! {
     /// No domain is promised more hosts than it has.
     fn never_over(sizes: Vec<u8>, first: u8, second: u8) -> bool {
         let sizes: Vec<usize> = sizes.into_iter().take(12).map(usize::from).collect();
@@ -157,12 +155,9 @@
             used <= hosts[fabric].hosts
         })
     }
-}
 
-/// Whatever the sizes and shares, no model is left with less while another has room to give.
-#[test]
-fn no_model_starved() {
-    fn holds(sizes: Vec<u8>, first: u8, second: u8, share: u8) -> bool {
+    /// Whatever the sizes and shares, no model is left with less while another has room to give.
+    fn no_model_starved(sizes: Vec<u8>, first: u8, second: u8, share: u8) -> bool {
         let sizes = sizes.into_iter().take(8);
         let sizes: Vec<usize> = sizes.map(|size| usize::from(size % 48)).collect();
         let share = 0.1 + 0.8 * f64::from(share) / 255.0;
@@ -175,5 +170,4 @@
         !could_give(&hosts, &layout, &models[0], &models[1])
             && !could_give(&hosts, &layout, &models[1], &models[0])
     }
-    seeded().quickcheck(holds as fn(Vec<u8>, u8, u8, u8) -> bool);
 }
--- a/crates/serving/tests/plan/fabric_plan.rs
+++ b/crates/serving/tests/plan/fabric_plan.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use cases::properties;
 use domain::{FastSet, HostId};
-use quickcheck::quickcheck;
 use serving::MemberState;
 use serving::plan::{CloseMode, HostSituation, HostStay, PlanStep};
 
@@ -204,7 +204,7 @@
     assert!(matches!(steps.as_slice(), [PlanStep::Warm { .. }]));
 }
 
-quickcheck! {
+properties! {
     /// Whatever the hosts report, no host is in two steps, and no member of a replica that serves
     /// whole is in any.
     fn steps_share_no_host(states: Vec<(u8, u8, bool, bool)>) -> bool {
--- a/crates/serving/tests/plan/fair_repair.rs
+++ b/crates/serving/tests/plan/fair_repair.rs
@@ -5,12 +5,13 @@
 
 use std::collections::BTreeMap;
 
+use cases::seeded;
 use domain::{FabricId, FastMap, FastSet, HostId, ModelName, ReplicaId};
 use quickcheck::TestResult;
 use serving::plan::{FabricRoom, FabricSituation, HostSituation, PlanStep, lay_out, plan_fabric};
 use serving::{MemberState, ModelShape, ReplicaMembership};
 
-use crate::kit::{Domain, LONG, formed, member, model, seeded, warm};
+use crate::kit::{Domain, LONG, formed, member, model, warm};
 
 fn with_both(mut host: HostSituation) -> HostSituation {
     host.staged = vec![
@@ -337,5 +338,9 @@
         }
         TestResult::passed()
     }
-    seeded().quickcheck(holds as fn(Vec<u8>, u8, u8, u8, Vec<(u8, u8)>) -> TestResult);
+    // Each case is a fleet with up to 24 losses.
+    seeded()
+        .tests(300)
+        .max_tests(1200)
+        .quickcheck(holds as fn(Vec<u8>, u8, u8, u8, Vec<(u8, u8)>) -> TestResult);
 }
--- a/crates/serving/tests/plan/kit.rs
+++ b/crates/serving/tests/plan/kit.rs
@@ -4,23 +4,9 @@
 use std::time::Duration;
 
 use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId};
-use quickcheck::{Gen, QuickCheck};
 use serving::plan::{FabricSituation, HostSituation, HostStay, PlanStep, plan_fabric};
 use serving::{MemberState, ModelShape, ReplicaMembership};
 
-/// Cases of one property.
-const CASES: u64 = 300;
-
-/// Draws the same cases in each run; another seed in `SOAK_SEED` draws others.
-pub fn seeded() -> QuickCheck {
-    let seed = std::env::var("SOAK_SEED").ok();
-    let seed = seed.map_or(24, |seed| seed.parse().expect("SOAK_SEED is a number"));
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(100, seed))
-        .tests(CASES)
-        .max_tests(CASES * 4)
-}
-
 pub const LONG: Duration = Duration::from_mins(1);
 
 pub fn model(name: &str, size: usize, share: f64) -> ModelShape {
--- a/crates/serving/tests/planned_stop.rs
+++ b/crates/serving/tests/planned_stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quickcheck::quickcheck;
+use cases::properties;
 use serving::StopPlan;
 
 const GRACE: Duration = Duration::from_secs(8);
@@ -38,7 +38,7 @@
     assert!(plan().is_over(Duration::from_secs(108), false));
 }
 
-quickcheck! {
+properties! {
     /// Whatever is taken after the balancer's time is over before the process ends.
     fn nothing_late_cut(after_ms: u16, limit_ms: u16, grace_s: u8) -> bool {
         let began = Duration::from_secs(5);
--- a/crates/serving/tests/queue_places.rs
+++ b/crates/serving/tests/queue_places.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quickcheck::quickcheck;
+use cases::properties;
 use serving::ReplicaPace;
 
 /// A replica of 26 places: 7 ms a step, seven steps a pass, prompts of 1,115 tokens.
@@ -43,7 +43,7 @@
     );
 }
 
-quickcheck! {
+properties! {
     /// Whatever is let in has its first token due within the target, at any pace.
     fn places_fit(target_ms: u16, factor: u8) -> bool {
         let pace = pace().scaled(f64::from(factor) / 16.0);
--- a/crates/serving/tests/repeat_budget.rs
+++ b/crates/serving/tests/repeat_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quickcheck::quickcheck;
+use cases::properties;
 use serving::RepeatBudget;
 use serving::budget::RepeatLimits;
 
@@ -37,7 +37,7 @@
     assert!(budget.take(Duration::from_secs(12), 6));
 }
 
-quickcheck! {
+properties! {
     /// In any window the repeats of all nodes together stay within the limit for all of them.
     fn sum_within_limit(gaps: Vec<(u8, u8, bool)>) -> bool {
         let nodes = 4;
--- a/crates/serving/tests/unread_prompts.rs
+++ b/crates/serving/tests/unread_prompts.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use quickcheck::quickcheck;
+use cases::properties;
 use serving::choose::TargetChoice;
 use serving::rank::stable_hash;
 use serving::{ChoiceLimits, TargetLoad, UnreadPrompts, choose_target};
@@ -94,7 +94,7 @@
     assert_eq!(choose_target(&choices, LIMITS, Duration::ZERO), Ok(1));
 }
 
-quickcheck! {
+properties! {
     /// What is unread only shrinks while nothing comes, and is gone once it would be read.
     fn unread_runs_out(tokens: u32, first_ms: u16, second_ms: u16) -> bool {
         let mut unread = UnreadPrompts::default();
