--- a/tests/gateway/call.rs
+++ b/tests/gateway/call.rs
@@ -9,7 +9,8 @@
 use hyper::body::Incoming;
 use web::HttpLink;
 
-use crate::kit::{HOST, KEY, TestNode};
+use crate::kit::{HOST, KEY};
+use crate::node::TestNode;
 
 /// Longest wait for a connection on loopback.
 const CONNECT_LIMIT: Duration = Duration::from_secs(10);
--- a/tests/gateway/crashing_request.rs
+++ b/tests/gateway/crashing_request.rs
@@ -6,7 +6,8 @@
 use standin::site::ENDING_BODY;
 
 use crate::call::{TestAnswer, TestCall, read_rest, whole_stream};
-use crate::kit::{TestNode, TestSite, wait_for};
+use crate::kit::TestSite;
+use crate::node::{TestNode, wait_for};
 
 /// Engines that may end under one request: it takes so many to know that it is the request.
 const MOST_ENDED: usize = 3;
--- a/tests/gateway/kit.rs
+++ b/tests/gateway/kit.rs
@@ -1,24 +1,17 @@
-//! A site of stand-ins and gateways, and a caller.
+//! A site of stand-ins with gateways.
 
 use std::fs::File;
 use std::io::{BufRead as _, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, ChildStdout, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
 
-use http::{Request, StatusCode};
-use http_body_util::Full;
 use serde_json::{Value, json};
 use standin::site::{LostWay, PlainMode, SiteEngine, SiteGroups, SiteInstance, SiteStore};
-use web::HttpLink;
 
 use crate::PRODUCT;
-use crate::call::read_rest;
-
-/// Longest wait for something that should come; only a failing test waits for it.
-const PATIENCE: Duration = Duration::from_secs(30);
+use crate::node::{TestNode, wait_for};
 
 /// Host name of all routes.
 pub const HOST: &str = "desk.example";
@@ -37,27 +30,6 @@
     started: AtomicU32,
 }
 
-/// A running gateway; killed when it is dropped.
-pub struct TestNode {
-    child: Option<Child>,
-    pub requests: SocketAddr,
-    pub readiness: SocketAddr,
-    pub metrics: SocketAddr,
-    pub hints: SocketAddr,
-    log: PathBuf,
-    unread: Option<BufReader<ChildStdout>>,
-}
-
-impl Drop for TestNode {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        if let Some(child) = &mut self.child {
-            drop(child.kill());
-            drop(child.wait());
-        }
-    }
-}
-
 impl Drop for TestSite {
     fn drop(&mut self) {
         // What can't be removed lies in the folder for temporary files.
@@ -97,6 +69,12 @@
     })
 }
 
+/// Addresses to listen at, all on ports that the system chooses.
+fn any_ports() -> Value {
+    let any = "127.0.0.1:0";
+    json!({"requests": any, "readiness": any, "metrics": any, "hints": any})
+}
+
 impl TestSite {
     /// A site with `engines` engines in one fabric domain and `instances` instances.
     pub fn start(engines: usize, instances: usize) -> Self {
@@ -200,38 +178,30 @@
 
     /// Starts a gateway of a system that has served before, and waits until it is ready.
     pub async fn later_node(&self, name: &str) -> TestNode {
-        let node = self.start_node(name, false).await;
+        let node = self.start_node(name, false, &any_ports()).await;
         node.wait_ready(true).await;
         node
     }
 
     /// Starts a gateway that hears no hints, and waits until it is ready.
     pub async fn deaf_node(&self, name: &str) -> TestNode {
-        let (mut node, mut command) = self.prepare_node(name, true);
-        let path = self.folder.join(format!("{name}.json"));
-        let text = std::fs::read_to_string(&path).expect("the settings");
-        let mut settings: Value = serde_json::from_str(&text).expect("settings");
-        if let Some(listen) = settings["listen"].as_object_mut() {
+        let mut listen = any_ports();
+        if let Some(listen) = listen.as_object_mut() {
             listen.remove("hints");
         }
-        std::fs::write(&path, settings.to_string()).expect("the settings");
-        let log = File::create(&node.log).expect("the log");
-        let child = command.stdout(Stdio::from(log)).spawn();
-        node.child = Some(child.expect("the product"));
-        let line = node.wait_line(&["node_started"]).await;
-        node.take_addresses(&line);
+        let node = self.start_node(name, true, &listen).await;
         node.wait_ready(true).await;
         node
     }
 
     /// Starts a gateway on ports that the system chooses.
     pub async fn unready_node(&self, name: &str) -> TestNode {
-        self.start_node(name, true).await
+        self.start_node(name, true, &any_ports()).await
     }
 
     /// Starts a gateway whose log nobody reads after its first line.
     pub fn unread_node(&self, name: &str) -> TestNode {
-        let (mut node, mut command) = self.prepare_node(name, true);
+        let (mut node, mut command) = self.prepare_node(name, true, &any_ports());
         let mut child = command.stdout(Stdio::piped()).spawn().expect("the product");
         let mut output = BufReader::new(child.stdout.take().expect("its output"));
         node.child = Some(child);
@@ -242,8 +212,8 @@
         node
     }
 
-    async fn start_node(&self, name: &str, first_start: bool) -> TestNode {
-        let (mut node, mut command) = self.prepare_node(name, first_start);
+    async fn start_node(&self, name: &str, first_start: bool, listen: &Value) -> TestNode {
+        let (mut node, mut command) = self.prepare_node(name, first_start, listen);
         let log = File::create(&node.log).expect("the log");
         let child = command.stdout(Stdio::from(log)).spawn();
         node.child = Some(child.expect("the product"));
@@ -252,12 +222,11 @@
         node
     }
 
-    fn prepare_node(&self, name: &str, first_start: bool) -> (TestNode, Command) {
-        let any = "127.0.0.1:0";
+    fn prepare_node(&self, name: &str, first_start: bool, listen: &Value) -> (TestNode, Command) {
         let settings = json!({
             "node": name, "failure_domain": "z0", "store": self.store_address,
             "first_start": first_start,
-            "listen": {"requests": any, "readiness": any, "metrics": any, "hints": any},
+            "listen": listen,
             "bounds": {"stop_grace_s": 8, "repeat_ratio": 0.2, "repeat_window_s": 10,
                 "repeat_extra": 130, "load_window_s": 5, "fencing": false},
         });
@@ -288,134 +257,3 @@
         .await;
     }
 }
-
-/// Waits until something holds.
-pub async fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
-    let waiting = async {
-        while !holds() {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    let waited = tokio::time::timeout(PATIENCE, waiting).await;
-    assert!(waited.is_ok(), "waited in vain for {what}");
-}
-
-impl TestNode {
-    fn take_addresses(&mut self, line: &Value) {
-        let address = |name: &str| {
-            let text = line[name].as_str().expect("an address");
-            text.parse().expect("an address")
-        };
-        self.requests = address("requests");
-        self.readiness = address("readiness");
-        self.metrics = address("metrics");
-        if line["hints"] != "none" {
-            self.hints = address("hints");
-        }
-    }
-
-    async fn question(&self, address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
-        let limit = Duration::from_secs(1);
-        let mut link = HttpLink::connect(address, limit).await.ok()?;
-        let request = Request::get(path).header("host", "node");
-        let request = request.body(Full::default()).ok()?;
-        let answer = read_rest(link.send(request).await.ok()?).await;
-        Some((answer.status, answer.text))
-    }
-
-    pub async fn is_ready(&self) -> bool {
-        let answer = self.question(self.readiness, "/ready").await;
-        answer.is_some_and(|(status, _)| status == StatusCode::OK)
-    }
-
-    pub async fn wait_ready(&self, ready: bool) {
-        let waiting = async {
-            while self.is_ready().await != ready {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
-        let waited = tokio::time::timeout(PATIENCE, waiting).await;
-        assert!(waited.is_ok(), "readiness never became {ready}");
-    }
-
-    pub async fn metrics(&self) -> String {
-        let answer = self.question(self.metrics, "/metrics").await;
-        answer.expect("metrics").1
-    }
-
-    /// Waits until the node itself knows `count` replicas that serve.
-    pub async fn wait_replicas(&self, count: usize) {
-        let shows = |text: &str| {
-            let mut lines = text.lines();
-            lines.any(|line| {
-                let serving = line.starts_with("bramleyspring_gateway_replica_serving");
-                serving && line.ends_with(&format!(" {count}"))
-            })
-        };
-        let waiting = async {
-            while !shows(&self.metrics().await) {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
-        let waited = tokio::time::timeout(PATIENCE, waiting).await;
-        assert!(
-            waited.is_ok(),
-            "the node never knew {count} replicas that serve"
-        );
-    }
-
-    /// Lines of the log that hold all of `parts`.
-    pub fn lines(&self, parts: &[&str]) -> Vec<Value> {
-        let text = std::fs::read_to_string(&self.log).expect("the log");
-        let whole = text.rfind('\n').map_or("", |end| &text[..end]);
-        let lines = whole
-            .lines()
-            .filter(|line| parts.iter().all(|part| line.contains(part)));
-        lines
-            .map(|line| serde_json::from_str(line).expect("a line of JSON"))
-            .collect()
-    }
-
-    /// Waits for a line that holds all of `parts`.
-    pub async fn wait_line(&self, parts: &[&str]) -> Value {
-        wait_for(&format!("a line with {parts:?}"), || {
-            !self.lines(parts).is_empty()
-        })
-        .await;
-        self.lines(parts).remove(0)
-    }
-
-    pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill")
-            .args([
-                format!("-{name}"),
-                self.child.as_ref().expect("a process").id().to_string(),
-            ])
-            .status();
-        assert!(
-            sent.is_ok_and(|status| status.success()),
-            "the signal was not sent"
-        );
-    }
-
-    /// Whether the process has not ended yet.
-    pub fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut().expect("a process");
-        matches!(child.try_wait(), Ok(None))
-    }
-
-    /// Waits for the end of the process; its exit code.
-    pub async fn wait_end(&mut self) -> Option<i32> {
-        let child = self.child.as_mut().expect("a process");
-        let mut code = None;
-        wait_for("the end of the process", || match child.try_wait() {
-            Ok(Some(status)) => {
-                code = status.code();
-                true
-            }
-            Ok(None) | Err(_) => false,
-        })
-        .await;
-        code
-    }
-}
--- a/tests/gateway/lost_hosts.rs
+++ b/tests/gateway/lost_hosts.rs
@@ -4,7 +4,8 @@
 use hyper::body::Incoming;
 
 use crate::call::{TestCall, read_rest, whole_stream};
-use crate::kit::{TestNode, TestSite};
+use crate::kit::TestSite;
+use crate::node::{TestNode, wait_for};
 
 /// Reads the stream of 50 events that `c-1` began, which must come whole and from where it began.
 async fn expect_undisturbed(node: &TestNode, answer: Response<Incoming>) {
@@ -93,7 +94,7 @@
     let members = site.groups.serving().remove(0);
     site.groups.drain(&members[1]);
     node.wait_line(&["step_taken", "close"]).await;
-    crate::kit::wait_for("a replica without the leaving host", || {
+    wait_for("a replica without the leaving host", || {
         let serving = site.groups.serving();
         serving.len() == 1 && !serving[0].contains(&members[1])
     })
@@ -119,7 +120,7 @@
     assert_eq!(site.groups.serving(), before);
     site.kill_engine(&member);
     node.wait_line(&["target_gone", &member]).await;
-    crate::kit::wait_for("a replica without the lost member", || {
+    wait_for("a replica without the lost member", || {
         let serving = site.groups.serving();
         serving.len() == 1 && !serving[0].contains(&member)
     })
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod kit;
 mod log_reader;
 mod lost_hosts;
+mod node;
 mod operator_calls;
 mod plain_calls;
 mod prompt_hints;
--- /dev/null
+++ b/tests/gateway/node.rs
@@ -0,0 +1,169 @@
+//! A running gateway as a test sees it: its ports, its log, its process.
+
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ChildStdout, Command};
+use std::time::Duration;
+
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use serde_json::Value;
+use web::HttpLink;
+
+use crate::call::read_rest;
+
+/// Longest wait for something that should come; only a failing test waits for it.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A running gateway; killed when it is dropped.
+pub struct TestNode {
+    pub child: Option<Child>,
+    pub requests: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+    pub hints: SocketAddr,
+    pub log: PathBuf,
+    pub unread: Option<BufReader<ChildStdout>>,
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        if let Some(child) = &mut self.child {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
+
+/// Waits until something holds.
+pub async fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, waiting).await;
+    assert!(waited.is_ok(), "waited in vain for {what}");
+}
+
+impl TestNode {
+    pub fn take_addresses(&mut self, line: &Value) {
+        let address = |name: &str| {
+            let text = line[name].as_str().expect("an address");
+            text.parse().expect("an address")
+        };
+        self.requests = address("requests");
+        self.readiness = address("readiness");
+        self.metrics = address("metrics");
+        if line["hints"] != "none" {
+            self.hints = address("hints");
+        }
+    }
+
+    async fn question(&self, address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
+        let limit = Duration::from_secs(1);
+        let mut link = HttpLink::connect(address, limit).await.ok()?;
+        let request = Request::get(path).header("host", "node");
+        let request = request.body(Full::default()).ok()?;
+        let answer = read_rest(link.send(request).await.ok()?).await;
+        Some((answer.status, answer.text))
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let answer = self.question(self.readiness, "/ready").await;
+        answer.is_some_and(|(status, _)| status == StatusCode::OK)
+    }
+
+    pub async fn wait_ready(&self, ready: bool) {
+        let waiting = async {
+            while self.is_ready().await != ready {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let waited = tokio::time::timeout(PATIENCE, waiting).await;
+        assert!(waited.is_ok(), "readiness never became {ready}");
+    }
+
+    pub async fn metrics(&self) -> String {
+        let answer = self.question(self.metrics, "/metrics").await;
+        answer.expect("metrics").1
+    }
+
+    /// Waits until the node itself knows `count` replicas that serve.
+    pub async fn wait_replicas(&self, count: usize) {
+        let shows = |text: &str| {
+            let mut lines = text.lines();
+            lines.any(|line| {
+                let serving = line.starts_with("bramleyspring_gateway_replica_serving");
+                serving && line.ends_with(&format!(" {count}"))
+            })
+        };
+        let waiting = async {
+            while !shows(&self.metrics().await) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let waited = tokio::time::timeout(PATIENCE, waiting).await;
+        assert!(
+            waited.is_ok(),
+            "the node never knew {count} replicas that serve"
+        );
+    }
+
+    /// Lines of the log that hold all of `parts`.
+    pub fn lines(&self, parts: &[&str]) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).expect("the log");
+        let whole = text.rfind('\n').map_or("", |end| &text[..end]);
+        let lines = whole
+            .lines()
+            .filter(|line| parts.iter().all(|part| line.contains(part)));
+        lines
+            .map(|line| serde_json::from_str(line).expect("a line of JSON"))
+            .collect()
+    }
+
+    /// Waits for a line that holds all of `parts`.
+    pub async fn wait_line(&self, parts: &[&str]) -> Value {
+        wait_for(&format!("a line with {parts:?}"), || {
+            !self.lines(parts).is_empty()
+        })
+        .await;
+        self.lines(parts).remove(0)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill")
+            .args([
+                format!("-{name}"),
+                self.child.as_ref().expect("a process").id().to_string(),
+            ])
+            .status();
+        assert!(
+            sent.is_ok_and(|status| status.success()),
+            "the signal was not sent"
+        );
+    }
+
+    /// Whether the process has not ended yet.
+    pub fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut().expect("a process");
+        matches!(child.try_wait(), Ok(None))
+    }
+
+    /// Waits for the end of the process; its exit code.
+    pub async fn wait_end(&mut self) -> Option<i32> {
+        let child = self.child.as_mut().expect("a process");
+        let mut code = None;
+        wait_for("the end of the process", || match child.try_wait() {
+            Ok(Some(status)) => {
+                code = status.code();
+                true
+            }
+            Ok(None) | Err(_) => false,
+        })
+        .await;
+        code
+    }
+}
--- a/tests/gateway/store_faults.rs
+++ b/tests/gateway/store_faults.rs
@@ -4,7 +4,8 @@
 use standin::site::StoreMode;
 
 use crate::call::TestCall;
-use crate::kit::{TestSite, configuration, wait_for};
+use crate::kit::{TestSite, configuration};
+use crate::node::wait_for;
 
 /// The store falls silent. The node serves on with what it knows, and takes what changed once
 /// the store is back.
--- a/tests/gateway/whole_path.rs
+++ b/tests/gateway/whole_path.rs
@@ -4,7 +4,8 @@
 use serde_json::json;
 
 use crate::call::{TestCall, whole_stream};
-use crate::kit::{TestSite, configuration, wait_for};
+use crate::kit::{TestSite, configuration};
+use crate::node::wait_for;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_and_call() {
