--- a/crates/serving/src/plan/layout.rs
+++ b/crates/serving/src/plan/layout.rs
@@ -35,9 +35,9 @@
 /// Spreads models over fabric domains in proportion to their shares.
 ///
 /// Models stay where hosts hold them. Beyond that the one that lacks most goes first, into a fabric
-/// domain that has no replica of it, of these into the one with the most hosts left. Once a domain has a replica of a model, a further one must
-/// leave a spare host for each model: a lost host is then replaced within a second instead of after
-/// a load of many seconds.
+/// domain that has no replica of it, of these into the one with the most hosts left. Once a domain has
+/// a replica of a model, a further one must leave a spare host for each model: a lost host is then
+/// replaced within a second instead of after a load of many seconds.
 ///
 /// Small replicas fill the gaps between large ones, never their places: a model gets hosts back from
 /// one that still has as much for its share without them.
