Ask a head that seems to have left before its members join another replica

Cause: a member's join went without an order to its old head where the head's registry entry named another replica or none. Such an entry can be from before the head joined: after the store's return, or any time an old one arrives. The join's own condition holds, since it is about the member. The code is as old as the planner; hypotheses that were dropped: the new Yield step (closed replicas are whole, and another node may open them again, but the head still leaves first), late orders (they carry the number of orders they were planned on). Evidence: old_head_entry gives exactly that violation on the code before (e1, e3 and e2 joined while the head was open) and passes now, with the replica left whole. Why this works: heads that seem to have moved are asked; one that is still there ends the step as stale, one that does not answer is suspected, and its members leave before they join. Class: acting on a copy where the owner can be asked. Cost: one report for each formation that reuses members whose head moved.

--- a/crates/gateway/src/care/steps.rs
+++ b/crates/gateway/src/care/steps.rs
@@ -8,6 +8,7 @@
 
 use super::ReplicaCare;
 use crate::orders::{OrderEnd, PlannedOrder, key, settle_order};
+use crate::probe::{ask_host, order_target};
 
 /// Time for which a head that was told to open may go on reporting itself as ready.
 const OPENING_TIME: Duration = Duration::from_millis(900);
@@ -119,6 +120,9 @@
             model,
             members: members.clone(),
         };
+        if !self.confirm_left(&members).await {
+            return OrderEnd::Stale;
+        }
         let mut heads = Vec::new();
         let mut others = Vec::new();
         for member in &members {
@@ -141,6 +145,48 @@
         failed.unwrap_or(OrderEnd::Done)
     }
 
+    /// Asks the heads that seem to have left the replicas of members; whether they have. An entry may be
+    /// from before the head joined, and its members would be taken from under its streams.
+    async fn confirm_left(&self, members: &[HostId]) -> bool {
+        let moved = self.moved_heads(members);
+        let asks = moved.iter().filter_map(|(head, _)| {
+            let target = order_target(&self.node, head)?;
+            Some(ask_host(&self.node, target))
+        });
+        futures::future::join_all(asks).await;
+        self.node.registry(|registry| {
+            moved.iter().all(|(head, old)| {
+                let entry = registry.get(head);
+                let membership = entry.and_then(|entry| entry.membership.as_ref());
+                membership.is_none_or(|membership| key(membership) != *old)
+            })
+        })
+    }
+
+    /// Heads of the replicas that members are in whose entries name another replica or none.
+    fn moved_heads(&self, members: &[HostId]) -> Vec<(HostId, (ReplicaId, u64))> {
+        let mut moved: Vec<(HostId, (ReplicaId, u64))> = Vec::new();
+        self.node.registry(|registry| {
+            for member in members {
+                let entry = registry.get(member);
+                let Some(membership) = entry.and_then(|entry| entry.membership.as_ref()) else {
+                    continue;
+                };
+                let old = key(membership);
+                let head = self.node.head_of(&old);
+                let Some(entry) = head.as_ref().and_then(|head| registry.get(head)) else {
+                    continue;
+                };
+                let stays = entry.membership.as_ref().is_some_and(|now| key(now) == old);
+                let is_new = moved.iter().all(|(head, _)| *head != entry.id);
+                if !stays && is_new && !self.node.is_suspect(&entry.id) {
+                    moved.push((entry.id.clone(), old));
+                }
+            }
+        });
+        moved
+    }
+
     /// Joins the head of an old replica. An engine that opens still reports itself as ready, so it
     /// leaves first: joined at once, it could be serving and belong to two replicas.
     async fn join_head(&self, host: &HostId, old: (ReplicaId, u64), join: &HostOrder) -> OrderEnd {
--- a/crates/gateway/src/ends.rs
+++ b/crates/gateway/src/ends.rs
@@ -45,8 +45,10 @@
 /// Tries to write a row.
 const WRITE_TRIES: usize = 3;
 
-/// Most runs in one row, and most rows removed at once: both are limits of the store.
+/// Most runs in one row: of about 60 bytes each, they fit a row of the store.
 const MOST_RUNS: usize = 400;
+
+/// Most rows removed at once, the store's limit.
 const MOST_REMOVED: usize = 100;
 
 /// One node's part of what ran at a target that ended.
--- a/tests/gateway/store_faults.rs
+++ b/tests/gateway/store_faults.rs
@@ -98,3 +98,21 @@
     assert_eq!(site.groups.serving(), serving);
     assert!(node.lines(&["step_taken", "form"]).is_empty());
 }
+
+/// An old entry of a head arrives while the store is sound: the head seems to be in no replica, though
+/// it serves. Its members must not join another replica under its streams; the head leaves first.
+#[tokio::test(flavor = "multi_thread")]
+async fn old_head_entry() {
+    let site = TestSite::start(6, 0);
+    let node = site.node("n0").await;
+    node.wait_replicas(1).await;
+    let serving = site.groups.serving();
+    site.groups.write_old_entry(&serving[0][0]);
+    wait_for("a plan that goes by it", || {
+        node.lines(&["step_taken", "form helper"]).len() > 1
+    })
+    .await;
+    node.wait_replicas(1).await;
+    assert_eq!(site.groups.violations(), Vec::<String>::new());
+    assert_eq!(site.groups.serving(), serving);
+}
