--- a/crates/serving/src/plan/exchange.rs
+++ b/crates/serving/src/plan/exchange.rs
@@ -45,21 +45,23 @@
 ) {
     // One lack a plan: what is given up for it changes what the others may take.
     let mut lacking = tally.by_lack().into_iter();
-    let Some(poor) = lacking.find(|model| tally.is_lacking(model)) else {
+    let Some(recipient) = lacking.find(|model| tally.is_lacking(model)) else {
         return;
     };
-    let missing = poor.size.saturating_sub(coming(situation, serving, poor));
+    let missing = recipient
+        .size
+        .saturating_sub(coming(situation, serving, recipient));
     if missing == 0 {
         return;
     }
-    for rich in situation.models {
-        if rich.name == poor.name {
+    for donor in situation.models {
+        if donor.name == recipient.name {
             continue;
         }
-        let Some(given) = pick_givers(serving, rich, poor, missing) else {
+        let Some(given) = pick_donors(serving, donor, recipient, missing) else {
             continue;
         };
-        if situation.cover_without(rich, given.len()) < tally.cover(poor, 1) {
+        if situation.cover_without(donor, given.len()) < tally.cover(recipient, 1) {
             continue;
         }
         steps.extend(given.into_iter().filter_map(ServingReplica::yield_step));
@@ -95,25 +97,25 @@
     host.answers() && host.stay == HostStay::Stays
 }
 
-/// Replicas of `rich` whose hosts are enough for what is missing, as few as can be.
-fn pick_givers<'a, 'b>(
+/// Replicas of `donor` whose hosts are enough for what is missing, as few as can be.
+fn pick_donors<'a, 'b>(
     serving: &'b [ServingReplica<'a>],
-    rich: &ModelShape,
-    poor: &ModelShape,
+    donor: &ModelShape,
+    recipient: &ModelShape,
     missing: usize,
 ) -> Option<Vec<&'b ServingReplica<'a>>> {
     let own = serving
         .iter()
-        .filter(|replica| replica.model.name == rich.name);
+        .filter(|replica| replica.model.name == donor.name);
     let mut own: Vec<&ServingReplica> = own.collect();
-    own.sort_by_key(|replica| std::cmp::Reverse(replica.fitting(&poor.name)));
+    own.sort_by_key(|replica| std::cmp::Reverse(replica.fitting(&recipient.name)));
     let mut given = Vec::new();
     let mut found = 0;
     for replica in own {
         if found >= missing {
             break;
         }
-        found += replica.fitting(&poor.name);
+        found += replica.fitting(&recipient.name);
         given.push(replica);
     }
     (found >= missing).then_some(given)
--- a/crates/serving/src/plan/fabric.rs
+++ b/crates/serving/src/plan/fabric.rs
@@ -77,6 +77,18 @@
     form_replicas(situation, &mut tally, &mut free, &mut steps);
     yield_replicas(situation, &tally, &serving, &mut steps);
     free.extend(kept);
+    close_idle_heads(lost, &mut free, &mut steps);
+    warm_spares(situation, &tally, &free, &mut steps);
+    stage_second(situation, &mut steps);
+    FabricPlan { steps, census }
+}
+
+/// Closes heads of lost replicas that nobody joined; they get no other step.
+fn close_idle_heads(
+    lost: Vec<PlanStep>,
+    free: &mut Vec<&HostSituation>,
+    steps: &mut Vec<PlanStep>,
+) {
     let mut idle_heads = Vec::new();
     for close in lost {
         let PlanStep::Close { head, .. } = &close else {
@@ -88,9 +100,6 @@
         }
     }
     free.retain(|host| !idle_heads.contains(&host.id));
-    warm_spares(situation, &tally, &free, &mut steps);
-    stage_second(situation, &mut steps);
-    FabricPlan { steps, census }
 }
 
 fn take_census(
--- a/crates/serving/src/plan/layout.rs
+++ b/crates/serving/src/plan/layout.rs
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, Copy)]
 struct RoomExchange {
     room: usize,
-    rich: usize,
+    donor: usize,
     given: usize,
 }
 
@@ -181,15 +181,15 @@
     /// Gives a model a replica in place of some of another model that has room to give; whether any
     /// could be.
     fn exchange(&mut self) -> bool {
-        for poor in self.by_lack() {
-            let Some(exchange) = self.best_exchange(poor) else {
+        for recipient in self.by_lack() {
+            let Some(exchange) = self.best_exchange(recipient) else {
                 continue;
             };
-            let RoomExchange { room, rich, given } = exchange;
-            self.rooms[room].left += given * self.models[rich].size;
-            self.rooms[room].held[rich] -= given;
-            self.placed[rich] -= given;
-            self.place(poor, room);
+            let RoomExchange { room, donor, given } = exchange;
+            self.rooms[room].left += given * self.models[donor].size;
+            self.rooms[room].held[donor] -= given;
+            self.placed[donor] -= given;
+            self.place(recipient, room);
             return true;
         }
         false
@@ -197,38 +197,40 @@
 
     /// The exchange for one replica more of a model: in a domain without it where there is one, and
     /// for as few hosts as can be.
-    fn best_exchange(&self, poor: usize) -> Option<RoomExchange> {
-        if self.models[poor].size == 0 {
+    fn best_exchange(&self, recipient: usize) -> Option<RoomExchange> {
+        if self.models[recipient].size == 0 {
             return None;
         }
         let mut best: Option<((bool, usize), RoomExchange)> = None;
         for room in 0..self.rooms.len() {
-            let Some((rich, given)) = self.giver(poor, room) else {
+            let Some((donor, given)) = self.donor(recipient, room) else {
                 continue;
             };
-            let has_one = self.rooms[room].held[poor] > 0;
-            let rank = (has_one, given * self.models[rich].size);
+            let has_one = self.rooms[room].held[recipient] > 0;
+            let rank = (has_one, given * self.models[donor].size);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-                best = Some((rank, RoomExchange { room, rich, given }));
+                best = Some((rank, RoomExchange { room, donor, given }));
             }
         }
         best.map(|(_, exchange)| exchange)
     }
 
-    /// The model that gives up replicas in a domain for one of `poor`, and how many.
-    fn giver(&self, poor: usize, room: usize) -> Option<(usize, usize)> {
-        let gained = self.cover(poor, self.placed[poor] + 1);
-        let missing = self.needed(poor, room).checked_sub(self.rooms[room].left)?;
-        for (rich, model) in self.models.iter().enumerate() {
-            if rich == poor || model.size == 0 {
+    /// The model that gives up replicas in a domain for one of `recipient`, and how many.
+    fn donor(&self, recipient: usize, room: usize) -> Option<(usize, usize)> {
+        let gained = self.cover(recipient, self.placed[recipient] + 1);
+        let missing = self
+            .needed(recipient, room)
+            .checked_sub(self.rooms[room].left)?;
+        for (donor, model) in self.models.iter().enumerate() {
+            if donor == recipient || model.size == 0 {
                 continue;
             }
             let given = missing.div_ceil(model.size);
-            if given > self.rooms[room].held[rich] {
+            if given > self.rooms[room].held[donor] {
                 continue;
             }
-            if self.cover(rich, self.placed[rich] - given) >= gained {
-                return Some((rich, given));
+            if self.cover(donor, self.placed[donor] - given) >= gained {
+                return Some((donor, given));
             }
         }
         None
--- a/crates/serving/tests/plan/fabric_layout.rs
+++ b/crates/serving/tests/plan/fabric_layout.rs
@@ -106,13 +106,13 @@
     }
 }
 
-/// Whether a domain could hold a replica more of `poor` in place of some of `rich`, and `rich` would
+/// Whether a domain could hold a replica more of `recipient` in place of some of `donor`, and `donor` would
 /// still have at least as many hosts for its share.
 fn could_give(
     rooms: &BTreeMap<FabricId, FabricRoom>,
     layout: &FabricLayout,
-    poor: &ModelShape,
-    rich: &ModelShape,
+    recipient: &ModelShape,
+    donor: &ModelShape,
 ) -> bool {
     let held = |fabric: &FabricId, model: &ModelShape| {
         layout[fabric].get(&model.name).copied().unwrap_or(0)
@@ -125,12 +125,12 @@
     };
     for (fabric, room) in rooms {
         // Beside one that it has, a further replica of a model leaves a spare for each model.
-        let spares = if held(fabric, poor) > 0 { 2 } else { 0 };
-        let used = held(fabric, poor) * poor.size + held(fabric, rich) * rich.size;
-        let missing = (poor.size + spares).saturating_sub(room.hosts - used);
-        let given = missing.div_ceil(rich.size);
+        let spares = if held(fabric, recipient) > 0 { 2 } else { 0 };
+        let used = held(fabric, recipient) * recipient.size + held(fabric, donor) * donor.size;
+        let missing = (recipient.size + spares).saturating_sub(room.hosts - used);
+        let given = missing.div_ceil(donor.size);
         let given_signed = i32::try_from(given).expect("few replicas");
-        if given <= held(fabric, rich) && cover(rich, -given_signed) >= cover(poor, 1) {
+        if given <= held(fabric, donor) && cover(donor, -given_signed) >= cover(recipient, 1) {
             return true;
         }
     }
--- a/crates/serving/tests/plan/fair_repair.rs
+++ b/crates/serving/tests/plan/fair_repair.rs
@@ -93,7 +93,7 @@
 
 /// A model that has as little for its share keeps what it has.
 #[test]
-fn poor_model_keeps() {
+fn covered_model_keeps() {
     let steps = fleet(Domain::of(short_domain()), 6, 5).plan();
     assert_eq!(yielded(&steps), Vec::<&str>::new());
 }
@@ -285,14 +285,16 @@
         for fabric in self.fabrics.keys() {
             let (open, idle) = self.census(fabric);
             let held = |model: &ModelShape| open.get(&model.name).copied().unwrap_or(0);
-            for (poor, rich) in [(0, 1), (1, 0)].map(|(a, b)| (&self.models[a], &self.models[b])) {
-                let asked = wanted[fabric].get(&poor.name).copied().unwrap_or(0);
-                if held(poor) >= asked {
+            for (recipient, donor) in
+                [(0, 1), (1, 0)].map(|(a, b)| (&self.models[a], &self.models[b]))
+            {
+                let asked = wanted[fabric].get(&recipient.name).copied().unwrap_or(0);
+                if held(recipient) >= asked {
                     continue;
                 }
-                let given = poor.size.saturating_sub(idle).div_ceil(rich.size);
+                let given = recipient.size.saturating_sub(idle).div_ceil(donor.size);
                 let loss = f64::from(u32::try_from(given).expect("few replicas"));
-                if given <= held(rich) && cover(rich, -loss) >= cover(poor, 1.0) {
+                if given <= held(donor) && cover(donor, -loss) >= cover(recipient, 1.0) {
                     return true;
                 }
             }
