--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -46,12 +46,28 @@
 /// hundred milliseconds, so a new one may predate that order.
 const RESPONSE_VALIDITY: Duration = Duration::from_millis(1200);
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct KnownOrderCount {
     boot: BootNumber,
     orders: u64,
-    /// When the last of these orders was accepted, if it came from this node.
-    accepted_at: Option<Duration>,
+    /// The last of these orders, if it came from this node.
+    acceptance: Option<OrderAcceptance>,
+}
+
+/// Acceptance of an order of this node.
+#[derive(Debug, Clone)]
+struct OrderAcceptance {
+    at: Duration,
+    /// Membership of the engine after the order.
+    membership: Option<MembershipKey>,
+}
+
+/// State of an engine after this node's last order, if that was accepted recently.
+#[derive(Debug)]
+struct RecentAcceptance {
+    boot: BootNumber,
+    orders: u64,
+    membership: Option<MembershipKey>,
 }
 
 impl OrderOutcome {
@@ -105,29 +121,46 @@
         let reported = KnownOrderCount {
             boot,
             orders,
-            accepted_at: None,
+            acceptance: None,
         };
-        let known = accepted.entry(id.clone()).or_insert(reported);
+        let known = accepted.entry(id.clone());
+        let known = known.or_insert_with(|| reported.clone());
         if known.boot != boot || known.orders < orders {
             *known = reported;
         }
         known.orders
     }
 
-    fn record_accepted(&self, id: &HostId, boot: BootNumber, orders: u64, now: Duration) {
+    fn record_accepted(
+        &self,
+        planned: &PlannedOrder,
+        boot: BootNumber,
+        orders: u64,
+        now: Duration,
+    ) {
         let known = KnownOrderCount {
             boot,
             orders,
-            accepted_at: Some(now),
+            acceptance: Some(OrderAcceptance {
+                at: now,
+                membership: planned.membership_after(),
+            }),
         };
-        self.accepted.borrow_mut().insert(id.clone(), known);
+        let id = planned.host.clone();
+        self.accepted.borrow_mut().insert(id, known);
     }
 
-    /// Boot number and order count of an engine, if this node's last order was accepted recently.
-    fn recent_acceptance(&self, id: &HostId, now: Duration) -> Option<(BootNumber, u64)> {
-        let known = self.accepted.borrow().get(id).copied()?;
-        let recent = now.saturating_sub(known.accepted_at?) < RESPONSE_VALIDITY;
-        recent.then_some((known.boot, known.orders))
+    /// What is known of an engine, if this node's last order was accepted recently.
+    fn recent_acceptance(&self, id: &HostId, now: Duration) -> Option<RecentAcceptance> {
+        let accepted = self.accepted.borrow();
+        let known = accepted.get(id)?;
+        let acceptance = known.acceptance.as_ref()?;
+        let recent = now.saturating_sub(acceptance.at) < RESPONSE_VALIDITY;
+        recent.then(|| RecentAcceptance {
+            boot: known.boot,
+            orders: known.orders,
+            membership: acceptance.membership.clone(),
+        })
     }
 
     fn forget(&self, id: &HostId) {
@@ -142,8 +175,21 @@
     pub host: HostId,
     /// Order to send, resent unchanged until it is settled.
     pub order: HostOrder,
-    /// Membership that the engine must still have, as replica and epoch; `None` for no replica.
-    pub expected: Option<(ReplicaId, u64)>,
+    /// Membership that the engine must still have; `None` for no replica.
+    pub expected: Option<MembershipKey>,
+}
+
+impl PlannedOrder {
+    /// Membership of the engine once the order was accepted.
+    fn membership_after(&self) -> Option<MembershipKey> {
+        match &self.order {
+            HostOrder::Join { replica, epoch, .. } => Some((replica.clone(), *epoch)),
+            HostOrder::Leave { .. } => None,
+            HostOrder::Open { .. } | HostOrder::Close { .. } | HostOrder::Stage { .. } => {
+                self.expected.clone()
+            }
+        }
+    }
 }
 
 /// Sends an order and waits until its outcome is settled.
@@ -220,7 +266,7 @@
             .await;
         match response {
             Ok(OrderResponse::Begun) => {
-                order_tracker.record_accepted(&planned.host, boot, accepted + 1, node.now());
+                order_tracker.record_accepted(planned, boot, accepted + 1, node.now());
                 return (
                     OrderOutcome::Done,
                     attempt,
@@ -231,7 +277,7 @@
                 // A leave order takes effect before its response, so it counts like one that has
                 // begun.
                 if matches!(planned.order, HostOrder::Leave { .. }) {
-                    order_tracker.record_accepted(&planned.host, boot, accepted + 1, node.now());
+                    order_tracker.record_accepted(planned, boot, accepted + 1, node.now());
                 }
                 return (OrderOutcome::Done, attempt, "holds".to_owned());
             }
@@ -274,7 +320,12 @@
     planned: &PlannedOrder,
 ) -> Result<(BootNumber, u64), (OrderOutcome, String)> {
     if let Some(known) = order_tracker.recent_acceptance(&planned.host, node.now()) {
-        return Ok(known);
+        // The plan may rest on an entry older than this node's own order. The order count alone
+        // would admit the new order then, and a host that serves would join another replica.
+        if known.membership != planned.expected {
+            return Err(stale_membership(known.membership.as_ref()));
+        }
+        return Ok((known.boot, known.orders));
     }
     let mut detail = String::new();
     let mut failure = FailureKind::Unresponsive;
@@ -286,8 +337,7 @@
             Ok(report) => {
                 let found = report.status.membership.as_ref().map(membership_key);
                 if found != planned.expected {
-                    let found = found.map_or("none".to_owned(), |(name, _)| name.to_string());
-                    return Err((OrderOutcome::Stale, format!("engine is in replica {found}")));
+                    return Err(stale_membership(found.as_ref()));
                 }
                 let orders =
                     order_tracker.record_report(&planned.host, report.boot(), report.orders);
@@ -303,9 +353,17 @@
     Err((OrderOutcome::Unresponsive, detail))
 }
 
+fn stale_membership(found: Option<&MembershipKey>) -> (OrderOutcome, String) {
+    let found = found.map_or("none", |(replica, _)| replica.as_str());
+    (OrderOutcome::Stale, format!("engine is in replica {found}"))
+}
+
 /// Replica and epoch of a membership, which identify the state that an order is planned for.
+pub type MembershipKey = (ReplicaId, u64);
+
+/// Returns the key of a membership.
 #[must_use]
-pub fn membership_key(membership: &ReplicaMembership) -> (ReplicaId, u64) {
+pub fn membership_key(membership: &ReplicaMembership) -> MembershipKey {
     (membership.replica.clone(), membership.epoch)
 }
 
--- a/tests/gateway/store_faults.rs
+++ b/tests/gateway/store_faults.rs
@@ -3,7 +3,7 @@
 use http::StatusCode;
 use standin::site::StoreMode;
 
-use crate::node::wait_for;
+use crate::node::{TestNode, wait_for};
 use crate::request::TestRequest;
 use crate::site::{TestSite, configuration};
 
@@ -117,3 +117,35 @@
     assert_eq!(site.groups.violations(), Vec::<String>::new());
     assert_eq!(site.groups.serving(), serving);
 }
+
+/// Hosts join and open a replica during an outage. The first entries read afterwards predate their
+/// joins and name no replica. The hosts must not join another replica while theirs is open, which
+/// would stop its streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn outdated_entries_after_outage() {
+    let mut site = TestSite::start(5, 0);
+    let node = site.node("n0").await;
+    node.wait_replicas(1).await;
+    site.store.set_mode(StoreMode::Unavailable);
+    node.wait_log_line(&["store_lost", "servers"]).await;
+    let lost = site.groups.serving()[0][1].clone();
+    site.kill_engine(&lost);
+    // The loss is only noticed by a request that runs into it.
+    drop(TestRequest::chat("c-1").send(&node).await);
+    site.wait_serving_without(&lost, 1).await;
+    let serving = site.groups.serving();
+    for member in &serving[0] {
+        site.groups.write_stale_entry(member);
+    }
+    site.store.set_mode(StoreMode::Healthy);
+    expect_kept(&site, &node, &serving).await;
+}
+
+/// Waits for several rounds of planning and checks that the replicas were left alone.
+async fn expect_kept(site: &TestSite, node: &TestNode, serving: &[Vec<String>]) {
+    node.wait_replicas(serving.len()).await;
+    let calls = site.store.calls();
+    wait_for("some store calls", || site.store.calls() > calls + 8).await;
+    assert_eq!(site.groups.violations(), Vec::<String>::new());
+    assert_eq!(site.groups.serving(), serving);
+}
