--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -228,6 +228,9 @@
     /// by model, and idle hosts. If a model remains below its desired count although there are idle
     /// hosts, or surplus replicas of another model, something blocks the plan.
     FabricCounted = 367, "fabric_counted", Info;
+    /// A registry entry contradicts what its host confirmed by an accepted order or a report, and may
+    /// be older. The host is queried; its confirmed membership holds until then.
+    EntryOutdated = 368, "entry_outdated", Info;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
--- /dev/null
+++ b/crates/gateway/src/node/confirmed.rs
@@ -0,0 +1,142 @@
+//! Intake of what is known of hosts: registry entries, reports and the effects of accepted orders.
+//!
+//! Only this module decides which of them is newer. A host whose older entry passed for new would
+//! be ordered out of a replica that it had just joined.
+
+use std::time::Duration;
+
+use domain::HostId;
+use events::{EventCode, LogLine};
+use serving::{ConfirmedMembership, TargetEntry};
+
+use super::GatewayNode;
+
+/// What became of a registry entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryIntake {
+    /// It was applied.
+    Applied,
+    /// It may be older than what the host confirmed, so the membership known so far holds until
+    /// the host is queried.
+    MembershipWithheld,
+}
+
+impl GatewayNode {
+    /// Applies an entry read from the registry; the target counts as listed again.
+    pub fn apply_listed_target(&self, entry: &TargetEntry) -> EntryIntake {
+        self.unlisted.borrow_mut().remove(&entry.id);
+        let mut confirmed = self.confirmed.borrow_mut();
+        let mut may_be_outdated = false;
+        if let Some(membership) = confirmed.get_mut(&entry.id) {
+            may_be_outdated = membership.may_outdate_entry(entry);
+            if !may_be_outdated {
+                membership.confirm_listed(entry);
+            }
+        }
+        drop(confirmed);
+        if may_be_outdated {
+            self.withhold_membership(entry);
+            return EntryIntake::MembershipWithheld;
+        }
+        self.contradicted.borrow_mut().remove(&entry.id);
+        self.apply_target(entry);
+        EntryIntake::Applied
+    }
+
+    /// Applies the effect of an accepted order before the registry shows it. Otherwise the next
+    /// plan would start from the old state and use the same hosts again.
+    pub fn apply_order(&self, id: &HostId, change: impl FnOnce(&mut TargetEntry)) {
+        let now = self.now();
+        let Some((before, entry)) = self.changed_entry(id, change) else {
+            return;
+        };
+        self.with_confirmed(&before, |membership| membership.confirm_order(&entry, now));
+        self.apply_target(&entry);
+    }
+
+    /// Applies the report of a host ahead of the registry, unless it may be older than an order
+    /// that the host accepted since.
+    pub fn apply_host_report(
+        &self,
+        id: &HostId,
+        requested_at: Duration,
+        change: impl FnOnce(&mut TargetEntry),
+    ) {
+        let Some((before, entry)) = self.changed_entry(id, change) else {
+            return;
+        };
+        let is_current = self.with_confirmed(&before, |membership| {
+            let is_current = !membership.may_outdate_report(&entry, requested_at);
+            if is_current {
+                membership.confirm_report(&entry);
+            }
+            is_current
+        });
+        if !is_current {
+            return;
+        }
+        self.apply_target(&entry);
+    }
+
+    /// Hosts whose last registry entry contradicts what they confirmed. They are queried until the
+    /// registry has caught up, since it has no news of them.
+    #[must_use]
+    pub fn contradicted_hosts(&self) -> Vec<HostId> {
+        self.contradicted.borrow().iter().cloned().collect()
+    }
+
+    pub(super) fn forget_confirmed(&self, id: &HostId) {
+        self.confirmed.borrow_mut().remove(id);
+        self.contradicted.borrow_mut().remove(id);
+    }
+
+    fn changed_entry(
+        &self,
+        id: &HostId,
+        change: impl FnOnce(&mut TargetEntry),
+    ) -> Option<(TargetEntry, TargetEntry)> {
+        let before = self.registry(|registry| registry.get(id).cloned())?;
+        let mut entry = before.clone();
+        change(&mut entry);
+        Some((before, entry))
+    }
+
+    fn with_confirmed<R>(
+        &self,
+        before: &TargetEntry,
+        update: impl FnOnce(&mut ConfirmedMembership) -> R,
+    ) -> R {
+        let mut confirmed = self.confirmed.borrow_mut();
+        let membership = confirmed
+            .entry(before.id.clone())
+            .or_insert_with(|| ConfirmedMembership::listed(before));
+        update(membership)
+    }
+
+    /// Applies what an entry says besides the membership, if it is from the same process.
+    fn withhold_membership(&self, entry: &TargetEntry) {
+        let known = self.registry(|registry| registry.get(&entry.id).cloned());
+        let Some(known) = known else { return };
+        self.contradicted.borrow_mut().insert(entry.id.clone());
+        let replica = |entry: &TargetEntry| {
+            let membership = entry.membership.as_ref();
+            membership.map_or("none".to_owned(), |membership| {
+                membership.replica.to_string()
+            })
+        };
+        let line = LogLine::new(EventCode::EntryOutdated)
+            .text("host", entry.id.as_str())
+            .text("listed", &replica(entry))
+            .text("confirmed", &replica(&known));
+        self.log(&line);
+        if entry.boot != known.boot {
+            return;
+        }
+        self.apply_target(&TargetEntry {
+            loaded: known.loaded,
+            staged: known.staged,
+            membership: known.membership,
+            ..entry.clone()
+        });
+    }
+}
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! In-memory state of a gateway, shared by its tasks.
 
+mod confirmed;
 mod health;
 mod loads;
 mod poison;
@@ -10,13 +11,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use domain::{FastMap, FastSet, HostId, ReplicaId, RowVersion, ServiceName};
+use domain::{FastMap, FastSet, HostId, RowVersion, ServiceName};
 use events::{EventCode, LogLine, LogSink};
 use policy::admission::CustomerShares;
 use serving::stall::StallDetector;
 use serving::{
-    GatewayConfig, PoisonDetector, PromptBacklog, RetryBudget, ShutdownPlan, TargetLoad,
-    TargetRegistry,
+    ConfirmedMembership, GatewayConfig, MembershipKey, PoisonDetector, PromptBacklog, RetryBudget,
+    ShutdownPlan, TargetLoad, TargetRegistry,
 };
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
@@ -27,6 +28,7 @@
 use crate::pool::ConnectionPool;
 use crate::settings::GatewaySettings;
 
+pub use confirmed::EntryIntake;
 use health::Suspicion;
 pub use health::{FailureKind, ReplicaLostSignal};
 pub use process::RequestGuard;
@@ -61,8 +63,8 @@
     registry_stale_until: Cell<Duration>,
     hosts_changed_at: Cell<Duration>,
     membership_changed_at: RefCell<FastMap<HostId, Duration>>,
-    never_reopen: RefCell<FastSet<(ReplicaId, u64)>>,
-    known_heads: RefCell<FastMap<(ReplicaId, u64), HostId>>,
+    never_reopen: RefCell<FastSet<MembershipKey>>,
+    known_heads: RefCell<FastMap<MembershipKey, HostId>>,
     loads: RefCell<FastMap<HostId, TargetLoad>>,
     /// Hosts by the hashes that stand for them in hints.
     hosts_by_hash: RefCell<FastMap<HostHash, HostId>>,
@@ -76,6 +78,10 @@
     /// When heads last started a response for another node.
     served_others_at: RefCell<FastMap<HostId, Duration>>,
     unlisted: RefCell<FastSet<HostId>>,
+    /// Memberships that hosts confirmed themselves.
+    confirmed: RefCell<FastMap<HostId, ConfirmedMembership>>,
+    /// Hosts whose last registry entry contradicts what they confirmed.
+    contradicted: RefCell<FastSet<HostId>>,
     /// Interrupted requests at targets that are not yet known to have crashed.
     interrupted: RefCell<InterruptedRequests>,
     /// Requests that ran at crashed targets.
@@ -146,6 +152,8 @@
             probing: RefCell::default(),
             served_others_at: RefCell::default(),
             unlisted: RefCell::default(),
+            confirmed: RefCell::default(),
+            contradicted: RefCell::default(),
             interrupted: RefCell::default(),
             poison: RefCell::default(),
             store_clock: Cell::default(),
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -6,7 +6,8 @@
 use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId, RowVersion, ServiceName};
 use events::{EventCode, LogLine};
 use serving::{
-    MemberState, ReplicaMembership, ReplicaView, ServiceConfig, TargetEntry, TargetState,
+    MemberState, MembershipKey, ReplicaMembership, ReplicaView, ServiceConfig, TargetEntry,
+    TargetState,
 };
 
 use super::GatewayNode;
@@ -30,7 +31,7 @@
 
     /// Applies a target's entry; no effect if it is already known as it is. A target with a new boot
     /// number or address starts without suspicion, load data or idle connections.
-    pub fn apply_target(&self, entry: &TargetEntry) {
+    pub(super) fn apply_target(&self, entry: &TargetEntry) {
         let id = entry.id.clone();
         let mut registry = self.registry.borrow_mut();
         let before = registry.get(&id).cloned();
@@ -67,14 +68,8 @@
         self.notify_change();
     }
 
-    /// Applies an entry read from the registry; the target counts as listed again.
-    pub fn apply_listed_target(&self, entry: &TargetEntry) {
-        self.unlisted.borrow_mut().remove(&entry.id);
-        self.apply_target(entry);
-    }
-
     fn record_membership(&self, id: &HostId, membership: &ReplicaMembership) {
-        let key = (membership.replica.clone(), membership.epoch);
+        let key = membership.key();
         if membership.rank == 0 {
             self.known_heads
                 .borrow_mut()
@@ -87,7 +82,7 @@
 
     /// Last known head of a replica, even if it has left since.
     #[must_use]
-    pub fn last_known_head(&self, replica: &(ReplicaId, u64)) -> Option<HostId> {
+    pub fn last_known_head(&self, replica: &MembershipKey) -> Option<HostId> {
         self.known_heads.borrow().get(replica).cloned()
     }
 
@@ -142,6 +137,7 @@
     /// Removes a target with all state about it, and closes its idle connections.
     pub fn remove_target(&self, id: &HostId) {
         self.unlisted.borrow_mut().remove(id);
+        self.forget_confirmed(id);
         let removed = self.registry.borrow_mut().remove(id);
         let Some(entry) = removed else { return };
         self.hosts_changed_at.set(self.now());
@@ -167,15 +163,6 @@
         })
     }
 
-    /// Applies the expected effect of an accepted order before the registry shows it. Otherwise the
-    /// next plan would start from the old state and use the same hosts again.
-    pub fn apply_expected(&self, id: &HostId, change: impl FnOnce(&mut TargetEntry)) {
-        let known = self.registry(|registry| registry.get(id).cloned());
-        let Some(mut entry) = known else { return };
-        change(&mut entry);
-        self.apply_target(&entry);
-    }
-
     /// Time since this node saw a host's membership change.
     #[must_use]
     pub fn membership_age(&self, id: &HostId) -> Duration {
@@ -184,7 +171,7 @@
     }
 
     /// Calls `access` with the replicas that have served or whose formation failed.
-    pub fn with_never_reopen<R>(&self, access: impl FnOnce(&FastSet<(ReplicaId, u64)>) -> R) -> R {
+    pub fn with_never_reopen<R>(&self, access: impl FnOnce(&FastSet<MembershipKey>) -> R) -> R {
         access(&self.never_reopen.borrow())
     }
 
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -11,9 +11,9 @@
 
 use adapter::OrderResponse;
 use adapter::orders::HostOrder;
-use domain::{BootNumber, FastMap, FastSet, HostId, ReplicaId};
+use domain::{BootNumber, FastMap, FastSet, HostId};
 use events::{EventCode, LogLine};
-use serving::{MemberState, ReplicaMembership};
+use serving::{MemberState, MembershipKey, ReplicaMembership};
 
 use crate::node::{FailureKind, GatewayNode};
 use crate::probe::order_target;
@@ -212,14 +212,14 @@
     node.metrics
         .record_order(planned.order.name(), outcome.name(), took);
     if outcome == OrderOutcome::Done {
-        apply_expected(node, planned);
+        apply_effect(node, planned);
     }
     outcome
 }
 
 /// Applies the expected effect of an accepted order to the node's view.
-fn apply_expected(node: &GatewayNode, planned: &PlannedOrder) {
-    node.apply_expected(&planned.host, |entry| match &planned.order {
+fn apply_effect(node: &GatewayNode, planned: &PlannedOrder) {
+    node.apply_order(&planned.host, |entry| match &planned.order {
         HostOrder::Join {
             replica,
             epoch,
@@ -335,7 +335,11 @@
         };
         match target.fetch_report(ORDER_TIMEOUT).await {
             Ok(report) => {
-                let found = report.status.membership.as_ref().map(membership_key);
+                let found = report
+                    .status
+                    .membership
+                    .as_ref()
+                    .map(ReplicaMembership::key);
                 if found != planned.expected {
                     return Err(stale_membership(found.as_ref()));
                 }
@@ -358,15 +362,6 @@
     (OrderOutcome::Stale, format!("engine is in replica {found}"))
 }
 
-/// Replica and epoch of a membership, which identify the state that an order is planned for.
-pub type MembershipKey = (ReplicaId, u64);
-
-/// Returns the key of a membership.
-#[must_use]
-pub fn membership_key(membership: &ReplicaMembership) -> MembershipKey {
-    (membership.replica.clone(), membership.epoch)
-}
-
 /// Whether the engine's report shows the effect of an order.
 async fn took_effect(node: &Rc<GatewayNode>, planned: &PlannedOrder) -> bool {
     let Some(target) = order_target(node, &planned.host) else {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -5,7 +5,8 @@
 
 use adapter::{HostReport, OrderTarget};
 use domain::HostId;
-use serving::ReplicaView;
+use serving::confirmed::MAX_REPORT_AGE;
+use serving::{MembershipKey, ReplicaMembership, ReplicaView};
 
 use crate::node::{FailureKind, GatewayNode};
 
@@ -18,9 +19,6 @@
 /// Interval between probes of a suspected target.
 const PROBE_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Maximum age of the state in a report.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
-
 /// How long a plain service's target gets no requests after a failed connection.
 const PLAIN_SUSPECT_DURATION: Duration = Duration::from_secs(2);
 
@@ -97,11 +95,15 @@
     None
 }
 
-/// Probes suspected targets until they respond or are removed; never returns.
+/// Probes suspected targets until they respond or are removed, and hosts whose entries contradict
+/// what they confirmed; never returns.
 pub async fn probe_suspects(node: Rc<GatewayNode>) {
     loop {
         tokio::time::sleep(PROBE_INTERVAL).await;
         let now = node.now();
+        for id in node.contradicted_hosts() {
+            refresh_contradicted(&node, &id);
+        }
         for (id, since) in node.suspected_targets() {
             // Targets of plain services can't be probed; the next request shows whether one is
             // back.
@@ -135,11 +137,12 @@
 
 /// Probes one target that is no longer in the registry.
 pub async fn probe_unlisted(node: Rc<GatewayNode>, id: HostId) {
+    let requested_at = node.now();
     let report = probe_twice(&node, &id).await;
     // A report may predate an order whose effect this node has already applied. Using it would make
     // a closing head look open again and have it closed twice.
     if let Some(report) = report.filter(|_| node.membership_age(&id) > MAX_REPORT_AGE) {
-        apply_report(&node, &id, report);
+        apply_report(&node, &id, requested_at, report);
     }
     if node.is_unlisted(&id) && !node.holds_requests(&id) {
         node.remove_target(&id);
@@ -156,18 +159,30 @@
     }
 }
 
-/// Reads an engine's state directly, ahead of the registry; an engine that does not respond is
-/// suspected.
-pub async fn refresh_host(node: &GatewayNode, target: OrderTarget) {
+/// Reads an engine's state directly, ahead of the registry. Returns the membership that it reports,
+/// or `None` if it does not respond; it is suspected then.
+pub async fn refresh_host(
+    node: &GatewayNode,
+    target: OrderTarget,
+) -> Option<Option<MembershipKey>> {
+    let requested_at = node.now();
     match target.fetch_report(REPORT_TIMEOUT).await {
-        Ok(report) => apply_report(node, &target.id, report),
-        Err(error) => node.suspect(&target.id, (&error).into(), &error.to_string()),
+        Ok(report) => {
+            let membership = report.status.membership.as_ref();
+            let membership = membership.map(ReplicaMembership::key);
+            apply_report(node, &target.id, requested_at, report);
+            Some(membership)
+        }
+        Err(error) => {
+            node.suspect(&target.id, (&error).into(), &error.to_string());
+            None
+        }
     }
 }
 
 /// Applies an engine's report ahead of the registry.
-fn apply_report(node: &GatewayNode, id: &HostId, report: HostReport) {
-    node.apply_expected(id, |entry| {
+fn apply_report(node: &GatewayNode, id: &HostId, requested_at: Duration, report: HostReport) {
+    node.apply_host_report(id, requested_at, |entry| {
         entry.boot = report.status.boot;
         entry.loaded = report.status.loaded;
         entry.staged = report.status.staged;
@@ -178,11 +193,24 @@
 /// Reads the state of an engine that rejected a request because it is not the head of a serving
 /// replica.
 pub fn refresh_refusing(node: &Rc<GatewayNode>, id: &HostId) {
+    spawn_refresh(node, id);
+}
+
+/// Reads the state of an engine whose registry entry contradicts what it confirmed.
+pub fn refresh_contradicted(node: &Rc<GatewayNode>, id: &HostId) {
+    if !node.is_suspected(id) {
+        spawn_refresh(node, id);
+    }
+}
+
+fn spawn_refresh(node: &Rc<GatewayNode>, id: &HostId) {
     let Some(target) = order_target(node, id) else {
         return;
     };
     let node = Rc::clone(node);
-    tokio::task::spawn_local(async move { refresh_host(&node, target).await });
+    tokio::task::spawn_local(async move {
+        refresh_host(&node, target).await;
+    });
 }
 
 /// Address for orders and reports of a known target; `None` if it is unknown.
--- a/crates/gateway/src/reconcile/staging.rs
+++ b/crates/gateway/src/reconcile/staging.rs
@@ -7,7 +7,6 @@
 
 use super::ReplicaReconciler;
 use super::steps::cooldown_after;
-use crate::orders::membership_key;
 
 /// Speedup of loads before the first request of a new system.
 const BOOTSTRAP_LOAD_SPEEDUP: f64 = 10.0;
@@ -27,7 +26,7 @@
         self.staging.borrow_mut().insert(host.clone(), loading);
         let expected = self.node.registry(|registry| {
             let entry = registry.get(host)?;
-            entry.membership.as_ref().map(membership_key)
+            entry.membership_key()
         });
         let outcome = self
             .send_order(host, HostOrder::Stage { model }, expected)
--- a/crates/gateway/src/reconcile/steps.rs
+++ b/crates/gateway/src/reconcile/steps.rs
@@ -4,10 +4,11 @@
 
 use adapter::orders::HostOrder;
 use domain::{HostId, ModelName, ReplicaId};
+use serving::MembershipKey;
 use serving::plan::{CloseMode, PlanStep, SPARE_PREFIX, spare_prefix};
 
 use super::ReplicaReconciler;
-use crate::orders::{OrderOutcome, PlannedOrder, execute_order, membership_key};
+use crate::orders::{OrderOutcome, PlannedOrder, execute_order};
 use crate::probe::{order_target, refresh_host};
 
 /// Time during which a head that was ordered to open may still report itself as ready.
@@ -80,7 +81,7 @@
         &self,
         host: &HostId,
         order: HostOrder,
-        expected: Option<(ReplicaId, u64)>,
+        expected: Option<MembershipKey>,
     ) -> OrderOutcome {
         let planned = PlannedOrder {
             host: host.clone(),
@@ -156,30 +157,31 @@
     /// streams.
     async fn confirm_left(&self, members: &[HostId]) -> bool {
         let moved = self.moved_heads(members);
-        let refreshes = moved.iter().filter_map(|(head, _)| {
-            let target = order_target(&self.node, head)?;
-            Some(refresh_host(&self.node, target))
-        });
-        futures::future::join_all(refreshes).await;
-        self.node.registry(|registry| {
-            moved.iter().all(|(head, old)| {
-                let entry = registry.get(head);
-                let membership = entry.and_then(|entry| entry.membership.as_ref());
-                membership.is_none_or(|membership| membership_key(membership) != *old)
-            })
-        })
+        let queries = moved.iter().map(|(head, old)| self.has_left(head, old));
+        let outcomes = futures::future::join_all(queries).await;
+        outcomes.into_iter().all(|has_left| has_left)
+    }
+
+    /// Queries a head that seems to have left a replica; returns whether it has. One that does not
+    /// respond is suspected, and its members leave before they join.
+    async fn has_left(&self, head: &HostId, old: &MembershipKey) -> bool {
+        let Some(target) = order_target(&self.node, head) else {
+            return true;
+        };
+        let reported = refresh_host(&self.node, target).await;
+        reported.is_none_or(|membership| membership.as_ref() != Some(old))
     }
 
     /// Heads of the members' current replicas whose own entries name another replica or none.
-    fn moved_heads(&self, members: &[HostId]) -> Vec<(HostId, (ReplicaId, u64))> {
-        let mut moved: Vec<(HostId, (ReplicaId, u64))> = Vec::new();
+    fn moved_heads(&self, members: &[HostId]) -> Vec<(HostId, MembershipKey)> {
+        let mut moved: Vec<(HostId, MembershipKey)> = Vec::new();
         self.node.registry(|registry| {
             for member in members {
                 let entry = registry.get(member);
                 let Some(membership) = entry.and_then(|entry| entry.membership.as_ref()) else {
                     continue;
                 };
-                let old = membership_key(membership);
+                let old = membership.key();
                 let head = self.node.last_known_head(&old);
                 let Some(entry) = head.as_ref().and_then(|head| registry.get(head)) else {
                     continue;
@@ -187,7 +189,7 @@
                 let is_still_member = entry
                     .membership
                     .as_ref()
-                    .is_some_and(|now| membership_key(now) == old);
+                    .is_some_and(|now| now.key() == old);
                 let is_new = moved.iter().all(|(head, _)| *head != entry.id);
                 if !is_still_member && is_new && !self.node.is_suspected(&entry.id) {
                     moved.push((entry.id.clone(), old));
@@ -200,12 +202,7 @@
     /// Joins a host that is the head of another replica. It leaves that replica first, since an
     /// engine that is opening still reports itself as ready: joined directly, it could be serving
     /// and belong to two replicas.
-    async fn join_head(
-        &self,
-        host: &HostId,
-        old: (ReplicaId, u64),
-        join: &HostOrder,
-    ) -> OrderOutcome {
+    async fn join_head(&self, host: &HostId, old: MembershipKey, join: &HostOrder) -> OrderOutcome {
         if old.0.as_str().starts_with(SPARE_PREFIX) {
             return self.send_order(host, join.clone(), Some(old)).await;
         }
@@ -243,7 +240,7 @@
         self.send_order(&host, join.clone(), expected).await
     }
 
-    async fn leave(&self, host: &HostId, old: &(ReplicaId, u64)) -> OrderOutcome {
+    async fn leave(&self, host: &HostId, old: &MembershipKey) -> OrderOutcome {
         let order = HostOrder::Leave {
             replica: old.0.clone(),
             epoch: old.1,
@@ -259,9 +256,9 @@
                 return MemberPlacement::Free;
             };
             if membership.rank == 0 {
-                return MemberPlacement::Head(membership_key(membership));
+                return MemberPlacement::Head(membership.key());
             }
-            let old = membership_key(membership);
+            let old = membership.key();
             let head = self.node.last_known_head(&old);
             let entry = head.as_ref().and_then(|head| registry.get(head));
             let Some(entry) = entry.filter(|entry| !self.node.is_suspected(&entry.id)) else {
@@ -270,7 +267,7 @@
             let is_still_member = entry
                 .membership
                 .as_ref()
-                .is_some_and(|now| membership_key(now) == old);
+                .is_some_and(|now| now.key() == old);
             if !is_still_member || joined.contains(&entry.id) {
                 return MemberPlacement::FreedMember(old);
             }
@@ -291,15 +288,15 @@
     /// The host is in no replica.
     Free,
     /// The host is the head of a replica.
-    Head((ReplicaId, u64)),
+    Head(MembershipKey),
     /// Member of a replica whose head is still in it. The head leaves first, so that the old
     /// replica can't be opened while its members join another one.
-    MemberOf((ReplicaId, u64), HostId),
+    MemberOf(MembershipKey, HostId),
     /// Member of a replica whose head has left it, or joins the same new replica first.
-    FreedMember((ReplicaId, u64)),
+    FreedMember(MembershipKey),
     /// Member of a replica whose head is gone. It leaves before it joins: if the head is alive
     /// after all, its replica stalls instead of sharing a host with another replica.
-    Orphan((ReplicaId, u64)),
+    Orphan(MembershipKey),
 }
 
 pub(super) fn cooldown_after(outcome: OrderOutcome, done: Duration) -> Duration {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -10,8 +10,8 @@
 use domain::{HostId, RowVersion};
 use events::{EventCode, LogLine};
 
-use crate::node::GatewayNode;
-use crate::probe::probe_unlisted;
+use crate::node::{EntryIntake, GatewayNode};
+use crate::probe::{probe_unlisted, refresh_contradicted};
 
 /// Wait time of one long poll. A connection may go silent without being closed, and a node must
 /// know the current state within three seconds of that, so each call ends earlier.
@@ -271,7 +271,9 @@
         match decode_target(&row.key, bytes) {
             Ok(entry) => {
                 self.pending_removals.retain(|id| *id != entry.id);
-                self.node.apply_listed_target(&entry);
+                if self.node.apply_listed_target(&entry) == EntryIntake::MembershipWithheld {
+                    refresh_contradicted(&self.node, &entry.id);
+                }
             }
             Err(error) => {
                 let line = LogLine::new(EventCode::EntryUnreadable)
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,6 +5,7 @@
 //! its monotonic clock.
 
 pub mod choose;
+pub mod confirmed;
 pub mod event_stream;
 pub mod hashing;
 pub mod plan;
@@ -19,6 +20,7 @@
 pub mod timing;
 
 pub use choose::{ChoiceLimits, TargetLoad, choose_target};
+pub use confirmed::ConfirmedMembership;
 pub use event_stream::EventSplitter;
 pub use poison::{CrashedRequest, PoisonDetector, PoisonVerdict, RequestFingerprint, TargetCrash};
 pub use prompt_backlog::PromptBacklog;
@@ -28,5 +30,5 @@
     GatewayConfig, KeyOwner, ModelConfig, RequestLimits, Route, RouteKind, ServiceConfig,
 };
 pub use shutdown::ShutdownPlan;
-pub use target::{MemberState, ReplicaMembership, TargetEntry, TargetState};
+pub use target::{MemberState, MembershipKey, ReplicaMembership, TargetEntry, TargetState};
 pub use timing::ReplicaTiming;
--- a/crates/serving/src/target.rs
+++ b/crates/serving/src/target.rs
@@ -41,6 +41,17 @@
     pub state: MemberState,
 }
 
+/// Replica and epoch of a membership, which identify the state that an order is planned for.
+pub type MembershipKey = (ReplicaId, u64);
+
+impl ReplicaMembership {
+    /// Returns the replica and the epoch.
+    #[must_use]
+    pub fn key(&self) -> MembershipKey {
+        (self.replica.clone(), self.epoch)
+    }
+}
+
 /// Registry entry of a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetEntry {
@@ -69,6 +80,12 @@
 }
 
 impl TargetEntry {
+    /// Returns the replica and the epoch of its membership, if it has one.
+    #[must_use]
+    pub fn membership_key(&self) -> Option<MembershipKey> {
+        self.membership.as_ref().map(ReplicaMembership::key)
+    }
+
     /// Returns whether a model's weights are in memory or staged, so that the target can join a
     /// replica without the weight store.
     #[must_use]
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -178,7 +178,8 @@
 
     /// Updates the registry entry of an engine that is listed.
     pub(super) fn refresh_entry(&self, id: &str) {
-        if self.with(id, |engine| engine.listed) == Some(true) {
+        let held = self.entries_held.load(Ordering::Relaxed);
+        if !held && self.with(id, |engine| engine.listed) == Some(true) {
             self.register(id);
         }
     }
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -1,7 +1,7 @@
 //! Membership of engines in replicas, which the platform calls groups.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::sync::Notify;
@@ -52,6 +52,8 @@
     violations: Arc<Mutex<Vec<String>>>,
     /// Number of engines that have crashed.
     pub(super) crashed: Arc<AtomicUsize>,
+    /// Whether engines can't reach the store to update their entries.
+    pub(super) entries_held: Arc<AtomicBool>,
 }
 
 impl SiteGroups {
@@ -63,9 +65,21 @@
             engines: Arc::default(),
             violations: Arc::default(),
             crashed: Arc::default(),
+            entries_held: Arc::default(),
         }
     }
 
+    /// Keeps engines from updating their registry entries, as when they can't reach the store.
+    pub fn hold_entries(&self) {
+        self.entries_held.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether all engines are in a replica.
+    #[must_use]
+    pub fn all_joined(&self) -> bool {
+        self.lock().values().all(|engine| engine.group.is_some())
+    }
+
     pub(super) fn with<R>(
         &self,
         id: &str,
--- a/tests/gateway/store_faults.rs
+++ b/tests/gateway/store_faults.rs
@@ -141,6 +141,22 @@
     expect_kept(&site, &node, &serving).await;
 }
 
+/// Hosts join a replica, and their entries of before the join are read afterwards. The node must not
+/// take them for free, or their replica would never open and no client would be served.
+#[tokio::test(flavor = "multi_thread")]
+async fn outdated_entries_while_forming() {
+    let site = TestSite::start(4, 0);
+    site.groups.hold_entries();
+    let node = site.node("n0").await;
+    wait_for("all joins", || site.groups.all_joined()).await;
+    for engine in &site.engines {
+        site.groups.write_stale_entry(&engine.id);
+    }
+    site.wait_until_serving(1).await;
+    assert_eq!(node.log_lines(&["step_taken", "form"]).len(), 1);
+    assert_eq!(site.groups.violations(), Vec::<String>::new());
+}
+
 /// Waits for several rounds of planning and checks that the replicas were left alone.
 async fn expect_kept(site: &TestSite, node: &TestNode, serving: &[Vec<String>]) {
     node.wait_replicas(serving.len()).await;
@@ -148,4 +164,6 @@
     wait_for("some store calls", || site.store.calls() > calls + 8).await;
     assert_eq!(site.groups.violations(), Vec::<String>::new());
     assert_eq!(site.groups.serving(), serving);
+    let response = TestRequest::chat("c-9").send(node).await;
+    assert_eq!(response.status, StatusCode::OK);
 }
