--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -178,7 +178,16 @@
     /// that work has moved away from the lost replica. It does not apply to refusals and missing
     /// hosts either, which cost the targets nothing.
     async fn prepare_next_attempt(&mut self, error: &AttemptError) -> Result<(), RequestError> {
-        if self.progress.offset().count > 0 {
+        let is_full = matches!(
+            error,
+            AttemptError::Refused {
+                replica_changed: false,
+                ..
+            }
+        );
+        // A response that has begun waits for capacity like a new one; only its loss extends the
+        // deadline.
+        if self.progress.offset().count > 0 && !is_full {
             self.dispatch_request.deadline = Instant::now() + self.context.settings.recovery();
             return Ok(());
         }
--- a/crates/entry/tests/request_path/attempt_errors.rs
+++ b/crates/entry/tests/request_path/attempt_errors.rs
@@ -128,6 +128,29 @@
     assert_eq!(response.status, StatusCode::OK, "{}", response.text);
 }
 
+/// A replica breaks off in mid-response while the other engines are full for a moment. The client
+/// must get the rest once they have capacity; refusals use up no attempts.
+#[tokio::test]
+async fn full_engines_after_loss() {
+    for stream in [true, false] {
+        let entry = FakeEntry::new();
+        entry.engine.script(&[EngineBehavior::BreakAfter(2)]);
+        entry.engine.script(&[EngineBehavior::Full; 12]);
+        let response = entry.post(TEXT, &[], &body(stream)).await;
+        assert_eq!(response.status, StatusCode::OK, "{}", response.text);
+        let text = if stream {
+            streamed_text(&response.data())
+        } else {
+            let body = response.json();
+            body["choices"][0]["text"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned()
+        };
+        assert_eq!(text, response_text(TOKENS));
+    }
+}
+
 /// A replica loses a host while its stream is stalled. The evidence shows this long before the
 /// silence limit, and the client must not have to wait for the limit.
 #[tokio::test]
