--- a/crates/entry/src/services/claimed.rs
+++ b/crates/entry/src/services/claimed.rs
@@ -137,8 +137,7 @@
                 // The entry was suspended or delayed for too long. The client has been told that
                 // the outcome is unknown, and the ledger may remove settled claims that are much
                 // older than a ticket.
-                self.pool
-                    .record_ended(address, Duration::ZERO, CallOutcome::Responded);
+                self.pool.record_unsent(address);
                 return SendOutcome::Unsent(
                     "the deadline expired before the call was sent".to_owned(),
                 );
--- a/crates/entry/src/services/instances.rs
+++ b/crates/entry/src/services/instances.rs
@@ -72,6 +72,12 @@
         instance.record_ended(now, elapsed, outcome);
     }
 
+    /// Records that a call was given up before it was sent.
+    pub fn record_unsent(&self, address: SocketAddr) {
+        let mut state = self.state();
+        state.instances.entry(address).or_default().record_unsent();
+    }
+
     /// Decides whether a failed idempotent call is retried, and after which delay.
     pub fn decide(&self, number: u32, deadline: Instant) -> RetryDecision {
         let now = self.now();
--- a/crates/policy/src/service.rs
+++ b/crates/policy/src/service.rs
@@ -35,7 +35,7 @@
 }
 
 impl InstanceStats {
-    /// Records that a call was sent; [`Self::record_ended`] must follow.
+    /// Records that a call was sent; [`Self::record_ended`] or [`Self::record_unsent`] must follow.
     pub fn record_sent(&mut self) {
         self.in_flight += 1;
     }
@@ -59,6 +59,12 @@
         self.ejected_until = Some(now + ejection_time);
     }
 
+    /// Records that a call was given up before anything was sent, which says nothing about the
+    /// instance.
+    pub fn record_unsent(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
     fn is_available(&self, now: Duration) -> bool {
         self.ejected_until.is_none_or(|until| now >= until)
     }
--- a/crates/policy/tests/service_choice.rs
+++ b/crates/policy/tests/service_choice.rs
@@ -54,6 +54,26 @@
     assert!(counts[0] < 450, "{counts:?}");
 }
 
+/// Calls to a failing instance are given up before they are sent. They say nothing about it, so it
+/// must stay ejected; otherwise the next calls would run into its failures.
+#[test]
+fn unsent_call_clears_no_failure() {
+    let mut instances = instances();
+    let now = Duration::from_secs(1);
+    for _ in 0..5 {
+        instances[0].record_sent();
+        instances[0].record_ended(now, Duration::from_millis(1), CallOutcome::Failed);
+    }
+    for _ in 0..3 {
+        instances[0].record_sent();
+        instances[0].record_unsent();
+    }
+    let counts = send_calls(&mut instances, 10, |_| {
+        (Duration::from_millis(20), CallOutcome::Responded)
+    });
+    assert_eq!(counts[0], 0, "{counts:?}");
+}
+
 /// One instance refuses every connection immediately and therefore looks idle.
 #[test]
 fn failing_instance_gets_hardly_any_calls() {
