--- a/crates/policy/src/admission/queue.rs
+++ b/crates/policy/src/admission/queue.rs
@@ -322,7 +322,8 @@
         self.drain_rate
             .record_finished(f64::from(request.actual_cost));
         let difference = f64::from(request.actual_cost) - f64::from(request.predicted_cost);
-        self.normal.adjust_charge(request.customer, difference);
+        self.fair_queue(request.priority < 0)
+            .adjust_charge(request.customer, difference);
         if let Some(first_token) = request.first_token {
             self.first_token.record(first_token);
         }
--- a/crates/policy/src/admission/request.rs
+++ b/crates/policy/src/admission/request.rs
@@ -59,6 +59,9 @@
 pub struct FinishedRequest {
     /// The customer that is charged for the difference in cost.
     pub customer: CustomerKey,
+    /// Priority with which it was admitted; below 0 it is charged as background work.
+    #[builder(default = 0)]
+    pub priority: i32,
     /// Number of tokens that was predicted at admission.
     pub predicted_cost: u32,
     /// Number of tokens that were actually processed.
--- a/crates/policy/tests/load/fair_admission.rs
+++ b/crates/policy/tests/load/fair_admission.rs
@@ -6,7 +6,9 @@
 use crate::simulation::workload::{merge_calls, poisson_calls};
 use crate::simulation::{Call, Job, Scenario, Simulation};
 use domain::CustomerKey;
-use policy::admission::{AdmissionQueue, AdmissionRequest, OfferOutcome, RequestKey};
+use policy::admission::{
+    AdmissionQueue, AdmissionRequest, FinishedRequest, OfferOutcome, RequestKey,
+};
 use quickcheck::{Arbitrary, Gen};
 use rand::Rng;
 use slotmap::SlotMap;
@@ -113,6 +115,35 @@
     assert_eq!(position, Some(16));
 }
 
+/// A customer's background requests turn out longer than predicted. Its other requests must not
+/// wait longer for that: the correction belongs to the background queue.
+#[test]
+fn background_correction_charged_apart() {
+    let keys = customers(2);
+    let mut queue = AdmissionQueue::builder().seed(1).build();
+    let mut owners = domain::FastMap::default();
+    for _ in 0..20 {
+        for key in &keys {
+            let admitted = admit(&mut queue, Duration::ZERO, request(*key, 1_000));
+            owners.insert(admitted.expect("the queue has room"), *key);
+        }
+    }
+    for _ in 0..5 {
+        let finished = FinishedRequest::builder()
+            .customer(keys[0])
+            .priority(-1)
+            .predicted_cost(10)
+            .actual_cost(1_000)
+            .build();
+        queue.record_finished(Duration::ZERO, finished);
+    }
+    let sent: Vec<RequestKey> = (0..10)
+        .filter_map(|_| queue.next(Duration::from_secs(1), 1))
+        .collect();
+    let first = sent.iter().filter(|key| owners[*key] == keys[0]).count();
+    assert_eq!(first, 5, "{first} of 10");
+}
+
 /// One operation of a random sequence on the queue.
 #[derive(Debug, Clone, Copy)]
 enum Operation {
