--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod select;
 pub mod settings;
 pub mod traffic;
+mod unproven;
 
 pub use auth::SharedKey;
 pub use evidence::{EvidenceExchange, NoEvidence, TimedEvidence};
--- a/crates/peers/src/listen.rs
+++ b/crates/peers/src/listen.rs
@@ -9,7 +9,7 @@
 use h2::server::SendResponse;
 use http::{Request, Response, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Mutex, Semaphore};
+use tokio::sync::Mutex;
 use wire::peer::{
     MAX_DIGEST_BYTES, MAX_HELLO_BYTES, NONCE_BYTES, PeerDigest, PeerHello, PeerWelcome,
     decode_message, encode_message, negotiate_version,
@@ -20,11 +20,7 @@
 use crate::evidence::EvidenceExchange;
 use crate::link::{LinkContext, read_stream};
 use crate::peer_view::PeerView;
-
-/// Maximum number of concurrent connections. A node accepts about as many links as it opens; 64
-/// leaves room for an uneven hash distribution and bounds what unauthenticated clients can hold
-/// open.
-const MAX_CONNECTIONS: usize = 64;
+use crate::unproven::{AcceptedConnections, ConnectionPlace};
 
 /// Maximum number of concurrent requests per connection; a peer sends them one at a time.
 const MAX_STREAMS: u32 = 4;
@@ -47,25 +43,21 @@
 
 /// Accepts links until the task is dropped.
 pub async fn accept_links<E: EvidenceExchange>(listener: TcpListener, context: LinkContext<E>) {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let connections = AcceptedConnections::default();
     loop {
         let Ok((stream, address)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            continue;
-        };
         let context = context.clone();
-        tokio::spawn(async move {
-            let outcome = serve_connection(&context, stream).await;
+        connections.spawn(|place| async move {
+            let outcome = serve_connection(&context, stream, place).await;
             if let Err(LinkError::Auth(error @ AuthError::InvalidProof)) = outcome {
                 let detail = format!("{address}: {error}");
                 context
                     .recorder
                     .record(EventCode::PeerRefused, EventSubject::default(), detail);
             }
-            drop(permit);
         });
     }
 }
@@ -73,6 +65,7 @@
 async fn serve_connection<E: EvidenceExchange>(
     context: &LinkContext<E>,
     stream: TcpStream,
+    place: ConnectionPlace,
 ) -> Result<(), LinkError> {
     stream.set_nodelay(true)?;
     let stream = context.gossip.traffic.wrap(stream);
@@ -83,7 +76,10 @@
         Ok(connection) => connection?,
         Err(_) => return Err(LinkError::TimedOut),
     };
-    let session = Arc::new(Mutex::new(None));
+    let session = Arc::new(Mutex::new(ResponderState {
+        place,
+        session: None,
+    }));
     let (error_sender, mut errors) = tokio::sync::mpsc::channel(1);
     loop {
         let request = tokio::select! {
@@ -101,14 +97,21 @@
         let session = Arc::clone(&session);
         let error_sender = error_sender.clone();
         tokio::spawn(async move {
-            let mut session = session.lock().await;
-            if let Err(error) = handle_request(&context, &mut session, request, responder).await {
+            let mut state = session.lock().await;
+            if let Err(error) = handle_request(&context, &mut state, request, responder).await {
                 let _ = error_sender.send(error).await;
             }
         });
     }
 }
 
+/// State of an accepted connection.
+struct ResponderState {
+    place: ConnectionPlace,
+    /// None before the hello.
+    session: Option<ResponderSession>,
+}
+
 /// State of an accepted connection after the hello.
 struct ResponderSession {
     auth: FrameAuthenticator,
@@ -145,12 +148,13 @@
 
 async fn handle_request<E: EvidenceExchange>(
     context: &LinkContext<E>,
-    session: &mut Option<ResponderSession>,
+    state: &mut ResponderState,
     request: Request<h2::RecvStream>,
     responder: SendResponse<Bytes>,
 ) -> Result<(), LinkError> {
     let path = request.uri().path().to_owned();
     let body = request.into_body();
+    let ResponderState { place, session } = state;
     match (path.as_str(), session) {
         ("/hello", empty @ None) => {
             let bytes = read_stream(body, MAX_HELLO_BYTES).await?;
@@ -165,6 +169,7 @@
         ("/digest", Some(session)) => {
             let bytes = read_stream(body, MAX_DIGEST_BYTES).await?;
             let frame = session.auth.verify::<MAX_DIGEST_BYTES>(&bytes)?;
+            record_proof(place)?;
             let digest: PeerDigest = decode_message::<_, MAX_DIGEST_BYTES>(&frame.payload)?;
             let not_before = session
                 .response_time(digest.acked_sequence)
@@ -189,6 +194,7 @@
         ("/snapshot", Some(session)) => {
             let bytes = read_stream(body, MAX_DIGEST_BYTES).await?;
             session.auth.verify::<MAX_DIGEST_BYTES>(&bytes)?;
+            record_proof(place)?;
             let snapshot = context.gossip.config.snapshot().await;
             let json = serde_json::to_vec(&snapshot)
                 .map_err(|error| LinkError::Connection(error.to_string()))?;
@@ -200,6 +206,13 @@
     }
 }
 
+fn record_proof(place: &mut ConnectionPlace) -> Result<(), LinkError> {
+    if place.record_proof() {
+        return Ok(());
+    }
+    Err(LinkError::Connection("too many links".to_owned()))
+}
+
 fn accept_hello<E: EvidenceExchange>(
     context: &LinkContext<E>,
     hello: &PeerHello,
--- a/crates/peers/tests/peer_links.rs
+++ b/crates/peers/tests/peer_links.rs
@@ -6,6 +6,7 @@
 
 use control::config::NodeReadiness;
 use mesh::{KEY, MeshConfig, wait_until};
+use tokio::net::TcpStream;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn members_discovered() {
@@ -73,6 +74,26 @@
     assert_eq!(outsider.member_count(), 1);
 }
 
+/// A process without the key opens connections to a node again and again and leaves them idle. Other
+/// nodes must still be able to link to it, or they would miss its configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_leave_room() {
+    let config = MeshConfig::fast();
+    let first = config.start("e1", KEY, &[]).await;
+    let address = first.address;
+    let flood = tokio::spawn(async move {
+        let mut open = Vec::new();
+        loop {
+            open.extend(TcpStream::connect(address).await.ok());
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let second = config.start("e2", KEY, &[address]).await;
+    wait_until("the nodes are linked", || second.member_count() == 2).await;
+    flood.abort();
+}
+
 /// Nodes that can't reach the store but hear each other conclude that the store is down and keep
 /// serving. When the two other nodes of a mesh of three are gone, the remaining one can't know which
 /// configuration is in force and stops serving.
