--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -3,8 +3,11 @@
 //! Each node writes the requests it had at a crashed target into its own row and reads the rows of
 //! the others. Once a request is suspected, the writing node sends a datagram that makes all nodes
 //! read the table. The datagram carries no data, so a forged one only costs a read. Nodes that miss
-//! it learn from heartbeats that another node suspects a request; nodes that start later read the
-//! table at startup.
+//! it learn from heartbeats that another node suspects a request.
+//!
+//! A node that starts reads the table after it has written its first heartbeat, and a node that
+//! writes a record then reads the heartbeats. One of the two sees the other's row, so a node that
+//! starts just then is not left out.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +19,7 @@
 use serving::poison::CRASH_RETENTION;
 use serving::{CrashedRequest, RequestFingerprint, TargetCrash};
 
+use crate::heartbeat::read_heartbeats;
 use crate::hints::LoadHint;
 use crate::node::GatewayNode;
 
@@ -118,6 +122,9 @@
     }
     // If none of these requests is suspected, the others can learn of the crash later.
     if node.suspects_any(requests) {
+        if let Err(error) = read_heartbeats(node, &mut client).await {
+            log_skipped(node, "read heartbeats", &error);
+        }
         broadcast_crashes(node).await;
     }
 }
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -50,8 +50,15 @@
 pub async fn run_heartbeats(node: Rc<GatewayNode>) {
     let mut client = StoreClient::new(node.settings.store);
     let mut clock = None;
+    let mut is_announced = false;
     loop {
         let result = send_heartbeat(&node, &mut client, clock).await;
+        if result.is_ok() && clock.is_some() && !is_announced {
+            is_announced = true;
+            // Other nodes can announce crash records to this one from now on. Those that were
+            // written since its first read were announced without it.
+            node.crash_records_changed.notify_one();
+        }
         let interval = match &result {
             Ok(_) if clock.is_some() => heartbeat_interval(node.node_count()),
             Ok(_) | Err(_) => INITIAL_INTERVAL,
@@ -92,6 +99,14 @@
             .put_row(NODES_TABLE, name, &value, STORE_TIMEOUT)
             .await?;
     }
+    read_heartbeats(node, client).await
+}
+
+/// Counts the live nodes and updates the addresses for hints; returns the store's clock.
+pub async fn read_heartbeats(
+    node: &GatewayNode,
+    client: &mut StoreClient,
+) -> Result<Duration, StoreError> {
     let page = client.read_table(NODES_TABLE, STORE_TIMEOUT).await?;
     let max_age = heartbeat_interval(page.rows.len()).mul_f64(EXPIRY_INTERVALS);
     let mut live_nodes = Vec::new();
--- a/tests/gateway/poison_requests.rs
+++ b/tests/gateway/poison_requests.rs
@@ -89,6 +89,24 @@
     assert_eq!(site.groups.crashed(), crashed);
 }
 
+/// A node starts just before the crashes, so it has read no record of them and the others don't
+/// count it yet. Within the time for all nodes it must reject the request, or each node that starts
+/// then costs one more engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn barred_on_starting_node() {
+    let site = TestSite::start(26, 0);
+    let nodes = start_three_nodes(&site).await;
+    let new_node = site.restarted_node("n3").await;
+    crash_three(&site, &nodes).await;
+    let crashed = site.groups.crashed();
+    let response = send(&crashing("y-0"), &new_node).await;
+    assert_eq!(
+        response.map(|response| response.status),
+        Some(StatusCode::BAD_REQUEST)
+    );
+    assert_eq!(site.groups.crashed(), crashed);
+}
+
 /// A node without a hint address learns of the request from the heartbeats of the others.
 /// Unreadable crash records are deleted when the table is read.
 #[tokio::test(flavor = "multi_thread")]
