--- a/crates/spec/src/assembly.rs
+++ b/crates/spec/src/assembly.rs
@@ -391,10 +391,12 @@
         *age = (*age + 1).min(MAX_EVIDENCE_AGE + 1);
     }
     for host in &mut next.hosts {
-        for ticks in [&mut host.lost_for, &mut host.misassigned_for]
-            .into_iter()
-            .flatten()
-        {
+        let ages = [
+            &mut host.lost_for,
+            &mut host.misassigned_for,
+            &mut host.empty_for,
+        ];
+        for ticks in ages.into_iter().flatten() {
             *ticks = (*ticks + 1).min(MAX_EVIDENCE_AGE + 1);
         }
     }
