--- a/src/client.rs
+++ b/src/client.rs
@@ -32,7 +32,22 @@
     /// The node was reached, but its response was lost; the request may have been applied.
     #[error("the response of {0} was lost")]
     ResponseLost(SocketAddr),
-    /// The node refused the request, or its response can't be decoded.
+    /// The request can't be built; nothing was sent.
+    #[error("the request can't be built: {0}")]
+    InvalidRequest(String),
+    /// The node responded in a form that this release doesn't know; the request may have been
+    /// applied.
+    #[error(
+        "the response of {address} can't be decoded, perhaps the node runs another release: \
+         {problem}"
+    )]
+    Undecodable {
+        /// Admin address of the node.
+        address: SocketAddr,
+        /// Place and kind of the problem.
+        problem: String,
+    },
+    /// The node refused the request.
     #[error("{address} refused: {problem}")]
     Refused {
         /// Admin address of the node.
@@ -177,8 +192,8 @@
         path: &str,
         body: Option<&Q>,
     ) -> Result<R, AdminError> {
-        let lost = |_| AdminError::ResponseLost(address);
-        let mut request = json_request(method, address, path, body).map_err(lost)?;
+        let mut request = json_request(method, address, path, body)
+            .map_err(|error| AdminError::InvalidRequest(error.to_string()))?;
         request
             .headers_mut()
             .insert(header::AUTHORIZATION, self.authorization.clone());
@@ -203,11 +218,9 @@
             StatusCode::NOT_FOUND if !is_admin_error_text(&bytes) => {
                 Err(AdminError::NotAdminListener(address))
             }
-            StatusCode::OK => parse_json(&bytes).map_err(|error| AdminError::Refused {
+            StatusCode::OK => parse_json(&bytes).map_err(|error| AdminError::Undecodable {
                 address,
-                problem: format!(
-                    "the response can't be decoded, perhaps the node runs another release: {error}"
-                ),
+                problem: error.to_string(),
             }),
             StatusCode::NOT_FOUND => Err(AdminError::RecordNotFound),
             _ => Err(AdminError::Refused {
--- a/src/commands/apply.rs
+++ b/src/commands/apply.rs
@@ -45,7 +45,16 @@
             operator: command.operator.clone(),
             token: unique_token()?,
         };
-        let (amended, revision) = amend_and_resolve(&client, &body, command.access.format).await?;
+        let amended = amend_and_resolve(&client, &body, command.access.format).await;
+        let (amended, revision) = match amended {
+            Ok(amended) => amended,
+            // Scripts go by the exit code: it must tell that an earlier record may be applied.
+            Err(error) if status == CommandStatus::Unknown => {
+                eprintln!("bramleyspring: {error:#}");
+                return Ok(status);
+            }
+            Err(error) => return Err(error),
+        };
         status = status.worse(amended);
         newest = newest.max(revision);
     }
@@ -139,8 +148,8 @@
             }
             Ok(status_and_revision(&response))
         }
-        Err(AdminError::ResponseLost(address)) => {
-            eprintln!("{label}: the response of {address} was lost; searching the history");
+        Err(error @ (AdminError::ResponseLost(_) | AdminError::Undecodable { .. })) => {
+            eprintln!("{label}: {error}; searching the history");
             Ok(find_in_history(client, body, &label).await)
         }
         Err(error) => Err(error.into()),
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -16,6 +16,7 @@
 mod host_list_delay;
 mod lease_takeover;
 mod loss_under_load;
+mod lost_responses;
 mod normal_operation;
 mod operator_commands;
 mod payment_stress;
