--- a/crates/gateway/src/reconcile/mod.rs
+++ b/crates/gateway/src/reconcile/mod.rs
@@ -79,6 +79,14 @@
     }
 }
 
+/// A step of the plan for a fabric domain.
+struct PlannedStep {
+    fabric: FabricId,
+    step: PlanStep,
+    /// Whether the state that it was planned for is known to be recent.
+    is_fresh: bool,
+}
+
 struct ReplicaReconciler {
     node: Rc<GatewayNode>,
     order_tracker: OrderTracker,
@@ -153,7 +161,7 @@
         service: &ServiceConfig,
         layout: &FabricLayout,
         all_fabrics: bool,
-        steps: &mut Vec<(FabricId, PlanStep)>,
+        steps: &mut Vec<PlannedStep>,
     ) {
         let bootstrapping = self.node.is_bootstrapping();
         let fleet_replicas = self.node.live_replica_counts(service);
@@ -180,11 +188,12 @@
             // The registry data for the fabric domain may be out of date.
             let is_fresh = !self.node.is_registry_stale()
                 || self.refresh_fabric(fabric, hosts, !planned.is_empty());
-            if !is_fresh {
-                continue;
-            }
             for step in planned {
-                steps.push((fabric.clone(), step));
+                steps.push(PlannedStep {
+                    fabric: fabric.clone(),
+                    step,
+                    is_fresh,
+                });
             }
         }
     }
@@ -277,16 +286,19 @@
         }
     }
 
-    /// Starts the steps that have waited long enough for nodes of lower rank. Steps for a replica
-    /// that this node formed start at once, since other nodes have not seen its state yet.
-    fn run_due_steps(self: &Rc<Self>, steps: Vec<(FabricId, PlanStep)>) {
+    /// Starts the steps that have waited long enough for nodes of lower rank and rest on fresh state.
+    /// Steps for a replica that this node formed start at once, since other nodes have not seen its
+    /// state yet.
+    fn run_due_steps(self: &Rc<Self>, steps: Vec<PlannedStep>) {
         let now = self.node.now();
         let mut waiting_since = self.waiting_since.borrow_mut();
         let mut still_waiting: FastMap<PlanStep, Duration> = FastMap::default();
         let mut due = Vec::new();
-        for (fabric, step) in steps {
+        for planned in steps {
+            let PlannedStep { fabric, step, .. } = planned;
             let since = waiting_since.get(&step).copied().unwrap_or(now);
-            if now.saturating_sub(since) < self.step_delay(&fabric, &step) {
+            let is_due = now.saturating_sub(since) >= self.step_delay(&fabric, &step);
+            if !is_due || !planned.is_fresh {
                 still_waiting.insert(step, since);
                 continue;
             }
--- a/crates/gateway/src/reconcile/ranks.rs
+++ b/crates/gateway/src/reconcile/ranks.rs
@@ -19,7 +19,7 @@
 
 /// Delay per rank before a node takes a step. Engines respond to orders within milliseconds and
 /// the effect appears in the registry soon after, so a step that is still pending was not taken.
-const DELAY_PER_RANK: Duration = Duration::from_millis(350);
+pub(super) const DELAY_PER_RANK: Duration = Duration::from_millis(350);
 
 /// Maximum rank used for the delay. Nodes of higher rank act at about the same time, and the
 /// engines reject all orders but one.
--- a/crates/gateway/src/reconcile/store_outage.rs
+++ b/crates/gateway/src/reconcile/store_outage.rs
@@ -5,6 +5,9 @@
 //! before it would have intact replicas taken apart afterwards. The hosts of fabric domains that
 //! need changes are therefore queried directly. Other domains are not queried, because each query
 //! has a cost.
+//!
+//! Nodes query in the order in which they act. If all of them queried at once, a large deployment
+//! would send each host dozens of queries a second for as long as the outage lasts.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,9 +17,11 @@
 use serving::plan::{HostState, SPARE_PREFIX};
 
 use super::ReplicaReconciler;
+use super::ranks::DELAY_PER_RANK;
 use crate::probe::{order_target, refresh_host};
 
-/// Interval between query rounds for one fabric domain; a join takes about as long.
+/// Interval between query rounds of the first node for one fabric domain; a join takes about as
+/// long.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Maximum age of the last complete round for steps to be taken on its results.
@@ -30,20 +35,27 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct RefreshRound {
-    started_at: Option<Duration>,
+    /// When the next round is due; `None` while the domain needs none.
+    due_at: Option<Duration>,
     ended_at: Option<Duration>,
 }
 
 impl FabricRefreshes {
-    fn try_start(&mut self, fabric: &FabricId, now: Duration) -> bool {
+    /// Records that a domain needs queries; returns whether a round of the node with this rank is
+    /// due now. The first node starts at once.
+    fn try_start(&mut self, fabric: &FabricId, rank: usize, now: Duration) -> bool {
         let round = self.rounds.entry(fabric.clone()).or_default();
-        let due = round
-            .started_at
-            .is_none_or(|started_at| now.saturating_sub(started_at) >= REFRESH_INTERVAL);
-        if due {
-            round.started_at = Some(now);
+        if now < *round.due_at.get_or_insert(now + head_start(rank)) {
+            return false;
+        }
+        round.due_at = Some(now + refresh_interval(rank));
+        true
+    }
+
+    fn settle(&mut self, fabric: &FabricId) {
+        if let Some(round) = self.rounds.get_mut(fabric) {
+            round.due_at = None;
         }
-        due
     }
 
     fn finish(&mut self, fabric: &FabricId, now: Duration) {
@@ -65,12 +77,14 @@
         hosts: &[HostState],
         has_steps: bool,
     ) -> bool {
+        let now = self.node.now();
+        let rank = self.ranks.borrow_mut().rank(&self.node, fabric);
+        let mut refreshes = self.refreshes.borrow_mut();
         if !has_steps && is_settled(hosts) {
+            refreshes.settle(fabric);
             return false;
         }
-        let now = self.node.now();
-        let mut refreshes = self.refreshes.borrow_mut();
-        if refreshes.try_start(fabric, now) {
+        if refreshes.try_start(fabric, rank, now) {
             let ids: Vec<HostId> = hosts
                 .iter()
                 .filter(|host| host.silent_for.is_none())
@@ -94,6 +108,20 @@
     }
 }
 
+/// Time that the node with this rank leaves to those before it. Its steps are due a rank's delay
+/// later, while what it learned is still fresh.
+fn head_start(rank: usize) -> Duration {
+    DELAY_PER_RANK.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX))
+}
+
+/// Interval between query rounds of the node with this rank. It grows with the square of the rank,
+/// so that all nodes together send a few times the queries of the first, however many there are.
+fn refresh_interval(rank: usize) -> Duration {
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    let delays = rank.saturating_mul(rank.saturating_add(1)) / 2;
+    REFRESH_INTERVAL + DELAY_PER_RANK.saturating_mul(delays)
+}
+
 /// Whether each responsive host is in no replica, is a spare, or is in a replica with a responsive
 /// open head.
 pub(super) fn is_settled(hosts: &[HostState]) -> bool {
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -195,6 +195,7 @@
         }
         match request.path.as_str() {
             "/report" => {
+                self.reports.fetch_add(1, Ordering::Relaxed);
                 let report = self.with(id, |engine| {
                     let mut report = describe(engine);
                     report["sequence"] = json!(engine.orders);
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -54,6 +54,8 @@
     pub(super) crashed: Arc<AtomicUsize>,
     /// Whether engines can't reach the store to update their entries.
     pub(super) entries_held: Arc<AtomicBool>,
+    /// Number of status reports that engines were asked for.
+    pub(super) reports: Arc<AtomicUsize>,
 }
 
 impl SiteGroups {
@@ -66,6 +68,7 @@
             violations: Arc::default(),
             crashed: Arc::default(),
             entries_held: Arc::default(),
+            reports: Arc::default(),
         }
     }
 
@@ -74,6 +77,12 @@
         self.entries_held.store(true, Ordering::Relaxed);
     }
 
+    /// Returns how many status reports engines were asked for.
+    #[must_use]
+    pub fn report_count(&self) -> usize {
+        self.reports.load(Ordering::Relaxed)
+    }
+
     /// Returns whether all engines are in a replica.
     #[must_use]
     pub fn all_joined(&self) -> bool {
--- a/tests/gateway/store_faults.rs
+++ b/tests/gateway/store_faults.rs
@@ -1,5 +1,7 @@
 //! The store is unreachable, rejects calls or has compacted its history.
 
+use std::time::{Duration, Instant};
+
 use http::StatusCode;
 use standin::site::StoreMode;
 
@@ -7,6 +9,15 @@
 use crate::request::TestRequest;
 use crate::site::{TestSite, configuration};
 
+/// Time for which queries are counted.
+const QUERY_WINDOW: Duration = Duration::from_secs(4);
+
+/// Query rounds of the first node for a fabric domain that needs changes.
+const FIRST_NODE_ROUNDS_PER_S: f64 = 4.0;
+
+/// Probes of a suspected host by each node.
+const SUSPECT_PROBES_PER_S: f64 = 1.5;
+
 /// The store stops responding. The node serves with the state it has, and applies the missed
 /// changes once the store is back.
 #[tokio::test(flavor = "multi_thread")]
@@ -157,6 +168,43 @@
     assert_eq!(site.groups.violations(), Vec::<String>::new());
 }
 
+/// A replica loses a host during an outage of the store, and none can replace it. All nodes want to
+/// know what its other hosts do. The queries must not grow with the number of nodes, or the hosts of
+/// a large deployment would be busy with them for as long as the outage lasts.
+#[tokio::test(flavor = "multi_thread")]
+async fn queries_shared_by_nodes() {
+    let mut site = TestSite::start(4, 0);
+    let mut nodes = Vec::new();
+    for number in 0..6 {
+        nodes.push(site.node(&format!("n{number}")).await);
+    }
+    for node in &nodes {
+        node.wait_replicas(1).await;
+        node.wait_log_line(&["nodes_counted", "\"nodes\":6"]).await;
+    }
+    site.store.set_mode(StoreMode::Unavailable);
+    for node in &nodes {
+        node.wait_log_line(&["store_lost", "servers"]).await;
+    }
+    let lost = site.groups.serving()[0][1].clone();
+    site.kill_engine(&lost);
+    for node in &nodes {
+        drop(TestRequest::chat("c-1").send(node).await);
+    }
+    let (before, started) = (site.groups.report_count(), Instant::now());
+    tokio::time::sleep(QUERY_WINDOW).await;
+    let count = site.groups.report_count() - before;
+    // Twice the rounds of the first node at the three hosts that are left, and the lost one's probes.
+    let rounds = started.elapsed().as_secs_f64() * 2.0 * FIRST_NODE_ROUNDS_PER_S;
+    let probes = started.elapsed().as_secs_f64() * 6.0 * SUSPECT_PROBES_PER_S;
+    let most = rounds * 3.0 + probes;
+    assert!(to_f64(count) <= most, "{count} queries, expected {most:.0}");
+}
+
+fn to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
 /// Waits for several rounds of planning and checks that the replicas were left alone.
 async fn expect_kept(site: &TestSite, node: &TestNode, serving: &[Vec<String>]) {
     node.wait_replicas(serving.len()).await;
