--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -5,6 +5,7 @@
 
 use adapter::RequestHeaders;
 use bytes::Bytes;
+use domain::ServiceName;
 use http::{Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -18,8 +19,32 @@
 /// Time limit for reading a client's request body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Response to a request that is not admitted, and the reason for the log.
-pub type Rejection = (LocalResponse, &'static str);
+/// Time limit for reading the body of a rejected request, whose client waits for the response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Maximum size of a body that is discarded while the configured limit is unknown, in bytes.
+const DEFAULT_DISCARD_BYTES: usize = 4 << 20;
+
+/// Response to a request that is not admitted.
+#[derive(Debug, Clone, Copy)]
+pub struct Rejection {
+    /// Response for the client.
+    pub response: LocalResponse,
+    /// Reason for the log.
+    pub reason: &'static str,
+    /// Whether the request was read to its end. If not, the connection closes after the response.
+    pub is_read: bool,
+}
+
+impl Rejection {
+    fn unread(response: LocalResponse, reason: &'static str) -> Self {
+        Self {
+            response,
+            reason,
+            is_read: false,
+        }
+    }
+}
 
 /// Admits a request after its body has been read completely.
 ///
@@ -34,25 +59,10 @@
 ) -> Result<AdmittedRequest, Rejection> {
     let arrived = node.now();
     let (head, body) = request.into_parts();
-    let host = head
-        .headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| head.uri.host())
-        .unwrap_or_default();
-    let host = host
-        .split(':')
-        .next()
-        .unwrap_or_default()
-        .to_ascii_lowercase();
-    let route = config
-        .route(&host, head.uri.path())
-        .ok_or((LocalResponse::NoRoute, "no route matches the host and path"))?;
-    let key = authenticate(config, route, headers)?;
-    let service = route
-        .service_for(stable_hash(&headers.id))
-        .ok_or((LocalResponse::NoRoute, "route has no service"))?
-        .clone();
+    let (route, key, service) = match check_head(config, &head, headers) {
+        Ok(checked) => checked,
+        Err(rejection) => return Err(reject(rejection, body, config.limits.body_bytes).await),
+    };
     let body = read_body(body, config.limits.body_bytes).await?;
     let timeout = headers
         .time_left
@@ -78,13 +88,76 @@
     })
 }
 
+/// Rejects a request for its head or the state of the node. The rest of the request is read first:
+/// if the connection were closed on it, the client's next request would be cut off.
+pub async fn reject(
+    (response, reason): (LocalResponse, &'static str),
+    body: Incoming,
+    max_bytes: usize,
+) -> Rejection {
+    let discarded = tokio::time::timeout(DISCARD_TIMEOUT, discard_body(body, max_bytes)).await;
+    Rejection {
+        response,
+        reason,
+        is_read: discarded.unwrap_or(false),
+    }
+}
+
+/// Rejects a request while no configuration is known.
+pub async fn reject_unconfigured(response: LocalResponse, body: Incoming) -> Rejection {
+    let reason = "no configuration loaded yet";
+    reject((response, reason), body, DEFAULT_DISCARD_BYTES).await
+}
+
+/// Reads a body without keeping it; returns whether it ended within `max_bytes`.
+async fn discard_body(mut body: Incoming, max_bytes: usize) -> bool {
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        bytes += frame.data_ref().map_or(0, Bytes::len);
+        if bytes > max_bytes {
+            return false;
+        }
+    }
+    true
+}
+
+type CheckedHead<'a> = (&'a Route, Option<AuthenticatedClient>, ServiceName);
+
+fn check_head<'a>(
+    config: &'a GatewayConfig,
+    head: &http::request::Parts,
+    headers: &RequestHeaders,
+) -> Result<CheckedHead<'a>, (LocalResponse, &'static str)> {
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    let host = host
+        .split(':')
+        .next()
+        .unwrap_or_default()
+        .to_ascii_lowercase();
+    let route = config
+        .route(&host, head.uri.path())
+        .ok_or((LocalResponse::NoRoute, "no route matches the host and path"))?;
+    let key = authenticate(config, route, headers)?;
+    let service = route
+        .service_for(stable_hash(&headers.id))
+        .ok_or((LocalResponse::NoRoute, "route has no service"))?
+        .clone();
+    Ok((route, key, service))
+}
+
 type AuthenticatedClient = (domain::CustomerId, Option<u8>);
 
 fn authenticate(
     config: &GatewayConfig,
     route: &Route,
     headers: &RequestHeaders,
-) -> Result<Option<AuthenticatedClient>, Rejection> {
+) -> Result<Option<AuthenticatedClient>, (LocalResponse, &'static str)> {
     let Some(keys) = &config.keys else {
         return Ok(None);
     };
@@ -100,10 +173,14 @@
     let read = Limited::new(body, max_bytes).collect();
     match tokio::time::timeout(BODY_READ_TIMEOUT, read).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((LocalResponse::BodyTooLarge, "request body too large"))
-        }
-        Ok(Err(_)) | Err(_) => Err((LocalResponse::IncompleteBody, "incomplete request body")),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Rejection::unread(
+            LocalResponse::BodyTooLarge,
+            "request body too large",
+        )),
+        Ok(Err(_)) | Err(_) => Err(Rejection::unread(
+            LocalResponse::IncompleteBody,
+            "incomplete request body",
+        )),
     }
 }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -7,17 +7,18 @@
 use bytes::Bytes;
 use domain::{FastSet, HostId, RequestId};
 use events::{EventCode, LogLine};
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Incoming};
 use serving::choose::NoTarget;
 use serving::{GatewayConfig, PoisonVerdict, RouteKind};
 
-use crate::admit::admit;
+use crate::admit::{admit, reject_unconfigured};
 use crate::admitted::AdmittedRequest;
 use crate::local_response::LocalResponse;
 use crate::node::{GatewayNode, RequestGuard};
 use crate::relay::{StreamRelay, StreamSource, StreamTruncated};
+use crate::respond::{announce_close, local_response, log_response, rejected_response};
 use crate::send::{AttemptOutcome, TargetResponse, send_attempt};
 
 /// `Retry-After` if there is no configuration or no replica: about the time it takes to read the
@@ -48,8 +49,7 @@
 ) -> Response<Either<Full<Bytes>, impl Body<Data = Bytes, Error = StreamTruncated>>> {
     let mut response = process_request(&node, request, running).await;
     if node.is_shutting_down() {
-        let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        announce_close(&mut response);
     }
     response
 }
@@ -62,19 +62,13 @@
     let headers = RequestHeaders::from(request.headers());
     let Some(config) = node.config() else {
         let response = LocalResponse::NotExecuted(NO_TARGET_RETRY_AFTER);
-        return local_response(
-            node,
-            &headers,
-            None,
-            response,
-            "no configuration loaded yet",
-        )
-        .map(Either::Left);
+        let rejection = reject_unconfigured(response, request.into_body()).await;
+        return rejected_response(node, &headers, rejection).map(Either::Left);
     };
     let admitted = match admit(node, &config, request, &headers).await {
         Ok(admitted) => admitted,
-        Err((response, reason)) => {
-            return local_response(node, &headers, None, response, reason).map(Either::Left);
+        Err(rejection) => {
+            return rejected_response(node, &headers, rejection).map(Either::Left);
         }
     };
     let admitted = match node.poison_verdict(&admitted) {
@@ -115,58 +109,6 @@
     }
 }
 
-fn local_response(
-    node: &GatewayNode,
-    headers: &RequestHeaders,
-    admitted: Option<&AdmittedRequest>,
-    response: LocalResponse,
-    reason: &str,
-) -> Response<Full<Bytes>> {
-    let is_not_executed = matches!(response, LocalResponse::NotExecuted(_));
-    let code = if is_not_executed {
-        EventCode::GatewayRefused
-    } else {
-        EventCode::RequestFailed
-    };
-    let status = response.status();
-    let mut line = LogLine::new(code)
-        .text("request", headers.id.as_ref().map_or("", RequestId::as_str))
-        .number("status", u64::from(status.as_u16()))
-        .text("reason", reason)
-        .number("revision", revision(node))
-        .millis("registry_age_ms", node.registry_age());
-    if let Some(admitted) = admitted {
-        let elapsed = node.now().saturating_sub(admitted.arrived);
-        line = line
-            .text("route", &admitted.route)
-            .text("service", admitted.service.as_str())
-            .millis("held_ms", elapsed);
-        node.metrics
-            .record_request(admitted.labels(), status, elapsed);
-    }
-    node.log(&line);
-    response.into_http(headers.id.as_ref())
-}
-
-fn revision(node: &GatewayNode) -> u64 {
-    node.config().map_or(0, |config| config.revision.0)
-}
-
-fn log_response(node: &GatewayNode, admitted: &AdmittedRequest, response: &Response<Full<Bytes>>) {
-    let elapsed = node.now().saturating_sub(admitted.arrived);
-    node.metrics
-        .record_request(admitted.labels(), response.status(), elapsed);
-    let line = LogLine::new(EventCode::GatewayAnswered)
-        .text(
-            "request",
-            admitted.id.as_ref().map_or("", RequestId::as_str),
-        )
-        .text("route", &admitted.route)
-        .number("status", u64::from(response.status().as_u16()))
-        .millis("took_ms", elapsed);
-    node.log(&line);
-}
-
 enum Outcome {
     Local(LocalResponse, String),
     Buffered(Response<Full<Bytes>>),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod probe;
 mod reconcile;
 mod relay;
+mod respond;
 mod run;
 mod send;
 mod settings;
--- /dev/null
+++ b/crates/gateway/src/respond.rs
@@ -0,0 +1,93 @@
+//! Builds, logs and counts the responses to clients.
+
+use adapter::RequestHeaders;
+use bytes::Bytes;
+use domain::RequestId;
+use events::{EventCode, LogLine};
+use http::{Response, header};
+use http_body_util::Full;
+
+use crate::admit::Rejection;
+use crate::admitted::AdmittedRequest;
+use crate::local_response::LocalResponse;
+use crate::node::GatewayNode;
+
+/// Announces that the connection closes after this response.
+pub(crate) fn announce_close<B>(response: &mut Response<B>) {
+    let close = http::HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
+/// Logs a rejected request and builds its response.
+pub(crate) fn rejected_response(
+    node: &GatewayNode,
+    headers: &RequestHeaders,
+    rejection: Rejection,
+) -> Response<Full<Bytes>> {
+    let Rejection {
+        response, reason, ..
+    } = rejection;
+    let mut response = local_response(node, headers, None, response, reason);
+    if !rejection.is_read {
+        announce_close(&mut response);
+    }
+    response
+}
+
+/// Logs a request without a response of a target, and builds the response for its client.
+pub(crate) fn local_response(
+    node: &GatewayNode,
+    headers: &RequestHeaders,
+    admitted: Option<&AdmittedRequest>,
+    response: LocalResponse,
+    reason: &str,
+) -> Response<Full<Bytes>> {
+    let is_not_executed = matches!(response, LocalResponse::NotExecuted(_));
+    let code = if is_not_executed {
+        EventCode::GatewayRefused
+    } else {
+        EventCode::RequestFailed
+    };
+    let status = response.status();
+    let mut line = LogLine::new(code)
+        .text("request", headers.id.as_ref().map_or("", RequestId::as_str))
+        .number("status", u64::from(status.as_u16()))
+        .text("reason", reason)
+        .number("revision", revision(node))
+        .millis("registry_age_ms", node.registry_age());
+    if let Some(admitted) = admitted {
+        let elapsed = node.now().saturating_sub(admitted.arrived);
+        line = line
+            .text("route", &admitted.route)
+            .text("service", admitted.service.as_str())
+            .millis("held_ms", elapsed);
+        node.metrics
+            .record_request(admitted.labels(), status, elapsed);
+    }
+    node.log(&line);
+    response.into_http(headers.id.as_ref())
+}
+
+fn revision(node: &GatewayNode) -> u64 {
+    node.config().map_or(0, |config| config.revision.0)
+}
+
+/// Logs a response of a target.
+pub(crate) fn log_response(
+    node: &GatewayNode,
+    admitted: &AdmittedRequest,
+    response: &Response<Full<Bytes>>,
+) {
+    let elapsed = node.now().saturating_sub(admitted.arrived);
+    node.metrics
+        .record_request(admitted.labels(), response.status(), elapsed);
+    let line = LogLine::new(EventCode::GatewayAnswered)
+        .text(
+            "request",
+            admitted.id.as_ref().map_or("", RequestId::as_str),
+        )
+        .text("route", &admitted.route)
+        .number("status", u64::from(response.status().as_u16()))
+        .millis("took_ms", elapsed);
+    node.log(&line);
+}
