--- a/tests/system/stream_resume.rs
+++ b/tests/system/stream_resume.rs
@@ -3,7 +3,8 @@
 use futures::future::join_all;
 use http::StatusCode;
 use serde_json::json;
-use standin::stack::StackPlan;
+use standin::faults::FaultPlan;
+use standin::stack::{StackPlan, TestStack};
 
 use crate::BINARY;
 use crate::event_stream_client::{EventStream, complete_text, completion_request, open_stream};
@@ -11,14 +12,24 @@
 const TOKENS: u32 = 300;
 /// As many as one of three entry nodes runs at once; more would wait for the first to end.
 const STREAMS: u64 = 8;
-/// Long enough that no stream ends before the last one has started, also on a busy machine.
 const LONG_STREAM_TOKENS: u32 = 1_500;
+/// Makes a stream take minutes, so that none ends before the node is killed, however late that is.
+const SLOW_FACTOR: f64 = 20.0;
+
+/// Sets the speed of all engines.
+async fn slow_engines(stack: &TestStack, factor: f64) {
+    let plan = FaultPlan::builder().slow_factor(factor).build();
+    for engine in 0..stack.engines.len() {
+        stack.set_engine_faults(engine, &plan).await;
+    }
+}
 
 /// An entry node dies during many streams. Each client connects to another entry node with the id
 /// of its last event and must get the rest, with no word missing or repeated.
 #[tokio::test(flavor = "multi_thread")]
 async fn resumes_after_entry_node_killed() {
     let mut stack = StackPlan::new("entry-killed", BINARY).start().await;
+    slow_engines(&stack, SLOW_FACTOR).await;
     let healthy_stack = &stack;
     let opened = (0..STREAMS).map(|seed| async move {
         let mut stream = open_stream(
@@ -33,6 +44,7 @@
     });
     let mut streams = join_all(opened).await;
     stack.entries[0].kill();
+    slow_engines(&stack, 1.0).await;
     join_all(streams.iter_mut().map(EventStream::read_all)).await;
     let shared = &stack;
     let resumed = streams.iter().zip(0..).map(|(first, seed)| async move {
