--- a/crates/standin/src/load/call.rs
+++ b/crates/standin/src/load/call.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use web::body::full_body;
 use web::{ClientError, WebBody, WebClient, read_body};
-use wire::client_api::{ErrorBody, ExecutionState};
+use wire::client_api::{ErrorBody, ErrorDetail, ExecutionState};
 use wire::service::IDEMPOTENCY_KEY_HEADER;
 
 use super::plan::{LoadPlan, LoadRequest, RequestKind};
@@ -44,6 +44,8 @@
         first_token: Option<Duration>,
         /// Times between consecutive tokens.
         token_gaps: Vec<Duration>,
+        /// Why it was refused or failed, as far as the client learned.
+        problem: Option<String>,
     },
     /// Result of a non-repeatable call.
     Payment {
@@ -152,25 +154,35 @@
             "model": self.callers.model, "stream": true, "max_tokens": max_tokens,
             "messages": [{ "role": "user", "content": prompt }],
         });
-        let without_tokens = |status| LoadResult::Chat {
+        let without_tokens = |status, problem: String| LoadResult::Chat {
             status,
             first_token: None,
             token_gaps: Vec::new(),
+            problem: Some(problem),
         };
         let response = match self
             .open(request, "/v1/chat/completions", None, &body)
             .await
         {
             Ok(response) => response,
-            Err(error) if error.is_unsent() => return without_tokens(ChatStatus::Refused),
-            Err(_) => return without_tokens(ChatStatus::Failed),
+            Err(error) => {
+                let status = if error.is_unsent() {
+                    ChatStatus::Refused
+                } else {
+                    ChatStatus::Failed
+                };
+                return without_tokens(status, error.to_string());
+            }
         };
         if response.status().is_success() {
             return read_chat(response.into_body(), max_tokens, due).await;
         }
-        match read_execution(response.into_body()).await {
-            Some(ExecutionState::NotRun) => without_tokens(ChatStatus::Refused),
-            _ => without_tokens(ChatStatus::Failed),
+        match read_error(response.into_body()).await {
+            Some(error) if error.execution == ExecutionState::NotRun => {
+                without_tokens(ChatStatus::Refused, error.message)
+            }
+            Some(error) => without_tokens(ChatStatus::Failed, error.message),
+            None => without_tokens(ChatStatus::Failed, "a response without an error".to_owned()),
         }
     }
 
@@ -179,7 +191,10 @@
         let path = self.callers.non_repeatable_path();
         let reported = match self.open(request, &path, Some(&key), body).await {
             Ok(response) if response.status().is_success() => ReportedExecution::Ran,
-            Ok(response) => match read_execution(response.into_body()).await {
+            Ok(response) => match read_error(response.into_body())
+                .await
+                .map(|error| error.execution)
+            {
                 Some(ExecutionState::Ran) => ReportedExecution::Ran,
                 Some(ExecutionState::NotRun) => ReportedExecution::NotRun,
                 Some(ExecutionState::Unknown) | None => ReportedExecution::Unknown,
@@ -215,10 +230,10 @@
         .map_err(|error| ClientError::Broken(entry, error.to_string()))
 }
 
-async fn read_execution(body: Incoming) -> Option<ExecutionState> {
+async fn read_error(body: Incoming) -> Option<ErrorDetail> {
     let bytes = read_body(body, MAX_RESPONSE_BYTES).await.ok()?;
     let error: ErrorBody = serde_json::from_slice(&bytes).ok()?;
-    Some(error.error.execution)
+    Some(error.error)
 }
 
 /// Reads the events of a chat until the stream ends.
@@ -228,6 +243,7 @@
     let mut gaps = Vec::new();
     let mut last = due;
     let mut status = ChatStatus::Truncated;
+    let mut problem = None;
     while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE_TIMEOUT, body.frame()).await {
         let Ok(data) = frame.into_data() else {
             continue;
@@ -248,6 +264,9 @@
                 }
                 ChatLine::Done => status = ChatStatus::Completed,
                 ChatLine::Error => status = ChatStatus::Failed,
+                ChatLine::Other if status == ChatStatus::Failed => {
+                    problem = problem.or(Some(String::from_utf8_lossy(&line).into_owned()));
+                }
                 ChatLine::Other => {}
             }
         }
@@ -260,6 +279,7 @@
         status,
         first_token: first,
         token_gaps: gaps,
+        problem,
     }
 }
 
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -25,6 +25,8 @@
     pub payments: PaymentCounts,
     /// Time from when a non-repeatable call was due until its response.
     pub payment_time: TimeSummary,
+    /// Chats that were refused or failed, by the message that their clients got.
+    pub problems: BTreeMap<String, u64>,
 }
 
 /// Counts of chats by outcome.
@@ -166,6 +168,10 @@
         writeln!(out, "first token     {}", self.first_token)?;
         writeln!(out, "between tokens  {}", self.between_tokens)?;
         writeln!(out, "payments        {}", self.payments)?;
-        writeln!(out, "payment answer  {}", self.payment_time)
+        writeln!(out, "payment answer  {}", self.payment_time)?;
+        for (problem, count) in &self.problems {
+            writeln!(out, "{count} chats: {problem}")?;
+        }
+        Ok(())
     }
 }
--- a/crates/standin/src/load/stats.rs
+++ b/crates/standin/src/load/stats.rs
@@ -25,6 +25,7 @@
     gaps: Histogram<u64>,
     payment_times: Histogram<u64>,
     payments: PaymentCounts,
+    problems: BTreeMap<String, u64>,
     reported: BTreeMap<String, ReportedExecution>,
 }
 
@@ -47,6 +48,7 @@
             gaps: histogram(),
             payment_times: histogram(),
             payments: PaymentCounts::default(),
+            problems: BTreeMap::new(),
             reported: BTreeMap::new(),
         }
     }
@@ -58,7 +60,11 @@
                 status,
                 first_token,
                 token_gaps,
+                problem,
             } => {
+                if let Some(problem) = problem {
+                    *self.problems.entry(problem).or_default() += 1;
+                }
                 let late = first_token.is_some_and(|time| time > self.late_after);
                 let tokens = token_gaps.len() + usize::from(first_token.is_some());
                 self.chats.add(status, late, tokens);
@@ -119,6 +125,7 @@
             between_tokens: TimeSummary::of(&self.gaps),
             payments: self.payments,
             payment_time: TimeSummary::of(&self.payment_times),
+            problems: self.problems.clone(),
         }
     }
 }
