--- a/crates/entry/src/dispatch/queue.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -78,6 +78,7 @@
 
     /// Updates whether any replica accepts work.
     pub fn refresh(&mut self, index: &ReplicaIndex, at: DispatchTime) {
+        self.share.advance(at.now);
         let was_usable = self.usable;
         self.usable = index.any_usable(&self.candidates, at.instant);
         if self.usable {
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -31,6 +31,14 @@
 /// must not be counted once per refused request.
 const DECREASE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time without a report after which responses of the targets set the window. Only entries that
+/// probe a replica get its reports, about one a second; the others hear of it from peers.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Window before the first report, in streams. With one, the second client of an entry that has just
+/// started waits for the whole response of the first.
+const INITIAL_WINDOW: f64 = 4.0;
+
 /// Settings of a [`CapacityShare`].
 #[derive(Debug, Clone, Copy, PartialEq, Builder)]
 pub struct ShareSettings {
@@ -76,6 +84,10 @@
 /// load balancer distributes requests, and entries need no knowledge of each other. While targets
 /// are full, each entry claims a little for its unmet demand and all entries give back in
 /// proportion to their usage, so the windows converge towards the demand.
+///
+/// An entry whose peers probe the replicas gets no reports. Its window grows while streams end and
+/// shrinks while targets are full. Kept as it was, it could be a single stream beside idle targets,
+/// and its clients would wait for seconds.
 #[derive(Debug)]
 pub struct CapacityShare {
     settings: ShareSettings,
@@ -84,6 +96,7 @@
     snapshots: VecDeque<UsageSnapshot>,
     demand: DemandEstimator,
     decreased_at: Option<Duration>,
+    reported_at: Option<Duration>,
     phase: f64,
 }
 
@@ -121,7 +134,7 @@
 }
 
 impl CapacityShare {
-    /// Creates a share with a window of one stream, used until the first report.
+    /// Creates a share with a window of a few streams, used until the first report.
     ///
     /// `seed` should differ between entries: it sets the phase at which an entry rounds a
     /// fractional window up.
@@ -130,11 +143,12 @@
         let phase = f64::from(u16::try_from(seed % 1_000).unwrap_or(0)) / 1_000.0;
         Self {
             settings,
-            window: 1.0,
+            window: INITIAL_WINDOW,
             in_use: 0,
             snapshots: VecDeque::new(),
             demand: DemandEstimator::default(),
             decreased_at: None,
+            reported_at: None,
             phase,
         }
     }
@@ -188,6 +202,7 @@
 
     /// Records that a stream ended after it had spent `duration` at the target.
     pub fn record_finished(&mut self, now: Duration, duration: Duration) {
+        self.grow(now);
         self.in_use = self.in_use.saturating_sub(1);
         let duration = duration.as_secs_f64();
         let weight = if self.demand.mean_duration == 0.0 {
@@ -214,8 +229,36 @@
         self.window = (self.window * FULL_DECREASE).max(self.min_window());
     }
 
+    /// Opens the window for one stream once reports are missing; call it before [`Self::free`].
+    /// Rounding could otherwise leave a window below one at no stream for good.
+    pub fn advance(&mut self, now: Duration) {
+        if self.lacks_reports(now) {
+            self.window = self.window.max(1.0);
+        }
+    }
+
+    fn lacks_reports(&self, now: Duration) -> bool {
+        self.reported_at
+            .is_none_or(|at| now.saturating_sub(at) > REPORT_TIMEOUT)
+    }
+
+    /// Grows the window when a stream ends that left no other place free. Doubled per round until a
+    /// target is full, then by one per round, as in TCP congestion control.
+    fn grow(&mut self, now: Duration) {
+        if !self.lacks_reports(now) || self.free() > 0 {
+            return;
+        }
+        let step = if self.decreased_at > self.reported_at {
+            1.0 / self.window.max(1.0)
+        } else {
+            1.0
+        };
+        self.window += step;
+    }
+
     /// Recomputes the window from new reports; call it once per round of reports.
     pub fn record_report(&mut self, now: Duration, report: PoolReport) {
+        self.reported_at = Some(now);
         self.demand.advance(now);
         self.phase = (self.phase + 0.618_034).fract();
         if report.slots == 0 {
--- a/crates/policy/tests/load/capacity_share.rs
+++ b/crates/policy/tests/load/capacity_share.rs
@@ -53,6 +53,86 @@
     }
 }
 
+/// Runs streams of 100 ms one after another in all free places for this long; returns how many ended.
+fn run_streams(share: &mut CapacityShare, from: Duration, time: Duration) -> usize {
+    let stream_time = Duration::from_millis(100);
+    let mut now = from;
+    let mut ended = 0;
+    while now < from + time {
+        share.advance(now);
+        let sent = share.free();
+        for _ in 0..sent {
+            share.record_offered(now);
+            share.record_sent(now);
+        }
+        now += stream_time;
+        for _ in 0..sent {
+            share.record_finished(now, stream_time);
+        }
+        ended += sent;
+    }
+    ended
+}
+
+/// An entry learns of the replicas from its peers, which probe them, and so never gets a report of
+/// its own. With one stream at a time its clients would wait beside idle replicas.
+#[test]
+fn window_grows_without_reports() {
+    let settings = ShareSettings::builder().entries(3).build();
+    let mut share = CapacityShare::new(settings, 7);
+    run_streams(&mut share, Duration::ZERO, Duration::from_secs(1));
+    assert!(share.window() >= 8.0, "{}", share.window());
+}
+
+/// Two clients come to an entry that has just started. The second must not wait for the response of
+/// the first, which took so long that it was refused.
+#[test]
+fn second_stream_before_first_report() {
+    for seed in 0..20 {
+        let settings = ShareSettings::builder().entries(410).build();
+        let mut share = CapacityShare::new(settings, seed);
+        share.record_sent(Duration::ZERO);
+        share.advance(Duration::from_millis(10));
+        assert!(share.free() > 0, "with seed {seed}");
+    }
+}
+
+/// The last report came while the replicas were full, so the window is below one, and peers probe
+/// them from then on. Rounding must not leave it at no stream for good.
+#[test]
+fn small_window_recovers_without_reports() {
+    for seed in 0..20 {
+        let settings = ShareSettings::builder().entries(40).build();
+        let mut share = CapacityShare::new(settings, seed);
+        let full = PoolReport {
+            slots: 16,
+            running: 16,
+            waiting: 30,
+            age: Duration::ZERO,
+        };
+        share.record_report(Duration::ZERO, full);
+        let ended = run_streams(&mut share, Duration::ZERO, Duration::from_secs(6));
+        assert!(ended > 100, "{ended} streams with seed {seed}");
+    }
+}
+
+/// Targets refuse streams as full while reports are missing. The window must then grow slowly, or
+/// most of what an entry sends is refused.
+#[test]
+fn refusals_slow_growth_without_reports() {
+    let settings = ShareSettings::builder().entries(3).build();
+    let mut share = CapacityShare::new(settings, 7);
+    run_streams(&mut share, Duration::ZERO, Duration::from_secs(1));
+    share.record_full(Duration::from_secs(1));
+    let before = share.window();
+    run_streams(
+        &mut share,
+        Duration::from_secs(1),
+        Duration::from_millis(300),
+    );
+    assert!(share.window() <= before + 3.1, "{}", share.window());
+}
+
 /// All entries see the same free slots in the same outdated report. If each took all of them,
 /// requests would queue at the engines and clients' first tokens would be late.
 #[test]
