--- a/crates/gateway/src/reconcile/mod.rs
+++ b/crates/gateway/src/reconcile/mod.rs
@@ -15,6 +15,7 @@
 use domain::{ConfigRevision, FabricId, FastMap, HostId, ModelName};
 use events::{EventCode, LogLine};
 use serving::hashing::stable_hash;
+use serving::load_budget::{LoadBudget, LoadLimit};
 use serving::plan::{
     FabricCapacity, FabricLayout, FabricState, FabricSummary, HostLifecycle, HostState, PlanStep,
     plan_fabric,
@@ -43,9 +44,6 @@
 /// Interval between plans for all other fabric domains.
 const BACKUP_PLAN_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Window over which loads of model weights are counted.
-const LOAD_WINDOW: Duration = Duration::from_secs(5);
-
 /// Reconciles the replicas of all services; never returns.
 pub async fn reconcile_replicas(node: Rc<GatewayNode>) {
     let reconciler = Rc::new(ReplicaReconciler {
@@ -54,7 +52,7 @@
         waiting_since: RefCell::default(),
         staging: RefCell::default(),
         formed_count: Cell::new(0),
-        recent_loads: RefCell::default(),
+        load_budget: RefCell::default(),
         refreshes: RefCell::default(),
         // Unique per process start, because the name counter restarts. If a name were reused, a
         // delayed order could join a host to the earlier replica of that name.
@@ -95,7 +93,7 @@
     /// Models that hosts were ordered to stage, and until when the load may take.
     staging: RefCell<FastMap<HostId, (ModelName, Duration)>>,
     formed_count: Cell<u64>,
-    recent_loads: RefCell<Vec<Duration>>,
+    load_budget: RefCell<LoadBudget>,
     refreshes: RefCell<FabricRefreshes>,
     process_nonce: u64,
     ranks: RefCell<NodeRanks>,
@@ -355,31 +353,18 @@
         if !needs_load {
             return true;
         }
-        let now = self.node.now();
-        let mut loads = self.recent_loads.borrow_mut();
-        loads.retain(|at| now.saturating_sub(*at) < LOAD_WINDOW);
-        if loads.len() >= self.load_limit() {
-            return false;
-        }
-        loads.push(now);
-        true
-    }
-
-    fn load_limit(&self) -> usize {
         let Some(config) = self.node.config() else {
-            return 1;
+            return false;
         };
-        let rates = config
-            .services
-            .values()
-            .map(|service| service.loads_per_second);
-        let rate = rates.fold(0.0, f64::max);
-        let nodes = f64::from(u32::try_from(self.node.node_count()).unwrap_or(u32::MAX));
-        let share = rate * LOAD_WINDOW.as_secs_f64() / nodes;
-        // At least one, so that spares get loaded at all; whole numbers below 2^32 fit.
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let share = share.clamp(1.0, 1e6) as usize;
-        share
+        let services = config.services.values();
+        let rates = services.map(|service| service.loads_per_second);
+        let limit = LoadLimit {
+            rate: rates.fold(0.0, f64::max),
+            window: self.node.settings.bounds.load_window(),
+            nodes: self.node.node_count(),
+        };
+        let now = self.node.now();
+        self.load_budget.borrow_mut().try_start(now, limit)
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Window over which loads of model weights are counted.
+    #[must_use]
+    pub fn load_window(&self) -> Duration {
+        duration_from_secs(self.load_window_s)
+    }
+
     /// Time between SIGTERM and SIGKILL.
     #[must_use]
     pub fn stop_grace(&self) -> Duration {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod confirmed;
 pub mod event_stream;
 pub mod hashing;
+pub mod load_budget;
 pub mod plan;
 pub mod poison;
 pub mod prompt_backlog;
