--- a/crates/control/src/amend/attempt.rs
+++ b/crates/control/src/amend/attempt.rs
@@ -120,5 +120,5 @@
 fn attempt_token(token: &WriteToken, number: u32) -> Result<WriteToken, AmendError> {
     format!("{token}.{number}")
         .parse()
-        .map_err(|_| AmendError::MalformedRow(format!("token {token} is too long")))
+        .map_err(|_| AmendError::TokenTooLong(token.clone()))
 }
--- a/crates/control/src/amend/mod.rs
+++ b/crates/control/src/amend/mod.rs
@@ -130,6 +130,9 @@
     /// Other amendments were accepted in every attempt.
     #[error("{HEAD_ATTEMPTS} other amendments were accepted first; nothing took effect, try again")]
     Contention,
+    /// The token leaves no room for the number of the attempt.
+    #[error("token {0} is too long")]
+    TokenTooLong(WriteToken),
     /// The content of the row with this key can't be parsed, or a value can't be stored in it.
     #[error("row {0} is malformed")]
     MalformedRow(String),
