--- a/crates/gateway/src/node/health.rs
+++ b/crates/gateway/src/node/health.rs
@@ -277,6 +277,21 @@
         Rc::clone(signals.entry(head.clone()).or_default())
     }
 
+    /// Forgets a head that no request uses any more.
+    pub(super) fn forget_idle_head(&self, id: &HostId) {
+        let mut detectors = self.stall_detectors.borrow_mut();
+        if detectors.get(id).is_some_and(StallDetector::is_idle) {
+            detectors.remove(id);
+        }
+        let mut signals = self.loss_signals.borrow_mut();
+        if signals
+            .get(id)
+            .is_some_and(|signal| Rc::strong_count(signal) == 1)
+        {
+            signals.remove(id);
+        }
+    }
+
     /// Calls `change` with the stall detector of a replica head, created at its first use.
     pub fn with_stall_detector<R>(
         &self,
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -14,10 +14,11 @@
 use domain::{FastMap, FastSet, HostId, RowVersion, ServiceName};
 use events::{EventCode, LogLine, LogSink};
 use policy::admission::CustomerShares;
+use serving::replica_history::ReplicaHistory;
 use serving::stall::StallDetector;
 use serving::{
-    ConfirmedMembership, GatewayConfig, MembershipKey, PoisonDetector, PromptBacklog, RetryBudget,
-    ShutdownPlan, TargetLoad, TargetRegistry,
+    ConfirmedMembership, GatewayConfig, PoisonDetector, PromptBacklog, RetryBudget, ShutdownPlan,
+    TargetLoad, TargetRegistry,
 };
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
@@ -63,8 +64,7 @@
     registry_stale_until: Cell<Duration>,
     hosts_changed_at: Cell<Duration>,
     membership_changed_at: RefCell<FastMap<HostId, Duration>>,
-    never_reopen: RefCell<FastSet<MembershipKey>>,
-    known_heads: RefCell<FastMap<MembershipKey, HostId>>,
+    replica_history: RefCell<ReplicaHistory>,
     loads: RefCell<FastMap<HostId, TargetLoad>>,
     /// Hosts by the hashes that stand for them in hints.
     hosts_by_hash: RefCell<FastMap<HostHash, HostId>>,
@@ -141,8 +141,7 @@
             registry_stale_until: Cell::default(),
             hosts_changed_at: Cell::default(),
             membership_changed_at: RefCell::default(),
-            never_reopen: RefCell::default(),
-            known_heads: RefCell::default(),
+            replica_history: RefCell::default(),
             loads: RefCell::default(),
             hosts_by_hash: RefCell::default(),
             prompt_backlogs: RefCell::default(),
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -5,10 +5,7 @@
 
 use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId, RowVersion, ServiceName};
 use events::{EventCode, LogLine};
-use serving::{
-    MemberState, MembershipKey, ReplicaMembership, ReplicaView, ServiceConfig, TargetEntry,
-    TargetState,
-};
+use serving::{MemberState, MembershipKey, ReplicaView, ServiceConfig, TargetEntry, TargetState};
 
 use super::GatewayNode;
 
@@ -62,28 +59,16 @@
                 .insert(id.clone(), now);
         }
         if let Some(membership) = &entry.membership {
-            self.record_membership(&id, membership);
+            self.replica_history.borrow_mut().record(&id, membership);
         }
         self.log(&target_line(EventCode::TargetChanged, entry));
         self.notify_change();
     }
 
-    fn record_membership(&self, id: &HostId, membership: &ReplicaMembership) {
-        let key = membership.key();
-        if membership.rank == 0 {
-            self.known_heads
-                .borrow_mut()
-                .insert(key.clone(), id.clone());
-        }
-        if matches!(membership.state, MemberState::Open | MemberState::Closing) {
-            self.never_reopen.borrow_mut().insert(key);
-        }
-    }
-
     /// Last known head of a replica, even if it has left since.
     #[must_use]
     pub fn last_known_head(&self, replica: &MembershipKey) -> Option<HostId> {
-        self.known_heads.borrow().get(replica).cloned()
+        self.replica_history.borrow().last_head(replica).cloned()
     }
 
     /// Handles the removal of a target from the registry; returns whether the target is still
@@ -138,8 +123,13 @@
     pub fn remove_target(&self, id: &HostId) {
         self.unlisted.borrow_mut().remove(id);
         self.forget_confirmed(id);
+        self.membership_changed_at.borrow_mut().remove(id);
+        self.forget_idle_head(id);
         let removed = self.registry.borrow_mut().remove(id);
         let Some(entry) = removed else { return };
+        self.replica_history
+            .borrow_mut()
+            .prune(&self.registry.borrow());
         self.hosts_changed_at.set(self.now());
         self.suspicions.borrow_mut().remove(id);
         self.retired.borrow_mut().remove(id);
@@ -172,14 +162,13 @@
 
     /// Calls `access` with the replicas that have served or whose formation failed.
     pub fn with_never_reopen<R>(&self, access: impl FnOnce(&FastSet<MembershipKey>) -> R) -> R {
-        access(&self.never_reopen.borrow())
+        access(self.replica_history.borrow().never_reopen())
     }
 
     /// Records that the formation of a replica failed.
     pub fn abandon_replica(&self, replica: &ReplicaId, epoch: u64) {
-        self.never_reopen
-            .borrow_mut()
-            .insert((replica.clone(), epoch));
+        let key = (replica.clone(), epoch);
+        self.replica_history.borrow_mut().abandon(key);
     }
 
     /// Heads of the replicas that serve a model now.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod poison;
 pub mod prompt_backlog;
 pub mod registry;
+pub mod replica_history;
 pub mod retry_budget;
 pub mod route;
 pub mod shutdown;
--- a/crates/serving/src/stall.rs
+++ b/crates/serving/src/stall.rs
@@ -45,6 +45,12 @@
         self.last_progress = now;
     }
 
+    /// Returns whether no request runs.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.running == 0
+    }
+
     /// Returns how long the running requests have made no progress; zero if none run.
     #[must_use]
     pub fn stalled_for(&self, now: Duration) -> Duration {
