--- a/crates/entry/tests/request_path/attempt_errors.rs
+++ b/crates/entry/tests/request_path/attempt_errors.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::fake_engine::{EngineBehavior, response_text};
-use crate::fake_entry::{FakeEntry, replica, target_view};
+use crate::fake_entry::{FakeEntry, FakeResponse, replica, target_view};
 use crate::fake_service::FakeService;
 use crate::fake_table::FakeTable;
 
@@ -29,6 +29,16 @@
     text
 }
 
+/// Text of a response, streamed or not.
+fn full_text(response: &FakeResponse, stream: bool) -> String {
+    if stream {
+        return streamed_text(&response.data());
+    }
+    let body = response.json();
+    let text = body["choices"][0]["text"].as_str();
+    text.unwrap_or_default().to_owned()
+}
+
 /// Replicas break off, stall or end early in mid-response, twice in a row. The client must receive
 /// one complete response in request.
 #[tokio::test]
@@ -44,15 +54,7 @@
             entry.engine.script(&[first, EngineBehavior::BreakAfter(4)]);
             let response = entry.post(TEXT, &[], &body(stream)).await;
             assert_eq!(response.status, StatusCode::OK, "{}", response.text);
-            let text = if stream {
-                streamed_text(&response.data())
-            } else {
-                let body = response.json();
-                body["choices"][0]["text"]
-                    .as_str()
-                    .unwrap_or_default()
-                    .to_owned()
-            };
+            let text = full_text(&response, stream);
             assert_eq!(text, response_text(TOKENS), "{first:?}");
             let requests = entry.engine.requests();
             let continued_from: Vec<usize> = requests
@@ -138,15 +140,7 @@
         entry.engine.script(&[EngineBehavior::Full; 12]);
         let response = entry.post(TEXT, &[], &body(stream)).await;
         assert_eq!(response.status, StatusCode::OK, "{}", response.text);
-        let text = if stream {
-            streamed_text(&response.data())
-        } else {
-            let body = response.json();
-            body["choices"][0]["text"]
-                .as_str()
-                .unwrap_or_default()
-                .to_owned()
-        };
+        let text = full_text(&response, stream);
         assert_eq!(text, response_text(TOKENS));
     }
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -10,18 +10,12 @@
 use web::client::json_request;
 use web::{ClientError, WebClient, parse_json, read_body};
 use wire::hostlist::HostListBody;
-use wire::table::{
-    BatchCommitted, BatchConflict, BatchRequest, ChangeBody, ExpectBody, RowBody, ScanPage,
-    WRITE_TOKEN_HEADER, WriteBody,
-};
+use wire::table::{BatchCommitted, BatchConflict, BatchRequest, ScanPage, WRITE_TOKEN_HEADER};
 
 use crate::error::StoreError;
 use crate::hostlist::{HostEntry, HostListSource, HostListing};
 use crate::objects::ObjectStore;
-use crate::table::{
-    CommitOutcome, RowChange, RowConflict, RowExpectation, RowRead, TableRow, TableStore,
-    WriteBatch,
-};
+use crate::table::{CommitOutcome, RowConflict, RowRead, TableRow, TableStore, WriteBatch};
 
 /// Number of rows per page of a scan.
 const SCAN_PAGE_ROWS: usize = 1_000;
@@ -234,67 +228,6 @@
     })
 }
 
-impl From<RowBody> for TableRow {
-    fn from(body: RowBody) -> Self {
-        Self {
-            key: body.key,
-            version: RowVersion(body.version),
-            token: body.token,
-            value: body.value,
-        }
-    }
-}
-
-impl From<RowBody> for RowConflict {
-    fn from(body: RowBody) -> Self {
-        let key = body.key.clone();
-        let row = if body.version == 0 {
-            None
-        } else {
-            Some(TableRow::from(body))
-        };
-        Self { key, row }
-    }
-}
-
-impl From<&WriteBatch> for BatchRequest {
-    fn from(batch: &WriteBatch) -> Self {
-        let writes = batch
-            .writes
-            .iter()
-            .map(|(key, expect, change)| WriteBody {
-                key: key.clone(),
-                expect: ExpectBody::from(*expect),
-                change: ChangeBody::from(change.clone()),
-            })
-            .collect();
-        Self {
-            token: batch.token.to_string(),
-            writes,
-        }
-    }
-}
-
-impl From<RowExpectation> for ExpectBody {
-    fn from(expectation: RowExpectation) -> Self {
-        match expectation {
-            RowExpectation::Any => Self::Any,
-            RowExpectation::Absent => Self::Absent,
-            RowExpectation::Version(version) => Self::Version { version: version.0 },
-        }
-    }
-}
-
-impl From<RowChange> for ChangeBody {
-    fn from(change: RowChange) -> Self {
-        match change {
-            RowChange::Put(value) => Self::Put { value },
-            RowChange::Delete => Self::Delete,
-            RowChange::Check => Self::Check,
-        }
-    }
-}
-
 /// Client of the object store. It sends `GET` and `PUT /objects/{key}`, the latter with
 /// `If-None-Match: *`.
 #[derive(Debug, Clone)]
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod objects;
 pub mod retry;
 pub mod table;
+mod table_wire;
 
 pub use budget::BudgetedTable;
 pub use circuit::CircuitState;
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -6,6 +6,7 @@
 //! specification could not detect the failure that the guard prevents.
 
 pub mod assembly;
+pub mod assembly_guard;
 pub mod config;
 pub mod formation;
 pub mod lease;
