--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -44,6 +44,17 @@
             is_read: false,
         }
     }
+
+    /// Reads the rest of the request before the response: if the connection were closed on it, the
+    /// client's next request would be cut off.
+    async fn after_body(self, body: Incoming, max_bytes: usize) -> Self {
+        let discarding = discard_body(body, max_bytes);
+        let discarded = tokio::time::timeout(DISCARD_TIMEOUT, discarding).await;
+        Self {
+            is_read: discarded.unwrap_or(false),
+            ..self
+        }
+    }
 }
 
 /// Admits a request after its body has been read completely.
@@ -61,7 +72,9 @@
     let (head, body) = request.into_parts();
     let (route, key, service) = match check_head(config, &head, headers) {
         Ok(checked) => checked,
-        Err(rejection) => return Err(reject(rejection, body, config.limits.body_bytes).await),
+        Err(rejection) => {
+            return Err(rejection.after_body(body, config.limits.body_bytes).await);
+        }
     };
     let body = read_body(body, config.limits.body_bytes).await?;
     let timeout = headers
@@ -88,25 +101,11 @@
     })
 }
 
-/// Rejects a request for its head or the state of the node. The rest of the request is read first:
-/// if the connection were closed on it, the client's next request would be cut off.
-pub async fn reject(
-    (response, reason): (LocalResponse, &'static str),
-    body: Incoming,
-    max_bytes: usize,
-) -> Rejection {
-    let discarded = tokio::time::timeout(DISCARD_TIMEOUT, discard_body(body, max_bytes)).await;
-    Rejection {
-        response,
-        reason,
-        is_read: discarded.unwrap_or(false),
-    }
-}
-
 /// Rejects a request while no configuration is known.
 pub async fn reject_unconfigured(response: LocalResponse, body: Incoming) -> Rejection {
-    let reason = "no configuration loaded yet";
-    reject((response, reason), body, DEFAULT_DISCARD_BYTES).await
+    Rejection::unread(response, "no configuration loaded yet")
+        .after_body(body, DEFAULT_DISCARD_BYTES)
+        .await
 }
 
 /// Reads a body without keeping it; returns whether it ended within `max_bytes`.
@@ -122,13 +121,14 @@
     true
 }
 
+/// Route, client and service of an admitted request.
 type CheckedHead<'a> = (&'a Route, Option<AuthenticatedClient>, ServiceName);
 
 fn check_head<'a>(
     config: &'a GatewayConfig,
     head: &http::request::Parts,
     headers: &RequestHeaders,
-) -> Result<CheckedHead<'a>, (LocalResponse, &'static str)> {
+) -> Result<CheckedHead<'a>, Rejection> {
     let host = head
         .headers
         .get(header::HOST)
@@ -142,11 +142,17 @@
         .to_ascii_lowercase();
     let route = config
         .route(&host, head.uri.path())
-        .ok_or((LocalResponse::NoRoute, "no route matches the host and path"))?;
+        .ok_or(Rejection::unread(
+            LocalResponse::NoRoute,
+            "no route matches the host and path",
+        ))?;
     let key = authenticate(config, route, headers)?;
     let service = route
         .service_for(stable_hash(&headers.id))
-        .ok_or((LocalResponse::NoRoute, "route has no service"))?
+        .ok_or(Rejection::unread(
+            LocalResponse::NoRoute,
+            "route has no service",
+        ))?
         .clone();
     Ok((route, key, service))
 }
@@ -157,7 +163,7 @@
     config: &GatewayConfig,
     route: &Route,
     headers: &RequestHeaders,
-) -> Result<Option<AuthenticatedClient>, (LocalResponse, &'static str)> {
+) -> Result<Option<AuthenticatedClient>, Rejection> {
     let Some(keys) = &config.keys else {
         return Ok(None);
     };
@@ -165,7 +171,10 @@
     match key {
         Some(key) => Ok(Some((key.customer.clone(), key.priority))),
         None if route.public => Ok(None),
-        None => Err((LocalResponse::Unauthorized, "unknown API key")),
+        None => Err(Rejection::unread(
+            LocalResponse::Unauthorized,
+            "unknown API key",
+        )),
     }
 }
 
--- a/crates/gateway/src/node/confirmed.rs
+++ b/crates/gateway/src/node/confirmed.rs
@@ -26,15 +26,15 @@
     pub fn apply_listed_target(&self, entry: &TargetEntry) -> EntryIntake {
         self.unlisted.borrow_mut().remove(&entry.id);
         let mut confirmed = self.confirmed.borrow_mut();
-        let mut may_be_outdated = false;
+        let mut is_doubtful = false;
         if let Some(membership) = confirmed.get_mut(&entry.id) {
-            may_be_outdated = membership.may_outdate_entry(entry);
-            if !may_be_outdated {
+            is_doubtful = membership.may_be_newer_than_entry(entry);
+            if !is_doubtful {
                 membership.confirm_listed(entry);
             }
         }
         drop(confirmed);
-        if may_be_outdated {
+        if is_doubtful {
             self.withhold_membership(entry);
             return EntryIntake::MembershipWithheld;
         }
@@ -66,7 +66,7 @@
             return;
         };
         let is_current = self.with_confirmed(&before, |membership| {
-            let is_current = !membership.may_outdate_report(&entry, requested_at);
+            let is_current = !membership.may_be_newer_than_report(&entry, requested_at);
             if is_current {
                 membership.confirm_report(&entry);
             }
--- a/crates/serving/src/confirmed.rs
+++ b/crates/serving/src/confirmed.rs
@@ -69,14 +69,20 @@
     /// Returns whether a registry entry may be older than what the host confirmed. Only the host
     /// can tell then.
     #[must_use]
-    pub fn may_outdate_entry(&self, entry: &TargetEntry) -> bool {
+    pub fn may_be_newer_than_entry(&self, entry: &TargetEntry) -> bool {
         !self.is_listed && !self.is_as_new(entry, self.membership.as_ref())
     }
 
-    /// Returns whether the report of the state in `entry` may be older than an order that the host
-    /// accepted.
+    /// Returns whether the report of the state in `entry` may be older than what is known: it is of
+    /// an earlier replica, or was requested soon after an order that the host accepted.
     #[must_use]
-    pub fn may_outdate_report(&self, entry: &TargetEntry, requested_at: Duration) -> bool {
+    pub fn may_be_newer_than_report(&self, entry: &TargetEntry, requested_at: Duration) -> bool {
+        // Epochs only grow within a life, so this is the state before another node's order.
+        let is_earlier =
+            entry.boot == self.boot && epoch(entry).is_some_and(|epoch| epoch < self.epoch);
+        if is_earlier {
+            return true;
+        }
         let Some(order) = &self.order else {
             return false;
         };
--- a/crates/serving/tests/confirmed_membership.rs
+++ b/crates/serving/tests/confirmed_membership.rs
@@ -49,9 +49,9 @@
 #[test]
 fn entries_before_join() {
     let membership = joined("r-new", 7);
-    assert!(membership.may_outdate_entry(&entry(1, None)));
-    assert!(membership.may_outdate_entry(&entry(1, Some(("r-old", 3)))));
-    assert!(!membership.may_outdate_entry(&entry(1, Some(("r-new", 7)))));
+    assert!(membership.may_be_newer_than_entry(&entry(1, None)));
+    assert!(membership.may_be_newer_than_entry(&entry(1, Some(("r-old", 3)))));
+    assert!(!membership.may_be_newer_than_entry(&entry(1, Some(("r-new", 7)))));
 }
 
 /// Another node has a host join a later replica, or the host restarts. Its entry must be believed,
@@ -59,8 +59,8 @@
 #[test]
 fn entries_after_join() {
     let membership = joined("r-new", 7);
-    assert!(!membership.may_outdate_entry(&entry(1, Some(("r-next", 8)))));
-    assert!(!membership.may_outdate_entry(&entry(2, None)));
+    assert!(!membership.may_be_newer_than_entry(&entry(1, Some(("r-next", 8)))));
+    assert!(!membership.may_be_newer_than_entry(&entry(2, None)));
 }
 
 /// Once the registry has shown a join, an entry without it is newer: the host has left.
@@ -68,7 +68,7 @@
 fn entry_after_listed_join() {
     let mut membership = joined("r-new", 7);
     membership.confirm_listed(&entry(1, Some(("r-new", 7))));
-    assert!(!membership.may_outdate_entry(&entry(1, None)));
+    assert!(!membership.may_be_newer_than_entry(&entry(1, None)));
 }
 
 /// A report shows the state of some hundred milliseconds before, and so possibly that of before an
@@ -77,9 +77,20 @@
 fn report_after_order() {
     let membership = joined("r-new", 7);
     let ordered_at = Duration::from_millis(100);
-    assert!(membership.may_outdate_report(&entry(1, None), ordered_at));
+    assert!(membership.may_be_newer_than_report(&entry(1, None), ordered_at));
     let late = ordered_at + MAX_REPORT_AGE;
-    assert!(!membership.may_outdate_report(&entry(1, None), late));
+    assert!(!membership.may_be_newer_than_report(&entry(1, None), late));
+}
+
+/// Another node has a host join a later replica, and the registry shows it. A report may still show
+/// the replica before, which must not replace the later one.
+#[test]
+fn report_of_earlier_replica() {
+    let membership = ConfirmedMembership::listed(&entry(1, Some(("r-new", 7))));
+    let now = Duration::from_mins(1);
+    assert!(membership.may_be_newer_than_report(&entry(1, Some(("r-old", 3))), now));
+    assert!(!membership.may_be_newer_than_report(&entry(1, Some(("r-next", 8))), now));
+    assert!(!membership.may_be_newer_than_report(&entry(2, None), now));
 }
 
 /// The entries of a host arrive in the order of its states, each after any delay. Whatever orders
@@ -107,7 +118,7 @@
             }
             read += 1;
             let state = &states[read];
-            if membership.may_outdate_entry(state) {
+            if membership.may_be_newer_than_entry(state) {
                 continue;
             }
             membership.confirm_listed(state);
