--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -18,7 +18,9 @@
 use crate::local_response::LocalResponse;
 use crate::node::{GatewayNode, RequestGuard};
 use crate::relay::{StreamRelay, StreamSource, StreamTruncated};
-use crate::respond::{announce_close, local_response, log_response, rejected_response};
+use crate::respond::{
+    announce_close, announce_idle_timeout, local_response, log_response, rejected_response,
+};
 use crate::send::{AttemptOutcome, TargetResponse, send_attempt};
 
 /// `Retry-After` if there is no configuration or no replica: about the time it takes to read the
@@ -50,6 +52,8 @@
     let mut response = process_request(&node, request, running).await;
     if node.is_shutting_down() {
         announce_close(&mut response);
+    } else {
+        announce_idle_timeout(&mut response, node.idle_timeout());
     }
     response
 }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -32,6 +32,10 @@
 /// Interval for checking whether a connection should close.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time for which a connection stays open beyond the idle timeout that clients are told. A request
+/// sent at the last moment still arrives within it.
+const IDLE_CLOSE_MARGIN: Duration = Duration::from_secs(1);
+
 /// Binds a TCP listener; port 0 lets the system choose a port.
 ///
 /// # Errors
@@ -139,7 +143,7 @@
         if plan.is_some_and(|plan| plan.closes_connections(node.now())) {
             return;
         }
-        if usage.idle_time(node.now()) > node.idle_timeout() {
+        if usage.idle_time(node.now()) > node.idle_timeout() + IDLE_CLOSE_MARGIN {
             return;
         }
     }
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -1,10 +1,12 @@
 //! Builds, logs and counts the responses to clients.
 
+use std::time::Duration;
+
 use adapter::RequestHeaders;
 use bytes::Bytes;
 use domain::RequestId;
 use events::{EventCode, LogLine};
-use http::{Response, header};
+use http::{HeaderName, HeaderValue, Response, header};
 use http_body_util::Full;
 
 use crate::admit::Rejection;
@@ -12,12 +14,27 @@
 use crate::local_response::LocalResponse;
 use crate::node::GatewayNode;
 
+/// Header with the idle timeout of a connection, in seconds.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Announces that the connection closes after this response.
 pub(crate) fn announce_close<B>(response: &mut Response<B>) {
-    let close = http::HeaderValue::from_static("close");
+    let close = HeaderValue::from_static("close");
     response.headers_mut().insert(header::CONNECTION, close);
 }
 
+/// Announces how long the connection stays open while it is idle, unless it closes anyway.
+pub(crate) fn announce_idle_timeout<B>(response: &mut Response<B>, timeout: Duration) {
+    let headers = response.headers_mut();
+    if headers.contains_key(header::CONNECTION) {
+        return;
+    }
+    let text = format!("timeout={}", timeout.as_secs());
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        headers.insert(KEEP_ALIVE, value);
+    }
+}
+
 /// Logs a rejected request and builds its response.
 pub(crate) fn rejected_response(
     node: &GatewayNode,
--- a/tests/gateway/idle_connections.rs
+++ b/tests/gateway/idle_connections.rs
@@ -45,6 +45,28 @@
     assert_eq!(again.status(), StatusCode::OK);
 }
 
+/// Clients use a connection as long as it looks open. Each response must tell them for how long it
+/// stays so, or a request sent at the moment of the close is cut off without a response.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_timeout_announced() {
+    let site = TestSite::start(4, 1);
+    let node = site.node("n0").await;
+    node.wait_replicas(1).await;
+    let requests = [
+        TestRequest::chat("c-1"),
+        TestRequest::new("/look/x", "l-1"),
+        TestRequest::new("/nowhere/x", "l-2"),
+    ];
+    for request in requests {
+        let response = request.send(&node).await;
+        let announced = response.headers.get("keep-alive");
+        assert_eq!(
+            announced.and_then(|value| value.to_str().ok()),
+            Some("timeout=15")
+        );
+    }
+}
+
 /// Reads one response without a body from a raw connection; returns its head in lower case.
 async fn read_head(stream: &mut TcpStream) -> String {
     let mut head = Vec::new();
