Part the transport of links from what they carry

Links between nodes are needed for copies of the store's tables as well. The handshake, the signed requests and the loop that serves a connection move to peers::transport; the places of accepted connections become public. No message changes; the requests of one connection are now handled beside its accept loop instead of in tasks of their own.

--- a/crates/peers/src/unproven.rs
+++ b/crates/peers/src/accepted.rs
@@ -5,7 +5,6 @@
 //! and the newest ones get them: a peer with the key proves it within milliseconds.
 
 use std::collections::VecDeque;
-use std::future::Future;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -20,7 +19,7 @@
 
 /// The accepted connections of a node; clones share them.
 #[derive(Debug, Clone)]
-pub(super) struct AcceptedConnections {
+pub struct AcceptedConnections {
     unproven: Arc<Mutex<UnprovenQueue>>,
     proven: Arc<Semaphore>,
 }
@@ -41,11 +40,8 @@
 }
 
 impl AcceptedConnections {
-    /// Spawns the task that serves a connection; `serve` gets the place of the connection.
-    pub fn spawn<F>(&self, serve: impl FnOnce(ConnectionPlace) -> F)
-    where
-        F: Future<Output = ()> + Send + 'static,
-    {
+    /// Takes in a connection; `spawn` gets its place and starts the task that serves it.
+    pub fn admit(&self, spawn: impl FnOnce(ConnectionPlace) -> AbortHandle) {
         // The task waits for this lock before it gives up its place.
         let mut unproven = self.unproven();
         unproven.last_number += 1;
@@ -55,8 +51,8 @@
             number,
             permit: None,
         };
-        let task = tokio::spawn(serve(place));
-        unproven.tasks.push_back((number, task.abort_handle()));
+        let task = spawn(place);
+        unproven.tasks.push_back((number, task));
         if unproven.tasks.len() > MAX_UNPROVEN
             && let Some((_, oldest)) = unproven.tasks.pop_front()
         {
@@ -75,7 +71,7 @@
 
 /// Place of one connection, given up when it is dropped.
 #[derive(Debug)]
-pub(super) struct ConnectionPlace {
+pub struct ConnectionPlace {
     connections: AcceptedConnections,
     number: u64,
     permit: Option<OwnedSemaphorePermit>,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -6,6 +6,7 @@
 //! ([`peer_view`], [`gossip`]), so a node's traffic grows linearly with the number of members and
 //! replicas, not quadratically.
 
+pub mod accepted;
 pub mod auth;
 pub mod error;
 pub mod evidence;
@@ -17,8 +18,9 @@
 pub mod select;
 pub mod settings;
 pub mod traffic;
-mod unproven;
+pub mod transport;
 
+pub use accepted::{AcceptedConnections, ConnectionPlace};
 pub use auth::SharedKey;
 pub use evidence::{EvidenceExchange, NoEvidence, TimedEvidence};
 pub use gossip::GossipState;
@@ -27,3 +29,4 @@
 pub use manage::maintain_links;
 pub use settings::PeerSettings;
 pub use traffic::{PeerTraffic, TrafficCounts};
+pub use transport::DialedLink;
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -3,27 +3,23 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use control::config::ConfigStatus;
 use control::config::poll::jittered;
 use domain::{ConfigRevision, NodeId};
 use events::{EventCode, EventRecorder, EventSubject};
-use h2::RecvStream;
-use h2::client::SendRequest;
-use http::{Method, Request, StatusCode};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use wire::peer::{
-    MAX_DIGEST_BYTES, MAX_HELLO_BYTES, MAX_SNAPSHOT_BYTES, NEWEST_VERSION, NONCE_BYTES,
-    OLDEST_VERSION, PeerDigest, PeerHello, PeerWelcome, decode_message, encode_message,
+    MAX_DIGEST_BYTES, MAX_SNAPSHOT_BYTES, PeerDigest, decode_message, encode_message,
 };
 
-use crate::auth::{FrameAuthenticator, FrameSide, SharedKey};
+use crate::auth::SharedKey;
 use crate::error::LinkError;
 use crate::evidence::EvidenceExchange;
 use crate::gossip::GossipState;
 use crate::peer_view::PeerView;
 use crate::settings::PeerSettings;
+use crate::transport::{DialedLink, with_timeout};
 
 /// Number of exchanges after which a node whose configuration is still behind its peer's fetches a
 /// snapshot. Normally the table delivers the changes sooner, so this happens only if the node can't
@@ -47,11 +43,9 @@
 }
 
 struct OpenLink {
-    requests: SendRequest<Bytes>,
-    auth: FrameAuthenticator,
+    dialed: DialedLink,
     peer_view: PeerView,
     timeout: Duration,
-    peer: NodeId,
 }
 
 /// Runs one link until it fails. `expected` is the node that should respond; none for a seed
@@ -73,7 +67,7 @@
     context.recorder.record(
         EventCode::PeerLinked,
         EventSubject::default(),
-        format!("{} at {address}", link.peer),
+        format!("{} at {address}", link.dialed.peer()),
     );
     let mut status = context.gossip.config.watch();
     let mut behind = 0;
@@ -122,16 +116,6 @@
     Ok(())
 }
 
-async fn with_timeout<T>(
-    limit: Duration,
-    operation: impl Future<Output = Result<T, LinkError>>,
-) -> Result<T, LinkError> {
-    match tokio::time::timeout(limit, operation).await {
-        Ok(result) => result,
-        Err(_) => Err(LinkError::TimedOut),
-    }
-}
-
 async fn open_link<E: EvidenceExchange>(
     context: &LinkContext<E>,
     address: SocketAddr,
@@ -140,36 +124,12 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let stream = context.gossip.traffic.wrap(stream);
-    let (mut requests, connection) = h2::client::handshake(stream).await?;
-    tokio::spawn(async move {
-        let _ = connection.await;
-    });
-    let hello = PeerHello {
-        newest: NEWEST_VERSION,
-        oldest: OLDEST_VERSION,
-        nonce: rand::random::<[u8; NONCE_BYTES]>(),
-        node: context.gossip.membership.node().clone(),
-    };
-    let response = post(
-        &mut requests,
-        "/hello",
-        encode_message(&hello)?,
-        MAX_HELLO_BYTES,
-    )
-    .await?;
-    let welcome: PeerWelcome = decode_message::<_, MAX_HELLO_BYTES>(&response)?;
-    context.key.verify_proof(&hello, &welcome)?;
-    if expected.is_some_and(|node| *node != welcome.node) {
-        return Err(LinkError::UnexpectedNode(welcome.node));
-    }
+    let node = context.gossip.membership.node();
+    let dialed = DialedLink::open(stream, &context.key, node, expected).await?;
     Ok(OpenLink {
-        requests,
-        auth: context
-            .key
-            .authenticator(&hello, &welcome, FrameSide::Initiator),
+        dialed,
         peer_view: PeerView::default(),
         timeout: context.settings.exchange_timeout(),
-        peer: welcome.node,
     })
 }
 
@@ -179,7 +139,7 @@
         context: &LinkContext<E>,
     ) -> Result<(), LinkError> {
         let requested_at = Instant::now();
-        let acked_sequence = self.auth.last_received();
+        let acked_sequence = self.dialed.last_received();
         let digest = context
             .gossip
             .build_digest(&mut self.peer_view, acked_sequence)
@@ -219,47 +179,7 @@
         path: &str,
         payload: Vec<u8>,
     ) -> Result<Vec<u8>, LinkError> {
-        let frame = self.auth.sign(payload)?;
-        let operation = post(&mut self.requests, path, frame, LIMIT);
-        let response = with_timeout(self.timeout, operation).await?;
-        Ok(self.auth.verify::<LIMIT>(&response)?.payload)
-    }
-}
-
-async fn post(
-    requests: &mut SendRequest<Bytes>,
-    path: &str,
-    body: Vec<u8>,
-    limit: usize,
-) -> Result<Vec<u8>, LinkError> {
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(format!("http://peer{path}"))
-        .body(())?;
-    let mut ready = requests.clone().ready().await?;
-    let (response, mut sender) = ready.send_request(request, false)?;
-    sender.send_data(Bytes::from(body), true)?;
-    let response = response.await?;
-    if response.status() != StatusCode::OK {
-        return Err(LinkError::Refused(response.status().as_u16()));
-    }
-    read_stream(response.into_body(), limit).await
-}
-
-/// Reads a whole stream of at most `limit` bytes.
-///
-/// # Errors
-///
-/// [`LinkError::TooLarge`] beyond `limit`, [`LinkError::Connection`] if the stream fails.
-pub async fn read_stream(mut stream: RecvStream, limit: usize) -> Result<Vec<u8>, LinkError> {
-    let mut bytes = Vec::new();
-    while let Some(chunk) = stream.data().await {
-        let chunk = chunk?;
-        if bytes.len() + chunk.len() > limit {
-            return Err(LinkError::TooLarge(limit));
-        }
-        stream.flow_control().release_capacity(chunk.len())?;
-        bytes.extend_from_slice(&chunk);
+        let timeout = self.timeout;
+        self.dialed.request::<LIMIT>(path, payload, timeout).await
     }
-    Ok(bytes)
 }
--- a/crates/peers/src/listen.rs
+++ b/crates/peers/src/listen.rs
@@ -1,32 +1,26 @@
 //! The accepting side of links.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use events::{EventCode, EventSubject};
 use h2::server::SendResponse;
-use http::{Request, Response, StatusCode};
+use http::{Request, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
 use wire::peer::{
-    MAX_DIGEST_BYTES, MAX_HELLO_BYTES, NONCE_BYTES, PeerDigest, PeerHello, PeerWelcome,
-    decode_message, encode_message, negotiate_version,
+    MAX_DIGEST_BYTES, MAX_HELLO_BYTES, PeerDigest, PeerHello, PeerWelcome, decode_message,
+    encode_message, negotiate_version,
 };
 
-use crate::auth::{AuthError, FrameAuthenticator, FrameSide};
+use crate::auth::{AuthError, FrameAuthenticator};
 use crate::error::LinkError;
 use crate::evidence::EvidenceExchange;
-use crate::link::{LinkContext, read_stream};
+use crate::link::LinkContext;
 use crate::peer_view::PeerView;
-use crate::unproven::{AcceptedConnections, ConnectionPlace};
-
-/// Maximum number of concurrent requests per connection; a peer sends them one at a time.
-const MAX_STREAMS: u32 = 4;
-
-/// Time without a request after which a connection is closed; its peer is suspended or gone.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+use crate::transport::{self, read_stream, respond_error, respond_ok};
+use crate::accepted::{AcceptedConnections, ConnectionPlace};
 
 /// Number of responses whose send time is kept. A peer echoes the newest one that it received.
 const KEPT_RESPONSES: usize = 8;
@@ -50,14 +44,17 @@
             continue;
         };
         let context = context.clone();
-        connections.spawn(|place| async move {
-            let outcome = serve_connection(&context, stream, place).await;
-            if let Err(LinkError::Auth(error @ AuthError::InvalidProof)) = outcome {
-                let detail = format!("{address}: {error}");
-                context
-                    .recorder
-                    .record(EventCode::PeerRefused, EventSubject::default(), detail);
-            }
+        connections.admit(|place| {
+            let serving = async move {
+                let outcome = serve_connection(&context, stream, place).await;
+                if let Err(LinkError::Auth(error @ AuthError::InvalidProof)) = outcome {
+                    let detail = format!("{address}: {error}");
+                    context
+                        .recorder
+                        .record(EventCode::PeerRefused, EventSubject::default(), detail);
+                }
+            };
+            tokio::spawn(serving).abort_handle()
         });
     }
 }
@@ -69,40 +66,16 @@
 ) -> Result<(), LinkError> {
     stream.set_nodelay(true)?;
     let stream = context.gossip.traffic.wrap(stream);
-    let mut builder = h2::server::Builder::new();
-    builder.max_concurrent_streams(MAX_STREAMS);
-    let handshake = builder.handshake::<_, Bytes>(stream);
-    let mut connection = match tokio::time::timeout(IDLE_TIMEOUT, handshake).await {
-        Ok(connection) => connection?,
-        Err(_) => return Err(LinkError::TimedOut),
-    };
-    let session = Arc::new(Mutex::new(ResponderState {
+    let session = Mutex::new(ResponderState {
         place,
         session: None,
-    }));
-    let (error_sender, mut errors) = tokio::sync::mpsc::channel(1);
-    loop {
-        let request = tokio::select! {
-            error = errors.recv() => return error.map_or(Ok(()), Err),
-            request = tokio::time::timeout(IDLE_TIMEOUT, connection.accept()) => request,
-        };
-        let (request, responder) = match request {
-            Ok(Some(request)) => request?,
-            Ok(None) => return Ok(()),
-            Err(_) => return Err(LinkError::TimedOut),
-        };
-        // The connection makes progress only while `accept` is polled, so requests are handled in
-        // separate tasks.
-        let context = context.clone();
-        let session = Arc::clone(&session);
-        let error_sender = error_sender.clone();
-        tokio::spawn(async move {
-            let mut state = session.lock().await;
-            if let Err(error) = handle_request(&context, &mut state, request, responder).await {
-                let _ = error_sender.send(error).await;
-            }
-        });
-    }
+    });
+    let session = &session;
+    transport::serve_requests(stream, |request, responder| async move {
+        let mut state = session.lock().await;
+        handle_request(context, &mut state, request, responder).await
+    })
+    .await
 }
 
 /// State of an accepted connection.
@@ -218,33 +191,13 @@
     hello: &PeerHello,
     version: u8,
 ) -> (ResponderSession, PeerWelcome) {
-    let mut welcome = PeerWelcome {
-        version,
-        nonce: rand::random::<[u8; NONCE_BYTES]>(),
-        node: context.gossip.membership.node().clone(),
-        proof: Default::default(),
-    };
-    welcome.proof = context.key.proof(hello, &welcome);
+    let node = context.gossip.membership.node();
+    let (auth, welcome) = transport::accept_hello(&context.key, node, hello, version);
     let mut session = ResponderSession {
-        auth: context
-            .key
-            .authenticator(hello, &welcome, FrameSide::Responder),
+        auth,
         peer_view: PeerView::default(),
         responses: VecDeque::new(),
     };
     session.record_response();
     (session, welcome)
 }
-
-fn respond_ok(mut responder: SendResponse<Bytes>, body: Vec<u8>) -> Result<(), LinkError> {
-    let head = Response::builder().status(StatusCode::OK).body(())?;
-    let mut stream = responder.send_response(head, false)?;
-    stream.send_data(Bytes::from(body), true)?;
-    Ok(())
-}
-
-fn respond_error(mut responder: SendResponse<Bytes>, status: StatusCode) -> Result<(), LinkError> {
-    let head = Response::builder().status(status).body(())?;
-    responder.send_response(head, true)?;
-    Ok(())
-}
--- /dev/null
+++ b/crates/peers/src/transport.rs
@@ -0,0 +1,240 @@
+//! Authenticated requests between two nodes over HTTP/2, whatever they carry.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use domain::NodeId;
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use h2::RecvStream;
+use h2::client::SendRequest;
+use h2::server::SendResponse;
+use http::{Method, Request, Response, StatusCode};
+use tokio::io::{AsyncRead, AsyncWrite};
+use wire::peer::{
+    MAX_HELLO_BYTES, NEWEST_VERSION, NONCE_BYTES, OLDEST_VERSION, PeerHello, PeerWelcome,
+    decode_message, encode_message,
+};
+
+use crate::auth::{FrameAuthenticator, FrameSide, SharedKey};
+use crate::error::LinkError;
+
+/// Maximum number of concurrent requests per connection; a peer sends them one at a time.
+const MAX_STREAMS: u32 = 4;
+
+/// Time without a request after which a connection is closed; its peer is suspended or gone.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The opened side of a link, after both sides agreed on a protocol version and the responder
+/// proved that it has the key.
+pub struct DialedLink {
+    requests: SendRequest<Bytes>,
+    auth: FrameAuthenticator,
+    peer: NodeId,
+}
+
+impl DialedLink {
+    /// Opens a link over a connected stream. `expected` is the node that should respond; none if
+    /// any may.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] if the handshake fails, the responder doesn't have the key, or another node
+    /// than the expected one responds.
+    pub async fn open<S>(
+        stream: S,
+        key: &SharedKey,
+        node: &NodeId,
+        expected: Option<&NodeId>,
+    ) -> Result<Self, LinkError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let (mut requests, connection) = h2::client::handshake(stream).await?;
+        tokio::spawn(async move {
+            // A failed connection fails the requests on it, which report the error.
+            drop(connection.await);
+        });
+        let hello = PeerHello {
+            newest: NEWEST_VERSION,
+            oldest: OLDEST_VERSION,
+            nonce: rand::random::<[u8; NONCE_BYTES]>(),
+            node: node.clone(),
+        };
+        let body = encode_message(&hello)?;
+        let response = post(&mut requests, "/hello", body, MAX_HELLO_BYTES).await?;
+        let welcome: PeerWelcome = decode_message::<_, MAX_HELLO_BYTES>(&response)?;
+        key.verify_proof(&hello, &welcome)?;
+        if expected.is_some_and(|node| *node != welcome.node) {
+            return Err(LinkError::UnexpectedNode(welcome.node));
+        }
+        Ok(Self {
+            requests,
+            auth: key.authenticator(&hello, &welcome, FrameSide::Initiator),
+            peer: welcome.node,
+        })
+    }
+
+    /// Node at the other end.
+    #[must_use]
+    pub fn peer(&self) -> &NodeId {
+        &self.peer
+    }
+
+    /// Sequence number of the last response that was verified, 0 if none.
+    #[must_use]
+    pub fn last_received(&self) -> u64 {
+        self.auth.last_received()
+    }
+
+    /// Sends a request and returns the verified response of at most `LIMIT` bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`]; the link can't be used any more.
+    pub async fn request<const LIMIT: usize>(
+        &mut self,
+        path: &str,
+        payload: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Vec<u8>, LinkError> {
+        let frame = self.auth.sign(payload)?;
+        let operation = post(&mut self.requests, path, frame, LIMIT);
+        let response = with_timeout(timeout, operation).await?;
+        Ok(self.auth.verify::<LIMIT>(&response)?.payload)
+    }
+}
+
+/// Answers a hello with a common protocol version; returns the authenticator of the accepted side
+/// and the message that proves the key.
+#[must_use]
+pub fn accept_hello(
+    key: &SharedKey,
+    node: &NodeId,
+    hello: &PeerHello,
+    version: u8,
+) -> (FrameAuthenticator, PeerWelcome) {
+    let mut welcome = PeerWelcome {
+        version,
+        nonce: rand::random::<[u8; NONCE_BYTES]>(),
+        node: node.clone(),
+        proof: Default::default(),
+    };
+    welcome.proof = key.proof(hello, &welcome);
+    let auth = key.authenticator(hello, &welcome, FrameSide::Responder);
+    (auth, welcome)
+}
+
+/// Serves the requests of one accepted connection until it ends or a request fails.
+///
+/// # Errors
+///
+/// [`LinkError`] of the connection or of the first request that failed.
+pub async fn serve_requests<S, H, F>(stream: S, handle: H) -> Result<(), LinkError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    H: Fn(Request<RecvStream>, SendResponse<Bytes>) -> F,
+    F: Future<Output = Result<(), LinkError>>,
+{
+    let mut builder = h2::server::Builder::new();
+    builder.max_concurrent_streams(MAX_STREAMS);
+    let handshake = builder.handshake::<_, Bytes>(stream);
+    let mut connection = match tokio::time::timeout(IDLE_TIMEOUT, handshake).await {
+        Ok(connection) => connection?,
+        Err(_) => return Err(LinkError::TimedOut),
+    };
+    let mut running = FuturesUnordered::new();
+    loop {
+        // The connection makes progress only while `accept` is polled.
+        tokio::select! {
+            Some(result) = running.next() => result?,
+            request = tokio::time::timeout(IDLE_TIMEOUT, connection.accept()) => match request {
+                Ok(Some(request)) => {
+                    let (request, responder) = request?;
+                    running.push(handle(request, responder));
+                }
+                Ok(None) => return Ok(()),
+                Err(_) => return Err(LinkError::TimedOut),
+            }
+        }
+    }
+}
+
+/// Fails an operation with [`LinkError::TimedOut`] after `limit`.
+///
+/// # Errors
+///
+/// [`LinkError`] of the operation, or of the timeout.
+pub async fn with_timeout<T>(
+    limit: Duration,
+    operation: impl Future<Output = Result<T, LinkError>>,
+) -> Result<T, LinkError> {
+    match tokio::time::timeout(limit, operation).await {
+        Ok(result) => result,
+        Err(_) => Err(LinkError::TimedOut),
+    }
+}
+
+async fn post(
+    requests: &mut SendRequest<Bytes>,
+    path: &str,
+    body: Vec<u8>,
+    limit: usize,
+) -> Result<Vec<u8>, LinkError> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://peer{path}"))
+        .body(())?;
+    let mut ready = requests.clone().ready().await?;
+    let (response, mut sender) = ready.send_request(request, false)?;
+    sender.send_data(Bytes::from(body), true)?;
+    let response = response.await?;
+    if response.status() != StatusCode::OK {
+        return Err(LinkError::Refused(response.status().as_u16()));
+    }
+    read_stream(response.into_body(), limit).await
+}
+
+/// Reads a whole stream of at most `limit` bytes.
+///
+/// # Errors
+///
+/// [`LinkError::TooLarge`] beyond `limit`, [`LinkError::Connection`] if the stream fails.
+pub async fn read_stream(mut stream: RecvStream, limit: usize) -> Result<Vec<u8>, LinkError> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = stream.data().await {
+        let chunk = chunk?;
+        if bytes.len() + chunk.len() > limit {
+            return Err(LinkError::TooLarge(limit));
+        }
+        stream.flow_control().release_capacity(chunk.len())?;
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes)
+}
+
+/// Sends a successful response.
+///
+/// # Errors
+///
+/// [`LinkError::Connection`] if the connection failed.
+pub fn respond_ok(mut responder: SendResponse<Bytes>, body: Vec<u8>) -> Result<(), LinkError> {
+    let head = Response::builder().status(StatusCode::OK).body(())?;
+    let mut stream = responder.send_response(head, false)?;
+    stream.send_data(Bytes::from(body), true)?;
+    Ok(())
+}
+
+/// Sends a response without a body.
+///
+/// # Errors
+///
+/// [`LinkError::Connection`] if the connection failed.
+pub fn respond_error(
+    mut responder: SendResponse<Bytes>,
+    status: StatusCode,
+) -> Result<(), LinkError> {
+    let head = Response::builder().status(status).body(())?;
+    responder.send_response(head, true)?;
+    Ok(())
+}
