--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -231,6 +231,14 @@
     /// A registry entry contradicts what its host confirmed by an accepted order or a report, and may
     /// be older. The host is queried; its confirmed membership holds until then.
     EntryOutdated = 368, "entry_outdated", Info;
+    /// The node gets the changes of the store from another node of its failure domain from now on.
+    FeedFollowed = 369, "feed_followed", Info;
+    /// The node that passes on the changes of the store does not respond, can't reach the store or
+    /// is behind. This node reads the store itself until it follows another one.
+    FeedSourceLost = 370, "feed_source_lost", Info;
+    /// A link of another node was refused: its messages are malformed, replayed or not authenticated
+    /// with the key of this node. Nothing of it was used.
+    FeedLinkRefused = 371, "feed_link_refused", Warn;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
--- /dev/null
+++ b/crates/gateway/src/feed/direct.rs
@@ -0,0 +1,213 @@
+//! Reads the configuration and the registry from the store by long polling.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::config::CONFIG_TABLE;
+use adapter::registry::TARGETS_TABLE;
+use adapter::{StoreClient, StoreError};
+use domain::RowVersion;
+use events::{EventCode, LogLine};
+use serving::feed::TableDelta;
+use serving::hashing::stable_hash;
+use wire::feed::FeedTable;
+
+use super::intake::FeedIntake;
+use crate::node::GatewayNode;
+
+/// Wait time of one long poll. A connection may go silent without being closed, and a node must
+/// know the current state within three seconds of that, so each call ends earlier.
+const LONG_POLL_WAIT: Duration = Duration::from_secs(2);
+
+/// Wait time of a long poll of a node that others follow: it must learn of a silent connection, and
+/// they from it, within those three seconds.
+const ROOT_POLL_WAIT: Duration = Duration::from_secs(1);
+
+/// Time that a call may take in addition to the wait.
+const LONG_POLL_SLACK: Duration = Duration::from_millis(500);
+
+/// Delay after a call that returned changes, in a small deployment. Changes come in bursts, as when
+/// the hosts of a fabric domain join replicas, and each call has a cost; the delay lets one call
+/// return several. A repair waits for this delay several times: 200 ms saved a sixth of the calls
+/// but lowered the value of responses to clients by 0.03 in runs that lose two hosts every three
+/// seconds.
+const BATCH_DELAY: Duration = Duration::from_millis(80);
+
+/// Delay after a call that returned changes, at a node that others follow. Few nodes read then, and
+/// each batch goes to a whole failure domain.
+const ROOT_BATCH_DELAY: Duration = Duration::from_millis(150);
+
+/// Maximum of that delay, in a large deployment. A target that starts draining must get no new
+/// requests after two seconds; delay, call and one lost packet stay within half of that.
+const MAX_BATCH_DELAY: Duration = Duration::from_millis(700);
+
+/// Number of nodes up to which the delay is constant; above it, the delay grows in proportion.
+/// Every node that reads gets every change, so with a constant delay the store's calls would grow
+/// with the square of a deployment whose changes are proportional to its hosts: 6 per second and
+/// node at 64 nodes.
+const BATCH_DELAY_NODES: usize = 12;
+
+/// Timeout for reading a whole table.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Delay added with each consecutive failed call, up to the maximum delay.
+const RETRY_DELAY_STEP: Duration = Duration::from_millis(60);
+
+/// Maximum delay after failed calls of a node that follows no other, and so the time to notice that
+/// the store is back.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
+
+/// Additional maximum delay per level of the tree: the upper levels notice the end of an outage and
+/// pass it on, and the calls of all others would only be refused.
+const RETRY_DELAY_PER_LEVEL: Duration = Duration::from_millis(1100);
+
+/// Reads a table from the store whenever no other node passes on its changes; never returns.
+pub async fn read_directly(intake: Rc<FeedIntake>, table: FeedTable) {
+    let node = Rc::clone(&intake.node);
+    let mut client = StoreClient::new(node.settings.store);
+    let mut failures = 0_u32;
+    let mut is_compacted = false;
+    loop {
+        until_direct(&node).await;
+        let started_at = node.now();
+        let known = node.feed.copy(table).borrow().version();
+        let known = known.filter(|_| !is_compacted);
+        let result = poll_once(&node, &mut client, table, known).await;
+        let outcome = if result.is_ok() { "answered" } else { "failed" };
+        let took = node.now().saturating_sub(started_at);
+        node.metrics
+            .record_store_call(store_table(table), outcome, took);
+        match result {
+            Ok(delta) => {
+                if failures > 0 {
+                    log_store_regained(&node, table, failures);
+                }
+                failures = 0;
+                is_compacted = false;
+                let changed = !delta.rows.is_empty();
+                intake.take(table, delta, node.now());
+                if table == FeedTable::Registry {
+                    node.feed.record_contact();
+                }
+                if changed {
+                    tokio::time::sleep(batch_delay(&node)).await;
+                }
+            }
+            Err(StoreError::Compacted) => is_compacted = true,
+            Err(error) => {
+                failures += 1;
+                if failures == 1 {
+                    log_store_lost(&node, table, &error);
+                }
+                intake.store_failed(table);
+                wait_to_retry(&node, table, failures).await;
+            }
+        }
+    }
+}
+
+async fn until_direct(node: &GatewayNode) {
+    loop {
+        let changed = node.feed.mode_changed.notified();
+        if !node.feed.is_following() {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Name of a table in the store.
+fn store_table(table: FeedTable) -> &'static str {
+    match table {
+        FeedTable::Config => CONFIG_TABLE,
+        FeedTable::Registry => TARGETS_TABLE,
+        FeedTable::Nodes => crate::heartbeat::NODES_TABLE,
+    }
+}
+
+/// Waits before the next call after failed ones. Calls for the registry show when the store is
+/// back; the configuration is read again then.
+async fn wait_to_retry(node: &GatewayNode, table: FeedTable, failures: u32) {
+    let depth = node.feed.depth(&node.settings.node);
+    let most = MAX_RETRY_DELAY + RETRY_DELAY_PER_LEVEL.saturating_mul(depth);
+    let steps = if depth == 0 {
+        failures
+    } else {
+        failures.saturating_mul(failures)
+    };
+    let delay = RETRY_DELAY_STEP.saturating_mul(steps).min(most);
+    let delay = delay.mul_f64(jitter(node, failures));
+    if table == FeedTable::Config && node.feed.is_cut_off() {
+        drop(tokio::time::timeout(most, node.feed.regained.notified()).await);
+        return;
+    }
+    let is_followed = async {
+        while !node.feed.is_following() {
+            node.feed.mode_changed.notified().await;
+        }
+    };
+    drop(tokio::time::timeout(delay, is_followed).await);
+}
+
+/// Factor between 0.75 and 1.25 that differs between nodes, so that they don't all call at once.
+fn jitter(node: &GatewayNode, round: u32) -> f64 {
+    let hash = stable_hash(&(node.settings.node.as_str(), round)) % 1000;
+    let share = f64::from(u32::try_from(hash).unwrap_or(0)) / 1000.0;
+    0.75 + share / 2.0
+}
+
+fn batch_delay(node: &GatewayNode) -> Duration {
+    if node.feed.is_root(&node.settings.node) {
+        return ROOT_BATCH_DELAY;
+    }
+    let count = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    let nodes = node.node_count().max(BATCH_DELAY_NODES);
+    let factor = count(nodes) / count(BATCH_DELAY_NODES);
+    BATCH_DELAY.mul_f64(factor).min(MAX_BATCH_DELAY)
+}
+
+async fn poll_once(
+    node: &GatewayNode,
+    client: &mut StoreClient,
+    table: FeedTable,
+    known: Option<RowVersion>,
+) -> Result<TableDelta, StoreError> {
+    let name = store_table(table);
+    let Some(after) = known else {
+        let page = client.read_table(name, READ_TIMEOUT).await?;
+        node.set_store_clock(page.clock);
+        return Ok(TableDelta {
+            version: page.version,
+            is_full: true,
+            rows: page.rows,
+        });
+    };
+    let wait = if node.feed.is_root(&node.settings.node) {
+        ROOT_POLL_WAIT
+    } else {
+        LONG_POLL_WAIT
+    };
+    let response = client
+        .watch_table(name, after, wait, LONG_POLL_SLACK)
+        .await?;
+    Ok(TableDelta {
+        version: response.version.max(after),
+        is_full: false,
+        rows: response.rows,
+    })
+}
+
+fn log_store_lost(node: &GatewayNode, table: FeedTable, error: &StoreError) {
+    let line = LogLine::new(EventCode::StoreLost)
+        .text("table", store_table(table))
+        .text("reason", &error.to_string())
+        .millis("registry_age_ms", node.registry_age());
+    node.log(&line);
+}
+
+fn log_store_regained(node: &GatewayNode, table: FeedTable, failures: u32) {
+    let line = LogLine::new(EventCode::StoreRegained)
+        .text("table", store_table(table))
+        .number("failures", u64::from(failures));
+    node.log(&line);
+}
--- /dev/null
+++ b/crates/gateway/src/feed/follow.rs
@@ -0,0 +1,196 @@
+//! Follows another node of the failure domain, which passes on the changes of the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use domain::{FastMap, NodeId, RowVersion};
+use events::{EventCode, LogLine};
+use peers::DialedLink;
+use peers::error::LinkError;
+use peers::transport::with_timeout;
+use serving::feed::FeedSample;
+use tokio::net::TcpStream;
+use wire::feed::{
+    FeedDelta, FeedPosition, FeedRequest, FeedResponse, FeedTable, MAX_FEED_RESPONSE_BYTES,
+};
+use wire::peer::{decode_message, encode_message};
+
+use super::intake::FeedIntake;
+use super::messages::decode_delta;
+use super::state::FeedMember;
+
+/// Tables that are passed on.
+const TABLES: [FeedTable; 3] = [FeedTable::Registry, FeedTable::Config, FeedTable::Nodes];
+
+/// Time that a source waits for changes before it responds.
+const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+
+/// Time that a response may take in addition. A source that is suspended is left after the sum of
+/// both, well within the time after which a draining target must get no new requests.
+const FOLLOW_SLACK: Duration = Duration::from_millis(300);
+
+/// Timeout for opening a link.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Timeout for a response that contains whole tables.
+const COPY_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Time for which a source is not asked again after it was unreachable.
+const AVOID_UNREACHABLE: Duration = Duration::from_secs(3);
+
+/// Time for which a source is not asked again after its data was too old.
+const AVOID_STALE: Duration = Duration::from_millis(800);
+
+/// Interval for looking for a source while there is none.
+const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Why a source can't be followed.
+#[derive(Debug, thiserror::Error)]
+enum FollowError {
+    /// The link failed.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// Its data is not recent enough, or older than what this node knows.
+    #[error("its data is too old: {0:?}")]
+    Stale(FeedSample),
+}
+
+impl FollowError {
+    fn avoid_time(&self) -> Duration {
+        match self {
+            Self::Link(_) => AVOID_UNREACHABLE,
+            Self::Stale(_) => AVOID_STALE,
+        }
+    }
+}
+
+/// Follows the best source while there is one; never returns.
+pub async fn follow_sources(intake: Rc<FeedIntake>) {
+    let node = Rc::clone(&intake.node);
+    let mut link: Option<DialedLink> = None;
+    let mut avoided: FastMap<NodeId, Duration> = FastMap::default();
+    loop {
+        let now = node.now();
+        avoided.retain(|_, until| *until > now);
+        let sources = node.feed.sources(&node.settings.node);
+        let source = sources
+            .into_iter()
+            .find(|source| !avoided.contains_key(&source.node));
+        let Some(source) = source else {
+            link = None;
+            node.feed.set_following(false);
+            tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
+            continue;
+        };
+        match follow_once(&intake, &mut link, &source).await {
+            Ok(()) => node.feed.set_following(true),
+            Err(error) => {
+                link = None;
+                // The node reads the store meanwhile, so that it is as recent as without a source.
+                node.feed.set_following(false);
+                log_source_lost(&intake, &source, &error);
+                avoided.insert(source.node, node.now() + error.avoid_time());
+            }
+        }
+    }
+}
+
+async fn follow_once(
+    intake: &FeedIntake,
+    link: &mut Option<DialedLink>,
+    source: &FeedMember,
+) -> Result<(), FollowError> {
+    let is_linked = link
+        .as_ref()
+        .is_some_and(|link| *link.peer() == source.node);
+    let mut wait = FOLLOW_WAIT;
+    if !is_linked {
+        // A new source must show at once whether its data is recent.
+        wait = Duration::ZERO;
+        *link = Some(with_timeout(OPEN_TIMEOUT, open_link(intake, source)).await?);
+    }
+    let Some(link) = link else { return Ok(()) };
+    let request = build_request(intake, wait);
+    let is_copy = request.tables.iter().any(|table| table.known.is_none());
+    let limit = wait + if is_copy { COPY_TIMEOUT } else { FOLLOW_SLACK };
+    let payload = encode_message(&request).map_err(LinkError::from)?;
+    let response = link
+        .request::<MAX_FEED_RESPONSE_BYTES>("/feed", payload, limit)
+        .await?;
+    let response: FeedResponse =
+        decode_message::<_, MAX_FEED_RESPONSE_BYTES>(&response).map_err(LinkError::from)?;
+    take_response(intake, response)?;
+    if !is_linked {
+        log_followed(intake, source);
+    }
+    Ok(())
+}
+
+async fn open_link(intake: &FeedIntake, source: &FeedMember) -> Result<DialedLink, LinkError> {
+    let stream = TcpStream::connect(source.address).await?;
+    stream.set_nodelay(true)?;
+    let own = &intake.node.settings.node;
+    DialedLink::open(stream, &source.key, own, Some(&source.node)).await
+}
+
+fn build_request(intake: &FeedIntake, wait: Duration) -> FeedRequest {
+    let position = |table| FeedPosition {
+        table,
+        known: intake
+            .node
+            .feed
+            .copy(table)
+            .borrow()
+            .version()
+            .map(|version| version.0),
+    };
+    FeedRequest {
+        wait_ms: super::messages::encode_millis(wait),
+        tables: TABLES.map(position).to_vec(),
+    }
+}
+
+/// Takes in a response if the source's data is recent enough.
+fn take_response(intake: &FeedIntake, response: FeedResponse) -> Result<(), FollowError> {
+    let node = &intake.node;
+    let now = node.now();
+    let age_of = |delta: &FeedDelta| Duration::from_millis(u64::from(delta.age_ms));
+    let is_behind = |delta: &FeedDelta| {
+        let known = node.feed.copy(delta.table).borrow().version();
+        known.is_some_and(|known| known > RowVersion(delta.version))
+    };
+    let is_needed = |delta: &&FeedDelta| delta.table != FeedTable::Nodes;
+    let needed = || response.tables.iter().filter(is_needed);
+    let sample = FeedSample {
+        age: needed().map(age_of).max().unwrap_or(Duration::MAX),
+        is_cut_off: response.is_cut_off || needed().count() + 1 < TABLES.len(),
+        is_behind: needed().any(is_behind),
+    };
+    if let Some(failed_ms_ago) = response.failed_ms_ago {
+        let ago = Duration::from_millis(u64::from(failed_ms_ago));
+        if let Some(failed_at) = now.checked_sub(ago) {
+            node.feed.record_source_failure(failed_at);
+        }
+    }
+    if !sample.is_usable(node.feed.depth(&node.settings.node)) {
+        return Err(FollowError::Stale(sample));
+    }
+    node.feed.record_contact();
+    for delta in response.tables {
+        let confirmed_at = now.saturating_sub(age_of(&delta));
+        intake.take(delta.table, decode_delta(delta), confirmed_at);
+    }
+    Ok(())
+}
+
+fn log_followed(intake: &FeedIntake, source: &FeedMember) {
+    let line = LogLine::new(EventCode::FeedFollowed).text("source", source.node.as_str());
+    intake.node.log(&line);
+}
+
+fn log_source_lost(intake: &FeedIntake, source: &FeedMember, error: &FollowError) {
+    let line = LogLine::new(EventCode::FeedSourceLost)
+        .text("source", source.node.as_str())
+        .text("reason", &error.to_string());
+    intake.node.log(&line);
+}
--- /dev/null
+++ b/crates/gateway/src/feed/intake.rs
@@ -0,0 +1,76 @@
+//! Takes in what was read from the store or passed on by another node.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use events::{EventCode, LogLine};
+use serving::feed::{StoreRow, TableDelta};
+use wire::feed::FeedTable;
+
+use super::watchers::{ConfigWatcher, RegistryWatcher};
+use crate::heartbeat::count_nodes;
+use crate::node::GatewayNode;
+
+/// Applies changes to a node's copies and to the state derived from them.
+pub struct FeedIntake {
+    /// The node.
+    pub node: Rc<GatewayNode>,
+    config: ConfigWatcher,
+    registry: RefCell<RegistryWatcher>,
+}
+
+impl FeedIntake {
+    /// Creates the intake of a node that has read nothing yet.
+    #[must_use]
+    pub fn new(node: Rc<GatewayNode>) -> Self {
+        Self {
+            config: ConfigWatcher::new(Rc::clone(&node)),
+            registry: RefCell::new(RegistryWatcher::new(Rc::clone(&node))),
+            node,
+        }
+    }
+
+    /// Takes in changes that the store confirmed at `confirmed_at`.
+    pub fn take(&self, table: FeedTable, delta: TableDelta, confirmed_at: Duration) {
+        if delta.is_full && table == FeedTable::Registry {
+            let rows = u64::try_from(delta.rows.len()).unwrap_or(u64::MAX);
+            let line = LogLine::new(EventCode::RegistryRead)
+                .number("rows", rows)
+                .number("row_version", delta.version.0);
+            self.node.log(&line);
+        }
+        let version = delta.version;
+        let changed = self.node.feed.take(table, delta, confirmed_at);
+        self.apply_changed(table, &changed);
+        match table {
+            FeedTable::Config => {}
+            FeedTable::Registry => self.registry.borrow_mut().confirm(version, confirmed_at),
+            FeedTable::Nodes => count_nodes(&self.node),
+        }
+        if !changed.is_empty() && table != FeedTable::Nodes {
+            self.node.feed.advanced.notify_waiters();
+        }
+    }
+
+    fn apply_changed(&self, table: FeedTable, changed: &[StoreRow]) {
+        for row in changed {
+            match table {
+                FeedTable::Config => self.config.apply_row(row),
+                FeedTable::Registry => self.registry.borrow_mut().apply_row(row),
+                FeedTable::Nodes => {}
+            }
+        }
+    }
+
+    /// Records that the store could not be reached.
+    ///
+    /// Only the registry counts, whose calls follow each other closely; what another table lacks
+    /// shows in its age.
+    pub fn store_failed(&self, table: FeedTable) {
+        if table == FeedTable::Registry {
+            self.node.feed.record_failure(self.node.now());
+            self.node.mark_store_unreachable();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/feed/mod.rs
@@ -0,0 +1,21 @@
+//! Keeps the configuration, the registry and the heartbeats current.
+//!
+//! In a large deployment a few nodes read the store and pass its changes on along a tree
+//! ([`serving::feed`]); the others follow a node of their failure domain ([`follow`], [`serve`]). A
+//! node reads the store itself ([`direct`]) while it has no source that is recent enough, so the
+//! store remains the truth, and no node depends on another one for longer than a source's maximum
+//! age.
+
+mod direct;
+mod follow;
+mod intake;
+mod messages;
+mod serve;
+mod state;
+mod watchers;
+
+pub use direct::read_directly;
+pub use follow::follow_sources;
+pub use intake::FeedIntake;
+pub use serve::serve_links;
+pub use state::{COUNT_INTERVAL, FeedMember, FeedState};
--- /dev/null
+++ b/crates/gateway/src/feed/serve.rs
@@ -0,0 +1,163 @@
+//! Passes on the changes of the store to the nodes that follow this one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use domain::RowVersion;
+use events::{EventCode, LogLine};
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::{Request, StatusCode};
+use peers::auth::FrameAuthenticator;
+use peers::error::LinkError;
+use peers::transport::{self, read_stream, respond_error, respond_ok};
+use peers::{AcceptedConnections, ConnectionPlace};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
+use wire::feed::{
+    FeedDelta, FeedRequest, FeedResponse, FeedTable, MAX_FEED_REQUEST_BYTES, MAX_FEED_TABLES,
+};
+use wire::peer::{
+    MAX_HELLO_BYTES, PeerHello, decode_message, encode_message, negotiate_version,
+};
+
+use super::messages::{encode_delta, encode_millis};
+use crate::node::GatewayNode;
+
+/// Maximum time that a response waits for a change, whatever the request says.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+
+/// Delay after a failed accept, which prevents a busy loop when file descriptors run out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// State of an accepted connection.
+struct LinkSession {
+    place: ConnectionPlace,
+    /// None before the hello.
+    auth: Option<FrameAuthenticator>,
+}
+
+/// Accepts links of other nodes; never returns.
+pub async fn serve_links(node: Rc<GatewayNode>, listener: TcpListener) {
+    let connections = AcceptedConnections::default();
+    loop {
+        let Ok((stream, address)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        let node = Rc::clone(&node);
+        connections.admit(|place| {
+            let serving = async move {
+                let outcome = serve_link(&node, stream, place).await;
+                // Links also end when the other node stops or changes its source.
+                if let Err(error @ (LinkError::Auth(_) | LinkError::TooLarge(_))) = outcome {
+                    log_refused(&node, address, &error);
+                }
+            };
+            tokio::task::spawn_local(serving).abort_handle()
+        });
+    }
+}
+
+async fn serve_link(
+    node: &GatewayNode,
+    stream: TcpStream,
+    place: ConnectionPlace,
+) -> Result<(), LinkError> {
+    stream.set_nodelay(true)?;
+    let session = Mutex::new(LinkSession { place, auth: None });
+    let session = &session;
+    transport::serve_requests(stream, |request, responder| async move {
+        let mut state = session.lock().await;
+        handle_request(node, &mut state, request, responder).await
+    })
+    .await
+}
+
+async fn handle_request(
+    node: &GatewayNode,
+    session: &mut LinkSession,
+    request: Request<RecvStream>,
+    responder: SendResponse<Bytes>,
+) -> Result<(), LinkError> {
+    let path = request.uri().path().to_owned();
+    let body = request.into_body();
+    match (path.as_str(), &mut session.auth) {
+        ("/hello", empty @ None) => {
+            let bytes = read_stream(body, MAX_HELLO_BYTES).await?;
+            let hello: PeerHello = decode_message::<_, MAX_HELLO_BYTES>(&bytes)?;
+            let Some(version) = negotiate_version(&hello) else {
+                return respond_error(responder, StatusCode::UPGRADE_REQUIRED);
+            };
+            let own = &node.settings.node;
+            let (auth, welcome) = transport::accept_hello(&node.feed.key, own, &hello, version);
+            *empty = Some(auth);
+            respond_ok(responder, encode_message(&welcome)?)
+        }
+        ("/feed", Some(auth)) => {
+            let bytes = read_stream(body, MAX_FEED_REQUEST_BYTES).await?;
+            let frame = auth.verify::<MAX_FEED_REQUEST_BYTES>(&bytes)?;
+            if !session.place.record_proof() {
+                return respond_error(responder, StatusCode::SERVICE_UNAVAILABLE);
+            }
+            let request: FeedRequest =
+                decode_message::<_, MAX_FEED_REQUEST_BYTES>(&frame.payload)?;
+            wait_for_change(node, &request).await;
+            let response = build_response(node, &request);
+            respond_ok(responder, auth.sign(encode_message(&response)?)?)
+        }
+        _ => respond_error(responder, StatusCode::NOT_FOUND),
+    }
+}
+
+/// Waits until there is something to pass on that the sender should know at once.
+async fn wait_for_change(node: &GatewayNode, request: &FeedRequest) {
+    let wait = Duration::from_millis(u64::from(request.wait_ms)).min(MAX_WAIT);
+    let changed = async {
+        loop {
+            let advanced = node.feed.advanced.notified();
+            if has_news(node, request) {
+                return;
+            }
+            advanced.await;
+        }
+    };
+    drop(tokio::time::timeout(wait, changed).await);
+}
+
+fn has_news(node: &GatewayNode, request: &FeedRequest) -> bool {
+    request.tables.iter().any(|position| {
+        let is_urgent = position.table != FeedTable::Nodes;
+        let known = position.known.map(RowVersion);
+        is_urgent && node.feed.copy(position.table).borrow().has_news(known)
+    })
+}
+
+fn build_response(node: &GatewayNode, request: &FeedRequest) -> FeedResponse {
+    let now = node.now();
+    let mut tables: Vec<FeedDelta> = Vec::new();
+    for position in request.tables.iter().take(MAX_FEED_TABLES) {
+        let copy = node.feed.copy(position.table).borrow();
+        let known = position.known.map(RowVersion);
+        let Some(delta) = copy.delta_since(known) else {
+            continue;
+        };
+        tables.push(encode_delta(position.table, delta, copy.age(now)));
+    }
+    let failed_ago = node.feed.failed_at().map(|at| now.saturating_sub(at));
+    FeedResponse {
+        is_cut_off: node.feed.is_cut_off(),
+        failed_ms_ago: failed_ago.map(encode_millis),
+        tables,
+    }
+}
+
+fn log_refused(node: &GatewayNode, address: SocketAddr, error: &LinkError) {
+    node.metrics.record_link_refused();
+    let line = LogLine::new(EventCode::FeedLinkRefused)
+        .text("address", &address.to_string())
+        .text("reason", &error.to_string());
+    node.log(&line);
+}
--- /dev/null
+++ b/crates/gateway/src/feed/state.rs
@@ -0,0 +1,227 @@
+//! What a node knows of the store's tables, and from which other nodes it can learn of changes.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use domain::NodeId;
+use peers::SharedKey;
+use serving::feed::{StoreRow, TableCopy, TableDelta, feed_order, feed_sources, tree_depth};
+use tokio::sync::Notify;
+use wire::feed::FeedTable;
+
+/// Minimum interval between two counts of the nodes.
+pub const COUNT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A node of the same failure domain that accepts links.
+#[derive(Debug, Clone)]
+pub struct FeedMember {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Address at which it accepts links.
+    pub address: SocketAddr,
+    /// Key that proves to it, and that it proves, that both read the same store.
+    pub key: SharedKey,
+}
+
+/// Copies of the store's tables, and the nodes that pass on their changes.
+#[derive(Debug)]
+pub struct FeedState {
+    /// Key of this process, which other nodes find in its heartbeat.
+    pub key: SharedKey,
+    /// The same key as text, for the heartbeat.
+    pub key_text: String,
+    /// Notified when the configuration or the registry has changed.
+    pub advanced: Notify,
+    /// Notified when the node starts or stops following a source.
+    pub mode_changed: Notify,
+    /// Notified when a store call succeeded after failures.
+    pub regained: Notify,
+    config: RefCell<TableCopy>,
+    registry: RefCell<TableCopy>,
+    nodes: RefCell<TableCopy>,
+    address: Cell<Option<SocketAddr>>,
+    is_following: Cell<bool>,
+    is_cut_off: Cell<bool>,
+    failed_at: Cell<Option<Duration>>,
+    counted_at: Cell<Option<Duration>>,
+    /// Nodes of the failure domain, this one included, in the order of the tree.
+    order: RefCell<Vec<NodeId>>,
+    /// Those of them that accept links.
+    members: RefCell<Vec<FeedMember>>,
+}
+
+impl FeedState {
+    /// Creates the state of a process that has read nothing yet, with a key of its own.
+    ///
+    /// # Panics
+    ///
+    /// Never: the generated key has the required length.
+    #[must_use]
+    pub fn new() -> Self {
+        let key_text = format!("{:032x}", rand::random::<u128>());
+        let key = SharedKey::new(&key_text)
+            .unwrap_or_else(|_| unreachable!("a key of 32 characters is long enough"));
+        Self {
+            key,
+            key_text,
+            advanced: Notify::new(),
+            mode_changed: Notify::new(),
+            regained: Notify::new(),
+            config: RefCell::default(),
+            registry: RefCell::default(),
+            nodes: RefCell::default(),
+            address: Cell::default(),
+            is_following: Cell::default(),
+            is_cut_off: Cell::default(),
+            failed_at: Cell::default(),
+            counted_at: Cell::default(),
+            order: RefCell::default(),
+            members: RefCell::default(),
+        }
+    }
+
+    /// Copy of a table.
+    #[must_use]
+    pub fn copy(&self, table: FeedTable) -> &RefCell<TableCopy> {
+        match table {
+            FeedTable::Config => &self.config,
+            FeedTable::Registry => &self.registry,
+            FeedTable::Nodes => &self.nodes,
+        }
+    }
+
+    /// Takes changes into the copy of a table; returns the rows that changed.
+    pub fn take(
+        &self,
+        table: FeedTable,
+        delta: TableDelta,
+        confirmed_at: Duration,
+    ) -> Vec<StoreRow> {
+        let mut copy = self.copy(table).borrow_mut();
+        let changed = if delta.is_full {
+            copy.replace(delta.rows, delta.version)
+        } else {
+            let rows = delta.rows.into_iter();
+            rows.filter(|row| copy.apply(row)).collect()
+        };
+        copy.confirm(delta.version, confirmed_at);
+        changed
+    }
+
+    /// Whether the nodes should be counted now, which takes a pass over all heartbeats.
+    pub fn begin_count(&self, now: Duration) -> bool {
+        let is_due = self
+            .counted_at
+            .get()
+            .is_none_or(|at| now.saturating_sub(at) >= COUNT_INTERVAL);
+        if is_due {
+            self.counted_at.set(Some(now));
+        }
+        is_due
+    }
+
+    /// Address at which this node accepts links; `None` if it accepts none.
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.address.get()
+    }
+
+    /// Sets the address at which this node accepts links.
+    pub fn set_address(&self, address: SocketAddr) {
+        self.address.set(Some(address));
+    }
+
+    /// Whether another node passes on the changes of the store.
+    #[must_use]
+    pub fn is_following(&self) -> bool {
+        self.is_following.get()
+    }
+
+    /// Records whether another node passes on the changes of the store.
+    pub fn set_following(&self, is_following: bool) {
+        if self.is_following.replace(is_following) != is_following {
+            self.mode_changed.notify_waiters();
+        }
+    }
+
+    /// Whether the last attempt to learn of changes failed.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off.get()
+    }
+
+    /// Records that an attempt to learn of changes succeeded.
+    pub fn record_contact(&self) {
+        if self.is_cut_off.replace(false) {
+            self.regained.notify_waiters();
+        }
+    }
+
+    /// Records that a call to the store failed, at this time.
+    pub fn record_failure(&self, now: Duration) {
+        self.is_cut_off.set(true);
+        self.failed_at.set(Some(now));
+    }
+
+    /// When a call to the store last failed, here or at a node that passed on its changes.
+    #[must_use]
+    pub fn failed_at(&self) -> Option<Duration> {
+        self.failed_at.get()
+    }
+
+    /// Records a failure of which a source told.
+    pub fn record_source_failure(&self, failed_at: Duration) {
+        self.failed_at
+            .set(self.failed_at.get().max(Some(failed_at)));
+    }
+
+    /// Sets the live nodes of the failure domain, and those that accept links.
+    pub fn set_members(&self, domain: &str, nodes: &[NodeId], members: Vec<FeedMember>) {
+        let names = nodes.iter().map(NodeId::as_str);
+        let order = feed_order(domain, names);
+        let order = order.into_iter().filter_map(|name| name.parse().ok());
+        *self.order.borrow_mut() = order.collect();
+        *self.members.borrow_mut() = members;
+    }
+
+    /// Position of a node in the tree of its failure domain; `None` before it is counted.
+    fn rank(&self, node: &NodeId) -> Option<usize> {
+        self.order.borrow().iter().position(|other| other == node)
+    }
+
+    /// Number of levels between the store and this node.
+    #[must_use]
+    pub fn depth(&self, node: &NodeId) -> u32 {
+        self.rank(node).map_or(0, tree_depth)
+    }
+
+    /// Nodes that this one may follow, the preferred one first.
+    #[must_use]
+    pub fn sources(&self, node: &NodeId) -> Vec<FeedMember> {
+        let Some(rank) = self.rank(node) else {
+            return Vec::new();
+        };
+        let order = self.order.borrow();
+        let members = self.members.borrow();
+        let mut sources = Vec::new();
+        for source in feed_sources(rank, order.len()) {
+            let member = members.iter().find(|member| member.node == order[source]);
+            sources.extend(member.cloned());
+        }
+        sources
+    }
+
+    /// Whether this node reads the store for the others of a large failure domain.
+    #[must_use]
+    pub fn is_root(&self, node: &NodeId) -> bool {
+        let order = self.order.borrow();
+        order.len() >= serving::feed::MIN_FOLLOWING_NODES && order.first() == Some(node)
+    }
+}
+
+impl Default for FeedState {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/feed/watchers.rs
@@ -0,0 +1,128 @@
+//! What follows from changed rows of the configuration and the registry.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::config::CONFIG_KEY;
+use adapter::{decode_config, decode_target};
+use domain::{HostId, RowVersion};
+use events::{EventCode, LogLine};
+use serving::feed::StoreRow;
+
+use crate::node::{EntryIntake, GatewayNode};
+use crate::probe::{probe_unlisted, refresh_contradicted};
+
+/// Time after an outage of the store in which missing entries do not count as removed: live targets
+/// write their entries again within it.
+const RECOVERY_GRACE: Duration = Duration::from_millis(2300);
+
+/// Puts configurations into force.
+pub(super) struct ConfigWatcher {
+    node: Rc<GatewayNode>,
+}
+
+impl ConfigWatcher {
+    pub fn new(node: Rc<GatewayNode>) -> Self {
+        Self { node }
+    }
+
+    /// Applies one changed row.
+    pub fn apply_row(&self, row: &StoreRow) {
+        let Some(bytes) = row.value.as_ref().filter(|_| row.key == CONFIG_KEY) else {
+            return;
+        };
+        let config = match decode_config(bytes) {
+            Ok(config) => config,
+            Err(error) => {
+                let line = LogLine::new(EventCode::ConfigUnreadable)
+                    .number("row_version", row.version.0)
+                    .text("reason", &error.to_string());
+                self.node.log(&line);
+                return;
+            }
+        };
+        let revision = config.revision;
+        if self.node.set_config(config) {
+            let line = LogLine::new(EventCode::ConfigApplied).number("revision", revision.0);
+            self.node.log(&line);
+        }
+    }
+}
+
+/// Maintains the known targets.
+pub(super) struct RegistryWatcher {
+    node: Rc<GatewayNode>,
+    /// Targets whose entries were missing soon after an outage of the store.
+    pending_removals: Vec<HostId>,
+}
+
+impl RegistryWatcher {
+    pub fn new(node: Rc<GatewayNode>) -> Self {
+        Self {
+            node,
+            pending_removals: Vec::new(),
+        }
+    }
+
+    fn in_recovery_grace(&self) -> bool {
+        let now = self.node.now();
+        let last_failure = self.node.feed.failed_at();
+        last_failure.is_some_and(|failed_at| now.saturating_sub(failed_at) < RECOVERY_GRACE)
+    }
+
+    fn handle_missing(&mut self, id: HostId) {
+        if self.in_recovery_grace() {
+            self.pending_removals.push(id);
+            return;
+        }
+        self.unlist(id);
+    }
+
+    /// Removes a target from the registry view. One that is still needed is probed, so that it is
+    /// dropped at once if it is dead.
+    fn unlist(&self, id: HostId) {
+        if self.node.unlist_target(&id) {
+            tokio::task::spawn_local(probe_unlisted(Rc::clone(&self.node), id));
+        }
+    }
+
+    /// Applies one changed row.
+    pub fn apply_row(&mut self, row: &StoreRow) {
+        let Some(bytes) = &row.value else {
+            if let Ok(id) = row.key.parse::<HostId>() {
+                self.handle_missing(id);
+            }
+            return;
+        };
+        match decode_target(&row.key, bytes) {
+            Ok(entry) => {
+                self.pending_removals.retain(|id| *id != entry.id);
+                if self.node.apply_listed_target(&entry) == EntryIntake::MembershipWithheld {
+                    refresh_contradicted(&self.node, &entry.id);
+                }
+            }
+            Err(error) => {
+                let line = LogLine::new(EventCode::EntryUnreadable)
+                    .text("host", &row.key)
+                    .number("row_version", row.version.0)
+                    .text("reason", &error.to_string());
+                self.node.log(&line);
+                // An unreadable entry gets no new requests; those already running there continue.
+                if let Ok(id) = row.key.parse::<HostId>() {
+                    self.unlist(id);
+                }
+            }
+        }
+    }
+
+    /// Records that the store confirmed all changes up to a version, at `confirmed_at`.
+    pub fn confirm(&mut self, version: RowVersion, confirmed_at: Duration) {
+        self.node.confirm_registry(version, confirmed_at);
+        if self.in_recovery_grace() {
+            return;
+        }
+        for id in std::mem::take(&mut self.pending_removals) {
+            self.unlist(id);
+        }
+    }
+}
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -8,15 +8,20 @@
 use std::time::Duration;
 
 use adapter::{StoreClient, StoreError};
+use domain::NodeId;
+use peers::SharedKey;
 use serde::{Deserialize, Serialize};
+use serving::feed::TableDelta;
+use wire::feed::FeedTable;
 
+use crate::feed::{COUNT_INTERVAL, FeedMember};
 use crate::node::GatewayNode;
 
 /// Table with one row per node.
-const NODES_TABLE: &str = "nodes";
+pub const NODES_TABLE: &str = "nodes";
 
-/// Heartbeat interval in a small deployment. Each heartbeat costs one write and one read of the
-/// store.
+/// Heartbeat interval in a small deployment. Each heartbeat costs one write of the store, and one
+/// read of a node that follows no other.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Number of nodes up to which the heartbeat interval is constant; above it, the interval grows in
@@ -31,6 +36,12 @@
 /// lost.
 const EXPIRY_INTERVALS: f64 = 2.75;
 
+/// Interval at which a node that others follow reads the heartbeats.
+const ROOT_READ_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Minimum interval between two heartbeats that are due.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Timeout for a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -44,30 +55,53 @@
     /// Whether the node suspects a request of crashing targets.
     #[serde(default)]
     suspects: bool,
+    /// Failure domain of the node.
+    #[serde(default)]
+    domain: String,
+    /// How other nodes link to it; `None` if they can't.
+    #[serde(default)]
+    link: Option<LinkRow>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct LinkRow {
+    address: SocketAddr,
+    /// Key of the process. Only those who can read the store know it.
+    key: String,
 }
 
 /// Writes heartbeats and counts those of other nodes; never returns.
 pub async fn run_heartbeats(node: Rc<GatewayNode>) {
     let mut client = StoreClient::new(node.settings.store);
-    let mut clock = None;
     let mut is_announced = false;
+    let mut written_at = None;
     loop {
-        let result = send_heartbeat(&node, &mut client, clock).await;
-        if result.is_ok() && clock.is_some() && !is_announced {
+        let has_clock = node.store_clock().is_some();
+        let is_due = written_at.is_none_or(|at| {
+            node.now().saturating_sub(at) >= heartbeat_interval(node.node_count())
+        });
+        let mut outcome = Ok(());
+        if has_clock && is_due {
+            outcome = write_heartbeat(&node, &mut client).await;
+            if outcome.is_ok() {
+                written_at = Some(node.now());
+            }
+        }
+        if outcome.is_ok() && !node.feed.is_following() {
+            outcome = read_heartbeats(&node, &mut client).await;
+        }
+        if outcome.is_ok() && has_clock && !is_announced {
             is_announced = true;
             // Other nodes can announce crash records to this one from now on. Those that were
             // written since its first read were announced without it.
             node.crash_records_changed.notify_one();
         }
-        let interval = match &result {
-            Ok(_) if clock.is_some() => heartbeat_interval(node.node_count()),
-            Ok(_) | Err(_) => INITIAL_INTERVAL,
+        let pause = match outcome {
+            Ok(()) if has_clock => next_pause(&node, written_at),
+            Ok(()) => INITIAL_INTERVAL,
+            Err(_) => retry_pause(&node),
         };
-        if let Ok(now) = result {
-            clock = Some((now, node.now()));
-            node.set_store_clock(now);
-        }
-        tokio::time::sleep(interval).await;
+        sleep_counting(&node, pause).await;
     }
 }
 
@@ -77,64 +111,163 @@
     HEARTBEAT_INTERVAL.mul_f64(count(scaled) / count(BASE_INTERVAL_NODES))
 }
 
-type ClockSample = (Duration, Duration);
+/// Time until the next heartbeat is due, or the next read of a node that others follow.
+fn next_pause(node: &GatewayNode, written_at: Option<Duration>) -> Duration {
+    let interval = heartbeat_interval(node.node_count());
+    let due_at = written_at.map_or(Duration::ZERO, |at| at + interval);
+    let pause = due_at.saturating_sub(node.now());
+    let pause = pause.max(RETRY_INTERVAL);
+    if node.feed.is_root(&node.settings.node) {
+        return pause.min(ROOT_READ_INTERVAL);
+    }
+    pause
+}
 
-async fn send_heartbeat(
-    node: &GatewayNode,
-    client: &mut StoreClient,
-    clock: Option<ClockSample>,
-) -> Result<Duration, StoreError> {
-    // The first heartbeat follows the first read, which supplies the store's clock.
-    if let Some((store_time, process_time)) = clock {
-        let now = store_time + node.now().saturating_sub(process_time);
-        let row = NodeRow {
-            clock_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
-            hints: node.hints.address(),
-            suspects: !node.suspects_no_request(),
-        };
-        let value =
-            serde_json::to_vec(&row).map_err(|error| StoreError::Malformed(error.to_string()))?;
-        let name = node.settings.node.as_str();
-        client
-            .put_row(NODES_TABLE, name, &value, STORE_TIMEOUT)
-            .await?;
+/// Time until the next attempt after a failed call: longer for nodes that are farther from the store
+/// in the tree, since the store is probably away for all.
+fn retry_pause(node: &GatewayNode) -> Duration {
+    let depth = node.feed.depth(&node.settings.node);
+    INITIAL_INTERVAL * (1 + 2 * depth)
+}
+
+/// Sleeps, and counts the nodes meanwhile: heartbeats expire without a change.
+async fn sleep_counting(node: &GatewayNode, pause: Duration) {
+    let end = node.now() + pause;
+    while node.now() < end {
+        let left = end.saturating_sub(node.now());
+        tokio::time::sleep(left.min(COUNT_INTERVAL)).await;
+        count_nodes(node);
     }
-    read_heartbeats(node, client).await
 }
 
-/// Counts the live nodes and updates the addresses for hints; returns the store's clock.
+async fn write_heartbeat(node: &GatewayNode, client: &mut StoreClient) -> Result<(), StoreError> {
+    let clock = node.store_clock().unwrap_or_default();
+    let link = node.feed.address().map(|address| LinkRow {
+        address,
+        key: node.feed.key_text.clone(),
+    });
+    let row = NodeRow {
+        clock_ms: u64::try_from(clock.as_millis()).unwrap_or(u64::MAX),
+        hints: node.hints.address(),
+        suspects: !node.suspects_no_request(),
+        domain: node.settings.failure_domain.to_string(),
+        link,
+    };
+    let value =
+        serde_json::to_vec(&row).map_err(|error| StoreError::Malformed(error.to_string()))?;
+    let name = node.settings.node.as_str();
+    client
+        .put_row(NODES_TABLE, name, &value, STORE_TIMEOUT)
+        .await?;
+    Ok(())
+}
+
+/// Reads the heartbeats of all nodes, or those that changed since the last read.
+///
+/// # Errors
+///
+/// [`StoreError`] of the call.
 pub async fn read_heartbeats(
     node: &GatewayNode,
     client: &mut StoreClient,
-) -> Result<Duration, StoreError> {
-    let page = client.read_table(NODES_TABLE, STORE_TIMEOUT).await?;
-    let max_age = heartbeat_interval(page.rows.len()).mul_f64(EXPIRY_INTERVALS);
-    let mut live_nodes = Vec::new();
-    let mut peers = Vec::new();
-    let mut others_suspect = false;
-    for row in &page.rows {
-        let parsed = row
-            .value
-            .as_ref()
-            .map(|value| serde_json::from_slice::<NodeRow>(value));
-        let Some(Ok(parsed)) = parsed else { continue };
-        let age = page
-            .clock
-            .saturating_sub(Duration::from_millis(parsed.clock_ms));
-        if age > max_age {
+) -> Result<(), StoreError> {
+    let known = node.feed.copy(FeedTable::Nodes).borrow().version();
+    let changes = match known {
+        Some(known) => {
+            client
+                .watch_table(NODES_TABLE, known, Duration::ZERO, STORE_TIMEOUT)
+                .await
+        }
+        None => Err(StoreError::Compacted),
+    };
+    let delta = match changes {
+        Ok(response) => TableDelta {
+            version: response.version,
+            is_full: false,
+            rows: response.rows,
+        },
+        Err(StoreError::Compacted) => {
+            let page = client.read_table(NODES_TABLE, STORE_TIMEOUT).await?;
+            node.set_store_clock(page.clock);
+            TableDelta {
+                version: page.version,
+                is_full: true,
+                rows: page.rows,
+            }
+        }
+        Err(error) => return Err(error),
+    };
+    node.feed.take(FeedTable::Nodes, delta, node.now());
+    count_nodes(node);
+    Ok(())
+}
+
+/// Counts the live nodes, and updates the addresses for hints and the tree of the failure domain.
+pub fn count_nodes(node: &GatewayNode) {
+    let Some(clock) = node.store_clock() else {
+        return;
+    };
+    if !node.feed.begin_count(node.now()) {
+        return;
+    }
+    let copy = node.feed.copy(FeedTable::Nodes).borrow();
+    let mut census = NodeCensus::default();
+    let max_age = heartbeat_interval(copy.values().count()).mul_f64(EXPIRY_INTERVALS);
+    for (name, value) in copy.values() {
+        // A malformed row counts for no node; the next heartbeat replaces it.
+        let Ok(row) = serde_json::from_slice::<NodeRow>(value) else {
             continue;
+        };
+        let age = clock.saturating_sub(Duration::from_millis(row.clock_ms));
+        if age <= max_age {
+            census.add(node, name, row);
         }
-        live_nodes.push(row.key.clone());
-        let is_other = row.key != node.settings.node.as_str();
-        peers.extend(parsed.hints.filter(|_| is_other));
-        others_suspect |= is_other && parsed.suspects;
     }
+    drop(copy);
     // The datagrams that announced the crash records were lost.
-    if others_suspect && node.suspects_no_request() {
+    if census.others_suspect && node.suspects_no_request() {
         node.crash_records_changed.notify_one();
     }
-    node.hints.set_peers(peers);
-    live_nodes.sort();
-    node.set_live_nodes(live_nodes);
-    Ok(page.clock)
+    node.hints.set_peers(census.hint_addresses);
+    let domain = node.settings.failure_domain.as_str();
+    node.feed
+        .set_members(domain, &census.domain_nodes, census.members);
+    census.names.sort();
+    node.set_live_nodes(census.names);
+}
+
+/// What the heartbeats tell.
+#[derive(Debug, Default)]
+struct NodeCensus {
+    names: Vec<String>,
+    hint_addresses: Vec<SocketAddr>,
+    others_suspect: bool,
+    /// Nodes of the failure domain, this one included.
+    domain_nodes: Vec<NodeId>,
+    /// Those of them that accept links.
+    members: Vec<FeedMember>,
+}
+
+impl NodeCensus {
+    fn add(&mut self, node: &GatewayNode, name: &str, row: NodeRow) {
+        self.names.push(name.to_owned());
+        let is_other = name != node.settings.node.as_str();
+        self.hint_addresses.extend(row.hints.filter(|_| is_other));
+        self.others_suspect |= is_other && row.suspects;
+        if row.domain != node.settings.failure_domain.as_str() {
+            return;
+        }
+        let (Ok(id), Some(link)) = (name.parse::<NodeId>(), row.link) else {
+            return;
+        };
+        self.domain_nodes.push(id.clone());
+        let Ok(key) = SharedKey::new(&link.key) else {
+            return;
+        };
+        self.members.push(FeedMember {
+            node: id,
+            address: link.address,
+            key,
+        });
+    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod admitted;
 mod crash;
 mod crash_records;
+mod feed;
 mod handle;
 mod heartbeat;
 mod hints;
@@ -25,7 +26,6 @@
 mod send;
 mod settings;
 mod usage;
-mod watch;
 
 pub use hints::{HostHash, LoadHint};
 pub use run::run_gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -88,6 +88,7 @@
     time_to_first_send: Histogram<f64>,
     order_duration: Histogram<f64>,
     store_call_duration: Histogram<f64>,
+    links_refused: Counter<u64>,
     stranded_time: Counter<f64>,
     downtime: Counter<f64>,
     gauges: [(Gauge<f64>, ReadStat); 14],
@@ -117,6 +118,7 @@
                 &meter,
                 "bramleyspring.gateway.store_call.duration",
             ),
+            links_refused: counter("bramleyspring.gateway.link.refused"),
             stranded_time: seconds_counter("bramleyspring.gateway.host.stranded_time"),
             downtime: seconds_counter("bramleyspring.gateway.replica.downtime"),
             gauges: gauges(&meter),
@@ -173,6 +175,11 @@
         self.store_call_duration.record(took.as_secs_f64(), &labels);
     }
 
+    /// Counts a refused link of another node.
+    pub fn record_link_refused(&self) {
+        self.links_refused.add(1, &[]);
+    }
+
     /// Adds the time that hosts were stranded and replicas not serving, summed over hosts and
     /// replicas.
     pub fn add_lost_time(&self, stranded: Duration, downtime: Duration) {
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::crash::InterruptedRequests;
+use crate::feed::FeedState;
 use crate::hints::{HintChannel, HostHash};
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
@@ -47,6 +48,8 @@
     pub pool: ConnectionPool,
     /// Channel for load hints to other nodes.
     pub hints: HintChannel,
+    /// Copies of the store's tables, and the nodes that pass on their changes.
+    pub feed: FeedState,
     /// Wakes the replica reconciler after a state change.
     pub state_changed: Notify,
     /// Notified when a request or client connection ends.
@@ -125,6 +128,7 @@
         Self {
             settings,
             hints,
+            feed: FeedState::new(),
             sink,
             metrics,
             pool: ConnectionPool::default(),
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -10,13 +10,13 @@
 use super::GatewayNode;
 
 impl GatewayNode {
-    /// Records that the registry is known up to a version.
-    pub fn confirm_registry(&self, version: RowVersion) {
+    /// Records that the store confirmed the registry up to a version, at `confirmed_at`.
+    pub fn confirm_registry(&self, version: RowVersion, confirmed_at: Duration) {
         let is_first = self.registry_version.get().is_none();
         if is_first || self.is_store_unreachable() {
             self.mark_store_reachable();
         }
-        self.registry_confirmed_at.set(self.now());
+        self.registry_confirmed_at.set(confirmed_at);
         if self
             .registry_version
             .get()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,12 +9,14 @@
 use serving::ShutdownPlan;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
+use wire::feed::FeedTable;
 
+use crate::feed::FeedIntake;
 use crate::hints::{HintChannel, receive_hints};
 use crate::metrics::GatewayMetrics;
 use crate::node::GatewayNode;
 use crate::settings::GatewaySettings;
-use crate::{crash_records, heartbeat, listen, probe, reconcile, watch};
+use crate::{crash_records, feed, heartbeat, listen, probe, reconcile};
 
 /// Interval for checking whether a process that is shutting down may exit.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -54,6 +56,17 @@
     let hints = HintChannel::new(hints);
     let node = GatewayNode::new(settings, sink, GatewayMetrics::new()?, hints);
     let node = Rc::new(node);
+    let links = match listen.links {
+        Some(address) => Some(listen::bind_tcp(address).await?),
+        None => None,
+    };
+    let link_address = match &links {
+        Some(listener) => Some(listener.local_addr()?),
+        None => None,
+    };
+    if let Some(address) = link_address {
+        node.feed.set_address(address);
+    }
     let hint_address = node.hints.address().map(|address| address.to_string());
     node.log(
         &LogLine::new(EventCode::NodeStarted)
@@ -61,14 +74,20 @@
             .text("requests", &requests.local_addr()?.to_string())
             .text("readiness", &readiness.local_addr()?.to_string())
             .text("metrics", &metrics.local_addr()?.to_string())
-            .text("hints", hint_address.as_deref().unwrap_or("none")),
+            .text("hints", hint_address.as_deref().unwrap_or("none"))
+            .text(
+                "links",
+                link_address
+                    .map(|address| address.to_string())
+                    .as_deref()
+                    .unwrap_or("none"),
+            ),
     );
     spawn_local(listen::serve_clients(Rc::clone(&node), requests));
     spawn_status_listeners(&node, readiness, metrics);
-    spawn_local(watch::watch_config(Rc::clone(&node)));
-    spawn_local(watch::watch_registry(Rc::clone(&node)));
-    spawn_local(receive_hints(Rc::clone(&node)));
+    spawn_feed(&node, links);
     spawn_local(heartbeat::run_heartbeats(Rc::clone(&node)));
+    spawn_local(receive_hints(Rc::clone(&node)));
     spawn_local(crash_records::watch_crash_records(Rc::clone(&node)));
     spawn_local(reconcile::reconcile_replicas(Rc::clone(&node)));
     spawn_local(probe::watch_for_stalls(Rc::clone(&node)));
@@ -81,6 +100,17 @@
     Ok(())
 }
 
+fn spawn_feed(node: &Rc<GatewayNode>, links: Option<tokio::net::TcpListener>) {
+    let intake = Rc::new(FeedIntake::new(Rc::clone(node)));
+    for table in [FeedTable::Config, FeedTable::Registry] {
+        spawn_local(feed::read_directly(Rc::clone(&intake), table));
+    }
+    if let Some(listener) = links {
+        spawn_local(feed::serve_links(Rc::clone(node), listener));
+        spawn_local(feed::follow_sources(intake));
+    }
+}
+
 fn spawn_status_listeners(
     node: &Rc<GatewayNode>,
     readiness: tokio::net::TcpListener,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,10 @@
     /// Load hints from other nodes, as UDP datagrams. If absent, none are sent or received.
     #[serde(default)]
     pub hints: Option<SocketAddr>,
+    /// Links of other nodes of the failure domain, over which nodes pass on changes of the store.
+    /// If absent, the node follows no other and none follows it.
+    #[serde(default)]
+    pub links: Option<SocketAddr>,
 }
 
 /// Limits set by the platform.
@@ -98,13 +102,14 @@
 }
 
 /// All settings with their types, for validation.
-const FIELDS: [(&str, SettingKind); 14] = [
+const FIELDS: [(&str, SettingKind); 15] = [
     ("node", SettingKind::Name),
     ("failure_domain", SettingKind::Name),
     ("listen.requests", SettingKind::Address),
     ("listen.readiness", SettingKind::Address),
     ("listen.metrics", SettingKind::Address),
     ("listen.hints", SettingKind::OptionalAddress),
+    ("listen.links", SettingKind::OptionalAddress),
     ("store", SettingKind::Address),
     ("first_start", SettingKind::Flag),
     ("bounds.stop_grace_s", SettingKind::NonNegative),
--- /dev/null
+++ b/crates/serving/src/feed/copy.rs
@@ -0,0 +1,215 @@
+//! A node's copy of one table of the store, from which it answers other nodes.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use bytes::Bytes;
+use domain::{FastSet, RowVersion};
+
+/// Number of removed rows that are remembered, which bounds the memory of a copy. A node that
+/// misses more of them gets the whole table.
+const MAX_TOMBSTONES: usize = 4096;
+
+/// Number of gaps between reads of the whole table that are remembered.
+const MAX_GAPS: usize = 8;
+
+/// A row of a copied table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreRow {
+    /// Key within the table.
+    pub key: String,
+    /// Value as the store holds it; `None` if the row was removed.
+    pub value: Option<Bytes>,
+    /// Version of the last write.
+    pub version: RowVersion,
+}
+
+/// What another node lacks of a table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TableDelta {
+    /// Version up to which the receiver knows the table afterwards.
+    pub version: RowVersion,
+    /// Whether these are all rows of the table, so that any other row was removed.
+    pub is_full: bool,
+    /// Rows in the order of their versions.
+    pub rows: Vec<StoreRow>,
+}
+
+#[derive(Debug, Clone)]
+struct StoredRow {
+    value: Option<Bytes>,
+    version: RowVersion,
+}
+
+/// Copy of a table, with the versions of the store. A row is never replaced by an older one.
+#[derive(Debug, Clone, Default)]
+pub struct TableCopy {
+    rows: BTreeMap<String, StoredRow>,
+    /// Keys by the version of their last write.
+    by_version: BTreeSet<(RowVersion, String)>,
+    tombstones: BTreeSet<(RowVersion, String)>,
+    /// Version before which removals may have been forgotten.
+    horizon: Option<RowVersion>,
+    /// Versions before and after reads of the whole table that followed unseen changes. Rows that
+    /// came and went in between are not known here, but may be to a node that saw them come.
+    gaps: VecDeque<(RowVersion, RowVersion)>,
+    version: Option<RowVersion>,
+    confirmed_at: Duration,
+}
+
+impl TableCopy {
+    /// Version up to which the table is known; `None` before the first read.
+    #[must_use]
+    pub fn version(&self) -> Option<RowVersion> {
+        self.version
+    }
+
+    /// Time since the store last confirmed this version, through however many nodes.
+    #[must_use]
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.confirmed_at)
+    }
+
+    /// Values of the rows that are not removed, with their keys.
+    pub fn values(&self) -> impl Iterator<Item = (&str, &Bytes)> {
+        let rows = self.rows.iter();
+        rows.filter_map(|(key, row)| Some((key.as_str(), row.value.as_ref()?)))
+    }
+
+    /// Applies a row; returns false if the copy holds the same version or a newer one.
+    pub fn apply(&mut self, row: &StoreRow) -> bool {
+        let held = self.rows.get(&row.key);
+        if let Some(held) = held {
+            if held.version >= row.version {
+                return false;
+            }
+            let old = (held.version, row.key.clone());
+            self.by_version.remove(&old);
+            self.tombstones.remove(&old);
+        }
+        let indexed = (row.version, row.key.clone());
+        if row.value.is_none() {
+            self.tombstones.insert(indexed.clone());
+        }
+        self.by_version.insert(indexed);
+        let stored = StoredRow {
+            value: row.value.clone(),
+            version: row.version,
+        };
+        self.rows.insert(row.key.clone(), stored);
+        self.forget_old_tombstones();
+        true
+    }
+
+    /// Applies a read of the whole table as of `version`: rows that it lacks were removed, unless
+    /// they are newer. Returns the rows that changed.
+    pub fn replace(&mut self, rows: Vec<StoreRow>, version: RowVersion) -> Vec<StoreRow> {
+        let present: FastSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        let held = self.rows.iter();
+        let gone = held.filter(|(key, row)| {
+            row.value.is_some() && row.version <= version && !present.contains(key.as_str())
+        });
+        let gone: Vec<StoreRow> = gone
+            .map(|(key, row)| StoreRow {
+                key: key.clone(),
+                value: None,
+                // Newer than the row, however the versions of the two compare.
+                version: version.max(RowVersion(row.version.0 + 1)),
+            })
+            .collect();
+        let mut changed = rows;
+        changed.extend(gone);
+        changed.retain(|row| self.apply(row));
+        self.record_gap(version);
+        changed
+    }
+
+    fn record_gap(&mut self, version: RowVersion) {
+        let Some(before) = self.version else {
+            self.horizon = Some(version);
+            return;
+        };
+        self.gaps.push_back((before, version));
+        if self.gaps.len() > MAX_GAPS {
+            let oldest = self.gaps.pop_front();
+            self.horizon = self.horizon.max(oldest.map(|(_, after)| after));
+        }
+    }
+
+    /// Whether all removals since this version are known.
+    fn is_complete_since(&self, known: RowVersion) -> bool {
+        let in_gap = |(before, after): &(RowVersion, RowVersion)| *before < known && known < *after;
+        self.horizon.is_some_and(|horizon| known >= horizon) && !self.gaps.iter().any(in_gap)
+    }
+
+    /// Records that the store confirmed the table up to `version`, at `confirmed_at`.
+    pub fn confirm(&mut self, version: RowVersion, confirmed_at: Duration) {
+        if self.version.is_some_and(|known| known > version) {
+            return;
+        }
+        self.version = Some(version);
+        self.confirmed_at = self.confirmed_at.max(confirmed_at);
+    }
+
+    /// What a node that knows the table up to `known` lacks; `None` before the first read.
+    #[must_use]
+    pub fn delta_since(&self, known: Option<RowVersion>) -> Option<TableDelta> {
+        let version = self.version?;
+        let after = known.filter(|known| self.is_complete_since(*known));
+        let rows = match after {
+            Some(after) => {
+                let first = (RowVersion(after.0 + 1), String::new());
+                self.rows_of(self.by_version.range(first..), true)
+            }
+            None => self.rows_of(self.by_version.iter(), false),
+        };
+        Some(TableDelta {
+            version,
+            is_full: after.is_none(),
+            rows,
+        })
+    }
+
+    /// Whether a node that knows the table up to `known` lacks a change.
+    #[must_use]
+    pub fn has_news(&self, known: Option<RowVersion>) -> bool {
+        let Some(known) = known else {
+            return self.version.is_some();
+        };
+        let newest = self.by_version.last();
+        newest.is_some_and(|(version, _)| *version > known)
+    }
+
+    fn rows_of<'a>(
+        &self,
+        keys: impl Iterator<Item = &'a (RowVersion, String)>,
+        with_removed: bool,
+    ) -> Vec<StoreRow> {
+        let mut rows = Vec::new();
+        for (version, key) in keys {
+            let Some(row) = self.rows.get(key) else {
+                continue;
+            };
+            if row.value.is_none() && !with_removed {
+                continue;
+            }
+            rows.push(StoreRow {
+                key: key.clone(),
+                value: row.value.clone(),
+                version: *version,
+            });
+        }
+        rows
+    }
+
+    fn forget_old_tombstones(&mut self) {
+        while self.tombstones.len() > MAX_TOMBSTONES {
+            let Some(oldest) = self.tombstones.pop_first() else {
+                return;
+            };
+            self.rows.remove(&oldest.1);
+            self.by_version.remove(&oldest);
+            self.horizon = self.horizon.max(Some(oldest.0));
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/feed/mod.rs
@@ -0,0 +1,10 @@
+//! Distribution of the store's tables among many nodes: a few read the store, the others get
+//! copies over links.
+
+mod copy;
+mod freshness;
+mod tree;
+
+pub use copy::{StoreRow, TableCopy, TableDelta};
+pub use freshness::{FeedSample, max_source_age};
+pub use tree::{MIN_FOLLOWING_NODES, TREE_FANOUT, feed_order, feed_sources, tree_depth};
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod choose;
 pub mod confirmed;
 pub mod event_stream;
+pub mod feed;
 pub mod hashing;
 pub mod load_budget;
 pub mod plan;
--- /dev/null
+++ b/crates/serving/tests/feed/feed_tree.rs
@@ -0,0 +1,62 @@
+//! Hundreds of nodes that each read the store cost it a call a node; a tree must keep the readers
+//! few and every node reachable whatever single node is lost.
+
+use quickcheck::quickcheck;
+use serving::feed::{MIN_FOLLOWING_NODES, TREE_FANOUT, feed_order, feed_sources, tree_depth};
+
+#[test]
+fn one_reader_per_domain() {
+    for nodes in [8, 21, 64, 67, 137] {
+        let readers = (0..nodes).filter(|rank| feed_sources(*rank, nodes).is_empty());
+        assert_eq!(readers.count(), 1);
+    }
+}
+
+#[test]
+fn few_nodes_read_themselves() {
+    for rank in 0..MIN_FOLLOWING_NODES - 1 {
+        assert!(feed_sources(rank, MIN_FOLLOWING_NODES - 1).is_empty());
+    }
+}
+
+/// Guards against a loss of the root after which all of its children read the store.
+#[test]
+fn deputy_replaces_root() {
+    for rank in 2..=TREE_FANOUT {
+        assert_eq!(feed_sources(rank, 64), vec![0, 1]);
+    }
+    assert_eq!(feed_sources(1, 64), vec![0]);
+}
+
+quickcheck! {
+    /// Guards against nodes that follow each other in a loop and never hear of a change.
+    fn sources_rank_before(rank: u8, nodes: u8) -> bool {
+        let (rank, nodes) = (usize::from(rank), usize::from(nodes));
+        feed_sources(rank, nodes).iter().all(|source| *source < rank)
+    }
+
+    /// Guards against a node whose link carries the changes to a whole failure domain.
+    fn fanout_is_bounded(nodes: u8) -> bool {
+        let nodes = usize::from(nodes);
+        (0..nodes).all(|source| {
+            let follows = |rank: &usize| feed_sources(*rank, nodes).first() == Some(&source);
+            (0..nodes).filter(follows).count() <= TREE_FANOUT
+        })
+    }
+
+    /// Guards against a node that disagrees on the order because it learnt the names differently.
+    fn order_ignores_input_order(names: Vec<u16>) -> bool {
+        let mut names: Vec<String> = names.iter().map(|name| format!("n{name}")).collect();
+        names.sort();
+        names.dedup();
+        let forwards = feed_order("d0", names.iter().map(String::as_str));
+        let backwards = feed_order("d0", names.iter().rev().map(String::as_str));
+        forwards == backwards
+    }
+}
+
+#[test]
+fn depth_grows_by_level() {
+    let depths = [0, 1, 8, 9, 72, 73].map(tree_depth);
+    assert_eq!(depths, [0, 1, 1, 2, 2, 3]);
+}
--- /dev/null
+++ b/crates/serving/tests/feed/main.rs
@@ -0,0 +1,5 @@
+//! Distribution of the store's tables among nodes, without a network.
+
+mod feed_tree;
+mod source_freshness;
+mod table_copy;
--- /dev/null
+++ b/crates/serving/tests/feed/source_freshness.rs
@@ -0,0 +1,63 @@
+//! A node that relies on another one must notice in time that the other knows nothing new.
+
+use std::time::Duration;
+
+use serving::feed::{FeedSample, max_source_age};
+
+/// Shortest time within which a draining target must get no new requests, of all deployments that
+/// are large enough for a tree.
+const DRAIN_BOUND: Duration = Duration::from_secs(3);
+
+const FRESH: FeedSample = FeedSample {
+    age: Duration::from_millis(900),
+    is_cut_off: false,
+    is_behind: false,
+};
+
+#[test]
+fn calm_source_is_usable() {
+    assert!(FRESH.is_usable(1));
+    assert!(FRESH.is_usable(2));
+}
+
+/// Guards against a reader that can't reach the store while its followers believe that nothing
+/// changes, and go on sending to targets that drain.
+#[test]
+fn cut_off_source_is_not() {
+    let sample = FeedSample {
+        is_cut_off: true,
+        ..FRESH
+    };
+    assert!(!sample.is_usable(1));
+}
+
+/// Guards against a node that goes back to an older configuration or registry with its new source.
+#[test]
+fn older_source_is_not() {
+    let sample = FeedSample {
+        is_behind: true,
+        ..FRESH
+    };
+    assert!(!sample.is_usable(1));
+}
+
+/// Guards against followers of a silent reader that notice only after the drain bound.
+#[test]
+fn silence_shows_within_drain_bound() {
+    for depth in 1..=2 {
+        assert!(max_source_age(depth) < DRAIN_BOUND);
+        let sample = FeedSample {
+            age: DRAIN_BOUND,
+            ..FRESH
+        };
+        assert!(!sample.is_usable(depth));
+    }
+}
+
+/// Guards against a whole failure domain that turns to the store at once when its reader falls
+/// silent: the nodes next to it notice first.
+#[test]
+fn upper_levels_notice_first() {
+    assert!(max_source_age(1) < max_source_age(2));
+    assert!(max_source_age(2) < max_source_age(3));
+}
--- /dev/null
+++ b/crates/wire/src/feed.rs
@@ -0,0 +1,78 @@
+//! Messages with which nodes pass on the tables of the store.
+
+use serde::{Deserialize, Serialize};
+
+/// Maximum size of a request in bytes.
+pub const MAX_FEED_REQUEST_BYTES: usize = 1 << 10;
+
+/// Maximum size of a response in bytes: whole tables of the largest deployment.
+pub const MAX_FEED_RESPONSE_BYTES: usize = 8 << 20;
+
+/// Maximum number of tables in a request.
+pub const MAX_FEED_TABLES: usize = 4;
+
+/// A table that nodes pass on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum FeedTable {
+    /// The configuration.
+    Config,
+    /// The registry of targets.
+    Registry,
+    /// Heartbeats of the nodes.
+    Nodes,
+}
+
+/// Asks for the changes of some tables.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedRequest {
+    /// Milliseconds that the response may wait for a change of the configuration or the registry.
+    pub wait_ms: u32,
+    /// What the sender knows.
+    pub tables: Vec<FeedPosition>,
+}
+
+/// How far the sender knows a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedPosition {
+    /// The table.
+    pub table: FeedTable,
+    /// Version of the store up to which it is known; none before the first read.
+    pub known: Option<u64>,
+}
+
+/// Changes of tables.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedResponse {
+    /// Whether the responder's last attempt to learn of changes failed.
+    pub is_cut_off: bool,
+    /// Milliseconds since such an attempt last failed; none if none did.
+    pub failed_ms_ago: Option<u32>,
+    /// One entry per requested table that the responder knows.
+    pub tables: Vec<FeedDelta>,
+}
+
+/// Changes of one table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedDelta {
+    /// The table.
+    pub table: FeedTable,
+    /// Version up to which the table is known with these rows.
+    pub version: u64,
+    /// Milliseconds since the store confirmed that version.
+    pub age_ms: u32,
+    /// Whether these are all rows.
+    pub is_full: bool,
+    /// Rows in the order of their versions.
+    pub rows: Vec<FeedRow>,
+}
+
+/// A row of a table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedRow {
+    /// Key within the table.
+    pub key: String,
+    /// Version of the last write.
+    pub version: u64,
+    /// Value; none if the row was removed.
+    pub value: Option<Vec<u8>>,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod client_api;
 pub mod engine;
+pub mod feed;
 pub mod hostlist;
 pub mod openai;
 pub mod peer;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod shutdown;
 mod site;
 mod store_faults;
+mod store_feed;
 
 /// Path of the built binary.
 const BINARY: &str = env!("CARGO_BIN_EXE_bramleyspring");
--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -23,6 +23,7 @@
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
     pub hints: SocketAddr,
+    pub links: SocketAddr,
     pub log: PathBuf,
     pub unread_output: Option<BufReader<ChildStdout>>,
 }
@@ -60,6 +61,7 @@
         if line["hints"] != "none" {
             self.hints = address("hints");
         }
+        self.links = address("links");
     }
 
     async fn get(&self, address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -74,7 +74,7 @@
 /// Listen addresses on ports chosen by the system.
 fn any_ports() -> Value {
     let any = "127.0.0.1:0";
-    json!({"requests": any, "readiness": any, "metrics": any, "hints": any})
+    json!({"requests": any, "readiness": any, "metrics": any, "hints": any, "links": any})
 }
 
 impl TestSite {
@@ -245,6 +245,7 @@
             readiness: unset,
             metrics: unset,
             hints: unset,
+            links: unset,
             log,
             unread_output: None,
         };
--- /dev/null
+++ b/tests/gateway/store_feed.rs
@@ -0,0 +1,171 @@
+//! Many nodes of one failure domain: one reads the store, and the others follow it.
+
+use std::time::Duration;
+
+use domain::NodeId;
+use http::{Method, Request, StatusCode};
+use serving::feed::feed_order;
+use tokio::net::TcpStream;
+use wire::peer::{NEWEST_VERSION, NONCE_BYTES, OLDEST_VERSION, PeerHello, encode_message};
+
+use crate::node::{TestNode, wait_for};
+use crate::request::TestRequest;
+use crate::site::{TestSite, configuration};
+
+/// Nodes of the domain; enough of them to follow each other.
+const NODES: usize = 9;
+
+/// Time for which calls to the store are counted.
+const CALL_WINDOW: Duration = Duration::from_secs(4);
+
+/// Calls of one node that reads the store by itself: two long polls of two seconds, a heartbeat and
+/// its read every four.
+const CALLS_PER_READER_AND_S: f64 = 1.5;
+
+/// Starts the nodes in the order of the tree, and waits until all but the root follow another.
+async fn following_nodes(site: &TestSite) -> Vec<TestNode> {
+    let names: Vec<String> = (0..NODES).map(|index| format!("n{index}")).collect();
+    let order = feed_order("z0", names.iter().map(String::as_str));
+    let mut nodes = Vec::new();
+    for name in order {
+        nodes.push(site.node(name).await);
+    }
+    for node in &nodes[1..] {
+        node.wait_log_line(&["feed_followed"]).await;
+    }
+    nodes
+}
+
+async fn wait_applied(nodes: &[TestNode], revision: u64) {
+    for node in nodes {
+        let line = format!("\"revision\":{revision}");
+        node.wait_log_line(&["config_applied", &line]).await;
+    }
+}
+
+/// Guards against calls to the store that grow with the nodes: each of them costs, and at hundreds
+/// of nodes they cost more than anything else.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_node_reads() {
+    let site = TestSite::start(0, 1);
+    let nodes = following_nodes(&site).await;
+    // Polls that began before the nodes followed another one end meanwhile.
+    tokio::time::sleep(CALL_WINDOW).await;
+    let before = site.store.calls();
+    tokio::time::sleep(CALL_WINDOW).await;
+    let calls = u32::try_from(site.store.calls() - before).expect("few calls");
+    let count = u32::try_from(nodes.len()).expect("few nodes");
+    let all_reading = CALLS_PER_READER_AND_S * f64::from(count) * CALL_WINDOW.as_secs_f64();
+    assert!(
+        f64::from(calls) < all_reading / 2.0,
+        "{calls} calls of {count} nodes"
+    );
+}
+
+/// Guards against followers that serve with an old configuration, or send to a target that is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_reach_all() {
+    let site = TestSite::start(0, 1);
+    let nodes = following_nodes(&site).await;
+    site.configure(&configuration(8));
+    wait_applied(&nodes, 8).await;
+    site.store.remove("servers", "s0");
+    for node in &nodes {
+        node.wait_log_line(&["target_gone", "s0"]).await;
+    }
+    let response = TestRequest::new("/look/x", "l-1").send(&nodes[NODES - 1]).await;
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// Guards against a failure domain that learns of no change any more once its reader is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn reader_killed() {
+    let site = TestSite::start(0, 1);
+    let mut nodes = following_nodes(&site).await;
+    drop(nodes.remove(0));
+    site.configure(&configuration(8));
+    wait_applied(&nodes, 8).await;
+}
+
+/// Guards against followers that wait for a reader which is suspended: its connections stay open
+/// and its data looks the same. After it wakes nobody goes back to what it last knew.
+#[tokio::test(flavor = "multi_thread")]
+async fn reader_paused() {
+    let site = TestSite::start(0, 1);
+    let nodes = following_nodes(&site).await;
+    nodes[0].signal("STOP");
+    site.configure(&configuration(8));
+    wait_applied(&nodes[1..], 8).await;
+    nodes[0].signal("CONT");
+    wait_applied(&nodes[..1], 8).await;
+    for node in &nodes[1..] {
+        let applied = node.log_lines(&["config_applied"]);
+        let revisions: Vec<u64> = applied
+            .iter()
+            .filter_map(|line| line["revision"].as_u64())
+            .collect();
+        assert!(revisions.is_sorted(), "{revisions:?}");
+    }
+}
+
+/// Guards against a host without the key of a node that gets the configuration with its clients'
+/// keys, or uses up the places of links.
+#[tokio::test(flavor = "multi_thread")]
+async fn stranger_refused() {
+    let site = TestSite::start(0, 1);
+    let node = site.node("n0").await;
+    let stream = TcpStream::connect(node.links).await.expect("node listens");
+    let (mut requests, connection) = h2::client::handshake(stream).await.expect("handshake");
+    tokio::spawn(connection);
+    let hello = PeerHello {
+        newest: NEWEST_VERSION,
+        oldest: OLDEST_VERSION,
+        nonce: [7; NONCE_BYTES],
+        node: "stranger".parse::<NodeId>().expect("valid name"),
+    };
+    let hello = encode_message(&hello).expect("hello can be encoded");
+    let answered = post(&mut requests, "/hello", hello).await;
+    assert_eq!(answered, Some(StatusCode::OK));
+    let answered = post(&mut requests, "/feed", vec![1; 64]).await;
+    assert_eq!(answered, None);
+    node.wait_log_line(&["feed_link_refused"]).await;
+    assert!(node.metrics().await.contains("link_refused"));
+    assert!(node.is_ready().await);
+}
+
+/// Sends a request; returns the status, or `None` if the connection is closed.
+async fn post(
+    requests: &mut h2::client::SendRequest<bytes::Bytes>,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<StatusCode> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://peer{path}"))
+        .body(())
+        .ok()?;
+    let mut ready = requests.clone().ready().await.ok()?;
+    let (response, mut sender) = ready.send_request(request, false).ok()?;
+    sender.send_data(body.into(), true).ok()?;
+    Some(response.await.ok()?.status())
+}
+
+/// Guards against nodes that follow each other while the store is away, and never notice that it is
+/// back.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_away_for_all() {
+    let site = TestSite::start(0, 1);
+    let nodes = following_nodes(&site).await;
+    site.store.set_mode(standin::site::StoreMode::Unavailable);
+    for node in &nodes {
+        node.wait_log_line(&["store_lost"]).await;
+    }
+    site.configure(&configuration(8));
+    site.store.set_mode(standin::site::StoreMode::Healthy);
+    wait_applied(&nodes, 8).await;
+    wait_for("followers", || {
+        let followed = |node: &TestNode| node.log_lines(&["feed_followed"]).len() > 1;
+        nodes[1..].iter().all(followed)
+    })
+    .await;
+}
