Let the nodes that plan for a domain probe the hosts that left the registry

Cause, by reading and reckoning: each of 295 nodes probed each host that had left the registry every 0.7 s, which is 295 x 111 x 7 = 229,000 probes. Suspected hosts were probed the same way.

Change: the seven nodes that plan for a fabric domain probe as before; each further one at intervals that grow with the square of its rank, so that a host gets a bounded number of probes however many nodes there are (serving::probe_schedule). A host suspected by a node's own evidence is probed at growing intervals by the nodes that don't plan. The ranks move from the reconciler to the node.

--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -8,6 +8,7 @@
 use domain::{HostId, RowVersion};
 use events::{EventCode, LogLine};
 use serving::feed::StoreRow;
+use serving::probe_schedule::MAX_ACTIVE_RANK;
 
 use crate::node::{EntryIntake, GatewayNode};
 use crate::probe::{probe_unlisted, refresh_contradicted};
@@ -78,10 +79,11 @@
         self.unlist(id);
     }
 
-    /// Removes a target from the registry view. One that is still needed is probed, so that it is
-    /// dropped at once if it is dead.
+    /// Removes a target from the registry view. One that is still needed is probed by the nodes that
+    /// plan for its fabric domain, so that it is dropped at once if it is dead.
     fn unlist(&self, id: HostId) {
-        if self.node.unlist_target(&id) {
+        let is_active = self.node.host_rank(&id) <= MAX_ACTIVE_RANK;
+        if self.node.unlist_target(&id) && is_active {
             tokio::task::spawn_local(probe_unlisted(Rc::clone(&self.node), id));
         }
     }
--- a/crates/gateway/src/node/health.rs
+++ b/crates/gateway/src/node/health.rs
@@ -8,6 +8,7 @@
 use domain::HostId;
 use events::{EventCode, LogLine};
 use serving::plan::CLOSE_TIMEOUT;
+use serving::probe_schedule::suspect_interval;
 use serving::stall::StallDetector;
 use serving::{ReplicaView, TargetState};
 use tokio::sync::Notify;
@@ -49,6 +50,9 @@
 pub(super) struct Suspicion {
     since: Duration,
     failure: FailureKind,
+    /// Probes since then.
+    probes: u32,
+    next_probe_at: Duration,
 }
 
 /// How long a head counts as serving after its response to another node. This is longer than the
@@ -111,6 +115,22 @@
             .collect()
     }
 
+    /// Whether this node should probe a suspected target now. Its next probe is due after an interval
+    /// that depends on its rank and on the probes so far.
+    #[must_use]
+    pub fn begin_suspect_probe(&self, id: &HostId) -> bool {
+        let now = self.now();
+        let rank = self.host_rank(id);
+        let mut suspects = self.suspicions.borrow_mut();
+        let is_due = |suspicion: &&mut Suspicion| suspicion.next_probe_at <= now;
+        let Some(suspicion) = suspects.get_mut(id).filter(is_due) else {
+            return false;
+        };
+        suspicion.next_probe_at = now + suspect_interval(rank, suspicion.probes);
+        suspicion.probes += 1;
+        true
+    }
+
     /// Suspects a target of being down; its replica gets no new requests.
     pub fn suspect(&self, id: &HostId, failure: FailureKind, reason: &str) {
         if failure == FailureKind::Refused && self.is_leaving(id) {
@@ -133,7 +153,13 @@
         if suspects.contains_key(id) {
             return;
         }
-        suspects.insert(id.clone(), Suspicion { since, failure });
+        let suspicion = Suspicion {
+            since,
+            failure,
+            probes: 0,
+            next_probe_at: since,
+        };
+        suspects.insert(id.clone(), suspicion);
         drop(suspects);
         let line = LogLine::new(EventCode::TargetSuspected)
             .text("host", id.as_str())
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod loads;
 mod poison;
 mod process;
+mod ranks;
 mod targets;
 
 use std::cell::{Cell, RefCell};
@@ -34,6 +35,7 @@
 use health::Suspicion;
 pub use health::{FailureKind, ReplicaLostSignal};
 pub use process::RequestGuard;
+use ranks::FabricRanks;
 
 /// State of a gateway node. All times are measured from process start.
 #[derive(Debug)]
@@ -80,7 +82,8 @@
     probing: RefCell<FastSet<HostId>>,
     /// When heads last started a response for another node.
     served_others_at: RefCell<FastMap<HostId, Duration>>,
-    unlisted: RefCell<FastSet<HostId>>,
+    /// Known targets that are no longer in the registry, and when each is probed next.
+    unlisted: RefCell<FastMap<HostId, Duration>>,
     /// Memberships that hosts confirmed themselves.
     confirmed: RefCell<FastMap<HostId, ConfirmedMembership>>,
     /// Hosts whose last registry entry contradicts what they confirmed.
@@ -96,6 +99,7 @@
     retry_budgets: RefCell<FastMap<ServiceName, RetryBudget>>,
     customer_shares: RefCell<FastMap<ServiceName, CustomerShares>>,
     live_nodes: RefCell<Vec<String>>,
+    fabric_ranks: RefCell<FabricRanks>,
     nodes_generation: Cell<u64>,
     shutdown: Cell<Option<ShutdownPlan>>,
     /// Closed when no more client connections are accepted.
@@ -164,6 +168,7 @@
             retry_budgets: RefCell::default(),
             customer_shares: RefCell::default(),
             live_nodes: RefCell::default(),
+            fabric_ranks: RefCell::default(),
             nodes_generation: Cell::default(),
             shutdown: Cell::default(),
             accepting: Semaphore::new(0),
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -5,6 +5,7 @@
 
 use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId, RowVersion, ServiceName};
 use events::{EventCode, LogLine};
+use serving::probe_schedule::unlisted_interval;
 use serving::{MemberState, MembershipKey, ReplicaView, ServiceConfig, TargetEntry, TargetState};
 
 use super::GatewayNode;
@@ -86,7 +87,8 @@
             self.remove_target(id);
             return false;
         }
-        self.unlisted.borrow_mut().insert(id.clone());
+        let first_probe_at = self.now() + unlisted_interval(self.host_rank(id));
+        self.unlisted.borrow_mut().insert(id.clone(), first_probe_at);
         let line = LogLine::new(EventCode::TargetUnlisted).text("host", id.as_str());
         self.log(&line);
         self.notify_change();
@@ -96,13 +98,27 @@
     /// Whether a known target is no longer in the registry.
     #[must_use]
     pub fn is_unlisted(&self, id: &HostId) -> bool {
-        self.unlisted.borrow().contains(id)
+        self.unlisted.borrow().contains_key(id)
     }
 
     /// Known targets that are no longer in the registry.
     #[must_use]
     pub fn unlisted(&self) -> Vec<HostId> {
-        self.unlisted.borrow().iter().cloned().collect()
+        self.unlisted.borrow().keys().cloned().collect()
+    }
+
+    /// Whether this node should probe a target that is no longer in the registry now. Its next
+    /// probe is due after an interval that depends on its rank.
+    #[must_use]
+    pub fn begin_unlisted_probe(&self, id: &HostId) -> bool {
+        let now = self.now();
+        let interval = unlisted_interval(self.host_rank(id));
+        let mut unlisted = self.unlisted.borrow_mut();
+        let Some(due_at) = unlisted.get_mut(id).filter(|due_at| **due_at <= now) else {
+            return false;
+        };
+        *due_at = now + interval;
+        true
     }
 
     /// Whether a target is not suspected and belongs to a replica that serves or finishes its
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -6,6 +6,7 @@
 use adapter::{HostReport, OrderTarget};
 use domain::HostId;
 use serving::confirmed::MAX_REPORT_AGE;
+use serving::probe_schedule::PROBE_INTERVAL;
 use serving::{MembershipKey, ReplicaMembership, ReplicaView};
 
 use crate::node::{FailureKind, GatewayNode};
@@ -16,9 +17,6 @@
 /// Timeout for a report. Engines respond within milliseconds under any load.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(160);
 
-/// Interval between probes of a suspected target.
-const PROBE_INTERVAL: Duration = Duration::from_millis(700);
-
 /// How long a plain service's target gets no requests after a failed connection.
 const PLAIN_SUSPECT_DURATION: Duration = Duration::from_secs(2);
 
@@ -113,6 +111,9 @@
                     .is_some_and(|entry| entry.fabric.is_none())
             });
             if !is_plain {
+                if !node.begin_suspect_probe(&id) {
+                    continue;
+                }
                 tokio::task::spawn_local(probe_suspect(Rc::clone(&node), id));
             } else if now.saturating_sub(since) > PLAIN_SUSPECT_DURATION {
                 node.clear_suspicion(&id);
@@ -130,7 +131,11 @@
             node.remove_target(&id);
         }
         for id in node.unlisted() {
-            tokio::task::spawn_local(probe_unlisted(Rc::clone(&node), id));
+            if node.begin_unlisted_probe(&id) {
+                tokio::task::spawn_local(probe_unlisted(Rc::clone(&node), id));
+            } else if !node.holds_requests(&id) {
+                node.remove_target(&id);
+            }
         }
     }
 }
--- a/crates/gateway/src/reconcile/mod.rs
+++ b/crates/gateway/src/reconcile/mod.rs
@@ -20,12 +20,13 @@
     FabricCapacity, FabricLayout, FabricState, FabricSummary, HostLifecycle, HostState, PlanStep,
     plan_fabric,
 };
+use serving::probe_schedule::MAX_ACTIVE_RANK;
 use serving::{ServiceConfig, TargetEntry, TargetState};
 
 use crate::node::GatewayNode;
 use crate::orders::OrderTracker;
 
-use ranks::{LayoutCache, NodeRanks};
+use ranks::LayoutCache;
 use store_outage::FabricRefreshes;
 
 /// Maximum interval between two plans; a registry change triggers one immediately.
@@ -37,10 +38,6 @@
 /// Delay that batches registry changes, which come in bursts, into one plan.
 const BATCH_DELAY: Duration = Duration::from_millis(5);
 
-/// Maximum rank at which a node plans for a fabric domain on every change. Seven nodes have to be
-/// gone at once before a domain waits for one of the others.
-const MAX_ACTIVE_RANK: usize = 6;
-
 /// Interval between plans for all other fabric domains.
 const BACKUP_PLAN_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -57,7 +54,6 @@
         // Unique per process start, because the name counter restarts. If a name were reused, a
         // delayed order could join a host to the earlier replica of that name.
         process_nonce: RandomState::new().hash_one(&node.settings.node) & 0xffff_ffff,
-        ranks: RefCell::default(),
         layouts: RefCell::default(),
         logged_summaries: RefCell::default(),
         has_work: Cell::new(true),
@@ -96,7 +92,6 @@
     load_budget: RefCell<LoadBudget>,
     refreshes: RefCell<FabricRefreshes>,
     process_nonce: u64,
-    ranks: RefCell<NodeRanks>,
     layouts: RefCell<LayoutCache>,
     /// Last logged summary of the fabric domains in which this node has rank 0.
     logged_summaries: RefCell<FastMap<FabricId, FabricSummary>>,
@@ -197,7 +192,7 @@
     }
 
     fn log_summary(&self, fabric: &FabricId, summary: FabricSummary) {
-        let is_first = self.ranks.borrow_mut().rank(&self.node, fabric) == 0;
+        let is_first = self.node.fabric_rank(fabric) == 0;
         let mut logged_summaries = self.logged_summaries.borrow_mut();
         if !is_first || logged_summaries.get(fabric) == Some(&summary) {
             return;
@@ -227,7 +222,6 @@
     ) -> BTreeMap<FabricId, Vec<HostState>> {
         let node = &self.node;
         let mut fabrics: BTreeMap<FabricId, Vec<HostState>> = BTreeMap::new();
-        let mut ranks = self.ranks.borrow_mut();
         node.registry(|registry| {
             for entry in registry.targets() {
                 let fabric = entry.fabric.as_ref();
@@ -236,7 +230,7 @@
                 };
                 // The nodes of low rank plan for a domain; the others check it at intervals in case
                 // all of those are gone.
-                if !all_fabrics && ranks.rank(node, fabric) > MAX_ACTIVE_RANK {
+                if !all_fabrics && node.fabric_rank(fabric) > MAX_ACTIVE_RANK {
                     continue;
                 }
                 let state = self.host_state(entry);
--- a/crates/gateway/src/reconcile/ranks.rs
+++ b/crates/gateway/src/reconcile/ranks.rs
@@ -1,9 +1,5 @@
-//! Order in which nodes act for a fabric domain, and the desired layout of each fabric domain; both
-//! cached between plans.
-//!
-//! With a hundred nodes and as many fabric domains, computing ranks and layouts for every plan took
-//! a seventh of a core per node, or a thirtieth on ten machines. Ranks change only with the set of
-//! nodes and layouts with the hosts, both far less often than plans run.
+//! When a node acts for a fabric domain, and the desired layout of each fabric domain, which is
+//! cached between plans: it changes only with the hosts.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -11,11 +7,10 @@
 
 use domain::{ConfigRevision, FabricId, FastMap, ServiceName};
 use serving::ServiceConfig;
-use serving::hashing::{rendezvous_rank, stable_hash};
+use serving::hashing::stable_hash;
 use serving::plan::{FabricCapacity, FabricLayout, PlanStep, compute_layout};
 
 use super::ReplicaReconciler;
-use crate::node::GatewayNode;
 
 /// Delay per rank before a node takes a step. Engines respond to orders within milliseconds and
 /// the effect appears in the registry soon after, so a step that is still pending was not taken.
@@ -29,32 +24,6 @@
 /// first seconds, and a plan based on the first few would form the wrong replicas.
 const INITIAL_QUIET_TIME: Duration = Duration::from_millis(700);
 
-/// Cached rank of this node per fabric domain.
-#[derive(Debug, Default)]
-pub(super) struct NodeRanks {
-    generation: u64,
-    ranks: FastMap<FabricId, usize>,
-}
-
-impl NodeRanks {
-    /// Number of nodes that act for the fabric domain before this one.
-    pub fn rank(&mut self, node: &GatewayNode, fabric: &FabricId) -> usize {
-        if self.generation != node.nodes_generation() {
-            self.generation = node.nodes_generation();
-            self.ranks.clear();
-        }
-        if let Some(rank) = self.ranks.get(fabric) {
-            return *rank;
-        }
-        let node_name = node.settings.node.as_str();
-        let rank = node.with_live_nodes(|nodes| {
-            rendezvous_rank(node_name, nodes.iter().map(String::as_str), fabric.as_str())
-        });
-        self.ranks.insert(fabric.clone(), rank);
-        rank
-    }
-}
-
 /// Cached layouts by service.
 #[derive(Debug, Default)]
 pub(super) struct LayoutCache {
@@ -113,7 +82,7 @@
         if formed_here {
             return Duration::ZERO;
         }
-        let rank = self.ranks.borrow_mut().rank(node, fabric);
+        let rank = node.fabric_rank(fabric);
         let rank = u32::try_from(rank)
             .unwrap_or(MAX_DELAY_RANK)
             .min(MAX_DELAY_RANK);
--- a/crates/gateway/src/reconcile/store_outage.rs
+++ b/crates/gateway/src/reconcile/store_outage.rs
@@ -78,7 +78,7 @@
         has_steps: bool,
     ) -> bool {
         let now = self.node.now();
-        let rank = self.ranks.borrow_mut().rank(&self.node, fabric);
+        let rank = self.node.fabric_rank(fabric);
         let mut refreshes = self.refreshes.borrow_mut();
         if !has_steps && is_settled(hosts) {
             refreshes.settle(fabric);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load_budget;
 pub mod plan;
 pub mod poison;
+pub mod probe_schedule;
 pub mod prompt_backlog;
 pub mod registry;
 pub mod replica_history;
