Pass on the loads of heads in batches, and draw replicas by their free places

Cause: above 16 nodes no hints are sent, and a node hears from a given head once in many seconds. It chose by chance among all heads, avoiding those at which it had a request itself, and so those to which it had a connection.

Change: nodes send the loads that they hear to the first two nodes of their failure domain's tree, which pass them on in batches every 150 ms, within the domain and to the others (serving::load_board). A head is drawn with a chance that grows with its free places (serving::choose_sampled), near ones and those with an idle connection first.

--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Method, Uri};
 use policy::admission::AdmissionClass;
 use serving::choose::{NoTarget, TargetCandidate, choose_target};
+use serving::choose_sampled::{SampledCandidate, choose_sampled};
 use serving::hashing::stable_hash;
 use serving::{
     ChoiceLimits, GatewayConfig, ReplicaTiming, RequestFingerprint, RouteKind, ServiceConfig,
@@ -82,17 +83,18 @@
 
     fn new(
         reason: NoTarget,
-        candidates: &[TargetCandidate],
+        node: &GatewayNode,
+        entries: &[TargetEntry],
         limits: ChoiceLimits,
-        now: Duration,
+        slots: u32,
     ) -> Self {
-        let loads = candidates
+        let now = node.now();
+        let loads = entries
             .iter()
-            .map(|candidate| candidate.load.estimate(now, limits.nodes));
-        let slots = candidates.first().map_or(0, |candidate| candidate.slots);
+            .map(|entry| node.load(&entry.id).estimate(now, limits.nodes));
         Self {
             reason,
-            candidates: candidates.len(),
+            candidates: entries.len(),
             min_load: loads.reduce(f64::min).unwrap_or(0.0),
             max_load: f64::from(slots) + limits.queue_limit,
         }
@@ -129,6 +131,15 @@
     quota.max(2)
 }
 
+/// Requests that a target runs at once.
+fn slots_of(service: &ServiceConfig, entry: &TargetEntry) -> u32 {
+    if service.models.is_empty() {
+        entry.slots
+    } else {
+        service.slots
+    }
+}
+
 impl AdmittedRequest {
     /// Maximum queue length at a target for this request to be sent there, given that its client
     /// waits for `max_wait`.
@@ -206,36 +217,74 @@
             ))
         });
         let now = node.now();
-        let slots_of = |entry: &TargetEntry| {
-            if service.models.is_empty() {
-                entry.slots
-            } else {
-                service.slots
-            }
-        };
-        let prefill_rate = self.prefill_rate(service);
-        let uses_prefill_wait = prefill_rate > 0.0 && node.hints_reach_all();
-        let candidates: Vec<TargetCandidate> = entries
-            .iter()
-            .map(|entry| TargetCandidate {
-                load: node.load(&entry.id),
-                slots: slots_of(entry),
-                prefill_wait: uses_prefill_wait.then(|| node.prefill_wait(&entry.id, prefill_rate)),
-                in_flight_limit: connection_quota(service, node.node_count()),
-            })
-            .collect();
-        let max_slots = entries.first().map_or(0, slots_of);
+        let max_slots = entries
+            .first()
+            .map_or(0, |entry| slots_of(service, entry));
         let class = self.admission_class(node, service, tried);
         let limits = ChoiceLimits {
             queue_limit: self.queue_limit(service, max_slots, class, max_wait),
             nodes: node.node_count(),
         };
-        let index = choose_target(&candidates, limits, now)
-            .map_err(|reason| SelectionError::new(reason, &candidates, limits, now))?;
+        let is_model = self.model.is_some() && !service.models.is_empty();
+        let chosen = if is_model && node.hints.has_collectors() {
+            let candidates = self.sampled_candidates(node, service, &entries);
+            choose_sampled(&candidates, limits, now, self.draw(node, tried))
+        } else {
+            let candidates = self.candidates(node, service, &entries);
+            choose_target(&candidates, limits, now)
+        };
+        let index = chosen
+            .map_err(|reason| SelectionError::new(reason, node, &entries, limits, max_slots))?;
         let entry = entries.swap_remove(index);
         Ok(entry)
     }
 
+    /// Targets as seen by a node that knows of the requests of all others, or of its own only.
+    fn candidates(
+        &self,
+        node: &GatewayNode,
+        service: &ServiceConfig,
+        entries: &[TargetEntry],
+    ) -> Vec<TargetCandidate> {
+        let prefill_rate = self.prefill_rate(service);
+        let uses_prefill_wait = prefill_rate > 0.0 && node.hints_reach_all();
+        let in_flight_limit = connection_quota(service, node.node_count());
+        let candidates = entries.iter().map(|entry| TargetCandidate {
+            load: node.load(&entry.id),
+            slots: slots_of(service, entry),
+            prefill_wait: uses_prefill_wait.then(|| node.prefill_wait(&entry.id, prefill_rate)),
+            in_flight_limit,
+        });
+        candidates.collect()
+    }
+
+    /// Heads as seen by one of many nodes, to which loads are passed on in batches.
+    fn sampled_candidates(
+        &self,
+        node: &GatewayNode,
+        service: &ServiceConfig,
+        entries: &[TargetEntry],
+    ) -> Vec<SampledCandidate> {
+        let in_flight_limit = connection_quota(service, node.node_count());
+        let candidates = entries.iter().map(|entry| SampledCandidate {
+            load: node.load(&entry.id),
+            slots: slots_of(service, entry),
+            in_flight_limit,
+            is_near: entry.domain == node.settings.failure_domain,
+            has_connection: node.pool.has_idle(&entry.id),
+        });
+        candidates.collect()
+    }
+
+    /// Number from 0 to 1 that differs between requests and attempts, and can be reproduced from the
+    /// log.
+    fn draw(&self, node: &GatewayNode, tried: &FastSet<HostId>) -> f64 {
+        let name = node.settings.node.as_str();
+        let hash = stable_hash(&(name, self.id.as_ref(), self.arrived, tried.len()));
+        let high_bits = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
+        f64::from(high_bits) / f64::from(u32::MAX)
+    }
+
     /// Limits the request to one attempt, so that it can crash at most one more target.
     #[must_use]
     pub fn without_retries(mut self) -> Self {
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use adapter::{StoreClient, StoreError};
-use domain::NodeId;
+use domain::{FastMap, NodeId};
 use peers::SharedKey;
 use serde::{Deserialize, Serialize};
-use serving::feed::TableDelta;
+use serving::feed::{MIN_FOLLOWING_NODES, TableDelta, feed_order};
 use wire::feed::FeedTable;
 
 use crate::feed::{COUNT_INTERVAL, FeedMember};
+use crate::hints::{LoadCollectors, MAX_HINT_PEERS};
 use crate::node::GatewayNode;
 
 /// Table with one row per node.
@@ -39,6 +40,9 @@
 /// Interval at which a node that others follow reads the heartbeats.
 const ROOT_READ_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Nodes of a failure domain that collect reported loads; one of them may be lost.
+const COLLECTORS_PER_DOMAIN: usize = 2;
+
 /// Minimum interval between two heartbeats that are due.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -228,6 +232,7 @@
     if census.others_suspect && node.suspects_no_request() {
         node.crash_records_changed.notify_one();
     }
+    node.hints.set_collectors(census.collectors(node));
     node.hints.set_peers(census.hint_addresses);
     let domain = node.settings.failure_domain.as_str();
     node.feed
@@ -242,6 +247,8 @@
     names: Vec<String>,
     hint_addresses: Vec<SocketAddr>,
     others_suspect: bool,
+    /// Nodes that receive hints, by failure domain, with their addresses.
+    hint_nodes: FastMap<String, FastMap<String, SocketAddr>>,
     /// Nodes of the failure domain, this one included.
     domain_nodes: Vec<NodeId>,
     /// Those of them that accept links.
@@ -249,11 +256,45 @@
 }
 
 impl NodeCensus {
+    /// Nodes that collect the loads reported by heads: the first of each failure domain's tree, if
+    /// there are too many nodes for hints to all of them.
+    fn collectors(&self, node: &GatewayNode) -> LoadCollectors {
+        let mut collectors = LoadCollectors::default();
+        let own_domain = node.settings.failure_domain.as_str();
+        let own_name = node.settings.node.as_str();
+        let is_small = self.hint_addresses.len() <= MAX_HINT_PEERS;
+        let own_count = self.hint_nodes.get(own_domain).map_or(0, FastMap::len);
+        if is_small || own_count < MIN_FOLLOWING_NODES {
+            return collectors;
+        }
+        for (domain, nodes) in &self.hint_nodes {
+            let order = feed_order(domain, nodes.keys().map(String::as_str));
+            let first: Vec<&str> = order.into_iter().take(COLLECTORS_PER_DOMAIN).collect();
+            let addresses = first.iter().filter(|name| **name != own_name);
+            let addresses = addresses.filter_map(|name| nodes.get(*name).copied());
+            if domain != own_domain {
+                collectors.others.extend(addresses);
+                continue;
+            }
+            collectors.own.extend(addresses);
+            collectors.is_collector = first.contains(&own_name);
+            let others = nodes.iter().filter(|(name, _)| *name != own_name);
+            collectors
+                .domain
+                .extend(others.map(|(_, address)| *address));
+        }
+        collectors
+    }
+
     fn add(&mut self, node: &GatewayNode, name: &str, row: NodeRow) {
         self.names.push(name.to_owned());
         let is_other = name != node.settings.node.as_str();
         self.hint_addresses.extend(row.hints.filter(|_| is_other));
         self.others_suspect |= is_other && row.suspects;
+        if let Some(address) = row.hints {
+            let nodes = self.hint_nodes.entry(row.domain.clone()).or_default();
+            nodes.insert(name.to_owned(), address);
+        }
         if row.domain != node.settings.failure_domain.as_str() {
             return;
         }
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -27,10 +27,11 @@
 /// so this is 600 datagrams of some 10 bytes. In a larger deployment each node's share of a
 /// replica's requests is too small for its hints to matter, and their number would grow with the
 /// deployment.
-const MAX_HINT_PEERS: usize = 15;
+pub const MAX_HINT_PEERS: usize = 15;
 
-/// Maximum size of a datagram that is read, in bytes; a hint takes about 10.
-const MAX_HINT_BYTES: usize = 64;
+/// Maximum size of a datagram that is read, in bytes; a hint takes about 10, and a batch of loads
+/// fits one packet.
+const MAX_HINT_BYTES: usize = 1400;
 
 /// Maximum number of prompt tokens accepted from one hint. It exceeds the context of any model and
 /// keeps a forged hint from excluding a head for long.
@@ -39,7 +40,7 @@
 /// Hash of a host id, sent in hints in place of the id to save bytes. Hosts with the same hash
 /// would be mistaken for each other; with 1,500 hosts there is one such pair in four thousand
 /// deployments.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct HostHash(u32);
 
 impl From<&HostId> for HostHash {
@@ -48,8 +49,19 @@
     }
 }
 
-/// A hint sent to other nodes.
+/// Load of a head in a batch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeadLoad {
+    /// Head that reported the load.
+    pub head: HostHash,
+    /// Number of requests running and queued there.
+    pub requests: u32,
+    /// Whether the report came with a successful response.
+    pub served: bool,
+}
+
+/// A hint sent to other nodes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoadHint {
     /// A request was sent to a head.
     Sent {
@@ -72,16 +84,33 @@
     /// only in the store, where outsiders can't write.
     #[serde(rename = "EndsWritten")]
     CrashRecordsWritten,
+    /// Loads that heads reported to nodes of the sender's failure domain or of others.
+    DomainLoads(Vec<HeadLoad>),
+    /// Loads that heads reported to nodes of another failure domain, for a node that passes them on.
+    OtherLoads(Vec<HeadLoad>),
 }
 
 impl LoadHint {
     /// Encodes the hint as a datagram; `None` if encoding fails.
     #[must_use]
-    pub fn encode(self) -> Option<Vec<u8>> {
+    pub fn encode(&self) -> Option<Vec<u8>> {
         bincode::serde::encode_to_vec(self, bincode::config::standard()).ok()
     }
 }
 
+/// Nodes that collect the loads of a large deployment. All are empty in a small one.
+#[derive(Debug, Default)]
+pub struct LoadCollectors {
+    /// Other nodes that collect the loads reported to this failure domain.
+    pub own: Vec<SocketAddr>,
+    /// Whether this node is one of them.
+    pub is_collector: bool,
+    /// Other nodes of this failure domain, if this node collects loads.
+    pub domain: Vec<SocketAddr>,
+    /// Nodes that collect the loads of the other failure domains, if this node collects loads.
+    pub others: Vec<SocketAddr>,
+}
+
 /// UDP socket for hints and the addresses they are sent to.
 #[derive(Debug, Default)]
 pub struct HintChannel {
@@ -89,6 +118,7 @@
     peers: RefCell<Vec<SocketAddr>>,
     /// All other nodes, including when there are too many for load hints.
     all_peers: RefCell<Vec<SocketAddr>>,
+    collectors: RefCell<LoadCollectors>,
 }
 
 impl HintChannel {
@@ -99,6 +129,7 @@
             socket: socket.map(Rc::new),
             peers: RefCell::default(),
             all_peers: RefCell::default(),
+            collectors: RefCell::default(),
         }
     }
 
@@ -131,6 +162,40 @@
         self.send_to(hint, &self.all_peers.borrow());
     }
 
+    /// Sets the nodes that collect the loads of a large deployment.
+    pub fn set_collectors(&self, collectors: LoadCollectors) {
+        *self.collectors.borrow_mut() = collectors;
+    }
+
+    /// Whether nodes collect the loads of a large deployment and pass them on.
+    #[must_use]
+    pub fn has_collectors(&self) -> bool {
+        !self.collectors.borrow().own.is_empty() || self.is_collector()
+    }
+
+    /// Whether this node collects the loads reported to its failure domain.
+    #[must_use]
+    pub fn is_collector(&self) -> bool {
+        self.collectors.borrow().is_collector
+    }
+
+    /// Sends a reported load to the nodes that collect them.
+    pub fn send_to_collectors(&self, hint: LoadHint) {
+        self.send_to(hint, &self.collectors.borrow().own);
+    }
+
+    /// Sends a batch of loads to the other nodes of the failure domain.
+    pub fn send_to_domain(&self, hint: LoadHint) {
+        self.send_to(hint, &self.collectors.borrow().domain);
+    }
+
+    /// Sends a batch of loads to the nodes that collect those of other failure domains.
+    pub fn send_to_others(&self, hint: LoadHint) {
+        self.send_to(hint, &self.collectors.borrow().others);
+    }
+
+    // Hints are moved in, as they are built for one sending.
+    #[allow(clippy::needless_pass_by_value)]
     fn send_to(&self, hint: LoadHint, peers: &[SocketAddr]) {
         let Some(socket) = &self.socket else { return };
         let Some(bytes) = hint.encode() else { return };
@@ -159,8 +224,20 @@
                 head,
                 requests,
                 served,
-            }) => node.apply_report(head, requests, served),
+            }) => {
+                node.apply_report(head, requests, served);
+                node.collect_own(HeadLoad {
+                    head,
+                    requests,
+                    served,
+                });
+            }
             Some(LoadHint::CrashRecordsWritten) => node.crash_records_changed.notify_one(),
+            Some(LoadHint::DomainLoads(loads)) => node.apply_loads(&loads),
+            Some(LoadHint::OtherLoads(loads)) => {
+                node.apply_loads(&loads);
+                node.collect_others(&loads);
+            }
             None => {}
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod heartbeat;
 mod hints;
 mod listen;
+mod load_batches;
 mod local_response;
 mod metrics;
 mod node;
@@ -27,6 +28,6 @@
 mod settings;
 mod usage;
 
-pub use hints::{HostHash, LoadHint};
+pub use hints::{HeadLoad, HostHash, LoadHint};
 pub use run::run_gateway;
 pub use settings::{GatewaySettings, is_gateway_file};
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -15,6 +15,7 @@
 use domain::{FastMap, FastSet, HostId, RowVersion, ServiceName};
 use events::{EventCode, LogLine, LogSink};
 use policy::admission::CustomerShares;
+use serving::load_board::LoadBoard;
 use serving::replica_history::ReplicaHistory;
 use serving::stall::StallDetector;
 use serving::{
@@ -52,6 +53,8 @@
     pub hints: HintChannel,
     /// Copies of the store's tables, and the nodes that pass on their changes.
     pub feed: FeedState,
+    /// Loads that this node passes on to others.
+    pub load_board: RefCell<LoadBoard<HostHash>>,
     /// Wakes the replica reconciler after a state change.
     pub state_changed: Notify,
     /// Notified when a request or client connection ends.
@@ -133,6 +136,7 @@
             settings,
             hints,
             feed: FeedState::new(),
+            load_board: RefCell::default(),
             sink,
             metrics,
             pool: ConnectionPool::default(),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -57,6 +57,15 @@
         HttpConnection::connect(target.address, CONNECT_TIMEOUT).await
     }
 
+    /// Whether there is an idle connection to a target that it probably still keeps open.
+    #[must_use]
+    pub fn has_idle(&self, id: &HostId) -> bool {
+        let idle = self.idle.borrow();
+        let now = Instant::now();
+        let newest = idle.get(id).and_then(|connections| connections.last());
+        newest.is_some_and(|newest| newest.expires_at > now && newest.connection.is_open())
+    }
+
     /// Returns the most recently used connection, so that the others can expire.
     fn take_idle(&self, id: &HostId) -> Option<HttpConnection> {
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::node::GatewayNode;
 use crate::settings::GatewaySettings;
-use crate::{crash_records, feed, heartbeat, listen, probe, reconcile};
+use crate::{crash_records, feed, heartbeat, listen, load_batches, probe, reconcile};
 
 /// Interval for checking whether a process that is shutting down may exit.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -88,6 +88,7 @@
     spawn_feed(&node, links);
     spawn_local(heartbeat::run_heartbeats(Rc::clone(&node)));
     spawn_local(receive_hints(Rc::clone(&node)));
+    spawn_local(load_batches::pass_on_loads(Rc::clone(&node)));
     spawn_local(crash_records::watch_crash_records(Rc::clone(&node)));
     spawn_local(reconcile::reconcile_replicas(Rc::clone(&node)));
     spawn_local(probe::watch_for_stalls(Rc::clone(&node)));
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -13,7 +13,7 @@
 
 use crate::admitted::AdmittedRequest;
 use crate::crash::record_interrupted;
-use crate::hints::LoadHint;
+use crate::hints::{HeadLoad, LoadHint};
 use crate::node::{FailureKind, GatewayNode};
 use crate::probe::{probe, refresh_refusing};
 
@@ -302,7 +302,7 @@
         let now = node.now();
         node.with_load(id, |known| known.record_report(load, now));
         if target.membership.is_some() {
-            node.hints.send(LoadHint::Reported {
+            node.share_load(HeadLoad {
                 head: id.into(),
                 requests: load,
                 served: head.status.is_success(),
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -6,6 +6,9 @@
 /// load sends several responses a second, so an older report means that little runs there.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1500);
 
+/// Time within which the requests of a report have ended, where no further report comes.
+const REPORT_DECLINE: Duration = Duration::from_secs(3);
+
 /// Consecutive failures from which on a target is used only if no other has capacity. A single
 /// failure may be caused by the request; a target that fails fast has no load and would otherwise
 /// look like the best choice.
@@ -95,15 +98,35 @@
     /// Without a recent report it assumes that all nodes send as many as this one.
     #[must_use]
     pub fn estimate(&self, now: Duration, nodes: usize) -> f64 {
-        let own = f64::from(self.in_flight);
-        let fresh = self
-            .reported_at
-            .is_some_and(|at| now.saturating_sub(at) < MAX_REPORT_AGE);
-        if !fresh {
+        self.fresh_estimate(now).unwrap_or_else(|| {
             let nodes = f64::from(u32::try_from(nodes.max(1)).unwrap_or(u32::MAX));
-            return own * nodes;
+            f64::from(self.in_flight) * nodes
+        })
+    }
+
+    /// Estimates how many requests of all nodes are at the target if this node hears of all reports:
+    /// while none comes, nobody sends there, and what was reported ends.
+    #[must_use]
+    pub fn declining_estimate(&self, now: Duration) -> f64 {
+        let own = f64::from(self.in_flight);
+        let Some(reported_at) = self.reported_at else {
+            return own;
+        };
+        let age = now.saturating_sub(reported_at).as_secs_f64();
+        let left = (1.0 - age / REPORT_DECLINE.as_secs_f64()).clamp(0.0, 1.0);
+        let reported = f64::from(self.reported) * left;
+        (reported + f64::from(self.sent_since_report)).max(own)
+    }
+
+    /// Estimates how many requests of all nodes are at the target; `None` without a recent report.
+    #[must_use]
+    pub fn fresh_estimate(&self, now: Duration) -> Option<f64> {
+        let reported_at = self.reported_at?;
+        if now.saturating_sub(reported_at) >= MAX_REPORT_AGE {
+            return None;
         }
-        (f64::from(self.reported) + f64::from(self.sent_since_report)).max(own)
+        let own = f64::from(self.in_flight);
+        Some((f64::from(self.reported) + f64::from(self.sent_since_report)).max(own))
     }
 }
 
--- /dev/null
+++ b/crates/serving/src/choose_sampled.rs
@@ -0,0 +1,105 @@
+//! Load balancing of many nodes, each of which sends a small part of the requests.
+//!
+//! Pattern: hundreds of nodes with a few requests a second each, and a hundred replicas. Loads that
+//! a node knows are some hundred milliseconds old, and the others see the same ones: if each chose
+//! the least loaded replica, or the least loaded of a few, they would all choose the same until its
+//! next report, and it would be full before. Each draws a replica with a chance that grows with its
+//! free places instead, so that a replica that looks free gets no more than a few times its share.
+//!
+//! Replicas of the node's own failure domain are preferred, and those to which it has an idle
+//! connection, since opening one takes a replica's time. Requests leave a domain whose own replicas
+//! are full or lost.
+
+use std::time::Duration;
+
+use crate::choose::{ChoiceLimits, NoTarget, TargetLoad};
+
+/// Exponent of the free places in the chance of a replica. With a higher one, replicas that look free
+/// fill up before their next report.
+const FREE_EXPONENT: f64 = 1.5;
+
+/// Factor on the chance of a replica in another failure domain: there are several times as many,
+/// traffic to them costs, and their load is known later.
+const FAR_FACTOR: f64 = 0.02;
+
+/// Factor on the chance of a replica to which the node has an idle connection.
+const CONNECTION_FACTOR: f64 = 4.0;
+
+/// Factor on the chance of a replica that fails.
+const FAILING_FACTOR: f64 = 1e-6;
+
+/// Free places that a replica is taken to have at least as long as it is not known to be full.
+const MIN_FREE: f64 = 0.5;
+
+/// A replica that could take a request.
+#[derive(Debug, Clone, Copy)]
+pub struct SampledCandidate {
+    /// Load of the head, as this node knows it.
+    pub load: TargetLoad,
+    /// Requests that the replica runs at once.
+    pub slots: u32,
+    /// Requests that this node may have at the head.
+    pub in_flight_limit: u32,
+    /// Whether the head is in the failure domain of the node.
+    pub is_near: bool,
+    /// Whether the node has an idle connection to the head.
+    pub has_connection: bool,
+}
+
+impl SampledCandidate {
+    /// Relative chance of this replica; 0 if it is full.
+    fn chance(&self, limits: ChoiceLimits, now: Duration) -> f64 {
+        let requests = self.load.declining_estimate(now);
+        let capacity = f64::from(self.slots.max(1)) + limits.queue_limit;
+        if requests >= capacity || self.load.in_flight >= self.in_flight_limit {
+            return 0.0;
+        }
+        let free = (f64::from(self.slots) - requests).max(MIN_FREE);
+        let far = if self.is_near { 1.0 } else { FAR_FACTOR };
+        let connected = if self.has_connection {
+            CONNECTION_FACTOR
+        } else {
+            1.0
+        };
+        let failing = if self.load.is_failing(now) {
+            FAILING_FACTOR
+        } else {
+            1.0
+        };
+        free.powf(FREE_EXPONENT) * far * connected * failing
+    }
+}
+
+/// Draws the candidate to which the request should go; returns its index. `draw` is a number from 0
+/// to 1, uniformly distributed over the requests.
+///
+/// # Errors
+///
+/// Returns [`NoTarget`] if there are no candidates or all are full.
+pub fn choose_sampled(
+    candidates: &[SampledCandidate],
+    limits: ChoiceLimits,
+    now: Duration,
+    draw: f64,
+) -> Result<usize, NoTarget> {
+    if candidates.is_empty() {
+        return Err(NoTarget::Absent);
+    }
+    let chances: Vec<f64> = candidates
+        .iter()
+        .map(|candidate| candidate.chance(limits, now))
+        .collect();
+    let mut left = draw * chances.iter().sum::<f64>();
+    let mut chosen = None;
+    for (index, chance) in chances.into_iter().enumerate() {
+        if chance <= 0.0 {
+            continue;
+        }
+        chosen = Some(index);
+        left -= chance;
+        if left <= 0.0 {
+            break;
+        }
+    }
+    chosen.ok_or(NoTarget::Full)
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,10 +5,12 @@
 //! its monotonic clock.
 
 pub mod choose;
+pub mod choose_sampled;
 pub mod confirmed;
 pub mod event_stream;
 pub mod feed;
 pub mod hashing;
+pub mod load_board;
 pub mod load_budget;
 pub mod plan;
 pub mod poison;
