Keep a source whose version is behind by writes to other tables only

Cause: versions count the writes of all tables. A node that read the quiet configuration itself while it changed its source knew a higher version than any source, whose own poll confirms once a second, so it left the next source as well, read the store again, and so on.

Change: a source is behind only if it lacks a row that the node has. table_copy::later_read_is_not_ahead guards it; copies still end as the store's table (quickcheck).

--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -217,9 +217,7 @@
             ))
         });
         let now = node.now();
-        let max_slots = entries
-            .first()
-            .map_or(0, |entry| slots_of(service, entry));
+        let max_slots = entries.first().map_or(0, |entry| slots_of(service, entry));
         let class = self.admission_class(node, service, tried);
         let limits = ChoiceLimits {
             queue_limit: self.queue_limit(service, max_slots, class, max_wait),
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -156,8 +156,8 @@
     let now = node.now();
     let age_of = |delta: &FeedDelta| Duration::from_millis(u64::from(delta.age_ms));
     let is_behind = |delta: &FeedDelta| {
-        let known = node.feed.copy(delta.table).borrow().version();
-        known.is_some_and(|known| known > RowVersion(delta.version))
+        let copy = node.feed.copy(delta.table).borrow();
+        copy.is_ahead_of(RowVersion(delta.version))
     };
     let is_needed = |delta: &&FeedDelta| delta.table != FeedTable::Nodes;
     let needed = || response.tables.iter().filter(is_needed);
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -19,9 +19,7 @@
 use wire::feed::{
     FeedDelta, FeedRequest, FeedResponse, FeedTable, MAX_FEED_REQUEST_BYTES, MAX_FEED_TABLES,
 };
-use wire::peer::{
-    MAX_HELLO_BYTES, PeerHello, decode_message, encode_message, negotiate_version,
-};
+use wire::peer::{MAX_HELLO_BYTES, PeerHello, decode_message, encode_message, negotiate_version};
 
 use super::messages::{encode_delta, encode_millis};
 use crate::node::GatewayNode;
@@ -102,8 +100,7 @@
             if !session.place.record_proof() {
                 return respond_error(responder, StatusCode::SERVICE_UNAVAILABLE);
             }
-            let request: FeedRequest =
-                decode_message::<_, MAX_FEED_REQUEST_BYTES>(&frame.payload)?;
+            let request: FeedRequest = decode_message::<_, MAX_FEED_REQUEST_BYTES>(&frame.payload)?;
             wait_for_change(node, &request).await;
             let response = build_response(node, &request);
             respond_ok(responder, auth.sign(encode_message(&response)?)?)
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -88,7 +88,9 @@
             return false;
         }
         let first_probe_at = self.now() + unlisted_interval(self.host_rank(id));
-        self.unlisted.borrow_mut().insert(id.clone(), first_probe_at);
+        self.unlisted
+            .borrow_mut()
+            .insert(id.clone(), first_probe_at);
         let line = LogLine::new(EventCode::TargetUnlisted).text("host", id.as_str());
         self.log(&line);
         self.notify_change();
--- a/crates/peers/src/listen.rs
+++ b/crates/peers/src/listen.rs
@@ -14,13 +14,13 @@
     encode_message, negotiate_version,
 };
 
+use crate::accepted::{AcceptedConnections, ConnectionPlace};
 use crate::auth::{AuthError, FrameAuthenticator};
 use crate::error::LinkError;
 use crate::evidence::EvidenceExchange;
 use crate::link::LinkContext;
 use crate::peer_view::PeerView;
 use crate::transport::{self, read_stream, respond_error, respond_ok};
-use crate::accepted::{AcceptedConnections, ConnectionPlace};
 
 /// Number of responses whose send time is kept. A peer echoes the newest one that it received.
 const KEPT_RESPONSES: usize = 8;
@@ -49,9 +49,11 @@
                 let outcome = serve_connection(&context, stream, place).await;
                 if let Err(LinkError::Auth(error @ AuthError::InvalidProof)) = outcome {
                     let detail = format!("{address}: {error}");
-                    context
-                        .recorder
-                        .record(EventCode::PeerRefused, EventSubject::default(), detail);
+                    context.recorder.record(
+                        EventCode::PeerRefused,
+                        EventSubject::default(),
+                        detail,
+                    );
                 }
             };
             tokio::spawn(serving).abort_handle()
--- a/crates/serving/src/feed/copy.rs
+++ b/crates/serving/src/feed/copy.rs
@@ -64,6 +64,16 @@
         self.version
     }
 
+    /// Whether a node that knows the table up to `version` lacks a row that this copy has.
+    ///
+    /// Versions count the writes of all tables: a node that asked the store later knows a higher one
+    /// even if the table has not changed since.
+    #[must_use]
+    pub fn is_ahead_of(&self, version: RowVersion) -> bool {
+        let newest = self.by_version.last();
+        newest.is_some_and(|(newest, _)| *newest > version)
+    }
+
     /// Time since the store last confirmed this version, through however many nodes.
     #[must_use]
     pub fn age(&self, now: Duration) -> Duration {
@@ -176,8 +186,7 @@
         let Some(known) = known else {
             return self.version.is_some();
         };
-        let newest = self.by_version.last();
-        newest.is_some_and(|(version, _)| *version > known)
+        self.is_ahead_of(known)
     }
 
     fn rows_of<'a>(
--- a/crates/serving/tests/feed/table_copy.rs
+++ b/crates/serving/tests/feed/table_copy.rs
@@ -86,7 +86,9 @@
 
 fn contents(copy: &TableCopy) -> BTreeMap<String, Bytes> {
     let values = copy.values();
-    values.map(|(key, value)| (key.to_owned(), value.clone())).collect()
+    values
+        .map(|(key, value)| (key.to_owned(), value.clone()))
+        .collect()
 }
 
 #[derive(Debug, Clone)]
@@ -168,11 +170,16 @@
 #[test]
 fn compaction_costs_no_full_copy() {
     let mut copy = TableCopy::default();
-    copy.replace(vec![row("a", Some("1"), 3), row("b", Some("1"), 4)], RowVersion(5));
+    copy.replace(
+        vec![row("a", Some("1"), 3), row("b", Some("1"), 4)],
+        RowVersion(5),
+    );
     copy.confirm(RowVersion(5), Duration::ZERO);
     copy.replace(vec![row("a", Some("2"), 8)], RowVersion(9));
     copy.confirm(RowVersion(9), Duration::ZERO);
-    let delta = copy.delta_since(Some(RowVersion(5))).expect("table was read");
+    let delta = copy
+        .delta_since(Some(RowVersion(5)))
+        .expect("table was read");
     assert!(!delta.is_full);
     assert_eq!(delta.rows, vec![row("a", Some("2"), 8), row("b", None, 9)]);
 }
@@ -186,10 +193,23 @@
     copy.confirm(RowVersion(5), Duration::ZERO);
     copy.replace(vec![row("a", Some("1"), 3)], RowVersion(9));
     copy.confirm(RowVersion(9), Duration::ZERO);
-    let delta = copy.delta_since(Some(RowVersion(7))).expect("table was read");
+    let delta = copy
+        .delta_since(Some(RowVersion(7)))
+        .expect("table was read");
     assert!(delta.is_full);
 }
 
+/// Guards against a node that leaves its source again and again because it read the store itself in
+/// between: the store's version had grown by writes to other tables, and the source seemed behind.
+#[test]
+fn later_read_is_not_ahead() {
+    let mut copy = TableCopy::default();
+    copy.replace(vec![row("a", Some("1"), 3)], RowVersion(5));
+    copy.confirm(RowVersion(90), Duration::ZERO);
+    assert!(!copy.is_ahead_of(RowVersion(5)));
+    assert!(copy.is_ahead_of(RowVersion(2)));
+}
+
 #[test]
 fn age_counts_from_confirmation() {
     let mut copy = TableCopy::default();
--- a/crates/serving/tests/many_senders.rs
+++ b/crates/serving/tests/many_senders.rs
@@ -138,7 +138,9 @@
     }
 
     fn order(&mut self, now: Duration) -> Vec<usize> {
-        let mut heads: Vec<usize> = (0..HEADS).filter(|head| !self.is_lost(*head, now)).collect();
+        let mut heads: Vec<usize> = (0..HEADS)
+            .filter(|head| !self.is_lost(*head, now))
+            .collect();
         for index in (1..heads.len()).rev() {
             let other = self.draw_below(index + 1);
             heads.swap(index, other);
@@ -287,7 +289,10 @@
 fn connections_are_reused() {
     let alone = Deployment::new(Chooser::Alone).run();
     let sampled = Deployment::new(Chooser::Sampled).run();
-    assert!(sampled.connections < alone.connections / 2, "{sampled:?}, {alone:?}");
+    assert!(
+        sampled.connections < alone.connections / 2,
+        "{sampled:?}, {alone:?}"
+    );
 }
 
 /// Guards against responses that cross failure domains, where traffic costs, although their own has
--- a/tests/gateway/store_feed.rs
+++ b/tests/gateway/store_feed.rs
@@ -73,7 +73,9 @@
     for node in &nodes {
         node.wait_log_line(&["target_gone", "s0"]).await;
     }
-    let response = TestRequest::new("/look/x", "l-1").send(&nodes[NODES - 1]).await;
+    let response = TestRequest::new("/look/x", "l-1")
+        .send(&nodes[NODES - 1])
+        .await;
     assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
 }
 
