Pass on the part of a row that changed, and read keys again after a restart

Cause: whole rows of 925 hosts, several times each, to eight followers fill a link of 20 Mbit/s. While much changes, a node that has read the store is ahead of any source for some hundred milliseconds. By reading: after a loss of power of all nodes the keys in the heartbeats are those of the processes before, and heartbeats were read again only after 18 s at this size.

A source may be behind for 1.2 s. A node writes its heartbeat as soon as it knows the store's clock, reads the others' 0.7 s later, and again when a source has another key.

--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -140,6 +140,23 @@
     }
 }
 
+/// Heads as seen by one of many nodes, to which loads are passed on in batches.
+fn sampled_candidates(
+    node: &GatewayNode,
+    service: &ServiceConfig,
+    entries: &[TargetEntry],
+) -> Vec<SampledCandidate> {
+    let in_flight_limit = connection_quota(service, node.node_count());
+    let candidates = entries.iter().map(|entry| SampledCandidate {
+        load: node.load(&entry.id),
+        slots: slots_of(service, entry),
+        in_flight_limit,
+        is_near: entry.domain == node.settings.failure_domain,
+        has_connection: node.pool.has_idle(&entry.id),
+    });
+    candidates.collect()
+}
+
 impl AdmittedRequest {
     /// Maximum queue length at a target for this request to be sent there, given that its client
     /// waits for `max_wait`.
@@ -225,7 +242,7 @@
         };
         let is_model = self.model.is_some() && !service.models.is_empty();
         let chosen = if is_model && node.hints.has_collectors() {
-            let candidates = self.sampled_candidates(node, service, &entries);
+            let candidates = sampled_candidates(node, service, &entries);
             choose_sampled(&candidates, limits, now, self.draw(node, tried))
         } else {
             let candidates = self.candidates(node, service, &entries);
@@ -256,24 +273,6 @@
         candidates.collect()
     }
 
-    /// Heads as seen by one of many nodes, to which loads are passed on in batches.
-    fn sampled_candidates(
-        &self,
-        node: &GatewayNode,
-        service: &ServiceConfig,
-        entries: &[TargetEntry],
-    ) -> Vec<SampledCandidate> {
-        let in_flight_limit = connection_quota(service, node.node_count());
-        let candidates = entries.iter().map(|entry| SampledCandidate {
-            load: node.load(&entry.id),
-            slots: slots_of(service, entry),
-            in_flight_limit,
-            is_near: entry.domain == node.settings.failure_domain,
-            has_connection: node.pool.has_idle(&entry.id),
-        });
-        candidates.collect()
-    }
-
     /// Number from 0 to 1 that differs between requests and attempts, and can be reproduced from the
     /// log.
     fn draw(&self, node: &GatewayNode, tried: &FastSet<HostId>) -> f64 {
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -173,6 +173,8 @@
 /// Reads the records of other nodes, at startup and whenever a node announces new ones.
 pub async fn watch_crash_records(node: Rc<GatewayNode>) {
     let mut client = StoreClient::new(node.settings.store);
+    let announced = node.crash_records_changed.notified();
+    drop(tokio::time::timeout(RETRY_DELAY, announced).await);
     loop {
         if let Err(error) = read_crash_records(&node, &mut client).await {
             log_skipped(&node, "read crash records", &error);
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -44,12 +44,22 @@
 /// Interval for looking for a source while there is none.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Link to the source that is followed.
+struct SourceLink {
+    dialed: DialedLink,
+    /// Since when the source has lacked changes that this node knows.
+    behind_since: Option<Duration>,
+}
+
 /// Why a source can't be followed.
 #[derive(Debug, thiserror::Error)]
 enum FollowError {
     /// The link failed.
     #[error(transparent)]
     Link(#[from] LinkError),
+    /// It sent a change to a value that this node does not have.
+    #[error("a change refers to a value that is not known here")]
+    UnknownBase,
     /// Its data is not recent enough, or older than what this node knows.
     #[error("its data is too old: {0:?}")]
     Stale(FeedSample),
@@ -58,8 +68,10 @@
 impl FollowError {
     fn avoid_time(&self) -> Duration {
         match self {
+            // It has restarted, and its new key is read at once.
+            Self::Link(LinkError::Auth(_)) => AVOID_STALE,
             Self::Link(_) => AVOID_UNREACHABLE,
-            Self::Stale(_) => AVOID_STALE,
+            Self::Stale(_) | Self::UnknownBase => AVOID_STALE,
         }
     }
 }
@@ -67,7 +79,7 @@
 /// Follows the best source while there is one; never returns.
 pub async fn follow_sources(intake: Rc<FeedIntake>) {
     let node = Rc::clone(&intake.node);
-    let mut link: Option<DialedLink> = None;
+    let mut link: Option<SourceLink> = None;
     let mut avoided: FastMap<NodeId, Duration> = FastMap::default();
     loop {
         let now = node.now();
@@ -89,6 +101,9 @@
                 // The node reads the store meanwhile, so that it is as recent as without a source.
                 node.feed.set_following(false);
                 log_source_lost(&intake, &source, &error);
+                if matches!(error, FollowError::Link(LinkError::Auth(_))) {
+                    node.feed.key_changed.notify_one();
+                }
                 avoided.insert(source.node, node.now() + error.avoid_time());
             }
         }
@@ -97,17 +112,21 @@
 
 async fn follow_once(
     intake: &FeedIntake,
-    link: &mut Option<DialedLink>,
+    link: &mut Option<SourceLink>,
     source: &FeedMember,
 ) -> Result<(), FollowError> {
     let is_linked = link
         .as_ref()
-        .is_some_and(|link| *link.peer() == source.node);
+        .is_some_and(|link| *link.dialed.peer() == source.node);
     let mut wait = FOLLOW_WAIT;
     if !is_linked {
         // A new source must show at once whether its data is recent.
         wait = Duration::ZERO;
-        *link = Some(with_timeout(OPEN_TIMEOUT, open_link(intake, source)).await?);
+        let dialed = with_timeout(OPEN_TIMEOUT, open_link(intake, source)).await?;
+        *link = Some(SourceLink {
+            dialed,
+            behind_since: None,
+        });
     }
     let Some(link) = link else { return Ok(()) };
     let request = build_request(intake, wait);
@@ -115,11 +134,12 @@
     let limit = wait + if is_copy { COPY_TIMEOUT } else { FOLLOW_SLACK };
     let payload = encode_message(&request).map_err(LinkError::from)?;
     let response = link
+        .dialed
         .request::<MAX_FEED_RESPONSE_BYTES>("/feed", payload, limit)
         .await?;
     let response: FeedResponse =
         decode_message::<_, MAX_FEED_RESPONSE_BYTES>(&response).map_err(LinkError::from)?;
-    take_response(intake, response)?;
+    take_response(intake, link, response)?;
     if !is_linked {
         log_followed(intake, source);
     }
@@ -151,7 +171,11 @@
 }
 
 /// Takes in a response if the source's data is recent enough.
-fn take_response(intake: &FeedIntake, response: FeedResponse) -> Result<(), FollowError> {
+fn take_response(
+    intake: &FeedIntake,
+    link: &mut SourceLink,
+    response: FeedResponse,
+) -> Result<(), FollowError> {
     let node = &intake.node;
     let now = node.now();
     let age_of = |delta: &FeedDelta| Duration::from_millis(u64::from(delta.age_ms));
@@ -161,10 +185,14 @@
     };
     let is_needed = |delta: &&FeedDelta| delta.table != FeedTable::Nodes;
     let needed = || response.tables.iter().filter(is_needed);
+    let behind_since = link.behind_since.unwrap_or(now);
+    link.behind_since = needed().any(is_behind).then_some(behind_since);
     let sample = FeedSample {
         age: needed().map(age_of).max().unwrap_or(Duration::MAX),
         is_cut_off: response.is_cut_off || needed().count() + 1 < TABLES.len(),
-        is_behind: needed().any(is_behind),
+        behind_for: link
+            .behind_since
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since)),
     };
     if let Some(failed_ms_ago) = response.failed_ms_ago {
         let ago = Duration::from_millis(u64::from(failed_ms_ago));
@@ -178,7 +206,10 @@
     node.feed.record_contact();
     for delta in response.tables {
         let confirmed_at = now.saturating_sub(age_of(&delta));
-        intake.take(delta.table, decode_delta(delta), confirmed_at);
+        let table = delta.table;
+        let decoded = decode_delta(&node.feed.copy(table).borrow(), delta);
+        let decoded = decoded.ok_or(FollowError::UnknownBase)?;
+        intake.take(table, decoded, confirmed_at);
     }
     Ok(())
 }
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -137,11 +137,7 @@
     let mut tables: Vec<FeedDelta> = Vec::new();
     for position in request.tables.iter().take(MAX_FEED_TABLES) {
         let copy = node.feed.copy(position.table).borrow();
-        let known = position.known.map(RowVersion);
-        let Some(delta) = copy.delta_since(known) else {
-            continue;
-        };
-        tables.push(encode_delta(position.table, delta, copy.age(now)));
+        tables.extend(encode_delta(&copy, *position, copy.age(now)));
     }
     let failed_ago = node.feed.failed_at().map(|at| now.saturating_sub(at));
     FeedResponse {
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -35,6 +35,8 @@
     pub advanced: Notify,
     /// Notified when the node starts or stops following a source.
     pub mode_changed: Notify,
+    /// Notified when a source has another key than its last known heartbeat says: it has restarted.
+    pub key_changed: Notify,
     /// Notified when a store call succeeded after failures.
     pub regained: Notify,
     config: RefCell<TableCopy>,
@@ -67,6 +69,7 @@
             key_text,
             advanced: Notify::new(),
             mode_changed: Notify::new(),
+            key_changed: Notify::new(),
             regained: Notify::new(),
             config: RefCell::default(),
             registry: RefCell::default(),
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -30,7 +30,8 @@
 /// second to 1.6.
 const BASE_INTERVAL_NODES: usize = 64;
 
-/// Heartbeat interval until the first count succeeds.
+/// Time between the first heartbeat and the next read, which shows the other nodes of a start of
+/// all; also the delay after a failed call.
 const INITIAL_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Number of intervals without a heartbeat after which a node counts as gone; two heartbeats may be
@@ -77,38 +78,47 @@
 /// Writes heartbeats and counts those of other nodes; never returns.
 pub async fn run_heartbeats(node: Rc<GatewayNode>) {
     let mut client = StoreClient::new(node.settings.store);
-    let mut is_announced = false;
-    let mut written_at = None;
+    while announce(&node, &mut client).await.is_err() {
+        tokio::time::sleep(INITIAL_INTERVAL).await;
+    }
+    let mut written_at = node.now();
+    let mut pause = INITIAL_INTERVAL;
     loop {
-        let has_clock = node.store_clock().is_some();
-        let is_due = written_at.is_none_or(|at| {
-            node.now().saturating_sub(at) >= heartbeat_interval(node.node_count())
-        });
+        let key_changed = tokio::time::timeout(pause, node.feed.key_changed.notified());
+        let reads_now = tokio::select! {
+            changed = key_changed => changed.is_ok(),
+            () = count_repeatedly(&node) => false,
+        };
+        let interval = heartbeat_interval(node.node_count());
+        let is_due = node.now().saturating_sub(written_at) >= interval;
         let mut outcome = Ok(());
-        if has_clock && is_due {
+        if is_due {
             outcome = write_heartbeat(&node, &mut client).await;
             if outcome.is_ok() {
-                written_at = Some(node.now());
+                written_at = node.now();
             }
         }
-        if outcome.is_ok() && !node.feed.is_following() {
+        if outcome.is_ok() && (reads_now || !node.feed.is_following()) {
             outcome = read_heartbeats(&node, &mut client).await;
         }
-        if outcome.is_ok() && has_clock && !is_announced {
-            is_announced = true;
-            // Other nodes can announce crash records to this one from now on. Those that were
-            // written since its first read were announced without it.
-            node.crash_records_changed.notify_one();
-        }
-        let pause = match outcome {
-            Ok(()) if has_clock => next_pause(&node, written_at),
-            Ok(()) => INITIAL_INTERVAL,
+        pause = match outcome {
+            Ok(()) => next_pause(&node, written_at),
             Err(_) => retry_pause(&node),
         };
-        sleep_counting(&node, pause).await;
     }
 }
 
+/// Writes the first heartbeat. It follows the first read, which supplies the store's clock.
+async fn announce(node: &GatewayNode, client: &mut StoreClient) -> Result<(), StoreError> {
+    if node.store_clock().is_none() {
+        read_heartbeats(node, client).await?;
+    }
+    write_heartbeat(node, client).await?;
+    // Other nodes can announce crash records to this one from now on.
+    node.crash_records_changed.notify_one();
+    Ok(())
+}
+
 fn heartbeat_interval(nodes: usize) -> Duration {
     let scaled = nodes.max(BASE_INTERVAL_NODES);
     let count = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
@@ -116,9 +126,8 @@
 }
 
 /// Time until the next heartbeat is due, or the next read of a node that others follow.
-fn next_pause(node: &GatewayNode, written_at: Option<Duration>) -> Duration {
-    let interval = heartbeat_interval(node.node_count());
-    let due_at = written_at.map_or(Duration::ZERO, |at| at + interval);
+fn next_pause(node: &GatewayNode, written_at: Duration) -> Duration {
+    let due_at = written_at + heartbeat_interval(node.node_count());
     let pause = due_at.saturating_sub(node.now());
     let pause = pause.max(RETRY_INTERVAL);
     if node.feed.is_root(&node.settings.node) {
@@ -134,12 +143,10 @@
     INITIAL_INTERVAL * (1 + 2 * depth)
 }
 
-/// Sleeps, and counts the nodes meanwhile: heartbeats expire without a change.
-async fn sleep_counting(node: &GatewayNode, pause: Duration) {
-    let end = node.now() + pause;
-    while node.now() < end {
-        let left = end.saturating_sub(node.now());
-        tokio::time::sleep(left.min(COUNT_INTERVAL)).await;
+/// Counts the nodes at intervals, since heartbeats expire without a change; never returns.
+async fn count_repeatedly(node: &GatewayNode) {
+    loop {
+        tokio::time::sleep(COUNT_INTERVAL).await;
         count_nodes(node);
     }
 }
--- a/crates/serving/src/feed/copy.rs
+++ b/crates/serving/src/feed/copy.rs
@@ -39,6 +39,8 @@
 struct StoredRow {
     value: Option<Bytes>,
     version: RowVersion,
+    /// Value and version before the last write, if the row existed then.
+    previous: Option<(RowVersion, Bytes)>,
 }
 
 /// Copy of a table, with the versions of the store. A row is never replaced by an older one.
@@ -88,11 +90,12 @@
 
     /// Applies a row; returns false if the copy holds the same version or a newer one.
     pub fn apply(&mut self, row: &StoreRow) -> bool {
-        let held = self.rows.get(&row.key);
-        if let Some(held) = held {
+        let mut previous = None;
+        if let Some(held) = self.rows.get(&row.key) {
             if held.version >= row.version {
                 return false;
             }
+            previous = held.value.clone().map(|value| (held.version, value));
             let old = (held.version, row.key.clone());
             self.by_version.remove(&old);
             self.tombstones.remove(&old);
@@ -105,6 +108,7 @@
         let stored = StoredRow {
             value: row.value.clone(),
             version: row.version,
+            previous,
         };
         self.rows.insert(row.key.clone(), stored);
         self.forget_old_tombstones();
@@ -180,6 +184,26 @@
         })
     }
 
+    /// Value of a row before its last write, and the version of that value, if a node that knows the
+    /// table up to `known` has it.
+    #[must_use]
+    pub fn previous(&self, key: &str, known: RowVersion) -> Option<(RowVersion, &Bytes)> {
+        let row = self.rows.get(key)?;
+        let (version, value) = row.previous.as_ref()?;
+        (*version <= known && known < row.version).then_some((*version, value))
+    }
+
+    /// Value that a row had at exactly this version, if it is still held.
+    #[must_use]
+    pub fn value_at(&self, key: &str, version: RowVersion) -> Option<&Bytes> {
+        let row = self.rows.get(key)?;
+        if row.version == version {
+            return row.value.as_ref();
+        }
+        let (previous, value) = row.previous.as_ref()?;
+        (*previous == version).then_some(value)
+    }
+
     /// Whether a node that knows the table up to `known` lacks a change.
     #[must_use]
     pub fn has_news(&self, known: Option<RowVersion>) -> bool {
--- a/crates/serving/src/feed/freshness.rs
+++ b/crates/serving/src/feed/freshness.rs
@@ -9,6 +9,10 @@
 /// Additional age per further level of the tree, the time after which a node asks its source again.
 const AGE_PER_LEVEL: Duration = Duration::from_millis(600);
 
+/// Time for which a source may know less than a node that has just read the store itself. Changes
+/// take some hundred milliseconds through the tree.
+const MAX_BEHIND: Duration = Duration::from_millis(1200);
+
 /// Maximum age of the data of a source for the node at this depth of the tree. It grows with the
 /// depth, so that the nodes nearest to the store are the first to stop relying on a source.
 #[must_use]
@@ -23,14 +27,14 @@
     pub age: Duration,
     /// Whether the source's last attempt to reach the store, or its own source, failed.
     pub is_cut_off: bool,
-    /// Whether the copy is older than what the receiver knows.
-    pub is_behind: bool,
+    /// How long the copy has lacked changes that the receiver knows.
+    pub behind_for: Duration,
 }
 
 impl FeedSample {
     /// Whether the node at this depth may rely on the source.
     #[must_use]
     pub fn is_usable(self, depth: u32) -> bool {
-        !self.is_cut_off && !self.is_behind && self.age <= max_source_age(depth)
+        !self.is_cut_off && self.behind_for <= MAX_BEHIND && self.age <= max_source_age(depth)
     }
 }
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -73,6 +73,26 @@
     pub key: String,
     /// Version of the last write.
     pub version: u64,
-    /// Value; none if the row was removed.
-    pub value: Option<Vec<u8>>,
+    /// What became of the row.
+    pub content: FeedContent,
+}
+
+/// Content of a row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FeedContent {
+    /// The row was removed.
+    Removed,
+    /// The whole value.
+    Whole(Vec<u8>),
+    /// The difference from an earlier value that the receiver has.
+    Patch {
+        /// Version of the earlier value.
+        base: u64,
+        /// Bytes shared at the beginning.
+        prefix: u32,
+        /// Bytes shared at the end.
+        suffix: u32,
+        /// Bytes between the two.
+        middle: Vec<u8>,
+    },
 }
