Inherit gaps with a delta, and look for another source before reading the store

What was seen: the property table_copy::copies_end_as_the_table failed with a removed row that lived on at a third node.

Cause: a node that took a delta over a span in which its source had not seen each change passed on that span as if it had. With one deputy, a domain whose first two nodes are turned away has no reader, and each node read the store at each failed attempt at a source.

Change: a delta names the span of its source's gaps, and the receiver keeps it. Three deputies; a node asks other sources for 0.4 s before it reads the store, and avoids one that fails for longer each time.

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -180,6 +180,7 @@
             version: page.version,
             is_full: true,
             rows: page.rows,
+            gap: None,
         });
     };
     let wait = if node.feed.is_root(&node.settings.node) {
@@ -194,6 +195,7 @@
         version: response.version.max(after),
         is_full: false,
         rows: response.rows,
+        gap: None,
     })
 }
 
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -41,6 +41,14 @@
 /// Time for which a source is not asked again after its data was too old.
 const AVOID_STALE: Duration = Duration::from_millis(800);
 
+/// Number of failures in a row up to which a source is avoided twice as long after each.
+const MAX_AVOID_DOUBLINGS: u32 = 3;
+
+/// Time without a successful response after which the node reads the store itself while it looks
+/// for another source. A source whose data is too old says so at once, so others can be asked first;
+/// one that does not respond has used up this time.
+const MAX_SEARCH_TIME: Duration = Duration::from_millis(400);
+
 /// Interval for looking for a source while there is none.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -68,26 +76,58 @@
 impl FollowError {
     fn avoid_time(&self) -> Duration {
         match self {
-            // It has restarted, and its new key is read at once.
-            Self::Link(LinkError::Auth(_)) => AVOID_STALE,
+            // A source that can't be authenticated has restarted, and its new key is read at once.
+            Self::Link(LinkError::Auth(_)) | Self::Stale(_) | Self::UnknownBase => AVOID_STALE,
             Self::Link(_) => AVOID_UNREACHABLE,
-            Self::Stale(_) | Self::UnknownBase => AVOID_STALE,
         }
     }
 }
 
+/// Sources that failed, and until when each is not asked again.
+#[derive(Default)]
+struct AvoidedSources {
+    sources: FastMap<NodeId, AvoidedSource>,
+}
+
+struct AvoidedSource {
+    until: Duration,
+    failures: u32,
+}
+
+impl AvoidedSources {
+    fn contains(&self, source: &NodeId, now: Duration) -> bool {
+        let avoided = self.sources.get(source);
+        avoided.is_some_and(|avoided| now < avoided.until)
+    }
+
+    /// Avoids a source, for longer with each failure in a row.
+    fn avoid(&mut self, source: NodeId, now: Duration, time: Duration) {
+        let avoided = self.sources.entry(source).or_insert(AvoidedSource {
+            until: now,
+            failures: 0,
+        });
+        let factor = 1 << avoided.failures.min(MAX_AVOID_DOUBLINGS);
+        avoided.until = now + time * factor;
+        avoided.failures += 1;
+    }
+
+    fn forgive(&mut self, source: &NodeId) {
+        self.sources.remove(source);
+    }
+}
+
 /// Follows the best source while there is one; never returns.
 pub async fn follow_sources(intake: Rc<FeedIntake>) {
     let node = Rc::clone(&intake.node);
     let mut link: Option<SourceLink> = None;
-    let mut avoided: FastMap<NodeId, Duration> = FastMap::default();
+    let mut avoided = AvoidedSources::default();
+    let mut succeeded_at = Duration::ZERO;
     loop {
         let now = node.now();
-        avoided.retain(|_, until| *until > now);
         let sources = node.feed.sources(&node.settings.node);
         let source = sources
             .into_iter()
-            .find(|source| !avoided.contains_key(&source.node));
+            .find(|source| !avoided.contains(&source.node, now));
         let Some(source) = source else {
             link = None;
             node.feed.set_following(false);
@@ -95,16 +135,23 @@
             continue;
         };
         match follow_once(&intake, &mut link, &source).await {
-            Ok(()) => node.feed.set_following(true),
+            Ok(()) => {
+                succeeded_at = node.now();
+                avoided.forgive(&source.node);
+                node.feed.set_following(true);
+            }
             Err(error) => {
                 link = None;
-                // The node reads the store meanwhile, so that it is as recent as without a source.
-                node.feed.set_following(false);
                 log_source_lost(&intake, &source, &error);
                 if matches!(error, FollowError::Link(LinkError::Auth(_))) {
                     node.feed.key_changed.notify_one();
                 }
-                avoided.insert(source.node, node.now() + error.avoid_time());
+                let now = node.now();
+                // The node reads the store meanwhile, so that it is as recent as without a source.
+                if now.saturating_sub(succeeded_at) > MAX_SEARCH_TIME {
+                    node.feed.set_following(false);
+                }
+                avoided.avoid(source.node, now, error.avoid_time());
             }
         }
     }
--- a/crates/gateway/src/feed/messages.rs
+++ b/crates/gateway/src/feed/messages.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use domain::RowVersion;
-use serving::feed::{RowPatch, StoreRow, TableCopy, TableDelta};
+use serving::feed::{RowPatch, StoreRow, TableCopy, TableDelta, VersionGap};
 use wire::feed::{FeedContent, FeedDelta, FeedPosition, FeedRow};
 
 /// Encodes what the sender of a position lacks of a table; `None` before the first read.
@@ -20,6 +20,7 @@
         age_ms: encode_millis(age),
         is_full: delta.is_full,
         rows: rows.collect(),
+        gap: delta.gap.map(|gap| (gap.before.0, gap.after.0)),
     })
 }
 
@@ -64,6 +65,10 @@
         version: RowVersion(delta.version),
         is_full: delta.is_full,
         rows,
+        gap: delta.gap.map(|(before, after)| VersionGap {
+            before: RowVersion(before),
+            after: RowVersion(after),
+        }),
     })
 }
 
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -108,6 +108,9 @@
             let rows = delta.rows.into_iter();
             rows.filter(|row| copy.apply(row)).collect()
         };
+        if let Some(gap) = delta.gap {
+            copy.record_gap(gap);
+        }
         copy.confirm(delta.version, confirmed_at);
         changed
     }
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -196,6 +196,7 @@
             version: response.version,
             is_full: false,
             rows: response.rows,
+            gap: None,
         },
         Err(StoreError::Compacted) => {
             let page = client.read_table(NODES_TABLE, STORE_TIMEOUT).await?;
@@ -204,6 +205,7 @@
                 version: page.version,
                 is_full: true,
                 rows: page.rows,
+                gap: None,
             }
         }
         Err(error) => return Err(error),
--- a/crates/serving/src/feed/copy.rs
+++ b/crates/serving/src/feed/copy.rs
@@ -33,6 +33,18 @@
     pub is_full: bool,
     /// Rows in the order of their versions.
     pub rows: Vec<StoreRow>,
+    /// Span of versions in which rows may have come and gone unseen by the sender, if there is one.
+    /// The receiver can't tell others of their removal either.
+    pub gap: Option<VersionGap>,
+}
+
+/// Versions before and after changes that were not seen one by one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionGap {
+    /// Version known before.
+    pub before: RowVersion,
+    /// Version known after.
+    pub after: RowVersion,
 }
 
 #[derive(Debug, Clone)]
@@ -54,7 +66,7 @@
     horizon: Option<RowVersion>,
     /// Versions before and after reads of the whole table that followed unseen changes. Rows that
     /// came and went in between are not known here, but may be to a node that saw them come.
-    gaps: VecDeque<(RowVersion, RowVersion)>,
+    gaps: VecDeque<VersionGap>,
     version: Option<RowVersion>,
     confirmed_at: Duration,
 }
@@ -134,26 +146,38 @@
         let mut changed = rows;
         changed.extend(gone);
         changed.retain(|row| self.apply(row));
-        self.record_gap(version);
+        match self.version {
+            Some(before) => self.record_gap(VersionGap {
+                before,
+                after: version,
+            }),
+            None => self.horizon = Some(version),
+        }
         changed
     }
 
-    fn record_gap(&mut self, version: RowVersion) {
-        let Some(before) = self.version else {
-            self.horizon = Some(version);
-            return;
-        };
-        self.gaps.push_back((before, version));
+    /// Records that rows may have come and gone unseen.
+    pub fn record_gap(&mut self, gap: VersionGap) {
+        self.gaps.push_back(gap);
         if self.gaps.len() > MAX_GAPS {
             let oldest = self.gaps.pop_front();
-            self.horizon = self.horizon.max(oldest.map(|(_, after)| after));
+            self.horizon = self.horizon.max(oldest.map(|gap| gap.after));
         }
     }
 
     /// Whether all removals since this version are known.
     fn is_complete_since(&self, known: RowVersion) -> bool {
-        let in_gap = |(before, after): &(RowVersion, RowVersion)| *before < known && known < *after;
-        self.horizon.is_some_and(|horizon| known >= horizon) && !self.gaps.iter().any(in_gap)
+        let is_inside = |gap: &VersionGap| gap.before < known && known < gap.after;
+        self.horizon.is_some_and(|horizon| known >= horizon) && !self.gaps.iter().any(is_inside)
+    }
+
+    /// The span of all gaps behind a version.
+    fn gap_since(&self, known: RowVersion) -> Option<VersionGap> {
+        let gaps = self.gaps.iter().filter(|gap| gap.after > known);
+        gaps.copied().reduce(|left, right| VersionGap {
+            before: left.before.min(right.before),
+            after: left.after.max(right.after),
+        })
     }
 
     /// Records that the store confirmed the table up to `version`, at `confirmed_at`.
@@ -181,6 +205,7 @@
             version,
             is_full: after.is_none(),
             rows,
+            gap: after.and_then(|after| self.gap_since(after)),
         })
     }
 
--- a/crates/serving/src/feed/tree.rs
+++ b/crates/serving/src/feed/tree.rs
@@ -15,8 +15,8 @@
 /// to be worth a delay.
 pub const MIN_FOLLOWING_NODES: usize = 8;
 
-/// Rank of the node that stands in for the root.
-const DEPUTY_RANK: usize = 1;
+/// Number of nodes that stand in for the root, each if those before it are lost or cut off as well.
+const DEPUTIES: usize = 3;
 
 /// Sorts the nodes of a failure domain by their ranks in its tree.
 #[must_use]
@@ -27,7 +27,7 @@
 }
 
 /// Ranks that the node of a rank may follow, the preferred one first: its ancestors, then the
-/// deputy of the root. Empty for the root, and in a domain with few nodes.
+/// deputies of the root. Empty for the root, and in a domain with few nodes.
 ///
 /// All are lower than `rank`, so nodes that agree on the order never follow each other in a loop.
 #[must_use]
@@ -41,9 +41,11 @@
         ancestor = (ancestor - 1) / TREE_FANOUT;
         sources.push(ancestor);
     }
-    // Without the deputy, all children of a lost root would read the store.
-    if rank > DEPUTY_RANK && !sources.contains(&DEPUTY_RANK) {
-        sources.push(DEPUTY_RANK);
+    // Without deputies, all children of a lost root would read the store.
+    for deputy in 1..=DEPUTIES {
+        if deputy < rank && !sources.contains(&deputy) {
+            sources.push(deputy);
+        }
     }
     sources
 }
--- a/crates/serving/tests/feed/feed_tree.rs
+++ b/crates/serving/tests/feed/feed_tree.rs
@@ -1,7 +1,6 @@
 //! Hundreds of nodes that each read the store cost it a call a node; a tree must keep the readers
 //! few and every node reachable whatever single node is lost.
 
-use quickcheck::quickcheck;
 use serving::feed::{MIN_FOLLOWING_NODES, TREE_FANOUT, feed_order, feed_sources, tree_depth};
 
 #[test]
@@ -21,14 +20,15 @@
 
 /// Guards against a loss of the root after which all of its children read the store.
 #[test]
-fn deputy_replaces_root() {
-    for rank in 2..=TREE_FANOUT {
-        assert_eq!(feed_sources(rank, 64), vec![0, 1]);
+fn deputies_replace_root() {
+    for rank in 4..=TREE_FANOUT {
+        assert_eq!(feed_sources(rank, 64), vec![0, 1, 2, 3]);
     }
     assert_eq!(feed_sources(1, 64), vec![0]);
+    assert_eq!(feed_sources(2, 64), vec![0, 1]);
 }
 
-quickcheck! {
+cases::properties! {
     /// Guards against nodes that follow each other in a loop and never hear of a change.
     fn sources_rank_before(rank: u8, nodes: u8) -> bool {
         let (rank, nodes) = (usize::from(rank), usize::from(nodes));
--- a/crates/serving/tests/feed/row_patch.rs
+++ b/crates/serving/tests/feed/row_patch.rs
@@ -1,10 +1,9 @@
 //! Whole rows filled the links of the nodes that pass them on; a patch must give the same row.
 
 use bytes::Bytes;
-use quickcheck::quickcheck;
 use serving::feed::RowPatch;
 
-quickcheck! {
+cases::properties! {
     /// Guards against a row that differs at the node that follows.
     fn patch_restores_value(prefix: Vec<u8>, old: Vec<u8>, new: Vec<u8>, suffix: Vec<u8>) -> bool {
         let old = [prefix.as_slice(), &old, &suffix].concat();
--- a/crates/serving/tests/feed/table_copy.rs
+++ b/crates/serving/tests/feed/table_copy.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use domain::RowVersion;
-use quickcheck::{Arbitrary, Gen, quickcheck};
+use quickcheck::{Arbitrary, Gen};
 use serving::feed::{StoreRow, TableCopy, TableDelta};
 
 /// Number of nodes that pass on copies; node 0 reads the store.
@@ -72,6 +72,7 @@
         version,
         is_full,
         rows,
+        gap,
     } = delta;
     let copy = &mut copies[follower];
     if is_full {
@@ -81,6 +82,9 @@
             copy.apply(row);
         }
     }
+    if let Some(gap) = gap {
+        copy.record_gap(gap);
+    }
     copy.confirm(version, Duration::ZERO);
 }
 
@@ -112,7 +116,7 @@
     }
 }
 
-quickcheck! {
+cases::properties! {
     /// Guards against a removed target that lives on at a node which changed its source, and
     /// against an older row that replaces a newer one.
     fn copies_end_as_the_table(steps: Vec<Step>) -> bool {
@@ -184,6 +188,22 @@
     assert_eq!(delta.rows, vec![row("a", Some("2"), 8), row("b", None, 9)]);
 }
 
+/// Guards against a node that passes on a gap as if it had seen all changes in it.
+#[test]
+fn gap_is_inherited() {
+    let mut reader = TableCopy::default();
+    reader.replace(Vec::new(), RowVersion(0));
+    reader.confirm(RowVersion(0), Duration::ZERO);
+    let mut copies = vec![reader.clone(), reader];
+    copies[1].replace(Vec::new(), RowVersion(2));
+    copies[1].confirm(RowVersion(2), Duration::ZERO);
+    follow(&mut copies, 0, 1);
+    let delta = copies[0]
+        .delta_since(Some(RowVersion(1)))
+        .expect("table was read");
+    assert!(delta.is_full);
+}
+
 /// Guards against a target that stays known at a node which saw it come while the reader it now
 /// follows saw neither its coming nor its end.
 #[test]
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -64,6 +64,8 @@
     pub is_full: bool,
     /// Rows in the order of their versions.
     pub rows: Vec<FeedRow>,
+    /// Versions between which rows may have come and gone unseen by the responder.
+    pub gap: Option<(u64, u64)>,
 }
 
 /// A row of a table.
