Leave the first reads to a source when the whole system starts for the first time

What was seen: 295 nodes that start together each read the registry and the configuration and poll them until they have a source, some ten calls a node, before any request comes.

Change: in the first 2.5 s of the whole system's first start a node that may follow another one waits for it. Plans wait for hosts to register for about as long. At every other start nodes read at once, since clients wait.

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -47,6 +47,13 @@
 /// node at 64 nodes.
 const BATCH_DELAY_NODES: usize = 12;
 
+/// Time after the first start of the whole system for which a node that may follow another one
+/// leaves the reading to it. Hosts register over the first seconds, and plans wait for them.
+const FIRST_READ_DELAY: Duration = Duration::from_millis(2500);
+
+/// Interval for checking whether there is a node to follow.
+const TREE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Timeout for reading a whole table.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -109,13 +116,26 @@
 async fn until_direct(node: &GatewayNode) {
     loop {
         let changed = node.feed.mode_changed.notified();
-        if !node.feed.is_following() {
+        if node.feed.is_following() {
+            changed.await;
+        } else if may_follow_soon(node) {
+            drop(tokio::time::timeout(TREE_CHECK_INTERVAL, changed).await);
+        } else {
             return;
         }
-        changed.await;
     }
 }
 
+/// Whether the system starts for the first time and this node will probably follow another one.
+/// Nothing waits for the first read then, and all nodes would read the same tables at once.
+fn may_follow_soon(node: &GatewayNode) -> bool {
+    let is_early = node.settings.first_start && node.now() < FIRST_READ_DELAY;
+    let accepts_links = node.feed.address().is_some();
+    let own = &node.settings.node;
+    let is_undecided = !node.feed.is_counted() || !node.feed.sources(own).is_empty();
+    is_early && accepts_links && is_undecided
+}
+
 /// Name of a table in the store.
 fn store_table(table: FeedTable) -> &'static str {
     match table {
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -41,6 +41,9 @@
 /// Time for which a source is not asked again after its data was too old.
 const AVOID_STALE: Duration = Duration::from_millis(800);
 
+/// Time for which a source is not asked again that has just started.
+const AVOID_STARTING: Duration = Duration::from_millis(150);
+
 /// Number of failures in a row up to which a source is avoided twice as long after each.
 const MAX_AVOID_DOUBLINGS: u32 = 3;
 
@@ -68,6 +71,9 @@
     /// It sent a change to a value that this node does not have.
     #[error("a change refers to a value that is not known here")]
     UnknownBase,
+    /// It has not read the store yet.
+    #[error("it has not read the store yet")]
+    NothingKnown,
     /// Its data is not recent enough, or older than what this node knows.
     #[error("its data is too old: {0:?}")]
     Stale(FeedSample),
@@ -78,6 +84,7 @@
         match self {
             // A source that can't be authenticated has restarted, and its new key is read at once.
             Self::Link(LinkError::Auth(_)) | Self::Stale(_) | Self::UnknownBase => AVOID_STALE,
+            Self::NothingKnown => AVOID_STARTING,
             Self::Link(_) => AVOID_UNREACHABLE,
         }
     }
@@ -232,11 +239,14 @@
     };
     let is_needed = |delta: &&FeedDelta| delta.table != FeedTable::Nodes;
     let needed = || response.tables.iter().filter(is_needed);
+    if needed().count() + 1 < TABLES.len() {
+        return Err(FollowError::NothingKnown);
+    }
     let behind_since = link.behind_since.unwrap_or(now);
     link.behind_since = needed().any(is_behind).then_some(behind_since);
     let sample = FeedSample {
         age: needed().map(age_of).max().unwrap_or(Duration::MAX),
-        is_cut_off: response.is_cut_off || needed().count() + 1 < TABLES.len(),
+        is_cut_off: response.is_cut_off,
         behind_for: link
             .behind_since
             .map_or(Duration::ZERO, |since| now.saturating_sub(since)),
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -43,6 +43,7 @@
     registry: RefCell<TableCopy>,
     nodes: RefCell<TableCopy>,
     address: Cell<Option<SocketAddr>>,
+    is_counted: Cell<bool>,
     is_following: Cell<bool>,
     is_cut_off: Cell<bool>,
     failed_at: Cell<Option<Duration>>,
@@ -75,6 +76,7 @@
             registry: RefCell::default(),
             nodes: RefCell::default(),
             address: Cell::default(),
+            is_counted: Cell::default(),
             is_following: Cell::default(),
             is_cut_off: Cell::default(),
             failed_at: Cell::default(),
@@ -218,6 +220,17 @@
         sources
     }
 
+    /// Whether the nodes of a start of all have been counted, after all wrote their first heartbeats.
+    #[must_use]
+    pub fn is_counted(&self) -> bool {
+        self.is_counted.get()
+    }
+
+    /// Records that the nodes of a start of all have been counted.
+    pub fn set_counted(&self) {
+        self.is_counted.set(true);
+    }
+
     /// Whether this node reads the store for the others of a large failure domain.
     #[must_use]
     pub fn is_root(&self, node: &NodeId) -> bool {
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -100,6 +100,7 @@
         }
         if outcome.is_ok() && (reads_now || !node.feed.is_following()) {
             outcome = read_heartbeats(&node, &mut client).await;
+            node.feed.set_counted();
         }
         pause = match outcome {
             Ok(()) => next_pause(&node, written_at),
