Let no node expire from the count while the store is away

What was seen: store_faults::queries_shared_by_nodes failed once, with 145 queries where 132 are allowed.

Cause, by reading: nodes were counted at intervals against the present time, so that all expired during an outage of the store, in which nobody can write a heartbeat; each node then ranks itself first.

Change: ages are taken at the last read of the heartbeats.

--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -225,6 +225,9 @@
         return;
     }
     let copy = node.feed.copy(FeedTable::Nodes).borrow();
+    // Nobody can tell who is live while the store is away, so none expires then. If nodes did, the
+    // others would take over their turns and their shares of the budgets.
+    let clock = clock.saturating_sub(copy.age(node.now()));
     let mut census = NodeCensus::default();
     let max_age = heartbeat_interval(copy.values().count()).mul_f64(EXPIRY_INTERVALS);
     for (name, value) in copy.values() {
