Take a head that nobody hears from for as loaded as the others, and tell others of it

Cause: known loads decline while no report comes. A head that has lost a member reports nothing, so it looked free and drew the requests of its failure domain.

Change: without a report for half a second a head counts as having the mean load at least. A node whose requests at a head make no progress tells the others, which avoid it for a second.

--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -49,15 +49,27 @@
     }
 }
 
-/// Load of a head in a batch.
+/// What was heard of one head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeadLoad {
-    /// Head that reported the load.
+pub struct HeadHint {
+    /// The head.
     pub head: HostHash,
-    /// Number of requests running and queued there.
-    pub requests: u32,
-    /// Whether the report came with a successful response.
-    pub served: bool,
+    /// What was heard.
+    pub report: HintReport,
+}
+
+/// What was heard of a head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HintReport {
+    /// It reported its load.
+    Load {
+        /// Number of requests running and queued there.
+        requests: u32,
+        /// Whether the report came with a successful response.
+        served: bool,
+    },
+    /// It does not respond, or its requests make no progress.
+    Silent,
 }
 
 /// A hint sent to other nodes.
@@ -84,10 +96,12 @@
     /// only in the store, where outsiders can't write.
     #[serde(rename = "EndsWritten")]
     CrashRecordsWritten,
-    /// Loads that heads reported to nodes of the sender's failure domain or of others.
-    DomainLoads(Vec<HeadLoad>),
-    /// Loads that heads reported to nodes of another failure domain, for a node that passes them on.
-    OtherLoads(Vec<HeadLoad>),
+    /// What one node heard of a head, for a node that passes it on.
+    Heard(HeadHint),
+    /// What nodes of the sender's failure domain or of others heard of heads.
+    DomainBatch(Vec<HeadHint>),
+    /// What nodes of another failure domain heard of heads, for a node that passes it on.
+    OtherBatch(Vec<HeadHint>),
 }
 
 impl LoadHint {
@@ -224,19 +238,16 @@
                 head,
                 requests,
                 served,
-            }) => {
-                node.apply_report(head, requests, served);
-                node.collect_own(HeadLoad {
-                    head,
-                    requests,
-                    served,
-                });
-            }
+            }) => node.apply_report(head, requests, served),
             Some(LoadHint::CrashRecordsWritten) => node.crash_records_changed.notify_one(),
-            Some(LoadHint::DomainLoads(loads)) => node.apply_loads(&loads),
-            Some(LoadHint::OtherLoads(loads)) => {
-                node.apply_loads(&loads);
-                node.collect_others(&loads);
+            Some(LoadHint::Heard(hint)) => {
+                node.apply_hints(&[hint]);
+                node.collect_own(hint);
+            }
+            Some(LoadHint::DomainBatch(hints)) => node.apply_hints(&hints),
+            Some(LoadHint::OtherBatch(hints)) => {
+                node.apply_hints(&hints);
+                node.collect_others(&hints);
             }
             None => {}
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,6 @@
 mod settings;
 mod usage;
 
-pub use hints::{HeadLoad, HostHash, LoadHint};
+pub use hints::{HeadHint, HintReport, HostHash, LoadHint};
 pub use run::run_gateway;
 pub use settings::{GatewaySettings, is_gateway_file};
--- a/crates/gateway/src/load_batches.rs
+++ b/crates/gateway/src/load_batches.rs
@@ -9,9 +9,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serving::load_board::ReportedLoad;
+use domain::HostId;
+use serving::load_board::HeadReport;
 
-use crate::hints::{HeadLoad, HostHash, LoadHint};
+use crate::hints::{HeadHint, HintReport, HostHash, LoadHint};
 use crate::node::GatewayNode;
 
 /// Interval between two batches of one node. Two nodes send them, so that loads are known a tenth
@@ -30,73 +31,98 @@
         }
         let batches = node.load_board.borrow_mut().take(MAX_BATCH_LOADS);
         if !batches.for_domain.is_empty() {
-            let loads = encode_loads(&batches.for_domain);
-            node.hints.send_to_domain(LoadHint::DomainLoads(loads));
+            let hints = encode_hints(&batches.for_domain);
+            node.hints.send_to_domain(LoadHint::DomainBatch(hints));
         }
         if !batches.for_others.is_empty() {
-            let loads = encode_loads(&batches.for_others);
-            node.hints.send_to_others(LoadHint::OtherLoads(loads));
+            let hints = encode_hints(&batches.for_others);
+            node.hints.send_to_others(LoadHint::OtherBatch(hints));
         }
     }
 }
 
-fn encode_loads(loads: &[(HostHash, ReportedLoad)]) -> Vec<HeadLoad> {
-    let loads = loads.iter().map(|(head, load)| HeadLoad {
+fn encode_hints(reports: &[(HostHash, HeadReport)]) -> Vec<HeadHint> {
+    let hints = reports.iter().map(|(head, report)| HeadHint {
         head: *head,
-        requests: load.requests,
-        served: load.served,
+        report: (*report).into(),
     });
-    loads.collect()
+    hints.collect()
 }
 
-impl From<&HeadLoad> for ReportedLoad {
-    fn from(load: &HeadLoad) -> Self {
-        Self {
-            requests: load.requests,
-            served: load.served,
+impl From<HeadReport> for HintReport {
+    fn from(report: HeadReport) -> Self {
+        match report {
+            HeadReport::Load { requests, served } => Self::Load { requests, served },
+            HeadReport::Silent => Self::Silent,
+        }
+    }
+}
+
+impl From<HintReport> for HeadReport {
+    fn from(report: HintReport) -> Self {
+        match report {
+            HintReport::Load { requests, served } => Self::Load { requests, served },
+            HintReport::Silent => Self::Silent,
         }
     }
 }
 
 impl GatewayNode {
-    /// Records the loads of a batch.
-    pub fn apply_loads(&self, loads: &[HeadLoad]) {
-        for load in loads {
-            self.apply_report(load.head, load.requests, load.served);
+    /// Applies what another node heard of heads.
+    pub fn apply_hints(&self, hints: &[HeadHint]) {
+        for hint in hints {
+            match hint.report {
+                HintReport::Load { requests, served } => {
+                    self.apply_report(hint.head, requests, served);
+                }
+                HintReport::Silent => self.apply_silence(hint.head),
+            }
         }
     }
 
-    /// Keeps a load that was reported to a node of this failure domain, to pass it on.
-    pub fn collect_own(&self, load: HeadLoad) {
+    /// Keeps what was heard of a head in this failure domain, to pass it on.
+    pub fn collect_own(&self, hint: HeadHint) {
         if self.hints.is_collector() {
             let mut board = self.load_board.borrow_mut();
-            board.record_own(load.head, (&load).into());
+            board.record_own(hint.head, hint.report.into());
         }
     }
 
-    /// Keeps loads that another failure domain passed on, to pass them on in this one.
-    pub fn collect_others(&self, loads: &[HeadLoad]) {
+    /// Keeps what another failure domain passed on, to pass it on in this one.
+    pub fn collect_others(&self, hints: &[HeadHint]) {
         if !self.hints.is_collector() {
             return;
         }
         let mut board = self.load_board.borrow_mut();
-        for load in loads {
-            board.record_other(load.head, load.into());
+        for hint in hints {
+            board.record_other(hint.head, hint.report.into());
         }
     }
 
     /// Tells the other nodes of a load that a head reported to this one.
-    pub fn share_load(&self, load: HeadLoad) {
-        let hint = LoadHint::Reported {
-            head: load.head,
-            requests: load.requests,
-            served: load.served,
-        };
+    pub fn share_load(&self, head: &HostId, requests: u32, served: bool) {
+        let head = head.into();
         if self.hints.has_collectors() {
-            self.collect_own(load);
-            self.hints.send_to_collectors(hint);
+            self.share_report(head, HintReport::Load { requests, served });
         } else {
-            self.hints.send(hint);
+            self.hints.send(LoadHint::Reported {
+                head,
+                requests,
+                served,
+            });
+        }
+    }
+
+    /// Tells the other nodes of a large deployment that a head does not respond to this one.
+    pub fn share_silence(&self, head: &HostId) {
+        if self.hints.has_collectors() {
+            self.share_report(head.into(), HintReport::Silent);
         }
     }
+
+    fn share_report(&self, head: HostHash, report: HintReport) {
+        let hint = HeadHint { head, report };
+        self.collect_own(hint);
+        self.hints.send_to_collectors(LoadHint::Heard(hint));
+    }
 }
--- a/crates/gateway/src/node/loads.rs
+++ b/crates/gateway/src/node/loads.rs
@@ -77,6 +77,19 @@
         self.with_load(&head, |load| load.record_report(requests, now));
     }
 
+    /// Records that a head does not respond to another node.
+    pub fn apply_silence(&self, head: HostHash) {
+        if let Some(head) = self.host_by_hash(head) {
+            self.mark_silent(&head);
+        }
+    }
+
+    /// Avoids a head that makes no progress, for as long as nothing better is known of it.
+    pub fn mark_silent(&self, head: &HostId) {
+        let now = self.now();
+        self.with_load(head, |load| load.record_unreachable(now));
+    }
+
     fn host_by_hash(&self, hash: HostHash) -> Option<HostId> {
         self.hosts_by_hash.borrow().get(&hash).cloned()
     }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -25,6 +25,8 @@
     loop {
         tokio::time::sleep(STALL_CHECK_INTERVAL).await;
         for head in node.heads_to_probe() {
+            node.mark_silent(&head);
+            node.share_silence(&head);
             probe_members(&node, &head);
         }
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -13,7 +13,7 @@
 
 use crate::admitted::AdmittedRequest;
 use crate::crash::record_interrupted;
-use crate::hints::{HeadLoad, LoadHint};
+use crate::hints::LoadHint;
 use crate::node::{FailureKind, GatewayNode};
 use crate::probe::{probe, refresh_refusing};
 
@@ -259,6 +259,7 @@
     if failure == FailureKind::Unresponsive && target.membership.is_some() {
         let now = node.now();
         node.with_load(&target.id, |load| load.record_unreachable(now));
+        node.share_silence(&target.id);
     } else {
         node.suspect(&target.id, failure, &error.to_string());
     }
@@ -302,11 +303,7 @@
         let now = node.now();
         node.with_load(id, |known| known.record_report(load, now));
         if target.membership.is_some() {
-            node.share_load(HeadLoad {
-                head: id.into(),
-                requests: load,
-                served: head.status.is_success(),
-            });
+            node.share_load(id, load, head.status.is_success());
         }
     }
     if parsed_headers.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -105,24 +105,26 @@
     }
 
     /// Estimates how many requests of all nodes are at the target if this node hears of all reports:
-    /// while none comes, nobody sends there, and what was reported ends.
+    /// while none comes, nobody sends there, and what was reported ends. `None` without a report.
     #[must_use]
-    pub fn declining_estimate(&self, now: Duration) -> f64 {
-        let own = f64::from(self.in_flight);
-        let Some(reported_at) = self.reported_at else {
-            return own;
-        };
-        let age = now.saturating_sub(reported_at).as_secs_f64();
+    pub fn declining_estimate(&self, now: Duration) -> Option<f64> {
+        let age = self.report_age(now)?.as_secs_f64();
         let left = (1.0 - age / REPORT_DECLINE.as_secs_f64()).clamp(0.0, 1.0);
         let reported = f64::from(self.reported) * left;
-        (reported + f64::from(self.sent_since_report)).max(own)
+        let own = f64::from(self.in_flight);
+        Some((reported + f64::from(self.sent_since_report)).max(own))
+    }
+
+    /// Time since the last report; `None` before the first.
+    #[must_use]
+    pub fn report_age(&self, now: Duration) -> Option<Duration> {
+        self.reported_at.map(|at| now.saturating_sub(at))
     }
 
     /// Estimates how many requests of all nodes are at the target; `None` without a recent report.
     #[must_use]
     pub fn fresh_estimate(&self, now: Duration) -> Option<f64> {
-        let reported_at = self.reported_at?;
-        if now.saturating_sub(reported_at) >= MAX_REPORT_AGE {
+        if self.report_age(now)? >= MAX_REPORT_AGE {
             return None;
         }
         let own = f64::from(self.in_flight);
--- a/crates/serving/src/choose_sampled.rs
+++ b/crates/serving/src/choose_sampled.rs
@@ -28,6 +28,9 @@
 /// Factor on the chance of a replica that fails.
 const FAILING_FACTOR: f64 = 1e-6;
 
+/// Time without a report after which a replica may have died.
+const MAX_SILENCE: Duration = Duration::from_millis(500);
+
 /// Free places that a replica is taken to have at least as long as it is not known to be full.
 const MIN_FREE: f64 = 0.5;
 
@@ -47,9 +50,27 @@
 }
 
 impl SampledCandidate {
+    /// Estimated requests of all nodes at the replica. One of which nothing was heard for a while
+    /// counts as having `typical` at least: it may have died rather than be free, and would draw all
+    /// requests.
+    fn requests(&self, typical: f64, now: Duration) -> f64 {
+        let Some(estimate) = self.load.declining_estimate(now) else {
+            return typical.max(f64::from(self.load.in_flight));
+        };
+        let is_recent = self
+            .load
+            .report_age(now)
+            .is_some_and(|age| age < MAX_SILENCE);
+        if is_recent {
+            estimate
+        } else {
+            estimate.max(typical)
+        }
+    }
+
     /// Relative chance of this replica; 0 if it is full.
-    fn chance(&self, limits: ChoiceLimits, now: Duration) -> f64 {
-        let requests = self.load.declining_estimate(now);
+    fn chance(&self, typical: f64, limits: ChoiceLimits, now: Duration) -> f64 {
+        let requests = self.requests(typical, now);
         let capacity = f64::from(self.slots.max(1)) + limits.queue_limit;
         if requests >= capacity || self.load.in_flight >= self.in_flight_limit {
             return 0.0;
@@ -70,6 +91,22 @@
     }
 }
 
+/// Mean of the loads that are known, as long as that leaves a replica a place.
+fn typical_load(candidates: &[SampledCandidate], now: Duration) -> f64 {
+    let known = candidates
+        .iter()
+        .filter(|candidate| candidate.load.fresh_estimate(now).is_some())
+        .filter_map(|candidate| candidate.load.declining_estimate(now));
+    let (count, sum) = known.fold((0.0, 0.0), |(count, sum), load| (count + 1.0, sum + load));
+    let slots = candidates.iter().map(|candidate| candidate.slots).max();
+    let most = (f64::from(slots.unwrap_or(0)) - MIN_FREE).max(0.0);
+    if count > 0.0 {
+        (sum / count).min(most)
+    } else {
+        0.0
+    }
+}
+
 /// Draws the candidate to which the request should go; returns its index. `draw` is a number from 0
 /// to 1, uniformly distributed over the requests.
 ///
@@ -85,9 +122,10 @@
     if candidates.is_empty() {
         return Err(NoTarget::Absent);
     }
+    let typical = typical_load(candidates, now);
     let chances: Vec<f64> = candidates
         .iter()
-        .map(|candidate| candidate.chance(limits, now))
+        .map(|candidate| candidate.chance(typical, limits, now))
         .collect();
     let mut left = draw * chances.iter().sum::<f64>();
     let mut chosen = None;
--- a/crates/serving/src/load_board.rs
+++ b/crates/serving/src/load_board.rs
@@ -1,4 +1,4 @@
-//! Collects the loads that heads report to the nodes of a failure domain, for all of them.
+//! Collects what the nodes of a failure domain hear of heads, for all of them.
 //!
 //! Pattern: many small senders. A node hears from a given head once in many seconds; all nodes of
 //! its failure domain together hear from it several times a second. A few of them collect the
@@ -7,22 +7,28 @@
 
 use domain::FastMap;
 
-/// A load that a head reported.
+/// What a node tells the others of a head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReportedLoad {
-    /// Requests running and queued at the head.
-    pub requests: u32,
-    /// Whether the report came with a successful response.
-    pub served: bool,
+pub enum HeadReport {
+    /// A load that the head reported.
+    Load {
+        /// Requests running and queued at the head.
+        requests: u32,
+        /// Whether the report came with a successful response.
+        served: bool,
+    },
+    /// Its requests make no progress, or it does not respond. The others need not find out by
+    /// requests of their own.
+    Silent,
 }
 
 /// Loads reported since the last batches, by head.
 #[derive(Debug, Clone)]
 pub struct LoadBoard<K> {
     /// Reported to nodes of this failure domain, not yet passed on to them or to others.
-    own: FastMap<K, ReportedLoad>,
+    own: FastMap<K, HeadReport>,
     /// Passed on by other failure domains.
-    others: FastMap<K, ReportedLoad>,
+    others: FastMap<K, HeadReport>,
 }
 
 impl<K> Default for LoadBoard<K> {
@@ -38,20 +44,20 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LoadBatches<K> {
     /// For the nodes of this failure domain.
-    pub for_domain: Vec<(K, ReportedLoad)>,
+    pub for_domain: Vec<(K, HeadReport)>,
     /// For the collecting nodes of the others. What came from them is not sent back, since old
     /// loads would go to and fro and pass for new.
-    pub for_others: Vec<(K, ReportedLoad)>,
+    pub for_others: Vec<(K, HeadReport)>,
 }
 
 impl<K: Copy + Eq + std::hash::Hash + Ord> LoadBoard<K> {
     /// Records a report to a node of this failure domain.
-    pub fn record_own(&mut self, head: K, load: ReportedLoad) {
+    pub fn record_own(&mut self, head: K, load: HeadReport) {
         self.own.insert(head, load);
     }
 
     /// Records a load that another failure domain passed on.
-    pub fn record_other(&mut self, head: K, load: ReportedLoad) {
+    pub fn record_other(&mut self, head: K, load: HeadReport) {
         self.others.insert(head, load);
     }
 
--- a/crates/serving/tests/many_senders.rs
+++ b/crates/serving/tests/many_senders.rs
@@ -11,7 +11,7 @@
 use serving::choose::{ChoiceLimits, TargetCandidate, TargetLoad, choose_target};
 use serving::choose_sampled::{SampledCandidate, choose_sampled};
 use serving::hashing::stable_hash;
-use serving::load_board::{LoadBoard, ReportedLoad};
+use serving::load_board::{HeadReport, LoadBoard};
 
 const NODES: usize = 295;
 const DOMAINS: usize = 5;
@@ -32,6 +32,12 @@
 /// Time for which a target keeps an idle connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(4);
 
+/// Time without progress after which a node takes a head for stalled.
+const STALL_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// Time for which a replica with a lost member accepts requests.
+const STALL: Duration = Duration::from_millis(1500);
+
 const WARM_UP: Duration = Duration::from_secs(4);
 const END: Duration = Duration::from_secs(20);
 
@@ -53,6 +59,7 @@
 enum Event {
     Arrival,
     Report { node: usize, head: usize },
+    Silence { node: usize, head: usize },
     End { node: usize, head: usize },
     Batch,
 }
@@ -68,6 +75,8 @@
     /// Requests for which no head had room, as far as the node knew.
     refused: u32,
     connections: u32,
+    /// Requests sent to a stalled replica.
+    stalled: u32,
     /// Requests that left their failure domain.
     far: u32,
 }
@@ -80,6 +89,8 @@
 
 struct Deployment {
     chooser: Chooser,
+    /// Replicas that accept requests and never respond, from the middle of the run on.
+    stalled: Vec<usize>,
     /// Replicas that are lost from the middle of the run on.
     lost: Vec<usize>,
     /// Requests by failure domain, as a share of the mean.
@@ -97,6 +108,7 @@
     fn new(chooser: Chooser) -> Self {
         Self {
             chooser,
+            stalled: Vec::new(),
             lost: Vec::new(),
             demand: [1.0; DOMAINS],
             draws: 0,
@@ -133,6 +145,10 @@
         self.draw_below(NODES / DOMAINS) * DOMAINS + domain
     }
 
+    fn is_stalled(&self, head: usize, now: Duration) -> bool {
+        now > END / 2 && now < END / 2 + STALL && self.stalled.contains(&head)
+    }
+
     fn is_lost(&self, head: usize, now: Duration) -> bool {
         now > END / 2 && self.lost.contains(&head)
     }
@@ -202,6 +218,15 @@
             self.outcome.late += u32::from(f64::from(self.running[head]) >= accepted);
             self.outcome.far += u32::from(head % DOMAINS != node % DOMAINS);
         }
+        if self.is_stalled(head, now) {
+            self.outcome.stalled += 1;
+            self.loads[node][head].record_sent();
+            events.push(Reverse((
+                now + STALL_TIMEOUT,
+                Event::Silence { node, head },
+            )));
+            return;
+        }
         self.running[head] += 1;
         self.loads[node][head].record_sent();
         let service = MEAN_SERVICE.mul_f64(0.25 + 1.5 * self.draw());
@@ -212,19 +237,23 @@
     fn report(&mut self, node: usize, head: usize, now: Duration) {
         let requests = self.running[head];
         self.loads[node][head].record_report(requests, now);
-        let load = ReportedLoad {
+        let report = HeadReport::Load {
             requests,
             served: true,
         };
-        self.boards[node % DOMAINS].record_own(head, load);
+        self.boards[node % DOMAINS].record_own(head, report);
     }
 
     fn pass_on(&mut self, now: Duration) {
         for domain in 0..DOMAINS {
             let batches = self.boards[domain].take(HEADS);
             for node in (domain..NODES).step_by(DOMAINS) {
-                for (head, load) in &batches.for_domain {
-                    self.loads[node][*head].record_report(load.requests, now);
+                for (head, report) in &batches.for_domain {
+                    let load = &mut self.loads[node][*head];
+                    match report {
+                        HeadReport::Load { requests, .. } => load.record_report(*requests, now),
+                        HeadReport::Silent => load.record_unreachable(now),
+                    }
                 }
             }
             for other in (0..DOMAINS).filter(|other| *other != domain) {
@@ -254,6 +283,11 @@
                     events.push(Reverse((next, Event::Arrival)));
                 }
                 Event::Report { node, head } => self.report(node, head, now),
+                Event::Silence { node, head } => {
+                    self.loads[node][head].record_end();
+                    self.loads[node][head].record_unreachable(now);
+                    self.boards[node % DOMAINS].record_own(head, HeadReport::Silent);
+                }
                 Event::End { node, head } => {
                     self.running[head] -= 1;
                     self.loads[node][head].record_end();
@@ -314,6 +348,20 @@
     assert_eq!(outcome.refused, 0, "{outcome:?}");
 }
 
+/// Guards against a dead replica that looks free because nothing is heard of it, and draws the
+/// requests of a whole failure domain.
+#[test]
+fn stalled_replicas_draw_few() {
+    let run = |chooser| {
+        let mut deployment = Deployment::new(chooser);
+        deployment.stalled = vec![0, 5, 11, 17, 23];
+        deployment.run()
+    };
+    let (alone, sampled) = (run(Chooser::Alone), run(Chooser::Sampled));
+    assert!(sampled.stalled < alone.stalled, "{sampled:?}, {alone:?}");
+    assert!(sampled.share(sampled.late) < 0.01, "{sampled:?}");
+}
+
 /// Guards against a failure domain that loses a fabric domain, and whose clients wait at the rest
 /// of its replicas.
 #[test]
