Specify how changes of the store are passed on

What is checked: no node goes back to an older version, and each node that reaches the store knows of a change within its bound, whatever is cut off or restarts, also when every node that it could follow is cut off.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod assembly;
 pub mod assembly_guard;
 pub mod config;
+pub mod feed;
 pub mod formation;
 pub mod lease;
 pub mod ledger;
@@ -47,6 +48,7 @@
     run_spec::<ledger::LedgerModel>(&mut runs);
     run_spec::<config::ConfigModel>(&mut runs);
     run_spec::<formation::FormationModel>(&mut runs);
+    run_spec::<feed::FeedModel>(&mut runs);
     runs
 }
 
