--- a/tests/gateway/store_feed.rs
+++ b/tests/gateway/store_feed.rs
@@ -22,6 +22,9 @@
 /// its read every four.
 const CALLS_PER_READER_AND_S: f64 = 1.5;
 
+/// Time after its last heartbeat at which a node counts as gone: 2.75 intervals of four seconds.
+const HEARTBEAT_EXPIRY: Duration = Duration::from_secs(11);
+
 /// Starts the nodes in the order of the tree, and waits until all but the root follow another.
 async fn following_nodes(site: &TestSite) -> Vec<TestNode> {
     let names: Vec<String> = (0..NODES).map(|index| format!("n{index}")).collect();
@@ -171,3 +174,21 @@
     })
     .await;
 }
+
+/// Guards against nodes that count each other as gone while the store is away, since nobody can write
+/// a heartbeat: each would take over the others' turns and their shares of the budgets.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_count_during_outage() {
+    let site = TestSite::start(0, 1);
+    let nodes = [site.node("n0").await, site.node("n1").await];
+    for node in &nodes {
+        node.wait_log_line(&["nodes_counted", "\"nodes\":2"]).await;
+    }
+    site.store.set_mode(standin::site::StoreMode::Unavailable);
+    tokio::time::sleep(HEARTBEAT_EXPIRY + Duration::from_secs(2)).await;
+    for node in &nodes {
+        let counted = node.log_lines(&["nodes_counted"]);
+        let last = counted.last().and_then(|line| line["nodes"].as_u64());
+        assert_eq!(last, Some(2));
+    }
+}
