Let requests leave a failure domain as far as its replicas are fuller than the others

Cause, as suspected: replicas of 16 hosts are few, about five in a failure domain, and several of them are lost at a time. Near ones were preferred by a fixed factor, however full they were, so a domain that had lost some kept its requests while the others had room.

Change: the preference falls with the difference between the mean loads of the near replicas and of the others, and is gone at four requests.

--- a/crates/serving/src/choose_sampled.rs
+++ b/crates/serving/src/choose_sampled.rs
@@ -8,7 +8,7 @@
 //!
 //! Replicas of the node's own failure domain are preferred, and those to which it has an idle
 //! connection, since opening one takes a replica's time. Requests leave a domain whose own replicas
-//! are full or lost.
+//! are fuller than the others, or lost.
 
 use std::time::Duration;
 
@@ -18,10 +18,14 @@
 /// fill up before their next report.
 const FREE_EXPONENT: f64 = 1.5;
 
-/// Factor on the chance of a replica in another failure domain: there are several times as many,
-/// traffic to them costs, and their load is known later.
+/// Factor on the chance of a replica in another failure domain while the own ones are no fuller:
+/// there are several times as many, traffic to them costs, and their load is known later.
 const FAR_FACTOR: f64 = 0.02;
 
+/// Requests by which the replicas of the own failure domain must be fuller in the mean for all
+/// replicas to have the same chance.
+const FULL_SPILL: f64 = 4.0;
+
 /// Factor on the chance of a replica to which the node has an idle connection.
 const CONNECTION_FACTOR: f64 = 4.0;
 
@@ -69,14 +73,18 @@
     }
 
     /// Relative chance of this replica; 0 if it is full.
-    fn chance(&self, typical: f64, limits: ChoiceLimits, now: Duration) -> f64 {
-        let requests = self.requests(typical, now);
+    fn chance(&self, loads: TypicalLoads, limits: ChoiceLimits, now: Duration) -> f64 {
+        let requests = self.requests(loads.all, now);
         let capacity = f64::from(self.slots.max(1)) + limits.queue_limit;
         if requests >= capacity || self.load.in_flight >= self.in_flight_limit {
             return 0.0;
         }
         let free = (f64::from(self.slots) - requests).max(MIN_FREE);
-        let far = if self.is_near { 1.0 } else { FAR_FACTOR };
+        let far = if self.is_near {
+            1.0
+        } else {
+            loads.far_factor()
+        };
         let connected = if self.has_connection {
             CONNECTION_FACTOR
         } else {
@@ -91,20 +99,47 @@
     }
 }
 
-/// Mean of the loads that are known, as long as that leaves a replica a place.
-fn typical_load(candidates: &[SampledCandidate], now: Duration) -> f64 {
+/// Mean loads of the replicas of which something is known.
+#[derive(Debug, Clone, Copy)]
+struct TypicalLoads {
+    /// Of all replicas, as long as that leaves a replica a place.
+    all: f64,
+    /// Difference between the replicas of the node's failure domain and all others.
+    near_excess: f64,
+}
+
+impl TypicalLoads {
+    fn of(candidates: &[SampledCandidate], now: Duration) -> Self {
+        let slots = candidates.iter().map(|candidate| candidate.slots).max();
+        let most = (f64::from(slots.unwrap_or(0)) - MIN_FREE).max(0.0);
+        let mean = |is_counted: fn(&SampledCandidate) -> bool| {
+            let counted = candidates.iter().filter(|candidate| is_counted(candidate));
+            mean_load(counted, now)
+        };
+        let near = mean(|candidate| candidate.is_near);
+        let far = mean(|candidate| !candidate.is_near);
+        Self {
+            all: mean(|_| true).unwrap_or(0.0).min(most),
+            near_excess: near.zip(far).map_or(0.0, |(near, far)| near - far),
+        }
+    }
+
+    /// Factor on the chance of a replica in another failure domain.
+    fn far_factor(self) -> f64 {
+        let preference = (1.0 - self.near_excess / FULL_SPILL).clamp(0.0, 1.0);
+        FAR_FACTOR.powf(preference)
+    }
+}
+
+fn mean_load<'a>(
+    candidates: impl Iterator<Item = &'a SampledCandidate>,
+    now: Duration,
+) -> Option<f64> {
     let known = candidates
-        .iter()
         .filter(|candidate| candidate.load.fresh_estimate(now).is_some())
         .filter_map(|candidate| candidate.load.declining_estimate(now));
     let (count, sum) = known.fold((0.0, 0.0), |(count, sum), load| (count + 1.0, sum + load));
-    let slots = candidates.iter().map(|candidate| candidate.slots).max();
-    let most = (f64::from(slots.unwrap_or(0)) - MIN_FREE).max(0.0);
-    if count > 0.0 {
-        (sum / count).min(most)
-    } else {
-        0.0
-    }
+    (count > 0.0).then(|| sum / count)
 }
 
 /// Draws the candidate to which the request should go; returns its index. `draw` is a number from 0
@@ -122,10 +157,10 @@
     if candidates.is_empty() {
         return Err(NoTarget::Absent);
     }
-    let typical = typical_load(candidates, now);
+    let loads = TypicalLoads::of(candidates, now);
     let chances: Vec<f64> = candidates
         .iter()
-        .map(|candidate| candidate.chance(typical, limits, now))
+        .map(|candidate| candidate.chance(loads, limits, now))
         .collect();
     let mut left = draw * chances.iter().sum::<f64>();
     let mut chosen = None;
