Probe a replica's members only if it serves nobody, and else its head alone

Change: the time without progress counts from the last response that the head began for anybody, as far as hints and batches tell. While others are served, only the head is probed, since this node alone may not reach it.

--- a/crates/gateway/src/node/health.rs
+++ b/crates/gateway/src/node/health.rs
@@ -9,7 +9,7 @@
 use events::{EventCode, LogLine};
 use serving::plan::CLOSE_TIMEOUT;
 use serving::probe_schedule::suspect_interval;
-use serving::stall::StallDetector;
+use serving::stall::{StallDetector, StallProbe};
 use serving::{ReplicaView, TargetState};
 use tokio::sync::Notify;
 use web::ConnectionError;
@@ -332,15 +332,16 @@
         )
     }
 
-    /// Heads that run requests of this node without progress and whose members should be probed
-    /// now.
+    /// Heads that run requests of this node without progress, and which hosts of their replicas
+    /// should be probed now.
     #[must_use]
-    pub fn heads_to_probe(&self) -> Vec<HostId> {
+    pub fn heads_to_probe(&self) -> Vec<(HostId, StallProbe)> {
         let now = self.now();
         let mut due = Vec::new();
         for (head, detector) in self.stall_detectors.borrow_mut().iter_mut() {
-            if detector.should_probe(now) {
-                due.push(head.clone());
+            let served_at = self.served_others_at.borrow().get(head).copied();
+            if let Some(probe) = detector.due_probe(now, served_at) {
+                due.push((head.clone(), probe));
             }
         }
         due
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -7,6 +7,7 @@
 use domain::HostId;
 use serving::confirmed::MAX_REPORT_AGE;
 use serving::probe_schedule::PROBE_INTERVAL;
+use serving::stall::StallProbe;
 use serving::{MembershipKey, ReplicaMembership, ReplicaView};
 
 use crate::node::{FailureKind, GatewayNode};
@@ -24,7 +25,11 @@
 pub async fn watch_for_stalls(node: Rc<GatewayNode>) {
     loop {
         tokio::time::sleep(STALL_CHECK_INTERVAL).await;
-        for head in node.heads_to_probe() {
+        for (head, stalled) in node.heads_to_probe() {
+            if stalled == StallProbe::Head {
+                tokio::task::spawn_local(probe(Rc::clone(&node), head));
+                continue;
+            }
             node.mark_silent(&head);
             node.share_silence(&head);
             probe_members(&node, &head);
--- a/crates/serving/src/stall.rs
+++ b/crates/serving/src/stall.rs
@@ -16,12 +16,22 @@
 /// Interval between two rounds of probes while the stall lasts.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Which hosts of a replica should be probed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StallProbe {
+    /// The head alone: it serves other nodes, so only this node may not reach it.
+    Head,
+    /// All members: the replica serves nobody, and one of them may be lost.
+    Members,
+}
+
 /// Progress of the requests that one node has at one replica.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StallDetector {
     running: u32,
     last_progress: Duration,
     last_probe: Option<Duration>,
+    last_head_probe: Option<Duration>,
 }
 
 impl StallDetector {
@@ -66,6 +76,34 @@
         self.running > 0 && self.stalled_for(now) < PROGRESS_WINDOW
     }
 
+    /// Returns which hosts should be probed now; `served_others_at` is when the head last began a
+    /// response for another node, as far as this one knows.
+    ///
+    /// In a large deployment a node has one request at a replica, which often waits for its first
+    /// token for longer than [`STALL_TIMEOUT`]. If that alone counted as a stall, all nodes together
+    /// would probe the members of each busy replica many times a second.
+    pub fn due_probe(
+        &mut self,
+        now: Duration,
+        served_others_at: Option<Duration>,
+    ) -> Option<StallProbe> {
+        let serves_others =
+            served_others_at.is_some_and(|at| now.saturating_sub(at) < STALL_TIMEOUT);
+        if !serves_others {
+            return self.should_probe(now).then_some(StallProbe::Members);
+        }
+        if self.stalled_for(now) < STALL_TIMEOUT {
+            self.last_head_probe = None;
+            return None;
+        }
+        let is_recent = |probed: Duration| now < probed + PROBE_INTERVAL;
+        if self.last_head_probe.is_some_and(is_recent) {
+            return None;
+        }
+        self.last_head_probe = Some(now);
+        Some(StallProbe::Head)
+    }
+
     /// Returns whether the members should be probed now. It is true at most once per
     /// [`PROBE_INTERVAL`].
     pub fn should_probe(&mut self, now: Duration) -> bool {
