Avoid a head that rejects requests without a load, at all nodes of a large deployment

Cause: while the store is away, nodes don't hear that a replica has been closed. Its former head answers 421 without a load, so its known load declines and it looks free to nodes that choose by free places. Each node asked the head's state for itself, and the next one was sent there.

Change: such an answer counts as silence of the head, which is passed on in the batches; all nodes of a large deployment avoid it for a second. The failure is the one that many_senders::stalled_replicas_draw_few plays: a head of which no load is heard.

--- a/crates/gateway/src/load_batches.rs
+++ b/crates/gateway/src/load_batches.rs
@@ -113,9 +113,11 @@
         }
     }
 
-    /// Tells the other nodes of a large deployment that a head does not respond to this one.
+    /// Avoids a head that does not serve this node, and tells the others. Only in a large deployment,
+    /// where a node chooses heads by what others tell.
     pub fn share_silence(&self, head: &HostId) {
         if self.hints.has_collectors() {
+            self.mark_silent(head);
             self.share_report(head.into(), HintReport::Silent);
         }
     }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -30,7 +30,6 @@
                 tokio::task::spawn_local(probe(Rc::clone(&node), head));
                 continue;
             }
-            node.mark_silent(&head);
             node.share_silence(&head);
             probe_members(&node, &head);
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -307,6 +307,10 @@
         }
     }
     if parsed_headers.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
+        // Without a load, a head that rejects all requests would look free to every node.
+        if parsed_headers.load.is_none() && target.membership.is_some() {
+            node.share_silence(id);
+        }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         match &parsed_headers.faulty_target {
             Some(FaultyTarget::Id(faulty)) if faulty != id => {
