Send no whole tables over links at a restart, and pause after many changes

Cause, by reading and reckoning: after a restart a node that had not yet read the registry asked its source for all of it. 3,000 rows of 0.6 KB for eight followers fill a link of 20 Mbit/s for six seconds, longer than the request's timeout, so it was asked again. In calm times each node applies each of some 1,500 changed rows a second at the start of all replicas, which is more than its share of a core.

Change: whole tables are asked for over links only at the first start, or while the store can't be read.

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -13,6 +13,7 @@
 use wire::feed::FeedTable;
 
 use super::intake::FeedIntake;
+use super::pace::pause_after;
 use crate::node::GatewayNode;
 
 /// Wait time of one long poll. A connection may go silent without being closed, and a node must
@@ -92,12 +93,15 @@
                 failures = 0;
                 is_compacted = false;
                 let changed = !delta.rows.is_empty();
-                intake.take(table, delta, node.now());
+                let answered_at = node.now();
+                intake.take(table, delta, answered_at);
+                let applied_in = node.now().saturating_sub(answered_at);
                 if table == FeedTable::Registry {
                     node.feed.record_contact();
                 }
                 if changed {
-                    tokio::time::sleep(batch_delay(&node)).await;
+                    let delay = batch_delay(&node).max(pause_after(applied_in));
+                    tokio::time::sleep(delay).await;
                 }
             }
             Err(StoreError::Compacted) => is_compacted = true,
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -17,7 +17,9 @@
 
 use super::intake::FeedIntake;
 use super::messages::decode_delta;
+use super::pace::pause_after;
 use super::state::FeedMember;
+use crate::node::GatewayNode;
 
 /// Tables that are passed on.
 const TABLES: [FeedTable; 3] = [FeedTable::Registry, FeedTable::Config, FeedTable::Nodes];
@@ -134,6 +136,7 @@
         let sources = node.feed.sources(&node.settings.node);
         let source = sources
             .into_iter()
+            .filter(|_| may_follow(&node))
             .find(|source| !avoided.contains(&source.node, now));
         let Some(source) = source else {
             link = None;
@@ -142,10 +145,11 @@
             continue;
         };
         match follow_once(&intake, &mut link, &source).await {
-            Ok(()) => {
+            Ok(applied_in) => {
                 succeeded_at = node.now();
                 avoided.forgive(&source.node);
                 node.feed.set_following(true);
+                tokio::time::sleep(pause_after(applied_in)).await;
             }
             Err(error) => {
                 link = None;
@@ -164,11 +168,19 @@
     }
 }
 
+/// Whether a source may be asked. At a restart of all nodes each reads the tables itself: whole tables
+/// for eight followers would fill a node's link for seconds.
+fn may_follow(node: &GatewayNode) -> bool {
+    let registry = node.feed.copy(FeedTable::Registry).borrow().version();
+    registry.is_some() || node.settings.first_start || node.feed.is_cut_off()
+}
+
+/// Asks a source for changes once; returns the time that it took to apply them.
 async fn follow_once(
     intake: &FeedIntake,
     link: &mut Option<SourceLink>,
     source: &FeedMember,
-) -> Result<(), FollowError> {
+) -> Result<Duration, FollowError> {
     let is_linked = link
         .as_ref()
         .is_some_and(|link| *link.dialed.peer() == source.node);
@@ -182,7 +194,9 @@
             behind_since: None,
         });
     }
-    let Some(link) = link else { return Ok(()) };
+    let Some(link) = link else {
+        return Ok(Duration::ZERO);
+    };
     let request = build_request(intake, wait);
     let is_copy = request.tables.iter().any(|table| table.known.is_none());
     let limit = wait + if is_copy { COPY_TIMEOUT } else { FOLLOW_SLACK };
@@ -193,11 +207,12 @@
         .await?;
     let response: FeedResponse =
         decode_message::<_, MAX_FEED_RESPONSE_BYTES>(&response).map_err(LinkError::from)?;
+    let answered_at = intake.node.now();
     take_response(intake, link, response)?;
     if !is_linked {
         log_followed(intake, source);
     }
-    Ok(())
+    Ok(intake.node.now().saturating_sub(answered_at))
 }
 
 async fn open_link(intake: &FeedIntake, source: &FeedMember) -> Result<DialedLink, LinkError> {
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod intake;
 mod messages;
+mod pace;
 mod serve;
 mod state;
 mod watchers;
