Serve any number of connections in the stand-in of a failed amendment

The output says that the second amendment's response was lost too, where the stand-in answers 500.

Cause, by reading: the stand-in served one connection after the other. Where the client opens a second connection while its first one is idle, as when the pool has not got it back yet, the second is never accepted, and the client gives up after ten seconds. A real admin listener serves both.

Change: the stand-in serves each connection in a task, with the same behaviors in the same order. The checks are unchanged.

--- a/tests/system/lost_responses.rs
+++ b/tests/system/lost_responses.rs
@@ -1,11 +1,13 @@
 //! Operator commands against an admin listener whose responses are lost or can't be decoded.
 
 use std::process::Command;
+use std::sync::Arc;
 
 use serde_json::{Value, json};
 use standin::stack::OPERATOR_KEY;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
 
 use crate::BINARY;
 
@@ -49,37 +51,47 @@
     drop(stream.write_all(format!("{head}{body}").as_bytes()).await);
 }
 
-/// Serves amendments with `behaviors` in turn. The history contains those whose response can't be
-/// decoded.
-async fn serve_admin(listener: TcpListener, behaviors: &[AmendBehavior]) {
-    let mut behaviors = behaviors.iter();
-    let mut history: Vec<Value> = Vec::new();
-    loop {
-        let Ok((mut stream, _)) = listener.accept().await else {
-            return;
-        };
-        while let Some((first, body)) = read_request(&mut stream).await {
-            if !first.contains("/amend") {
-                respond(&mut stream, "200 OK", &json!(history)).await;
-                continue;
+/// State of the listener, shared by its connections.
+struct AdminState {
+    behaviors: std::slice::Iter<'static, AmendBehavior>,
+    history: Vec<Value>,
+}
+
+/// Serves amendments with `behaviors` in turn, on any number of connections: a client may open a new
+/// one while an earlier one is idle. The history contains those whose response can't be decoded.
+async fn serve_admin(listener: TcpListener, behaviors: &'static [AmendBehavior]) {
+    let state = Arc::new(Mutex::new(AdminState {
+        behaviors: behaviors.iter(),
+        history: Vec::new(),
+    }));
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve_connection(stream, Arc::clone(&state)));
+    }
+}
+
+async fn serve_connection(mut stream: TcpStream, state: Arc<Mutex<AdminState>>) {
+    while let Some((first, body)) = read_request(&mut stream).await {
+        let mut state = state.lock().await;
+        if !first.contains("/amend") {
+            respond(&mut stream, "200 OK", &json!(state.history)).await;
+            continue;
+        }
+        match state.behaviors.next() {
+            Some(AmendBehavior::RespondUndecodable) => {
+                let amendment: Value = serde_json::from_slice(&body).expect("valid JSON");
+                let token = amendment["token"].as_str().expect("a token");
+                state.history.push(json!({
+                    "revision": 7, "kind": "drain", "name": amendment["name"],
+                    "record": amendment["record"], "operator": "ops",
+                    "token": format!("{token}.1"),
+                }));
+                let unknown = json!({"outcome": "of another release"});
+                respond(&mut stream, "200 OK", &unknown).await;
             }
-            match behaviors.next() {
-                Some(AmendBehavior::RespondUndecodable) => {
-                    let amendment: Value = serde_json::from_slice(&body).expect("valid JSON");
-                    let token = amendment["token"].as_str().expect("a token");
-                    history.push(json!({
-                        "revision": 7, "kind": "drain", "name": amendment["name"],
-                        "record": amendment["record"], "operator": "ops",
-                        "token": format!("{token}.1"),
-                    }));
-                    let unknown = json!({"outcome": "of another release"});
-                    respond(&mut stream, "200 OK", &unknown).await;
-                }
-                Some(AmendBehavior::Fail) => {
-                    respond(&mut stream, "500 Internal Server Error", &json!("broken")).await;
-                }
-                Some(AmendBehavior::Lose) | None => break,
+            Some(AmendBehavior::Fail) => {
+                respond(&mut stream, "500 Internal Server Error", &json!("broken")).await;
             }
+            Some(AmendBehavior::Lose) | None => break,
         }
     }
 }
