--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -22,7 +22,7 @@
 
 /// Wait time of a long poll of a node that others follow: it must learn of a silent connection, and
 /// they from it, within those three seconds.
-const ROOT_POLL_WAIT: Duration = Duration::from_millis(500);
+const ROOT_POLL_WAIT: Duration = Duration::from_secs(1);
 
 /// Time that a call may take in addition to the wait.
 const LONG_POLL_SLACK: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -8,7 +8,7 @@
 use peers::DialedLink;
 use peers::error::LinkError;
 use peers::transport::with_timeout;
-use serving::feed::{FOLLOW_SLACK, FOLLOW_WAIT, FeedSample, MAX_SEARCH_TIME};
+use serving::feed::FeedSample;
 use tokio::net::TcpStream;
 use wire::feed::{
     FeedDelta, FeedPosition, FeedRequest, FeedResponse, FeedTable, MAX_FEED_RESPONSE_BYTES,
@@ -24,6 +24,13 @@
 /// Tables that are passed on.
 const TABLES: [FeedTable; 3] = [FeedTable::Registry, FeedTable::Config, FeedTable::Nodes];
 
+/// Time that a source waits for changes before it responds.
+const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+
+/// Time that a response may take in addition. A source that is suspended is left after the sum of
+/// both, well within the time after which a draining target must get no new requests.
+const FOLLOW_SLACK: Duration = Duration::from_millis(300);
+
 /// Timeout for opening a link.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -42,6 +49,11 @@
 /// Number of failures in a row up to which a source is avoided twice as long after each.
 const MAX_AVOID_DOUBLINGS: u32 = 3;
 
+/// Time without a successful response after which the node reads the store itself while it looks
+/// for another source. A source whose data is too old says so at once, so others can be asked first;
+/// one that does not respond has used up this time.
+const MAX_SEARCH_TIME: Duration = Duration::from_millis(400);
+
 /// Interval for looking for a source while there is none.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
--- a/crates/serving/src/feed/freshness.rs
+++ b/crates/serving/src/feed/freshness.rs
@@ -3,25 +3,11 @@
 use std::time::Duration;
 
 /// Age of a copy up to which the children of the root rely on it. The root confirms its copy each
-/// half second while nothing changes.
-const ROOT_SOURCE_AGE: Duration = Duration::from_millis(1100);
+/// second while nothing changes.
+const ROOT_SOURCE_AGE: Duration = Duration::from_millis(1700);
 
 /// Additional age per further level of the tree, the time after which a node asks its source again.
-const AGE_PER_LEVEL: Duration = Duration::from_millis(400);
-
-/// Time that a source waits for changes before it responds, and so the interval at which its age is
-/// looked at.
-pub const FOLLOW_WAIT: Duration = Duration::from_millis(400);
-
-/// Time that a response may take in addition.
-pub const FOLLOW_SLACK: Duration = Duration::from_millis(300);
-
-/// Time without a usable response after which a node reads the store itself while it looks for
-/// another source.
-pub const MAX_SEARCH_TIME: Duration = Duration::from_millis(400);
-
-/// Maximum pause of a node between two requests, while many rows change.
-pub const MAX_PAUSE: Duration = Duration::from_millis(150);
+const AGE_PER_LEVEL: Duration = Duration::from_millis(600);
 
 /// Time for which a source may know less than a node that has just read the store itself. Changes
 /// take some hundred milliseconds through the tree.
--- a/crates/serving/src/feed/mod.rs
+++ b/crates/serving/src/feed/mod.rs
@@ -7,8 +7,6 @@
 mod tree;
 
 pub use copy::{StoreRow, TableCopy, TableDelta, VersionGap};
-pub use freshness::{
-    FOLLOW_SLACK, FOLLOW_WAIT, FeedSample, MAX_PAUSE, MAX_SEARCH_TIME, max_source_age,
-};
+pub use freshness::{FeedSample, max_source_age};
 pub use patch::RowPatch;
 pub use tree::{MIN_FOLLOWING_NODES, TREE_FANOUT, feed_order, feed_sources, tree_depth};
