Part drains from large tables, and follow other domains while turned away

Cause: one response carried the registry, the configuration and the heartbeats, with 0.3 s for all of it. A configuration that grew by 840 routes did not fit a link of 20 Mbit/s for eight followers; it failed whole and was asked for again whole, with the drain in it. Behind that, a failure domain whose root and deputies the store turns away could learn nothing, though the other domains knew.

Change: two lanes with a link each, compressed responses that fail by lack of progress, and nodes of the other failure domains as sources while the store turns a node away (asked again each two seconds).

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -10,10 +10,11 @@
 use events::{EventCode, LogLine};
 use serving::feed::TableDelta;
 use serving::hashing::stable_hash;
-use wire::feed::FeedTable;
+use wire::feed::{FeedLane, FeedTable};
 
 use super::intake::FeedIntake;
 use super::pace::pause_after;
+use super::state::FeedSource;
 use crate::node::GatewayNode;
 
 /// Wait time of one long poll. A connection may go silent without being closed, and a node must
@@ -55,6 +56,10 @@
 /// Interval for checking whether there is a node to follow.
 const TREE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which a node that follows another failure domain calls the store, to learn whether it
+/// still turns the node away.
+const REFUGE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Timeout for reading a whole table.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -76,7 +81,7 @@
     let mut failures = 0_u32;
     let mut is_compacted = false;
     loop {
-        until_direct(&node).await;
+        until_direct(&node, FeedLane::of(table)).await;
         let started_at = node.now();
         let known = node.feed.copy(table).borrow().version();
         let known = known.filter(|_| !is_compacted);
@@ -96,9 +101,7 @@
                 let answered_at = node.now();
                 intake.take(table, delta, answered_at);
                 let applied_in = node.now().saturating_sub(answered_at);
-                if table == FeedTable::Registry {
-                    node.feed.record_contact();
-                }
+                intake.store_answered(table);
                 if changed {
                     let delay = batch_delay(&node).max(pause_after(applied_in));
                     tokio::time::sleep(delay).await;
@@ -117,10 +120,17 @@
     }
 }
 
-async fn until_direct(node: &GatewayNode) {
+async fn until_direct(node: &GatewayNode, lane: FeedLane) {
     loop {
         let changed = node.feed.mode_changed.notified();
-        if node.feed.is_following() {
+        if node.feed.source(lane) == FeedSource::Refuge {
+            if tokio::time::timeout(REFUGE_CHECK_INTERVAL, changed)
+                .await
+                .is_err()
+            {
+                return;
+            }
+        } else if node.feed.is_following(lane) {
             changed.await;
         } else if may_follow_soon(node) {
             drop(tokio::time::timeout(TREE_CHECK_INTERVAL, changed).await);
@@ -166,7 +176,7 @@
         return;
     }
     let is_followed = async {
-        while !node.feed.is_following() {
+        while !node.feed.is_following(FeedLane::of(table)) {
             node.feed.mode_changed.notified().await;
         }
     };
@@ -207,7 +217,9 @@
             gap: None,
         });
     };
-    let wait = if node.feed.is_root(&node.settings.node) {
+    let wait = if node.feed.source(FeedLane::of(table)) == FeedSource::Refuge {
+        Duration::ZERO
+    } else if node.feed.is_root(&node.settings.node) {
         ROOT_POLL_WAIT
     } else {
         LONG_POLL_WAIT
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -1,4 +1,4 @@
-//! Follows another node of the failure domain, which passes on the changes of the store.
+//! Follows another node, which passes on the changes of the store.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,35 +7,36 @@
 use events::{EventCode, LogLine};
 use peers::DialedLink;
 use peers::error::LinkError;
-use peers::transport::with_timeout;
+use peers::transport::{BulkTimeouts, with_timeout};
 use serving::feed::FeedSample;
 use tokio::net::TcpStream;
 use wire::feed::{
-    FeedDelta, FeedPosition, FeedRequest, FeedResponse, FeedTable, MAX_FEED_RESPONSE_BYTES,
+    FeedDelta, FeedLane, FeedPosition, FeedRequest, FeedResponse, FeedTable,
+    MAX_FEED_RESPONSE_BYTES,
 };
-use wire::peer::{decode_message, encode_message};
+use wire::packed::decode_packed;
+use wire::peer::encode_message;
 
 use super::intake::FeedIntake;
 use super::messages::decode_delta;
 use super::pace::pause_after;
-use super::state::FeedMember;
+use super::state::{FeedMember, FeedSource};
 use crate::node::GatewayNode;
 
-/// Tables that are passed on.
-const TABLES: [FeedTable; 3] = [FeedTable::Registry, FeedTable::Config, FeedTable::Nodes];
-
 /// Time that a source waits for changes before it responds.
 const FOLLOW_WAIT: Duration = Duration::from_millis(500);
 
-/// Time that a response may take in addition. A source that is suspended is left after the sum of
-/// both, well within the time after which a draining target must get no new requests.
+/// Time in addition after which a response must have begun, and that may pass between two parts of
+/// it. A source that is suspended is left after the sum of both, well within the time after which a
+/// draining target must get no new requests.
 const FOLLOW_SLACK: Duration = Duration::from_millis(300);
 
 /// Timeout for opening a link.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Timeout for a response that contains whole tables.
-const COPY_TIMEOUT: Duration = Duration::from_secs(4);
+/// Timeout for a whole response, in addition to the wait. A link carries the largest configuration to
+/// all followers within it.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Time for which a source is not asked again after it was unreachable.
 const AVOID_UNREACHABLE: Duration = Duration::from_secs(3);
@@ -57,6 +58,10 @@
 /// Interval for looking for a source while there is none.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Least depth that counts for a node that follows one of another failure domain, which is a child
+/// of that domain's root or the root.
+const REFUGE_DEPTH: u32 = 2;
+
 /// Link to the source that is followed.
 struct SourceLink {
     dialed: DialedLink,
@@ -125,42 +130,36 @@
     }
 }
 
-/// Follows the best source while there is one; never returns.
-pub async fn follow_sources(intake: Rc<FeedIntake>) {
+/// Follows the best source for a lane while there is one; never returns.
+pub async fn follow_sources(intake: Rc<FeedIntake>, lane: FeedLane) {
     let node = Rc::clone(&intake.node);
     let mut link: Option<SourceLink> = None;
     let mut avoided = AvoidedSources::default();
     let mut succeeded_at = Duration::ZERO;
     loop {
-        let now = node.now();
-        let sources = node.feed.sources(&node.settings.node);
-        let source = sources
-            .into_iter()
-            .filter(|_| may_follow(&node))
-            .find(|source| !avoided.contains(&source.node, now));
-        let Some(source) = source else {
+        let Some((source, kind)) = choose_source(&node, lane, &avoided) else {
             link = None;
-            node.feed.set_following(false);
+            node.feed.set_source(lane, FeedSource::Store);
             tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
             continue;
         };
-        match follow_once(&intake, &mut link, &source).await {
+        match follow_once(&intake, lane, &mut link, &source, kind).await {
             Ok(applied_in) => {
                 succeeded_at = node.now();
                 avoided.forgive(&source.node);
-                node.feed.set_following(true);
+                node.feed.set_source(lane, kind);
                 tokio::time::sleep(pause_after(applied_in)).await;
             }
             Err(error) => {
                 link = None;
-                log_source_lost(&intake, &source, &error);
+                log_source_lost(&intake, lane, &source, &error);
                 if matches!(error, FollowError::Link(LinkError::Auth(_))) {
                     node.feed.key_changed.notify_one();
                 }
                 let now = node.now();
                 // The node reads the store meanwhile, so that it is as recent as without a source.
                 if now.saturating_sub(succeeded_at) > MAX_SEARCH_TIME {
-                    node.feed.set_following(false);
+                    node.feed.set_source(lane, FeedSource::Store);
                 }
                 avoided.avoid(source.node, now, error.avoid_time());
             }
@@ -168,6 +167,29 @@
     }
 }
 
+/// The preferred source that is not avoided: one of the own failure domain, or while the store turns
+/// this node away, one of another.
+fn choose_source(
+    node: &GatewayNode,
+    lane: FeedLane,
+    avoided: &AvoidedSources,
+) -> Option<(FeedMember, FeedSource)> {
+    if !may_follow(node) {
+        return None;
+    }
+    let now = node.now();
+    let is_possible = |source: &FeedMember| !avoided.contains(&source.node, now);
+    let sources = node.feed.sources(&node.settings.node);
+    if let Some(source) = sources.into_iter().find(is_possible) {
+        return Some((source, FeedSource::Tree));
+    }
+    if !node.feed.needs_refuge(lane) {
+        return None;
+    }
+    let refuge = node.feed.refuges().into_iter().find(is_possible)?;
+    Some((refuge, FeedSource::Refuge))
+}
+
 /// Whether a source may be asked. At a restart of all nodes each reads the tables itself: whole tables
 /// for eight followers would fill a node's link for seconds.
 fn may_follow(node: &GatewayNode) -> bool {
@@ -178,8 +200,10 @@
 /// Asks a source for changes once; returns the time that it took to apply them.
 async fn follow_once(
     intake: &FeedIntake,
+    lane: FeedLane,
     link: &mut Option<SourceLink>,
     source: &FeedMember,
+    kind: FeedSource,
 ) -> Result<Duration, FollowError> {
     let is_linked = link
         .as_ref()
@@ -197,20 +221,23 @@
     let Some(link) = link else {
         return Ok(Duration::ZERO);
     };
-    let request = build_request(intake, wait);
-    let is_copy = request.tables.iter().any(|table| table.known.is_none());
-    let limit = wait + if is_copy { COPY_TIMEOUT } else { FOLLOW_SLACK };
+    let request = build_request(intake, lane, wait);
+    let timeouts = BulkTimeouts {
+        start: wait + FOLLOW_SLACK,
+        pause: FOLLOW_SLACK,
+        whole: wait + TRANSFER_TIMEOUT,
+    };
     let payload = encode_message(&request).map_err(LinkError::from)?;
     let response = link
         .dialed
-        .request::<MAX_FEED_RESPONSE_BYTES>("/feed", payload, limit)
+        .request_bulk::<MAX_FEED_RESPONSE_BYTES>(lane.path(), payload, timeouts)
         .await?;
     let response: FeedResponse =
-        decode_message::<_, MAX_FEED_RESPONSE_BYTES>(&response).map_err(LinkError::from)?;
+        decode_packed::<_, MAX_FEED_RESPONSE_BYTES>(&response).map_err(LinkError::from)?;
     let answered_at = intake.node.now();
-    take_response(intake, link, response)?;
+    take_response(intake, lane, link, response, kind)?;
     if !is_linked {
-        log_followed(intake, source);
+        log_followed(intake, lane, source);
     }
     Ok(intake.node.now().saturating_sub(answered_at))
 }
@@ -222,7 +249,7 @@
     DialedLink::open(stream, &source.key, own, Some(&source.node)).await
 }
 
-fn build_request(intake: &FeedIntake, wait: Duration) -> FeedRequest {
+fn build_request(intake: &FeedIntake, lane: FeedLane, wait: Duration) -> FeedRequest {
     let position = |table| FeedPosition {
         table,
         known: intake
@@ -235,15 +262,17 @@
     };
     FeedRequest {
         wait_ms: super::messages::encode_millis(wait),
-        tables: TABLES.map(position).to_vec(),
+        tables: lane.tables().iter().copied().map(position).collect(),
     }
 }
 
 /// Takes in a response if the source's data is recent enough.
 fn take_response(
     intake: &FeedIntake,
+    lane: FeedLane,
     link: &mut SourceLink,
     response: FeedResponse,
+    kind: FeedSource,
 ) -> Result<(), FollowError> {
     let node = &intake.node;
     let now = node.now();
@@ -254,7 +283,7 @@
     };
     let is_needed = |delta: &&FeedDelta| delta.table != FeedTable::Nodes;
     let needed = || response.tables.iter().filter(is_needed);
-    if needed().count() + 1 < TABLES.len() {
+    if needed().next().is_none() {
         return Err(FollowError::NothingKnown);
     }
     let behind_since = link.behind_since.unwrap_or(now);
@@ -272,10 +301,17 @@
             node.feed.record_source_failure(failed_at);
         }
     }
-    if !sample.is_usable(node.feed.depth(&node.settings.node)) {
+    let depth = node.feed.depth(&node.settings.node);
+    let depth = match kind {
+        FeedSource::Refuge => depth.max(REFUGE_DEPTH),
+        FeedSource::Store | FeedSource::Tree => depth,
+    };
+    if !sample.is_usable(depth) {
         return Err(FollowError::Stale(sample));
     }
-    node.feed.record_contact();
+    if lane == FeedLane::Urgent {
+        node.feed.record_contact();
+    }
     for delta in response.tables {
         let confirmed_at = now.saturating_sub(age_of(&delta));
         let table = delta.table;
@@ -286,14 +322,19 @@
     Ok(())
 }
 
-fn log_followed(intake: &FeedIntake, source: &FeedMember) {
-    let line = LogLine::new(EventCode::FeedFollowed).text("source", source.node.as_str());
-    intake.node.log(&line);
+fn log_followed(intake: &FeedIntake, lane: FeedLane, source: &FeedMember) {
+    intake.node.log(
+        &LogLine::new(EventCode::FeedFollowed)
+            .text("source", source.node.as_str())
+            .text("lane", lane.name()),
+    );
 }
 
-fn log_source_lost(intake: &FeedIntake, source: &FeedMember, error: &FollowError) {
-    let line = LogLine::new(EventCode::FeedSourceLost)
-        .text("source", source.node.as_str())
-        .text("reason", &error.to_string());
-    intake.node.log(&line);
+fn log_source_lost(intake: &FeedIntake, lane: FeedLane, source: &FeedMember, error: &FollowError) {
+    intake.node.log(
+        &LogLine::new(EventCode::FeedSourceLost)
+            .text("source", source.node.as_str())
+            .text("lane", lane.name())
+            .text("reason", &error.to_string()),
+    );
 }
--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -6,8 +6,9 @@
 
 use events::{EventCode, LogLine};
 use serving::feed::{StoreRow, TableDelta};
-use wire::feed::FeedTable;
+use wire::feed::{FeedLane, FeedTable};
 
+use super::state::FeedSource;
 use super::watchers::{ConfigWatcher, RegistryWatcher};
 use crate::heartbeat::count_nodes;
 use crate::node::GatewayNode;
@@ -65,12 +66,32 @@
 
     /// Records that the store could not be reached.
     ///
-    /// Only the registry counts, whose calls follow each other closely; what another table lacks
-    /// shows in its age.
+    /// Only the registry counts for others, since its calls follow each other closely; what another
+    /// table lacks shows in its age. A failed call of a node that follows another failure domain says
+    /// nothing of what it knows.
     pub fn store_failed(&self, table: FeedTable) {
-        if table == FeedTable::Registry {
-            self.node.feed.record_failure(self.node.now());
-            self.node.mark_store_unreachable();
+        let lane = FeedLane::of(table);
+        if self.node.feed.source(lane) == FeedSource::Refuge {
+            return;
+        }
+        match lane {
+            FeedLane::Bulk => self.node.feed.set_bulk_cut_off(true),
+            FeedLane::Urgent => {
+                self.node.feed.record_failure(self.node.now());
+                self.node.mark_store_unreachable();
+            }
+        }
+    }
+
+    /// Records that the store answered a call, so that no other failure domain is needed any more.
+    pub fn store_answered(&self, table: FeedTable) {
+        let lane = FeedLane::of(table);
+        match lane {
+            FeedLane::Bulk => self.node.feed.set_bulk_cut_off(false),
+            FeedLane::Urgent => self.node.feed.record_contact(),
+        }
+        if self.node.feed.source(lane) == FeedSource::Refuge {
+            self.node.feed.set_source(lane, FeedSource::Store);
         }
     }
 }
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -4,7 +4,9 @@
 //! ([`serving::feed`]); the others follow a node of their failure domain ([`follow`], [`serve`]). A
 //! node reads the store itself ([`direct`]) while it has no source that is recent enough, so the
 //! store remains the truth, and no node depends on another one for longer than a source's maximum
-//! age.
+//! age. While the store turns a node away too, it follows one of another failure domain.
+//!
+//! Small changes and large tables have links of their own ([`wire::feed::FeedLane`]).
 
 mod direct;
 mod follow;
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -17,8 +17,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
 use wire::feed::{
-    FeedDelta, FeedRequest, FeedResponse, FeedTable, MAX_FEED_REQUEST_BYTES, MAX_FEED_TABLES,
+    FeedDelta, FeedLane, FeedRequest, FeedResponse, FeedTable, MAX_FEED_REQUEST_BYTES,
+    MAX_FEED_TABLES,
 };
+use wire::packed::encode_packed;
 use wire::peer::{MAX_HELLO_BYTES, PeerHello, decode_message, encode_message, negotiate_version};
 
 use super::messages::{encode_delta, encode_millis};
@@ -94,7 +96,7 @@
             *empty = Some(auth);
             respond_ok(responder, encode_message(&welcome)?)
         }
-        ("/feed", Some(auth)) => {
+        (path, Some(auth)) if FeedLane::from_path(path).is_some() => {
             let bytes = read_stream(body, MAX_FEED_REQUEST_BYTES).await?;
             let frame = auth.verify::<MAX_FEED_REQUEST_BYTES>(&bytes)?;
             if !session.place.record_proof() {
@@ -103,7 +105,7 @@
             let request: FeedRequest = decode_message::<_, MAX_FEED_REQUEST_BYTES>(&frame.payload)?;
             wait_for_change(node, &request).await;
             let response = build_response(node, &request);
-            respond_ok(responder, auth.sign(encode_message(&response)?)?)
+            respond_ok(responder, auth.sign(encode_packed(&response)?)?)
         }
         _ => respond_error(responder, StatusCode::NOT_FOUND),
     }
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -8,12 +8,24 @@
 use peers::SharedKey;
 use serving::feed::{StoreRow, TableCopy, TableDelta, feed_order, feed_sources, tree_depth};
 use tokio::sync::Notify;
-use wire::feed::FeedTable;
+use wire::feed::{FeedLane, FeedTable};
 
 /// Minimum interval between two counts of the nodes.
 pub const COUNT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A node of the same failure domain that accepts links.
+/// From where the changes of a lane's tables come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum FeedSource {
+    /// The store itself.
+    #[default]
+    Store,
+    /// A node before this one in the tree of its failure domain.
+    Tree,
+    /// A node of another failure domain, while the store turns this one away.
+    Refuge,
+}
+
+/// A node that accepts links.
 #[derive(Debug, Clone)]
 pub struct FeedMember {
     /// Name of the node.
@@ -44,7 +56,9 @@
     nodes: RefCell<TableCopy>,
     address: Cell<Option<SocketAddr>>,
     is_counted: Cell<bool>,
-    is_following: Cell<bool>,
+    urgent_source: Cell<FeedSource>,
+    bulk_source: Cell<FeedSource>,
+    is_bulk_cut_off: Cell<bool>,
     is_cut_off: Cell<bool>,
     failed_at: Cell<Option<Duration>>,
     counted_at: Cell<Option<Duration>>,
@@ -52,6 +66,8 @@
     order: RefCell<Vec<NodeId>>,
     /// Those of them that accept links.
     members: RefCell<Vec<FeedMember>>,
+    /// Nodes of other failure domains to follow while the store turns this one away.
+    refuges: RefCell<Vec<FeedMember>>,
 }
 
 impl FeedState {
@@ -77,12 +93,15 @@
             nodes: RefCell::default(),
             address: Cell::default(),
             is_counted: Cell::default(),
-            is_following: Cell::default(),
+            urgent_source: Cell::default(),
+            bulk_source: Cell::default(),
+            is_bulk_cut_off: Cell::default(),
             is_cut_off: Cell::default(),
             failed_at: Cell::default(),
             counted_at: Cell::default(),
             order: RefCell::default(),
             members: RefCell::default(),
+            refuges: RefCell::default(),
         }
     }
 
@@ -140,19 +159,47 @@
         self.address.set(Some(address));
     }
 
-    /// Whether another node passes on the changes of the store.
+    fn source_cell(&self, lane: FeedLane) -> &Cell<FeedSource> {
+        match lane {
+            FeedLane::Urgent => &self.urgent_source,
+            FeedLane::Bulk => &self.bulk_source,
+        }
+    }
+
+    /// From where the tables of a lane come.
     #[must_use]
-    pub fn is_following(&self) -> bool {
-        self.is_following.get()
+    pub fn source(&self, lane: FeedLane) -> FeedSource {
+        self.source_cell(lane).get()
     }
 
-    /// Records whether another node passes on the changes of the store.
-    pub fn set_following(&self, is_following: bool) {
-        if self.is_following.replace(is_following) != is_following {
+    /// Sets from where the tables of a lane come.
+    pub fn set_source(&self, lane: FeedLane, source: FeedSource) {
+        if self.source_cell(lane).replace(source) != source {
             self.mode_changed.notify_waiters();
         }
     }
 
+    /// Whether another node passes on the changes of a lane's tables.
+    #[must_use]
+    pub fn is_following(&self, lane: FeedLane) -> bool {
+        self.source(lane) != FeedSource::Store
+    }
+
+    /// Whether a lane may follow nodes of other failure domains: the store turns this node away.
+    #[must_use]
+    pub fn needs_refuge(&self, lane: FeedLane) -> bool {
+        let is_cut_off = match lane {
+            FeedLane::Urgent => self.is_cut_off.get(),
+            FeedLane::Bulk => self.is_bulk_cut_off.get(),
+        };
+        is_cut_off || self.source(lane) == FeedSource::Refuge
+    }
+
+    /// Records whether the last call to the store for a table of the bulk lane failed.
+    pub fn set_bulk_cut_off(&self, is_cut_off: bool) {
+        self.is_bulk_cut_off.set(is_cut_off);
+    }
+
     /// Whether the last attempt to learn of changes failed.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
@@ -193,6 +240,18 @@
         *self.members.borrow_mut() = members;
     }
 
+    /// Nodes of other failure domains to follow while the store turns this one away, the preferred one
+    /// first.
+    #[must_use]
+    pub fn refuges(&self) -> Vec<FeedMember> {
+        self.refuges.borrow().clone()
+    }
+
+    /// Sets those nodes.
+    pub fn set_refuges(&self, refuges: Vec<FeedMember>) {
+        *self.refuges.borrow_mut() = refuges;
+    }
+
     /// Position of a node in the tree of its failure domain; `None` before it is counted.
     fn rank(&self, node: &NodeId) -> Option<usize> {
         self.order.borrow().iter().position(|other| other == node)
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -11,8 +11,8 @@
 use domain::{FastMap, NodeId};
 use peers::SharedKey;
 use serde::{Deserialize, Serialize};
-use serving::feed::{MIN_FOLLOWING_NODES, TableDelta, feed_order};
-use wire::feed::FeedTable;
+use serving::feed::{MIN_FOLLOWING_NODES, TableDelta, feed_order, feed_refuges};
+use wire::feed::{FeedLane, FeedTable};
 
 use crate::feed::{COUNT_INTERVAL, FeedMember};
 use crate::hints::{LoadCollectors, MAX_HINT_PEERS};
@@ -75,6 +75,18 @@
     key: String,
 }
 
+impl LinkRow {
+    /// The node that accepts the link; `None` if its key is malformed.
+    fn member(&self, node: NodeId) -> Option<FeedMember> {
+        let key = SharedKey::new(&self.key).ok()?;
+        Some(FeedMember {
+            node,
+            address: self.address,
+            key,
+        })
+    }
+}
+
 /// Writes heartbeats and counts those of other nodes; never returns.
 pub async fn run_heartbeats(node: Rc<GatewayNode>) {
     let mut client = StoreClient::new(node.settings.store);
@@ -98,7 +110,7 @@
                 written_at = node.now();
             }
         }
-        if outcome.is_ok() && (reads_now || !node.feed.is_following()) {
+        if outcome.is_ok() && (reads_now || !node.feed.is_following(FeedLane::Bulk)) {
             outcome = read_heartbeats(&node, &mut client).await;
             node.feed.set_counted();
         }
@@ -245,6 +257,7 @@
     if census.others_suspect && node.suspects_no_request() {
         node.crash_records_changed.notify_one();
     }
+    node.feed.set_refuges(census.refuges(node));
     node.hints.set_collectors(census.collectors(node));
     node.hints.set_peers(census.hint_addresses);
     let domain = node.settings.failure_domain.as_str();
@@ -266,6 +279,8 @@
     domain_nodes: Vec<NodeId>,
     /// Those of them that accept links.
     members: Vec<FeedMember>,
+    /// Links of nodes of the other failure domains.
+    other_links: FastMap<String, FastMap<String, LinkRow>>,
 }
 
 impl NodeCensus {
@@ -309,19 +324,30 @@
             nodes.insert(name.to_owned(), address);
         }
         if row.domain != node.settings.failure_domain.as_str() {
+            if let Some(link) = row.link {
+                let links = self.other_links.entry(row.domain).or_default();
+                links.insert(name.to_owned(), link);
+            }
             return;
         }
         let (Ok(id), Some(link)) = (name.parse::<NodeId>(), row.link) else {
             return;
         };
         self.domain_nodes.push(id.clone());
-        let Ok(key) = SharedKey::new(&link.key) else {
-            return;
-        };
-        self.members.push(FeedMember {
-            node: id,
-            address: link.address,
-            key,
-        });
+        self.members.extend(link.member(id));
+    }
+
+    /// Nodes of the other failure domains that this node may follow while the store turns it away.
+    fn refuges(&self, node: &GatewayNode) -> Vec<FeedMember> {
+        let own = node.settings.node.as_str();
+        let mut refuges = Vec::new();
+        for (domain, links) in &self.other_links {
+            let order = feed_order(domain, links.keys().map(String::as_str));
+            for name in feed_refuges(own, &order) {
+                let id = name.parse::<NodeId>().ok();
+                refuges.extend(id.and_then(|id| links[name].member(id)));
+            }
+        }
+        refuges
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,7 +9,7 @@
 use serving::ShutdownPlan;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use wire::feed::FeedTable;
+use wire::feed::{FeedLane, FeedTable};
 
 use crate::feed::FeedIntake;
 use crate::hints::{HintChannel, receive_hints};
@@ -108,7 +108,9 @@
     }
     if let Some(listener) = links {
         spawn_local(feed::serve_links(Rc::clone(node), listener));
-        spawn_local(feed::follow_sources(intake));
+        for lane in FeedLane::ALL {
+            spawn_local(feed::follow_sources(Rc::clone(&intake), lane));
+        }
     }
 }
 
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -103,6 +103,39 @@
         let response = with_timeout(timeout, operation).await?;
         Ok(self.auth.verify::<LIMIT>(&response)?.payload)
     }
+
+    /// Sends a request and returns the verified response of at most `LIMIT` bytes, however long it
+    /// takes within `timeouts.whole` while bytes of it arrive.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`]; the link can't be used any more.
+    pub async fn request_bulk<const LIMIT: usize>(
+        &mut self,
+        path: &str,
+        payload: Vec<u8>,
+        timeouts: BulkTimeouts,
+    ) -> Result<Vec<u8>, LinkError> {
+        let frame = self.auth.sign(payload)?;
+        let operation = async {
+            let start = start_request(&mut self.requests, path, frame);
+            let body = with_timeout(timeouts.start, start).await?;
+            read_progressing(body, LIMIT, timeouts.pause).await
+        };
+        let response = with_timeout(timeouts.whole, operation).await?;
+        Ok(self.auth.verify::<LIMIT>(&response)?.payload)
+    }
+}
+
+/// Timeouts of a response that may be large.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BulkTimeouts {
+    /// Until the response starts.
+    pub start: Duration,
+    /// Without a further byte of it.
+    pub pause: Duration,
+    /// For all of it.
+    pub whole: Duration,
 }
 
 /// Answers a hello with a common protocol version; returns the authenticator of the accepted side
@@ -181,6 +214,15 @@
     body: Vec<u8>,
     limit: usize,
 ) -> Result<Vec<u8>, LinkError> {
+    read_stream(start_request(requests, path, body).await?, limit).await
+}
+
+/// Sends a request; returns the body of the response once its head is here.
+async fn start_request(
+    requests: &mut SendRequest<Bytes>,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<RecvStream, LinkError> {
     let request = Request::builder()
         .method(Method::POST)
         .uri(format!("http://peer{path}"))
@@ -192,7 +234,37 @@
     if response.status() != StatusCode::OK {
         return Err(LinkError::Refused(response.status().as_u16()));
     }
-    read_stream(response.into_body(), limit).await
+    Ok(response.into_body())
+}
+
+/// Reads a whole stream of at most `limit` bytes, which fails after `pause` without a byte.
+async fn read_progressing(
+    mut stream: RecvStream,
+    limit: usize,
+    pause: Duration,
+) -> Result<Vec<u8>, LinkError> {
+    let mut bytes = Vec::new();
+    loop {
+        let next = async { Ok(stream.data().await) };
+        let Some(chunk) = with_timeout(pause, next).await? else {
+            return Ok(bytes);
+        };
+        append_chunk(&mut stream, &mut bytes, &chunk?, limit)?;
+    }
+}
+
+fn append_chunk(
+    stream: &mut RecvStream,
+    bytes: &mut Vec<u8>,
+    chunk: &Bytes,
+    limit: usize,
+) -> Result<(), LinkError> {
+    if bytes.len() + chunk.len() > limit {
+        return Err(LinkError::TooLarge(limit));
+    }
+    stream.flow_control().release_capacity(chunk.len())?;
+    bytes.extend_from_slice(chunk);
+    Ok(())
 }
 
 /// Reads a whole stream of at most `limit` bytes.
@@ -203,12 +275,7 @@
 pub async fn read_stream(mut stream: RecvStream, limit: usize) -> Result<Vec<u8>, LinkError> {
     let mut bytes = Vec::new();
     while let Some(chunk) = stream.data().await {
-        let chunk = chunk?;
-        if bytes.len() + chunk.len() > limit {
-            return Err(LinkError::TooLarge(limit));
-        }
-        stream.flow_control().release_capacity(chunk.len())?;
-        bytes.extend_from_slice(&chunk);
+        append_chunk(&mut stream, &mut bytes, &chunk?, limit)?;
     }
     Ok(bytes)
 }
--- a/crates/serving/tests/feed/feed_tree.rs
+++ b/crates/serving/tests/feed/feed_tree.rs
@@ -1,7 +1,9 @@
 //! Hundreds of nodes that each read the store cost it a call a node; a tree must keep the readers
 //! few and every node reachable whatever single node is lost.
 
-use serving::feed::{MIN_FOLLOWING_NODES, TREE_FANOUT, feed_order, feed_sources, tree_depth};
+use serving::feed::{
+    MIN_FOLLOWING_NODES, TREE_FANOUT, feed_order, feed_refuges, feed_sources, tree_depth,
+};
 
 #[test]
 fn one_reader_per_domain() {
@@ -55,6 +57,31 @@
     }
 }
 
+/// Guards against a failure domain that the store turns away and whose nodes all ask one node of
+/// another: its link would carry the changes to a hundred nodes.
+#[test]
+fn refuges_are_spread() {
+    let order: Vec<String> = (0..100).map(|rank| format!("other-{rank}")).collect();
+    let order: Vec<&str> = order.iter().map(String::as_str).collect();
+    let mut followers = vec![0; order.len()];
+    for node in 0..100 {
+        let refuges = feed_refuges(&format!("own-{node}"), &order);
+        assert_eq!(refuges.len(), 2);
+        let first = order.iter().position(|name| *name == refuges[0]);
+        followers[first.expect("a node of the other domain")] += 1;
+    }
+    let most = followers.iter().max().copied();
+    assert!(most <= Some(40), "{most:?} of 100 nodes ask the same one");
+    assert!(followers[5..].iter().all(|count| *count == 0));
+}
+
+/// Guards against a small failure domain whose nodes have nobody to ask.
+#[test]
+fn single_refuge_is_enough() {
+    assert_eq!(feed_refuges("own", &["other"]), vec!["other"]);
+    assert!(feed_refuges("own", &[]).is_empty());
+}
+
 #[test]
 fn depth_grows_by_level() {
     let depths = [0, 1, 8, 9, 72, 73].map(tree_depth);
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -35,6 +35,8 @@
     compacted_version: u64,
     mode: StoreMode,
     calls: u64,
+    /// Texts that are replaced in written values, and their replacements.
+    replacements: Vec<(String, String)>,
 }
 
 /// An in-memory store; clones share its rows.
@@ -54,6 +56,7 @@
                 compacted_version: 0,
                 mode: StoreMode::Healthy,
                 calls: 0,
+                replacements: Vec::new(),
             })),
             changed: Arc::default(),
             started: Instant::now(),
@@ -112,6 +115,24 @@
         self.changed.notify_waiters();
     }
 
+    /// Replaces an address in all values that nodes write from now on, so that others reach them through
+    /// a proxy.
+    pub fn replace_address(&self, from: SocketAddr, to: SocketAddr) {
+        let replacement = (from.to_string(), to.to_string());
+        self.with(|state| state.replacements.push(replacement));
+    }
+
+    fn with_replacements(&self, value: Vec<u8>) -> Vec<u8> {
+        let replacements = self.with(|state| state.replacements.clone());
+        let Ok(mut text) = String::from_utf8(value.clone()) else {
+            return value;
+        };
+        for (from, to) in replacements {
+            text = text.replace(&format!("\"{from}\""), &format!("\"{to}\""));
+        }
+        text.into_bytes()
+    }
+
     /// Changes the behaviour of the store, also for feed requests that are waiting.
     pub fn set_mode(&self, mode: StoreMode) {
         self.with(|state| state.mode = mode);
@@ -199,6 +220,7 @@
             let Ok(value) = STANDARD.decode(text("value")) else {
                 return text_response(StatusCode::BAD_REQUEST, "");
             };
+            let value = self.with_replacements(value);
             self.put(&text("table"), &text("key"), &value);
         }
         for removed in body["remove"].as_array().into_iter().flatten() {
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -22,6 +22,63 @@
     Nodes,
 }
 
+/// What a link carries. Each lane has a link of its own, so that a change which must not wait is never
+/// queued behind a large configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum FeedLane {
+    /// Small changes that must be known within seconds.
+    Urgent,
+    /// Tables with large rows, and heartbeats.
+    Bulk,
+}
+
+impl FeedLane {
+    /// All lanes.
+    pub const ALL: [Self; 2] = [Self::Urgent, Self::Bulk];
+
+    /// Lane that carries a table.
+    #[must_use]
+    pub fn of(table: FeedTable) -> Self {
+        match table {
+            FeedTable::Registry => Self::Urgent,
+            FeedTable::Config | FeedTable::Nodes => Self::Bulk,
+        }
+    }
+
+    /// Tables that the lane carries, the one first whose age decides whether a source is followed.
+    #[must_use]
+    pub fn tables(self) -> &'static [FeedTable] {
+        match self {
+            Self::Urgent => &[FeedTable::Registry],
+            Self::Bulk => &[FeedTable::Config, FeedTable::Nodes],
+        }
+    }
+
+    /// Name in log lines.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Urgent => "urgent",
+            Self::Bulk => "bulk",
+        }
+    }
+
+    /// Path of its requests.
+    #[must_use]
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Urgent => "/feed/urgent",
+            Self::Bulk => "/feed/bulk",
+        }
+    }
+
+    /// Lane with this path.
+    #[must_use]
+    pub fn from_path(path: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|lane| lane.path() == path)
+    }
+}
+
 /// Asks for the changes of some tables.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedRequest {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod feed;
 pub mod hostlist;
 pub mod openai;
+pub mod packed;
 pub mod peer;
 pub mod record;
 pub mod service;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod full_restart;
 mod idle_connections;
 mod invalid_input;
+mod link_proxy;
 mod load_hints;
 mod lost_hosts;
 mod node;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -214,8 +214,31 @@
         node
     }
 
+    /// Starts a gateway in a failure domain that calls the store at `store`, and waits until it is
+    /// ready.
+    pub async fn node_in(&self, domain: &str, name: &str, store: SocketAddr) -> TestNode {
+        let mut settings = self.settings(name, true, &any_ports());
+        settings["failure_domain"] = json!(domain);
+        settings["store"] = json!(store);
+        let node = self
+            .start_prepared(self.prepare_with(name, &settings))
+            .await;
+        node.wait_ready(true).await;
+        node
+    }
+
+    /// Address of the store.
+    pub fn store_address(&self) -> SocketAddr {
+        self.store_address
+    }
+
     async fn start_node(&self, name: &str, first_start: bool, listen: &Value) -> TestNode {
-        let (mut node, mut command) = self.prepare_node(name, first_start, listen);
+        let prepared = self.prepare_node(name, first_start, listen);
+        self.start_prepared(prepared).await
+    }
+
+    async fn start_prepared(&self, prepared: (TestNode, Command)) -> TestNode {
+        let (mut node, mut command) = prepared;
         let log = File::create(&node.log).expect("log file is accessible");
         let child = command.stdout(Stdio::from(log)).spawn();
         node.child = Some(child.expect("binary runs"));
@@ -225,13 +248,20 @@
     }
 
     fn prepare_node(&self, name: &str, first_start: bool, listen: &Value) -> (TestNode, Command) {
-        let settings = json!({
+        self.prepare_with(name, &self.settings(name, first_start, listen))
+    }
+
+    fn settings(&self, name: &str, first_start: bool, listen: &Value) -> Value {
+        json!({
             "node": name, "failure_domain": "z0", "store": self.store_address,
             "first_start": first_start,
             "listen": listen,
             "bounds": {"stop_grace_s": 8, "repeat_ratio": 0.2, "repeat_window_s": 10,
                 "repeat_extra": 130, "load_window_s": 5, "fencing": false},
-        });
+        })
+    }
+
+    fn prepare_with(&self, name: &str, settings: &Value) -> (TestNode, Command) {
         let path = self.directory.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings file is writable");
         let number = self.started_nodes.fetch_add(1, Ordering::Relaxed);
--- a/tests/gateway/store_feed.rs
+++ b/tests/gateway/store_feed.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 use wire::peer::{NEWEST_VERSION, NONCE_BYTES, OLDEST_VERSION, PeerHello, encode_message};
 
+use crate::link_proxy::LinkProxy;
 use crate::node::{TestNode, wait_for};
 use crate::request::TestRequest;
 use crate::site::{TestSite, configuration};
@@ -113,6 +114,94 @@
     }
 }
 
+/// Bytes per second of a link that needs a minute for a large configuration to all followers.
+const SLOW_LINK: u32 = 100 << 10;
+
+/// Routes of a large configuration.
+const MANY_ROUTES: usize = 6000;
+
+/// Bytes per second of a proxy that is not meant to slow anything down.
+const FAST_LINK: u32 = 1 << 30;
+
+/// A configuration that hardly shrinks by compression.
+fn large_configuration(version: u64) -> serde_json::Value {
+    let mut config = configuration(version);
+    let routes = config["routes"].as_array_mut().expect("routes are a list");
+    let template = routes[0].clone();
+    for number in 0..MANY_ROUTES {
+        let mut route = template.clone();
+        let noise = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        route["name"] = serde_json::json!(format!("r{noise:x}"));
+        route["prefix"] = serde_json::json!(format!("/{:x}/", noise.rotate_left(17)));
+        routes.push(route);
+    }
+    config
+}
+
+/// Guards against a leaving target that goes on getting requests because its nodes wait for a large
+/// configuration on the same link: a response that did not fit the link's time failed whole, and was
+/// asked for again whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_passes_large_configuration() {
+    let site = TestSite::start(0, 1);
+    let gate = LinkProxy::start(site.store_address(), FAST_LINK).await;
+    let names: Vec<String> = (0..NODES).map(|index| format!("n{index}")).collect();
+    let order = feed_order("z0", names.iter().map(String::as_str));
+    let root = site.node(order[0]).await;
+    let link = LinkProxy::start(root.links, SLOW_LINK).await;
+    site.store.replace_address(root.links, link.address);
+    let mut followers = Vec::new();
+    for name in &order[1..] {
+        followers.push(site.node_in("z0", name, gate.address).await);
+    }
+    // The root writes its heartbeat again, with the address of the proxy.
+    for node in &followers {
+        node.wait_log_line(&["feed_followed", &format!("\"source\":\"{}\"", order[0])])
+            .await;
+    }
+    gate.cut();
+    site.configure(&large_configuration(8));
+    root.wait_log_line(&["config_applied", "\"revision\":8"])
+        .await;
+    site.store.remove("servers", "s0");
+    for node in &followers {
+        node.wait_log_line(&["target_gone", "s0"]).await;
+    }
+    let waits = |node: &TestNode| {
+        node.log_lines(&["config_applied", "\"revision\":8"])
+            .is_empty()
+    };
+    assert!(
+        followers.iter().any(waits),
+        "the configuration was not large"
+    );
+}
+
+/// Guards against nodes that learn nothing while the store turns their failure domain away, though
+/// others know: they sent to a leaving target, and honoured a configuration, for nine seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn domain_turned_away() {
+    let site = TestSite::start(0, 1);
+    let gate = LinkProxy::start(site.store_address(), FAST_LINK).await;
+    let cut_off = [
+        site.node_in("z0", "n0", gate.address).await,
+        site.node_in("z0", "n1", gate.address).await,
+    ];
+    let other = site.node_in("z1", "n2", site.store_address()).await;
+    for node in cut_off.iter().chain([&other]) {
+        node.wait_log_line(&["nodes_counted", "\"nodes\":3"]).await;
+    }
+    gate.cut();
+    site.configure(&configuration(8));
+    site.store.remove("servers", "s0");
+    wait_applied(&cut_off, 8).await;
+    for node in &cut_off {
+        node.wait_log_line(&["target_gone", "s0"]).await;
+        let sources = node.log_lines(&["feed_followed", "\"source\":\"n2\""]);
+        assert!(!sources.is_empty());
+    }
+}
+
 /// Guards against a host without the key of a node that gets the configuration with its clients'
 /// keys, or uses up the places of links.
 #[tokio::test(flavor = "multi_thread")]
@@ -131,7 +220,7 @@
     let hello = encode_message(&hello).expect("hello can be encoded");
     let answered = post(&mut requests, "/hello", hello).await;
     assert_eq!(answered, Some(StatusCode::OK));
-    let answered = post(&mut requests, "/feed", vec![1; 64]).await;
+    let answered = post(&mut requests, "/feed/urgent", vec![1; 64]).await;
     assert_eq!(answered, None);
     node.wait_log_line(&["feed_link_refused"]).await;
     assert!(node.metrics().await.contains("link_refused"));
