Share out hosts by the work that clients ask for

Clients of the small model found all of its replicas full, beside replicas of the large one with room: on the shifted deployment it is asked for 348 times a second, the large one 54 times, and the published shares are equal.

Cause: the layout followed the published shares, whatever came.

Change: nodes tell with their heartbeats how many replicas their requests keep busy (prompt tokens and announced output by the step model, refused requests included). The first node by rendezvous hashing decides on shares in proportion, when a difference of 0.06 lasts for two seconds, at most each 15 s; the newest decision by the store's clock holds at all nodes.

shifted_demand is the test of that load without a network; busy_model_gets_hosts is what the published shares fail. share_decisions::decision_outlives_its_node plays it with processes.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -231,7 +231,9 @@
     /// A registry entry contradicts what its host confirmed by an accepted order or a report, and may
     /// be older. The host is queried; its confirmed membership holds until then.
     EntryOutdated = 368, "entry_outdated", Info;
-    /// The node gets the changes of the store from another node of its failure domain from now on.
+    /// The node gets the changes of a lane (`urgent`: the registry; `bulk`: the configuration and
+    /// heartbeats) from another node from now on, of another failure domain while the store turns this
+    /// one away.
     FeedFollowed = 369, "feed_followed", Info;
     /// The node that passes on the changes of the store does not respond, can't reach the store or
     /// is behind. This node reads the store itself until it follows another one.
@@ -239,6 +241,9 @@
     /// A link of another node was refused: its messages are malformed, replayed or not authenticated
     /// with the key of this node. Nothing of it was used.
     FeedLinkRefused = 371, "feed_link_refused", Warn;
+    /// The node has decided on other shares of the hosts for the models of a service, by the work that
+    /// clients ask for. All nodes follow the newest decision.
+    SharesDecided = 372, "shares_decided", Info;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -91,6 +91,7 @@
         service,
         model: headers.model.clone(),
         prompt_tokens: headers.prompt_tokens,
+        max_output_tokens: headers.max_output_tokens,
         customer: key.as_ref().map(|(customer, _)| customer.clone()),
         priority: key.and_then(|(_, rank)| rank).unwrap_or(route.priority),
         max_attempts: route.max_attempts,
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -42,6 +42,8 @@
     pub model: Option<ModelName>,
     /// Number of prompt tokens; 0 for a call to a plain service.
     pub prompt_tokens: u32,
+    /// Maximum number of output tokens; 0 if not given.
+    pub max_output_tokens: u32,
     /// Customer that the API key belongs to; `None` without a key.
     pub customer: Option<CustomerId>,
     /// Priority; 0 is the highest.
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -3,17 +3,19 @@
 //! The count sets each node's share of the budgets shared by all nodes, and the order in which
 //! nodes act for a fabric domain. No safety property depends on it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use adapter::{StoreClient, StoreError};
-use domain::{FastMap, NodeId};
+use domain::{FastMap, ModelName, NodeId, ServiceName};
 use peers::SharedKey;
 use serde::{Deserialize, Serialize};
 use serving::feed::{MIN_FOLLOWING_NODES, TableDelta, feed_order, feed_refuges};
 use wire::feed::{FeedLane, FeedTable};
 
+use crate::demand::{ReportedDemand, ShareDecision};
 use crate::feed::{COUNT_INTERVAL, FeedMember};
 use crate::hints::{LoadCollectors, MAX_HINT_PEERS};
 use crate::node::GatewayNode;
@@ -66,6 +68,12 @@
     /// How other nodes link to it; `None` if they can't.
     #[serde(default)]
     link: Option<LinkRow>,
+    /// Replicas of each model that the node's requests keep busy, in thousandths.
+    #[serde(default)]
+    demand: BTreeMap<ServiceName, BTreeMap<ModelName, u32>>,
+    /// The newest decision on shares that the node knows.
+    #[serde(default)]
+    decision: Option<ShareDecision>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -97,12 +105,17 @@
     let mut pause = INITIAL_INTERVAL;
     loop {
         let key_changed = tokio::time::timeout(pause, node.feed.key_changed.notified());
+        let mut has_decided = false;
         let reads_now = tokio::select! {
             changed = key_changed => changed.is_ok(),
+            () = node.demand.decided.notified() => {
+                has_decided = true;
+                false
+            }
             () = count_repeatedly(&node) => false,
         };
         let interval = heartbeat_interval(node.node_count());
-        let is_due = node.now().saturating_sub(written_at) >= interval;
+        let is_due = has_decided || node.now().saturating_sub(written_at) >= interval;
         let mut outcome = Ok(());
         if is_due {
             outcome = write_heartbeat(&node, &mut client).await;
@@ -176,6 +189,8 @@
         suspects: !node.suspects_no_request(),
         domain: node.settings.failure_domain.to_string(),
         link,
+        demand: node.demand_report(),
+        decision: Some(node.share_decision()).filter(|decision| decision.clock_ms > 0),
     };
     let value =
         serde_json::to_vec(&row).map_err(|error| StoreError::Malformed(error.to_string()))?;
@@ -247,6 +262,10 @@
         let Ok(row) = serde_json::from_slice::<NodeRow>(value) else {
             continue;
         };
+        // A decision holds on after the node that made it.
+        if let Some(decision) = &row.decision {
+            node.adopt_decision(decision);
+        }
         let age = clock.saturating_sub(Duration::from_millis(row.clock_ms));
         if age <= max_age {
             census.add(node, name, row);
@@ -265,6 +284,7 @@
         .set_members(domain, &census.domain_nodes, census.members);
     census.names.sort();
     node.set_live_nodes(census.names);
+    node.review_shares(&census.demand);
 }
 
 /// What the heartbeats tell.
@@ -275,6 +295,7 @@
     others_suspect: bool,
     /// Nodes that receive hints, by failure domain, with their addresses.
     hint_nodes: FastMap<String, FastMap<String, SocketAddr>>,
+    demand: ReportedDemand,
     /// Nodes of the failure domain, this one included.
     domain_nodes: Vec<NodeId>,
     /// Those of them that accept links.
@@ -316,6 +337,7 @@
 
     fn add(&mut self, node: &GatewayNode, name: &str, row: NodeRow) {
         self.names.push(name.to_owned());
+        self.demand.add(&row.demand);
         let is_other = name != node.settings.node.as_str();
         self.hint_addresses.extend(row.hints.filter(|_| is_other));
         self.others_suspect |= is_other && row.suspects;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod admitted;
 mod crash;
 mod crash_records;
+mod demand;
 mod feed;
 mod handle;
 mod heartbeat;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -26,6 +26,7 @@
 use tokio::time::Instant;
 
 use crate::crash::InterruptedRequests;
+use crate::demand::DemandState;
 use crate::feed::FeedState;
 use crate::hints::{HintChannel, HostHash};
 use crate::metrics::GatewayMetrics;
@@ -53,6 +54,8 @@
     pub hints: HintChannel,
     /// Copies of the store's tables, and the nodes that pass on their changes.
     pub feed: FeedState,
+    /// What clients ask of each model, and the shares of the hosts that follow.
+    pub demand: DemandState,
     /// Loads that this node passes on to others.
     pub load_board: RefCell<LoadBoard<HostHash>>,
     /// Wakes the replica reconciler after a state change.
@@ -136,6 +139,7 @@
             settings,
             hints,
             feed: FeedState::new(),
+            demand: DemandState::default(),
             load_board: RefCell::default(),
             sink,
             metrics,
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -113,6 +113,7 @@
         let now = self.now();
         let service = &request.service;
         self.with_retry_budget(service, |budget| budget.record_request(now));
+        self.record_demand(request);
         let Some(customer) = &request.customer else {
             return;
         };
--- a/crates/gateway/src/reconcile/mod.rs
+++ b/crates/gateway/src/reconcile/mod.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use domain::{ConfigRevision, FabricId, FastMap, HostId, ModelName};
+use domain::{FabricId, FastMap, HostId, ModelName};
 use events::{EventCode, LogLine};
 use serving::hashing::stable_hash;
 use serving::load_budget::{LoadBudget, LoadLimit};
@@ -21,7 +21,7 @@
     plan_fabric,
 };
 use serving::probe_schedule::MAX_ACTIVE_RANK;
-use serving::{ServiceConfig, TargetEntry, TargetState};
+use serving::{ModelConfig, ServiceConfig, TargetEntry, TargetState};
 
 use crate::node::GatewayNode;
 use crate::orders::OrderTracker;
@@ -81,6 +81,13 @@
     is_fresh: bool,
 }
 
+/// A service, its models with the shares in force, and the layout that follows.
+struct PlannedService<'a> {
+    service: &'a ServiceConfig,
+    models: &'a [ModelConfig],
+    layout: &'a FabricLayout,
+}
+
 struct ReplicaReconciler {
     node: Rc<GatewayNode>,
     order_tracker: OrderTracker,
@@ -119,13 +126,19 @@
             if service.models.is_empty() {
                 continue;
             }
-            let layout = self.layout(service, config.revision);
-            self.plan_service(service, &layout, all_fabrics, &mut steps);
+            let models = self.node.planned_models(service);
+            let layout = self.layout(service, &models);
+            let planned = PlannedService {
+                service,
+                models: &models,
+                layout: &layout,
+            };
+            self.plan_service(&planned, all_fabrics, &mut steps);
         }
         self.run_due_steps(steps);
     }
 
-    fn layout(&self, service: &ServiceConfig, revision: ConfigRevision) -> Rc<FabricLayout> {
+    fn layout(&self, service: &ServiceConfig, models: &[ModelConfig]) -> Rc<FabricLayout> {
         let mut capacities: BTreeMap<FabricId, FabricCapacity> = BTreeMap::new();
         self.node.registry(|registry| {
             for entry in registry.targets() {
@@ -146,25 +159,25 @@
         });
         self.layouts
             .borrow_mut()
-            .layout(service, revision, capacities)
+            .layout(&service.name, models, capacities)
     }
 
     fn plan_service(
         self: &Rc<Self>,
-        service: &ServiceConfig,
-        layout: &FabricLayout,
+        planned: &PlannedService<'_>,
         all_fabrics: bool,
         steps: &mut Vec<PlannedStep>,
     ) {
+        let service = planned.service;
         let bootstrapping = self.node.is_bootstrapping();
         let fleet_replicas = self.node.live_replica_counts(service);
         for (fabric, hosts) in &self.planned_hosts(service, all_fabrics) {
-            let Some(fabric_layout) = layout.get(fabric) else {
+            let Some(fabric_layout) = planned.layout.get(fabric) else {
                 continue;
             };
             let planned = self.node.with_never_reopen(|replicas| {
                 plan_fabric(&FabricState {
-                    models: &service.models,
+                    models: planned.models,
                     desired: fabric_layout,
                     hosts,
                     fleet_replicas: &fleet_replicas,
--- a/crates/gateway/src/reconcile/ranks.rs
+++ b/crates/gateway/src/reconcile/ranks.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use domain::{ConfigRevision, FabricId, FastMap, ServiceName};
-use serving::ServiceConfig;
+use domain::{FabricId, FastMap, ServiceName};
+use serving::ModelConfig;
 use serving::hashing::stable_hash;
 use serving::plan::{FabricCapacity, FabricLayout, PlanStep, compute_layout};
 
@@ -32,33 +32,33 @@
 
 #[derive(Debug)]
 struct CachedLayout {
-    revision: ConfigRevision,
+    models: Vec<ModelConfig>,
     capacities: BTreeMap<FabricId, FabricCapacity>,
     layout: Rc<FabricLayout>,
 }
 
 impl LayoutCache {
-    /// Returns the layout for the given capacities, recomputed only if the configuration or the
+    /// Returns the layout for the given capacities, recomputed only if the models, their shares or the
     /// capacities changed.
     pub fn layout(
         &mut self,
-        service: &ServiceConfig,
-        revision: ConfigRevision,
+        service: &ServiceName,
+        models: &[ModelConfig],
         capacities: BTreeMap<FabricId, FabricCapacity>,
     ) -> Rc<FabricLayout> {
-        if let Some(cached) = self.cached.get(&service.name)
-            && cached.revision == revision
+        if let Some(cached) = self.cached.get(service)
+            && cached.models == models
             && cached.capacities == capacities
         {
             return Rc::clone(&cached.layout);
         }
-        let layout = Rc::new(compute_layout(&capacities, &service.models));
+        let layout = Rc::new(compute_layout(&capacities, models));
         let cached = CachedLayout {
-            revision,
+            models: models.to_vec(),
             capacities,
             layout: Rc::clone(&layout),
         };
-        self.cached.insert(service.name.clone(), cached);
+        self.cached.insert(service.clone(), cached);
         layout
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod choose;
 pub mod choose_sampled;
 pub mod confirmed;
+pub mod demand;
 pub mod event_stream;
 pub mod feed;
 pub mod hashing;
--- a/crates/serving/src/timing.rs
+++ b/crates/serving/src/timing.rs
@@ -20,6 +20,8 @@
     pub prefill: Duration,
     /// Prompt tokens prefilled per second.
     pub prefill_rate: f64,
+    /// Replica time of one output token, among the tokens of all other requests.
+    pub token_time: Duration,
 }
 
 impl ReplicaTiming {
@@ -33,9 +35,27 @@
             decode_pass: self.decode_pass.mul_f64(factor),
             prefill: self.prefill.mul_f64(factor),
             prefill_rate: self.prefill_rate / factor,
+            token_time: self.token_time.mul_f64(factor),
         }
     }
 
+    /// Replica time that a request takes: the prefill of its prompt and the decoding of its response.
+    /// Where the client gives no number of tokens, a typical request counts.
+    #[must_use]
+    pub fn request_time(&self, prompt_tokens: u32, output_tokens: u32) -> Duration {
+        let prefill = if prompt_tokens == 0 || self.prefill_rate <= 0.0 {
+            self.prefill
+        } else {
+            Duration::from_secs_f64(f64::from(prompt_tokens) / self.prefill_rate)
+        };
+        let decode = if output_tokens == 0 {
+            self.completion_interval.saturating_sub(self.prefill)
+        } else {
+            self.token_time.saturating_mul(output_tokens)
+        };
+        prefill + decode
+    }
+
     /// Returns how many requests may wait at a full replica ahead of one that should get its first
     /// token within `target`, or `None` if the service publishes no step model.
     ///
--- a/crates/serving/tests/queue_capacity.rs
+++ b/crates/serving/tests/queue_capacity.rs
@@ -12,6 +12,7 @@
         decode_pass: Duration::from_millis(50),
         prefill: Duration::from_millis(22),
         prefill_rate: 50_700.0,
+        token_time: Duration::from_micros(430),
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod plain_services;
 mod poison_requests;
 mod request;
+mod share_decisions;
 mod shutdown;
 mod site;
 mod store_faults;
