--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -58,7 +58,7 @@
 
 /// Interval at which a node that follows another failure domain calls the store, to learn whether it
 /// still turns the node away.
-const REFUGE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+const STORE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Timeout for reading a whole table.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
@@ -133,8 +133,8 @@
     let mut has_followed = false;
     loop {
         let changed = node.feed.mode_changed.notified();
-        if node.feed.source(lane) == FeedSource::Refuge {
-            if tokio::time::timeout(REFUGE_CHECK_INTERVAL, changed)
+        if node.feed.source(lane) == FeedSource::Fallback {
+            if tokio::time::timeout(STORE_CHECK_INTERVAL, changed)
                 .await
                 .is_err()
             {
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -60,7 +60,7 @@
 
 /// Least depth that counts for a node that follows one of another failure domain, which is a child
 /// of that domain's root or the root.
-const REFUGE_DEPTH: u32 = 2;
+const FALLBACK_DEPTH: u32 = 2;
 
 /// Link to the source that is followed.
 struct SourceLink {
@@ -183,11 +183,11 @@
     if let Some(source) = sources.into_iter().find(is_possible) {
         return Some((source, FeedSource::Tree));
     }
-    if !node.feed.needs_refuge(lane) {
+    if !node.feed.needs_fallback(lane) {
         return None;
     }
-    let refuge = node.feed.refuges().into_iter().find(is_possible)?;
-    Some((refuge, FeedSource::Refuge))
+    let fallback = node.feed.fallbacks().into_iter().find(is_possible)?;
+    Some((fallback, FeedSource::Fallback))
 }
 
 /// Whether a source may be asked. At a restart of all nodes each reads the tables itself: whole tables
@@ -303,7 +303,7 @@
     }
     let depth = node.feed.depth(&node.settings.node);
     let depth = match kind {
-        FeedSource::Refuge => depth.max(REFUGE_DEPTH),
+        FeedSource::Fallback => depth.max(FALLBACK_DEPTH),
         FeedSource::Store | FeedSource::Tree => depth,
     };
     if !sample.is_usable(depth) {
--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -71,7 +71,7 @@
     /// nothing of what it knows.
     pub fn store_failed(&self, table: FeedTable) {
         let lane = FeedLane::of(table);
-        if self.node.feed.source(lane) == FeedSource::Refuge {
+        if self.node.feed.source(lane) == FeedSource::Fallback {
             return;
         }
         match lane {
@@ -90,7 +90,7 @@
             FeedLane::Bulk => self.node.feed.set_bulk_cut_off(false),
             FeedLane::Urgent => self.node.feed.record_contact(),
         }
-        if self.node.feed.source(lane) == FeedSource::Refuge {
+        if self.node.feed.source(lane) == FeedSource::Fallback {
             self.node.feed.set_source(lane, FeedSource::Store);
         }
     }
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -22,7 +22,7 @@
     /// A node before this one in the tree of its failure domain.
     Tree,
     /// A node of another failure domain, while the store turns this one away.
-    Refuge,
+    Fallback,
 }
 
 /// A node that accepts links.
@@ -67,7 +67,7 @@
     /// Those of them that accept links.
     members: RefCell<Vec<FeedMember>>,
     /// Nodes of other failure domains to follow while the store turns this one away.
-    refuges: RefCell<Vec<FeedMember>>,
+    fallbacks: RefCell<Vec<FeedMember>>,
 }
 
 impl FeedState {
@@ -101,7 +101,7 @@
             counted_at: Cell::default(),
             order: RefCell::default(),
             members: RefCell::default(),
-            refuges: RefCell::default(),
+            fallbacks: RefCell::default(),
         }
     }
 
@@ -187,12 +187,12 @@
 
     /// Whether a lane may follow nodes of other failure domains: the store turns this node away.
     #[must_use]
-    pub fn needs_refuge(&self, lane: FeedLane) -> bool {
+    pub fn needs_fallback(&self, lane: FeedLane) -> bool {
         let is_cut_off = match lane {
             FeedLane::Urgent => self.is_cut_off.get(),
             FeedLane::Bulk => self.is_bulk_cut_off.get(),
         };
-        is_cut_off || self.source(lane) == FeedSource::Refuge
+        is_cut_off || self.source(lane) == FeedSource::Fallback
     }
 
     /// Records whether the last call to the store for a table of the bulk lane failed.
@@ -243,13 +243,13 @@
     /// Nodes of other failure domains to follow while the store turns this one away, the preferred one
     /// first.
     #[must_use]
-    pub fn refuges(&self) -> Vec<FeedMember> {
-        self.refuges.borrow().clone()
+    pub fn fallbacks(&self) -> Vec<FeedMember> {
+        self.fallbacks.borrow().clone()
     }
 
     /// Sets those nodes.
-    pub fn set_refuges(&self, refuges: Vec<FeedMember>) {
-        *self.refuges.borrow_mut() = refuges;
+    pub fn set_fallbacks(&self, fallbacks: Vec<FeedMember>) {
+        *self.fallbacks.borrow_mut() = fallbacks;
     }
 
     /// Position of a node in the tree of its failure domain; `None` before it is counted.
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -12,7 +12,7 @@
 use domain::{FastMap, ModelName, NodeId, ServiceName};
 use peers::SharedKey;
 use serde::{Deserialize, Serialize};
-use serving::feed::{MIN_FOLLOWING_NODES, TableDelta, feed_order, feed_refuges};
+use serving::feed::{MIN_FOLLOWING_NODES, TableDelta, fallback_sources, feed_order};
 use wire::feed::{FeedLane, FeedTable};
 
 use crate::demand::{ReportedDemand, ShareDecision};
@@ -276,7 +276,7 @@
     if census.others_suspect && node.suspects_no_request() {
         node.crash_records_changed.notify_one();
     }
-    node.feed.set_refuges(census.refuges(node));
+    node.feed.set_fallbacks(census.fallbacks(node));
     node.hints.set_collectors(census.collectors(node));
     node.hints.set_peers(census.hint_addresses);
     let domain = node.settings.failure_domain.as_str();
@@ -360,16 +360,16 @@
     }
 
     /// Nodes of the other failure domains that this node may follow while the store turns it away.
-    fn refuges(&self, node: &GatewayNode) -> Vec<FeedMember> {
+    fn fallbacks(&self, node: &GatewayNode) -> Vec<FeedMember> {
         let own = node.settings.node.as_str();
-        let mut refuges = Vec::new();
+        let mut fallbacks = Vec::new();
         for (domain, links) in &self.other_links {
             let order = feed_order(domain, links.keys().map(String::as_str));
-            for name in feed_refuges(own, &order) {
+            for name in fallback_sources(own, &order) {
                 let id = name.parse::<NodeId>().ok();
-                refuges.extend(id.and_then(|id| links[name].member(id)));
+                fallbacks.extend(id.and_then(|id| links[name].member(id)));
             }
         }
-        refuges
+        fallbacks
     }
 }
--- a/crates/serving/src/feed/mod.rs
+++ b/crates/serving/src/feed/mod.rs
@@ -10,5 +10,5 @@
 pub use freshness::{FeedSample, max_source_age};
 pub use patch::RowPatch;
 pub use tree::{
-    MIN_FOLLOWING_NODES, TREE_FANOUT, feed_order, feed_refuges, feed_sources, tree_depth,
+    MIN_FOLLOWING_NODES, TREE_FANOUT, fallback_sources, feed_order, feed_sources, tree_depth,
 };
--- a/crates/serving/src/feed/tree.rs
+++ b/crates/serving/src/feed/tree.rs
@@ -52,20 +52,20 @@
 
 /// Ranks in another failure domain of which a cut-off node asks one or two: they are near the store,
 /// and together carry the cut-off nodes of the others.
-const REFUGE_RANKS: usize = 5;
+const FALLBACK_RANKS: usize = 5;
 
 /// Nodes of each other failure domain that a node may follow while it is cut off from the store.
-const REFUGES_PER_DOMAIN: usize = 2;
+const FALLBACKS_PER_DOMAIN: usize = 2;
 
 /// Nodes of another failure domain that `node` follows while the store and all sources in its own
 /// domain turn it away, the preferred one first. `order` is the order of the other domain's tree.
 #[must_use]
-pub fn feed_refuges<'a>(node: &str, order: &[&'a str]) -> Vec<&'a str> {
-    let candidates = &order[..order.len().min(REFUGE_RANKS)];
-    let mut refuges = candidates.to_vec();
-    refuges.sort_by_key(|refuge| stable_hash(&(node, *refuge)));
-    refuges.truncate(REFUGES_PER_DOMAIN);
-    refuges
+pub fn fallback_sources<'a>(node: &str, order: &[&'a str]) -> Vec<&'a str> {
+    let candidates = &order[..order.len().min(FALLBACK_RANKS)];
+    let mut fallbacks = candidates.to_vec();
+    fallbacks.sort_by_key(|fallback| stable_hash(&(node, *fallback)));
+    fallbacks.truncate(FALLBACKS_PER_DOMAIN);
+    fallbacks
 }
 
 /// Number of nodes between the node of a rank and the store; 0 for the root.
--- a/crates/serving/tests/feed/feed_tree.rs
+++ b/crates/serving/tests/feed/feed_tree.rs
@@ -2,7 +2,7 @@
 //! few and every node reachable whatever single node is lost.
 
 use serving::feed::{
-    MIN_FOLLOWING_NODES, TREE_FANOUT, feed_order, feed_refuges, feed_sources, tree_depth,
+    MIN_FOLLOWING_NODES, TREE_FANOUT, fallback_sources, feed_order, feed_sources, tree_depth,
 };
 
 #[test]
@@ -60,14 +60,14 @@
 /// Guards against a failure domain that the store turns away and whose nodes all ask one node of
 /// another: its link would carry the changes to a hundred nodes.
 #[test]
-fn refuges_are_spread() {
+fn fallbacks_are_spread() {
     let order: Vec<String> = (0..100).map(|rank| format!("other-{rank}")).collect();
     let order: Vec<&str> = order.iter().map(String::as_str).collect();
     let mut followers = vec![0; order.len()];
     for node in 0..100 {
-        let refuges = feed_refuges(&format!("own-{node}"), &order);
-        assert_eq!(refuges.len(), 2);
-        let first = order.iter().position(|name| *name == refuges[0]);
+        let fallbacks = fallback_sources(&format!("own-{node}"), &order);
+        assert_eq!(fallbacks.len(), 2);
+        let first = order.iter().position(|name| *name == fallbacks[0]);
         followers[first.expect("a node of the other domain")] += 1;
     }
     let most = followers.iter().max().copied();
@@ -77,9 +77,9 @@
 
 /// Guards against a small failure domain whose nodes have nobody to ask.
 #[test]
-fn single_refuge_is_enough() {
-    assert_eq!(feed_refuges("own", &["other"]), vec!["other"]);
-    assert!(feed_refuges("own", &[]).is_empty());
+fn single_fallback_is_enough() {
+    assert_eq!(fallback_sources("own", &["other"]), vec!["other"]);
+    assert!(fallback_sources("own", &[]).is_empty());
 }
 
 #[test]
