--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod feed;
 pub mod formation;
+pub mod lanes;
 pub mod lease;
 pub mod ledger;
 pub mod search;
@@ -49,6 +50,7 @@
     run_spec::<config::ConfigModel>(&mut runs);
     run_spec::<formation::FormationModel>(&mut runs);
     run_spec::<feed::FeedModel>(&mut runs);
+    run_spec::<lanes::LaneModel>(&mut runs);
     runs
 }
 
