--- a/crates/spec/src/lanes.rs
+++ b/crates/spec/src/lanes.rs
@@ -68,6 +68,15 @@
     removed_guard: Option<LaneGuard>,
 }
 
+/// How far a drain has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum DrainStage {
+    NotBegun,
+    Announced,
+    /// The follower knows of it.
+    Known,
+}
+
 /// The newest changes, what the follower knows, and what is under way to it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct LaneState {
@@ -80,8 +89,7 @@
     silent_for: u8,
     /// Ticks in which the newest table could have come.
     table_age: u8,
-    is_drained: bool,
-    knows_drain: bool,
+    drain: DrainStage,
     /// Ticks in which the drain could have come.
     drain_age: u8,
     is_turned_away: bool,
@@ -104,9 +112,11 @@
         let mut next = state.clone();
         let is_reachable = self.is_reachable(state);
         let waits_for_table = state.parts_left > 0 && !self.enforces(LaneGuard::SeparateLanes);
-        if state.is_drained && !state.knows_drain {
+        if state.drain == DrainStage::Announced {
             next.drain_age = (state.drain_age + 1).min(DRAIN_BOUND + 1);
-            next.knows_drain = is_reachable && !waits_for_table;
+            if is_reachable && !waits_for_table {
+                next.drain = DrainStage::Known;
+            }
         }
         if state.parts_left == 0 {
             return next;
@@ -149,9 +159,9 @@
     }
 
     fn change(state: &LaneState, transitions: &mut Vec<(String, LaneState)>) {
-        if !state.is_drained {
+        if state.drain == DrainStage::NotBegun {
             let mut next = state.clone();
-            next.is_drained = true;
+            next.drain = DrainStage::Announced;
             transitions.push(("a target starts draining".to_owned(), next));
         }
         if state.table_version < MAX_TABLES {
@@ -194,8 +204,7 @@
             response_age: 0,
             silent_for: 0,
             table_age: 0,
-            is_drained: false,
-            knows_drain: false,
+            drain: DrainStage::NotBegun,
             drain_age: 0,
             is_turned_away: false,
             disturbances: 0,
@@ -208,9 +217,9 @@
         Self::change(state, &mut transitions);
         Self::disturb(state, &mut transitions);
         // A node that has missed changes may be asked in place of the source at any time.
-        if state.knows_drain && !self.enforces(LaneGuard::NewerOnly) {
+        if state.drain == DrainStage::Known && !self.enforces(LaneGuard::NewerOnly) {
             let mut next = state.clone();
-            next.knows_drain = false;
+            next.drain = DrainStage::Announced;
             next.has_reverted = true;
             transitions.push(("an older entry is passed on".to_owned(), next));
         }
