Follow a decision on shares only once the store holds it

A node that decided while the store was away followed its decision at once, the others only when its next heartbeat could be written: until then nodes planned for different shares and could move the same hosts to and fro. A proposal now takes force with the heartbeat that the store accepts, and is dropped with one that it does not. A node reads the others' heartbeats before it writes its first one, so that a restart of all can't overwrite the decision.

shifted_demand::unaccepted_proposal_moves_nothing is its test; the process test decision_outlives_all_nodes passed before as well, as the first read mostly came first.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -242,7 +242,7 @@
     /// with the key of this node. Nothing of it was used.
     FeedLinkRefused = 371, "feed_link_refused", Warn;
     /// The node has decided on other shares of the hosts for the models of a service, by the work that
-    /// clients ask for. All nodes follow the newest decision.
+    /// clients ask for. All nodes, this one included, follow the newest decision that the store holds.
     SharesDecided = 372, "shares_decided", Info;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,6 @@
 mod admitted;
 mod crash;
 mod crash_records;
-mod demand;
 mod feed;
 mod handle;
 mod heartbeat;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! In-memory state of a gateway, shared by its tasks.
 
 mod confirmed;
+mod demand;
 mod health;
 mod loads;
 mod poison;
@@ -15,6 +16,7 @@
 use domain::{FastMap, FastSet, HostId, RowVersion, ServiceName};
 use events::{EventCode, LogLine, LogSink};
 use policy::admission::CustomerShares;
+use serving::demand::DemandLedger;
 use serving::load_board::LoadBoard;
 use serving::replica_history::ReplicaHistory;
 use serving::stall::StallDetector;
@@ -26,7 +28,6 @@
 use tokio::time::Instant;
 
 use crate::crash::InterruptedRequests;
-use crate::demand::DemandState;
 use crate::feed::FeedState;
 use crate::hints::{HintChannel, HostHash};
 use crate::metrics::GatewayMetrics;
@@ -54,8 +55,9 @@
     pub hints: HintChannel,
     /// Copies of the store's tables, and the nodes that pass on their changes.
     pub feed: FeedState,
-    /// What clients ask of each model, and the shares of the hosts that follow.
-    pub demand: DemandState,
+    /// Notified when this node has proposed other shares of the hosts for the models of a service, so
+    /// that its heartbeat tells of them at once.
+    pub share_proposed: Notify,
     /// Loads that this node passes on to others.
     pub load_board: RefCell<LoadBoard<HostHash>>,
     /// Wakes the replica reconciler after a state change.
@@ -64,6 +66,8 @@
     pub activity_ended: Notify,
     /// Notified when the store has new crash records.
     pub crash_records_changed: Notify,
+    /// What clients ask of each model, and the decisions on shares.
+    demand: RefCell<DemandLedger>,
     started: Instant,
     config: RefCell<Option<Rc<GatewayConfig>>>,
     idle_timeout: Cell<Duration>,
@@ -139,7 +143,8 @@
             settings,
             hints,
             feed: FeedState::new(),
-            demand: DemandState::default(),
+            share_proposed: Notify::new(),
+            demand: RefCell::default(),
             load_board: RefCell::default(),
             sink,
             metrics,
--- a/crates/serving/tests/shifted_demand.rs
+++ b/crates/serving/tests/shifted_demand.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use domain::FabricId;
+use domain::{FabricId, ServiceName};
 use quickcheck::TestResult;
-use serving::demand::{DemandMeter, ModelDemand, ShareDecider, shares_by_work};
+use serving::demand::{
+    DemandLedger, DemandMeter, ModelDemand, ReportedDemand, ReviewInput, ShareDecider,
+    ShareDecision, shares_by_work,
+};
 use serving::plan::{FabricCapacity, compute_layout};
-use serving::{ModelConfig, ReplicaTiming};
+use serving::{ModelConfig, ReplicaTiming, ServiceConfig};
 
 /// Interval at which a node reviews the shares.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -183,6 +186,96 @@
     assert!(decided[0] < Duration::from_secs(14), "{decided:?}");
 }
 
+/// A service with two models of equal shares.
+fn service() -> ServiceConfig {
+    ServiceConfig {
+        name: "assistant".parse().expect("a service"),
+        max_connections: 100,
+        models: vec![model("large", 8, 0.5), model("small", 4, 0.5)],
+        slots: 30,
+        timing: ReplicaTiming::default(),
+        loads_per_second: 10.0,
+        priorities: Vec::new(),
+    }
+}
+
+/// Reports of `nodes` nodes that each keep a quarter of a replica of the small model busy.
+fn reports(nodes: usize) -> ReportedDemand {
+    let name: ServiceName = "assistant".parse().expect("a service");
+    let small = "small".parse().expect("a model");
+    let demand = [(name, [(small, 250)].into())].into();
+    let mut reported = ReportedDemand::default();
+    for _ in 0..nodes {
+        reported.add(&demand);
+    }
+    reported
+}
+
+/// Reviews the shares for a minute; returns whether the node proposed others.
+fn review(ledger: &mut DemandLedger, reporting: usize, nodes: usize) -> bool {
+    let (service, reported) = (service(), reports(reporting));
+    let mut now = Duration::ZERO;
+    while now < Duration::from_mins(1) {
+        let input = ReviewInput {
+            service: &service,
+            reported: &reported,
+            nodes,
+            clock: Duration::from_secs(100),
+        };
+        if ledger.review(input, now).is_some() {
+            return true;
+        }
+        now += REVIEW_INTERVAL;
+    }
+    false
+}
+
+fn large_share(ledger: &DemandLedger) -> f64 {
+    ledger.planned_models(&service())[0].share
+}
+
+/// Guards against a node that follows a decision of which the store, and so nobody else, knows: while
+/// the store is away it would move hosts that the others move back.
+#[test]
+fn unaccepted_proposal_moves_nothing() {
+    let mut ledger = DemandLedger::default();
+    assert!(review(&mut ledger, 10, 10));
+    assert!(ledger.decision_to_write().is_some());
+    assert!((large_share(&ledger) - 0.5).abs() < 1e-9);
+    assert!(!ledger.finish_proposal(false));
+    assert!((large_share(&ledger) - 0.5).abs() < 1e-9);
+    assert_eq!(ledger.decision_to_write(), None);
+    // It proposes again, and the store is back.
+    assert!(review(&mut ledger, 10, 10));
+    assert!(ledger.finish_proposal(true));
+    assert!(large_share(&ledger) < 0.2);
+}
+
+/// Guards against shares for all that follow from what a handful of nodes heard.
+#[test]
+fn few_reports_decide_nothing() {
+    assert!(!review(&mut DemandLedger::default(), 10, 100));
+    assert!(review(&mut DemandLedger::default(), 30, 100));
+}
+
+/// Guards against nodes that go back to an older decision, as heartbeats of before it arrive later.
+#[test]
+fn older_decision_is_ignored() {
+    let decision = |seconds, share| ShareDecision {
+        clock: Duration::from_secs(seconds),
+        shares: [(
+            "assistant".parse().expect("a service"),
+            [("large".parse().expect("a model"), share)].into(),
+        )]
+        .into(),
+    };
+    let mut ledger = DemandLedger::default();
+    assert!(ledger.adopt(&decision(20, 300)));
+    assert!(!ledger.adopt(&decision(10, 700)));
+    assert!(!ledger.adopt(&decision(20, 700)));
+    assert!((large_share(&ledger) - 0.3).abs() < 1e-9);
+}
+
 cases::properties! {
     /// Guards against hosts that go to and fro between models, whatever the demand does.
     fn hosts_move_seldom(wanted: Vec<u8>) -> bool {
--- a/tests/gateway/share_decisions.rs
+++ b/tests/gateway/share_decisions.rs
@@ -51,27 +51,50 @@
     unreachable!("requests are sent until a node decides");
 }
 
-/// Guards against shares that nobody adjusts when the work shifts, and against a decision that is lost
-/// with the node that made it: hosts would move back under their clients.
-#[tokio::test(flavor = "multi_thread")]
-async fn decision_outlives_its_node() {
-    let site = two_model_site();
-    let mut nodes = vec![site.node("n0").await, site.node("n1").await];
+/// Two nodes, after one of them has decided and hosts have followed; returns the small model's replicas
+/// before, and the index of the node that decided.
+async fn decided(site: &TestSite) -> (Vec<TestNode>, usize, usize) {
+    let nodes = vec![site.node("n0").await, site.node("n1").await];
     wait_for("a replica of each model", || {
-        small_replicas(&site) > 0 && small_replicas(&site) < site.groups.serving().len()
+        small_replicas(site) > 0 && small_replicas(site) < site.groups.serving().len()
     })
     .await;
     // The layout stands once nothing has changed for some reviews.
     tokio::time::sleep(CALM_TIME).await;
-    let before = small_replicas(&site);
+    let before = small_replicas(site);
     let decider = ask_until_decided(&nodes).await;
     wait_for("more replicas of the small model", || {
-        small_replicas(&site) > before
+        small_replicas(site) > before
     })
     .await;
+    (nodes, before, decider)
+}
+
+/// Guards against shares that nobody adjusts when the work shifts, and against a decision that is lost
+/// with the node that made it: hosts would move back under their clients.
+#[tokio::test(flavor = "multi_thread")]
+async fn decision_outlives_its_node() {
+    let site = two_model_site();
+    let (mut nodes, before, decider) = decided(&site).await;
     drop(nodes.remove(decider));
     nodes.push(site.restarted_node("n2").await);
     tokio::time::sleep(CALM_TIME).await;
     assert!(small_replicas(&site) > before);
     assert_eq!(site.groups.violations(), Vec::<String>::new());
 }
+
+/// Guards against a decision that is lost with all nodes: each wrote its first heartbeat over the row
+/// that told of it, and hosts moved back to the published shares.
+#[tokio::test(flavor = "multi_thread")]
+async fn decision_outlives_all_nodes() {
+    let site = two_model_site();
+    let (nodes, before, _) = decided(&site).await;
+    drop(nodes);
+    let _restarted = [
+        site.restarted_node("n0").await,
+        site.restarted_node("n1").await,
+    ];
+    tokio::time::sleep(CALM_TIME).await;
+    assert!(small_replicas(&site) > before);
+    assert_eq!(site.groups.violations(), Vec::<String>::new());
+}
