Let a heartbeat end only the proposal that it told of

A proposal made while a heartbeat was being written took force with it, though that heartbeat did not tell of it. Found by reading; shifted_demand::unaccepted_proposal_moves_nothing covers it.

--- a/crates/gateway/src/heartbeat/mod.rs
+++ b/crates/gateway/src/heartbeat/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use adapter::{StoreClient, StoreError};
+use serving::demand::ShareDecision;
 use serving::feed::TableDelta;
 use wire::feed::{FeedLane, FeedTable};
 
@@ -60,8 +61,9 @@
         let is_due = has_proposal || node.now().saturating_sub(written_at) >= interval;
         let mut outcome = Ok(());
         if is_due {
-            outcome = write_heartbeat(&node, &mut client).await;
-            node.finish_proposal(outcome.is_ok());
+            let decision = node.decision_to_write();
+            outcome = write_heartbeat(&node, &mut client, decision.as_ref()).await;
+            node.finish_proposal(decision.as_ref(), outcome.is_ok());
             if outcome.is_ok() {
                 written_at = node.now();
             }
@@ -89,7 +91,7 @@
     if !is_read {
         read_heartbeats(node, client).await?;
     }
-    write_heartbeat(node, client).await?;
+    write_heartbeat(node, client, node.decision_to_write().as_ref()).await?;
     // Other nodes can announce crash records to this one from now on.
     node.crash_records_changed.notify_one();
     Ok(())
@@ -121,7 +123,11 @@
     }
 }
 
-async fn write_heartbeat(node: &GatewayNode, client: &mut StoreClient) -> Result<(), StoreError> {
+async fn write_heartbeat(
+    node: &GatewayNode,
+    client: &mut StoreClient,
+    decision: Option<&ShareDecision>,
+) -> Result<(), StoreError> {
     let clock = node.store_clock().unwrap_or_default();
     let link = node.feed.address().map(|address| LinkRow {
         address,
@@ -134,7 +140,7 @@
         domain: node.settings.failure_domain.to_string(),
         link,
         demand: node.demand_report(),
-        decision: node.decision_to_write().as_ref().map(DecisionRow::from),
+        decision: decision.map(DecisionRow::from),
     };
     let value =
         serde_json::to_vec(&row).map_err(|error| StoreError::Malformed(error.to_string()))?;
--- a/crates/gateway/src/node/demand.rs
+++ b/crates/gateway/src/node/demand.rs
@@ -47,9 +47,10 @@
         }
     }
 
-    /// Ends a proposal of this node, after the heartbeat that told of it.
-    pub fn finish_proposal(&self, is_accepted: bool) {
-        if self.demand.borrow_mut().finish_proposal(is_accepted) {
+    /// Ends a proposal of this node after a heartbeat, if that told of it.
+    pub fn finish_proposal(&self, written: Option<&ShareDecision>, is_accepted: bool) {
+        let mut demand = self.demand.borrow_mut();
+        if demand.finish_proposal(written, is_accepted) {
             self.state_changed.notify_waiters();
         }
     }
--- a/crates/serving/src/demand/ledger.rs
+++ b/crates/serving/src/demand/ledger.rs
@@ -133,12 +133,12 @@
         true
     }
 
-    /// Ends a proposal after a write of it; returns whether it holds now.
+    /// Ends the proposal that a heartbeat told of, if it told of one; returns whether it holds now.
     ///
     /// A decision that the store has not accepted is known to its node alone. If that node followed it,
     /// it would move hosts that the others move back, for as long as the store is away.
-    pub fn finish_proposal(&mut self, is_accepted: bool) -> bool {
-        let Some(proposal) = self.proposal.take() else {
+    pub fn finish_proposal(&mut self, written: Option<&ShareDecision>, is_accepted: bool) -> bool {
+        let Some(proposal) = self.proposal.take_if(|proposal| written == Some(proposal)) else {
             return false;
         };
         if is_accepted {
--- a/crates/serving/tests/shifted_demand.rs
+++ b/crates/serving/tests/shifted_demand.rs
@@ -240,14 +240,18 @@
 fn unaccepted_proposal_moves_nothing() {
     let mut ledger = DemandLedger::default();
     assert!(review(&mut ledger, 10, 10));
-    assert!(ledger.decision_to_write().is_some());
+    // A heartbeat that was under way told of nothing.
+    assert!(!ledger.finish_proposal(None, true));
+    let proposal = ledger.decision_to_write().cloned();
+    assert!(proposal.is_some());
     assert!((large_share(&ledger) - 0.5).abs() < 1e-9);
-    assert!(!ledger.finish_proposal(false));
+    assert!(!ledger.finish_proposal(proposal.as_ref(), false));
     assert!((large_share(&ledger) - 0.5).abs() < 1e-9);
     assert_eq!(ledger.decision_to_write(), None);
     // It proposes again, and the store is back.
     assert!(review(&mut ledger, 10, 10));
-    assert!(ledger.finish_proposal(true));
+    let proposal = ledger.decision_to_write().cloned();
+    assert!(ledger.finish_proposal(proposal.as_ref(), true));
     assert!(large_share(&ledger) < 0.2);
 }
 
