Log when a suspected target's replica last served another node

From the lines of a node that is partitioned from all targets nobody could tell that from the loss of the targets: each suspicion only named the refused connection. The node knows from load hints when a head last started a response for another node; target_suspected now has that time.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -194,7 +194,9 @@
     TargetChanged = 352, "target_changed", Debug;
     /// A target was removed from the registry.
     TargetGone = 353, "target_gone", Info;
-    /// A target does not respond. Nothing is sent to it or its replica until it does.
+    /// A target does not respond. Nothing is sent to it or its replica until it does. If its replica
+    /// has just started a response for another node (`served_others_ms`), the path to it may be lost
+    /// instead.
     TargetSuspected = 354, "target_suspected", Warn;
     /// A suspected target responds again.
     TargetBack = 355, "target_back", Info;
--- a/crates/gateway/src/node/health.rs
+++ b/crates/gateway/src/node/health.rs
@@ -161,13 +161,23 @@
         };
         suspects.insert(id.clone(), suspicion);
         drop(suspects);
-        let line = LogLine::new(EventCode::TargetSuspected)
+        let mut line = LogLine::new(EventCode::TargetSuspected)
             .text("host", id.as_str())
             .text("reason", reason);
+        if let Some(served_ago) = self.served_others_ago(id) {
+            line = line.millis("served_others_ms", served_ago);
+        }
         self.log(&line);
         self.notify_change();
     }
 
+    /// Time since the replica of a target last started a response for another node, as far as known.
+    fn served_others_ago(&self, id: &HostId) -> Option<Duration> {
+        let head = self.head_of_member(id)?;
+        let served_at = self.served_others_at.borrow().get(&head).copied()?;
+        Some(self.now().saturating_sub(served_at))
+    }
+
     /// Head of the replica that a target belongs to.
     fn head_of_member(&self, id: &HostId) -> Option<HostId> {
         self.registry(|registry| {
@@ -199,10 +209,8 @@
         if suspicion.is_none_or(|suspicion| suspicion.failure != FailureKind::Unresponsive) {
             return false;
         }
-        let head = self.head_of_member(id);
-        let served = self.served_others_at.borrow();
-        let last = head.and_then(|head| served.get(&head).copied());
-        last.is_some_and(|last| self.now().saturating_sub(last) < SERVED_OTHERS_WINDOW)
+        let served_ago = self.served_others_ago(id);
+        served_ago.is_some_and(|served_ago| served_ago < SERVED_OTHERS_WINDOW)
     }
 
     /// Records that a target that is leaving no longer accepts connections.
