Add failing tests of nodes partitioned from all targets

Proxies in front of all targets partition the nodes that read the store through a view with the proxies' addresses: in silence, with resets, or with new connections refused while open ones live. One node of two, and three of four, among them a whole failure domain. Chats, payments that must not run twice and look-ups are sent; after 3 s, the platform's window, each must be served at the first attempt, replicas stay as they are, and a heal changes nothing.

--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -45,6 +45,8 @@
     state: Arc<Mutex<StoreState>>,
     changed: Arc<Notify>,
     started: Instant,
+    /// Texts that are replaced in values that are read, and their replacements.
+    read_replacements: Arc<Vec<(String, String)>>,
 }
 
 impl Default for SiteStore {
@@ -60,6 +62,7 @@
             })),
             changed: Arc::default(),
             started: Instant::now(),
+            read_replacements: Arc::default(),
         }
     }
 }
@@ -81,6 +84,24 @@
         Ok(address)
     }
 
+    /// Serves the store on a further port, at which each first address is read as the second one. Nodes
+    /// that read there reach the targets through proxies.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub fn serve_view(
+        &self,
+        addresses: &[(SocketAddr, SocketAddr)],
+    ) -> std::io::Result<SocketAddr> {
+        let replacements = addresses.iter().map(|(from, to)| quoted_pair(*from, *to));
+        let view = Self {
+            read_replacements: Arc::new(replacements.collect()),
+            ..self.clone()
+        };
+        view.serve()
+    }
+
     fn with<R>(&self, change: impl FnOnce(&mut StoreState) -> R) -> R {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         change(&mut state)
@@ -118,21 +139,10 @@
     /// Replaces an address in all values that nodes write from now on, so that others reach them through
     /// a proxy.
     pub fn replace_address(&self, from: SocketAddr, to: SocketAddr) {
-        let replacement = (from.to_string(), to.to_string());
+        let replacement = quoted_pair(from, to);
         self.with(|state| state.replacements.push(replacement));
     }
 
-    fn with_replacements(&self, value: Vec<u8>) -> Vec<u8> {
-        let replacements = self.with(|state| state.replacements.clone());
-        let Ok(mut text) = String::from_utf8(value.clone()) else {
-            return value;
-        };
-        for (from, to) in replacements {
-            text = text.replace(&format!("\"{from}\""), &format!("\"{to}\""));
-        }
-        text.into_bytes()
-    }
-
     /// Changes the behaviour of the store, also for feed requests that are waiting.
     pub fn set_mode(&self, mode: StoreMode) {
         self.with(|state| state.mode = mode);
@@ -220,7 +230,8 @@
             let Ok(value) = STANDARD.decode(text("value")) else {
                 return text_response(StatusCode::BAD_REQUEST, "");
             };
-            let value = self.with_replacements(value);
+            let replacements = self.with(|state| state.replacements.clone());
+            let value = replace_all(&value, &replacements);
             self.put(&text("table"), &text("key"), &value);
         }
         for removed in body["remove"].as_array().into_iter().flatten() {
@@ -234,7 +245,9 @@
         self.with(|state| {
             let rows = state.rows.iter().filter(|(key, row)| wanted(key, row));
             rows.map(|((table, key), (value, version))| {
-                let value = value.as_ref().map(|value| STANDARD.encode(value));
+                let value = value
+                    .as_ref()
+                    .map(|value| STANDARD.encode(replace_all(value, &self.read_replacements)));
                 json!({
                     "table": table, "part": "", "key": key, "row_version": version,
                     "value": value, "removed": value.is_none(),
@@ -252,3 +265,20 @@
         }))
     }
 }
+
+/// Two addresses as they stand in rows.
+fn quoted_pair(from: SocketAddr, to: SocketAddr) -> (String, String) {
+    (format!("\"{from}\""), format!("\"{to}\""))
+}
+
+/// Replaces texts in a value; one that isn't text stays as it is.
+fn replace_all(value: &[u8], replacements: &[(String, String)]) -> Vec<u8> {
+    let Ok(text) = std::str::from_utf8(value) else {
+        return value.to_vec();
+    };
+    let mut text = text.to_owned();
+    for (from, to) in replacements {
+        text = text.replace(from, to);
+    }
+    text.into_bytes()
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod node;
 mod normal_operation;
 mod operator_commands;
+mod partitioned_nodes;
 mod plain_services;
 mod poison_requests;
 mod request;
@@ -19,6 +20,7 @@
 mod site;
 mod store_faults;
 mod store_feed;
+mod target_proxies;
 
 /// Path of the built binary.
 const BINARY: &str = env!("CARGO_BIN_EXE_bramleyspring");
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -110,6 +110,15 @@
         site
     }
 
+    /// Addresses of all engines and instances.
+    pub fn target_addresses(&self) -> Vec<SocketAddr> {
+        let engines = self.engines.iter().map(standin::site::SiteEngine::address);
+        let instances = self.instances.iter();
+        engines
+            .chain(instances.map(standin::site::SiteInstance::address))
+            .collect()
+    }
+
     /// Sets the behavior of all instances.
     pub fn set_modes(&self, mode: ServiceMode) {
         for instance in &self.instances {
