Connect to a target through another node before suspecting it

What clients saw: a node that had lost its links to all targets answered every request with 503, beside nodes that served from the same targets (0 of 99 first attempts, the others 652 of 654). It stayed ready, so the balancer kept sending.

Cause: a failed connection tells that a target or the path to it is lost, and a node took it for the first alone.

Change: a connection that is refused, or not established within 100 ms, is tried through up to three other nodes, the first in another failure domain; such a tunnel is an HTTP/2 stream of an authenticated link, and carries one connection to one target of the other node's registry. Only the path differs: choice, attempt, headers, deadline, retry budget and judgement of the response stay with the node that has the request, so it is sent once. A target is suspected only if no other node reaches it either; reports, orders and the test for a crash go the same way. Two paths lost without a success since mean a partition: all targets are then reached through others, idle connections are closed if packets are lost, and streams whose own connection is silent move on. Paths are checked each half second. A node tells others of a silent head only if it received something lately or has reached the head itself.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -246,6 +246,17 @@
     /// The node has decided on other shares of the hosts for the models of a service, by the work that
     /// clients ask for. All nodes, this one included, follow the newest decision that the store holds.
     SharesDecided = 372, "shares_decided", Info;
+    /// This node can't connect to a target that another node reaches. It connects through other nodes
+    /// until the path works again; `loss` tells whether connections are refused or packets are lost.
+    PathLost = 373, "path_lost", Warn;
+    /// This node can't connect to several targets that other nodes reach, and to no other one. It
+    /// connects to all targets through other nodes until one of its own connections is established.
+    /// Check the network between this host and the targets.
+    NodePartitioned = 374, "node_partitioned", Warn;
+    /// This node has connected to a target again whose path was lost.
+    PathRestored = 375, "path_restored", Info;
+    /// This node has connected to a target again after it was partitioned from all.
+    PartitionEnded = 376, "partition_ended", Info;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -11,11 +11,12 @@
 use domain::{BootNumber, FastMap, HostId};
 use events::{EventCode, LogLine};
 use serving::{CrashedRequest, TargetCrash};
-use web::{ConnectionError, HttpConnection};
+use web::ConnectionError;
 
 use crate::admitted::AdmittedRequest;
 use crate::crash_records::publish_crash;
 use crate::node::GatewayNode;
+use crate::tunnel::connect_target;
 
 /// Time to wait for the other connections to a crashed target to break as well.
 const COLLECT_WINDOW: Duration = Duration::from_millis(40);
@@ -93,7 +94,8 @@
     if now != boot {
         return true;
     }
-    let connected = HttpConnection::connect(address, CONNECT_TIMEOUT).await;
+    // A partition may reset and refuse the connections of this node alone.
+    let connected = connect_target(node, host, address, CONNECT_TIMEOUT, CONNECT_TIMEOUT).await;
     matches!(connected, Err(ConnectionError::Refused))
 }
 
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -12,19 +12,22 @@
 use http::{Request, StatusCode};
 use peers::auth::FrameAuthenticator;
 use peers::error::LinkError;
-use peers::transport::{self, read_stream, respond_error, respond_ok};
-use peers::{AcceptedConnections, ConnectionPlace};
+use peers::transport::{self, MAX_STREAMS, read_stream, respond_error, respond_ok};
+use peers::tunnel::verify_request;
+use peers::{AcceptedConnections, ConnectionPlace, TUNNEL_PATH};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, MutexGuard};
 use wire::feed::{
     FeedDelta, FeedLane, FeedRequest, FeedResponse, FeedTable, MAX_FEED_REQUEST_BYTES,
     MAX_FEED_TABLES,
 };
 use wire::packed::encode_packed;
 use wire::peer::{MAX_HELLO_BYTES, PeerHello, decode_message, encode_message, negotiate_version};
+use wire::tunnel::MAX_TUNNEL_REQUEST_BYTES;
 
 use super::messages::{encode_delta, encode_millis};
 use crate::node::GatewayNode;
+use crate::tunnel::serve_tunnel;
 
 /// Maximum time that a response waits for a change, whatever the request says.
 const MAX_WAIT: Duration = Duration::from_secs(2);
@@ -69,19 +72,23 @@
     stream.set_nodelay(true)?;
     let session = Mutex::new(LinkSession { place, auth: None });
     let session = &session;
-    transport::serve_requests(stream, |request, responder| async move {
-        let mut state = session.lock().await;
-        handle_request(node, &mut state, request, responder).await
+    transport::serve_requests(stream, MAX_STREAMS, |request, responder| async move {
+        let state = session.lock().await;
+        if request.uri().path() == TUNNEL_PATH {
+            return handle_tunnel(node, state, request, responder).await;
+        }
+        handle_request(node, state, request, responder).await
     })
     .await
 }
 
 async fn handle_request(
     node: &GatewayNode,
-    session: &mut LinkSession,
+    mut session: MutexGuard<'_, LinkSession>,
     request: Request<RecvStream>,
     responder: SendResponse<Bytes>,
 ) -> Result<(), LinkError> {
+    let session = &mut *session;
     let path = request.uri().path().to_owned();
     let body = request.into_body();
     match (path.as_str(), &mut session.auth) {
@@ -111,6 +118,25 @@
     }
 }
 
+/// Serves a tunnel. Its bytes pass beside the other requests of the link.
+async fn handle_tunnel(
+    node: &GatewayNode,
+    mut session: MutexGuard<'_, LinkSession>,
+    request: Request<RecvStream>,
+    responder: SendResponse<Bytes>,
+) -> Result<(), LinkError> {
+    let Some(auth) = &mut session.auth else {
+        return respond_error(responder, StatusCode::NOT_FOUND);
+    };
+    let payload = verify_request::<MAX_TUNNEL_REQUEST_BYTES>(auth, request.headers())?;
+    if !session.place.record_proof() {
+        return respond_error(responder, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    drop(session);
+    let tunnel = decode_message::<_, MAX_TUNNEL_REQUEST_BYTES>(&payload)?;
+    serve_tunnel(node, tunnel, request.into_body(), responder).await
+}
+
 /// Waits until there is something to pass on that the sender should know at once.
 async fn wait_for_change(node: &GatewayNode, request: &FeedRequest) {
     let wait = Duration::from_millis(u64::from(request.wait_ms)).min(MAX_WAIT);
--- a/crates/gateway/src/heartbeat/census.rs
+++ b/crates/gateway/src/heartbeat/census.rs
@@ -6,6 +6,7 @@
 use domain::{FastMap, NodeId};
 use serving::demand::ReportedDemand;
 use serving::feed::{MIN_FOLLOWING_NODES, fallback_sources, feed_order};
+use serving::hashing::stable_hash;
 use wire::feed::FeedTable;
 
 use super::interval::expiry_age;
@@ -17,6 +18,10 @@
 /// Nodes of a failure domain that collect reported loads; one of them may be lost.
 const COLLECTORS_PER_DOMAIN: usize = 2;
 
+/// Nodes of each failure domain through which a node may connect to targets. Together they carry what a
+/// partitioned node sends, each a part.
+const RELAYS_PER_DOMAIN: usize = 4;
+
 /// Counts the live nodes, and updates the addresses for hints and the tree of the failure domain.
 pub fn count_nodes(node: &GatewayNode) {
     let Some(clock) = node.store_clock() else {
@@ -51,6 +56,7 @@
         node.crash_records_changed.notify_one();
     }
     node.feed.set_fallbacks(census.fallbacks(node));
+    node.tunnels.set_relays(census.relays(node));
     node.hints.set_collectors(census.collectors(node));
     node.hints.set_peers(census.hint_addresses);
     let domain = node.settings.failure_domain.as_str();
@@ -133,6 +139,30 @@
         self.members.extend(link.member(id));
     }
 
+    /// Nodes through which this one may connect to targets, the preferred one first: a few of each other
+    /// failure domain, since most nodes of its own may have lost the targets as well.
+    fn relays(&self, node: &GatewayNode) -> Vec<FeedMember> {
+        let own = &node.settings.node;
+        let mut others = Vec::new();
+        for links in self.other_links.values() {
+            let mut names: Vec<&String> = links.keys().collect();
+            names.sort_by_key(|name| stable_hash(&(own.as_str(), name.as_str())));
+            for name in names.into_iter().take(RELAYS_PER_DOMAIN) {
+                let id = name.parse::<NodeId>().ok();
+                others.extend(id.and_then(|id| links[name].member(id)));
+            }
+        }
+        let mut near: Vec<&FeedMember> = self
+            .members
+            .iter()
+            .filter(|member| member.node != *own)
+            .collect();
+        near.sort_by_key(|member| stable_hash(&(own.as_str(), member.node.as_str())));
+        others.sort_by_key(|member| stable_hash(&(own.as_str(), member.node.as_str())));
+        others.extend(near.into_iter().take(RELAYS_PER_DOMAIN).cloned());
+        others
+    }
+
     /// Nodes of the other failure domains that this node may follow while the store turns it away.
     fn fallbacks(&self, node: &GatewayNode) -> Vec<FeedMember> {
         let own = node.settings.node.as_str();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod run;
 mod send;
 mod settings;
+mod tunnel;
 mod usage;
 
 pub use hints::{HeadHint, HintReport, HostHash, LoadHint};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,6 +74,12 @@
     pub open_connections: usize,
     /// Log lines dropped since process start.
     pub dropped_lines: u64,
+    /// Tunnels to targets that the node serves for other nodes.
+    pub served_tunnels: usize,
+    /// Targets that the node reaches only through other nodes, each by its own evidence.
+    pub lost_paths: usize,
+    /// Whether the node is partitioned from all targets.
+    pub is_partitioned: bool,
 }
 
 /// Metric instruments of a gateway.
@@ -89,9 +95,10 @@
     order_duration: Histogram<f64>,
     store_call_duration: Histogram<f64>,
     links_refused: Counter<u64>,
+    tunnels: Counter<u64>,
     stranded_time: Counter<f64>,
     downtime: Counter<f64>,
-    gauges: [(Gauge<f64>, ReadStat); 14],
+    gauges: [(Gauge<f64>, ReadStat); 17],
 }
 
 type ReadStat = fn(&NodeStats) -> f64;
@@ -119,6 +126,7 @@
                 "bramleyspring.gateway.store_call.duration",
             ),
             links_refused: counter("bramleyspring.gateway.link.refused"),
+            tunnels: counter("bramleyspring.gateway.tunnel.count"),
             stranded_time: seconds_counter("bramleyspring.gateway.host.stranded_time"),
             downtime: seconds_counter("bramleyspring.gateway.replica.downtime"),
             gauges: gauges(&meter),
@@ -180,6 +188,11 @@
         self.links_refused.add(1, &[]);
     }
 
+    /// Counts a request to other nodes to connect to a target, by what they answered.
+    pub fn record_tunnel(&self, outcome: &'static str) {
+        self.tunnels.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Adds the time that hosts were stranded and replicas not serving, summed over hosts and
     /// replicas.
     pub fn add_lost_time(&self, stranded: Duration, downtime: Duration) {
@@ -200,7 +213,7 @@
     }
 }
 
-fn gauges(meter: &Meter) -> [(Gauge<f64>, ReadStat); 14] {
+fn gauges(meter: &Meter) -> [(Gauge<f64>, ReadStat); 17] {
     let gauge = |name| meter.f64_gauge(name).build();
     [
         (gauge("bramleyspring.gateway.config.revision"), |stats| {
@@ -245,6 +258,15 @@
         (gauge("bramleyspring.gateway.log.dropped"), |stats| {
             u64_to_f64(stats.dropped_lines)
         }),
+        (gauge("bramleyspring.gateway.tunnel.served"), |stats| {
+            usize_to_f64(stats.served_tunnels)
+        }),
+        (gauge("bramleyspring.gateway.path.lost"), |stats| {
+            usize_to_f64(stats.lost_paths)
+        }),
+        (gauge("bramleyspring.gateway.node.partitioned"), |stats| {
+            f64::from(u8::from(stats.is_partitioned))
+        }),
     ]
 }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod demand;
 mod health;
 mod loads;
+mod paths;
 mod poison;
 mod process;
 mod ranks;
@@ -20,6 +21,7 @@
 use serving::load_board::LoadBoard;
 use serving::replica_history::ReplicaHistory;
 use serving::stall::StallDetector;
+use serving::target_paths::TargetPaths;
 use serving::{
     ConfirmedMembership, GatewayConfig, PoisonDetector, PromptBacklog, RetryBudget, ShutdownPlan,
     TargetLoad, TargetRegistry,
@@ -33,6 +35,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::settings::GatewaySettings;
+use crate::tunnel::TunnelState;
 
 pub use confirmed::EntryIntake;
 use health::Suspicion;
@@ -55,6 +58,8 @@
     pub hints: HintChannel,
     /// Copies of the store's tables, and the nodes that pass on their changes.
     pub feed: FeedState,
+    /// Other nodes through which this one connects to targets, and tunnels that it serves.
+    pub tunnels: TunnelState,
     /// Notified when this node has proposed other shares of the hosts for the models of a service, so
     /// that its heartbeat tells of them at once.
     pub share_proposed: Notify,
@@ -88,6 +93,10 @@
     stall_detectors: RefCell<FastMap<HostId, StallDetector>>,
     loss_signals: RefCell<FastMap<HostId, Rc<ReplicaLostSignal>>>,
     suspicions: RefCell<FastMap<HostId, Suspicion>>,
+    /// Paths to targets.
+    paths: RefCell<TargetPaths>,
+    /// Notified when a path was lost or works again.
+    paths_changed: Notify,
     /// Targets with a probe in progress.
     probing: RefCell<FastSet<HostId>>,
     /// When heads last started a response for another node.
@@ -143,6 +152,7 @@
             settings,
             hints,
             feed: FeedState::new(),
+            tunnels: TunnelState::default(),
             share_proposed: Notify::new(),
             demand: RefCell::default(),
             load_board: RefCell::default(),
@@ -169,6 +179,8 @@
             stall_detectors: RefCell::default(),
             loss_signals: RefCell::default(),
             suspicions: RefCell::default(),
+            paths: RefCell::default(),
+            paths_changed: Notify::new(),
             probing: RefCell::default(),
             served_others_at: RefCell::default(),
             unlisted: RefCell::default(),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -81,6 +81,9 @@
             live_nodes: self.live_nodes.borrow().len(),
             running_requests: self.running_requests(),
             open_connections: self.open_connections(),
+            served_tunnels: self.tunnels.served(),
+            lost_paths: self.paths.borrow().lost_count(),
+            is_partitioned: self.is_partitioned(),
             dropped_lines: self.sink.dropped(),
             retries_left: self.retries_left(),
             ..NodeStats::default()
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -49,6 +49,7 @@
             self.suspicions.borrow_mut().remove(&id);
             self.retired.borrow_mut().remove(&id);
             self.loads.borrow_mut().remove(&id);
+            self.forget_path(&id);
             self.pool.close_idle(&id);
         }
         let membership_before = before
@@ -155,6 +156,7 @@
         self.prompt_backlogs.borrow_mut().remove(id);
         self.served_others_at.borrow_mut().remove(id);
         self.hosts_by_hash.borrow_mut().remove(&id.into());
+        self.forget_path(id);
         self.pool.close_idle(id);
         self.log(&target_line(EventCode::TargetGone, &entry));
         self.notify_change();
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -262,7 +262,7 @@
             return (OrderOutcome::Stale, attempt, "engine is unknown".to_owned());
         };
         let response = target
-            .send(&planned.order, accepted, fence, ORDER_TIMEOUT)
+            .send(&**node, &planned.order, accepted, fence, ORDER_TIMEOUT)
             .await;
         match response {
             Ok(OrderResponse::Begun) => {
@@ -333,7 +333,7 @@
         let Some(target) = order_target(node, &planned.host) else {
             return Err((OrderOutcome::Stale, "engine is unknown".to_owned()));
         };
-        match target.fetch_report(ORDER_TIMEOUT).await {
+        match target.fetch_report(&**node, ORDER_TIMEOUT).await {
             Ok(report) => {
                 let found = report
                     .status
@@ -367,7 +367,7 @@
     let Some(target) = order_target(node, &planned.host) else {
         return false;
     };
-    let Ok(report) = target.fetch_report(ORDER_TIMEOUT).await else {
+    let Ok(report) = target.fetch_report(&**node, ORDER_TIMEOUT).await else {
         return false;
     };
     if let HostOrder::Stage { model } = &planned.order {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -4,13 +4,8 @@
 use std::time::Duration;
 
 use domain::{FastMap, HostId};
-use serving::TargetEntry;
 use tokio::time::Instant;
-use web::{ConnectionError, HttpConnection};
-
-/// Timeout for connecting to a target. Targets are less than a millisecond away; one that is gone
-/// does not respond at all, and the request should be tried elsewhere while its client still waits.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+use web::HttpConnection;
 
 /// Idle time for connections to targets that did not announce one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -36,27 +31,6 @@
 }
 
 impl ConnectionPool {
-    /// Returns a usable idle connection, or opens a new one.
-    ///
-    /// # Errors
-    ///
-    /// [`ConnectionError`] from opening the connection; nothing was sent.
-    pub async fn acquire(&self, target: &TargetEntry) -> Result<HttpConnection, ConnectionError> {
-        if let Some(connection) = self.take_idle(&target.id) {
-            return Ok(connection);
-        }
-        self.connect(target).await
-    }
-
-    /// Opens a new connection without looking for an idle one.
-    ///
-    /// # Errors
-    ///
-    /// [`ConnectionError`]; nothing was sent.
-    pub async fn connect(&self, target: &TargetEntry) -> Result<HttpConnection, ConnectionError> {
-        HttpConnection::connect(target.address, CONNECT_TIMEOUT).await
-    }
-
     /// Whether there is an idle connection to a target that it probably still keeps open.
     #[must_use]
     pub fn has_idle(&self, id: &HostId) -> bool {
@@ -66,8 +40,8 @@
         newest.is_some_and(|newest| newest.expires_at > now && newest.connection.is_open())
     }
 
-    /// Returns the most recently used connection, so that the others can expire.
-    fn take_idle(&self, id: &HostId) -> Option<HttpConnection> {
+    /// Returns the most recently used connection that is usable, so that the others can expire.
+    pub fn take_idle(&self, id: &HostId) -> Option<HttpConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(id)?;
         let now = Instant::now();
@@ -101,6 +75,11 @@
         self.idle.borrow_mut().remove(id);
     }
 
+    /// Closes all idle connections to all targets.
+    pub fn close_all_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes idle connections that their target may close soon.
     pub fn evict_expired(&self) {
         let now = Instant::now();
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -30,12 +30,29 @@
                 tokio::task::spawn_local(probe(Rc::clone(&node), head));
                 continue;
             }
-            node.share_silence(&head);
+            if node.receives_nothing() {
+                // This node may be partitioned; if it told the others, they would avoid a head that
+                // serves them.
+                tokio::task::spawn_local(share_confirmed_silence(Rc::clone(&node), head.clone()));
+            } else {
+                node.share_silence(&head);
+            }
             probe_members(&node, &head);
         }
     }
 }
 
+/// Tells the other nodes that a head makes no progress, once this node has reached it itself.
+async fn share_confirmed_silence(node: Rc<GatewayNode>, head: HostId) {
+    let Some(target) = order_target(&node, &head) else {
+        return;
+    };
+    let reached = target.fetch_report(&*node, REPORT_TIMEOUT).await.is_ok();
+    if reached && !node.is_path_lost(&head) {
+        node.share_silence(&head);
+    }
+}
+
 fn probe_members(node: &Rc<GatewayNode>, head: &HostId) {
     let replica = node.registry(|registry| {
         let membership = registry.get(head)?.membership.as_ref()?;
@@ -83,7 +100,7 @@
     let mut failure = FailureKind::Unresponsive;
     for _ in 0..2 {
         let target = order_target(node, id)?;
-        match target.fetch_report(REPORT_TIMEOUT).await {
+        match target.fetch_report(node, REPORT_TIMEOUT).await {
             Ok(report) => return Some(report),
             Err(error) => {
                 let refused = error.is_refused();
@@ -165,7 +182,7 @@
         node.clear_suspicion(&id);
         return;
     };
-    if target.fetch_report(REPORT_TIMEOUT).await.is_ok() {
+    if target.fetch_report(&*node, REPORT_TIMEOUT).await.is_ok() {
         node.clear_suspicion(&id);
     }
 }
@@ -177,7 +194,7 @@
     target: OrderTarget,
 ) -> Option<Option<MembershipKey>> {
     let requested_at = node.now();
-    match target.fetch_report(REPORT_TIMEOUT).await {
+    match target.fetch_report(node, REPORT_TIMEOUT).await {
         Ok(report) => {
             let membership = report.status.membership.as_ref();
             let membership = membership.map(ReplicaMembership::key);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -184,17 +184,19 @@
         let Some(source) = &mut self.source else {
             return SourceEvent::Broken("no target connection".to_owned());
         };
+        let path = source.path();
         tokio::select! {
             biased;
             frame = source.body.frame() => match frame {
                 None => SourceEvent::End,
                 Some(Err(error)) => SourceEvent::Broken(error.to_string()),
                 Some(Ok(frame)) => {
-                    source.in_flight.record_progress();
+                    source.record_progress(&self.node);
                     SourceEvent::Bytes(frame.into_data().unwrap_or_default())
                 }
             },
             () = self.loss_signal.lost(), if !self.waits_for_stalled => SourceEvent::Stalled,
+            () = path.silent(&self.node), if !self.waits_for_stalled => SourceEvent::Stalled,
             () = tokio::time::sleep(left) => SourceEvent::TimedOut,
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::node::GatewayNode;
 use crate::settings::GatewaySettings;
-use crate::{crash_records, feed, heartbeat, listen, load_batches, probe, reconcile};
+use crate::{crash_records, feed, heartbeat, listen, load_batches, probe, reconcile, tunnel};
 
 /// Interval for checking whether a process that is shutting down may exit.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -94,6 +94,7 @@
     spawn_local(probe::watch_for_stalls(Rc::clone(&node)));
     spawn_local(probe::probe_suspects(Rc::clone(&node)));
     spawn_local(probe::probe_all_unlisted(Rc::clone(&node)));
+    spawn_local(tunnel::check_lost_paths(Rc::clone(&node)));
     spawn_local(run_housekeeping(Rc::clone(&node)));
     spawn_local(reread_settings(Rc::clone(&node), hangup, path.to_owned()));
     terminate.recv().await;
@@ -190,7 +191,9 @@
 
 async fn wait_until_drained(node: &GatewayNode, plan: ShutdownPlan) {
     loop {
-        let idle = node.running_requests() == 0 && node.open_connections() == 0;
+        let idle = node.running_requests() == 0
+            && node.open_connections() == 0
+            && node.tunnels.served() == 0;
         if plan.is_over(node.now(), idle) {
             return;
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -4,22 +4,29 @@
 use std::time::Duration;
 
 use adapter::{FaultyTarget, ForwardHeaders, ResponseHeaders};
+use bytes::Bytes;
 use domain::{BootNumber, CustomerId, HostId, ServiceName};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serving::TargetEntry;
-use web::{ConnectionError, HttpConnection};
+use serving::stall::PROGRESS_WINDOW;
+use web::ConnectionError;
 
 use crate::admitted::AdmittedRequest;
 use crate::crash::record_interrupted;
 use crate::hints::LoadHint;
 use crate::node::{FailureKind, GatewayNode};
 use crate::probe::{probe, refresh_refusing};
+use crate::tunnel::{TargetConnection, connect_target, watch_path};
 
 /// Connection time after which an engine is probed. Targets are less than a millisecond away.
 const SLOW_CONNECT_THRESHOLD: Duration = Duration::from_millis(100);
 
+/// Timeout for connecting to a target. One that is gone does not respond at all, and the request should
+/// be tried elsewhere while its client still waits.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+
 /// Counts a request as in flight at a target until dropped.
 #[derive(Debug)]
 pub struct InFlightGuard {
@@ -108,11 +115,30 @@
     /// Unread response body.
     pub body: Incoming,
     /// Connection of the response, returned to the pool at the end of the body.
-    pub connection: HttpConnection,
+    pub connection: TargetConnection,
     /// Counts the request as in flight at the target.
     pub in_flight: InFlightGuard,
 }
 
+/// Path of a connection on which a response arrives.
+#[derive(Debug)]
+pub struct ConnectionPath {
+    /// Target that the node's own connection leads to; `None` for a tunnel.
+    own_to: Option<HostId>,
+}
+
+impl ConnectionPath {
+    /// Completes once the connection is probably dead: it is the node's own, its path is lost, and it
+    /// has been silent since.
+    pub async fn silent(&self, node: &GatewayNode) {
+        match &self.own_to {
+            Some(host) => node.path_silent(host).await,
+            None => std::future::pending().await,
+        }
+        tokio::time::sleep(PROGRESS_WINDOW).await;
+    }
+}
+
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub enum AttemptOutcome {
@@ -163,6 +189,9 @@
         Err(_) => return record_failure(node, request, id, AttemptOutcome::TimedOut),
     };
     in_flight.record_progress();
+    if !exchange.connection.is_tunnelled {
+        node.record_path_received(id);
+    }
     let outcome = classify_response(node, request, exchange, in_flight, target);
     node.metrics
         .record_attempt(request.service.as_str(), outcome.label());
@@ -170,7 +199,7 @@
 }
 
 struct Exchange {
-    connection: HttpConnection,
+    connection: TargetConnection,
     response: http::Response<Incoming>,
 }
 
@@ -180,7 +209,7 @@
     target: &TargetEntry,
     last_event: Option<u64>,
 ) -> Result<Exchange, AttemptOutcome> {
-    let mut connection = match acquire_connection(node, target).await {
+    let mut connection = match acquire_connection(node, request, target).await {
         Ok(connection) => connection,
         Err(error) => return Err(record_unreachable(node, target, &error)),
     };
@@ -200,16 +229,16 @@
         outgoing
     };
     let sent_at = node.now();
-    let mut sent = connection.send(outgoing()).await;
+    let mut sent = send_watched(node, request, target, &mut connection, outgoing()).await?;
     if matches!(sent, Err(ConnectionError::Unsent)) {
         // The target had closed the idle connection. Nothing was written, so a new connection is
         // used. If this counted as a failure, a target that closes connections early would fail
         // every request that reuses one.
-        connection = match node.pool.connect(target).await {
+        connection = match connect(node, request, target).await {
             Ok(connection) => connection,
             Err(error) => return Err(record_unreachable(node, target, &error)),
         };
-        sent = connection.send(outgoing()).await;
+        sent = send_watched(node, request, target, &mut connection, outgoing()).await?;
     }
     match sent {
         Ok(response) => Ok(Exchange {
@@ -228,22 +257,62 @@
     }
 }
 
+/// Sends a request on a connection and waits for the response head.
+///
+/// # Errors
+///
+/// [`AttemptOutcome::Ambiguous`] if the connection is probably dead and the request may be sent again;
+/// waiting on would leave it no time for another target.
+async fn send_watched(
+    node: &Rc<GatewayNode>,
+    request: &AdmittedRequest,
+    target: &TargetEntry,
+    connection: &mut TargetConnection,
+    outgoing: Request<Full<Bytes>>,
+) -> Result<Result<http::Response<Incoming>, ConnectionError>, AttemptOutcome> {
+    let is_tunnelled = connection.is_tunnelled;
+    let sending = connection.http.send(outgoing);
+    if is_tunnelled {
+        return Ok(sending.await);
+    }
+    tokio::select! {
+        biased;
+        sent = sending => Ok(sent),
+        () = watch_path(node, request, target) => {
+            Err(AttemptOutcome::Ambiguous("the path to the target is lost".to_owned()))
+        }
+    }
+}
+
 /// Takes a connection to a target from the pool or opens one. While a connection to an engine is
 /// slow, the engine is probed concurrently; probing only after the connection failed would delay
 /// the streams of a dead head by another third of a second.
 async fn acquire_connection(
     node: &Rc<GatewayNode>,
+    request: &AdmittedRequest,
     target: &TargetEntry,
-) -> Result<HttpConnection, ConnectionError> {
-    let acquiring = node.pool.acquire(target);
-    tokio::pin!(acquiring);
-    if let Ok(acquired) = tokio::time::timeout(SLOW_CONNECT_THRESHOLD, acquiring.as_mut()).await {
-        return acquired;
+) -> Result<TargetConnection, ConnectionError> {
+    if let Some(idle) = node.pool.take_idle(&target.id) {
+        return Ok(TargetConnection::direct(idle));
+    }
+    let connecting = connect(node, request, target);
+    tokio::pin!(connecting);
+    if let Ok(connected) = tokio::time::timeout(SLOW_CONNECT_THRESHOLD, connecting.as_mut()).await {
+        return connected;
     }
     if target.membership.is_some() {
         tokio::task::spawn_local(probe(Rc::clone(node), target.id.clone()));
     }
-    acquiring.await
+    connecting.await
+}
+
+async fn connect(
+    node: &GatewayNode,
+    request: &AdmittedRequest,
+    target: &TargetEntry,
+) -> Result<TargetConnection, ConnectionError> {
+    let lifetime = request.time_left(node.now());
+    connect_target(node, &target.id, target.address, CONNECT_TIMEOUT, lifetime).await
 }
 
 /// Handles a failed connection: the process is gone, the host is gone, or the network lost the
@@ -369,6 +438,22 @@
 }
 
 impl TargetResponse {
+    /// Records that bytes of the body arrived.
+    pub fn record_progress(&self, node: &GatewayNode) {
+        self.in_flight.record_progress();
+        if !self.connection.is_tunnelled {
+            node.record_path_received(&self.host);
+        }
+    }
+
+    /// Path of the response's connection.
+    #[must_use]
+    pub fn path(&self) -> ConnectionPath {
+        ConnectionPath {
+            own_to: (!self.connection.is_tunnelled).then(|| self.host.clone()),
+        }
+    }
+
     /// Records that the connection broke before the end of the body.
     pub fn record_broken(&self, node: &Rc<GatewayNode>, request: &AdmittedRequest) {
         let response_age = node.now().saturating_sub(self.started_at);
@@ -377,10 +462,10 @@
 
     /// Returns the connection to the pool after the end of the body.
     pub fn release_connection(self, node: &GatewayNode) {
-        if !self.parsed_headers.connection_close {
+        if !self.parsed_headers.connection_close && !self.connection.is_tunnelled {
             node.pool.release(
                 &self.host,
-                self.connection,
+                self.connection.http,
                 self.parsed_headers.keep_alive_timeout,
             );
         }
--- /dev/null
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -0,0 +1,18 @@
+//! Connections to targets through other nodes.
+//!
+//! A node that can't connect to a target asks another one ([`relays`]), which connects in its place and
+//! passes bytes on ([`serve`]). Only the path of the connection differs ([`connect`]): the asking node
+//! chooses the target, sends the request once, and judges the response as on a connection of its own.
+//! A target is suspected only if no other node reaches it either. Lost paths are checked until they
+//! work again ([`checks`]).
+
+mod checks;
+mod connect;
+mod relays;
+mod serve;
+mod state;
+
+pub use checks::{check_lost_paths, watch_path};
+pub use connect::{TargetConnection, connect_target};
+pub use serve::serve_tunnel;
+pub use state::TunnelState;
--- /dev/null
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -0,0 +1,92 @@
+//! Connects to targets for other nodes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use domain::HostId;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::StatusCode;
+use peers::accept_stream;
+use peers::error::LinkError;
+use peers::transport::respond_error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use wire::tunnel::{TunnelDenial, TunnelRequest};
+
+use crate::node::GatewayNode;
+
+/// Timeout for connecting to a target. The asking node waits a little longer for the reason.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time for which a tunnel is kept beyond its announced lifetime, for the last bytes.
+const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
+
+/// Maximum lifetime of a tunnel, whatever the request says.
+const MAX_LIFETIME: Duration = Duration::from_mins(10);
+
+/// Maximum number of tunnels. Each takes two buffers and a file descriptor.
+const MAX_TUNNELS: usize = 512;
+
+/// Counts a tunnel until dropped.
+struct ServedTunnel<'a>(&'a GatewayNode);
+
+impl<'a> ServedTunnel<'a> {
+    fn begin(node: &'a GatewayNode) -> Self {
+        node.tunnels.begin_serving();
+        Self(node)
+    }
+}
+
+impl Drop for ServedTunnel<'_> {
+    fn drop(&mut self) {
+        self.0.tunnels.end_serving();
+        self.0.activity_ended.notify_waiters();
+    }
+}
+
+/// Serves one tunnel to its end.
+///
+/// # Errors
+///
+/// [`LinkError::Connection`] if the link failed.
+pub async fn serve_tunnel(
+    node: &GatewayNode,
+    request: TunnelRequest,
+    body: RecvStream,
+    responder: SendResponse<Bytes>,
+) -> Result<(), LinkError> {
+    let _served = ServedTunnel::begin(node);
+    let mut target = match connect(node, &request.host).await {
+        Ok(target) => target,
+        Err(denial) => {
+            let status = StatusCode::from_u16(denial.status());
+            return respond_error(responder, status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE));
+        }
+    };
+    let mut tunnel = accept_stream(responder, body)?;
+    let lifetime = Duration::from_millis(u64::from(request.lifetime_ms)) + LIFETIME_MARGIN;
+    let copying = tokio::io::copy_bidirectional(&mut tunnel, &mut target);
+    // However it ends, both sides learn of it from their halves.
+    drop(timeout(lifetime.min(MAX_LIFETIME), copying).await);
+    Ok(())
+}
+
+async fn connect(node: &GatewayNode, id: &HostId) -> Result<TcpStream, TunnelDenial> {
+    let is_available =
+        !node.is_shutting_down() && !node.is_partitioned() && node.tunnels.served() <= MAX_TUNNELS;
+    let address = node.registry(|registry| registry.get(id).map(|entry| entry.address));
+    let Some(address) = address.filter(|_| is_available) else {
+        return Err(TunnelDenial::Unavailable);
+    };
+    let target = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(target)) => target,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            return Err(TunnelDenial::TargetRefuses);
+        }
+        Ok(Err(_)) | Err(_) => return Err(TunnelDenial::TargetUnreachable),
+    };
+    // If the option can't be set, the connection still works but may add latency.
+    drop(target.set_nodelay(true));
+    Ok(target)
+}
--- /dev/null
+++ b/crates/gateway/src/tunnel/state.rs
@@ -0,0 +1,79 @@
+//! The other nodes through which a node connects to targets, and the tunnels it serves for them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use domain::{FastMap, NodeId};
+use peers::TunnelLink;
+use serving::relay_order::RelayOrder;
+use tokio::sync::OnceCell;
+
+use crate::feed::FeedMember;
+
+/// Link to a relay, while it is being opened or open.
+pub(super) type RelayLink = Rc<OnceCell<TunnelLink>>;
+
+/// Relays, links to them, and tunnels served for other nodes.
+#[derive(Default)]
+pub struct TunnelState {
+    pub(super) order: RefCell<RelayOrder>,
+    relays: RefCell<Rc<Vec<FeedMember>>>,
+    links: RefCell<FastMap<NodeId, RelayLink>>,
+    served: Cell<usize>,
+}
+
+impl std::fmt::Debug for TunnelState {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("TunnelState")
+            .field("relays", &self.relays.borrow().len())
+            .field("served", &self.served.get())
+            .finish_non_exhaustive()
+    }
+}
+
+impl TunnelState {
+    /// Sets the nodes to ask, the preferred one first.
+    pub fn set_relays(&self, relays: Vec<FeedMember>) {
+        self.links
+            .borrow_mut()
+            .retain(|node, _| relays.iter().any(|relay| relay.node == *node));
+        *self.relays.borrow_mut() = Rc::new(relays);
+    }
+
+    /// The nodes to ask, the preferred one first.
+    pub(super) fn relays(&self) -> Rc<Vec<FeedMember>> {
+        Rc::clone(&self.relays.borrow())
+    }
+
+    /// Link to a relay, which may have to be opened yet.
+    pub(super) fn link(&self, relay: &NodeId) -> RelayLink {
+        let mut links = self.links.borrow_mut();
+        Rc::clone(links.entry(relay.clone()).or_default())
+    }
+
+    /// Forgets a link that failed, unless it was replaced already. Streams on it go on while they can.
+    pub(super) fn forget_link(&self, relay: &NodeId, failed: &RelayLink) {
+        let mut links = self.links.borrow_mut();
+        if links
+            .get(relay)
+            .is_some_and(|link| Rc::ptr_eq(link, failed))
+        {
+            links.remove(relay);
+        }
+    }
+
+    /// Number of tunnels that this node serves for others.
+    #[must_use]
+    pub fn served(&self) -> usize {
+        self.served.get()
+    }
+
+    pub(super) fn begin_serving(&self) {
+        self.served.set(self.served.get() + 1);
+    }
+
+    pub(super) fn end_serving(&self) {
+        self.served.set(self.served.get().saturating_sub(1));
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -5,6 +5,8 @@
 //! force ([`link`], [`listen`]). A digest contains only what the peer doesn't already have
 //! ([`peer_view`], [`gossip`]), so a node's traffic grows linearly with the number of members and
 //! replicas, not quadratically.
+//!
+//! A link may also carry byte streams to third parties ([`tunnel`]).
 
 pub mod accepted;
 pub mod auth;
@@ -19,6 +21,7 @@
 pub mod settings;
 pub mod traffic;
 pub mod transport;
+pub mod tunnel;
 
 pub use accepted::{AcceptedConnections, ConnectionPlace};
 pub use auth::SharedKey;
@@ -30,3 +33,4 @@
 pub use settings::PeerSettings;
 pub use traffic::{PeerTraffic, TrafficCounts};
 pub use transport::DialedLink;
+pub use tunnel::{TUNNEL_PATH, TunnelLink, TunnelResponse, TunnelStream, accept_stream};
--- a/crates/peers/src/listen.rs
+++ b/crates/peers/src/listen.rs
@@ -20,7 +20,7 @@
 use crate::evidence::EvidenceExchange;
 use crate::link::LinkContext;
 use crate::peer_view::PeerView;
-use crate::transport::{self, read_stream, respond_error, respond_ok};
+use crate::transport::{self, MAX_REQUESTS, read_stream, respond_error, respond_ok};
 
 /// Number of responses whose send time is kept. A peer echoes the newest one that it received.
 const KEPT_RESPONSES: usize = 8;
@@ -73,7 +73,7 @@
         session: None,
     });
     let session = &session;
-    transport::serve_requests(stream, |request, responder| async move {
+    transport::serve_requests(stream, MAX_REQUESTS, |request, responder| async move {
         let mut state = session.lock().await;
         handle_request(context, &mut state, request, responder).await
     })
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -19,8 +19,14 @@
 use crate::auth::{FrameAuthenticator, FrameSide, SharedKey};
 use crate::error::LinkError;
 
-/// Maximum number of concurrent requests per connection; a peer sends them one at a time.
-const MAX_STREAMS: u32 = 4;
+/// Maximum number of concurrent requests per connection whose peer sends them one at a time.
+pub const MAX_REQUESTS: u32 = 4;
+
+/// Maximum number of concurrent byte streams per connection.
+pub const MAX_STREAMS: u32 = 64;
+
+/// Bytes that one request or stream may hold unread.
+pub const STREAM_WINDOW_BYTES: u32 = 64 << 10;
 
 /// Time without a request after which a connection is closed; its peer is suspended or gone.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -50,11 +56,21 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let (mut requests, connection) = h2::client::handshake(stream).await?;
+        let (requests, connection) = h2::client::handshake(stream).await?;
         tokio::spawn(async move {
             // A failed connection fails the requests on it, which report the error.
             drop(connection.await);
         });
+        Self::greet(requests, key, node, expected).await
+    }
+
+    /// Agrees on a protocol version with the responder, who proves that it has the key.
+    pub(crate) async fn greet(
+        mut requests: SendRequest<Bytes>,
+        key: &SharedKey,
+        node: &NodeId,
+        expected: Option<&NodeId>,
+    ) -> Result<Self, LinkError> {
         let hello = PeerHello {
             newest: NEWEST_VERSION,
             oldest: OLDEST_VERSION,
@@ -75,6 +91,11 @@
         })
     }
 
+    /// Splits the link into what requests and their frames need.
+    pub(crate) fn into_parts(self) -> (SendRequest<Bytes>, FrameAuthenticator) {
+        (self.requests, self.auth)
+    }
+
     /// Node at the other end.
     #[must_use]
     pub fn peer(&self) -> &NodeId {
@@ -158,19 +179,27 @@
     (auth, welcome)
 }
 
-/// Serves the requests of one accepted connection until it ends or a request fails.
+/// Serves the requests of one accepted connection, at most `max_concurrent` at once, until it ends or
+/// a request fails.
 ///
 /// # Errors
 ///
 /// [`LinkError`] of the connection or of the first request that failed.
-pub async fn serve_requests<S, H, F>(stream: S, handle: H) -> Result<(), LinkError>
+pub async fn serve_requests<S, H, F>(
+    stream: S,
+    max_concurrent: u32,
+    handle: H,
+) -> Result<(), LinkError>
 where
     S: AsyncRead + AsyncWrite + Unpin,
     H: Fn(Request<RecvStream>, SendResponse<Bytes>) -> F,
     F: Future<Output = Result<(), LinkError>>,
 {
     let mut builder = h2::server::Builder::new();
-    builder.max_concurrent_streams(MAX_STREAMS);
+    builder
+        .max_concurrent_streams(max_concurrent)
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(STREAM_WINDOW_BYTES * max_concurrent);
     let handshake = builder.handshake::<_, Bytes>(stream);
     let mut connection = match tokio::time::timeout(IDLE_TIMEOUT, handshake).await {
         Ok(connection) => connection?,
@@ -187,7 +216,9 @@
                     running.push(handle(request, responder));
                 }
                 Ok(None) => return Ok(()),
-                Err(_) => return Err(LinkError::TimedOut),
+                Err(_) if running.is_empty() => return Err(LinkError::TimedOut),
+                // Its requests, which have timeouts of their own, still run.
+                Err(_) => {}
             }
         }
     }
@@ -271,13 +302,10 @@
 ///
 /// # Errors
 ///
-/// [`LinkError::TooLarge`] beyond `limit`, [`LinkError::Connection`] if the stream fails.
-pub async fn read_stream(mut stream: RecvStream, limit: usize) -> Result<Vec<u8>, LinkError> {
-    let mut bytes = Vec::new();
-    while let Some(chunk) = stream.data().await {
-        append_chunk(&mut stream, &mut bytes, &chunk?, limit)?;
-    }
-    Ok(bytes)
+/// [`LinkError::TooLarge`] beyond `limit`, [`LinkError::TimedOut`] if no further byte comes,
+/// [`LinkError::Connection`] if the stream fails.
+pub async fn read_stream(stream: RecvStream, limit: usize) -> Result<Vec<u8>, LinkError> {
+    read_progressing(stream, limit, IDLE_TIMEOUT).await
 }
 
 /// Sends a successful response.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,12 +18,14 @@
 pub mod probe_schedule;
 pub mod prompt_backlog;
 pub mod registry;
+pub mod relay_order;
 pub mod replica_history;
 pub mod retry_budget;
 pub mod route;
 pub mod shutdown;
 pub mod stall;
 pub mod target;
+pub mod target_paths;
 pub mod timing;
 
 pub use choose::{ChoiceLimits, TargetLoad, choose_target};
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
 /// Why a connection could not be established or returned no response.
@@ -63,9 +64,21 @@
         };
         // If the option can't be set, the connection still works but may add latency.
         drop(stream.set_nodelay(true));
+        Self::over(stream).await
+    }
+
+    /// Uses a stream that is connected to the server already.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectionError::Unsent`] if the stream is closed.
+    pub async fn over<S>(stream: S) -> Result<Self, ConnectionError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|_| ConnectionError::NotConnected(timeout))?;
+            .map_err(|_| ConnectionError::Unsent)?;
         tokio::spawn(async move {
             // Errors of the connection are also reported to the sender of the affected request.
             drop(connection.await);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod record;
 pub mod service;
 pub mod table;
+pub mod tunnel;
--- a/tests/gateway/partitioned_nodes.rs
+++ b/tests/gateway/partitioned_nodes.rs
@@ -76,7 +76,7 @@
 /// replicas, which serve the other node, must stay as they are.
 async fn one_node_partitioned(kind: PartitionKind) {
     let site = TestSite::start(HOSTS, 2);
-    let proxies = TargetProxies::start(&site).await;
+    let proxies = TargetProxies::start(&site);
     let node = site.node_in("z0", "n0", proxies.store).await;
     let other = site.node_in("z1", "n1", site.store_address()).await;
     node.wait_replicas(2).await;
@@ -119,7 +119,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn partitioned_domain() {
     let site = TestSite::start(HOSTS, 2);
-    let proxies = TargetProxies::start(&site).await;
+    let proxies = TargetProxies::start(&site);
     let mut nodes = Vec::new();
     for name in ["n0", "n1", "n2"] {
         nodes.push(site.node_in("z0", name, proxies.store).await);
@@ -151,10 +151,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_across_partition() {
     let site = TestSite::start(HOSTS, 0);
-    let proxies = TargetProxies::start(&site).await;
+    let proxies = TargetProxies::start(&site);
     let node = site.node_in("z0", "n0", proxies.store).await;
     let _other = site.node_in("z1", "n1", site.store_address()).await;
     node.wait_replicas(2).await;
+    node.wait_log_line(&["nodes_counted", "\"nodes\":2"]).await;
     site.groups.set_events(60);
     let (_connection, response) = TestRequest::chat("c-1").begin(&node).await;
     assert_eq!(response.status(), StatusCode::OK);
--- a/tests/gateway/target_proxies.rs
+++ b/tests/gateway/target_proxies.rs
@@ -38,7 +38,7 @@
 
 impl TargetProxies {
     /// Starts a proxy for each target of the site.
-    pub async fn start(site: &TestSite) -> Self {
+    pub fn start(site: &TestSite) -> Self {
         let (kind, watched) = watch::channel(PartitionKind::Healed);
         let mut addresses = Vec::new();
         for target in site.target_addresses() {
