Keep a link's tunnels when one request for a tunnel is given up

Cause: a node that asks several others at once leaves the slower ones. The answer to a request that was left failed, the failure ended the whole link at the node that served it, and with it all its other tunnels. In the logs: bursts of "connection error" at one partitioned node, with nothing wrong at the targets.

Change: a tunnel's failure ends that tunnel alone.

--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -134,7 +134,8 @@
     }
     drop(session);
     let tunnel = decode_message::<_, MAX_TUNNEL_REQUEST_BYTES>(&payload)?;
-    serve_tunnel(node, tunnel, request.into_body(), responder).await
+    serve_tunnel(node, tunnel, request.into_body(), responder).await;
+    Ok(())
 }
 
 /// Waits until there is something to pass on that the sender should know at once.
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -7,9 +7,7 @@
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::StatusCode;
-use peers::accept_stream;
-use peers::error::LinkError;
-use peers::transport::respond_error;
+use peers::tunnel::pass_on;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use wire::tunnel::{TunnelDenial, TunnelRequest};
@@ -46,30 +44,21 @@
 }
 
 /// Serves one tunnel to its end.
-///
-/// # Errors
-///
-/// [`LinkError::Connection`] if the link failed.
 pub async fn serve_tunnel(
     node: &GatewayNode,
     request: TunnelRequest,
     body: RecvStream,
     responder: SendResponse<Bytes>,
-) -> Result<(), LinkError> {
+) {
     let _served = ServedTunnel::begin(node);
-    let mut target = match connect(node, &request.host).await {
-        Ok(target) => target,
-        Err(denial) => {
-            let status = StatusCode::from_u16(denial.status());
-            return respond_error(responder, status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE));
-        }
-    };
-    let mut tunnel = accept_stream(responder, body)?;
     let lifetime = Duration::from_millis(u64::from(request.lifetime_ms)) + LIFETIME_MARGIN;
-    let copying = tokio::io::copy_bidirectional(&mut tunnel, &mut target);
-    // However it ends, both sides learn of it from their halves.
-    drop(timeout(lifetime.min(MAX_LIFETIME), copying).await);
-    Ok(())
+    let connecting = async {
+        let connected = connect(node, &request.host).await;
+        connected.map_err(|denial| {
+            StatusCode::from_u16(denial.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+        })
+    };
+    pass_on(responder, body, connecting, lifetime.min(MAX_LIFETIME)).await;
 }
 
 async fn connect(node: &GatewayNode, id: &HostId) -> Result<TcpStream, TunnelDenial> {
--- a/crates/peers/src/tunnel.rs
+++ b/crates/peers/src/tunnel.rs
@@ -23,7 +23,7 @@
 
 use crate::auth::{FrameAuthenticator, SharedKey};
 use crate::error::LinkError;
-use crate::transport::{DialedLink, MAX_STREAMS, STREAM_WINDOW_BYTES};
+use crate::transport::{DialedLink, MAX_STREAMS, STREAM_WINDOW_BYTES, respond_error};
 
 /// Header of a request for a stream, with its frame.
 const FRAME_HEADER: &str = "frame";
@@ -155,22 +155,37 @@
     Ok(auth.verify::<LIMIT>(&frame)?.payload)
 }
 
-/// Accepts a request for a stream.
+/// Answers a request for a stream, and passes bytes on between the stream and the third party that
+/// `connecting` yields until both have ended, for at most `lifetime`.
 ///
-/// # Errors
-///
-/// [`LinkError::Connection`] if the connection failed.
-pub fn accept_stream(
+/// The asking node may give the request up at any time. That ends this stream alone, not the link.
+pub async fn pass_on<S>(
     mut responder: SendResponse<Bytes>,
     receiver: RecvStream,
-) -> Result<TunnelStream, LinkError> {
-    let head = Response::builder().status(StatusCode::OK).body(())?;
-    let sender = responder.send_response(head, false)?;
-    Ok(TunnelStream {
+    connecting: impl Future<Output = Result<S, StatusCode>>,
+    lifetime: Duration,
+) where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let mut third_party = match connecting.await {
+        Ok(connected) => connected,
+        Err(status) => {
+            // Nobody waits for the reason if this fails.
+            drop(respond_error(responder, status));
+            return;
+        }
+    };
+    let Ok(sender) = responder.send_response(Response::new(()), false) else {
+        return;
+    };
+    let mut stream = TunnelStream {
         sender: TunnelSender(sender),
         receiver,
         unread: Bytes::new(),
-    })
+    };
+    let copying = tokio::io::copy_bidirectional(&mut stream, &mut third_party);
+    // However it ends, both sides learn of it from their halves.
+    drop(timeout(lifetime, copying).await);
 }
 
 /// Sending half, which resets the stream if it is dropped before its end. An end of the stream would
