Open a new connection after an attempt was lost, and drop idle ones when several targets' break

Cause: idle connections that are broken as well show it only when they are used. A stream that had to move was sent on another one of them, which used up its last attempt; each payment after the first met the next one.

Change: an attempt after a lost one opens a new connection, which goes through another node if it is refused. Connections to two targets that break within half a second close all idle ones.

Result: tunnel_promises::stream_beside_broken_connections and target_paths::broken_together, which failed before; the other tests of tunnel_promises hold what is promised over tunnels (runs once, headers, deadline, full targets, a carrier that is killed or stops, clients that leave, drains, no crash recorded).

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,7 +21,7 @@
 use crate::respond::{
     announce_close, announce_idle_timeout, local_response, log_response, rejected_response,
 };
-use crate::send::{AttemptOutcome, TargetResponse, send_attempt};
+use crate::send::{AttemptOutcome, ConnectionReuse, TargetResponse, send_attempt};
 
 /// `Retry-After` if there is no configuration or no replica: about the time it takes to read the
 /// configuration or to repair a replica.
@@ -201,7 +201,12 @@
         }
         state.tried.insert(target.id.clone());
         let timeout = attempt_timeout(admitted, &state, now);
-        let outcome = send_attempt(node, admitted, &target, None, timeout).await;
+        let reuse = if state.may_have_run {
+            ConnectionReuse::Never
+        } else {
+            ConnectionReuse::Allowed
+        };
+        let outcome = send_attempt(node, admitted, &target, None, reuse, timeout).await;
         match outcome {
             AttemptOutcome::Responded(response) => {
                 state.sent += 1;
--- a/crates/gateway/src/node/paths.rs
+++ b/crates/gateway/src/node/paths.rs
@@ -77,6 +77,14 @@
         self.paths_changed.notify_waiters();
     }
 
+    /// Records that a connection of this node's own to a target broke during a request.
+    pub fn record_connection_broken(&self, id: &HostId) {
+        self.pool.close_idle(id);
+        if self.paths.borrow_mut().record_broken(id, self.now()) {
+            self.pool.close_all_idle();
+        }
+    }
+
     /// Records that bytes of a target arrived on a connection of this node's own.
     pub fn record_path_received(&self, id: &HostId) {
         self.paths.borrow_mut().record_received(id, self.now());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 
 use crate::admitted::AdmittedRequest;
 use crate::node::{GatewayNode, ReplicaLostSignal, RequestGuard};
-use crate::send::{AttemptOutcome, TargetResponse, send_attempt};
+use crate::send::{AttemptOutcome, ConnectionReuse, TargetResponse, send_attempt};
 
 /// Maximum number of attempts to find another target for a stream.
 const MAX_FAILOVER_ATTEMPTS: u32 = 6;
@@ -264,7 +264,9 @@
             let limit = self.request.time_left(now).min(FAILOVER_TIMEOUT);
             self.tried.insert(target.id.clone());
             let after = self.splitter.last_id();
-            let outcome = send_attempt(&self.node, &self.request, &target, after, limit).await;
+            let reuse = ConnectionReuse::Never;
+            let outcome =
+                send_attempt(&self.node, &self.request, &target, after, reuse, limit).await;
             match outcome {
                 AttemptOutcome::Responded(response) if response.status == StatusCode::OK => {
                     self.attempts += 1;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -166,12 +166,23 @@
     }
 }
 
+/// Whether an attempt may use an idle connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionReuse {
+    /// The most recently used one, if there is any.
+    Allowed,
+    /// The attempt before was lost. Whatever broke its connection, as a partition does, may have broken
+    /// the idle ones as well, which shows only when they are used.
+    Never,
+}
+
 /// Sends a request to a target and waits for the response head, at most for `limit`.
 pub async fn send_attempt(
     node: &Rc<GatewayNode>,
     request: &AdmittedRequest,
     target: &TargetEntry,
     last_event: Option<u64>,
+    reuse: ConnectionReuse,
     limit: Duration,
 ) -> AttemptOutcome {
     let id = &target.id;
@@ -179,7 +190,7 @@
     let signal = node.loss_signal(id);
     let attempt = async {
         tokio::select! {
-            outcome = send_request(node, request, target, last_event) => outcome,
+            outcome = send_request(node, request, target, last_event, reuse) => outcome,
             () = signal.lost() => Err(AttemptOutcome::Ambiguous("replica stalled".to_owned())),
         }
     };
@@ -208,8 +219,9 @@
     request: &AdmittedRequest,
     target: &TargetEntry,
     last_event: Option<u64>,
+    reuse: ConnectionReuse,
 ) -> Result<Exchange, AttemptOutcome> {
-    let mut connection = match acquire_connection(node, request, target).await {
+    let mut connection = match acquire_connection(node, request, target, reuse).await {
         Ok(connection) => connection,
         Err(error) => return Err(record_unreachable(node, target, &error)),
     };
@@ -249,6 +261,9 @@
         Err(error) => {
             // A call to a plain service runs from the moment it is sent, a stream from its first
             // event.
+            if !connection.is_tunnelled {
+                node.record_connection_broken(&target.id);
+            }
             let is_plain = target.membership.is_none();
             let response_age = is_plain.then(|| node.now().saturating_sub(sent_at));
             record_interrupted(node, request, (&target.id, target.boot), response_age);
@@ -291,8 +306,11 @@
     node: &Rc<GatewayNode>,
     request: &AdmittedRequest,
     target: &TargetEntry,
+    reuse: ConnectionReuse,
 ) -> Result<TargetConnection, ConnectionError> {
-    if let Some(idle) = node.pool.take_idle(&target.id) {
+    if reuse == ConnectionReuse::Allowed
+        && let Some(idle) = node.pool.take_idle(&target.id)
+    {
         return Ok(TargetConnection::direct(idle));
     }
     let connecting = connect(node, request, target);
@@ -456,6 +474,9 @@
 
     /// Records that the connection broke before the end of the body.
     pub fn record_broken(&self, node: &Rc<GatewayNode>, request: &AdmittedRequest) {
+        if !self.connection.is_tunnelled {
+            node.record_connection_broken(&self.host);
+        }
         let response_age = node.now().saturating_sub(self.started_at);
         record_interrupted(node, request, (&self.host, self.boot), Some(response_age));
     }
--- a/crates/serving/src/target_paths.rs
+++ b/crates/serving/src/target_paths.rs
@@ -30,6 +30,9 @@
 /// partitioned from all.
 const PARTITION_TARGETS: usize = 2;
 
+/// Time within which broken connections to two targets have the same cause.
+const BREAK_WINDOW: Duration = Duration::from_millis(500);
+
 /// Interval between two checks of the same path.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -78,6 +81,7 @@
     denials: FastMap<HostId, PathDenial>,
     connected_at: Duration,
     received_at: Duration,
+    broken: Option<(HostId, Duration)>,
     partition: Option<PathLoss>,
     partition_check_at: Duration,
     next_other: usize,
@@ -148,6 +152,13 @@
         }
     }
 
+    /// Records that a connection of this node's own broke; returns whether one to another target just did,
+    /// too. Idle connections to all targets are probably broken then, as by a partition.
+    pub fn record_broken(&mut self, id: &HostId, now: Duration) -> bool {
+        let before = self.broken.replace((id.clone(), now));
+        before.is_some_and(|(other, at)| other != *id && now.saturating_sub(at) < BREAK_WINDOW)
+    }
+
     /// Records that bytes of a target arrived on a connection of this node's own.
     pub fn record_received(&mut self, id: &HostId, now: Duration) {
         self.received_at = now;
--- a/crates/serving/tests/target_paths.rs
+++ b/crates/serving/tests/target_paths.rs
@@ -100,6 +100,17 @@
     }
 }
 
+/// Connections to two targets break at once. Idle ones to all others are not to be trusted either; those
+/// of a target that crashed alone say nothing of the others.
+#[test]
+fn broken_together() {
+    let mut paths = TargetPaths::default();
+    assert!(!paths.record_broken(&host(1), at(1000)));
+    assert!(!paths.record_broken(&host(1), at(1010)));
+    assert!(paths.record_broken(&host(2), at(1020)));
+    assert!(!paths.record_broken(&host(3), at(2000)));
+}
+
 /// Other nodes are asked less and less often about a target that they don't reach either.
 #[test]
 fn denied_target() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod store_faults;
 mod store_feed;
 mod target_proxies;
+mod tunnel_promises;
 
 /// Path of the built binary.
 const BINARY: &str = env!("CARGO_BIN_EXE_bramleyspring");
--- a/tests/gateway/target_proxies.rs
+++ b/tests/gateway/target_proxies.rs
@@ -25,6 +25,8 @@
     Silent,
     /// Open connections are reset, new ones refused.
     Reset,
+    /// Open connections are reset when the next byte passes, new ones refused.
+    ResetOnUse,
     /// Open connections work, new ones are refused.
     RefusesNew,
 }
@@ -94,7 +96,7 @@
                 // Those that were not accepted yet would be served late.
                 listener = None;
             }
-            PartitionKind::Reset | PartitionKind::RefusesNew => {
+            PartitionKind::Reset | PartitionKind::ResetOnUse | PartitionKind::RefusesNew => {
                 listener = None;
                 if kind.changed().await.is_err() {
                     return;
@@ -151,6 +153,9 @@
     let mut buffer = vec![0; 8 << 10];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
         drop(kind.wait_for(|kind| *kind != PartitionKind::Silent).await);
+        if *kind.borrow() == PartitionKind::ResetOnUse {
+            return;
+        }
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
