Suspect a target only with contact to others, or on the word of a node that has it

What clients saw: in one of two passes of partitioned_nodes::partitioned_domain, with three of four nodes partitioned, both replicas were taken apart and formed anew while they served the fourth node.

Cause: a partitioned node asked others that were partitioned, too, and did not know it yet. They told that the target does not respond, or nothing in time; the node took that, or its own timeout, for the loss of the target, and its orders reach the engines through tunnels now.

Change: a node vouches for a loss only if it has just heard from, or connected to, some target; it tries three others if it has not. A relay that has no contact either says that it can't tell. A failure that nobody vouches for is no suspicion; what the node learns on the way shows whether it is partitioned.

--- a/crates/gateway/src/node/health.rs
+++ b/crates/gateway/src/node/health.rs
@@ -10,6 +10,7 @@
 use serving::plan::CLOSE_TIMEOUT;
 use serving::probe_schedule::suspect_interval;
 use serving::stall::{StallDetector, StallProbe};
+use serving::target_paths::PathLoss;
 use serving::{ReplicaView, TargetState};
 use tokio::sync::Notify;
 use web::ConnectionError;
@@ -25,6 +26,15 @@
     Refused,
 }
 
+impl From<FailureKind> for PathLoss {
+    fn from(failure: FailureKind) -> Self {
+        match failure {
+            FailureKind::Unresponsive => Self::Silent,
+            FailureKind::Refused => Self::Refused,
+        }
+    }
+}
+
 impl From<&ConnectionError> for FailureKind {
     fn from(error: &ConnectionError) -> Self {
         match error {
@@ -147,12 +157,17 @@
             self.log(&line);
             return;
         }
+        if self.is_suspected(id) {
+            self.retired.borrow_mut().remove(id);
+            return;
+        }
+        if !self.can_vouch_for_loss(id, failure) {
+            self.doubt(id, failure, reason);
+            return;
+        }
         let since = self.now();
         self.retired.borrow_mut().remove(id);
         let mut suspects = self.suspicions.borrow_mut();
-        if suspects.contains_key(id) {
-            return;
-        }
         let suspicion = Suspicion {
             since,
             failure,
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -40,6 +40,7 @@
 pub use confirmed::EntryIntake;
 use health::Suspicion;
 pub use health::{FailureKind, ReplicaLostSignal};
+pub use paths::TargetDoubt;
 pub use process::RequestGuard;
 use ranks::FabricRanks;
 
@@ -67,6 +68,8 @@
     pub load_board: RefCell<LoadBoard<HostHash>>,
     /// Wakes the replica reconciler after a state change.
     pub state_changed: Notify,
+    /// Notified when there is a doubt about a target.
+    pub doubted: Notify,
     /// Notified when a request or client connection ends.
     pub activity_ended: Notify,
     /// Notified when the store has new crash records.
@@ -97,6 +100,8 @@
     paths: RefCell<TargetPaths>,
     /// Notified when a path was lost or works again.
     paths_changed: Notify,
+    /// Failures of targets that this node can't vouch for yet.
+    doubts: RefCell<FastMap<HostId, TargetDoubt>>,
     /// Targets with a probe in progress.
     probing: RefCell<FastSet<HostId>>,
     /// When heads last started a response for another node.
@@ -181,6 +186,8 @@
             suspicions: RefCell::default(),
             paths: RefCell::default(),
             paths_changed: Notify::new(),
+            doubts: RefCell::default(),
+            doubted: Notify::new(),
             probing: RefCell::default(),
             served_others_at: RefCell::default(),
             unlisted: RefCell::default(),
--- a/crates/gateway/src/node/paths.rs
+++ b/crates/gateway/src/node/paths.rs
@@ -5,9 +5,54 @@
 use serving::stall::PROGRESS_WINDOW;
 use serving::target_paths::{PathChange, PathLoss};
 
-use super::GatewayNode;
+use super::{FailureKind, GatewayNode};
+
+/// A failure of a target that this node can't vouch for: it may be partitioned from all targets.
+#[derive(Debug)]
+pub struct TargetDoubt {
+    /// Target that failed.
+    pub host: HostId,
+    /// Kind of the failure.
+    pub failure: FailureKind,
+    /// Reason for the log.
+    pub reason: String,
+}
 
 impl GatewayNode {
+    /// Whether this node has just learned that paths to targets are not lost in this way.
+    #[must_use]
+    pub fn has_contact(&self, loss: PathLoss) -> bool {
+        let paths = self.paths.borrow();
+        paths.partition().is_none() && paths.contact_age(loss, self.now()) < PROGRESS_WINDOW
+    }
+
+    /// Whether this node can tell that a target is lost, and not the path to it: it hears from others, or
+    /// another node that does told so. Without other nodes to ask, it has to rely on itself.
+    pub(super) fn can_vouch_for_loss(&self, id: &HostId, failure: FailureKind) -> bool {
+        self.has_contact(failure.into()) || self.is_target_denied(id) || !self.tunnels.has_relays()
+    }
+
+    /// Keeps a failure until it is confirmed.
+    pub(super) fn doubt(&self, id: &HostId, failure: FailureKind, reason: &str) {
+        let doubt = TargetDoubt {
+            host: id.clone(),
+            failure,
+            reason: reason.to_owned(),
+        };
+        self.doubts.borrow_mut().insert(id.clone(), doubt);
+        self.doubted.notify_one();
+    }
+
+    /// Takes the failures that are not confirmed yet.
+    #[must_use]
+    pub fn take_doubts(&self) -> Vec<TargetDoubt> {
+        self.doubts
+            .borrow_mut()
+            .drain()
+            .map(|(_, doubt)| doubt)
+            .collect()
+    }
+
     /// Whether a target should be connected to through another node.
     #[must_use]
     pub fn is_path_lost(&self, id: &HostId) -> bool {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -95,6 +95,7 @@
     spawn_local(probe::probe_suspects(Rc::clone(&node)));
     spawn_local(probe::probe_all_unlisted(Rc::clone(&node)));
     spawn_local(tunnel::check_lost_paths(Rc::clone(&node)));
+    spawn_local(tunnel::confirm_doubts(Rc::clone(&node)));
     spawn_local(run_housekeeping(Rc::clone(&node)));
     spawn_local(reread_settings(Rc::clone(&node), hangup, path.to_owned()));
     terminate.recv().await;
--- a/crates/gateway/src/tunnel/connect.rs
+++ b/crates/gateway/src/tunnel/connect.rs
@@ -60,8 +60,10 @@
     lifetime: Duration,
 ) -> Result<TargetConnection, ConnectionError> {
     if node.is_path_lost(id) {
-        if let Ok(http) = connect_through_relay(node, id, lifetime).await {
-            return Ok(TargetConnection::tunnelled(http));
+        match connect_through_relay(node, id, lifetime).await {
+            Ok(http) => return Ok(TargetConnection::tunnelled(http)),
+            Err(TunnelDenial::Unavailable) => {}
+            Err(_) => node.record_target_denied(id),
         }
         return connect_directly(node, id, address, connect_limit).await;
     }
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -8,10 +8,12 @@
 use h2::server::SendResponse;
 use http::StatusCode;
 use peers::tunnel::pass_on;
+use serving::target_paths::PathLoss;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use wire::tunnel::{TunnelDenial, TunnelRequest};
 
+use super::contact::confirm_contact;
 use crate::node::GatewayNode;
 
 /// Timeout for connecting to a target. The asking node waits a little longer for the reason.
@@ -68,14 +70,21 @@
     let Some(address) = address.filter(|_| is_available) else {
         return Err(TunnelDenial::Unavailable);
     };
-    let target = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(target)) => target,
+    let (denial, loss) = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(target)) => {
+            node.record_path_connected(id);
+            // If the option can't be set, the connection still works but may add latency.
+            drop(target.set_nodelay(true));
+            return Ok(target);
+        }
         Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-            return Err(TunnelDenial::TargetRefuses);
+            (TunnelDenial::TargetRefuses, PathLoss::Refused)
         }
-        Ok(Err(_)) | Err(_) => return Err(TunnelDenial::TargetUnreachable),
+        Ok(Err(_)) | Err(_) => (TunnelDenial::TargetUnreachable, PathLoss::Silent),
     };
-    // If the option can't be set, the connection still works but may add latency.
-    drop(target.set_nodelay(true));
-    Ok(target)
+    if confirm_contact(node, id, loss).await {
+        Err(denial)
+    } else {
+        Err(TunnelDenial::Unavailable)
+    }
 }
--- a/crates/gateway/src/tunnel/state.rs
+++ b/crates/gateway/src/tunnel/state.rs
@@ -46,6 +46,12 @@
         Rc::clone(&self.relays.borrow())
     }
 
+    /// Whether there are nodes to ask.
+    #[must_use]
+    pub fn has_relays(&self) -> bool {
+        !self.relays.borrow().is_empty()
+    }
+
     /// Link to a relay, which may have to be opened yet.
     pub(super) fn link(&self, relay: &NodeId) -> RelayLink {
         let mut links = self.links.borrow_mut();
--- a/crates/serving/src/target_paths.rs
+++ b/crates/serving/src/target_paths.rs
@@ -120,12 +120,9 @@
     }
 
     /// Whether paths to several targets were lost in the same way, and nothing has shown since that any
-    /// path works. Open connections that still receive don't show that new ones can be established.
+    /// path works.
     fn counts_as_partition(&self, loss: PathLoss, now: Duration) -> bool {
-        let contact_at = match loss {
-            PathLoss::Silent => self.connected_at.max(self.received_at),
-            PathLoss::Refused => self.connected_at,
-        };
+        let contact_at = self.contact_at(loss);
         let recent = self.records.values().filter(|record| {
             let is_recent = now.saturating_sub(record.failed_at) <= STRIKE_VALIDITY;
             record.loss == loss && is_recent && record.failed_at > contact_at
@@ -177,6 +174,22 @@
         now.saturating_sub(self.received_at)
     }
 
+    /// When this node last learned that paths are not lost in this way: it established a connection of its
+    /// own to any target, or received bytes on one. Open connections that still receive don't show that
+    /// new ones can be established.
+    fn contact_at(&self, loss: PathLoss) -> Duration {
+        match loss {
+            PathLoss::Silent => self.connected_at.max(self.received_at),
+            PathLoss::Refused => self.connected_at,
+        }
+    }
+
+    /// Time since then.
+    #[must_use]
+    pub fn contact_age(&self, loss: PathLoss, now: Duration) -> Duration {
+        now.saturating_sub(self.contact_at(loss))
+    }
+
     /// Whether a target should be connected to through another node.
     #[must_use]
     pub fn is_lost(&self, id: &HostId) -> bool {
--- a/tests/gateway/partitioned_nodes.rs
+++ b/tests/gateway/partitioned_nodes.rs
@@ -89,6 +89,10 @@
     expect_served(&site, &node, "behind").await;
     expect_served(&site, &other, "beside").await;
     assert_eq!(site.groups.serving(), serving);
+    for event in ["target_suspected", "target_ended"] {
+        let lines = node.log_lines(&[event]);
+        assert!(lines.is_empty(), "{lines:?}");
+    }
     proxies.set(PartitionKind::Healed).await;
     expect_served(&site, &node, "healed").await;
     assert_eq!(site.groups.serving(), serving);
@@ -127,6 +131,7 @@
     let other = site.node_in("z1", "n3", site.store_address()).await;
     for node in nodes.iter().chain([&other]) {
         node.wait_replicas(2).await;
+        node.wait_log_line(&["nodes_counted", "\"nodes\":4"]).await;
     }
     let serving = site.groups.serving();
     let began_at = Instant::now();
@@ -143,6 +148,10 @@
         expect_served(&site, node, &format!("behind-{}", node.requests.port())).await;
     }
     expect_served(&site, &other, "beside").await;
+    for node in nodes.iter().chain([&other]) {
+        let suspected = node.log_lines(&["target_suspected"]);
+        assert!(suspected.is_empty(), "{suspected:?}");
+    }
     assert_eq!(site.groups.serving(), serving);
     assert_eq!(site.groups.violations(), Vec::<String>::new());
 }
