--- a/crates/gateway/src/tunnel/connect.rs
+++ b/crates/gateway/src/tunnel/connect.rs
@@ -1,6 +1,7 @@
 //! Connects to a target directly, or through another node if the direct path is lost.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use adapter::HostConnector;
@@ -11,7 +12,7 @@
 use wire::tunnel::TunnelDenial;
 
 use super::relays::connect_through_relay;
-use crate::node::GatewayNode;
+use crate::node::{FailureKind, GatewayNode};
 
 /// Time after which other nodes are asked while a direct connection is not established. Targets are
 /// less than a millisecond away.
@@ -60,44 +61,57 @@
     lifetime: Duration,
 ) -> Result<TargetConnection, ConnectionError> {
     if node.is_path_lost(id) {
-        match connect_through_relay(node, id, lifetime).await {
-            Ok(http) => return Ok(TargetConnection::tunnelled(http)),
-            Err(TunnelDenial::Unavailable) => {}
-            Err(_) => node.record_target_denied(id),
-        }
-        return connect_directly(node, id, address, connect_limit).await;
+        return connect_lost(node, id, address, connect_limit, lifetime).await;
     }
     let direct = connect_directly(node, id, address, connect_limit);
     tokio::pin!(direct);
-    let error = match timeout(DIRECT_HEAD_START, direct.as_mut()).await {
-        Ok(Ok(connection)) => return Ok(connection),
-        Ok(Err(error)) => error,
+    match timeout(DIRECT_HEAD_START, direct.as_mut()).await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(error)) => {
+            let loss = FailureKind::from(&error).into();
+            let relayed = relay_failed(node, id, loss, lifetime).await;
+            relayed.map_err(|denial| merge_errors(error, denial))
+        }
         Err(_) => {
-            // A path that is only slow, or lost one packet, is used once it is established.
-            let relayed = relay_lost(node, id, PathLoss::Silent, lifetime);
-            tokio::pin!(relayed);
-            let denied = tokio::select! {
-                connection = direct.as_mut() => match connection {
-                    Ok(connection) => return Ok(connection),
-                    Err(error) => {
-                        let relayed = relayed.as_mut().await;
-                        return relayed.map_err(|denial| merge_errors(error, denial));
-                    }
-                },
-                relayed = relayed.as_mut() => relayed,
-            };
-            return match denied {
-                Ok(connection) => Ok(connection),
-                Err(denial) => direct.await.map_err(|error| merge_errors(error, denial)),
-            };
+            let relayed = relay_failed(node, id, PathLoss::Silent, lifetime);
+            first_connected(direct, relayed).await
         }
-    };
-    let loss = match error {
-        ConnectionError::Refused => PathLoss::Refused,
-        _ => PathLoss::Silent,
-    };
-    let relayed = relay_lost(node, id, loss, lifetime).await;
-    relayed.map_err(|denial| merge_errors(error, denial))
+    }
+}
+
+/// Connects to a target whose direct path is known to be lost.
+async fn connect_lost(
+    node: &GatewayNode,
+    id: &HostId,
+    address: SocketAddr,
+    connect_limit: Duration,
+    lifetime: Duration,
+) -> Result<TargetConnection, ConnectionError> {
+    match connect_through_relay(node, id, lifetime).await {
+        Ok(http) => return Ok(TargetConnection::tunnelled(http)),
+        Err(TunnelDenial::Unavailable) => {}
+        Err(_) => node.record_target_denied(id),
+    }
+    connect_directly(node, id, address, connect_limit).await
+}
+
+/// The first of the two connections that is established. A direct path that is only slow, or has lost one
+/// packet, is used once it works.
+async fn first_connected(
+    mut direct: Pin<&mut impl Future<Output = Result<TargetConnection, ConnectionError>>>,
+    relayed: impl Future<Output = Result<TargetConnection, TunnelDenial>>,
+) -> Result<TargetConnection, ConnectionError> {
+    tokio::pin!(relayed);
+    tokio::select! {
+        connected = direct.as_mut() => match connected {
+            Ok(connection) => Ok(connection),
+            Err(error) => relayed.await.map_err(|denial| merge_errors(error, denial)),
+        },
+        connected = relayed.as_mut() => match connected {
+            Ok(connection) => Ok(connection),
+            Err(denial) => direct.await.map_err(|error| merge_errors(error, denial)),
+        },
+    }
 }
 
 async fn connect_directly(
@@ -111,8 +125,9 @@
     Ok(TargetConnection::direct(http))
 }
 
-/// Connects through another node to a target whose direct path seems lost, and records whether it is.
-async fn relay_lost(
+/// Connects through another node to a target to which a direct connection failed, and records whether
+/// the path to it is lost or the target itself.
+async fn relay_failed(
     node: &GatewayNode,
     id: &HostId,
     loss: PathLoss,
