--- a/tests/gateway/partition_soak.rs
+++ b/tests/gateway/partition_soak.rs
@@ -26,6 +26,9 @@
 /// Time after the last fault within which each request must be served again.
 const CALM_TIME: Duration = Duration::from_secs(5);
 
+/// Pause of a client that was not served.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
 /// Clients of each node; each keeps its connection while the node does.
 const CLIENTS: usize = 3;
 
@@ -78,6 +81,12 @@
                 assert_eq!(response.text, complete_stream(12), "{id}");
             }
         }
+        if response
+            .as_ref()
+            .is_none_or(|response| response.status != StatusCode::OK)
+        {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
         if is_payment {
             payments.insert(id, response.map(|response| response.status));
         }
