--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -16,7 +16,7 @@
 use crate::admitted::AdmittedRequest;
 use crate::crash_records::publish_crash;
 use crate::node::GatewayNode;
-use crate::tunnel::connect_target;
+use crate::tunnel::{ConnectLimits, connect_target};
 
 /// Time to wait for the other connections to a crashed target to break as well.
 const COLLECT_WINDOW: Duration = Duration::from_millis(40);
@@ -95,7 +95,8 @@
         return true;
     }
     // A partition may reset and refuse the connections of this node alone.
-    let connected = connect_target(node, host, address, CONNECT_TIMEOUT, CONNECT_TIMEOUT).await;
+    let limits = ConnectLimits::both(CONNECT_TIMEOUT);
+    let connected = connect_target(node, host, address, limits).await;
     matches!(connected, Err(ConnectionError::Refused))
 }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -15,13 +15,14 @@
 
 use crate::admit::{admit, reject_unconfigured};
 use crate::admitted::AdmittedRequest;
+use crate::attempt_connection::ConnectionReuse;
 use crate::local_response::LocalResponse;
 use crate::node::{GatewayNode, RequestGuard};
 use crate::relay::{StreamRelay, StreamSource, StreamTruncated};
 use crate::respond::{
     announce_close, announce_idle_timeout, local_response, log_response, rejected_response,
 };
-use crate::send::{AttemptOutcome, ConnectionReuse, TargetResponse, send_attempt};
+use crate::send::{AttemptOutcome, TargetResponse, send_attempt};
 
 /// `Retry-After` if there is no configuration or no replica: about the time it takes to read the
 /// configuration or to repair a replica.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod admitted;
+mod attempt_connection;
 mod crash;
 mod crash_records;
 mod feed;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,8 +13,9 @@
 use serving::{EventSplitter, GatewayConfig, PoisonVerdict, RouteKind};
 
 use crate::admitted::AdmittedRequest;
+use crate::attempt_connection::ConnectionReuse;
 use crate::node::{GatewayNode, ReplicaLostSignal, RequestGuard};
-use crate::send::{AttemptOutcome, ConnectionReuse, TargetResponse, send_attempt};
+use crate::send::{AttemptOutcome, TargetResponse, send_attempt};
 
 /// Maximum number of attempts to find another target for a stream.
 const MAX_FAILOVER_ATTEMPTS: u32 = 6;
--- a/crates/gateway/src/tunnel/checks.rs
+++ b/crates/gateway/src/tunnel/checks.rs
@@ -8,7 +8,7 @@
 use serving::stall::PROGRESS_WINDOW;
 use web::HttpConnection;
 
-use super::connect::connect_target;
+use super::connect::{ConnectLimits, connect_target};
 use crate::admitted::AdmittedRequest;
 use crate::node::GatewayNode;
 
@@ -65,13 +65,7 @@
 
 async fn check_slow_target(node: Rc<GatewayNode>, target: TargetEntry) {
     // The connection is closed at once; what it shows is recorded with the path.
-    let connected = connect_target(
-        &node,
-        &target.id,
-        target.address,
-        CHECK_TIMEOUT,
-        CHECK_TIMEOUT,
-    )
-    .await;
+    let limits = ConnectLimits::both(CHECK_TIMEOUT);
+    let connected = connect_target(&node, &target.id, target.address, limits).await;
     drop(connected);
 }
--- a/crates/gateway/src/tunnel/connect.rs
+++ b/crates/gateway/src/tunnel/connect.rs
@@ -46,8 +46,27 @@
     }
 }
 
-/// Connects to a target; a direct connection must be established within `connect_limit`, and a tunnel
-/// is used for at most `lifetime`.
+/// Time limits of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectLimits {
+    /// For a connection of this node's own to be established.
+    pub connect: Duration,
+    /// For a tunnel to be used.
+    pub lifetime: Duration,
+}
+
+impl ConnectLimits {
+    /// The same limit for both, as for a connection that only shows whether a target is reached.
+    #[must_use]
+    pub fn both(limit: Duration) -> Self {
+        Self {
+            connect: limit,
+            lifetime: limit,
+        }
+    }
+}
+
+/// Connects to a target.
 ///
 /// # Errors
 ///
@@ -57,23 +76,22 @@
     node: &GatewayNode,
     id: &HostId,
     address: SocketAddr,
-    connect_limit: Duration,
-    lifetime: Duration,
+    limits: ConnectLimits,
 ) -> Result<TargetConnection, ConnectionError> {
     if node.is_path_lost(id) {
-        return connect_lost(node, id, address, connect_limit, lifetime).await;
+        return connect_lost(node, id, address, limits).await;
     }
-    let direct = connect_directly(node, id, address, connect_limit);
+    let direct = connect_directly(node, id, address, limits.connect);
     tokio::pin!(direct);
     match timeout(DIRECT_HEAD_START, direct.as_mut()).await {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(error)) => {
             let loss = FailureKind::from(&error).into();
-            let relayed = relay_failed(node, id, loss, lifetime).await;
+            let relayed = relay_failed(node, id, loss, limits.lifetime).await;
             relayed.map_err(|denial| merge_errors(error, denial))
         }
         Err(_) => {
-            let relayed = relay_failed(node, id, PathLoss::Silent, lifetime);
+            let relayed = relay_failed(node, id, PathLoss::Silent, limits.lifetime);
             first_connected(direct, relayed).await
         }
     }
@@ -84,15 +102,14 @@
     node: &GatewayNode,
     id: &HostId,
     address: SocketAddr,
-    connect_limit: Duration,
-    lifetime: Duration,
+    limits: ConnectLimits,
 ) -> Result<TargetConnection, ConnectionError> {
-    match connect_through_relay(node, id, lifetime).await {
+    match connect_through_relay(node, id, limits.lifetime).await {
         Ok(http) => return Ok(TargetConnection::tunnelled(http)),
         Err(TunnelDenial::Unavailable) => {}
         Err(_) => node.record_target_denied(id),
     }
-    connect_directly(node, id, address, connect_limit).await
+    connect_directly(node, id, address, limits.connect).await
 }
 
 /// The first of the two connections that is established. A direct path that is only slow, or has lost one
@@ -166,7 +183,7 @@
         address: SocketAddr,
         limit: Duration,
     ) -> Result<HttpConnection, ConnectionError> {
-        let connection = connect_target(self, id, address, limit, limit).await?;
+        let connection = connect_target(self, id, address, ConnectLimits::both(limit)).await?;
         Ok(connection.http)
     }
 }
--- a/crates/gateway/src/tunnel/contact.rs
+++ b/crates/gateway/src/tunnel/contact.rs
@@ -15,7 +15,7 @@
 use web::HttpConnection;
 use wire::tunnel::TunnelDenial;
 
-use super::connect::connect_target;
+use super::connect::{ConnectLimits, connect_target};
 use super::relays::connect_through_relay;
 use crate::node::{GatewayNode, TargetDoubt};
 
@@ -90,7 +90,7 @@
     }
     // What other nodes tell of further targets shows whether this one is partitioned from all.
     for (other, address) in other_targets(&node, id) {
-        let connecting = connect_target(&node, &other, address, CONTACT_TIMEOUT, CONTACT_TIMEOUT);
-        drop(connecting.await);
+        let limits = ConnectLimits::both(CONTACT_TIMEOUT);
+        drop(connect_target(&node, &other, address, limits).await);
     }
 }
--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -15,7 +15,7 @@
 mod state;
 
 pub use checks::{check_lost_paths, watch_path};
-pub use connect::{TargetConnection, connect_target};
+pub use connect::{ConnectLimits, TargetConnection, connect_target};
 pub use contact::confirm_doubts;
 pub use serve::serve_tunnel;
 pub use state::TunnelState;
