Open new connections only just after one has broken

An attempt after any loss, also after a stall, opened a new connection, and two broken ones within half a second closed all idle ones; busy targets reset new connections.

Change: a new connection is opened only within 50 ms of a break, and all idle ones are closed only if two targets' break within that time, as a partition breaks them.

--- a/crates/gateway/src/attempt_connection.rs
+++ b/crates/gateway/src/attempt_connection.rs
@@ -57,11 +57,23 @@
 pub enum ConnectionReuse {
     /// The most recently used one, if there is any.
     Allowed,
-    /// The attempt before was lost. Whatever broke its connection, as a partition does, may have broken
-    /// the idle ones as well, which shows only when they are used.
+    /// A connection has just broken. Whatever did that, as a partition does, may have broken the idle ones
+    /// as well, which shows only when they are used.
     Never,
 }
 
+impl ConnectionReuse {
+    /// What an attempt may use now. Idle connections are preferred, since busy targets reset new ones.
+    #[must_use]
+    pub fn now(node: &GatewayNode) -> Self {
+        if node.has_connection_broken() {
+            Self::Never
+        } else {
+            Self::Allowed
+        }
+    }
+}
+
 /// Sends a request on a connection and waits for the response head.
 ///
 /// # Errors
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -202,11 +202,7 @@
         }
         state.tried.insert(target.id.clone());
         let timeout = attempt_timeout(admitted, &state, now);
-        let reuse = if state.may_have_run {
-            ConnectionReuse::Never
-        } else {
-            ConnectionReuse::Allowed
-        };
+        let reuse = ConnectionReuse::now(node);
         let outcome = send_attempt(node, admitted, &target, None, reuse, timeout).await;
         match outcome {
             AttemptOutcome::Responded(response) => {
--- a/crates/gateway/src/node/paths.rs
+++ b/crates/gateway/src/node/paths.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Whether a connection of this node's own has just broken.
+    #[must_use]
+    pub fn has_connection_broken(&self) -> bool {
+        self.paths.borrow().has_broken(self.now())
+    }
+
     /// Records that bytes of a target arrived on a connection of this node's own.
     pub fn record_path_received(&self, id: &HostId) {
         self.paths.borrow_mut().record_received(id, self.now());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -265,7 +265,7 @@
             let limit = self.request.time_left(now).min(FAILOVER_TIMEOUT);
             self.tried.insert(target.id.clone());
             let after = self.splitter.last_id();
-            let reuse = ConnectionReuse::Never;
+            let reuse = ConnectionReuse::now(&self.node);
             let outcome =
                 send_attempt(&self.node, &self.request, &target, after, reuse, limit).await;
             match outcome {
--- a/crates/serving/src/target_paths.rs
+++ b/crates/serving/src/target_paths.rs
@@ -30,8 +30,9 @@
 /// partitioned from all.
 const PARTITION_TARGETS: usize = 2;
 
-/// Time within which broken connections to two targets have the same cause.
-const BREAK_WINDOW: Duration = Duration::from_millis(500);
+/// Time within which broken connections to two targets have the same cause. A target that breaks off single
+/// responses must not cost all idle connections: busy targets reset new ones.
+const BREAK_WINDOW: Duration = Duration::from_millis(50);
 
 /// Interval between two checks of the same path.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -156,6 +157,13 @@
         before.is_some_and(|(other, at)| other != *id && now.saturating_sub(at) < BREAK_WINDOW)
     }
 
+    /// Whether a connection of this node's own has just broken.
+    #[must_use]
+    pub fn has_broken(&self, now: Duration) -> bool {
+        let broken = self.broken.as_ref();
+        broken.is_some_and(|(_, at)| now.saturating_sub(*at) < BREAK_WINDOW)
+    }
+
     /// Records that bytes of a target arrived on a connection of this node's own.
     pub fn record_received(&mut self, id: &HostId, now: Duration) {
         self.received_at = now;
