--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -14,6 +14,7 @@
 
 use super::intake::FeedIntake;
 use super::pace::pause_after;
+use super::provenance::{TableConfirmation, TableOrigin};
 use super::state::FeedSource;
 use crate::node::GatewayNode;
 
@@ -104,7 +105,11 @@
                 is_compacted = false;
                 let changed = !delta.rows.is_empty();
                 let answered_at = node.now();
-                intake.take(table, delta, answered_at);
+                let confirmation = TableConfirmation {
+                    confirmed_at: answered_at,
+                    origin: TableOrigin::Store,
+                };
+                intake.take(table, delta, confirmation);
                 let applied_in = node.now().saturating_sub(answered_at);
                 intake.store_answered(table);
                 if changed {
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -20,6 +20,7 @@
 use super::intake::FeedIntake;
 use super::messages::decode_delta;
 use super::pace::pause_after;
+use super::provenance::{TableConfirmation, TableOrigin};
 use super::state::{FeedMember, FeedSource};
 use crate::node::GatewayNode;
 
@@ -313,11 +314,14 @@
         node.feed.record_contact();
     }
     for delta in response.tables {
-        let confirmed_at = now.saturating_sub(age_of(&delta));
+        let confirmation = TableConfirmation {
+            confirmed_at: now.saturating_sub(age_of(&delta)),
+            origin: TableOrigin::Node(link.dialed.peer().clone()),
+        };
         let table = delta.table;
         let decoded = decode_delta(&node.feed.copy(table).borrow(), delta);
         let decoded = decoded.ok_or(FollowError::UnknownBase)?;
-        intake.take(table, decoded, confirmed_at);
+        intake.take(table, decoded, confirmation);
     }
     Ok(())
 }
--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -2,12 +2,12 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use events::{EventCode, LogLine};
 use serving::feed::{StoreRow, TableDelta};
 use wire::feed::{FeedLane, FeedTable};
 
+use super::provenance::TableConfirmation;
 use super::state::FeedSource;
 use super::watchers::{ConfigWatcher, RegistryWatcher};
 use crate::heartbeat::count_nodes;
@@ -32,8 +32,8 @@
         }
     }
 
-    /// Takes in changes that the store confirmed at `confirmed_at`.
-    pub fn take(&self, table: FeedTable, delta: TableDelta, confirmed_at: Duration) {
+    /// Takes in changes, and up to when they are complete.
+    pub fn take(&self, table: FeedTable, delta: TableDelta, confirmation: TableConfirmation) {
         if delta.is_full && table == FeedTable::Registry {
             let rows = u64::try_from(delta.rows.len()).unwrap_or(u64::MAX);
             let line = LogLine::new(EventCode::RegistryRead)
@@ -42,7 +42,8 @@
             self.node.log(&line);
         }
         let version = delta.version;
-        let changed = self.node.feed.take(table, delta, confirmed_at);
+        let confirmed_at = confirmation.confirmed_at;
+        let changed = self.node.feed.take(table, delta, confirmation);
         self.apply_changed(table, &changed);
         match table {
             FeedTable::Config => {}
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -10,6 +10,8 @@
 use tokio::sync::Notify;
 use wire::feed::{FeedLane, FeedTable};
 
+use super::provenance::{TableConfirmation, TableOrigin};
+
 /// Minimum interval between two counts of the nodes.
 pub const COUNT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -54,6 +56,7 @@
     config: RefCell<TableCopy>,
     registry: RefCell<TableCopy>,
     nodes: RefCell<TableCopy>,
+    config_origin: RefCell<TableOrigin>,
     address: Cell<Option<SocketAddr>>,
     is_counted: Cell<bool>,
     urgent_source: Cell<FeedSource>,
@@ -91,6 +94,7 @@
             config: RefCell::default(),
             registry: RefCell::default(),
             nodes: RefCell::default(),
+            config_origin: RefCell::default(),
             address: Cell::default(),
             is_counted: Cell::default(),
             urgent_source: Cell::default(),
@@ -120,7 +124,7 @@
         &self,
         table: FeedTable,
         delta: TableDelta,
-        confirmed_at: Duration,
+        confirmation: TableConfirmation,
     ) -> Vec<StoreRow> {
         let mut copy = self.copy(table).borrow_mut();
         let changed = if delta.is_full {
@@ -132,10 +136,25 @@
         if let Some(gap) = delta.gap {
             copy.record_gap(gap);
         }
-        copy.confirm(delta.version, confirmed_at);
+        copy.confirm(delta.version, confirmation.confirmed_at);
+        if table == FeedTable::Config {
+            *self.config_origin.borrow_mut() = confirmation.origin;
+        }
         changed
     }
 
+    /// Time since the store last confirmed the configuration, through however many nodes.
+    #[must_use]
+    pub fn config_age(&self, now: Duration) -> Duration {
+        self.config.borrow().age(now)
+    }
+
+    /// Who last told this node of the configuration.
+    #[must_use]
+    pub fn config_origin(&self) -> TableOrigin {
+        self.config_origin.borrow().clone()
+    }
+
     /// Whether the nodes should be counted now, which takes a pass over all heartbeats.
     pub fn begin_count(&self, now: Duration) -> bool {
         let is_due = self
--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -44,7 +44,10 @@
         };
         let revision = config.revision;
         if self.node.set_config(config) {
-            let line = LogLine::new(EventCode::ConfigApplied).number("revision", revision.0);
+            let line = LogLine::new(EventCode::ConfigApplied)
+                .number("revision", revision.0)
+                .number("row_version", row.version.0)
+                .text("source", &self.node.feed.config_origin().to_string());
             self.node.log(&line);
         }
     }
--- a/crates/gateway/src/heartbeat/mod.rs
+++ b/crates/gateway/src/heartbeat/mod.rs
@@ -13,7 +13,7 @@
 
 use self::interval::heartbeat_interval;
 use self::row::{DecisionRow, LinkRow, NodeRow};
-use crate::feed::COUNT_INTERVAL;
+use crate::feed::{COUNT_INTERVAL, TableConfirmation, TableOrigin};
 use crate::node::GatewayNode;
 
 mod census;
@@ -188,7 +188,11 @@
         }
         Err(error) => return Err(error),
     };
-    node.feed.take(FeedTable::Nodes, delta, node.now());
+    let confirmation = TableConfirmation {
+        confirmed_at: node.now(),
+        origin: TableOrigin::Store,
+    };
+    node.feed.take(FeedTable::Nodes, delta, confirmation);
     count_nodes(node);
     Ok(())
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
 pub struct NodeStats {
     /// Revision of the configuration in force; 0 if there is none.
     pub config_revision: u64,
+    /// Time since the store last confirmed the configuration.
+    pub config_age: Duration,
     /// Time since the store last confirmed the registry data.
     pub registry_age: Duration,
     /// Replicas that are open and have no suspected member.
@@ -98,7 +100,7 @@
     tunnels: Counter<u64>,
     stranded_time: Counter<f64>,
     downtime: Counter<f64>,
-    gauges: [(Gauge<f64>, ReadStat); 17],
+    gauges: [(Gauge<f64>, ReadStat); 18],
 }
 
 type ReadStat = fn(&NodeStats) -> f64;
@@ -213,12 +215,15 @@
     }
 }
 
-fn gauges(meter: &Meter) -> [(Gauge<f64>, ReadStat); 17] {
+fn gauges(meter: &Meter) -> [(Gauge<f64>, ReadStat); 18] {
     let gauge = |name| meter.f64_gauge(name).build();
     [
         (gauge("bramleyspring.gateway.config.revision"), |stats| {
             u64_to_f64(stats.config_revision)
         }),
+        (gauge("bramleyspring.gateway.config.age"), |stats| {
+            stats.config_age.as_secs_f64()
+        }),
         (gauge("bramleyspring.gateway.registry.age"), |stats| {
             stats.registry_age.as_secs_f64()
         }),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -76,6 +76,7 @@
         let registry = self.registry.borrow();
         let mut stats = NodeStats {
             config_revision: self.config().map_or(0, |config| config.revision.0),
+            config_age: self.feed.config_age(self.now()),
             registry_age: self.registry_age(),
             suspected_targets: self.suspicions.borrow().len(),
             live_nodes: self.live_nodes.borrow().len(),
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -71,7 +71,9 @@
         .number("status", u64::from(status.as_u16()))
         .text("reason", reason)
         .number("revision", revision(node))
-        .millis("registry_age_ms", node.registry_age());
+        .millis("registry_age_ms", node.registry_age())
+        .millis("config_age_ms", node.feed.config_age(node.now()))
+        .text("config_source", &node.feed.config_origin().to_string());
     if let Some(admitted) = admitted {
         let elapsed = node.now().saturating_sub(admitted.arrived);
         line = line
--- a/tests/gateway/failure_diagnosis.rs
+++ b/tests/gateway/failure_diagnosis.rs
@@ -55,6 +55,28 @@
     node.wait_log_line(&["target_gone", &head]).await;
 }
 
+/// An unknown path is refused. The log line tells which configuration decided, how old it was and who
+/// confirmed it, and the metrics tell the same of the node.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_route() {
+    let site = TestSite::start(0, 1);
+    let node = site.node("n0").await;
+    let applied = node.wait_log_line(&["config_applied"]).await;
+    assert_eq!(applied["source"], "store");
+    assert!(applied["row_version"].as_u64() > Some(0));
+    let response = TestRequest::new("/nowhere/x", "failed-4").send(&node).await;
+    assert_eq!(response.status, StatusCode::NOT_FOUND);
+    let line = node.wait_log_line(&["request_failed", "failed-4"]).await;
+    assert_eq!(line["revision"], 1);
+    assert_eq!(line["config_source"], "store");
+    assert!(line["config_age_ms"].is_u64());
+    let metrics = node.metrics().await;
+    for name in ["config_revision", "config_age"] {
+        let full = format!("bramleyspring_gateway_{name}");
+        assert!(metrics.contains(&full), "{metrics}");
+    }
+}
+
 /// The response to a payment is lost. The log line of the attempt names the target, and the final
 /// line has status 502 because the outcome is unknown.
 #[tokio::test(flavor = "multi_thread")]
