Add failing tests of refusals by a copy that nobody has confirmed

Each sends its questions later than the bound (2 s) after the store confirmed a new route or key, to real processes.

--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -5,6 +5,7 @@
 //! tests exercise the production clients.
 
 mod engine;
+mod gate;
 mod groups;
 mod http;
 mod orders;
@@ -13,7 +14,8 @@
 mod stream;
 
 pub use engine::{CRASH_BODY, SiteEngine};
+pub use gate::{GateMode, StoreGate};
 pub use groups::SiteGroups;
 pub use http::ConnectionLossGuard;
 pub use service::{ServiceMode, SiteInstance};
-pub use store::{SiteStore, StoreMode};
+pub use store::{SiteStore, StoreMode, StoreRates};
--- a/crates/standin/src/site/service.rs
+++ b/crates/standin/src/site/service.rs
@@ -57,6 +57,20 @@
     ///
     /// Returns an error if no port can be bound.
     pub fn start(store: &SiteStore, id: &str, zone: &str) -> std::io::Result<Self> {
+        Self::start_for(store, id, zone, "records")
+    }
+
+    /// Starts an instance of another service and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub fn start_for(
+        store: &SiteStore,
+        id: &str,
+        zone: &str,
+        service: &str,
+    ) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(InstanceState {
             mode: ServiceMode::Healthy,
             executed: Vec::new(),
@@ -71,7 +85,7 @@
         let crash = Arc::clone(&server.crash);
         state.lock().unwrap_or_else(PoisonError::into_inner).crash = Some(crash);
         let row = json!({
-            "service": "records", "address": server.address.to_string(), "zone": zone,
+            "service": service, "address": server.address.to_string(), "zone": zone,
             "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
         });
         store.put("servers", id, row.to_string().as_bytes());
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -24,6 +24,51 @@
     Unavailable,
 }
 
+/// How quickly the store responds, and how many calls it takes.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreRates {
+    /// Time until each response.
+    pub answer: Duration,
+    /// Reading calls per second; further ones are refused.
+    pub reads_per_s: u32,
+    /// Writing calls per second; further ones are refused.
+    pub writes_per_s: u32,
+}
+
+/// Calls within the current second.
+#[derive(Debug, Default)]
+struct CallWindow {
+    second: u64,
+    reads: u32,
+    writes: u32,
+}
+
+impl CallWindow {
+    /// Counts a call; returns whether it is within the rates.
+    fn admits(&mut self, second: u64, is_write: bool, rates: StoreRates) -> bool {
+        if second != self.second {
+            *self = Self {
+                second,
+                ..Self::default()
+            };
+        }
+        let (count, most) = if is_write {
+            (&mut self.writes, rates.writes_per_s)
+        } else {
+            (&mut self.reads, rates.reads_per_s)
+        };
+        *count += 1;
+        *count <= most
+    }
+}
+
+/// A write that feed calls waiting at the time don't show, though they name its version.
+#[derive(Debug, Clone, Copy)]
+struct HiddenWrite {
+    version: u64,
+    written_at: Instant,
+}
+
 /// Table and key of a row; all rows are in the partition with the empty name.
 type RowKey = (String, String);
 
@@ -35,6 +80,11 @@
     compacted_version: u64,
     mode: StoreMode,
     calls: u64,
+    rates: Option<StoreRates>,
+    window: CallWindow,
+    hidden: Option<HiddenWrite>,
+    /// Added to the clock that responses tell, in milliseconds.
+    clock_step_ms: u64,
     /// Texts that are replaced in written values, and their replacements.
     replacements: Vec<(String, String)>,
 }
@@ -58,6 +108,10 @@
                 compacted_version: 0,
                 mode: StoreMode::Healthy,
                 calls: 0,
+                rates: None,
+                window: CallWindow::default(),
+                hidden: None,
+                clock_step_ms: 0,
                 replacements: Vec::new(),
             })),
             changed: Arc::default(),
@@ -136,6 +190,33 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes a row as a store does whose responses are not of one moment: feed calls that wait end
+    /// without the row, and name a version that includes it.
+    pub fn put_behind_polls(&self, table: &str, key: &str, value: &[u8]) {
+        self.with(|state| {
+            state.version += 1;
+            let version = state.version;
+            let row = (Some(value.to_vec()), version);
+            state.rows.insert((table.to_owned(), key.to_owned()), row);
+            state.hidden = Some(HiddenWrite {
+                version,
+                written_at: Instant::now(),
+            });
+        });
+        self.changed.notify_waiters();
+    }
+
+    /// Limits the calls, and delays the responses, from now on.
+    pub fn set_rates(&self, rates: StoreRates) {
+        self.with(|state| state.rates = Some(rates));
+    }
+
+    /// Lets the clock that responses tell jump forward.
+    pub fn step_clock(&self, step: Duration) {
+        let step = u64::try_from(step.as_millis()).unwrap_or(u64::MAX);
+        self.with(|state| state.clock_step_ms += step);
+    }
+
     /// Replaces an address in all values that nodes write from now on, so that others reach them through
     /// a proxy.
     pub fn replace_address(&self, from: SocketAddr, to: SocketAddr) {
@@ -161,11 +242,22 @@
         self.with(|state| state.calls)
     }
 
-    async fn handle(&self, request: SiteRequest) -> SiteResponse {
-        let mode = self.with(|state| {
+    pub(super) async fn handle(&self, request: SiteRequest) -> SiteResponse {
+        let second = self.started.elapsed().as_secs();
+        let is_write = request.path == "/rows-tx";
+        let (mode, rates, is_admitted) = self.with(|state| {
             state.calls += 1;
-            state.mode
+            let rates = state.rates;
+            let is_admitted =
+                rates.is_none_or(|rates| state.window.admits(second, is_write, rates));
+            (state.mode, rates, is_admitted)
         });
+        if let Some(rates) = rates {
+            tokio::time::sleep(rates.answer).await;
+        }
+        if !is_admitted {
+            return text_response(StatusCode::TOO_MANY_REQUESTS, "");
+        }
         match mode {
             StoreMode::Healthy => {}
             StoreMode::Unresponsive => std::future::pending().await,
@@ -186,10 +278,11 @@
             .query("limit")
             .and_then(|limit| limit.parse().ok())
             .unwrap_or(500);
-        let rows = self.rows(|(name, key), row| *name == table && row.0.is_some() && *key >= from);
+        let (rows, version) =
+            self.rows(|(name, key), row| *name == table && row.0.is_some() && *key >= from);
         let has_more = rows.len() > limit;
         let rows: Vec<Value> = rows.into_iter().take(limit).collect();
-        self.page(&rows, has_more)
+        self.page(&rows, version, has_more)
     }
 
     async fn feed(&self, request: &SiteRequest) -> SiteResponse {
@@ -200,20 +293,24 @@
         };
         let table = request.query("table").unwrap_or_default();
         let after = number("after").unwrap_or(0);
-        let deadline = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let began = Instant::now();
+        let deadline = began + Duration::from_millis(number("wait_ms").unwrap_or(0));
         loop {
             let changed = self.changed.notified();
-            let (compacted_version, mode) =
-                self.with(|state| (state.compacted_version, state.mode));
+            let (compacted_version, mode, hidden) =
+                self.with(|state| (state.compacted_version, state.mode, state.hidden));
+            let hidden = hidden.filter(|hidden| began < hidden.written_at);
             if mode == StoreMode::Unresponsive {
                 std::future::pending::<()>().await;
             }
             if after < compacted_version {
                 return text_response(StatusCode::GONE, "");
             }
-            let rows = self.rows(|(name, _), row| *name == table && row.1 > after);
-            if !rows.is_empty() || Instant::now() >= deadline {
-                return self.page(&rows, false);
+            let is_hidden = |version| hidden.is_some_and(|hidden| hidden.version == version);
+            let (rows, version) =
+                self.rows(|(name, _), row| *name == table && row.1 > after && !is_hidden(row.1));
+            if !rows.is_empty() || hidden.is_some() || Instant::now() >= deadline {
+                return self.page(&rows, version, false);
             }
             let remaining = deadline.saturating_duration_since(Instant::now());
             // The loop checks again after a change as well as after the timeout.
@@ -238,13 +335,15 @@
             let text = |name: &str| removed[name].as_str().unwrap_or_default();
             self.remove(text("table"), text("key"));
         }
-        self.page(&[], false)
+        let version = self.with(|state| state.version);
+        self.page(&[], version, false)
     }
 
-    fn rows(&self, wanted: impl Fn(&RowKey, &(Option<Vec<u8>>, u64)) -> bool) -> Vec<Value> {
+    /// Rows, and the newest version at the same moment.
+    fn rows(&self, wanted: impl Fn(&RowKey, &(Option<Vec<u8>>, u64)) -> bool) -> (Vec<Value>, u64) {
         self.with(|state| {
             let rows = state.rows.iter().filter(|(key, row)| wanted(key, row));
-            rows.map(|((table, key), (value, version))| {
+            let rows = rows.map(|((table, key), (value, version))| {
                 let value = value
                     .as_ref()
                     .map(|value| STANDARD.encode(replace_all(value, &self.read_replacements)));
@@ -252,14 +351,14 @@
                     "table": table, "part": "", "key": key, "row_version": version,
                     "value": value, "removed": value.is_none(),
                 })
-            })
-            .collect()
+            });
+            (rows.collect(), state.version)
         })
     }
 
-    fn page(&self, rows: &[Value], has_more: bool) -> SiteResponse {
-        let now = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let version = self.with(|state| state.version);
+    fn page(&self, rows: &[Value], version: u64, has_more: bool) -> SiteResponse {
+        let elapsed = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let now = self.with(|state| elapsed.saturating_add(state.clock_step_ms));
         json_response(&json!({
             "rows": rows, "has_more": has_more, "row_version": version, "now_ms": now,
         }))
--- /dev/null
+++ b/tests/gateway/config_freshness.rs
@@ -0,0 +1,189 @@
+//! A node whose copy of the configuration nobody has confirmed lately must not refuse for the whole
+//! system: it applies a confirmed change in time, or says that it does not know.
+//!
+//! Each question is sent later than the bound after the confirmation. A refusal is wrong then however
+//! slowly the machine runs, since it has to be proved by a call to the store that began later.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use serde_json::json;
+use standin::site::GateMode;
+use tokio::time::Instant;
+
+use crate::node::TestNode;
+use crate::request::TestRequest;
+use crate::site::{CONFIG_BOUND, TestSite, configuration, with_route};
+
+/// Prefix of a route that a change adds.
+const ADDED: &str = "/added/";
+
+/// Time after which a node that has applied a change waits for the next one.
+const POLL_BEGUN: Duration = Duration::from_millis(250);
+
+/// Time between questions to a node.
+const ASK_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Time for which a node is asked.
+const ASK_TIME: Duration = Duration::from_secs(3);
+
+/// Writes a configuration; returns when it was confirmed.
+fn confirm(site: &TestSite, config: &serde_json::Value) -> Instant {
+    site.configure(config);
+    Instant::now()
+}
+
+/// Waits until the node has just begun to wait for the next change.
+async fn wait_for_poll(site: &TestSite, node: &TestNode, version: u64) {
+    site.configure(&configuration(version));
+    let line = format!("\"revision\":{version}");
+    node.wait_log_line(&["config_applied", &line]).await;
+    tokio::time::sleep(POLL_BEGUN).await;
+}
+
+/// Asks for the added route from the bound on; none of the responses may refuse it.
+async fn assert_not_refused(node: &TestNode, confirmed: Instant) {
+    tokio::time::sleep_until(confirmed + CONFIG_BOUND).await;
+    let until = Instant::now() + ASK_TIME;
+    for number in 0.. {
+        if Instant::now() > until {
+            return;
+        }
+        let id = format!("added-{number}");
+        let response = TestRequest::new("/added/x", &id).send(node).await;
+        assert_ne!(
+            response.status,
+            StatusCode::NOT_FOUND,
+            "{:?} after the confirmation",
+            confirmed.elapsed()
+        );
+        tokio::time::sleep(ASK_INTERVAL).await;
+    }
+}
+
+async fn assert_served_soon(node: &TestNode) {
+    node.wait_log_line(&["config_applied", "\"revision\":8"])
+        .await;
+    let response = TestRequest::new("/added/x", "last").send(node).await;
+    assert_eq!(response.status, StatusCode::OK);
+}
+
+async fn lost_responses(count: u32) {
+    let site = TestSite::start(0, 1);
+    let (node, gate) = site.gated_node("z0", "n0").await;
+    wait_for_poll(&site, &node, 7).await;
+    gate.lose_config(count);
+    let confirmed = confirm(&site, &with_route(8, ADDED));
+    assert_not_refused(&node, confirmed).await;
+    assert_served_soon(&node).await;
+}
+
+/// Guards against one lost response that makes a node refuse a confirmed route.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_response() {
+    lost_responses(1).await;
+}
+
+/// Guards against two lost responses in a row that make a node refuse a confirmed route.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_lost_responses() {
+    lost_responses(2).await;
+}
+
+/// Guards against a change that is skipped until the next one, by all nodes at once: their polls end
+/// without it, and name a version that includes it.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_ahead_of_rows() {
+    let site = TestSite::start(0, 1);
+    let nodes = [site.node("n0").await, site.node("n1").await];
+    for node in &nodes {
+        wait_for_poll(&site, node, 7).await;
+    }
+    let config = with_route(8, ADDED).to_string();
+    site.store
+        .put_behind_polls("op", "config", config.as_bytes());
+    let confirmed = Instant::now();
+    for node in &nodes {
+        assert_not_refused(node, confirmed).await;
+        assert_served_soon(node).await;
+    }
+}
+
+/// Guards against a node that wakes after a pause and answers the requests that waited in its buffers
+/// from a copy of before it.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_process() {
+    let site = TestSite::start(0, 1);
+    let (node, gate) = site.gated_node("z0", "n0").await;
+    wait_for_poll(&site, &node, 7).await;
+    node.signal("STOP");
+    gate.lose_config(1);
+    let confirmed = confirm(&site, &with_route(8, ADDED));
+    tokio::time::sleep_until(confirmed + CONFIG_BOUND).await;
+    let asked = tokio::join!(assert_not_refused(&node, confirmed), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        node.signal("CONT");
+    });
+    drop(asked);
+    assert_served_soon(&node).await;
+}
+
+async fn unreachable_store(mode: GateMode) {
+    let site = TestSite::start(0, 1);
+    let (node, gate) = site.gated_node("z0", "n0").await;
+    wait_for_poll(&site, &node, 7).await;
+    gate.set(mode);
+    let confirmed = confirm(&site, &with_route(8, ADDED));
+    assert_not_refused(&node, confirmed).await;
+    let known = TestRequest::new("/look/x", "known").send(&node).await;
+    assert_eq!(known.status, StatusCode::OK);
+    gate.set(GateMode::Open);
+    assert_served_soon(&node).await;
+}
+
+/// Guards against a node that the store turns away, with no other node to follow, and that refuses what
+/// has been confirmed since. What it knows it serves on.
+#[tokio::test(flavor = "multi_thread")]
+async fn turned_away_alone() {
+    unreachable_store(GateMode::TurnsAway).await;
+}
+
+/// Guards against the same of a node whose store is silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_store() {
+    unreachable_store(GateMode::Silent).await;
+}
+
+/// Guards against a new key that is refused: the client is told for good that it is unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_key_after_lost_response() {
+    let site = TestSite::start(0, 1);
+    let (node, gate) = site.gated_node("z0", "n0").await;
+    wait_for_poll(&site, &node, 7).await;
+    gate.lose_config(2);
+    let mut config = configuration(8);
+    config["tenants"][0]["api_keys"] = json!([crate::site::KEY, "key-of-a-new-clerk"]);
+    let confirmed = confirm(&site, &config);
+    tokio::time::sleep_until(confirmed + CONFIG_BOUND).await;
+    for number in 0..30 {
+        let request = TestRequest::new("/look/x", &format!("new-{number}"));
+        let request = request.header("x-credential", "key-of-a-new-clerk");
+        let response = request.send(&node).await;
+        assert_ne!(response.status, StatusCode::UNAUTHORIZED);
+        tokio::time::sleep(ASK_INTERVAL).await;
+    }
+}
+
+/// A refusal by a copy that the store has just confirmed is final: the client is not asked to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_route_refused() {
+    let site = TestSite::start(0, 1);
+    let node = site.node("n0").await;
+    for number in 0..100 {
+        let response = TestRequest::new("/nowhere/x", &format!("none-{number}"))
+            .send(&node)
+            .await;
+        assert_eq!(response.status, StatusCode::NOT_FOUND);
+        tokio::time::sleep(ASK_INTERVAL).await;
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests: the built binary against a simulated platform, one module per feature.
 
 mod blocked_log;
+mod config_freshness;
 mod failure_diagnosis;
 mod full_restart;
 mod idle_connections;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -6,10 +6,11 @@
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use standin::site::{
-    ConnectionLossGuard, ServiceMode, SiteEngine, SiteGroups, SiteInstance, SiteStore,
+    ConnectionLossGuard, ServiceMode, SiteEngine, SiteGroups, SiteInstance, SiteStore, StoreGate,
 };
 
 use crate::BINARY;
@@ -21,6 +22,13 @@
 /// API key of the only customer.
 pub const KEY: &str = "key-of-the-desk";
 
+/// Time after its confirmation within which a configuration is in force everywhere, as on the users'
+/// small deployments.
+const CONFIG_BOUND_MS: u64 = 2000;
+
+/// The same bound.
+pub const CONFIG_BOUND: Duration = Duration::from_millis(CONFIG_BOUND_MS);
+
 /// Simulated platform: store, engines and instances of a plain service.
 pub struct TestSite {
     pub store: SiteStore,
@@ -71,6 +79,17 @@
     })
 }
 
+/// The configuration with one more route.
+pub fn with_route(version: u64, prefix: &str) -> Value {
+    let mut config = configuration(version);
+    let routes = config["routes"].as_array_mut().expect("routes are a list");
+    let mut route = routes[2].clone();
+    route["name"] = json!(format!("added {prefix}"));
+    route["prefix"] = json!(prefix);
+    routes.push(route);
+    config
+}
+
 /// Listen addresses on ports chosen by the system.
 fn any_ports() -> Value {
     let any = "127.0.0.1:0";
@@ -236,6 +255,13 @@
         node
     }
 
+    /// Starts a gateway that reaches the store through a gate of its own, and waits until it is ready.
+    pub async fn gated_node(&self, domain: &str, name: &str) -> (TestNode, StoreGate) {
+        let gate = StoreGate::open(&self.store).expect("a port is free");
+        let node = self.node_in(domain, name, gate.address).await;
+        (node, gate)
+    }
+
     /// Address of the store.
     pub fn store_address(&self) -> SocketAddr {
         self.store_address
@@ -266,7 +292,8 @@
             "first_start": first_start,
             "listen": listen,
             "bounds": {"stop_grace_s": 8, "repeat_ratio": 0.2, "repeat_window_s": 10,
-                "repeat_extra": 130, "load_window_s": 5, "fencing": false},
+                "repeat_extra": 130, "load_window_s": 5, "fencing": false,
+                "config_ms": CONFIG_BOUND_MS, "drain_ms": 2000},
         })
     }
 
