Refuse for good only what the store has confirmed within the bound

What callers saw: 404 and 401 for routes and keys that had been confirmed for longer than the bound. Cause: a refusal speaks for the whole system, and admission gave it from the copy in hand, however old; a node that was paused, turned away, or whose poll was lost, could not know. Class: a negative answer from data without a proof of its age. Now each copy knows a moment at which the store held nothing newer, proved by a call that began later: the start of a call, or the end of its wait if it brought nothing. Unlike the time at which a response was read it counts what waited for the process; over links a node adds the time for which its source held the request. If the proof is older than the bound, 404, 401 and 413 become 503 with Retry-After, and what the node knows it serves on.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -25,6 +25,9 @@
 /// Maximum size of a body that is discarded while the configured limit is unknown, in bytes.
 const DEFAULT_DISCARD_BYTES: usize = 4 << 20;
 
+/// `Retry-After` of a request that an unconfirmed configuration does not allow; other nodes may know.
+const UNPROVED_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Response to a request that is not admitted.
 #[derive(Debug, Clone, Copy)]
 pub struct Rejection {
@@ -45,6 +48,23 @@
         }
     }
 
+    /// Replaces a refusal that the configuration decided while nobody has confirmed it lately: another
+    /// node may know a newer one, which allows the request.
+    fn unless_unproved(self, node: &GatewayNode) -> Self {
+        let is_final = matches!(
+            self.response,
+            LocalResponse::NoRoute | LocalResponse::Unauthorized | LocalResponse::BodyTooLarge
+        );
+        if !is_final || node.is_config_proved() {
+            return self;
+        }
+        Self {
+            response: LocalResponse::NotExecuted(UNPROVED_RETRY_AFTER),
+            reason: "the configuration may be out of date",
+            ..self
+        }
+    }
+
     /// Reads the rest of the request before the response: if the connection were closed on it, the
     /// client's next request would be cut off.
     async fn after_body(self, body: Incoming, max_bytes: usize) -> Self {
@@ -73,10 +93,12 @@
     let (route, key, service) = match check_head(config, &head, headers) {
         Ok(checked) => checked,
         Err(rejection) => {
+            let rejection = rejection.unless_unproved(node);
             return Err(rejection.after_body(body, config.limits.body_bytes).await);
         }
     };
-    let body = read_body(body, config.limits.body_bytes).await?;
+    let body = read_body(body, config.limits.body_bytes).await;
+    let body = body.map_err(|rejection| rejection.unless_unproved(node))?;
     let timeout = headers
         .time_left
         .map_or(route.timeout, |left| left.min(route.timeout));
--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -18,10 +18,6 @@
 use super::state::FeedSource;
 use crate::node::GatewayNode;
 
-/// Wait time of one long poll. A connection may go silent without being closed, and a node must
-/// know the current state within three seconds of that, so each call ends earlier.
-const LONG_POLL_WAIT: Duration = Duration::from_secs(2);
-
 /// Wait time of a long poll of a node that others follow: it must learn of a silent connection, and
 /// they from it, within those three seconds.
 const ROOT_POLL_WAIT: Duration = Duration::from_secs(1);
@@ -89,7 +85,7 @@
         let wait = if is_first {
             Duration::ZERO
         } else {
-            poll_wait(&node)
+            poll_wait(&node, table)
         };
         let result = poll_once(&node, &mut client, table, known, wait).await;
         let outcome = if result.is_ok() { "answered" } else { "failed" };
@@ -107,6 +103,7 @@
                 let answered_at = node.now();
                 let confirmation = TableConfirmation {
                     confirmed_at: answered_at,
+                    proved_at: Some(proof_time(started_at, took, wait, changed)),
                     origin: TableOrigin::Store,
                 };
                 intake.take(table, delta, confirmation);
@@ -130,6 +127,16 @@
     }
 }
 
+/// Moment up to which a response is proved to be complete. It may have been built at any time after
+/// its call began, and have waited here since, for example while the process was paused. One without
+/// changes was held by the store for the whole wait.
+fn proof_time(started_at: Duration, took: Duration, wait: Duration, changed: bool) -> Duration {
+    if changed || took < wait {
+        return started_at;
+    }
+    started_at + wait
+}
+
 /// Waits until this node has to read a lane's tables itself; returns whether it followed another node
 /// before. Its first call must then show at once whether the store answers: what the node knows is as
 /// old as its source was, and a long poll to a silent store would take up the rest of the time in which
@@ -156,11 +163,11 @@
     }
 }
 
-fn poll_wait(node: &GatewayNode) -> Duration {
+fn poll_wait(node: &GatewayNode, table: FeedTable) -> Duration {
     if node.feed.is_root(&node.settings.node) {
         ROOT_POLL_WAIT
     } else {
-        LONG_POLL_WAIT
+        node.feed_timing(FeedLane::of(table)).poll_wait()
     }
 }
 
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -229,6 +229,7 @@
         whole: wait + TRANSFER_TIMEOUT,
     };
     let payload = encode_message(&request).map_err(LinkError::from)?;
+    let sent_at = intake.node.now();
     let response = link
         .dialed
         .request_bulk::<MAX_FEED_RESPONSE_BYTES>(lane.path(), payload, timeouts)
@@ -236,7 +237,8 @@
     let response: FeedResponse =
         decode_packed::<_, MAX_FEED_RESPONSE_BYTES>(&response).map_err(LinkError::from)?;
     let answered_at = intake.node.now();
-    take_response(intake, lane, link, response, kind)?;
+    let held = Duration::from_millis(u64::from(response.held_ms));
+    take_response(intake, lane, link, response, kind, sent_at + held)?;
     if !is_linked {
         log_followed(intake, lane, source);
     }
@@ -267,13 +269,15 @@
     }
 }
 
-/// Takes in a response if the source's data is recent enough.
+/// Takes in a response if the source's data is recent enough. It was built at `built_at` at the
+/// earliest.
 fn take_response(
     intake: &FeedIntake,
     lane: FeedLane,
     link: &mut SourceLink,
     response: FeedResponse,
     kind: FeedSource,
+    built_at: Duration,
 ) -> Result<(), FollowError> {
     let node = &intake.node;
     let now = node.now();
@@ -316,6 +320,7 @@
     for delta in response.tables {
         let confirmation = TableConfirmation {
             confirmed_at: now.saturating_sub(age_of(&delta)),
+            proved_at: proof_age(&delta).map(|age| built_at.saturating_sub(age)),
             origin: TableOrigin::Node(link.dialed.peer().clone()),
         };
         let table = delta.table;
@@ -326,6 +331,12 @@
     Ok(())
 }
 
+/// Age of a source's proof, rounded up.
+fn proof_age(delta: &FeedDelta) -> Option<Duration> {
+    let age = delta.proof_age_ms?;
+    Some(Duration::from_millis(u64::from(age) + 1))
+}
+
 fn log_followed(intake: &FeedIntake, lane: FeedLane, source: &FeedMember) {
     intake.node.log(
         &LogLine::new(EventCode::FeedFollowed)
--- a/crates/gateway/src/feed/messages.rs
+++ b/crates/gateway/src/feed/messages.rs
@@ -8,7 +8,7 @@
 use wire::feed::{FeedContent, FeedDelta, FeedPosition, FeedRow};
 
 /// Encodes what the sender of a position lacks of a table; `None` before the first read.
-pub fn encode_delta(copy: &TableCopy, position: FeedPosition, age: Duration) -> Option<FeedDelta> {
+pub fn encode_delta(copy: &TableCopy, position: FeedPosition, now: Duration) -> Option<FeedDelta> {
     let known = position.known.map(RowVersion);
     let delta = copy.delta_since(known)?;
     // A receiver that gets all rows is not known to have any.
@@ -17,7 +17,8 @@
     Some(FeedDelta {
         table: position.table,
         version: delta.version.0,
-        age_ms: encode_millis(age),
+        age_ms: encode_millis(copy.age(now)),
+        proof_age_ms: copy.proof_age(now).map(encode_millis),
         is_full: delta.is_full,
         rows: rows.collect(),
         gap: delta.gap.map(|gap| (gap.before.0, gap.after.0)),
--- a/crates/gateway/src/feed/provenance.rs
+++ b/crates/gateway/src/feed/provenance.rs
@@ -27,11 +27,13 @@
     }
 }
 
-/// Tells up to when the changes that came with it are complete.
+/// Tells up to when the changes that came with it are complete, in process time.
 #[derive(Debug, Clone)]
 pub struct TableConfirmation {
-    /// Process time at which the store held nothing newer.
+    /// When this node was told.
     pub confirmed_at: Duration,
+    /// A moment at which the store held nothing newer, proved by a call that began later.
+    pub proved_at: Option<Duration>,
     /// Who told this node.
     pub origin: TableOrigin,
 }
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -110,8 +110,9 @@
                 return respond_error(responder, StatusCode::SERVICE_UNAVAILABLE);
             }
             let request: FeedRequest = decode_message::<_, MAX_FEED_REQUEST_BYTES>(&frame.payload)?;
+            let received_at = node.now();
             wait_for_change(node, &request).await;
-            let response = build_response(node, &request);
+            let response = build_response(node, &request, received_at);
             respond_ok(responder, auth.sign(encode_packed(&response)?)?)
         }
         _ => respond_error(responder, StatusCode::NOT_FOUND),
@@ -161,16 +162,21 @@
     })
 }
 
-fn build_response(node: &GatewayNode, request: &FeedRequest) -> FeedResponse {
+fn build_response(
+    node: &GatewayNode,
+    request: &FeedRequest,
+    received_at: Duration,
+) -> FeedResponse {
     let now = node.now();
     let mut tables: Vec<FeedDelta> = Vec::new();
     for position in request.tables.iter().take(MAX_FEED_TABLES) {
         let copy = node.feed.copy(position.table).borrow();
-        tables.extend(encode_delta(&copy, *position, copy.age(now)));
+        tables.extend(encode_delta(&copy, *position, now));
     }
     let failed_ago = node.feed.failed_at().map(|at| now.saturating_sub(at));
     FeedResponse {
         is_cut_off: node.feed.is_cut_off(),
+        held_ms: encode_millis(now.saturating_sub(received_at)),
         failed_ms_ago: failed_ago.map(encode_millis),
         tables,
     }
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -137,16 +137,21 @@
             copy.record_gap(gap);
         }
         copy.confirm(delta.version, confirmation.confirmed_at);
+        if let Some(proved_at) = confirmation.proved_at {
+            copy.prove(delta.version, proved_at);
+        }
         if table == FeedTable::Config {
             *self.config_origin.borrow_mut() = confirmation.origin;
         }
         changed
     }
 
-    /// Time since the store last confirmed the configuration, through however many nodes.
+    /// Time since a moment at which the store proved to hold no newer configuration, through however
+    /// many nodes; [`Duration::MAX`] before the first proof.
     #[must_use]
     pub fn config_age(&self, now: Duration) -> Duration {
-        self.config.borrow().age(now)
+        let age = self.config.borrow().proof_age(now);
+        age.unwrap_or(Duration::MAX)
     }
 
     /// Who last told this node of the configuration.
--- a/crates/gateway/src/heartbeat/mod.rs
+++ b/crates/gateway/src/heartbeat/mod.rs
@@ -190,6 +190,7 @@
     };
     let confirmation = TableConfirmation {
         confirmed_at: node.now(),
+        proved_at: None,
         origin: TableOrigin::Store,
     };
     node.feed.take(FeedTable::Nodes, delta, confirmation);
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -18,6 +18,7 @@
 use events::{EventCode, LogLine, LogSink};
 use policy::admission::CustomerShares;
 use serving::demand::DemandLedger;
+use serving::feed::FeedTiming;
 use serving::load_board::LoadBoard;
 use serving::replica_history::ReplicaHistory;
 use serving::stall::StallDetector;
@@ -28,6 +29,7 @@
 };
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
+use wire::feed::FeedLane;
 
 use crate::crash::InterruptedRequests;
 use crate::feed::FeedState;
@@ -227,6 +229,23 @@
         self.config.borrow().clone()
     }
 
+    /// Times within which the changes of a lane's tables are asked for.
+    #[must_use]
+    pub fn feed_timing(&self, lane: FeedLane) -> FeedTiming {
+        let bounds = &self.settings.bounds;
+        FeedTiming::new(match lane {
+            FeedLane::Urgent => bounds.drain_bound(),
+            FeedLane::Bulk => bounds.config_bound(),
+        })
+    }
+
+    /// Whether the configuration in force is proved to be the newest that has been confirmed for longer
+    /// than the bound, so that it may speak for the whole system.
+    #[must_use]
+    pub fn is_config_proved(&self) -> bool {
+        self.feed.config_age(self.now()) <= self.settings.bounds.config_bound()
+    }
+
     /// Puts a configuration into force, unless the one in force is as new; returns whether it did.
     pub fn set_config(&self, config: GatewayConfig) -> bool {
         let mut current = self.config.borrow_mut();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,6 +46,9 @@
     pub links: Option<SocketAddr>,
 }
 
+/// Milliseconds per second.
+const MILLIS_PER_S: f64 = 1000.0;
+
 /// Limits set by the platform.
 #[derive(Debug, Clone, Copy, Deserialize)]
 pub struct BoundSettings {
@@ -61,6 +64,10 @@
     pub load_window_s: f64,
     /// Whether engines check fencing tokens.
     pub fencing: bool,
+    /// Time after its confirmation within which a configuration is in force everywhere, in milliseconds.
+    pub config_ms: f64,
+    /// Time after its report within which a draining target gets no new requests, in milliseconds.
+    pub drain_ms: f64,
 }
 
 impl BoundSettings {
@@ -80,6 +87,18 @@
         duration_from_secs(self.load_window_s)
     }
 
+    /// Time after its confirmation within which a configuration is in force everywhere.
+    #[must_use]
+    pub fn config_bound(&self) -> Duration {
+        duration_from_secs(self.config_ms / MILLIS_PER_S)
+    }
+
+    /// Time after its report within which a draining target gets no new requests.
+    #[must_use]
+    pub fn drain_bound(&self) -> Duration {
+        duration_from_secs(self.drain_ms / MILLIS_PER_S)
+    }
+
     /// Time between SIGTERM and SIGKILL.
     #[must_use]
     pub fn stop_grace(&self) -> Duration {
@@ -98,11 +117,12 @@
     Address,
     OptionalAddress,
     NonNegative,
+    Positive,
     Flag,
 }
 
 /// All settings with their types, for validation.
-const FIELDS: [(&str, SettingKind); 15] = [
+const FIELDS: [(&str, SettingKind); 17] = [
     ("node", SettingKind::Name),
     ("failure_domain", SettingKind::Name),
     ("listen.requests", SettingKind::Address),
@@ -118,6 +138,8 @@
     ("bounds.repeat_extra", SettingKind::NonNegative),
     ("bounds.load_window_s", SettingKind::NonNegative),
     ("bounds.fencing", SettingKind::Flag),
+    ("bounds.config_ms", SettingKind::Positive),
+    ("bounds.drain_ms", SettingKind::Positive),
 ];
 
 impl SettingKind {
@@ -130,6 +152,7 @@
                 .as_str()
                 .is_some_and(|address| address.parse::<SocketAddr>().is_ok()),
             Self::NonNegative => value.as_f64().is_some_and(|number| number >= 0.0),
+            Self::Positive => value.as_f64().is_some_and(|number| number > 0.0),
             Self::Flag => value.is_boolean(),
         }
     }
@@ -141,6 +164,7 @@
                 "an address with its port, such as \"10.1.0.40:8227\""
             }
             Self::NonNegative => "a number that is not negative",
+            Self::Positive => "a number above zero",
             Self::Flag => "true or false",
         }
     }
--- a/crates/serving/src/feed/copy.rs
+++ b/crates/serving/src/feed/copy.rs
@@ -69,6 +69,8 @@
     gaps: VecDeque<VersionGap>,
     version: Option<RowVersion>,
     confirmed_at: Duration,
+    /// A moment at which the store held nothing newer, proved by a call that began later.
+    proved_at: Option<Duration>,
 }
 
 impl TableCopy {
@@ -94,6 +96,24 @@
         now.saturating_sub(self.confirmed_at)
     }
 
+    /// Time since a moment at which the store held nothing newer than this copy, proved by a call that
+    /// began later; `None` before the first.
+    ///
+    /// Unlike [`Self::age`], which tells when a response was read, it counts the time for which a
+    /// response was on its way or waited for this process.
+    #[must_use]
+    pub fn proof_age(&self, now: Duration) -> Option<Duration> {
+        self.proved_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Records that the store held nothing newer than `version` of this table at `proved_at`. It says
+    /// nothing of a copy that has a newer row.
+    pub fn prove(&mut self, version: RowVersion, proved_at: Duration) {
+        if !self.is_ahead_of(version) {
+            self.proved_at = self.proved_at.max(Some(proved_at));
+        }
+    }
+
     /// Values of the rows that are not removed, with their keys.
     pub fn values(&self) -> impl Iterator<Item = (&str, &Bytes)> {
         let rows = self.rows.iter();
--- a/crates/serving/src/feed/mod.rs
+++ b/crates/serving/src/feed/mod.rs
@@ -4,11 +4,13 @@
 mod copy;
 mod freshness;
 mod patch;
+mod timing;
 mod tree;
 
 pub use copy::{StoreRow, TableCopy, TableDelta, VersionGap};
 pub use freshness::{FeedSample, max_source_age};
 pub use patch::RowPatch;
+pub use timing::FeedTiming;
 pub use tree::{
     MIN_FOLLOWING_NODES, TREE_FANOUT, fallback_sources, feed_order, feed_sources, tree_depth,
 };
--- a/crates/serving/tests/feed/table_copy.rs
+++ b/crates/serving/tests/feed/table_copy.rs
@@ -238,3 +238,25 @@
     copy.confirm(RowVersion(4), Duration::from_secs(4));
     assert_eq!(copy.age(Duration::from_secs(4)), Duration::from_secs(1));
 }
+
+/// Guards against a copy that counts as proved by a confirmation of something older: a node would refuse
+/// for good what it has just missed.
+#[test]
+fn proof_is_of_what_is_held() {
+    let mut copy = TableCopy::default();
+    assert_eq!(copy.proof_age(Duration::from_secs(9)), None);
+    let row = |version| StoreRow {
+        key: "k".to_owned(),
+        value: Some(Bytes::from_static(b"v")),
+        version: RowVersion(version),
+    };
+    copy.apply(&row(5));
+    copy.prove(RowVersion(4), Duration::from_secs(3));
+    assert_eq!(copy.proof_age(Duration::from_secs(9)), None);
+    copy.prove(RowVersion(5), Duration::from_secs(2));
+    copy.prove(RowVersion(7), Duration::from_secs(1));
+    assert_eq!(
+        copy.proof_age(Duration::from_secs(9)),
+        Some(Duration::from_secs(7))
+    );
+}
--- a/crates/standin/src/measure/gateway.rs
+++ b/crates/standin/src/measure/gateway.rs
@@ -148,7 +148,8 @@
             "first_start": true,
             "listen": {"requests": any_port, "readiness": any_port, "metrics": any_port},
             "bounds": {"stop_grace_s": 8, "repeat_ratio": 0.2, "repeat_window_s": 10,
-                "repeat_extra": 130, "load_window_s": 5, "fencing": false},
+                "repeat_extra": 130, "load_window_s": 5, "fencing": false,
+                "config_ms": 2000, "drain_ms": 2000},
         });
         let file = std::env::temp_dir().join(format!("measured-{}.json", std::process::id()));
         std::fs::write(&file, settings.to_string())?;
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -102,6 +102,8 @@
 pub struct FeedResponse {
     /// Whether the responder's last attempt to learn of changes failed.
     pub is_cut_off: bool,
+    /// Milliseconds for which the responder held the request.
+    pub held_ms: u32,
     /// Milliseconds since such an attempt last failed; none if none did.
     pub failed_ms_ago: Option<u32>,
     /// One entry per requested table that the responder knows.
@@ -117,6 +119,9 @@
     pub version: u64,
     /// Milliseconds since the store confirmed that version.
     pub age_ms: u32,
+    /// Milliseconds since a moment at which the store held nothing newer, proved by a call that began
+    /// later; none if there is no such proof.
+    pub proof_age_ms: Option<u32>,
     /// Whether these are all rows.
     pub is_full: bool,
     /// Rows in the order of their versions.
