Derive each wait on the way of a change from its bound

What callers saw: changes in force later than the bound, and requests run by routes that had been moved or dropped. Cause: no file read config_ms; a poll and its slack took 2.5 s of 2, a node retried the configuration up to 0.4 s (1.1 s more per level) after failures, avoided a source that had been out of date for up to 6.4 s, and read tables with 2 s a page. An outage puts all nodes in step, so all were late at once. Now FeedTiming holds all waits as fractions of the bound (config_ms for the configuration, drain_ms for the registry), so that two failed ones in a row, and what lies between, end within it at any depth of the tree. A follower learns at once that its source was confirmed again or is cut off, per lane, instead of by its own wait, so that levels no longer add up to a second of age.

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -8,7 +8,7 @@
 use adapter::{StoreClient, StoreError};
 use domain::RowVersion;
 use events::{EventCode, LogLine};
-use serving::feed::TableDelta;
+use serving::feed::{FeedTiming, MAX_JITTER, TableDelta};
 use serving::hashing::stable_hash;
 use wire::feed::{FeedLane, FeedTable};
 
@@ -18,13 +18,6 @@
 use super::state::FeedSource;
 use crate::node::GatewayNode;
 
-/// Wait time of a long poll of a node that others follow: it must learn of a silent connection, and
-/// they from it, within those three seconds.
-const ROOT_POLL_WAIT: Duration = Duration::from_secs(1);
-
-/// Time that a call may take in addition to the wait.
-const LONG_POLL_SLACK: Duration = Duration::from_millis(500);
-
 /// Delay after a call that returned changes, in a small deployment. Changes come in bursts, as when
 /// the hosts of a fabric domain join replicas, and each call has a cost; the delay lets one call
 /// return several. A repair waits for this delay several times: 200 ms saved a sixth of the calls
@@ -36,10 +29,6 @@
 /// each batch goes to a whole failure domain.
 const ROOT_BATCH_DELAY: Duration = Duration::from_millis(150);
 
-/// Maximum of that delay, in a large deployment. A target that starts draining must get no new
-/// requests after two seconds; delay, call and one lost packet stay within half of that.
-const MAX_BATCH_DELAY: Duration = Duration::from_millis(700);
-
 /// Number of nodes up to which the delay is constant; above it, the delay grows in proportion.
 /// Every node that reads gets every change, so with a constant delay the store's calls would grow
 /// with the square of a deployment whose changes are proportional to its hosts: 6 per second and
@@ -57,19 +46,8 @@
 /// still turns the node away.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Timeout for reading a whole table.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Delay added with each consecutive failed call, up to the maximum delay.
-const RETRY_DELAY_STEP: Duration = Duration::from_millis(60);
-
-/// Maximum delay after failed calls of a node that follows no other, and so the time to notice that
-/// the store is back.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-
-/// Additional maximum delay per level of the tree: the upper levels notice the end of an outage and
-/// pass it on, and the calls of all others would only be refused.
-const RETRY_DELAY_PER_LEVEL: Duration = Duration::from_millis(1100);
+/// Least factor on the delays after failed calls.
+const MIN_JITTER: f64 = 0.75;
 
 /// Reads a table from the store whenever no other node passes on its changes; never returns.
 pub async fn read_directly(intake: Rc<FeedIntake>, table: FeedTable) {
@@ -87,6 +65,7 @@
         } else {
             poll_wait(&node, table)
         };
+        let timing = node.feed_timing(FeedLane::of(table));
         let result = poll_once(&node, &mut client, table, known, wait).await;
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         let took = node.now().saturating_sub(started_at);
@@ -110,7 +89,8 @@
                 let applied_in = node.now().saturating_sub(answered_at);
                 intake.store_answered(table);
                 if changed {
-                    let delay = batch_delay(&node).max(pause_after(applied_in));
+                    let pause = pause_after(applied_in, timing.max_pause());
+                    let delay = batch_delay(&node, timing).max(pause);
                     tokio::time::sleep(delay).await;
                 }
             }
@@ -163,11 +143,15 @@
     }
 }
 
+/// Wait of a long poll. One of a node that belongs to a tree is as short as that of the root, since it
+/// may have lost its source just now, and pauses for longer after changes.
 fn poll_wait(node: &GatewayNode, table: FeedTable) -> Duration {
-    if node.feed.is_root(&node.settings.node) {
-        ROOT_POLL_WAIT
+    let timing = node.feed_timing(FeedLane::of(table));
+    let own = &node.settings.node;
+    if node.feed.is_root(own) || node.feed.depth(own) > 0 {
+        timing.root_poll_wait()
     } else {
-        node.feed_timing(FeedLane::of(table)).poll_wait()
+        timing.poll_wait()
     }
 }
 
@@ -190,45 +174,46 @@
     }
 }
 
-/// Waits before the next call after failed ones. Calls for the registry show when the store is
-/// back; the configuration is read again then.
+/// Failed calls for the configuration after which it is left to the registry's to show that the store is
+/// back. A single call may have been lost.
+const SINGLE_FAILURES: u32 = 2;
+
+/// Waits before the next call after failed ones. While the store is away, calls for the registry show
+/// when it is back; the configuration is read again then.
 async fn wait_to_retry(node: &GatewayNode, table: FeedTable, failures: u32) {
+    let lane = FeedLane::of(table);
+    let timing = node.feed_timing(lane);
     let depth = node.feed.depth(&node.settings.node);
-    let most = MAX_RETRY_DELAY + RETRY_DELAY_PER_LEVEL.saturating_mul(depth);
-    let steps = if depth == 0 {
-        failures
-    } else {
-        failures.saturating_mul(failures)
-    };
-    let delay = RETRY_DELAY_STEP.saturating_mul(steps).min(most);
-    let delay = delay.mul_f64(jitter(node, failures));
-    if table == FeedTable::Config && node.feed.is_cut_off() {
+    if table == FeedTable::Config && node.feed.is_cut_off() && failures > SINGLE_FAILURES {
+        let most = timing.max_retry_delay(depth);
         drop(tokio::time::timeout(most, node.feed.regained.notified()).await);
         return;
     }
+    let delay = timing.retry_delay(failures, depth);
+    let delay = delay.mul_f64(jitter(node, failures));
     let is_followed = async {
-        while !node.feed.is_following(FeedLane::of(table)) {
+        while !node.feed.is_following(lane) {
             node.feed.mode_changed.notified().await;
         }
     };
     drop(tokio::time::timeout(delay, is_followed).await);
 }
 
-/// Factor between 0.75 and 1.25 that differs between nodes, so that they don't all call at once.
+/// Factor that differs between nodes, so that they don't all call at once.
 fn jitter(node: &GatewayNode, round: u32) -> f64 {
     let hash = stable_hash(&(node.settings.node.as_str(), round)) % 1000;
     let share = f64::from(u32::try_from(hash).unwrap_or(0)) / 1000.0;
-    0.75 + share / 2.0
+    MIN_JITTER + share * (MAX_JITTER - MIN_JITTER)
 }
 
-fn batch_delay(node: &GatewayNode) -> Duration {
+fn batch_delay(node: &GatewayNode, timing: FeedTiming) -> Duration {
     if node.feed.is_root(&node.settings.node) {
         return ROOT_BATCH_DELAY;
     }
     let count = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
     let nodes = node.node_count().max(BATCH_DELAY_NODES);
     let factor = count(nodes) / count(BATCH_DELAY_NODES);
-    BATCH_DELAY.mul_f64(factor).min(MAX_BATCH_DELAY)
+    BATCH_DELAY.mul_f64(factor).min(timing.max_batch_delay())
 }
 
 async fn poll_once(
@@ -239,8 +224,9 @@
     wait: Duration,
 ) -> Result<TableDelta, StoreError> {
     let name = store_table(table);
+    let timing = node.feed_timing(FeedLane::of(table));
     let Some(after) = known else {
-        let page = client.read_table(name, READ_TIMEOUT).await?;
+        let page = client.read_table(name, timing.read_timeout()).await?;
         node.set_store_clock(page.clock);
         return Ok(TableDelta {
             version: page.version,
@@ -250,7 +236,7 @@
         });
     };
     let response = client
-        .watch_table(name, after, wait, LONG_POLL_SLACK)
+        .watch_table(name, after, wait, timing.poll_slack())
         .await?;
     Ok(TableDelta {
         version: response.version.max(after),
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -8,7 +8,7 @@
 use peers::DialedLink;
 use peers::error::LinkError;
 use peers::transport::{BulkTimeouts, with_timeout};
-use serving::feed::FeedSample;
+use serving::feed::{FeedSample, FeedTiming};
 use tokio::net::TcpStream;
 use wire::feed::{
     FeedDelta, FeedLane, FeedPosition, FeedRequest, FeedResponse, FeedTable,
@@ -24,21 +24,6 @@
 use super::state::{FeedMember, FeedSource};
 use crate::node::GatewayNode;
 
-/// Time that a source waits for changes before it responds.
-const FOLLOW_WAIT: Duration = Duration::from_millis(500);
-
-/// Time in addition after which a response must have begun, and that may pass between two parts of
-/// it. A source that is suspended is left after the sum of both, well within the time after which a
-/// draining target must get no new requests.
-const FOLLOW_SLACK: Duration = Duration::from_millis(300);
-
-/// Timeout for opening a link.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Timeout for a whole response, in addition to the wait. A link carries the largest configuration to
-/// all followers within it.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Time for which a source is not asked again after it was unreachable.
 const AVOID_UNREACHABLE: Duration = Duration::from_secs(3);
 
@@ -51,17 +36,12 @@
 /// Number of failures in a row up to which a source is avoided twice as long after each.
 const MAX_AVOID_DOUBLINGS: u32 = 3;
 
-/// Time without a successful response after which the node reads the store itself while it looks
-/// for another source. A source whose data is too old says so at once, so others can be asked first;
-/// one that does not respond has used up this time.
-const MAX_SEARCH_TIME: Duration = Duration::from_millis(400);
-
 /// Interval for looking for a source while there is none.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Least depth that counts for a node that follows one of another failure domain, which is a child
 /// of that domain's root or the root.
-const FALLBACK_DEPTH: u32 = 2;
+const FALLBACK_DEPTH: u32 = 3;
 
 /// Link to the source that is followed.
 struct SourceLink {
@@ -116,13 +96,18 @@
     }
 
     /// Avoids a source, for longer with each failure in a row.
-    fn avoid(&mut self, source: NodeId, now: Duration, time: Duration) {
+    fn avoid(&mut self, source: NodeId, now: Duration, error: &FollowError, timing: FeedTiming) {
         let avoided = self.sources.entry(source).or_insert(AvoidedSource {
             until: now,
             failures: 0,
         });
         let factor = 1 << avoided.failures.min(MAX_AVOID_DOUBLINGS);
-        avoided.until = now + time * factor;
+        let time = error.avoid_time() * factor;
+        let most = match error {
+            FollowError::Link(_) => time,
+            _ => timing.max_avoid_stale(),
+        };
+        avoided.until = now + time.min(most);
         avoided.failures += 1;
     }
 
@@ -134,6 +119,7 @@
 /// Follows the best source for a lane while there is one; never returns.
 pub async fn follow_sources(intake: Rc<FeedIntake>, lane: FeedLane) {
     let node = Rc::clone(&intake.node);
+    let timing = node.feed_timing(lane);
     let mut link: Option<SourceLink> = None;
     let mut avoided = AvoidedSources::default();
     let mut succeeded_at = Duration::ZERO;
@@ -149,7 +135,8 @@
                 succeeded_at = node.now();
                 avoided.forgive(&source.node);
                 node.feed.set_source(lane, kind);
-                tokio::time::sleep(pause_after(applied_in)).await;
+                let pause = pause_after(applied_in, timing.max_pause());
+                tokio::time::sleep(pause).await;
             }
             Err(error) => {
                 link = None;
@@ -159,10 +146,10 @@
                 }
                 let now = node.now();
                 // The node reads the store meanwhile, so that it is as recent as without a source.
-                if now.saturating_sub(succeeded_at) > MAX_SEARCH_TIME {
+                if now.saturating_sub(succeeded_at) > timing.search_time() {
                     node.feed.set_source(lane, FeedSource::Store);
                 }
-                avoided.avoid(source.node, now, error.avoid_time());
+                avoided.avoid(source.node, now, &error, timing);
             }
         }
     }
@@ -209,11 +196,12 @@
     let is_linked = link
         .as_ref()
         .is_some_and(|link| *link.dialed.peer() == source.node);
-    let mut wait = FOLLOW_WAIT;
+    let timing = intake.node.feed_timing(lane);
+    let mut wait = timing.follow_wait();
     if !is_linked {
         // A new source must show at once whether its data is recent.
         wait = Duration::ZERO;
-        let dialed = with_timeout(OPEN_TIMEOUT, open_link(intake, source)).await?;
+        let dialed = with_timeout(timing.follow_slack(), open_link(intake, source)).await?;
         *link = Some(SourceLink {
             dialed,
             behind_since: None,
@@ -224,9 +212,9 @@
     };
     let request = build_request(intake, lane, wait);
     let timeouts = BulkTimeouts {
-        start: wait + FOLLOW_SLACK,
-        pause: FOLLOW_SLACK,
-        whole: wait + TRANSFER_TIMEOUT,
+        start: wait + timing.follow_slack(),
+        pause: timing.follow_slack(),
+        whole: wait + timing.transfer_timeout(),
     };
     let payload = encode_message(&request).map_err(LinkError::from)?;
     let sent_at = intake.node.now();
@@ -311,12 +299,10 @@
         FeedSource::Fallback => depth.max(FALLBACK_DEPTH),
         FeedSource::Store | FeedSource::Tree => depth,
     };
-    if !sample.is_usable(depth) {
+    if !sample.is_usable(node.feed_timing(lane), depth) {
         return Err(FollowError::Stale(sample));
     }
-    if lane == FeedLane::Urgent {
-        node.feed.record_contact();
-    }
+    node.feed.record_lane_contact(lane);
     for delta in response.tables {
         let confirmation = TableConfirmation {
             confirmed_at: now.saturating_sub(age_of(&delta)),
--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -50,7 +50,7 @@
             FeedTable::Registry => self.registry.borrow_mut().confirm(version, confirmed_at),
             FeedTable::Nodes => count_nodes(&self.node),
         }
-        if !changed.is_empty() && table != FeedTable::Nodes {
+        if table != FeedTable::Nodes {
             self.node.feed.advanced.notify_waiters();
         }
     }
@@ -76,7 +76,7 @@
             return;
         }
         match lane {
-            FeedLane::Bulk => self.node.feed.set_bulk_cut_off(true),
+            FeedLane::Bulk => self.node.feed.record_bulk_failure(),
             FeedLane::Urgent => {
                 self.node.feed.record_failure(self.node.now());
                 self.node.mark_store_unreachable();
@@ -87,10 +87,7 @@
     /// Records that the store answered a call, so that no other failure domain is needed any more.
     pub fn store_answered(&self, table: FeedTable) {
         let lane = FeedLane::of(table);
-        match lane {
-            FeedLane::Bulk => self.node.feed.set_bulk_cut_off(false),
-            FeedLane::Urgent => self.node.feed.record_contact(),
-        }
+        self.node.feed.record_lane_contact(lane);
         if self.node.feed.source(lane) == FeedSource::Fallback {
             self.node.feed.set_source(lane, FeedSource::Store);
         }
--- a/crates/gateway/src/feed/pace.rs
+++ b/crates/gateway/src/feed/pace.rs
@@ -5,11 +5,8 @@
 /// Pause per time spent on changes.
 const PAUSE_FACTOR: u32 = 2;
 
-/// Maximum pause. A target that starts draining must get no new requests after three seconds.
-const MAX_PAUSE: Duration = Duration::from_millis(600);
-
 /// Pause after changes that took this long to apply. A row that changes again meanwhile is applied
 /// once, so a node that is too slow for all changes falls behind by the pause and no more.
-pub fn pause_after(took: Duration) -> Duration {
-    took.saturating_mul(PAUSE_FACTOR).min(MAX_PAUSE)
+pub fn pause_after(took: Duration, most: Duration) -> Duration {
+    took.saturating_mul(PAUSE_FACTOR).min(most)
 }
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::RowVersion;
+use domain::{FastMap, RowVersion};
 use events::{EventCode, LogLine};
 use h2::RecvStream;
 use h2::server::SendResponse;
@@ -35,11 +35,19 @@
 /// Delay after a failed accept, which prevents a busy loop when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Difference from which a confirmation counts as a newer one; the times of one and the same differ by
+/// its way through the nodes.
+const MIN_CONFIRMATION_STEP: Duration = Duration::from_millis(100);
+
+/// When the copies that were passed on last had been confirmed, by table.
+type PassedOn = FastMap<FeedTable, Duration>;
+
 /// State of an accepted connection.
 struct LinkSession {
     place: ConnectionPlace,
     /// None before the hello.
     auth: Option<FrameAuthenticator>,
+    passed_on: PassedOn,
 }
 
 /// Accepts links of other nodes; never returns.
@@ -70,7 +78,11 @@
     place: ConnectionPlace,
 ) -> Result<(), LinkError> {
     stream.set_nodelay(true)?;
-    let session = Mutex::new(LinkSession { place, auth: None });
+    let session = Mutex::new(LinkSession {
+        place,
+        auth: None,
+        passed_on: FastMap::default(),
+    });
     let session = &session;
     transport::serve_requests(stream, MAX_STREAMS, |request, responder| async move {
         let state = session.lock().await;
@@ -103,7 +115,10 @@
             *empty = Some(auth);
             respond_ok(responder, encode_message(&welcome)?)
         }
-        (path, Some(auth)) if FeedLane::from_path(path).is_some() => {
+        (path, Some(auth)) => {
+            let Some(lane) = FeedLane::from_path(path) else {
+                return respond_error(responder, StatusCode::NOT_FOUND);
+            };
             let bytes = read_stream(body, MAX_FEED_REQUEST_BYTES).await?;
             let frame = auth.verify::<MAX_FEED_REQUEST_BYTES>(&bytes)?;
             if !session.place.record_proof() {
@@ -111,8 +126,10 @@
             }
             let request: FeedRequest = decode_message::<_, MAX_FEED_REQUEST_BYTES>(&frame.payload)?;
             let received_at = node.now();
-            wait_for_change(node, &request).await;
-            let response = build_response(node, &request, received_at);
+            let passed_on = &mut session.passed_on;
+            wait_for_change(node, &request, lane, passed_on).await;
+            let response = build_response(node, &request, lane, received_at);
+            record_passed_on(node, &request, passed_on);
             respond_ok(responder, auth.sign(encode_packed(&response)?)?)
         }
         _ => respond_error(responder, StatusCode::NOT_FOUND),
@@ -140,12 +157,17 @@
 }
 
 /// Waits until there is something to pass on that the sender should know at once.
-async fn wait_for_change(node: &GatewayNode, request: &FeedRequest) {
+async fn wait_for_change(
+    node: &GatewayNode,
+    request: &FeedRequest,
+    lane: FeedLane,
+    passed_on: &PassedOn,
+) {
     let wait = Duration::from_millis(u64::from(request.wait_ms)).min(MAX_WAIT);
     let changed = async {
         loop {
             let advanced = node.feed.advanced.notified();
-            if has_news(node, request) {
+            if node.feed.is_lane_cut_off(lane) || has_news(node, request, passed_on) {
                 return;
             }
             advanced.await;
@@ -154,17 +176,31 @@
     drop(tokio::time::timeout(wait, changed).await);
 }
 
-fn has_news(node: &GatewayNode, request: &FeedRequest) -> bool {
+/// Whether a table has changed, or was confirmed again. The followers' copies would otherwise be older by
+/// their wait at each level of the tree.
+fn has_news(node: &GatewayNode, request: &FeedRequest, passed_on: &PassedOn) -> bool {
     request.tables.iter().any(|position| {
         let is_urgent = position.table != FeedTable::Nodes;
         let known = position.known.map(RowVersion);
-        is_urgent && node.feed.copy(position.table).borrow().has_news(known)
+        let copy = node.feed.copy(position.table).borrow();
+        let is_confirmed = passed_on
+            .get(&position.table)
+            .is_some_and(|before| copy.confirmed_at() > *before + MIN_CONFIRMATION_STEP);
+        is_urgent && (is_confirmed || copy.has_news(known))
     })
 }
 
+fn record_passed_on(node: &GatewayNode, request: &FeedRequest, passed_on: &mut PassedOn) {
+    for position in &request.tables {
+        let confirmed_at = node.feed.copy(position.table).borrow().confirmed_at();
+        passed_on.insert(position.table, confirmed_at);
+    }
+}
+
 fn build_response(
     node: &GatewayNode,
     request: &FeedRequest,
+    lane: FeedLane,
     received_at: Duration,
 ) -> FeedResponse {
     let now = node.now();
@@ -175,7 +211,7 @@
     }
     let failed_ago = node.feed.failed_at().map(|at| now.saturating_sub(at));
     FeedResponse {
-        is_cut_off: node.feed.is_cut_off(),
+        is_cut_off: node.feed.is_lane_cut_off(lane),
         held_ms: encode_millis(now.saturating_sub(received_at)),
         failed_ms_ago: failed_ago.map(encode_millis),
         tables,
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -45,7 +45,8 @@
     pub key: SharedKey,
     /// The same key as text, for the heartbeat.
     pub key_text: String,
-    /// Notified when the configuration or the registry has changed.
+    /// Notified when the configuration or the registry has changed or was confirmed, or when an attempt
+    /// to learn of changes failed.
     pub advanced: Notify,
     /// Notified when the node starts or stops following a source.
     pub mode_changed: Notify,
@@ -212,16 +213,30 @@
     /// Whether a lane may follow nodes of other failure domains: the store turns this node away.
     #[must_use]
     pub fn needs_fallback(&self, lane: FeedLane) -> bool {
-        let is_cut_off = match lane {
+        self.is_lane_cut_off(lane) || self.source(lane) == FeedSource::Fallback
+    }
+
+    /// Whether the last attempt to learn of changes in a lane failed.
+    #[must_use]
+    pub fn is_lane_cut_off(&self, lane: FeedLane) -> bool {
+        match lane {
             FeedLane::Urgent => self.is_cut_off.get(),
             FeedLane::Bulk => self.is_bulk_cut_off.get(),
-        };
-        is_cut_off || self.source(lane) == FeedSource::Fallback
+        }
+    }
+
+    /// Records that the last call to the store for a table of the bulk lane failed.
+    pub fn record_bulk_failure(&self) {
+        self.is_bulk_cut_off.set(true);
+        self.advanced.notify_waiters();
     }
 
-    /// Records whether the last call to the store for a table of the bulk lane failed.
-    pub fn set_bulk_cut_off(&self, is_cut_off: bool) {
-        self.is_bulk_cut_off.set(is_cut_off);
+    /// Records that an attempt to learn of changes in a lane succeeded.
+    pub fn record_lane_contact(&self, lane: FeedLane) {
+        match lane {
+            FeedLane::Urgent => self.record_contact(),
+            FeedLane::Bulk => self.is_bulk_cut_off.set(false),
+        }
     }
 
     /// Whether the last attempt to learn of changes failed.
@@ -241,6 +256,7 @@
     pub fn record_failure(&self, now: Duration) {
         self.is_cut_off.set(true);
         self.failed_at.set(Some(now));
+        self.advanced.notify_waiters();
     }
 
     /// When a call to the store last failed, here or at a node that passed on its changes.
--- a/crates/serving/src/feed/copy.rs
+++ b/crates/serving/src/feed/copy.rs
@@ -90,6 +90,12 @@
         newest.is_some_and(|(newest, _)| *newest > version)
     }
 
+    /// When the store last confirmed this version, through however many nodes.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Duration {
+        self.confirmed_at
+    }
+
     /// Time since the store last confirmed this version, through however many nodes.
     #[must_use]
     pub fn age(&self, now: Duration) -> Duration {
--- a/crates/serving/src/feed/mod.rs
+++ b/crates/serving/src/feed/mod.rs
@@ -8,9 +8,9 @@
 mod tree;
 
 pub use copy::{StoreRow, TableCopy, TableDelta, VersionGap};
-pub use freshness::{FeedSample, max_source_age};
+pub use freshness::FeedSample;
 pub use patch::RowPatch;
-pub use timing::FeedTiming;
+pub use timing::{FeedTiming, MAX_JITTER};
 pub use tree::{
     MIN_FOLLOWING_NODES, TREE_FANOUT, fallback_sources, feed_order, feed_sources, tree_depth,
 };
--- a/crates/serving/tests/feed/main.rs
+++ b/crates/serving/tests/feed/main.rs
@@ -1,5 +1,6 @@
 //! Distribution of the store's tables among nodes, without a network.
 
+mod feed_timing;
 mod feed_tree;
 mod row_patch;
 mod source_freshness;
--- a/crates/serving/tests/feed/source_freshness.rs
+++ b/crates/serving/tests/feed/source_freshness.rs
@@ -2,12 +2,17 @@
 
 use std::time::Duration;
 
-use serving::feed::{FeedSample, max_source_age};
+use serving::feed::{FeedSample, FeedTiming};
 
 /// Shortest time within which a draining target must get no new requests, of all deployments that
 /// are large enough for a tree.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 
+/// Times for that bound.
+fn timing() -> FeedTiming {
+    FeedTiming::new(DRAIN_BOUND)
+}
+
 const FRESH: FeedSample = FeedSample {
     age: Duration::from_millis(900),
     is_cut_off: false,
@@ -16,8 +21,8 @@
 
 #[test]
 fn calm_source_is_usable() {
-    assert!(FRESH.is_usable(1));
-    assert!(FRESH.is_usable(2));
+    assert!(FRESH.is_usable(timing(), 1));
+    assert!(FRESH.is_usable(timing(), 2));
 }
 
 /// Guards against a reader that can't reach the store while its followers believe that nothing
@@ -28,7 +33,7 @@
         is_cut_off: true,
         ..FRESH
     };
-    assert!(!sample.is_usable(1));
+    assert!(!sample.is_usable(timing(), 1));
 }
 
 /// Guards against a source that believes itself recent but never learns what its follower knows.
@@ -38,7 +43,7 @@
         behind_for: Duration::from_secs(2),
         ..FRESH
     };
-    assert!(!sample.is_usable(1));
+    assert!(!sample.is_usable(timing(), 1));
 }
 
 /// Guards against a node that reads the store once and then leaves each source, since none is quite
@@ -49,19 +54,19 @@
         behind_for: Duration::from_millis(500),
         ..FRESH
     };
-    assert!(sample.is_usable(1));
+    assert!(sample.is_usable(timing(), 1));
 }
 
 /// Guards against followers of a silent reader that notice only after the drain bound.
 #[test]
 fn silence_shows_within_drain_bound() {
     for depth in 1..=2 {
-        assert!(max_source_age(depth) < DRAIN_BOUND);
+        assert!(timing().max_source_age(depth) < DRAIN_BOUND);
         let sample = FeedSample {
             age: DRAIN_BOUND,
             ..FRESH
         };
-        assert!(!sample.is_usable(depth));
+        assert!(!sample.is_usable(timing(), depth));
     }
 }
 
@@ -69,6 +74,6 @@
 /// silent: the nodes next to it notice first.
 #[test]
 fn upper_levels_notice_first() {
-    assert!(max_source_age(1) < max_source_age(2));
-    assert!(max_source_age(2) < max_source_age(3));
+    assert!(timing().max_source_age(1) < timing().max_source_age(2));
+    assert!(timing().max_source_age(2) < timing().max_source_age(3));
 }
--- a/tests/gateway/store_feed.rs
+++ b/tests/gateway/store_feed.rs
@@ -225,7 +225,7 @@
     gate.silence();
     drop(root);
     // The first deputy has no other source.
-    let first_call = ["store_lost", "\"table\":\"servers\"", "within 500ms"];
+    let first_call = ["store_lost", "\"table\":\"servers\"", "within 300ms"];
     followers[0].wait_log_line(&first_call).await;
 }
 
