Count a version of the configuration as known only once a later call has shown it

What callers saw: routes refused by all nodes at once, with no line of a lost store or source. Cause, by hypothesis: a response of the store names the newest version beside its rows; where the two are not of one moment, a write between them is in neither, and the reader goes on behind it. Polls of all nodes end in step, so one such moment reaches every failure domain, and each copy counts as confirmed. Class: a position taken from a claim instead of from what was read. Now a reader asks from the version that the response before named, so a call that began after the claim shows what it hid, one call later. It costs one more call for each change of the configuration and reader. The registry stays as it is: its rows are written again and again, and a second call for each change is the dearest price on large deployments.

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -8,7 +8,7 @@
 use adapter::{StoreClient, StoreError};
 use domain::RowVersion;
 use events::{EventCode, LogLine};
-use serving::feed::{FeedTiming, MAX_JITTER, TableDelta};
+use serving::feed::{FeedTiming, MAX_JITTER, TableDelta, VersionClaims};
 use serving::hashing::stable_hash;
 use wire::feed::{FeedLane, FeedTable};
 
@@ -55,6 +55,7 @@
     let mut client = StoreClient::new(node.settings.store);
     let mut failures = 0_u32;
     let mut is_compacted = false;
+    let mut claims = VersionClaims::default();
     loop {
         let is_first = until_direct(&node, FeedLane::of(table)).await;
         let started_at = node.now();
@@ -72,7 +73,10 @@
         node.metrics
             .record_store_call(store_table(table), outcome, took);
         match result {
-            Ok(delta) => {
+            Ok(mut delta) => {
+                if table == FeedTable::Config {
+                    delta.version = verified_version(&mut claims, known, &delta);
+                }
                 if failures > 0 {
                     log_store_regained(&node, table, failures);
                 }
@@ -107,6 +111,23 @@
     }
 }
 
+/// Version up to which a response makes a table known. A change of the configuration that is skipped is
+/// wrong until the next one, which may be far off, so one more call per change is worth it; targets write
+/// their entries of the registry again and again.
+fn verified_version(
+    claims: &mut VersionClaims,
+    known: Option<RowVersion>,
+    delta: &TableDelta,
+) -> RowVersion {
+    match known {
+        Some(after) => claims.verify(after, delta.version),
+        None => {
+            *claims = VersionClaims::default();
+            delta.version
+        }
+    }
+}
+
 /// Moment up to which a response is proved to be complete. It may have been built at any time after
 /// its call began, and have waited here since, for example while the process was paused. One without
 /// changes was held by the store for the whole wait.
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -248,7 +248,7 @@
             .feed
             .copy(table)
             .borrow()
-            .version()
+            .latest()
             .map(|version| version.0),
     };
     FeedRequest {
--- a/crates/serving/src/feed/copy.rs
+++ b/crates/serving/src/feed/copy.rs
@@ -80,6 +80,14 @@
         self.version
     }
 
+    /// Version from which to ask for changes: that of the newest row, if the table is not known for
+    /// certain up to it yet. `None` before the first read.
+    #[must_use]
+    pub fn latest(&self) -> Option<RowVersion> {
+        let newest = self.by_version.last().map(|(newest, _)| *newest);
+        self.version.max(newest.filter(|_| self.version.is_some()))
+    }
+
     /// Whether a node that knows the table up to `version` lacks a row that this copy has.
     ///
     /// Versions count the writes of all tables: a node that asked the store later knows a higher one
--- a/crates/serving/src/feed/mod.rs
+++ b/crates/serving/src/feed/mod.rs
@@ -1,12 +1,14 @@
 //! Distribution of the store's tables among many nodes: a few read the store, the others get
 //! copies over links.
 
+mod claims;
 mod copy;
 mod freshness;
 mod patch;
 mod timing;
 mod tree;
 
+pub use claims::VersionClaims;
 pub use copy::{StoreRow, TableCopy, TableDelta, VersionGap};
 pub use freshness::FeedSample;
 pub use patch::RowPatch;
--- a/crates/serving/tests/feed/main.rs
+++ b/crates/serving/tests/feed/main.rs
@@ -5,3 +5,4 @@
 mod row_patch;
 mod source_freshness;
 mod table_copy;
+mod version_claims;
