--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -119,13 +119,11 @@
     known: Option<RowVersion>,
     delta: &TableDelta,
 ) -> RowVersion {
-    match known {
-        Some(after) => claims.verify(after, delta.version),
-        None => {
-            *claims = VersionClaims::default();
-            delta.version
-        }
-    }
+    let Some(after) = known else {
+        *claims = VersionClaims::default();
+        return delta.version;
+    };
+    claims.verify(after, delta.version)
 }
 
 /// Moment up to which a response is proved to be complete. It may have been built at any time after
