Measure what refusals cost, and guard against a call to the store for each

refusal_cost counts the store's calls and bytes without and with unknown requests on real processes, and the time of a refusal; REFUSAL_NODES=N measures larger systems.

--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use super::http::{SiteRequest, SiteResponse, SiteServer, json_response, text_response};
+use super::http::{SiteRequest, SiteResponse, SiteServer, text_response};
 
 /// Behaviour of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -80,6 +80,8 @@
     compacted_version: u64,
     mode: StoreMode,
     calls: u64,
+    /// Bytes of all responses.
+    bytes: u64,
     rates: Option<StoreRates>,
     window: CallWindow,
     hidden: Option<HiddenWrite>,
@@ -108,6 +110,7 @@
                 compacted_version: 0,
                 mode: StoreMode::Healthy,
                 calls: 0,
+                bytes: 0,
                 rates: None,
                 window: CallWindow::default(),
                 hidden: None,
@@ -242,6 +245,12 @@
         self.with(|state| state.calls)
     }
 
+    /// Returns the number of bytes in all responses with rows.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.with(|state| state.bytes)
+    }
+
     pub(super) async fn handle(&self, request: SiteRequest) -> SiteResponse {
         let second = self.started.elapsed().as_secs();
         let is_write = request.path == "/rows-tx";
@@ -359,9 +368,13 @@
     fn page(&self, rows: &[Value], version: u64, has_more: bool) -> SiteResponse {
         let elapsed = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
         let now = self.with(|state| elapsed.saturating_add(state.clock_step_ms));
-        json_response(&json!({
+        let text = json!({
             "rows": rows, "has_more": has_more, "row_version": version, "now_ms": now,
-        }))
+        })
+        .to_string();
+        let length = u64::try_from(text.len()).unwrap_or(u64::MAX);
+        self.with(|state| state.bytes += length);
+        text_response(StatusCode::OK, &text)
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod partitioned_nodes;
 mod plain_services;
 mod poison_requests;
+mod refusal_cost;
 mod request;
 mod share_decisions;
 mod shutdown;
