--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lanes;
 pub mod lease;
 pub mod ledger;
+pub mod refusals;
 pub mod search;
 
 use search::{ProtocolModel, SearchReport, SpecGuard, search};
@@ -51,6 +52,7 @@
     run_spec::<formation::FormationModel>(&mut runs);
     run_spec::<feed::FeedModel>(&mut runs);
     run_spec::<lanes::LaneModel>(&mut runs);
+    run_spec::<refusals::RefusalModel>(&mut runs);
     runs
 }
 
