--- a/tests/gateway/refusal_cost.rs
+++ b/tests/gateway/refusal_cost.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use futures::StreamExt as _;
 use http::StatusCode;
 use standin::site::StoreRates;
 use tokio::time::Instant;
@@ -16,6 +17,9 @@
 /// Nodes by default.
 const DEFAULT_NODES: usize = 3;
 
+/// Nodes that start at the same time.
+const STARTS_AT_ONCE: usize = 12;
+
 /// Time for which calls are counted.
 const CALL_WINDOW: Duration = Duration::from_secs(4);
 
@@ -29,6 +33,19 @@
     writes_per_s: 400,
 };
 
+/// Starts nodes in three failure domains, some at a time.
+async fn start_nodes(site: &TestSite, count: usize) -> Vec<TestNode> {
+    let starting = (0..count).map(|index| async move {
+        let domain = format!("z{}", index % 3);
+        let name = format!("n{index}");
+        site.node_in(&domain, &name, site.store_address()).await
+    });
+    futures::stream::iter(starting)
+        .buffered(STARTS_AT_ONCE)
+        .collect()
+        .await
+}
+
 /// Sends unknown requests for one window; returns how long each response took.
 async fn refuse(node: &TestNode) -> Vec<Duration> {
     let connected = HttpConnection::connect(node.requests, Duration::from_secs(1)).await;
@@ -66,14 +83,7 @@
     });
     let site = TestSite::start(0, 1);
     site.store.set_rates(STORE_RATES);
-    let mut nodes = Vec::new();
-    for index in 0..count {
-        let domain = format!("z{}", index % 3);
-        nodes.push(
-            site.node_in(&domain, &format!("n{index}"), site.store_address())
-                .await,
-        );
-    }
+    let nodes = start_nodes(&site, count).await;
     let line = format!("\"nodes\":{count}}}");
     for node in &nodes {
         wait_for("all nodes to be counted", || {
