Keep the ports of the test's proxies while they refuse connections

A bound socket holds the port now; connections to it are refused as before. The constant of lost calls stands with the others.

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -46,6 +46,10 @@
 /// still turns the node away.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Failed calls for the configuration after which it is left to the registry's to show that the store is
+/// back. Fewer may just have been lost.
+const MAX_LOST_CALLS: u32 = 2;
+
 /// Least factor on the delays after failed calls.
 const MIN_JITTER: f64 = 0.75;
 
@@ -193,17 +197,13 @@
     }
 }
 
-/// Failed calls for the configuration after which it is left to the registry's to show that the store is
-/// back. A single call may have been lost.
-const SINGLE_FAILURES: u32 = 2;
-
 /// Waits before the next call after failed ones. While the store is away, calls for the registry show
 /// when it is back; the configuration is read again then.
 async fn wait_to_retry(node: &GatewayNode, table: FeedTable, failures: u32) {
     let lane = FeedLane::of(table);
     let timing = node.feed_timing(lane);
     let depth = node.feed.depth(&node.settings.node);
-    if table == FeedTable::Config && node.feed.is_cut_off() && failures > SINGLE_FAILURES {
+    if table == FeedTable::Config && node.feed.is_cut_off() && failures > MAX_LOST_CALLS {
         let most = timing.max_retry_delay(depth);
         drop(tokio::time::timeout(most, node.feed.regained.notified()).await);
         return;
--- a/tests/gateway/target_proxies.rs
+++ b/tests/gateway/target_proxies.rs
@@ -62,10 +62,16 @@
 }
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    bind(address)?.listen(BACKLOG)
+}
+
+/// A socket that keeps its port from others while it does not listen: connections to it are refused.
+fn bind(address: SocketAddr) -> std::io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    Ok(socket)
 }
 
 async fn run_proxy(
@@ -74,6 +80,7 @@
     mut kind: watch::Receiver<PartitionKind>,
 ) {
     let address = listener.local_addr().expect("listener has an address");
+    let _reservation = bind(address).expect("the port can be shared");
     let mut listener = Some(listener);
     loop {
         let now = *kind.borrow_and_update();
