Refuse nothing for good beside a configuration that can't be read

Found by reading the mend again: a node that can't read the newest configuration, for example one of a later release, serves on by the one before, and refused for good what the newest may allow, with a fresh proof. Now it answers 503 until it can read a newer one. refusal_beside_unreadable_configuration failed before (404).

--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -58,6 +58,7 @@
     registry: RefCell<TableCopy>,
     nodes: RefCell<TableCopy>,
     config_origin: RefCell<TableOrigin>,
+    is_config_unreadable: Cell<bool>,
     address: Cell<Option<SocketAddr>>,
     is_counted: Cell<bool>,
     urgent_source: Cell<FeedSource>,
@@ -96,6 +97,7 @@
             registry: RefCell::default(),
             nodes: RefCell::default(),
             config_origin: RefCell::default(),
+            is_config_unreadable: Cell::default(),
             address: Cell::default(),
             is_counted: Cell::default(),
             urgent_source: Cell::default(),
@@ -161,6 +163,18 @@
         self.config_origin.borrow().clone()
     }
 
+    /// Whether the newest configuration is one that this node can't read, so that an older one is in
+    /// force here.
+    #[must_use]
+    pub fn is_config_unreadable(&self) -> bool {
+        self.is_config_unreadable.get()
+    }
+
+    /// Records whether the newest configuration can be read.
+    pub fn set_config_unreadable(&self, is_unreadable: bool) {
+        self.is_config_unreadable.set(is_unreadable);
+    }
+
     /// Whether the nodes should be counted now, which takes a pass over all heartbeats.
     pub fn begin_count(&self, now: Duration) -> bool {
         let is_due = self
--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -32,7 +32,9 @@
         let Some(bytes) = row.value.as_ref().filter(|_| row.key == CONFIG_KEY) else {
             return;
         };
-        let config = match decode_config(bytes) {
+        let decoded = decode_config(bytes);
+        self.node.feed.set_config_unreadable(decoded.is_err());
+        let config = match decoded {
             Ok(config) => config,
             Err(error) => {
                 let line = LogLine::new(EventCode::ConfigUnreadable)
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -243,7 +243,8 @@
     /// than the bound, so that it may speak for the whole system.
     #[must_use]
     pub fn is_config_proved(&self) -> bool {
-        self.feed.config_age(self.now()) <= self.settings.bounds.config_bound()
+        let is_recent = self.feed.config_age(self.now()) <= self.settings.bounds.config_bound();
+        is_recent && !self.feed.is_config_unreadable()
     }
 
     /// Puts a configuration into force, unless the one in force is as new; returns whether it did.
--- a/tests/gateway/invalid_input.rs
+++ b/tests/gateway/invalid_input.rs
@@ -98,3 +98,24 @@
     let line = node.wait_log_line(&["request_failed", "l-1"]).await;
     assert_eq!(line["revision"], 5);
 }
+
+/// Guards against a node that refuses for good what a configuration may allow which it can't read, for
+/// example one of a later release. It serves on by the previous one, and says that it does not know.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_beside_unreadable_configuration() {
+    let site = TestSite::start(0, 1);
+    let node = site.node("n0").await;
+    let mut unreadable = configuration(5);
+    unreadable["routes"][0]["route_type"] = json!("of a later release");
+    site.configure(&unreadable);
+    node.wait_log_line(&["config_unreadable"]).await;
+    let unknown = TestRequest::new("/nowhere/x", "l-1").send(&node).await;
+    assert_eq!(unknown.status, StatusCode::SERVICE_UNAVAILABLE);
+    let known = TestRequest::new("/look/x", "l-2").send(&node).await;
+    assert_eq!(known.status, StatusCode::OK);
+    site.configure(&configuration(6));
+    node.wait_log_line(&["config_applied", "\"revision\":6"])
+        .await;
+    let unknown = TestRequest::new("/nowhere/x", "l-3").send(&node).await;
+    assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+}
