Tell the prompt parts at each crash, and which answers speak for them

The log of a crash named the requests there by path, customer and body, which differ for each request of the incident; nothing showed what they share, nor what tells a part that crashes targets from the popular ones beside it. No verdict has changed.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -134,6 +134,10 @@
     /// The process of a target exited while it ran requests. The field `marks` of the log line contains
     /// fingerprints of the requests, each with the milliseconds since its response started. A
     /// fingerprint that occurs in several of these events belongs to a request that crashes its targets.
+    /// The field `parts` contains the parts of their prompts that other requests have as well, those
+    /// without a sound answer first, as `id:requests:age:sound`: the requests with the part, and the
+    /// milliseconds since the oldest response with it and the newest sound answer with it began. An answer
+    /// is sound if its target lived on.
     TargetEnded = 246, "target_ended", Warn;
     /// Targets crashed repeatedly while they ran a request. It is rejected from now on, or was cleared
     /// by later evidence. Identify the client by the rejections at the same time, and check what it
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -114,6 +114,7 @@
         model: headers.model.clone(),
         prompt_tokens: headers.prompt_tokens,
         max_output_tokens: headers.max_output_tokens,
+        shared_parts: headers.shared_parts.as_slice().into(),
         customer: key.as_ref().map(|(customer, _)| customer.clone()),
         priority: key.and_then(|(_, rank)| rank).unwrap_or(route.priority),
         max_attempts: route.max_attempts,
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -1,10 +1,11 @@
 //! An admitted request and the selection of its target.
 
 use std::fmt;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::{CustomerId, FastSet, HostId, ModelName, RequestId, ServiceName};
+use domain::{CustomerId, FastSet, HostId, ModelName, PromptPartId, RequestId, ServiceName};
 use http::{HeaderMap, Method, Uri};
 use policy::admission::AdmissionClass;
 use serving::choose::{NoTarget, TargetCandidate, choose_target};
@@ -44,6 +45,8 @@
     pub prompt_tokens: u32,
     /// Maximum number of output tokens; 0 if not given.
     pub max_output_tokens: u32,
+    /// Parts of the prompt that other requests have as well.
+    pub shared_parts: Rc<[PromptPartId]>,
     /// Customer that the API key belongs to; `None` without a key.
     pub customer: Option<CustomerId>,
     /// Priority; 0 is the highest.
--- /dev/null
+++ b/crates/gateway/src/crash/confirm.rs
@@ -0,0 +1,145 @@
+//! Detects crashed targets and records which requests ran there.
+//!
+//! A connection that breaks during a response is not proof of a crash: a link may have dropped it
+//! or a router may have reset it. If the target then refuses connections, its process has exited,
+//! and the requests that ran there are kept as evidence. Unresponsive targets and stalled replicas
+//! are not counted: their host lost power or its network, whatever it was running.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use domain::{FastMap, PromptPartId};
+use events::{EventCode, LogLine};
+use serving::{CrashedRequest, RequestFeature, TargetProcess};
+use web::ConnectionError;
+
+use super::records::publish_crash;
+use super::state::InterruptedRequest;
+use crate::admitted::AdmittedRequest;
+use crate::node::GatewayNode;
+use crate::tunnel::{ConnectLimits, connect_target};
+
+/// Time to wait for the other connections to a crashed target to break as well.
+const COLLECT_WINDOW: Duration = Duration::from_millis(40);
+
+/// Timeout for the connection attempt that tests whether a target has crashed.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(160);
+
+/// Maximum number of request fingerprints in a log line; the line's `requests` field has the total.
+const MAX_LOGGED_FINGERPRINTS: usize = 6;
+
+/// Maximum number of prompt parts in a log line; the line's `part_count` field has the total.
+const MAX_LOGGED_PARTS: usize = 10;
+
+/// Records that the connection to a target broke while it ran a request. `response_age` is the
+/// time since the response began, `None` if it had not.
+pub fn record_interrupted(
+    node: &Rc<GatewayNode>,
+    request: &AdmittedRequest,
+    target: TargetProcess,
+    response_age: Option<Duration>,
+) {
+    let interrupted = InterruptedRequest {
+        fingerprint: request.fingerprint(),
+        shared_parts: Rc::clone(&request.shared_parts),
+        response_age,
+    };
+    if node.crashes.interrupt(&target, interrupted) {
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(confirm_crash(node, target));
+    }
+}
+
+async fn confirm_crash(node: Rc<GatewayNode>, target: TargetProcess) {
+    tokio::time::sleep(COLLECT_WINDOW).await;
+    let exited = has_exited(&node, &target).await;
+    let interrupted = node.crashes.take_interrupted(&target);
+    if !exited {
+        return;
+    }
+    log_crash(&node, &target, &interrupted);
+    let requests: Vec<CrashedRequest> = interrupted.iter().map(CrashedRequest::from).collect();
+    let now = node.now();
+    node.update_crashes(|detector| detector.record(target.clone(), now, &requests));
+    publish_crash(&node, &target, &requests).await;
+}
+
+/// Whether a target's process has exited: its address refuses connections, or the registry lists a
+/// newer process for the host.
+async fn has_exited(node: &GatewayNode, target: &TargetProcess) -> bool {
+    let known = node.registry(|registry| {
+        let entry = registry.get(&target.host)?;
+        Some((entry.address, entry.boot))
+    });
+    let Some((address, now)) = known else {
+        return false;
+    };
+    if now != target.boot {
+        return true;
+    }
+    // A partition may reset and refuse the connections of this node alone.
+    let limits = ConnectLimits::both(CONNECT_TIMEOUT);
+    let connected = connect_target(node, &target.host, address, limits).await;
+    matches!(connected, Err(ConnectionError::Refused))
+}
+
+/// A prompt part at a crashed target.
+#[derive(Debug, Default)]
+struct CrashedPart {
+    requests: usize,
+    /// Age of the oldest response with it; `None` if none had begun.
+    oldest: Option<Duration>,
+}
+
+fn log_crash(node: &GatewayNode, target: &TargetProcess, requests: &[InterruptedRequest]) {
+    let named = requests
+        .iter()
+        .take(MAX_LOGGED_FINGERPRINTS)
+        .map(|request| {
+            let fingerprint = request.fingerprint.to_string();
+            format!("{}:{}", &fingerprint[..8], age_text(request.response_age))
+        });
+    let named: Vec<String> = named.collect();
+    let mut parts: FastMap<PromptPartId, CrashedPart> = FastMap::default();
+    for request in requests {
+        for part in request.shared_parts.iter() {
+            let crashed = parts.entry(*part).or_default();
+            crashed.requests += 1;
+            crashed.oldest = crashed.oldest.max(request.response_age);
+        }
+    }
+    let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    let line = LogLine::new(EventCode::TargetEnded)
+        .text("host", target.host.as_str())
+        .number("boot", target.boot.0)
+        .number("requests", count(requests.len()))
+        .text("marks", &named.join(" "))
+        .number("part_count", count(parts.len()))
+        .text("parts", &describe_parts(node, parts).join(" "));
+    node.log(&line);
+}
+
+/// Describes the parts that nothing speaks for first, as `id:requests:age:sound`: requests with the part,
+/// milliseconds since the oldest response with it began, and since the newest sound answer with it began.
+fn describe_parts(node: &GatewayNode, parts: FastMap<PromptPartId, CrashedPart>) -> Vec<String> {
+    let now = node.now();
+    let described = parts.into_iter().map(|(part, crashed)| {
+        let sound = node.crashes.newest_sound(RequestFeature::Part(part));
+        let sound_age = sound.map(|at| now.saturating_sub(at));
+        (sound_age, part, crashed)
+    });
+    let mut described: Vec<_> = described.collect();
+    described.sort_by_key(|(sound_age, part, _)| {
+        (std::cmp::Reverse(sound_age.unwrap_or(Duration::MAX)), *part)
+    });
+    let texts = described.iter().take(MAX_LOGGED_PARTS);
+    let texts = texts.map(|(sound_age, part, crashed)| {
+        let (oldest, sound) = (age_text(crashed.oldest), age_text(*sound_age));
+        format!("{part}:{}:{oldest}:{sound}", crashed.requests)
+    });
+    texts.collect()
+}
+
+fn age_text(age: Option<Duration>) -> String {
+    age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string())
+}
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash/records.rs
@@ -17,7 +17,7 @@
 use events::{EventCode, LogLine};
 use serde::{Deserialize, Serialize};
 use serving::poison::CRASH_RETENTION;
-use serving::{CrashedRequest, RequestFingerprint, TargetCrash};
+use serving::{CrashedRequest, RequestFingerprint, TargetProcess};
 
 use crate::heartbeat::read_heartbeats;
 use crate::hints::LoadHint;
@@ -101,7 +101,7 @@
 /// Writes this node's record of a crashed target and notifies the other nodes.
 pub async fn publish_crash(
     node: &Rc<GatewayNode>,
-    crash: &TargetCrash,
+    crash: &TargetProcess,
     requests: &[CrashedRequest],
 ) {
     let mut client = StoreClient::new(node.settings.store);
@@ -121,7 +121,7 @@
         Err(error) => log_skipped(node, "read crash records", &error),
     }
     // If none of these requests is suspected, the others can learn of the crash later.
-    if node.suspects_any(requests) {
+    if node.crashes.suspects_any(requests) {
         if let Err(error) = read_heartbeats(node, &mut client).await {
             log_skipped(node, "read heartbeats", &error);
         }
@@ -132,7 +132,7 @@
 async fn write_crash(
     node: &GatewayNode,
     client: &mut StoreClient,
-    crash: &TargetCrash,
+    crash: &TargetProcess,
     requests: &[CrashedRequest],
 ) -> Result<(), StoreError> {
     let clock = node.store_clock().unwrap_or_default();
@@ -182,7 +182,7 @@
             continue;
         }
         tokio::time::sleep(MIN_READ_INTERVAL).await;
-        if node.suspects_no_request() {
+        if node.crashes.is_clear() {
             node.crash_records_changed.notified().await;
         } else {
             let announced = node.crash_records_changed.notified();
@@ -209,7 +209,7 @@
                 .iter()
                 .filter_map(|request| CrashedRequest::try_from(request).ok());
             let requests: Vec<CrashedRequest> = requests.collect();
-            let crash = TargetCrash {
+            let crash = TargetProcess {
                 host: row.host,
                 boot: row.boot,
             };
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -76,7 +76,7 @@
             return rejected_response(node, &headers, rejection).map(Either::Left);
         }
     };
-    let admitted = match node.poison_verdict(&admitted) {
+    let admitted = match node.crashes.verdict(&admitted) {
         PoisonVerdict::Clear => Rc::new(admitted),
         PoisonVerdict::Suspect => Rc::new(admitted.without_retries()),
         PoisonVerdict::Barred => {
@@ -184,7 +184,7 @@
                     return state.into_outcome(retry_after, false);
                 }
             };
-        if state.sent > 0 && node.poison_verdict(admitted) != PoisonVerdict::Clear {
+        if state.sent > 0 && node.crashes.verdict(admitted) != PoisonVerdict::Clear {
             state.last_error.push_str("; suspected of crashing targets");
             return state.into_outcome(OVERLOAD_RETRY_AFTER, false);
         }
--- a/crates/gateway/src/heartbeat/census.rs
+++ b/crates/gateway/src/heartbeat/census.rs
@@ -52,7 +52,7 @@
     }
     drop(copy);
     // The datagrams that announced the crash records were lost.
-    if census.others_suspect && node.suspects_no_request() {
+    if census.others_suspect && node.crashes.is_clear() {
         node.crash_records_changed.notify_one();
     }
     node.feed.set_fallbacks(census.fallbacks(node));
--- a/crates/gateway/src/heartbeat/mod.rs
+++ b/crates/gateway/src/heartbeat/mod.rs
@@ -136,7 +136,7 @@
     let row = NodeRow {
         clock_ms: u64::try_from(clock.as_millis()).unwrap_or(u64::MAX),
         hints: node.hints.address(),
-        suspects: !node.suspects_no_request(),
+        suspects: !node.crashes.is_clear(),
         domain: node.settings.failure_domain.to_string(),
         link,
         demand: node.demand_report(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,6 @@
 mod admitted;
 mod attempt_connection;
 mod crash;
-mod crash_records;
 mod feed;
 mod handle;
 mod heartbeat;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -5,7 +5,6 @@
 mod health;
 mod loads;
 mod paths;
-mod poison;
 mod process;
 mod ranks;
 mod targets;
@@ -24,14 +23,14 @@
 use serving::stall::StallDetector;
 use serving::target_paths::TargetPaths;
 use serving::{
-    ConfirmedMembership, GatewayConfig, PoisonDetector, PromptBacklog, RetryBudget, ShutdownPlan,
-    TargetLoad, TargetRegistry,
+    ConfirmedMembership, GatewayConfig, PromptBacklog, RetryBudget, ShutdownPlan, TargetLoad,
+    TargetRegistry,
 };
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 use wire::feed::FeedLane;
 
-use crate::crash::InterruptedRequests;
+use crate::crash::CrashState;
 use crate::feed::FeedState;
 use crate::hints::{HintChannel, HostHash};
 use crate::metrics::GatewayMetrics;
@@ -74,6 +73,8 @@
     pub doubted: Notify,
     /// Notified when a request or client connection ends.
     pub activity_ended: Notify,
+    /// What is known of crashed targets, and of answers that targets survived.
+    pub crashes: CrashState,
     /// Notified when the store has new crash records.
     pub crash_records_changed: Notify,
     /// What clients ask of each model, and the decisions on shares.
@@ -114,12 +115,8 @@
     confirmed: RefCell<FastMap<HostId, ConfirmedMembership>>,
     /// Hosts whose last registry entry contradicts what they confirmed.
     contradicted: RefCell<FastSet<HostId>>,
-    /// Interrupted requests at targets that are not yet known to have crashed.
-    interrupted: RefCell<InterruptedRequests>,
-    /// Requests that ran at crashed targets.
-    poison: RefCell<PoisonDetector>,
     /// Store clock, and the process time at which it was read.
-    store_clock: Cell<Option<(Duration, Duration)>>,
+    pub(crate) store_clock: Cell<Option<(Duration, Duration)>>,
     /// Draining or unlisted targets that no longer accept connections, and since when.
     retired: RefCell<FastMap<HostId, Duration>>,
     retry_budgets: RefCell<FastMap<ServiceName, RetryBudget>>,
@@ -169,6 +166,7 @@
             state_changed: Notify::new(),
             activity_ended: Notify::new(),
             crash_records_changed: Notify::new(),
+            crashes: CrashState::default(),
             started: Instant::now(),
             config: RefCell::default(),
             idle_timeout: Cell::new(DEFAULT_IDLE_TIMEOUT),
@@ -195,8 +193,6 @@
             unlisted: RefCell::default(),
             confirmed: RefCell::default(),
             contradicted: RefCell::default(),
-            interrupted: RefCell::default(),
-            poison: RefCell::default(),
             store_clock: Cell::default(),
             retired: RefCell::default(),
             retry_budgets: RefCell::default(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -63,6 +63,8 @@
     splitter: EventSplitter,
     attempts: u32,
     tried: FastSet<HostId>,
+    /// Whether the current target is known to have survived the response.
+    is_sound: bool,
     first_event_at: Option<Duration>,
     last_event_at: Duration,
     /// Longest time between two events.
@@ -100,6 +102,7 @@
             source: Some(source.response),
             attempts: source.attempts,
             tried: source.tried,
+            is_sound: false,
             first_event_at: None,
             last_event_at: Duration::ZERO,
             longest_pause: Duration::ZERO,
@@ -178,6 +181,12 @@
         }
         self.first_event_at.get_or_insert(now);
         self.last_event_at = now;
+        if self.is_sound {
+            return;
+        }
+        if let Some(source) = &self.source {
+            self.is_sound = source.record_if_sound(&self.node, &self.request);
+        }
     }
 
     async fn read(&mut self) -> SourceEvent {
@@ -239,7 +248,7 @@
             if attempt > 0 {
                 tokio::time::sleep(FAILOVER_RETRY_DELAY).await;
             }
-            if self.node.poison_verdict(&self.request) != PoisonVerdict::Clear {
+            if self.node.crashes.verdict(&self.request) != PoisonVerdict::Clear {
                 return Err("request is suspected of crashing targets".to_owned());
             }
             let max_wait = self.max_wait();
@@ -277,6 +286,7 @@
                     // Drops the incomplete event of the failed target; it must not be joined with
                     // data from the new one.
                     self.splitter.drop_partial();
+                    self.is_sound = false;
                     self.source = Some(*response);
                     return Ok(());
                 }
@@ -302,6 +312,9 @@
     fn finish(&mut self) {
         self.finished = true;
         if let Some(source) = self.source.take() {
+            if !self.is_sound {
+                source.watch_ended(&self.node, &self.request);
+            }
             source.release_connection(&self.node);
         }
         self.record_end(StatusCode::OK);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::node::GatewayNode;
 use crate::settings::GatewaySettings;
-use crate::{crash_records, feed, heartbeat, listen, load_batches, probe, reconcile, tunnel};
+use crate::{crash, feed, heartbeat, listen, load_batches, probe, reconcile, tunnel};
 
 /// Interval for checking whether a process that is shutting down may exit.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -89,7 +89,7 @@
     spawn_local(heartbeat::run_heartbeats(Rc::clone(&node)));
     spawn_local(receive_hints(Rc::clone(&node)));
     spawn_local(load_batches::pass_on_loads(Rc::clone(&node)));
-    spawn_local(crash_records::watch_crash_records(Rc::clone(&node)));
+    spawn_local(crash::watch_crash_records(Rc::clone(&node)));
     spawn_local(reconcile::reconcile_replicas(Rc::clone(&node)));
     spawn_local(probe::watch_for_stalls(Rc::clone(&node)));
     spawn_local(probe::probe_suspects(Rc::clone(&node)));
@@ -146,6 +146,7 @@
         let started_at = node.now();
         tokio::time::sleep(SWEEP_INTERVAL).await;
         node.pool.evict_expired();
+        node.crashes.expire(node.now());
         let elapsed = node.now().saturating_sub(started_at);
         let stats = node.stats();
         if stats.dropped_lines > reported {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -8,7 +8,8 @@
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use serving::TargetEntry;
+use serving::poison::SOUND_ANSWER_AGE;
+use serving::{TargetEntry, TargetProcess};
 use web::ConnectionError;
 
 use crate::admitted::AdmittedRequest;
@@ -231,7 +232,11 @@
             }
             let is_plain = target.membership.is_none();
             let response_age = is_plain.then(|| node.now().saturating_sub(sent_at));
-            record_interrupted(node, request, (&target.id, target.boot), response_age);
+            let process = TargetProcess {
+                host: target.id.clone(),
+                boot: target.boot,
+            };
+            record_interrupted(node, request, process, response_age);
             Err(AttemptOutcome::Ambiguous(error.to_string()))
         }
     }
@@ -326,7 +331,7 @@
         let now = node.now();
         node.with_load(id, |load| load.record_failure(now));
     }
-    AttemptOutcome::Responded(Box::new(TargetResponse {
+    let response = TargetResponse {
         host: id.clone(),
         boot: target.boot,
         started_at: node.now(),
@@ -336,7 +341,9 @@
         body,
         connection: exchange.connection,
         in_flight,
-    }))
+    };
+    node.crashes.record_alive(&response.process(), node.now());
+    AttemptOutcome::Responded(Box::new(response))
 }
 
 impl TargetResponse {
@@ -359,8 +366,40 @@
         if !self.connection.is_tunnelled {
             node.record_connection_broken(&self.host);
         }
-        let response_age = node.now().saturating_sub(self.started_at);
-        record_interrupted(node, request, (&self.host, self.boot), Some(response_age));
+        let response_age = self.age(node);
+        record_interrupted(node, request, self.process(), Some(response_age));
+    }
+
+    fn process(&self) -> TargetProcess {
+        TargetProcess {
+            host: self.host.clone(),
+            boot: self.boot,
+        }
+    }
+
+    /// Time since the response began.
+    #[must_use]
+    pub fn age(&self, node: &GatewayNode) -> Duration {
+        node.now().saturating_sub(self.started_at)
+    }
+
+    /// Records that the target survived the response, if it has lasted long enough to show that; returns
+    /// whether it has.
+    pub fn record_if_sound(&self, node: &GatewayNode, request: &AdmittedRequest) -> bool {
+        if self.age(node) < SOUND_ANSWER_AGE {
+            return false;
+        }
+        let crashes = &node.crashes;
+        crashes.record_sound(&request.shared_parts, self.started_at);
+        crashes.record_alive(&self.process(), node.now());
+        true
+    }
+
+    /// Watches for a sign that the target survived a response that has ended.
+    pub fn watch_ended(&self, node: &GatewayNode, request: &AdmittedRequest) {
+        let parts = &request.shared_parts;
+        node.crashes
+            .watch_answer(self.process(), self.started_at, parts);
     }
 
     /// Returns the connection to the pool after the end of the body.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -31,7 +31,10 @@
 pub use choose::{ChoiceLimits, TargetLoad, choose_target};
 pub use confirmed::ConfirmedMembership;
 pub use event_stream::EventSplitter;
-pub use poison::{CrashedRequest, PoisonDetector, PoisonVerdict, RequestFingerprint, TargetCrash};
+pub use poison::{
+    CrashedRequest, PoisonDetector, PoisonVerdict, RequestFeature, RequestFingerprint,
+    TargetProcess,
+};
 pub use prompt_backlog::PromptBacklog;
 pub use registry::{ReplicaView, TargetRegistry};
 pub use retry_budget::RetryBudget;
--- a/crates/serving/src/poison.rs
+++ b/crates/serving/src/poison/detector.rs
@@ -1,31 +1,10 @@
 //! Detection of poison requests: requests that crash the targets that run them.
 
-use std::fmt;
-use std::num::ParseIntError;
-use std::str::FromStr;
 use std::time::Duration;
 
 use domain::{BootNumber, FastMap, FastSet, HostId};
 
-/// Identifies all requests with the same path, customer and body.
-///
-/// It is the first half of a SHA-256 hash, printed as 32 hexadecimal digits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestFingerprint(pub u128);
-
-impl fmt::Display for RequestFingerprint {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:032x}", self.0)
-    }
-}
-
-impl FromStr for RequestFingerprint {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        u128::from_str_radix(text, 16).map(Self)
-    }
-}
+use super::RequestFingerprint;
 
 /// A request that was at a target when the target crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,12 +35,12 @@
 /// so of two requests that were at equally many crashes the running one is the likelier cause.
 const QUEUED_RESPONSE_AGE: Duration = Duration::from_secs(10);
 
-/// A crash of one target process.
+/// One process of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct TargetCrash {
+pub struct TargetProcess {
     /// Host that ran the process.
     pub host: HostId,
-    /// Boot number of the process that crashed. It tells repeated crashes of a host apart.
+    /// Boot number of the process. It tells repeated crashes of a host apart.
     pub boot: BootNumber,
 }
 
@@ -92,7 +71,7 @@
 /// target as soon as it begins to run.
 #[derive(Debug, Default)]
 pub struct PoisonDetector {
-    crashes: FastMap<TargetCrash, CrashRecord>,
+    crashes: FastMap<TargetProcess, CrashRecord>,
     barred: FastSet<RequestFingerprint>,
     suspects: FastSet<RequestFingerprint>,
 }
@@ -128,7 +107,7 @@
     /// Adds the requests that one node had at a crashed target.
     ///
     /// Several nodes may report the same crash; their requests are merged.
-    pub fn record(&mut self, crash: TargetCrash, at: Duration, requests: &[CrashedRequest]) {
+    pub fn record(&mut self, crash: TargetProcess, at: Duration, requests: &[CrashedRequest]) {
         let record = self.crashes.entry(crash).or_insert_with(|| CrashRecord {
             at,
             requests: FastMap::default(),
--- a/crates/serving/tests/poison_requests.rs
+++ b/crates/serving/tests/poison_requests.rs
@@ -5,13 +5,13 @@
 use cases::seeded;
 use domain::{BootNumber, HostId};
 use serving::poison::{CRASH_RETENTION, MIN_CRASHES_TO_BAR};
-use serving::{CrashedRequest, PoisonDetector, PoisonVerdict, RequestFingerprint, TargetCrash};
+use serving::{CrashedRequest, PoisonDetector, PoisonVerdict, RequestFingerprint, TargetProcess};
 
 const CULPRIT: RequestFingerprint = RequestFingerprint(1);
 
-fn crash(index: usize) -> TargetCrash {
+fn crash(index: usize) -> TargetProcess {
     let host: HostId = format!("h{index}").parse().expect("a host");
-    TargetCrash {
+    TargetProcess {
         host,
         boot: BootNumber(1),
     }
@@ -95,7 +95,7 @@
     }
     detector.evaluate(seconds(1));
     assert_eq!(detector.verdict(CULPRIT), PoisonVerdict::Clear);
-    let again = TargetCrash {
+    let again = TargetProcess {
         boot: BootNumber(2),
         ..crash(0)
     };
