Add failing tests of a crashing prompt part, unframed responses and uneven connections

Engines of the stand-in crash on a prompt part, end streams and responses with their connection, and die in the middle of them.

--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use futures::stream;
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode, Version};
 use http_body_util::{BodyExt, StreamBody};
 use serde_json::{Value, json};
 
@@ -18,6 +18,10 @@
 /// Content of a request body that crashes the engine or instance that executes the request.
 pub const CRASH_BODY: &[u8] = b"ends what runs it";
 
+/// A prompt part that crashes each engine that begins to answer a request with it, wherever it stands but
+/// last.
+pub const CRASH_PART: &str = "dead0001";
+
 /// One engine; dropping it closes its listener and connections, as when its process dies.
 #[derive(Debug)]
 pub struct SiteEngine {
@@ -105,6 +109,11 @@
         self.crashed.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Sets whether new streams have neither a length nor chunks and end with their connection.
+    pub fn set_unframed(&self, unframed: bool) {
+        self.unframed.store(unframed, Ordering::Relaxed);
+    }
+
     /// Returns the number of engines that have crashed.
     #[must_use]
     pub fn crashed(&self) -> usize {
@@ -238,7 +247,7 @@
             group,
             next: last_event_id + 1,
             last: events,
-            crashes_engine: contains(&request.body, CRASH_BODY),
+            crashes_engine: contains(&request.body, CRASH_BODY) || has_crash_part(request),
             started: false,
         };
         let frames = stream::unfold(stream_run, |mut stream_run| async move {
@@ -246,6 +255,9 @@
             Some((frame, stream_run))
         });
         let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+        if self.unframed.load(Ordering::Relaxed) {
+            *response.version_mut() = Version::HTTP_10;
+        }
         let headers = response.headers_mut();
         headers.insert(
             "content-type",
@@ -259,6 +271,15 @@
     }
 }
 
+fn has_crash_part(request: &SiteRequest) -> bool {
+    let parts = request.header("x-prompt-prefix").rsplit_once(',');
+    let Some((shared, _own)) = parts else {
+        return false;
+    };
+    let mut ids = shared.split(',').filter_map(|part| part.split_once(':'));
+    ids.any(|(id, _tokens)| id == CRASH_PART)
+}
+
 pub(super) fn contains(body: &[u8], part: &[u8]) -> bool {
     body.windows(part.len()).any(|window| window == part)
 }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -13,7 +13,7 @@
 mod store;
 mod stream;
 
-pub use engine::{CRASH_BODY, SiteEngine};
+pub use engine::{CRASH_BODY, CRASH_PART, SiteEngine};
 pub use gate::{GateMode, StoreGate};
 pub use groups::SiteGroups;
 pub use http::ConnectionLossGuard;
--- a/crates/standin/src/site/service.rs
+++ b/crates/standin/src/site/service.rs
@@ -4,7 +4,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::{HeaderValue, StatusCode};
+use bytes::Bytes;
+use futures::stream::{self, StreamExt as _, TryStreamExt as _};
+use http::{HeaderValue, Response, StatusCode, Version};
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::Frame;
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -32,6 +36,10 @@
     WrongRequestId,
     /// Responds, then closes the connection shortly after without announcing it.
     ClosesConnection,
+    /// Its responses have neither a length nor chunks and end with their connection.
+    Unframed,
+    /// The same, but its process dies in the middle of the response.
+    DiesUnframed,
 }
 
 #[derive(Debug)]
@@ -141,6 +149,33 @@
     }
 }
 
+fn unframed(mut response: SiteResponse) -> SiteResponse {
+    *response.version_mut() = Version::HTTP_10;
+    // A body of unknown length.
+    response.map(|body| StreamBody::new(body.into_data_stream().map_ok(Frame::data)).boxed_unsync())
+}
+
+/// A response of which only the first half is sent before the process dies.
+fn dying_response(state: &Mutex<InstanceState>, text: &str) -> SiteResponse {
+    let crash = {
+        let state = state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.crash.clone()
+    };
+    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+    let dying = async move {
+        tokio::time::sleep(SLOW_DELAY).await;
+        if let Some(crash) = crash {
+            crash.notify_one();
+        }
+        std::future::pending::<Result<Frame<Bytes>, std::io::Error>>().await
+    };
+    let first = stream::once(async move { Ok(Frame::data(half)) });
+    let body = StreamBody::new(first.chain(stream::once(dying))).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
+
 async fn handle(state: &Mutex<InstanceState>, request: SiteRequest) -> SiteResponse {
     let id = request.header("x-request-id").to_owned();
     let (mode, text) = {
@@ -161,6 +196,8 @@
         ServiceMode::Healthy | ServiceMode::WrongRequestId | ServiceMode::ClosesConnection => {
             text_response(StatusCode::OK, &text)
         }
+        ServiceMode::Unframed => unframed(text_response(StatusCode::OK, &text)),
+        ServiceMode::DiesUnframed => dying_response(state, &text),
         ServiceMode::Slow => {
             tokio::time::sleep(SLOW_DELAY).await;
             text_response(StatusCode::OK, &text)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod config_freshness;
 mod config_history;
 mod config_soak;
+mod crashing_parts;
 mod failure_diagnosis;
 mod full_restart;
 mod idle_connections;
@@ -27,6 +28,8 @@
 mod store_feed;
 mod target_proxies;
 mod tunnel_promises;
+mod uneven_connections;
+mod unframed_responses;
 
 /// Path of the built binary.
 const BINARY: &str = env!("CARGO_BIN_EXE_bramleyspring");
