Take the end of a connection for the end of a response only if its target lives

A response with neither a length nor chunks ends with its connection. If its target died between two events, or anywhere in a plain response, closing its connections in order, the part that had come was passed on as the whole: callers got one event, or half a receipt, with 200 and a proper end. A stream that ended inside an event was moved without a record of the crash. At the end of such a response the node now asks whether the target's process has exited, unless the target is leaving; if so the response is broken: recorded as evidence of a crash, moved if it may be, and otherwise cut or answered 502. Such a connection is not kept for another request.

--- a/crates/gateway/src/crash/confirm.rs
+++ b/crates/gateway/src/crash/confirm.rs
@@ -61,7 +61,7 @@
 
 /// Whether a target's process has exited: its address refuses connections, or the registry lists a
 /// newer process for the host.
-async fn has_exited(node: &GatewayNode, target: &TargetProcess) -> bool {
+pub async fn has_exited(node: &GatewayNode, target: &TargetProcess) -> bool {
     let known = node.registry(|registry| {
         let entry = registry.get(&target.host)?;
         Some((entry.address, entry.boot))
--- a/crates/gateway/src/crash/mod.rs
+++ b/crates/gateway/src/crash/mod.rs
@@ -6,7 +6,7 @@
 mod state;
 mod verdict;
 
-pub use confirm::record_interrupted;
+pub use confirm::{has_exited, record_interrupted};
 pub use records::{share_evidence, watch_evidence};
 pub use state::{CrashState, InterruptedRequest};
 pub use verdict::describe_features;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -332,6 +332,10 @@
         }
         Err(_) => return Err("response body incomplete at the deadline".to_owned()),
     };
+    if response.has_died(node).await {
+        response.record_broken(node, admitted);
+        return Err("target exited at the end of its connection".to_owned());
+    }
     let mut buffered = Response::new(Full::new(bytes));
     *buffered.status_mut() = response.status;
     *buffered.headers_mut() = response.headers.clone();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -145,17 +145,14 @@
                     }
                     Err(_) => "event too large".to_owned(),
                 },
-                SourceEvent::End if !self.splitter.has_partial() => {
-                    self.finish();
-                    return None;
-                }
-                SourceEvent::End => "stream ended inside an event".to_owned(),
-                SourceEvent::Broken(reason) => {
-                    if let Some(source) = &self.source {
-                        source.record_broken(&self.node, &self.request);
+                SourceEvent::End => match self.check_end().await {
+                    Ok(()) => {
+                        self.finish();
+                        return None;
                     }
-                    reason
-                }
+                    Err(reason) => self.record_broken(reason),
+                },
+                SourceEvent::Broken(reason) => self.record_broken(reason),
                 SourceEvent::Stalled => {
                     self.fail_over_stalled().await;
                     continue;
@@ -173,6 +170,30 @@
         }
     }
 
+    /// Checks that the end of the body is that of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Why it is not.
+    async fn check_end(&self) -> Result<(), String> {
+        if self.splitter.has_partial() {
+            return Err("stream ended inside an event".to_owned());
+        }
+        match &self.source {
+            Some(source) if source.has_died(&self.node).await => {
+                Err("target exited at the end of its connection".to_owned())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn record_broken(&self, reason: String) -> String {
+        if let Some(source) = &self.source {
+            source.record_broken(&self.node, &self.request);
+        }
+        reason
+    }
+
     fn record_event(&mut self) {
         let now = self.node.now();
         if self.first_event_at.is_some() {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -6,18 +6,18 @@
 
 use adapter::{FaultyTarget, ForwardHeaders, ResponseHeaders};
 use domain::{BootNumber, CustomerId, HostId, ServiceName};
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serving::poison::SOUND_ANSWER_AGE;
-use serving::{TargetEntry, TargetProcess};
+use serving::{TargetEntry, TargetProcess, TargetState};
 use web::ConnectionError;
 
 use crate::admitted::AdmittedRequest;
 use crate::attempt_connection::{
     ConnectionPath, ConnectionReuse, acquire_connection, connect, record_unreachable, send_watched,
 };
-use crate::crash::{InterruptedRequest, record_interrupted};
+use crate::crash::{InterruptedRequest, has_exited, record_interrupted};
 use crate::hints::LoadHint;
 use crate::node::{FailureKind, GatewayNode};
 use crate::probe::refresh_refusing;
@@ -108,6 +108,8 @@
     pub headers: HeaderMap,
     /// Platform-specific headers, parsed.
     pub parsed_headers: ResponseHeaders,
+    /// Whether the body has neither a length nor chunks and ends with its connection.
+    pub is_close_delimited: bool,
     /// When the first bytes of the body arrived, measured from process start.
     pub first_bytes_at: Cell<Option<Duration>>,
     /// Unread response body.
@@ -346,6 +348,7 @@
         status: head.status,
         headers: adapter::headers::without_hop_by_hop_headers(&head.headers),
         parsed_headers,
+        is_close_delimited: is_close_delimited(&head.headers),
         first_bytes_at: Cell::default(),
         body,
         connection: exchange.connection,
@@ -356,7 +359,26 @@
     AttemptOutcome::Responded(Box::new(response))
 }
 
+/// Whether a body with these headers ends with its connection.
+fn is_close_delimited(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 impl TargetResponse {
+    /// Whether the end of the body may be that of its target: the body ends with its connection, and the
+    /// target's process has exited. A target that leaves ends what it has begun, though it accepts no new
+    /// connections.
+    pub async fn has_died(&self, node: &GatewayNode) -> bool {
+        let is_leaving = || {
+            node.registry(|registry| {
+                let entry = registry.get(&self.host);
+                entry.is_none_or(|entry| entry.state == TargetState::Draining)
+            })
+        };
+        self.is_close_delimited && !is_leaving() && has_exited(node, &self.process()).await
+    }
+
     /// Records that bytes of the body arrived.
     pub fn record_progress(&self, node: &GatewayNode) {
         self.in_flight.record_progress();
@@ -426,7 +448,8 @@
 
     /// Returns the connection to the pool after the end of the body.
     pub fn release_connection(self, node: &GatewayNode) {
-        if !self.parsed_headers.connection_close && !self.connection.is_tunnelled {
+        let is_kept = !self.parsed_headers.connection_close && !self.is_close_delimited;
+        if is_kept && !self.connection.is_tunnelled {
             node.pool.release(
                 &self.host,
                 self.connection.http,
--- a/tests/gateway/unframed_responses.rs
+++ b/tests/gateway/unframed_responses.rs
@@ -55,6 +55,25 @@
     }
 }
 
+/// An engine that leaves accepts no new connections and ends what it has begun. Its streams are whole, and
+/// callers would lose a ready answer if they were not passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_engine_ends_whole_stream() {
+    let site = TestSite::start(9, 0);
+    let node = site.node("n0").await;
+    node.wait_replicas(2).await;
+    site.groups.set_unframed(true);
+    site.groups.set_events(40);
+    let (_connection, response) = TestRequest::chat("c-0").begin(&node).await;
+    let head = site.replica_running("c-0")[0].clone();
+    site.groups.drain(&head);
+    site.stop_listening(&head);
+    let response = read_response(response).await;
+    assert!(response.complete);
+    assert_eq!(response.text, complete_stream(40));
+    assert!(node.log_lines(&["target_ended"]).is_empty());
+}
+
 /// An instance dies in the middle of such a response to a call. Its caller must not get half of the response
 /// as the whole one.
 #[tokio::test(flavor = "multi_thread")]
