Take the end of a connection for the end of a service's response only if the instance lives

The client of services now asks at such an end whether anything still listens; if not, the response is lost and the outcome unknown.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -6,12 +6,12 @@
 
 use adapter::{FaultyTarget, ForwardHeaders, ResponseHeaders};
 use domain::{BootNumber, CustomerId, HostId, ServiceName};
-use http::{HeaderMap, Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serving::poison::SOUND_ANSWER_AGE;
 use serving::{TargetEntry, TargetProcess, TargetState};
-use web::ConnectionError;
+use web::{ConnectionError, is_close_delimited};
 
 use crate::admitted::AdmittedRequest;
 use crate::attempt_connection::{
@@ -359,12 +359,6 @@
     AttemptOutcome::Responded(Box::new(response))
 }
 
-/// Whether a body with these headers ends with its connection.
-fn is_close_delimited(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 impl TargetResponse {
     /// Whether the end of the body may be that of its target: the body ends with its connection, and the
     /// target's process has exited. A target that leaves ends what it has begun, though it accepts no new
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -9,8 +9,12 @@
 use domain::CustomerId;
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use web::body::full_body;
+use web::client::CONNECT_TIMEOUT;
 use web::client::JsonResponse;
-use web::{ClientError, WebClient, parse_json, read_body};
+use web::{
+    ClientError, ConnectionError, HttpConnection, WebClient, is_close_delimited, parse_json,
+    read_body,
+};
 use wire::service::{CUSTOMER_HEADER, IDEMPOTENCY_KEY_HEADER, LookupBody, ServiceLoad};
 
 /// Maximum size of a service's response in bytes. The ledger stores the response in a table row.
@@ -138,9 +142,14 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or("application/octet-stream")
             .to_owned();
+        let ends_with_connection = is_close_delimited(response.headers());
         let body = read_body(response.into_body(), MAX_RESPONSE_BYTES)
             .await
             .map_err(|error| ClientError::Broken(address, error.to_string()))?;
+        if ends_with_connection && has_exited(address).await {
+            let problem = "the instance exited at the end of its connection";
+            return Err(ClientError::Broken(address, problem.to_owned()));
+        }
         Ok(ServiceResponse {
             status,
             content_type,
@@ -149,6 +158,12 @@
     }
 }
 
+/// Whether nothing listens at the address any more.
+async fn has_exited(address: SocketAddr) -> bool {
+    let connected = HttpConnection::connect(address, CONNECT_TIMEOUT).await;
+    matches!(connected, Err(ConnectionError::Refused))
+}
+
 fn call_request(
     address: SocketAddr,
     request: &ServiceRequest,
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -12,6 +12,6 @@
 pub use client::{ClientError, WebClient};
 pub use connection::{ConnectionError, HttpConnection};
 pub use query::query_value;
-pub use response::{WebResponse, json_response, text_response};
+pub use response::{WebResponse, is_close_delimited, json_response, text_response};
 pub use server::{WebHandler, WebRequest, serve_listener, serve_with_acceptor};
 pub use tls::{ReloadableTlsConfig, TlsError, TlsFiles};
--- a/crates/web/src/response.rs
+++ b/crates/web/src/response.rs
@@ -1,6 +1,6 @@
 //! Constructors for a server's responses.
 
-use http::{HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use serde::Serialize;
 
 use crate::body::{WebBody, full_body};
@@ -8,6 +8,14 @@
 /// A response whose body may be a stream.
 pub type WebResponse = http::Response<WebBody>;
 
+/// Whether a body with these headers has neither a length nor chunks, so that it ends with its connection.
+/// A server that dies in the middle of it may close the connection in the same way.
+#[must_use]
+pub fn is_close_delimited(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Builds a response with a JSON body, or a 500 response if the value can't be serialized.
 #[must_use]
 pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> WebResponse {
