Lend a node the connections to targets that the others leave free

Each node used an equal part of a target's connections. With most of a domain's clients at one node for some seconds, it refused what the targets could run: with 24 connections a target and six nodes, the 19th of 36 streams, where the replicas run 48. A target's own report tells how many connections the other nodes use; what they leave is now this node's, and its equal part always is.

uneven_connections: failed before (stream 18 refused), passes; choose_target::free_connections_lent.

--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -123,19 +123,6 @@
 /// milliseconds, so a short queue empties within the target latency.
 const PLAIN_QUEUE_PER_SLOT: f64 = 1.0;
 
-/// Fraction of a target's connections used for requests in flight; the rest is left for idle ones.
-const ACTIVE_CONNECTION_FRACTION: f64 = 0.75;
-
-/// This node's share of the connections that one target accepts, at least two.
-fn connection_quota(service: &ServiceConfig, nodes: usize) -> u32 {
-    let nodes = f64::from(u32::try_from(nodes.max(1)).unwrap_or(u32::MAX));
-    let quota = f64::from(service.max_connections) * ACTIVE_CONNECTION_FRACTION / nodes;
-    // In range: a u32 multiplied by a factor below 1.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let quota = quota as u32;
-    quota.max(2)
-}
-
 /// Requests that a target runs at once.
 fn slots_of(service: &ServiceConfig, entry: &TargetEntry) -> u32 {
     if service.models.is_empty() {
@@ -151,11 +138,13 @@
     service: &ServiceConfig,
     entries: &[TargetEntry],
 ) -> Vec<SampledCandidate> {
-    let in_flight_limit = connection_quota(service, node.node_count());
+    let (now, nodes) = (node.now(), node.node_count());
     let candidates = entries.iter().map(|entry| SampledCandidate {
         load: node.load(&entry.id),
         slots: slots_of(service, entry),
-        in_flight_limit,
+        in_flight_limit: node
+            .load(&entry.id)
+            .in_flight_limit(service.max_connections, nodes, now),
         is_near: entry.domain == node.settings.failure_domain,
         has_connection: node.pool.has_idle(&entry.id),
     });
@@ -268,12 +257,16 @@
     ) -> Vec<TargetCandidate> {
         let prefill_rate = self.prefill_rate(service);
         let uses_prefill_wait = prefill_rate > 0.0 && node.hints_reach_all();
-        let in_flight_limit = connection_quota(service, node.node_count());
+        let (now, nodes) = (node.now(), node.node_count());
         let candidates = entries.iter().map(|entry| TargetCandidate {
             load: node.load(&entry.id),
             slots: slots_of(service, entry),
             prefill_wait: uses_prefill_wait.then(|| node.prefill_wait(&entry.id, prefill_rate)),
-            in_flight_limit,
+            in_flight_limit: node.load(&entry.id).in_flight_limit(
+                service.max_connections,
+                nodes,
+                now,
+            ),
         });
         candidates.collect()
     }
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -18,6 +18,12 @@
 /// would get no requests while others have capacity, and could never show that it has recovered.
 const FAILURE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Fraction of a target's connections used for requests in flight; the rest is left for idle ones.
+const ACTIVE_CONNECTION_FRACTION: f64 = 0.75;
+
+/// Requests that a node may always have at a target.
+const MIN_IN_FLIGHT: f64 = 2.0;
+
 /// Delay that each request at a target adds to a first token: its part of a decode step, of which
 /// there are seven per pass, and of the slots that will be full sooner. It is small next to the
 /// prefill of a prompt of 1,400 tokens, which takes 28 ms.
@@ -115,6 +121,24 @@
         Some((reported + f64::from(self.sent_since_report)).max(own))
     }
 
+    /// Returns how many requests this node may have at the target, each on a connection of its own, if it
+    /// accepts `max_connections` from all nodes.
+    ///
+    /// An equal part is always this node's. Beyond it, the node may use what the others leave free: for a
+    /// while most clients may be connected to one node, which would otherwise refuse what targets could run.
+    #[must_use]
+    pub fn in_flight_limit(&self, max_connections: u32, nodes: usize, now: Duration) -> u32 {
+        let nodes = f64::from(u32::try_from(nodes.max(1)).unwrap_or(u32::MAX));
+        let active = f64::from(max_connections) * ACTIVE_CONNECTION_FRACTION;
+        let part = (active / nodes).max(MIN_IN_FLIGHT);
+        let own = f64::from(self.in_flight);
+        let free = self.fresh_estimate(now).map(|all| active - (all - own));
+        // In range: at most a u32 multiplied by a factor below 1, or `MIN_IN_FLIGHT`.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let limit = free.unwrap_or(part).max(part) as u32;
+        limit
+    }
+
     /// Time since the last report; `None` before the first.
     #[must_use]
     pub fn report_age(&self, now: Duration) -> Option<Duration> {
--- a/crates/serving/tests/choose_target.rs
+++ b/crates/serving/tests/choose_target.rs
@@ -143,3 +143,21 @@
     let alone = choose_target(&[narrow], limits(6.0), NOW);
     assert_eq!(alone, Err(NoTarget::Full));
 }
+
+/// For a while most clients are connected to one node. If its part of a target's connections stayed an equal
+/// one, it would refuse requests that the target could run; while the others use theirs, it must not take
+/// them.
+#[test]
+fn free_connections_lent() {
+    let now = Duration::from_secs(5);
+    let mut load = TargetLoad::default();
+    assert_eq!(load.in_flight_limit(24, 6, now), 3);
+    load.in_flight = 10;
+    load.record_report(10, now);
+    assert_eq!(load.in_flight_limit(24, 6, now), 18);
+    load.record_report(22, now);
+    assert_eq!(load.in_flight_limit(24, 6, now), 6);
+    load.record_report(60, now);
+    assert_eq!(load.in_flight_limit(24, 6, now), 3);
+    assert_eq!(load.in_flight_limit(24, 6, now + Duration::from_secs(9)), 3);
+}
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -22,6 +22,9 @@
 /// last.
 pub const CRASH_PART: &str = "dead0001";
 
+/// Requests that an engine says it runs at once.
+const ENGINE_SLOTS: u32 = 8;
+
 /// One engine; dropping it closes its listener and connections, as when its process dies.
 #[derive(Debug)]
 pub struct SiteEngine {
@@ -114,6 +117,11 @@
         self.unframed.store(unframed, Ordering::Relaxed);
     }
 
+    /// Sets whether engines tell their load with each response.
+    pub fn set_tells_load(&self, tells_load: bool) {
+        self.tells_load.store(tells_load, Ordering::Relaxed);
+    }
+
     /// Returns the number of engines that have crashed.
     #[must_use]
     pub fn crashed(&self) -> usize {
@@ -176,7 +184,7 @@
             row["address"] = json!(engine.address);
             row["zone"] = json!(engine.zone);
             row["version"] = json!("v1");
-            row["slots"] = json!(8);
+            row["slots"] = json!(ENGINE_SLOTS);
             row["state"] = json!(if engine.draining { "draining" } else { "ready" });
             row
         });
@@ -239,6 +247,7 @@
             engine.executed.push(request_id.clone());
             engine.running += 1;
         });
+        let running = self.with(id, |engine| engine.running).unwrap_or(0);
         let last_event_id: usize = request.header("last-event-id").parse().unwrap_or(0);
         let events = self.with(id, |engine| engine.events).unwrap_or(0);
         let stream_run = StreamRun {
@@ -264,6 +273,11 @@
             HeaderValue::from_static("text/event-stream"),
         );
         headers.insert("x-response-signature", HeaderValue::from_static("signed"));
+        if self.tells_load.load(Ordering::Relaxed)
+            && let Ok(value) = HeaderValue::from_str(&format!("{running},0,{ENGINE_SLOTS}"))
+        {
+            headers.insert("x-server-load", value);
+        }
         if let Ok(value) = HeaderValue::from_str(&request_id) {
             headers.insert("x-request-id", value);
         }
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -54,6 +54,8 @@
     pub(super) crashed: Arc<AtomicUsize>,
     /// Whether engines can't reach the store to update their entries.
     pub(super) entries_held: Arc<AtomicBool>,
+    /// Whether engines tell their load with each response.
+    pub(super) tells_load: Arc<AtomicBool>,
     /// Whether new streams end with their connection.
     pub(super) unframed: Arc<AtomicBool>,
     /// Number of status reports that engines were asked for.
@@ -70,6 +72,7 @@
             violations: Arc::default(),
             crashed: Arc::default(),
             entries_held: Arc::default(),
+            tells_load: Arc::default(),
             unframed: Arc::default(),
             reports: Arc::default(),
         }
--- a/tests/gateway/uneven_connections.rs
+++ b/tests/gateway/uneven_connections.rs
@@ -26,6 +26,7 @@
         node.wait_replicas(6).await;
         node.wait_log_line(&["nodes_counted", "\"nodes\":6"]).await;
     }
+    site.groups.set_tells_load(true);
     site.groups.set_events(50);
     let mut running = Vec::new();
     for index in 0..STREAMS {
