--- a/crates/gateway/src/crash/records.rs
+++ b/crates/gateway/src/crash/records.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use adapter::{RowWrite, StoreClient, StoreError};
-use domain::RowVersion;
+use domain::{FastSet, RowVersion};
 use events::{EventCode, LogLine};
 use serving::feed::StoreRow;
 use serving::hashing::stable_hash;
@@ -234,6 +234,8 @@
 
 /// Rows of the table, with the version and the clock of the store.
 struct EvidencePage {
+    /// Whether rows that are missing do not exist.
+    is_full: bool,
     rows: Vec<StoreRow>,
     version: RowVersion,
     clock: Duration,
@@ -248,6 +250,9 @@
     }
     let now = node.evidence_time();
     node.update_crashes(EvidenceSource::Store, |detector| {
+        if page.is_full {
+            forget_missing(node, detector, &page.rows);
+        }
         for row in &page.rows {
             apply_row(node, detector, row, now);
         }
@@ -257,19 +262,28 @@
 
 fn apply_row(node: &GatewayNode, detector: &mut PoisonDetector, row: &StoreRow, now: Duration) {
     let Some(value) = &row.value else {
-        node.crashes.forget_row(&row.key);
+        node.crashes.forget_row(detector, &row.key);
         return;
     };
     // A row that can't be read tells nothing and is deleted.
     let decoded = serde_json::from_slice::<EvidenceRow>(value).ok();
-    let newest = decoded.as_ref().and_then(EvidenceRow::newest);
-    node.crashes.note_row(&row.key, newest);
-    let is_recent = newest.is_some_and(|newest| now.saturating_sub(newest) < CRASH_RETENTION);
-    if let Some(decoded) = decoded.filter(|_| is_recent) {
+    node.crashes.note_row(&row.key, decoded.as_ref());
+    let Some(decoded) = decoded else { return };
+    let newest = decoded.newest().unwrap_or_default();
+    if now.saturating_sub(newest) < CRASH_RETENTION {
         node.crashes.apply(detector, &decoded);
     }
 }
 
+fn forget_missing(node: &GatewayNode, detector: &mut PoisonDetector, rows: &[StoreRow]) {
+    let listed: FastSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+    for key in node.crashes.row_keys() {
+        if !listed.contains(key.as_str()) {
+            node.crashes.forget_row(detector, &key);
+        }
+    }
+}
+
 async fn read_rows(
     client: &mut StoreClient,
     known: Option<RowVersion>,
@@ -281,6 +295,7 @@
         match changes {
             Ok(changes) => {
                 return Ok(EvidencePage {
+                    is_full: false,
                     rows: changes.rows,
                     version: changes.version,
                     clock: changes.clock,
@@ -292,6 +307,7 @@
     }
     let page = client.read_table(EVIDENCE_TABLE, STORE_TIMEOUT).await?;
     Ok(EvidencePage {
+        is_full: true,
         rows: page.rows,
         version: page.version,
         clock: page.clock,
@@ -308,9 +324,11 @@
         .await;
     match removed {
         Ok(_) => {
-            for key in keys {
-                node.crashes.forget_row(key);
-            }
+            node.update_crashes(EvidenceSource::Review, |detector| {
+                for key in keys {
+                    node.crashes.forget_row(detector, key);
+                }
+            });
         }
         Err(error) => log_skipped(node, "delete expired evidence", &error),
     }
--- a/crates/gateway/src/crash/rows.rs
+++ b/crates/gateway/src/crash/rows.rs
@@ -165,6 +165,16 @@
 }
 
 impl EvidenceRow {
+    /// The process whose crash it tells of.
+    #[must_use]
+    pub fn process(&self) -> Option<TargetProcess> {
+        let Self::Crash(row) = self else { return None };
+        Some(TargetProcess {
+            host: row.host.clone(),
+            boot: row.boot,
+        })
+    }
+
     /// When what it tells of was; `None` if it tells nothing.
     #[must_use]
     pub fn newest(&self) -> Option<Duration> {
--- a/crates/gateway/src/crash/state.rs
+++ b/crates/gateway/src/crash/state.rs
@@ -69,6 +69,15 @@
     features.into_values().collect()
 }
 
+/// A row of the table.
+#[derive(Debug)]
+struct KnownRow {
+    /// When what it tells of was; `None` if it tells nothing.
+    newest: Option<Duration>,
+    /// Process whose crash it tells of.
+    process: Option<TargetProcess>,
+}
+
 /// What a node knows of crashed targets, and of answers that targets survived.
 #[derive(Debug, Default)]
 pub struct CrashState {
@@ -86,8 +95,8 @@
     published_sound: RefCell<FastMap<RequestFeature, Duration>>,
     /// Version of the store up to which the evidence is known.
     pub(super) table_version: Cell<Option<RowVersion>>,
-    /// Known rows of the table, and when what they tell of was; `None` if they tell nothing.
-    row_times: RefCell<FastMap<String, Option<Duration>>>,
+    /// Known rows of the table by key.
+    known_rows: RefCell<FastMap<String, KnownRow>>,
     /// When the newest crash was that this node has seen or read of.
     newest_crash: Cell<Option<Duration>>,
     /// The last turn in which this node let a request of a barred set through.
@@ -259,21 +268,35 @@
             .collect()
     }
 
-    /// Remembers a row of the table and when what it tells of was; `None` if it tells nothing.
-    pub(super) fn note_row(&self, key: &str, newest: Option<Duration>) {
-        self.row_times.borrow_mut().insert(key.to_owned(), newest);
+    /// Remembers a row of the table; `None` if it can't be read.
+    pub(super) fn note_row(&self, key: &str, row: Option<&EvidenceRow>) {
+        let known = KnownRow {
+            newest: row.and_then(EvidenceRow::newest),
+            process: row.and_then(EvidenceRow::process),
+        };
+        self.known_rows.borrow_mut().insert(key.to_owned(), known);
     }
 
-    /// Forgets a deleted row of the table.
-    pub(super) fn forget_row(&self, key: &str) {
-        self.row_times.borrow_mut().remove(key);
+    /// Forgets a deleted row of the table, and what it told of.
+    pub(super) fn forget_row(&self, detector: &mut PoisonDetector, key: &str) {
+        let known = self.known_rows.borrow_mut().remove(key);
+        if let Some(process) = known.and_then(|known| known.process) {
+            detector.forget(&process);
+        }
+    }
+
+    /// Keys of known rows.
+    #[must_use]
+    pub fn row_keys(&self) -> Vec<String> {
+        self.known_rows.borrow().keys().cloned().collect()
     }
 
     /// Keys of rows that tell nothing, or nothing any more.
     #[must_use]
     pub fn expired_rows(&self, now: Duration) -> Vec<String> {
-        let times = self.row_times.borrow();
-        let expired = times.iter().filter(|(_, newest)| {
+        let rows = self.known_rows.borrow();
+        let expired = rows.iter().filter(|(_, row)| {
+            let newest = row.newest;
             newest.is_none_or(|newest| now.saturating_sub(newest) >= CRASH_RETENTION)
         });
         expired.map(|(key, _)| key.clone()).collect()
--- a/crates/serving/src/poison/detector.rs
+++ b/crates/serving/src/poison/detector.rs
@@ -186,6 +186,11 @@
         self.crashes.record(process, at, features);
     }
 
+    /// Drops all that is known of a crash, as when operators lift a verdict.
+    pub fn forget(&mut self, process: &TargetProcess) {
+        self.crashes.forget(process);
+    }
+
     /// Adds an answer that its target survived, as this node has seen.
     pub fn record_sound(&mut self, feature: RequestFeature, begun_at: Duration) {
         self.sound.record(feature, begun_at);
--- a/crates/serving/src/poison/evidence.rs
+++ b/crates/serving/src/poison/evidence.rs
@@ -143,6 +143,10 @@
         }
     }
 
+    pub fn forget(&mut self, process: &TargetProcess) {
+        self.crashes.remove(process);
+    }
+
     pub fn expire(&mut self, now: Duration) {
         self.crashes
             .retain(|_, crash| now.saturating_sub(crash.at) < CRASH_RETENTION);
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -298,3 +298,24 @@
         assert!(node.log_lines(&["request_barred", "part-"]).is_empty());
     }
 }
+
+/// A part is barred that operators know to be mended. They delete what the store holds on its crashes, and
+/// callers with the part must be served again without a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_lift_verdict() {
+    let site = TestSite::start(ENGINES, 0);
+    let nodes = start_nodes(&site, 3).await;
+    crash_engines(&site, &nodes).await;
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    check_barred(&site, &nodes).await;
+    for key in site.store.keys("ends") {
+        site.store.remove("ends", &key);
+    }
+    for node in &nodes {
+        node.wait_log_line(&["request_barred", "cleared", CRASH_PART])
+            .await;
+    }
+    let crashed = site.groups.crashed();
+    drop(send(&crashing(2000), &nodes[0]).await);
+    assert!(site.groups.crashed() > crashed, "the request is sent again");
+}
