Hear what was not yet heard before barring a part: wait for sound answers after a start

A feature without any sound answer is now barred 1.5 s after the first crash that speaks against it at the earliest, so that answers begun since can count, and a complete answer of 300 ms counts as sound at once: short ones had to wait until the same process answered again.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use serving::poison::SOUND_ANSWER_AGE;
+use serving::poison::{COMPLETE_ANSWER_AGE, SOUND_ANSWER_AGE};
 use serving::{TargetEntry, TargetProcess, TargetState};
 use web::{ConnectionError, is_close_delimited};
 
@@ -412,8 +412,13 @@
 
     /// Whether the target has sent bytes of the body for long enough to have survived it.
     fn is_outlived(&self, node: &GatewayNode) -> bool {
+        self.written_for(node) >= SOUND_ANSWER_AGE
+    }
+
+    /// Time since the first bytes of the body arrived; zero if none have.
+    fn written_for(&self, node: &GatewayNode) -> Duration {
         let first = self.first_bytes_at.get();
-        first.is_some_and(|first| node.now().saturating_sub(first) >= SOUND_ANSWER_AGE)
+        first.map_or(Duration::ZERO, |first| node.now().saturating_sub(first))
     }
 
     /// Records that the target survived the response, if it has lasted long enough to show that; returns
@@ -434,8 +439,10 @@
         let begun_at = self.first_bytes_at.get().unwrap_or(self.started_at);
         let begun_at = node.evidence_time_at(begun_at);
         node.crashes.record_complete(request, begun_at);
-        if !self.is_outlived(node) {
-            let parts = &request.shared_parts;
+        let parts = &request.shared_parts;
+        if self.written_for(node) >= COMPLETE_ANSWER_AGE {
+            node.crashes.record_sound(parts, begun_at);
+        } else {
             node.crashes.watch_answer(self.process(), begun_at, parts);
         }
     }
--- a/crates/serving/src/poison/detector.rs
+++ b/crates/serving/src/poison/detector.rs
@@ -15,8 +15,9 @@
 /// target per arrival.
 const MIN_CRASHES_TO_SUSPECT: usize = 2;
 
-/// Time for which a verdict on a feature with earlier sound answers waits for newer ones: those that have
-/// begun since the crashes must have lasted long enough to count.
+/// Time for which a verdict waits for sound answers: those that have begun since must have lasted long enough
+/// to count. For a feature that had some before the crashes it runs from the crash that would bar it, for
+/// another one from the first crash: after a start, nothing has had any yet.
 const SOUND_ANSWER_PATIENCE: Duration = SOUND_ANSWER_AGE.saturating_add(Duration::from_millis(500));
 
 /// Time after the last crash until one request of a barred set is let through, for features that never had
@@ -77,15 +78,23 @@
 }
 
 impl SuspectFeature {
-    /// Whether crashes up to this number have been known for long enough to count.
-    fn has_reached(&self, count: usize, now: Duration) -> bool {
-        let patience = if self.was_sound {
-            SOUND_ANSWER_PATIENCE
+    /// Whether it is suspect.
+    fn is_suspect(&self, now: Duration) -> bool {
+        let reached = self.tally.reached(MIN_CRASHES_TO_SUSPECT);
+        reached.is_some_and(|reached| !self.was_sound || reached + SOUND_ANSWER_PATIENCE <= now)
+    }
+
+    /// Whether it may be barred, unless another one is the likelier cause.
+    fn is_barrable(&self, now: Duration) -> bool {
+        let Some(reached) = self.tally.reached(MIN_CRASHES_TO_BAR) else {
+            return false;
+        };
+        let waits_from = if self.was_sound {
+            Some(reached)
         } else {
-            Duration::ZERO
+            self.tally.reached(1)
         };
-        let reached = self.tally.reached(count);
-        reached.is_some_and(|reached| reached + patience <= now)
+        waits_from.is_some_and(|from| from + SOUND_ANSWER_PATIENCE <= now)
     }
 
     fn leads(&self, other: &Self) -> bool {
@@ -242,9 +251,7 @@
             let Some(best) = likeliest(&suspects, now) else {
                 self.contested
                     .extend(suspects.iter().map(|suspect| suspect.feature));
-                let ripe = suspects
-                    .iter()
-                    .filter(|suspect| suspect.has_reached(MIN_CRASHES_TO_SUSPECT, now));
+                let ripe = suspects.iter().filter(|suspect| suspect.is_suspect(now));
                 self.suspects.extend(ripe.map(|suspect| suspect.feature));
                 break;
             };
@@ -283,9 +290,7 @@
 /// The feature that is likeliest to be a cause, if any is to be barred. One without any sound answer goes
 /// before those that had some: each popular part is at nearly all crashes.
 fn likeliest(suspects: &[SuspectFeature], now: Duration) -> Option<SuspectFeature> {
-    let barrable = suspects
-        .iter()
-        .filter(|suspect| suspect.has_reached(MIN_CRASHES_TO_BAR, now));
+    let barrable = suspects.iter().filter(|suspect| suspect.is_barrable(now));
     let best = barrable
         .min_by_key(|suspect| (suspect.was_sound, suspect.tally.rank(), suspect.feature))?;
     Some(*best)
--- a/crates/serving/src/poison/mod.rs
+++ b/crates/serving/src/poison/mod.rs
@@ -9,4 +9,4 @@
 pub use detector::{BarredSet, MIN_CRASHES_TO_BAR, PoisonDetector, PoisonVerdict};
 pub use evidence::{CRASH_RETENTION, CrashedFeature, TargetProcess};
 pub use feature::{FeatureError, RequestFeature, RequestFingerprint};
-pub use sound::{AnswerWatch, SOUND_ANSWER_AGE, SoundAnswers};
+pub use sound::{AnswerWatch, COMPLETE_ANSWER_AGE, SOUND_ANSWER_AGE, SoundAnswers};
--- a/crates/serving/src/poison/sound.rs
+++ b/crates/serving/src/poison/sound.rs
@@ -11,6 +11,10 @@
 /// answer does so in the first passes, each of which takes at most some hundred milliseconds.
 pub const SOUND_ANSWER_AGE: Duration = Duration::from_secs(1);
 
+/// Time that a complete answer must have taken to show that its target survives it, in place of
+/// [`SOUND_ANSWER_AGE`]: several passes.
+pub const COMPLETE_ANSWER_AGE: Duration = Duration::from_millis(300);
+
 /// Maximum number of features kept; beyond it, the half with the oldest answers is dropped, so that a
 /// client that sends other parts with each request does not exhaust the memory.
 const MAX_FEATURES: usize = 4096;
--- a/crates/serving/tests/poison_requests.rs
+++ b/crates/serving/tests/poison_requests.rs
@@ -188,6 +188,30 @@
     assert_eq!(detector.verdict(&sound), PoisonVerdict::Clear);
 }
 
+/// Just after a start nothing has had a sound answer yet. A popular part is at every crash, also at one that
+/// something else caused, and must be heard before it is barred in place of the cause.
+#[test]
+fn start_bars_no_popular_part() {
+    let at = |tenths: u32| Duration::from_millis(100) * tenths;
+    let mut detector = PoisonDetector::default();
+    for (index, tenths) in [2, 4, 6].into_iter().enumerate() {
+        let mut features = vec![at_crash(part(POPULAR), 40)];
+        if tenths != 4 {
+            features.push(at_crash(part(1), 40));
+        }
+        detector.record(crash(index), at(tenths), &features);
+        detector.evaluate(at(tenths));
+        assert!(barred(&detector).is_empty());
+    }
+    detector.record_sound(part(POPULAR), at(6));
+    detector.evaluate(at(17));
+    assert!(barred(&detector).is_empty());
+    assert_eq!(detector.verdict(&[part(POPULAR)]), PoisonVerdict::Clear);
+    detector.record(crash(3), at(20), &[at_crash(part(1), 40)]);
+    detector.evaluate(at(20));
+    assert_eq!(barred(&detector), [[part(1)]]);
+}
+
 /// Several targets end at one moment with the same part, which has never been seen before. That is one
 /// event, and callers with the part must be served.
 #[test]
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -53,7 +53,8 @@
 }
 
 impl SiteGroups {
-    /// Starts an engine in a fabric domain and registers it.
+    /// Starts an engine in a fabric domain and registers it. An engine that had the id is replaced by the
+    /// new process, which knows nothing of it.
     ///
     /// # Errors
     ///
@@ -65,7 +66,9 @@
             let (groups, name) = (groups.clone(), name.clone());
             async move { groups.handle(&name, request).await }
         })?;
+        let previous = self.with(id, |engine| engine.born).unwrap_or(0);
         let state = EngineState {
+            born: previous + 1,
             fabric: fabric.to_owned(),
             zone: zone.to_owned(),
             address: server.address.to_string(),
@@ -122,6 +125,12 @@
         self.tells_load.store(tells_load, Ordering::Relaxed);
     }
 
+    /// Returns whether an engine is gone after a crash, or has been made unresponsive.
+    #[must_use]
+    pub fn has_crashed(&self, id: &str) -> bool {
+        self.with(id, |engine| engine.unresponsive).unwrap_or(true)
+    }
+
     /// Returns the number of engines that have crashed.
     #[must_use]
     pub fn crashed(&self) -> usize {
@@ -308,7 +317,7 @@
         json!({"name": group.name, "epoch": group.epoch, "rank": group.rank, "state": group.state})
     });
     json!({
-        "stage": "both", "models": models, "domain": engine.fabric, "born": 1,
+        "stage": "both", "models": models, "domain": engine.fabric, "born": engine.born,
         "staged": engine.staged.iter().collect::<Vec<_>>(), "group": group,
     })
 }
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -22,6 +22,8 @@
     pub fabric: String,
     pub zone: String,
     pub address: String,
+    /// Number of the process under this id.
+    pub born: u64,
     pub orders: u64,
     pub loaded: Option<String>,
     /// Model staged on its host; only the latest one is kept.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod config_freshness;
 mod config_history;
 mod config_soak;
+mod crash_soak;
 mod crashing_parts;
 mod failure_diagnosis;
 mod full_restart;
