Wait for sound answers only after a start, and review verdicts from the first crash on

It is needed only while hardly any part has had a sound answer; a node that has known some for 3 s before the crash takes a part without any at once.

A node that waited for news when it saw a crash went on waiting, so a verdict that only time completes never came on a node alone (poison_requests::plain_call_barred timed out). A crash now wakes the review.

--- a/crates/gateway/src/crash/records.rs
+++ b/crates/gateway/src/crash/records.rs
@@ -53,7 +53,10 @@
 const READ_INTERVAL_PER_NODE: Duration = Duration::from_millis(2);
 
 /// Time after a crash for which a node reads by itself: the datagrams of others may not reach it.
-const ALERT_TIME: Duration = Duration::from_secs(10);
+const ALERT_TIME: Duration = Duration::from_secs(4);
+
+/// The same while several crashes speak against anything.
+const CONTESTED_ALERT_TIME: Duration = Duration::from_secs(10);
 
 /// Read interval for that time.
 const ALERT_READ_INTERVAL: Duration = Duration::from_millis(1500);
@@ -209,8 +212,10 @@
         let announced = node.crashes.evidence_written.notified();
         let is_quiet = !node.crashes.is_contested() && !is_alert(node);
         if is_quiet {
-            announced.await;
-            return;
+            tokio::select! {
+                () = announced => return,
+                () = node.crashes.crash_seen.notified() => continue,
+            }
         }
         if timeout(REVIEW_INTERVAL, announced).await.is_ok() {
             return;
@@ -228,8 +233,13 @@
 }
 
 fn is_alert(node: &GatewayNode) -> bool {
+    let alert_time = if node.crashes.is_contested() {
+        CONTESTED_ALERT_TIME
+    } else {
+        ALERT_TIME
+    };
     let age = node.crashes.crash_age(node.evidence_time());
-    age.is_some_and(|age| age < ALERT_TIME)
+    age.is_some_and(|age| age < alert_time)
 }
 
 /// Rows of the table, with the version and the clock of the store.
--- a/crates/gateway/src/crash/state.rs
+++ b/crates/gateway/src/crash/state.rs
@@ -83,6 +83,8 @@
 pub struct CrashState {
     /// Notified when there is evidence to write.
     pub evidence_found: Notify,
+    /// Notified when this node has seen a crash or read of one.
+    pub crash_seen: Notify,
     /// Notified when the store has new evidence.
     pub evidence_written: Notify,
     /// Interrupted requests at targets that are not yet known to have crashed.
@@ -228,10 +230,17 @@
             at,
             features: reported,
         });
-        self.newest_crash.set(self.newest_crash.get().max(Some(at)));
+        self.note_crash(at);
         self.evidence_found.notify_one();
     }
 
+    fn note_crash(&self, at: Duration) {
+        let newest = self.newest_crash.get().max(Some(at));
+        if self.newest_crash.replace(newest) != newest {
+            self.crash_seen.notify_one();
+        }
+    }
+
     /// Crashes that this node has yet to write.
     #[must_use]
     pub fn unpublished(&self) -> Vec<CrashReport> {
@@ -315,8 +324,7 @@
                     }
                 }
                 detector.record(report.process, report.at, &features);
-                let newest = self.newest_crash.get().max(Some(report.at));
-                self.newest_crash.set(newest);
+                self.note_crash(report.at);
             }
             EvidenceRow::Sound(row) => {
                 for (feature, begun_at) in row.answers() {
--- a/crates/serving/src/poison/detector.rs
+++ b/crates/serving/src/poison/detector.rs
@@ -16,8 +16,8 @@
 const MIN_CRASHES_TO_SUSPECT: usize = 2;
 
 /// Time for which a verdict waits for sound answers: those that have begun since must have lasted long enough
-/// to count. For a feature that had some before the crashes it runs from the crash that would bar it, for
-/// another one from the first crash: after a start, nothing has had any yet.
+/// to count. For a feature that had some before the crashes it runs from the crash that would bar it. Another
+/// one is waited for only after a start, when hardly any has had one yet, and from its first crash on.
 const SOUND_ANSWER_PATIENCE: Duration = SOUND_ANSWER_AGE.saturating_add(Duration::from_millis(500));
 
 /// Time after the last crash until one request of a barred set is let through, for features that never had
@@ -75,6 +75,8 @@
     tally: FeatureTally,
     /// Whether any answer with it is known that its target survived, before the crashes.
     was_sound: bool,
+    /// Whether that would be known if there had been any.
+    is_heard: bool,
 }
 
 impl SuspectFeature {
@@ -89,10 +91,10 @@
         let Some(reached) = self.tally.reached(MIN_CRASHES_TO_BAR) else {
             return false;
         };
-        let waits_from = if self.was_sound {
-            Some(reached)
-        } else {
-            self.tally.reached(1)
+        let waits_from = match (self.was_sound, self.is_heard) {
+            (true, _) => Some(reached),
+            (false, false) => self.tally.reached(1),
+            (false, true) => return true,
         };
         waits_from.is_some_and(|from| from + SOUND_ANSWER_PATIENCE <= now)
     }
@@ -278,10 +280,12 @@
         if tally.crashes < MIN_CRASHES_TO_SUSPECT {
             continue;
         }
+        let first_crash = tally.reached(1).unwrap_or_default();
         suspects.push(SuspectFeature {
             feature,
             tally,
             was_sound: sound.newest(feature).is_some(),
+            is_heard: sound.were_known_before(first_crash),
         });
     }
     suspects
--- a/crates/serving/src/poison/sound.rs
+++ b/crates/serving/src/poison/sound.rs
@@ -15,6 +15,9 @@
 /// [`SOUND_ANSWER_AGE`]: several passes.
 pub const COMPLETE_ANSWER_AGE: Duration = Duration::from_millis(300);
 
+/// Time after the first sound answer within which features in use have had one as well.
+const WARM_UP_TIME: Duration = Duration::from_secs(3);
+
 /// Maximum number of features kept; beyond it, the half with the oldest answers is dropped, so that a
 /// client that sends other parts with each request does not exhaust the memory.
 const MAX_FEATURES: usize = 4096;
@@ -29,6 +32,8 @@
 #[derive(Debug, Default)]
 pub struct SoundAnswers {
     begun_at: FastMap<RequestFeature, Duration>,
+    /// When the first of all answers began.
+    first_begun_at: Option<Duration>,
 }
 
 impl SoundAnswers {
@@ -36,6 +41,8 @@
     pub fn record(&mut self, feature: RequestFeature, begun_at: Duration) {
         let newest = self.begun_at.entry(feature).or_insert(begun_at);
         *newest = begun_at.max(*newest);
+        let first = self.first_begun_at.get_or_insert(begun_at);
+        *first = begun_at.min(*first);
         if self.begun_at.len() > MAX_FEATURES {
             self.drop_older_half();
         }
@@ -47,6 +54,14 @@
         self.begun_at.get(&feature).copied()
     }
 
+    /// Whether sound answers were known for a while before this time, so that a feature without any is
+    /// remarkable.
+    #[must_use]
+    pub fn were_known_before(&self, time: Duration) -> bool {
+        let first = self.first_begun_at;
+        first.is_some_and(|first| first + WARM_UP_TIME <= time)
+    }
+
     fn drop_older_half(&mut self) {
         let mut times: Vec<Duration> = self.begun_at.values().copied().collect();
         times.sort_unstable();
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -129,6 +129,14 @@
     }
 }
 
+/// Serves sound requests until nodes would know of sound answers if there were any.
+async fn serve_for_a_while(nodes: &[TestNode]) {
+    for round in 0..4 {
+        check_served(nodes, &format!("warm-{round}"), &[POPULAR, "bbbb0001"]).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+}
+
 /// Six nodes get requests with the part in turn. Once five engines have crashed, callers of every node would
 /// go on losing their answers for as long as such requests come. No node may send them on 3 s later, and
 /// requests of the same caller with the same other parts are served.
@@ -150,6 +158,7 @@
 async fn companion_part_served() {
     let site = TestSite::start(ENGINES, 0);
     let nodes = start_nodes(&site, 3).await;
+    serve_for_a_while(&nodes).await;
     let crashing = |index: usize| {
         let parts = [POPULAR, "eeee0001", CRASH_PART, "eeee0002"];
         with_parts(&format!("x-{index}"), &parts)
