--- a/tests/gateway/config_soak.rs
+++ b/tests/gateway/config_soak.rs
@@ -31,6 +31,7 @@
 use crate::node::wait_for;
 use crate::request::{TestRequest, TestResponse, read_response};
 use crate::site::{CONFIG_BOUND, KEY};
+use crate::soak_client::soak_seeds;
 
 /// Seeds that are played by default.
 const DEFAULT_SEEDS: Range<u64> = 1..4;
@@ -61,17 +62,6 @@
     Some(text.parse().expect("the variable is a number"))
 }
 
-fn seeds() -> Range<u64> {
-    let Ok(text) = std::env::var("CONFIG_SOAK_SEEDS") else {
-        return DEFAULT_SEEDS;
-    };
-    let (first, end) = text
-        .split_once("..")
-        .expect("CONFIG_SOAK_SEEDS is FIRST..END");
-    let number = |text: &str| text.parse().expect("CONFIG_SOAK_SEEDS is FIRST..END");
-    number(first)..number(end)
-}
-
 /// Asks one node again and again, on one connection while it lasts.
 async fn observe(state: Arc<SoakState>, index: usize, seed: u64, until: Instant) {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -244,7 +234,7 @@
 /// the bound or goes back behind what it showed, and each has the last version soon.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusals_are_proved() {
-    for seed in seeds() {
+    for seed in soak_seeds("CONFIG_SOAK_SEEDS", DEFAULT_SEEDS) {
         println!("seed {seed}");
         soak(seed).await;
     }
--- a/tests/gateway/crash_soak.rs
+++ b/tests/gateway/crash_soak.rs
@@ -16,6 +16,7 @@
 use crate::node::TestNode;
 use crate::request::{TestRequest, read_response};
 use crate::site::TestSite;
+use crate::soak_client::{kept_connection, soak_seeds};
 
 /// Seeds that are played by default.
 const DEFAULT_SEEDS: Range<u64> = 1..4;
@@ -45,17 +46,6 @@
 /// Clients of each node; each keeps its connection while the node does.
 const CLIENTS: usize = 2;
 
-fn seeds() -> Range<u64> {
-    let Ok(text) = std::env::var("CRASH_SOAK_SEEDS") else {
-        return DEFAULT_SEEDS;
-    };
-    let (first, end) = text
-        .split_once("..")
-        .expect("CRASH_SOAK_SEEDS is FIRST..END");
-    let number = |text: &str| text.parse().expect("CRASH_SOAK_SEEDS is FIRST..END");
-    number(first)..number(end)
-}
-
 fn request(id: &str, parts: &[&str], number: usize) -> TestRequest {
     let shared: Vec<String> = parts.iter().map(|part| format!("{part}:20")).collect();
     let prefix = format!("{},{number:08x}:10", shared.join(","));
@@ -76,14 +66,7 @@
         let follower = format!("bbbb{:04x}", rng.random_range(0..12));
         let id = format!("{name}-{number}");
         let request = request(&id, &["aaaa0001", &follower], number);
-        let connection = match open.take().filter(HttpConnection::is_open) {
-            Some(connection) => Some(connection),
-            None => HttpConnection::connect(node.requests, Duration::from_secs(1))
-                .await
-                .ok(),
-        };
-        let Some(mut connection) = connection else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
+        let Some(mut connection) = kept_connection(open.take(), node).await else {
             continue;
         };
         let Some(response) = request.begin_on(&mut connection).await else {
@@ -264,7 +247,7 @@
 /// the faults are over, all nodes keep the part from the engines and serve the rest.
 #[tokio::test(flavor = "multi_thread")]
 async fn only_the_part_barred() {
-    for seed in seeds() {
+    for seed in soak_seeds("CRASH_SOAK_SEEDS", DEFAULT_SEEDS) {
         println!("seed {seed}");
         soak(seed).await;
     }
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -1,4 +1,6 @@
 //! Requests that share a prompt part crash every engine that begins to answer one; no two are alike.
+//!
+//! `CRASH_NODES=N` plays the first test with so many nodes.
 
 use std::time::Duration;
 
@@ -31,6 +33,12 @@
 /// Part of nearly all prompts.
 const POPULAR: &str = "aaaa0001";
 
+/// Nodes of the first test.
+fn node_count() -> usize {
+    let text = std::env::var("CRASH_NODES").unwrap_or_else(|_| "6".to_owned());
+    text.parse().expect("CRASH_NODES is a number")
+}
+
 fn with_parts(id: &str, parts: &[&str]) -> TestRequest {
     let mut prefix: Vec<String> = parts.iter().map(|part| format!("{part}:20")).collect();
     prefix.push(format!("{:08x}:10", fingerprint_of(id)));
@@ -143,10 +151,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn part_barred_everywhere() {
     let site = TestSite::start(ENGINES, 0);
-    let nodes = start_nodes(&site, 6).await;
+    let nodes = start_nodes(&site, node_count()).await;
     check_served(&nodes, "before", &[POPULAR, "bbbb0001"]).await;
     crash_engines(&site, &nodes).await;
     tokio::time::sleep(PROPAGATION_TIME).await;
+    println!("{} engines crashed", site.groups.crashed());
     check_barred(&site, &nodes).await;
     check_served(&nodes, "after", &[POPULAR, "bbbb0001"]).await;
     check_served(&nodes, "unseen", &[POPULAR, "cccc0001"]).await;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod share_decisions;
 mod shutdown;
 mod site;
+mod soak_client;
 mod store_faults;
 mod store_feed;
 mod target_proxies;
--- a/tests/gateway/partition_soak.rs
+++ b/tests/gateway/partition_soak.rs
@@ -15,6 +15,7 @@
 use crate::node::TestNode;
 use crate::request::{TestRequest, complete_stream, read_response};
 use crate::site::TestSite;
+use crate::soak_client::{kept_connection, soak_seeds};
 use crate::target_proxies::{PartitionKind, TargetProxies};
 
 /// Seeds that are played by default.
@@ -32,15 +33,6 @@
 /// Clients of each node; each keeps its connection while the node does.
 const CLIENTS: usize = 3;
 
-fn seeds() -> Range<u64> {
-    let Ok(text) = std::env::var("SOAK_SEEDS") else {
-        return DEFAULT_SEEDS;
-    };
-    let (first, end) = text.split_once("..").expect("SOAK_SEEDS is FIRST..END");
-    let number = |text: &str| text.parse().expect("SOAK_SEEDS is FIRST..END");
-    number(first)..number(end)
-}
-
 /// What a client got for a payment.
 type PaymentLog = BTreeMap<String, Option<StatusCode>>;
 
@@ -59,14 +51,7 @@
         } else {
             TestRequest::chat(&id)
         };
-        let connection = match open.take().filter(HttpConnection::is_open) {
-            Some(connection) => Some(connection),
-            None => HttpConnection::connect(node.requests, Duration::from_secs(1))
-                .await
-                .ok(),
-        };
-        let Some(mut connection) = connection else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
+        let Some(mut connection) = kept_connection(open.take(), node).await else {
             continue;
         };
         let response = match request.begin_on(&mut connection).await {
@@ -187,7 +172,7 @@
 /// not run has not run, streams are whole, and all is served again soon after.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_kept() {
-    for seed in seeds() {
+    for seed in soak_seeds("SOAK_SEEDS", DEFAULT_SEEDS) {
         println!("seed {seed}");
         soak(seed).await;
     }
