Ask a moment later whether the target of a closed connection has exited

A process that dies may close its connections a little before it stops listening; a connection in between would tell that it lives. Test: an instance that stops listening 10 ms after its connection.

--- a/crates/gateway/src/target_response.rs
+++ b/crates/gateway/src/target_response.rs
@@ -18,6 +18,10 @@
 use crate::node::GatewayNode;
 use crate::tunnel::TargetConnection;
 
+/// Time between the end of a connection and the question whether its target has exited: a process that
+/// dies may close its connections a little before it stops listening.
+const EXIT_SETTLE_TIME: Duration = Duration::from_millis(30);
+
 /// A target's response whose body has not been read yet.
 #[derive(Debug)]
 pub struct TargetResponse {
@@ -56,7 +60,11 @@
                 entry.is_none_or(|entry| entry.state == TargetState::Draining)
             })
         };
-        self.is_close_delimited && !is_leaving() && has_exited(node, &self.process()).await
+        if !self.is_close_delimited || is_leaving() {
+            return false;
+        }
+        tokio::time::sleep(EXIT_SETTLE_TIME).await;
+        has_exited(node, &self.process()).await
     }
 
     /// Records that bytes of the body arrived.
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -158,8 +158,13 @@
     }
 }
 
+/// Time between the end of a connection and the question whether its instance has exited: a process that
+/// dies may close its connections a little before it stops listening.
+const EXIT_SETTLE_TIME: Duration = Duration::from_millis(30);
+
 /// Whether nothing listens at the address any more.
 async fn has_exited(address: SocketAddr) -> bool {
+    tokio::time::sleep(EXIT_SETTLE_TIME).await;
     let connected = HttpConnection::connect(address, CONNECT_TIMEOUT).await;
     matches!(connected, Err(ConnectionError::Refused))
 }
--- a/crates/target/tests/unframed_responses.rs
+++ b/crates/target/tests/unframed_responses.rs
@@ -11,6 +11,9 @@
 /// Head and first half of a response without a length.
 const HALF_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nhalf";
 
+/// Time after the end of its connections at which a dying instance stops listening.
+const LISTENER_DELAY: Duration = Duration::from_millis(10);
+
 /// Sends a call to an instance that closes the connection after half of a response, and lives on or not.
 async fn call_instance(dies: bool) -> Result<Bytes, ServiceError> {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -21,9 +24,13 @@
         let length = stream.read(&mut request).await.expect("a request");
         assert!(length > 0);
         stream.write_all(HALF_RESPONSE).await.expect("a reader");
-        let survivor = (!dies).then_some(listener);
         drop(stream);
-        survivor
+        if !dies {
+            return Some(listener);
+        }
+        tokio::time::sleep(LISTENER_DELAY).await;
+        drop(listener);
+        None
     });
     let client = HttpServiceClient::new(WebClient::default());
     let request = ServiceRequest {
--- a/tests/gateway/crash_soak.rs
+++ b/tests/gateway/crash_soak.rs
@@ -215,6 +215,7 @@
         verdicts(&nodes)
     );
     tokio::time::sleep(KNOWLEDGE_TIME).await;
+    let crashed = site.groups.crashed();
     let until = Instant::now() + CALM_TIME;
     let clients = nodes.iter().enumerate().map(|(index, node)| {
         let name = format!("s{seed}-calm-{index}");
@@ -230,8 +231,9 @@
         .count();
     assert!(
         reached <= LATE_REQUESTS,
-        "seed {seed}: {reached} of {} late requests reached engines",
-        late.len()
+        "seed {seed}: {reached} of {} late requests reached engines after {crashed} crashes; {}",
+        late.len(),
+        verdicts(&nodes)
     );
     assert_eq!(wrongly_barred(&statuses), 0, "seed {seed}: calm");
     let served = statuses.iter().flatten();
