Take a closed connection for the end of a response only while its replica stands

At the end of such a connection the membership of the head is now compared with that at the sending as well. The stand-in cuts such streams off inside an event, as the users' page says of one that is broken off.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -333,9 +333,9 @@
         }
         Err(_) => return Err("response body incomplete at the deadline".to_owned()),
     };
-    if response.has_died(node).await {
+    if response.may_be_cut(node).await {
         response.record_broken(node, admitted);
-        return Err("target exited at the end of its connection".to_owned());
+        return Err("response cut off at the end of its connection".to_owned());
     }
     let mut buffered = Response::new(Full::new(bytes));
     *buffered.status_mut() = response.status;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -181,8 +181,8 @@
             return Err("stream ended inside an event".to_owned());
         }
         match &self.source {
-            Some(source) if source.has_died(&self.node).await => {
-                Err("target exited at the end of its connection".to_owned())
+            Some(source) if source.may_be_cut(&self.node).await => {
+                Err("stream cut off at the end of its connection".to_owned())
             }
             _ => Ok(()),
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -247,6 +247,7 @@
     let response = TargetResponse {
         host: id.clone(),
         boot: target.boot,
+        membership: target.membership_key(),
         started_at: node.now(),
         status: head.status,
         headers: adapter::headers::without_hop_by_hop_headers(&head.headers),
--- a/crates/gateway/src/target_response.rs
+++ b/crates/gateway/src/target_response.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, StatusCode};
 use hyper::body::Incoming;
 use serving::poison::{COMPLETE_ANSWER_AGE, SOUND_ANSWER_AGE};
-use serving::{TargetProcess, TargetState};
+use serving::{MembershipKey, TargetProcess, TargetState};
 
 use crate::admitted::AdmittedRequest;
 use crate::attempt_connection::ConnectionPath;
@@ -29,6 +29,8 @@
     pub host: HostId,
     /// Boot number of the target's process.
     pub boot: BootNumber,
+    /// Replica that the target was the head of when the request was sent.
+    pub membership: Option<MembershipKey>,
     /// Time at which the response head arrived, measured from process start.
     pub started_at: Duration,
     /// HTTP status code, which need not be a success.
@@ -50,19 +52,26 @@
 }
 
 impl TargetResponse {
-    /// Whether the end of the body may be that of its target: the body ends with its connection, and the
-    /// target's process has exited. A target that leaves ends what it has begun, though it accepts no new
-    /// connections.
-    pub async fn has_died(&self, node: &GatewayNode) -> bool {
-        let is_leaving = || {
-            node.registry(|registry| {
-                let entry = registry.get(&self.host);
-                entry.is_none_or(|entry| entry.state == TargetState::Draining)
-            })
+    /// Whether the body may have been cut off where it ended: it ends with its connection, and the target's
+    /// process has exited or its replica is another one by now. A target that leaves ends what it has begun,
+    /// though it accepts no new connections.
+    pub async fn may_be_cut(&self, node: &GatewayNode) -> bool {
+        if !self.is_close_delimited {
+            return false;
+        }
+        let known = node.registry(|registry| {
+            let entry = registry.get(&self.host)?;
+            Some((entry.state, entry.membership_key()))
+        });
+        let Some((state, membership)) = known else {
+            return false;
         };
-        if !self.is_close_delimited || is_leaving() {
+        if state == TargetState::Draining {
             return false;
         }
+        if membership != self.membership {
+            return true;
+        }
         tokio::time::sleep(EXIT_SETTLE_TIME).await;
         has_exited(node, &self.process()).await
     }
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -13,7 +13,7 @@
 use super::http::{
     ConnectionLossGuard, SiteRequest, SiteResponse, SiteServer, json_response, text_response,
 };
-use super::stream::StreamRun;
+use super::stream::{StreamEnding, StreamRun};
 
 /// Content of a request body that crashes the engine or instance that executes the request.
 pub const CRASH_BODY: &[u8] = b"ends what runs it";
@@ -259,6 +259,11 @@
         let running = self.with(id, |engine| engine.running).unwrap_or(0);
         let last_event_id: usize = request.header("last-event-id").parse().unwrap_or(0);
         let events = self.with(id, |engine| engine.events).unwrap_or(0);
+        let ending = if self.unframed.load(Ordering::Relaxed) {
+            StreamEnding::WithConnection
+        } else {
+            StreamEnding::Framed
+        };
         let stream_run = StreamRun {
             groups: self.clone(),
             id: id.to_owned(),
@@ -267,13 +272,14 @@
             last: events,
             crashes_engine: contains(&request.body, CRASH_BODY) || has_crash_part(request),
             started: false,
+            ending,
         };
         let frames = stream::unfold(stream_run, |mut stream_run| async move {
             let frame = stream_run.event().await?;
             Some((frame, stream_run))
         });
         let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
-        if self.unframed.load(Ordering::Relaxed) {
+        if ending == StreamEnding::WithConnection {
             *response.version_mut() = Version::HTTP_10;
         }
         let headers = response.headers_mut();
--- a/crates/standin/src/site/stream.rs
+++ b/crates/standin/src/site/stream.rs
@@ -13,6 +13,17 @@
 /// Time after which a stream fails while a member of its replica is missing.
 const STALL_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// How the end of a stream shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StreamEnding {
+    /// By its chunks.
+    Framed,
+    /// By the end of its connection.
+    WithConnection,
+    /// It was cut off inside an event.
+    CutOff,
+}
+
 /// A stream in progress; dropping it ends the request at the head.
 pub(super) struct StreamRun {
     pub groups: SiteGroups,
@@ -24,10 +35,24 @@
     pub crashes_engine: bool,
     /// Whether the first event has been written.
     pub started: bool,
+    /// How its end shows.
+    pub ending: StreamEnding,
 }
 
 impl StreamRun {
+    /// Cuts the stream off: inside an event if only the end of the connection shows where it ends.
+    fn cut(&mut self, reason: &str) -> Result<Frame<Bytes>, std::io::Error> {
+        if self.ending == StreamEnding::WithConnection {
+            self.ending = StreamEnding::CutOff;
+            return Ok(Frame::data(Bytes::from_static(b"id: ")));
+        }
+        Err(std::io::Error::other(reason.to_owned()))
+    }
+
     pub async fn event(&mut self) -> Option<Result<Frame<Bytes>, std::io::Error>> {
+        if self.ending == StreamEnding::CutOff {
+            return Some(self.cut("the stream was cut off"));
+        }
         if self.next > self.last {
             return None;
         }
@@ -37,7 +62,7 @@
         while !self.groups.is_complete(&self.group) {
             let left_group = self.groups.group_name(&self.id).as_ref() != Some(&self.group.name);
             if left_group || wait_started.elapsed() > STALL_TIMEOUT {
-                return Some(Err(std::io::Error::other("the replica lost a member")));
+                return Some(self.cut("the replica lost a member"));
             }
             tokio::time::sleep(EVENT_INTERVAL).await;
         }
@@ -45,7 +70,7 @@
             .groups
             .with(&self.id, |engine| engine.cancelled.clone());
         if cancelled.flatten().as_ref() == Some(&self.group.name) {
-            return Some(Err(std::io::Error::other("the request was cancelled")));
+            return Some(self.cut("the request was cancelled"));
         }
         if self.crashes_engine && self.started {
             self.groups.crash(&self.id);
