Lend connections only where an equal part leaves no target

By reading: with 64 nodes an equal part of a target's connections also spreads what many nodes send to the same near target before they hear of each other, and lending always did away with that. The equal part is tried first now, and what the others leave free only if all targets are full by it. That it was the cause is not proved here.

choose_target::free_connections_lent holds both limits.

--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -8,7 +8,9 @@
 use domain::{CustomerId, FastSet, HostId, ModelName, PromptPartId, RequestId, ServiceName};
 use http::{HeaderMap, Method, Uri};
 use policy::admission::AdmissionClass;
-use serving::choose::{NoTarget, TargetCandidate, choose_target};
+use serving::choose::{
+    ConnectionShare, NoTarget, TargetCandidate, TargetConnections, choose_target,
+};
 use serving::choose_sampled::{SampledCandidate, choose_sampled};
 use serving::hashing::stable_hash;
 use serving::{
@@ -137,14 +139,13 @@
     node: &GatewayNode,
     service: &ServiceConfig,
     entries: &[TargetEntry],
+    connections: TargetConnections,
 ) -> Vec<SampledCandidate> {
-    let (now, nodes) = (node.now(), node.node_count());
+    let now = node.now();
     let candidates = entries.iter().map(|entry| SampledCandidate {
         load: node.load(&entry.id),
         slots: slots_of(service, entry),
-        in_flight_limit: node
-            .load(&entry.id)
-            .in_flight_limit(service.max_connections, nodes, now),
+        in_flight_limit: node.load(&entry.id).in_flight_limit(connections, now),
         is_near: entry.domain == node.settings.failure_domain,
         has_connection: node.pool.has_idle(&entry.id),
     });
@@ -227,20 +228,16 @@
                 self.id.as_ref(),
             ))
         });
-        let now = node.now();
         let max_slots = entries.first().map_or(0, |entry| slots_of(service, entry));
         let class = self.admission_class(node, service, tried);
         let limits = ChoiceLimits {
             queue_limit: self.queue_limit(service, max_slots, class, max_wait),
             nodes: node.node_count(),
         };
-        let is_model = self.model.is_some() && !service.models.is_empty();
-        let chosen = if is_model && node.hints.has_collectors() {
-            let candidates = sampled_candidates(node, service, &entries);
-            choose_sampled(&candidates, limits, now, self.draw(node, tried))
-        } else {
-            let candidates = self.candidates(node, service, &entries);
-            choose_target(&candidates, limits, now)
+        let choose = |share| self.choose(node, service, &entries, (limits, share), tried);
+        let chosen = match choose(ConnectionShare::Equal) {
+            Err(NoTarget::Full) => choose(ConnectionShare::Free),
+            chosen => chosen,
         };
         let index = chosen
             .map_err(|reason| SelectionError::new(reason, node, &entries, limits, max_slots))?;
@@ -248,25 +245,47 @@
         Ok(entry)
     }
 
+    /// Chooses among targets; returns the index of one.
+    fn choose(
+        &self,
+        node: &GatewayNode,
+        service: &ServiceConfig,
+        entries: &[TargetEntry],
+        (limits, share): (ChoiceLimits, ConnectionShare),
+        tried: &FastSet<HostId>,
+    ) -> Result<usize, NoTarget> {
+        let now = node.now();
+        let connections = TargetConnections {
+            max: service.max_connections,
+            nodes: limits.nodes,
+            share,
+        };
+        let is_model = self.model.is_some() && !service.models.is_empty();
+        if is_model && node.hints.has_collectors() {
+            let candidates = sampled_candidates(node, service, entries, connections);
+            choose_sampled(&candidates, limits, now, self.draw(node, tried))
+        } else {
+            let candidates = self.candidates(node, service, entries, connections);
+            choose_target(&candidates, limits, now)
+        }
+    }
+
     /// Targets as seen by a node that knows of the requests of all others, or of its own only.
     fn candidates(
         &self,
         node: &GatewayNode,
         service: &ServiceConfig,
         entries: &[TargetEntry],
+        connections: TargetConnections,
     ) -> Vec<TargetCandidate> {
         let prefill_rate = self.prefill_rate(service);
         let uses_prefill_wait = prefill_rate > 0.0 && node.hints_reach_all();
-        let (now, nodes) = (node.now(), node.node_count());
+        let now = node.now();
         let candidates = entries.iter().map(|entry| TargetCandidate {
             load: node.load(&entry.id),
             slots: slots_of(service, entry),
             prefill_wait: uses_prefill_wait.then(|| node.prefill_wait(&entry.id, prefill_rate)),
-            in_flight_limit: node.load(&entry.id).in_flight_limit(
-                service.max_connections,
-                nodes,
-                now,
-            ),
+            in_flight_limit: node.load(&entry.id).in_flight_limit(connections, now),
         });
         candidates.collect()
     }
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -29,6 +29,28 @@
 /// prefill of a prompt of 1,400 tokens, which takes 28 ms.
 const WAIT_PER_REQUEST: Duration = Duration::from_millis(2);
 
+/// What a node may use of a target's connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionShare {
+    /// An equal part.
+    Equal,
+    /// What the other nodes leave free as well. For a while most clients may be connected to one node, which
+    /// would otherwise refuse what targets could run. Used only then: an equal part also spreads what many
+    /// nodes send to the same target before they hear of each other.
+    Free,
+}
+
+/// Connections that a target accepts, and what a node may use of them.
+#[derive(Debug, Clone, Copy)]
+pub struct TargetConnections {
+    /// Connections that the target accepts from all nodes.
+    pub max: u32,
+    /// Number of nodes.
+    pub nodes: usize,
+    /// What this node may use.
+    pub share: ConnectionShare,
+}
+
 /// Load of one target, as one node knows it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TargetLoad {
@@ -121,18 +143,17 @@
         Some((reported + f64::from(self.sent_since_report)).max(own))
     }
 
-    /// Returns how many requests this node may have at the target, each on a connection of its own, if it
-    /// accepts `max_connections` from all nodes.
-    ///
-    /// An equal part is always this node's. Beyond it, the node may use what the others leave free: for a
-    /// while most clients may be connected to one node, which would otherwise refuse what targets could run.
+    /// Returns how many requests this node may have at the target, each on a connection of its own.
     #[must_use]
-    pub fn in_flight_limit(&self, max_connections: u32, nodes: usize, now: Duration) -> u32 {
-        let nodes = f64::from(u32::try_from(nodes.max(1)).unwrap_or(u32::MAX));
-        let active = f64::from(max_connections) * ACTIVE_CONNECTION_FRACTION;
-        let part = (active / nodes).max(MIN_IN_FLIGHT);
+    pub fn in_flight_limit(&self, connections: TargetConnections, now: Duration) -> u32 {
+        let nodes = u32::try_from(connections.nodes.max(1)).unwrap_or(u32::MAX);
+        let active = f64::from(connections.max) * ACTIVE_CONNECTION_FRACTION;
+        let part = (active / f64::from(nodes)).max(MIN_IN_FLIGHT);
         let own = f64::from(self.in_flight);
-        let free = self.fresh_estimate(now).map(|all| active - (all - own));
+        let free = match connections.share {
+            ConnectionShare::Equal => None,
+            ConnectionShare::Free => self.fresh_estimate(now).map(|all| active - (all - own)),
+        };
         // In range: at most a u32 multiplied by a factor below 1, or `MIN_IN_FLIGHT`.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let limit = free.unwrap_or(part).max(part) as u32;
--- a/crates/serving/tests/choose_target.rs
+++ b/crates/serving/tests/choose_target.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serving::choose::{NoTarget, TargetCandidate};
+use serving::choose::{ConnectionShare, NoTarget, TargetCandidate, TargetConnections};
 use serving::hashing::stable_hash;
 use serving::{ChoiceLimits, TargetLoad, choose_target};
 
@@ -150,14 +150,23 @@
 #[test]
 fn free_connections_lent() {
     let now = Duration::from_secs(5);
+    let connections = |share| TargetConnections {
+        max: 24,
+        nodes: 6,
+        share,
+    };
+    let limits = |load: &TargetLoad, now| {
+        let limit = |share| load.in_flight_limit(connections(share), now);
+        (limit(ConnectionShare::Equal), limit(ConnectionShare::Free))
+    };
     let mut load = TargetLoad::default();
-    assert_eq!(load.in_flight_limit(24, 6, now), 3);
+    assert_eq!(limits(&load, now), (3, 3));
     load.in_flight = 10;
     load.record_report(10, now);
-    assert_eq!(load.in_flight_limit(24, 6, now), 18);
+    assert_eq!(limits(&load, now), (3, 18));
     load.record_report(22, now);
-    assert_eq!(load.in_flight_limit(24, 6, now), 6);
+    assert_eq!(limits(&load, now), (3, 6));
     load.record_report(60, now);
-    assert_eq!(load.in_flight_limit(24, 6, now), 3);
-    assert_eq!(load.in_flight_limit(24, 6, now + Duration::from_secs(9)), 3);
+    assert_eq!(limits(&load, now), (3, 3));
+    assert_eq!(limits(&load, now + Duration::from_secs(9)), (3, 3));
 }
