--- a/crates/gateway/src/crash/state.rs
+++ b/crates/gateway/src/crash/state.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use domain::{FastMap, PromptPartId};
-use serving::poison::AnswerWatch;
+use serving::poison::{AnswerWatch, CRASH_RETENTION};
 use serving::{
     BarredSet, CrashedFeature, PoisonDetector, PoisonVerdict, RequestFeature, RequestFingerprint,
     TargetProcess,
@@ -157,6 +157,8 @@
     /// Drops what is too old to tell anything.
     pub fn expire(&self, now: Duration) {
         self.watch.borrow_mut().expire(now);
+        let mut published = self.published_sound.borrow_mut();
+        published.retain(|_, begun_at| now.saturating_sub(*begun_at) < CRASH_RETENTION);
     }
 
     /// Whether a request is clear, suspected (one attempt only) or barred (sent to no target).
--- a/crates/serving/src/poison/detector.rs
+++ b/crates/serving/src/poison/detector.rs
@@ -151,13 +151,6 @@
         !self.contested.is_empty()
     }
 
-    /// Returns whether several crashes speak against any of these features.
-    #[must_use]
-    pub fn contests_any(&self, features: &[CrashedFeature]) -> bool {
-        let mut features = features.iter();
-        features.any(|crashed| self.contested.contains(&crashed.feature))
-    }
-
     /// Returns whether verdicts depend on whole requests, whose fingerprints are then needed.
     #[must_use]
     pub fn involves_requests(&self) -> bool {
