Log each retry with its reason, what is left and the count of nodes it is reckoned by

Nothing told which of the hypotheses in docs/incidents/retries-over-budget.md holds: a retry left no line, and the count of nodes stood apart from it.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -145,6 +145,11 @@
     /// let through to see whether it still crashes targets (tried). `crashes` and `sound_ms` are the evidence
     /// for and against, `source` is where the last of it came from. See `docs/OPERATIONS.md`.
     RequestBarred = 247, "request_barred", Error;
+    /// A request needed another attempt. `outcome` is `taken` or `denied` by the retry budget of its
+    /// service, or `free` if nothing of the previous attempt was written; `reason` is how that one ended.
+    /// `left` is what the node could take before, with a part of the extra retries by its count of
+    /// `nodes`.
+    RetryDecided = 248, "retry_decided", Info;
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
     /// A record has a schema version that this node does not support, or violates one of its rules.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -193,11 +193,10 @@
             state.last_error.push_str("; suspected of crashing targets");
             return state.into_outcome(OVERLOAD_RETRY_AFTER, false);
         }
-        let within_budget = state.sent == 0 || {
-            let nodes = node.node_count();
-            node.with_retry_budget(&admitted.service, |budget| budget.take(now, nodes))
-        };
-        if !within_budget {
+        if state.sent == 0 && state.connect_failures > 0 {
+            node.record_free_attempt(admitted, &state.last_error);
+        }
+        if state.sent > 0 && !node.take_retry(admitted, &state.last_error) {
             state.last_error.push_str("; retry budget exhausted");
             return state.into_outcome(OVERLOAD_RETRY_AFTER, false);
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -95,6 +95,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    retries: Counter<u64>,
     duration: Histogram<f64>,
     first_event: Histogram<f64>,
     time_to_first_send: Histogram<f64>,
@@ -125,6 +126,7 @@
         Ok(Self {
             requests: counter("bramleyspring.gateway.request.count"),
             attempts: counter("bramleyspring.gateway.attempt.count"),
+            retries: counter("bramleyspring.gateway.repeat.count"),
             duration: duration_histogram(&meter, "bramleyspring.gateway.request.duration"),
             first_event: duration_histogram(&meter, "bramleyspring.gateway.request.first_event"),
             time_to_first_send: duration_histogram(&meter, "bramleyspring.gateway.request.held"),
@@ -175,6 +177,16 @@
         self.attempts.add(1, &labels);
     }
 
+    /// Counts what the retry budget of a service decided: `taken`, `denied`, or `free` for an attempt that
+    /// needs nothing from it.
+    pub fn record_retry(&self, service: &str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.retries.add(1, &labels);
+    }
+
     /// Records an order that was settled or given up.
     pub fn record_order(&self, order: &'static str, outcome: &'static str, took: Duration) {
         let labels = [
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod paths;
 mod process;
 mod ranks;
+mod retries;
 mod targets;
 
 use std::cell::{Cell, RefCell};
@@ -319,20 +320,6 @@
         self.now().saturating_sub(self.hosts_changed_at.get())
     }
 
-    /// Calls `update` with the retry budget of a service.
-    pub fn with_retry_budget<R>(
-        &self,
-        service: &ServiceName,
-        update: impl FnOnce(&mut RetryBudget) -> R,
-    ) -> R {
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let limits = self.settings.bounds.retry_limits();
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(limits));
-        update(budget)
-    }
-
     /// Number of live nodes, or `ASSUMED_NODES` until heartbeats are counted.
     #[must_use]
     pub fn node_count(&self) -> usize {
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -149,16 +149,6 @@
         access(shares.entry(service.clone()).or_default())
     }
 
-    /// Retries allowed now at the service that has the fewest left; 0 before the first request.
-    fn retries_left(&self) -> f64 {
-        let (now, nodes) = (self.now(), self.node_count());
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let left = budgets
-            .values_mut()
-            .map(|budget| budget.remaining(now, nodes));
-        left.reduce(f64::min).unwrap_or(0.0)
-    }
-
     /// Begins the shutdown and returns its schedule, which follows from the configured stop grace.
     pub fn begin_shutdown(&self) -> ShutdownPlan {
         let plan = ShutdownPlan::new(self.now(), self.settings.bounds.stop_grace());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -287,16 +287,11 @@
                     continue;
                 }
             };
-            let now = self.node.now();
-            let nodes = self.node.node_count();
-            let service = &self.request.service;
-            if !self
-                .node
-                .with_retry_budget(service, |budget| budget.take(now, nodes))
-            {
+            if !self.node.take_retry(&self.request, trigger) {
                 return Err("retry budget exhausted".to_owned());
             }
-            let limit = self.request.time_left(now).min(FAILOVER_TIMEOUT);
+            let time_left = self.request.time_left(self.node.now());
+            let limit = time_left.min(FAILOVER_TIMEOUT);
             self.tried.insert(target.id.clone());
             let after = self.splitter.last_id();
             let reuse = ConnectionReuse::now(&self.node);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -120,6 +120,7 @@
         // The target had closed the idle connection. Nothing was written, so a new connection is
         // used. If this counted as a failure, a target that closes connections early would fail
         // every request that reuses one.
+        node.record_free_attempt(request, "idle connection was closed");
         connection = match connect(node, request, target).await {
             Ok(connection) => connection,
             Err(error) => return Err(record_unreachable(node, target, &error)),
