--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -120,6 +120,11 @@
         self.unframed.store(unframed, Ordering::Relaxed);
     }
 
+    /// Sets whether heads reject all requests, as full ones do.
+    pub fn set_rejects(&self, rejects: bool) {
+        self.rejects.store(rejects, Ordering::Relaxed);
+    }
+
     /// Sets whether engines tell their load with each response.
     pub fn set_tells_load(&self, tells_load: bool) {
         self.tells_load.store(tells_load, Ordering::Relaxed);
@@ -235,6 +240,10 @@
     }
 
     fn generate(&self, id: &str, request: &SiteRequest) -> SiteResponse {
+        self.arrivals.record_arrival(request.header("x-request-id"));
+        if self.rejects.load(Ordering::Relaxed) {
+            return not_executed(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let group = self.with(id, |engine| engine.group.clone()).flatten();
         let open = group.filter(|group| group.rank == 0 && group.state == "open");
         let Some(group) = open else {
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::Notify;
 
+use super::arrivals::ArrivalLog;
 use super::store::SiteStore;
 
 #[derive(Debug, Clone, PartialEq)]
@@ -62,6 +63,10 @@
     pub(super) unframed: Arc<AtomicBool>,
     /// Number of status reports that engines were asked for.
     pub(super) reports: Arc<AtomicUsize>,
+    /// Whether heads reject all requests.
+    pub(super) rejects: Arc<AtomicBool>,
+    /// What arrived at heads.
+    pub arrivals: ArrivalLog,
 }
 
 impl SiteGroups {
@@ -77,6 +82,8 @@
             tells_load: Arc::default(),
             unframed: Arc::default(),
             reports: Arc::default(),
+            rejects: Arc::default(),
+            arrivals: ArrivalLog::default(),
         }
     }
 
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -4,6 +4,7 @@
 //! It runs in the test's process and serves the platform's published HTTP API on loopback, so that
 //! tests exercise the production clients.
 
+mod arrivals;
 mod engine;
 mod gate;
 mod groups;
@@ -13,6 +14,7 @@
 mod store;
 mod stream;
 
+pub use arrivals::{ArrivalLog, RetryAllowance, WorstWindow};
 pub use engine::{CRASH_BODY, CRASH_PART, SiteEngine};
 pub use gate::{GateMode, StoreGate};
 pub use groups::SiteGroups;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod poison_requests;
 mod refusal_cost;
 mod request;
+mod retry_totals;
 mod share_decisions;
 mod shutdown;
 mod site;
--- /dev/null
+++ b/tests/gateway/retry_totals.rs
@@ -0,0 +1,72 @@
+//! Retries of all nodes together, counted at the engines.
+
+use std::time::Duration;
+
+use standin::site::{GateMode, RetryAllowance, StoreGate};
+
+use crate::node::TestNode;
+use crate::request::TestRequest;
+use crate::site::TestSite;
+
+/// The limit in the settings of the site's nodes.
+pub const ALLOWANCE: RetryAllowance = RetryAllowance {
+    window: Duration::from_secs(10),
+    ratio: 0.2,
+    extra: 130.0,
+};
+
+/// Nodes, two in each failure domain.
+const NODES: usize = 6;
+
+/// Requests that each node gets while all targets reject, and the pause between two.
+const REQUESTS: usize = 150;
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Starts nodes that reach the store through gates of their own, and waits until each counts all.
+async fn gated_nodes(site: &TestSite) -> Vec<(TestNode, StoreGate)> {
+    let mut nodes = Vec::new();
+    for index in 0..NODES {
+        let domain = format!("z{}", index % 3);
+        nodes.push(site.gated_node(&domain, &format!("n{index}")).await);
+    }
+    for (node, _) in &nodes {
+        let all = format!("\"nodes\":{NODES}");
+        node.wait_log_line(&["nodes_counted", &all]).await;
+        node.wait_replicas(3).await;
+    }
+    nodes
+}
+
+/// Sends requests one after the other, whatever becomes of them.
+async fn send_requests(site: &TestSite, node: &TestNode, name: &str) {
+    let requests = (0..REQUESTS).map(|number| async move {
+        tokio::time::sleep(PAUSE * u32::try_from(number).expect("few requests")).await;
+        site.groups.arrivals.record_sent();
+        let request = TestRequest::chat(&format!("{name}-{number}"));
+        drop(request.try_begin(node).await);
+    });
+    futures::future::join_all(requests).await;
+}
+
+/// Guards against nodes that each take the whole of what all of them may retry: the store turns all but one
+/// away, so that only the heartbeats of that one are new and each node counts one.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_turned_away_share_limit() {
+    let site = TestSite::start(14, 0);
+    let nodes = gated_nodes(&site).await;
+    for (_, gate) in nodes.iter().skip(1) {
+        gate.set(GateMode::TurnsAway);
+    }
+    for (node, _) in &nodes {
+        node.wait_log_line(&["nodes_counted", "\"nodes\":1}"]).await;
+    }
+    site.groups.set_rejects(true);
+    let clients = nodes.iter().enumerate().map(|(index, (node, _))| {
+        let site = &site;
+        async move { send_requests(site, node, &format!("r{index}")).await }
+    });
+    futures::future::join_all(clients).await;
+    let worst = site.groups.arrivals.worst_window(ALLOWANCE);
+    let worst = worst.expect("some requests were retried");
+    assert!(worst.excess() <= 0.0, "{worst:?}");
+}
