Lease the extra retries from the store instead of dividing them by the nodes counted

Callers saw targets that reject or fail get up to twice the retries that the users allow. Cause: each node took 0.7 of an equal part of the extra, by the number of nodes whose heartbeats it reads. Where the store turns most nodes away, their heartbeats age for all, each node counts one, and eight nodes take the whole extra each: 909 retries in a window, 553 allowed. A process that starts again took its part again, too.

Now a node retries what half of the ratio of its own requests earns (a window of the limit may see requests of two windows of nodes, if clients move in between), and what it has leased: the extra is divided into slots, rows of the store that change hands only by conditional writes, after the previous holder has stopped by a clock that goes on during suspension, and one and a half windows later. The count of nodes only decides how many slots a node asks for. A quarter is kept for streams in progress, and a retry of which nothing was written is returned.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -147,8 +147,9 @@
     RequestBarred = 247, "request_barred", Error;
     /// A request needed another attempt. `outcome` is `taken` or `denied` by the retry budget of its
     /// service, or `free` if nothing of the previous attempt was written; `reason` is how that one ended.
-    /// `left` is what the node could take before, with a part of the extra retries by its count of
-    /// `nodes`.
+    /// `returned`: nothing of the new attempt was written, and the budget has its retry back.
+    /// `left` is what the node could take before, `leased` included: the extra retries per window that it
+    /// has leased from the store.
     RetryDecided = 248, "retry_decided", Info;
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
@@ -269,6 +270,11 @@
     /// This node has connected to a target again after it was partitioned from all.
     PartitionEnded = 376, "partition_ended", Info;
 
+    /// This node has claimed or renewed its part of the extra retries, or failed to. `slots` is what it may
+    /// use, `written` the rows of this claim, `nodes` the count that decides how many it asks for. It keeps
+    /// its slots while it can't reach the store, until their leases end.
+    RetriesLeased = 377, "retries_leased", Info;
+
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
     /// A link to a peer was established.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::{Body, Incoming};
 use serving::choose::NoTarget;
+use serving::retry_budget::RetryPurpose;
 use serving::{GatewayConfig, PoisonVerdict, RouteKind};
 
 use crate::admit::{admit, reject_unconfigured};
@@ -196,9 +197,13 @@
         if state.sent == 0 && state.connect_failures > 0 {
             node.record_free_attempt(admitted, &state.last_error);
         }
-        if state.sent > 0 && !node.take_retry(admitted, &state.last_error) {
-            state.last_error.push_str("; retry budget exhausted");
-            return state.into_outcome(OVERLOAD_RETRY_AFTER, false);
+        let mut ticket = None;
+        if state.sent > 0 {
+            ticket = node.take_retry(admitted, RetryPurpose::Start, &state.last_error);
+            if ticket.is_none() {
+                state.last_error.push_str("; retry budget exhausted");
+                return state.into_outcome(OVERLOAD_RETRY_AFTER, false);
+            }
         }
         if state.tried.is_empty() {
             let elapsed = now.saturating_sub(admitted.arrived);
@@ -217,6 +222,9 @@
                 }
             }
             AttemptOutcome::Unsent(reason) => {
+                if let Some(ticket) = ticket {
+                    node.return_retry(admitted, ticket, &reason);
+                }
                 state.connect_failures += 1;
                 state.last_error = reason;
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod admitted;
 mod attempt_connection;
+mod boot_clock;
 mod crash;
 mod feed;
 mod handle;
@@ -24,6 +25,7 @@
 mod reconcile;
 mod relay;
 mod respond;
+mod retry_leases;
 mod run;
 mod send;
 mod settings;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -19,6 +19,7 @@
 use policy::admission::CustomerShares;
 use serving::demand::DemandLedger;
 use serving::feed::FeedTiming;
+use serving::lease::LeaseLedger;
 use serving::load_board::LoadBoard;
 use serving::replica_history::ReplicaHistory;
 use serving::stall::StallDetector;
@@ -31,6 +32,7 @@
 use tokio::time::Instant;
 use wire::feed::FeedLane;
 
+use crate::boot_clock::BootClock;
 use crate::crash::CrashState;
 use crate::feed::FeedState;
 use crate::hints::{HintChannel, HostHash};
@@ -79,6 +81,7 @@
     /// What clients ask of each model, and the decisions on shares.
     demand: RefCell<DemandLedger>,
     started: Instant,
+    boot_clock: BootClock,
     config: RefCell<Option<Rc<GatewayConfig>>>,
     idle_timeout: Cell<Duration>,
     registry: RefCell<TargetRegistry>,
@@ -119,6 +122,8 @@
     /// Draining or unlisted targets that no longer accept connections, and since when.
     retired: RefCell<FastMap<HostId, Duration>>,
     retry_budgets: RefCell<FastMap<ServiceName, RetryBudget>>,
+    /// Leases of the extra retries; `None` until the node accepts requests.
+    pub(crate) retry_leases: RefCell<Option<LeaseLedger>>,
     customer_shares: RefCell<FastMap<ServiceName, CustomerShares>>,
     live_nodes: RefCell<Vec<String>>,
     fabric_ranks: RefCell<FabricRanks>,
@@ -150,6 +155,7 @@
         sink: LogSink,
         metrics: GatewayMetrics,
         hints: HintChannel,
+        boot_clock: BootClock,
     ) -> Self {
         Self {
             settings,
@@ -166,6 +172,7 @@
             activity_ended: Notify::new(),
             crashes: CrashState::default(),
             started: Instant::now(),
+            boot_clock,
             config: RefCell::default(),
             idle_timeout: Cell::new(DEFAULT_IDLE_TIMEOUT),
             registry: RefCell::default(),
@@ -194,6 +201,7 @@
             store_clock: Cell::default(),
             retired: RefCell::default(),
             retry_budgets: RefCell::default(),
+            retry_leases: RefCell::default(),
             customer_shares: RefCell::default(),
             live_nodes: RefCell::default(),
             fabric_ranks: RefCell::default(),
@@ -212,6 +220,12 @@
         self.started.elapsed()
     }
 
+    /// Time since process start, including time for which the host was suspended.
+    #[must_use]
+    pub fn boot_now(&self) -> Duration {
+        self.boot_clock.elapsed()
+    }
+
     /// Queues a line for the log, which drops lines beyond its rate limit.
     pub fn log(&self, line: &LogLine) {
         self.sink.write(line, self.now());
@@ -327,6 +341,14 @@
         if count == 0 { ASSUMED_NODES } else { count }
     }
 
+    /// Position of this node among the live nodes in the order of their names, and their number.
+    #[must_use]
+    pub fn place_among_nodes(&self) -> (usize, usize) {
+        let own = self.settings.node.as_str();
+        let place = self.with_live_nodes(|names| names.iter().position(|name| name == own));
+        (place.unwrap_or(0), self.node_count())
+    }
+
     /// Calls `access` with the names of the live nodes.
     pub fn with_live_nodes<R>(&self, access: impl FnOnce(&[String]) -> R) -> R {
         access(&self.live_nodes.borrow())
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -119,7 +119,8 @@
     pub fn record_arrival(&self, request: &AdmittedRequest) {
         let now = self.now();
         let service = &request.service;
-        self.with_retry_budget(service, |budget| budget.record_request(now));
+        let budget_now = self.boot_now();
+        self.with_retry_budget(service, |budget| budget.record_request(budget_now));
         self.record_demand(request);
         let Some(customer) = &request.customer else {
             return;
--- a/crates/gateway/src/node/retries.rs
+++ b/crates/gateway/src/node/retries.rs
@@ -3,6 +3,8 @@
 use domain::{RequestId, ServiceName};
 use events::{EventCode, LogLine};
 use serving::RetryBudget;
+use serving::lease::LeaseLedger;
+use serving::retry_budget::{RETRIES_PER_SLOT, RetryPurpose, RetryTicket};
 
 use super::GatewayNode;
 use crate::admitted::AdmittedRequest;
@@ -22,21 +24,51 @@
         update(budget)
     }
 
-    /// Takes a retry of a request from the budget of its service and returns whether it was allowed.
-    /// `reason` is why the request needs another attempt.
-    pub fn take_retry(&self, request: &AdmittedRequest, reason: &str) -> bool {
-        let (now, nodes) = (self.now(), self.node_count());
-        let (left, is_allowed) = self.with_retry_budget(&request.service, |budget| {
-            let left = budget.remaining(now, nodes);
-            (left, budget.take(now, nodes))
+    /// Calls `access` with the leases of the extra retries, which must have been set up.
+    pub fn with_retry_leases<R: Default>(&self, access: impl FnOnce(&mut LeaseLedger) -> R) -> R {
+        self.retry_leases
+            .borrow_mut()
+            .as_mut()
+            .map(access)
+            .unwrap_or_default()
+    }
+
+    /// Extra retries per window that this node has leased and may use now.
+    #[must_use]
+    pub fn leased_retries(&self) -> u32 {
+        let now = self.boot_now();
+        let slots = self.with_retry_leases(|ledger| ledger.usable(now));
+        u32::try_from(slots).unwrap_or(u32::MAX) * RETRIES_PER_SLOT
+    }
+
+    /// Takes a retry of a request from the budget of its service; `None` if none is left. `reason` is why
+    /// the request needs another attempt.
+    pub fn take_retry(
+        &self,
+        request: &AdmittedRequest,
+        purpose: RetryPurpose,
+        reason: &str,
+    ) -> Option<RetryTicket> {
+        let (now, leased) = (self.boot_now(), self.leased_retries());
+        let (left, ticket) = self.with_retry_budget(&request.service, |budget| {
+            let left = budget.remaining(now, leased, purpose);
+            (left, budget.take(now, leased, purpose))
         });
-        let outcome = if is_allowed { "taken" } else { "denied" };
+        let outcome = if ticket.is_some() { "taken" } else { "denied" };
         self.metrics.record_retry(request.service.as_str(), outcome);
         let line = retry_line(request, outcome, reason)
             .text("left", &format!("{left:.1}"))
-            .number("nodes", u64::try_from(nodes).unwrap_or(u64::MAX));
+            .number("leased", u64::from(leased));
         self.log(&line);
-        is_allowed
+        ticket
+    }
+
+    /// Returns a retry of which nothing reached a target.
+    pub fn return_retry(&self, request: &AdmittedRequest, ticket: RetryTicket, reason: &str) {
+        self.with_retry_budget(&request.service, |budget| budget.give_back(ticket));
+        let service = request.service.as_str();
+        self.metrics.record_retry(service, "returned");
+        self.log(&retry_line(request, "returned", reason));
     }
 
     /// Records an attempt that takes nothing from the budget, because nothing of the previous one was
@@ -48,11 +80,11 @@
 
     /// Retries allowed now at the service that has the fewest left; 0 before the first request.
     pub(super) fn retries_left(&self) -> f64 {
-        let (now, nodes) = (self.now(), self.node_count());
+        let (now, leased) = (self.boot_now(), self.leased_retries());
         let mut budgets = self.retry_budgets.borrow_mut();
         let left = budgets
             .values_mut()
-            .map(|budget| budget.remaining(now, nodes));
+            .map(|budget| budget.remaining(now, leased, RetryPurpose::Start));
         left.reduce(f64::min).unwrap_or(0.0)
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame};
+use serving::retry_budget::RetryPurpose;
 use serving::{EventSplitter, GatewayConfig, PoisonVerdict, RouteKind};
 
 use crate::admitted::AdmittedRequest;
@@ -260,6 +261,16 @@
         left.max(self.request.target_latency)
     }
 
+    /// What another attempt is for: a stream whose response has begun without an event can start anew at
+    /// its client.
+    fn retry_purpose(&self) -> RetryPurpose {
+        if self.splitter.last_id().is_some() {
+            RetryPurpose::Resume
+        } else {
+            RetryPurpose::Start
+        }
+    }
+
     /// Resumes the stream at another target after the last complete event.
     async fn fail_over(&mut self, trigger: &str) -> Result<(), String> {
         if self.request.kind != (RouteKind::Streaming { resumable: true }) {
@@ -287,9 +298,12 @@
                     continue;
                 }
             };
-            if !self.node.take_retry(&self.request, trigger) {
+            let taken = self
+                .node
+                .take_retry(&self.request, self.retry_purpose(), trigger);
+            let Some(ticket) = taken else {
                 return Err("retry budget exhausted".to_owned());
-            }
+            };
             let time_left = self.request.time_left(self.node.now());
             let limit = time_left.min(FAILOVER_TIMEOUT);
             self.tried.insert(target.id.clone());
@@ -314,7 +328,10 @@
                     self.attempts += 1;
                     reason = format!("failover target returned {}", response.status);
                 }
-                AttemptOutcome::Unsent(cause) => reason = cause,
+                AttemptOutcome::Unsent(cause) => {
+                    self.node.return_retry(&self.request, ticket, &cause);
+                    reason = cause;
+                }
                 AttemptOutcome::NotExecuted(status) => reason = format!("not executed: {status}"),
                 AttemptOutcome::Ambiguous(cause) => {
                     self.attempts += 1;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,16 +5,19 @@
 use std::time::Duration;
 
 use events::{EventCode, EventLevel, LogLine, LogSink};
+use eyre::WrapErr;
 use http::StatusCode;
 use serving::ShutdownPlan;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use wire::feed::{FeedLane, FeedTable};
 
+use crate::boot_clock::BootClock;
 use crate::feed::FeedIntake;
 use crate::hints::{HintChannel, receive_hints};
 use crate::metrics::GatewayMetrics;
 use crate::node::GatewayNode;
+use crate::retry_leases::hold_retry_leases;
 use crate::settings::GatewaySettings;
 use crate::{crash, feed, heartbeat, listen, load_batches, probe, reconcile, tunnel};
 
@@ -54,7 +57,9 @@
         None => None,
     };
     let hints = HintChannel::new(hints);
-    let node = GatewayNode::new(settings, sink, GatewayMetrics::new()?, hints);
+    let clock = BootClock::start()
+        .wrap_err("the system has no clock that goes on while the host is suspended")?;
+    let node = GatewayNode::new(settings, sink, GatewayMetrics::new()?, hints, clock);
     let node = Rc::new(node);
     let links = match listen.links {
         Some(address) => Some(listen::bind_tcp(address).await?),
@@ -83,7 +88,9 @@
                     .unwrap_or("none"),
             ),
     );
+    let request_address = requests.local_addr()?;
     spawn_local(listen::serve_clients(Rc::clone(&node), requests));
+    spawn_local(hold_retry_leases(Rc::clone(&node), request_address));
     spawn_status_listeners(&node, readiness, metrics);
     spawn_feed(&node, links);
     spawn_local(heartbeat::run_heartbeats(Rc::clone(&node)));
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event_stream;
 pub mod feed;
 pub mod hashing;
+pub mod lease;
 pub mod load_board;
 pub mod load_budget;
 pub mod plan;
--- a/crates/serving/tests/retry_budget.rs
+++ b/crates/serving/tests/retry_budget.rs
@@ -1,10 +1,10 @@
-//! The retry budget that nodes share without exchanging messages.
+//! The retry budget of one service on one node.
 
 use std::time::Duration;
 
 use cases::properties;
 use serving::RetryBudget;
-use serving::retry_budget::RetryLimits;
+use serving::retry_budget::{RetryLimits, RetryPurpose};
 
 const LIMITS: RetryLimits = RetryLimits {
     window: Duration::from_secs(10),
@@ -12,6 +12,13 @@
     extra: 130.0,
 };
 
+/// Extra retries that one of six nodes leases.
+const LEASED: u32 = 18;
+
+fn is_taken(budget: &mut RetryBudget, now: Duration, leased: u32) -> bool {
+    budget.take(now, leased, RetryPurpose::Resume).is_some()
+}
+
 /// If all responses of a service are lost for a while, retrying each request would double its load.
 /// The retries must stay within the ratio.
 #[test]
@@ -21,7 +28,7 @@
     for step in 0..1000_u64 {
         let now = Duration::from_millis(step * 10);
         budget.record_request(now);
-        if budget.take(now, 6) {
+        if is_taken(&mut budget, now, LEASED) {
             taken += 1;
         }
     }
@@ -32,15 +39,45 @@
 #[test]
 fn window_slides() {
     let mut budget = RetryBudget::new(LIMITS);
-    while budget.take(Duration::ZERO, 6) {}
-    assert!(!budget.take(Duration::from_secs(9), 6));
-    assert!(budget.take(Duration::from_secs(12), 6));
+    while is_taken(&mut budget, Duration::ZERO, LEASED) {}
+    assert!(!is_taken(&mut budget, Duration::from_secs(9), LEASED));
+    assert!(is_taken(&mut budget, Duration::from_secs(12), LEASED));
+}
+
+/// Guards against retries that a node goes on to make after its leases have ended.
+#[test]
+fn ended_leases_count_at_once() {
+    let mut budget = RetryBudget::new(LIMITS);
+    assert!(is_taken(&mut budget, Duration::ZERO, LEASED));
+    assert!(!is_taken(&mut budget, Duration::ZERO, 0));
+}
+
+/// Guards against streams that end half delivered because rejected requests took all retries.
+#[test]
+fn streams_keep_a_reserve() {
+    let mut budget = RetryBudget::new(LIMITS);
+    let now = Duration::ZERO;
+    while budget.take(now, LEASED, RetryPurpose::Start).is_some() {}
+    assert!(budget.take(now, LEASED, RetryPurpose::Resume).is_some());
+}
+
+/// Guards against retries that are used up by connections that failed before anything was sent.
+#[test]
+fn unsent_retry_returned() {
+    let mut budget = RetryBudget::new(LIMITS);
+    let now = Duration::ZERO;
+    for _ in 0..10 * LEASED {
+        let ticket = budget.take(now, LEASED, RetryPurpose::Start);
+        budget.give_back(ticket.expect("all were returned"));
+    }
 }
 
 properties! {
     /// In any window the retries of all nodes together stay within the shared limit.
     fn total_within_limit(gaps: Vec<(u8, u8, bool)>) -> bool {
         let nodes = 4;
+        let leased = u32::try_from(LIMITS.slot_count() / nodes).unwrap()
+            * serving::retry_budget::RETRIES_PER_SLOT;
         let mut budgets: Vec<RetryBudget> = (0..nodes).map(|_| RetryBudget::new(LIMITS)).collect();
         let mut now = Duration::ZERO;
         let mut requests: Vec<Duration> = Vec::new();
@@ -50,7 +87,7 @@
             let budget = &mut budgets[usize::from(node) % nodes];
             if is_retry {
                 for _ in 0..20 {
-                    if budget.take(now, nodes) {
+                    if is_taken(budget, now, leased) {
                         retries.push(now);
                     }
                 }
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -91,6 +91,16 @@
     replacements: Vec<(String, String)>,
 }
 
+impl StoreState {
+    /// Whether a row of a precondition has the version that it names; 0 stands for no row.
+    fn meets(&self, precondition: &Value) -> bool {
+        let found = self.rows.get(&row_key(precondition));
+        let found = found.filter(|(value, _)| value.is_some());
+        let version = found.map_or(0, |(_, version)| *version);
+        precondition["row_version"].as_u64() == Some(version)
+    }
+}
+
 /// An in-memory store; clones share its rows.
 #[derive(Debug, Clone)]
 pub struct SiteStore {
@@ -331,20 +341,34 @@
         let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
             return text_response(StatusCode::BAD_REQUEST, "");
         };
+        let mut writes = Vec::new();
         for put in body["puts"].as_array().into_iter().flatten() {
-            let text = |name: &str| put[name].as_str().unwrap_or_default().to_owned();
-            let Ok(value) = STANDARD.decode(text("value")) else {
+            let Ok(value) = STANDARD.decode(text_of(put, "value")) else {
                 return text_response(StatusCode::BAD_REQUEST, "");
             };
             let replacements = self.with(|state| state.replacements.clone());
-            let value = replace_all(&value, &replacements);
-            self.put(&text("table"), &text("key"), &value);
+            writes.push((row_key(put), Some(replace_all(&value, &replacements))));
         }
         for removed in body["remove"].as_array().into_iter().flatten() {
-            let text = |name: &str| removed[name].as_str().unwrap_or_default();
-            self.remove(text("table"), text("key"));
+            writes.push((row_key(removed), None));
         }
-        let version = self.with(|state| state.version);
+        let preconditions = body["precondition"].as_array();
+        let committed = self.with(|state| {
+            let mut preconditions = preconditions.into_iter().flatten();
+            if !preconditions.all(|row| state.meets(row)) {
+                return None;
+            }
+            state.version += 1;
+            let version = state.version;
+            for (key, value) in writes {
+                state.rows.insert(key, (value, version));
+            }
+            Some(version)
+        });
+        let Some(version) = committed else {
+            return text_response(StatusCode::PRECONDITION_FAILED, "{\"rows\":[]}");
+        };
+        self.changed.notify_waiters();
         self.page(&[], version, false)
     }
 
@@ -378,6 +402,17 @@
     }
 }
 
+fn text_of<'a>(row: &'a Value, name: &str) -> &'a str {
+    row[name].as_str().unwrap_or_default()
+}
+
+fn row_key(row: &Value) -> RowKey {
+    (
+        text_of(row, "table").to_owned(),
+        text_of(row, "key").to_owned(),
+    )
+}
+
 /// Two addresses as they stand in rows.
 fn quoted_pair(from: SocketAddr, to: SocketAddr) -> (String, String) {
     (format!("\"{from}\""), format!("\"{to}\""))
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -208,10 +208,12 @@
         running.expect("a serving replica runs the request")
     }
 
-    /// Starts a gateway and waits until it is ready.
+    /// Starts a gateway and waits until it is ready and has leased its first retries.
     pub async fn node(&self, name: &str) -> TestNode {
         let node = self.unready_node(name).await;
         node.wait_ready(true).await;
+        node.wait_log_line(&["retries_leased", "\"outcome\":\"written\""])
+            .await;
         node
     }
 
