--- a/crates/standin/src/site/arrivals.rs
+++ b/crates/standin/src/site/arrivals.rs
@@ -1,6 +1,6 @@
 //! What arrives at all engines of a site, and how it stands to the limits of the platform.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -40,6 +40,8 @@
     known: BTreeSet<String>,
     /// When requests arrived that had arrived before.
     retries: Vec<Instant>,
+    /// When requests arrived, by engine.
+    by_engine: BTreeMap<String, Vec<Instant>>,
 }
 
 /// Arrivals at the engines of a site; clones share them.
@@ -59,8 +61,10 @@
     }
 
     /// Records a request that arrives at an engine, whatever becomes of it.
-    pub(super) fn record_arrival(&self, request: &str) {
+    pub(super) fn record_arrival(&self, engine: &str, request: &str) {
         self.with(|state| {
+            let arrivals = state.by_engine.entry(engine.to_owned()).or_default();
+            arrivals.push(Instant::now());
             if !state.known.insert(request.to_owned()) {
                 state.retries.push(Instant::now());
             }
@@ -91,6 +95,19 @@
     }
 }
 
+impl ArrivalLog {
+    /// Most requests that reached an engine in a window of this length that begins after `from`.
+    #[must_use]
+    pub fn most_at(&self, engine: &str, from: Instant, window: Duration) -> usize {
+        self.with(|state| {
+            let arrivals = state.by_engine.get(engine).map_or(&[][..], Vec::as_slice);
+            let starts = arrivals.iter().filter(|at| **at >= from);
+            let counts = starts.map(|start| count_within(arrivals, *start, window));
+            counts.max().unwrap_or(0)
+        })
+    }
+}
+
 /// Number of moments, which are in order, in the window that begins at `from`.
 fn count_within(moments: &[Instant], from: Instant, window: Duration) -> usize {
     let first = moments.partition_point(|at| *at < from);
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -1,8 +1,8 @@
 //! Model engines that form replicas as ordered and stream events.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 
 use futures::stream;
 use http::{HeaderValue, Response, StatusCode, Version};
@@ -125,6 +125,20 @@
         self.rejects.store(rejects, Ordering::Relaxed);
     }
 
+    /// Sets the limit that an engine states, in requests a second; `None` if it states none.
+    pub fn set_limit(&self, id: &str, limit: Option<f64>) {
+        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        match limit {
+            Some(limit) => limits.insert(id.to_owned(), limit),
+            None => limits.remove(id),
+        };
+    }
+
+    fn limit(&self, id: &str) -> Option<f64> {
+        let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        limits.get(id).copied()
+    }
+
     /// Sets whether engines tell their load with each response.
     pub fn set_tells_load(&self, tells_load: bool) {
         self.tells_load.store(tells_load, Ordering::Relaxed);
@@ -240,7 +254,8 @@
     }
 
     fn generate(&self, id: &str, request: &SiteRequest) -> SiteResponse {
-        self.arrivals.record_arrival(request.header("x-request-id"));
+        self.arrivals
+            .record_arrival(id, request.header("x-request-id"));
         if self.rejects.load(Ordering::Relaxed) {
             return not_executed(StatusCode::SERVICE_UNAVAILABLE);
         }
@@ -305,6 +320,11 @@
         if let Ok(value) = HeaderValue::from_str(&request_id) {
             headers.insert("x-request-id", value);
         }
+        if let Some(limit) = self.limit(id)
+            && let Ok(value) = HeaderValue::from_str(&limit.to_string())
+        {
+            headers.insert("server-limit", value);
+        }
         response
     }
 }
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -63,6 +63,8 @@
     pub(super) unframed: Arc<AtomicBool>,
     /// Number of status reports that engines were asked for.
     pub(super) reports: Arc<AtomicUsize>,
+    /// Requests a second that engines state as their limits.
+    pub(super) limits: Arc<Mutex<BTreeMap<String, f64>>>,
     /// Whether heads reject all requests.
     pub(super) rejects: Arc<AtomicBool>,
     /// What arrived at heads.
@@ -82,6 +84,7 @@
             tells_load: Arc::default(),
             unframed: Arc::default(),
             reports: Arc::default(),
+            limits: Arc::default(),
             rejects: Arc::default(),
             arrivals: ArrivalLog::default(),
         }
--- a/tests/gateway/lost_hosts.rs
+++ b/tests/gateway/lost_hosts.rs
@@ -252,7 +252,8 @@
     let node = site.node("n0").await;
     node.wait_replicas(2).await;
     // Alone, it gets all slots with its second claim.
-    node.wait_log_line(&["retries_leased", "\"slots\":58"]).await;
+    node.wait_log_line(&["retries_leased", "\"slots\":58"])
+        .await;
     // Remove the spare, so that the lost replica can't be formed again.
     let members = site.groups.serving().concat();
     let ids = site.engines.iter().map(|engine| engine.id.clone());
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod shutdown;
 mod site;
 mod soak_client;
+mod stated_limits;
 mod store_faults;
 mod store_feed;
 mod target_proxies;
