Send to a target that states a limit only from the node that holds its turn, and tell all nodes

An engine in need that named a limit of 2.2 requests a second got 31 in 4 s, 18 allowed: no code read the header, so a limited head was chosen like any other.

The adapter decodes the header; a value that is no number is logged and changes nothing. A node that hears of a limit stops sending to the target and tells all others by a hint. One of them holds the turn of the target, a lease of the store for ten seconds, and sends nine tenths of the rate (one request in five seconds at least, so that the end of the limit is seen). Who has heard nothing for three intervals of news asks for the turn. So the sum stays within the limit whatever nodes see of each other; nodes that can't reach the store send nothing. If only limited targets are left, requests are rejected at once.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -275,6 +275,17 @@
     /// its slots while it can't reach the store, until their leases end.
     RetriesLeased = 377, "retries_leased", Info;
 
+    /// A target states a limit on the requests of all nodes together, or another one than before: `rate` a
+    /// second. `source` is `target` if it stated it to this node, `node` if another node told.
+    LimitStated = 378, "limit_stated", Warn;
+    /// A target no longer states a limit, or is gone.
+    LimitEnded = 379, "limit_ended", Info;
+    /// This node holds the turn of a target that states a limit, or does not: `outcome`. Only the holder
+    /// sends to it; `sent` is how many requests since the last line.
+    LimitTurn = 380, "limit_turn", Info;
+    /// A target states a limit that is no number. What was known of it before holds on.
+    LimitUnreadable = 381, "limit_unreadable", Warn;
+
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
     /// A link to a peer was established.
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -220,6 +220,9 @@
             _ => node.plain_targets(&self.service),
         };
         entries.retain(|entry| !tried.contains(&entry.id));
+        let known = entries.len();
+        entries.retain(|entry| node.is_within_limit(entry));
+        let has_limited = entries.len() < known;
         // Pseudorandom order that can be reproduced from the log.
         entries.sort_by_cached_key(|entry| {
             stable_hash(&(
@@ -239,9 +242,12 @@
             Err(NoTarget::Full) => choose(ConnectionShare::Free),
             chosen => chosen,
         };
-        let index = chosen
-            .map_err(|reason| SelectionError::new(reason, node, &entries, limits, max_slots))?;
+        let index = chosen.map_err(|reason| {
+            let reason = if has_limited { NoTarget::Full } else { reason };
+            SelectionError::new(reason, node, &entries, limits, max_slots)
+        })?;
         let entry = entries.swap_remove(index);
+        node.record_sent_to_limited(&entry.id);
         Ok(entry)
     }
 
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -21,6 +21,7 @@
 use serving::hashing::stable_hash;
 use tokio::net::UdpSocket;
 
+use crate::limits::apply_limit_hint;
 use crate::node::GatewayNode;
 
 /// Maximum number of nodes that hints are sent to. A node sends about twenty requests per second,
@@ -102,6 +103,13 @@
     DomainBatch(Vec<HeadHint>),
     /// What nodes of another failure domain heard of heads, for a node that passes it on.
     OtherBatch(Vec<HeadHint>),
+    /// A target states a limit on the requests of all nodes, or no longer does.
+    Limit {
+        /// The target.
+        target: HostHash,
+        /// Thousandths of requests per second; `None` once it states none.
+        milli_rate: Option<u32>,
+    },
 }
 
 impl LoadHint {
@@ -249,6 +257,9 @@
                 node.apply_hints(&hints);
                 node.collect_others(&hints);
             }
+            Some(LoadHint::Limit { target, milli_rate }) => {
+                apply_limit_hint(&node, target, milli_rate);
+            }
             None => {}
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,8 @@
 mod heartbeat;
 mod hints;
 mod in_flight;
+mod lease_rows;
+mod limits;
 mod listen;
 mod load_batches;
 mod local_response;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -86,6 +86,10 @@
     pub barred_sets: usize,
     /// Features suspected of crashing targets.
     pub suspect_features: usize,
+    /// Targets that state a limit.
+    pub limited_targets: usize,
+    /// Of those, targets whose turn this node holds.
+    pub held_turns: usize,
 }
 
 /// Metric instruments of a gateway.
@@ -107,7 +111,7 @@
     tunnels: Counter<u64>,
     stranded_time: Counter<f64>,
     downtime: Counter<f64>,
-    gauges: [(Gauge<f64>, ReadStat); 20],
+    gauges: [(Gauge<f64>, ReadStat); 22],
 }
 
 type ReadStat = fn(&NodeStats) -> f64;
@@ -245,7 +249,7 @@
     }
 }
 
-fn gauges(meter: &Meter) -> [(Gauge<f64>, ReadStat); 20] {
+fn gauges(meter: &Meter) -> [(Gauge<f64>, ReadStat); 22] {
     let gauge = |name| meter.f64_gauge(name).build();
     [
         (gauge("bramleyspring.gateway.config.revision"), |stats| {
@@ -308,6 +312,12 @@
         (gauge("bramleyspring.gateway.crash.suspected"), |stats| {
             usize_to_f64(stats.suspect_features)
         }),
+        (gauge("bramleyspring.gateway.limit.known"), |stats| {
+            usize_to_f64(stats.limited_targets)
+        }),
+        (gauge("bramleyspring.gateway.limit.held"), |stats| {
+            usize_to_f64(stats.held_turns)
+        }),
     ]
 }
 
--- a/crates/gateway/src/node/loads.rs
+++ b/crates/gateway/src/node/loads.rs
@@ -90,7 +90,9 @@
         self.with_load(head, |load| load.record_unreachable(now));
     }
 
-    fn host_by_hash(&self, hash: HostHash) -> Option<HostId> {
+    /// Target that a hash in a hint stands for; `None` if it is not known.
+    #[must_use]
+    pub fn host_by_hash(&self, hash: HostHash) -> Option<HostId> {
         self.hosts_by_hash.borrow().get(&hash).cloned()
     }
 }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -36,6 +36,7 @@
 use crate::crash::CrashState;
 use crate::feed::FeedState;
 use crate::hints::{HintChannel, HostHash};
+use crate::limits::LimitedTarget;
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::settings::GatewaySettings;
@@ -122,6 +123,10 @@
     /// Draining or unlisted targets that no longer accept connections, and since when.
     retired: RefCell<FastMap<HostId, Duration>>,
     retry_budgets: RefCell<FastMap<ServiceName, RetryBudget>>,
+    /// Limits that targets state.
+    pub(crate) limits: RefCell<FastMap<HostId, LimitedTarget>>,
+    /// What this process is called in leases: its name and the address at which it accepts requests.
+    pub(crate) lease_holder: RefCell<String>,
     /// Leases of the extra retries; `None` until the node accepts requests.
     pub(crate) retry_leases: RefCell<Option<LeaseLedger>>,
     customer_shares: RefCell<FastMap<ServiceName, CustomerShares>>,
@@ -201,6 +206,8 @@
             store_clock: Cell::default(),
             retired: RefCell::default(),
             retry_budgets: RefCell::default(),
+            limits: RefCell::default(),
+            lease_holder: RefCell::default(),
             retry_leases: RefCell::default(),
             customer_shares: RefCell::default(),
             live_nodes: RefCell::default(),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -75,7 +75,10 @@
     pub fn stats(&self) -> NodeStats {
         let registry = self.registry.borrow();
         let (barred_sets, suspect_features) = self.crashes.verdict_counts();
+        let (limited_targets, held_turns) = self.limit_counts();
         let mut stats = NodeStats {
+            limited_targets,
+            held_turns,
             config_revision: self.config().map_or(0, |config| config.revision.0),
             config_age: self.feed.config_age(self.now()),
             registry_age: self.registry_age(),
--- a/crates/gateway/src/retry_leases.rs
+++ b/crates/gateway/src/retry_leases.rs
@@ -3,18 +3,15 @@
 //! Nothing on the request path waits for it. While the store is away, a node uses what it holds until its
 //! leases end, and then retries only what its own requests earn.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::{ConditionalWrite, StoreClient, StoreError, StoreRow};
+use adapter::{StoreClient, StoreError};
 use events::{EventCode, LogLine};
-use serde::{Deserialize, Serialize};
 use serving::hashing::stable_hash;
-use serving::lease::{
-    LeaseLedger, LeasePage, LeaseTerms, SlotLease, SlotRow, SlotWrite, StoreClock,
-};
+use serving::lease::{LeaseLedger, LeaseTerms};
 
+use crate::lease_rows::LeaseTable;
 use crate::node::GatewayNode;
 
 /// Table with one row per slot of the extra retries.
@@ -45,63 +42,23 @@
 /// Interval at which the rows are read again while the node has fewer slots than it wants.
 const SEARCH_INTERVAL: Duration = Duration::from_mins(1);
 
-/// Timeout for a call to the store.
-const STORE_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// A row of the table.
-#[derive(Debug, Serialize, Deserialize)]
-struct LeaseRow {
-    holder: String,
-    /// End on the store's clock, in milliseconds.
-    until_ms: u64,
-}
-
-impl From<&SlotLease> for LeaseRow {
-    fn from(lease: &SlotLease) -> Self {
-        Self {
-            holder: lease.holder.clone(),
-            until_ms: u64::try_from(lease.until.as_millis()).unwrap_or(u64::MAX),
-        }
-    }
-}
-
-impl From<LeaseRow> for SlotLease {
-    fn from(row: LeaseRow) -> Self {
-        Self {
-            holder: row.holder,
-            until: Duration::from_millis(row.until_ms),
-        }
-    }
+fn slot_key(slot: usize) -> String {
+    format!("{slot:03}")
 }
 
-fn decode_row(row: &StoreRow) -> Option<(usize, SlotRow)> {
-    let slot = row.key.parse().ok()?;
-    let Some(value) = &row.value else {
-        return Some((slot, SlotRow::Absent));
-    };
-    let lease = serde_json::from_slice::<LeaseRow>(value);
-    let row = lease.map_or(SlotRow::Unreadable, |row| SlotRow::Leased(row.into()));
-    Some((slot, row))
+fn slot_of(key: &str) -> Option<usize> {
+    key.parse().ok()
 }
 
-fn encode_write(write: &SlotWrite) -> Result<ConditionalWrite, StoreError> {
-    let value = serde_json::to_vec(&LeaseRow::from(&write.lease));
-    Ok(ConditionalWrite {
-        key: format!("{:03}", write.slot),
-        value: value.map_err(|error| StoreError::Malformed(error.to_string()))?,
-        expected: write.expected,
-    })
-}
-
-/// Claims and renews leases for this node, which accepts requests at `address`; never returns.
-pub async fn hold_retry_leases(node: Rc<GatewayNode>, address: SocketAddr) {
+/// Claims and renews leases; never returns.
+pub async fn hold_retry_leases(node: Rc<GatewayNode>) {
     let limits = node.settings.bounds.retry_limits();
     let terms = LeaseTerms {
         duration: LEASE_TIME,
         renew_after: RENEWAL_INTERVAL,
         settle: limits.settle_time(),
     };
-    let holder = format!("{}@{address}", node.settings.node);
+    let holder = node.lease_holder.borrow().clone();
     let ledger = LeaseLedger::new(holder, limits.slot_count(), terms, node.boot_now());
     if ledger.slot_count() == 0 {
         return;
@@ -155,11 +112,8 @@
         if writes.is_empty() {
             return Ok(());
         }
-        let encoded: Result<Vec<_>, _> = writes.iter().map(encode_write).collect();
-        let version = self
-            .client
-            .put_rows_if(TABLE, &encoded?, STORE_TIMEOUT)
-            .await?;
+        let table = LeaseTable::new(TABLE, slot_key);
+        let version = table.write(&mut self.client, &writes).await?;
         let now = self.node.boot_now();
         let usable = self.node.with_retry_leases(|ledger| {
             ledger.record_written(&writes, version, now);
@@ -201,21 +155,9 @@
     }
 
     async fn read(&mut self) -> Result<(), StoreError> {
-        let sent_at = self.node.boot_now();
-        let page = self.client.read_table(TABLE, STORE_TIMEOUT).await?;
-        let received_at = self.node.boot_now();
-        let rows = page.rows.iter().filter_map(|row| {
-            let (slot, content) = decode_row(row)?;
-            Some((slot, row.version, content))
-        });
-        let page = LeasePage {
-            rows: rows.collect(),
-            clock: StoreClock {
-                reading: page.clock,
-                sent_at,
-                received_at,
-            },
-        };
+        let table = LeaseTable::new(TABLE, slot_key);
+        let page = table.read(&self.node, &mut self.client, slot_of).await?;
+        let received_at = page.clock.received_at;
         self.node.with_retry_leases(|ledger| ledger.take_page(page));
         self.read_at = Some(received_at);
         Ok(())
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -88,9 +88,10 @@
                     .unwrap_or("none"),
             ),
     );
-    let request_address = requests.local_addr()?;
+    let holder = format!("{}@{}", node.settings.node, requests.local_addr()?);
+    node.lease_holder.replace(holder);
     spawn_local(listen::serve_clients(Rc::clone(&node), requests));
-    spawn_local(hold_retry_leases(Rc::clone(&node), request_address));
+    spawn_local(hold_retry_leases(Rc::clone(&node)));
     spawn_status_listeners(&node, readiness, metrics);
     spawn_feed(&node, links);
     spawn_local(heartbeat::run_heartbeats(Rc::clone(&node)));
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,6 +18,7 @@
 };
 use crate::crash::{InterruptedRequest, record_interrupted};
 use crate::in_flight::InFlightGuard;
+use crate::limits::record_stated_limit;
 use crate::node::{FailureKind, GatewayNode};
 use crate::probe::refresh_refusing;
 use crate::target_response::TargetResponse;
@@ -86,6 +87,8 @@
 struct Exchange {
     connection: TargetConnection,
     response: http::Response<Incoming>,
+    /// When the request was sent, measured from process start.
+    sent_at: Duration,
 }
 
 async fn send_request(
@@ -131,6 +134,7 @@
         Ok(response) => Ok(Exchange {
             connection,
             response,
+            sent_at,
         }),
         Err(error) if error.is_unsent() => Err(AttemptOutcome::Unsent(error.to_string())),
         Err(error) => {
@@ -196,6 +200,7 @@
             node.share_load(id, load, head.status.is_success());
         }
     }
+    record_stated_limit(node, target, parsed_headers.limit, exchange.sent_at);
     if parsed_headers.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
         // Without a load, a head that rejects all requests would look free to every node.
         if parsed_headers.load.is_none() && target.membership.is_some() {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod shutdown;
 pub mod stall;
 pub mod target;
+pub mod target_limit;
 pub mod target_paths;
 pub mod timing;
 
