Don't lose count of nodes that can't write heartbeats either

A node divides connections to targets and loads of weights by the nodes it counts, and ranks nodes by them. Where the store turned seven of eight away, those followed the eighth over links, saw all heartbeats but its own expire, and counted one. A node that has not written a heartbeat for six tenths of the expiry age now keeps those that it counted: what keeps it from the store may keep others from it.

--- a/crates/gateway/src/heartbeat/census.rs
+++ b/crates/gateway/src/heartbeat/census.rs
@@ -22,6 +22,10 @@
 /// partitioned node sends, each a part.
 const RELAYS_PER_DOMAIN: usize = 4;
 
+/// Fraction of the expiry age after which a node that has written no heartbeat can't tell which others have
+/// gone. Less than one, so that it notices before the heartbeats of others in the same state expire.
+const BLIND_FRACTION: f64 = 0.6;
+
 /// Counts the live nodes, and updates the addresses for hints and the tree of the failure domain.
 pub fn count_nodes(node: &GatewayNode) {
     let Some(clock) = node.store_clock() else {
@@ -36,6 +40,8 @@
     let clock = clock.saturating_sub(copy.age(node.now()));
     let mut census = NodeCensus::default();
     let max_age = expiry_age(copy.values().count());
+    // Whatever keeps this node from writing heartbeats may keep others from it that serve as well.
+    let keeps_counted = node.heartbeat_age() > max_age.mul_f64(BLIND_FRACTION);
     for (name, value) in copy.values() {
         // A malformed row counts for no node; the next heartbeat replaces it.
         let Ok(mut row) = serde_json::from_slice::<NodeRow>(value) else {
@@ -46,7 +52,7 @@
             node.adopt_decision(&decision.into());
         }
         let age = clock.saturating_sub(Duration::from_millis(row.clock_ms));
-        if age <= max_age {
+        if age <= max_age || (keeps_counted && node.is_live(name)) {
             census.add(node, name, row);
         }
     }
--- a/crates/gateway/src/heartbeat/mod.rs
+++ b/crates/gateway/src/heartbeat/mod.rs
@@ -45,6 +45,7 @@
         tokio::time::sleep(INITIAL_INTERVAL).await;
     }
     let mut written_at = node.now();
+    node.set_heartbeat_written();
     let mut pause = INITIAL_INTERVAL;
     loop {
         let key_changed = tokio::time::timeout(pause, node.feed.key_changed.notified());
@@ -66,6 +67,7 @@
             node.finish_proposal(decision.as_ref(), outcome.is_ok());
             if outcome.is_ok() {
                 written_at = node.now();
+                node.set_heartbeat_written();
             }
         }
         if outcome.is_ok() && (reads_now || !node.feed.is_following(FeedLane::Bulk)) {
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -131,6 +131,7 @@
     pub(crate) retry_leases: RefCell<Option<LeaseLedger>>,
     customer_shares: RefCell<FastMap<ServiceName, CustomerShares>>,
     live_nodes: RefCell<Vec<String>>,
+    heartbeat_written_at: Cell<Duration>,
     fabric_ranks: RefCell<FabricRanks>,
     nodes_generation: Cell<u64>,
     shutdown: Cell<Option<ShutdownPlan>>,
@@ -211,6 +212,7 @@
             retry_leases: RefCell::default(),
             customer_shares: RefCell::default(),
             live_nodes: RefCell::default(),
+            heartbeat_written_at: Cell::default(),
             fabric_ranks: RefCell::default(),
             nodes_generation: Cell::default(),
             shutdown: Cell::default(),
@@ -348,6 +350,27 @@
         if count == 0 { ASSUMED_NODES } else { count }
     }
 
+    /// Whether a node was counted as live the last time.
+    #[must_use]
+    pub fn is_live(&self, name: &str) -> bool {
+        self.with_live_nodes(|names| {
+            names
+                .binary_search_by(|known| known.as_str().cmp(name))
+                .is_ok()
+        })
+    }
+
+    /// Records that this node has written a heartbeat.
+    pub fn set_heartbeat_written(&self) {
+        self.heartbeat_written_at.set(self.now());
+    }
+
+    /// Time since this node wrote its last heartbeat, or since its start.
+    #[must_use]
+    pub fn heartbeat_age(&self) -> Duration {
+        self.now().saturating_sub(self.heartbeat_written_at.get())
+    }
+
     /// Position of this node among the live nodes in the order of their names, and their number.
     #[must_use]
     pub fn place_among_nodes(&self) -> (usize, usize) {
