--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -62,7 +62,7 @@
 /// Fraction of the budget that only streams in progress may use. When targets reject much of what they
 /// are sent, the retries of new requests would take all of it, and streams whose target is lost would end
 /// half delivered. A rejected request can be sent again by its client instead.
-const RESERVED_FRACTION: f64 = 0.25;
+const RESERVED_FRACTION: f64 = 0.1;
 
 /// What a retry is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
