Let requests earn seven tenths of the ratio for four tenths of a window instead of half for a whole one

Half of the ratio was needed because what was earned held for a whole window, so that two windows of requests could justify the retries of one. What is earned now holds for four tenths: 1.4 windows of seven tenths are less than the ratio.

--- a/crates/serving/src/retry_budget.rs
+++ b/crates/serving/src/retry_budget.rs
@@ -14,10 +14,13 @@
     pub extra: f64,
 }
 
-/// Fraction of the ratio that a request earns. Each request justifies retries for one window, and a
-/// window of the limit may see those of requests in it and in the one before: if clients move from one
-/// node to another in between, both nodes retry. The limit counts only one of the two windows.
-const EARNED_FRACTION: f64 = 0.5;
+/// Fraction of the ratio that a request earns. With [`CREDIT_TIME_FRACTION`], retries in a window are those
+/// earned in 1.4 windows at most, so that a steady stream of requests never justifies more than the ratio,
+/// however it moves between nodes and however often they start.
+const EARNED_FRACTION: f64 = 0.7;
+
+/// Part of the window for which what a request earned can be used.
+const CREDIT_TIME_FRACTION: f64 = 0.4;
 
 /// Fraction of the extra retries that is leased to nodes. The rest covers retries that reach their
 /// targets late, in a later window than the one in which they were sent.
@@ -77,15 +80,23 @@
 #[derive(Debug)]
 #[must_use]
 pub struct RetryTicket {
+    source: RetrySource,
     bucket: u64,
 }
 
+/// What a retry was taken from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RetrySource {
+    Earned,
+    Leased,
+}
+
 /// Retry budget of one service on one node.
 ///
 /// Without a limit, the failure of a replica or a service would send every request to all that is
-/// left, which then fails too. A node may retry what its own requests earn, and what it has leased of
-/// the extra retries. Neither depends on how many other nodes it knows, so all nodes together stay
-/// within the limit whatever they see of each other, without messages on the request path.
+/// left, which then fails too. A node may retry what its own requests have just earned, and what it has
+/// leased of the extra retries. Neither depends on how many other nodes it knows, so all nodes together
+/// stay within the limit whatever they see of each other, without messages on the request path.
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
@@ -96,8 +107,12 @@
 struct BudgetBucket {
     /// Position on the time axis, in bucket lengths since the start of the process.
     number: u64,
-    requests: u32,
-    retries: u32,
+    /// Retries earned in it.
+    earned: f64,
+    /// Those of them that were not made.
+    unused: f64,
+    /// Retries made in it from the leases.
+    leased_used: u32,
 }
 
 impl RetryBudget {
@@ -119,7 +134,7 @@
     fn bucket(&mut self, now: Duration) -> &mut BudgetBucket {
         let number = self.bucket_number(now);
         while let Some(first) = self.buckets.front() {
-            if first.number + retry_buckets() >= number {
+            if first.number + buckets_in(RETRY_WINDOW_FACTOR) >= number {
                 break;
             }
             self.buckets.pop_front();
@@ -127,39 +142,50 @@
         if self.buckets.back().is_none_or(|last| last.number < number) {
             self.buckets.push_back(BudgetBucket {
                 number,
-                requests: 0,
-                retries: 0,
+                earned: 0.0,
+                unused: 0.0,
+                leased_used: 0,
             });
         }
         let last = self.buckets.len() - 1;
         &mut self.buckets[last]
     }
 
-    /// Counts a request that a client sent, which earns retries. Retries are counted by
-    /// [`Self::take`].
+    /// Counts a request that a client sent, which earns a part of a retry.
     pub fn record_request(&mut self, now: Duration) {
-        self.bucket(now).requests += 1;
+        let earned = self.limits.ratio * EARNED_FRACTION;
+        let bucket = self.bucket(now);
+        bucket.earned += earned;
+        bucket.unused += earned;
+    }
+
+    /// Buckets in which what was earned can still be used. The oldest one is not among them: a part of it
+    /// may be too old.
+    fn credit_buckets(&mut self, now: Duration) -> impl Iterator<Item = &mut BudgetBucket> {
+        let number = self.bucket_number(now);
+        let buckets = self.buckets.iter_mut();
+        buckets.filter(move |bucket| bucket.number + buckets_in(CREDIT_TIME_FRACTION) > number)
+    }
+
+    fn leased_used(&self) -> u32 {
+        self.buckets.iter().map(|bucket| bucket.leased_used).sum()
     }
 
     /// Returns how many retries for `purpose` this node may make now if it has leased `leased` per
     /// window; negative if it has lost leases since.
     pub fn remaining(&mut self, now: Duration, leased: u32, purpose: RetryPurpose) -> f64 {
         self.bucket(now);
-        let number = self.bucket_number(now);
-        // Requests of the oldest bucket may have left the window already.
-        let recent = self
-            .buckets
-            .iter()
-            .filter(|bucket| bucket.number + u64::from(BUCKETS) > number);
-        let requests: u32 = recent.map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let earned = self.limits.ratio * EARNED_FRACTION * f64::from(requests);
-        let allowed = earned + f64::from(leased);
+        let (earned, unused) = self
+            .credit_buckets(now)
+            .fold((0.0, 0.0), |(earned, unused), bucket| {
+                (earned + bucket.earned, unused + bucket.unused)
+            });
+        let leased = f64::from(leased);
         let reserved = match purpose {
-            RetryPurpose::Start => allowed * RESERVED_FRACTION,
+            RetryPurpose::Start => (earned + leased) * RESERVED_FRACTION,
             RetryPurpose::Resume => 0.0,
         };
-        allowed - reserved - f64::from(retries)
+        unused + leased - f64::from(self.leased_used()) - reserved
     }
 
     /// Takes one retry from the budget, if this node has leased `leased` per window; `None` if it may
@@ -173,28 +199,58 @@
         if self.remaining(now, leased, purpose) < 1.0 {
             return None;
         }
+        if self.take_earned(now) {
+            let bucket = self.bucket(now).number;
+            return Some(RetryTicket {
+                source: RetrySource::Earned,
+                bucket,
+            });
+        }
+        if self.leased_used() >= leased {
+            return None;
+        }
         let bucket = self.bucket(now);
-        bucket.retries += 1;
+        bucket.leased_used += 1;
         Some(RetryTicket {
+            source: RetrySource::Leased,
             bucket: bucket.number,
         })
     }
 
+    /// Uses one retry of what was earned, the oldest first, if there is a whole one.
+    fn take_earned(&mut self, now: Duration) -> bool {
+        let unused: f64 = self.credit_buckets(now).map(|bucket| bucket.unused).sum();
+        if unused < 1.0 {
+            return false;
+        }
+        let mut left = 1.0;
+        for bucket in self.credit_buckets(now) {
+            let used = bucket.unused.min(left);
+            bucket.unused -= used;
+            left -= used;
+        }
+        true
+    }
+
     /// Returns a retry of which nothing was sent. One that has left the window counts no longer anyway.
     // Taken by value, so that none is returned twice.
     #[allow(clippy::needless_pass_by_value)]
     pub fn give_back(&mut self, ticket: RetryTicket) {
         let mut buckets = self.buckets.iter_mut();
-        if let Some(bucket) = buckets.find(|bucket| bucket.number == ticket.bucket) {
-            bucket.retries = bucket.retries.saturating_sub(1);
+        let Some(bucket) = buckets.find(|bucket| bucket.number == ticket.bucket) else {
+            return;
+        };
+        match ticket.source {
+            RetrySource::Earned => bucket.unused += 1.0,
+            RetrySource::Leased => bucket.leased_used = bucket.leased_used.saturating_sub(1),
         }
     }
 }
 
-/// Number of buckets in which retries count.
-fn retry_buckets() -> u64 {
+/// Number of buckets in a part or a multiple of the window.
+fn buckets_in(windows: f64) -> u64 {
     // In range: a small constant.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let buckets = (f64::from(BUCKETS) * RETRY_WINDOW_FACTOR).ceil() as u64;
+    let buckets = (f64::from(BUCKETS) * windows).ceil() as u64;
     buckets
 }
--- a/crates/serving/tests/fleet/mod.rs
+++ b/crates/serving/tests/fleet/mod.rs
@@ -37,11 +37,6 @@
         self.count += 1;
         stable_hash(&(self.seed, self.count)) % end
     }
-
-    /// Whether something happens that happens once in `times`.
-    pub fn once_in(&mut self, times: u64) -> bool {
-        self.below(times) == 0
-    }
 }
 
 /// The rows of the leases.
--- a/crates/serving/tests/shared_total.rs
+++ b/crates/serving/tests/shared_total.rs
@@ -28,13 +28,13 @@
         let now = STEP * step;
         for index in 0..count {
             let seconds = Duration::from_secs(1 + draws.below(70));
-            if draws.once_in(120) {
+            if draws.below(120) == 0 {
                 fleet.restart(index, now);
             }
-            if draws.once_in(120) {
+            if draws.below(120) == 0 {
                 fleet.nodes[index].turned_away_until = now + seconds;
             }
-            if draws.once_in(200) {
+            if draws.below(200) == 0 {
                 fleet.nodes[index].suspended_until = now + seconds;
             }
             if now < fleet.nodes[index].suspended_until {
@@ -45,7 +45,7 @@
             for _ in 0..draws.below(1 + busy) {
                 fleet.request(index, now, 3);
             }
-            if draws.once_in(20) {
+            if draws.below(20) == 0 {
                 for _ in 0..40 {
                     fleet.request(index, now, 3);
                 }
