--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::StatedLimit;
+use adapter::{ResponseHeaders, StatedLimit};
 use domain::HostId;
 use events::{EventCode, LogLine};
 use serving::TargetEntry;
@@ -55,19 +55,23 @@
     NEWS_INTERVAL * factor.max(1)
 }
 
-/// Records what a response says of its target's limit. A response to a request that was sent before the
-/// limit was known may be older than the limit.
+/// Records what a response says of its target's limit.
+///
+/// The limit ends with a response that states none, unless that may be older than the limit, as one to a
+/// request sent before the limit was known, or is no word of the target on itself: a rejection may come
+/// from its queue, and says nothing of its need.
 pub fn record_stated_limit(
     node: &Rc<GatewayNode>,
     target: &TargetEntry,
-    stated: StatedLimit,
+    headers: &ResponseHeaders,
     sent_at: Duration,
 ) {
-    match stated {
+    match headers.limit {
         StatedLimit::Rate(rate) => {
             learn_limit(node, target, rate, LimitSource::Target);
             node.tell_limit(&target.id, rate);
         }
+        StatedLimit::Unlimited if headers.not_executed || !headers.signed => {}
         StatedLimit::Unlimited => {
             let learned_at = node.limit_of(&target.id).map(|limit| limit.learned_at);
             if learned_at.is_some_and(|learned_at| sent_at >= learned_at) {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -200,7 +200,7 @@
             node.share_load(id, load, head.status.is_success());
         }
     }
-    record_stated_limit(node, target, parsed_headers.limit, exchange.sent_at);
+    record_stated_limit(node, target, &parsed_headers, exchange.sent_at);
     if parsed_headers.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
         // Without a load, a head that rejects all requests would look free to every node.
         if parsed_headers.load.is_none() && target.membership.is_some() {
