A soak of what nodes share: retries and stated limits under overlapping faults

Seven nodes, five behind gates of the store, two behind proxies of the targets; killed, paused, turned away, reset, with full targets, and heads that state and drop a limit.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod request;
 mod retry_totals;
 mod share_decisions;
+mod shared_soak;
 mod shutdown;
 mod site;
 mod soak_client;
