--- a/tests/gateway/retry_totals.rs
+++ b/tests/gateway/retry_totals.rs
@@ -26,7 +26,7 @@
 const COUNT_TIME: Duration = Duration::from_secs(2);
 
 /// Starts nodes that reach the store through gates of their own, and waits until each counts all.
-async fn gated_nodes(site: &TestSite) -> Vec<(TestNode, StoreGate)> {
+pub async fn gated_nodes(site: &TestSite) -> Vec<(TestNode, StoreGate)> {
     let mut nodes = Vec::new();
     for index in 0..NODES {
         let domain = format!("z{}", index % 3);
--- a/tests/gateway/stated_limits.rs
+++ b/tests/gateway/stated_limits.rs
@@ -1,18 +1,15 @@
 //! Limits that engines state for all nodes together, counted at the engines.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use standin::site::{GateMode, StoreGate};
-use std::time::Instant;
 
 use crate::node::TestNode;
 use crate::request::{TestRequest, read_response};
+use crate::retry_totals::gated_nodes;
 use crate::site::TestSite;
 
-/// Nodes, two in each failure domain.
-const NODES: usize = 6;
-
 /// Requests a second that the engine in need takes.
 const LIMIT: f64 = 2.2;
 
@@ -27,20 +24,6 @@
 const CLIENTS: usize = 3;
 const PAUSE: Duration = Duration::from_millis(100);
 
-async fn start(site: &TestSite) -> Vec<(TestNode, StoreGate)> {
-    let mut nodes = Vec::new();
-    for index in 0..NODES {
-        let domain = format!("z{}", index % 3);
-        nodes.push(site.gated_node(&domain, &format!("n{index}")).await);
-    }
-    for (node, _) in &nodes {
-        node.wait_replicas(3).await;
-        let all = format!("\"nodes\":{NODES}");
-        node.wait_log_line(&["nodes_counted", &all]).await;
-    }
-    nodes
-}
-
 /// Sends chats at all nodes for a while; returns how many were answered whole, and how many were not.
 async fn send_chats(
     nodes: &[(TestNode, StoreGate)],
@@ -84,7 +67,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_held_and_dropped() {
     let site = TestSite::start(14, 0);
-    let nodes = start(&site).await;
+    let nodes = gated_nodes(&site).await;
     let head = site.groups.serving()[0][0].clone();
     site.groups.set_limit(&head, Some(LIMIT));
     let stated = Instant::now();
@@ -104,7 +87,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_held_without_store() {
     let site = TestSite::start(14, 0);
-    let mut nodes = start(&site).await;
+    let mut nodes = gated_nodes(&site).await;
     let head = site.groups.serving()[0][0].clone();
     site.groups.set_limit(&head, Some(LIMIT));
     let stated = Instant::now();
