Log and count backoffs and drains that targets state, and what is sent since

Change: the adapter decodes both, with the stated limit, into one type; a ledger per node takes them in for the process that stated them; backoff_stated, drain_stated, backoff_ended and statement_unreadable tell who asked whom, for how long, and what was sent since. No decision changes. Measured: decoding tests of delays (fractions, dates, bad and repeated values) and drains pass.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -285,6 +285,15 @@
     LimitTurn = 380, "limit_turn", Info;
     /// A target states a limit that is no number. What was known of it before holds on.
     LimitUnreadable = 381, "limit_unreadable", Warn;
+    /// A target rejected a request with `status` and asked this node to send it nothing for `for_ms`.
+    /// `new` is 0 if an earlier such time was in force; `sent` is how many requests it got in that.
+    BackoffStated = 382, "backoff_stated", Warn;
+    /// A target that had asked for a backoff is sent to as before again.
+    BackoffEnded = 383, "backoff_ended", Info;
+    /// A target said in a response that it is about to exit. `listed` is its state in the registry.
+    DrainStated = 384, "drain_stated", Info;
+    /// A target states something in `header` that can't be read. It is ignored.
+    StatementUnreadable = 385, "statement_unreadable", Warn;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::{ResponseHeaders, StatedLimit};
+use adapter::{ResponseHeaders, StatedValue};
 use domain::HostId;
 use events::{EventCode, LogLine};
 use serving::TargetEntry;
@@ -66,20 +66,20 @@
     headers: &ResponseHeaders,
     sent_at: Duration,
 ) {
-    match headers.limit {
-        StatedLimit::Rate(rate) => {
+    match headers.statements.limit {
+        StatedValue::Value(rate) => {
             learn_limit(node, target, rate, LimitSource::Target);
             node.tell_limit(&target.id, rate);
         }
-        StatedLimit::Unlimited if headers.not_executed || !headers.signed => {}
-        StatedLimit::Unlimited => {
+        StatedValue::Absent if headers.not_executed || !headers.signed => {}
+        StatedValue::Absent => {
             let learned_at = node.limit_of(&target.id).map(|limit| limit.learned_at);
             if learned_at.is_some_and(|learned_at| sent_at >= learned_at) {
                 node.forget_limit(&target.id);
                 node.tell_limit_ended(&target.id);
             }
         }
-        StatedLimit::Unreadable => {
+        StatedValue::Unreadable => {
             let line = LogLine::new(EventCode::LimitUnreadable).text("host", target.id.as_str());
             node.log(&line);
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -90,6 +90,10 @@
     pub limited_targets: usize,
     /// Of those, targets whose turn this node holds.
     pub held_turns: usize,
+    /// Targets that want nothing from this node for a time.
+    pub backing_off_targets: usize,
+    /// Targets that have said to this node that they drain.
+    pub draining_targets: usize,
 }
 
 /// Metric instruments of a gateway.
@@ -109,9 +113,11 @@
     crashes: Counter<u64>,
     blocked: Counter<u64>,
     tunnels: Counter<u64>,
+    statements: Counter<u64>,
+    sent_in_backoff: Counter<u64>,
     stranded_time: Counter<f64>,
     downtime: Counter<f64>,
-    gauges: [(Gauge<f64>, ReadStat); 22],
+    gauges: [(Gauge<f64>, ReadStat); 24],
 }
 
 type ReadStat = fn(&NodeStats) -> f64;
@@ -143,6 +149,8 @@
             crashes: counter("bramleyspring.gateway.crash.seen"),
             blocked: counter("bramleyspring.gateway.crash.blocked_request"),
             tunnels: counter("bramleyspring.gateway.tunnel.count"),
+            statements: counter("bramleyspring.gateway.statement.count"),
+            sent_in_backoff: counter("bramleyspring.gateway.backoff.sent"),
             stranded_time: seconds_counter("bramleyspring.gateway.host.stranded_time"),
             downtime: seconds_counter("bramleyspring.gateway.replica.downtime"),
             gauges: gauges(&meter),
@@ -229,6 +237,16 @@
         self.tunnels.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts what a target stated of itself: `backoff` or `drain`.
+    pub fn record_statement(&self, kind: &'static str) {
+        self.statements.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a request that is sent to a target in a backoff that it asked for.
+    pub fn record_sent_in_backoff(&self) {
+        self.sent_in_backoff.add(1, &[]);
+    }
+
     /// Adds the time that hosts were stranded and replicas not serving, summed over hosts and
     /// replicas.
     pub fn add_lost_time(&self, stranded: Duration, downtime: Duration) {
@@ -249,7 +267,7 @@
     }
 }
 
-fn gauges(meter: &Meter) -> [(Gauge<f64>, ReadStat); 22] {
+fn gauges(meter: &Meter) -> [(Gauge<f64>, ReadStat); 24] {
     let gauge = |name| meter.f64_gauge(name).build();
     [
         (gauge("bramleyspring.gateway.config.revision"), |stats| {
@@ -318,6 +336,12 @@
         (gauge("bramleyspring.gateway.limit.held"), |stats| {
             usize_to_f64(stats.held_turns)
         }),
+        (gauge("bramleyspring.gateway.backoff.active"), |stats| {
+            usize_to_f64(stats.backing_off_targets)
+        }),
+        (gauge("bramleyspring.gateway.drain.stated"), |stats| {
+            usize_to_f64(stats.draining_targets)
+        }),
     ]
 }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -25,8 +25,8 @@
 use serving::stall::StallDetector;
 use serving::target_paths::TargetPaths;
 use serving::{
-    ConfirmedMembership, GatewayConfig, PromptBacklog, RetryBudget, ShutdownPlan, TargetLoad,
-    TargetRegistry,
+    ConfirmedMembership, GatewayConfig, PromptBacklog, RetryBudget, ShutdownPlan, StatementLedger,
+    TargetLoad, TargetRegistry,
 };
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
@@ -123,6 +123,8 @@
     /// Draining or unlisted targets that no longer accept connections, and since when.
     retired: RefCell<FastMap<HostId, Duration>>,
     retry_budgets: RefCell<FastMap<ServiceName, RetryBudget>>,
+    /// Backoffs and drains that targets state.
+    pub(crate) statements: RefCell<StatementLedger>,
     /// Limits that targets state.
     pub(crate) limits: RefCell<FastMap<HostId, LimitedTarget>>,
     /// What this process is called in leases: its name and the address at which it accepts requests.
@@ -207,6 +209,7 @@
             store_clock: Cell::default(),
             retired: RefCell::default(),
             retry_budgets: RefCell::default(),
+            statements: RefCell::default(),
             limits: RefCell::default(),
             lease_holder: RefCell::default(),
             retry_leases: RefCell::default(),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -76,9 +76,12 @@
         let registry = self.registry.borrow();
         let (barred_sets, suspect_features) = self.crashes.verdict_counts();
         let (limited_targets, held_turns) = self.limit_counts();
+        let (backing_off_targets, draining_targets) = self.statement_counts();
         let mut stats = NodeStats {
             limited_targets,
             held_turns,
+            backing_off_targets,
+            draining_targets,
             config_revision: self.config().map_or(0, |config| config.revision.0),
             config_age: self.feed.config_age(self.now()),
             registry_age: self.registry_age(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -155,6 +155,7 @@
         let started_at = node.now();
         tokio::time::sleep(SWEEP_INTERVAL).await;
         node.pool.evict_expired();
+        node.forget_old_statements();
         node.crashes.expire(node.evidence_time());
         let elapsed = node.now().saturating_sub(started_at);
         let stats = node.stats();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,9 +18,10 @@
 };
 use crate::crash::{InterruptedRequest, record_interrupted};
 use crate::in_flight::InFlightGuard;
-use crate::limits::record_stated_limit;
 use crate::node::{FailureKind, GatewayNode};
 use crate::probe::refresh_refusing;
+use crate::send_permit::SendPermit;
+use crate::statements::{is_rejection, record_statements};
 use crate::target_response::TargetResponse;
 use crate::tunnel::TargetConnection;
 
@@ -87,6 +88,7 @@
 struct Exchange {
     connection: TargetConnection,
     response: http::Response<Incoming>,
+    permit: SendPermit,
     /// When the request was sent, measured from process start.
     sent_at: Duration,
 }
@@ -118,6 +120,7 @@
         outgoing
     };
     let sent_at = node.now();
+    let mut permit = SendPermit::take(node, target);
     let mut sent = send_watched(node, request, target, &mut connection, outgoing()).await?;
     if matches!(sent, Err(ConnectionError::Unsent)) {
         // The target had closed the idle connection. Nothing was written, so a new connection is
@@ -128,12 +131,14 @@
             Ok(connection) => connection,
             Err(error) => return Err(record_unreachable(node, target, &error)),
         };
+        permit = SendPermit::take(node, target);
         sent = send_watched(node, request, target, &mut connection, outgoing()).await?;
     }
     match sent {
         Ok(response) => Ok(Exchange {
             connection,
             response,
+            permit,
             sent_at,
         }),
         Err(error) if error.is_unsent() => Err(AttemptOutcome::Unsent(error.to_string())),
@@ -200,7 +205,9 @@
             node.share_load(id, load, head.status.is_success());
         }
     }
-    record_stated_limit(node, target, &parsed_headers, exchange.sent_at);
+    let rejected = parsed_headers.not_executed || is_rejection(head.status);
+    exchange.permit.record_response(!rejected);
+    record_statements(node, target, head.status, &parsed_headers, exchange.sent_at);
     if parsed_headers.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
         // Without a load, a head that rejects all requests would look free to every node.
         if parsed_headers.load.is_none() && target.membership.is_some() {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod target;
 pub mod target_limit;
 pub mod target_paths;
+pub mod target_statements;
 pub mod timing;
 
 pub use choose::{ChoiceLimits, TargetLoad, choose_target};
@@ -45,4 +46,5 @@
 };
 pub use shutdown::ShutdownPlan;
 pub use target::{MemberState, MembershipKey, ReplicaMembership, TargetEntry, TargetState};
+pub use target_statements::{SendBarrier, SentRequest, StatementLedger};
 pub use timing::ReplicaTiming;
