--- a/crates/standin/src/site/arrivals.rs
+++ b/crates/standin/src/site/arrivals.rs
@@ -42,6 +42,19 @@
     retries: Vec<Instant>,
     /// When requests arrived, by engine.
     by_engine: BTreeMap<String, Vec<Instant>>,
+    /// When requests of a source arrived, by engine.
+    by_source: BTreeMap<(String, String), Vec<Instant>>,
+    /// When engines asked a source for a backoff, and for how long.
+    backoffs: BTreeMap<(String, String), Vec<(Instant, Duration)>>,
+    /// When engines first told a source that they leave.
+    leaving_told: BTreeMap<(String, String), Instant>,
+    /// When reports were asked for or orders came, by engine.
+    calls: BTreeMap<String, Vec<Instant>>,
+}
+
+/// Source of a request: what its id says before the first dot. Clients name the node there that they send to.
+fn source_of(request: &str) -> String {
+    request.split('.').next().unwrap_or_default().to_owned()
 }
 
 /// Arrivals at the engines of a site; clones share them.
@@ -65,12 +78,86 @@
         self.with(|state| {
             let arrivals = state.by_engine.entry(engine.to_owned()).or_default();
             arrivals.push(Instant::now());
+            let key = (engine.to_owned(), source_of(request));
+            state.by_source.entry(key).or_default().push(Instant::now());
             if !state.known.insert(request.to_owned()) {
                 state.retries.push(Instant::now());
             }
         });
     }
 
+    /// Records that an engine rejects a request and asks its source for a backoff.
+    pub(super) fn record_backoff(&self, engine: &str, request: &str, lasting: Duration) {
+        let key = (engine.to_owned(), source_of(request));
+        self.with(|state| {
+            let asked = state.backoffs.entry(key).or_default();
+            asked.push((Instant::now(), lasting));
+        });
+    }
+
+    /// Records that an engine tells the source of a request that it leaves.
+    pub(super) fn record_leaving(&self, engine: &str, request: &str) {
+        let key = (engine.to_owned(), source_of(request));
+        self.with(|state| {
+            state.leaving_told.entry(key).or_insert_with(Instant::now);
+        });
+    }
+
+    /// Records a report that an engine is asked for, or an order.
+    pub(super) fn record_call(&self, engine: &str) {
+        self.with(|state| {
+            let calls = state.calls.entry(engine.to_owned()).or_default();
+            calls.push(Instant::now());
+        });
+    }
+
+    /// Most requests of one source that reached an engine in a backoff that it had asked this source for,
+    /// from `grace` after the rejection on.
+    #[must_use]
+    pub fn most_in_backoff(&self, grace: Duration) -> usize {
+        self.with(|state| {
+            let counts = state.backoffs.iter().flat_map(|(key, asked)| {
+                let arrivals = state.by_source.get(key).map_or(&[][..], Vec::as_slice);
+                asked.iter().map(move |(at, lasting)| {
+                    let length = lasting.saturating_sub(grace);
+                    count_within(arrivals, *at + grace, length)
+                })
+            });
+            counts.max().unwrap_or(0)
+        })
+    }
+
+    /// Number of backoffs that engines asked for.
+    #[must_use]
+    pub fn backoff_count(&self) -> usize {
+        self.with(|state| state.backoffs.values().map(Vec::len).sum())
+    }
+
+    /// Most reports and orders that reached an engine in a backoff that it had asked for.
+    #[must_use]
+    pub fn most_calls_in_backoff(&self) -> usize {
+        self.with(|state| {
+            let counts = state.backoffs.iter().flat_map(|((engine, _), asked)| {
+                let calls = state.calls.get(engine).map_or(&[][..], Vec::as_slice);
+                let counts = asked.iter();
+                counts.map(move |(at, lasting)| count_within(calls, *at, *lasting))
+            });
+            counts.max().unwrap_or(0)
+        })
+    }
+
+    /// Number of requests that reached an engine over `bound` after it had told their source that it leaves.
+    #[must_use]
+    pub fn arrivals_after_leaving(&self, bound: Duration) -> usize {
+        self.with(|state| {
+            let counts = state.leaving_told.iter().map(|(key, told)| {
+                let arrivals = state.by_source.get(key).map_or(&[][..], Vec::as_slice);
+                arrivals.len() - arrivals.partition_point(|at| *at <= *told + bound)
+            });
+            counts.sum()
+        })
+    }
+
     /// Returns the window that exceeds the allowance most, or is nearest to it; `None` without retries.
     ///
     /// Requests count in the window, in the one before it, or in the one that begins half a window
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
+use std::time::Duration;
 
 use futures::stream;
 use http::{HeaderValue, Response, StatusCode, Version};
@@ -134,6 +135,31 @@
         };
     }
 
+    /// Sets the backoff that an engine asks for as it rejects all requests; `None` if it takes them.
+    pub fn set_backoff(&self, id: &str, backoff: Option<Duration>) {
+        let mut backoffs = self.backoffs.lock().unwrap_or_else(PoisonError::into_inner);
+        match backoff {
+            Some(backoff) => backoffs.insert(id.to_owned(), backoff),
+            None => backoffs.remove(id),
+        };
+    }
+
+    fn backoff(&self, id: &str) -> Option<Duration> {
+        let backoffs = self.backoffs.lock().unwrap_or_else(PoisonError::into_inner);
+        backoffs.get(id).copied()
+    }
+
+    /// Makes an engine say in all its responses that it leaves; its registry entry stays as it is.
+    pub fn say_leaving(&self, id: &str) {
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.insert(id.to_owned());
+    }
+
+    fn is_leaving(&self, id: &str) -> bool {
+        let leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.contains(id)
+    }
+
     fn limit(&self, id: &str) -> Option<f64> {
         let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
         limits.get(id).copied()
@@ -238,6 +264,20 @@
         if !expected.is_empty() && expected != id {
             return text_response(StatusCode::MISDIRECTED_REQUEST, "");
         }
+        let mut response = self.respond(id, &request);
+        if self.is_leaving(id) {
+            let headers = response.headers_mut();
+            headers.insert("server-leaving", HeaderValue::from_static("1"));
+            self.arrivals
+                .record_leaving(id, request.header("x-request-id"));
+        }
+        response
+    }
+
+    fn respond(&self, id: &str, request: &SiteRequest) -> SiteResponse {
+        if matches!(request.path.as_str(), "/report" | "/order") {
+            self.arrivals.record_call(id);
+        }
         match request.path.as_str() {
             "/report" => {
                 self.reports.fetch_add(1, Ordering::Relaxed);
@@ -248,14 +288,23 @@
                 });
                 json_response(&report.unwrap_or_default())
             }
-            "/order" => self.order(id, &request),
-            _ => self.generate(id, &request),
+            "/order" => self.order(id, request),
+            _ => self.generate(id, request),
         }
     }
 
     fn generate(&self, id: &str, request: &SiteRequest) -> SiteResponse {
         self.arrivals
             .record_arrival(id, request.header("x-request-id"));
+        if let Some(backoff) = self.backoff(id) {
+            self.arrivals
+                .record_backoff(id, request.header("x-request-id"), backoff);
+            let mut response = not_executed(StatusCode::SERVICE_UNAVAILABLE);
+            if let Ok(value) = HeaderValue::from_str(&backoff.as_secs_f64().to_string()) {
+                response.headers_mut().insert("retry-after", value);
+            }
+            return response;
+        }
         if self.rejects.load(Ordering::Relaxed) {
             return not_executed(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -1,8 +1,9 @@
 //! Membership of engines in replicas, which the platform calls groups.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
@@ -65,6 +66,10 @@
     pub(super) reports: Arc<AtomicUsize>,
     /// Requests a second that engines state as their limits.
     pub(super) limits: Arc<Mutex<BTreeMap<String, f64>>>,
+    /// Backoffs that engines ask for when they reject requests, as all that ask for one do.
+    pub(super) backoffs: Arc<Mutex<BTreeMap<String, Duration>>>,
+    /// Engines that say in all their responses that they leave.
+    pub(super) leaving: Arc<Mutex<BTreeSet<String>>>,
     /// Whether heads reject all requests.
     pub(super) rejects: Arc<AtomicBool>,
     /// What arrived at heads.
@@ -85,6 +90,8 @@
             unframed: Arc::default(),
             reports: Arc::default(),
             limits: Arc::default(),
+            backoffs: Arc::default(),
+            leaving: Arc::default(),
             rejects: Arc::default(),
             arrivals: ArrivalLog::default(),
         }
--- a/crates/standin/src/site/service.rs
+++ b/crates/standin/src/site/service.rs
@@ -40,6 +40,8 @@
     Unframed,
     /// The same, but its process dies in the middle of the response.
     DiesUnframed,
+    /// Executes calls and says in its responses that it leaves.
+    Leaving,
 }
 
 #[derive(Debug)]
@@ -135,6 +137,12 @@
         self.with(|state| state.executed.iter().filter(|id| *id == request).count())
     }
 
+    /// Returns how many requests were received.
+    #[must_use]
+    pub fn received_count(&self) -> usize {
+        self.with(|state| state.received_headers.len())
+    }
+
     /// Returns the headers of each received request, in debug format.
     #[must_use]
     pub fn received_headers(&self) -> Vec<String> {
@@ -193,9 +201,10 @@
         std::future::pending::<()>().await;
     }
     let mut response = match mode {
-        ServiceMode::Healthy | ServiceMode::WrongRequestId | ServiceMode::ClosesConnection => {
-            text_response(StatusCode::OK, &text)
-        }
+        ServiceMode::Healthy
+        | ServiceMode::Leaving
+        | ServiceMode::WrongRequestId
+        | ServiceMode::ClosesConnection => text_response(StatusCode::OK, &text),
         ServiceMode::Unframed => unframed(text_response(StatusCode::OK, &text)),
         ServiceMode::DiesUnframed => dying_response(state, &text),
         ServiceMode::Slow => {
@@ -215,6 +224,9 @@
     } else {
         headers.insert("x-response-signature", HeaderValue::from_static("signed"));
     }
+    if mode == ServiceMode::Leaving {
+        headers.insert("server-leaving", HeaderValue::from_static("1"));
+    }
     let echo = if mode == ServiceMode::WrongRequestId {
         "another"
     } else {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod shutdown;
 mod site;
 mod soak_client;
+mod stated_backoff;
 mod stated_limits;
 mod store_faults;
 mod store_feed;
--- /dev/null
+++ b/tests/gateway/stated_backoff.rs
@@ -0,0 +1,264 @@
+//! Backoffs that engines ask nodes for as they reject requests, counted at the engines per node.
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use standin::site::StoreGate;
+
+use crate::node::{TestNode, wait_for};
+use crate::request::{TestRequest, complete_stream, read_response};
+use crate::retry_totals::gated_nodes;
+use crate::site::TestSite;
+
+/// Backoff that engines ask for.
+const BACKOFF: Duration = Duration::from_secs(3);
+
+/// Time after a rejection in which what was sent before it may still arrive, and how many requests may arrive
+/// after it in the same backoff.
+const GRACE: Duration = Duration::from_millis(500);
+const ALLOWED: usize = 2;
+
+/// Clients of each node, and the pause between two requests of one.
+const CLIENTS: usize = 3;
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// What became of the requests of some clients.
+#[derive(Debug, Default)]
+struct Outcomes {
+    whole: usize,
+    rejected: usize,
+    other: usize,
+    /// `Retry-After` of the rejections, in seconds.
+    delays: Vec<f64>,
+    /// Longest time to a rejection.
+    held: Duration,
+}
+
+impl Outcomes {
+    fn merge(mut self, other: Self) -> Self {
+        self.whole += other.whole;
+        self.rejected += other.rejected;
+        self.other += other.other;
+        self.delays.extend(other.delays);
+        self.held = self.held.max(other.held);
+        self
+    }
+}
+
+async fn run_client(node: &TestNode, source: &str, client: &str, until: Instant) -> Outcomes {
+    let mut outcomes = Outcomes::default();
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let request = TestRequest::chat(&format!("{source}.{client}-{number}"));
+        let sent = Instant::now();
+        let (_connection, response) = request.begin(node).await;
+        let response = read_response(response).await;
+        match response.status {
+            StatusCode::OK if response.complete => outcomes.whole += 1,
+            StatusCode::SERVICE_UNAVAILABLE => {
+                outcomes.rejected += 1;
+                outcomes.held = outcomes.held.max(sent.elapsed());
+                let delay = response.headers.get("retry-after");
+                let delay = delay.and_then(|value| value.to_str().ok());
+                let delay = delay.and_then(|text| text.parse().ok());
+                outcomes
+                    .delays
+                    .push(delay.expect("a rejection says when to come back"));
+            }
+            _ => outcomes.other += 1,
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    outcomes
+}
+
+/// Sends chats at all nodes for a while.
+async fn send_chats(nodes: &[(TestNode, StoreGate)], name: &str, lasting: Duration) -> Outcomes {
+    let until = Instant::now() + lasting;
+    let clients = (0..CLIENTS).flat_map(|client| {
+        let nodes = nodes.iter().enumerate();
+        nodes.map(move |(index, (node, _))| async move {
+            let client = format!("{name}{client}");
+            run_client(node, &format!("n{index}"), &client, until).await
+        })
+    });
+    let outcomes = futures::future::join_all(clients).await;
+    outcomes
+        .into_iter()
+        .fold(Outcomes::default(), Outcomes::merge)
+}
+
+fn heads(site: &TestSite) -> Vec<String> {
+    let serving = site.groups.serving();
+    serving
+        .into_iter()
+        .map(|members| members[0].clone())
+        .collect()
+}
+
+fn assert_left_alone(site: &TestSite) {
+    let asked = site.groups.arrivals.backoff_count();
+    assert!(asked > 0, "no engine asked for a backoff");
+    let most = site.groups.arrivals.most_in_backoff(GRACE);
+    assert!(most <= ALLOWED, "{most} requests of a node in a backoff");
+}
+
+/// Guards against an engine that asks a node for a backoff and gets more from it, while others have room.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_target_left_alone() {
+    let site = TestSite::start(14, 0);
+    let nodes = gated_nodes(&site).await;
+    let head = heads(&site).remove(0);
+    site.groups.set_backoff(&head, Some(BACKOFF));
+    let outcomes = send_chats(&nodes, "one", Duration::from_secs(7)).await;
+    assert_left_alone(&site);
+    assert_eq!(outcomes.rejected + outcomes.other, 0, "{outcomes:?}");
+    // It is used again once it takes requests.
+    site.groups.set_backoff(&head, None);
+    send_chats(&nodes, "after", BACKOFF * 2).await;
+    let returned = Instant::now();
+    send_chats(&nodes, "free", Duration::from_secs(2)).await;
+    let arrived = site
+        .groups
+        .arrivals
+        .most_at(&head, returned, Duration::from_secs(2));
+    assert!(arrived > 10, "only {arrived} requests after the backoff");
+}
+
+/// Guards against engines that all ask for a backoff, again and again, and get more; and against clients that
+/// are kept waiting meanwhile, or told to come back before any engine takes requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_targets_left_alone() {
+    let site = TestSite::start(14, 0);
+    let nodes = gated_nodes(&site).await;
+    for head in heads(&site) {
+        site.groups.set_backoff(&head, Some(BACKOFF));
+    }
+    let outcomes = send_chats(&nodes, "all", BACKOFF * 3).await;
+    assert_left_alone(&site);
+    assert_eq!(outcomes.whole + outcomes.other, 0, "{outcomes:?}");
+    assert!(outcomes.held < GRACE, "{outcomes:?}");
+    let longest = outcomes.delays.iter().copied().fold(0.0, f64::max);
+    assert!(
+        longest > 2.0,
+        "no client was told how long to wait: {longest}"
+    );
+    for head in heads(&site) {
+        site.groups.set_backoff(&head, None);
+    }
+    tokio::time::sleep(BACKOFF * 2).await;
+    let outcomes = send_chats(&nodes, "free", Duration::from_secs(2)).await;
+    assert!(outcomes.whole > 0, "{outcomes:?}");
+    let outcomes = send_chats(&nodes, "later", Duration::from_secs(2)).await;
+    assert_eq!(outcomes.rejected + outcomes.other, 0, "{outcomes:?}");
+}
+
+/// Guards against requests that had chosen an engine before it asked for a backoff, waited for a connection
+/// to it, and are sent there when it opens.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_connections_ask_again() {
+    let site = TestSite::start(14, 0);
+    let node = site.node("n0").await;
+    node.wait_replicas(3).await;
+    // Leaves an idle connection to each head, on which the rejections come.
+    let warm = (0..12).map(|number| {
+        let request = TestRequest::chat(&format!("n0.warm{number}"));
+        let node = &node;
+        async move { request.send(node).await }
+    });
+    futures::future::join_all(warm).await;
+    let mut guards = Vec::new();
+    for head in heads(&site) {
+        site.groups.set_backoff(&head, Some(BACKOFF));
+        guards.push(site.lose_connections(&head).await);
+    }
+    let opening = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        guards.clear();
+    };
+    let chats = (0..60).map(|number| {
+        let request = TestRequest::chat(&format!("n0.slow{number}"));
+        let node = &node;
+        async move { request.send(node).await.status }
+    });
+    let (statuses, ()) = tokio::join!(futures::future::join_all(chats), opening);
+    assert!(
+        statuses
+            .iter()
+            .all(|status| *status == StatusCode::SERVICE_UNAVAILABLE)
+    );
+    let asked = site.groups.arrivals.backoff_count();
+    assert!(asked > 0, "no engine asked for a backoff");
+    // What was sent on the idle connections at the same time arrives well within this.
+    let most = site
+        .groups
+        .arrivals
+        .most_in_backoff(Duration::from_millis(100));
+    assert!(most <= ALLOWED, "{most} requests of a node in a backoff");
+}
+
+/// Guards against streams of a lost replica that are resumed at an engine in its backoff.
+#[tokio::test(flavor = "multi_thread")]
+async fn moved_streams_avoid_backoff() {
+    let mut site = TestSite::start(14, 0);
+    let node = site.node("n0").await;
+    node.wait_replicas(3).await;
+    site.groups.set_events(60);
+    let chats = (0..9).map(|number| TestRequest::chat(&format!("n0.move{number}")));
+    let mut streams = Vec::new();
+    for chat in chats {
+        streams.push(chat.begin(&node).await);
+    }
+    let heads = heads(&site);
+    let resting = heads[0].clone();
+    site.groups.set_backoff(&resting, Some(BACKOFF));
+    // Makes the engine ask: of a few requests one reaches it.
+    let asking = (0..12).map(|number| {
+        let request = TestRequest::chat(&format!("n0.ask{number}"));
+        let node = &node;
+        async move { request.begin(node).await }
+    });
+    drop(futures::future::join_all(asking).await);
+    wait_for("a backoff", || site.groups.arrivals.backoff_count() > 0).await;
+    tokio::time::sleep(GRACE).await;
+    let members = site.groups.serving();
+    let lost = members.iter().find(|members| members[0] == heads[1]);
+    let lost = lost.expect("the replica serves")[1].clone();
+    site.kill_engine(&lost);
+    for (_connection, response) in streams {
+        let response = read_response(response).await;
+        assert_eq!(response.text, complete_stream(60));
+    }
+    assert_left_alone(&site);
+}
+
+/// Guards against probes, reports and orders that do not leave an engine alone either.
+#[tokio::test(flavor = "multi_thread")]
+async fn probes_leave_alone() {
+    let mut site = TestSite::start(14, 0);
+    let node = site.node("n0").await;
+    node.wait_replicas(3).await;
+    site.groups.set_events(60);
+    let mut streams = Vec::new();
+    for number in 0..9 {
+        streams.push(
+            TestRequest::chat(&format!("n0.run{number}"))
+                .begin(&node)
+                .await,
+        );
+    }
+    let heads = heads(&site);
+    for head in &heads {
+        site.groups.set_backoff(head, Some(BACKOFF));
+    }
+    let asked = TestRequest::chat("n0.ask").send(&node).await;
+    assert_eq!(asked.status, StatusCode::SERVICE_UNAVAILABLE);
+    let lost = site.groups.serving()[0][1].clone();
+    site.kill_engine(&lost);
+    tokio::time::sleep(BACKOFF).await;
+    let calls = site.groups.arrivals.most_calls_in_backoff();
+    assert!(calls <= ALLOWED, "{calls} probes and orders in a backoff");
+    drop(streams);
+}
