--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod site;
 mod soak_client;
 mod stated_backoff;
+mod stated_drain;
 mod stated_limits;
 mod store_faults;
 mod store_feed;
--- /dev/null
+++ b/tests/gateway/stated_drain.rs
@@ -0,0 +1,105 @@
+//! Targets that say in their responses alone that they exit, counted at the targets per node.
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use serde_json::json;
+use standin::site::{GateMode, ServiceMode};
+
+use crate::node::{TestNode, wait_for};
+use crate::request::TestRequest;
+use crate::retry_totals::gated_nodes;
+use crate::site::TestSite;
+
+/// Time after a node has passed on that a target leaves from which on nothing may reach it from there.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+/// Pause between two requests of a client.
+const PAUSE: Duration = Duration::from_millis(40);
+
+async fn send_chats(node: &TestNode, source: &str, name: &str, lasting: Duration) -> usize {
+    let until = Instant::now() + lasting;
+    let mut failed = 0;
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let request = TestRequest::chat(&format!("{source}.{name}{number}"));
+        failed += usize::from(request.send(node).await.status != StatusCode::OK);
+        tokio::time::sleep(PAUSE).await;
+    }
+    failed
+}
+
+/// Guards against a head that says in its responses that it leaves, and gets requests on, since the registry
+/// does not tell: no node reaches the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn head_left_without_store() {
+    let site = TestSite::start(14, 0);
+    let nodes = gated_nodes(&site).await;
+    for (_, gate) in &nodes {
+        gate.set(GateMode::Silent);
+    }
+    let head = site.groups.serving()[0][0].clone();
+    site.groups.say_leaving(&head);
+    let clients = nodes
+        .iter()
+        .enumerate()
+        .map(|(index, (node, _))| async move {
+            let source = format!("n{index}");
+            send_chats(node, &source, "leaving", DRAIN_BOUND * 3).await
+        });
+    let failed = futures::future::join_all(clients).await;
+    assert_eq!(
+        failed.iter().sum::<usize>(),
+        0,
+        "the other replicas have room"
+    );
+    let late = site.groups.arrivals.arrivals_after_leaving(DRAIN_BOUND);
+    assert_eq!(late, 0, "requests reached a head that leaves");
+}
+
+/// Guards against an instance of a plain service that says in its responses that it leaves, and counts as
+/// ready again when an older copy of its entry arrives.
+#[tokio::test(flavor = "multi_thread")]
+async fn instance_left_despite_old_entry() {
+    let site = TestSite::start(0, 3);
+    let node = site.node("n0").await;
+    site.instances[0].set_mode(ServiceMode::Leaving);
+    for number in 0..20 {
+        let request = TestRequest::new("/look/x", &format!("n0.first{number}"));
+        assert_eq!(request.send(&node).await.status, StatusCode::OK);
+    }
+    assert!(
+        site.instances[0].received_count() > 0,
+        "it has told the node"
+    );
+    let entry = |sequence: u32| {
+        json!({
+            "service": "records", "address": site.instances[0].address().to_string(), "zone": "z0",
+            "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": sequence,
+        })
+    };
+    let is_gone = |host: &str| !node.log_lines(&["target_gone", host]).is_empty();
+    site.store.remove("servers", "s0");
+    wait_for("the removal", || is_gone("s0")).await;
+    let old_entry = json!({
+        "service": "records", "address": site.instances[0].address().to_string(), "zone": "z0",
+        "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+    });
+    site.store
+        .put("servers", "s0", old_entry.to_string().as_bytes());
+    // Changes are applied in order.
+    site.store.remove("servers", "s2");
+    wait_for("the old entry", || is_gone("s2")).await;
+    let before = site.instances[0].received_count();
+    for number in 0..30 {
+        let request = TestRequest::new("/look/x", &format!("n0.later{number}"));
+        assert_eq!(request.send(&node).await.status, StatusCode::OK);
+    }
+    assert_eq!(
+        site.instances[0].received_count(),
+        before,
+        "it gets nothing more"
+    );
+}
