Follow a drain that a target states itself, whatever the registry says of it

Cause: only the registry's entry said that a target drains; no code read it from responses, and a copy that came later would have made the target ready again. Change: a drain is the word of a process and holds for it: check_send and take_send bar the target at once, and each entry that is applied for that process counts as draining, so that the choice of targets, the planner and the rule for responses cut off at the end of their connection see one state.

--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -6,7 +6,9 @@
 use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId, RowVersion, ServiceName};
 use events::{EventCode, LogLine};
 use serving::probe_schedule::unlisted_interval;
-use serving::{MemberState, MembershipKey, ReplicaView, ServiceConfig, TargetEntry, TargetState};
+use serving::{
+    MemberState, MembershipKey, ReplicaView, ServiceConfig, TargetEntry, TargetProcess, TargetState,
+};
 
 use super::GatewayNode;
 
@@ -28,8 +30,14 @@
     }
 
     /// Applies a target's entry; no effect if it is already known as it is. A target with a new boot
-    /// number or address starts without suspicion, load data or idle connections.
+    /// number or address starts without suspicion, load data or idle connections. One whose process has said
+    /// that it drains does so whatever the entry, which may be an old copy, says.
     pub(super) fn apply_target(&self, entry: &TargetEntry) {
+        let mut entry = entry.clone();
+        if self.is_draining_by_word(&entry) {
+            entry.state = TargetState::Draining;
+        }
+        let entry = &entry;
         let id = entry.id.clone();
         let mut registry = self.registry.borrow_mut();
         let before = registry.get(&id).cloned();
@@ -67,6 +75,14 @@
         self.notify_change();
     }
 
+    /// Applies that a process has said that it drains, ahead of the registry.
+    pub fn apply_stated_drain(&self, process: &TargetProcess) {
+        let entry = self.registry(|registry| registry.get(&process.host).cloned());
+        if let Some(entry) = entry.filter(|entry| entry.boot == process.boot) {
+            self.apply_target(&entry);
+        }
+    }
+
     /// Last known head of a replica, even if it has left since.
     #[must_use]
     pub fn last_known_head(&self, replica: &MembershipKey) -> Option<HostId> {
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -89,6 +89,14 @@
             .text("host", process.host.as_str())
             .text("listed", listed);
         self.log(&line);
+        self.apply_stated_drain(process);
+    }
+
+    /// Whether the process of an entry has said to this node that it drains.
+    #[must_use]
+    pub fn is_draining_by_word(&self, entry: &TargetEntry) -> bool {
+        let statements = self.statements.borrow();
+        !statements.is_empty() && statements.is_draining(&entry.process())
     }
 
     fn log_unreadable(&self, id: &HostId, header: &str) {
--- a/crates/serving/src/target_statements.rs
+++ b/crates/serving/src/target_statements.rs
@@ -219,6 +219,9 @@
         let Some(statement) = self.known(process) else {
             return Ok(());
         };
+        if statement.drains {
+            return Err(SendBarrier::Draining);
+        }
         let backoff = statement.backoff.filter(|backoff| now < backoff.until);
         backoff.map_or(Ok(()), |backoff| backoff.check(now))
     }
