Search the end of a stream's event where the last search ended, and bound events without an id

What callers saw: an engine that never ends an event, in small pieces, occupied the node's only thread, 9.5 s for 1 MiB in pieces of 100 bytes, while nobody else was served. One that sends comments, empty lines or events without an id without end was passed on until the client's deadline. Cause: EventSplitter searched what it held from its start at each piece, so the work grew with the square; events without an id were bounded by nothing. Change: the search goes on where it ended; bytes of events without an id count against the bound of one event.

--- a/crates/serving/src/event_stream.rs
+++ b/crates/serving/src/event_stream.rs
@@ -3,10 +3,10 @@
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of a buffered event in bytes. Without it a target that never ends an event would
-/// exhaust the memory.
+/// exhaust the memory. Events without an id may have as many bytes in a row.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Error for a stream that can't be split because an event exceeds [`MAX_EVENT_BYTES`].
+/// Error for a stream that has no event with an id within [`MAX_EVENT_BYTES`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OversizedEvent;
 
@@ -18,6 +18,9 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    scan: LineScan,
+    /// Bytes of the events since the last one with an id.
+    without_id: usize,
     last_id: Option<u64>,
 }
 
@@ -27,8 +30,8 @@
     #[must_use]
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -47,6 +50,8 @@
     /// Drops an incomplete event, before another target resumes the stream.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
+        self.scan = LineScan::default();
+        self.without_id = 0;
     }
 
     /// Adds bytes and returns the events that they complete, if any. Events whose id is not above
@@ -54,12 +59,12 @@
     ///
     /// # Errors
     ///
-    /// Returns [`OversizedEvent`] if the bytes left after the last complete event exceed
-    /// [`MAX_EVENT_BYTES`].
+    /// Returns [`OversizedEvent`] if the bytes left after the last complete event, or those of events
+    /// without an id in a row, exceed [`MAX_EVENT_BYTES`].
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, OversizedEvent> {
         self.partial.extend_from_slice(bytes);
         let mut out = BytesMut::new();
-        while let Some(end) = event_end(&self.partial) {
+        while let Some(end) = self.scan.event_end(&self.partial) {
             let event = self.partial.split_to(end);
             let id = event_id(&event);
             if let (Some(id), Some(last)) = (id, self.last_id)
@@ -69,30 +74,44 @@
             }
             if id.is_some() {
                 self.last_id = id;
+                self.without_id = 0;
+            } else {
+                self.without_id += event.len();
             }
             out.extend_from_slice(&event);
         }
-        if self.partial.len() > MAX_EVENT_BYTES {
+        if self.partial.len() > MAX_EVENT_BYTES || self.without_id > MAX_EVENT_BYTES {
             return Err(OversizedEvent);
         }
         Ok((!out.is_empty()).then(|| out.freeze()))
     }
 }
 
-/// Returns the length of the first event, including the empty line that ends it.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
+/// How far the buffered bytes have been searched for the end of an event. A search from their start at each
+/// piece would take time that grows with the square of an event that comes in small pieces.
+#[derive(Debug, Clone, Copy, Default)]
+struct LineScan {
+    searched: usize,
+    line_start: usize,
+}
+
+impl LineScan {
+    /// Returns the length of the first event, including the empty line that ends it; the search begins
+    /// anew then.
+    fn event_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        while let Some(offset) = bytes[self.searched..].iter().position(|byte| *byte == b'\n') {
+            let index = self.searched + offset;
+            let line = &bytes[self.line_start..index];
+            if line.is_empty() || line == b"\r" {
+                *self = Self::default();
+                return Some(index + 1);
+            }
+            self.searched = index + 1;
+            self.line_start = index + 1;
         }
-        line_start = index + 1;
+        self.searched = bytes.len();
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/serving/tests/event_splitter.rs
+++ b/crates/serving/tests/event_splitter.rs
@@ -45,6 +45,30 @@
     assert!(splitter.push(&chunk).is_err());
 }
 
+/// Guards against work that grows with the square of an event that never ends: in pieces of a byte, as an
+/// engine may send it, a stream would occupy the node's only thread for minutes.
+#[test]
+fn endless_event_in_small_pieces() {
+    let mut splitter = EventSplitter::default();
+    let pieces = (0..2 << 20).take_while(|_| splitter.push(b"x").is_ok());
+    assert_eq!(pieces.count(), 1 << 20);
+    let mut splitter = EventSplitter::default();
+    let lines = (0..2 << 20).take_while(|_| splitter.push(b"x\n").is_ok());
+    assert_eq!(lines.count(), 1 << 19);
+}
+
+/// Guards against a stream of comments, empty lines or events without an id that never ends: nothing of it
+/// brings the client further.
+#[test]
+fn endless_events_without_id() {
+    for piece in [&b"\n"[..], b": comment\n\n", b"data: x\n\n"] {
+        let mut splitter = EventSplitter::default();
+        push(&mut splitter, &stream(1..=2));
+        let pieces = (0..4 << 20).take_while(|_| splitter.push(piece).is_ok());
+        assert_eq!(pieces.count(), (1 << 20) / piece.len());
+    }
+}
+
 properties! {
     /// However the network splits a stream into chunks, the client gets the same bytes.
     fn any_chunks(count: u8, cuts: Vec<u8>) -> bool {
