Look at the deadline of a stream whose bytes are always there

What callers saw: a stream of endless bytes ran 10.5 s where 5 s were allowed (debug build). Cause: the read preferred bytes to the timer, and bytes were always there, so the timer was never polled. Change: the time left is looked at before each read. Evidence: endless_bytes::endless_stream_meets_deadline failed before ('event too large' instead of the deadline). The stand-in sends endless heads, headers, interim responses, bodies, rejections, extra bytes and garbage in pieces of a byte; endless_heads and endless_bodies pass without a change (43 MB at most).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -220,6 +220,10 @@
         let Some(source) = &mut self.source else {
             return SourceEvent::Broken("no target connection".to_owned());
         };
+        // The bytes of a stream that never ends may always be there; nothing else would be polled then.
+        if left.is_zero() {
+            return SourceEvent::TimedOut;
+        }
         let path = source.path();
         tokio::select! {
             biased;
--- a/crates/serving/src/event_stream.rs
+++ b/crates/serving/src/event_stream.rs
@@ -99,7 +99,10 @@
     /// Returns the length of the first event, including the empty line that ends it; the search begins
     /// anew then.
     fn event_end(&mut self, bytes: &[u8]) -> Option<usize> {
-        while let Some(offset) = bytes[self.searched..].iter().position(|byte| *byte == b'\n') {
+        while let Some(offset) = bytes[self.searched..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
             let index = self.searched + offset;
             let line = &bytes[self.line_start..index];
             if line.is_empty() || line == b"\r" {
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -149,6 +149,17 @@
         backoffs.get(id).copied()
     }
 
+    /// Makes a head repeat these bytes without end after the first event of each stream.
+    pub fn set_endless(&self, id: &str, piece: &'static [u8]) {
+        let mut endless = self.endless.lock().unwrap_or_else(PoisonError::into_inner);
+        endless.insert(id.to_owned(), piece);
+    }
+
+    pub(super) fn endless(&self, id: &str) -> Option<&'static [u8]> {
+        let endless = self.endless.lock().unwrap_or_else(PoisonError::into_inner);
+        endless.get(id).copied()
+    }
+
     /// Makes an engine say in all its responses that it leaves; its registry entry stays as it is.
     pub fn say_leaving(&self, id: &str) {
         let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -70,6 +70,8 @@
     pub(super) backoffs: Arc<Mutex<BTreeMap<String, Duration>>>,
     /// Engines that say in all their responses that they leave.
     pub(super) leaving: Arc<Mutex<BTreeSet<String>>>,
+    /// Bytes that heads repeat without end after the first event of a stream.
+    pub(super) endless: Arc<Mutex<BTreeMap<String, &'static [u8]>>>,
     /// Whether heads reject all requests.
     pub(super) rejects: Arc<AtomicBool>,
     /// What arrived at heads.
@@ -92,6 +94,7 @@
             limits: Arc::default(),
             backoffs: Arc::default(),
             leaving: Arc::default(),
+            endless: Arc::default(),
             rejects: Arc::default(),
             arrivals: ArrivalLog::default(),
         }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -5,6 +5,7 @@
 //! tests exercise the production clients.
 
 mod arrivals;
+mod endless;
 mod engine;
 mod gate;
 mod groups;
@@ -15,6 +16,7 @@
 mod stream;
 
 pub use arrivals::{ArrivalLog, RetryAllowance, WorstWindow};
+pub use endless::{EndlessInstance, EndlessKind};
 pub use engine::{CRASH_BODY, CRASH_PART, SiteEngine};
 pub use gate::{GateMode, StoreGate};
 pub use groups::SiteGroups;
--- a/crates/standin/src/site/stream.rs
+++ b/crates/standin/src/site/stream.rs
@@ -55,6 +55,10 @@
             tokio::time::sleep(EVENT_INTERVAL).await;
             return Some(self.cut("the stream was cut off"));
         }
+        if let Some(piece) = self.groups.endless(&self.id).filter(|_| self.started) {
+            tokio::task::yield_now().await;
+            return Some(Ok(Frame::data(Bytes::from_static(piece))));
+        }
         if self.next > self.last {
             return None;
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod config_soak;
 mod crash_soak;
 mod crashing_parts;
+mod endless_bytes;
 mod failure_diagnosis;
 mod full_restart;
 mod idle_connections;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -217,6 +217,18 @@
         node
     }
 
+    /// Starts the only gateway of a site, and waits until it has leased the retries of all.
+    pub async fn only_node(&self, name: &str) -> TestNode {
+        let node = self.node(name).await;
+        node.wait_log_line(&["nodes_counted", "\"nodes\":1"]).await;
+        wait_for("the second lease of retries", || {
+            let written = ["retries_leased", "\"outcome\":\"written\""];
+            node.log_lines(&written).len() > 1
+        })
+        .await;
+        node
+    }
+
     /// Starts a gateway of a system that has served before, and waits until it is ready.
     pub async fn restarted_node(&self, name: &str) -> TestNode {
         let node = self.start_node(name, false, &any_ports()).await;
--- a/tests/gateway/stated_backoff.rs
+++ b/tests/gateway/stated_backoff.rs
@@ -203,15 +203,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn moved_streams_avoid_backoff() {
     let mut site = TestSite::start(14, 0);
-    let node = site.node("n0").await;
+    let node = site.only_node("n0").await;
     node.wait_replicas(3).await;
-    // The first lease is of one slot; the next one of what a single node may have.
-    wait_for("the second lease of retries", || {
-        node.log_lines(&["retries_leased", "\"outcome\":\"written\""])
-            .len()
-            > 1
-    })
-    .await;
     site.groups.set_events(60);
     let chats = (0..12).map(|number| TestRequest::chat(&format!("n0.move{number}")));
     let mut streams = Vec::new();
