Count events, not bytes, as progress of a stream, and leave one that sends bytes without events

What callers saw: a head that sent comments, empty lines or an event without end held its streams until the client's deadline (or 1 MiB of it, 10 s in pieces of a byte); each byte spoke for the head as proof that it serves and that it survives what it runs. Cause: the relay recorded each piece of a body as progress. Change: only an event with a new id counts; a stream with over 64 KiB and one second since the last one is resumed elsewhere, while its client still waits. Repeated events count like bytes without an event.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,11 @@
 /// two seconds.
 const FAILOVER_TIMEOUT: Duration = Duration::from_millis(1800);
 
+/// Time without an event, and bytes in it, from which on a stream counts as broken though bytes arrive. A
+/// target that has something to say needs fewer; clients abandon the stream a second later.
+const EVENTLESS_TIME: Duration = Duration::from_secs(1);
+const EVENTLESS_BYTES: usize = 64 << 10;
+
 /// The stream ended before its last event. The client connection is closed without the end of the
 /// chunked body, so that the client can detect the truncation.
 #[derive(Debug, Clone, Copy)]
@@ -139,13 +144,10 @@
                 return None;
             }
             let failure = match self.read().await {
-                SourceEvent::Bytes(bytes) => match self.splitter.push(&bytes) {
+                SourceEvent::Bytes(bytes) => match self.split(&bytes) {
                     Ok(None) => continue,
-                    Ok(Some(events)) => {
-                        self.record_event();
-                        return Some(Ok(events));
-                    }
-                    Err(_) => "event too large".to_owned(),
+                    Ok(Some(events)) => return Some(Ok(events)),
+                    Err(reason) => reason,
                 },
                 SourceEvent::End => match self.check_end().await {
                     Ok(()) => {
@@ -172,6 +174,33 @@
         }
     }
 
+    /// Adds bytes of the body; returns the events that they complete.
+    ///
+    /// # Errors
+    ///
+    /// Why the stream counts as broken, although the connection works.
+    fn split(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, String> {
+        let last_id = self.splitter.last_id();
+        let events = self
+            .splitter
+            .push(bytes)
+            .map_err(|_| "event too large".to_owned())?;
+        if self.splitter.last_id() != last_id {
+            self.record_event();
+        }
+        if self.splitter.bytes_without_id() > EVENTLESS_BYTES && self.is_eventless() {
+            return Err("bytes without events".to_owned());
+        }
+        Ok(events)
+    }
+
+    /// Whether the target has written no event for long.
+    fn is_eventless(&self) -> bool {
+        let begun_at = self.source.as_ref().map(|source| source.started_at);
+        let since = self.last_event_at.max(begun_at.unwrap_or_default());
+        self.node.now().saturating_sub(since) > EVENTLESS_TIME
+    }
+
     /// Checks that the end of the body is that of the stream.
     ///
     /// # Errors
@@ -207,10 +236,9 @@
         }
         self.first_event_at.get_or_insert(now);
         self.last_event_at = now;
-        if self.is_sound {
-            return;
-        }
-        if let Some(source) = &self.source {
+        let Some(source) = &self.source else { return };
+        source.record_event(&self.node);
+        if !self.is_sound {
             self.is_sound = source.record_if_sound(&self.node, &self.request);
         }
     }
@@ -231,7 +259,7 @@
                 None => SourceEvent::End,
                 Some(Err(error)) => SourceEvent::Broken(error.to_string()),
                 Some(Ok(frame)) => {
-                    source.record_progress(&self.node);
+                    source.record_bytes(&self.node);
                     SourceEvent::Bytes(frame.into_data().unwrap_or_default())
                 }
             },
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -260,7 +260,7 @@
         headers: adapter::headers::without_hop_by_hop_headers(&head.headers),
         parsed_headers,
         is_close_delimited: is_close_delimited(&head.headers),
-        first_bytes_at: Cell::default(),
+        first_event_at: Cell::default(),
         body,
         connection: exchange.connection,
         in_flight,
--- a/crates/gateway/src/target_response.rs
+++ b/crates/gateway/src/target_response.rs
@@ -41,8 +41,8 @@
     pub parsed_headers: ResponseHeaders,
     /// Whether the body has neither a length nor chunks and ends with its connection.
     pub is_close_delimited: bool,
-    /// When the first bytes of the body arrived, measured from process start.
-    pub first_bytes_at: Cell<Option<Duration>>,
+    /// When the first event of the body arrived, measured from process start.
+    pub first_event_at: Cell<Option<Duration>>,
     /// Unread response body.
     pub body: Incoming,
     /// Connection of the response, returned to the pool at the end of the body.
@@ -52,11 +52,11 @@
 }
 
 impl TargetResponse {
-    /// Whether the body of a stream ended with its connection before any byte of it had come. A head whose
+    /// Whether the body of a stream ended with its connection before any event of it had come. A head whose
     /// replica has lost a host stands still, and ends its connections in the end.
     #[must_use]
     pub fn is_cut_empty(&self) -> bool {
-        self.is_close_delimited && self.first_bytes_at.get().is_none()
+        self.is_close_delimited && self.first_event_at.get().is_none()
     }
 
     /// Whether the body may have been cut off where it ended: it ends with its connection, and the target's
@@ -83,12 +83,16 @@
         has_exited(node, &self.process()).await
     }
 
-    /// Records that bytes of the body arrived.
-    pub fn record_progress(&self, node: &GatewayNode) {
+    /// Records that an event of the body arrived, which shows that the target makes progress.
+    pub fn record_event(&self, node: &GatewayNode) {
         self.in_flight.record_progress();
-        if self.first_bytes_at.get().is_none() {
-            self.first_bytes_at.set(Some(node.now()));
+        if self.first_event_at.get().is_none() {
+            self.first_event_at.set(Some(node.now()));
         }
+    }
+
+    /// Records that bytes of the body arrived, which shows that the path works. They need not be events.
+    pub fn record_bytes(&self, node: &GatewayNode) {
         if !self.connection.is_tunnelled {
             node.record_path_received(&self.host);
         }
@@ -122,21 +126,21 @@
         }
     }
 
-    /// Whether the target has sent bytes of the body for long enough to have survived it.
+    /// Whether the target has sent events for long enough to have survived it.
     fn is_outlived(&self, node: &GatewayNode) -> bool {
         self.written_for(node) >= SOUND_ANSWER_AGE
     }
 
-    /// Time since the first bytes of the body arrived; zero if none have.
+    /// Time since the first event of the body arrived; zero if none has.
     fn written_for(&self, node: &GatewayNode) -> Duration {
-        let first = self.first_bytes_at.get();
+        let first = self.first_event_at.get();
         first.map_or(Duration::ZERO, |first| node.now().saturating_sub(first))
     }
 
     /// Records that the target survived the response, if it has lasted long enough to show that; returns
     /// whether it has.
     pub fn record_if_sound(&self, node: &GatewayNode, request: &AdmittedRequest) -> bool {
-        let Some(begun_at) = self.first_bytes_at.get().filter(|_| self.is_outlived(node)) else {
+        let Some(begun_at) = self.first_event_at.get().filter(|_| self.is_outlived(node)) else {
             return false;
         };
         let crashes = &node.crashes;
@@ -148,7 +152,7 @@
     /// Records that the response has ended as its target made it. Whether the target survives it may show
     /// later.
     pub fn record_complete(&self, node: &GatewayNode, request: &AdmittedRequest) {
-        let begun_at = self.first_bytes_at.get().unwrap_or(self.started_at);
+        let begun_at = self.first_event_at.get().unwrap_or(self.started_at);
         let begun_at = node.evidence_time_at(begun_at);
         node.crashes.record_complete(request, begun_at);
         let parts = &request.shared_parts;
--- a/crates/serving/src/event_stream.rs
+++ b/crates/serving/src/event_stream.rs
@@ -6,7 +6,7 @@
 /// exhaust the memory. Events without an id may have as many bytes in a row.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Error for a stream that has no event with an id within [`MAX_EVENT_BYTES`].
+/// Error for a stream that has no event with a new id within [`MAX_EVENT_BYTES`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OversizedEvent;
 
@@ -19,7 +19,7 @@
 pub struct EventSplitter {
     partial: BytesMut,
     scan: LineScan,
-    /// Bytes of the events since the last one with an id.
+    /// Bytes of the events since the last one with a new id.
     without_id: usize,
     last_id: Option<u64>,
 }
@@ -47,6 +47,12 @@
         !self.partial.is_empty()
     }
 
+    /// Returns the number of bytes since the last event with a new id.
+    #[must_use]
+    pub fn bytes_without_id(&self) -> usize {
+        self.without_id + self.partial.len()
+    }
+
     /// Drops an incomplete event, before another target resumes the stream.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
@@ -59,8 +65,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`OversizedEvent`] if the bytes left after the last complete event, or those of events
-    /// without an id in a row, exceed [`MAX_EVENT_BYTES`].
+    /// Returns [`OversizedEvent`] if the bytes since the last complete event with a new id exceed
+    /// [`MAX_EVENT_BYTES`].
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, OversizedEvent> {
         self.partial.extend_from_slice(bytes);
         let mut out = BytesMut::new();
@@ -70,6 +76,7 @@
             if let (Some(id), Some(last)) = (id, self.last_id)
                 && id <= last
             {
+                self.without_id += event.len();
                 continue;
             }
             if id.is_some() {
@@ -80,7 +87,7 @@
             }
             out.extend_from_slice(&event);
         }
-        if self.partial.len() > MAX_EVENT_BYTES || self.without_id > MAX_EVENT_BYTES {
+        if self.bytes_without_id() > MAX_EVENT_BYTES {
             return Err(OversizedEvent);
         }
         Ok((!out.is_empty()).then(|| out.freeze()))
--- a/crates/serving/tests/event_splitter.rs
+++ b/crates/serving/tests/event_splitter.rs
@@ -57,11 +57,11 @@
     assert_eq!(lines.count(), 1 << 19);
 }
 
-/// Guards against a stream of comments, empty lines or events without an id that never ends: nothing of it
+/// Guards against a stream of comments, empty lines, repeated events or events without an id that never ends: nothing of it
 /// brings the client further.
 #[test]
 fn endless_events_without_id() {
-    for piece in [&b"\n"[..], b": comment\n\n", b"data: x\n\n"] {
+    for piece in [&b"\n"[..], b": comment\n\n", b"data: x\n\n", b"id: 2\n\n"] {
         let mut splitter = EventSplitter::default();
         push(&mut splitter, &stream(1..=2));
         let pieces = (0..4 << 20).take_while(|_| splitter.push(piece).is_ok());
