--- a/tests/gateway/stated_backoff.rs
+++ b/tests/gateway/stated_backoff.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use standin::site::StoreGate;
 
-use crate::node::{TestNode, wait_for};
+use crate::node::TestNode;
 use crate::request::{TestRequest, complete_stream, read_response};
 use crate::retry_totals::gated_nodes;
 use crate::site::TestSite;
