Tell a node what a target stated through it, and let it refuse tunnels to a target in its backoff

What callers saw: nothing; an engine that had asked for a backoff on a tunnel, which comes from the relaying node as far as it sees, got 5 requests of that node in it, 2 allowed. Cause: the relay passes bytes on and doesn't read them, and asked nothing about the target before it connected. Change: the asking node tells the relay over their authenticated link; the relay refuses tunnels to a target that it must not send to, which says nothing of the target's health. Evidence: stated_backoff::tunnels_leave_alone failed before (5 requests, twice), passes; the tunnel tests pass.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -294,6 +294,8 @@
     DrainStated = 384, "drain_stated", Info;
     /// A target states something in `header` that can't be read. It is ignored.
     StatementUnreadable = 385, "statement_unreadable", Warn;
+    /// A target stated a backoff or a drain through the node `relay`, which could not be told of it.
+    StatementUntold = 386, "statement_untold", Warn;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/attempt_connection.rs
+++ b/crates/gateway/src/attempt_connection.rs
@@ -37,7 +37,7 @@
     #[must_use]
     pub fn of(host: &HostId, connection: &TargetConnection) -> Self {
         Self {
-            own_to: (!connection.is_tunnelled).then(|| host.clone()),
+            own_to: (!connection.is_tunnelled()).then(|| host.clone()),
         }
     }
 
@@ -87,7 +87,7 @@
     connection: &mut TargetConnection,
     outgoing: Request<Full<Bytes>>,
 ) -> Result<Result<http::Response<Incoming>, ConnectionError>, AttemptOutcome> {
-    let is_tunnelled = connection.is_tunnelled;
+    let is_tunnelled = connection.is_tunnelled();
     let sending = connection.http.send(outgoing);
     if is_tunnelled {
         return Ok(sending.await);
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -14,7 +14,7 @@
 use peers::error::LinkError;
 use peers::transport::{self, MAX_STREAMS, read_stream, respond_error, respond_ok};
 use peers::tunnel::verify_request;
-use peers::{AcceptedConnections, ConnectionPlace, TUNNEL_PATH};
+use peers::{AcceptedConnections, ConnectionPlace, STATEMENT_PATH, TUNNEL_PATH};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, MutexGuard};
 use wire::feed::{
@@ -27,7 +27,7 @@
 
 use super::messages::{encode_delta, encode_millis};
 use crate::node::GatewayNode;
-use crate::tunnel::serve_tunnel;
+use crate::tunnel::{record_tunnel_statement, serve_tunnel};
 
 /// Maximum time that a response waits for a change, whatever the request says.
 const MAX_WAIT: Duration = Duration::from_secs(2);
@@ -86,10 +86,11 @@
     let session = &session;
     transport::serve_requests(stream, MAX_STREAMS, |request, responder| async move {
         let state = session.lock().await;
-        if request.uri().path() == TUNNEL_PATH {
-            return handle_tunnel(node, state, request, responder).await;
+        match request.uri().path() {
+            TUNNEL_PATH => handle_tunnel(node, state, request, responder).await,
+            STATEMENT_PATH => handle_statement(node, state, &request, responder),
+            _ => handle_request(node, state, request, responder).await,
         }
-        handle_request(node, state, request, responder).await
     })
     .await
 }
@@ -156,6 +157,22 @@
     Ok(())
 }
 
+/// Takes in what a target stated on a tunnel through this node.
+fn handle_statement(
+    node: &GatewayNode,
+    mut session: MutexGuard<'_, LinkSession>,
+    request: &Request<RecvStream>,
+    responder: SendResponse<Bytes>,
+) -> Result<(), LinkError> {
+    let Some(auth) = &mut session.auth else {
+        return respond_error(responder, StatusCode::NOT_FOUND);
+    };
+    let payload = verify_request::<MAX_TUNNEL_REQUEST_BYTES>(auth, request.headers())?;
+    let statement = decode_message::<_, MAX_TUNNEL_REQUEST_BYTES>(&payload)?;
+    record_tunnel_statement(node, &statement);
+    respond_ok(responder, Vec::new())
+}
+
 /// Waits until there is something to pass on that the sender should know at once.
 async fn wait_for_change(
     node: &GatewayNode,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -22,7 +22,7 @@
 use crate::probe::refresh_refusing;
 use crate::statements::record_statements;
 use crate::target_response::TargetResponse;
-use crate::tunnel::TargetConnection;
+use crate::tunnel::{TargetConnection, tell_relay};
 
 /// Outcome of an attempt.
 #[derive(Debug)]
@@ -78,7 +78,7 @@
         Err(_) => return record_failure(node, request, id, AttemptOutcome::TimedOut),
     };
     in_flight.record_progress();
-    if !exchange.connection.is_tunnelled {
+    if !exchange.connection.is_tunnelled() {
         node.record_path_received(id);
     }
     let outcome = classify_response(node, request, exchange, in_flight, target);
@@ -145,7 +145,7 @@
         Err(error) => {
             // A call to a plain service runs from the moment it is sent, a stream from its first
             // event.
-            if !connection.is_tunnelled {
+            if !connection.is_tunnelled() {
                 node.record_connection_broken(&target.id);
             }
             let is_plain = target.membership.is_none();
@@ -202,6 +202,10 @@
         }
     }
     record_statements(node, target, head.status, &parsed_headers, exchange.sent_at);
+    if let Some(relay) = &exchange.connection.relay {
+        let stated = (head.status, &parsed_headers.statements);
+        tell_relay(node, relay, &target.process(), stated);
+    }
     if parsed_headers.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
         // Without a load, a head that rejects all requests would look free to every node.
         if parsed_headers.load.is_none() && target.membership.is_some() {
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -4,25 +4,18 @@
 use std::time::Duration;
 
 use adapter::{ResponseHeaders, StatedValue, TargetStatements};
-use domain::HostId;
+use domain::{HostId, NodeId};
 use events::{EventCode, LogLine};
 use http::StatusCode;
+use peers::error::LinkError;
 use serving::hashing::unit_draw;
 use serving::target_statements::BackoffNews;
 use serving::{SendBarrier, SendGrant, TargetEntry, TargetProcess, TargetState};
+use wire::tunnel::TunnelStatement;
 
 use crate::limits::record_stated_limit;
 use crate::node::GatewayNode;
 
-/// Whether a response with this status turns a request away, so that its `Retry-After` speaks for the target.
-#[must_use]
-pub fn is_rejection(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-    )
-}
-
 /// Takes in what a response to a request sent at `sent_at` states of its target.
 pub fn record_statements(
     node: &Rc<GatewayNode>,
@@ -43,11 +36,11 @@
         status: StatusCode,
         statements: &TargetStatements,
     ) {
-        match statements.retry_after {
-            _ if !is_rejection(status) => {}
-            StatedValue::Value(delay) => self.record_backoff(process, status, delay),
-            StatedValue::Unreadable => self.log_unreadable(&process.host, "retry_after"),
-            StatedValue::Absent => {}
+        if let Some(delay) = statements.backoff(status) {
+            self.record_backoff(process, status, delay);
+        }
+        if statements.retry_after == StatedValue::Unreadable {
+            self.log_unreadable(&process.host, "retry_after");
         }
         match statements.drains {
             StatedValue::Value(true) => self.record_drain(process),
@@ -99,6 +92,15 @@
         !statements.is_empty() && statements.is_draining(&entry.process())
     }
 
+    /// Logs that a node was not told what a target stated through it.
+    pub fn log_untold(&self, relay: &NodeId, statement: &TunnelStatement, error: &LinkError) {
+        let line = LogLine::new(EventCode::StatementUntold)
+            .text("host", statement.host.as_str())
+            .text("relay", relay.as_str())
+            .text("reason", &error.to_string());
+        self.log(&line);
+    }
+
     fn log_unreadable(&self, id: &HostId, header: &str) {
         let line = LogLine::new(EventCode::StatementUnreadable)
             .text("host", id.as_str())
--- a/crates/gateway/src/target_response.rs
+++ b/crates/gateway/src/target_response.rs
@@ -93,7 +93,7 @@
 
     /// Records that bytes of the body arrived, which shows that the path works. They need not be events.
     pub fn record_bytes(&self, node: &GatewayNode) {
-        if !self.connection.is_tunnelled {
+        if !self.connection.is_tunnelled() {
             node.record_path_received(&self.host);
         }
     }
@@ -106,7 +106,7 @@
 
     /// Records that the connection broke before the end of the body.
     pub fn record_broken(&self, node: &Rc<GatewayNode>, request: &AdmittedRequest) {
-        if !self.connection.is_tunnelled {
+        if !self.connection.is_tunnelled() {
             node.record_connection_broken(&self.host);
         }
         let interrupted = InterruptedRequest {
@@ -166,7 +166,7 @@
     /// Returns the connection to the pool after the end of the body.
     pub fn release_connection(self, node: &GatewayNode) {
         let is_kept = !self.parsed_headers.connection_close && !self.is_close_delimited;
-        if is_kept && !self.connection.is_tunnelled {
+        if is_kept && !self.connection.is_tunnelled() {
             node.pool.release(
                 &self.host,
                 self.connection.http,
--- a/crates/gateway/src/tunnel/connect.rs
+++ b/crates/gateway/src/tunnel/connect.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use adapter::{HostConnector, TargetStatements};
-use domain::HostId;
+use domain::{HostId, NodeId};
 use http::StatusCode;
 use serving::TargetEntry;
 use serving::target_paths::PathLoss;
@@ -25,27 +25,30 @@
 pub struct TargetConnection {
     /// The connection.
     pub http: HttpConnection,
-    /// Whether it leads through another node. Such a connection is used for one request: the other
-    /// node may stop once it carries none.
-    pub is_tunnelled: bool,
+    /// The node through which it leads, if it is not this node's own. Such a connection is used for one
+    /// request: the other node may stop once it carries none.
+    pub relay: Option<NodeId>,
 }
 
 impl TargetConnection {
     /// A connection of this node's own.
     #[must_use]
     pub fn direct(http: HttpConnection) -> Self {
-        Self {
-            http,
-            is_tunnelled: false,
-        }
+        Self { http, relay: None }
     }
 
-    fn tunnelled(http: HttpConnection) -> Self {
+    pub(super) fn tunnelled(http: HttpConnection, relay: NodeId) -> Self {
         Self {
             http,
-            is_tunnelled: true,
+            relay: Some(relay),
         }
     }
+
+    /// Whether it leads through another node.
+    #[must_use]
+    pub fn is_tunnelled(&self) -> bool {
+        self.relay.is_some()
+    }
 }
 
 /// Time limits of a connection.
@@ -107,9 +110,9 @@
     limits: ConnectLimits,
 ) -> Result<TargetConnection, ConnectionError> {
     match connect_through_relay(node, id, limits.lifetime).await {
-        Ok(http) => return Ok(TargetConnection::tunnelled(http)),
-        Err(TunnelDenial::Unavailable) => {}
-        Err(_) => node.record_target_denied(id),
+        Ok(connection) => return Ok(connection),
+        Err(denial) if denial.is_of_target() => node.record_target_denied(id),
+        Err(_) => {}
     }
     connect_directly(node, id, address, limits.connect).await
 }
@@ -156,12 +159,12 @@
         return Err(TunnelDenial::Unavailable);
     }
     match connect_through_relay(node, id, lifetime).await {
-        Ok(http) => {
+        Ok(connection) => {
             node.record_path_lost(id, loss);
-            Ok(TargetConnection::tunnelled(http))
+            Ok(connection)
         }
         Err(denial) => {
-            if denial != TunnelDenial::Unavailable {
+            if denial.is_of_target() {
                 node.record_target_denied(id);
             }
             Err(denial)
@@ -174,7 +177,9 @@
 fn merge_errors(own: ConnectionError, denial: TunnelDenial) -> ConnectionError {
     match denial {
         TunnelDenial::TargetRefuses => ConnectionError::Refused,
-        TunnelDenial::Unavailable | TunnelDenial::TargetUnreachable => own,
+        TunnelDenial::Unavailable
+        | TunnelDenial::TargetBarred
+        | TunnelDenial::TargetUnreachable => own,
     }
 }
 
--- a/crates/gateway/src/tunnel/contact.rs
+++ b/crates/gateway/src/tunnel/contact.rs
@@ -13,7 +13,6 @@
 use serving::hashing::stable_hash;
 use serving::target_paths::PathLoss;
 use web::HttpConnection;
-use wire::tunnel::TunnelDenial;
 
 use super::connect::{ConnectLimits, connect_target};
 use super::relays::connect_through_relay;
@@ -82,11 +81,11 @@
     }
     match connect_through_relay(&node, id, CONTACT_TIMEOUT).await {
         Ok(_) => node.record_path_lost(id, loss),
-        Err(TunnelDenial::Unavailable) => {}
-        Err(_) => {
+        Err(denial) if denial.is_of_target() => {
             node.record_target_denied(id);
             node.suspect(id, doubt.failure, &doubt.reason);
         }
+        Err(_) => {}
     }
     // What other nodes tell of further targets shows whether this one is partitioned from all.
     for (other, address) in other_targets(&node, id) {
--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -13,9 +13,11 @@
 mod relays;
 mod serve;
 mod state;
+mod statements;
 
 pub use checks::{check_lost_paths, watch_path};
 pub use connect::{ConnectLimits, TargetConnection, connect_target};
 pub use contact::confirm_doubts;
 pub use serve::serve_tunnel;
 pub use state::TunnelState;
+pub use statements::{record_tunnel_statement, tell_relay};
--- a/crates/gateway/src/tunnel/relays.rs
+++ b/crates/gateway/src/tunnel/relays.rs
@@ -13,6 +13,7 @@
 use wire::peer::encode_message;
 use wire::tunnel::{TunnelDenial, TunnelRequest};
 
+use super::connect::TargetConnection;
 use super::state::RelayLink;
 use crate::feed::FeedMember;
 use crate::node::GatewayNode;
@@ -34,7 +35,7 @@
     node: &GatewayNode,
     id: &HostId,
     lifetime: Duration,
-) -> Result<HttpConnection, TunnelDenial> {
+) -> Result<TargetConnection, TunnelDenial> {
     let relays = node.tunnels.relays();
     let names: Vec<NodeId> = relays.iter().map(|relay| relay.node.clone()).collect();
     let order = node.tunnels.order.borrow_mut().next(&names, node.now());
@@ -67,7 +68,7 @@
     relay: &FeedMember,
     id: &HostId,
     lifetime: Duration,
-) -> Result<HttpConnection, TunnelDenial> {
+) -> Result<TargetConnection, TunnelDenial> {
     let request = TunnelRequest {
         host: id.clone(),
         lifetime_ms: u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX),
@@ -76,7 +77,8 @@
     let denial = match timeout(RELAY_TIMEOUT, asking).await {
         Ok(Ok(TunnelResponse::Connected(stream))) => {
             node.tunnels.order.borrow_mut().record_success(&relay.node);
-            return over_tunnel(stream).await;
+            let http = over_tunnel(stream).await?;
+            return Ok(TargetConnection::tunnelled(http, relay.node.clone()));
         }
         Ok(Ok(TunnelResponse::Refused(status))) => TunnelDenial::from(status.as_u16()),
         Ok(Err(error)) => {
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -66,10 +66,14 @@
 async fn connect(node: &GatewayNode, id: &HostId) -> Result<TcpStream, TunnelDenial> {
     let is_available =
         !node.is_shutting_down() && !node.is_partitioned() && node.tunnels.served() <= MAX_TUNNELS;
-    let address = node.registry(|registry| registry.get(id).map(|entry| entry.address));
-    let Some(address) = address.filter(|_| is_available) else {
+    let entry = node.registry(|registry| registry.get(id).cloned());
+    let Some(entry) = entry.filter(|_| is_available) else {
         return Err(TunnelDenial::Unavailable);
     };
+    if node.recheck_send(&entry).is_err() {
+        return Err(TunnelDenial::TargetBarred);
+    }
+    let address = entry.address;
     let (denial, loss) = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(target)) => {
             node.record_path_connected(id);
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -33,4 +33,4 @@
 pub use settings::PeerSettings;
 pub use traffic::{PeerTraffic, TrafficCounts};
 pub use transport::DialedLink;
-pub use tunnel::{TUNNEL_PATH, TunnelLink, TunnelResponse, TunnelStream};
+pub use tunnel::{STATEMENT_PATH, TUNNEL_PATH, TunnelLink, TunnelResponse, TunnelStream};
--- a/crates/peers/src/tunnel.rs
+++ b/crates/peers/src/tunnel.rs
@@ -97,6 +97,19 @@
     ///
     /// [`LinkError`]; the link can't be used any more.
     pub async fn request_stream(&self, payload: Vec<u8>) -> Result<TunnelResponse, LinkError> {
+        self.request(TUNNEL_PATH, payload).await
+    }
+
+    /// Tells the node something that needs no answer; `payload` says what.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`]; the link can't be used any more.
+    pub async fn tell(&self, payload: Vec<u8>) -> Result<(), LinkError> {
+        self.request(STATEMENT_PATH, payload).await.map(drop)
+    }
+
+    async fn request(&self, path: &str, payload: Vec<u8>) -> Result<TunnelResponse, LinkError> {
         let mut requests = self.requests.clone().ready().await?;
         let (response, sender) = {
             // Frames are sent in the order of their numbers: nothing may wait between the two steps.
@@ -104,7 +117,7 @@
             let frame = URL_SAFE_NO_PAD.encode(auth.sign(payload)?);
             let request = Request::builder()
                 .method(Method::POST)
-                .uri(format!("http://peer{TUNNEL_PATH}"))
+                .uri(format!("http://peer{path}"))
                 .header(FRAME_HEADER, frame)
                 .body(())?;
             requests.send_request(request, false)?
@@ -125,6 +138,9 @@
 /// Path of requests for streams.
 pub const TUNNEL_PATH: &str = "/tunnel";
 
+/// Path of messages on what third parties stated on streams through a node.
+pub const STATEMENT_PATH: &str = "/tunnel/statement";
+
 /// Completes once the other side no longer responds; never if it can't be asked.
 async fn watch_liveness(pings: Option<h2::PingPong>) {
     let Some(mut pings) = pings else {
--- a/crates/wire/src/tunnel.rs
+++ b/crates/wire/src/tunnel.rs
@@ -16,11 +16,26 @@
     pub lifetime_ms: u32,
 }
 
+/// Tells a node what a target stated in a response that came through it. The target sees only this node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TunnelStatement {
+    /// The target.
+    pub host: HostId,
+    /// Boot number of the process that stated it.
+    pub boot: u64,
+    /// Time in milliseconds for which the target wants nothing from the node, if it asked for any.
+    pub backoff_ms: Option<u32>,
+    /// Whether the target drains.
+    pub drains: bool,
+}
+
 /// Why a node did not connect to a target for another one. Later variants say more about the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum TunnelDenial {
     /// The node can't tell: it stops, is partitioned itself, or does not know the target.
     Unavailable,
+    /// The target wants nothing from this node now, or drains.
+    TargetBarred,
     /// The target does not respond to it either.
     TargetUnreachable,
     /// The target refuses its connection as well.
@@ -28,11 +43,18 @@
 }
 
 impl TunnelDenial {
+    /// Whether it tells that the target itself can't be reached.
+    #[must_use]
+    pub fn is_of_target(self) -> bool {
+        matches!(self, Self::TargetUnreachable | Self::TargetRefuses)
+    }
+
     /// HTTP status of the response.
     #[must_use]
     pub fn status(self) -> u16 {
         match self {
             Self::Unavailable => 503,
+            Self::TargetBarred => 429,
             Self::TargetUnreachable => 504,
             Self::TargetRefuses => 502,
         }
@@ -43,6 +65,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Unavailable => "unavailable",
+            Self::TargetBarred => "barred",
             Self::TargetUnreachable => "unreachable",
             Self::TargetRefuses => "refused",
         }
@@ -52,6 +75,7 @@
 impl From<u16> for TunnelDenial {
     fn from(status: u16) -> Self {
         match status {
+            429 => Self::TargetBarred,
             502 => Self::TargetRefuses,
             504 => Self::TargetUnreachable,
             _ => Self::Unavailable,
--- a/tests/gateway/stated_backoff.rs
+++ b/tests/gateway/stated_backoff.rs
@@ -9,6 +9,7 @@
 use crate::request::{TestRequest, complete_stream, read_response};
 use crate::retry_totals::gated_nodes;
 use crate::site::TestSite;
+use crate::target_proxies::{PartitionKind, TargetProxies};
 
 /// Backoff that engines ask for.
 const BACKOFF: Duration = Duration::from_secs(3);
@@ -264,3 +265,47 @@
     assert!(calls <= ALLOWED, "{calls} probes and orders in a backoff");
     drop(streams);
 }
+
+/// Guards against a node that connects for another one to an engine, and sends it requests of its own in a
+/// backoff that the engine, which sees only this node, has asked for.
+#[tokio::test(flavor = "multi_thread")]
+async fn tunnels_leave_alone() {
+    let site = TestSite::start(9, 0);
+    let proxies = TargetProxies::start(&site);
+    let behind = site.node_in("z0", "n0", proxies.store).await;
+    let relay = site.node_in("z1", "n1", site.store_address()).await;
+    for node in [&behind, &relay] {
+        node.wait_replicas(2).await;
+        node.wait_log_line(&["nodes_counted", "\"nodes\":2"]).await;
+    }
+    proxies.set(PartitionKind::Reset).await;
+    // Whatever the first node sends arrives from the second one.
+    for number in 0..6 {
+        TestRequest::chat(&format!("n1.early{number}"))
+            .send(&behind)
+            .await;
+    }
+    for head in heads(&site) {
+        site.groups.set_backoff(&head, Some(BACKOFF));
+    }
+    wait_for_rejection(&site, &behind).await;
+    tokio::time::sleep(GRACE).await;
+    let chats = (0..12).map(|number| {
+        let chat = TestRequest::chat(&format!("n1.own{number}"));
+        let relay = &relay;
+        async move { chat.send(relay).await.status }
+    });
+    futures::future::join_all(chats).await;
+    assert_left_alone(&site);
+}
+
+/// Sends chats through a node until an engine has asked for a backoff.
+async fn wait_for_rejection(site: &TestSite, node: &TestNode) {
+    for number in 0.. {
+        if site.groups.arrivals.backoff_count() > 0 {
+            return;
+        }
+        let request = TestRequest::chat(&format!("n1.ask{number}"));
+        drop(request.begin(node).await);
+    }
+}
