--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -216,6 +216,7 @@
             address,
             body: response.into_body(),
             buffer: BytesMut::new(),
+            searched: 0,
         })),
         StatusCode::CONFLICT | StatusCode::NOT_FOUND => Ok(StreamStart::Refused {
             replica_changed: true,
@@ -243,11 +244,19 @@
     address: SocketAddr,
     body: Incoming,
     buffer: BytesMut,
+    /// Bytes of the buffer that were searched for the end of a line. A search from their start at each piece
+    /// would take time that grows with the square of a line that never ends.
+    searched: usize,
 }
 
 impl HttpStream {
     fn next_line(&mut self) -> Option<Bytes> {
-        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let unsearched = self.buffer[self.searched..].iter();
+        let Some(offset) = unsearched.clone().position(|byte| *byte == b'\n') else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        let end = std::mem::take(&mut self.searched) + offset;
         let line = self.buffer.split_to(end).freeze();
         self.buffer.advance(1);
         Some(line)
