Read Retry-After in one place, with fractions and dates, on both faces

The product's own face took a fraction for no delay, at engines and at the store, and waited a default instead (an engine's 0.25 s became none, the store's one second). retry_after::fractions_and_dates.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -8,7 +8,7 @@
 use domain::RowVersion;
 use web::body::full_body;
 use web::client::json_request;
-use web::{ClientError, WebClient, parse_json, read_body};
+use web::{ClientError, WebClient, parse_json, read_body, retry_after};
 use wire::hostlist::HostListBody;
 use wire::table::{BatchCommitted, BatchConflict, BatchRequest, ScanPage, WRITE_TOKEN_HEADER};
 
@@ -89,12 +89,7 @@
             "the service responded with 503 Service Unavailable".to_owned(),
         )),
         StatusCode::TOO_MANY_REQUESTS => {
-            let retry_after = response
-                .headers()
-                .get(header::RETRY_AFTER)
-                .and_then(|value| value.to_str().ok())
-                .and_then(|text| text.parse().ok())
-                .map_or(DEFAULT_RETRY_AFTER, Duration::from_secs);
+            let retry_after = retry_after(response.headers()).unwrap_or(DEFAULT_RETRY_AFTER);
             Err(StoreError::Throttled { retry_after })
         }
         _ => Ok(response),
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -6,11 +6,11 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use domain::AttemptId;
-use http::{Method, Response, StatusCode, header};
+use http::{Method, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use web::client::{JsonResponse, json_request};
-use web::{ClientError, WebClient, parse_json};
+use web::{ClientError, WebClient, parse_json, retry_after};
 use wire::engine::{EngineOrder, EngineState, ResumeRequest, StreamEvent, StreamRequest};
 
 /// Maximum length of a line in a stream, in bytes. A longer line means that the engine is faulty.
@@ -224,7 +224,7 @@
         }),
         StatusCode::SERVICE_UNAVAILABLE => Ok(StreamStart::Refused {
             replica_changed: false,
-            retry_after: retry_after(&response),
+            retry_after: retry_after(response.headers()),
         }),
         status => Err(ClientError::Broken(
             address,
@@ -233,11 +233,6 @@
     }
 }
 
-fn retry_after(response: &Response<Incoming>) -> Option<Duration> {
-    let text = response.headers().get(header::RETRY_AFTER)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_secs)
-}
-
 /// A stream of newline-delimited JSON over HTTP. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct HttpStream {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod connection;
 pub mod query;
 pub mod response;
+pub mod retry_after;
 pub mod server;
 pub mod tls;
 
@@ -13,5 +14,6 @@
 pub use connection::{ConnectionError, HttpConnection};
 pub use query::query_value;
 pub use response::{WebResponse, is_close_delimited, json_response, text_response};
+pub use retry_after::{parse_retry_after, retry_after};
 pub use server::{WebHandler, WebRequest, serve_listener, serve_with_acceptor};
 pub use tls::{ReloadableTlsConfig, TlsError, TlsFiles};
