--- a/crates/gateway/src/load_batches.rs
+++ b/crates/gateway/src/load_batches.rs
@@ -122,6 +122,17 @@
         }
     }
 
+    /// Tells the other nodes to prefer other heads, since this one has asked this node for a backoff.
+    pub fn share_backoff(&self, head: &HostId) {
+        let head = head.into();
+        if self.hints.has_collectors() {
+            self.share_report(head, HintReport::Silent);
+        } else {
+            let report = HintReport::Silent;
+            self.hints.send(LoadHint::Heard(HeadHint { head, report }));
+        }
+    }
+
     fn share_report(&self, head: HostHash, report: HintReport) {
         let hint = HeadHint { head, report };
         self.collect_own(hint);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -194,13 +194,19 @@
     if parsed_headers.request.is_some() && parsed_headers.request.as_deref() != request_id {
         return AttemptOutcome::Ambiguous("response belongs to another request".to_owned());
     }
+    let is_head = target.membership.is_some();
+    let has_backoff = parsed_headers.statements.backoff(head.status).is_some();
     if let Some(load) = parsed_headers.load {
         let now = node.now();
         node.with_load(id, |known| known.record_report(load, now));
-        if target.membership.is_some() {
+        // In its backoff a head may say that it runs few.
+        if is_head && !has_backoff {
             node.share_load(id, load, head.status.is_success());
         }
     }
+    if is_head && has_backoff {
+        node.share_backoff(id);
+    }
     record_statements(node, target, head.status, &parsed_headers, exchange.sent_at);
     if let Some(relay) = &exchange.connection.relay {
         let stated = (head.status, &parsed_headers.statements);
@@ -208,7 +214,7 @@
     }
     if parsed_headers.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
         // Without a load, a head that rejects all requests would look free to every node.
-        if parsed_headers.load.is_none() && target.membership.is_some() {
+        if is_head && parsed_headers.load.is_none() && !has_backoff {
             node.share_silence(id);
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -231,7 +237,7 @@
             }
             // The target is no longer the head of a serving replica, or another target has its
             // address.
-            _ if misdirected && target.membership.is_some() => refresh_refusing(node, id),
+            _ if misdirected && is_head => refresh_refusing(node, id),
             _ if misdirected => {
                 node.suspect(
                     id,
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -314,6 +314,11 @@
             if let Ok(value) = HeaderValue::from_str(&backoff.as_secs_f64().to_string()) {
                 response.headers_mut().insert("retry-after", value);
             }
+            if self.tells_load.load(Ordering::Relaxed) {
+                // What it runs is no more than before.
+                let load = HeaderValue::from_static("0,0,8");
+                response.headers_mut().insert("x-server-load", load);
+            }
             return response;
         }
         if self.rejects.load(Ordering::Relaxed) {
--- a/tests/gateway/stated_backoff.rs
+++ b/tests/gateway/stated_backoff.rs
@@ -309,3 +309,30 @@
         drop(request.begin(node).await);
     }
 }
+
+/// Guards against nodes that each have to ask a target in its backoff, as its reported load makes it look like
+/// the best choice to all of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn others_prefer_other_targets() {
+    let site = TestSite::start(14, 0);
+    site.groups.set_tells_load(true);
+    let first = site.node_in("z0", "n0", site.store_address()).await;
+    let second = site.node_in("z1", "n1", site.store_address()).await;
+    for node in [&first, &second] {
+        node.wait_replicas(3).await;
+        node.wait_log_line(&["nodes_counted", "\"nodes\":2"]).await;
+    }
+    let head = heads(&site).remove(0);
+    site.groups.set_backoff(&head, Some(BACKOFF));
+    wait_for_rejection(&site, &first).await;
+    tokio::time::sleep(PAUSE).await;
+    let told = Instant::now();
+    let chats = (0..9).map(|number| {
+        let chat = TestRequest::chat(&format!("n1.told{number}"));
+        let node = &second;
+        async move { chat.send(node).await.status }
+    });
+    futures::future::join_all(chats).await;
+    let arrived = site.groups.arrivals.most_at(&head, told, BACKOFF);
+    assert_eq!(arrived, 0, "the other targets have room");
+}
