A soak of backoffs and drains under overlapping faults

One head, some or all ask for backoffs again and again, one says that it leaves, while the store is slow, away or closed to most nodes and paths are lost.

--- a/tests/gateway/shared_soak.rs
+++ b/tests/gateway/shared_soak.rs
@@ -1,5 +1,5 @@
-//! What all nodes share under faults in random series that overlap: retries, and the limits that targets
-//! state, counted at the engines.
+//! What all nodes share, and what targets state of themselves, under faults in random series that overlap:
+//! retries, limits, backoffs and drains, counted at the engines.
 //!
 //! A few seeds by default; `SHARED_SOAK_SEEDS=FIRST..END` plays others.
 
@@ -44,6 +44,14 @@
 /// Time after which nodes that were told must follow a limit.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
 
+/// Time after a rejection in which what was sent before it may still arrive, and how many requests of a node may
+/// arrive after it in the same backoff.
+const BACKOFF_GRACE: Duration = Duration::from_millis(500);
+const BACKOFF_ALLOWED: usize = 2;
+
+/// Time after a node was told that a target leaves from which on nothing may reach it from there.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
 struct SoakSite {
     site: TestSite,
     gates: Vec<StoreGate>,
@@ -125,7 +133,7 @@
 async fn run_clients(soak: &SoakSite, seed: u64, until: Instant) {
     let clients = (0..GATED + PROXIED).flat_map(|index| {
         (0..CLIENTS)
-            .map(move |client| run_client(soak, index, format!("s{seed}-{index}-{client}"), until))
+            .map(move |client| run_client(soak, index, format!("n{index}.s{seed}-{client}"), until))
     });
     futures::future::join_all(clients).await;
 }
@@ -165,6 +173,17 @@
     FaultKind::Full,
 ];
 
+/// Faults that come while backoffs are asked for; paths to targets are lost, too, so that requests pass through
+/// other nodes.
+const BACKOFF_FAULTS: [FaultKind; 6] = [
+    FaultKind::TurnedAway,
+    FaultKind::SilentStore,
+    FaultKind::LostResponses,
+    FaultKind::SlowStore,
+    FaultKind::Partitioned,
+    FaultKind::Full,
+];
+
 async fn bring_faults(soak: &SoakSite, kinds: &[FaultKind], seed: u64, until: Instant) {
     let series = (0..3).map(|number| async move {
         let mut rng = StdRng::seed_from_u64(seed * 31 + number);
@@ -261,6 +280,61 @@
     }
 }
 
+/// Lets one head, some or all ask for backoffs again and again, and one say that it leaves, while they serve.
+async fn state_backoffs(soak: &SoakSite, seed: u64, until: Instant) {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x55);
+    let mut leaving = rng.random_bool(0.5);
+    while Instant::now() < until {
+        let heads: Vec<String> = soak
+            .site
+            .groups
+            .serving()
+            .into_iter()
+            .map(|mut members| members.remove(0))
+            .collect();
+        let asking = rng.random_range(0..=heads.len());
+        for head in heads.iter().take(asking) {
+            let backoff = Duration::from_millis(rng.random_range(600..4000));
+            soak.site.groups.set_backoff(head, Some(backoff));
+        }
+        if std::mem::take(&mut leaving)
+            && let Some(head) = heads.last()
+        {
+            soak.site.groups.say_leaving(head);
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(1000..6000))).await;
+        for head in &heads {
+            soak.site.groups.set_backoff(head, None);
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(100..3000))).await;
+    }
+}
+
+/// Guards against requests to a target in a backoff that it asked the node for, or later than the bound after
+/// it has said that it leaves, while the store is slow, away or closed to most nodes and paths are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn backoffs_held() {
+    for seed in soak_seeds("SHARED_SOAK_SEEDS", DEFAULT_SEEDS) {
+        let soak = SoakSite::start().await;
+        let until = Instant::now() + FAULT_TIME;
+        let faults = bring_faults(&soak, &BACKOFF_FAULTS, seed, until);
+        let backoffs = state_backoffs(&soak, seed, until);
+        let ((), (), ()) = tokio::join!(run_clients(&soak, seed, until), faults, backoffs);
+        let arrivals = &soak.site.groups.arrivals;
+        let most = arrivals.most_in_backoff(BACKOFF_GRACE);
+        let late = arrivals.arrivals_after_leaving(DRAIN_BOUND);
+        println!(
+            "seed {seed}: {} backoffs, {most} at most, {late} late",
+            arrivals.backoff_count()
+        );
+        assert!(
+            most <= BACKOFF_ALLOWED,
+            "seed {seed}: {most} requests in a backoff"
+        );
+        assert_eq!(late, 0, "seed {seed}: requests to a target that leaves");
+    }
+}
+
 /// Guards against retries of all nodes beyond the limit, whatever they see of each other and of the store,
 /// while nodes are killed and paused, paths reset and all targets full, at once.
 #[tokio::test(flavor = "multi_thread")]
