Tests that catch a slot which changes hands as soon as its lease ends

A changed copy in which another node may take a slot of the extra retries at the end of its lease, without the time in which the last holder's retries still count, passed all tests. slots_change_hands_late claims at each step in between now, and slot_used_once_in_a_window counts what both holders send; both fail on that copy (58 slots at 64.25 s; 98 retries over the bound) and pass on the code.

--- a/crates/serving/tests/shared_total.rs
+++ b/crates/serving/tests/shared_total.rs
@@ -121,8 +121,38 @@
     fleet.nodes[1].next_claim = ended;
     fleet.claim(1, ended, 1);
     assert_eq!(fleet.nodes[1].ledger.usable(ended), 0);
+    let mut now = ended + STEP;
+    while now <= ended + LIMITS.settle_time() {
+        fleet.nodes[1].next_claim = now;
+        fleet.claim(1, now, 1);
+        assert_eq!(fleet.nodes[1].ledger.usable(now), 0, "at {now:?}");
+        now += STEP;
+    }
     let settled = ended + LIMITS.settle_time() + STEP;
     fleet.nodes[1].next_claim = settled;
     fleet.claim(1, settled, 1);
     assert_eq!(fleet.nodes[1].ledger.usable(settled), LIMITS.slot_count());
 }
+
+/// Guards against what a slot allows being sent twice in a window: by the holder that can't renew it, just
+/// before its lease ends, and by the next one, which claims it as soon as it may.
+#[test]
+fn slot_used_once_in_a_window() {
+    let mut fleet = Fleet::new(LIMITS, 2);
+    let claimed = Duration::from_secs(4);
+    fleet.claim(0, claimed, 1);
+    let ended = claimed + Duration::from_mins(1);
+    let last = ended - STEP;
+    for _ in 0..10 {
+        fleet.request(0, last, 200);
+    }
+    let mut now = ended;
+    while now <= ended + LIMITS.settle_time() + STEP {
+        fleet.nodes[1].next_claim = now;
+        fleet.claim(1, now, 1);
+        fleet.request(1, now, 200);
+        now += STEP;
+    }
+    assert!(fleet.worst_excess() <= 0.0, "{}", fleet.worst_excess());
+    assert!(fleet.nodes[1].ledger.usable(now) > 0);
+}
