Copy a body's pieces together instead of keeping each by itself

What callers saw: nothing yet. Eight responses without end, in pieces of a byte, took 87 MB within 3 s in a release build; with the deadlines of real clients a node would have exceeded its memory long before the bound of 32 MiB. Cause: a collected body keeps each piece with 32 bytes of its own.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -7,10 +7,11 @@
 use bytes::Bytes;
 use domain::ServiceName;
 use http::{Request, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serving::hashing::stable_hash;
 use serving::{GatewayConfig, Route};
+use web::{BodyError, read_body};
 
 use crate::admitted::AdmittedRequest;
 use crate::local_response::LocalResponse;
@@ -97,7 +98,7 @@
             return Err(rejection.after_body(body, config.limits.body_bytes).await);
         }
     };
-    let body = read_body(body, config.limits.body_bytes).await;
+    let body = read_request_body(body, config.limits.body_bytes).await;
     let body = body.map_err(|rejection| rejection.unless_unproved(node))?;
     let timeout = headers
         .time_left
@@ -202,11 +203,10 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Rejection> {
-    let read = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(BODY_READ_TIMEOUT, read).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Rejection::unread(
+async fn read_request_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Rejection> {
+    match tokio::time::timeout(BODY_READ_TIMEOUT, read_body(body, max_bytes)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(BodyError::TooLarge(_))) => Err(Rejection::unread(
             LocalResponse::BodyTooLarge,
             "request body too large",
         )),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -8,11 +8,12 @@
 use domain::{FastSet, HostId, RequestId};
 use events::{EventCode, LogLine};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Either, Full, Limited};
+use http_body_util::{Either, Full};
 use hyper::body::{Body, Incoming};
 use serving::choose::NoTarget;
 use serving::retry_budget::RetryPurpose;
 use serving::{GatewayConfig, PoisonVerdict, RouteKind};
+use web::read_body;
 
 use crate::admit::{admit, reject_unconfigured};
 use crate::admitted::{AdmittedRequest, SelectionError};
@@ -348,9 +349,9 @@
     mut response: TargetResponse,
 ) -> Result<Response<Full<Bytes>>, String> {
     let left = admitted.time_left(node.now());
-    let read = Limited::new(&mut response.body, MAX_RESPONSE_BYTES).collect();
+    let read = read_body(&mut response.body, MAX_RESPONSE_BYTES);
     let bytes = match tokio::time::timeout(left, read).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
             response.record_broken(node, admitted);
             return Err(format!("response body failed: {error}"));
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -2,8 +2,8 @@
 
 use std::convert::Infallible;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::body::{Body, Frame};
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
@@ -64,6 +64,9 @@
 
 /// Reads a complete body of at most `limit` bytes.
 ///
+/// The bytes are copied together: a body may come in pieces of a byte each, and a piece that is kept by itself
+/// takes many times that.
+///
 /// # Errors
 ///
 /// [`BodyError::TooLarge`] or [`BodyError::Incomplete`].
@@ -72,11 +75,22 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge(limit)),
-        Err(error) => Err(BodyError::Incomplete(error.to_string())),
+    let mut body = std::pin::pin!(body);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Incomplete(error.into().to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if data.len() > limit - bytes.len() {
+            return Err(BodyError::TooLarge(limit));
+        }
+        if bytes.is_empty() && body.is_end_stream() {
+            return Ok(data);
+        }
+        bytes.extend_from_slice(&data);
     }
+    Ok(bytes.freeze())
 }
 
 /// Parses a complete JSON document.
