Ignore what a process states after another one of its host has stated something

A response of the previous process that arrived late replaced what the present one had stated, and ended its backoff for the node. late_word_of_previous_process failed before.

--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -53,9 +53,11 @@
         let draw = unit_draw(&(self.settings.node.as_str(), process.host.as_str()));
         let now = self.now();
         let mut statements = self.statements.borrow_mut();
-        let BackoffNews { is_new, calls, .. } =
-            statements.record_backoff(process, delay, draw, now);
+        let news = statements.record_backoff(process, delay, draw, now);
         drop(statements);
+        let Some(BackoffNews { is_new, calls, .. }) = news else {
+            return;
+        };
         self.metrics.record_statement("backoff");
         let line = LogLine::new(EventCode::BackoffStated)
             .text("host", process.host.as_str())
--- a/crates/serving/src/target_statements.rs
+++ b/crates/serving/src/target_statements.rs
@@ -142,15 +142,15 @@
 
 impl StatementLedger {
     /// Takes in a backoff that a target asks for. Of several, the one that ends last holds. `draw`, from 0 to
-    /// 1, differs between nodes.
+    /// 1, differs between nodes. Returns `None` for a process that another one has followed.
     pub fn record_backoff(
         &mut self,
         process: &TargetProcess,
         delay: Duration,
         draw: f64,
         now: Duration,
-    ) -> BackoffNews {
-        let statement = self.statement(process, now);
+    ) -> Option<BackoffNews> {
+        let statement = self.statement(process, now)?;
         let known = statement.backoff.filter(|known| now < known.until);
         let is_new = known.is_none();
         let mut backoff = known.unwrap_or_else(|| BackoffPeriod::new(now));
@@ -158,20 +158,25 @@
         let spread = delay.mul_f64(RETURN_SPREAD * draw.clamp(0.0, 1.0));
         backoff.resumes_at = backoff.resumes_at.max(backoff.until + spread);
         statement.backoff = Some(backoff);
-        BackoffNews {
+        Some(BackoffNews {
             is_new,
             until: backoff.until,
             calls: backoff.calls,
-        }
+        })
     }
 
     /// Takes in that a target drains; returns whether it had not said so.
     pub fn record_draining(&mut self, process: &TargetProcess, now: Duration) -> bool {
         let statement = self.statement(process, now);
-        !std::mem::replace(&mut statement.drains, true)
+        statement.is_some_and(|statement| !std::mem::replace(&mut statement.drains, true))
     }
 
-    fn statement(&mut self, process: &TargetProcess, now: Duration) -> &mut TargetStatement {
+    /// The statement of a process; `None` if a later one of its host has stated something.
+    fn statement(
+        &mut self,
+        process: &TargetProcess,
+        now: Duration,
+    ) -> Option<&mut TargetStatement> {
         let fresh = TargetStatement {
             boot: process.boot,
             heard_at: now,
@@ -179,11 +184,14 @@
             drains: false,
         };
         let statement = self.statements.entry(process.host.clone()).or_insert(fresh);
-        if statement.boot != process.boot {
+        if statement.boot > process.boot {
+            return None;
+        }
+        if statement.boot < process.boot {
             *statement = fresh;
         }
         statement.heard_at = now;
-        statement
+        Some(statement)
     }
 
     fn known(&self, process: &TargetProcess) -> Option<&TargetStatement> {
--- a/crates/serving/tests/target_statements.rs
+++ b/crates/serving/tests/target_statements.rs
@@ -29,12 +29,11 @@
 fn latest_end_holds() {
     let mut ledger = StatementLedger::default();
     let target = process(1);
-    assert!(
-        ledger
-            .record_backoff(&target, BACKOFF, 0.0, millis(0))
-            .is_new
-    );
-    let news = ledger.record_backoff(&target, millis(100), 0.0, millis(50));
+    let first = ledger.record_backoff(&target, BACKOFF, 0.0, millis(0));
+    assert!(first.is_some_and(|news| news.is_new));
+    let news = ledger
+        .record_backoff(&target, millis(100), 0.0, millis(50))
+        .expect("of the same process");
     assert!(!news.is_new);
     assert_eq!(news.until, BACKOFF);
     let until = BACKOFF;
@@ -55,6 +54,20 @@
     assert_eq!(ledger.check(&process(2), millis(1)), Ok(()));
 }
 
+/// Guards against a response of the previous process that arrives late, and makes the node forget what the
+/// present one has stated.
+#[test]
+fn late_word_of_previous_process() {
+    let mut ledger = StatementLedger::default();
+    ledger.record_backoff(&process(2), BACKOFF, 0.0, millis(0));
+    ledger.record_backoff(&process(1), BACKOFF, 0.0, millis(1));
+    ledger.record_draining(&process(1), millis(1));
+    assert!(matches!(
+        ledger.check(&process(2), millis(2)),
+        Err(SendBarrier::Backoff { .. })
+    ));
+}
+
 /// Guards against a node that comes back with all it has when a backoff ends.
 #[test]
 fn return_in_steps() {
