--- /dev/null
+++ b/crates/standin/src/site/engine_control.rs
@@ -0,0 +1,157 @@
+//! What tests set at engines and ask of them.
+
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::groups::SiteGroups;
+
+impl SiteGroups {
+    /// Makes an engine unresponsive: its connections stay open, but it sends nothing more.
+    pub fn make_unresponsive(&self, id: &str) {
+        self.with(id, |engine| engine.unresponsive = true);
+    }
+
+    /// Removes an engine from the registry, as the platform does when it stops reporting or leaves
+    /// without notice; the engine continues to serve.
+    pub fn expire(&self, id: &str) {
+        self.with(id, |engine| engine.listed = false);
+        self.store.remove("servers", id);
+    }
+
+    /// Crashes an engine, as a request whose body contains [`CRASH_BODY`] does: its connections and
+    /// its listener are closed.
+    pub fn crash(&self, id: &str) {
+        self.with(id, |engine| {
+            engine.unresponsive = true;
+            engine.crash.notify_one();
+        });
+        self.crashed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Sets whether new streams have neither a length nor chunks and end with their connection.
+    pub fn set_unframed(&self, unframed: bool) {
+        self.unframed.store(unframed, Ordering::Relaxed);
+    }
+
+    /// Sets whether heads reject all requests, as full ones do.
+    pub fn set_rejects(&self, rejects: bool) {
+        self.rejects.store(rejects, Ordering::Relaxed);
+    }
+
+    /// Sets the limit that an engine states, in requests a second; `None` if it states none.
+    pub fn set_limit(&self, id: &str, limit: Option<f64>) {
+        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        match limit {
+            Some(limit) => limits.insert(id.to_owned(), limit),
+            None => limits.remove(id),
+        };
+    }
+
+    /// Sets the backoff that an engine asks for as it rejects all requests; `None` if it takes them.
+    pub fn set_backoff(&self, id: &str, backoff: Option<Duration>) {
+        let mut backoffs = self.backoffs.lock().unwrap_or_else(PoisonError::into_inner);
+        match backoff {
+            Some(backoff) => backoffs.insert(id.to_owned(), backoff),
+            None => backoffs.remove(id),
+        };
+    }
+
+    pub(super) fn backoff(&self, id: &str) -> Option<Duration> {
+        let backoffs = self.backoffs.lock().unwrap_or_else(PoisonError::into_inner);
+        backoffs.get(id).copied()
+    }
+
+    /// Makes a head repeat these bytes without end after the first event of each stream.
+    pub fn set_endless(&self, id: &str, piece: &'static [u8]) {
+        let mut endless = self.endless.lock().unwrap_or_else(PoisonError::into_inner);
+        endless.insert(id.to_owned(), piece);
+    }
+
+    pub(super) fn endless(&self, id: &str) -> Option<&'static [u8]> {
+        let endless = self.endless.lock().unwrap_or_else(PoisonError::into_inner);
+        endless.get(id).copied()
+    }
+
+    /// Makes an engine say in all its responses that it leaves; its registry entry stays as it is.
+    pub fn say_leaving(&self, id: &str) {
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.insert(id.to_owned());
+    }
+
+    pub(super) fn is_leaving(&self, id: &str) -> bool {
+        let leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.contains(id)
+    }
+
+    pub(super) fn limit(&self, id: &str) -> Option<f64> {
+        let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        limits.get(id).copied()
+    }
+
+    /// Sets whether engines tell their load with each response.
+    pub fn set_tells_load(&self, tells_load: bool) {
+        self.tells_load.store(tells_load, Ordering::Relaxed);
+    }
+
+    /// Returns whether an engine is gone after a crash, or has been made unresponsive.
+    #[must_use]
+    pub fn has_crashed(&self, id: &str) -> bool {
+        self.with(id, |engine| engine.unresponsive).unwrap_or(true)
+    }
+
+    /// Returns the number of engines that have crashed.
+    #[must_use]
+    pub fn crashed(&self) -> usize {
+        self.crashed.load(Ordering::Relaxed)
+    }
+
+    /// Writes a stale registry entry, without the engine's current replica.
+    pub fn write_stale_entry(&self, id: &str) {
+        let group = self.with(id, |engine| engine.group.take()).flatten();
+        self.register(id);
+        self.with(id, |engine| engine.group = group);
+    }
+
+    /// Makes an engine report that it is draining.
+    pub fn drain(&self, id: &str) {
+        self.with(id, |engine| engine.draining = true);
+        self.register(id);
+    }
+
+    /// Sets the number of events of new streams at all engines.
+    pub fn set_events(&self, events: usize) {
+        for engine in self.lock().values_mut() {
+            engine.events = events;
+        }
+    }
+
+    /// Returns the members of each open replica by rank, so that the head comes first.
+    #[must_use]
+    pub fn serving(&self) -> Vec<Vec<String>> {
+        let engines = self.lock();
+        let open = engines.values().filter_map(|engine| {
+            let group = engine.group.as_ref()?;
+            (group.rank == 0 && group.state == "open" && !engine.unresponsive)
+                .then(|| group.members.clone())
+        });
+        open.collect()
+    }
+
+    /// Returns how often a request was executed, over all engines.
+    #[must_use]
+    pub fn execution_count(&self, request: &str) -> usize {
+        let engines = self.lock();
+        let ran = engines.values().flat_map(|engine| &engine.executed);
+        ran.filter(|id| *id == request).count()
+    }
+
+    /// Returns whether an engine started to execute a request.
+    #[must_use]
+    pub fn ran_at(&self, id: &str, request: &str) -> bool {
+        let ran = self.with(id, |engine| {
+            engine.executed.iter().any(|ran| ran == request)
+        });
+        ran.unwrap_or(false)
+    }
+}
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod arrivals;
 mod endless;
 mod engine;
+mod engine_control;
 mod gate;
 mod groups;
 mod http;
