--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -9,7 +9,7 @@
 use domain::RowVersion;
 use events::{EventCode, LogLine};
 use serving::feed::{FeedTiming, MAX_JITTER, TableDelta, VersionClaims};
-use serving::hashing::stable_hash;
+use serving::hashing::unit_draw;
 use wire::feed::{FeedLane, FeedTable};
 
 use super::intake::FeedIntake;
@@ -220,8 +220,7 @@
 
 /// Factor that differs between nodes, so that they don't all call at once.
 fn jitter(node: &GatewayNode, round: u32) -> f64 {
-    let hash = stable_hash(&(node.settings.node.as_str(), round)) % 1000;
-    let share = f64::from(u32::try_from(hash).unwrap_or(0)) / 1000.0;
+    let share = unit_draw(&(node.settings.node.as_str(), round));
     MIN_JITTER + share * (MAX_JITTER - MIN_JITTER)
 }
 
--- a/crates/gateway/src/retry_leases.rs
+++ b/crates/gateway/src/retry_leases.rs
@@ -8,7 +8,7 @@
 
 use adapter::{StoreClient, StoreError};
 use events::{EventCode, LogLine};
-use serving::hashing::stable_hash;
+use serving::hashing::{stable_hash, unit_draw};
 use serving::lease::{LeaseLedger, LeaseTerms};
 
 use crate::lease_rows::LeaseTable;
@@ -185,8 +185,7 @@
 
     fn retry_pause(&self, failures: u32) -> Duration {
         let name = self.node.settings.node.as_str();
-        let draw = stable_hash(&(name, self.node.boot_now(), failures)) % 1000;
-        let jitter = 1.0 + f64::from(u32::try_from(draw).unwrap_or(0)) / 1000.0;
+        let jitter = 1.0 + unit_draw(&(name, self.node.boot_now(), failures));
         let doubled =
             RETRY_DELAY * 2_u32.saturating_pow(failures.saturating_sub(1).min(MAX_DOUBLINGS));
         doubled.mul_f64(jitter)
