--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -5,7 +5,7 @@
 //! chooses the target, sends the request once, and judges the response as on a connection of its own.
 //! A target is suspected only if no other node reaches it either, and only by nodes that reach others
 //! ([`contact`]). Lost paths are checked until they
-//! work again ([`checks`]).
+//! work again ([`checks`]). The other node is told what the target states in the response ([`statements`]).
 
 mod checks;
 mod connect;
--- a/tests/gateway/stated_backoff.rs
+++ b/tests/gateway/stated_backoff.rs
@@ -215,13 +215,7 @@
     let heads = heads(&site);
     let resting = heads[0].clone();
     site.groups.set_backoff(&resting, Some(BACKOFF));
-    for number in 0.. {
-        if site.groups.arrivals.backoff_count() > 0 {
-            break;
-        }
-        let request = TestRequest::chat(&format!("n0.ask{number}"));
-        drop(request.begin(&node).await);
-    }
+    wait_for_rejection(&site, &node, "n0").await;
     tokio::time::sleep(GRACE).await;
     let members = site.groups.serving();
     let lost = members.iter().find(|members| members[0] == heads[1]);
@@ -288,7 +282,7 @@
     for head in heads(&site) {
         site.groups.set_backoff(&head, Some(BACKOFF));
     }
-    wait_for_rejection(&site, &behind).await;
+    wait_for_rejection(&site, &behind, "n1").await;
     tokio::time::sleep(GRACE).await;
     let chats = (0..12).map(|number| {
         let chat = TestRequest::chat(&format!("n1.own{number}"));
@@ -300,12 +294,12 @@
 }
 
 /// Sends chats through a node until an engine has asked for a backoff.
-async fn wait_for_rejection(site: &TestSite, node: &TestNode) {
+async fn wait_for_rejection(site: &TestSite, node: &TestNode, source: &str) {
     for number in 0.. {
         if site.groups.arrivals.backoff_count() > 0 {
             return;
         }
-        let request = TestRequest::chat(&format!("n1.ask{number}"));
+        let request = TestRequest::chat(&format!("{source}.ask{number}"));
         drop(request.begin(node).await);
     }
 }
@@ -324,7 +318,7 @@
     }
     let head = heads(&site).remove(0);
     site.groups.set_backoff(&head, Some(BACKOFF));
-    wait_for_rejection(&site, &first).await;
+    wait_for_rejection(&site, &first, "n0").await;
     tokio::time::sleep(PAUSE).await;
     let told = Instant::now();
     let chats = (0..9).map(|number| {
