--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -86,6 +86,7 @@
             crash: Arc::clone(&server.crash),
         };
         self.lock().insert(id.to_owned(), state);
+        self.forget_statements(id);
         self.register(id);
         Ok(SiteEngine {
             id: id.to_owned(),
@@ -172,6 +173,12 @@
             }
             return response;
         }
+        if let Some(text) = self.delay_text(id) {
+            let mut response = not_executed(StatusCode::SERVICE_UNAVAILABLE);
+            let delay = HeaderValue::from_static(text);
+            response.headers_mut().insert("retry-after", delay);
+            return response;
+        }
         if self.rejects.load(Ordering::Relaxed) {
             return not_executed(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/standin/src/site/engine_control.rs
+++ b/crates/standin/src/site/engine_control.rs
@@ -73,6 +73,28 @@
         endless.get(id).copied()
     }
 
+    /// Drops what the previous process of an engine said of itself.
+    pub(super) fn forget_statements(&self, id: &str) {
+        self.set_backoff(id, None);
+        self.set_delay_text(id, None);
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        leaving.remove(id);
+    }
+
+    /// Makes an engine reject all requests with this text as its delay; `None` if it takes them.
+    pub fn set_delay_text(&self, id: &str, text: Option<&'static str>) {
+        let mut delays = self.delays.lock().unwrap_or_else(PoisonError::into_inner);
+        match text {
+            Some(text) => delays.insert(id.to_owned(), text),
+            None => delays.remove(id),
+        };
+    }
+
+    pub(super) fn delay_text(&self, id: &str) -> Option<&'static str> {
+        let delays = self.delays.lock().unwrap_or_else(PoisonError::into_inner);
+        delays.get(id).copied()
+    }
+
     /// Makes an engine say in all its responses that it leaves; its registry entry stays as it is.
     pub fn say_leaving(&self, id: &str) {
         let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
--- a/tests/gateway/stated_backoff.rs
+++ b/tests/gateway/stated_backoff.rs
@@ -330,3 +330,62 @@
     let arrived = site.groups.arrivals.most_at(&head, told, BACKOFF);
     assert_eq!(arrived, 0, "the other targets have room");
 }
+
+/// Guards against a delay that can't be read, or is far too long, which stops all requests to a target for good
+/// or is passed over without a word.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_delays_bar_nobody() {
+    let site = TestSite::start(9, 0);
+    let node = site.only_node("n0").await;
+    node.wait_replicas(2).await;
+    let head = heads(&site).remove(0);
+    for text in ["", "-1", "nan", "inf", "soon", "0"] {
+        site.groups.set_delay_text(&head, Some(text));
+        for number in 0..4 {
+            let name = format!("n0.odd{}-{number}", text.len());
+            TestRequest::chat(&name).send(&node).await;
+        }
+    }
+    let unreadable = node.log_lines(&["statement_unreadable", "retry_after"]);
+    assert!(!unreadable.is_empty(), "nobody was told");
+    site.groups.set_delay_text(&head, None);
+    let freed = Instant::now();
+    for number in 0..30 {
+        TestRequest::chat(&format!("n0.free{number}"))
+            .send(&node)
+            .await;
+    }
+    let arrived = site.groups.arrivals.most_at(&head, freed, BACKOFF * 20);
+    assert!(arrived > 5, "only {arrived} requests");
+}
+
+/// Guards against a backoff that binds the next process of the engine, and against one that ends because some
+/// heads take requests again while others ask for more.
+#[tokio::test(flavor = "multi_thread")]
+async fn next_process_serves() {
+    let mut site = TestSite::start(9, 0);
+    let node = site.only_node("n0").await;
+    node.wait_replicas(2).await;
+    let heads = heads(&site);
+    let longest = Duration::from_mins(10);
+    for head in &heads {
+        site.groups.set_backoff(head, Some(longest));
+    }
+    // Most of them, one after the other, ask once.
+    for number in 0..heads.len() {
+        TestRequest::chat(&format!("n0.ask{number}"))
+            .send(&node)
+            .await;
+    }
+    let refused = TestRequest::chat("n0.refused").send(&node).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(site.groups.arrivals.most_in_backoff(GRACE), 0);
+    for head in &heads {
+        site.kill_engine(head);
+        site.add_engine(head);
+    }
+    site.wait_until_serving(2).await;
+    node.wait_replicas(2).await;
+    let chat = TestRequest::chat("n0.again").send(&node).await;
+    assert_eq!(chat.status, StatusCode::OK);
+}
--- a/tests/gateway/stated_drain.rs
+++ b/tests/gateway/stated_drain.rs
@@ -97,3 +97,32 @@
         "it gets nothing more"
     );
 }
+
+/// Guards against a drain that binds the next process of the engine, under the same id.
+#[tokio::test(flavor = "multi_thread")]
+async fn next_process_serves() {
+    let mut site = TestSite::start(5, 0);
+    let node = site.only_node("n0").await;
+    node.wait_replicas(1).await;
+    let head = site.groups.serving()[0][0].clone();
+    site.groups.say_leaving(&head);
+    send_chats(&node, "n0", "leaving", PAUSE).await;
+    node.wait_log_line(&["drain_stated", &head]).await;
+    site.kill_engine(&head);
+    site.add_engine(&head);
+    let ids: Vec<String> = site
+        .engines
+        .iter()
+        .map(|engine| engine.id.clone())
+        .collect();
+    // One host is left over unless the new process serves.
+    for id in ids.iter().filter(|id| **id != head).take(1) {
+        site.kill_engine(id);
+    }
+    site.wait_until_serving(1).await;
+    let members = site.groups.serving().remove(0);
+    assert!(members.contains(&head), "{members:?}");
+    node.wait_replicas(1).await;
+    let chat = TestRequest::chat("n0.again").send(&node).await;
+    assert_eq!(chat.status, StatusCode::OK);
+}
