--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod service;
 mod store;
+mod store_calls;
 mod stream;
 
 pub use arrivals::{ArrivalLog, RetryAllowance, WorstWindow};
@@ -23,4 +24,5 @@
 pub use groups::SiteGroups;
 pub use http::ConnectionLossGuard;
 pub use service::{ServiceMode, SiteInstance};
-pub use store::{SiteStore, StoreMode, StoreRates};
+pub use store::SiteStore;
+pub use store_calls::{StoreMode, StoreRates};
--- a/tests/gateway/endless_bytes.rs
+++ b/tests/gateway/endless_bytes.rs
@@ -15,6 +15,9 @@
 /// Memory that a node may use, in KiB: what control may take on a machine.
 const MAX_MEMORY_KIB: u64 = 128 << 10;
 
+/// Bytes without events that a client may be passed: the longest event.
+const MAX_PASSED: usize = 1 << 20;
+
 /// Most memory that the process of a node has used, in KiB.
 fn peak_memory(node: &TestNode) -> u64 {
     let process = node.child.as_ref().expect("process was started").id();
@@ -100,6 +103,8 @@
                 .filter(|event| event.starts_with("id: "))
                 .collect();
             assert_eq!(events, complete_stream(12));
+            let passed = chat.text.len() - events.len();
+            assert!(passed <= MAX_PASSED, "{passed} bytes without events");
         }
         assert!(peak_memory(&node) < MAX_MEMORY_KIB);
     }
