Leave a stream that sends bytes without events from 1 KiB on

Seen once: endless_streams_resumed beside a load of 38, "request deadline exceeded".

A second without an event stays the other half of the condition, so a head that is only slow to begin sends nothing and is not concerned; an event of this platform is far below 1 KiB.

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -21,7 +21,7 @@
 /// Time without an event, and bytes in it, from which on a stream counts as broken though bytes arrive. A
 /// target that has something to say needs fewer; clients abandon the stream a second later.
 const EVENTLESS_TIME: Duration = Duration::from_secs(1);
-const EVENTLESS_BYTES: usize = 4 << 10;
+const EVENTLESS_BYTES: usize = 1 << 10;
 
 /// The stream ended before its last event. The client connection is closed without the end of the
 /// chunked body, so that the client can detect the truncation.
--- a/crates/standin/src/site/engine_control.rs
+++ b/crates/standin/src/site/engine_control.rs
@@ -6,6 +6,13 @@
 
 use super::groups::SiteGroups;
 
+/// Bytes that a stream repeats without end, with a pause between two of them.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EndlessPiece {
+    pub bytes: &'static [u8],
+    pub pause: Duration,
+}
+
 impl SiteGroups {
     /// Makes an engine unresponsive: its connections stay open, but it sends nothing more.
     pub fn make_unresponsive(&self, id: &str) {
@@ -62,13 +69,14 @@
         backoffs.get(id).copied()
     }
 
-    /// Makes a head repeat these bytes without end after the first event of each stream.
-    pub fn set_endless(&self, id: &str, piece: &'static [u8]) {
+    /// Makes a head repeat these bytes without end after the first event of each stream, with a pause
+    /// between two pieces.
+    pub fn set_endless(&self, id: &str, bytes: &'static [u8], pause: Duration) {
         let mut endless = self.endless.lock().unwrap_or_else(PoisonError::into_inner);
-        endless.insert(id.to_owned(), piece);
+        endless.insert(id.to_owned(), EndlessPiece { bytes, pause });
     }
 
-    pub(super) fn endless(&self, id: &str) -> Option<&'static [u8]> {
+    pub(super) fn endless(&self, id: &str) -> Option<EndlessPiece> {
         let endless = self.endless.lock().unwrap_or_else(PoisonError::into_inner);
         endless.get(id).copied()
     }
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 
 use super::arrivals::ArrivalLog;
+use super::engine_control::EndlessPiece;
 use super::store::SiteStore;
 
 #[derive(Debug, Clone, PartialEq)]
@@ -72,8 +73,8 @@
     pub(super) delays: Arc<Mutex<BTreeMap<String, &'static str>>>,
     /// Engines that say in all their responses that they leave.
     pub(super) leaving: Arc<Mutex<BTreeSet<String>>>,
-    /// Bytes that heads repeat without end after the first event of a stream.
-    pub(super) endless: Arc<Mutex<BTreeMap<String, &'static [u8]>>>,
+    /// What heads repeat without end after the first event of a stream.
+    pub(super) endless: Arc<Mutex<BTreeMap<String, EndlessPiece>>>,
     /// Whether heads reject all requests.
     pub(super) rejects: Arc<AtomicBool>,
     /// What arrived at heads.
--- a/crates/standin/src/site/stream.rs
+++ b/crates/standin/src/site/stream.rs
@@ -56,8 +56,12 @@
             return Some(self.cut("the stream was cut off"));
         }
         if let Some(piece) = self.groups.endless(&self.id).filter(|_| self.started) {
-            tokio::task::yield_now().await;
-            return Some(Ok(Frame::data(Bytes::from_static(piece))));
+            if piece.pause.is_zero() {
+                tokio::task::yield_now().await;
+            } else {
+                tokio::time::sleep(piece.pause).await;
+            }
+            return Some(Ok(Frame::data(Bytes::from_static(piece.bytes))));
         }
         if self.next > self.last {
             return None;
--- a/tests/gateway/endless_bytes.rs
+++ b/tests/gateway/endless_bytes.rs
@@ -99,7 +99,7 @@
         let node = site.only_node("n0").await;
         node.wait_replicas(2).await;
         let head = site.groups.serving()[0][0].clone();
-        site.groups.set_endless(&head, piece);
+        site.groups.set_endless(&head, piece, Duration::ZERO);
         for number in 0..4 {
             let chat = TestRequest::chat(&format!("e-{number}")).send(&node).await;
             let cuts = node.log_lines(&["stream_cut"]);
@@ -113,6 +113,23 @@
     }
 }
 
+/// Guards against a stream of a few comments a millisecond, which keeps its client until the deadline, since
+/// they are too few to count as endless.
+#[tokio::test(flavor = "multi_thread")]
+async fn dripping_stream_resumed() {
+    let site = TestSite::start(9, 0);
+    let node = site.only_node("n0").await;
+    node.wait_replicas(2).await;
+    let head = site.groups.serving()[0][0].clone();
+    let pause = Duration::from_millis(3);
+    site.groups.set_endless(&head, b": comment\n\n", pause);
+    for number in 0..4 {
+        let chat = TestRequest::chat(&format!("e-{number}")).send(&node).await;
+        let cuts = node.log_lines(&["stream_cut"]);
+        assert!(chat.complete, "{cuts:?}");
+    }
+}
+
 /// Guards against a stream whose bytes are always there, so that its deadline is never looked at.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_stream_meets_deadline() {
@@ -120,7 +137,7 @@
     let node = site.only_node("n0").await;
     node.wait_replicas(1).await;
     let head = site.groups.serving()[0][0].clone();
-    site.groups.set_endless(&head, b"x");
+    site.groups.set_endless(&head, b"x", Duration::ZERO);
     let chat = TestRequest::chat("e-late").header("x-deadline-ms", "600");
     let response = chat.send(&node).await;
     assert!(!response.complete);
