--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod local_response;
 mod metrics;
 mod node;
+mod order_tracker;
 mod orders;
 mod pool;
 mod probe;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod confirmed;
 mod demand;
 mod health;
+mod live_nodes;
 mod loads;
 mod paths;
 mod process;
@@ -15,7 +16,7 @@
 use std::time::Duration;
 
 use domain::{FastMap, FastSet, HostId, RowVersion, ServiceName};
-use events::{EventCode, LogLine, LogSink};
+use events::{LogLine, LogSink};
 use policy::admission::CustomerShares;
 use serving::demand::DemandLedger;
 use serving::feed::FeedTiming;
@@ -151,10 +152,6 @@
 /// Idle timeout of client connections until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Number of nodes assumed until heartbeats are counted. The resulting share of the budgets is safe
-/// in any deployment of today's size.
-const ASSUMED_NODES: usize = 16;
-
 impl GatewayNode {
     /// Creates a node without configuration or registry data.
     #[must_use]
@@ -345,63 +342,4 @@
     pub fn time_since_host_change(&self) -> Duration {
         self.now().saturating_sub(self.hosts_changed_at.get())
     }
-
-    /// Number of live nodes, or `ASSUMED_NODES` until heartbeats are counted.
-    #[must_use]
-    pub fn node_count(&self) -> usize {
-        let count = self.live_nodes.borrow().len();
-        if count == 0 { ASSUMED_NODES } else { count }
-    }
-
-    /// Whether a node was counted as live the last time.
-    #[must_use]
-    pub fn is_live(&self, name: &str) -> bool {
-        self.with_live_nodes(|names| {
-            names
-                .binary_search_by(|known| known.as_str().cmp(name))
-                .is_ok()
-        })
-    }
-
-    /// Records that this node has written a heartbeat.
-    pub fn set_heartbeat_written(&self) {
-        self.heartbeat_written_at.set(self.now());
-    }
-
-    /// Time since this node wrote its last heartbeat, or since its start.
-    #[must_use]
-    pub fn heartbeat_age(&self) -> Duration {
-        self.now().saturating_sub(self.heartbeat_written_at.get())
-    }
-
-    /// Position of this node among the live nodes in the order of their names, and their number.
-    #[must_use]
-    pub fn place_among_nodes(&self) -> (usize, usize) {
-        let own = self.settings.node.as_str();
-        let place = self.with_live_nodes(|names| names.iter().position(|name| name == own));
-        (place.unwrap_or(0), self.node_count())
-    }
-
-    /// Calls `access` with the names of the live nodes.
-    pub fn with_live_nodes<R>(&self, access: impl FnOnce(&[String]) -> R) -> R {
-        access(&self.live_nodes.borrow())
-    }
-
-    /// Generation number that increases whenever the set of live nodes changes.
-    #[must_use]
-    pub fn nodes_generation(&self) -> u64 {
-        self.nodes_generation.get()
-    }
-
-    /// Sets the names of the live nodes; a change is logged and increases the generation number.
-    pub fn set_live_nodes(&self, nodes: Vec<String>) {
-        if *self.live_nodes.borrow() == nodes {
-            return;
-        }
-        let count = u64::try_from(nodes.len()).unwrap_or(u64::MAX);
-        let line = LogLine::new(EventCode::NodesCounted).number("nodes", count);
-        *self.live_nodes.borrow_mut() = nodes;
-        self.nodes_generation.set(self.nodes_generation.get() + 1);
-        self.log(&line);
-    }
 }
--- a/crates/gateway/src/reconcile/mod.rs
+++ b/crates/gateway/src/reconcile/mod.rs
@@ -25,7 +25,7 @@
 use serving::{ModelConfig, ServiceConfig, TargetEntry, TargetState};
 
 use crate::node::GatewayNode;
-use crate::orders::OrderTracker;
+use crate::order_tracker::OrderTracker;
 
 use ranks::LayoutCache;
 use store_outage::FabricRefreshes;
