Count dropped log lines by kind, and drop news before warnings and refusals

Users could not tell from a record whether the line of a refused request had been dropped: the limit took all lines alike and counted them in one sum, and a burst of rejections or of answered requests pushed out the one line that named the refusal. Counts are now kept by kind; half of the burst is left to warnings, a quarter to lines that are marked as kept.

Tests: log_limits::refusal_kept_in_burst, warnings_kept_beside_news.

--- a/crates/events/src/lines.rs
+++ b/crates/events/src/lines.rs
@@ -2,12 +2,12 @@
 //!
 //! If the reader of standard output stalls, writes to it block. A separate thread therefore writes
 //! the lines, which it receives through a bounded queue. Lines that exceed the rate limit or find the
-//! queue full are dropped and counted; the count is logged with the next summary.
+//! queue full are dropped and counted by kind. News is dropped before warnings, and both before lines
+//! that tell why a client's request was refused for good.
 
+use std::cell::Cell;
 use std::fmt::Write as _;
 use std::io::Write as _;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -22,6 +22,12 @@
 /// Burst size of the rate limit in lines, enough for one line per running request of a lost replica.
 const BURST_LINES: f64 = 400.0;
 
+/// Lines of the burst that are left to warnings and errors.
+const WARNING_RESERVE: f64 = 200.0;
+
+/// Lines of the burst that are left to lines that must be kept.
+const KEPT_RESERVE: f64 = 100.0;
+
 /// Maximum length of a text field in bytes; longer values are truncated.
 const MAX_VALUE_BYTES: usize = 300;
 
@@ -30,6 +36,7 @@
 pub struct LogLine {
     code: EventCode,
     fields: String,
+    is_kept: bool,
 }
 
 impl LogLine {
@@ -39,9 +46,18 @@
         Self {
             code,
             fields: String::new(),
+            is_kept: false,
         }
     }
 
+    /// Marks a line that is written before all others, such as the only one that tells why a client was
+    /// refused.
+    #[must_use]
+    pub fn kept(mut self) -> Self {
+        self.is_kept = true;
+        self
+    }
+
     /// Adds a text field; a value longer than `MAX_VALUE_BYTES` is truncated.
     #[must_use]
     pub fn text(mut self, name: &str, value: &str) -> Self {
@@ -77,8 +93,9 @@
     node: String,
     min_level: EventLevel,
     sender: SyncSender<String>,
-    dropped: Arc<AtomicU64>,
-    token_bucket: std::cell::Cell<(f64, Duration)>,
+    /// Dropped lines of each kind, in the order of [`EventCode::ALL`].
+    dropped: [Cell<u64>; EventCode::ALL.len()],
+    token_bucket: Cell<(f64, Duration)>,
 }
 
 impl LogSink {
@@ -99,15 +116,27 @@
             node: node.to_owned(),
             min_level,
             sender,
-            dropped: Arc::default(),
-            token_bucket: std::cell::Cell::new((BURST_LINES, Duration::ZERO)),
+            dropped: std::array::from_fn(|_| Cell::default()),
+            token_bucket: Cell::new((BURST_LINES, Duration::ZERO)),
         }
     }
 
     /// Returns the number of lines dropped since the sink was created.
     #[must_use]
     pub fn dropped(&self) -> u64 {
-        self.dropped.load(Ordering::Relaxed)
+        self.dropped.iter().map(Cell::get).sum()
+    }
+
+    /// Returns the kinds of which lines were dropped since the sink was created, and how many.
+    pub fn dropped_kinds(&self) -> impl Iterator<Item = (EventCode, u64)> {
+        let counts = self.dropped.iter().map(Cell::get);
+        let kinds = EventCode::ALL.iter().copied().zip(counts);
+        kinds.filter(|(_, count)| *count > 0)
+    }
+
+    fn count_dropped(&self, code: EventCode) {
+        let count = &self.dropped[code as usize];
+        count.set(count.get() + 1);
     }
 
     /// Queues a line, or drops and counts it. `now` is the time since the start of the process.
@@ -115,8 +144,8 @@
         if !self.is_enabled(line.code.level()) {
             return;
         }
-        if !self.take_token(now) {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        if !self.take_token(reserve(line), now) {
+            self.count_dropped(line.code);
             return;
         }
         let wall = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -139,7 +168,7 @@
         if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
             self.sender.try_send(text)
         {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            self.count_dropped(line.code);
         }
     }
 
@@ -153,13 +182,23 @@
         severity(level) >= severity(self.min_level)
     }
 
-    fn take_token(&self, now: Duration) -> bool {
+    /// Takes a token unless only `reserve` tokens are left.
+    fn take_token(&self, reserve: f64, now: Duration) -> bool {
         let (tokens, refilled_at) = self.token_bucket.get();
         let refill = now.saturating_sub(refilled_at).as_secs_f64() * LINES_PER_SECOND;
         let tokens = (tokens + refill).min(BURST_LINES);
-        let allowed = tokens >= 1.0;
+        let allowed = tokens >= 1.0 + reserve;
         let remaining = if allowed { tokens - 1.0 } else { tokens };
         self.token_bucket.set((remaining, now));
         allowed
     }
 }
+
+/// Tokens that a line leaves to others.
+fn reserve(line: &LogLine) -> f64 {
+    match line.code.level() {
+        _ if line.is_kept => 0.0,
+        EventLevel::Warn | EventLevel::Error => KEPT_RESERVE,
+        EventLevel::Info | EventLevel::Debug => WARNING_RESERVE,
+    }
+}
--- a/crates/events/tests/log_limits.rs
+++ b/crates/events/tests/log_limits.rs
@@ -20,6 +20,42 @@
     }
     // Half a second at 120 lines per second, and a burst of 400 lines.
     assert!(sink.dropped() > 4400, "{}", sink.dropped());
+    let kinds: Vec<_> = sink.dropped_kinds().collect();
+    assert_eq!(kinds, [(EventCode::GatewayRefused, sink.dropped())]);
+}
+
+/// A burst of news and of rejections uses up the limit. The line that tells why a client was refused for
+/// good is still written, and what was dropped is known by kind.
+#[test]
+fn refusal_kept_in_burst() {
+    let sink = LogSink::to_stdout("n0", EventLevel::Info);
+    for number in 0..1000 {
+        sink.write(&LogLine::new(EventCode::GatewayAnswered), Duration::ZERO);
+        sink.write(&line(number), Duration::ZERO);
+    }
+    for _ in 0..50 {
+        let refusal = LogLine::new(EventCode::RequestFailed).kept();
+        sink.write(&refusal, Duration::ZERO);
+    }
+    let kinds: Vec<_> = sink.dropped_kinds().map(|(kind, _)| kind).collect();
+    assert_eq!(
+        kinds,
+        [EventCode::GatewayAnswered, EventCode::GatewayRefused]
+    );
+}
+
+/// A busy node writes much news in a short time. Warnings that follow are written.
+#[test]
+fn warnings_kept_beside_news() {
+    let sink = LogSink::to_stdout("n0", EventLevel::Info);
+    for _ in 0..1000 {
+        sink.write(&LogLine::new(EventCode::GatewayAnswered), Duration::ZERO);
+    }
+    for number in 0..90 {
+        sink.write(&line(number), Duration::ZERO);
+    }
+    let kinds: Vec<_> = sink.dropped_kinds().map(|(kind, _)| kind).collect();
+    assert_eq!(kinds, [EventCode::GatewayAnswered]);
 }
 
 #[test]
