Tell who made each 3xx and 4xx that a client gets

Each refusal now has a line that is kept under load, and a count by maker and status: the configuration (revision, age, source), the body, the crash records, a target (process, address, signed, echoed), or the HTTP library.

Tests: refusal_makers.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -23,6 +23,7 @@
 use crate::held::{ClientHold, HeldBody, RelayedStream, TOO_MUCH_HELD};
 use crate::local_response::LocalResponse;
 use crate::node::{GatewayNode, RequestGuard};
+use crate::refusal::ResponseOrigin;
 use crate::relay::{StreamRelay, StreamSource, StreamTruncated};
 use crate::respond::{
     announce_close, announce_idle_timeout, local_response, log_response, rejected_response,
@@ -127,8 +128,9 @@
         Outcome::Local(response, reason) => {
             local_response(node, &headers, Some(&admitted), response, &reason).map(Either::Left)
         }
-        Outcome::Buffered(response) => {
-            log_response(node, &admitted, &response);
+        Outcome::Buffered(buffered) => {
+            let BufferedResponse { response, origin } = buffered;
+            log_response(node, &admitted, &origin, &response);
             response.map(Either::Left)
         }
         Outcome::Stream(source) => {
@@ -141,10 +143,16 @@
 
 enum Outcome {
     Local(LocalResponse, String),
-    Buffered(Response<Full<Bytes>>),
+    Buffered(BufferedResponse),
     Stream(Box<StreamSource>),
 }
 
+/// A target's response, read to its end.
+struct BufferedResponse {
+    response: Response<Full<Bytes>>,
+    origin: ResponseOrigin,
+}
+
 /// Results of the attempts so far.
 #[derive(Default)]
 struct AttemptState {
@@ -153,7 +161,7 @@
     may_have_run: bool,
     tried: FastSet<HostId>,
     /// Error response of a target, returned if no later attempt succeeds.
-    error_response: Option<Response<Full<Bytes>>>,
+    error_response: Option<BufferedResponse>,
     last_error: String,
 }
 
@@ -354,16 +362,17 @@
     }
     let host = response.host.clone();
     match buffer_response(node, admitted, client, response).await {
-        Ok(response) => {
-            let failed = response.status().is_server_error();
+        Ok(buffered) => {
+            let status = buffered.response.status();
+            let failed = status.is_server_error();
             if failed && admitted.is_retryable() && state.sent < admitted.max_attempts {
-                state.last_error = format!("target returned {}", response.status());
+                state.last_error = format!("target returned {status}");
                 log_failed_attempt(node, admitted, &host, &state.last_error);
                 state.may_have_run = true;
-                state.error_response = Some(response);
+                state.error_response = Some(buffered);
                 return None;
             }
-            Some(Outcome::Buffered(response))
+            Some(Outcome::Buffered(buffered))
         }
         Err(reason) => {
             log_failed_attempt(node, admitted, &host, &reason);
@@ -388,7 +397,7 @@
     admitted: &AdmittedRequest,
     client: &Rc<ClientHold>,
     mut response: TargetResponse,
-) -> Result<Response<Full<Bytes>>, String> {
+) -> Result<BufferedResponse, String> {
     let left = admitted.time_left(node.now());
     let body = HeldBody::of_response(&mut response.body, client);
     let read = read_body(body, MAX_RESPONSE_BYTES);
@@ -412,7 +421,11 @@
     let mut buffered = Response::new(Full::new(bytes));
     *buffered.status_mut() = response.status;
     *buffered.headers_mut() = response.headers.clone();
+    let origin = ResponseOrigin::from(&response);
     response.record_complete(node, admitted);
     response.release_connection(node);
-    Ok(buffered)
+    Ok(BufferedResponse {
+        response: buffered,
+        origin,
+    })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod pool;
 mod probe;
 mod reconcile;
+mod refusal;
 mod relay;
 mod respond;
 mod retry_leases;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -17,6 +17,7 @@
 use crate::handle::handle_request;
 use crate::held::{ClientHold, ReadAhead};
 use crate::node::{GatewayNode, RequestGuard};
+use crate::refusal::record_unreadable;
 use crate::usage::ConnectionUsage;
 
 /// Time limit for receiving a complete request head, including idle time. It is well above any
@@ -103,7 +104,9 @@
 }
 
 async fn serve_client(node: Rc<GatewayNode>, stream: TcpStream, _guard: ConnectionGuard) {
-    let usage = ConnectionUsage::new(node.now());
+    let opened_at = node.now();
+    let peer = stream.peer_addr().ok();
+    let usage = ConnectionUsage::new(opened_at);
     let client = ClientHold::new(&node);
     let ahead = Rc::new(ReadAhead::new(&client));
     let handler = {
@@ -134,9 +137,14 @@
         tokio::select! {
             // The connection first: what it doesn't ask for is read on.
             biased;
-            // Connection errors affect one client, which sees them; the request has its own log
-            // line.
-            _ = connection.as_mut() => return,
+            ended = connection.as_mut() => {
+                // Other errors affect one client, which sees them; the request has its own log line.
+                if let Err(error) = ended {
+                    let open_for = node.now().saturating_sub(opened_at);
+                    record_unreadable(&node, peer, &error, open_for);
+                }
+                return;
+            }
             () = ahead.run() => return,
             () = wait_until_closable(&node, &usage), if !closing => {
                 closing = true;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use events::EventCode;
 use events::metrics::{MetricsError, build_exporter, encode_registry};
 use http::StatusCode;
 use opentelemetry::KeyValue;
@@ -14,6 +15,8 @@
 use prometheus::Registry;
 use serving::{RouteKind, SendBarrier};
 
+use crate::refusal::RefusalMaker;
+
 /// Histogram buckets for durations, in seconds: from the response to an order up to the longest
 /// request.
 const DURATION_BUCKETS: [f64; 14] = [
@@ -44,7 +47,7 @@
 }
 
 /// Snapshot of the values that the gauges report.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct NodeStats {
     /// Revision of the configuration in force; 0 if there is none.
     pub config_revision: u64,
@@ -76,6 +79,8 @@
     pub open_connections: usize,
     /// Log lines dropped since process start.
     pub dropped_lines: u64,
+    /// The same by kind.
+    pub dropped_kinds: Vec<(EventCode, u64)>,
     /// Tunnels to targets that the node serves for other nodes.
     pub served_tunnels: usize,
     /// Targets that the node reaches only through other nodes, each by its own evidence.
@@ -127,6 +132,8 @@
     barred_sends: Counter<u64>,
     slow_cuts: Counter<u64>,
     late_requests: Counter<u64>,
+    refusals: Counter<u64>,
+    dropped_kinds: Gauge<f64>,
     stranded_time: Counter<f64>,
     downtime: Counter<f64>,
     gauges: [(Gauge<f64>, ReadStat); 29],
@@ -165,6 +172,10 @@
             barred_sends: counter("bramleyspring.gateway.send.barred"),
             slow_cuts: counter("bramleyspring.gateway.held.cut"),
             late_requests: counter("bramleyspring.gateway.late.count"),
+            refusals: counter("bramleyspring.gateway.refusal.count"),
+            dropped_kinds: meter
+                .f64_gauge("bramleyspring.gateway.log.dropped_kind")
+                .build(),
             stranded_time: seconds_counter("bramleyspring.gateway.host.stranded_time"),
             downtime: seconds_counter("bramleyspring.gateway.replica.downtime"),
             gauges: gauges(&meter),
@@ -282,6 +293,15 @@
         self.late_requests.add(1, &labels);
     }
 
+    /// Counts a response with a 3xx or 4xx by who made it.
+    pub fn record_refusal(&self, maker: RefusalMaker, status: StatusCode) {
+        let labels = [
+            KeyValue::new("maker", maker.label()),
+            KeyValue::new("status", i64::from(status.as_u16())),
+        ];
+        self.refusals.add(1, &labels);
+    }
+
     /// Adds the time that hosts were stranded and replicas not serving, summed over hosts and
     /// replicas.
     pub fn add_lost_time(&self, stranded: Duration, downtime: Duration) {
@@ -298,6 +318,10 @@
         for (gauge, read_stat) in &self.gauges {
             gauge.record(read_stat(stats), &[]);
         }
+        for (kind, count) in &stats.dropped_kinds {
+            let labels = [KeyValue::new("event", kind.name())];
+            self.dropped_kinds.record(u64_to_f64(*count), &labels);
+        }
         encode_registry(&self.registry)
     }
 }
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -102,6 +102,7 @@
             barred_sets,
             suspect_features,
             dropped_lines: self.sink.dropped(),
+            dropped_kinds: self.sink.dropped_kinds().collect(),
             retries_left: self.retries_left(),
             ..NodeStats::default()
         };
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,154 @@
+//! Who made a response with a 3xx or 4xx, which tells a client that it need not come back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use domain::{BootNumber, HostId, RequestId};
+use events::{EventCode, LogLine};
+use http::{HeaderMap, StatusCode, header};
+
+use crate::admitted::AdmittedRequest;
+use crate::local_response::LocalResponse;
+use crate::node::GatewayNode;
+use crate::target_response::TargetResponse;
+
+/// Who made a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalMaker {
+    /// This node, by the configuration that it knows.
+    Configuration,
+    /// This node, since the body did not come as a body.
+    Body,
+    /// This node, by records of crashed targets.
+    CrashRecords,
+    /// A target, whose signature it has.
+    Target,
+    /// Whatever listens at a target's address; no signature tells that it is the target.
+    Unsigned,
+    /// The HTTP library, which could not read the request.
+    HttpLibrary,
+}
+
+impl RefusalMaker {
+    /// Name in metrics and logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Body => "body",
+            Self::CrashRecords => "crash_records",
+            Self::Target => "target",
+            Self::Unsigned => "unsigned",
+            Self::HttpLibrary => "http_library",
+        }
+    }
+
+    /// Maker of a local response; `None` if it leaves the client a way to be served.
+    #[must_use]
+    pub fn of_local(response: LocalResponse) -> Option<Self> {
+        match response {
+            LocalResponse::NoRoute | LocalResponse::Unauthorized | LocalResponse::BodyTooLarge => {
+                Some(Self::Configuration)
+            }
+            LocalResponse::IncompleteBody => Some(Self::Body),
+            LocalResponse::Blocked => Some(Self::CrashRecords),
+            LocalResponse::NotExecuted(_)
+            | LocalResponse::ResponseLost
+            | LocalResponse::TimedOut => None,
+        }
+    }
+}
+
+/// From where a target's response came.
+#[derive(Debug, Clone)]
+pub struct ResponseOrigin {
+    host: HostId,
+    address: SocketAddr,
+    boot: BootNumber,
+    is_signed: bool,
+    is_echoed: bool,
+}
+
+impl From<&TargetResponse> for ResponseOrigin {
+    fn from(response: &TargetResponse) -> Self {
+        Self {
+            host: response.host.clone(),
+            address: response.address,
+            boot: response.boot,
+            is_signed: response.parsed_headers.signed,
+            is_echoed: response.parsed_headers.request.is_some(),
+        }
+    }
+}
+
+/// Logs and counts a target's response if it is a 3xx or 4xx.
+pub fn record_relayed(
+    node: &GatewayNode,
+    admitted: &AdmittedRequest,
+    origin: &ResponseOrigin,
+    (status, headers): (StatusCode, &HeaderMap),
+) {
+    if !status.is_redirection() && !status.is_client_error() {
+        return;
+    }
+    let maker = if origin.is_signed {
+        RefusalMaker::Target
+    } else {
+        RefusalMaker::Unsigned
+    };
+    node.metrics.record_refusal(maker, status);
+    let server = headers.get(header::SERVER);
+    let server = server.and_then(|server| server.to_str().ok());
+    let line = LogLine::new(EventCode::RefusalRelayed)
+        .kept()
+        .text(
+            "request",
+            admitted.id.as_ref().map_or("", RequestId::as_str),
+        )
+        .text("route", &admitted.route)
+        .text("service", admitted.service.as_str())
+        .number("status", u64::from(status.as_u16()))
+        .text("maker", maker.label())
+        .text("host", origin.host.as_str())
+        .text("address", &origin.address.to_string())
+        .number("boot", origin.boot.0)
+        .number("signed", u64::from(origin.is_signed))
+        .number("echoed", u64::from(origin.is_echoed))
+        .text("server", server.unwrap_or(""));
+    node.log(&line);
+}
+
+/// Logs and counts a request that the HTTP library could not read, if the connection ended for that.
+pub fn record_unreadable(
+    node: &GatewayNode,
+    client: Option<SocketAddr>,
+    error: &hyper::Error,
+    open_for: Duration,
+) {
+    if !error.is_parse() {
+        return;
+    }
+    let status = library_status(error);
+    if let Some(status) = status {
+        node.metrics
+            .record_refusal(RefusalMaker::HttpLibrary, status);
+    }
+    let client = client.map(|client| client.to_string());
+    let line = LogLine::new(EventCode::RequestUnreadable)
+        .kept()
+        .number("status", status.map_or(0, |status| status.as_u16().into()))
+        .text("maker", RefusalMaker::HttpLibrary.label())
+        .text("client", client.as_deref().unwrap_or(""))
+        .text("reason", &error.to_string())
+        .millis("open_ms", open_for);
+    node.log(&line);
+}
+
+/// Status with which the HTTP library responds to a head that it can't read. It tells of a URI that is too
+/// long like of other heads that are too large.
+fn library_status(error: &hyper::Error) -> Option<StatusCode> {
+    if error.is_parse_too_large() {
+        return Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    }
+    (!error.is_parse_version_h2()).then_some(StatusCode::BAD_REQUEST)
+}
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -13,6 +13,7 @@
 use crate::admitted::AdmittedRequest;
 use crate::local_response::LocalResponse;
 use crate::node::GatewayNode;
+use crate::refusal::{RefusalMaker, ResponseOrigin, record_relayed};
 
 /// Header with the idle timeout of a connection, in seconds.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -74,6 +75,10 @@
         .millis("registry_age_ms", node.registry_age())
         .millis("config_age_ms", node.feed.config_age(node.now()))
         .text("config_source", &node.feed.config_origin().to_string());
+    if let Some(maker) = RefusalMaker::of_local(response) {
+        node.metrics.record_refusal(maker, status);
+        line = line.kept().text("maker", maker.label());
+    }
     if let Some(admitted) = admitted {
         let elapsed = node.now().saturating_sub(admitted.arrived);
         line = line
@@ -95,8 +100,11 @@
 pub(crate) fn log_response(
     node: &GatewayNode,
     admitted: &AdmittedRequest,
+    origin: &ResponseOrigin,
     response: &Response<Full<Bytes>>,
 ) {
+    let head = (response.status(), response.headers());
+    record_relayed(node, admitted, origin, head);
     let elapsed = node.now().saturating_sub(admitted.arrived);
     node.metrics
         .record_request(admitted.labels(), response.status(), elapsed);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -263,6 +263,7 @@
     }
     let response = TargetResponse {
         host: id.clone(),
+        address: target.address,
         boot: target.boot,
         membership: target.membership_key(),
         started_at: node.now(),
--- a/crates/gateway/src/target_response.rs
+++ b/crates/gateway/src/target_response.rs
@@ -1,6 +1,7 @@
 //! The response of a target, while it is read.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,6 +28,8 @@
 pub struct TargetResponse {
     /// Target that sent the response.
     pub host: HostId,
+    /// Address to which the request was sent.
+    pub address: SocketAddr,
     /// Boot number of the target's process.
     pub boot: BootNumber,
     /// Replica that the target was the head of when the request was sent.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod plain_services;
 mod poison_requests;
 mod refusal_cost;
+mod refusal_makers;
 mod regions;
 mod request;
 mod retry_totals;
