--- a/crates/standin/src/site/gate.rs
+++ b/crates/standin/src/site/gate.rs
@@ -33,6 +33,8 @@
     mode: GateMode,
     /// Responses about the configuration that are lost next.
     config_losses: u32,
+    /// Wait after which the store ends the next poll of the configuration.
+    early_end: Option<Duration>,
 }
 
 /// A further port of a store, with faults of its own.
@@ -73,11 +75,28 @@
     }
 }
 
+impl StoreGate {
+    /// Makes the store end the next poll of the configuration after this wait, which a store may do.
+    pub fn end_poll_early(&self, after: Duration) {
+        lock(&self.state).early_end = Some(after);
+    }
+
+    /// Whether no poll of the configuration is to be ended early any more.
+    #[must_use]
+    pub fn has_begun_early_poll(&self) -> bool {
+        lock(&self.state).early_end.is_none()
+    }
+}
+
 fn lock(state: &Mutex<GateState>) -> std::sync::MutexGuard<'_, GateState> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn pass(store: &SiteStore, state: &Mutex<GateState>, request: SiteRequest) -> SiteResponse {
+async fn pass(
+    store: &SiteStore,
+    state: &Mutex<GateState>,
+    mut request: SiteRequest,
+) -> SiteResponse {
     let mode = lock(state).mode;
     match mode {
         GateMode::Silent => std::future::pending().await,
@@ -85,6 +104,12 @@
         GateMode::Open | GateMode::LosesResponses | GateMode::Slow(_) => {}
     }
     let is_config = request.query("table").as_deref() == Some(CONFIG_TABLE);
+    if is_config
+        && request.query("wait_ms").is_some()
+        && let Some(wait) = lock(state).early_end.take()
+    {
+        shorten_wait(&mut request, wait);
+    }
     let response = store.handle(request).await;
     if is_config && takes_loss(state) {
         std::future::pending::<()>().await;
@@ -99,6 +124,16 @@
     response
 }
 
+fn shorten_wait(request: &mut SiteRequest, wait: Duration) {
+    let pairs = request.query.split('&');
+    let mut pairs: Vec<String> = pairs
+        .filter(|pair| !pair.starts_with("wait_ms="))
+        .map(str::to_owned)
+        .collect();
+    pairs.push(format!("wait_ms={}", wait.as_millis()));
+    request.query = pairs.join("&");
+}
+
 fn takes_loss(state: &Mutex<GateState>) -> bool {
     let mut state = lock(state);
     let is_lost = state.config_losses > 0;
--- a/tests/gateway/config_freshness.rs
+++ b/tests/gateway/config_freshness.rs
@@ -11,7 +11,7 @@
 use standin::site::GateMode;
 use tokio::time::Instant;
 
-use crate::node::TestNode;
+use crate::node::{TestNode, wait_for};
 use crate::request::TestRequest;
 use crate::site::{CONFIG_BOUND, TestSite, configuration, with_route};
 
@@ -21,6 +21,12 @@
 /// Time after which a node that has applied a change waits for the next one.
 const POLL_BEGUN: Duration = Duration::from_millis(250);
 
+/// Wait after which the store ends a poll early.
+const EARLY_END: Duration = Duration::from_millis(120);
+
+/// Wait of a poll for the configuration at this bound, and a little more.
+const POLL_WAIT: Duration = Duration::from_millis(1060);
+
 /// Time between questions to a node.
 const ASK_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -127,6 +133,27 @@
     assert_served_soon(&node).await;
 }
 
+/// Guards against a poll that the store ended early and whose response waited for a paused process: it
+/// passed for one that the store had held to its end, and proved what had changed meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_end_behind_pause() {
+    let site = TestSite::start_bounded(1);
+    let (node, gate) = site.gated_node("z0", "n0").await;
+    wait_for_poll(&site, &node, 7).await;
+    gate.end_poll_early(EARLY_END);
+    wait_for("the poll that ends early", || gate.has_begun_early_poll()).await;
+    node.signal("STOP");
+    let paused = Instant::now();
+    tokio::time::sleep(EARLY_END * 2).await;
+    gate.lose_config(u32::MAX);
+    let confirmed = confirm(&site, &with_route(8, ADDED));
+    tokio::time::sleep_until(paused + POLL_WAIT).await;
+    node.signal("CONT");
+    assert_not_refused(&node, confirmed).await;
+    gate.lose_config(0);
+    assert_served_soon(&node).await;
+}
+
 async fn unreachable_store(mode: GateMode) {
     let site = TestSite::start_bounded(1);
     let (node, gate) = site.gated_node("z0", "n0").await;
--- a/tests/gateway/config_history.rs
+++ b/tests/gateway/config_history.rs
@@ -13,6 +13,9 @@
 /// Services that routes lead to; instances respond with the name of theirs.
 pub const SERVICES: [&str; 2] = ["ledger", "archive"];
 
+/// Prefix of the routes whose requests may run once at most.
+pub const PAY_PREFIX: &str = "/pay/";
+
 /// Time after which a node may no longer go back behind a version whose effect was seen.
 const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
 
@@ -38,6 +41,8 @@
     NoRoute,
     UnknownKey,
     Served(usize),
+    /// Refused for good in a way that no configuration asks for.
+    Wrong(StatusCode),
     /// Nothing about the configuration: not run, failed or no response.
     Unknown,
 }
@@ -61,13 +66,17 @@
             let mut route = template.clone();
             route["name"] = json!(prefix);
             route["prefix"] = json!(prefix);
+            if prefix.starts_with(PAY_PREFIX) {
+                route["route_type"] = json!("non_idempotent");
+                route["max_attempts"] = json!(1);
+            }
             route["service"] = json!(SERVICES[*service]);
             route
         });
         config["routes"] = routes.collect();
         let services = SERVICES.iter();
         config["services"] = services
-            .map(|name| json!({"name": name, "max_connections": 400}))
+            .map(|name| json!({"name": name, "max_connections": 400, "health_path": "/health"}))
             .collect();
         let keys: Vec<&String> = self.keys.iter().collect();
         config["tenants"][0]["api_keys"] = json!(keys);
@@ -87,12 +96,17 @@
                 let service = SERVICES.iter().position(|name| *name == response.text);
                 service.map_or(Self::Unknown, Self::Served)
             }
+            // The promise that a request has not run.
+            StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS => Self::Unknown,
+            status if status.is_redirection() || status.is_client_error() => Self::Wrong(status),
             _ => Self::Unknown,
         }
     }
 
     pub fn is_refusal(self) -> bool {
-        matches!(self, Self::NoRoute | Self::UnknownKey)
+        matches!(self, Self::NoRoute | Self::UnknownKey | Self::Wrong(_))
     }
 }
 
--- a/tests/gateway/config_soak.rs
+++ b/tests/gateway/config_soak.rs
@@ -1,7 +1,8 @@
 //! Changes of the configuration in uneven steps, and an observer that asks every node which version is
 //! in force, while faults come alone and in series that overlap.
 //!
-//! A few seeds by default. `CONFIG_SOAK_SEEDS=FIRST..END` plays others, `CONFIG_SOAK_NODES=N` so many
+//! A few seeds by default. `CONFIG_SOAK_SEEDS=FIRST..END` plays others (`STRANGE_SOAK_SEEDS` of the soak in
+//! which other servers take the ports of targets), `CONFIG_SOAK_NODES=N` so many
 //! nodes, and `CONFIG_SOAK_STRICT=1` also judges by the clock what runs by routes and keys that newer
 //! versions took away, which a busy machine may delay.
 
@@ -9,6 +10,7 @@
 mod operator;
 mod processes;
 mod state;
+mod targets;
 
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -25,8 +27,9 @@
 use self::operator::{operate, write};
 use self::processes::start_site;
 use self::state::{ObservedNode, SoakState, lock};
+use self::targets::change_targets;
 use crate::config_history::{
-    ConfigHistory, NodeProgress, ProbeOutcome, ProbeTime, VersionProbe, first_content,
+    ConfigHistory, NodeProgress, PAY_PREFIX, ProbeOutcome, ProbeTime, VersionProbe, first_content,
 };
 use crate::node::wait_for;
 use crate::request::{TestRequest, TestResponse, read_response};
@@ -125,11 +128,12 @@
 fn choose_probe(state: &SoakState, rng: &mut StdRng) -> VersionProbe {
     let history = lock(&state.history);
     let recent = history.changed.len().min(RECENT_PROBES);
-    if recent == 0 || rng.random_bool(0.2) {
-        return VersionProbe {
-            prefix: "/other/".to_owned(),
-            key: KEY.to_owned(),
+    if recent == 0 || rng.random_bool(state.steady_share()) {
+        let index = match state.steady.len() {
+            1 => 0,
+            count => rng.random_range(0..count),
         };
+        return state.steady[index].clone();
     }
     let back = rng.random_range(1..=recent);
     history.changed[history.changed.len() - back].clone()
@@ -165,11 +169,30 @@
     }
 }
 
-async fn soak(seed: u64) {
+/// A request that each version allows.
+fn steady_probe(prefix: &str) -> VersionProbe {
+    VersionProbe {
+        prefix: prefix.to_owned(),
+        key: KEY.to_owned(),
+    }
+}
+
+/// Plays one seed; `strange` also lets other servers take the ports of targets.
+async fn soak(seed: u64, strange: bool) {
     let soak = start_site(number("CONFIG_SOAK_NODES").unwrap_or(DEFAULT_NODES)).await;
     let mut history = ConfigHistory::default();
     history.record_sent(first_content());
     history.record_confirmed();
+    let mut steady = vec![steady_probe("/other/")];
+    if strange {
+        let mut with_payments = first_content();
+        with_payments.version += 1;
+        with_payments.routes.insert(PAY_PREFIX.to_owned(), 0);
+        history.record_sent(with_payments.clone());
+        soak.site.configure(&with_payments.to_json());
+        history.record_confirmed();
+        steady.extend([steady_probe("/base/"), steady_probe(PAY_PREFIX)]);
+    }
     let observed = soak.nodes.iter().map(|node| {
         Mutex::new(ObservedNode {
             address: lock(node).requests,
@@ -183,6 +206,7 @@
         failures: Mutex::default(),
         counts: Mutex::default(),
         is_strict: std::env::var_os("CONFIG_SOAK_STRICT").is_some(),
+        steady,
         changed: Notify::new(),
     });
     let until = Instant::now() + CHANGE_TIME;
@@ -199,6 +223,11 @@
     tokio::join!(
         operate(&soak.site, &state, seed, until),
         bring_faults(&soak, &state, seed, until),
+        async {
+            if strange {
+                change_targets(&soak.site, seed, until).await;
+            }
+        },
     );
     for gate in &soak.gates {
         gate.lose_config(0);
@@ -236,6 +265,16 @@
 async fn refusals_are_proved() {
     for seed in soak_seeds("CONFIG_SOAK_SEEDS", DEFAULT_SEEDS) {
         println!("seed {seed}");
-        soak(seed).await;
+        soak(seed, false).await;
+    }
+}
+
+/// The same while ports of targets are used again by other services and by servers that know nothing of
+/// the system, cut off, silent, and send bytes that nobody asked for: no proper request is refused for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn strangers_refuse_nothing() {
+    for seed in soak_seeds("STRANGE_SOAK_SEEDS", DEFAULT_SEEDS) {
+        println!("seed {seed}, strange targets");
+        soak(seed, true).await;
     }
 }
--- a/tests/gateway/config_soak/state.rs
+++ b/tests/gateway/config_soak/state.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::config_history::{ConfigHistory, ProbeTime};
+use crate::config_history::{ConfigHistory, ProbeTime, VersionProbe};
 
 /// Time after a fault for which what a node runs is not judged.
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
@@ -28,6 +28,8 @@
     pub failures: Mutex<Vec<String>>,
     pub counts: Mutex<BTreeMap<&'static str, usize>>,
     pub is_strict: bool,
+    /// Requests that each version allows.
+    pub steady: Vec<VersionProbe>,
     pub changed: Notify,
 }
 
@@ -57,6 +59,11 @@
         })
     }
 
+    /// Share of the requests that each version allows.
+    pub fn steady_share(&self) -> f64 {
+        if self.steady.len() > 1 { 0.6 } else { 0.2 }
+    }
+
     pub fn count(&self, name: &'static str) {
         *lock(&self.counts).entry(name).or_default() += 1;
     }
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -82,7 +82,7 @@
                 "usual": {"prompt": 1000.0, "answer": 100.0}, "loads_per_s": 50.0,
                 "models": [{"name": "helper", "size": 4, "share": 1.0, "pace": 1.0, "load_s": 1.0}],
             }},
-            {"name": "records", "max_connections": 100},
+            {"name": "records", "max_connections": 100, "health_path": "/health"},
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
