Believe a response only if it shows that its target made it for this request

What callers saw: proper requests of one service ended with a 404, 302, 400 or 408 at several nodes, in bursts. Payments that had run got a 400, and an unsigned 503 passed as the promise that a request had not run.

Cause: classify_response asked for the signature of a success alone. Any other status from a target's address was final: that of a server that had taken over the port of an ended target, of bytes left on a connection, or of a target's HTTP library. Nothing was learned from it, so each node sent on.

Now a response without these marks says nothing. It is not passed on, none of its headers are taken in, its connection is closed, and its target gets no requests until it has named itself at its health path (engines: reported their state). Requests that may be repeated go elsewhere, others end with 502.

The stand-in of the engines left the id out of rejections, other than the engines; it now has it in each response, as the users' page says.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -151,14 +151,17 @@
     /// `left` is what the node could take before, `leased` included: the extra retries per window that it
     /// has leased from the store.
     RetryDecided = 248, "retry_decided", Info;
-    /// A client got a 3xx or 4xx that came from the address of a target. `signed`: it has the target's
-    /// signature; `echoed`: it has the id of the request. Without both something else may listen there, or
-    /// the target's HTTP library refused the request; `server` is what it calls itself. See
-    /// `docs/OPERATIONS.md`.
+    /// A client got a 3xx or 4xx that a target made and signed.
     RefusalRelayed = 249, "refusal_relayed", Warn;
     /// The HTTP library can't read what a client sent as a request, and responded with `status` (0: not at
     /// all). The request has no id; `client` is the address that it came from.
     RequestUnreadable = 250, "request_unreadable", Warn;
+    /// A response came from a target's address that does not show that the target made it for this request:
+    /// it is not signed, or names another request (`named`) or none. It is not passed on, and the target gets
+    /// no requests until it has named itself. Something else may listen at `address`, bytes may have been
+    /// left on the connection, or the target's HTTP library refused the request; `server` is what it calls
+    /// itself. See `docs/OPERATIONS.md`.
+    ResponseUnproved = 251, "response_unproved", Warn;
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
     /// A record has a schema version that this node does not support, or violates one of its rules.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod heartbeat;
 mod held;
 mod hints;
+mod identity;
 mod in_flight;
 mod lease_rows;
 mod limits;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Registry;
+use serving::answer_proof::ProofGap;
 use serving::{RouteKind, SendBarrier};
 
 use crate::refusal::RefusalMaker;
@@ -133,6 +134,7 @@
     slow_cuts: Counter<u64>,
     late_requests: Counter<u64>,
     refusals: Counter<u64>,
+    unproved: Counter<u64>,
     dropped_kinds: Gauge<f64>,
     stranded_time: Counter<f64>,
     downtime: Counter<f64>,
@@ -173,6 +175,7 @@
             slow_cuts: counter("bramleyspring.gateway.held.cut"),
             late_requests: counter("bramleyspring.gateway.late.count"),
             refusals: counter("bramleyspring.gateway.refusal.count"),
+            unproved: counter("bramleyspring.gateway.response.unproved"),
             dropped_kinds: meter
                 .f64_gauge("bramleyspring.gateway.log.dropped_kind")
                 .build(),
@@ -293,6 +296,16 @@
         self.late_requests.add(1, &labels);
     }
 
+    /// Counts a response that does not show that its target made it.
+    pub fn record_unproved(&self, service: &str, gap: ProofGap, status: StatusCode) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("gap", gap.label()),
+            KeyValue::new("class", i64::from(status.as_u16() / 100)),
+        ];
+        self.unproved.add(1, &labels);
+    }
+
     /// Counts a response with a 3xx or 4xx by who made it.
     pub fn record_refusal(&self, maker: RefusalMaker, status: StatusCode) {
         let labels = [
--- a/crates/gateway/src/node/health.rs
+++ b/crates/gateway/src/node/health.rs
@@ -24,12 +24,14 @@
     Unresponsive,
     /// It refuses connections, or its head rejects requests because this member is missing.
     Refused,
+    /// Something answers at its address that is not known to be the target.
+    Foreign,
 }
 
 impl From<FailureKind> for PathLoss {
     fn from(failure: FailureKind) -> Self {
         match failure {
-            FailureKind::Unresponsive => Self::Silent,
+            FailureKind::Unresponsive | FailureKind::Foreign => Self::Silent,
             FailureKind::Refused => Self::Refused,
         }
     }
@@ -115,6 +117,13 @@
         self.suspicions.borrow().contains_key(id)
     }
 
+    /// How a suspected target failed; `None` if it is not suspected.
+    #[must_use]
+    pub fn suspected_failure(&self, id: &HostId) -> Option<FailureKind> {
+        let suspicions = self.suspicions.borrow();
+        suspicions.get(id).map(|suspicion| suspicion.failure)
+    }
+
     /// All suspected targets, and since when.
     #[must_use]
     pub fn suspected_targets(&self) -> Vec<(HostId, Duration)> {
@@ -161,7 +170,8 @@
             self.retired.borrow_mut().remove(id);
             return;
         }
-        if !self.can_vouch_for_loss(id, failure) {
+        // Whatever answered, this node has seen it.
+        if failure != FailureKind::Foreign && !self.can_vouch_for_loss(id, failure) {
             self.doubt(id, failure, reason);
             return;
         }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -128,8 +128,8 @@
             refresh_contradicted(&node, &id);
         }
         for (id, since) in node.suspected_targets() {
-            // Targets of plain services can't be probed; the next request shows whether one is
-            // back.
+            // Targets of plain services report no state; the next request shows whether one is back,
+            // unless it is asked for its id.
             let is_plain = node.registry(|registry| {
                 registry
                     .get(&id)
@@ -140,7 +140,9 @@
                     continue;
                 }
                 tokio::task::spawn_local(probe_suspect(Rc::clone(&node), id));
-            } else if now.saturating_sub(since) > PLAIN_SUSPECT_DURATION {
+            } else if now.saturating_sub(since) > PLAIN_SUSPECT_DURATION
+                && !node.proves_identity(&id)
+            {
                 node.clear_suspicion(&id);
             }
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -5,7 +5,7 @@
 
 use domain::{BootNumber, HostId, RequestId};
 use events::{EventCode, LogLine};
-use http::{HeaderMap, StatusCode, header};
+use http::StatusCode;
 
 use crate::admitted::AdmittedRequest;
 use crate::local_response::LocalResponse;
@@ -23,8 +23,6 @@
     CrashRecords,
     /// A target, whose signature it has.
     Target,
-    /// Whatever listens at a target's address; no signature tells that it is the target.
-    Unsigned,
     /// The HTTP library, which could not read the request.
     HttpLibrary,
 }
@@ -38,7 +36,6 @@
             Self::Body => "body",
             Self::CrashRecords => "crash_records",
             Self::Target => "target",
-            Self::Unsigned => "unsigned",
             Self::HttpLibrary => "http_library",
         }
     }
@@ -65,8 +62,6 @@
     host: HostId,
     address: SocketAddr,
     boot: BootNumber,
-    is_signed: bool,
-    is_echoed: bool,
 }
 
 impl From<&TargetResponse> for ResponseOrigin {
@@ -75,30 +70,22 @@
             host: response.host.clone(),
             address: response.address,
             boot: response.boot,
-            is_signed: response.parsed_headers.signed,
-            is_echoed: response.parsed_headers.request.is_some(),
         }
     }
 }
 
-/// Logs and counts a target's response if it is a 3xx or 4xx.
+/// Logs and counts a target's response if it is a 3xx or 4xx. The target has signed it.
 pub fn record_relayed(
     node: &GatewayNode,
     admitted: &AdmittedRequest,
     origin: &ResponseOrigin,
-    (status, headers): (StatusCode, &HeaderMap),
+    status: StatusCode,
 ) {
     if !status.is_redirection() && !status.is_client_error() {
         return;
     }
-    let maker = if origin.is_signed {
-        RefusalMaker::Target
-    } else {
-        RefusalMaker::Unsigned
-    };
+    let maker = RefusalMaker::Target;
     node.metrics.record_refusal(maker, status);
-    let server = headers.get(header::SERVER);
-    let server = server.and_then(|server| server.to_str().ok());
     let line = LogLine::new(EventCode::RefusalRelayed)
         .kept()
         .text(
@@ -111,10 +98,7 @@
         .text("maker", maker.label())
         .text("host", origin.host.as_str())
         .text("address", &origin.address.to_string())
-        .number("boot", origin.boot.0)
-        .number("signed", u64::from(origin.is_signed))
-        .number("echoed", u64::from(origin.is_echoed))
-        .text("server", server.unwrap_or(""));
+        .number("boot", origin.boot.0);
     node.log(&line);
 }
 
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -103,8 +103,7 @@
     origin: &ResponseOrigin,
     response: &Response<Full<Bytes>>,
 ) {
-    let head = (response.status(), response.headers());
-    record_relayed(node, admitted, origin, head);
+    record_relayed(node, admitted, origin, response.status());
     let elapsed = node.now().saturating_sub(admitted.arrived);
     node.metrics
         .record_request(admitted.labels(), response.status(), elapsed);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -9,6 +9,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use serving::answer_proof::{AnswerMarks, AnswerProof, RequestEcho};
 use serving::{SendBarrier, TargetEntry};
 use web::{ConnectionError, is_close_delimited};
 
@@ -17,6 +18,7 @@
     ConnectionReuse, acquire_connection, connect, record_unreachable, send_watched,
 };
 use crate::crash::{InterruptedRequest, record_interrupted};
+use crate::identity::record_unproved;
 use crate::in_flight::InFlightGuard;
 use crate::node::{FailureKind, GatewayNode};
 use crate::probe::refresh_refusing;
@@ -77,7 +79,6 @@
         Ok(Err(outcome)) => return record_failure(node, request, id, outcome),
         Err(_) => return record_failure(node, request, id, AttemptOutcome::TimedOut),
     };
-    in_flight.record_progress();
     if !exchange.connection.is_tunnelled() {
         node.record_path_received(id);
     }
@@ -190,10 +191,18 @@
     let (head, body) = exchange.response.into_parts();
     let parsed_headers = ResponseHeaders::from(&head.headers);
     let request_id = request.id.as_ref().map(domain::RequestId::as_str);
-    // Response to another request: the target sent one too many on this connection.
-    if parsed_headers.request.is_some() && parsed_headers.request.as_deref() != request_id {
-        return AttemptOutcome::Ambiguous("response belongs to another request".to_owned());
+    let marks = AnswerMarks {
+        echo: RequestEcho::of(parsed_headers.request.as_deref(), request_id),
+        is_signed: parsed_headers.signed,
+        is_not_run: parsed_headers.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST,
+    };
+    let proof = marks.proof();
+    if let AnswerProof::Missing(gap) = proof {
+        // The connection is dropped: what follows on it is not known to be the target's either.
+        record_unproved(node, request, target, (head.status, &head.headers), gap);
+        return AttemptOutcome::Ambiguous(gap.to_string());
     }
+    in_flight.record_progress();
     let is_head = target.membership.is_some();
     let has_backoff = parsed_headers.statements.backoff(head.status).is_some();
     if let Some(load) = parsed_headers.load {
@@ -212,7 +221,7 @@
         let stated = (head.status, &parsed_headers.statements);
         tell_relay(node, relay, &target.process(), stated);
     }
-    if parsed_headers.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
+    if proof == AnswerProof::NotRun {
         // Without a load, a head that rejects all requests would look free to every node.
         if is_head && parsed_headers.load.is_none() && !has_backoff {
             node.share_silence(id);
@@ -249,13 +258,7 @@
         }
         return AttemptOutcome::NotExecuted(head.status);
     }
-    let success = head.status.is_success();
-    if success && !parsed_headers.signed {
-        let now = node.now();
-        node.with_load(id, |load| load.record_failure(now));
-        return AttemptOutcome::Ambiguous("response is not signed".to_owned());
-    }
-    if success {
+    if head.status.is_success() {
         node.with_load(id, serving::TargetLoad::record_success);
     } else {
         let now = node.now();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,6 +4,7 @@
 //! Times are passed in as a [`std::time::Duration`] since the start of the process, measured on
 //! its monotonic clock.
 
+pub mod answer_proof;
 pub mod choose;
 pub mod choose_by_room;
 pub mod choose_sampled;
--- a/crates/serving/src/probe_schedule.rs
+++ b/crates/serving/src/probe_schedule.rs
@@ -22,6 +22,22 @@
 /// Maximum interval between two probes of a host that a node suspects on its own evidence.
 const MAX_SUSPECT_INTERVAL: Duration = Duration::from_millis(5600);
 
+/// Interval between the first two questions to a target for its id. It doubles up to the maximum: what
+/// has taken over an address may keep it for long, and all nodes that were answered by it ask.
+const IDENTITY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum of that interval, for which a target that is back may get no requests.
+const MAX_IDENTITY_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Interval after question number `probes` to a target for its id.
+#[must_use]
+pub fn identity_interval(probes: u32) -> Duration {
+    let factor = 1_u32.checked_shl(probes).unwrap_or(u32::MAX);
+    IDENTITY_INTERVAL
+        .saturating_mul(factor)
+        .min(MAX_IDENTITY_INTERVAL)
+}
+
 /// Interval between two probes of a host that left the registry, by the node of this rank for its
 /// fabric domain. The first probe of a node that does not plan comes after one interval.
 #[must_use]
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -123,6 +123,8 @@
     /// Tokens that a replica holds in memory, of prompts and responses together; `None` if the service
     /// states none.
     pub memory_tokens: Option<u64>,
+    /// Path at which a target tells its id; `None` if the configuration states none.
+    pub health_path: Option<String>,
     /// Priorities that requests to the service may have, the most urgent first. They are filled in
     /// by [`GatewayConfig::with_priorities`].
     pub priorities: Vec<u8>,
--- /dev/null
+++ b/crates/serving/tests/answer_proof.rs
@@ -0,0 +1,54 @@
+//! Which responses count as those of their target.
+
+use serving::answer_proof::{AnswerMarks, AnswerProof, ProofGap, RequestEcho};
+
+fn marks(echo: RequestEcho, is_signed: bool, is_not_run: bool) -> AnswerMarks {
+    AnswerMarks {
+        echo,
+        is_signed,
+        is_not_run,
+    }
+}
+
+/// Guards against a response that is believed without any mark, such as the 404 of a server that has taken
+/// over a port and repeats the id of the request.
+#[test]
+fn echo_alone_proves_nothing() {
+    for echo in [RequestEcho::Same, RequestEcho::Missing, RequestEcho::Other] {
+        let proof = marks(echo, false, false).proof();
+        assert!(matches!(proof, AnswerProof::Missing(_)), "{echo:?}");
+    }
+}
+
+/// Guards against the answer to one request that is given to another.
+#[test]
+fn signature_needs_request() {
+    let proof = |echo| marks(echo, true, false).proof();
+    assert_eq!(proof(RequestEcho::Same), AnswerProof::Run);
+    let missing = AnswerProof::Missing(ProofGap::NoRequest);
+    assert_eq!(proof(RequestEcho::Missing), missing);
+    let other = AnswerProof::Missing(ProofGap::OtherRequest);
+    assert_eq!(proof(RequestEcho::Other), other);
+}
+
+/// Guards against a rejection of another request that passes for the promise that this one has not run.
+#[test]
+fn rejection_needs_request() {
+    for is_signed in [false, true] {
+        let proof = |echo| marks(echo, is_signed, true).proof();
+        assert_eq!(proof(RequestEcho::Same), AnswerProof::NotRun);
+        for echo in [RequestEcho::Missing, RequestEcho::Other] {
+            assert!(matches!(proof(echo), AnswerProof::Missing(_)));
+        }
+    }
+}
+
+/// A request without an id can't be named by its answer.
+#[test]
+fn request_without_id() {
+    assert_eq!(RequestEcho::of(None, None), RequestEcho::Same);
+    assert_eq!(RequestEcho::of(Some("a"), None), RequestEcho::Other);
+    assert_eq!(RequestEcho::of(Some("a"), Some("a")), RequestEcho::Same);
+    assert_eq!(RequestEcho::of(Some("b"), Some("a")), RequestEcho::Other);
+    assert_eq!(RequestEcho::of(None, Some("a")), RequestEcho::Missing);
+}
--- a/crates/serving/tests/shifted_demand.rs
+++ b/crates/serving/tests/shifted_demand.rs
@@ -189,6 +189,7 @@
 /// A service with two models of equal shares.
 fn service() -> ServiceConfig {
     ServiceConfig {
+        health_path: None,
         name: "assistant".parse().expect("a service"),
         max_connections: 100,
         models: vec![model("large", 8, 0.5), model("small", 4, 0.5)],
--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -125,9 +125,21 @@
         if unresponsive {
             std::future::pending::<()>().await;
         }
+        let request_id = request.header("x-request-id").to_owned();
+        let mut response = self.answer(id, request).await;
+        // Engines name the request in each response, also in those to what they did not run.
+        if let Ok(value) = HeaderValue::from_str(&request_id)
+            && !request_id.is_empty()
+        {
+            response.headers_mut().insert("x-request-id", value);
+        }
+        response
+    }
+
+    async fn answer(&self, id: &str, request: SiteRequest) -> SiteResponse {
         let expected = request.header("x-expect-instance");
         if !expected.is_empty() && expected != id {
-            return text_response(StatusCode::MISDIRECTED_REQUEST, "");
+            return not_executed(StatusCode::MISDIRECTED_REQUEST);
         }
         let rejection_delay = self.rejection_delay(id);
         let mut response = self.respond(id, &request);
@@ -246,9 +258,6 @@
         {
             headers.insert("x-server-load", value);
         }
-        if let Ok(value) = HeaderValue::from_str(&request_id) {
-            headers.insert("x-request-id", value);
-        }
         if let Some(limit) = self.limit(id)
             && let Ok(value) = HeaderValue::from_str(&limit.to_string())
         {
