--- a/crates/standin/src/site/http.rs
+++ b/crates/standin/src/site/http.rs
@@ -56,6 +56,9 @@
 /// Delay between such a response and the close, in which the response is written.
 const CLOSE_DELAY: Duration = Duration::from_millis(15);
 
+/// Headers that a request may have.
+const MAX_HEADERS: usize = 8 << 10;
+
 /// Length of the accept queue; short, so that [`SiteServer::lose_connections`] can fill it.
 const BACKLOG: u32 = 64;
 
@@ -182,7 +185,9 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let connection = http1::Builder::new()
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // A failed connection is visible to the client.
     tokio::select! {
