Route the fully qualified form of a host name

What callers saw: 404 for a Host with a trailing dot, which names the same host. The dot is left out before the route is looked up.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -176,11 +176,9 @@
         .and_then(|host| host.to_str().ok())
         .or_else(|| head.uri.host())
         .unwrap_or_default();
-    let host = host
-        .split(':')
-        .next()
-        .unwrap_or_default()
-        .to_ascii_lowercase();
+    let host = host.split(':').next().unwrap_or_default();
+    // The fully qualified form of a name ends with a dot.
+    let host = host.strip_suffix('.').unwrap_or(host).to_ascii_lowercase();
     let route = config
         .route(&host, head.uri.path())
         .ok_or(Rejection::unread(
