Answer a late body with 408 in place of 400

What callers saw: 400 for a request whose body took over 10 s, which tells them that the request is wrong and need not be sent again.

Cause: a body that ends early and one that comes too slowly had one answer. Whether the client, the network or this node was slow can't be told, and nothing was sent to a target, so 408 holds: not run, and never will be.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -234,10 +234,15 @@
             LocalResponse::BodyTooLarge,
             "request body too large",
         )),
-        Ok(Err(_)) | Err(_) => Err(Rejection::unread(
+        Ok(Err(_)) => Err(Rejection::unread(
             LocalResponse::IncompleteBody,
             "incomplete request body",
         )),
+        // Whether the client or this node was slow can't be told, so the request does not count as wrong.
+        Err(_) => Err(Rejection::unread(
+            LocalResponse::LateBody,
+            "request body came too slowly",
+        )),
     }
 }
 
--- a/crates/gateway/src/local_response.rs
+++ b/crates/gateway/src/local_response.rs
@@ -16,8 +16,10 @@
     Unauthorized,
     /// The request body exceeds the configured size limit.
     BodyTooLarge,
-    /// The request body did not arrive completely in time.
+    /// The request body ended early or can't be read.
     IncompleteBody,
+    /// The request body did not arrive completely in time; the request was not executed and will not be.
+    LateBody,
     /// Targets crashed while running this request, or others with the same prompt parts, so it is not
     /// sent to any. Not retryable: the same content gets the same response.
     Blocked,
@@ -38,6 +40,7 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::IncompleteBody | Self::Blocked => StatusCode::BAD_REQUEST,
+            Self::LateBody => StatusCode::REQUEST_TIMEOUT,
             Self::NotExecuted(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -49,7 +49,8 @@
             }
             LocalResponse::IncompleteBody => Some(Self::Body),
             LocalResponse::Blocked => Some(Self::CrashRecords),
-            LocalResponse::NotExecuted(_)
+            LocalResponse::LateBody
+            | LocalResponse::NotExecuted(_)
             | LocalResponse::ResponseLost
             | LocalResponse::TimedOut => None,
         }
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -60,7 +60,10 @@
     response: LocalResponse,
     reason: &str,
 ) -> Response<Full<Bytes>> {
-    let is_not_executed = matches!(response, LocalResponse::NotExecuted(_));
+    let is_not_executed = matches!(
+        response,
+        LocalResponse::NotExecuted(_) | LocalResponse::LateBody
+    );
     let code = if is_not_executed {
         EventCode::GatewayRefused
     } else {
