Place responses of the store by the store's clock

What callers saw: 404 for a route 2.002 s after its confirmation (bound 2 s), by a node that had been paused.

Cause: proof_time took an empty response as proof up to the end of its wait if the call took that long. The store may end a poll early, and the response may then wait for a paused or slow process; the call takes as long, too.

Each response shows the store's clock. The start of an earlier call and what the clock showed then bound when a later response was built, so an empty one is proof up to that moment, less the drift of two clocks. A clock that is ahead of the response has been stepped and proves nothing. No call is added.

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -77,7 +77,7 @@
         node.metrics
             .record_store_call(store_table(table), outcome, took);
         match result {
-            Ok(mut delta) => {
+            Ok(PolledChanges { mut delta, clock }) => {
                 if table == FeedTable::Config {
                     delta.version = verified_version(&mut claims, known, &delta);
                 }
@@ -88,9 +88,10 @@
                 is_compacted = false;
                 let changed = !delta.rows.is_empty();
                 let answered_at = node.now();
+                let built_at = place_response(&node, (started_at, answered_at), clock);
                 let confirmation = TableConfirmation {
                     confirmed_at: answered_at,
-                    proved_at: Some(proof_time(started_at, took, wait, changed)),
+                    proved_at: Some(proof_time(started_at, wait, changed, built_at)),
                     origin: TableOrigin::Store,
                 };
                 intake.take(table, delta, confirmation);
@@ -130,14 +131,23 @@
     claims.verify(after, delta.version)
 }
 
-/// Moment up to which a response is proved to be complete. It may have been built at any time after
-/// its call began, and have waited here since, for example while the process was paused. One without
-/// changes was held by the store for the whole wait.
-fn proof_time(started_at: Duration, took: Duration, wait: Duration, changed: bool) -> Duration {
-    if changed || took < wait {
+/// Earliest time at which the store can have built a response to a call from its start to its end.
+fn place_response(node: &GatewayNode, call: (Duration, Duration), clock: Duration) -> Duration {
+    let mut anchor = node.store_anchor.get();
+    let placed = anchor.place(call, clock);
+    node.store_anchor.set(anchor);
+    placed
+}
+
+/// Moment up to which a response is proved to be complete. It may have been built at any time from
+/// `built_at` on, and have waited here since, for example while the process was paused. How long the call
+/// took proves nothing: the store may have ended it early. One without changes shows that there were none
+/// until it was built.
+fn proof_time(started_at: Duration, wait: Duration, changed: bool, built_at: Duration) -> Duration {
+    if changed {
         return started_at;
     }
-    started_at + wait
+    built_at.clamp(started_at, started_at + wait)
 }
 
 /// Waits until this node has to read a lane's tables itself; returns whether it followed another node
@@ -234,33 +244,47 @@
     BATCH_DELAY.mul_f64(factor).min(timing.max_batch_delay())
 }
 
+/// Changes that a call to the store brought, and what its clock showed.
+struct PolledChanges {
+    delta: TableDelta,
+    clock: Duration,
+}
+
 async fn poll_once(
     node: &GatewayNode,
     client: &mut StoreClient,
     table: FeedTable,
     known: Option<RowVersion>,
     wait: Duration,
-) -> Result<TableDelta, StoreError> {
+) -> Result<PolledChanges, StoreError> {
     let name = store_table(table);
     let timing = node.feed_timing(FeedLane::of(table));
     let Some(after) = known else {
         let page = client.read_table(name, timing.read_timeout()).await?;
         node.set_store_clock(page.clock);
-        return Ok(TableDelta {
+        let delta = TableDelta {
             version: page.version,
             is_full: true,
             rows: page.rows,
             gap: None,
+        };
+        return Ok(PolledChanges {
+            delta,
+            clock: page.clock,
         });
     };
     let response = client
         .watch_table(name, after, wait, timing.poll_slack())
         .await?;
-    Ok(TableDelta {
+    let delta = TableDelta {
         version: response.version.max(after),
         is_full: false,
         rows: response.rows,
         gap: None,
+    };
+    Ok(PolledChanges {
+        delta,
+        clock: response.clock,
     })
 }
 
--- a/crates/serving/src/feed/mod.rs
+++ b/crates/serving/src/feed/mod.rs
@@ -5,6 +5,7 @@
 mod copy;
 mod freshness;
 mod patch;
+mod store_anchor;
 mod timing;
 mod tree;
 
@@ -12,6 +13,7 @@
 pub use copy::{StoreRow, TableCopy, TableDelta, VersionGap};
 pub use freshness::FeedSample;
 pub use patch::RowPatch;
+pub use store_anchor::StoreAnchor;
 pub use timing::{FeedTiming, MAX_JITTER};
 pub use tree::{
     MIN_FOLLOWING_NODES, TREE_FANOUT, fallback_sources, feed_order, feed_sources, tree_depth,
