Compare the id of a response with the client's own text

What callers saw: 502 for each request whose X-Request-Id is no identifier of ours (such as Root=1-6789/abc+d=), though its target ran and answered it.

Cause: the id was compared in its parsed form, which such an id does not have, so each answer counted as that of another request. Found while looking for other answers that are judged by what was not proved.

Test: proved_answers::unusual_request_id (failed before with 502).

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -190,7 +190,8 @@
     let id = &target.id;
     let (head, body) = exchange.response.into_parts();
     let parsed_headers = ResponseHeaders::from(&head.headers);
-    let request_id = request.id.as_ref().map(domain::RequestId::as_str);
+    // The client's own text: an id that is no identifier here is repeated by targets all the same.
+    let request_id = adapter::headers::request_id_text(&request.headers);
     let marks = AnswerMarks {
         echo: RequestEcho::of(parsed_headers.request.as_deref(), request_id),
         is_signed: parsed_headers.signed,
--- a/tests/gateway/proved_answers.rs
+++ b/tests/gateway/proved_answers.rs
@@ -191,3 +191,16 @@
     })
     .await;
 }
+
+/// Guards against a request whose id is no identifier of ours, as some tracing systems make them: its answer
+/// named the same id and counted as that of another request.
+#[tokio::test(flavor = "multi_thread")]
+async fn unusual_request_id() {
+    let site = TestSite::start(0, 1);
+    let node = site.node("n0").await;
+    for id in ["Root=1-6789/abc+d=", "id with spaces", "\"quoted\""] {
+        let response = TestRequest::new("/pay/fee", id).send(&node).await;
+        assert_eq!(response.status, StatusCode::OK, "{id}");
+        assert_eq!(site.plain_runs(id), 1);
+    }
+}
