Specify that an empty response proves what held when its rows were read

The specification of refusals knew proofs from the start of a call alone, so it had no state in which a poll that ended early waits for a paused node.

--- a/crates/spec/src/refusals.rs
+++ b/crates/spec/src/refusals.rs
@@ -3,7 +3,9 @@
 //!
 //! It calls the store for changes. The store builds a response in two steps, the rows and then the newest
 //! version, between which an operator may write. A response may be lost or wait for any time, in which
-//! the node may be paused. The node may refuse at any time while it runs.
+//! the node may be paused. The store may end a call for changes early; one without changes shows that there
+//! were none until its rows were read, which the node knows by the store's clock. The node may refuse at any
+//! time while it runs.
 
 use crate::search::{ProtocolModel, SpecGuard};
 
@@ -13,6 +15,9 @@
 /// Ticks after its confirmation within which a configuration is in force everywhere.
 const BOUND: u8 = 2;
 
+/// Ticks for which the node asks the store to hold a call without changes.
+const WAIT: u8 = 1;
+
 /// An age at which nothing changes any more.
 const OLD: u8 = BOUND + 1;
 
@@ -21,19 +26,27 @@
 pub enum RefusalGuard {
     /// A node refuses only if its copy was proved within the bound.
     ProofAge,
-    /// A response proves what holds when its call begins, not when it is read.
+    /// A response proves what holds when its call begins or its rows are read, not when it arrives.
     CallStart,
+    /// When the rows were read is told by the store's clock, not by how long the call took.
+    StoreClock,
     /// A version counts as known only once a later call has shown it.
     VerifiedVersion,
 }
 
 impl SpecGuard for RefusalGuard {
-    const ALL: &'static [Self] = &[Self::ProofAge, Self::CallStart, Self::VerifiedVersion];
+    const ALL: &'static [Self] = &[
+        Self::ProofAge,
+        Self::CallStart,
+        Self::StoreClock,
+        Self::VerifiedVersion,
+    ];
 
     fn name(self) -> &'static str {
         match self {
             Self::ProofAge => "the maximum age of a proof",
-            Self::CallStart => "proofs from the start of a call",
+            Self::CallStart => "proofs from before the response",
+            Self::StoreClock => "the store's clock",
             Self::VerifiedVersion => "versions shown by a later call",
         }
     }
@@ -53,6 +66,8 @@
     after: u8,
     /// Newest version whose rows the response shows, once they are read; 0 if none.
     shown: Option<u8>,
+    /// Ticks since then.
+    rows_age: u8,
     /// Version that the response names, once it is complete.
     named: Option<u8>,
 }
@@ -93,6 +108,9 @@
         next.proof_age = older(self.proof_age);
         if let Some(call) = &mut next.call {
             call.age = older(call.age);
+            if call.shown.is_some() {
+                call.rows_age = older(call.rows_age);
+            }
         }
         next
     }
@@ -108,10 +126,15 @@
         let mut next = state.clone();
         next.call = None;
         next.known = state.known.max(call.shown.unwrap_or(0));
-        let proof_age = if self.enforces(RefusalGuard::CallStart) {
+        let has_changes = call.shown.is_some_and(|shown| shown > 0);
+        let proof_age = if !self.enforces(RefusalGuard::CallStart) {
+            0
+        } else if has_changes {
             call.age
+        } else if self.enforces(RefusalGuard::StoreClock) {
+            call.rows_age
         } else {
-            0
+            call.age.saturating_sub(WAIT)
         };
         next.proof_age = state.proof_age.min(proof_age);
         next.position = if self.enforces(RefusalGuard::VerifiedVersion) {
@@ -139,6 +162,7 @@
                     age: 0,
                     after: state.position,
                     shown: None,
+                    rows_age: 0,
                     named: None,
                 });
                 transitions.push(("the node calls the store".to_owned(), next));
