--- a/crates/serving/src/feed/store_anchor.rs
+++ b/crates/serving/src/feed/store_anchor.rs
@@ -49,7 +49,7 @@
     /// start.
     fn time_of(&self, clock: Duration) -> Option<Duration> {
         let Some(passed) = clock.checked_sub(self.clock) else {
-            return self.at.checked_sub(self.clock - clock);
+            return self.at.checked_sub(self.clock.saturating_sub(clock));
         };
         Some(self.at + passed.mul_f64(1.0 - CLOCK_DRIFT))
     }
