--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -14,16 +14,15 @@
 use serving::choose::NoTarget;
 use serving::retry_budget::RetryPurpose;
 use serving::{GatewayConfig, PoisonVerdict, RouteKind};
-use web::read_body;
 
 use crate::admit::{admit, reject_unconfigured};
 use crate::admitted::{AdmittedRequest, SelectionError};
 use crate::attempt_connection::ConnectionReuse;
+use crate::buffered::{BufferedResponse, buffer_response};
 use crate::crash::describe_features;
-use crate::held::{ClientHold, HeldBody, RelayedStream, TOO_MUCH_HELD};
+use crate::held::{ClientHold, RelayedStream};
 use crate::local_response::LocalResponse;
 use crate::node::{GatewayNode, RequestGuard};
-use crate::refusal::ResponseOrigin;
 use crate::relay::{StreamRelay, StreamSource, StreamTruncated};
 use crate::respond::{
     announce_close, announce_idle_timeout, local_response, log_response, rejected_response,
@@ -47,9 +46,6 @@
 /// Maximum number of failed connections per request; each one delays the client.
 const MAX_CONNECT_FAILURES: usize = 4;
 
-/// Maximum size of a buffered response, in bytes. Only responses of plain services are buffered.
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
-
 /// Multiple of the target latency after which an idempotent request is retried at another target. A
 /// response usually takes a tenth of the target latency.
 const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.2;
@@ -147,12 +143,6 @@
     Stream(Box<StreamSource>),
 }
 
-/// A target's response, read to its end.
-struct BufferedResponse {
-    response: Response<Full<Bytes>>,
-    origin: ResponseOrigin,
-}
-
 /// Results of the attempts so far.
 #[derive(Default)]
 struct AttemptState {
@@ -391,41 +381,3 @@
         }
     }
 }
-
-async fn buffer_response(
-    node: &Rc<GatewayNode>,
-    admitted: &AdmittedRequest,
-    client: &Rc<ClientHold>,
-    mut response: TargetResponse,
-) -> Result<BufferedResponse, String> {
-    let left = admitted.time_left(node.now());
-    let body = HeldBody::of_response(&mut response.body, client);
-    let read = read_body(body, MAX_RESPONSE_BYTES);
-    let read = tokio::time::timeout(left, read).await;
-    if client.is_cut() {
-        client.restart();
-        return Err(TOO_MUCH_HELD.to_owned());
-    }
-    let bytes = match read {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(error)) => {
-            response.record_broken(node, admitted);
-            return Err(format!("response body failed: {error}"));
-        }
-        Err(_) => return Err("response body incomplete at the deadline".to_owned()),
-    };
-    if response.may_be_cut(node).await {
-        response.record_broken(node, admitted);
-        return Err("response cut off at the end of its connection".to_owned());
-    }
-    let mut buffered = Response::new(Full::new(bytes));
-    *buffered.status_mut() = response.status;
-    *buffered.headers_mut() = response.headers.clone();
-    let origin = ResponseOrigin::from(&response);
-    response.record_complete(node, admitted);
-    response.release_connection(node);
-    Ok(BufferedResponse {
-        response: buffered,
-        origin,
-    })
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod admitted;
 mod attempt_connection;
 mod boot_clock;
+mod buffered;
 mod crash;
 mod feed;
 mod fingerprint;
