--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -12,7 +12,6 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use serving::GatewayConfig;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::handle::handle_request;
@@ -39,18 +38,6 @@
 /// sent at the last moment still arrives within it.
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Bytes of the shortest header line: a name, a colon and the end of the line.
-const MIN_HEADER_BYTES: usize = 4;
-
-/// Headers that a request may have at least.
-const MIN_HEADERS: usize = 100;
-
-/// Headers that a request may have at most. Each takes 64 bytes while a head is read.
-const MAX_HEADERS: usize = 16 << 10;
-
-/// Size of a head while no configuration tells the limit, in bytes.
-const UNKNOWN_HEAD_BYTES: usize = 16 << 10;
-
 /// Binds a TCP listener; port 0 lets the system choose a port.
 ///
 /// # Errors
@@ -142,8 +129,7 @@
     let mut builder = Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
-        .max_headers(max_headers(node.config().as_deref()));
+        .header_read_timeout(HEADER_READ_TIMEOUT);
     let connection = builder.serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let mut closing = false;
@@ -168,13 +154,6 @@
     }
 }
 
-/// Headers that a request may have: as many as fit into the head that the configuration allows. The HTTP
-/// library would refuse those beyond its own number as wrong.
-fn max_headers(config: Option<&GatewayConfig>) -> usize {
-    let head_bytes = config.map_or(UNKNOWN_HEAD_BYTES, |config| config.limits.head_bytes);
-    (head_bytes / MIN_HEADER_BYTES).clamp(MIN_HEADERS, MAX_HEADERS)
-}
-
 /// Completes when a connection should close after the request in flight: it exceeded the configured
 /// idle timeout, or the process is shutting down.
 async fn wait_until_closable(node: &GatewayNode, usage: &ConnectionUsage) {
