--- a/tests/gateway/proved_answers.rs
+++ b/tests/gateway/proved_answers.rs
@@ -94,6 +94,8 @@
     let node = site.node("n0").await;
     let response = TestRequest::new("/look/x", "l-1").send(&node).await;
     assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+    // The target is asked for its id, too, and the foreign server responds alike.
+    wait_for("two questions for the id", || foreign.request_count() > 2).await;
     assert!(node.log_lines(&["backoff_stated"]).is_empty());
 }
 
