Tell how many targets ended beside those that a verdict on crashes counts

A request refused with 400 by records of crashes names the marks it was refused for, and request_barred their crashes. Nothing told whether these crashes were some of many at that time, as in a joint loss of hosts, or the only ones.

No verdict changes.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -142,8 +142,9 @@
     /// Targets crashed repeatedly while they ran requests with something in common: the request itself, or a
     /// part of the prompt (`part-` and its id); more than one if the crashes don't tell them apart. Requests
     /// with all of it are rejected from now on (`outcome` barred), or no longer (cleared), or one of them is
-    /// let through to see whether it still crashes targets (tried). `crashes` and `sound_ms` are the evidence
-    /// for and against, `source` is where the last of it came from. See `docs/OPERATIONS.md`.
+    /// let through to see whether it still crashes targets (tried). `crashes` within `span_ms` and `sound_ms`
+    /// are the evidence for and against, `other_ends` counts targets that ended at that time without it,
+    /// `source` is where the last of it came from. See `docs/OPERATIONS.md`.
     RequestBarred = 247, "request_barred", Error;
     /// A request needed another attempt. `outcome` is `taken` or `denied` by the retry budget of its
     /// service, or `free` if nothing of the previous attempt was written; `reason` is how that one ended.
--- a/crates/gateway/src/crash/verdict.rs
+++ b/crates/gateway/src/crash/verdict.rs
@@ -123,12 +123,14 @@
             if known.iter().any(|known| known.features == set.features) {
                 continue;
             }
-            let crashes = u64::try_from(set.crashes).unwrap_or(u64::MAX);
+            let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
             let line = LogLine::new(EventCode::RequestBarred)
                 .text("mark", &describe_features(&set.features))
                 .text("outcome", outcome)
                 .text("source", source.label())
-                .number("crashes", crashes);
+                .number("crashes", count(set.crashes))
+                .millis("span_ms", set.crash_span)
+                .number("other_ends", count(set.other_ends));
             let line = match set.newest_sound {
                 Some(sound) => line.millis("sound_ms", self.evidence_time().saturating_sub(sound)),
                 None => line,
--- a/crates/serving/src/poison/detector.rs
+++ b/crates/serving/src/poison/detector.rs
@@ -24,6 +24,10 @@
 /// one is waited for only after a start, when hardly any has had one yet, and from its first crash on.
 const SOUND_ANSWER_PATIENCE: Duration = SOUND_ANSWER_AGE.saturating_add(Duration::from_millis(500));
 
+/// Time within which ends of targets may have one cause that they share, such as a failure domain that goes
+/// dark host by host.
+pub const JOINT_LOSS_SPAN: Duration = Duration::from_secs(1);
+
 /// Time after the last crash until one request of a barred set is let through, for features that never had
 /// a sound answer. Each such request may cost another target.
 const TRIAL_DELAY: Duration = Duration::from_mins(2);
@@ -58,6 +62,11 @@
     pub features: Vec<RequestFeature>,
     /// Number of crashes that speak against them.
     pub crashes: usize,
+    /// Time from the first of these crashes to the last one.
+    pub crash_span: Duration,
+    /// Number of other targets that ended within [`JOINT_LOSS_SPAN`] of one of these crashes. Many of them
+    /// are a sign of a joint loss.
+    pub other_ends: usize,
     /// When the newest sound answer with one of them began; `None` if there was none.
     pub newest_sound: Option<Duration>,
     /// When a request with all of them may be tried again.
@@ -257,7 +266,8 @@
         self.barred.clear();
         self.suspects.clear();
         self.contested.clear();
-        let mut unexplained = self.crashes.by_time();
+        let crashes = self.crashes.by_time();
+        let mut unexplained = crashes.clone();
         loop {
             let suspects = find_suspects(&unexplained, &self.sound);
             let Some(best) = likeliest(&suspects, now) else {
@@ -273,7 +283,8 @@
                 .copied()
                 .filter(|crash| explains(crash))
                 .collect();
-            let set = bar(&best, &suspects, &explained, &self.sound);
+            let mut set = bar(&best, &suspects, &explained, &self.sound);
+            set.other_ends = count_other_ends(&crashes, &explained);
             self.contested.extend(set.features.iter().copied());
             self.barred.push(set);
             unexplained.retain(|crash| !explains(crash));
@@ -336,11 +347,35 @@
     BarredSet {
         features,
         crashes: best.tally.crashes,
+        crash_span: span_of(explained),
+        other_ends: 0,
         newest_sound,
         trial_at: best.tally.last_at + trial_delay(best.was_sound, explained),
     }
 }
 
+/// Time from the first of these crashes to the last one; they are in the order of time.
+fn span_of(crashes: &[&CrashRecord]) -> Duration {
+    let [first, .., last] = crashes else {
+        return Duration::ZERO;
+    };
+    last.at.saturating_sub(first.at)
+}
+
+/// Number of crashes that a set does not explain, within [`JOINT_LOSS_SPAN`] of one that it does.
+fn count_other_ends(crashes: &[&CrashRecord], explained: &[&CrashRecord]) -> usize {
+    let is_explained = |crash: &CrashRecord| {
+        let mut explained = explained.iter();
+        explained.any(|known| std::ptr::eq(*known, crash))
+    };
+    let is_near = |crash: &CrashRecord| {
+        let mut explained = explained.iter();
+        explained.any(|known| known.at.abs_diff(crash.at) <= JOINT_LOSS_SPAN)
+    };
+    let others = crashes.iter().filter(|crash| !is_explained(crash));
+    others.filter(|crash| is_near(crash)).count()
+}
+
 /// Time after the last crash until a request of the set is let through.
 fn trial_delay(was_sound: bool, explained: &[&CrashRecord]) -> Duration {
     let gaps = explained.windows(2).filter(|pair| {
--- a/crates/serving/src/poison/mod.rs
+++ b/crates/serving/src/poison/mod.rs
@@ -8,7 +8,8 @@
 mod sound;
 
 pub use detector::{
-    BarredSet, MIN_CRASHES_TO_BAR, MIN_UNHEARD_CRASHES_TO_BAR, PoisonDetector, PoisonVerdict,
+    BarredSet, JOINT_LOSS_SPAN, MIN_CRASHES_TO_BAR, MIN_UNHEARD_CRASHES_TO_BAR, PoisonDetector,
+    PoisonVerdict,
 };
 pub use evidence::{CRASH_RETENTION, CrashedFeature, TargetProcess};
 pub use feature::{FeatureError, RequestFeature, RequestFingerprint};
