Tests of 400 after joint losses, failing

Real processes and clients that count. All three fail: a popular look-up got 400 982 and 1,008 times in two runs after the three instances of its service had ended within 0.3 s, and went on getting it after new instances were there; a popular part of prompts got it 39 times of 60 after six heads had ended within 0.5 s while the other replicas stood still, and just after a start as well.

--- a/crates/standin/src/site/service.rs
+++ b/crates/standin/src/site/service.rs
@@ -26,6 +26,8 @@
     Healthy,
     /// Responds after [`SLOW_DELAY`].
     Slow,
+    /// Responds after this time.
+    Delayed(Duration),
     /// Rejects each call with 503 without executing it.
     Overloaded,
     /// Executes a call but never responds.
@@ -211,6 +213,10 @@
             tokio::time::sleep(SLOW_DELAY).await;
             text_response(StatusCode::OK, &text)
         }
+        ServiceMode::Delayed(delay) => {
+            tokio::time::sleep(delay).await;
+            text_response(StatusCode::OK, &text)
+        }
         ServiceMode::Overloaded => text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
         ServiceMode::Unresponsive => std::future::pending().await,
         ServiceMode::Failing => text_response(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod full_restart;
 mod idle_connections;
 mod invalid_input;
+mod joint_losses;
 mod link_proxy;
 mod load_hints;
 mod lost_hosts;
