Refuse for good only what a trial has shown to crash targets

Callers whose requests had been at targets that were lost jointly got 400, which is final, and no longer came back: popular prompt parts for seconds, popular look-ups for minutes.

Cause: three crashes were the proof. What is popular is at every target of a joint loss, and a loss that takes half a second counts as several crashes. Then nothing is answered for a while, and that silence counted as well. request_barred of the failing tests shows 3 crashes within 302 ms and 6 within 408 ms.

Crashes now only keep requests from the targets. Clients get 503 with a time to return, which is true: the request was not run. One node claims a trial in the store and sends one request on. If its target ends, and no other target within a second, all nodes know it for proved, and the answer is 400 as before. A served trial clears the verdict. So the claim costs one conditional write, and one engine more for each cause.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -141,10 +141,11 @@
     TargetEnded = 246, "target_ended", Warn;
     /// Targets crashed repeatedly while they ran requests with something in common: the request itself, or a
     /// part of the prompt (`part-` and its id); more than one if the crashes don't tell them apart. Requests
-    /// with all of it are rejected from now on (`outcome` barred), or no longer (cleared), or one of them is
-    /// let through to see whether it still crashes targets (tried). `crashes` within `span_ms` and `sound_ms`
-    /// are the evidence for and against, `other_ends` counts targets that ended at that time without it,
-    /// `source` is where the last of it came from. See `docs/OPERATIONS.md`.
+    /// with all of it are sent to no target from now on (`outcome` barred), or are again (cleared), or one of
+    /// them is sent on trial (tried), or a trial has crashed its target (proved); until then clients are told
+    /// to come back. `crashes` within `span_ms` and `sound_ms` are the evidence for and against, `other_ends`
+    /// counts targets that ended at that time without it, `source` is where the last of it came from. See
+    /// `docs/OPERATIONS.md`.
     RequestBarred = 247, "request_barred", Error;
     /// A request needed another attempt. `outcome` is `taken` or `denied` by the retry budget of its
     /// service, or `free` if nothing of the previous attempt was written; `reason` is how that one ended.
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -135,6 +135,7 @@
         arrived,
         deadline: arrived + timeout,
         last_event: headers.last_event,
+        tried: Rc::default(),
         regions: RegionSet::intersect(
             route.regions.as_ref(),
             key.and_then(|key| key.regions.as_ref()),
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -14,7 +14,9 @@
 use serving::choose_sampled::{SampledCandidate, choose_sampled};
 use serving::hashing::{stable_hash, unit_draw};
 use serving::regions::RegionSet;
-use serving::{ChoiceLimits, GatewayConfig, RouteKind, SendBarrier, ServiceConfig, TargetEntry};
+use serving::{
+    ChoiceLimits, GatewayConfig, RequestFeature, RouteKind, SendBarrier, ServiceConfig, TargetEntry,
+};
 
 use crate::metrics::RequestLabels;
 use crate::node::GatewayNode;
@@ -64,6 +66,9 @@
     pub last_event: Option<u64>,
     /// Regions in which it may be served; `None` if any.
     pub regions: Option<RegionSet>,
+    /// What it has in common with requests that are sent to no target, if it shows whether they crash
+    /// targets.
+    pub tried: Rc<[RequestFeature]>,
 }
 
 /// Why no target was selected, with the loads behind the decision.
@@ -337,6 +342,13 @@
         self
     }
 
+    /// The same request, sent to a single target to show whether requests with these features crash it.
+    #[must_use]
+    pub fn on_trial(mut self, features: Vec<RequestFeature>) -> Self {
+        self.tried = features.into();
+        self.without_retries()
+    }
+
     /// Whether it may be retried after an attempt that may have executed it.
     #[must_use]
     pub fn is_retryable(&self) -> bool {
--- a/crates/gateway/src/crash/mod.rs
+++ b/crates/gateway/src/crash/mod.rs
@@ -6,9 +6,11 @@
 mod rows;
 mod state;
 mod table;
+mod trial;
 mod verdict;
 
 pub use confirm::{has_exited, record_interrupted};
 pub use records::{share_evidence, watch_evidence};
 pub use state::{CrashState, InterruptedRequest};
+pub use trial::ArrivalVerdict;
 pub use verdict::describe_features;
--- a/crates/gateway/src/crash/records.rs
+++ b/crates/gateway/src/crash/records.rs
@@ -30,7 +30,7 @@
 use crate::node::GatewayNode;
 
 /// Table with one row per crashed process and reporting node, and one row per node with sound answers.
-const EVIDENCE_TABLE: &str = "ends";
+pub(super) const EVIDENCE_TABLE: &str = "ends";
 
 /// Prefix of the keys of rows with sound answers.
 const SOUND_KEY: &str = "sound";
@@ -114,7 +114,7 @@
 }
 
 /// This node's part of the time over which the nodes spread what they say for a feature.
-fn sound_delay(node: &GatewayNode) -> Duration {
+pub(super) fn sound_delay(node: &GatewayNode) -> Duration {
     let nodes = u32::try_from(node.node_count()).unwrap_or(u32::MAX);
     let spread = SOUND_SPREAD_PER_NODE.saturating_mul(nodes);
     let hash = stable_hash(&node.settings.node.as_str());
@@ -258,7 +258,10 @@
 }
 
 /// Reads what has changed since the last read, or everything.
-async fn read_evidence(node: &GatewayNode, client: &mut StoreClient) -> Result<(), StoreError> {
+pub(super) async fn read_evidence(
+    node: &GatewayNode,
+    client: &mut StoreClient,
+) -> Result<(), StoreError> {
     let page = read_rows(client, node.crashes.table.version.get()).await?;
     node.crashes.table.version.set(Some(page.version));
     if !page.clock.is_zero() {
@@ -283,7 +286,8 @@
     };
     // A row that can't be read tells nothing and is deleted.
     let decoded = serde_json::from_slice::<EvidenceRow>(value).ok();
-    node.crashes.table.note_row(&row.key, decoded.as_ref());
+    let table = &node.crashes.table;
+    table.note_row(&row.key, row.version, decoded.as_ref());
     let Some(decoded) = decoded else { return };
     let newest = decoded.newest().unwrap_or_default();
     if now.saturating_sub(newest) < CRASH_RETENTION {
@@ -350,7 +354,7 @@
     }
 }
 
-fn log_skipped(node: &GatewayNode, step: &str, error: &StoreError) {
+pub(super) fn log_skipped(node: &GatewayNode, step: &str, error: &StoreError) {
     let line = LogLine::new(EventCode::StepSkipped)
         .text("step", step)
         .text("reason", &error.to_string());
--- a/crates/gateway/src/crash/rows.rs
+++ b/crates/gateway/src/crash/rows.rs
@@ -18,6 +18,8 @@
     Crash(CrashRow),
     /// Answers that targets survived, as one node has seen.
     Sound(SoundRow),
+    /// Which node tries requests with these features.
+    Trial(TrialRow),
 }
 
 /// What one node had at a crashed target.
@@ -43,6 +45,9 @@
     response_age_ms: Option<u64>,
     #[serde(default)]
     outlived: bool,
+    /// Whether such a request was on trial. Rows of earlier releases lack it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    tried: bool,
     /// When the newest sound answer began of which the node knew.
     #[serde(default)]
     sound_at_ms: Option<u64>,
@@ -61,6 +66,16 @@
     at_ms: u64,
 }
 
+/// A trial: one node sends one request with these features, and the others send none.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TrialRow {
+    #[serde(rename = "trial")]
+    features: Vec<String>,
+    /// Name of the node.
+    by: String,
+    at_ms: u64,
+}
+
 /// A feature at a crash, with the newest sound answer of which the reporting node knew.
 #[derive(Debug, Clone, Copy)]
 pub struct ReportedFeature {
@@ -94,6 +109,7 @@
             feature: crashed.feature.to_string(),
             response_age_ms: crashed.response_age.map(to_millis),
             outlived: crashed.is_outlived,
+            tried: crashed.is_trial,
             sound_at_ms: reported.sound_at.map(to_millis),
         }
     }
@@ -107,6 +123,7 @@
             feature: row.feature.parse()?,
             response_age: row.response_age_ms.map(Duration::from_millis),
             is_outlived: row.outlived,
+            is_trial: row.tried,
         };
         Ok(Self {
             crashed,
@@ -172,6 +189,18 @@
     }
 }
 
+impl TrialRow {
+    /// A trial of these features that a node begins at this time.
+    #[must_use]
+    pub fn new(features: &[RequestFeature], by: &str, at: Duration) -> Self {
+        Self {
+            features: features.iter().map(ToString::to_string).collect(),
+            by: by.to_owned(),
+            at_ms: to_millis(at),
+        }
+    }
+}
+
 impl EvidenceRow {
     /// The process whose crash it tells of.
     #[must_use]
@@ -189,6 +218,7 @@
         let newest_ms = match self {
             Self::Crash(row) => Some(row.clock_ms),
             Self::Sound(row) => row.sound.iter().map(|answer| answer.at_ms).max(),
+            Self::Trial(row) => Some(row.at_ms),
         };
         newest_ms.map(Duration::from_millis)
     }
--- a/crates/gateway/src/crash/state.rs
+++ b/crates/gateway/src/crash/state.rs
@@ -33,6 +33,8 @@
     pub response_age: Option<Duration>,
     /// Whether the target had sent bytes of the response for long enough to have survived it.
     pub is_outlived: bool,
+    /// Features that it was sent to try; empty unless it was on trial.
+    pub tried: Rc<[RequestFeature]>,
 }
 
 impl InterruptedRequest {
@@ -44,6 +46,7 @@
             shared_parts: Rc::clone(&request.shared_parts),
             response_age: None,
             is_outlived: false,
+            tried: Rc::clone(&request.tried),
         }
     }
 
@@ -55,6 +58,7 @@
             feature,
             response_age: self.response_age,
             is_outlived: self.is_outlived,
+            is_trial: self.tried.contains(&feature),
         })
     }
 }
@@ -95,6 +99,8 @@
     newest_crash: Cell<Option<Duration>>,
     /// The last turn in which this node let a request of a barred set through.
     pub(super) trial_turns: RefCell<FastMap<Vec<RequestFeature>, u128>>,
+    /// When this node last asked the store for a trial of a set.
+    pub(super) trial_claims: RefCell<FastMap<Vec<RequestFeature>, Duration>>,
 }
 
 impl CrashState {
@@ -311,6 +317,7 @@
                     detector.record_reported_sound(feature, begun_at);
                 }
             }
+            EvidenceRow::Trial(_) => {}
         }
     }
 }
--- a/crates/gateway/src/crash/table.rs
+++ b/crates/gateway/src/crash/table.rs
@@ -16,6 +16,8 @@
     newest: Option<Duration>,
     /// Process whose crash it tells of.
     process: Option<TargetProcess>,
+    /// Version of its last write.
+    version: RowVersion,
 }
 
 /// What a node remembers of the table, so that it reads changes only and notices rows that are gone.
@@ -28,14 +30,23 @@
 
 impl EvidenceTable {
     /// Remembers a row of the table; `None` if it can't be read.
-    pub fn note_row(&self, key: &str, row: Option<&EvidenceRow>) {
+    pub fn note_row(&self, key: &str, version: RowVersion, row: Option<&EvidenceRow>) {
         let known = KnownRow {
             newest: row.and_then(EvidenceRow::newest),
             process: row.and_then(EvidenceRow::process),
+            version,
         };
         self.rows.borrow_mut().insert(key.to_owned(), known);
     }
 
+    /// When what a row tells of was, and the version of the row; `None` if no such row is known.
+    #[must_use]
+    pub fn known_row(&self, key: &str) -> Option<(Option<Duration>, RowVersion)> {
+        let rows = self.rows.borrow();
+        let row = rows.get(key)?;
+        Some((row.newest, row.version))
+    }
+
     /// Forgets a deleted row of the table, and what it told of.
     pub fn forget_row(&self, detector: &mut PoisonDetector, key: &str) {
         let known = self.rows.borrow_mut().remove(key);
--- a/crates/gateway/src/crash/verdict.rs
+++ b/crates/gateway/src/crash/verdict.rs
@@ -3,15 +3,10 @@
 use std::time::Duration;
 
 use events::{EventCode, LogLine};
-use serving::hashing::rendezvous_rank;
-use serving::{BarredSet, PoisonDetector, PoisonVerdict, RequestFeature};
+use serving::{BarredSet, PoisonDetector, RequestFeature};
 
-use crate::admitted::AdmittedRequest;
 use crate::node::GatewayNode;
 
-/// Time for which it is one node's turn to let a request of a barred set through.
-const TRIAL_TURN: Duration = Duration::from_secs(10);
-
 /// Where evidence comes from, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EvidenceSource {
@@ -54,48 +49,6 @@
         self.evidence_time().saturating_sub(elapsed)
     }
 
-    /// The verdict on a request that arrives. At times a request of a barred set is let through to a single
-    /// target: nothing else would show that the verdict is wrong, or the cause mended.
-    #[must_use]
-    pub fn verdict_on_arrival(&self, request: &AdmittedRequest) -> PoisonVerdict {
-        let verdict = self.crashes.verdict(request);
-        if verdict != PoisonVerdict::Barred {
-            return verdict;
-        }
-        let set = self.crashes.barred_set(request);
-        if set.is_some_and(|set| self.takes_trial(&set)) {
-            return PoisonVerdict::Suspect;
-        }
-        PoisonVerdict::Barred
-    }
-
-    /// Whether this node lets one request of a barred set through now. One node at a time does, so that a
-    /// trial costs one target at most.
-    fn takes_trial(&self, set: &BarredSet) -> bool {
-        let now = self.evidence_time();
-        if now < set.trial_at {
-            return false;
-        }
-        let turn = now.as_millis() / TRIAL_TURN.as_millis();
-        let marks = describe_features(&set.features);
-        let subject = format!("{marks} {turn}");
-        let own = self.settings.node.as_str();
-        let rank = self.with_live_nodes(|nodes| {
-            rendezvous_rank(own, nodes.iter().map(String::as_str), &subject)
-        });
-        let mut turns = self.crashes.trial_turns.borrow_mut();
-        if rank > 0 || turns.get(&set.features) == Some(&turn) {
-            return false;
-        }
-        turns.insert(set.features.clone(), turn);
-        self.log(
-            &LogLine::new(EventCode::RequestBarred)
-                .text("mark", &marks)
-                .text("outcome", "tried"),
-        );
-        true
-    }
-
     /// Adds evidence and recomputes the verdicts.
     pub fn update_crashes(&self, source: EvidenceSource, update: impl FnOnce(&mut PoisonDetector)) {
         let now = self.evidence_time();
@@ -105,24 +58,27 @@
         detector.evaluate(now);
         let after = detector.barred().to_vec();
         drop(detector);
-        self.log_changes(&before, &after, "barred", source);
-        self.log_changes(&after, &before, "cleared", source);
+        let is_new = |set: &&BarredSet| !before.iter().any(|known| known.features == set.features);
+        self.log_sets(after.iter().filter(is_new), "barred", source);
+        let is_gone = |set: &&BarredSet| !after.iter().any(|known| known.features == set.features);
+        self.log_sets(before.iter().filter(is_gone), "cleared", source);
+        let is_proved = |set: &&BarredSet| {
+            let mut known = before.iter();
+            set.is_proved && !known.any(|known| known.is_proved && known.features == set.features)
+        };
+        self.log_sets(after.iter().filter(is_proved), "proved", source);
         if !self.crashes.unreported_sound().is_empty() {
             self.crashes.evidence_found.notify_one();
         }
     }
 
-    fn log_changes(
+    fn log_sets<'a>(
         &self,
-        known: &[BarredSet],
-        sets: &[BarredSet],
+        sets: impl Iterator<Item = &'a BarredSet>,
         outcome: &str,
         source: EvidenceSource,
     ) {
         for set in sets {
-            if known.iter().any(|known| known.features == set.features) {
-                continue;
-            }
             let count = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
             let line = LogLine::new(EventCode::RequestBarred)
                 .text("mark", &describe_features(&set.features))
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -13,13 +13,13 @@
 use hyper::body::Incoming;
 use serving::choose::NoTarget;
 use serving::retry_budget::RetryPurpose;
-use serving::{GatewayConfig, PoisonVerdict, RouteKind};
+use serving::{BarredSet, GatewayConfig, PoisonVerdict, RouteKind};
 
 use crate::admit::{admit, reject_unconfigured};
 use crate::admitted::{AdmittedRequest, SelectionError};
 use crate::attempt_connection::ConnectionReuse;
 use crate::buffered::{BufferedResponse, buffer_response};
-use crate::crash::describe_features;
+use crate::crash::{ArrivalVerdict, describe_features};
 use crate::held::{ClientHold, RelayedStream};
 use crate::local_response::LocalResponse;
 use crate::node::{GatewayNode, RequestGuard};
@@ -88,15 +88,14 @@
             return rejected_response(node, &headers, rejection).map(Either::Left);
         }
     };
-    let admitted = match node.verdict_on_arrival(&admitted) {
-        PoisonVerdict::Clear => Rc::new(admitted),
-        PoisonVerdict::Suspect => Rc::new(admitted.without_retries()),
-        PoisonVerdict::Barred => {
-            let response = LocalResponse::Blocked;
-            node.metrics.record_blocked(admitted.labels());
-            let set = node.crashes.barred_set(&admitted).unwrap_or_default();
-            let marks = describe_features(&set.features);
-            let reason = format!("targets crashed while they ran requests with {marks}");
+    let admitted = match node.judge_arrival(&admitted).await {
+        ArrivalVerdict::Clear => Rc::new(admitted),
+        ArrivalVerdict::Suspect => Rc::new(admitted.without_retries()),
+        ArrivalVerdict::Trial(features) => Rc::new(admitted.on_trial(features)),
+        ArrivalVerdict::Barred(set) => {
+            node.metrics
+                .record_blocked(admitted.labels(), set.is_proved);
+            let (response, reason) = bar_request(node, &admitted, &set);
             return local_response(node, &headers, Some(&admitted), response, &reason)
                 .map(Either::Left);
         }
@@ -137,6 +136,22 @@
     }
 }
 
+/// The response to a request that is sent to no target, and the reason. It is final only if a trial has shown
+/// that such requests crash targets.
+fn bar_request(
+    node: &GatewayNode,
+    admitted: &AdmittedRequest,
+    set: &BarredSet,
+) -> (LocalResponse, String) {
+    let marks = describe_features(&set.features);
+    let reason = format!("targets crashed while they ran requests with {marks}");
+    if set.is_proved {
+        return (LocalResponse::Blocked, reason);
+    }
+    let response = LocalResponse::NotExecuted(node.trial_retry_after(set, admitted));
+    (response, format!("{reason}, which no trial has shown yet"))
+}
+
 enum Outcome {
     Local(LocalResponse, String),
     Buffered(BufferedResponse),
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -192,9 +192,13 @@
         self.crashes.add(1, &[]);
     }
 
-    /// Counts a request that is sent to no target because such requests crash them.
-    pub fn record_blocked(&self, labels: RequestLabels<'_>) {
-        self.blocked.add(1, &labels.key_values());
+    /// Counts a request that is sent to no target because such requests crash them, or may do so as long as
+    /// no trial has shown it.
+    pub fn record_blocked(&self, labels: RequestLabels<'_>, is_proved: bool) {
+        let proof = if is_proved { "trial" } else { "none" };
+        let mut labels = Vec::from(labels.key_values());
+        labels.push(KeyValue::new("proof", proof));
+        self.blocked.add(1, &labels);
     }
 
     /// Counts a request to other nodes to connect to a target, by what they answered.
--- a/crates/serving/examples/crash_ways/fleet.rs
+++ b/crates/serving/examples/crash_ways/fleet.rs
@@ -272,6 +272,7 @@
                     feature: *feature,
                     response_age: Some(age),
                     is_outlived: age >= SOUND_ANSWER_AGE,
+                    is_trial: false,
                 };
                 request.features.iter().map(crashed)
             });
--- a/crates/serving/src/poison/detector.rs
+++ b/crates/serving/src/poison/detector.rs
@@ -35,6 +35,11 @@
 /// The same for features that had one before the crashes.
 const SOUND_TRIAL_DELAY: Duration = Duration::from_secs(20);
 
+/// Time after the last crash of any target until a set is tried for the first time, and after the crash of a
+/// target under a trial until it is proof: answers that have begun since, and ends of other targets at that
+/// time, must have become known.
+const SETTLE_TIME: Duration = JOINT_LOSS_SPAN.saturating_add(Duration::from_millis(500));
+
 /// Gap between two crashes of a set after which the later one shows a trial that has failed. Each doubles
 /// the delay of the next.
 const TRIAL_GAP: Duration = Duration::from_secs(15);
@@ -69,6 +74,11 @@
     pub other_ends: usize,
     /// When the newest sound answer with one of them began; `None` if there was none.
     pub newest_sound: Option<Duration>,
+    /// Whether a trial has shown that such requests crash targets. Without it they may have been at the
+    /// crashes by chance, as popular ones are at a joint loss.
+    pub is_proved: bool,
+    /// When a request with all of them may be tried, as long as that is not proved.
+    pub first_trial_at: Duration,
     /// When a request with all of them may be tried again.
     pub trial_at: Duration,
 }
@@ -179,10 +189,11 @@
         self.suspects.len()
     }
 
-    /// Returns the barred set that a request with these features falls under.
+    /// Returns the barred set that a request with these features falls under; of several one that is proved.
     #[must_use]
     pub fn barred_set(&self, features: &[RequestFeature]) -> Option<&BarredSet> {
-        self.barred.iter().find(|set| set.covers(features))
+        let covering = self.barred.iter().filter(|set| set.covers(features));
+        covering.max_by_key(|set| set.is_proved)
     }
 
     /// Returns the verdict on a request with these features as of the last [`Self::evaluate`].
@@ -285,6 +296,8 @@
                 .collect();
             let mut set = bar(&best, &suspects, &explained, &self.sound);
             set.other_ends = count_other_ends(&crashes, &explained);
+            set.is_proved = is_proved(&set, &crashes, now);
+            set.first_trial_at = first_trial(&set, &crashes);
             self.contested.extend(set.features.iter().copied());
             self.barred.push(set);
             unexplained.retain(|crash| !explains(crash));
@@ -350,6 +363,8 @@
         crash_span: span_of(explained),
         other_ends: 0,
         newest_sound,
+        is_proved: false,
+        first_trial_at: Duration::ZERO,
         trial_at: best.tally.last_at + trial_delay(best.was_sound, explained),
     }
 }
@@ -376,6 +391,32 @@
     others.filter(|crash| is_near(crash)).count()
 }
 
+/// Whether a target crashed under a trial of a set, and no other target ended at about that time: in a joint
+/// loss the target may have ended whatever it ran.
+fn is_proved(set: &BarredSet, crashes: &[&CrashRecord], now: Duration) -> bool {
+    for (index, crash) in crashes.iter().enumerate() {
+        let mut features = set.features.iter();
+        if !features.all(|feature| crash.is_trial_of(*feature)) || now < crash.at + SETTLE_TIME {
+            continue;
+        }
+        let is_near = |other: Option<&&CrashRecord>| {
+            other.is_some_and(|other| other.at.abs_diff(crash.at) <= JOINT_LOSS_SPAN)
+        };
+        let earlier = index.checked_sub(1).and_then(|index| crashes.get(index));
+        if !is_near(earlier) && !is_near(crashes.get(index + 1)) {
+            return true;
+        }
+    }
+    false
+}
+
+/// When a set may be tried for the first time: once no target has ended for a while, and in any case when a
+/// proved one would be tried again.
+fn first_trial(set: &BarredSet, crashes: &[&CrashRecord]) -> Duration {
+    let newest = crashes.last().map_or(Duration::ZERO, |crash| crash.at);
+    (newest + SETTLE_TIME).min(set.trial_at)
+}
+
 /// Time after the last crash until a request of the set is let through.
 fn trial_delay(was_sound: bool, explained: &[&CrashRecord]) -> Duration {
     let gaps = explained.windows(2).filter(|pair| {
--- a/crates/serving/src/poison/evidence.rs
+++ b/crates/serving/src/poison/evidence.rs
@@ -41,6 +41,9 @@
     pub response_age: Option<Duration>,
     /// Whether the target had sent bytes of such a response for [`super::SOUND_ANSWER_AGE`].
     pub is_outlived: bool,
+    /// Whether such a request was there to show whether it crashes its target, while others like it were
+    /// sent to none.
+    pub is_trial: bool,
 }
 
 impl CrashedFeature {
@@ -48,6 +51,7 @@
     pub fn merge(&mut self, other: Self) {
         self.response_age = self.response_age.max(other.response_age);
         self.is_outlived |= other.is_outlived;
+        self.is_trial |= other.is_trial;
     }
 }
 
@@ -74,6 +78,12 @@
         let is_outlived = crashed.is_outlived && is_part;
         !is_outlived && sound.newest(feature).is_none_or(|begun| begun < self.at)
     }
+
+    /// Whether a request with a feature was on trial there.
+    pub fn is_trial_of(&self, feature: RequestFeature) -> bool {
+        let crashed = self.features.get(&feature);
+        crashed.is_some_and(|crashed| crashed.is_trial)
+    }
 }
 
 /// The evidence against one feature: the crashes that speak against it.
--- a/crates/serving/tests/overload_crashes.rs
+++ b/crates/serving/tests/overload_crashes.rs
@@ -46,6 +46,7 @@
         feature: RequestFeature::Part(PromptPartId(1)),
         response_age: Some(at(50)),
         is_outlived: false,
+        is_trial: false,
     };
     let mut detector = PoisonDetector::default();
     detector.record_sound(RequestFeature::Part(PromptPartId(2)), Duration::ZERO);
@@ -111,6 +112,7 @@
         feature: RequestFeature::Part(PromptPartId(1)),
         response_age: None,
         is_outlived: false,
+        is_trial: false,
     };
     for is_first in [true, false] {
         let mut detector = PoisonDetector::default();
