Tell the other nodes of a sound answer that clears a verdict here

After a joint loss one node let a look-up through, it was served, and that node served on. The others kept their callers away for some seconds more, each until a trial or an answer of its own.

Cause: a node says for a feature only what it knows of contested ones. The answer that clears a feature ends the contest at this node, before it could be written. The log of joint_losses::lost_instances_refuse_nothing has *cleared* at one node 3 s before the others tried by themselves.

A node now also says what it knows of features that the others may bar, by what all of them can read. These are few: those at three crashes since the newest answer that the store has.

--- a/crates/serving/src/poison/detector.rs
+++ b/crates/serving/src/poison/detector.rs
@@ -154,6 +154,8 @@
     suspects: FastSet<RequestFeature>,
     /// Features against which several crashes speak, and those of barred sets.
     contested: FastSet<RequestFeature>,
+    /// Features that other nodes may bar by what all can know.
+    barred_elsewhere: FastSet<RequestFeature>,
 }
 
 impl PoisonDetector {
@@ -255,7 +257,7 @@
     pub fn unreported_sound(&self) -> Vec<(RequestFeature, Duration)> {
         let crashes = self.crashes.by_time();
         let mut unreported = Vec::new();
-        for feature in &self.contested {
+        for feature in self.contested.union(&self.barred_elsewhere) {
             let Some(begun_at) = self.sound.newest(*feature) else {
                 continue;
             };
@@ -278,6 +280,9 @@
         self.suspects.clear();
         self.contested.clear();
         let crashes = self.crashes.by_time();
+        let reported = tally(&crashes, &self.reported).into_iter();
+        let reported = reported.filter(|(_, tally)| tally.crashes >= MIN_CRASHES_TO_BAR);
+        self.barred_elsewhere = reported.map(|(feature, _)| feature).collect();
         let mut unexplained = crashes.clone();
         loop {
             let suspects = find_suspects(&unexplained, &self.sound);
--- a/crates/serving/tests/poison_requests.rs
+++ b/crates/serving/tests/poison_requests.rs
@@ -328,6 +328,23 @@
     assert!(detector.unreported_sound().is_empty());
 }
 
+/// A node that knows of a sound answer judges a part to be sound, and no longer contests it. The others go
+/// on keeping its callers away unless they are told.
+#[test]
+fn clearing_answer_reported() {
+    let mut detector = PoisonDetector::default();
+    for index in 4..4 + MIN_CRASHES_TO_BAR {
+        detector.record(crash(index), seconds(index), &[at_crash(part(1), 40)]);
+    }
+    detector.record_sound(part(1), seconds(8));
+    detector.evaluate(seconds(9));
+    assert!(detector.is_clear() && !detector.is_contested());
+    assert_eq!(detector.unreported_sound(), [(part(1), seconds(8))]);
+    detector.record_reported_sound(part(1), seconds(8));
+    detector.evaluate(seconds(10));
+    assert!(detector.unreported_sound().is_empty());
+}
+
 /// Whatever sound requests run beside it, the part at every crash is barred from the third crash on, and no
 /// part is that has had a sound answer since the last crash.
 #[test]
