Pass on a body that ends with its connection without a length of its own

An instance that closes its connection in the middle of a body without a length, and lives on, left its client with a 200 and 0 to 6 of 7 bytes, and a Content-Length that said they were all.

Cause: by HTTP such a body is whole, and whether it is nobody can tell. The node read it to its end and framed it anew, so that nobody behind it could see the doubt.

Such a response now ends with its connection at the client as well. The HTTP library does that in responses of HTTP/1.0 only. One that is known to be cut, since its process has ended, is 502 as before.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -11,6 +11,7 @@
 use crate::held::{ClientHold, HeldBody, TOO_MUCH_HELD};
 use crate::node::GatewayNode;
 use crate::refusal::ResponseOrigin;
+use crate::respond::end_with_connection;
 use crate::target_response::TargetResponse;
 
 /// Maximum size of a buffered response, in bytes. Only responses of plain services are buffered.
@@ -58,6 +59,9 @@
     let mut buffered = Response::new(Full::new(bytes));
     *buffered.status_mut() = response.status;
     *buffered.headers_mut() = response.headers.clone();
+    if response.is_close_delimited {
+        end_with_connection(&mut buffered);
+    }
     let origin = ResponseOrigin::from(&response);
     response.record_complete(node, admitted);
     response.release_connection(node);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -25,7 +25,8 @@
 use crate::node::{GatewayNode, RequestGuard};
 use crate::relay::{StreamRelay, StreamSource, StreamTruncated};
 use crate::respond::{
-    announce_close, announce_idle_timeout, local_response, log_response, rejected_response,
+    announce_close, announce_idle_timeout, ends_with_connection, local_response, log_response,
+    rejected_response,
 };
 use crate::send::{AttemptOutcome, send_attempt};
 use crate::target_response::TargetResponse;
@@ -61,7 +62,7 @@
     client: Rc<ClientHold>,
 ) -> Response<ResponseBody<impl Stream<Item = Result<Bytes, StreamTruncated>>>> {
     let mut response = process_request(&node, request, running, &client).await;
-    if node.is_shutting_down() {
+    if node.is_shutting_down() || ends_with_connection(&response) {
         announce_close(&mut response);
     } else {
         announce_idle_timeout(&mut response, node.idle_timeout());
--- a/crates/gateway/src/held/client_body.rs
+++ b/crates/gateway/src/held/client_body.rs
@@ -132,6 +132,8 @@
 pub enum ClientBody<S> {
     /// A response that is complete.
     Whole(Full<Bytes>, Rc<ClientHold>),
+    /// A response that ends with its connection.
+    Unframed(Full<Bytes>, Rc<ClientHold>),
     /// A stream.
     Relayed(RelayedBody<S>),
 }
@@ -151,7 +153,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<HeldBytes>, StreamTruncated>>> {
         match &mut *self {
-            Self::Whole(body, client) => {
+            Self::Whole(body, client) | Self::Unframed(body, client) => {
                 let frame = std::task::ready!(Pin::new(body).poll_frame(context));
                 let Some(Ok(frame)) = frame.map(|frame: Result<_, Infallible>| frame) else {
                     return Poll::Ready(None);
@@ -170,14 +172,14 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(body, _) => body.is_end_stream(),
-            Self::Relayed(_) => false,
+            Self::Unframed(..) | Self::Relayed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body, _) => body.size_hint(),
-            Self::Relayed(_) => SizeHint::default(),
+            Self::Unframed(..) | Self::Relayed(_) => SizeHint::default(),
         }
     }
 }
@@ -210,6 +212,11 @@
         ClientBody::Whole(body, Rc::clone(&self.client))
     }
 
+    /// Body of a response that ends with its connection.
+    pub fn unframed(&self, body: Full<Bytes>) -> ClientBody<S> {
+        ClientBody::Unframed(body, Rc::clone(&self.client))
+    }
+
     /// Body of a stream, which becomes the current one.
     pub fn relayed(&self, stream: RelayedStream<S>) -> ClientBody<S> {
         let state = Rc::new(RefCell::new(StreamState {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -18,6 +18,7 @@
 use crate::held::{ClientHold, ReadAhead};
 use crate::node::{GatewayNode, RequestGuard};
 use crate::refusal::record_unreadable;
+use crate::respond::ends_with_connection;
 use crate::usage::ConnectionUsage;
 
 /// Time limit for receiving a complete request head, including idle time. It is well above any
@@ -118,7 +119,10 @@
             let handling = handle_request(Rc::clone(&node), request, running, Rc::clone(&client));
             let ahead = Rc::clone(&ahead);
             async move {
-                let response = handling.await.map(|body| match body {
+                let response = handling.await;
+                let is_unframed = ends_with_connection(&response);
+                let response = response.map(|body| match body {
+                    Either::Left(body) if is_unframed => ahead.unframed(body),
                     Either::Left(body) => ahead.whole(body),
                     Either::Right(stream) => ahead.relayed(stream),
                 });
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use domain::RequestId;
 use events::{EventCode, LogLine};
-use http::{HeaderName, HeaderValue, Response, header};
+use http::{HeaderName, HeaderValue, Response, Version, header};
 use http_body_util::Full;
 
 use crate::admit::Rejection;
@@ -18,6 +18,17 @@
 /// Header with the idle timeout of a connection, in seconds.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// Makes a response end with its connection, as that of its target did: nobody can tell whether it is whole,
+/// and a length would say that it is. The HTTP library writes such a body in responses of HTTP/1.0 alone.
+pub(crate) fn end_with_connection<B>(response: &mut Response<B>) {
+    *response.version_mut() = Version::HTTP_10;
+}
+
+/// Whether a response ends with its connection.
+pub(crate) fn ends_with_connection<B>(response: &Response<B>) -> bool {
+    response.version() == Version::HTTP_10
+}
+
 /// Announces that the connection closes after this response.
 pub(crate) fn announce_close<B>(response: &mut Response<B>) {
     let close = HeaderValue::from_static("close");
--- a/tests/gateway/foreign_servers.rs
+++ b/tests/gateway/foreign_servers.rs
@@ -31,10 +31,57 @@
     /// As the target with this id and text, which signs its responses and names itself. It rejects what is
     /// meant for another target.
     Target(&'static str, &'static str),
+    /// With the beginning of a response, as it is cut.
+    Cut(CutAnswer),
     /// Not at all.
     Silent,
 }
 
+/// A response that ends early, while its server lives on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CutAnswer {
+    /// The whole response; `{id}` stands for the id of the request.
+    pub text: &'static str,
+    /// Bytes of it that are sent.
+    pub sent: usize,
+    /// Whether they come one by one.
+    pub is_dripped: bool,
+    /// Whether the connection is then reset instead of closed in order.
+    pub is_reset: bool,
+}
+
+/// Pause between two bytes of a response that is dripped.
+const DRIP_INTERVAL: Duration = Duration::from_millis(1);
+
+impl CutAnswer {
+    /// The whole response to a request.
+    pub fn complete_text(&self, id: &str) -> String {
+        self.text.replace("{id}", id)
+    }
+
+    async fn send(&self, mut stream: TcpStream, id: &str) {
+        let text = self.complete_text(id);
+        let sent = &text.as_bytes()[..self.sent.min(text.len())];
+        let piece = if self.is_dripped {
+            1
+        } else {
+            sent.len().max(1)
+        };
+        for bytes in sent.chunks(piece) {
+            if stream.write_all(bytes).await.is_err() {
+                return;
+            }
+            if self.is_dripped {
+                tokio::time::sleep(DRIP_INTERVAL).await;
+            }
+        }
+        if self.is_reset {
+            let reset = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            reset.expect("the socket takes the option");
+        }
+    }
+}
+
 /// A server on loopback; dropping it closes its listener and connections.
 pub struct ForeignServer {
     pub address: SocketAddr,
@@ -108,6 +155,9 @@
              content-length: 7\r\n\r\nreceipt"
         );
         let empty = |status: &str| format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+        if let ForeignAnswer::Cut(cut) = &answer {
+            return cut.send(stream, id).await;
+        }
         let text = match &answer {
             ForeignAnswer::Status(status) => empty(status),
             ForeignAnswer::Echoed(status) => {
@@ -128,7 +178,7 @@
                  x-instance-id: {own_id}\r\ncontent-length: {}\r\n\r\n{text}",
                 text.len()
             ),
-            ForeignAnswer::Silent => std::future::pending().await,
+            ForeignAnswer::Cut(_) | ForeignAnswer::Silent => std::future::pending().await,
         };
         has_answered = true;
         if stream.write_all(text.as_bytes()).await.is_err() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod config_soak;
 mod crash_soak;
 mod crashing_parts;
+mod cut_answers;
 mod endless_bytes;
 mod evacuated_site;
 mod evacuation;
