Ask the address of a target that is no longer listed whether it has ended

An instance that ended in the middle of a body without a length, just after the registry had lost its entry, left its client with a 200 and half of the body: whether a target has ended was asked of the registry alone, which then says nothing, and that counted as alive.

The address that the request was sent to is asked now. As evidence of a crash such an end still does not count.

--- a/crates/gateway/src/crash/confirm.rs
+++ b/crates/gateway/src/crash/confirm.rs
@@ -5,10 +5,11 @@
 //! and the requests that ran there are kept as evidence. Unresponsive targets and stalled replicas
 //! are not counted: their host lost power or its network, whatever it was running.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use domain::{FastMap, PromptPartId};
+use domain::{FastMap, HostId, PromptPartId};
 use events::{EventCode, LogLine};
 use serving::{RequestFeature, TargetProcess};
 use web::ConnectionError;
@@ -81,9 +82,14 @@
     if now != target.boot {
         return true;
     }
+    refuses_connections(node, &target.host, address).await
+}
+
+/// Whether nothing listens at a target's address any more.
+pub async fn refuses_connections(node: &GatewayNode, host: &HostId, address: SocketAddr) -> bool {
     // A partition may reset and refuse the connections of this node alone.
     let limits = ConnectLimits::both(CONNECT_TIMEOUT);
-    let connected = connect_target(node, &target.host, address, limits).await;
+    let connected = connect_target(node, host, address, limits).await;
     matches!(connected, Err(ConnectionError::Refused))
 }
 
--- a/crates/gateway/src/crash/mod.rs
+++ b/crates/gateway/src/crash/mod.rs
@@ -9,7 +9,7 @@
 mod trial;
 mod verdict;
 
-pub use confirm::{has_exited, record_interrupted};
+pub use confirm::{has_exited, record_interrupted, refuses_connections};
 pub use records::{share_evidence, watch_evidence};
 pub use state::{CrashState, InterruptedRequest};
 pub use trial::ArrivalVerdict;
--- a/crates/gateway/src/target_response.rs
+++ b/crates/gateway/src/target_response.rs
@@ -14,7 +14,7 @@
 
 use crate::admitted::AdmittedRequest;
 use crate::attempt_connection::ConnectionPath;
-use crate::crash::{InterruptedRequest, has_exited, record_interrupted};
+use crate::crash::{InterruptedRequest, has_exited, record_interrupted, refuses_connections};
 use crate::in_flight::InFlightGuard;
 use crate::node::GatewayNode;
 use crate::tunnel::TargetConnection;
@@ -64,7 +64,7 @@
 
     /// Whether the body may have been cut off where it ended: it ends with its connection, and the target's
     /// process has exited or its replica is another one by now. A target that leaves ends what it has begun,
-    /// though it accepts no new connections.
+    /// though it accepts no new connections. One that is no longer listed can only be judged by its address.
     pub async fn may_be_cut(&self, node: &GatewayNode) -> bool {
         if !self.is_close_delimited {
             return false;
@@ -74,7 +74,8 @@
             Some((entry.state, entry.membership_key()))
         });
         let Some((state, membership)) = known else {
-            return false;
+            tokio::time::sleep(EXIT_SETTLE_TIME).await;
+            return refuses_connections(node, &self.host, self.address).await;
         };
         if state == TargetState::Draining {
             return false;
--- a/tests/gateway/cut_answers.rs
+++ b/tests/gateway/cut_answers.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpStream;
 
 use crate::foreign_servers::{CutAnswer, ForeignAnswer, ForeignServer, register};
-use crate::node::TestNode;
+use crate::node::{TestNode, wait_for};
 use crate::site::{HOST, KEY, TestSite};
 
 /// Body of each whole answer.
@@ -97,7 +97,7 @@
 
 /// Cuts an answer at each `step`-th byte, in order and by a reset. No client may get a success that is framed
 /// as whole unless it is, and none at all while the head is not complete.
-async fn cut_everywhere(text: &'static str, is_dripped: bool, step: usize) {
+async fn cut_everywhere(text: &'static str, drip: Duration, step: usize) {
     let site = TestSite::start(0, 0);
     let node = site.node("n0").await;
     let whole = text.len();
@@ -111,7 +111,7 @@
             let cut = CutAnswer {
                 text,
                 sent,
-                is_dripped,
+                drip,
                 is_reset,
             };
             let server = ForeignServer::start(ForeignAnswer::Cut(cut)).await;
@@ -136,24 +136,52 @@
 /// Guards against half of an answer that has a length.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_with_length() {
-    cut_everywhere(WITH_LENGTH, false, 3).await;
+    cut_everywhere(WITH_LENGTH, Duration::ZERO, 3).await;
 }
 
 /// Guards against half of an answer that comes in chunks.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_in_chunks() {
-    cut_everywhere(IN_CHUNKS, false, 3).await;
+    cut_everywhere(IN_CHUNKS, Duration::ZERO, 3).await;
 }
 
 /// Guards against a body that ended early with its connection and got a length on the way to the client,
 /// which made it look whole.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_without_length() {
-    cut_everywhere(WITHOUT_LENGTH, false, 3).await;
+    cut_everywhere(WITHOUT_LENGTH, Duration::ZERO, 3).await;
 }
 
 /// Guards against the same of an answer that comes byte by byte after an interim response.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_after_interim() {
-    cut_everywhere(AFTER_INTERIM, true, 5).await;
+    cut_everywhere(AFTER_INTERIM, Duration::from_millis(1), 5).await;
+}
+
+/// Guards against half of an answer whose server ends as the registry loses it: nobody says any more that the
+/// server has ended, and its address tells.
+#[tokio::test(flavor = "multi_thread")]
+async fn unlisted_server_ends() {
+    let site = TestSite::start(0, 0);
+    let node = site.node("n0").await;
+    let cut = CutAnswer {
+        text: WITHOUT_LENGTH,
+        sent: WITHOUT_LENGTH.len() - 3,
+        drip: Duration::from_millis(5),
+        is_reset: false,
+    };
+    let server = ForeignServer::start_single(ForeignAnswer::Cut(cut)).await;
+    register(&site, "s0", server.address);
+    let answer = send_when_listed(&node);
+    let removal = async {
+        wait_for("the request to arrive", || server.request_count() > 0).await;
+        site.store.remove("servers", "s0");
+    };
+    let (answer, ()) = tokio::join!(answer, removal);
+    assert!(
+        answer.has_status("502"),
+        "{} | {}",
+        answer.head,
+        answer.body
+    );
 }
--- a/tests/gateway/foreign_servers.rs
+++ b/tests/gateway/foreign_servers.rs
@@ -44,15 +44,12 @@
     pub text: &'static str,
     /// Bytes of it that are sent.
     pub sent: usize,
-    /// Whether they come one by one.
-    pub is_dripped: bool,
+    /// Pause after each byte; zero if they come at once.
+    pub drip: Duration,
     /// Whether the connection is then reset instead of closed in order.
     pub is_reset: bool,
 }
 
-/// Pause between two bytes of a response that is dripped.
-const DRIP_INTERVAL: Duration = Duration::from_millis(1);
-
 impl CutAnswer {
     /// The whole response to a request.
     pub fn complete_text(&self, id: &str) -> String {
@@ -62,18 +59,16 @@
     async fn send(&self, mut stream: TcpStream, id: &str) {
         let text = self.complete_text(id);
         let sent = &text.as_bytes()[..self.sent.min(text.len())];
-        let piece = if self.is_dripped {
-            1
-        } else {
+        let piece = if self.drip.is_zero() {
             sent.len().max(1)
+        } else {
+            1
         };
         for bytes in sent.chunks(piece) {
             if stream.write_all(bytes).await.is_err() {
                 return;
             }
-            if self.is_dripped {
-                tokio::time::sleep(DRIP_INTERVAL).await;
-            }
+            tokio::time::sleep(self.drip).await;
         }
         if self.is_reset {
             let reset = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
@@ -124,6 +119,26 @@
         }
     }
 
+    /// Starts a server on a free port that no longer listens once it has a connection.
+    pub async fn start_single(answer: ForeignAnswer) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.expect("a free port");
+        let address = listener.local_addr().expect("listener has an address");
+        let requests = Arc::<AtomicUsize>::default();
+        let counted = Arc::clone(&requests);
+        let mut serving = JoinSet::new();
+        serving.spawn(async move {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            drop(listener);
+            serve(stream, answer, counted).await;
+        });
+        Self {
+            address,
+            requests,
+            _serving: serving,
+        }
+    }
+
     /// Requests that came here, probes included.
     pub fn request_count(&self) -> usize {
         self.requests.load(Ordering::Relaxed)
