Compare the store's clock within one connection alone

A node refused a confirmed route for good, 2.002 s after its confirmation (bound 2 s), after the store had moved to a machine whose steady clock was 800 ms ahead: an empty response that came early and waited for a paused process looked as if the store had held it for that long.

Cause: the anchor that places responses by the store's clock was kept across connections. A clock that is behind shows by itself, one that is ahead does not if the response had to wait for longer.

The anchor belongs to a connection now, and the first call on a new one asks for a response at once, so that the clocks are compared closely. It times out as late as a long poll would, so a silent store gets no more calls.

config_freshness::clock_ahead_behind_pause failed three times of three and passes; store_anchor::other_connection_starts_anew.

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -8,7 +8,7 @@
 use adapter::{StoreClient, StoreError};
 use domain::RowVersion;
 use events::{EventCode, LogLine};
-use serving::feed::{FeedTiming, MAX_JITTER, TableDelta, VersionClaims};
+use serving::feed::{FeedTiming, MAX_JITTER, StoreAnchor, TableDelta, VersionClaims};
 use serving::hashing::unit_draw;
 use wire::feed::{FeedLane, FeedTable};
 
@@ -60,18 +60,23 @@
     let mut failures = 0_u32;
     let mut is_compacted = false;
     let mut claims = VersionClaims::default();
+    let mut anchor = StoreAnchor::default();
     loop {
         let is_first = until_direct(&node, FeedLane::of(table)).await;
         let started_at = node.now();
         let known = node.feed.copy(table).borrow().version();
         let known = known.filter(|_| !is_compacted);
-        let wait = if is_first {
-            Duration::ZERO
+        let timing = node.feed_timing(FeedLane::of(table));
+        let poll_wait = poll_wait(&node, table);
+        // The first response of a connection shows where the store's clock stands, if it comes at once.
+        let (wait, slack) = if is_first {
+            (Duration::ZERO, timing.poll_slack())
+        } else if client.is_connected() {
+            (poll_wait, timing.poll_slack())
         } else {
-            poll_wait(&node, table)
+            (Duration::ZERO, timing.poll_slack() + poll_wait)
         };
-        let timing = node.feed_timing(FeedLane::of(table));
-        let result = poll_once(&node, &mut client, table, known, wait).await;
+        let result = poll_once(&node, &mut client, table, known, (wait, slack)).await;
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         let took = node.now().saturating_sub(started_at);
         node.metrics
@@ -88,7 +93,8 @@
                 is_compacted = false;
                 let changed = !delta.rows.is_empty();
                 let answered_at = node.now();
-                let built_at = place_response(&node, (started_at, answered_at), clock);
+                let call = (started_at, answered_at);
+                let built_at = anchor.place(client.connection_count(), call, clock);
                 let confirmation = TableConfirmation {
                     confirmed_at: answered_at,
                     proved_at: Some(proof_time(started_at, wait, changed, built_at)),
@@ -131,14 +137,6 @@
     claims.verify(after, delta.version)
 }
 
-/// Earliest time at which the store can have built a response to a call from its start to its end.
-fn place_response(node: &GatewayNode, call: (Duration, Duration), clock: Duration) -> Duration {
-    let mut anchor = node.store_anchor.get();
-    let placed = anchor.place(call, clock);
-    node.store_anchor.set(anchor);
-    placed
-}
-
 /// Moment up to which a response is proved to be complete. It may have been built at any time from
 /// `built_at` on, and have waited here since, for example while the process was paused. How long the call
 /// took proves nothing: the store may have ended it early. One without changes shows that there were none
@@ -250,12 +248,13 @@
     clock: Duration,
 }
 
+/// Calls the store once; a call for changes waits up to `wait` and times out `slack` later.
 async fn poll_once(
     node: &GatewayNode,
     client: &mut StoreClient,
     table: FeedTable,
     known: Option<RowVersion>,
-    wait: Duration,
+    (wait, slack): (Duration, Duration),
 ) -> Result<PolledChanges, StoreError> {
     let name = store_table(table);
     let timing = node.feed_timing(FeedLane::of(table));
@@ -273,9 +272,7 @@
             clock: page.clock,
         });
     };
-    let response = client
-        .watch_table(name, after, wait, timing.poll_slack())
-        .await?;
+    let response = client.watch_table(name, after, wait, slack).await?;
     let delta = TableDelta {
         version: response.version.max(after),
         is_full: false,
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -22,7 +22,7 @@
 use events::{LogLine, LogSink};
 use policy::admission::CustomerShares;
 use serving::demand::DemandLedger;
-use serving::feed::{FeedTiming, StoreAnchor};
+use serving::feed::FeedTiming;
 use serving::lease::LeaseLedger;
 use serving::load_board::LoadBoard;
 use serving::regions::RegionMap;
@@ -138,8 +138,6 @@
     contradicted: RefCell<FastSet<HostId>>,
     /// Store clock, and the process time at which it was read.
     pub(crate) store_clock: Cell<Option<(Duration, Duration)>>,
-    /// Places responses of the store on this process's clock.
-    pub(crate) store_anchor: Cell<StoreAnchor>,
     /// Draining or unlisted targets that no longer accept connections, and since when.
     retired: RefCell<FastMap<HostId, Duration>>,
     retry_budgets: RefCell<FastMap<ServiceName, RetryBudget>>,
@@ -234,7 +232,6 @@
             confirmed: RefCell::default(),
             contradicted: RefCell::default(),
             store_clock: Cell::default(),
-            store_anchor: Cell::default(),
             retired: RefCell::default(),
             retry_budgets: RefCell::default(),
             statements: RefCell::default(),
--- a/crates/serving/src/feed/store_anchor.rs
+++ b/crates/serving/src/feed/store_anchor.rs
@@ -17,19 +17,31 @@
 }
 
 /// Places responses of the store on this process's clock.
+///
+/// Clocks are compared within one connection alone: after another one the store may be another machine,
+/// whose clock may be ahead, and an old response would look younger than it is.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StoreAnchor {
+    connection: u64,
     anchor: Option<ClockAnchor>,
 }
 
 impl StoreAnchor {
-    /// Takes in a response that shows `clock` to a call from `started_at` to `answered_at`. Returns the
-    /// earliest time at which the store can have built it.
+    /// Takes in a response that shows `clock` to a call from `started_at` to `answered_at`, which is told
+    /// from those of other connections by `connection`. Returns the earliest time at which the store can
+    /// have built it.
     pub fn place(
         &mut self,
+        connection: u64,
         (started_at, answered_at): (Duration, Duration),
         clock: Duration,
     ) -> Duration {
+        if self.connection != connection {
+            *self = Self {
+                connection,
+                anchor: None,
+            };
+        }
         let own = ClockAnchor {
             at: started_at,
             clock,
--- a/crates/serving/tests/store_anchor.rs
+++ b/crates/serving/tests/store_anchor.rs
@@ -14,9 +14,9 @@
 #[test]
 fn waiting_response_keeps_its_time() {
     let mut anchor = StoreAnchor::default();
-    assert_eq!(anchor.place((ms(100), ms(104)), ms(5000)), ms(100));
+    assert_eq!(anchor.place(1, (ms(100), ms(104)), ms(5000)), ms(100));
     // Built 120 ms after the start of the call, read 1.1 s after it.
-    let placed = anchor.place((ms(1000), ms(2100)), ms(6020));
+    let placed = anchor.place(1, (ms(1000), ms(2100)), ms(6020));
     assert!(placed <= ms(1120), "{placed:?}");
     assert!(placed >= ms(1115), "{placed:?}");
 }
@@ -26,10 +26,14 @@
 #[test]
 fn held_poll_counts_from_its_end() {
     let mut anchor = StoreAnchor::default();
-    anchor.place((ms(100), ms(104)), ms(5002));
+    anchor.place(1, (ms(100), ms(104)), ms(5002));
     for poll in 0..100 {
         let started = 200 + poll * 1005;
-        let placed = anchor.place((ms(started), ms(started + 1004)), ms(started + 4902 + 1001));
+        let placed = anchor.place(
+            1,
+            (ms(started), ms(started + 1004)),
+            ms(started + 4902 + 1001),
+        );
         assert!(placed >= ms(started + 940), "poll {poll}: {placed:?}");
     }
 }
@@ -38,11 +42,25 @@
 #[test]
 fn stepped_clock() {
     let mut anchor = StoreAnchor::default();
-    anchor.place((ms(100), ms(104)), ms(5000));
-    assert_eq!(anchor.place((ms(1000), ms(1010)), ms(9000)), ms(1000));
-    let placed = anchor.place((ms(2000), ms(3010)), ms(11_000));
+    anchor.place(1, (ms(100), ms(104)), ms(5000));
+    assert_eq!(anchor.place(1, (ms(1000), ms(1010)), ms(9000)), ms(1000));
+    let placed = anchor.place(1, (ms(2000), ms(3010)), ms(11_000));
     assert!(placed >= ms(2990) && placed <= ms(3010), "{placed:?}");
-    assert_eq!(anchor.place((ms(4000), ms(5000)), ms(100)), ms(4000));
+    assert_eq!(anchor.place(1, (ms(4000), ms(5000)), ms(100)), ms(4000));
+}
+
+/// Guards against a store that moves to a machine whose clock is ahead: an early response that waited would
+/// look as if it had been held.
+#[test]
+fn other_connection_starts_anew() {
+    let mut anchor = StoreAnchor::default();
+    anchor.place(1, (ms(100), ms(104)), ms(5000));
+    // Built 120 ms after the start of the call by a clock that is 800 ms ahead, read 1.1 s after it.
+    assert_eq!(anchor.place(2, (ms(1000), ms(2100)), ms(6820)), ms(1000));
+    // The same machine held this one for a second.
+    anchor.place(2, (ms(2200), ms(2204)), ms(7900));
+    let placed = anchor.place(2, (ms(2300), ms(3310)), ms(9000));
+    assert!(placed >= ms(3290) && placed <= ms(3310), "{placed:?}");
 }
 
 /// However calls overlap and responses wait, none is placed after the time at which it was built.
@@ -55,7 +73,7 @@
             now += u64::from(pause);
             let built = now + u64::from(way) + u64::from(held);
             let read = built + u64::from(waited);
-            let placed = anchor.place((ms(now), ms(read)), ms(u64::from(offset) + built));
+            let placed = anchor.place(1, (ms(now), ms(read)), ms(u64::from(offset) + built));
             if placed > ms(built) || placed < ms(now) {
                 return TestResult::failed();
             }
--- a/tests/gateway/config_freshness.rs
+++ b/tests/gateway/config_freshness.rs
@@ -27,6 +27,9 @@
 /// Wait of a poll for the configuration at this bound, and a little more.
 const POLL_WAIT: Duration = Duration::from_millis(1060);
 
+/// How far the clock of another machine of the store is ahead, less than a poll takes.
+const CLOCK_STEP: Duration = Duration::from_millis(800);
+
 /// Time between questions to a node.
 const ASK_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -154,6 +157,33 @@
     assert_served_soon(&node).await;
 }
 
+/// Guards against a store that moves to another machine, whose steady clock is ahead: a response that came
+/// early and waited for a paused process looked as if the store had held it until the end of the pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn clock_ahead_behind_pause() {
+    let site = TestSite::start_bounded(1);
+    let (node, gate) = site.gated_node("z0", "n0").await;
+    wait_for_poll(&site, &node, 7).await;
+    gate.set(GateMode::Silent);
+    for table in ["op", "servers"] {
+        node.wait_log_line(&["store_lost", table]).await;
+    }
+    site.store.step_clock(CLOCK_STEP);
+    gate.end_poll_early(EARLY_END);
+    gate.set(GateMode::Open);
+    wait_for("the poll that ends early", || gate.has_begun_early_poll()).await;
+    node.signal("STOP");
+    let paused = Instant::now();
+    tokio::time::sleep(EARLY_END * 2).await;
+    gate.lose_config(u32::MAX);
+    let confirmed = confirm(&site, &with_route(8, ADDED));
+    tokio::time::sleep_until(paused + POLL_WAIT).await;
+    node.signal("CONT");
+    assert_not_refused(&node, confirmed).await;
+    gate.lose_config(0);
+    assert_served_soon(&node).await;
+}
+
 async fn unreachable_store(mode: GateMode) {
     let site = TestSite::start_bounded(1);
     let (node, gate) = site.gated_node("z0", "n0").await;
