Give connections room for many headers when a head needs it

A proper head of 7 KB with 120 headers got 431 by the HTTP library, though max_header_bytes is 16,384, and a client does not repeat that.

Cause: the library takes 100 headers by itself. It prepares room for all that it may take each time that it reads a head, so room for as many as fit cost every request (docs/CAPACITY.md).

A connection starts with room for 100 as before. The lines of each head are counted as they arrive; a head with more is held back before the library has seen too many, and the connection goes on with room for as many as fit into the configured size. Other connections pay for counting alone.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod feed;
 mod fingerprint;
 mod handle;
+mod head_room;
 mod heartbeat;
 mod held;
 mod hints;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -15,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::handle::handle_request;
+use crate::head_room::{HeadRoom, HeadStream, max_headers};
 use crate::held::{ClientHold, ReadAhead};
 use crate::node::{GatewayNode, RequestGuard};
 use crate::refusal::record_unreadable;
@@ -110,11 +111,14 @@
     let usage = ConnectionUsage::new(opened_at);
     let client = ClientHold::new(&node);
     let ahead = Rc::new(ReadAhead::new(&client));
+    let room = HeadRoom::new(&usage);
     let handler = {
         let node = Rc::clone(&node);
         let usage = Rc::clone(&usage);
         let ahead = Rc::clone(&ahead);
+        let room = Rc::clone(&room);
         service_fn(move |request| {
+            room.head_received();
             let running = RequestGuard::new(&node, &usage);
             let handling = handle_request(Rc::clone(&node), request, running, Rc::clone(&client));
             let ahead = Rc::clone(&ahead);
@@ -134,14 +138,14 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT);
-    let connection = builder.serve_connection(TokioIo::new(stream), handler);
-    tokio::pin!(connection);
+    let stream = TokioIo::new(HeadStream::new(stream, &room));
+    let mut connection = builder.serve_connection(stream, handler);
     let mut closing = false;
     loop {
         tokio::select! {
             // The connection first: what it doesn't ask for is read on.
             biased;
-            ended = connection.as_mut() => {
+            ended = &mut connection => {
                 // Other errors affect one client, which sees them; the request has its own log line.
                 if let Err(error) = ended {
                     let open_for = node.now().saturating_sub(opened_at);
@@ -152,7 +156,16 @@
             () = ahead.run() => return,
             () = wait_until_closable(&node, &usage), if !closing => {
                 closing = true;
-                connection.as_mut().graceful_shutdown();
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
+            }
+            () = room.exceeded() => {
+                let parts = connection.into_parts();
+                room.extend(&parts.read_buf);
+                builder.max_headers(max_headers(node.config().as_deref()));
+                connection = builder.serve_connection(parts.io, parts.service);
+                if closing {
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                }
             }
         }
     }
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -33,6 +33,12 @@
         self.last_used.set(now);
     }
 
+    /// Whether a request is in flight.
+    #[must_use]
+    pub fn is_in_flight(&self) -> bool {
+        self.in_flight.get() > 0
+    }
+
     /// Time since the last response ended; zero while a request is in flight.
     #[must_use]
     pub fn idle_time(&self, now: Duration) -> Duration {
--- a/tests/gateway/request_heads.rs
+++ b/tests/gateway/request_heads.rs
@@ -1,10 +1,20 @@
 //! Request heads that are proper by HTTP and within the limits that the configuration states.
 
 use std::fmt::Write as _;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 
 use crate::refusal_makers::first_line;
 use crate::site::{HOST, KEY, TestSite};
 
+/// Time in which a response must come.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause between the pieces of a head.
+const PIECE_INTERVAL: Duration = Duration::from_millis(3);
+
 /// Head of a look-up with further header lines, without the empty line at its end.
 fn look_up_head(id: &str, host: &str) -> String {
     format!(
@@ -46,6 +56,47 @@
     assert_served(&head).await;
 }
 
+/// Reads one response, whose body is that of the stand-in's instances; returns its head.
+async fn read_response(stream: &mut TcpStream) -> String {
+    let reading = async {
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"\r\n\r\nreceipt") {
+            let read = stream.read_buf(&mut bytes).await.expect("a response");
+            assert!(read > 0, "{}", String::from_utf8_lossy(&bytes));
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    };
+    let text = tokio::time::timeout(RESPONSE_TIMEOUT, reading).await;
+    text.expect("a response in time")
+}
+
+/// Guards against 431, or a request that is lost, where a head with many headers follows others on a kept
+/// connection, comes in pieces, or has a body whose lines look like more headers.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_headers_on_kept_connection() {
+    let site = TestSite::start(0, 1);
+    let node = site.node("n0").await;
+    let mut stream = TcpStream::connect(node.requests).await.expect("connects");
+    for round in 0..6 {
+        let mut head = look_up_head(&format!("h-{round}"), HOST);
+        head = head.replacen("GET", "POST", 1);
+        if round % 2 == 1 {
+            for number in 0..60 * round {
+                write!(head, "x-note-{number}: {round}\r\n").expect("a String can be written");
+            }
+        }
+        let body = "a line\n\n".repeat(20 * round);
+        write!(head, "content-length: {}\r\n\r\n{body}", body.len()).expect("can be written");
+        let piece = if round < 3 { head.len() } else { 700 };
+        for bytes in head.as_bytes().chunks(piece) {
+            stream.write_all(bytes).await.expect("the node reads");
+            tokio::time::sleep(PIECE_INTERVAL).await;
+        }
+        let response = read_response(&mut stream).await;
+        assert!(response.starts_with("HTTP/1.1 200 OK"), "{response}");
+    }
+}
+
 /// Guards against 404 for the fully qualified form of the host's name.
 #[tokio::test(flavor = "multi_thread")]
 async fn host_with_trailing_dot() {
