Break the circle of imports in the gateway

Fourteen modules of the gateway imported each other in one circle, and two pairs beside it. State that the node holds (hint channel, limited targets, overload), the maker of a refusal, the outcome of an attempt, the path of a connection, a planned order and the connection of a tunnel have modules of their own, which import nothing that decides. No module of the gateway is in a circle any more.

--- a/crates/gateway/src/attempt_connection.rs
+++ b/crates/gateway/src/attempt_connection.rs
@@ -4,18 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::HostId;
 use http::Request;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serving::TargetEntry;
-use serving::stall::PROGRESS_WINDOW;
 use web::ConnectionError;
 
 use crate::admitted::AdmittedRequest;
+use crate::attempt_outcome::AttemptOutcome;
 use crate::node::{FailureKind, GatewayNode};
 use crate::probe::probe;
-use crate::send::AttemptOutcome;
 use crate::tunnel::{ConnectLimits, TargetConnection, connect_target, watch_path};
 
 /// Connection time after which an engine is probed. Targets are less than a millisecond away.
@@ -25,33 +23,6 @@
 /// be tried elsewhere while its client still waits.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Path of a connection on which a response arrives.
-#[derive(Debug)]
-pub struct ConnectionPath {
-    /// Target that the node's own connection leads to; `None` for a tunnel.
-    own_to: Option<HostId>,
-}
-
-impl ConnectionPath {
-    /// Path of a connection to a target.
-    #[must_use]
-    pub fn of(host: &HostId, connection: &TargetConnection) -> Self {
-        Self {
-            own_to: (!connection.is_tunnelled()).then(|| host.clone()),
-        }
-    }
-
-    /// Completes once the connection is probably dead: it is the node's own, its path is lost, and it
-    /// has been silent since.
-    pub async fn silent(&self, node: &GatewayNode) {
-        match &self.own_to {
-            Some(host) => node.path_silent(host).await,
-            None => std::future::pending().await,
-        }
-        tokio::time::sleep(PROGRESS_WINDOW).await;
-    }
-}
-
 /// Whether an attempt may use an idle connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionReuse {
--- a/crates/gateway/src/crash/records.rs
+++ b/crates/gateway/src/crash/records.rs
@@ -26,7 +26,7 @@
 use super::rows::{CrashReport, CrashRow, EvidenceRow, SoundRow};
 use super::verdict::EvidenceSource;
 use crate::heartbeat::read_heartbeats;
-use crate::hints::LoadHint;
+use crate::hint_channel::LoadHint;
 use crate::node::GatewayNode;
 
 /// Table with one row per crashed process and reporting node, and one row per node with sound answers.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -18,6 +18,7 @@
 use crate::admit::{admit, reject_unconfigured};
 use crate::admitted::{AdmittedRequest, SelectionError};
 use crate::attempt_connection::ConnectionReuse;
+use crate::attempt_outcome::AttemptOutcome;
 use crate::buffered::{BufferedResponse, buffer_response};
 use crate::crash::{ArrivalVerdict, describe_features};
 use crate::held::{ClientHold, RelayedStream};
@@ -28,7 +29,7 @@
     announce_close, announce_idle_timeout, ends_with_connection, local_response, log_response,
     rejected_response,
 };
-use crate::send::{AttemptOutcome, send_attempt};
+use crate::send::send_attempt;
 use crate::target_response::TargetResponse;
 
 /// `Retry-After` if there is no configuration or no replica: about the time it takes to read the
--- a/crates/gateway/src/heartbeat/census.rs
+++ b/crates/gateway/src/heartbeat/census.rs
@@ -12,7 +12,7 @@
 use super::interval::{blind_age, expiry_age};
 use super::row::{LinkRow, NodeRow};
 use crate::feed::FeedMember;
-use crate::hints::{LoadCollectors, MAX_HINT_PEERS};
+use crate::hint_channel::{LoadCollectors, MAX_HINT_PEERS};
 use crate::node::{GatewayNode, LiveNode};
 use crate::tunnel::TunnelRelay;
 
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -6,7 +6,7 @@
 use serving::TargetEntry;
 
 use crate::admitted::AdmittedRequest;
-use crate::hints::LoadHint;
+use crate::hint_channel::LoadHint;
 use crate::node::GatewayNode;
 
 /// Counts a request as in flight at a target until dropped.
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -16,7 +16,8 @@
 use serving::target_limit::TargetLimit;
 use serving::{SendBarrier, TargetEntry};
 
-use crate::hints::{HostHash, LoadHint};
+use crate::hint_channel::{HostHash, LoadHint};
+use crate::limited_target::LimitedTarget;
 use crate::node::GatewayNode;
 
 use turn::hold_turn;
@@ -37,18 +38,6 @@
 /// Thousandths in one.
 const MILLI: f64 = 1000.0;
 
-/// A target that states a limit.
-#[derive(Debug)]
-pub struct LimitedTarget {
-    limit: TargetLimit,
-    /// The turn to send to it, the only slot.
-    turn: LeaseLedger,
-    /// When the other nodes were last told, by this node or another.
-    told_at: Duration,
-    /// Requests sent since the turn was last claimed or renewed.
-    sent: u64,
-}
-
 /// Interval between two news of the same limit.
 fn news_interval(nodes: usize) -> Duration {
     let factor = u32::try_from(nodes.div_ceil(NEWS_NODES)).unwrap_or(u32::MAX);
--- a/crates/gateway/src/load_batches.rs
+++ b/crates/gateway/src/load_batches.rs
@@ -12,7 +12,7 @@
 use domain::HostId;
 use serving::load_board::HeadReport;
 
-use crate::hints::{HeadHint, HintReport, HostHash, LoadHint};
+use crate::hint_channel::{HeadHint, HintReport, HostHash, LoadHint};
 use crate::node::GatewayNode;
 
 /// Interval between two batches of one node. Two nodes send them, so that loads are known a tenth
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -18,7 +18,7 @@
 use serving::{RouteKind, SendBarrier};
 
 use self::stats::{ReadStat, gauges, u64_to_f64};
-use crate::refusal::RefusalMaker;
+use crate::refusal_maker::RefusalMaker;
 
 pub use self::stats::NodeStats;
 
--- a/crates/gateway/src/node/loads.rs
+++ b/crates/gateway/src/node/loads.rs
@@ -6,7 +6,7 @@
 use serving::TargetLoad;
 
 use super::GatewayNode;
-use crate::hints::HostHash;
+use crate::hint_channel::HostHash;
 
 impl GatewayNode {
     /// Load of a target; zero if unknown.
--- a/crates/gateway/src/order_tracker.rs
+++ b/crates/gateway/src/order_tracker.rs
@@ -6,7 +6,7 @@
 use domain::{BootNumber, FastMap, FastSet, HostId};
 use serving::MembershipKey;
 
-use crate::orders::PlannedOrder;
+use crate::planned_order::PlannedOrder;
 
 /// Time for which the response to this node's last order replaces a report. Reports lag by some
 /// hundred milliseconds, so a new one may predate that order.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -10,12 +10,13 @@
 
 use adapter::orders::HostOrder;
 use adapter::{HostError, OrderResponse};
-use domain::{BootNumber, HostId};
+use domain::BootNumber;
 use events::{EventCode, LogLine};
 use serving::{MemberState, MembershipKey, ReplicaMembership};
 
 use crate::node::{FailureKind, GatewayNode};
 use crate::order_tracker::OrderTracker;
+use crate::planned_order::PlannedOrder;
 use crate::probe::order_target;
 
 /// Timeout for the response to an order or a report request; both usually take milliseconds.
@@ -52,30 +53,6 @@
     }
 }
 
-/// An order with the state that it was planned for.
-#[derive(Debug, Clone)]
-pub struct PlannedOrder {
-    /// Engine that gets the order.
-    pub host: HostId,
-    /// Order to send, resent unchanged until it is settled.
-    pub order: HostOrder,
-    /// Membership that the engine must still have; `None` for no replica.
-    pub expected: Option<MembershipKey>,
-}
-
-impl PlannedOrder {
-    /// Membership of the engine once the order was accepted.
-    pub(crate) fn membership_after(&self) -> Option<MembershipKey> {
-        match &self.order {
-            HostOrder::Join { replica, epoch, .. } => Some((replica.clone(), *epoch)),
-            HostOrder::Leave { .. } => None,
-            HostOrder::Open { .. } | HostOrder::Close { .. } | HostOrder::Stage { .. } => {
-                self.expected.clone()
-            }
-        }
-    }
-}
-
 /// Sends an order and waits until its outcome is settled.
 pub async fn execute_order(
     node: &Rc<GatewayNode>,
--- a/crates/gateway/src/overload.rs
+++ b/crates/gateway/src/overload.rs
@@ -1,15 +1,15 @@
 //! Which requests may wait at full targets.
 
-use std::cell::RefCell;
 use std::time::Duration;
 
-use domain::{FastMap, FastSet, HostId, ModelName, ServiceName};
-use policy::admission::{AdmissionClass, UsualTimes, is_late};
-use serving::choose_by_room::{ArrivalRate, BLIND_TIME, BlindTraffic};
-use serving::{ReplicaTiming, ReturnRequest, ReturnTimes, ServiceConfig};
+use domain::{FastSet, HostId, ModelName};
+use policy::admission::{AdmissionClass, is_late};
+use serving::choose_by_room::{BLIND_TIME, BlindTraffic};
+use serving::{ReplicaTiming, ReturnRequest, ServiceConfig};
 
 use crate::admitted::AdmittedRequest;
 use crate::node::GatewayNode;
+use crate::overload_state::ModelOverload;
 
 /// Whether requests whose responses will be late get only free slots.
 const USES_LATENESS: bool = true;
@@ -24,50 +24,6 @@
 /// milliseconds, so a short queue empties within the target latency.
 const PLAIN_QUEUE_PER_SLOT: f64 = 1.0;
 
-/// What a node has learned of overload from its own requests.
-#[derive(Debug, Default)]
-pub struct OverloadState {
-    usual_times: RefCell<UsualTimes>,
-    models: RefCell<FastMap<(ServiceName, ModelName), ModelOverload>>,
-}
-
-/// What a node has learned of the overload of one model.
-#[derive(Debug, Default)]
-struct ModelOverload {
-    arrivals: ArrivalRate,
-    returns: ReturnTimes,
-}
-
-impl OverloadState {
-    /// Records how long the client of an arriving request will still wait; returns how long it has waited.
-    pub fn record_time_left(
-        &self,
-        route: &str,
-        timeout: Duration,
-        left: Duration,
-        now: Duration,
-    ) -> Duration {
-        let mut usual = self.usual_times.borrow_mut();
-        usual.record(route, timeout, left, now)
-    }
-
-    /// Records the end of a request at a target of a model.
-    pub fn record_end(&self, service: &ServiceName, model: &ModelName, now: Duration) {
-        self.with_model(service, model, |model| model.returns.record_end(now));
-    }
-
-    /// Calls `access` with what is known of a model, created at its first use.
-    fn with_model<R>(
-        &self,
-        service: &ServiceName,
-        model: &ModelName,
-        access: impl FnOnce(&mut ModelOverload) -> R,
-    ) -> R {
-        let mut models = self.models.borrow_mut();
-        access(models.entry((service.clone(), model.clone())).or_default())
-    }
-}
-
 impl AdmittedRequest {
     /// Maximum queue length at a target for this request to be sent there, given that its client
     /// waits for `max_wait`. Negative if slots are left to other requests.
--- a/crates/gateway/src/reconcile/steps.rs
+++ b/crates/gateway/src/reconcile/steps.rs
@@ -8,7 +8,8 @@
 use serving::plan::{CloseMode, PlanStep, SPARE_PREFIX, spare_prefix};
 
 use super::ReplicaReconciler;
-use crate::orders::{OrderOutcome, PlannedOrder, execute_order};
+use crate::orders::{OrderOutcome, execute_order};
+use crate::planned_order::PlannedOrder;
 use crate::probe::{order_target, refresh_host};
 
 /// Time during which a head that was ordered to open may still report itself as ready.
--- a/crates/gateway/src/relay/failover.rs
+++ b/crates/gateway/src/relay/failover.rs
@@ -10,7 +10,8 @@
 
 use super::StreamRelay;
 use crate::attempt_connection::ConnectionReuse;
-use crate::send::{AttemptOutcome, send_attempt};
+use crate::attempt_outcome::AttemptOutcome;
+use crate::send::send_attempt;
 use crate::target_response::TargetResponse;
 
 /// Maximum number of attempts to find another target for a stream.
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -13,7 +13,8 @@
 use crate::admitted::AdmittedRequest;
 use crate::local_response::LocalResponse;
 use crate::node::GatewayNode;
-use crate::refusal::{RefusalMaker, ResponseOrigin, record_relayed};
+use crate::refusal::{ResponseOrigin, record_relayed};
+use crate::refusal_maker::RefusalMaker;
 
 /// Header with the idle timeout of a connection, in seconds.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,8 @@
 
 use crate::boot_clock::BootClock;
 use crate::feed::FeedIntake;
-use crate::hints::{HintChannel, receive_hints};
+use crate::hint_channel::HintChannel;
+use crate::hints::receive_hints;
 use crate::metrics::GatewayMetrics;
 use crate::node::GatewayNode;
 use crate::retry_leases::hold_retry_leases;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -9,14 +9,15 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use serving::TargetEntry;
 use serving::answer_proof::{AnswerMarks, AnswerProof, RequestEcho};
-use serving::{SendBarrier, TargetEntry};
 use web::{ConnectionError, is_close_delimited};
 
 use crate::admitted::AdmittedRequest;
 use crate::attempt_connection::{
     ConnectionReuse, acquire_connection, connect, record_unreachable, send_watched,
 };
+use crate::attempt_outcome::AttemptOutcome;
 use crate::crash::{InterruptedRequest, record_interrupted};
 use crate::identity::record_unproved;
 use crate::in_flight::InFlightGuard;
@@ -26,36 +27,6 @@
 use crate::target_response::TargetResponse;
 use crate::tunnel::{TargetConnection, tell_relay};
 
-/// Outcome of an attempt.
-#[derive(Debug)]
-pub enum AttemptOutcome {
-    /// The target sent a response head.
-    Responded(Box<TargetResponse>),
-    /// No byte of the request reached the target.
-    Unsent(String),
-    /// No byte was sent, because of what the target states of itself.
-    Barred(SendBarrier),
-    /// The target reported that it did not execute the request.
-    NotExecuted(StatusCode),
-    /// The request may have been executed, but there is no usable response.
-    Ambiguous(String),
-    /// The request may have been executed; no response head came before the attempt timeout.
-    TimedOut,
-}
-
-impl AttemptOutcome {
-    fn label(&self) -> &'static str {
-        match self {
-            Self::Responded(_) => "answered",
-            Self::Unsent(_) => "unsent",
-            Self::Barred(_) => "barred",
-            Self::NotExecuted(_) => "not_run",
-            Self::Ambiguous(_) => "lost",
-            Self::TimedOut => "timed_out",
-        }
-    }
-}
-
 /// Sends a request to a target and waits for the response head, at most for `limit`.
 pub async fn send_attempt(
     node: &Rc<GatewayNode>,
--- a/crates/gateway/src/target_response.rs
+++ b/crates/gateway/src/target_response.rs
@@ -13,7 +13,7 @@
 use serving::{MembershipKey, TargetProcess, TargetState};
 
 use crate::admitted::AdmittedRequest;
-use crate::attempt_connection::ConnectionPath;
+use crate::connection_path::ConnectionPath;
 use crate::crash::{InterruptedRequest, has_exited, record_interrupted, refuses_connections};
 use crate::in_flight::InFlightGuard;
 use crate::node::GatewayNode;
--- a/crates/gateway/src/tunnel/checks.rs
+++ b/crates/gateway/src/tunnel/checks.rs
@@ -8,7 +8,8 @@
 use serving::stall::PROGRESS_WINDOW;
 use web::HttpConnection;
 
-use super::connect::{ConnectLimits, connect_target};
+use super::connect::connect_target;
+use super::connection::ConnectLimits;
 use crate::admitted::AdmittedRequest;
 use crate::node::GatewayNode;
 
--- a/crates/gateway/src/tunnel/contact.rs
+++ b/crates/gateway/src/tunnel/contact.rs
@@ -14,7 +14,8 @@
 use serving::target_paths::PathLoss;
 use web::HttpConnection;
 
-use super::connect::{ConnectLimits, connect_target};
+use super::connect::connect_target;
+use super::connection::ConnectLimits;
 use super::relays::connect_through_relay;
 use crate::node::{GatewayNode, TargetDoubt};
 
--- a/crates/gateway/src/tunnel/mod.rs
+++ b/crates/gateway/src/tunnel/mod.rs
@@ -9,6 +9,7 @@
 
 mod checks;
 mod connect;
+mod connection;
 mod contact;
 mod relays;
 mod serve;
@@ -16,7 +17,8 @@
 mod statements;
 
 pub use checks::{check_lost_paths, watch_path};
-pub use connect::{ConnectLimits, TargetConnection, connect_target};
+pub use connect::connect_target;
+pub use connection::{ConnectLimits, TargetConnection};
 pub use contact::confirm_doubts;
 pub use serve::serve_tunnel;
 pub use state::{TunnelRelay, TunnelState};
--- a/crates/gateway/src/tunnel/relays.rs
+++ b/crates/gateway/src/tunnel/relays.rs
@@ -13,7 +13,7 @@
 use wire::peer::encode_message;
 use wire::tunnel::{TunnelDenial, TunnelRequest};
 
-use super::connect::{ConnectLimits, TargetConnection};
+use super::connection::{ConnectLimits, TargetConnection};
 use super::state::RelayLink;
 use crate::feed::FeedMember;
 use crate::node::GatewayNode;
