--- a/tests/gateway/config_freshness.rs
+++ b/tests/gateway/config_freshness.rs
@@ -8,7 +8,7 @@
 
 use http::StatusCode;
 use serde_json::json;
-use standin::site::GateMode;
+use standin::site::{GateMode, StoreGate};
 use tokio::time::Instant;
 
 use crate::node::{TestNode, wait_for};
@@ -136,25 +136,31 @@
     assert_served_soon(&node).await;
 }
 
-/// Guards against a poll that the store ended early and whose response waited for a paused process: it
-/// passed for one that the store had held to its end, and proved what had changed meanwhile.
-#[tokio::test(flavor = "multi_thread")]
-async fn early_end_behind_pause() {
-    let site = TestSite::start_bounded(1);
-    let (node, gate) = site.gated_node("z0", "n0").await;
-    wait_for_poll(&site, &node, 7).await;
-    gate.end_poll_early(EARLY_END);
+/// Lets the response of a poll that ends early, before a change, wait for the paused node until the poll would
+/// have ended. The node must not refuse what the change has added.
+async fn assert_early_end_waits(site: &TestSite, node: &TestNode, gate: &StoreGate) {
     wait_for("the poll that ends early", || gate.has_begun_early_poll()).await;
     node.signal("STOP");
     let paused = Instant::now();
     tokio::time::sleep(EARLY_END * 2).await;
     gate.lose_config(u32::MAX);
-    let confirmed = confirm(&site, &with_route(8, ADDED));
+    let confirmed = confirm(site, &with_route(8, ADDED));
     tokio::time::sleep_until(paused + POLL_WAIT).await;
     node.signal("CONT");
-    assert_not_refused(&node, confirmed).await;
+    assert_not_refused(node, confirmed).await;
     gate.lose_config(0);
-    assert_served_soon(&node).await;
+    assert_served_soon(node).await;
+}
+
+/// Guards against a poll that the store ended early and whose response waited for a paused process: it
+/// passed for one that the store had held to its end, and proved what had changed meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_end_behind_pause() {
+    let site = TestSite::start_bounded(1);
+    let (node, gate) = site.gated_node("z0", "n0").await;
+    wait_for_poll(&site, &node, 7).await;
+    gate.end_poll_early(EARLY_END);
+    assert_early_end_waits(&site, &node, &gate).await;
 }
 
 /// Guards against a store that moves to another machine, whose steady clock is ahead: a response that came
@@ -171,17 +177,7 @@
     site.store.step_clock(CLOCK_STEP);
     gate.end_poll_early(EARLY_END);
     gate.set(GateMode::Open);
-    wait_for("the poll that ends early", || gate.has_begun_early_poll()).await;
-    node.signal("STOP");
-    let paused = Instant::now();
-    tokio::time::sleep(EARLY_END * 2).await;
-    gate.lose_config(u32::MAX);
-    let confirmed = confirm(&site, &with_route(8, ADDED));
-    tokio::time::sleep_until(paused + POLL_WAIT).await;
-    node.signal("CONT");
-    assert_not_refused(&node, confirmed).await;
-    gate.lose_config(0);
-    assert_served_soon(&node).await;
+    assert_early_end_waits(&site, &node, &gate).await;
 }
 
 async fn unreachable_store(mode: GateMode) {
