Test streams that engines end early at each point

A proxy before each engine cuts the responses to clients after each thirteenth byte, in order and by a reset, in chunks and without a length.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod crash_soak;
 mod crashing_parts;
 mod cut_answers;
+mod cut_streams;
 mod endless_bytes;
 mod evacuated_site;
 mod evacuation;
