--- a/crates/gateway/src/crash/records.rs
+++ b/crates/gateway/src/crash/records.rs
@@ -70,12 +70,12 @@
 /// Delay before retrying a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
-/// Time over which nodes spread what they say for a feature, for each node of a deployment: what one has
-/// said, the others need not.
-const SOUND_SPREAD_PER_NODE: Duration = Duration::from_millis(10);
+/// Time over which nodes spread writes that all of them may make, for each node of a deployment: what one has
+/// written, the others need not.
+const SPREAD_PER_NODE: Duration = Duration::from_millis(10);
 
 /// Maximum of that time.
-const MAX_SOUND_SPREAD: Duration = Duration::from_secs(1);
+const MAX_SPREAD: Duration = Duration::from_secs(1);
 
 /// Maximum number of rows deleted in one call, set by the store.
 const MAX_DELETED_ROWS: usize = 100;
@@ -106,20 +106,21 @@
             continue;
         }
         let now = node.now();
-        let speaks_at = *speaks_at.get_or_insert(now + sound_delay(node));
+        let speaks_at = *speaks_at.get_or_insert(now + spread_delay(node));
         if speaks_at <= now || timeout(speaks_at.saturating_sub(now), found).await.is_err() {
             return;
         }
     }
 }
 
-/// This node's part of the time over which the nodes spread what they say for a feature.
-pub(super) fn sound_delay(node: &GatewayNode) -> Duration {
+/// This node's part of the time over which the nodes spread writes that all of them may make: what one says
+/// for a feature, and claims of trials.
+pub(super) fn spread_delay(node: &GatewayNode) -> Duration {
     let nodes = u32::try_from(node.node_count()).unwrap_or(u32::MAX);
-    let spread = SOUND_SPREAD_PER_NODE.saturating_mul(nodes);
+    let spread = SPREAD_PER_NODE.saturating_mul(nodes);
     let hash = stable_hash(&node.settings.node.as_str());
     let position = f64::from(u32::try_from(hash >> 32).unwrap_or(u32::MAX)) / f64::from(u32::MAX);
-    spread.min(MAX_SOUND_SPREAD).mul_f64(position)
+    spread.min(MAX_SPREAD).mul_f64(position)
 }
 
 async fn publish(node: &Rc<GatewayNode>, client: &mut StoreClient) -> Result<(), StoreError> {
--- a/crates/gateway/src/crash/trial.rs
+++ b/crates/gateway/src/crash/trial.rs
@@ -13,7 +13,7 @@
 use serving::hashing::{rendezvous_rank, stable_hash};
 use serving::{BarredSet, PoisonVerdict, RequestFeature};
 
-use super::records::{EVIDENCE_TABLE, log_skipped, read_evidence, sound_delay};
+use super::records::{EVIDENCE_TABLE, log_skipped, read_evidence, spread_delay};
 use super::rows::{EvidenceRow, TrialRow};
 use super::verdict::describe_features;
 use crate::admitted::AdmittedRequest;
@@ -116,7 +116,7 @@
         let known = self.crashes.table.known_row(&key);
         let claimed_at = known.and_then(|(claimed_at, _)| claimed_at);
         let is_running = claimed_at.is_some_and(|at| now < at + TRIAL_TIME);
-        if now < set.first_trial_at + sound_delay(self) || is_running {
+        if now < set.first_trial_at + spread_delay(self) || is_running {
             return TrialClaim::Denied;
         }
         if !self.may_claim(&set.features, now) {
