Expect a trial before a cold instance's crashing call is refused for good

It now asks that no answer before the trial is final, that a single trial crashes one more instance, and for 400 without a call to the next one after it.

--- a/tests/gateway/cold_crashes.rs
+++ b/tests/gateway/cold_crashes.rs
@@ -22,6 +22,11 @@
 /// Time within which a verdict is reached after that many crashes.
 const VERDICT_TIME: Duration = Duration::from_secs(3);
 
+/// Pause between two calls of a client that comes back, and the number of times that it does until a trial
+/// must have shown what the call does.
+const RETURN_INTERVAL: Duration = Duration::from_millis(100);
+const MAX_RETURNS: usize = 100;
+
 /// A site without instances whose plain service states that its targets are cold for a minute.
 async fn start_cold() -> (TestSite, TestNode) {
     let site = TestSite::start(0, 0);
@@ -80,7 +85,8 @@
     assert!(node.log_lines(&["request_barred"]).is_empty());
 }
 
-/// A call that crashes each cold instance that runs it must be barred, since none of them had much to do.
+/// A call that crashes each cold instance that runs it must be barred, since none of them had much to do, and
+/// refused for good once a trial has shown it.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_call_barred_at_cold_instances() {
     let (site, node) = start_cold().await;
@@ -96,6 +102,21 @@
     }
     tokio::time::sleep(VERDICT_TIME).await;
     let instance = start_instance(&site, &node, "last").await;
+    // A single trial crashes one more instance, and no client is refused for good before it.
+    for number in 0..MAX_RETURNS {
+        let response = lookup(&format!("t-{number}"), CRASH_BODY).send(&node).await;
+        if response.status == StatusCode::BAD_GATEWAY {
+            break;
+        }
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.headers.contains_key("retry-after"));
+        tokio::time::sleep(RETURN_INTERVAL).await;
+    }
+    node.wait_log_line(&["target_ended", "last"]).await;
+    drop(instance);
+    site.store.remove("servers", "last");
+    node.wait_log_line(&["request_barred", "proved"]).await;
+    let instance = start_instance(&site, &node, "new").await;
     let arrived = instance.received_count();
     let response = lookup("y", CRASH_BODY).send(&node).await;
     assert_eq!(response.status, StatusCode::BAD_REQUEST);
