Tell when the store's clock is set forward

What tells a refusal by a configuration that a clock made look fresh from one by a late source: a line store_clock_stepped with the step. Nothing had it; config_age_ms alone only shows that one of the two must be wrong.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -233,6 +233,9 @@
     StoreLost = 358, "store_lost", Warn;
     /// The store responds again.
     StoreRegained = 359, "store_regained", Info;
+    /// The store's clock is ahead of what it was by `step_ms`, as after a move to another machine. What was
+    /// proved by it before is compared anew.
+    StoreClockStepped = 392, "store_clock_stepped", Warn;
     /// A configuration is invalid. The previous one remains in force.
     ConfigUnreadable = 360, "config_unreadable", Error;
     /// The settings file was reloaded.
--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -8,7 +8,7 @@
 use adapter::{StoreClient, StoreError};
 use domain::RowVersion;
 use events::{EventCode, LogLine};
-use serving::feed::{FeedTiming, MAX_JITTER, StoreAnchor, TableDelta, VersionClaims};
+use serving::feed::{ClockWatch, FeedTiming, MAX_JITTER, StoreAnchor, TableDelta, VersionClaims};
 use serving::hashing::unit_draw;
 use wire::feed::{FeedLane, FeedTable};
 
@@ -61,6 +61,7 @@
     let mut is_compacted = false;
     let mut claims = VersionClaims::default();
     let mut anchor = StoreAnchor::default();
+    let mut clock_watch = ClockWatch::default();
     loop {
         let is_first = until_direct(&node, FeedLane::of(table)).await;
         let started_at = node.now();
@@ -93,6 +94,9 @@
                 is_compacted = false;
                 let changed = !delta.rows.is_empty();
                 let answered_at = node.now();
+                if let Some(step) = clock_watch.step(answered_at, clock) {
+                    log_clock_step(&node, table, step);
+                }
                 let call = (started_at, answered_at);
                 let built_at = anchor.place(client.connection_count(), call, clock);
                 let confirmation = TableConfirmation {
@@ -293,6 +297,13 @@
     node.log(&line);
 }
 
+fn log_clock_step(node: &GatewayNode, table: FeedTable, step: Duration) {
+    let line = LogLine::new(EventCode::StoreClockStepped)
+        .text("table", store_table(table))
+        .millis("step_ms", step);
+    node.log(&line);
+}
+
 fn log_store_regained(node: &GatewayNode, table: FeedTable, failures: u32) {
     let line = LogLine::new(EventCode::StoreRegained)
         .text("table", store_table(table))
--- a/crates/serving/src/feed/mod.rs
+++ b/crates/serving/src/feed/mod.rs
@@ -2,6 +2,7 @@
 //! copies over links.
 
 mod claims;
+mod clock_watch;
 mod copy;
 mod freshness;
 mod patch;
@@ -10,6 +11,7 @@
 mod tree;
 
 pub use claims::VersionClaims;
+pub use clock_watch::ClockWatch;
 pub use copy::{StoreRow, TableCopy, TableDelta, VersionGap};
 pub use freshness::FeedSample;
 pub use patch::RowPatch;
--- a/crates/serving/tests/store_anchor.rs
+++ b/crates/serving/tests/store_anchor.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quickcheck::{TestResult, quickcheck};
-use serving::feed::StoreAnchor;
+use serving::feed::{ClockWatch, StoreAnchor};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -63,6 +63,23 @@
     assert!(placed >= ms(3290) && placed <= ms(3310), "{placed:?}");
 }
 
+/// Guards against a clock that is set forward without a word, and against words where a response was only read
+/// late.
+#[test]
+fn steps_are_told() {
+    let mut watch = ClockWatch::default();
+    assert_eq!(watch.step(ms(100), ms(5000)), None);
+    assert_eq!(watch.step(ms(1100), ms(6001)), None);
+    assert_eq!(
+        watch.step(ms(4100), ms(7000)),
+        None,
+        "read two seconds late"
+    );
+    assert_eq!(watch.step(ms(4200), ms(9100)), None);
+    assert_eq!(watch.step(ms(5200), ms(10_901)), Some(ms(800)));
+    assert_eq!(watch.step(ms(6200), ms(11_901)), None);
+}
+
 /// However calls overlap and responses wait, none is placed after the time at which it was built.
 #[test]
 fn never_too_late() {
--- a/tests/gateway/config_freshness.rs
+++ b/tests/gateway/config_freshness.rs
@@ -178,6 +178,7 @@
     gate.end_poll_early(EARLY_END);
     gate.set(GateMode::Open);
     assert_early_end_waits(&site, &node, &gate).await;
+    assert!(!node.log_lines(&["store_clock_stepped"]).is_empty());
 }
 
 async fn unreachable_store(mode: GateMode) {
