--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -233,9 +233,6 @@
     StoreLost = 358, "store_lost", Warn;
     /// The store responds again.
     StoreRegained = 359, "store_regained", Info;
-    /// The store's clock is ahead of what it was by `step_ms`, as after a move to another machine. What was
-    /// proved by it before is compared anew.
-    StoreClockStepped = 392, "store_clock_stepped", Warn;
     /// A configuration is invalid. The previous one remains in force.
     ConfigUnreadable = 360, "config_unreadable", Error;
     /// The settings file was reloaded.
@@ -326,6 +323,9 @@
     /// `target` if a target's response that has not been passed on yet is given up. `held` is what the node held
     /// for it, in bytes; it had taken none of it for `untaken_ms`.
     SlowReaderCut = 391, "slow_reader_cut", Warn;
+    /// The store's clock is ahead of what it was by `step_ms`, as after a move to another machine. What was
+    /// proved by it before is compared anew.
+    StoreClockStepped = 392, "store_clock_stepped", Warn;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
