--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod arena;
 pub mod claim;
+pub mod era;
 pub mod evidence;
 pub mod finding;
 pub mod fleet;
@@ -20,6 +21,7 @@
 
 pub use arena::{CustomerKey, HostKey, TargetKey};
 pub use claim::{CallClaim, ClaimState};
+pub use era::{EraVersion, StoreEra};
 pub use evidence::HealthEvidence;
 pub use finding::{FindingList, RecordFinding};
 pub use fleet::FabricFleet;
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -326,6 +326,21 @@
     /// The store's clock is ahead of what it was by `step_ms`, as after a move to another machine. What was
     /// proved by it before is compared anew.
     StoreClockStepped = 392, "store_clock_stepped", Warn;
+    /// Responses of the store state another era than before (`before`, empty at startup): the store was restored from
+    /// an older copy. It has lost what was written last, and gives out versions again. The node keeps acting on what
+    /// it knows (`known`, by table, and `revision`), reads all tables again and writes its own rows again. See
+    /// `docs/OPERATIONS.md`.
+    StoreEraBegan = 393, "store_era_began", Warn;
+    /// A response, or another node, states an earlier era of the store than one that is known. It came late, and
+    /// changes nothing. If this repeats for seconds, the later era was stated by mistake and is given up.
+    StoreAnswerOutdated = 394, "store_answer_outdated", Warn;
+    /// Something was read and not taken. `reason`: `older` than the version held (`held`), `removed_since` by a read of
+    /// the whole table, `other_era` or `earlier_era` of the store, `stale_read` (a read of the whole table from before
+    /// what was known, which proves nothing), `lost_in_restore` (a row that a restored store lacks holds on for a
+    /// while), `left_before_restore` (an entry of a target that had left). See `docs/OPERATIONS.md`.
+    ChangeNotTaken = 395, "change_not_taken", Warn;
+    /// Rows that this node had written are written again, since the store was restored from an older copy.
+    RowsWrittenAgain = 396, "rows_written_again", Info;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/crash/mod.rs
+++ b/crates/gateway/src/crash/mod.rs
@@ -10,6 +10,7 @@
 mod verdict;
 
 pub use confirm::{has_exited, record_interrupted, refuses_connections};
+pub(crate) use records::spread_delay;
 pub use records::{share_evidence, watch_evidence};
 pub use state::{CrashState, InterruptedRequest};
 pub use trial::ArrivalVerdict;
--- a/crates/gateway/src/crash/records.rs
+++ b/crates/gateway/src/crash/records.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use adapter::{RowWrite, StoreClient, StoreError};
-use domain::{FastSet, RowVersion};
+use domain::{EraVersion, FastSet};
 use events::{EventCode, LogLine};
 use serving::feed::StoreRow;
 use serving::hashing::stable_hash;
@@ -83,7 +83,7 @@
 /// Writes the evidence of this node whenever there is any; never returns. What the store does not take is
 /// written again until it does: the others judge without it meanwhile.
 pub async fn share_evidence(node: Rc<GatewayNode>) {
-    let mut client = StoreClient::new(node.settings.store);
+    let mut client = node.store_client();
     loop {
         wait_for_evidence(&node).await;
         if let Err(error) = publish(&node, &mut client).await {
@@ -96,7 +96,7 @@
 async fn wait_for_evidence(node: &GatewayNode) {
     let mut speaks_at = None;
     loop {
-        if !node.crashes.unpublished().is_empty() {
+        if !node.crashes.unpublished().is_empty() || node.crashes.is_sound_lost() {
             return;
         }
         let found = node.crashes.evidence_found.notified();
@@ -115,7 +115,7 @@
 
 /// This node's part of the time over which the nodes spread writes that all of them may make: what one says
 /// for a feature, and claims of trials.
-pub(super) fn spread_delay(node: &GatewayNode) -> Duration {
+pub(crate) fn spread_delay(node: &GatewayNode) -> Duration {
     let nodes = u32::try_from(node.node_count()).unwrap_or(u32::MAX);
     let spread = SPREAD_PER_NODE.saturating_mul(nodes);
     let hash = stable_hash(&node.settings.node.as_str());
@@ -143,6 +143,7 @@
         return Err(error);
     }
     node.crashes.remove_published(&reports);
+    node.crashes.set_sound_written();
     node.update_crashes(EvidenceSource::Review, |detector| {
         for (feature, begun_at) in &unreported {
             detector.record_reported_sound(*feature, *begun_at);
@@ -172,7 +173,7 @@
         let row = EvidenceRow::Crash(CrashRow::from(report));
         writes.push(encode_row(key, &row)?);
     }
-    if !unreported.is_empty() {
+    if !unreported.is_empty() || node.crashes.is_sound_lost() {
         let answers = node.crashes.sound_to_write(unreported);
         let row = EvidenceRow::Sound(SoundRow::new(answers));
         writes.push(encode_row(format!("{SOUND_KEY}.{name}"), &row)?);
@@ -196,7 +197,7 @@
 /// Reads the evidence of other nodes, at startup, whenever a node announces some, and for a while after a
 /// crash; never returns.
 pub async fn watch_evidence(node: Rc<GatewayNode>) {
-    let mut client = StoreClient::new(node.settings.store);
+    let mut client = node.store_client();
     let announced = node.crashes.evidence_written.notified();
     drop(timeout(RETRY_DELAY, announced).await);
     loop {
@@ -254,7 +255,7 @@
     /// Whether rows that are missing do not exist.
     is_full: bool,
     rows: Vec<StoreRow>,
-    version: RowVersion,
+    version: EraVersion,
     clock: Duration,
 }
 
@@ -263,14 +264,17 @@
     node: &GatewayNode,
     client: &mut StoreClient,
 ) -> Result<(), StoreError> {
-    let page = read_rows(client, node.crashes.table.version.get()).await?;
+    let known = node.crashes.table.version.get();
+    let page = read_rows(client, known).await?;
     node.crashes.table.version.set(Some(page.version));
+    // What a restored store has lost was true: its writers write it again, and it expires by its own time.
+    let is_restored = known.is_some_and(|known| known.era() != page.version.era());
     if !page.clock.is_zero() {
         node.set_store_clock(page.clock);
     }
     let now = node.evidence_time();
     node.update_crashes(EvidenceSource::Store, |detector| {
-        if page.is_full {
+        if page.is_full && !is_restored {
             forget_missing(node, detector, &page.rows);
         }
         for row in &page.rows {
@@ -307,7 +311,7 @@
 
 async fn read_rows(
     client: &mut StoreClient,
-    known: Option<RowVersion>,
+    known: Option<EraVersion>,
 ) -> Result<EvidencePage, StoreError> {
     if let Some(known) = known {
         let changes = client
@@ -322,7 +326,7 @@
                     clock: changes.clock,
                 });
             }
-            Err(StoreError::Compacted) => {}
+            Err(StoreError::Compacted | StoreError::EraBegan) => {}
             Err(error) => return Err(error),
         }
     }
--- a/crates/gateway/src/crash/state.rs
+++ b/crates/gateway/src/crash/state.rs
@@ -91,6 +91,10 @@
     pub(super) sends: RefCell<SendHistory>,
     /// Crashes that this node has yet to write.
     unpublished: RefCell<Vec<CrashReport>>,
+    /// Crashes that it has written.
+    published: RefCell<Vec<CrashReport>>,
+    /// Whether the store may have lost the sound answers that this node has written.
+    is_sound_lost: Cell<bool>,
     /// Sound answers that this node has written.
     published_sound: RefCell<FastMap<RequestFeature, Duration>>,
     /// The table of the store, as far as this node has read it.
@@ -271,6 +275,40 @@
         };
         let mut unpublished = self.unpublished.borrow_mut();
         unpublished.retain(|report| !is_written(report));
+        let mut published = self.published.borrow_mut();
+        published.extend(written.iter().cloned());
+        let surplus = published.len().saturating_sub(MAX_UNPUBLISHED);
+        published.drain(..surplus);
+    }
+
+    /// Queues all that this node has written and that still tells something, since the store may have lost it;
+    /// returns the number of crashes.
+    pub fn publish_again(&self, now: Duration) -> usize {
+        let published = std::mem::take(&mut *self.published.borrow_mut());
+        let mut unpublished = self.unpublished.borrow_mut();
+        let mut count = 0;
+        for report in published {
+            if now.saturating_sub(report.at) >= CRASH_RETENTION {
+                continue;
+            }
+            unpublished.push(report);
+            count += 1;
+        }
+        self.is_sound_lost
+            .set(!self.published_sound.borrow().is_empty());
+        self.evidence_found.notify_one();
+        count
+    }
+
+    /// Whether the store may have lost the sound answers that this node has written.
+    #[must_use]
+    pub fn is_sound_lost(&self) -> bool {
+        self.is_sound_lost.get()
+    }
+
+    /// Records that all sound answers have been written.
+    pub fn set_sound_written(&self) {
+        self.is_sound_lost.set(false);
     }
 
     /// Sound answers that other nodes need to know of and don't.
--- a/crates/gateway/src/crash/table.rs
+++ b/crates/gateway/src/crash/table.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
-use domain::{FastMap, RowVersion};
+use domain::{EraVersion, FastMap};
 use serving::poison::CRASH_RETENTION;
 use serving::{PoisonDetector, TargetProcess};
 
@@ -17,20 +17,20 @@
     /// Process whose crash it tells of.
     process: Option<TargetProcess>,
     /// Version of its last write.
-    version: RowVersion,
+    version: EraVersion,
 }
 
 /// What a node remembers of the table, so that it reads changes only and notices rows that are gone.
 #[derive(Debug, Default)]
 pub struct EvidenceTable {
     /// Version of the store up to which the table is known.
-    pub version: Cell<Option<RowVersion>>,
+    pub version: Cell<Option<EraVersion>>,
     rows: RefCell<FastMap<String, KnownRow>>,
 }
 
 impl EvidenceTable {
     /// Remembers a row of the table; `None` if it can't be read.
-    pub fn note_row(&self, key: &str, version: RowVersion, row: Option<&EvidenceRow>) {
+    pub fn note_row(&self, key: &str, version: EraVersion, row: Option<&EvidenceRow>) {
         let known = KnownRow {
             newest: row.and_then(EvidenceRow::newest),
             process: row.and_then(EvidenceRow::process),
@@ -41,7 +41,7 @@
 
     /// When what a row tells of was, and the version of the row; `None` if no such row is known.
     #[must_use]
-    pub fn known_row(&self, key: &str) -> Option<(Option<Duration>, RowVersion)> {
+    pub fn known_row(&self, key: &str) -> Option<(Option<Duration>, EraVersion)> {
         let rows = self.rows.borrow();
         let row = rows.get(key)?;
         Some((row.newest, row.version))
--- a/crates/gateway/src/crash/trial.rs
+++ b/crates/gateway/src/crash/trial.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use adapter::{ConditionalWrite, StoreClient, StoreError};
-use domain::RowVersion;
+use domain::EraVersion;
 use events::{EventCode, LogLine};
 use serving::hashing::{rendezvous_rank, stable_hash};
 use serving::{BarredSet, PoisonVerdict, RequestFeature};
@@ -122,12 +122,13 @@
         if !self.may_claim(&set.features, now) {
             return TrialClaim::Denied;
         }
-        let expected = known.map_or(RowVersion(0), |(_, version)| version);
-        let mut client = StoreClient::new(self.settings.store);
+        let era = self.eras.current();
+        let expected = known.map_or(EraVersion::absent(era), |(_, version)| version);
+        let mut client = self.store_client();
         let claimed = write_claim(self, &mut client, key, set, expected).await;
         match claimed {
             Ok(()) => TrialClaim::Granted,
-            Err(StoreError::Conflict) => {
+            Err(StoreError::Conflict | StoreError::EraBegan) => {
                 if let Err(error) = read_evidence(self, &mut client).await {
                     log_skipped(self, "read evidence on crashes", &error);
                 }
@@ -179,7 +180,7 @@
     client: &mut StoreClient,
     key: String,
     set: &BarredSet,
-    expected: RowVersion,
+    expected: EraVersion,
 ) -> Result<(), StoreError> {
     let at = node.evidence_time();
     let row = EvidenceRow::Trial(TrialRow::new(
--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -6,9 +6,11 @@
 use adapter::config::CONFIG_TABLE;
 use adapter::registry::TARGETS_TABLE;
 use adapter::{StoreClient, StoreError};
-use domain::RowVersion;
+use domain::EraVersion;
 use events::{EventCode, LogLine};
-use serving::feed::{ClockWatch, FeedTiming, MAX_JITTER, StoreAnchor, TableDelta, VersionClaims};
+use serving::feed::{
+    ClockWatch, DeltaProof, FeedTiming, MAX_JITTER, StoreAnchor, TableDelta, VersionClaims,
+};
 use serving::hashing::unit_draw;
 use wire::feed::{FeedLane, FeedTable};
 
@@ -56,7 +58,7 @@
 /// Reads a table from the store whenever no other node passes on its changes; never returns.
 pub async fn read_directly(intake: Rc<FeedIntake>, table: FeedTable) {
     let node = Rc::clone(&intake.node);
-    let mut client = StoreClient::new(node.settings.store);
+    let mut client = node.store_client();
     let mut failures = 0_u32;
     let mut is_compacted = false;
     let mut claims = VersionClaims::default();
@@ -65,7 +67,7 @@
     loop {
         let is_first = until_direct(&node, FeedLane::of(table)).await;
         let started_at = node.now();
-        let known = node.feed.copy(table).borrow().version();
+        let known = begin_known_era(&node, table);
         let known = known.filter(|_| !is_compacted);
         let timing = node.feed_timing(FeedLane::of(table));
         let poll_wait = poll_wait(&node, table);
@@ -100,8 +102,10 @@
                 let call = (started_at, answered_at);
                 let built_at = anchor.place(client.connection_count(), call, clock);
                 let confirmation = TableConfirmation {
-                    confirmed_at: answered_at,
-                    proved_at: Some(proof_time(started_at, wait, changed, built_at)),
+                    proof: DeltaProof {
+                        confirmed_at: answered_at,
+                        proved_at: Some(proof_time(started_at, wait, changed, built_at)),
+                    },
                     origin: TableOrigin::Store,
                 };
                 intake.take(table, delta, confirmation);
@@ -114,6 +118,8 @@
                 }
             }
             Err(StoreError::Compacted) => is_compacted = true,
+            // The store has answered. The next call is for the era that is known then.
+            Err(StoreError::EraBegan | StoreError::EraEnded) => {}
             Err(error) => {
                 failures += 1;
                 if failures == 1 {
@@ -126,14 +132,21 @@
     }
 }
 
+/// Begins the store's era in the copy of a table; returns the version up to which the copy is known in it.
+fn begin_known_era(node: &GatewayNode, table: FeedTable) -> Option<EraVersion> {
+    let mut copy = node.feed.copy(table).borrow_mut();
+    copy.begin_era(node.eras.current());
+    copy.version()
+}
+
 /// Version up to which a response makes a table known. A change of the configuration that is skipped is
 /// wrong until the next one, which may be far off, so one more call per change is worth it; targets write
 /// their entries of the registry again and again.
 fn verified_version(
     claims: &mut VersionClaims,
-    known: Option<RowVersion>,
+    known: Option<EraVersion>,
     delta: &TableDelta,
-) -> RowVersion {
+) -> EraVersion {
     let Some(after) = known else {
         *claims = VersionClaims::default();
         return delta.version;
@@ -201,7 +214,7 @@
 }
 
 /// Name of a table in the store.
-fn store_table(table: FeedTable) -> &'static str {
+pub(super) fn store_table(table: FeedTable) -> &'static str {
     match table {
         FeedTable::Config => CONFIG_TABLE,
         FeedTable::Registry => TARGETS_TABLE,
@@ -257,7 +270,7 @@
     node: &GatewayNode,
     client: &mut StoreClient,
     table: FeedTable,
-    known: Option<RowVersion>,
+    known: Option<EraVersion>,
     (wait, slack): (Duration, Duration),
 ) -> Result<PolledChanges, StoreError> {
     let name = store_table(table);
@@ -276,9 +289,13 @@
             clock: page.clock,
         });
     };
-    let response = client.watch_table(name, after, wait, slack).await?;
+    let response = tokio::select! {
+        response = client.watch_table(name, after, wait, slack) => response?,
+        // The version means nothing any more, and the store may hold the call for as long as it waits.
+        () = node.eras.began() => return Err(StoreError::EraBegan),
+    };
     let delta = TableDelta {
-        version: response.version.max(after),
+        version: response.version.max_within(after),
         is_full: false,
         rows: response.rows,
         gap: None,
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use domain::{FastMap, NodeId, RowVersion};
+use domain::{EraVersion, FastMap, NodeId, RowVersion, StoreEra};
 use events::{EventCode, LogLine};
 use peers::DialedLink;
 use peers::error::LinkError;
 use peers::transport::{BulkTimeouts, with_timeout};
-use serving::feed::{FeedSample, FeedTiming};
+use serving::feed::{DeltaProof, FeedSample, FeedTiming};
 use tokio::net::TcpStream;
 use wire::feed::{
     FeedDelta, FeedLane, FeedPosition, FeedRequest, FeedResponse, FeedTable,
@@ -59,9 +59,12 @@
     /// It sent a change to a value that this node does not have.
     #[error("a change refers to a value that is not known here")]
     UnknownBase,
-    /// It has not read the store yet.
+    /// It has not read the store yet, or not since the store was restored from a copy.
     #[error("it has not read the store yet")]
     NothingKnown,
+    /// It knows an earlier era of the store only.
+    #[error("its data is of an earlier era of the store")]
+    EraEnded,
     /// Its data is not recent enough, or older than what this node knows.
     #[error("its data is too old: {0:?}")]
     Stale(FeedSample),
@@ -72,7 +75,7 @@
         match self {
             // A source that can't be authenticated has restarted, and its new key is read at once.
             Self::Link(LinkError::Auth(_)) | Self::Stale(_) | Self::UnknownBase => AVOID_STALE,
-            Self::NothingKnown => AVOID_STARTING,
+            Self::NothingKnown | Self::EraEnded => AVOID_STARTING,
             Self::Link(_) => AVOID_UNREACHABLE,
         }
     }
@@ -181,8 +184,8 @@
 /// Whether a source may be asked. At a restart of all nodes each reads the tables itself: whole tables
 /// for eight followers would fill a node's link for seconds.
 fn may_follow(node: &GatewayNode) -> bool {
-    let registry = node.feed.copy(FeedTable::Registry).borrow().version();
-    registry.is_some() || node.settings.first_start || node.feed.is_cut_off()
+    let is_read = node.feed.copy(FeedTable::Registry).borrow().is_read();
+    is_read || node.settings.first_start || node.feed.is_cut_off()
 }
 
 /// Asks a source for changes once; returns the time that it took to apply them.
@@ -241,15 +244,15 @@
 }
 
 fn build_request(intake: &FeedIntake, lane: FeedLane, wait: Duration) -> FeedRequest {
-    let position = |table| FeedPosition {
-        table,
-        known: intake
-            .node
-            .feed
-            .copy(table)
-            .borrow()
-            .latest()
-            .map(|version| version.0),
+    let era = intake.node.eras.current();
+    let position = |table| {
+        let known = intake.node.feed.copy(table).borrow().latest();
+        let known = known.and_then(|known| known.within(era));
+        FeedPosition {
+            table,
+            era: era.0,
+            known: known.map(|version| version.0),
+        }
     };
     FeedRequest {
         wait_ms: super::messages::encode_millis(wait),
@@ -272,13 +275,20 @@
     let age_of = |delta: &FeedDelta| Duration::from_millis(u64::from(delta.age_ms));
     let is_behind = |delta: &FeedDelta| {
         let copy = node.feed.copy(delta.table).borrow();
-        copy.is_ahead_of(RowVersion(delta.version))
+        let version = EraVersion::new(StoreEra(delta.era), RowVersion(delta.version));
+        copy.is_ahead_of(version)
     };
     let is_needed = |delta: &&FeedDelta| delta.table != FeedTable::Nodes;
     let needed = || response.tables.iter().filter(is_needed);
     if needed().next().is_none() {
         return Err(FollowError::NothingKnown);
     }
+    for delta in &response.tables {
+        let shown_by = format_args!("node {}", link.dialed.peer());
+        if !node.eras.observe(Some(StoreEra(delta.era)), shown_by) {
+            return Err(FollowError::EraEnded);
+        }
+    }
     let behind_since = link.behind_since.unwrap_or(now);
     link.behind_since = needed().any(is_behind).then_some(behind_since);
     let sample = FeedSample {
@@ -305,8 +315,10 @@
     node.feed.record_lane_contact(lane);
     for delta in response.tables {
         let confirmation = TableConfirmation {
-            confirmed_at: now.saturating_sub(age_of(&delta)),
-            proved_at: proof_age(&delta).map(|age| built_at.saturating_sub(age)),
+            proof: DeltaProof {
+                confirmed_at: now.saturating_sub(age_of(&delta)),
+                proved_at: proof_age(&delta).map(|age| built_at.saturating_sub(age)),
+            },
             origin: TableOrigin::Node(link.dialed.peer().clone()),
         };
         let table = delta.table;
--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 
 use events::{EventCode, LogLine};
-use serving::feed::{StoreRow, TableDelta};
+use serving::feed::{DeltaOutcome, TableDelta, TakenDelta};
 use wire::feed::{FeedLane, FeedTable};
 
+use super::not_taken::{log_refused, version_fields};
 use super::provenance::TableConfirmation;
 use super::state::FeedSource;
-use super::watchers::{ConfigWatcher, RegistryWatcher};
+use super::watchers::{ConfigWatcher, RegistryWatcher, RowOrigin};
 use crate::heartbeat::count_nodes;
 use crate::node::GatewayNode;
 
@@ -36,18 +37,24 @@
     pub fn take(&self, table: FeedTable, delta: TableDelta, confirmation: TableConfirmation) {
         if delta.is_full && table == FeedTable::Registry {
             let rows = u64::try_from(delta.rows.len()).unwrap_or(u64::MAX);
-            let line = LogLine::new(EventCode::RegistryRead)
-                .number("rows", rows)
-                .number("row_version", delta.version.0);
-            self.node.log(&line);
+            let line = LogLine::new(EventCode::RegistryRead).number("rows", rows);
+            self.node.log(&version_fields(line, delta.version));
         }
         let version = delta.version;
-        let confirmed_at = confirmation.confirmed_at;
-        let changed = self.node.feed.take(table, delta, confirmation);
-        self.apply_changed(table, &changed);
+        let proof = confirmation.proof;
+        let now = self.node.now();
+        let taken = self.node.feed.take(table, delta, confirmation, now);
+        log_refused(&self.node, table, version, &taken);
+        if taken.outcome == DeltaOutcome::Outdated {
+            return;
+        }
+        self.apply_changed(table, &taken);
         match table {
-            FeedTable::Config => {}
-            FeedTable::Registry => self.registry.borrow_mut().confirm(version, confirmed_at),
+            FeedTable::Config => self.config.end_lost_evacuations(),
+            FeedTable::Registry => self
+                .registry
+                .borrow_mut()
+                .confirm(version, proof.confirmed_at),
             FeedTable::Nodes => count_nodes(&self.node),
         }
         if table != FeedTable::Nodes {
@@ -55,11 +62,16 @@
         }
     }
 
-    fn apply_changed(&self, table: FeedTable, changed: &[StoreRow]) {
-        for row in changed {
+    fn apply_changed(&self, table: FeedTable, taken: &TakenDelta) {
+        let origin = if taken.is_restored {
+            RowOrigin::RestoredStore
+        } else {
+            RowOrigin::Change
+        };
+        for row in &taken.changed {
             match table {
-                FeedTable::Config => self.config.apply_row(row),
-                FeedTable::Registry => self.registry.borrow_mut().apply_row(row),
+                FeedTable::Config => self.config.apply_row(row, origin),
+                FeedTable::Registry => self.registry.borrow_mut().apply_row(row, origin),
                 FeedTable::Nodes => {}
             }
         }
--- a/crates/gateway/src/feed/messages.rs
+++ b/crates/gateway/src/feed/messages.rs
@@ -3,42 +3,64 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::RowVersion;
+use domain::{EraVersion, RowVersion, StoreEra};
 use serving::feed::{RowPatch, StoreRow, TableCopy, TableDelta, VersionGap};
 use wire::feed::{FeedContent, FeedDelta, FeedPosition, FeedRow};
 
 /// Encodes what the sender of a position lacks of a table; `None` before the first read.
 pub fn encode_delta(copy: &TableCopy, position: FeedPosition, now: Duration) -> Option<FeedDelta> {
-    let known = position.known.map(RowVersion);
+    let era = copy.era();
+    // Rows of an era that has ended are of no use to the sender.
+    if era < StoreEra(position.era) {
+        return None;
+    }
+    let known = known_version(position);
     let delta = copy.delta_since(known)?;
     // A receiver that gets all rows is not known to have any.
     let known = known.filter(|_| !delta.is_full);
     let rows = delta.rows.iter().map(|row| encode_row(copy, row, known));
     Some(FeedDelta {
         table: position.table,
-        version: delta.version.0,
+        era: era.0,
+        version: number(era, delta.version)?,
         age_ms: encode_millis(copy.age(now)),
         proof_age_ms: copy.proof_age(now).map(encode_millis),
         is_full: delta.is_full,
-        rows: rows.collect(),
-        gap: delta.gap.map(|gap| (gap.before.0, gap.after.0)),
+        rows: rows.collect::<Option<_>>()?,
+        gap: match delta.gap {
+            Some(gap) => Some((number(era, gap.before)?, number(era, gap.after)?)),
+            None => None,
+        },
     })
 }
 
-fn encode_row(copy: &TableCopy, row: &StoreRow, known: Option<RowVersion>) -> FeedRow {
-    FeedRow {
+/// Version up to which the sender of a position knows the table.
+pub fn known_version(position: FeedPosition) -> Option<EraVersion> {
+    let known = position.known?;
+    Some(EraVersion::new(StoreEra(position.era), RowVersion(known)))
+}
+
+/// Number of a version that is of the era of a message, as all in it are.
+fn number(era: StoreEra, version: EraVersion) -> Option<u64> {
+    version.within(era).map(|version| version.0)
+}
+
+fn encode_row(copy: &TableCopy, row: &StoreRow, known: Option<EraVersion>) -> Option<FeedRow> {
+    Some(FeedRow {
         key: row.key.clone(),
-        version: row.version.0,
+        version: number(copy.era(), row.version)?,
         content: encode_content(copy, row, known),
-    }
+    })
 }
 
-fn encode_content(copy: &TableCopy, row: &StoreRow, known: Option<RowVersion>) -> FeedContent {
+fn encode_content(copy: &TableCopy, row: &StoreRow, known: Option<EraVersion>) -> FeedContent {
     let Some(value) = &row.value else {
         return FeedContent::Removed;
     };
     let whole = || FeedContent::Whole(value.to_vec());
-    let Some((base, old)) = known.and_then(|known| copy.previous(&row.key, known)) else {
+    let previous = known.and_then(|known| copy.previous(&row.key, known));
+    let based = previous.and_then(|(base, old)| Some((number(copy.era(), base)?, old)));
+    let Some((base, old)) = based else {
         return whole();
     };
     let patch = RowPatch::between(old, value);
@@ -49,7 +71,7 @@
         return whole();
     };
     FeedContent::Patch {
-        base: base.0,
+        base,
         prefix,
         suffix,
         middle: patch.middle.to_vec(),
@@ -58,22 +80,27 @@
 
 /// Decodes changes of a table; `None` if one refers to a value that the copy does not have.
 pub fn decode_delta(copy: &TableCopy, delta: FeedDelta) -> Option<TableDelta> {
+    let version = |number| EraVersion::new(StoreEra(delta.era), RowVersion(number));
     let mut rows = Vec::with_capacity(delta.rows.len());
     for row in delta.rows {
-        rows.push(decode_row(copy, row)?);
+        rows.push(decode_row(copy, row, version)?);
     }
     Some(TableDelta {
-        version: RowVersion(delta.version),
+        version: version(delta.version),
         is_full: delta.is_full,
         rows,
         gap: delta.gap.map(|(before, after)| VersionGap {
-            before: RowVersion(before),
-            after: RowVersion(after),
+            before: version(before),
+            after: version(after),
         }),
     })
 }
 
-fn decode_row(copy: &TableCopy, row: FeedRow) -> Option<StoreRow> {
+fn decode_row(
+    copy: &TableCopy,
+    row: FeedRow,
+    version: impl Fn(u64) -> EraVersion,
+) -> Option<StoreRow> {
     let value = match row.content {
         FeedContent::Removed => None,
         FeedContent::Whole(value) => Some(Bytes::from(value)),
@@ -88,14 +115,14 @@
                 suffix: usize::try_from(suffix).ok()?,
                 middle: Bytes::from(middle),
             };
-            let old = copy.value_at(&row.key, RowVersion(base))?;
+            let old = copy.value_at(&row.key, version(base))?;
             Some(patch.apply(old)?)
         }
     };
     Some(StoreRow {
         key: row.key,
         value,
-        version: RowVersion(row.version),
+        version: version(row.version),
     })
 }
 
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod intake;
 mod messages;
+mod not_taken;
 mod pace;
 mod provenance;
 mod serve;
--- a/crates/gateway/src/feed/provenance.rs
+++ b/crates/gateway/src/feed/provenance.rs
@@ -1,9 +1,9 @@
 //! From where a node last heard that its copy of a table is current, and when.
 
 use std::fmt;
-use std::time::Duration;
 
 use domain::NodeId;
+use serving::feed::DeltaProof;
 
 /// Who told a node what the store holds.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -30,10 +30,8 @@
 /// Tells up to when the changes that came with it are complete, in process time.
 #[derive(Debug, Clone)]
 pub struct TableConfirmation {
-    /// When this node was told.
-    pub confirmed_at: Duration,
-    /// A moment at which the store held nothing newer, proved by a call that began later.
-    pub proved_at: Option<Duration>,
+    /// When this node was told, and what that proves.
+    pub proof: DeltaProof,
     /// Who told this node.
     pub origin: TableOrigin,
 }
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::{FastMap, RowVersion};
+use domain::{FastMap, StoreEra};
 use events::{EventCode, LogLine};
 use h2::RecvStream;
 use h2::server::SendResponse;
@@ -25,7 +25,7 @@
 use wire::peer::{MAX_HELLO_BYTES, PeerHello, decode_message, encode_message, negotiate_version};
 use wire::tunnel::MAX_TUNNEL_REQUEST_BYTES;
 
-use super::messages::{encode_delta, encode_millis};
+use super::messages::{encode_delta, encode_millis, known_version};
 use crate::node::GatewayNode;
 use crate::tunnel::{record_tunnel_statement, serve_tunnel};
 
@@ -127,6 +127,7 @@
             }
             let request: FeedRequest = decode_message::<_, MAX_FEED_REQUEST_BYTES>(&frame.payload)?;
             let received_at = node.now();
+            observe_eras(node, &request);
             let passed_on = &mut session.passed_on;
             wait_for_change(node, &request, lane, passed_on).await;
             let response = build_response(node, &request, lane, received_at);
@@ -173,6 +174,16 @@
     respond_ok(responder, Vec::new())
 }
 
+/// Takes in the eras of the store that another node knows, which may have been shown to it first.
+fn observe_eras(node: &GatewayNode, request: &FeedRequest) {
+    for position in &request.tables {
+        let era = StoreEra(position.era);
+        if era > node.eras.current() {
+            node.eras.observe(Some(era), "a node that follows this one");
+        }
+    }
+}
+
 /// Waits until there is something to pass on that the sender should know at once.
 async fn wait_for_change(
     node: &GatewayNode,
@@ -198,7 +209,7 @@
 fn has_news(node: &GatewayNode, request: &FeedRequest, passed_on: &PassedOn) -> bool {
     request.tables.iter().any(|position| {
         let is_urgent = position.table != FeedTable::Nodes;
-        let known = position.known.map(RowVersion);
+        let known = known_version(*position);
         let copy = node.feed.copy(position.table).borrow();
         let is_confirmed = passed_on
             .get(&position.table)
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use domain::NodeId;
+use domain::StoreEra;
 use peers::SharedKey;
-use serving::feed::{StoreRow, TableCopy, TableDelta, feed_order, feed_sources, tree_depth};
+use serving::feed::{
+    DeltaOutcome, LostRows, TableCopy, TableDelta, TakenDelta, feed_order, feed_sources, tree_depth,
+};
 use tokio::sync::Notify;
 use wire::feed::{FeedLane, FeedTable};
 
@@ -58,6 +61,7 @@
     registry: RefCell<TableCopy>,
     nodes: RefCell<TableCopy>,
     config_origin: RefCell<TableOrigin>,
+    config_read_at: Cell<Option<Duration>>,
     is_config_unreadable: Cell<bool>,
     address: Cell<Option<SocketAddr>>,
     is_counted: Cell<bool>,
@@ -97,6 +101,7 @@
             registry: RefCell::default(),
             nodes: RefCell::default(),
             config_origin: RefCell::default(),
+            config_read_at: Cell::default(),
             is_config_unreadable: Cell::default(),
             address: Cell::default(),
             is_counted: Cell::default(),
@@ -122,31 +127,43 @@
         }
     }
 
-    /// Takes changes into the copy of a table; returns the rows that changed.
+    /// Takes changes into the copy of a table.
     pub fn take(
         &self,
         table: FeedTable,
         delta: TableDelta,
         confirmation: TableConfirmation,
-    ) -> Vec<StoreRow> {
-        let mut copy = self.copy(table).borrow_mut();
-        let changed = if delta.is_full {
-            copy.replace(delta.rows, delta.version)
-        } else {
-            let rows = delta.rows.into_iter();
-            rows.filter(|row| copy.apply(row)).collect()
+        now: Duration,
+    ) -> TakenDelta {
+        let is_full = delta.is_full;
+        let lost = match table {
+            // Each node writes its heartbeat again, and one that doesn't expires by its own time.
+            FeedTable::Nodes => LostRows::Kept,
+            FeedTable::Config | FeedTable::Registry => LostRows::Removed,
         };
-        if let Some(gap) = delta.gap {
-            copy.record_gap(gap);
-        }
-        copy.confirm(delta.version, confirmation.confirmed_at);
-        if let Some(proved_at) = confirmation.proved_at {
-            copy.prove(delta.version, proved_at);
-        }
-        if table == FeedTable::Config {
+        let mut copy = self.copy(table).borrow_mut();
+        let taken = copy.take(delta, confirmation.proof, lost);
+        if table == FeedTable::Config && taken.outcome != DeltaOutcome::Outdated {
             *self.config_origin.borrow_mut() = confirmation.origin;
+            if is_full {
+                self.config_read_at.set(Some(now));
+            }
+        }
+        taken
+    }
+
+    /// Begins an era of the store in the copies of all tables.
+    pub fn begin_era(&self, era: StoreEra) {
+        for table in FeedTable::ALL {
+            self.copy(table).borrow_mut().begin_era(era);
         }
-        changed
+    }
+
+    /// Time since the whole configuration table was last read, through however many nodes; `None` before the
+    /// first time.
+    #[must_use]
+    pub fn config_read_age(&self, now: Duration) -> Option<Duration> {
+        self.config_read_at.get().map(|at| now.saturating_sub(at))
     }
 
     /// Time since a moment at which the store proved to hold no newer configuration, through however
--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -1,18 +1,21 @@
 //! What follows from changed rows of the configuration and the registry.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use adapter::config::{CONFIG_KEY, ConfigError, evacuated_domain};
 use adapter::registry::decode_cold_time;
 use adapter::{decode_config, decode_target};
-use domain::{HostId, RowVersion, ServiceName};
+use domain::{DomainId, EraVersion, HostId, ServiceName};
 use events::{EventCode, LogLine};
-use serving::TargetProcess;
+use serving::departed::DepartedTargets;
 use serving::feed::StoreRow;
 use serving::probe_schedule::MAX_ACTIVE_RANK;
+use serving::{TargetEntry, TargetProcess, TargetState};
 use wire::feed::FeedTable;
 
+use super::not_taken::{log_not_taken, version_fields};
 use crate::node::{ColdSource, EntryIntake, GatewayNode};
 use crate::probe::{probe_unlisted, refresh_contradicted};
 
@@ -20,30 +23,66 @@
 /// write their entries again within it.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2300);
 
+/// Time after a restore of the store for which what the store has lost holds on, and what it shows again does not
+/// count. Writers write their rows again within about two seconds, and the entry of a target that is gone is
+/// removed after three heartbeats of silence.
+const RESTORE_GRACE: Duration = Duration::from_secs(4);
+
+/// Where a changed row comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RowOrigin {
+    /// Somebody has written it.
+    Change,
+    /// A restored store holds it, or lacks it. It may be older than what was known.
+    RestoredStore,
+}
+
 /// Puts configurations into force.
 pub(super) struct ConfigWatcher {
     node: Rc<GatewayNode>,
+    /// Evacuations that a restored store lacks, and until when they hold on.
+    lost_evacuations: RefCell<Vec<(DomainId, Duration)>>,
 }
 
 impl ConfigWatcher {
     pub fn new(node: Rc<GatewayNode>) -> Self {
-        Self { node }
+        Self {
+            node,
+            lost_evacuations: RefCell::default(),
+        }
     }
 
     /// Applies one changed row.
-    pub fn apply_row(&self, row: &StoreRow) {
+    pub fn apply_row(&self, row: &StoreRow, origin: RowOrigin) {
         match evacuated_domain(&row.key) {
-            Some(Ok(domain)) => self.node.apply_evacuation(&domain, row.value.is_some()),
+            Some(Ok(domain)) => {
+                let mut lost = self.lost_evacuations.borrow_mut();
+                lost.retain(|(other, _)| *other != domain);
+                if row.value.is_none() && origin == RowOrigin::RestoredStore {
+                    let until = self.node.now() + RESTORE_GRACE;
+                    lost.push((domain, until));
+                    log_not_taken(&self.node, FeedTable::Config, row, "lost_in_restore");
+                    return;
+                }
+                self.node.apply_evacuation(&domain, row.value.is_some());
+            }
             Some(Err(error)) => self.log_unreadable(row, &error),
             None => self.apply_config(row),
         }
     }
 
+    /// Ends the evacuations that the operator has not written again after a restore.
+    pub fn end_lost_evacuations(&self) {
+        let now = self.node.now();
+        let mut lost = self.lost_evacuations.borrow_mut();
+        for (domain, _) in lost.extract_if(.., |(_, until)| *until <= now) {
+            self.node.apply_evacuation(&domain, false);
+        }
+    }
+
     fn log_unreadable(&self, row: &StoreRow, error: &ConfigError) {
-        let line = LogLine::new(EventCode::ConfigUnreadable)
-            .number("row_version", row.version.0)
-            .text("reason", &error.to_string());
-        self.node.log(&line);
+        let line = LogLine::new(EventCode::ConfigUnreadable).text("reason", &error.to_string());
+        self.node.log(&version_fields(line, row.version));
     }
 
     fn apply_config(&self, row: &StoreRow) {
@@ -62,10 +101,9 @@
         let revision = config.revision;
         let in_force = self.node.config().map(|config| config.revision);
         if in_force.is_some_and(|in_force| revision < in_force) {
-            let line = LogLine::new(EventCode::ConfigRegressed)
-                .number("revision", revision.0)
-                .number("row_version", row.version.0);
-            self.node.log(&line);
+            let line = LogLine::new(EventCode::ConfigRegressed).number("revision", revision.0);
+            self.node.log(&version_fields(line, row.version));
+            self.node.metrics.record_not_taken("op", "older_revision");
         }
         if self.node.set_config(config) {
             if in_force.is_none() {
@@ -73,9 +111,8 @@
             }
             let line = LogLine::new(EventCode::ConfigApplied)
                 .number("revision", revision.0)
-                .number("row_version", row.version.0)
                 .text("source", &self.node.feed.config_origin().to_string());
-            self.node.log(&line);
+            self.node.log(&version_fields(line, row.version));
         }
     }
 
@@ -114,6 +151,9 @@
     node: Rc<GatewayNode>,
     /// Targets whose entries were missing soon after an outage of the store.
     pending_removals: Vec<HostId>,
+    departed: DepartedTargets,
+    /// Entries of targets that had left, which a restored store shows again, and until when they don't count.
+    returned: Vec<(StoreRow, Duration)>,
 }
 
 impl RegistryWatcher {
@@ -121,12 +161,14 @@
         Self {
             node,
             pending_removals: Vec::new(),
+            departed: DepartedTargets::default(),
+            returned: Vec::new(),
         }
     }
 
     fn in_recovery_grace(&self) -> bool {
         let now = self.node.now();
-        let last_failure = self.node.feed.failed_at();
+        let last_failure = self.node.feed.failed_at().max(self.node.era_began_at());
         last_failure.is_some_and(|failed_at| now.saturating_sub(failed_at) < RECOVERY_GRACE)
     }
 
@@ -148,15 +190,28 @@
     }
 
     /// Applies one changed row.
-    pub fn apply_row(&mut self, row: &StoreRow) {
+    pub fn apply_row(&mut self, row: &StoreRow, origin: RowOrigin) {
+        self.returned
+            .retain(|(returned, _)| returned.key != row.key);
         let Some(bytes) = &row.value else {
             if let Ok(id) = row.key.parse::<HostId>() {
+                self.record_departure(&id);
                 self.handle_missing(id);
             }
             return;
         };
         match decode_target(&row.key, bytes) {
-            Ok(entry) => {
+            Ok(mut entry) => {
+                if origin == RowOrigin::RestoredStore {
+                    if self.has_left(&entry) {
+                        let until = self.node.now() + RESTORE_GRACE;
+                        self.returned.push((row.clone(), until));
+                        let reason = "left_before_restore";
+                        log_not_taken(&self.node, FeedTable::Registry, row, reason);
+                        return;
+                    }
+                    self.keep_draining(&mut entry);
+                }
                 self.pending_removals.retain(|id| *id != entry.id);
                 if self.node.apply_listed_target(&entry) == EntryIntake::MembershipWithheld {
                     refresh_contradicted(&self.node, &entry.id);
@@ -166,9 +221,8 @@
             Err(error) => {
                 let line = LogLine::new(EventCode::EntryUnreadable)
                     .text("host", &row.key)
-                    .number("row_version", row.version.0)
                     .text("reason", &error.to_string());
-                self.node.log(&line);
+                self.node.log(&version_fields(line, row.version));
                 // An unreadable entry gets no new requests; those already running there continue.
                 if let Ok(id) = row.key.parse::<HostId>() {
                     self.unlist(id);
@@ -177,9 +231,49 @@
         }
     }
 
+    fn record_departure(&mut self, id: &HostId) {
+        let entry = self.node.registry(|registry| registry.get(id).cloned());
+        if let Some(entry) = entry {
+            self.departed.record(entry.process(), self.node.now());
+        }
+    }
+
+    fn has_left(&self, entry: &TargetEntry) -> bool {
+        let is_known = self
+            .node
+            .registry(|registry| registry.get(&entry.id).is_some());
+        !is_known && self.departed.has_left(&entry.process(), self.node.now())
+    }
+
+    /// Keeps a process draining that is known to drain: the entry is from before it said so.
+    fn keep_draining(&self, entry: &mut TargetEntry) {
+        let known = self
+            .node
+            .registry(|registry| registry.get(&entry.id).cloned());
+        let is_draining = known
+            .is_some_and(|known| known.boot == entry.boot && known.state == TargetState::Draining);
+        if is_draining {
+            entry.state = TargetState::Draining;
+        }
+    }
+
+    /// Takes in the entries of targets that had left and whose entries still stand some time after a restore: they
+    /// were removed too early.
+    fn admit_returned(&mut self) {
+        let now = self.node.now();
+        let due: Vec<_> = self
+            .returned
+            .extract_if(.., |(_, until)| *until <= now)
+            .collect();
+        for (row, _) in due {
+            self.apply_row(&row, RowOrigin::Change);
+        }
+    }
+
     /// Records that the store confirmed all changes up to a version, at `confirmed_at`.
-    pub fn confirm(&mut self, version: RowVersion, confirmed_at: Duration) {
+    pub fn confirm(&mut self, version: EraVersion, confirmed_at: Duration) {
         self.node.confirm_registry(version, confirmed_at);
+        self.admit_returned();
         if self.in_recovery_grace() {
             return;
         }
--- a/crates/gateway/src/heartbeat/mod.rs
+++ b/crates/gateway/src/heartbeat/mod.rs
@@ -8,13 +8,14 @@
 
 use adapter::{StoreClient, StoreError};
 use serving::demand::ShareDecision;
-use serving::feed::TableDelta;
+use serving::feed::{DeltaProof, TableDelta};
 use wire::feed::{FeedLane, FeedTable};
 
 use self::interval::heartbeat_interval;
 use self::row::{DecisionRow, LinkRow, NodeRow};
 use crate::feed::{COUNT_INTERVAL, TableConfirmation, TableOrigin};
 use crate::node::GatewayNode;
+use crate::restore::{log_rows_written_again, restore_delay};
 
 mod census;
 mod interval;
@@ -41,13 +42,14 @@
 
 /// Writes heartbeats and counts those of other nodes; never returns.
 pub async fn run_heartbeats(node: Rc<GatewayNode>) {
-    let mut client = StoreClient::new(node.settings.store);
+    let mut client = node.store_client();
     while announce(&node, &mut client).await.is_err() {
         tokio::time::sleep(INITIAL_INTERVAL).await;
     }
     let mut written_at = node.now();
     node.set_heartbeat_written();
     let mut pause = INITIAL_INTERVAL;
+    let mut restores = node.restores();
     loop {
         let key_changed = tokio::time::timeout(pause, node.feed.key_changed.notified());
         let mut has_proposal = false;
@@ -57,10 +59,16 @@
                 has_proposal = true;
                 false
             }
+            () = node.restored.notified() => false,
             () = count_repeatedly(&node) => false,
         };
+        let is_lost = restores != node.restores();
+        if is_lost {
+            restores = node.restores();
+            tokio::time::sleep(restore_delay(&node)).await;
+        }
         let interval = heartbeat_interval(node.node_count());
-        let is_due = has_proposal || node.now().saturating_sub(written_at) >= interval;
+        let is_due = has_proposal || is_lost || node.now().saturating_sub(written_at) >= interval;
         let mut outcome = Ok(());
         if is_due {
             let decision = node.decision_to_write();
@@ -69,6 +77,7 @@
             if outcome.is_ok() {
                 written_at = node.now();
                 node.set_heartbeat_written();
+                log_rows_written_again(&node, "heartbeat", usize::from(is_lost));
             }
         }
         if outcome.is_ok() && (reads_now || !node.feed.is_following(FeedLane::Bulk)) {
@@ -163,7 +172,11 @@
     node: &GatewayNode,
     client: &mut StoreClient,
 ) -> Result<(), StoreError> {
-    let known = node.feed.copy(FeedTable::Nodes).borrow().version();
+    let known = {
+        let mut copy = node.feed.copy(FeedTable::Nodes).borrow_mut();
+        copy.begin_era(node.eras.current());
+        copy.version()
+    };
     let changes = match known {
         Some(known) => {
             client
@@ -179,7 +192,7 @@
             rows: response.rows,
             gap: None,
         },
-        Err(StoreError::Compacted) => {
+        Err(StoreError::Compacted | StoreError::EraBegan) => {
             let page = client.read_table(NODES_TABLE, STORE_TIMEOUT).await?;
             node.set_store_clock(page.clock);
             TableDelta {
@@ -192,11 +205,14 @@
         Err(error) => return Err(error),
     };
     let confirmation = TableConfirmation {
-        confirmed_at: node.now(),
-        proved_at: None,
+        proof: DeltaProof {
+            confirmed_at: node.now(),
+            proved_at: None,
+        },
         origin: TableOrigin::Store,
     };
-    node.feed.take(FeedTable::Nodes, delta, confirmation);
+    let now = node.now();
+    node.feed.take(FeedTable::Nodes, delta, confirmation, now);
     count_nodes(node);
     Ok(())
 }
--- a/crates/gateway/src/lease_rows.rs
+++ b/crates/gateway/src/lease_rows.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use adapter::{ConditionalWrite, StoreClient, StoreError, StoreRow};
-use domain::RowVersion;
+use domain::EraVersion;
 use serde::{Deserialize, Serialize};
 use serving::lease::{LeasePage, SlotLease, SlotRow, SlotWrite, StoreClock};
 
@@ -68,6 +68,7 @@
         let rows = page.rows.iter();
         let rows = rows.filter_map(|row| Some((slot_of(&row.key)?, row.version, decode_row(row))));
         Ok(LeasePage {
+            era: page.version.era(),
             rows: rows.collect(),
             clock: StoreClock {
                 reading: page.clock,
@@ -87,7 +88,7 @@
         &self,
         client: &mut StoreClient,
         writes: &[SlotWrite],
-    ) -> Result<RowVersion, StoreError> {
+    ) -> Result<EraVersion, StoreError> {
         let encoded: Result<Vec<_>, _> = writes.iter().map(|write| self.encode(write)).collect();
         client
             .put_rows_if(self.name, &encoded?, STORE_TIMEOUT)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod refusal_maker;
 mod relay;
 mod respond;
+mod restore;
 mod retry_leases;
 mod run;
 mod send;
--- a/crates/gateway/src/limits/turn.rs
+++ b/crates/gateway/src/limits/turn.rs
@@ -34,7 +34,7 @@
 /// Claims the turn of a target when nobody seems to have it, and renews it while it is used. Returns once the
 /// target states no limit or is gone.
 pub async fn hold_turn(node: Rc<GatewayNode>, id: HostId, claims_at_once: bool) {
-    let mut client = StoreClient::new(node.settings.store);
+    let mut client = node.store_client();
     let mut next_claim = if claims_at_once {
         node.now()
     } else {
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -65,6 +65,8 @@
     order_duration: Histogram<f64>,
     store_call_duration: Histogram<f64>,
     links_refused: Counter<u64>,
+    restores: Counter<u64>,
+    not_taken: Counter<u64>,
     crashes: Counter<u64>,
     blocked: Counter<u64>,
     tunnels: Counter<u64>,
@@ -104,6 +106,8 @@
                 "bramleyspring.gateway.store_call.duration",
             ),
             links_refused: counter("bramleyspring.gateway.link.refused"),
+            restores: counter("bramleyspring.gateway.store.restored"),
+            not_taken: counter("bramleyspring.gateway.change.not_taken"),
             crashes: counter("bramleyspring.gateway.crash.seen"),
             blocked: counter("bramleyspring.gateway.crash.blocked_request"),
             tunnels: counter("bramleyspring.gateway.tunnel.count"),
@@ -187,6 +191,20 @@
         self.links_refused.add(1, &[]);
     }
 
+    /// Counts a restore of the store from an older copy that this node has seen.
+    pub fn record_restore(&self) {
+        self.restores.add(1, &[]);
+    }
+
+    /// Counts something that was read of a table and not taken.
+    pub fn record_not_taken(&self, table: &'static str, reason: &str) {
+        let labels = [
+            KeyValue::new("table", table),
+            KeyValue::new("reason", reason.to_owned()),
+        ];
+        self.not_taken.add(1, &labels);
+    }
+
     /// Counts a crash of a target that this node has seen.
     pub fn record_crash(&self) {
         self.crashes.add(1, &[]);
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -18,7 +18,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use domain::{FastMap, FastSet, HostId, RowVersion, ServiceName};
+use adapter::{StoreClient, StoreEras};
+use domain::{EraVersion, FastMap, FastSet, HostId, ServiceName};
 use events::{LogLine, LogSink};
 use policy::admission::CustomerShares;
 use serving::demand::DemandLedger;
@@ -76,6 +77,13 @@
     pub hints: HintChannel,
     /// Copies of the store's tables, and the nodes that pass on their changes.
     pub feed: FeedState,
+    /// Era of the store, as all its clients of this process know it.
+    pub eras: Rc<StoreEras>,
+    /// Notified when the store has been restored from a copy, so that rows of this node are written again.
+    pub restored: Notify,
+    /// When the last era began that this process saw begin after another one.
+    era_began_at: Cell<Option<Duration>>,
+    restores: Cell<u64>,
     /// Other nodes through which this one connects to targets, and tunnels that it serves.
     pub tunnels: TunnelState,
     /// What is held for clients that read or send slowly.
@@ -102,7 +110,7 @@
     config: RefCell<Option<Rc<GatewayConfig>>>,
     idle_timeout: Cell<Duration>,
     registry: RefCell<TargetRegistry>,
-    registry_version: Cell<Option<RowVersion>>,
+    registry_version: Cell<Option<EraVersion>>,
     registry_confirmed_at: Cell<Duration>,
     store_unreachable: Cell<bool>,
     /// Until when registry rows may predate an outage of the store.
@@ -192,6 +200,10 @@
             settings,
             hints,
             feed: FeedState::new(),
+            eras: Rc::default(),
+            restored: Notify::new(),
+            era_began_at: Cell::default(),
+            restores: Cell::default(),
             tunnels: TunnelState::default(),
             share_proposed: Notify::new(),
             overload: OverloadState::default(),
@@ -267,6 +279,12 @@
         self.boot_clock.elapsed()
     }
 
+    /// A client of the store that connects on its first call.
+    #[must_use]
+    pub fn store_client(&self) -> StoreClient {
+        StoreClient::new(self.settings.store, Rc::clone(&self.eras))
+    }
+
     /// Queues a line for the log, which drops lines beyond its rate limit.
     pub fn log(&self, line: &LogLine) {
         self.sink.write(line, self.now());
@@ -331,7 +349,7 @@
 
     /// Newest store version up to which the registry is known; `None` before the first read.
     #[must_use]
-    pub fn registry_version(&self) -> Option<RowVersion> {
+    pub fn registry_version(&self) -> Option<EraVersion> {
         self.registry_version.get()
     }
 
@@ -360,6 +378,26 @@
         self.store_unreachable.set(true);
     }
 
+    /// When the last era of the store began that followed another one.
+    #[must_use]
+    pub fn era_began_at(&self) -> Option<Duration> {
+        self.era_began_at.get()
+    }
+
+    /// Number of restores of the store that this process has seen.
+    #[must_use]
+    pub fn restores(&self) -> u64 {
+        self.restores.get()
+    }
+
+    /// Records that the store has been restored from a copy, whose entries of the registry may be out of date.
+    pub(crate) fn mark_restored(&self) {
+        let now = self.now();
+        self.restores.set(self.restores.get() + 1);
+        self.era_began_at.set(Some(now));
+        self.registry_stale_until.set(now + REGISTRY_SETTLE_TIME);
+    }
+
     /// Records that the registry was read at startup or after an outage.
     pub fn mark_store_reachable(&self) {
         self.store_unreachable.set(false);
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use domain::{FastMap, FastSet, HostId, ModelName, ReplicaId, RowVersion, ServiceName};
+use domain::{EraVersion, FastMap, FastSet, HostId, ModelName, ReplicaId, ServiceName};
 use events::{EventCode, LogLine};
 use serving::probe_schedule::unlisted_interval;
 use serving::{
@@ -14,19 +14,15 @@
 
 impl GatewayNode {
     /// Records that the store confirmed the registry up to a version, at `confirmed_at`.
-    pub fn confirm_registry(&self, version: RowVersion, confirmed_at: Duration) {
+    pub fn confirm_registry(&self, version: EraVersion, confirmed_at: Duration) {
         let is_first = self.registry_version.get().is_none();
         if is_first || self.is_store_unreachable() {
             self.mark_store_reachable();
         }
         self.registry_confirmed_at.set(confirmed_at);
-        if self
-            .registry_version
-            .get()
-            .is_none_or(|known| known < version)
-        {
-            self.registry_version.set(Some(version));
-        }
+        let known = self.registry_version.get();
+        let newest = known.map_or(version, |known| version.max_within(known));
+        self.registry_version.set(Some(newest));
     }
 
     /// Applies a target's entry; no effect if it is already known as it is. A target with a new boot
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -10,7 +10,7 @@
 
 use adapter::orders::HostOrder;
 use adapter::{HostError, OrderResponse};
-use domain::BootNumber;
+use domain::{BootNumber, EraVersion};
 use events::{EventCode, LogLine};
 use serving::{MemberState, MembershipKey, ReplicaMembership};
 
@@ -175,7 +175,8 @@
 }
 
 fn current_fence(node: &GatewayNode) -> u64 {
-    node.registry_version().map_or(0, |version| version.0)
+    node.registry_version()
+        .map_or(0, EraVersion::fencing_number)
 }
 
 /// Boot number and accepted orders of the engine, if its membership is the expected one.
--- a/crates/gateway/src/reconcile/steps.rs
+++ b/crates/gateway/src/reconcile/steps.rs
@@ -101,9 +101,9 @@
         let Some((replica, version)) = name else {
             return OrderOutcome::Stale;
         };
-        // Store versions increase monotonically for all nodes, so an epoch taken from one is higher
-        // than every epoch that the registry contained by then.
-        let epoch = version.0;
+        // An epoch taken from a version of the store is higher than every epoch that the registry contained
+        // by then, also after the store's versions have gone back with a new era.
+        let epoch = version.fencing_number();
         let outcome = self
             .join_members(model, members, replica.clone(), epoch)
             .await;
--- a/crates/gateway/src/respond.rs
+++ b/crates/gateway/src/respond.rs
@@ -89,6 +89,7 @@
         .number("revision", revision(node))
         .millis("registry_age_ms", node.registry_age())
         .millis("config_age_ms", node.feed.config_age(node.now()))
+        .number("era", node.eras.current().0)
         .text("config_source", &node.feed.config_origin().to_string());
     if let Some(maker) = RefusalMaker::of_local(response) {
         node.metrics.record_refusal(maker, status);
--- a/crates/gateway/src/retry_leases.rs
+++ b/crates/gateway/src/retry_leases.rs
@@ -65,7 +65,7 @@
     }
     node.retry_leases.replace(Some(ledger));
     let mut keeper = LeaseKeeper {
-        client: StoreClient::new(node.settings.store),
+        client: node.store_client(),
         node,
         read_at: None,
         is_first: true,
@@ -79,13 +79,18 @@
                 failures = 0;
                 RENEWAL_INTERVAL
             }
+            // The leases are read again at once, and those that the store has lost written.
+            Err(error @ StoreError::EraBegan) => {
+                keeper.fail(&error);
+                Duration::ZERO
+            }
             Err(error) => {
                 keeper.fail(&error);
                 failures += 1;
                 keeper.retry_pause(failures)
             }
         };
-        tokio::time::sleep(pause).await;
+        drop(tokio::time::timeout(pause, keeper.node.restored.notified()).await);
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,7 +20,7 @@
 use crate::node::GatewayNode;
 use crate::retry_leases::hold_retry_leases;
 use crate::settings::GatewaySettings;
-use crate::{crash, feed, heartbeat, listen, load_batches, probe, reconcile, tunnel};
+use crate::{crash, feed, heartbeat, listen, load_batches, probe, reconcile, restore, tunnel};
 
 /// Interval for checking whether a process that is shutting down may exit.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -95,6 +95,7 @@
     spawn_local(hold_retry_leases(Rc::clone(&node)));
     spawn_status_listeners(&node, readiness, metrics);
     spawn_feed(&node, links);
+    spawn_local(restore::watch_eras(Rc::clone(&node)));
     spawn_local(heartbeat::run_heartbeats(Rc::clone(&node)));
     spawn_local(receive_hints(Rc::clone(&node)));
     spawn_local(load_batches::pass_on_loads(Rc::clone(&node)));
--- a/crates/serving/src/feed/claims.rs
+++ b/crates/serving/src/feed/claims.rs
@@ -1,6 +1,8 @@
 //! Up to which version a reader knows a table of the store.
 
-use domain::RowVersion;
+use std::cmp::Ordering;
+
+use domain::EraVersion;
 
 /// The version that the last response named.
 ///
@@ -10,14 +12,15 @@
 /// begins after the response shows such a write, so a version counts only once it does.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct VersionClaims {
-    named: Option<RowVersion>,
+    named: Option<EraVersion>,
 }
 
 impl VersionClaims {
-    /// Takes in a response to a call for changes after `after` that names `named`; returns the version up
-    /// to which the table is known with its rows.
-    pub fn verify(&mut self, after: RowVersion, named: RowVersion) -> RowVersion {
+    /// Takes in a response to a call for changes after `after` that names `named`, of the same era; returns the
+    /// version up to which the table is known with its rows.
+    pub fn verify(&mut self, after: EraVersion, named: EraVersion) -> EraVersion {
         let before = self.named.replace(named);
-        before.map_or(after, |before| before.max(after))
+        let newer = before.filter(|before| before.compare(after) == Some(Ordering::Greater));
+        newer.unwrap_or(after)
     }
 }
--- a/crates/serving/src/feed/copy.rs
+++ b/crates/serving/src/feed/copy.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::{FastSet, RowVersion};
+use domain::{EraVersion, FastSet, RowVersion, StoreEra};
+
+use super::refused::{RefusalReason, RefusedRow};
+use super::take::LostRows;
 
 /// Number of removed rows that are remembered, which bounds the memory of a copy. A node that
 /// misses more of them gets the whole table.
@@ -21,14 +24,14 @@
     /// Value as the store holds it; `None` if the row was removed.
     pub value: Option<Bytes>,
     /// Version of the last write.
-    pub version: RowVersion,
+    pub version: EraVersion,
 }
 
 /// What another node lacks of a table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TableDelta {
     /// Version up to which the receiver knows the table afterwards.
-    pub version: RowVersion,
+    pub version: EraVersion,
     /// Whether these are all rows of the table, so that any other row was removed.
     pub is_full: bool,
     /// Rows in the order of their versions.
@@ -42,9 +45,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct VersionGap {
     /// Version known before.
-    pub before: RowVersion,
+    pub before: EraVersion,
     /// Version known after.
-    pub after: RowVersion,
+    pub after: EraVersion,
+}
+
+/// A gap within the era of a copy.
+#[derive(Debug, Clone, Copy)]
+struct EraGap {
+    before: RowVersion,
+    after: RowVersion,
 }
 
 #[derive(Debug, Clone)]
@@ -56,8 +66,14 @@
 }
 
 /// Copy of a table, with the versions of the store. A row is never replaced by an older one.
+///
+/// All versions held are of one era. When another one begins, the values stay and the versions go: nothing is
+/// known then up to any version, until a read of the whole table.
 #[derive(Debug, Clone, Default)]
 pub struct TableCopy {
+    era: StoreEra,
+    /// Values of an earlier era that no read of this one has replaced.
+    carried: BTreeMap<String, Bytes>,
     rows: BTreeMap<String, StoredRow>,
     /// Keys by the version of their last write.
     by_version: BTreeSet<(RowVersion, String)>,
@@ -66,7 +82,7 @@
     horizon: Option<RowVersion>,
     /// Versions before and after reads of the whole table that followed unseen changes. Rows that
     /// came and went in between are not known here, but may be to a node that saw them come.
-    gaps: VecDeque<VersionGap>,
+    gaps: VecDeque<EraGap>,
     version: Option<RowVersion>,
     /// Version of the newest read of the whole table. A row that it lacked had been removed by then, if it was
     /// written before.
@@ -77,28 +93,67 @@
 }
 
 impl TableCopy {
-    /// Version up to which the table is known; `None` before the first read.
+    /// Era of all versions held.
+    #[must_use]
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Version up to which the table is known; `None` before the first read of an era.
     #[must_use]
-    pub fn version(&self) -> Option<RowVersion> {
-        self.version
+    pub fn version(&self) -> Option<EraVersion> {
+        self.version.map(|version| self.of_era(version))
+    }
+
+    /// Whether the table has been read, in whatever era.
+    #[must_use]
+    pub fn is_read(&self) -> bool {
+        self.version.is_some() || !self.carried.is_empty()
+    }
+
+    fn of_era(&self, version: RowVersion) -> EraVersion {
+        EraVersion::new(self.era, version)
+    }
+
+    /// Begins an era, in which no version known so far means anything. The values stay until the table has been
+    /// read.
+    pub fn begin_era(&mut self, era: StoreEra) {
+        if era == self.era {
+            return;
+        }
+        let mut carried = std::mem::take(&mut self.carried);
+        for (key, row) in std::mem::take(&mut self.rows) {
+            carried.extend(row.value.map(|value| (key, value)));
+        }
+        *self = Self {
+            era,
+            carried,
+            confirmed_at: self.confirmed_at,
+            ..Self::default()
+        };
     }
 
     /// Version from which to ask for changes: that of the newest row, if the table is not known for
-    /// certain up to it yet. `None` before the first read.
+    /// certain up to it yet. `None` before the first read of an era.
     #[must_use]
-    pub fn latest(&self) -> Option<RowVersion> {
+    pub fn latest(&self) -> Option<EraVersion> {
         let newest = self.by_version.last().map(|(newest, _)| *newest);
-        self.version.max(newest.filter(|_| self.version.is_some()))
+        let latest = self.version.max(newest.filter(|_| self.version.is_some()));
+        latest.map(|latest| self.of_era(latest))
     }
 
-    /// Whether a node that knows the table up to `version` lacks a row that this copy has.
+    /// Whether a node that knows the table up to `version` lacks a row that this copy has. One that knows it in
+    /// an earlier era lacks all.
     ///
     /// Versions count the writes of all tables: a node that asked the store later knows a higher one
     /// even if the table has not changed since.
     #[must_use]
-    pub fn is_ahead_of(&self, version: RowVersion) -> bool {
+    pub fn is_ahead_of(&self, version: EraVersion) -> bool {
+        let Some(known) = version.within(self.era) else {
+            return version.era() < self.era;
+        };
         let newest = self.by_version.last();
-        newest.is_some_and(|(newest, _)| *newest > version)
+        newest.is_some_and(|(newest, _)| *newest > known)
     }
 
     /// When the store last confirmed this version, through however many nodes.
@@ -124,9 +179,9 @@
     }
 
     /// Records that the store held nothing newer than `version` of this table at `proved_at`. It says
-    /// nothing of a copy that has a newer row.
-    pub fn prove(&mut self, version: RowVersion, proved_at: Duration) {
-        if !self.is_ahead_of(version) {
+    /// nothing of a copy that has a newer row, or is of another era.
+    pub fn prove(&mut self, version: EraVersion, proved_at: Duration) {
+        if version.era() == self.era && !self.is_ahead_of(version) {
             self.proved_at = self.proved_at.max(Some(proved_at));
         }
     }
@@ -134,81 +189,168 @@
     /// Values of the rows that are not removed, with their keys.
     pub fn values(&self) -> impl Iterator<Item = (&str, &Bytes)> {
         let rows = self.rows.iter();
-        rows.filter_map(|(key, row)| Some((key.as_str(), row.value.as_ref()?)))
+        let rows = rows.filter_map(|(key, row)| Some((key.as_str(), row.value.as_ref()?)));
+        let carried = self.carried.iter();
+        let carried = carried.filter(|(key, _)| !self.rows.contains_key(*key));
+        rows.chain(carried.map(|(key, value)| (key.as_str(), value)))
     }
 
     /// Applies a row; returns false if the copy holds the same version or a newer one, or a read of the whole table
     /// has shown that the row was removed since.
     pub fn apply(&mut self, row: &StoreRow) -> bool {
+        self.try_apply(row).is_ok()
+    }
+
+    /// Applies a row, or says why it isn't newer than what is held.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusedRow`].
+    pub fn try_apply(&mut self, row: &StoreRow) -> Result<(), RefusedRow> {
         let held = self.rows.get(&row.key);
         let is_absent = held.is_none_or(|held| held.value.is_none());
-        let is_removed_since =
-            row.value.is_some() && is_absent && self.complete_at >= Some(row.version);
-        !is_removed_since && self.put(row)
+        let version = row.version.within(self.era);
+        if version.is_some() && row.value.is_some() && is_absent && self.complete_at >= version {
+            let held = self.complete_at.map(|version| self.of_era(version));
+            return Err(RefusedRow::new(row, held, RefusalReason::RemovedSince));
+        }
+        self.put(row)
     }
 
-    fn put(&mut self, row: &StoreRow) -> bool {
+    fn put(&mut self, row: &StoreRow) -> Result<(), RefusedRow> {
+        let Some(version) = row.version.within(self.era) else {
+            return Err(RefusedRow::new(
+                row,
+                self.version(),
+                RefusalReason::OtherEra,
+            ));
+        };
         let mut previous = None;
         if let Some(held) = self.rows.get(&row.key) {
-            if held.version >= row.version {
-                return false;
+            if held.version >= version {
+                let reason = if held.version == version {
+                    RefusalReason::Known
+                } else {
+                    RefusalReason::Older
+                };
+                return Err(RefusedRow::new(
+                    row,
+                    Some(self.of_era(held.version)),
+                    reason,
+                ));
             }
             previous = held.value.clone().map(|value| (held.version, value));
             let old = (held.version, row.key.clone());
             self.by_version.remove(&old);
             self.tombstones.remove(&old);
         }
-        let indexed = (row.version, row.key.clone());
+        let indexed = (version, row.key.clone());
         if row.value.is_none() {
             self.tombstones.insert(indexed.clone());
         }
         self.by_version.insert(indexed);
         let stored = StoredRow {
             value: row.value.clone(),
-            version: row.version,
+            version,
             previous,
         };
         self.rows.insert(row.key.clone(), stored);
+        if self.version.is_some() {
+            self.carried.remove(&row.key);
+        }
         self.forget_old_tombstones();
-        true
+        Ok(())
     }
 
     /// Applies a read of the whole table as of `version`: rows that it lacks were removed, unless
     /// they are newer. Returns the rows that changed.
-    pub fn replace(&mut self, rows: Vec<StoreRow>, version: RowVersion) -> Vec<StoreRow> {
+    pub fn replace(&mut self, rows: Vec<StoreRow>, version: EraVersion) -> Vec<StoreRow> {
+        let (changed, _) = self.replace_all(rows, version, LostRows::Removed);
+        changed
+    }
+
+    /// Applies a read of the whole table as of `version`, of the era of this copy. Returns the rows that changed,
+    /// and those that were not taken.
+    pub(super) fn replace_all(
+        &mut self,
+        rows: Vec<StoreRow>,
+        version: EraVersion,
+        lost: LostRows,
+    ) -> (Vec<StoreRow>, Vec<RefusedRow>) {
+        let Some(read_at) = version.within(self.era) else {
+            return (Vec::new(), Vec::new());
+        };
         let present: FastSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
         let held = self.rows.iter();
         let gone = held.filter(|(key, row)| {
-            row.value.is_some() && row.version <= version && !present.contains(key.as_str())
+            row.value.is_some() && row.version <= read_at && !present.contains(key.as_str())
         });
         let gone: Vec<StoreRow> = gone
             .map(|(key, row)| StoreRow {
                 key: key.clone(),
                 value: None,
                 // Newer than the row, however the versions of the two compare.
-                version: version.max(RowVersion(row.version.0 + 1)),
+                version: self.of_era(read_at.max(RowVersion(row.version.0.saturating_add(1)))),
             })
             .collect();
+        let carried = std::mem::take(&mut self.carried);
+        let lost_rows = carried
+            .iter()
+            .filter(|(key, _)| !present.contains(key.as_str()));
+        let lost_rows: Vec<StoreRow> = match lost {
+            LostRows::Removed => lost_rows
+                .map(|(key, _)| StoreRow {
+                    key: key.clone(),
+                    value: None,
+                    version,
+                })
+                .collect(),
+            LostRows::Kept => {
+                self.carried = lost_rows
+                    .map(|(key, value)| (key.clone(), value.clone()))
+                    .collect();
+                Vec::new()
+            }
+        };
         let mut changed = rows;
         changed.extend(gone);
-        if self.complete_at > Some(version) {
-            changed.retain(|row| self.apply(row));
-        } else {
-            changed.retain(|row| self.put(row));
-            self.complete_at = Some(version);
+        changed.extend(lost_rows);
+        let mut refused = Vec::new();
+        let is_older = self.complete_at > Some(read_at);
+        changed.retain(|row| {
+            let taken = if is_older {
+                self.try_apply(row)
+            } else {
+                self.put(row)
+            };
+            let is_taken = taken.is_ok();
+            refused.extend(taken.err());
+            let is_same = row.value.is_some() && carried.get(&row.key) == row.value.as_ref();
+            is_taken && !is_same
+        });
+        if !is_older {
+            self.complete_at = Some(read_at);
         }
         match self.version {
-            Some(before) => self.record_gap(VersionGap {
+            Some(before) => self.push_gap(EraGap {
                 before,
-                after: version,
+                after: read_at,
             }),
-            None => self.horizon = Some(version),
+            None => self.horizon = Some(read_at),
         }
-        changed
+        (changed, refused)
     }
 
     /// Records that rows may have come and gone unseen.
     pub fn record_gap(&mut self, gap: VersionGap) {
+        let before = gap.before.within(self.era);
+        let Some((before, after)) = before.zip(gap.after.within(self.era)) else {
+            return;
+        };
+        self.push_gap(EraGap { before, after });
+    }
+
+    fn push_gap(&mut self, gap: EraGap) {
         self.gaps.push_back(gap);
         if self.gaps.len() > MAX_GAPS {
             let oldest = self.gaps.pop_front();
@@ -218,21 +360,28 @@
 
     /// Whether all removals since this version are known.
     fn is_complete_since(&self, known: RowVersion) -> bool {
-        let is_inside = |gap: &VersionGap| gap.before < known && known < gap.after;
+        let is_inside = |gap: &EraGap| gap.before < known && known < gap.after;
         self.horizon.is_some_and(|horizon| known >= horizon) && !self.gaps.iter().any(is_inside)
     }
 
     /// The span of all gaps behind a version.
     fn gap_since(&self, known: RowVersion) -> Option<VersionGap> {
         let gaps = self.gaps.iter().filter(|gap| gap.after > known);
-        gaps.copied().reduce(|left, right| VersionGap {
+        let gap = gaps.copied().reduce(|left, right| EraGap {
             before: left.before.min(right.before),
             after: left.after.max(right.after),
+        })?;
+        Some(VersionGap {
+            before: self.of_era(gap.before),
+            after: self.of_era(gap.after),
         })
     }
 
     /// Records that the store confirmed the table up to `version`, at `confirmed_at`.
-    pub fn confirm(&mut self, version: RowVersion, confirmed_at: Duration) {
+    pub fn confirm(&mut self, version: EraVersion, confirmed_at: Duration) {
+        let Some(version) = version.within(self.era) else {
+            return;
+        };
         if self.version.is_some_and(|known| known > version) {
             return;
         }
@@ -240,14 +389,16 @@
         self.confirmed_at = self.confirmed_at.max(confirmed_at);
     }
 
-    /// What a node that knows the table up to `known` lacks; `None` before the first read.
+    /// What a node that knows the table up to `known` lacks; `None` before the first read of an era. One that
+    /// knows it in another era lacks all.
     #[must_use]
-    pub fn delta_since(&self, known: Option<RowVersion>) -> Option<TableDelta> {
-        let version = self.version?;
+    pub fn delta_since(&self, known: Option<EraVersion>) -> Option<TableDelta> {
+        let version = self.version()?;
+        let known = known.and_then(|known| known.within(self.era));
         let after = known.filter(|known| self.is_complete_since(*known));
         let rows = match after {
             Some(after) => {
-                let first = (RowVersion(after.0 + 1), String::new());
+                let first = (RowVersion(after.0.saturating_add(1)), String::new());
                 self.rows_of(self.by_version.range(first..), true)
             }
             None => self.rows_of(self.by_version.iter(), false),
@@ -263,15 +414,18 @@
     /// Value of a row before its last write, and the version of that value, if a node that knows the
     /// table up to `known` has it.
     #[must_use]
-    pub fn previous(&self, key: &str, known: RowVersion) -> Option<(RowVersion, &Bytes)> {
+    pub fn previous(&self, key: &str, known: EraVersion) -> Option<(EraVersion, &Bytes)> {
+        let known = known.within(self.era)?;
         let row = self.rows.get(key)?;
         let (version, value) = row.previous.as_ref()?;
-        (*version <= known && known < row.version).then_some((*version, value))
+        let is_known = *version <= known && known < row.version;
+        is_known.then_some((self.of_era(*version), value))
     }
 
     /// Value that a row had at exactly this version, if it is still held.
     #[must_use]
-    pub fn value_at(&self, key: &str, version: RowVersion) -> Option<&Bytes> {
+    pub fn value_at(&self, key: &str, version: EraVersion) -> Option<&Bytes> {
+        let version = version.within(self.era)?;
         let row = self.rows.get(key)?;
         if row.version == version {
             return row.value.as_ref();
@@ -282,7 +436,7 @@
 
     /// Whether a node that knows the table up to `known` lacks a change.
     #[must_use]
-    pub fn has_news(&self, known: Option<RowVersion>) -> bool {
+    pub fn has_news(&self, known: Option<EraVersion>) -> bool {
         let Some(known) = known else {
             return self.version.is_some();
         };
@@ -305,7 +459,7 @@
             rows.push(StoreRow {
                 key: key.clone(),
                 value: row.value.clone(),
-                version: *version,
+                version: self.of_era(*version),
             });
         }
         rows
--- a/crates/serving/src/lease/ledger.rs
+++ b/crates/serving/src/lease/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use domain::RowVersion;
+use domain::{EraVersion, StoreEra};
 
 use super::{LeaseTerms, SlotLease, SlotRow, SlotWrite, StoreClock};
 
@@ -12,16 +12,21 @@
 /// All slots of a total at one moment.
 #[derive(Debug, Clone)]
 pub struct LeasePage {
+    /// Era of the store.
+    pub era: StoreEra,
     /// Number, version and content of each row; slots that are missing have no row.
-    pub rows: Vec<(usize, RowVersion, SlotRow)>,
+    pub rows: Vec<(usize, EraVersion, SlotRow)>,
     /// The store's clock at that moment.
     pub clock: StoreClock,
 }
 
 #[derive(Debug, Clone)]
 struct KnownSlot {
-    version: RowVersion,
+    version: EraVersion,
     row: SlotRow,
+    /// Whether the store has lost the row in a restore, so that this process, which holds the lease, has to
+    /// write it again.
+    is_lost: bool,
     /// From when this process may use it, on the local clock; meaningful while it holds the lease.
     usable_from: Duration,
 }
@@ -34,6 +39,10 @@
     started_at: Duration,
     slots: Vec<KnownSlot>,
     clock: Option<StoreClock>,
+    /// Era of the last page.
+    era: StoreEra,
+    /// Until when slots that look free may be held by leases that the store has lost.
+    lost_until: Duration,
 }
 
 impl LeaseLedger {
@@ -42,8 +51,9 @@
     #[must_use]
     pub fn new(holder: String, slots: usize, terms: LeaseTerms, started_at: Duration) -> Self {
         let unknown = KnownSlot {
-            version: RowVersion(0),
+            version: EraVersion::default(),
             row: SlotRow::Unreadable,
+            is_lost: false,
             usable_from: Duration::MAX,
         };
         Self {
@@ -52,6 +62,8 @@
             started_at,
             slots: vec![unknown; slots],
             clock: None,
+            era: StoreEra::UNSTATED,
+            lost_until: Duration::ZERO,
         }
     }
 
@@ -65,12 +77,23 @@
     ///
     /// A lease of this holder that this process did not write is that of the process before it, or one
     /// whose response was lost.
+    ///
+    /// After a restore of the store, rows may be missing or older than the leases that were written. A lease
+    /// that this process holds holds on unless the store has given it to another, and its row is written
+    /// again. Any other process may hold one just so, so no slot is free until all of those have ended.
     pub fn take_page(&mut self, page: LeasePage) {
+        let now = page.clock.received_at;
+        let is_restored = self.clock.is_some() && page.era != self.era;
+        if is_restored {
+            self.lost_until = now + self.terms.duration + self.terms.settle;
+        }
+        self.era = page.era;
         let inherited_from = self.started_at + self.terms.settle;
         let mut known: Vec<KnownSlot> = (0..self.slots.len())
             .map(|_| KnownSlot {
-                version: RowVersion(0),
+                version: EraVersion::absent(page.era),
                 row: SlotRow::Absent,
+                is_lost: false,
                 usable_from: inherited_from,
             })
             .collect();
@@ -85,18 +108,42 @@
             entry.version = version;
             entry.row = row;
         }
+        if is_restored {
+            self.keep_held(&mut known, page.clock, now);
+        }
         self.slots = known;
         self.clock = Some(page.clock);
     }
 
+    /// Keeps the leases of this process whose rows a restored store has lost.
+    fn keep_held(&self, known: &mut [KnownSlot], clock: StoreClock, now: Duration) {
+        for (slot, entry) in known.iter_mut().enumerate() {
+            if !self.is_held(slot, clock, now) {
+                continue;
+            }
+            let is_taken = matches!(
+                &entry.row,
+                SlotRow::Leased(lease)
+                    if lease.holder != self.holder && clock.earliest(now) <= lease.until
+            );
+            if is_taken || entry.row == self.slots[slot].row {
+                continue;
+            }
+            entry.row = self.slots[slot].row.clone();
+            entry.usable_from = self.slots[slot].usable_from;
+            entry.is_lost = true;
+        }
+    }
+
     /// Records that the store carried out `writes` in one transaction, which gave the rows `version`.
-    pub fn record_written(&mut self, writes: &[SlotWrite], version: RowVersion, now: Duration) {
+    pub fn record_written(&mut self, writes: &[SlotWrite], version: EraVersion, now: Duration) {
         for write in writes {
             let was_held = self.is_own(write.slot);
             let entry = &mut self.slots[write.slot];
             // A renewed lease may have been inherited, and what the previous process sent still counts.
             entry.usable_from = if was_held { entry.usable_from } else { now };
             entry.version = version;
+            entry.is_lost = false;
             entry.row = SlotRow::Leased(write.lease.clone());
         }
     }
@@ -115,6 +162,9 @@
 
     /// Whether the slot has no holder, and nothing that was sent under its last lease still counts.
     fn is_free(&self, slot: usize, clock: StoreClock, now: Duration) -> bool {
+        if now < self.lost_until {
+            return false;
+        }
         match &self.slots[slot].row {
             SlotRow::Absent => true,
             SlotRow::Unreadable => false,
@@ -194,6 +244,9 @@
         let SlotRow::Leased(lease) = &self.slots[slot].row else {
             return false;
         };
+        if self.slots[slot].is_lost {
+            return true;
+        }
         let renewed_until = clock.earliest(now) + self.terms.duration;
         renewed_until.saturating_sub(lease.until) >= self.terms.renew_after
     }
--- a/crates/serving/src/lease/mod.rs
+++ b/crates/serving/src/lease/mod.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use domain::RowVersion;
+use domain::EraVersion;
 
 pub use clock::StoreClock;
 pub use ledger::{LeaseLedger, LeasePage};
@@ -53,8 +53,8 @@
 pub struct SlotWrite {
     /// Number of the slot.
     pub slot: usize,
-    /// Version that the row must have; 0 if there must be none.
-    pub expected: RowVersion,
+    /// Version that the row must have; [`EraVersion::absent`] if there must be none.
+    pub expected: EraVersion,
     /// The new lease.
     pub lease: SlotLease,
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cold_targets;
 pub mod confirmed;
 pub mod demand;
+pub mod departed;
 pub mod evacuation;
 pub mod event_stream;
 pub mod feed;
--- a/crates/serving/tests/evacuation.rs
+++ b/crates/serving/tests/evacuation.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::{DomainId, RowVersion};
+use domain::{DomainId, EraVersion, RowVersion, StoreEra};
 use quickcheck::quickcheck;
 use serving::evacuation::{EvacuationChange, EvacuationLedger};
 use serving::feed::{StoreRow, TableCopy};
@@ -117,7 +117,7 @@
         key: "z1".to_owned(),
         // Odd versions add the row, even ones remove it.
         value: (version % 2 == 1).then(Bytes::new),
-        version: RowVersion(version),
+        version: EraVersion::new(StoreEra::UNSTATED, RowVersion(version)),
     }
 }
 
@@ -152,7 +152,10 @@
             let version = u64::from(version % 16) + 1;
             let changed = if is_full {
                 let rows = Some(row(version)).filter(|row| row.value.is_some());
-                copy.replace(rows.into_iter().collect(), RowVersion(version))
+                {
+                    let version = EraVersion::new(StoreEra::UNSTATED, RowVersion(version));
+                    copy.replace(rows.into_iter().collect(), version)
+                }
             } else {
                 let row = row(version);
                 let is_new = copy.apply(&row);
--- a/crates/serving/tests/feed/table_copy.rs
+++ b/crates/serving/tests/feed/table_copy.rs
@@ -1,14 +1,20 @@
 //! Copies of a table that nodes pass on to each other must end as the store's table, whichever
 //! node each of them followed in between.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::RowVersion;
+use domain::{EraVersion, RowVersion, StoreEra};
 use quickcheck::{Arbitrary, Gen};
 use serving::feed::{StoreRow, TableCopy, TableDelta};
 
+/// A version of the only era of these tests.
+fn at(version: u64) -> EraVersion {
+    EraVersion::new(StoreEra::UNSTATED, RowVersion(version))
+}
+
 /// Number of nodes that pass on copies; node 0 reads the store.
 const NODES: usize = 4;
 
@@ -21,12 +27,16 @@
 }
 
 impl TestTable {
-    fn version(&self) -> RowVersion {
-        RowVersion(u64::try_from(self.changes.len()).expect("few changes"))
+    fn newest(&self) -> u64 {
+        u64::try_from(self.changes.len()).expect("few changes")
+    }
+
+    fn version(&self) -> EraVersion {
+        at(self.newest())
     }
 
     fn write(&mut self, key: u8, value: Option<u8>) {
-        let version = RowVersion(self.version().0 + 1);
+        let version = at(self.newest() + 1);
         self.changes.push(StoreRow {
             key: format!("k{key}"),
             value: value.map(|value| Bytes::from(vec![value])),
@@ -44,7 +54,10 @@
     }
 
     fn read_into(&self, copy: &mut TableCopy) {
-        let known = copy.version().map(|version| version.0);
+        let known = copy
+            .version()
+            .and_then(|version| version.within(StoreEra::UNSTATED));
+        let known = known.map(|version| version.0);
         let known = known.and_then(|known| usize::try_from(known).ok());
         match known.filter(|known| *known >= self.compacted) {
             Some(known) => {
@@ -65,7 +78,7 @@
     let Some(delta) = copies[source].delta_since(known) else {
         return;
     };
-    if known.is_some_and(|known| known > delta.version) {
+    if known.is_some_and(|known| known.compare(delta.version) == Some(Ordering::Greater)) {
         return;
     }
     let TableDelta {
@@ -152,7 +165,10 @@
                 Step::Read(node) => table.read_into(&mut copies[node]),
                 Step::Follow(follower, source) => follow(&mut copies, follower, source),
             }
-            let fell = |(copy, before): (&TableCopy, &Option<RowVersion>)| copy.version() < *before;
+            let fell = |(copy, before): (&TableCopy, &Option<EraVersion>)| {
+                let number = |version: EraVersion| version.within(StoreEra::UNSTATED);
+                copy.version().map(number) < before.map(number)
+            };
             if copies.iter().zip(&before).any(fell) {
                 return false;
             }
@@ -165,7 +181,7 @@
     StoreRow {
         key: key.to_owned(),
         value: value.map(Bytes::from),
-        version: RowVersion(version),
+        version: at(version),
     }
 }
 
@@ -174,16 +190,11 @@
 #[test]
 fn compaction_costs_no_full_copy() {
     let mut copy = TableCopy::default();
-    copy.replace(
-        vec![row("a", Some("1"), 3), row("b", Some("1"), 4)],
-        RowVersion(5),
-    );
-    copy.confirm(RowVersion(5), Duration::ZERO);
-    copy.replace(vec![row("a", Some("2"), 8)], RowVersion(9));
-    copy.confirm(RowVersion(9), Duration::ZERO);
-    let delta = copy
-        .delta_since(Some(RowVersion(5)))
-        .expect("table was read");
+    copy.replace(vec![row("a", Some("1"), 3), row("b", Some("1"), 4)], at(5));
+    copy.confirm(at(5), Duration::ZERO);
+    copy.replace(vec![row("a", Some("2"), 8)], at(9));
+    copy.confirm(at(9), Duration::ZERO);
+    let delta = copy.delta_since(Some(at(5))).expect("table was read");
     assert!(!delta.is_full);
     assert_eq!(delta.rows, vec![row("a", Some("2"), 8), row("b", None, 9)]);
 }
@@ -192,15 +203,13 @@
 #[test]
 fn gap_is_inherited() {
     let mut reader = TableCopy::default();
-    reader.replace(Vec::new(), RowVersion(0));
-    reader.confirm(RowVersion(0), Duration::ZERO);
+    reader.replace(Vec::new(), at(0));
+    reader.confirm(at(0), Duration::ZERO);
     let mut copies = vec![reader.clone(), reader];
-    copies[1].replace(Vec::new(), RowVersion(2));
-    copies[1].confirm(RowVersion(2), Duration::ZERO);
+    copies[1].replace(Vec::new(), at(2));
+    copies[1].confirm(at(2), Duration::ZERO);
     follow(&mut copies, 0, 1);
-    let delta = copies[0]
-        .delta_since(Some(RowVersion(1)))
-        .expect("table was read");
+    let delta = copies[0].delta_since(Some(at(1))).expect("table was read");
     assert!(delta.is_full);
 }
 
@@ -209,13 +218,11 @@
 #[test]
 fn gap_costs_a_full_copy() {
     let mut copy = TableCopy::default();
-    copy.replace(vec![row("a", Some("1"), 3)], RowVersion(5));
-    copy.confirm(RowVersion(5), Duration::ZERO);
-    copy.replace(vec![row("a", Some("1"), 3)], RowVersion(9));
-    copy.confirm(RowVersion(9), Duration::ZERO);
-    let delta = copy
-        .delta_since(Some(RowVersion(7)))
-        .expect("table was read");
+    copy.replace(vec![row("a", Some("1"), 3)], at(5));
+    copy.confirm(at(5), Duration::ZERO);
+    copy.replace(vec![row("a", Some("1"), 3)], at(9));
+    copy.confirm(at(9), Duration::ZERO);
+    let delta = copy.delta_since(Some(at(7))).expect("table was read");
     assert!(delta.is_full);
 }
 
@@ -224,18 +231,18 @@
 #[test]
 fn later_read_is_not_ahead() {
     let mut copy = TableCopy::default();
-    copy.replace(vec![row("a", Some("1"), 3)], RowVersion(5));
-    copy.confirm(RowVersion(90), Duration::ZERO);
-    assert!(!copy.is_ahead_of(RowVersion(5)));
-    assert!(copy.is_ahead_of(RowVersion(2)));
+    copy.replace(vec![row("a", Some("1"), 3)], at(5));
+    copy.confirm(at(90), Duration::ZERO);
+    assert!(!copy.is_ahead_of(at(5)));
+    assert!(copy.is_ahead_of(at(2)));
 }
 
 #[test]
 fn age_counts_from_confirmation() {
     let mut copy = TableCopy::default();
-    copy.confirm(RowVersion(5), Duration::from_secs(3));
+    copy.confirm(at(5), Duration::from_secs(3));
     assert_eq!(copy.age(Duration::from_secs(4)), Duration::from_secs(1));
-    copy.confirm(RowVersion(4), Duration::from_secs(4));
+    copy.confirm(at(4), Duration::from_secs(4));
     assert_eq!(copy.age(Duration::from_secs(4)), Duration::from_secs(1));
 }
 
@@ -248,13 +255,13 @@
     let row = |version| StoreRow {
         key: "k".to_owned(),
         value: Some(Bytes::from_static(b"v")),
-        version: RowVersion(version),
+        version: at(version),
     };
     copy.apply(&row(5));
-    copy.prove(RowVersion(4), Duration::from_secs(3));
+    copy.prove(at(4), Duration::from_secs(3));
     assert_eq!(copy.proof_age(Duration::from_secs(9)), None);
-    copy.prove(RowVersion(5), Duration::from_secs(2));
-    copy.prove(RowVersion(7), Duration::from_secs(1));
+    copy.prove(at(5), Duration::from_secs(2));
+    copy.prove(at(7), Duration::from_secs(1));
     assert_eq!(
         copy.proof_age(Duration::from_secs(9)),
         Some(Duration::from_secs(7))
--- a/crates/serving/tests/fleet/mod.rs
+++ b/crates/serving/tests/fleet/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use domain::RowVersion;
+use domain::{EraVersion, RowVersion, StoreEra};
 use serving::RetryBudget;
 use serving::hashing::stable_hash;
 use serving::lease::{LeaseLedger, LeasePage, LeaseTerms, SlotRow, SlotWrite, StoreClock};
@@ -40,16 +40,18 @@
 }
 
 /// The rows of the leases.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct LeaseRows {
-    rows: Vec<(RowVersion, SlotRow)>,
+    pub rows: Vec<(EraVersion, SlotRow)>,
+    pub era: StoreEra,
     version: u64,
 }
 
 impl LeaseRows {
     pub fn new(slots: usize) -> Self {
         Self {
-            rows: vec![(RowVersion(0), SlotRow::Absent); slots],
+            rows: vec![(EraVersion::default(), SlotRow::Absent); slots],
+            era: StoreEra::UNSTATED,
             version: 0,
         }
     }
@@ -58,6 +60,7 @@
         let rows = self.rows.iter().enumerate();
         let rows = rows.filter(|(_, (_, row))| *row != SlotRow::Absent);
         LeasePage {
+            era: self.era,
             rows: rows
                 .map(|(slot, (version, row))| (slot, *version, row.clone()))
                 .collect(),
@@ -70,17 +73,22 @@
     }
 
     /// Carries out a transaction if all rows have the expected versions.
-    pub fn transact(&mut self, writes: &[SlotWrite]) -> Option<RowVersion> {
+    pub fn transact(&mut self, writes: &[SlotWrite]) -> Option<EraVersion> {
         let mut expected = writes.iter();
-        if !expected.all(|write| self.rows[write.slot].0 == write.expected) {
+        let holds = |write: &SlotWrite| match &self.rows[write.slot] {
+            (_, SlotRow::Absent) => write.expected == EraVersion::absent(self.era),
+            (version, _) => *version == write.expected,
+        };
+        if !expected.all(holds) {
             return None;
         }
         self.version += 1;
+        let version = EraVersion::new(self.era, RowVersion(self.version));
         for write in writes {
             let row = SlotRow::Leased(write.lease.clone());
-            self.rows[write.slot] = (RowVersion(self.version), row);
+            self.rows[write.slot] = (version, row);
         }
-        Some(RowVersion(self.version))
+        Some(version)
     }
 }
 
--- a/crates/serving/tests/shared_total.rs
+++ b/crates/serving/tests/shared_total.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use cases::properties;
+use domain::{EraVersion, StoreEra};
 use serving::retry_budget::RetryLimits;
 
-use fleet::{Draws, Fleet, STEP};
+use fleet::{Draws, Fleet, LeaseRows, STEP};
 
 const LIMITS: RetryLimits = RetryLimits {
     window: Duration::from_secs(10),
@@ -55,7 +56,62 @@
     fleet.worst_excess()
 }
 
+/// Takes the store back to a copy, in a new era; the numbers of its rows stay.
+fn restore(rows: &mut LeaseRows, copy: LeaseRows) {
+    let era = StoreEra(rows.era.0 + 1);
+    *rows = copy;
+    rows.era = era;
+    for (version, _) in &mut rows.rows {
+        let number = version.within(version.era()).unwrap_or_default();
+        *version = EraVersion::new(era, number);
+    }
+}
+
+/// Plays restores of the store from copies that are up to ten seconds old, while nodes are turned away and
+/// suspended and every attempt fails; returns the worst excess.
+fn play_restores(seed: u64) -> f64 {
+    let mut draws = Draws::new(seed);
+    let count = usize::try_from(1 + draws.below(12)).unwrap();
+    let mut fleet = Fleet::new(LIMITS, count);
+    let mut copies = Vec::new();
+    for step in 0..STEPS {
+        let now = STEP * step;
+        copies.push(fleet.rows.clone());
+        if draws.below(80) == 0 {
+            let age = usize::try_from(draws.below(40)).unwrap();
+            let copy = copies[copies.len().saturating_sub(1 + age)].clone();
+            restore(&mut fleet.rows, copy);
+        }
+        for index in 0..count {
+            let seconds = Duration::from_secs(1 + draws.below(70));
+            if draws.below(120) == 0 {
+                fleet.nodes[index].turned_away_until = now + seconds;
+            }
+            if draws.below(200) == 0 {
+                fleet.nodes[index].suspended_until = now + seconds;
+            }
+            if now < fleet.nodes[index].suspended_until {
+                continue;
+            }
+            let counted = usize::try_from(draws.below(2 * 12)).unwrap();
+            fleet.claim(index, now, counted);
+            if draws.below(20) == 0 {
+                for _ in 0..40 {
+                    fleet.request(index, now, 3);
+                }
+            }
+        }
+    }
+    fleet.worst_excess()
+}
+
 properties! {
+    /// Guards against a slot with two holders after a restore of the store that lost the lease of the first.
+    fn total_holds_across_restores(seed: u64) -> bool {
+        play_restores(seed) <= 0.0
+    }
+
+
     /// Guards against nodes that together retry more than is allowed: each counts any number of others, is
     /// killed, suspended or turned away by the store at any time, and all attempts fail.
     fn total_holds_whatever_nodes_see(seed: u64) -> bool {
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -22,6 +22,11 @@
     Nodes,
 }
 
+impl FeedTable {
+    /// All tables.
+    pub const ALL: [Self; 3] = [Self::Config, Self::Registry, Self::Nodes];
+}
+
 /// What a link carries. Each lane has a link of its own, so that a change which must not wait is never
 /// queued behind a large configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -63,12 +68,13 @@
         }
     }
 
-    /// Path of its requests.
+    /// Path of its requests. It names the format of the messages, the second one: a node of a release with another
+    /// format finds no such path, and reads the store itself.
     #[must_use]
     pub fn path(self) -> &'static str {
         match self {
-            Self::Urgent => "/feed/urgent",
-            Self::Bulk => "/feed/bulk",
+            Self::Urgent => "/feed/2/urgent",
+            Self::Bulk => "/feed/2/bulk",
         }
     }
 
@@ -93,7 +99,9 @@
 pub struct FeedPosition {
     /// The table.
     pub table: FeedTable,
-    /// Version of the store up to which it is known; none before the first read.
+    /// Newest era of the store that the sender knows.
+    pub era: u64,
+    /// Version up to which it is known in that era; none before the first read.
     pub known: Option<u64>,
 }
 
@@ -115,6 +123,8 @@
 pub struct FeedDelta {
     /// The table.
     pub table: FeedTable,
+    /// Era of the store to which all versions belong.
+    pub era: u64,
     /// Version up to which the table is known with these rows.
     pub version: u64,
     /// Milliseconds since the store confirmed that version.
