Split the copy of a table: rows, whole reads, changes

Rows and deltas are types of their own, and what a read of the whole table does stands beside the copy.

--- a/crates/serving/src/feed/copy.rs
+++ b/crates/serving/src/feed/copy.rs
@@ -1,13 +1,15 @@
 //! A node's copy of one table of the store, from which it answers other nodes.
 
+mod whole_read;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use bytes::Bytes;
-use domain::{EraVersion, FastSet, RowVersion, StoreEra};
+use domain::{EraVersion, RowVersion, StoreEra};
 
+use super::delta::{StoreRow, TableDelta, VersionGap};
 use super::refused::{RefusalReason, RefusedRow};
-use super::take::LostRows;
 
 /// Number of removed rows that are remembered, which bounds the memory of a copy. A node that
 /// misses more of them gets the whole table.
@@ -16,40 +18,6 @@
 /// Number of gaps between reads of the whole table that are remembered.
 const MAX_GAPS: usize = 8;
 
-/// A row of a copied table.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StoreRow {
-    /// Key within the table.
-    pub key: String,
-    /// Value as the store holds it; `None` if the row was removed.
-    pub value: Option<Bytes>,
-    /// Version of the last write.
-    pub version: EraVersion,
-}
-
-/// What another node lacks of a table.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TableDelta {
-    /// Version up to which the receiver knows the table afterwards.
-    pub version: EraVersion,
-    /// Whether these are all rows of the table, so that any other row was removed.
-    pub is_full: bool,
-    /// Rows in the order of their versions.
-    pub rows: Vec<StoreRow>,
-    /// Span of versions in which rows may have come and gone unseen by the sender, if there is one.
-    /// The receiver can't tell others of their removal either.
-    pub gap: Option<VersionGap>,
-}
-
-/// Versions before and after changes that were not seen one by one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct VersionGap {
-    /// Version known before.
-    pub before: EraVersion,
-    /// Version known after.
-    pub after: EraVersion,
-}
-
 /// A gap within the era of a copy.
 #[derive(Debug, Clone, Copy)]
 struct EraGap {
@@ -262,85 +230,6 @@
         Ok(())
     }
 
-    /// Applies a read of the whole table as of `version`: rows that it lacks were removed, unless
-    /// they are newer. Returns the rows that changed.
-    pub fn replace(&mut self, rows: Vec<StoreRow>, version: EraVersion) -> Vec<StoreRow> {
-        let (changed, _) = self.replace_all(rows, version, LostRows::Removed);
-        changed
-    }
-
-    /// Applies a read of the whole table as of `version`, of the era of this copy. Returns the rows that changed,
-    /// and those that were not taken.
-    pub(super) fn replace_all(
-        &mut self,
-        rows: Vec<StoreRow>,
-        version: EraVersion,
-        lost: LostRows,
-    ) -> (Vec<StoreRow>, Vec<RefusedRow>) {
-        let Some(read_at) = version.within(self.era) else {
-            return (Vec::new(), Vec::new());
-        };
-        let present: FastSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
-        let held = self.rows.iter();
-        let gone = held.filter(|(key, row)| {
-            row.value.is_some() && row.version <= read_at && !present.contains(key.as_str())
-        });
-        let gone: Vec<StoreRow> = gone
-            .map(|(key, row)| StoreRow {
-                key: key.clone(),
-                value: None,
-                // Newer than the row, however the versions of the two compare.
-                version: self.of_era(read_at.max(RowVersion(row.version.0.saturating_add(1)))),
-            })
-            .collect();
-        let carried = std::mem::take(&mut self.carried);
-        let lost_rows = carried
-            .iter()
-            .filter(|(key, _)| !present.contains(key.as_str()));
-        let lost_rows: Vec<StoreRow> = match lost {
-            LostRows::Removed => lost_rows
-                .map(|(key, _)| StoreRow {
-                    key: key.clone(),
-                    value: None,
-                    version,
-                })
-                .collect(),
-            LostRows::Kept => {
-                self.carried = lost_rows
-                    .map(|(key, value)| (key.clone(), value.clone()))
-                    .collect();
-                Vec::new()
-            }
-        };
-        let mut changed = rows;
-        changed.extend(gone);
-        changed.extend(lost_rows);
-        let mut refused = Vec::new();
-        let is_older = self.complete_at > Some(read_at);
-        changed.retain(|row| {
-            let taken = if is_older {
-                self.try_apply(row)
-            } else {
-                self.put(row)
-            };
-            let is_taken = taken.is_ok();
-            refused.extend(taken.err());
-            let is_same = row.value.is_some() && carried.get(&row.key) == row.value.as_ref();
-            is_taken && !is_same
-        });
-        if !is_older {
-            self.complete_at = Some(read_at);
-        }
-        match self.version {
-            Some(before) => self.push_gap(EraGap {
-                before,
-                after: read_at,
-            }),
-            None => self.horizon = Some(read_at),
-        }
-        (changed, refused)
-    }
-
     /// Records that rows may have come and gone unseen.
     pub fn record_gap(&mut self, gap: VersionGap) {
         let before = gap.before.within(self.era);
--- a/crates/serving/src/feed/mod.rs
+++ b/crates/serving/src/feed/mod.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod clock_watch;
 mod copy;
+mod delta;
 mod era_watch;
 mod freshness;
 mod patch;
@@ -15,7 +16,8 @@
 
 pub use claims::VersionClaims;
 pub use clock_watch::ClockWatch;
-pub use copy::{StoreRow, TableCopy, TableDelta, VersionGap};
+pub use copy::TableCopy;
+pub use delta::{StoreRow, TableDelta, VersionGap};
 pub use era_watch::{EraObservation, EraWatch};
 pub use freshness::FeedSample;
 pub use patch::RowPatch;
--- a/crates/serving/src/feed/refused.rs
+++ b/crates/serving/src/feed/refused.rs
@@ -2,7 +2,7 @@
 
 use domain::EraVersion;
 
-use super::copy::StoreRow;
+use super::delta::StoreRow;
 
 /// Why a row was not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/serving/src/feed/take.rs
+++ b/crates/serving/src/feed/take.rs
@@ -3,7 +3,8 @@
 use std::cmp::Ordering;
 use std::time::Duration;
 
-use super::copy::{StoreRow, TableCopy, TableDelta};
+use super::copy::TableCopy;
+use super::delta::{StoreRow, TableDelta};
 use super::refused::{RefusalReason, RefusedRow};
 
 /// What becomes of values from before a new era that its first read of the whole table lacks.
