A read of the whole table from before a known change proves nothing

Cause: TableCopy::prove asks whether the copy holds a newer row, not whether the node knows a newer version. After 410 the node reads everything; a read that names an older version than one known before set the moment up to which nothing newer exists. Fix: take() knows that such a read is stale; its rows are taken where they are newer, its moment is not. Evidence: feed restored_store::stale_read_proves_nothing fails before (proof age 0 ns instead of 2 s) and passes now.

--- a/crates/serving/src/feed/take.rs
+++ b/crates/serving/src/feed/take.rs
@@ -89,7 +89,8 @@
             self.record_gap(gap);
         }
         self.confirm(delta.version, proof.confirmed_at);
-        if let Some(proved_at) = proof.proved_at {
+        // A read of the whole table from before what is known says nothing of what was written since.
+        if let Some(proved_at) = proof.proved_at.filter(|_| !is_stale) {
             self.prove(delta.version, proved_at);
         }
         refused.retain(|row| row.reason != RefusalReason::Known);
--- a/crates/serving/tests/feed/restored_store.rs
+++ b/crates/serving/tests/feed/restored_store.rs
@@ -8,7 +8,8 @@
 use domain::{EraVersion, RowVersion, StoreEra};
 use quickcheck::{Arbitrary, Gen};
 use serving::feed::{
-    DeltaProof, EraObservation, EraWatch, LostRows, RefusalReason, StoreRow, TableCopy, TableDelta,
+    DeltaOutcome, DeltaProof, EraObservation, EraWatch, LostRows, RefusalReason, StoreRow,
+    TableCopy, TableDelta,
 };
 
 /// Number of nodes that pass on copies; node 0 reads the store.
@@ -242,6 +243,24 @@
     assert_eq!(reasons, [RefusalReason::Older, RefusalReason::RemovedSince]);
 }
 
+/// Guards against refusals that look proved since a read of the whole table from before a known change counts as
+/// proof that there is no newer one.
+#[test]
+fn stale_read_proves_nothing() {
+    let mut copy = TableCopy::default();
+    let proof = |second: u32| DeltaProof {
+        confirmed_at: SECOND * second,
+        proved_at: Some(SECOND * second),
+    };
+    let rows = || vec![row("a", "1", at(1, 5))];
+    copy.take(full(rows(), at(1, 9)), proof(1), LostRows::Removed);
+    let taken = copy.take(full(rows(), at(1, 7)), proof(3), LostRows::Removed);
+    assert_eq!(taken.outcome, DeltaOutcome::Stale);
+    assert_eq!(copy.proof_age(SECOND * 3), Some(SECOND * 2));
+    copy.take(full(rows(), at(1, 9)), proof(3), LostRows::Removed);
+    assert_eq!(copy.proof_age(SECOND * 3), Some(Duration::ZERO));
+}
+
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Guards against a late answer of before a restore that takes a node back.
