Another configuration under the number in force comes into force

Cause: set_config compared the numbers alone. An operator that writes again what a restored store has lost may give out numbers again as the store does; the copy of the table held the new row, the node kept the old document, and nothing was logged. Fix: of two documents with the same number, the one that the store holds counts; they are told apart by a hash of the document. A lower number is still never taken.

--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -11,6 +11,7 @@
 use events::{EventCode, LogLine};
 use serving::departed::DepartedTargets;
 use serving::feed::StoreRow;
+use serving::hashing::stable_hash;
 use serving::probe_schedule::MAX_ACTIVE_RANK;
 use serving::{TargetEntry, TargetProcess, TargetState};
 use wire::feed::FeedTable;
@@ -105,7 +106,7 @@
             self.node.log(&version_fields(line, row.version));
             self.node.metrics.record_not_taken("op", "older_revision");
         }
-        if self.node.set_config(config) {
+        if self.node.set_config(config, stable_hash(&bytes.as_ref())) {
             if in_force.is_none() {
                 self.apply_cold_entries();
             }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod targets;
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -108,6 +109,8 @@
     started: Instant,
     boot_clock: BootClock,
     config: RefCell<Option<Rc<GatewayConfig>>>,
+    /// Hash of the document of the configuration in force.
+    config_digest: Cell<u64>,
     idle_timeout: Cell<Duration>,
     registry: RefCell<TargetRegistry>,
     registry_version: Cell<Option<EraVersion>>,
@@ -218,6 +221,7 @@
             started: Instant::now(),
             boot_clock,
             config: RefCell::default(),
+            config_digest: Cell::default(),
             idle_timeout: Cell::new(DEFAULT_IDLE_TIMEOUT),
             registry: RefCell::default(),
             registry_version: Cell::default(),
@@ -314,16 +318,25 @@
         is_recent && !self.feed.is_config_unreadable()
     }
 
-    /// Puts a configuration into force, unless the one in force is as new; returns whether it did.
-    pub fn set_config(&self, config: GatewayConfig) -> bool {
+    /// Puts a configuration into force, unless the one in force is newer or the same; returns whether it did.
+    ///
+    /// `digest` tells documents apart that have the same number. An operator that writes again what the store has
+    /// lost may give out numbers again as the store does; the document that the store holds counts then.
+    pub fn set_config(&self, config: GatewayConfig, digest: u64) -> bool {
         let mut current = self.config.borrow_mut();
         let idle_timeout = |config: &GatewayConfig| config.limits.idle_timeout;
-        let is_outdated = current
+        let order = current
             .as_ref()
-            .is_some_and(|current| config.revision <= current.revision);
+            .map(|current| config.revision.cmp(&current.revision));
+        let is_outdated = match order {
+            Some(Ordering::Less) => true,
+            Some(Ordering::Equal) => self.config_digest.get() == digest,
+            Some(Ordering::Greater) | None => false,
+        };
         if is_outdated {
             return false;
         }
+        self.config_digest.set(digest);
         // Clients that have not seen a shorter limit yet still rely on the previous one.
         let previous = current
             .as_ref()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod cold_targets;
 mod config_freshness;
 mod config_history;
+mod config_numbers;
 mod config_soak;
 mod crash_soak;
 mod crashing_parts;
