The test of strangers asks on the path of the feed's second form

store_feed::stranger_refused asked on /feed/urgent, which replaced by /feed/2/urgent when feed messages began to name the era; the old path answers 404 without reading anything, as every unknown one. The check is unchanged: a stranger that asks for changes loses its connection.

--- a/tests/gateway/store_feed.rs
+++ b/tests/gateway/store_feed.rs
@@ -247,7 +247,7 @@
     let hello = encode_message(&hello).expect("hello can be encoded");
     let answered = post(&mut requests, "/hello", hello).await;
     assert_eq!(answered, Some(StatusCode::OK));
-    let answered = post(&mut requests, "/feed/urgent", vec![1; 64]).await;
+    let answered = post(&mut requests, "/feed/2/urgent", vec![1; 64]).await;
     assert_eq!(answered, None);
     node.wait_log_line(&["feed_link_refused"]).await;
     assert!(node.metrics().await.contains("link_refused"));
