Let the stand-in's store come back from an older copy

No test with the built binary could show what nodes do when the store is restored: its stand-in stated no era, and its versions only grew. It now states the era in every response, errors too. It copies its rows at one moment, is away for a time with its connections closed, and comes back from the copy with the era one higher; versions are given out again, a feed from a version that it does not have gets 410, and calls that waited break off. The rows of the operator and the targets that it lost can be written again. Faults: the next responses state no era or another text, the next reads of whole tables are stale, and a gate holds a response of before the drill back and delivers it later.

--- a/crates/standin/src/site/gate.rs
+++ b/crates/standin/src/site/gate.rs
@@ -1,10 +1,12 @@
 //! A way to the store on which calls of some nodes are lost, delayed or turned away.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use http::StatusCode;
+use tokio::sync::Notify;
 
 use super::http::{SiteRequest, SiteResponse, SiteServer, text_response};
 use super::store::SiteStore;
@@ -35,6 +37,20 @@
     config_losses: u32,
     /// Wait after which the store ends the next poll of the configuration.
     early_end: Option<Duration>,
+    /// What becomes of the next response about the configuration.
+    hold: ResponseHold,
+}
+
+/// Whether a response about the configuration is held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum ResponseHold {
+    /// None is.
+    #[default]
+    Off,
+    /// The next one will be.
+    Next,
+    /// One is.
+    Held,
 }
 
 /// A further port of a store, with faults of its own.
@@ -43,6 +59,7 @@
     /// Where nodes call it.
     pub address: SocketAddr,
     state: Arc<Mutex<GateState>>,
+    released: Arc<Notify>,
 }
 
 impl StoreGate {
@@ -53,15 +70,20 @@
     /// Returns an error if no port can be bound.
     pub fn open(store: &SiteStore) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(GateState::default()));
-        let shared = Arc::clone(&state);
+        let released = Arc::new(Notify::new());
+        let shared = (Arc::clone(&state), Arc::clone(&released));
         let store = store.clone();
         let server = SiteServer::start(move |request| {
-            let (store, shared) = (store.clone(), Arc::clone(&shared));
-            async move { pass(&store, &shared, request).await }
+            let (store, (state, released)) = (store.clone(), shared.clone());
+            async move { pass(&store, &state, &released, request).await }
         })?;
         let address = server.address;
         std::mem::forget(server);
-        Ok(Self { address, state })
+        Ok(Self {
+            address,
+            state,
+            released,
+        })
     }
 
     /// Changes what becomes of calls, also of those that wait for their response.
@@ -86,6 +108,23 @@
     pub fn has_begun_early_poll(&self) -> bool {
         lock(&self.state).early_end.is_none()
     }
+
+    /// Holds the next response about the configuration back, as the store gave it, until it is released.
+    pub fn hold_config(&self) {
+        lock(&self.state).hold = ResponseHold::Next;
+    }
+
+    /// Whether a response is held back.
+    #[must_use]
+    pub fn holds_config(&self) -> bool {
+        lock(&self.state).hold == ResponseHold::Held
+    }
+
+    /// Lets the response that is held back arrive.
+    pub fn release_config(&self) {
+        lock(&self.state).hold = ResponseHold::Off;
+        self.released.notify_waiters();
+    }
 }
 
 fn lock(state: &Mutex<GateState>) -> std::sync::MutexGuard<'_, GateState> {
@@ -95,12 +134,14 @@
 async fn pass(
     store: &SiteStore,
     state: &Mutex<GateState>,
+    released: &Notify,
     mut request: SiteRequest,
 ) -> SiteResponse {
+    let turned_away = || store.with_era(text_response(StatusCode::SERVICE_UNAVAILABLE, ""));
     let mode = lock(state).mode;
     match mode {
         GateMode::Silent => std::future::pending().await,
-        GateMode::TurnsAway => return text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
+        GateMode::TurnsAway => return turned_away(),
         GateMode::Open | GateMode::LosesResponses | GateMode::Slow(_) => {}
     }
     let is_config = request.query("table").as_deref() == Some(CONFIG_TABLE);
@@ -114,11 +155,18 @@
     if is_config && takes_loss(state) {
         std::future::pending::<()>().await;
     }
+    if is_config {
+        let mut arrival = pin!(released.notified());
+        arrival.as_mut().enable();
+        if begins_hold(state) {
+            arrival.await;
+        }
+    }
     let mode = lock(state).mode;
     match mode {
         GateMode::Silent | GateMode::LosesResponses => std::future::pending().await,
         GateMode::Slow(delay) => tokio::time::sleep(delay).await,
-        GateMode::TurnsAway => return text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
+        GateMode::TurnsAway => return turned_away(),
         GateMode::Open => {}
     }
     response
@@ -134,6 +182,15 @@
     request.query = pairs.join("&");
 }
 
+fn begins_hold(state: &Mutex<GateState>) -> bool {
+    let mut state = lock(state);
+    let begins = state.hold == ResponseHold::Next;
+    if begins {
+        state.hold = ResponseHold::Held;
+    }
+    begins
+}
+
 fn takes_loss(state: &Mutex<GateState>) -> bool {
     let mut state = lock(state);
     let is_lost = state.config_losses > 0;
--- a/crates/standin/src/site/http.rs
+++ b/crates/standin/src/site/http.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,6 +57,10 @@
 /// Delay between such a response and the close, in which the response is written.
 const CLOSE_DELAY: Duration = Duration::from_millis(15);
 
+/// Marks a response that is not sent; its connection is closed instead.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct BreakConnection;
+
 /// Headers that a request may have.
 const MAX_HEADERS: usize = 8 << 10;
 
@@ -182,7 +187,10 @@
             if response.extensions().get::<CloseAfterResponse>().is_some() {
                 marked.notify_one();
             }
-            Ok::<_, Infallible>(response)
+            if response.extensions().get::<BreakConnection>().is_some() {
+                return Err(std::io::Error::from(ErrorKind::ConnectionReset));
+            }
+            Ok(response)
         }
     });
     let connection = http1::Builder::new()
@@ -230,6 +238,13 @@
     response
 }
 
+/// Closes the connection of the request without a response.
+pub(super) fn broken_connection() -> SiteResponse {
+    let mut response = text_response(StatusCode::OK, "");
+    response.extensions_mut().insert(BreakConnection);
+    response
+}
+
 pub(super) fn json_response(value: &serde_json::Value) -> SiteResponse {
     text_response(StatusCode::OK, &value.to_string())
 }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -12,9 +12,11 @@
 mod groups;
 mod http;
 mod orders;
+mod replacements;
 mod service;
 mod store;
 mod store_calls;
+mod store_drill;
 mod stream;
 
 pub use arrivals::{ArrivalLog, RetryAllowance, WorstWindow};
@@ -26,3 +28,4 @@
 pub use service::{ServiceMode, SiteInstance};
 pub use store::SiteStore;
 pub use store_calls::{StoreMode, StoreRates};
+pub use store_drill::{EraStatement, LostRows, StoreCopy};
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -11,8 +11,10 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use super::http::{SiteRequest, SiteResponse, SiteServer, text_response};
+use super::http::{SiteRequest, SiteResponse, SiteServer, broken_connection, text_response};
+use super::replacements::{quoted_pair, replace_all};
 use super::store_calls::{CallWindow, StoreMode, StoreRates};
+use super::store_drill::{DrillState, StoredRow, StoredRows};
 
 /// A write that feed calls waiting at the time don't show, though they name its version.
 #[derive(Debug, Clone, Copy)]
@@ -22,15 +24,16 @@
 }
 
 /// Table and key of a row; all rows are in the partition with the empty name.
-type RowKey = (String, String);
+pub(super) type RowKey = (String, String);
 
 #[derive(Debug)]
-struct StoreState {
-    rows: BTreeMap<RowKey, (Option<Vec<u8>>, u64)>,
-    version: u64,
+pub(super) struct StoreState {
+    pub rows: StoredRows,
+    pub version: u64,
     /// The feed can't be read from before this version.
-    compacted_version: u64,
-    mode: StoreMode,
+    pub compacted_version: u64,
+    pub mode: StoreMode,
+    pub drill: DrillState,
     calls: u64,
     /// Bytes of all responses.
     bytes: u64,
@@ -44,6 +47,12 @@
 }
 
 impl StoreState {
+    fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        self.version += 1;
+        let row = (value, self.version);
+        self.rows.insert((table.to_owned(), key.to_owned()), row);
+    }
+
     /// Whether a row of a precondition has the version that it names; 0 stands for no row.
     fn meets(&self, precondition: &Value) -> bool {
         let found = self.rows.get(&row_key(precondition));
@@ -71,6 +80,7 @@
                 version: 1,
                 compacted_version: 0,
                 mode: StoreMode::Healthy,
+                drill: DrillState::default(),
                 calls: 0,
                 bytes: 0,
                 rates: None,
@@ -121,7 +131,7 @@
         view.serve()
     }
 
-    fn with<R>(&self, change: impl FnOnce(&mut StoreState) -> R) -> R {
+    pub(super) fn with<R>(&self, change: impl FnOnce(&mut StoreState) -> R) -> R {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         change(&mut state)
     }
@@ -147,28 +157,21 @@
     }
 
     fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
-        self.with(|state| {
-            state.version += 1;
-            let row = (value, state.version);
-            state.rows.insert((table.to_owned(), key.to_owned()), row);
-        });
-        self.changed.notify_waiters();
+        self.with(|state| state.write(table, key, value));
+        self.notify_changed();
     }
 
     /// Writes a row as a store does whose responses are not of one moment: feed calls that wait end
     /// without the row, and name a version that includes it.
     pub fn put_behind_polls(&self, table: &str, key: &str, value: &[u8]) {
         self.with(|state| {
-            state.version += 1;
-            let version = state.version;
-            let row = (Some(value.to_vec()), version);
-            state.rows.insert((table.to_owned(), key.to_owned()), row);
+            state.write(table, key, Some(value.to_vec()));
             state.hidden = Some(HiddenWrite {
-                version,
+                version: state.version,
                 written_at: Instant::now(),
             });
         });
-        self.changed.notify_waiters();
+        self.notify_changed();
     }
 
     /// Limits the calls, and delays the responses, from now on.
@@ -192,6 +195,11 @@
     /// Changes the behaviour of the store, also for feed requests that are waiting.
     pub fn set_mode(&self, mode: StoreMode) {
         self.with(|state| state.mode = mode);
+        self.notify_changed();
+    }
+
+    /// Lets calls that wait look at the rows again.
+    pub(super) fn notify_changed(&self) {
         self.changed.notify_waiters();
     }
 
@@ -214,6 +222,11 @@
     }
 
     pub(super) async fn handle(&self, request: SiteRequest) -> SiteResponse {
+        let response = self.answer(request).await;
+        self.with_era(response)
+    }
+
+    async fn answer(&self, request: SiteRequest) -> SiteResponse {
         let second = self.started.elapsed().as_secs();
         let is_write = request.path == "/rows-tx";
         let (mode, rates, is_admitted) = self.with(|state| {
@@ -233,6 +246,7 @@
             StoreMode::Healthy => {}
             StoreMode::Unresponsive => std::future::pending().await,
             StoreMode::Unavailable => return text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
+            StoreMode::Away => return broken_connection(),
         }
         match request.path.as_str() {
             "/rows-get" => self.get(&request),
@@ -249,8 +263,17 @@
             .query("limit")
             .and_then(|limit| limit.parse().ok())
             .unwrap_or(500);
-        let (rows, version) =
-            self.rows(|(name, key), row| *name == table && row.0.is_some() && *key >= from);
+        let is_wanted = |(name, key): &RowKey, value: Option<&Vec<u8>>| {
+            *name == table && value.is_some() && *key >= from
+        };
+        let stale = self.with(|state| state.drill.take_stale_read());
+        let (rows, version) = match stale {
+            Some(copy) => {
+                let wanted = |key: &RowKey, row: &StoredRow| is_wanted(key, row.0.as_ref());
+                (self.rows_of(&copy.rows, wanted), copy.version)
+            }
+            None => self.rows(|key, row| is_wanted(key, row.0.as_ref())),
+        };
         let has_more = rows.len() > limit;
         let rows: Vec<Value> = rows.into_iter().take(limit).collect();
         self.page(&rows, version, has_more)
@@ -266,15 +289,19 @@
         let after = number("after").unwrap_or(0);
         let began = Instant::now();
         let deadline = began + Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let era = self.with(|state| state.drill.era);
         loop {
             let changed = self.changed.notified();
-            let (compacted_version, mode, hidden) =
-                self.with(|state| (state.compacted_version, state.mode, state.hidden));
+            let (is_kept, mode, hidden) =
+                self.with(|state| (state.keeps_changes_since(after), state.mode, state.hidden));
+            if mode == StoreMode::Away || era != self.with(|state| state.drill.era) {
+                return broken_connection();
+            }
             let hidden = hidden.filter(|hidden| began < hidden.written_at);
             if mode == StoreMode::Unresponsive {
                 std::future::pending::<()>().await;
             }
-            if after < compacted_version {
+            if !is_kept {
                 return text_response(StatusCode::GONE, "");
             }
             let is_hidden = |version| hidden.is_some_and(|hidden| hidden.version == version);
@@ -325,20 +352,26 @@
     }
 
     /// Rows, and the newest version at the same moment.
-    fn rows(&self, wanted: impl Fn(&RowKey, &(Option<Vec<u8>>, u64)) -> bool) -> (Vec<Value>, u64) {
-        self.with(|state| {
-            let rows = state.rows.iter().filter(|(key, row)| wanted(key, row));
-            let rows = rows.map(|((table, key), (value, version))| {
-                let value = value
-                    .as_ref()
-                    .map(|value| STANDARD.encode(replace_all(value, &self.read_replacements)));
-                json!({
-                    "table": table, "part": "", "key": key, "row_version": version,
-                    "value": value, "removed": value.is_none(),
-                })
-            });
-            (rows.collect(), state.version)
-        })
+    fn rows(&self, wanted: impl Fn(&RowKey, &StoredRow) -> bool) -> (Vec<Value>, u64) {
+        self.with(|state| (self.rows_of(&state.rows, wanted), state.version))
+    }
+
+    fn rows_of(
+        &self,
+        rows: &StoredRows,
+        wanted: impl Fn(&RowKey, &StoredRow) -> bool,
+    ) -> Vec<Value> {
+        let rows = rows.iter().filter(|(key, row)| wanted(key, row));
+        let rows = rows.map(|((table, key), (value, version))| {
+            let value = value
+                .as_ref()
+                .map(|value| STANDARD.encode(replace_all(value, &self.read_replacements)));
+            json!({
+                "table": table, "part": "", "key": key, "row_version": version,
+                "value": value, "removed": value.is_none(),
+            })
+        });
+        rows.collect()
     }
 
     fn page(&self, rows: &[Value], version: u64, has_more: bool) -> SiteResponse {
@@ -364,20 +397,3 @@
         text_of(row, "key").to_owned(),
     )
 }
-
-/// Two addresses as they stand in rows.
-fn quoted_pair(from: SocketAddr, to: SocketAddr) -> (String, String) {
-    (format!("\"{from}\""), format!("\"{to}\""))
-}
-
-/// Replaces texts in a value; one that isn't text stays as it is.
-fn replace_all(value: &[u8], replacements: &[(String, String)]) -> Vec<u8> {
-    let Ok(text) = std::str::from_utf8(value) else {
-        return value.to_vec();
-    };
-    let mut text = text.to_owned();
-    for (from, to) in replacements {
-        text = text.replace(from, to);
-    }
-    text.into_bytes()
-}
--- a/crates/standin/src/site/store_calls.rs
+++ b/crates/standin/src/site/store_calls.rs
@@ -11,6 +11,8 @@
     Unresponsive,
     /// Responds with 503.
     Unavailable,
+    /// Closes connections on which a call arrives or waits, without a response.
+    Away,
 }
 
 /// How quickly the store responds, and how many calls it takes.
