Reject joins of an earlier epoch in the stand-in's engines

The users' engines answer 412 to a join whose epoch is lower than one that their process has seen; the stand-in's took every epoch, so that no test noticed epochs that go back with the store's versions.

--- a/crates/standin/src/site/engine.rs
+++ b/crates/standin/src/site/engine.rs
@@ -73,6 +73,7 @@
             zone: zone.to_owned(),
             address: server.address.to_string(),
             orders: 0,
+            highest_epoch: 0,
             loaded: None,
             staged: None,
             group: None,
--- a/crates/standin/src/site/groups.rs
+++ b/crates/standin/src/site/groups.rs
@@ -29,6 +29,8 @@
     /// Number of the process under this id.
     pub born: u64,
     pub orders: u64,
+    /// Highest epoch of a join that this process has accepted.
+    pub highest_epoch: u64,
     pub loaded: Option<String>,
     /// Model staged on its host; only the latest one is kept.
     pub staged: Option<String>,
--- a/crates/standin/src/site/orders.rs
+++ b/crates/standin/src/site/orders.rs
@@ -59,6 +59,11 @@
         let Some(rank) = members.iter().position(|member| member == id) else {
             return StatusCode::BAD_REQUEST;
         };
+        let epoch = order["epoch"].as_u64().unwrap_or(0);
+        let is_outdated = self.with(id, |engine| epoch < engine.highest_epoch);
+        if is_outdated == Some(true) {
+            return StatusCode::PRECONDITION_FAILED;
+        }
         let old = self.with(id, |engine| engine.group.clone()).flatten();
         if let Some(old) = old.filter(|old| self.is_serving_group(old)) {
             self.record_violation(format!(
@@ -69,11 +74,12 @@
         }
         self.with(id, |engine| {
             engine.orders += 1;
+            engine.highest_epoch = epoch;
             engine.loaded = Some(text("model"));
             engine.staged = Some(text("model"));
             engine.group = Some(Group {
                 name: text("group"),
-                epoch: order["epoch"].as_u64().unwrap_or(0),
+                epoch,
                 rank,
                 members,
                 state: "joining",
