Show with the built binary that the store may come back from a copy

Callers saw dropped keys accepted and added routes refused for good after the store had come back from a copy, and only scripts outside the test suite played it. Clients now ask three nodes in three failure domains throughout: - store_copy: a configuration that is lost (the known key is always served, the added route always, the dropped key never), and one that is confirmed then with a version below those that were lost, in force within 2 s; two drills, at once and apart; a node that starts after the drill and one that starts between two; a response of before the drill that arrives after it; responses without an era or with one that can't be read; whole reads that are stale. - store_copy_rows: 12 heartbeats back within 2 s; a server that had left and one that drains get no request; a node that the store turns away, or to which it is silent, takes the change from others; a replica whose rows are lost is not taken apart, is opened if they are lost after the joins, and can be formed anew.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod crashing_parts;
 mod cut_answers;
 mod cut_streams;
+mod drill_clients;
 mod endless_bytes;
 mod evacuated_site;
 mod evacuation;
@@ -51,6 +52,8 @@
 mod stated_backoff;
 mod stated_drain;
 mod stated_limits;
+mod store_copy;
+mod store_copy_rows;
 mod store_faults;
 mod store_feed;
 
