Specify followers of a store that comes back from a copy

No specification covered a version that goes back. The new one, `eras`, has two nodes that read the store or follow each other, an operator and a target that write again what was lost, an answer that is held back, and two restores in a row. It checks that no node acts on an older configuration, that no versions of two eras are compared, that removed entries stay removed and live targets listed, and that two undisturbed calls of each node take in what the store holds.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod assembly;
 pub mod assembly_guard;
 pub mod config;
+pub mod eras;
+mod eras_follower;
 pub mod feed;
 pub mod formation;
 pub mod lanes;
@@ -53,6 +55,7 @@
     run_spec::<feed::FeedModel>(&mut runs);
     run_spec::<lanes::LaneModel>(&mut runs);
     run_spec::<refusals::RefusalModel>(&mut runs);
+    run_spec::<eras::ErasModel>(&mut runs);
     runs
 }
 
