Let the store go back to a copy in the specification of formation

The specification assumed that entries of hosts and versions of the store only grow. Once in a run the store is now copied and goes back: entries are then older than the hosts, and versions, from which epochs are taken, are given out again. Two guards are named and removable: after a restore steps rest on what hosts report, and epochs hold the era in front of the version. The guards move to formation_guard.rs as those of assembly have; what formation takes from the store is in formation_store.rs.

--- a/crates/spec/src/formation.rs
+++ b/crates/spec/src/formation.rs
@@ -5,54 +5,24 @@
 //! hosts, which may be outdated, and forms a replica of its own: one from hosts 1 and 2, the other
 //! from hosts 0 and 2. Each may open the first replica or its own. Responses may be lost, a copy of
 //! an order may take effect at any later time, a node may abort and start with a new snapshot, and
-//! a host may restart and lose its state. Invariants: no host joins a replica while the head of its
-//! old replica has not left that and serves; and no head serves while a member has never joined
-//! its replica.
+//! a host may restart and lose its state. Once, the store goes back to a copy: entries of the hosts
+//! are older then than the hosts themselves, and versions, from which epochs are taken, are given out
+//! again. Invariants: no host joins a replica while the head of its old replica has not left that and
+//! serves; no head serves while a member has never joined its replica; no head is opened because of an
+//! entry from before the restore while a member is missing; and no epoch that is taken after the
+//! restore is as low as one that a host has.
 
-use crate::search::{ProtocolModel, SpecGuard};
+use crate::formation_guard::FormationGuard;
+use crate::formation_store::{StoreState, StoreVersion};
+use crate::search::ProtocolModel;
 
-const HOSTS: usize = 3;
-const NODES: usize = 2;
+pub(super) const HOSTS: usize = 3;
+pub(super) const NODES: usize = 2;
 /// Members of each replica; the first is the head.
-const REPLICAS: [[usize; 2]; 3] = [[0, 1], [1, 2], [0, 2]];
+pub(super) const REPLICAS: [[usize; 2]; 3] = [[0, 1], [1, 2], [0, 2]];
 /// Maximum number of orders that a host accepts, which bounds the state space.
 const MAX_ORDERS: u8 = 6;
 
-/// A guard of the protocol that can be removed from the specification.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FormationGuard {
-    /// A host accepts an order only if it has accepted as many before as the order names.
-    ExpectedOrderCount,
-    /// A head leaves its replica before it joins another.
-    HeadLeavesBeforeJoin,
-    /// A member joins another replica only after the head has left the old one.
-    HeadLeavesFirst,
-    /// A replica is opened only after every member was observed in it.
-    AllMembersObserved,
-    /// A replica name is used for one formation; another attempt needs another name.
-    UniqueName,
-}
-
-impl SpecGuard for FormationGuard {
-    const ALL: &'static [Self] = &[
-        Self::ExpectedOrderCount,
-        Self::HeadLeavesBeforeJoin,
-        Self::HeadLeavesFirst,
-        Self::AllMembersObserved,
-        Self::UniqueName,
-    ];
-
-    fn name(self) -> &'static str {
-        match self {
-            Self::ExpectedOrderCount => "expected order counts",
-            Self::HeadLeavesBeforeJoin => "leaving before joining",
-            Self::HeadLeavesFirst => "the head leaving first",
-            Self::AllMembersObserved => "observing all members",
-            Self::UniqueName => "unique replica names",
-        }
-    }
-}
-
 /// Specification of replica formation.
 #[derive(Debug)]
 pub struct FormationModel {
@@ -62,52 +32,61 @@
 /// State of the hosts and nodes, and at most one delayed order.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct FormationState {
-    hosts: [HostState; HOSTS],
-    nodes: [NodeState; NODES],
-    delayed: Option<Order>,
+    pub(super) hosts: [HostState; HOSTS],
+    pub(super) nodes: [NodeState; NODES],
+    pub(super) store: StoreState,
+    /// Number of the epoch of each replica that a node forms; 0 before it is taken.
+    pub(super) epochs: [u8; NODES],
+    pub(super) delayed: Option<Order>,
     /// By replica and host, whether the host has ever joined the replica.
-    joined: [[bool; HOSTS]; REPLICAS.len()],
-    restarted: bool,
+    pub(super) joined: [[bool; HOSTS]; REPLICAS.len()],
+    pub(super) restarted: bool,
     /// Whether a host joined a replica while its old one served.
-    joined_while_serving: bool,
+    pub(super) joined_while_serving: bool,
     /// Whether a replica was opened before all of its members had joined.
-    opened_incomplete: bool,
+    pub(super) opened_incomplete: bool,
+    /// What a restored store led to that must not happen.
+    pub(super) restore_fault: Option<&'static str>,
 }
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-struct HostState {
-    accepted_orders: u8,
-    replica: Option<usize>,
-    serves: bool,
+pub(super) struct HostState {
+    pub(super) accepted_orders: u8,
+    pub(super) replica: Option<usize>,
+    pub(super) serves: bool,
 }
 
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-struct NodeState {
+pub(super) struct NodeState {
     /// The hosts as last read; none before the first read and after an order was not accepted.
-    snapshot: Option<[HostState; HOSTS]>,
+    pub(super) snapshot: Option<[HostState; HOSTS]>,
+    /// Whether the snapshot is of entries that a restored store shows.
+    pub(super) rests_on_entries: bool,
+    /// Version of the store up to which the node knew it at its snapshot.
+    pub(super) known: StoreVersion,
     /// The order that waits for its response.
-    sent: Option<Order>,
+    pub(super) sent: Option<Order>,
     /// Hosts that it has ever ordered to join its replica.
-    join_sent: [bool; HOSTS],
+    pub(super) join_sent: [bool; HOSTS],
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct Order {
-    host: usize,
-    replica: usize,
-    kind: OrderKind,
-    expected: u8,
+pub(super) struct Order {
+    pub(super) host: usize,
+    pub(super) replica: usize,
+    pub(super) kind: OrderKind,
+    pub(super) expected: u8,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum OrderKind {
+pub(super) enum OrderKind {
     Join,
     Leave,
     Open,
 }
 
 impl FormationModel {
-    fn enforces(&self, guard: FormationGuard) -> bool {
+    pub(super) fn enforces(&self, guard: FormationGuard) -> bool {
         self.removed_guard != Some(guard)
     }
 
@@ -122,6 +101,7 @@
         let is_member = host.replica == Some(order.replica);
         match order.kind {
             OrderKind::Join => {
+                state.store.record_write();
                 state.joined_while_serving |= leaves_serving_replica(state, order);
                 state.joined[order.replica][order.host] = true;
                 state.hosts[order.host] = HostState {
@@ -247,16 +227,9 @@
     ) {
         let known = state.nodes[node];
         let Some(order) = known.sent else {
-            if known.snapshot != Some(state.hosts) {
-                let mut next = state.clone();
-                next.nodes[node].snapshot = Some(state.hosts);
-                transitions.push((format!("node {node} takes a snapshot of the hosts"), next));
-            }
+            Self::read_steps(state, node, transitions);
             for order in self.possible_orders(node, known) {
-                let mut next = state.clone();
-                next.nodes[node].sent = Some(order);
-                next.nodes[node].join_sent[order.host] |= order.kind == OrderKind::Join;
-                transitions.push((format!("node {node} sends {order:?}"), next));
+                transitions.extend(self.send(state, node, order));
             }
             return;
         };
@@ -317,11 +290,14 @@
         FormationState {
             hosts: [member, member, HostState::default()],
             nodes: Default::default(),
+            store: StoreState::default(),
+            epochs: [0; NODES],
             delayed: None,
             joined,
             restarted: false,
             joined_while_serving: false,
             opened_incomplete: false,
+            restore_fault: None,
         }
     }
 
@@ -330,6 +306,7 @@
         for node in 0..NODES {
             self.node_steps(state, node, &mut transitions);
         }
+        self.store_steps(state, &mut transitions);
         if let Some(order) = state.delayed {
             let mut next = state.clone();
             next.delayed = None;
@@ -344,6 +321,9 @@
                 transitions.push((format!("host {host} restarts"), next));
             }
         }
+        for (_, next) in &mut transitions {
+            self.forget_settled(next);
+        }
         transitions
     }
 
@@ -354,6 +334,6 @@
         if state.opened_incomplete {
             return Some("a head serves whose replica has a member that never joined");
         }
-        None
+        state.restore_fault
     }
 }
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -12,6 +12,8 @@
 mod eras_follower;
 pub mod feed;
 pub mod formation;
+pub mod formation_guard;
+mod formation_store;
 pub mod lanes;
 pub mod lease;
 pub mod ledger;
