Read the store's rows one by one, past any that can't be decoded

Operators saw machines that stopped following the list of engines, or never became ready, after another writer had left one odd row in it: nested deeply, or with a number out of range.

The whole response was decoded into generic values first, and the rows from these. What the generic decoder rejects in one row (more than 127 levels, 1e400, NaN, half a surrogate pair, bytes that are no text) failed the call, which was repeated for ever: the position never advanced. A row with a version above that of its page was taken as it was, and hid all later writes of that row. A row without a value counted as removed.

A response is now split into its fields and rows by a scanner that only looks at strings and at the balance of brackets, and never recurses; each row is decoded by itself. A row whose key can be read is always taken, or a read of the whole table would show it as removed: with an empty value if its value or version can't be read, and with the version of its page if its own is missing or higher. A row without a readable key is skipped. Each has a line (row_unreadable, 397, at most 8 a response) and is counted. A response that isn't a JSON object, or states no valid version, clock or end, stays an error of the call, with a message that says which; so does a page that leads back to itself, which was read again for ever.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -341,6 +341,10 @@
     ChangeNotTaken = 395, "change_not_taken", Warn;
     /// Rows that this node had written are written again, since the store was restored from an older copy.
     RowsWrittenAgain = 396, "rows_written_again", Info;
+    /// A row of the store can't be decoded. One with a `key` counts as a row whose value can't be read; one without is
+    /// skipped. The other rows are taken. `untold` is the number of further such rows of the same response, which have
+    /// no lines of their own.
+    RowUnreadable = 397, "row_unreadable", Warn;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/crash/records.rs
+++ b/crates/gateway/src/crash/records.rs
@@ -28,6 +28,7 @@
 use crate::heartbeat::read_heartbeats;
 use crate::hint_channel::LoadHint;
 use crate::node::GatewayNode;
+use crate::unreadable_rows::log_unreadable_rows;
 
 /// Table with one row per crashed process and reporting node, and one row per node with sound answers.
 pub(super) const EVIDENCE_TABLE: &str = "ends";
@@ -265,7 +266,7 @@
     client: &mut StoreClient,
 ) -> Result<(), StoreError> {
     let known = node.crashes.table.version.get();
-    let page = read_rows(client, known).await?;
+    let page = read_rows(node, client, known).await?;
     node.crashes.table.version.set(Some(page.version));
     // What a restored store has lost was true: its writers write it again, and it expires by its own time.
     let is_restored = known.is_some_and(|known| known.era() != page.version.era());
@@ -310,6 +311,7 @@
 }
 
 async fn read_rows(
+    node: &GatewayNode,
     client: &mut StoreClient,
     known: Option<EraVersion>,
 ) -> Result<EvidencePage, StoreError> {
@@ -319,6 +321,7 @@
             .await;
         match changes {
             Ok(changes) => {
+                log_unreadable_rows(node, EVIDENCE_TABLE, &changes.unreadable);
                 return Ok(EvidencePage {
                     is_full: false,
                     rows: changes.rows,
@@ -331,6 +334,7 @@
         }
     }
     let page = client.read_table(EVIDENCE_TABLE, STORE_TIMEOUT).await?;
+    log_unreadable_rows(node, EVIDENCE_TABLE, &page.unreadable);
     Ok(EvidencePage {
         is_full: true,
         rows: page.rows,
--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -19,6 +19,7 @@
 use super::provenance::{TableConfirmation, TableOrigin};
 use super::state::FeedSource;
 use crate::node::GatewayNode;
+use crate::unreadable_rows::log_unreadable_rows;
 
 /// Delay after a call that returned changes, in a small deployment. Changes come in bursts, as when
 /// the hosts of a fabric domain join replicas, and each call has a cost; the delay lets one call
@@ -278,6 +279,7 @@
     let Some(after) = known else {
         let page = client.read_table(name, timing.read_timeout()).await?;
         node.set_store_clock(page.clock);
+        log_unreadable_rows(node, name, &page.unreadable);
         let delta = TableDelta {
             version: page.version,
             is_full: true,
@@ -294,6 +296,7 @@
         // The version means nothing any more, and the store may hold the call for as long as it waits.
         () = node.eras.began() => return Err(StoreError::EraBegan),
     };
+    log_unreadable_rows(node, name, &response.unreadable);
     let delta = TableDelta {
         version: response.version.max_within(after),
         is_full: false,
--- a/crates/gateway/src/heartbeat/mod.rs
+++ b/crates/gateway/src/heartbeat/mod.rs
@@ -16,6 +16,7 @@
 use crate::feed::{COUNT_INTERVAL, TableConfirmation, TableOrigin};
 use crate::node::GatewayNode;
 use crate::restore::{log_rows_written_again, restore_delay};
+use crate::unreadable_rows::log_unreadable_rows;
 
 mod census;
 mod interval;
@@ -186,15 +187,19 @@
         None => Err(StoreError::Compacted),
     };
     let delta = match changes {
-        Ok(response) => TableDelta {
-            version: response.version,
-            is_full: false,
-            rows: response.rows,
-            gap: None,
-        },
+        Ok(response) => {
+            log_unreadable_rows(node, NODES_TABLE, &response.unreadable);
+            TableDelta {
+                version: response.version,
+                is_full: false,
+                rows: response.rows,
+                gap: None,
+            }
+        }
         Err(StoreError::Compacted | StoreError::EraBegan) => {
             let page = client.read_table(NODES_TABLE, STORE_TIMEOUT).await?;
             node.set_store_clock(page.clock);
+            log_unreadable_rows(node, NODES_TABLE, &page.unreadable);
             TableDelta {
                 version: page.version,
                 is_full: true,
--- a/crates/gateway/src/lease_rows.rs
+++ b/crates/gateway/src/lease_rows.rs
@@ -8,6 +8,7 @@
 use serving::lease::{LeasePage, SlotLease, SlotRow, SlotWrite, StoreClock};
 
 use crate::node::GatewayNode;
+use crate::unreadable_rows::log_unreadable_rows;
 
 /// Timeout for a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -65,6 +66,7 @@
     ) -> Result<LeasePage, StoreError> {
         let sent_at = node.boot_now();
         let page = client.read_table(self.name, STORE_TIMEOUT).await?;
+        log_unreadable_rows(node, self.name, &page.unreadable);
         let rows = page.rows.iter();
         let rows = rows.filter_map(|row| Some((slot_of(&row.key)?, row.version, decode_row(row))));
         Ok(LeasePage {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod statements;
 mod target_response;
 mod tunnel;
+mod unreadable_rows;
 mod usage;
 
 pub use hint_channel::{HeadHint, HintReport, HostHash, LoadHint};
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -67,6 +67,7 @@
     links_refused: Counter<u64>,
     restores: Counter<u64>,
     not_taken: Counter<u64>,
+    rows_unreadable: Counter<u64>,
     crashes: Counter<u64>,
     blocked: Counter<u64>,
     tunnels: Counter<u64>,
@@ -108,6 +109,7 @@
             links_refused: counter("bramleyspring.gateway.link.refused"),
             restores: counter("bramleyspring.gateway.store.restored"),
             not_taken: counter("bramleyspring.gateway.change.not_taken"),
+            rows_unreadable: counter("bramleyspring.gateway.row.unreadable"),
             crashes: counter("bramleyspring.gateway.crash.seen"),
             blocked: counter("bramleyspring.gateway.crash.blocked_request"),
             tunnels: counter("bramleyspring.gateway.tunnel.count"),
@@ -205,6 +207,13 @@
         self.not_taken.add(1, &labels);
     }
 
+    /// Counts rows of a table that can't be decoded.
+    pub fn record_rows_unreadable(&self, table: &'static str, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        let labels = [KeyValue::new("table", table)];
+        self.rows_unreadable.add(count, &labels);
+    }
+
     /// Counts a crash of a target that this node has seen.
     pub fn record_crash(&self) {
         self.crashes.add(1, &[]);
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -17,6 +17,7 @@
 mod store;
 mod store_calls;
 mod store_drill;
+mod store_rows;
 mod stream;
 
 pub use arrivals::{ArrivalLog, RetryAllowance, WorstWindow};
@@ -29,3 +30,4 @@
 pub use store::SiteStore;
 pub use store_calls::{StoreMode, StoreRates};
 pub use store_drill::{EraStatement, LostRows, StoreCopy};
+pub use store_rows::ROW_VERSION;
--- a/crates/standin/src/site/replacements.rs
+++ b/crates/standin/src/site/replacements.rs
@@ -1,4 +1,4 @@
-//! Texts that are replaced in values of rows.
+//! Replaces addresses in values of rows, so that nodes reach others through proxies.
 
 use std::net::SocketAddr;
 
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -8,7 +8,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use http::StatusCode;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::sync::Notify;
 
 use super::http::{SiteRequest, SiteResponse, SiteServer, broken_connection, text_response};
@@ -44,13 +44,17 @@
     clock_step_ms: u64,
     /// Texts that are replaced in written values, and their replacements.
     replacements: Vec<(String, String)>,
+    /// Texts that stand in responses in place of rows.
+    pub row_texts: BTreeMap<RowKey, String>,
 }
 
 impl StoreState {
-    fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
+    pub fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
         self.version += 1;
         let row = (value, self.version);
-        self.rows.insert((table.to_owned(), key.to_owned()), row);
+        let row_key = (table.to_owned(), key.to_owned());
+        self.row_texts.remove(&row_key);
+        self.rows.insert(row_key, row);
     }
 
     /// Whether a row of a precondition has the version that it names; 0 stands for no row.
@@ -69,7 +73,7 @@
     changed: Arc<Notify>,
     started: Instant,
     /// Texts that are replaced in values that are read, and their replacements.
-    read_replacements: Arc<Vec<(String, String)>>,
+    pub(super) read_replacements: Arc<Vec<(String, String)>>,
 }
 
 impl Default for SiteStore {
@@ -88,6 +92,7 @@
                 hidden: None,
                 clock_step_ms: 0,
                 replacements: Vec::new(),
+                row_texts: BTreeMap::new(),
             })),
             changed: Arc::default(),
             started: Instant::now(),
@@ -270,12 +275,13 @@
         let (rows, version) = match stale {
             Some(copy) => {
                 let wanted = |key: &RowKey, row: &StoredRow| is_wanted(key, row.0.as_ref());
-                (self.rows_of(&copy.rows, wanted), copy.version)
+                let row_texts = self.with(|state| state.row_texts.clone());
+                (self.rows_of(&copy.rows, &row_texts, wanted), copy.version)
             }
             None => self.rows(|key, row| is_wanted(key, row.0.as_ref())),
         };
         let has_more = rows.len() > limit;
-        let rows: Vec<Value> = rows.into_iter().take(limit).collect();
+        let rows: Vec<String> = rows.into_iter().take(limit).collect();
         self.page(&rows, version, has_more)
     }
 
@@ -351,36 +357,13 @@
         self.page(&[], version, false)
     }
 
-    /// Rows, and the newest version at the same moment.
-    fn rows(&self, wanted: impl Fn(&RowKey, &StoredRow) -> bool) -> (Vec<Value>, u64) {
-        self.with(|state| (self.rows_of(&state.rows, wanted), state.version))
-    }
-
-    fn rows_of(
-        &self,
-        rows: &StoredRows,
-        wanted: impl Fn(&RowKey, &StoredRow) -> bool,
-    ) -> Vec<Value> {
-        let rows = rows.iter().filter(|(key, row)| wanted(key, row));
-        let rows = rows.map(|((table, key), (value, version))| {
-            let value = value
-                .as_ref()
-                .map(|value| STANDARD.encode(replace_all(value, &self.read_replacements)));
-            json!({
-                "table": table, "part": "", "key": key, "row_version": version,
-                "value": value, "removed": value.is_none(),
-            })
-        });
-        rows.collect()
-    }
-
-    fn page(&self, rows: &[Value], version: u64, has_more: bool) -> SiteResponse {
+    fn page(&self, rows: &[String], version: u64, has_more: bool) -> SiteResponse {
         let elapsed = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
         let now = self.with(|state| elapsed.saturating_add(state.clock_step_ms));
-        let text = json!({
-            "rows": rows, "has_more": has_more, "row_version": version, "now_ms": now,
-        })
-        .to_string();
+        let rows = rows.join(",");
+        let text = format!(
+            "{{\"rows\":[{rows}],\"has_more\":{has_more},\"row_version\":{version},\"now_ms\":{now}}}"
+        );
         let length = u64::try_from(text.len()).unwrap_or(u64::MAX);
         self.with(|state| state.bytes += length);
         text_response(StatusCode::OK, &text)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod lost_hosts;
 mod node;
 mod normal_operation;
+mod odd_entries;
 mod operator_commands;
 mod overload;
 mod partition_soak;
