--- a/crates/standin/src/site/service.rs
+++ b/crates/standin/src/site/service.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures::stream::{self, StreamExt as _, TryStreamExt as _};
-use http::{HeaderValue, Response, StatusCode, Version};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, Version};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::Frame;
 use serde_json::json;
@@ -53,6 +53,8 @@
     text: String,
     executed: Vec<String>,
     received_headers: Vec<String>,
+    /// Further headers of its responses.
+    headers: HeaderMap,
     /// Crashes the instance when notified.
     crash: Option<Arc<Notify>>,
 }
@@ -100,6 +102,7 @@
             text: text.to_owned(),
             executed: Vec::new(),
             received_headers: Vec::new(),
+            headers: HeaderMap::new(),
             crash: None,
         }));
         let shared = Arc::clone(&state);
@@ -133,6 +136,19 @@
         self.with(|state| state.mode = mode);
     }
 
+    /// Sets a further header of all following responses, in place of an earlier one.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the bytes can't stand in a header.
+    pub fn set_header(&self, name: &'static str, value: &[u8]) {
+        let value = HeaderValue::from_bytes(value).expect("bytes of a header");
+        self.with(|state| {
+            state.headers.clear();
+            state.headers.insert(name, value);
+        });
+    }
+
     /// Returns how often a request was executed here.
     #[must_use]
     pub fn execution_count(&self, request: &str) -> usize {
@@ -188,7 +204,7 @@
 
 async fn handle(state: &Mutex<InstanceState>, request: SiteRequest) -> SiteResponse {
     let id = request.header("x-request-id").to_owned();
-    let (mode, text) = {
+    let (mode, text, further) = {
         let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
         state
             .received_headers
@@ -196,7 +212,7 @@
         if state.mode != ServiceMode::Overloaded {
             state.executed.push(id.clone());
         }
-        (state.mode, state.text.clone())
+        (state.mode, state.text.clone(), state.headers.clone())
     };
     if contains(&request.body, CRASH_BODY) {
         crash_process(state);
@@ -241,5 +257,6 @@
     if let Ok(value) = HeaderValue::from_str(echo) {
         headers.insert("x-request-id", value);
     }
+    headers.extend(further);
     response
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod node;
 mod normal_operation;
 mod odd_entries;
+mod odd_headers;
 mod operator_commands;
 mod overload;
 mod partition_soak;
