--- a/crates/serving/src/cold_targets.rs
+++ b/crates/serving/src/cold_targets.rs
@@ -149,7 +149,7 @@
         }
         let allowance = allowance.ok_or(SendBarrier::Cold)?;
         let next_send = self.next_sends.get(&process.host).copied();
-        if next_send.unwrap_or_default() > now + allowance.tolerance() {
+        if next_send.unwrap_or_default() > now.saturating_add(allowance.tolerance()) {
             return Err(SendBarrier::Cold);
         }
         Ok(())
--- a/crates/serving/src/timing.rs
+++ b/crates/serving/src/timing.rs
@@ -50,14 +50,15 @@
         let prefill = if prompt_tokens == 0 || self.prefill_rate <= 0.0 {
             self.prefill
         } else {
-            Duration::from_secs_f64(f64::from(prompt_tokens) / self.prefill_rate)
+            let seconds = f64::from(prompt_tokens) / self.prefill_rate;
+            Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
         };
         let decode = if output_tokens == 0 {
             self.completion_interval.saturating_sub(self.prefill)
         } else {
             self.token_time.saturating_mul(output_tokens)
         };
-        prefill + decode
+        prefill.saturating_add(decode)
     }
 
     /// Returns how many requests may wait at a full replica ahead of one that should get its first
