Let no counter of a row start again at 0

Epochs, incarnations, revisions and renewals were counted up without a check. A row that states the last number ended the task that read it in a debug build; in a release build the next number was 0, below all others, so that a lease's fencing token and a replica's incarnation would have gone back.

The next number is now none at the end of the range. Such a lease can't be acquired, renewed or released, such a head of the configuration is a malformed row, and such a plan isn't changed. Versions, epochs and fences of the gateway's replicas were looked at besides: they are taken from versions of the store, saturate, and are never counted up.

Tests that raise a counter name the number they expect as before, now inside an option.

--- a/crates/control/src/amend/attempt.rs
+++ b/crates/control/src/amend/attempt.rs
@@ -35,7 +35,9 @@
         head: &HeadRead,
         number: u32,
     ) -> Result<Self, AmendError> {
-        let revision = head.head.revision.next();
+        let next = head.head.revision.next();
+        let revision =
+            next.ok_or_else(|| AmendError::MalformedRow(keys::CONFIG_HEAD.to_owned()))?;
         let record_key = keys::record_key(amendment.kind, &amendment.name);
         let change_key = keys::change_key(revision);
         let entry = ChangeEntry {
--- a/crates/control/src/assembly/rows.rs
+++ b/crates/control/src/assembly/rows.rs
@@ -280,8 +280,9 @@
                 adapters,
             } => {
                 let old = self.plan(replica)?;
+                let raised = old.incarnation.next();
                 let plan = ReplicaPlan {
-                    incarnation: old.incarnation.next(),
+                    incarnation: raised.ok_or(FleetError::IncarnationNotRaised(old.id.clone()))?,
                     epoch: grant.epoch,
                     hosts: hosts.clone(),
                     adapters: adapters.clone(),
--- a/crates/control/src/config/state.rs
+++ b/crates/control/src/config/state.rs
@@ -59,7 +59,7 @@
         if change.revision <= self.revision {
             return ApplyOutcome::Stale;
         }
-        if change.revision != self.revision.next() {
+        if Some(change.revision) != self.revision.next() {
             return ApplyOutcome::Gap;
         }
         let key = (change.kind, change.name.clone());
@@ -121,7 +121,8 @@
             return Some(Vec::new());
         }
         let oldest = self.recent.front()?;
-        if oldest.revision > revision.next() {
+        let next = revision.next();
+        if next.is_some_and(|next| oldest.revision > next) {
             return None;
         }
         let mut changes = Vec::new();
--- a/crates/control/tests/rules/assembly_rounds.rs
+++ b/crates/control/tests/rules/assembly_rounds.rs
@@ -262,6 +262,6 @@
     let after = sim.fleet();
     let new = after.plan(&old.id).expect("replica still exists");
     assert_eq!(new.hosts, old.hosts);
-    assert_eq!(new.incarnation, old.incarnation.next());
+    assert_eq!(Some(new.incarnation), old.incarnation.next());
     assert_eq!(sim.complete_replicas(), REPLICAS as usize);
 }
--- a/crates/control/tests/rules/lease_fencing.rs
+++ b/crates/control/tests/rules/lease_fencing.rs
@@ -320,7 +320,7 @@
     first.release().await;
     assert!(first.grants().borrow().is_none());
     let next = granted(&mut second.grants()).await;
-    assert_eq!(next.epoch, grant.epoch.next());
+    assert_eq!(Some(next.epoch), grant.epoch.next());
     let late = grant.fence(WriteBatch::new(token(1)).put(
         LOG,
         RowExpectation::Any,
--- a/crates/control/tests/rules/sim/engine.rs
+++ b/crates/control/tests/rules/sim/engine.rs
@@ -92,7 +92,7 @@
     pub fn restart(&self, number: u16) {
         self.change(number, |host| {
             host.alive = true;
-            host.state.boot = host.state.boot.next();
+            host.state.boot = host.state.boot.next().expect("few restarts");
             host.state.assignment = None;
             host.state.ready = false;
             host.highest_epoch = LeaseEpoch(0);
--- a/crates/domain/src/fleet.rs
+++ b/crates/domain/src/fleet.rs
@@ -82,7 +82,8 @@
             return Err(FleetError::AlreadyExists(plan.id));
         }
         let mut fleet = self.clone();
-        fleet.next_number += 1;
+        // At the end of the range the next id is in use, and no replica is added.
+        fleet.next_number = fleet.next_number.saturating_add(1);
         fleet.plans.push(plan);
         Ok(fleet)
     }
--- a/crates/domain/src/ids.rs
+++ b/crates/domain/src/ids.rs
@@ -131,10 +131,11 @@
         pub struct $name(pub u64);
 
         impl $name {
-            /// Returns the counter plus one.
+            /// Returns the counter plus one; `None` at the end of its range, after which it would start again below all
+            /// others.
             #[must_use]
-            pub fn next(self) -> Self {
-                Self(self.0 + 1)
+            pub fn next(self) -> Option<Self> {
+                self.0.checked_add(1).map(Self)
             }
         }
 
--- a/crates/domain/src/lease.rs
+++ b/crates/domain/src/lease.rs
@@ -30,19 +30,19 @@
         Duration::from_millis(self.ttl_ms)
     }
 
-    /// Returns the lease after `node` renews it; none unless `node` holds it.
+    /// Returns the lease after `node` renews it; none unless `node` holds it, or at the end of the counter's range.
     #[must_use]
     pub fn renewed(&self, node: &NodeId) -> Option<Self> {
         if self.holder.as_ref() != Some(node) {
             return None;
         }
         Some(Self {
-            renewals: self.renewals + 1,
+            renewals: self.renewals.checked_add(1)?,
             ..self.clone()
         })
     }
 
-    /// Returns the lease after `node` acquires it; none while it may still be held.
+    /// Returns the lease after `node` acquires it; none while it may still be held, or if no epoch can follow.
     ///
     /// `unchanged_for` is the time on the observer's monotonic clock since it first saw this holder
     /// and renewal count.
@@ -54,13 +54,13 @@
         }
         Some(Self {
             holder: Some(node.clone()),
-            epoch: self.epoch.next(),
+            epoch: self.epoch.next()?,
             renewals: 0,
             ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
         })
     }
 
-    /// Returns the lease after `node` releases it; none unless `node` holds it.
+    /// Returns the lease after `node` releases it; none unless `node` holds it, or at the end of the counter's range.
     #[must_use]
     pub fn released(&self, node: &NodeId) -> Option<Self> {
         if self.holder.as_ref() != Some(node) {
@@ -68,7 +68,7 @@
         }
         Some(Self {
             holder: None,
-            renewals: self.renewals + 1,
+            renewals: self.renewals.checked_add(1)?,
             ..self.clone()
         })
     }
--- a/tests/system/engine_queue_and_cache.rs
+++ b/tests/system/engine_queue_and_cache.rs
@@ -110,7 +110,7 @@
     let mut stream = start_stream(&assignment, &request).await.expect("loaded");
     read_tokens(&mut stream, 1).await;
     assignment.version = "v2".parse().expect("an id");
-    assignment.incarnation = assignment.incarnation.next();
+    assignment.incarnation = assignment.incarnation.next().expect("few changes");
     assign_rank(&stack, &assignment, 0).await;
     assert!(!stack.engine_state(0).await.ready);
     wait_ready(&stack).await;
--- a/tests/system/engine_roles_and_faults.rs
+++ b/tests/system/engine_roles_and_faults.rs
@@ -119,7 +119,7 @@
         "ready before the load time passed"
     );
     assignment.role = ReplicaRole::Prefill;
-    assignment.incarnation = assignment.incarnation.next();
+    assignment.incarnation = assignment.incarnation.next().expect("few changes");
     let ordered = Instant::now();
     assign_rank(&stack, &assignment, 0).await;
     assert!(!stack.engine_state(0).await.ready);
