Start the task of an accepted connection without holding the lock of its place

A test of the mesh ended all its checks and then hung until it was ended after three minutes; a process of the own interface can hang so at its exit.

AcceptedConnections::admit held its lock while it started the task. A runtime that shuts down drops a new task at once, with it the ConnectionPlace, whose drop waits for the same lock on the same thread.

A connection is now entered first, its task is started without the lock, and its handle is recorded afterwards, unless the connection has ended or proven the key meanwhile. Excess connections are closed without the lock, too, for the same reason.

--- a/crates/peers/src/accepted.rs
+++ b/crates/peers/src/accepted.rs
@@ -27,7 +27,44 @@
 #[derive(Debug, Default)]
 struct UnprovenQueue {
     last_number: u64,
-    tasks: VecDeque<(u64, AbortHandle)>,
+    connections: VecDeque<UnprovenConnection>,
+}
+
+#[derive(Debug)]
+struct UnprovenConnection {
+    number: u64,
+    /// None until its task has been started.
+    task: Option<AbortHandle>,
+}
+
+impl UnprovenQueue {
+    /// Adds a connection, whose task is started later.
+    fn add(&mut self) -> u64 {
+        self.last_number += 1;
+        self.connections.push_back(UnprovenConnection {
+            number: self.last_number,
+            task: None,
+        });
+        self.last_number
+    }
+
+    /// Records the task of a connection, unless it has already given up its place or proven the key.
+    fn record_started(&mut self, number: u64, task: AbortHandle) {
+        let mut connections = self.connections.iter_mut();
+        if let Some(connection) = connections.find(|connection| connection.number == number) {
+            connection.task = Some(task);
+        }
+    }
+
+    /// Removes the oldest connection that has a task, if there are too many.
+    fn take_excess(&mut self) -> Option<AbortHandle> {
+        if self.connections.len() <= MAX_UNPROVEN {
+            return None;
+        }
+        let mut connections = self.connections.iter();
+        let oldest = connections.position(|connection| connection.task.is_some())?;
+        self.connections.remove(oldest)?.task
+    }
 }
 
 impl Default for AcceptedConnections {
@@ -42,21 +79,21 @@
 impl AcceptedConnections {
     /// Takes in a connection; `spawn` gets its place and starts the task that serves it.
     pub fn admit(&self, spawn: impl FnOnce(ConnectionPlace) -> AbortHandle) {
-        // The task waits for this lock before it gives up its place.
-        let mut unproven = self.unproven();
-        unproven.last_number += 1;
-        let number = unproven.last_number;
+        let number = self.unproven().add();
         let place = ConnectionPlace {
             connections: self.clone(),
             number,
             permit: None,
         };
+        // The lock is not held here: a runtime that shuts down drops the task at once, and its place takes the lock.
         let task = spawn(place);
-        unproven.tasks.push_back((number, task));
-        if unproven.tasks.len() > MAX_UNPROVEN
-            && let Some((_, oldest)) = unproven.tasks.pop_front()
-        {
-            oldest.abort();
+        let excess = {
+            let mut unproven = self.unproven();
+            unproven.record_started(number, task);
+            unproven.take_excess()
+        };
+        if let Some(task) = excess {
+            task.abort();
         }
     }
 
@@ -65,7 +102,10 @@
     }
 
     fn remove_unproven(&self, number: u64) {
-        self.unproven().tasks.retain(|(other, _)| *other != number);
+        let mut unproven = self.unproven();
+        unproven
+            .connections
+            .retain(|connection| connection.number != number);
     }
 }
 
