--- a/crates/gateway/src/feed/not_taken.rs
+++ b/crates/gateway/src/feed/not_taken.rs
@@ -25,6 +25,12 @@
     node.log(&with_knowledge(node, version_fields(line, row.version)));
 }
 
+/// Counts a row whose value can't be read, which has a line of its own kind.
+pub(super) fn count_unreadable(node: &GatewayNode, table: FeedTable) {
+    node.metrics
+        .record_not_taken(store_table(table), "unreadable");
+}
+
 /// Logs and counts the rows of a delta that a copy did not take, and a delta that it did not take as a whole.
 pub(super) fn log_refused(
     node: &GatewayNode,
--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -16,7 +16,7 @@
 use serving::{TargetEntry, TargetProcess, TargetState};
 use wire::feed::FeedTable;
 
-use super::not_taken::{log_not_taken, version_fields};
+use super::not_taken::{count_unreadable, log_not_taken, version_fields};
 use crate::node::{ColdSource, EntryIntake, GatewayNode};
 use crate::probe::{probe_unlisted, refresh_contradicted};
 
@@ -84,6 +84,7 @@
     fn log_unreadable(&self, row: &StoreRow, error: &ConfigError) {
         let line = LogLine::new(EventCode::ConfigUnreadable).text("reason", &error.to_string());
         self.node.log(&version_fields(line, row.version));
+        count_unreadable(&self.node, FeedTable::Config);
     }
 
     fn apply_config(&self, row: &StoreRow) {
@@ -224,6 +225,7 @@
                     .text("host", &row.key)
                     .text("reason", &error.to_string());
                 self.node.log(&version_fields(line, row.version));
+                count_unreadable(&self.node, FeedTable::Registry);
                 // An unreadable entry gets no new requests; those already running there continue.
                 if let Ok(id) = row.key.parse::<HostId>() {
                     self.unlist(id);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod barred_before_write;
 mod blocked_log;
+mod changes_not_taken;
 mod cold_crashes;
 mod cold_targets;
 mod config_freshness;
