Keep nodes from telling each other of an era that the store has refuted

After a few responses with an absurd era (2^64 - 1), added routes stayed refused with 503 at all nodes, and no change came into force, for as long as the nodes ran. Each node alone gives such an era up after 5 s without a response that states it. But what other nodes state counted as if the store had said it: a follower's request, 64 ms after a node had gone back to era 2, took it to the absurd one again, and nodes that follow each other confirmed it to each other.

What another node states still begins an era and confirms it against other nodes, but not against the store: three responses of an earlier era, 5 s after the store itself last stated the later one, end it. An era that the store has refuted in this way is taken from the store only. Each node so gives a mistaken era up once.

Properties of EraWatch: refuted_era_not_spread, and refuted_era_stated_again for an era that was rightly stated.

Left, by reading, not run: nodes that are all cut off from the store and know a mistaken era only from each other; and a replica that is formed while an absurd era is known gets an epoch that later ones can't exceed until its hosts restart.

--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -285,7 +285,7 @@
     }
     for delta in &response.tables {
         let shown_by = format_args!("node {}", link.dialed.peer());
-        if !node.eras.observe(Some(StoreEra(delta.era)), shown_by) {
+        if !node.eras.observe_node(StoreEra(delta.era), shown_by) {
             return Err(FollowError::EraEnded);
         }
     }
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -179,7 +179,7 @@
     for position in &request.tables {
         let era = StoreEra(position.era);
         if era > node.eras.current() {
-            node.eras.observe(Some(era), "a node that follows this one");
+            node.eras.observe_node(era, "a node that follows this one");
         }
     }
 }
--- a/crates/serving/src/feed/era_watch.rs
+++ b/crates/serving/src/feed/era_watch.rs
@@ -26,12 +26,48 @@
     Outdated,
 }
 
+/// Who states an era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EraSource {
+    /// The store itself, in a response.
+    Store,
+    /// Another node, which may repeat a mistake for as long as others tell it the same.
+    Node,
+}
+
+/// What speaks against an era since it was last stated.
+#[derive(Debug, Clone, Copy, Default)]
+struct EraDoubt {
+    stated_at: Duration,
+    contradictions: u32,
+}
+
+impl EraDoubt {
+    fn confirmed(now: Duration) -> Self {
+        Self {
+            stated_at: now,
+            contradictions: 0,
+        }
+    }
+
+    /// Records an earlier era; returns whether the later one is given up.
+    fn contradict(&mut self, now: Duration) -> bool {
+        self.contradictions += 1;
+        let is_doubtful = now.saturating_sub(self.stated_at) > DOUBT_TIME;
+        is_doubtful && self.contradictions >= MAX_CONTRADICTIONS
+    }
+}
+
 /// The era that a process knows.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EraWatch {
     current: Option<StoreEra>,
-    stated_at: Duration,
-    contradictions: u32,
+    /// What the store says against it, whatever other nodes say.
+    store_doubt: EraDoubt,
+    /// What anybody says against it.
+    doubt: EraDoubt,
+    /// An era that the store itself has refuted.
+    given_up: Option<StoreEra>,
 }
 
 impl EraWatch {
@@ -43,26 +79,49 @@
 
     /// Takes in the era of an answer that was read at `now`. An answer that states none is taken for one of
     /// the era that is known.
-    pub fn observe(&mut self, stated: Option<StoreEra>, now: Duration) -> EraObservation {
+    pub fn observe(
+        &mut self,
+        stated: Option<StoreEra>,
+        source: EraSource,
+        now: Duration,
+    ) -> EraObservation {
         let Some(stated) = stated else {
             return EraObservation::Same;
         };
+        if self.given_up.is_some_and(|given_up| stated >= given_up) {
+            // Each node gives the era up some time later; until then they would tell each other of it again.
+            if source == EraSource::Node {
+                return EraObservation::Outdated;
+            }
+            self.given_up = None;
+        }
         if self.current == Some(stated) {
-            self.stated_at = now;
-            self.contradictions = 0;
+            self.confirm(source, now);
             return EraObservation::Same;
         }
-        if self.current.is_some_and(|current| stated < current) {
-            self.contradictions += 1;
-            let is_doubtful = now.saturating_sub(self.stated_at) > DOUBT_TIME;
-            if !is_doubtful || self.contradictions < MAX_CONTRADICTIONS {
-                return EraObservation::Outdated;
-            }
+        if self.current.is_some_and(|current| stated < current) && !self.gives_up(source, now) {
+            return EraObservation::Outdated;
         }
-        self.contradictions = 0;
-        self.stated_at = now;
+        self.confirm(EraSource::Store, now);
         EraObservation::Began {
             before: self.current.replace(stated),
         }
     }
+
+    fn confirm(&mut self, source: EraSource, now: Duration) {
+        self.doubt = EraDoubt::confirmed(now);
+        if source == EraSource::Store {
+            self.store_doubt = EraDoubt::confirmed(now);
+        }
+    }
+
+    /// Takes in that an earlier era was stated; returns whether the current one is given up.
+    fn gives_up(&mut self, source: EraSource, now: Duration) -> bool {
+        let is_given_up = self.doubt.contradict(now);
+        if source == EraSource::Store && self.store_doubt.contradict(now) {
+            self.given_up = self.current;
+            return true;
+        }
+        is_given_up
+    }
 }
--- a/crates/serving/src/feed/mod.rs
+++ b/crates/serving/src/feed/mod.rs
@@ -18,7 +18,7 @@
 pub use clock_watch::ClockWatch;
 pub use copy::TableCopy;
 pub use delta::{StoreRow, TableDelta, VersionGap};
-pub use era_watch::{EraObservation, EraWatch};
+pub use era_watch::{EraObservation, EraSource, EraWatch};
 pub use freshness::FeedSample;
 pub use patch::RowPatch;
 pub use refused::{RefusalReason, RefusedRow};
--- a/crates/serving/tests/feed/restored_store.rs
+++ b/crates/serving/tests/feed/restored_store.rs
@@ -8,8 +8,8 @@
 use domain::{EraVersion, RowVersion, StoreEra};
 use quickcheck::{Arbitrary, Gen};
 use serving::feed::{
-    DeltaOutcome, DeltaProof, EraObservation, EraWatch, LostRows, RefusalReason, StoreRow,
-    TableCopy, TableDelta,
+    DeltaOutcome, DeltaProof, EraObservation, EraSource, EraWatch, LostRows, RefusalReason,
+    StoreRow, TableCopy, TableDelta,
 };
 
 /// Number of nodes that pass on copies; node 0 reads the store.
@@ -268,18 +268,24 @@
 fn late_answer_outdated() {
     let mut watch = EraWatch::default();
     assert_eq!(
-        watch.observe(Some(StoreEra(4)), SECOND),
+        watch.observe(Some(StoreEra(4)), EraSource::Store, SECOND),
         EraObservation::Began { before: None }
     );
     let began = EraObservation::Began {
         before: Some(StoreEra(4)),
     };
-    assert_eq!(watch.observe(Some(StoreEra(5)), SECOND), began);
     assert_eq!(
-        watch.observe(Some(StoreEra(4)), SECOND * 2),
+        watch.observe(Some(StoreEra(5)), EraSource::Store, SECOND),
+        began
+    );
+    assert_eq!(
+        watch.observe(Some(StoreEra(4)), EraSource::Store, SECOND * 2),
         EraObservation::Outdated
     );
-    assert_eq!(watch.observe(None, SECOND * 2), EraObservation::Same);
+    assert_eq!(
+        watch.observe(None, EraSource::Store, SECOND * 2),
+        EraObservation::Same
+    );
     assert_eq!(watch.current(), StoreEra(5));
 }
 
@@ -287,18 +293,53 @@
 #[test]
 fn mistaken_era_given_up() {
     let mut watch = EraWatch::default();
-    watch.observe(Some(StoreEra(4)), SECOND);
-    watch.observe(Some(StoreEra(u64::MAX)), SECOND);
+    watch.observe(Some(StoreEra(4)), EraSource::Store, SECOND);
+    watch.observe(Some(StoreEra(u64::MAX)), EraSource::Store, SECOND);
     for second in 2..6 {
         assert_eq!(
-            watch.observe(Some(StoreEra(4)), SECOND * second),
+            watch.observe(Some(StoreEra(4)), EraSource::Store, SECOND * second),
             EraObservation::Outdated
         );
     }
-    watch.observe(Some(StoreEra(4)), SECOND * 7);
+    watch.observe(Some(StoreEra(4)), EraSource::Store, SECOND * 7);
     assert_eq!(watch.current(), StoreEra(4));
 }
 
+/// Guards against nodes that tell each other of a mistaken era again after the store has refuted it, and against
+/// those that do so before.
+#[test]
+fn refuted_era_not_spread() {
+    let mut watch = EraWatch::default();
+    let mistaken = Some(StoreEra(u64::MAX));
+    watch.observe(Some(StoreEra(4)), EraSource::Store, SECOND);
+    watch.observe(mistaken, EraSource::Store, SECOND);
+    for second in 2..8 {
+        watch.observe(mistaken, EraSource::Node, SECOND * second);
+        watch.observe(Some(StoreEra(4)), EraSource::Store, SECOND * second);
+    }
+    assert_eq!(watch.current(), StoreEra(4));
+    let told = watch.observe(mistaken, EraSource::Node, SECOND * 8);
+    assert_eq!(told, EraObservation::Outdated);
+    let next = watch.observe(Some(StoreEra(5)), EraSource::Node, SECOND * 8);
+    let before = Some(StoreEra(4));
+    assert_eq!(next, EraObservation::Began { before });
+}
+
+/// Guards against an era that was rightly stated, given up for a moment, and never believed again.
+#[test]
+fn refuted_era_stated_again() {
+    let mut watch = EraWatch::default();
+    watch.observe(Some(StoreEra(5)), EraSource::Store, SECOND);
+    for second in 7..10 {
+        watch.observe(Some(StoreEra(4)), EraSource::Store, SECOND * second);
+    }
+    assert_eq!(watch.current(), StoreEra(4));
+    watch.observe(Some(StoreEra(5)), EraSource::Store, SECOND * 10);
+    assert_eq!(watch.current(), StoreEra(5));
+    let told = watch.observe(Some(StoreEra(6)), EraSource::Node, SECOND * 10);
+    assert!(matches!(told, EraObservation::Began { .. }));
+}
+
 /// Guards against epochs that go back with the store's versions, which hosts would reject.
 #[test]
 fn fencing_number_rises_with_eras() {
--- a/tests/gateway/store_eras.rs
+++ b/tests/gateway/store_eras.rs
@@ -14,6 +14,9 @@
 /// Responses that misstate the era, of all nodes together.
 const MISSTATED_RESPONSES: u32 = 6;
 
+/// An era that no store reaches.
+const ABSURD_ERA: &str = "18446744073709551615";
+
 /// Guards against nodes that follow a response whose era can't be right, or that has none, and stay with it.
 async fn misstated_era(statement: EraStatement) {
     let site = TestSite::start_bounded(2);
@@ -42,3 +45,9 @@
 async fn era_unreadable() {
     misstated_era(EraStatement::Text("two")).await;
 }
+
+/// Guards against a number that no store reaches, after which all right responses would be of an earlier era.
+#[tokio::test(flavor = "multi_thread")]
+async fn era_absurd() {
+    misstated_era(EraStatement::Text(ABSURD_ERA)).await;
+}
