Pause between calls whose responses are of an earlier era

A node that had seen one response with an absurd era called the store without a pause until it gave the era up: 6,378 calls in 4 s from one node, with a log line each; all nodes together may make a few thousand a second, and all calls are priced. The store answers such calls, so that the failed-call delay did not apply. One late response is still followed by the next call at once; from the second one in a row on, the delay of lost calls applies.

--- a/crates/gateway/src/feed/direct.rs
+++ b/crates/gateway/src/feed/direct.rs
@@ -61,6 +61,7 @@
     let node = Rc::clone(&intake.node);
     let mut client = node.store_client();
     let mut failures = 0_u32;
+    let mut ended_eras = 0_u32;
     let mut is_compacted = false;
     let mut claims = VersionClaims::default();
     let mut anchor = StoreAnchor::default();
@@ -94,6 +95,7 @@
                     log_store_regained(&node, table, failures);
                 }
                 failures = 0;
+                ended_eras = 0;
                 is_compacted = false;
                 let changed = !delta.rows.is_empty();
                 let answered_at = node.now();
@@ -120,7 +122,14 @@
             }
             Err(StoreError::Compacted) => is_compacted = true,
             // The store has answered. The next call is for the era that is known then.
-            Err(StoreError::EraBegan | StoreError::EraEnded) => {}
+            Err(StoreError::EraBegan) => {}
+            // One response came late. If all do, the era that is known is a mistake, and is given up after seconds.
+            Err(StoreError::EraEnded) => {
+                ended_eras += 1;
+                if ended_eras > 1 {
+                    wait_to_retry(&node, table, ended_eras).await;
+                }
+            }
             Err(error) => {
                 failures += 1;
                 if failures == 1 {
--- a/tests/gateway/store_eras.rs
+++ b/tests/gateway/store_eras.rs
@@ -1,6 +1,8 @@
 //! Responses that state no era of the store, or one that can't be right. Nodes lose nothing by them, and notice the next
 //! drill.
 
+use std::time::Duration;
+
 use standin::site::EraStatement;
 use tokio::time::Instant;
 
@@ -14,6 +16,12 @@
 /// Responses that misstate the era, of all nodes together.
 const MISSTATED_RESPONSES: u32 = 6;
 
+/// Time for which the calls of a node are counted, less than it takes to give an era up.
+const CALL_WINDOW: Duration = Duration::from_secs(4);
+
+/// Calls of a node within this time, ten a second.
+const MAX_CALLS: u64 = 40;
+
 /// An era that no store reaches.
 const ABSURD_ERA: &str = "18446744073709551615";
 
@@ -51,3 +59,16 @@
 async fn era_absurd() {
     misstated_era(EraStatement::Text(ABSURD_ERA)).await;
 }
+
+/// Guards against a node that calls the store without a pause for as long as it takes all responses for outdated.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_in_absurd_era() {
+    let site = TestSite::start_bounded(1);
+    let node = site.node("n0").await;
+    site.store.misstate_era(EraStatement::Text(ABSURD_ERA), 1);
+    node.wait_log_line(&["store_era_began", ABSURD_ERA]).await;
+    let before = site.store.calls();
+    tokio::time::sleep(CALL_WINDOW).await;
+    let calls = site.store.calls() - before;
+    assert!(calls <= MAX_CALLS, "{calls} calls");
+}
