--- a/crates/control/src/config/load.rs
+++ b/crates/control/src/config/load.rs
@@ -73,8 +73,8 @@
         return Ok(None);
     }
     let mut changes = Vec::new();
-    for number in after.0 + 1..=head.0 {
-        let Some(row) = read_change(table, ConfigRevision(number)).await? else {
+    for known in after.0..head.0 {
+        let Some(row) = read_change(table, ConfigRevision(known + 1)).await? else {
             return Ok(None);
         };
         changes.push(row.entry);
