--- a/crates/serving/src/feed/copy.rs
+++ b/crates/serving/src/feed/copy.rs
@@ -193,6 +193,13 @@
                 RefusalReason::OtherEra,
             ));
         };
+        if version.0 == u64::MAX {
+            return Err(RefusedRow::new(
+                row,
+                self.version(),
+                RefusalReason::LastVersion,
+            ));
+        }
         let mut previous = None;
         if let Some(held) = self.rows.get(&row.key) {
             if held.version >= version {
--- a/crates/serving/src/feed/refused.rs
+++ b/crates/serving/src/feed/refused.rs
@@ -15,6 +15,8 @@
     RemovedSince,
     /// Its version is of another era of the store.
     OtherEra,
+    /// Its version is the last number, which would hide all later writes.
+    LastVersion,
 }
 
 impl RefusalReason {
@@ -26,6 +28,7 @@
             Self::Older => "older",
             Self::RemovedSince => "removed_since",
             Self::OtherEra => "other_era",
+            Self::LastVersion => "last_version",
         }
     }
 }
--- a/crates/serving/tests/feed/table_copy.rs
+++ b/crates/serving/tests/feed/table_copy.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use domain::{EraVersion, RowVersion, StoreEra};
 use quickcheck::{Arbitrary, Gen};
-use serving::feed::{StoreRow, TableCopy, TableDelta};
+use serving::feed::{RefusalReason, StoreRow, TableCopy, TableDelta};
 
 /// A version of the only era of these tests.
 fn at(version: u64) -> EraVersion {
@@ -267,3 +267,25 @@
         Some(Duration::from_secs(7))
     );
 }
+
+/// Guards against a row with the last version, which a node of an earlier release may pass on: it would hide all later
+/// writes of its key, and a node that asked for changes after it would get none any more.
+#[test]
+fn last_version_refused() {
+    let row = |key: &str, version: u64| StoreRow {
+        key: key.to_owned(),
+        value: Some(Bytes::from_static(b"v")),
+        version: at(version),
+    };
+    let mut copy = TableCopy::default();
+    copy.replace(vec![row("a", 2), row("b", u64::MAX)], at(3));
+    copy.confirm(at(3), Duration::ZERO);
+    let refused = copy
+        .try_apply(&row("a", u64::MAX))
+        .expect_err("no row can follow");
+    assert_eq!(refused.reason, RefusalReason::LastVersion);
+    assert_eq!(copy.latest(), Some(at(3)));
+    assert!(copy.apply(&row("a", 4)));
+    assert!(copy.apply(&row("b", 5)));
+    assert_eq!(copy.latest(), Some(at(5)));
+}
