Ask nodes throughout stale reads of whole tables

Three nodes, a store that drops its history and answers whole reads from before a confirmed change for six seconds: no refusal of the added route later than the bound.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -52,6 +52,7 @@
 mod slow_bodies;
 mod slow_readers;
 mod soak_client;
+mod stale_reads;
 mod stated_backoff;
 mod stated_drain;
 mod stated_limits;
