--- a/crates/serving/examples/era_ways/node.rs
+++ b/crates/serving/examples/era_ways/node.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use serving::feed::{DeltaProof, EraObservation, EraWatch, LostRows, TableCopy, TableDelta};
+use serving::feed::{
+    DeltaProof, EraObservation, EraSource, EraWatch, LostRows, TableCopy, TableDelta,
+};
 
 use crate::store::{ReadAnswer, StoreTable};
 
@@ -104,7 +106,7 @@
             return false;
         }
         let stated = domain::StoreEra(true_era);
-        let observation = self.watch.observe(Some(stated), now);
+        let observation = self.watch.observe(Some(stated), EraSource::Store, now);
         for copy in &mut self.copies {
             copy.begin_era(self.watch.current());
         }
