Play sources that are cut off or unread as nodes treat them

In the comparison of ways to follow a restored store, a follower gave up a source at once that had not read yet, and never one whose own calls the store refused. Nodes do it the other way round: a linked source holds the request until it has read, and one that is cut off is avoided for 0.8 s and more.

--- a/crates/serving/examples/era_ways/fleet.rs
+++ b/crates/serving/examples/era_ways/fleet.rs
@@ -9,9 +9,9 @@
 
 use crate::figures::{FleetFigures, FleetMeter};
 use crate::node::{EraNode, EraWay, TakeOutcome};
-use crate::reads::{AVOID_TIME, ReadCall, ReadLoop, feed_timing};
+use crate::reads::{ReadCall, ReadLoop, SourceFault, feed_timing};
 use crate::store::{ReadAnswer, StoreTable, VirtualStore, delta_bytes};
-use crate::writers::{StoreWrite, heartbeat_interval, scheduled_writes};
+use crate::writers::{AWAY_AT, BACK_AT, StoreWrite, heartbeat_interval, scheduled_writes};
 
 /// Failure domains of a fleet.
 pub const DOMAINS: usize = 3;
@@ -37,9 +37,7 @@
 /// Time after the beginning of an era for which a node that waits for its sources leaves the store to them.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
-/// When the store goes away, comes back, and the run ends.
-pub const AWAY_AT: Duration = Duration::from_secs(10);
-pub const BACK_AT: Duration = Duration::from_secs(11);
+/// When the run ends.
 const END_AT: Duration = Duration::from_secs(40);
 
 /// What is played.
@@ -225,9 +223,12 @@
             read_loop.wait_for_sources();
         }
         let place = read_loop.choose(sources.len(), self.now);
-        if is_patient && place.is_none() {
-            self.call_at(self.now + AVOID_TIME, call.node, call.table);
-            return;
+        if place.is_none() {
+            let next = read_loop.next_attempt(sources.len(), is_patient, self.now);
+            if let Some(at) = next {
+                self.call_at(at, call.node, call.table);
+                return;
+            }
         }
         call.place = place.unwrap_or_default();
         call.source = place.map(|place| sources[place]);
@@ -257,7 +258,10 @@
             Some(source) => {
                 let copy = &self.nodes[source].copies[call.table.index()];
                 let known = node.copies[call.table.index()].latest();
-                copy.version().is_none() || copy.has_news(known)
+                let is_linked =
+                    self.loops[call.node][call.table.index()].linked == Some(call.place);
+                let is_cut_off = self.loops[source][call.table.index()].is_cut_off;
+                is_cut_off || !is_linked || copy.has_news(known)
             }
             None if call.table == StoreTable::Nodes => true,
             None => self
@@ -289,7 +293,9 @@
     fn reply(&mut self, call: ReadCall) {
         let node = &self.nodes[call.node];
         let answer = if let Some(source) = call.source {
-            self.nodes[source].answer(call.table, node)
+            let is_cut_off = self.loops[source][call.table.index()].is_cut_off;
+            let answer = self.nodes[source].answer(call.table, node);
+            answer.filter(|_| !is_cut_off)
         } else {
             let known = node.known(call.table);
             Some(self.store.read(call.table, known))
@@ -322,8 +328,7 @@
 
     fn take_reply(&mut self, call: ReadCall, answer: Option<ReadAnswer>) {
         let Some(answer) = answer else {
-            let delay = self.retry_delay(&call);
-            self.call_at(self.now + delay, call.node, call.table);
+            self.fail(&call);
             return;
         };
         let delta = answer.delta.as_ref();
@@ -333,9 +338,7 @@
         self.meter
             .record_state(call.node, &self.nodes[call.node], self.now);
         if outcome == TakeOutcome::ReadWhole && call.source.is_some() {
-            // The source is of an earlier era.
-            let delay = self.retry_delay(&call);
-            self.call_at(self.now + delay, call.node, call.table);
+            self.fail(&call);
             return;
         }
         self.loops[call.node][call.table.index()].succeed(&call, self.now);
@@ -353,15 +356,26 @@
         }
     }
 
-    /// Delay before the call after one that was refused, or whose source knew nothing.
-    fn retry_delay(&mut self, call: &ReadCall) -> Duration {
-        let read_loop = &mut self.loops[call.node][call.table.index()];
+    /// Calls again after a call that the store refused, or whose source can't be followed.
+    fn fail(&mut self, call: &ReadCall) {
+        let table = call.table.index();
         if let Some(source) = call.source {
-            let copy = &self.nodes[source].copies[call.table.index()];
-            read_loop.avoid(call, copy.version().is_some(), self.now);
-            return Duration::ZERO;
+            let era = self.nodes[call.node].copies[table].era();
+            let copy = &self.nodes[source].copies[table];
+            let fault = if self.loops[source][table].is_cut_off || copy.era() < era {
+                SourceFault::CutOff
+            } else if copy.version().is_none() {
+                SourceFault::Unread
+            } else {
+                SourceFault::Silent
+            };
+            self.loops[call.node][table].avoid(call, fault, self.now);
+        } else {
+            let rank = call.node / DOMAINS;
+            self.loops[call.node][table].refuse(rank, self.spec.seed, self.now);
+            self.wake_waiting(Some(call.node), call.table);
         }
-        read_loop.refuse(call.node / DOMAINS, self.spec.seed)
+        self.call_at(self.now, call.node, call.table);
     }
 
     /// Delay before the call after one that was answered.
--- a/crates/serving/examples/era_ways/reads.rs
+++ b/crates/serving/examples/era_ways/reads.rs
@@ -10,11 +10,8 @@
 /// Bound on the way of a change, from which the times of the feed are derived.
 const BOUND: Duration = Duration::from_secs(3);
 
-/// Time for which a source that has read nothing is not asked again.
-pub const AVOID_TIME: Duration = Duration::from_millis(150);
-
-/// Time for which a source that did not answer is not asked again.
-const AVOID_SILENT_TIME: Duration = Duration::from_secs(3);
+/// Least time after which a node that waits for a source looks again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Number of failures up to which a source is avoided twice as long after each.
 const MAX_AVOID_DOUBLINGS: u32 = 3;
@@ -31,6 +28,30 @@
     FeedTiming::new(BOUND)
 }
 
+/// Why a source can't be followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceFault {
+    /// It has not read the table in the store's era.
+    Unread,
+    /// Its last call to the store was refused, or it is of an earlier era.
+    CutOff,
+    /// It did not answer in time.
+    Silent,
+}
+
+impl SourceFault {
+    /// Time for which the source is not asked again after `failures` in a row before.
+    fn avoid_time(self, failures: u32) -> Duration {
+        let factor = 1 << failures.min(MAX_AVOID_DOUBLINGS);
+        let most = feed_timing().max_avoid_stale();
+        match self {
+            Self::Unread => (Duration::from_millis(150) * factor).min(most),
+            Self::CutOff => (Duration::from_millis(800) * factor).min(most),
+            Self::Silent => Duration::from_secs(3) * factor,
+        }
+    }
+}
+
 /// A call of a node for a table. One with an old number was given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReadCall {
@@ -52,6 +73,12 @@
     succeeded_at: Duration,
     /// Whether the store is asked next, since no source has answered for too long.
     is_direct: bool,
+    /// Whether the last call was refused by the store.
+    pub is_cut_off: bool,
+    /// Source that answered last, by its place. One that is new must show at once what it knows.
+    pub linked: Option<usize>,
+    /// When the store may be called again.
+    retry_at: Duration,
     avoided: [AvoidedSource; MAX_SOURCES],
 }
 
@@ -70,26 +97,41 @@
         places.find(is_possible).filter(|_| !self.is_direct)
     }
 
+    /// When to look again, if there is no source now and the store was called too lately.
+    pub fn next_attempt(
+        &self,
+        sources: usize,
+        is_patient: bool,
+        now: Duration,
+    ) -> Option<Duration> {
+        if self.retry_at <= now && !is_patient {
+            return None;
+        }
+        let avoided = self.avoided.iter().take(sources);
+        let found_at = avoided.map(|avoided| avoided.until).min();
+        let retry_at = Some(self.retry_at).filter(|_| !is_patient);
+        let next = [found_at, retry_at].into_iter().flatten().min();
+        Some(next.unwrap_or_default().max(now + CHECK_INTERVAL))
+    }
+
     /// Records an answer.
     pub fn succeed(&mut self, call: &ReadCall, now: Duration) {
         self.failures = 0;
         self.is_direct = false;
+        self.is_cut_off = false;
+        self.retry_at = Duration::ZERO;
         if call.source.is_some() {
             self.succeeded_at = now;
+            self.linked = Some(call.place);
             self.avoided[call.place] = AvoidedSource::default();
         }
     }
 
-    /// Records that a source did not answer, or knows nothing of the store's era.
-    pub fn avoid(&mut self, call: &ReadCall, is_silent: bool, now: Duration) {
+    /// Records that a source can't be followed.
+    pub fn avoid(&mut self, call: &ReadCall, fault: SourceFault, now: Duration) {
+        self.linked = None;
         let avoided = &mut self.avoided[call.place];
-        let factor = 1 << avoided.failures.min(MAX_AVOID_DOUBLINGS);
-        let time = if is_silent {
-            AVOID_SILENT_TIME * factor
-        } else {
-            (AVOID_TIME * factor).min(feed_timing().max_avoid_stale())
-        };
-        avoided.until = now + time;
+        avoided.until = now + fault.avoid_time(avoided.failures);
         avoided.failures += 1;
         let searched = now.saturating_sub(self.succeeded_at);
         self.is_direct = searched > feed_timing().search_time();
@@ -100,11 +142,13 @@
         self.is_direct = false;
     }
 
-    /// Records that the store refused a call; returns the delay before the next one of the node of a rank.
-    pub fn refuse(&mut self, rank: usize, seed: u64) -> Duration {
+    /// Records that the store refused a call of the node of a rank.
+    pub fn refuse(&mut self, rank: usize, seed: u64, now: Duration) {
         self.failures += 1;
+        self.is_cut_off = true;
+        self.is_direct = false;
         let delay = feed_timing().retry_delay(self.failures, tree_depth(rank));
         let draw = unit_draw(&(seed, rank, self.failures));
-        delay.mul_f64(MIN_JITTER + JITTER_SPAN * draw)
+        self.retry_at = now + delay.mul_f64(MIN_JITTER + JITTER_SPAN * draw);
     }
 }
--- a/crates/serving/examples/era_ways/writers.rs
+++ b/crates/serving/examples/era_ways/writers.rs
@@ -5,9 +5,13 @@
 use bytes::Bytes;
 use serving::hashing::unit_draw;
 
-use crate::fleet::{AWAY_AT, BACK_AT, FleetSpec};
+use crate::fleet::FleetSpec;
 use crate::store::{StoreTable, VirtualStore};
 
+/// When the store goes away, and when it comes back.
+pub const AWAY_AT: Duration = Duration::from_secs(10);
+pub const BACK_AT: Duration = Duration::from_secs(11);
+
 /// Key of the configuration.
 const CONFIG_KEY: &str = "config";
 
