Count no heartbeat or crash record of a time that no clock can show

A row of the nodes' own table with the largest number as its time counted as a live node for good: the nodes shared their retry budgets and turns with one that isn't there. A decision on shares with such a time stood above all later ones, and a crash record with it never expired.

A row whose time is above what the store's clock can show (the bound that its responses have) is unreadable now: such a heartbeat counts for no node, such a decision isn't adopted, such a crash record is deleted. A time that is merely ahead still counts: the clock of a store that was moved may be behind what it was.

--- a/crates/gateway/src/crash/records.rs
+++ b/crates/gateway/src/crash/records.rs
@@ -291,7 +291,7 @@
         return;
     };
     // A row that can't be read tells nothing and is deleted.
-    let decoded = serde_json::from_slice::<EvidenceRow>(value).ok();
+    let decoded = EvidenceRow::decode(value);
     let table = &node.crashes.table;
     table.note_row(&row.key, row.version, decoded.as_ref());
     let Some(decoded) = decoded else { return };
--- a/crates/gateway/src/crash/rows.rs
+++ b/crates/gateway/src/crash/rows.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use adapter::MAX_CLOCK;
 use domain::{BootNumber, HostId};
 use serde::{Deserialize, Serialize};
 use serving::poison::FeatureError;
@@ -202,6 +203,14 @@
 }
 
 impl EvidenceRow {
+    /// Decodes a row; `None` if it is malformed, or of a time that the store's clock can't show, at which it would never
+    /// expire.
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        let row: Self = serde_json::from_slice(value).ok()?;
+        let is_possible = row.newest().is_none_or(|newest| newest <= MAX_CLOCK);
+        is_possible.then_some(row)
+    }
+
     /// The process whose crash it tells of.
     #[must_use]
     pub fn process(&self) -> Option<TargetProcess> {
--- a/crates/gateway/src/heartbeat/census.rs
+++ b/crates/gateway/src/heartbeat/census.rs
@@ -42,7 +42,7 @@
     let keeps_counted = node.heartbeat_age() > blind_age(rows);
     for (name, value) in copy.values() {
         // A malformed row counts for no node; the next heartbeat replaces it.
-        let Ok(mut row) = serde_json::from_slice::<NodeRow>(value) else {
+        let Some(mut row) = NodeRow::decode(value) else {
             continue;
         };
         // A decision holds on after the node that made it.
--- a/crates/gateway/src/heartbeat/row.rs
+++ b/crates/gateway/src/heartbeat/row.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use adapter::MAX_CLOCK;
 use domain::NodeId;
 use peers::SharedKey;
 use serde::{Deserialize, Serialize};
@@ -53,6 +54,19 @@
     pub shares: ModelValues,
 }
 
+impl NodeRow {
+    /// Decodes a row; `None` if it is malformed, or states times that the store's clock can't show. A node would count
+    /// as live for good by the one, and its decision would stand above all later ones by the other.
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        let mut row: Self = serde_json::from_slice(value).ok()?;
+        let is_possible = |clock_ms| Duration::from_millis(clock_ms) <= MAX_CLOCK;
+        row.decision = row
+            .decision
+            .filter(|decision| is_possible(decision.clock_ms));
+        is_possible(row.clock_ms).then_some(row)
+    }
+}
+
 impl From<&ShareDecision> for DecisionRow {
     fn from(decision: &ShareDecision) -> Self {
         Self {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -32,6 +32,7 @@
 mod normal_operation;
 mod odd_entries;
 mod odd_headers;
+mod odd_own_rows;
 mod operator_commands;
 mod overload;
 mod partition_soak;
