Test clients' numbers at the end of their range

Tokens, deadlines, events and priorities that a client states at the end of their range, or that can't be read, are tried beside requests of others.

--- a/tests/gateway/odd_headers.rs
+++ b/tests/gateway/odd_headers.rs
@@ -55,3 +55,34 @@
         assert!(node.is_running(), "{shown}");
     }
 }
+
+/// Guards against a client's numbers at the end of their range that end the process, or requests of others.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_client_headers_beside_good_ones() {
+    let site = TestSite::start(4, 0);
+    let mut node = site.node("n0").await;
+    node.wait_replicas(1).await;
+    for (index, (name, value)) in [
+        ("x-token-usage", "4294967295,4294967295"),
+        ("x-token-usage", "18446744073709551616,-1"),
+        ("x-deadline-ms", "18446744073709551615"),
+        ("x-deadline-ms", "1e400"),
+        ("last-event-id", "18446744073709551615"),
+        ("last-event-id", "-1"),
+        ("x-prompt-prefix", "a:18446744073709551616,b:-1,:"),
+        ("x-request-priority", "-1"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let odd = TestRequest::chat(&format!("odd-{index}")).header(name, value);
+        // Whatever becomes of it, it gets a response.
+        let odd = odd.send(&node).await;
+        assert!(!odd.status.is_informational(), "{name}: {value}");
+        let good = TestRequest::chat(&format!("good-{index}"))
+            .send(&node)
+            .await;
+        assert_eq!(good.status, StatusCode::OK, "{name}: {value}");
+        assert!(node.is_running(), "{name}: {value}");
+    }
+}
