Draw the store's return from a copy in the soak of the configuration

The soak played ten kinds of fault, none in which the store loses what it has confirmed. A drill now comes with the others: the store is copied, is away for up to a second some time later, and comes back from the copy; the operator and the targets write again within 1.5 s. Versions that the store has lost bind nobody until they are written again; that a process goes back behind what it has shown is judged throughout, and so is a refusal once the lost version is confirmed again for longer than the bound. The operator writes nothing while the store lacks what it has confirmed.

--- a/tests/gateway/config_history.rs
+++ b/tests/gateway/config_history.rs
@@ -156,6 +156,23 @@
         }
     }
 
+    /// Records that the store has lost all versions after this one: they bind nobody until they are written again.
+    pub fn record_lost(&mut self, after: u64) {
+        for version in &mut self.versions {
+            if version.content.version > after {
+                version.confirmed = None;
+            }
+        }
+    }
+
+    /// Records that the operator has written again what the store had lost.
+    pub fn record_rewritten(&mut self) {
+        let now = Instant::now();
+        for version in &mut self.versions {
+            version.confirmed.get_or_insert(now);
+        }
+    }
+
     pub fn newest(&self) -> &ConfigContent {
         &self.versions[self.versions.len() - 1].content
     }
--- a/tests/gateway/config_soak.rs
+++ b/tests/gateway/config_soak.rs
@@ -3,8 +3,9 @@
 //!
 //! A few seeds by default. `CONFIG_SOAK_SEEDS=FIRST..END` plays others (`FOREIGN_SOAK_SEEDS` of the soak in
 //! which other servers take the ports of targets), `CONFIG_SOAK_NODES=N` so many
-//! nodes, and `CONFIG_SOAK_STRICT=1` also judges by the clock what runs by routes and keys that newer
-//! versions took away, which a busy machine may delay.
+//! nodes, `CONFIG_SOAK_DRILLS=0` without returns of the store from a copy, and `CONFIG_SOAK_STRICT=1` also
+//! judges by the clock what runs by routes and keys that newer versions took away, which a busy machine may
+//! delay.
 
 mod faults;
 mod operator;
@@ -208,6 +209,7 @@
         is_strict: std::env::var_os("CONFIG_SOAK_STRICT").is_some(),
         steady,
         changed: Notify::new(),
+        store: tokio::sync::Mutex::default(),
     });
     let until = Instant::now() + CHANGE_TIME;
     let mut observers = Vec::new();
@@ -236,7 +238,7 @@
     last.version += 1;
     last.routes.insert("/last/".to_owned(), 0);
     let revision = format!("\"revision\":{}", last.version);
-    write(&soak.site, &state, last);
+    write(&soak.site, &state, last).await;
     for node in &soak.nodes {
         let log = lock(node).log.clone();
         wait_for("the last version at all nodes", || {
--- a/tests/gateway/config_soak/faults.rs
+++ b/tests/gateway/config_soak/faults.rs
@@ -27,10 +27,11 @@
     BusyMachine,
     Restart,
     StoreClock,
+    StoreCopy,
 }
 
 /// All of them, each as likely as the others.
-const FAULTS: [FaultKind; 10] = [
+const FAULTS: [FaultKind; 11] = [
     FaultKind::None,
     FaultKind::LostResponse,
     FaultKind::TwoLostResponses,
@@ -41,17 +42,27 @@
     FaultKind::BusyMachine,
     FaultKind::Restart,
     FaultKind::StoreClock,
+    FaultKind::StoreCopy,
 ];
 
+/// Kinds that are drawn: without drills, the last of them, a seed brings the faults that it brought before there were
+/// any.
+fn drawn_kinds() -> &'static [FaultKind] {
+    let has_drills = std::env::var("CONFIG_SOAK_DRILLS").as_deref() != Ok("0");
+    let count = FAULTS.len() - usize::from(!has_drills);
+    &FAULTS[..count]
+}
+
 /// Brings faults one after the other, each for a while, so that they overlap.
 pub async fn bring_faults(soak: &SoakSite, state: &SoakState, seed: u64, until: Instant) {
     let mut rng = StdRng::seed_from_u64(seed ^ 0xfa);
+    let kinds = drawn_kinds();
     let series = (0..2).map(|_| {
         let seed = rng.random();
         async move {
             let mut rng = StdRng::seed_from_u64(seed);
             while Instant::now() < until {
-                let kind = FAULTS[rng.random_range(0..FAULTS.len())];
+                let kind = kinds[rng.random_range(0..kinds.len())];
                 bring_fault(soak, state, kind, &mut rng).await;
                 let pause = rng.random_range(50..1500);
                 tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -91,6 +102,11 @@
         FaultKind::BusyMachine => keep_busy(lasting).await,
         FaultKind::Restart => restart(soak, state, first).await,
         FaultKind::StoreClock => soak.site.store.step_clock(lasting * 10),
+        FaultKind::StoreCopy => {
+            let away = Duration::from_millis(rng.random_range(50..1000));
+            let pause = Duration::from_millis(rng.random_range(0..1500));
+            return_from_copy(soak, state, lasting, (away, pause)).await;
+        }
     }
 }
 
@@ -122,6 +138,34 @@
     }
 }
 
+/// Lets the store come back from a copy of so long before. The operator and the targets write again after a pause.
+async fn return_from_copy(
+    soak: &SoakSite,
+    state: &SoakState,
+    age: Duration,
+    (away, pause): (Duration, Duration),
+) {
+    let store = &soak.site.store;
+    let (copy, copied_version) = {
+        let _unchanged = state.store.lock().await;
+        (store.copy(), lock(&state.history).newest().version)
+    };
+    tokio::time::sleep(age).await;
+    let _incomplete = state.store.lock().await;
+    for index in 0..soak.gates.len() {
+        state.excuse(index);
+    }
+    // A node may answer from the copy as soon as the store is back.
+    lock(&state.history).record_lost(copied_version);
+    let lost = store.drill(&copy, away).await;
+    tokio::time::sleep(pause).await;
+    store.write_again(&lost, &["op", "servers"]);
+    lock(&state.history).record_rewritten();
+    for index in 0..soak.gates.len() {
+        state.end_excuse(index);
+    }
+}
+
 /// Uses all processors for a while.
 async fn keep_busy(lasting: Duration) {
     let until = std::time::Instant::now() + lasting;
--- a/tests/gateway/config_soak/operator.rs
+++ b/tests/gateway/config_soak/operator.rs
@@ -18,7 +18,7 @@
         let mut content = lock(&state.history).newest().clone();
         let probe = change(&mut content, &mut rng, &mut next);
         content.version += rng.random_range(1..6);
-        write(site, state, content);
+        write(site, state, content).await;
         lock(&state.history).changed.push(probe);
         let pause = if rng.random_bool(0.3) {
             rng.random_range(10..150)
@@ -30,7 +30,8 @@
 }
 
 /// Writes a version, and records it once the store has confirmed it.
-pub fn write(site: &TestSite, state: &SoakState, content: ConfigContent) {
+pub async fn write(site: &TestSite, state: &SoakState, content: ConfigContent) {
+    let _store = state.store.lock().await;
     let config = content.to_json();
     lock(&state.history).record_sent(content);
     site.configure(&config);
--- a/tests/gateway/config_soak/state.rs
+++ b/tests/gateway/config_soak/state.rs
@@ -31,6 +31,8 @@
     /// Requests that each version allows.
     pub steady: Vec<VersionProbe>,
     pub changed: Notify,
+    /// Held by whoever writes a configuration, and while the store lacks one that it has confirmed.
+    pub store: tokio::sync::Mutex<()>,
 }
 
 pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
