Ask whether a draining target has exited before its answer without a length counts as whole

A server that was killed while it drained, in the middle of an answer without a length, left its client with the first half of the answer, 200 and the signature, ended like a whole one; payments too.

may_be_cut took the end of the connection of any draining target for the end of the answer, since a target that leaves in order may stop listening and then end what it has begun, and so refuses connections like a dead one.

A draining target is now asked like any other. An answer of one that refuses connections is cut: 502, or the stream is resumed elsewhere. Streams of targets that had stopped listening before stay whole: while bytes of a stream without a length come from a draining target, the node asks at most every 500 ms whether it listens, and bytes that come 30 ms or more after a refusal show that it lives on (ClosedListener). Plain answers are short, and none is asked about while it comes: one that is whole but whose target stops listening before its end is answered 502.

What remains: a target that has stopped listening, goes on with a stream without a length, and dies then.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -247,6 +247,7 @@
         parsed_headers,
         is_close_delimited: is_close_delimited(&head.headers),
         first_event_at: Cell::default(),
+        listener: Rc::default(),
         body,
         connection: exchange.connection,
         in_flight,
--- a/crates/gateway/src/target_response.rs
+++ b/crates/gateway/src/target_response.rs
@@ -1,6 +1,6 @@
 //! The response of a target, while it is read.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use domain::{BootNumber, HostId};
 use http::{HeaderMap, StatusCode};
 use hyper::body::Incoming;
+use serving::closed_listener::ClosedListener;
 use serving::poison::{COMPLETE_ANSWER_AGE, SOUND_ANSWER_AGE};
 use serving::{MembershipKey, TargetProcess, TargetState};
 
@@ -46,6 +47,8 @@
     pub is_close_delimited: bool,
     /// When the first event of the body arrived, measured from process start.
     pub first_event_at: Cell<Option<Duration>>,
+    /// What the response has shown of the listener of a target that leaves.
+    pub listener: Rc<RefCell<ClosedListener>>,
     /// Unread response body.
     pub body: Incoming,
     /// Connection of the response, returned to the pool at the end of the body.
@@ -63,8 +66,8 @@
     }
 
     /// Whether the body may have been cut off where it ended: it ends with its connection, and the target's
-    /// process has exited or its replica is another one by now. A target that leaves ends what it has begun,
-    /// though it accepts no new connections. One that is no longer listed can only be judged by its address.
+    /// process has exited or its replica is another one by now. A target that leaves may have stopped listening
+    /// before, and ends what it has begun. One that is no longer listed can only be judged by its address.
     pub async fn may_be_cut(&self, node: &GatewayNode) -> bool {
         if !self.is_close_delimited {
             return false;
@@ -77,10 +80,11 @@
             tokio::time::sleep(EXIT_SETTLE_TIME).await;
             return refuses_connections(node, &self.host, self.address).await;
         };
-        if state == TargetState::Draining {
+        let is_draining = state == TargetState::Draining;
+        if is_draining && self.listener.borrow().is_outlived() {
             return false;
         }
-        if membership != self.membership {
+        if !is_draining && membership != self.membership {
             return true;
         }
         tokio::time::sleep(EXIT_SETTLE_TIME).await;
@@ -96,10 +100,31 @@
     }
 
     /// Records that bytes of the body arrived, which shows that the path works. They need not be events.
-    pub fn record_bytes(&self, node: &GatewayNode) {
+    pub fn record_bytes(&self, node: &Rc<GatewayNode>) {
         if !self.connection.is_tunnelled() {
             node.record_path_received(&self.host);
         }
+        if self.is_close_delimited {
+            self.watch_listener(node);
+        }
+    }
+
+    /// Asks from time to time whether a target that leaves still listens.
+    fn watch_listener(&self, node: &Rc<GatewayNode>) {
+        let is_draining = node.registry(|registry| {
+            let entry = registry.get(&self.host);
+            entry.is_some_and(|entry| entry.state == TargetState::Draining)
+        });
+        if !is_draining || !self.listener.borrow_mut().record_bytes(node.now()) {
+            return;
+        }
+        let (node, listener) = (Rc::clone(node), Rc::clone(&self.listener));
+        let (host, address) = (self.host.clone(), self.address);
+        tokio::task::spawn_local(async move {
+            if refuses_connections(&node, &host, address).await {
+                listener.borrow_mut().record_refused(node.now());
+            }
+        });
     }
 
     /// Path of the response's connection.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod choose;
 pub mod choose_by_room;
 pub mod choose_sampled;
+pub mod closed_listener;
 pub mod cold_senders;
 pub mod cold_targets;
 pub mod confirmed;
--- a/tests/gateway/cut_answers.rs
+++ b/tests/gateway/cut_answers.rs
@@ -5,7 +5,9 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-use crate::foreign_servers::{CutAnswer, ForeignAnswer, ForeignServer, register};
+use crate::foreign_servers::{
+    CutAnswer, ForeignAnswer, ForeignServer, register, register_draining,
+};
 use crate::node::{TestNode, wait_for};
 use crate::site::{HOST, KEY, TestSite};
 
@@ -185,3 +187,52 @@
         answer.body
     );
 }
+
+/// Sends a request to a server that reports that it drains once it has begun to answer.
+async fn answer_of_draining(site: &TestSite, node: &TestNode, server: &ForeignServer) -> RawAnswer {
+    register(site, "s0", server.address);
+    let answer = send_when_listed(node);
+    let draining = async {
+        wait_for("the request to arrive", || server.request_count() > 0).await;
+        register_draining(site, "s0", server.address);
+    };
+    tokio::join!(answer, draining).0
+}
+
+/// Guards against half of an answer whose server dies while it drains: it would look complete to its client.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_server_ends() {
+    let site = TestSite::start(0, 0);
+    let node = site.node("n0").await;
+    let cut = CutAnswer {
+        text: WITHOUT_LENGTH,
+        sent: WITHOUT_LENGTH.len() - 3,
+        drip: Duration::from_millis(10),
+        is_reset: false,
+    };
+    let server = ForeignServer::start_single(ForeignAnswer::Cut(cut)).await;
+    let answer = answer_of_draining(&site, &node, &server).await;
+    assert!(
+        answer.has_status("502"),
+        "{} | {}",
+        answer.head,
+        answer.body
+    );
+}
+
+/// Guards against the loss of whole answers of servers that drain, which still accept connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_server_answers() {
+    let site = TestSite::start(0, 0);
+    let node = site.node("n0").await;
+    let cut = CutAnswer {
+        text: WITHOUT_LENGTH,
+        sent: WITHOUT_LENGTH.len(),
+        drip: Duration::from_millis(10),
+        is_reset: false,
+    };
+    let server = ForeignServer::start(ForeignAnswer::Cut(cut)).await;
+    let answer = answer_of_draining(&site, &node, &server).await;
+    assert!(answer.has_status("200"), "{}", answer.head);
+    assert_eq!(answer.body, BODY);
+}
--- a/tests/gateway/foreign_servers.rs
+++ b/tests/gateway/foreign_servers.rs
@@ -152,9 +152,18 @@
 
 /// The same for an instance of another service.
 pub fn register_for(site: &TestSite, service: &str, id: &str, address: SocketAddr) {
+    write_entry(site, service, id, (address, "ready"));
+}
+
+/// Writes in the entry of such an instance that it drains.
+pub fn register_draining(site: &TestSite, id: &str, address: SocketAddr) {
+    write_entry(site, "records", id, (address, "draining"));
+}
+
+fn write_entry(site: &TestSite, service: &str, id: &str, (address, state): (SocketAddr, &str)) {
     let row = json!({
         "service": service, "address": address.to_string(), "zone": "z0",
-        "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+        "version": "v1", "slots": 6, "state": state, "cold_remaining_ms": 0, "sequence": 1,
     });
     site.store.put("servers", id, row.to_string().as_bytes());
 }
--- a/tests/gateway/unframed_responses.rs
+++ b/tests/gateway/unframed_responses.rs
@@ -74,6 +74,26 @@
     assert!(node.log_lines(&["target_ended"]).is_empty());
 }
 
+/// An engine dies between two events of such a stream while it drains. It had begun to leave in order, and yet its
+/// stream is not whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_engine_dies() {
+    let site = TestSite::start(9, 0);
+    let node = site.node("n0").await;
+    node.wait_replicas(2).await;
+    site.groups.set_unframed(true);
+    site.groups.set_events(40);
+    site.groups.set_event_shape(0, Duration::from_millis(40));
+    let (_connection, response) = TestRequest::chat("c-0").begin(&node).await;
+    let head = site.replica_running("c-0")[0].clone();
+    site.groups.drain(&head);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    site.groups.crash(&head);
+    let response = read_response(response).await;
+    let whole = response.text == complete_stream(40);
+    assert_eq!(response.complete, whole, "{}", response.text);
+}
+
 /// An instance dies in the middle of such a response to a call. Its caller must not get half of the response
 /// as the whole one.
 #[tokio::test(flavor = "multi_thread")]
