Count a stream as eventless only while its bytes are read

Streams with large events were cut, or moved to another target, with "bytes without events" although every byte of them belonged to an event: if the events are more than a second apart, and if their client reads nothing for a second.

The node took a stream for broken when more than 1 KiB had come without an event and the last event was more than a second past. The first part of a large event after a pause is just that, whether the target was computing or the node was not reading, since its client was not.

The new type EventlessTime counts the time between reads, at most 250 ms of each pause. Bytes that drip are noticed after a second as before; pieces more than 250 ms apart later than before.

--- a/crates/gateway/src/relay/failover.rs
+++ b/crates/gateway/src/relay/failover.rs
@@ -5,6 +5,7 @@
 use domain::HostId;
 use events::EventCode;
 use http::StatusCode;
+use serving::eventless_time::EventlessTime;
 use serving::retry_budget::RetryPurpose;
 use serving::{PoisonVerdict, RouteKind};
 
@@ -140,6 +141,7 @@
         // Drops the incomplete event of the failed target; it must not be joined with data from the
         // new one.
         self.splitter.drop_partial();
+        self.eventless = EventlessTime::default();
         self.is_sound = false;
         self.source = Some(response);
     }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -12,6 +12,7 @@
 use futures::Stream;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
+use serving::eventless_time::EventlessTime;
 use serving::{EventSplitter, GatewayConfig};
 
 use crate::admitted::AdmittedRequest;
@@ -19,11 +20,6 @@
 use crate::node::{GatewayNode, ReplicaLostSignal};
 use crate::target_response::TargetResponse;
 
-/// Time without an event, and bytes in it, from which on a stream counts as broken though bytes arrive. A
-/// target that has something to say needs fewer; clients abandon the stream a second later.
-const EVENTLESS_TIME: Duration = Duration::from_secs(1);
-const EVENTLESS_BYTES: usize = 1 << 10;
-
 /// The stream ended before its last event. The client connection is closed without the end of the
 /// chunked body, so that the client can detect the truncation.
 #[derive(Debug, Clone, Copy)]
@@ -57,6 +53,7 @@
     loss_signal: Rc<ReplicaLostSignal>,
     last_host: Option<HostId>,
     splitter: EventSplitter,
+    eventless: EventlessTime,
     attempts: u32,
     tried: FastSet<HostId>,
     /// Whether the current target is known to have survived the response.
@@ -93,6 +90,7 @@
             node: Rc::clone(node),
             config,
             splitter: EventSplitter::after(request.last_event),
+            eventless: EventlessTime::default(),
             loss_signal: node.loss_signal(&source.response.host),
             last_host: Some(source.response.host.clone()),
             source: Some(source.response),
@@ -177,19 +175,13 @@
         if self.splitter.last_id() != last_id {
             self.record_event();
         }
-        if self.splitter.bytes_without_id() > EVENTLESS_BYTES && self.is_eventless() {
+        let without_id = self.splitter.bytes_without_id();
+        if self.eventless.record_bytes(self.node.now(), without_id) {
             return Err("bytes without events".to_owned());
         }
         Ok(events)
     }
 
-    /// Whether the target has written no event for long.
-    fn is_eventless(&self) -> bool {
-        let begun_at = self.source.as_ref().map(|source| source.started_at);
-        let since = self.last_event_at.max(begun_at.unwrap_or_default());
-        self.node.now().saturating_sub(since) > EVENTLESS_TIME
-    }
-
     /// Checks that the end of the body is that of the stream.
     ///
     /// # Errors
@@ -227,6 +219,7 @@
             self.first_event_at = Some(now);
         }
         self.last_event_at = now;
+        self.eventless.record_event(now);
         let Some(source) = &self.source else { return };
         source.record_event(&self.node);
         if !self.is_sound {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod departed;
 pub mod evacuation;
 pub mod event_stream;
+pub mod eventless_time;
 pub mod feed;
 pub mod hashing;
 pub mod held_bytes;
--- a/tests/gateway/endless_bytes.rs
+++ b/tests/gateway/endless_bytes.rs
@@ -144,3 +144,20 @@
     let cut = node.wait_log_line(&["stream_cut", "e-late"]).await;
     assert_eq!(cut["reason"], "request deadline exceeded");
 }
+
+/// Guards against a stream that is cut since its events are large and far apart: the first part of such an event
+/// comes when the last one is long past.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_events_far_apart() {
+    let site = TestSite::start(4, 0);
+    site.groups.set_events(3);
+    let interval = Duration::from_millis(1200);
+    site.groups.set_event_shape(100_000, interval);
+    let node = site.only_node("n0").await;
+    node.wait_replicas(1).await;
+    let chat = TestRequest::chat("far").header("x-deadline-ms", "20000");
+    let chat = chat.send(&node).await;
+    let told = node.log_lines(&["\"request\":\"far\""]);
+    assert!(chat.complete, "{told:?}");
+    assert_eq!(chat.text.matches("\n\n").count(), 3);
+}
