Keep the membership that is known over an earlier one of a restored store

Callers saw 503 at all nodes for half a second to a second after the store had come back from a copy: the copy's entries showed the members of serving replicas as they were before they joined, and the nodes took them for news. Nodes of low rank asked the hosts and found the replica again; the others waited until the engines had written.

An entry of a restored store is not taken now as far as the membership goes if it lacks the replica that is known of the same process, or that it is open. It counts after four seconds if the engine has not written meanwhile, as entries of targets that had left do. An entry with a higher epoch, and every later change, counts at once (change_not_taken, membership_before_restore).

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -337,8 +337,9 @@
     /// Something was read and not taken. `reason`: `older` than the version held (`held`), `removed_since` by a read of
     /// the whole table, `other_era` or `earlier_era` of the store, `stale_read` (a read of the whole table from before
     /// what was known, which proves nothing), `lost_in_restore` (a row that a restored store lacks holds on for a
-    /// while), `left_before_restore` (an entry of a target that had left), `last_version` (no later version could
-    /// follow it). See `docs/OPERATIONS.md`.
+    /// while), `left_before_restore` (an entry of a target that had left), `membership_before_restore` (an entry of an
+    /// engine with an earlier membership), `last_version` (no later version could follow it). See
+    /// `docs/OPERATIONS.md`.
     ChangeNotTaken = 395, "change_not_taken", Warn;
     /// Rows that this node had written are written again, since the store was restored from an older copy.
     RowsWrittenAgain = 396, "rows_written_again", Info;
--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -150,7 +150,8 @@
     /// Targets whose entries were missing soon after an outage of the store.
     pending_removals: Vec<HostId>,
     departed: DepartedTargets,
-    /// Entries of targets that had left, which a restored store shows again, and until when they don't count.
+    /// Entries that a restored store shows again of targets that had left, or with an earlier membership than is
+    /// known, and until when they don't count.
     returned: Vec<(StoreRow, Duration)>,
 }
 
@@ -201,15 +202,17 @@
             Ok(mut entry) => {
                 if origin == RowOrigin::RestoredStore {
                     if self.has_left(&entry) {
-                        let until = self.node.now() + RESTORE_GRACE;
-                        self.returned.push((row.clone(), until));
-                        let reason = "left_before_restore";
-                        log_not_taken(&self.node, FeedTable::Registry, row, reason);
+                        self.hold_back(row, "left_before_restore");
                         return;
                     }
                     self.keep_draining(&mut entry);
                 }
                 self.pending_removals.retain(|id| *id != entry.id);
+                if origin == RowOrigin::RestoredStore && self.node.is_behind_known(&entry) {
+                    self.hold_back(row, "membership_before_restore");
+                    self.node.apply_besides_membership(&entry);
+                    return;
+                }
                 if self.node.apply_listed_target(&entry) == EntryIntake::MembershipWithheld {
                     refresh_contradicted(&self.node, &entry.id);
                 }
@@ -229,6 +232,13 @@
         }
     }
 
+    /// Keeps a row that a restored store shows until its writer has had the time to write it again.
+    fn hold_back(&mut self, row: &StoreRow, reason: &str) {
+        let until = self.node.now() + RESTORE_GRACE;
+        self.returned.push((row.clone(), until));
+        log_not_taken(&self.node, FeedTable::Registry, row, reason);
+    }
+
     fn record_departure(&mut self, id: &HostId) {
         let entry = self.node.registry(|registry| registry.get(id).cloned());
         if let Some(entry) = entry {
@@ -256,8 +266,8 @@
         }
     }
 
-    /// Takes in the entries of targets that had left and whose entries still stand some time after a restore: they
-    /// were removed too early.
+    /// Takes in the entries that were held back and still stand some time after a restore: what was known instead
+    /// of them is wrong.
     fn admit_returned(&mut self) {
         let now = self.node.now();
         let due: Vec<_> = self
--- a/crates/gateway/src/node/confirmed.rs
+++ b/crates/gateway/src/node/confirmed.rs
@@ -3,11 +3,12 @@
 //! Only this module decides which of them is newer. A host whose older entry passed for new would
 //! be ordered out of a replica that it had just joined.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use domain::HostId;
 use events::{EventCode, LogLine};
-use serving::{ConfirmedMembership, TargetEntry};
+use serving::{ConfirmedMembership, MemberState, TargetEntry};
 
 use super::GatewayNode;
 
@@ -113,6 +114,40 @@
         update(membership)
     }
 
+    /// Whether an entry that a restored store shows is probably from before what is known of the same process: it
+    /// lacks the replica, or that the replica is open. Epochs only grow within a life.
+    #[must_use]
+    pub fn is_behind_known(&self, entry: &TargetEntry) -> bool {
+        let known = self.registry(|registry| registry.get(&entry.id).cloned());
+        let Some(known) = known.filter(|known| known.boot == entry.boot) else {
+            return false;
+        };
+        let epoch = |entry: &TargetEntry| entry.membership.as_ref().map(|found| found.epoch);
+        let is_open = |entry: &TargetEntry| {
+            let state = entry.membership.as_ref().map(|found| found.state);
+            state == Some(MemberState::Open)
+        };
+        match epoch(entry).cmp(&epoch(&known)) {
+            Ordering::Less => true,
+            Ordering::Equal => is_open(&known) && !is_open(entry),
+            Ordering::Greater => false,
+        }
+    }
+
+    /// Applies what an entry says besides the membership and the weights, if it is from the process that is known.
+    pub fn apply_besides_membership(&self, entry: &TargetEntry) {
+        let known = self.registry(|registry| registry.get(&entry.id).cloned());
+        let Some(known) = known.filter(|known| known.boot == entry.boot) else {
+            return;
+        };
+        self.apply_target(&TargetEntry {
+            loaded: known.loaded,
+            staged: known.staged,
+            membership: known.membership,
+            ..entry.clone()
+        });
+    }
+
     /// Applies what an entry says besides the membership, if it is from the same process.
     fn withhold_membership(&self, entry: &TargetEntry) {
         let known = self.registry(|registry| registry.get(&entry.id).cloned());
@@ -129,14 +164,6 @@
             .text("listed", &replica(entry))
             .text("confirmed", &replica(&known));
         self.log(&line);
-        if entry.boot != known.boot {
-            return;
-        }
-        self.apply_target(&TargetEntry {
-            loaded: known.loaded,
-            staged: known.staged,
-            membership: known.membership,
-            ..entry.clone()
-        });
+        self.apply_besides_membership(entry);
     }
 }
--- a/tests/gateway/store_copy_rows.rs
+++ b/tests/gateway/store_copy_rows.rs
@@ -21,7 +21,7 @@
 const REWRITE_BOUND: Duration = Duration::from_secs(2);
 
 /// Interval of the heartbeats of targets.
-const TARGET_HEARTBEAT: Duration = Duration::from_millis(1200);
+pub const TARGET_HEARTBEAT: Duration = Duration::from_millis(1200);
 
 /// Time after the return after which the platform removes the entries of targets that are gone.
 const EXPIRY: Duration = TARGET_HEARTBEAT.saturating_mul(3);
