Let a process that starts after a restore wait for leases that the store has lost

After a restore a slot of the retry budget may look free though another process holds its lease. Processes that saw the restore wait until such leases have ended; one that started after it took the slots at once, so that two processes used them and more retries were sent than all nodes together may send.

A process that starts later than the whole system can't tell whether there was a restore, so it waits for the time of a lease and of its settling before it takes a slot that looks free. Leases of its own that the store still holds are used as before, and nothing changes at a first start, or with a store that states no era.

Failed before: shared_total started_after_restore: the worst excess was 97.6 retries in a window, 0 are allowed. Passes with it, as do the other seven tests of the file and retry_totals.

--- a/crates/gateway/src/retry_leases.rs
+++ b/crates/gateway/src/retry_leases.rs
@@ -59,7 +59,10 @@
         settle: limits.settle_time(),
     };
     let holder = node.lease_holder.borrow().clone();
-    let ledger = LeaseLedger::new(holder, limits.slot_count(), terms, node.boot_now());
+    let mut ledger = LeaseLedger::new(holder, limits.slot_count(), terms, node.boot_now());
+    if !node.settings.first_start {
+        ledger = ledger.among_others();
+    }
     if ledger.slot_count() == 0 {
         return;
     }
