Show that a drill during a stop of all nodes keeps replicas

Two nodes stop while the store is away and start before it comes back from a copy without the rows of their replica. The replica stays as it is, all chats are served, and it can be formed anew after a loss.

--- a/tests/gateway/store_copy_rows.rs
+++ b/tests/gateway/store_copy_rows.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use serde_json::{Value, json};
-use standin::site::{GateMode, SiteInstance, StoreGate};
+use standin::site::{GateMode, SiteInstance, StoreGate, StoreMode};
 use tokio::time::Instant;
 
 use crate::drill_clients::{Answers, ask_during, is_served};
@@ -282,6 +282,41 @@
     assert_eq!(site.groups.violations(), Vec::<String>::new());
 }
 
+/// Guards against nodes that all stop and start during the drill, and then take a replica apart that the store knows
+/// nothing of, or form one anew with an epoch from before.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_during_drill() {
+    let mut site = TestSite::start(5, 0);
+    let copy = site.store.copy();
+    use_versions(&site);
+    let stopped = [site.node("n0").await, site.node("n1").await];
+    for node in &stopped {
+        node.wait_replicas(1).await;
+    }
+    let serving = site.groups.serving();
+    site.store.set_mode(StoreMode::Away);
+    drop(stopped);
+    let address = site.store_address();
+    let started = [
+        site.unready_node_in("z0", "n0", address, false).await,
+        site.unready_node_in("z0", "n1", address, false).await,
+    ];
+    let lost = site.store.restore(&copy);
+    site.store.write_again(&lost, &["op", "servers"]);
+    for node in &started {
+        node.wait_ready(true).await;
+        node.wait_replicas(1).await;
+    }
+    chat_during(&started, tokio::time::sleep(REACTION_TIME)).await;
+    assert_eq!(site.groups.serving(), serving);
+    let member = serving[0][1].clone();
+    site.kill_engine(&member);
+    // The loss is only noticed by a request that runs into it.
+    drop(TestRequest::chat("c-1").send(&started[0]).await);
+    site.wait_serving_without(&member, 1).await;
+    assert_eq!(site.groups.violations(), Vec::<String>::new());
+}
+
 /// Guards against a replica that is never opened, or whose hosts join another one, since its row is lost after the
 /// joins and before it is opened.
 #[tokio::test(flavor = "multi_thread")]
