Give no era up for answers that waited while the process was stopped

By the review: a process that learns of a new era, is stopped for six seconds and then reads three answers of before the restore from its sockets within a millisecond went back to the earlier era, and took the last of them. Versions, conditional writes and epochs were of the earlier era until its next call. Cause: the doubt counted from when the era was last stated, and the time of the pause counted as doubt. Fix: it counts from the first contradiction. An era that was stated by mistake is given up about as soon as before, since the store contradicts it at once.

--- a/crates/serving/src/feed/era_watch.rs
+++ b/crates/serving/src/feed/era_watch.rs
@@ -8,8 +8,9 @@
 /// was stated by mistake, and everything would be dropped for good.
 const MAX_CONTRADICTIONS: u32 = 3;
 
-/// Time without an answer of the era that is known, before which it is not given up. Answers that were held
-/// back on their way arrive within it.
+/// Time from the first contradiction on without an answer of the era that is known, before which it is not given up.
+/// Answers that were held back on their way arrive within it. Those that waited in the sockets of a process that was
+/// stopped arrive at one moment, however long ago the era was stated.
 const DOUBT_TIME: Duration = Duration::from_secs(5);
 
 /// What an answer says of the store's era.
@@ -38,22 +39,16 @@
 /// What speaks against an era since it was last stated.
 #[derive(Debug, Clone, Copy, Default)]
 struct EraDoubt {
-    stated_at: Duration,
+    first_at: Option<Duration>,
     contradictions: u32,
 }
 
 impl EraDoubt {
-    fn confirmed(now: Duration) -> Self {
-        Self {
-            stated_at: now,
-            contradictions: 0,
-        }
-    }
-
     /// Records an earlier era; returns whether the later one is given up.
     fn contradict(&mut self, now: Duration) -> bool {
+        let first_at = *self.first_at.get_or_insert(now);
         self.contradictions += 1;
-        let is_doubtful = now.saturating_sub(self.stated_at) > DOUBT_TIME;
+        let is_doubtful = now.saturating_sub(first_at) >= DOUBT_TIME;
         is_doubtful && self.contradictions >= MAX_CONTRADICTIONS
     }
 }
@@ -96,22 +91,22 @@
             self.given_up = None;
         }
         if self.current == Some(stated) {
-            self.confirm(source, now);
+            self.confirm(source);
             return EraObservation::Same;
         }
         if self.current.is_some_and(|current| stated < current) && !self.gives_up(source, now) {
             return EraObservation::Outdated;
         }
-        self.confirm(EraSource::Store, now);
+        self.confirm(EraSource::Store);
         EraObservation::Began {
             before: self.current.replace(stated),
         }
     }
 
-    fn confirm(&mut self, source: EraSource, now: Duration) {
-        self.doubt = EraDoubt::confirmed(now);
+    fn confirm(&mut self, source: EraSource) {
+        self.doubt = EraDoubt::default();
         if source == EraSource::Store {
-            self.store_doubt = EraDoubt::confirmed(now);
+            self.store_doubt = EraDoubt::default();
         }
     }
 
