Begin the grace for missing entries with the read that lacks them

By the review, read and not run: a node that follows another one, or whose whole read is the first response of a new era, takes the rows of the restored registry before the note of the new era is taken from its queue. The grace was not active yet, and entries that the copy lacks were removed at once: requests got 503 until their targets wrote again. Fix: the intake begins the grace when it takes the first whole read of an era, before its rows are applied. Test: feed recovery_grace::restored_read_begins_grace; record_restore did not exist before. No test with processes shows it, since the stand-in breaks waiting calls at a restore, which begins the grace as well.

--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -51,6 +51,10 @@
         if table == FeedTable::Registry {
             let mut recovery = self.node.feed.recovery.borrow_mut();
             recovery.record_confirmation(proof.confirmed_at);
+            if taken.is_restored {
+                // The note of the new era may not have been taken yet when its rows are.
+                recovery.record_restore(now);
+            }
         }
         self.apply_changed(table, &taken);
         match table {
--- a/crates/serving/src/feed/recovery_grace.rs
+++ b/crates/serving/src/feed/recovery_grace.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Records that the table was read whole after the store had come back from a copy.
+    pub fn record_restore(&mut self, read_at: Duration) {
+        self.until = self.until.max(Some(read_at + RECOVERY_GRACE));
+    }
+
     /// When a call to the store last failed; `None` if none has.
     #[must_use]
     pub fn failed_at(&self) -> Option<Duration> {
--- a/crates/serving/tests/feed/recovery_grace.rs
+++ b/crates/serving/tests/feed/recovery_grace.rs
@@ -113,3 +113,16 @@
         true
     }
 }
+
+/// Entries that a copy of the store lacks would be removed at once at a node that reads it before it has noted the new
+/// era, as one that follows another node does.
+#[test]
+fn restored_read_begins_grace() {
+    let mut grace = confirmed();
+    grace.record_confirmation(millis(11_000));
+    grace.record_restore(millis(11_000));
+    assert!(grace.is_active(millis(11_000), None));
+    grace.record_confirmation(millis(12_000));
+    assert!(grace.is_active(millis(13_200), None));
+    assert!(!grace.is_active(millis(13_300), None));
+}
