Let a trial be claimed again that a restored store has lost

By the review, read and not run: a claim of a trial that was written in the lost seconds is remembered with its version of the earlier era. Each further claim was a conditional write from that version, which ends without a call, and was denied: requests that are barred and not proved got 503 until the records expire after ten minutes. Fix: a known version of another era counts as no row; the conditional write of the new era then decides. No test shows it; the tests of crash records and trials (crashing_parts, poison_requests) guard what was there before.

--- a/crates/gateway/src/crash/trial.rs
+++ b/crates/gateway/src/crash/trial.rs
@@ -123,7 +123,11 @@
             return TrialClaim::Denied;
         }
         let era = self.eras.current();
-        let expected = known.map_or(EraVersion::absent(era), |(_, version)| version);
+        // A claim that a restored store has lost is remembered with a version that no row has any more.
+        let expected = known
+            .map(|(_, version)| version)
+            .filter(|version| version.era() == era)
+            .unwrap_or(EraVersion::absent(era));
         let mut client = self.store_client();
         let claimed = write_claim(self, &mut client, key, set, expected).await;
         match claimed {
