--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -22,6 +22,7 @@
 pub use direct::read_directly;
 pub use follow::follow_sources;
 pub use intake::FeedIntake;
+pub use not_taken::log_refused;
 pub use provenance::{TableConfirmation, TableOrigin};
 pub use serve::serve_links;
 pub use state::{COUNT_INTERVAL, FeedMember, FeedState};
--- a/crates/gateway/src/feed/not_taken.rs
+++ b/crates/gateway/src/feed/not_taken.rs
@@ -32,12 +32,7 @@
 }
 
 /// Logs and counts the rows of a delta that a copy did not take, and a delta that it did not take as a whole.
-pub(super) fn log_refused(
-    node: &GatewayNode,
-    table: FeedTable,
-    version: EraVersion,
-    taken: &TakenDelta,
-) {
+pub fn log_refused(node: &GatewayNode, table: FeedTable, version: EraVersion, taken: &TakenDelta) {
     let reason = match taken.outcome {
         DeltaOutcome::Taken => None,
         DeltaOutcome::Stale => Some("stale_read"),
--- a/crates/gateway/src/heartbeat/mod.rs
+++ b/crates/gateway/src/heartbeat/mod.rs
@@ -13,7 +13,7 @@
 
 use self::interval::heartbeat_interval;
 use self::row::{DecisionRow, LinkRow, NodeRow};
-use crate::feed::{COUNT_INTERVAL, TableConfirmation, TableOrigin};
+use crate::feed::{COUNT_INTERVAL, TableConfirmation, TableOrigin, log_refused};
 use crate::node::GatewayNode;
 use crate::restore::{log_rows_written_again, restore_delay};
 use crate::unreadable_rows::log_unreadable_rows;
@@ -86,6 +86,8 @@
             node.feed.set_counted();
         }
         pause = match outcome {
+            // A call of this loop may have shown that the store was restored.
+            Ok(()) if restores != node.restores() => Duration::ZERO,
             Ok(()) => next_pause(&node, written_at),
             Err(_) => retry_pause(&node),
         };
@@ -217,7 +219,9 @@
         origin: TableOrigin::Store,
     };
     let now = node.now();
-    node.feed.take(FeedTable::Nodes, delta, confirmation, now);
+    let version = delta.version;
+    let taken = node.feed.take(FeedTable::Nodes, delta, confirmation, now);
+    log_refused(node, FeedTable::Nodes, version, &taken);
     count_nodes(node);
     Ok(())
 }
