--- a/crates/gateway/src/retry_leases.rs
+++ b/crates/gateway/src/retry_leases.rs
@@ -59,10 +59,7 @@
         settle: limits.settle_time(),
     };
     let holder = node.lease_holder.borrow().clone();
-    let mut ledger = LeaseLedger::new(holder, limits.slot_count(), terms, node.boot_now());
-    if !node.settings.first_start {
-        ledger = ledger.among_others();
-    }
+    let ledger = LeaseLedger::new(holder, limits.slot_count(), terms, node.boot_now());
     if ledger.slot_count() == 0 {
         return;
     }
--- a/crates/serving/src/lease/ledger.rs
+++ b/crates/serving/src/lease/ledger.rs
@@ -41,8 +41,6 @@
     clock: Option<StoreClock>,
     /// Era of the last page.
     era: StoreEra,
-    /// Whether the first page may lack leases that others hold.
-    may_lack_leases: bool,
     /// Until when slots that look free may be held by leases that the store has lost.
     lost_until: Duration,
 }
@@ -65,19 +63,10 @@
             slots: vec![unknown; slots],
             clock: None,
             era: StoreEra::UNSTATED,
-            may_lack_leases: false,
             lost_until: Duration::ZERO,
         }
     }
 
-    /// The ledger of a process that starts while others may hold leases: it can't tell whether the store has been
-    /// restored just before, and waits for leases that may be lost.
-    #[must_use]
-    pub fn among_others(mut self) -> Self {
-        self.may_lack_leases = true;
-        self
-    }
-
     /// Number of slots.
     #[must_use]
     pub fn slot_count(&self) -> usize {
@@ -95,8 +84,7 @@
     pub fn take_page(&mut self, page: LeasePage) {
         let now = page.clock.received_at;
         let is_restored = self.clock.is_some() && page.era != self.era;
-        let is_unsure = self.clock.is_none() && self.may_lack_leases && page.era != self.era;
-        if is_restored || is_unsure {
+        if is_restored {
             self.lost_until = now + self.terms.duration + self.terms.settle;
         }
         self.era = page.era;
