--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -48,13 +48,9 @@
         if taken.outcome == DeltaOutcome::Outdated {
             return;
         }
-        if table == FeedTable::Registry {
-            let mut recovery = self.node.feed.recovery.borrow_mut();
-            recovery.record_confirmation(proof.confirmed_at);
-            if taken.is_restored {
-                // The note of the new era may not have been taken yet when its rows are.
-                recovery.record_restore(now);
-            }
+        if taken.is_restored && table == FeedTable::Registry {
+            // The note of the new era may not have been taken yet when its rows are.
+            self.registry.borrow_mut().record_restore(now);
         }
         self.apply_changed(table, &taken);
         match table {
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -8,8 +8,7 @@
 use domain::StoreEra;
 use peers::SharedKey;
 use serving::feed::{
-    DeltaOutcome, LostRows, RecoveryGrace, TableCopy, TableDelta, TakenDelta, feed_order,
-    feed_sources, tree_depth,
+    DeltaOutcome, LostRows, TableCopy, TableDelta, TakenDelta, feed_order, feed_sources, tree_depth,
 };
 use tokio::sync::Notify;
 use wire::feed::{FeedLane, FeedTable};
@@ -58,8 +57,6 @@
     pub key_changed: Notify,
     /// Notified when a store call succeeded after failures.
     pub regained: Notify,
-    /// Tells after which outages of the store missing entries do not count as removed.
-    pub recovery: RefCell<RecoveryGrace>,
     config: RefCell<TableCopy>,
     registry: RefCell<TableCopy>,
     nodes: RefCell<TableCopy>,
@@ -72,6 +69,7 @@
     bulk_source: Cell<FeedSource>,
     is_bulk_cut_off: Cell<bool>,
     is_cut_off: Cell<bool>,
+    failed_at: Cell<Option<Duration>>,
     counted_at: Cell<Option<Duration>>,
     /// Nodes of the failure domain, this one included, in the order of the tree.
     order: RefCell<Vec<NodeId>>,
@@ -99,7 +97,6 @@
             mode_changed: Notify::new(),
             key_changed: Notify::new(),
             regained: Notify::new(),
-            recovery: RefCell::default(),
             config: RefCell::default(),
             registry: RefCell::default(),
             nodes: RefCell::default(),
@@ -112,6 +109,7 @@
             bulk_source: Cell::default(),
             is_bulk_cut_off: Cell::default(),
             is_cut_off: Cell::default(),
+            failed_at: Cell::default(),
             counted_at: Cell::default(),
             order: RefCell::default(),
             members: RefCell::default(),
@@ -288,14 +286,20 @@
     /// Records that a call to the store failed, at this time.
     pub fn record_failure(&self, now: Duration) {
         self.is_cut_off.set(true);
-        self.recovery.borrow_mut().record_failure(now);
+        self.failed_at.set(Some(now));
         self.advanced.notify_waiters();
     }
 
     /// When a call to the store last failed, here or at a node that passed on its changes.
     #[must_use]
     pub fn failed_at(&self) -> Option<Duration> {
-        self.recovery.borrow().failed_at()
+        self.failed_at.get()
+    }
+
+    /// Records a failure of which a source told.
+    pub fn record_source_failure(&self, failed_at: Duration) {
+        self.failed_at
+            .set(self.failed_at.get().max(Some(failed_at)));
     }
 
     /// Sets the live nodes of the failure domain, and those that accept links.
--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -20,6 +20,10 @@
 use crate::node::{ColdSource, EntryIntake, GatewayNode};
 use crate::probe::{probe_unlisted, refresh_contradicted};
 
+/// Time after an outage of the store in which missing entries do not count as removed: live targets
+/// write their entries again within it.
+const RECOVERY_GRACE: Duration = Duration::from_millis(2300);
+
 /// Time after a restore of the store for which what the store has lost holds on, and what it shows again does not
 /// count. Writers write their rows again within about two seconds, and the entry of a target that is gone is
 /// removed after three heartbeats of silence.
@@ -153,6 +157,8 @@
     /// Entries that a restored store shows again of targets that had left, or with an earlier membership than is
     /// known, and until when they don't count.
     returned: Vec<(StoreRow, Duration)>,
+    /// When the registry was first read whole after a restore.
+    restored_at: Option<Duration>,
 }
 
 impl RegistryWatcher {
@@ -162,12 +168,20 @@
             pending_removals: Vec::new(),
             departed: DepartedTargets::default(),
             returned: Vec::new(),
+            restored_at: None,
         }
     }
 
+    /// Records that the table was read whole after the store had come back from a copy.
+    pub fn record_restore(&mut self, now: Duration) {
+        self.restored_at = Some(now);
+    }
+
     fn in_recovery_grace(&self) -> bool {
-        let recovery = self.node.feed.recovery.borrow();
-        recovery.is_active(self.node.now(), self.node.era_began_at())
+        let now = self.node.now();
+        let restored_at = self.restored_at.max(self.node.era_began_at());
+        let last_failure = self.node.feed.failed_at().max(restored_at);
+        last_failure.is_some_and(|failed_at| now.saturating_sub(failed_at) < RECOVERY_GRACE)
     }
 
     fn handle_missing(&mut self, id: HostId) {
