Fix both consequences of a missing entry when it goes missing

Gateways sent requests to targets that had left for up to 8.5 s, while another gateway's connections to the store were reset. Their own were never touched.

A removal did not count for 2.3 s after any failed call, of this node or of one that it follows, and each further failure began the wait again, also for removals that had been read long before. One timer decided when requests end and when the target's replica is taken apart.

The two have times of their own now, both fixed when the entry goes missing: requests end after half of the bound for drains if calls failed elsewhere, after the bound if calls of this node failed, 2.3 s after an outage or a restore; memberships end 2.3 s after the last failure before. Later failures begin nothing again. Targets of plain services are removed when requests end. The lines entry_missing and entry_back show what becomes of each such entry, and a counter the requests sent meanwhile.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -347,6 +347,14 @@
     /// skipped. The other rows are taken. `untold` is the number of further such rows of the same response, which have
     /// no lines of their own.
     RowUnreadable = 397, "row_unreadable", Warn;
+    /// The registry lacks the entry of a target that may be alive: entries expire while the store is away. `cause` is
+    /// `outage` (the store was away for seconds, or restored from a copy), `own_calls` (calls of this node failed) or
+    /// `others_calls` (calls of nodes failed that pass on its changes). Its replica stays as it is until its entry is
+    /// back or it counts as gone. Requests go on to it for as long, after `others_calls` for half of the time that a
+    /// target takes to leave.
+    EntryMissing = 398, "entry_missing", Info;
+    /// The entry of a target is back that was missing for `missing_ms`.
+    EntryBack = 399, "entry_back", Info;
 
     /// A node sent no heartbeat for a long time, and its row was removed from the table.
     MemberExpired = 400, "member_expired", Info;
--- a/crates/gateway/src/admitted.rs
+++ b/crates/gateway/src/admitted.rs
@@ -239,6 +239,7 @@
             Some(model) if !service.models.is_empty() => node.serving_heads(service, model),
             _ => node.plain_targets(&self.service),
         };
+        node.retain_sendable(&mut entries);
         node.retain_allowed(self.regions.as_ref(), &mut entries);
         let barriers = TargetBarriers::retain_free(node, &mut entries);
         entries.retain(|entry| !tried.contains(&entry.id));
@@ -270,7 +271,9 @@
                 ..SelectionError::new(reason, node, &entries, limits, max_slots)
             }
         })?;
-        Ok(entries.swap_remove(index))
+        let target = entries.swap_remove(index);
+        node.count_missing_send(&target);
+        Ok(target)
     }
 
     /// Chooses among targets; returns the index of one.
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -301,7 +301,10 @@
     if let Some(failed_ms_ago) = response.failed_ms_ago {
         let ago = Duration::from_millis(u64::from(failed_ms_ago));
         if let Some(failed_at) = now.checked_sub(ago) {
-            node.feed.record_source_failure(failed_at);
+            node.feed
+                .outages
+                .borrow_mut()
+                .record_others_failure(failed_at);
         }
     }
     let depth = node.feed.depth(&node.settings.node);
--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -52,6 +52,10 @@
             // The note of the new era may not have been taken yet when its rows are.
             self.registry.borrow_mut().record_restore(now);
         }
+        if table == FeedTable::Registry {
+            let mut outages = self.node.feed.outages.borrow_mut();
+            outages.record_confirmation(proof.confirmed_at);
+        }
         self.apply_changed(table, &taken);
         match table {
             FeedTable::Config => self.config.end_lost_evacuations(),
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -237,7 +237,8 @@
         let copy = node.feed.copy(position.table).borrow();
         tables.extend(encode_delta(&copy, *position, now));
     }
-    let failed_ago = node.feed.failed_at().map(|at| now.saturating_sub(at));
+    let failed_at = node.feed.outages.borrow().failed_at();
+    let failed_ago = failed_at.map(|at| now.saturating_sub(at));
     FeedResponse {
         is_cut_off: node.feed.is_lane_cut_off(lane),
         held_ms: encode_millis(now.saturating_sub(received_at)),
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -10,6 +10,7 @@
 use serving::feed::{
     DeltaOutcome, LostRows, TableCopy, TableDelta, TakenDelta, feed_order, feed_sources, tree_depth,
 };
+use serving::missing_targets::OutageWatch;
 use tokio::sync::Notify;
 use wire::feed::{FeedLane, FeedTable};
 
@@ -57,6 +58,8 @@
     pub key_changed: Notify,
     /// Notified when a store call succeeded after failures.
     pub regained: Notify,
+    /// Outages of the store and failed calls, here and at nodes that pass on its changes.
+    pub outages: RefCell<OutageWatch>,
     config: RefCell<TableCopy>,
     registry: RefCell<TableCopy>,
     nodes: RefCell<TableCopy>,
@@ -69,7 +72,6 @@
     bulk_source: Cell<FeedSource>,
     is_bulk_cut_off: Cell<bool>,
     is_cut_off: Cell<bool>,
-    failed_at: Cell<Option<Duration>>,
     counted_at: Cell<Option<Duration>>,
     /// Nodes of the failure domain, this one included, in the order of the tree.
     order: RefCell<Vec<NodeId>>,
@@ -97,6 +99,7 @@
             mode_changed: Notify::new(),
             key_changed: Notify::new(),
             regained: Notify::new(),
+            outages: RefCell::default(),
             config: RefCell::default(),
             registry: RefCell::default(),
             nodes: RefCell::default(),
@@ -109,7 +112,6 @@
             bulk_source: Cell::default(),
             is_bulk_cut_off: Cell::default(),
             is_cut_off: Cell::default(),
-            failed_at: Cell::default(),
             counted_at: Cell::default(),
             order: RefCell::default(),
             members: RefCell::default(),
@@ -286,22 +288,10 @@
     /// Records that a call to the store failed, at this time.
     pub fn record_failure(&self, now: Duration) {
         self.is_cut_off.set(true);
-        self.failed_at.set(Some(now));
+        self.outages.borrow_mut().record_failure(now);
         self.advanced.notify_waiters();
     }
 
-    /// When a call to the store last failed, here or at a node that passed on its changes.
-    #[must_use]
-    pub fn failed_at(&self) -> Option<Duration> {
-        self.failed_at.get()
-    }
-
-    /// Records a failure of which a source told.
-    pub fn record_source_failure(&self, failed_at: Duration) {
-        self.failed_at
-            .set(self.failed_at.get().max(Some(failed_at)));
-    }
-
     /// Sets the live nodes of the failure domain, and those that accept links.
     pub fn set_members(&self, domain: &str, nodes: &[NodeId], members: Vec<FeedMember>) {
         let names = nodes.iter().map(NodeId::as_str);
--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -20,10 +20,6 @@
 use crate::node::{ColdSource, EntryIntake, GatewayNode};
 use crate::probe::{probe_unlisted, refresh_contradicted};
 
-/// Time after an outage of the store in which missing entries do not count as removed: live targets
-/// write their entries again within it.
-const RECOVERY_GRACE: Duration = Duration::from_millis(2300);
-
 /// Time after a restore of the store for which what the store has lost holds on, and what it shows again does not
 /// count. Writers write their rows again within about two seconds, and the entry of a target that is gone is
 /// removed after three heartbeats of silence.
@@ -151,8 +147,6 @@
 /// Maintains the known targets.
 pub(super) struct RegistryWatcher {
     node: Rc<GatewayNode>,
-    /// Targets whose entries were missing soon after an outage of the store.
-    pending_removals: Vec<HostId>,
     departed: DepartedTargets,
     /// Entries that a restored store shows again of targets that had left, or with an earlier membership than is
     /// known, and until when they don't count.
@@ -165,7 +159,6 @@
     pub fn new(node: Rc<GatewayNode>) -> Self {
         Self {
             node,
-            pending_removals: Vec::new(),
             departed: DepartedTargets::default(),
             returned: Vec::new(),
             restored_at: None,
@@ -177,19 +170,18 @@
         self.restored_at = Some(now);
     }
 
-    fn in_recovery_grace(&self) -> bool {
-        let now = self.node.now();
+    /// Handles the removal of an entry. If it may have expired though its target lives, the target stays known for a
+    /// while, and takes only what no other target can.
+    fn handle_missing(&self, id: HostId) {
         let restored_at = self.restored_at.max(self.node.era_began_at());
-        let last_failure = self.node.feed.failed_at().max(restored_at);
-        last_failure.is_some_and(|failed_at| now.saturating_sub(failed_at) < RECOVERY_GRACE)
-    }
-
-    fn handle_missing(&mut self, id: HostId) {
-        if self.in_recovery_grace() {
-            self.pending_removals.push(id);
-            return;
+        let lapse = {
+            let outages = self.node.feed.outages.borrow();
+            outages.lapse(self.node.now(), restored_at)
+        };
+        match lapse {
+            Some(lapse) => self.node.record_missing(id, lapse),
+            None => self.unlist(id),
         }
-        self.unlist(id);
     }
 
     /// Removes a target from the registry view. One that is still needed is probed by the nodes that
@@ -221,7 +213,7 @@
                     }
                     self.keep_draining(&mut entry);
                 }
-                self.pending_removals.retain(|id| *id != entry.id);
+                self.node.record_listed(&entry.id);
                 if origin == RowOrigin::RestoredStore && self.node.is_behind_known(&entry) {
                     self.hold_back(row, "membership_before_restore");
                     self.node.apply_besides_membership(&entry);
@@ -297,10 +289,7 @@
     pub fn confirm(&mut self, version: EraVersion, confirmed_at: Duration) {
         self.node.confirm_registry(version, confirmed_at);
         self.admit_returned();
-        if self.in_recovery_grace() {
-            return;
-        }
-        for id in std::mem::take(&mut self.pending_removals) {
+        for id in self.node.take_missing_members() {
             self.unlist(id);
         }
     }
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -74,6 +74,7 @@
     statements: Counter<u64>,
     barred_sends: Counter<u64>,
     slow_cuts: Counter<u64>,
+    missing_sends: Counter<u64>,
     late_requests: Counter<u64>,
     refusals: Counter<u64>,
     unproved: Counter<u64>,
@@ -116,6 +117,7 @@
             statements: counter("bramleyspring.gateway.statement.count"),
             barred_sends: counter("bramleyspring.gateway.send.barred"),
             slow_cuts: counter("bramleyspring.gateway.held.cut"),
+            missing_sends: counter("bramleyspring.gateway.send.missing_entry"),
             late_requests: counter("bramleyspring.gateway.late.count"),
             refusals: counter("bramleyspring.gateway.refusal.count"),
             unproved: counter("bramleyspring.gateway.response.unproved"),
@@ -255,6 +257,12 @@
         self.slow_cuts.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that goes to a target whose entry is missing.
+    pub fn record_missing_send(&self, service: &str) {
+        let label = KeyValue::new("service", service.to_owned());
+        self.missing_sends.add(1, &[label]);
+    }
+
     /// Counts a request whose response will be late though its client waits: `admitted` or `rejected`.
     pub fn record_late(&self, service: &str, outcome: &'static str) {
         let labels = [
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod health;
 mod live_nodes;
 mod loads;
+mod missing;
 mod paths;
 mod process;
 mod ranks;
@@ -26,6 +27,7 @@
 use serving::demand::DemandLedger;
 use serving::lease::LeaseLedger;
 use serving::load_board::LoadBoard;
+use serving::missing_targets::MissingTargets;
 use serving::regions::RegionMap;
 use serving::replica_history::ReplicaHistory;
 use serving::stall::StallDetector;
@@ -111,6 +113,8 @@
     config_digest: Cell<u64>,
     idle_timeout: Cell<Duration>,
     registry: RefCell<TargetRegistry>,
+    /// Known targets whose entries are missing from the registry.
+    missing: RefCell<MissingTargets>,
     registry_version: Cell<Option<EraVersion>>,
     registry_confirmed_at: Cell<Duration>,
     store_unreachable: Cell<bool>,
@@ -222,6 +226,7 @@
             config_digest: Cell::default(),
             idle_timeout: Cell::new(DEFAULT_IDLE_TIMEOUT),
             registry: RefCell::default(),
+            missing: RefCell::default(),
             registry_version: Cell::default(),
             registry_confirmed_at: Cell::default(),
             store_unreachable: Cell::default(),
--- a/crates/gateway/src/node/targets.rs
+++ b/crates/gateway/src/node/targets.rs
@@ -163,6 +163,7 @@
     /// Removes a target with all state about it, and closes its idle connections.
     pub fn remove_target(&self, id: &HostId) {
         self.unlisted.borrow_mut().remove(id);
+        self.missing.borrow_mut().forget(id);
         self.forget_confirmed(id);
         self.membership_changed_at.borrow_mut().remove(id);
         self.forget_idle_head(id);
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -150,13 +150,14 @@
 }
 
 /// Probes targets that are no longer in the registry, and removes them once they don't respond or
-/// no request needs them; never returns.
+/// no request needs them, or nothing may be sent to them any more; never returns.
 pub async fn probe_all_unlisted(node: Rc<GatewayNode>) {
     loop {
         tokio::time::sleep(PROBE_INTERVAL).await;
         for id in node.retired_too_long() {
             node.remove_target(&id);
         }
+        node.remove_missing_plain();
         for id in node.unlisted() {
             if node.begin_unlisted_probe(&id) {
                 tokio::task::spawn_local(probe_unlisted(Rc::clone(&node), id));
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod load_board;
 pub mod load_budget;
 pub mod memory_tokens;
+pub mod missing_targets;
 pub mod plan;
 pub mod poison;
 pub mod probe_schedule;
--- a/crates/standin/src/site/engine_control.rs
+++ b/crates/standin/src/site/engine_control.rs
@@ -27,6 +27,12 @@
         self.store.remove("servers", id);
     }
 
+    /// Writes the entry of an engine again that had expired.
+    pub fn rewrite(&self, id: &str) {
+        self.with(id, |engine| engine.listed = true);
+        self.register(id);
+    }
+
     /// Crashes an engine, as a request whose body contains [`CRASH_BODY`] does: its connections and
     /// its listener are closed.
     pub fn crash(&self, id: &str) {
