Give other tasks their turn however fast a peer sends

One connection of a client without a key, or one request at a faulty target, stopped a node for all clients: the size of a chunk, or interim responses, without end.

The HTTP library reads these in loops that end when no bytes are there. A node has one thread, so no timer fired and no other connection was served while the peer was faster.

FairStream ends a turn after 8 KiB, at every face that reads: clients, readiness, metrics, links, tunnels, targets and the store. FairTask pauses a connection whose bytes are always there, so that it takes a tenth of the thread at most.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use web::{FairStream, FairTask};
 
 use crate::handle::handle_request;
 use crate::head_room::{HeadRoom, HeadStream, max_headers};
@@ -138,8 +139,11 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT);
+    let stream = FairStream::new(stream);
+    let flow = stream.flow();
     let stream = TokioIo::new(HeadStream::new(stream, &room));
-    let mut connection = builder.serve_connection(stream, handler);
+    let connection = builder.serve_connection(stream, handler);
+    let mut connection = FairTask::new(connection, flow.clone());
     let mut closing = false;
     loop {
         tokio::select! {
@@ -156,15 +160,16 @@
             () = ahead.run() => return,
             () = wait_until_closable(&node, &usage), if !closing => {
                 closing = true;
-                std::pin::Pin::new(&mut connection).graceful_shutdown();
+                std::pin::Pin::new(connection.get_mut()).graceful_shutdown();
             }
             () = room.exceeded() => {
-                let parts = connection.into_parts();
+                let parts = connection.into_inner().into_parts();
                 room.extend(&parts.read_buf);
                 builder.max_headers(max_headers(node.config().as_deref()));
-                connection = builder.serve_connection(parts.io, parts.service);
+                let served = builder.serve_connection(parts.io, parts.service);
+                connection = FairTask::new(served, flow.clone());
                 if closing {
-                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                    std::pin::Pin::new(connection.get_mut()).graceful_shutdown();
                 }
             }
         }
@@ -209,12 +214,11 @@
             builder
                 .timer(TokioTimer::new())
                 .header_read_timeout(STATUS_IDLE_TIMEOUT);
+            let stream = FairStream::new(stream);
+            let flow = stream.flow();
+            let connection = builder.serve_connection(TokioIo::new(stream), handler);
             // The client sees the error and retries.
-            drop(
-                builder
-                    .serve_connection(TokioIo::new(stream), handler)
-                    .await,
-            );
+            drop(FairTask::new(connection, flow).await);
         });
     }
 }
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -11,6 +11,7 @@
 use h2::server::SendResponse;
 use http::{Method, Request, Response, StatusCode};
 use tokio::io::{AsyncRead, AsyncWrite};
+use web::FairStream;
 use wire::peer::{
     MAX_HELLO_BYTES, NEWEST_VERSION, NONCE_BYTES, OLDEST_VERSION, PeerHello, PeerWelcome,
     decode_message, encode_message,
@@ -56,7 +57,7 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let (requests, connection) = h2::client::handshake(stream).await?;
+        let (requests, connection) = h2::client::handshake(FairStream::new(stream)).await?;
         tokio::spawn(async move {
             // A failed connection fails the requests on it, which report the error.
             drop(connection.await);
@@ -200,7 +201,7 @@
         .max_concurrent_streams(max_concurrent)
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(STREAM_WINDOW_BYTES * max_concurrent);
-    let handshake = builder.handshake::<_, Bytes>(stream);
+    let handshake = builder.handshake::<_, Bytes>(FairStream::new(stream));
     let mut connection = match tokio::time::timeout(IDLE_TIMEOUT, handshake).await {
         Ok(connection) => connection?,
         Err(_) => return Err(LinkError::TimedOut),
--- a/crates/peers/src/tunnel.rs
+++ b/crates/peers/src/tunnel.rs
@@ -20,6 +20,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::timeout;
+use web::FairStream;
 
 use crate::auth::{FrameAuthenticator, SharedKey};
 use crate::error::LinkError;
@@ -74,7 +75,7 @@
         builder
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(LINK_WINDOW_BYTES);
-        let (requests, mut connection) = builder.handshake(stream).await?;
+        let (requests, mut connection) = builder.handshake(FairStream::new(stream)).await?;
         let pings = connection.ping_pong();
         tokio::spawn(async move {
             // The end of the connection fails its streams, which report the error.
--- a/crates/standin/src/site/endless.rs
+++ b/crates/standin/src/site/endless.rs
@@ -20,6 +20,8 @@
     Headers,
     /// In interim responses before it.
     Interim,
+    /// In the size of a chunk of a success.
+    ChunkSize,
     /// In the body of a success.
     Body,
     /// In the body of a rejection.
@@ -39,6 +41,7 @@
             Self::HeaderLine => ("HTTP/1.1 200 OK\r\nx-long: ".to_owned(), "x"),
             Self::Headers => ("HTTP/1.1 200 OK\r\n".to_owned(), "a: b\r\n"),
             Self::Interim => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+            Self::ChunkSize => (format!("HTTP/1.1 200 OK\r\n{signed}{chunked}"), "0"),
             Self::Body => (
                 format!("HTTP/1.1 200 OK\r\n{signed}{chunked}"),
                 "1\r\nx\r\n",
@@ -56,6 +59,9 @@
     }
 }
 
+/// Bytes that a fast instance writes at once.
+const FAST_WRITE_BYTES: usize = 64 << 10;
+
 /// One such instance; dropping it closes its listener.
 #[derive(Debug)]
 pub struct EndlessInstance {
@@ -76,6 +82,29 @@
     ///
     /// Returns an error if no port can be bound.
     pub fn start(store: &SiteStore, id: &str, kind: EndlessKind) -> std::io::Result<Self> {
+        Self::start_with(store, ("records", id), kind, 1)
+    }
+
+    /// Starts an instance of another service, which always has bytes ready, and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub fn start_fast(
+        store: &SiteStore,
+        service: &str,
+        id: &str,
+        kind: EndlessKind,
+    ) -> std::io::Result<Self> {
+        Self::start_with(store, (service, id), kind, FAST_WRITE_BYTES)
+    }
+
+    fn start_with(
+        store: &SiteStore,
+        (service, id): (&str, &str),
+        kind: EndlessKind,
+        write_bytes: usize,
+    ) -> std::io::Result<Self> {
         let socket = TcpSocket::new_v4()?;
         socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
         let listener = socket.listen(64)?;
@@ -88,13 +117,13 @@
                 tokio::spawn(async move {
                     opened.fetch_add(1, Ordering::Relaxed);
                     // It ends when the other side closes the connection.
-                    drop(respond(stream, kind).await);
+                    drop(respond(stream, kind, write_bytes).await);
                     opened.fetch_sub(1, Ordering::Relaxed);
                 });
             }
         });
         let row = json!({
-            "service": "records", "address": address.to_string(), "zone": "z0", "version": "v1",
+            "service": service, "address": address.to_string(), "zone": "z0", "version": "v1",
             "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
         });
         store.put("servers", id, row.to_string().as_bytes());
@@ -108,7 +137,11 @@
     }
 }
 
-async fn respond(mut stream: TcpStream, kind: EndlessKind) -> std::io::Result<()> {
+async fn respond(
+    mut stream: TcpStream,
+    kind: EndlessKind,
+    write_bytes: usize,
+) -> std::io::Result<()> {
     let mut request = Vec::new();
     while !request.windows(4).any(|end| end == b"\r\n\r\n") {
         if stream.read_buf(&mut request).await? == 0 {
@@ -121,6 +154,7 @@
     let id = ids.next().map_or("", |(_, id)| id);
     let (once, repeated) = kind.bytes(id);
     stream.write_all(once.as_bytes()).await?;
+    let repeated = repeated.repeat(write_bytes.div_ceil(repeated.len()));
     loop {
         stream.write_all(repeated.as_bytes()).await?;
     }
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -16,6 +16,9 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
+use crate::fair_stream::FairStream;
+use crate::fair_task::FairTask;
+
 /// Why a connection could not be established or returned no response.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectionError {
@@ -76,12 +79,14 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
+        let stream = FairStream::new(stream);
+        let flow = stream.flow();
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| ConnectionError::Unsent)?;
         tokio::spawn(async move {
             // Errors of the connection are also reported to the sender of the affected request.
-            drop(connection.await);
+            drop(FairTask::new(connection, flow).await);
         });
         Ok(Self { sender })
     }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod body;
 pub mod client;
 pub mod connection;
+pub mod fair_stream;
+pub mod fair_task;
 pub mod query;
 pub mod response;
 pub mod retry_after;
@@ -12,6 +14,8 @@
 pub use body::{BodyError, WebBody, parse_json, read_body};
 pub use client::{ClientError, WebClient};
 pub use connection::{ConnectionError, HttpConnection};
+pub use fair_stream::FairStream;
+pub use fair_task::FairTask;
 pub use query::query_value;
 pub use response::{WebResponse, is_close_delimited, json_response, text_response};
 pub use retry_after::{parse_retry_after, retry_after};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_rustls::server::TlsStream;
 
+use crate::fair_stream::FairStream;
 use crate::response::WebResponse;
 use crate::tls::ReloadableTlsConfig;
 
@@ -123,7 +124,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT);
     let connection = builder
-        .serve_connection_with_upgrades(TokioIo::new(stream), service)
+        .serve_connection_with_upgrades(TokioIo::new(FairStream::new(stream)), service)
         .into_owned();
     let _ = watcher.watch(connection).await;
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod evacuation;
 mod evacuation_soak;
 mod failure_diagnosis;
+mod fair_turns;
 mod foreign_servers;
 mod full_restart;
 mod idle_connections;
