Answer the requests that still run when a stopping node exits

Requests that a target was still working on at the end of the grace lost their connection without an answer, payments among them. Clients take that for a request that was not read, and send it again.

A stopping node took everything for 2.6 s, also with a grace in which it exits after 2.3 s; and what still ran at the exit was cut, however long the grace.

Everything is taken for a third of the grace at most. At the end, requests that still run get 504 if a target may have run them, else 503, and the process exits 0.2 s later at most.

Before: planned_stop::short_grace_cuts_nothing failed (grace 3 s: 7 payments that had run were cut), and unfinished_requests_answered (grace 8 s, targets that take 30 s, two signals: 8 cut). Both pass now, as do the tests of shutdown.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -165,6 +165,8 @@
 struct AttemptState {
     sent: u32,
     connect_failures: usize,
+    /// Whether an attempt is being made now, whose outcome is not known yet.
+    is_sending: bool,
     may_have_run: bool,
     tried: FastSet<HostId>,
     /// Error response of a target, returned if no later attempt succeeds.
@@ -194,6 +196,8 @@
     }
 }
 
+/// Makes the attempts of a request. If the process has to exit before they end, the client is told what is known: a
+/// closed connection would look as if the request had not been read.
 async fn run_attempts(
     node: &Rc<GatewayNode>,
     config: &GatewayConfig,
@@ -201,18 +205,64 @@
     client: &Rc<ClientHold>,
 ) -> Outcome {
     let mut state = AttemptState::default();
+    let ended = tokio::select! {
+        biased;
+        ended = make_attempts(node, config, admitted, client, &mut state) => Some(ended),
+        () = node.requests_given_up() => None,
+    };
+    match ended {
+        Some(AttemptsEnd::Outcome(outcome)) => outcome,
+        Some(AttemptsEnd::Exhausted {
+            retry_after,
+            timed_out,
+        }) => state.into_outcome(retry_after, timed_out),
+        None => {
+            state.may_have_run |= state.is_sending;
+            "the node is stopping".clone_into(&mut state.last_error);
+            state.into_outcome(SHUTDOWN_RETRY_AFTER, true)
+        }
+    }
+}
+
+/// How the attempts of a request ended.
+enum AttemptsEnd {
+    /// With a response.
+    Outcome(Outcome),
+    /// Without one; the client may come back after `retry_after` if nothing has run.
+    Exhausted {
+        retry_after: Duration,
+        timed_out: bool,
+    },
+}
+
+impl AttemptsEnd {
+    fn exhausted(retry_after: Duration, timed_out: bool) -> Self {
+        Self::Exhausted {
+            retry_after,
+            timed_out,
+        }
+    }
+}
+
+async fn make_attempts(
+    node: &Rc<GatewayNode>,
+    config: &GatewayConfig,
+    admitted: &Rc<AdmittedRequest>,
+    client: &Rc<ClientHold>,
+    state: &mut AttemptState,
+) -> AttemptsEnd {
     if let Some(service) = config.services.get(&admitted.service) {
         admitted.record_offered(node, service);
     }
     loop {
         let now = node.now();
         if admitted.time_left(now).is_zero() {
-            return state.into_outcome(OVERLOAD_RETRY_AFTER, true);
+            return AttemptsEnd::exhausted(OVERLOAD_RETRY_AFTER, true);
         }
         let attempts_left =
             state.sent < admitted.max_attempts && state.connect_failures < MAX_CONNECT_FAILURES;
         if !attempts_left {
-            return state.into_outcome(OVERLOAD_RETRY_AFTER, false);
+            return AttemptsEnd::exhausted(OVERLOAD_RETRY_AFTER, false);
         }
         let target =
             match admitted.select_target(node, config, &state.tried, admitted.target_latency) {
@@ -225,13 +275,13 @@
                     if state.last_error.is_empty() {
                         state.last_error = failure.to_string();
                     }
-                    return state
-                        .into_outcome(retry_after(node, config, admitted, &failure), false);
+                    let retry_after = retry_after(node, config, admitted, &failure);
+                    return AttemptsEnd::exhausted(retry_after, false);
                 }
             };
         if state.sent > 0 && node.crashes.verdict(admitted) != PoisonVerdict::Clear {
             state.last_error.push_str("; suspected of crashing targets");
-            return state.into_outcome(OVERLOAD_RETRY_AFTER, false);
+            return AttemptsEnd::exhausted(OVERLOAD_RETRY_AFTER, false);
         }
         if state.sent == 0 && state.connect_failures > 0 {
             node.record_free_attempt(admitted, &state.last_error);
@@ -241,28 +291,23 @@
             ticket = node.take_retry(admitted, RetryPurpose::Start, &state.last_error);
             if ticket.is_none() {
                 state.last_error.push_str("; retry budget exhausted");
-                return state.into_outcome(OVERLOAD_RETRY_AFTER, false);
+                return AttemptsEnd::exhausted(OVERLOAD_RETRY_AFTER, false);
             }
         }
         if state.tried.is_empty() {
-            let elapsed = now.saturating_sub(admitted.arrived);
-            node.metrics.record_first_send(admitted.labels(), elapsed);
-            let service = config.services.get(&admitted.service);
-            if service.is_some_and(|service| admitted.is_late(service)) {
-                let service = admitted.service.as_str();
-                node.metrics.record_late(service, "admitted");
-            }
+            record_first_send(node, config, admitted, now);
         }
         state.tried.insert(target.id.clone());
-        let timeout = attempt_timeout(admitted, &state, now);
+        let timeout = attempt_timeout(admitted, state, now);
         let reuse = ConnectionReuse::now(node);
+        state.is_sending = true;
         let outcome = send_attempt(node, admitted, &target, None, reuse, timeout).await;
         match outcome {
             AttemptOutcome::Responded(response) => {
                 state.sent += 1;
-                let outcome = handle_response(node, admitted, client, *response, &mut state).await;
+                let outcome = handle_response(node, admitted, client, *response, state).await;
                 if let Some(outcome) = outcome {
-                    return outcome;
+                    return AttemptsEnd::Outcome(outcome);
                 }
             }
             AttemptOutcome::Unsent(reason) => {
@@ -286,7 +331,7 @@
                 state.record_ambiguous(reason);
                 log_failed_attempt(node, admitted, &target.id, &state.last_error);
                 if !admitted.is_retryable() {
-                    return state.into_outcome(OVERLOAD_RETRY_AFTER, false);
+                    return AttemptsEnd::exhausted(OVERLOAD_RETRY_AFTER, false);
                 }
             }
             AttemptOutcome::TimedOut => {
@@ -294,10 +339,26 @@
                 log_failed_attempt(node, admitted, &target.id, &state.last_error);
                 // Only retryable requests get an attempt timeout shorter than the remaining time.
                 if !admitted.is_retryable() {
-                    return state.into_outcome(OVERLOAD_RETRY_AFTER, true);
+                    return AttemptsEnd::exhausted(OVERLOAD_RETRY_AFTER, true);
                 }
             }
         }
+        state.is_sending = false;
+    }
+}
+
+fn record_first_send(
+    node: &GatewayNode,
+    config: &GatewayConfig,
+    admitted: &AdmittedRequest,
+    now: Duration,
+) {
+    let elapsed = now.saturating_sub(admitted.arrived);
+    node.metrics.record_first_send(admitted.labels(), elapsed);
+    let service = config.services.get(&admitted.service);
+    if service.is_some_and(|service| admitted.is_late(service)) {
+        let service = admitted.service.as_str();
+        node.metrics.record_late(service, "admitted");
     }
 }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -177,6 +177,8 @@
     shutdown: Cell<Option<ShutdownPlan>>,
     /// Closed when no more client connections are accepted.
     accepting: Semaphore,
+    /// Closed when the requests that still run at the end of a shutdown are given up.
+    serving: Semaphore,
     running_requests: Cell<usize>,
     open_connections: Cell<usize>,
     has_seen_request: Cell<bool>,
@@ -268,6 +270,7 @@
             nodes_generation: Cell::default(),
             shutdown: Cell::default(),
             accepting: Semaphore::new(0),
+            serving: Semaphore::new(0),
             running_requests: Cell::default(),
             open_connections: Cell::default(),
             has_seen_request: Cell::default(),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -182,6 +182,17 @@
         drop(self.accepting.acquire().await);
     }
 
+    /// Gives up the requests that still run; their clients get an answer.
+    pub fn give_up_requests(&self) {
+        self.serving.close();
+    }
+
+    /// Completes once [`GatewayNode::give_up_requests`] was called.
+    pub async fn requests_given_up(&self) {
+        // A semaphore without permits completes only when closed.
+        drop(self.serving.acquire().await);
+    }
+
     pub(super) fn begin_request(&self) {
         self.has_seen_request.set(true);
         self.running_requests.set(self.running_requests.get() + 1);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -203,6 +203,10 @@
     node.stop_accepting();
     tokio::task::yield_now().await;
     wait_until_drained(node, plan).await;
+    node.give_up_requests();
+    while node.running_requests() > 0 && node.now() < plan.exit() {
+        drop(tokio::time::timeout(LOG_FLUSH_TIME, node.activity_ended.notified()).await);
+    }
     node.log(&shutdown_line(node, "done"));
     tokio::time::sleep(LOG_FLUSH_TIME).await;
 }
--- a/crates/serving/src/shutdown.rs
+++ b/crates/serving/src/shutdown.rs
@@ -11,6 +11,12 @@
 /// still bring requests.
 const FULL_SERVICE_TIME: Duration = Duration::from_millis(2600);
 
+/// The same as a part of the grace at most: of a short one, some must be left for what was accepted.
+const FULL_SERVICE_PART: u32 = 3;
+
+/// Time after the last requests are given up for their clients to get an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Minimum time between the signal and the exit, in which the load balancer and clients learn of
 /// the shutdown.
 const MIN_DURATION: Duration = Duration::from_millis(3200);
@@ -29,7 +35,7 @@
         Self { began, grace }
     }
 
-    /// Returns when the requests that still run are cut off.
+    /// Returns when the requests that still run are given up, and their clients are told so.
     #[must_use]
     pub fn end(&self) -> Duration {
         self.began + self.grace.saturating_sub(EXIT_MARGIN)
@@ -38,7 +44,8 @@
     /// Returns whether connections are closed after their current request.
     #[must_use]
     pub fn closes_connections(&self, now: Duration) -> bool {
-        now.saturating_sub(self.began) >= FULL_SERVICE_TIME
+        let full_service = FULL_SERVICE_TIME.min(self.grace / FULL_SERVICE_PART);
+        now.saturating_sub(self.began) >= full_service
     }
 
     /// Returns whether a request that arrives now and ends by `deadline` is accepted.
@@ -53,7 +60,13 @@
         !self.closes_connections(now) || deadline <= self.end()
     }
 
-    /// Returns whether the process may exit. `idle` means that no request runs and no connection is
+    /// Returns when the process exits, whatever still runs.
+    #[must_use]
+    pub fn exit(&self) -> Duration {
+        self.end() + ANSWER_TIME
+    }
+
+    /// Returns whether no more requests need to be waited for. `idle` means that no request runs and no connection is
     /// open.
     #[must_use]
     pub fn is_over(&self, now: Duration, idle: bool) -> bool {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -39,6 +39,7 @@
 mod partition_soak;
 mod partitioned_nodes;
 mod plain_services;
+mod planned_stop;
 mod poison_requests;
 mod proved_answers;
 mod refusal_cost;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -46,6 +46,8 @@
     store_address: SocketAddr,
     directory: PathBuf,
     config_bound: Duration,
+    /// Time between a signal to stop and the kill, in seconds.
+    pub stop_grace_s: u64,
     /// Whether the settings of its nodes limit what cold engines get.
     limits_cold: bool,
     started_nodes: AtomicU32,
@@ -128,6 +130,7 @@
             store_address,
             directory,
             config_bound: LONG_CONFIG_BOUND,
+            stop_grace_s: 8,
             limits_cold: false,
             started_nodes: AtomicU32::new(0),
         };
@@ -361,7 +364,7 @@
             "node": name, "failure_domain": "z0", "store": self.store_address,
             "first_start": first_start,
             "listen": listen,
-            "bounds": {"stop_grace_s": 8, "repeat_ratio": 0.2, "repeat_window_s": 10,
+            "bounds": {"stop_grace_s": self.stop_grace_s, "repeat_ratio": 0.2, "repeat_window_s": 10,
                 "repeat_extra": 130, "load_window_s": 5, "fencing": false,
                 "config_ms": u64::try_from(self.config_bound.as_millis()).expect("short bound"),
                 "drain_ms": 2000,
