Hold back what a second restore shows again for the whole time

A target that had left got requests again after two restores of the store 3 s apart: 27 of a client's requests in the test.

The entry that the first copy shows is held back for 4 s. The second copy shows the same entry, which is no change, so it counted 4 s after the first one, before the platform had removed it again.

Each restore begins the time again for all entries that are held back.

Before: store_copy_returns::left_before_two_drills failed (27 runs at the target that had left). It passes now.

--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -165,9 +165,13 @@
         }
     }
 
-    /// Records that the table was read whole after the store had come back from a copy.
+    /// Records that the table was read whole after the store had come back from a copy. What an earlier copy showed is
+    /// shown anew, so it is held back for the whole time from now.
     pub fn record_restore(&mut self, now: Duration) {
         self.restored_at = Some(now);
+        for (_, until) in &mut self.returned {
+            *until = now + RESTORE_GRACE;
+        }
     }
 
     /// Handles the removal of an entry. If it may have expired though its target lives, the target stays known for a
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -62,6 +62,7 @@
 mod stated_limits;
 mod store_copy;
 mod store_copy_entries;
+mod store_copy_returns;
 mod store_copy_rows;
 mod store_eras;
 mod store_faults;
