Hold back an evacuation that a restored store shows again

Clients of a failure domain were rejected after the store had come back from a copy: an evacuation that had ended before came into force again, until the operator removed it again.

Nodes hold back what a restored store shows of targets that had left, and what it lacks of evacuations, but not the evacuations that it shows. They do now, for 4 s or half of the bound of an evacuation, since it may also have been written anew. A further restore begins the time again.

Before: store_copy_returns::ended_evacuation_stays_ended failed (requests not served during 1.2 s). It passes now, as does standing_evacuation_begins, which passed before. All 31 tests of store_copy* and evacuation pass.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -337,7 +337,7 @@
     /// Something was read and not taken. `reason`: `older` than the version held (`held`), `removed_since` by a read of
     /// the whole table, `other_era` or `earlier_era` of the store, `stale_read` (a read of the whole table from before
     /// what was known, which proves nothing), `lost_in_restore` (a row that a restored store lacks holds on for a
-    /// while), `left_before_restore` (an entry of a target that had left), `membership_before_restore` (an entry of an
+    /// while), `ended_before_restore` (an evacuation that had ended), `left_before_restore` (an entry of a target that had left), `membership_before_restore` (an entry of an
     /// engine with an earlier membership), `last_version` (no later version could follow it). See
     /// `docs/OPERATIONS.md`.
     ChangeNotTaken = 395, "change_not_taken", Warn;
--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -48,9 +48,13 @@
         if taken.outcome == DeltaOutcome::Outdated {
             return;
         }
-        if taken.is_restored && table == FeedTable::Registry {
+        if taken.is_restored {
             // The note of the new era may not have been taken yet when its rows are.
-            self.registry.borrow_mut().record_restore(now);
+            match table {
+                FeedTable::Config => self.config.record_restore(now),
+                FeedTable::Registry => self.registry.borrow_mut().record_restore(now),
+                FeedTable::Nodes => {}
+            }
         }
         if table == FeedTable::Registry {
             let mut outages = self.node.feed.outages.borrow_mut();
@@ -58,7 +62,7 @@
         }
         self.apply_changed(table, &taken);
         match table {
-            FeedTable::Config => self.config.end_lost_evacuations(),
+            FeedTable::Config => self.config.apply_withheld(),
             FeedTable::Registry => self
                 .registry
                 .borrow_mut()
--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -37,43 +37,81 @@
 /// Puts configurations into force.
 pub(super) struct ConfigWatcher {
     node: Rc<GatewayNode>,
-    /// Evacuations that a restored store lacks, and until when they hold on.
-    lost_evacuations: RefCell<Vec<(DomainId, Duration)>>,
+    withheld: RefCell<Vec<WithheldEvacuation>>,
+}
+
+/// An evacuation that a restored store shows or lacks, against what was known.
+struct WithheldEvacuation {
+    domain: DomainId,
+    /// Whether the store shows it.
+    is_requested: bool,
+    /// When the store's word counts.
+    until: Duration,
 }
 
 impl ConfigWatcher {
     pub fn new(node: Rc<GatewayNode>) -> Self {
         Self {
             node,
-            lost_evacuations: RefCell::default(),
+            withheld: RefCell::default(),
         }
     }
 
     /// Applies one changed row.
     pub fn apply_row(&self, row: &StoreRow, origin: RowOrigin) {
         match evacuated_domain(&row.key) {
-            Some(Ok(domain)) => {
-                let mut lost = self.lost_evacuations.borrow_mut();
-                lost.retain(|(other, _)| *other != domain);
-                if row.value.is_none() && origin == RowOrigin::RestoredStore {
-                    let until = self.node.now() + RESTORE_GRACE;
-                    lost.push((domain, until));
-                    log_not_taken(&self.node, FeedTable::Config, row, "lost_in_restore");
-                    return;
-                }
-                self.node.apply_evacuation(&domain, row.value.is_some());
-            }
+            Some(Ok(domain)) => self.apply_evacuation(row, domain, origin),
             Some(Err(error)) => self.log_unreadable(row, &error),
             None => self.apply_config(row),
         }
     }
 
-    /// Ends the evacuations that the operator has not written again after a restore.
-    pub fn end_lost_evacuations(&self) {
+    fn apply_evacuation(&self, row: &StoreRow, domain: DomainId, origin: RowOrigin) {
+        let mut withheld = self.withheld.borrow_mut();
+        withheld.retain(|other| other.domain != domain);
+        let is_requested = row.value.is_some();
+        let is_news = is_requested != self.node.is_evacuated(&domain);
+        if origin == RowOrigin::Change || !is_news {
+            self.node.apply_evacuation(&domain, is_requested);
+            return;
+        }
+        let reason = if is_requested {
+            "ended_before_restore"
+        } else {
+            "lost_in_restore"
+        };
+        log_not_taken(&self.node, FeedTable::Config, row, reason);
+        withheld.push(WithheldEvacuation {
+            domain,
+            is_requested,
+            until: self.node.now() + self.evacuation_grace(is_requested),
+        });
+    }
+
+    /// Time for which an evacuation that a restored store shows, or lacks, does not count. One that it shows may also
+    /// be new, so half of its bound is left.
+    fn evacuation_grace(&self, is_requested: bool) -> Duration {
+        let bound = self.node.settings.bounds.evacuation_bound();
+        match bound.filter(|_| is_requested) {
+            Some(bound) => RESTORE_GRACE.min(bound / 2),
+            None => RESTORE_GRACE,
+        }
+    }
+
+    /// Records that the table was read whole after the store had come back from a copy: what an earlier copy showed
+    /// does not count for the whole time from now.
+    pub fn record_restore(&self, now: Duration) {
+        for withheld in self.withheld.borrow_mut().iter_mut() {
+            withheld.until = now + self.evacuation_grace(withheld.is_requested);
+        }
+    }
+
+    /// Applies what the operator has not written otherwise since a restore.
+    pub fn apply_withheld(&self) {
         let now = self.node.now();
-        let mut lost = self.lost_evacuations.borrow_mut();
-        for (domain, _) in lost.extract_if(.., |(_, until)| *until <= now) {
-            self.node.apply_evacuation(&domain, false);
+        let mut withheld = self.withheld.borrow_mut();
+        for due in withheld.extract_if(.., |withheld| withheld.until <= now) {
+            self.node.apply_evacuation(&due.domain, due.is_requested);
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -120,11 +120,17 @@
     /// configuration, or an evacuation if its bound is shorter.
     #[must_use]
     pub fn config_table_bound(&self) -> Duration {
-        let evacuation = self
-            .evacuate_ms
-            .map(|ms| duration_from_secs(ms / MILLIS_PER_S));
         let config = self.config_bound();
-        evacuation.map_or(config, |evacuation| evacuation.min(config))
+        self.evacuation_bound()
+            .map_or(config, |evacuation| evacuation.min(config))
+    }
+
+    /// Time after the confirmation of an evacuation within which the failure domain gets no new requests; `None` if the
+    /// settings state none.
+    #[must_use]
+    pub fn evacuation_bound(&self) -> Option<Duration> {
+        let millis = self.evacuate_ms?;
+        Some(duration_from_secs(millis / MILLIS_PER_S))
     }
 
     /// Time after its report within which a draining target gets no new requests.
--- a/tests/gateway/store_copy_returns.rs
+++ b/tests/gateway/store_copy_returns.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use crate::drill_clients::{ask_during, is_served};
+use crate::evacuated_site::{end_evacuation, evacuate, wait_begun, wait_ended};
 use crate::node::TestNode;
 use crate::site::TestSite;
 use crate::store_copy::{AWAY, KNOWN, use_versions};
@@ -16,6 +17,49 @@
 /// Time for which nodes could act on what a restored store shows.
 const REACTION_TIME: Duration = Duration::from_secs(6);
 
+/// Guards against an evacuation that had ended before the drill and comes into force again: clients are rejected until the
+/// operator has removed it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn ended_evacuation_stays_ended() {
+    let site = TestSite::start_bounded(1);
+    let nodes = [site.node("n0").await, site.node("n1").await];
+    let nodes: Vec<&TestNode> = nodes.iter().collect();
+    evacuate(&site, "z0");
+    wait_begun(&nodes, "z0").await;
+    let copy = site.store.copy();
+    use_versions(&site);
+    end_evacuation(&site, "z0");
+    wait_ended(&nodes, "z0").await;
+    let judged = Instant::now();
+    let script = async {
+        drop(site.store.drill(&copy, AWAY).await);
+        tokio::time::sleep(TARGET_HEARTBEAT).await;
+        end_evacuation(&site, "z0");
+        tokio::time::sleep(REACTION_TIME).await;
+    };
+    let (answers, ()) = ask_during(&nodes, &[KNOWN], script).await;
+    answers.assert_since(KNOWN, judged, nodes.len(), is_served);
+}
+
+/// Guards against an evacuation that stays without effect since a restored store shows it: nobody removes it.
+#[tokio::test(flavor = "multi_thread")]
+async fn standing_evacuation_begins() {
+    let site = TestSite::start_bounded(1);
+    let nodes = [site.node("n0").await, site.node("n1").await];
+    let nodes: Vec<&TestNode> = nodes.iter().collect();
+    evacuate(&site, "z0");
+    wait_begun(&nodes, "z0").await;
+    let copy = site.store.copy();
+    use_versions(&site);
+    end_evacuation(&site, "z0");
+    wait_ended(&nodes, "z0").await;
+    drop(site.store.drill(&copy, AWAY).await);
+    tokio::time::sleep(REACTION_TIME).await;
+    for node in nodes {
+        assert_eq!(node.log_lines(&["evacuation_begun", "z0"]).len(), 2);
+    }
+}
+
 /// Guards against a target that had left and gets requests again, since what the first of two drills showed counts
 /// some seconds after it, though the second one has just shown it again.
 #[tokio::test(flavor = "multi_thread")]
