Leave the other failure domain once the store takes a node back

What it knew was older than need be, and the changes came between failure domains.

The store's answer ends the fallback. If the source still held a request then, its response, a moment later, began the fallback again, at nearly every check.

A response of such a source begins the fallback only if the store has not answered since the source was asked.

Before: feed_fallback::store_read_again failed: four of five later configurations came from the other node, none now. All tests of store_feed and store_faults pass but drain_passes_large_configuration, which is listed.

--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -133,11 +133,16 @@
             tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
             continue;
         };
+        let asked_at = node.now();
         match follow_once(&intake, lane, &mut link, &source, kind).await {
             Ok(applied_in) => {
                 succeeded_at = node.now();
                 avoided.forgive(&source.node);
-                node.feed.set_source(lane, kind);
+                // The store may have taken this node back while the source held the request.
+                let is_taken_back = node.feed.has_answered_since(lane, asked_at);
+                if kind != FeedSource::Fallback || !is_taken_back {
+                    node.feed.set_source(lane, kind);
+                }
                 let pause = pause_after(applied_in, timing.max_pause());
                 tokio::time::sleep(pause).await;
             }
--- a/crates/gateway/src/feed/intake.rs
+++ b/crates/gateway/src/feed/intake.rs
@@ -112,6 +112,7 @@
     pub fn store_answered(&self, table: FeedTable) {
         let lane = FeedLane::of(table);
         self.node.feed.record_lane_contact(lane);
+        self.node.feed.record_answer(lane, self.node.now());
         if self.node.feed.source(lane) == FeedSource::Fallback {
             self.node.feed.set_source(lane, FeedSource::Store);
         }
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -70,6 +70,9 @@
     is_counted: Cell<bool>,
     urgent_source: Cell<FeedSource>,
     bulk_source: Cell<FeedSource>,
+    /// When the store last answered a call of this node, by lane.
+    urgent_answered_at: Cell<Option<Duration>>,
+    bulk_answered_at: Cell<Option<Duration>>,
     is_bulk_cut_off: Cell<bool>,
     is_cut_off: Cell<bool>,
     counted_at: Cell<Option<Duration>>,
@@ -110,6 +113,8 @@
             is_counted: Cell::default(),
             urgent_source: Cell::default(),
             bulk_source: Cell::default(),
+            urgent_answered_at: Cell::default(),
+            bulk_answered_at: Cell::default(),
             is_bulk_cut_off: Cell::default(),
             is_cut_off: Cell::default(),
             counted_at: Cell::default(),
@@ -237,6 +242,24 @@
         }
     }
 
+    fn answered_cell(&self, lane: FeedLane) -> &Cell<Option<Duration>> {
+        match lane {
+            FeedLane::Urgent => &self.urgent_answered_at,
+            FeedLane::Bulk => &self.bulk_answered_at,
+        }
+    }
+
+    /// Records that the store answered a call of this node for a lane.
+    pub fn record_answer(&self, lane: FeedLane, now: Duration) {
+        self.answered_cell(lane).set(Some(now));
+    }
+
+    /// Whether the store has answered a call of this node for a lane since a time.
+    #[must_use]
+    pub fn has_answered_since(&self, lane: FeedLane, since: Duration) -> bool {
+        self.answered_cell(lane).get() >= Some(since)
+    }
+
     /// Whether another node passes on the changes of a lane's tables.
     #[must_use]
     pub fn is_following(&self, lane: FeedLane) -> bool {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod evacuation_soak;
 mod failure_diagnosis;
 mod fair_turns;
+mod feed_fallback;
 mod foreign_servers;
 mod full_restart;
 mod idle_connections;
