--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod admitted;
 mod attempt_connection;
 mod attempt_outcome;
+mod attempts;
 mod boot_clock;
 mod buffered;
 mod connection_path;
