Bound the pause of a connection that sends without end

A connection that is given up in a pause is closed after it, so the pause must be short beside the half second in which a target has to learn that its client has left. After a long turn it was nine times as long. Found by reading; no test shows it.

--- a/crates/web/src/fair_task.rs
+++ b/crates/web/src/fair_task.rs
@@ -15,6 +15,9 @@
 /// Length of the pause, as a multiple of the work before it: such a connection takes a tenth of the thread.
 const PAUSE_PER_WORK: u32 = 9;
 
+/// Longest pause: a connection that is given up must be closed soon after.
+const MAX_PAUSE: Duration = Duration::from_millis(50);
+
 /// The future of a connection, paused at times while its input is constant. A task that merely gives others their
 /// turn would still take all the time that they leave, and as much as each of them.
 pub struct FairTask<F> {
@@ -63,7 +66,8 @@
         }
         this.worked += began.elapsed();
         if polled.is_pending() && this.worked >= WORK_PER_PAUSE {
-            let mut pause = Box::pin(tokio::time::sleep(this.worked * PAUSE_PER_WORK));
+            let length = (this.worked * PAUSE_PER_WORK).min(MAX_PAUSE);
+            let mut pause = Box::pin(tokio::time::sleep(length));
             this.worked = Duration::ZERO;
             // The pause wakes the task; if it is over already, the task is woken as it is.
             if pause.as_mut().poll(context).is_pending() {
