Keep targets after an outage until the store confirms that they are gone

With the times of missing entries, a service of plain targets was left without any if the store was away again before they could write their entries: requests got 503 for the whole second outage.

Such a target was removed 2.3 s after the end of the first outage, by a timer.

After an outage or a restore, a confirmation without the entry is asked for again, for all targets.

Before: missing_entries::second_outage_removes_nothing failed (503, expected 200). It passes now, as do the other tests of missing_entries and eleven unit tests.

--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -213,7 +213,7 @@
     }
 
     /// Handles the removal of an entry. If it may have expired though its target lives, the target stays known for a
-    /// while, and takes only what no other target can.
+    /// while.
     fn handle_missing(&self, id: HostId) {
         let restored_at = self.restored_at.max(self.node.era_began_at());
         let lapse = {
@@ -331,7 +331,7 @@
     pub fn confirm(&mut self, version: EraVersion, confirmed_at: Duration) {
         self.node.confirm_registry(version, confirmed_at);
         self.admit_returned();
-        for id in self.node.take_missing_members() {
+        for id in self.node.take_missing() {
             self.unlist(id);
         }
     }
--- a/crates/gateway/src/node/missing.rs
+++ b/crates/gateway/src/node/missing.rs
@@ -36,16 +36,16 @@
         }
     }
 
-    /// Takes the members of replicas whose entries have been missing for so long that they are gone.
-    pub fn take_missing_members(&self) -> Vec<HostId> {
+    /// Takes the targets whose entries have been missing for so long that a confirmation of the registry ends them.
+    pub fn take_missing(&self) -> Vec<HostId> {
         let outage_ended_at = self.feed.outages.borrow().ended_at();
         let mut missing = self.missing.borrow_mut();
-        missing.take_members(self.now(), outage_ended_at)
+        missing.take_unconfirmed(self.now(), outage_ended_at)
     }
 
-    /// Removes the targets of plain services whose entries are missing and to which nothing may be sent any more.
-    pub fn remove_missing_plain(&self) {
-        let gone = self.missing.borrow_mut().take_plain(self.now());
+    /// Removes the targets whose entries are missing and that end with the requests to them.
+    pub fn remove_unsendable(&self) {
+        let gone = self.missing.borrow_mut().take_unsendable(self.now());
         for id in gone {
             self.remove_target(&id);
         }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -157,7 +157,7 @@
         for id in node.retired_too_long() {
             node.remove_target(&id);
         }
-        node.remove_missing_plain();
+        node.remove_unsendable();
         for id in node.unlisted() {
             if node.begin_unlisted_probe(&id) {
                 tokio::task::spawn_local(probe_unlisted(Rc::clone(&node), id));
--- a/crates/serving/src/missing_targets.rs
+++ b/crates/serving/src/missing_targets.rs
@@ -115,9 +115,10 @@
 #[derive(Debug, Clone, Copy)]
 struct MissingTarget {
     since: Duration,
-    sendable_until: Duration,
-    /// When the membership in a replica ends; `None` for a target of a plain service.
-    replica_until: Option<Duration>,
+    /// Until when requests may be sent to it; `None` as long as it is known.
+    sendable_until: Option<Duration>,
+    /// From when on a confirmation of the registry without the entry ends it; `None` if it ends with the requests.
+    kept_until: Option<Duration>,
 }
 
 /// Known targets whose entries are missing.
@@ -138,15 +139,17 @@
         in_replica: bool,
     ) {
         let sendable_until = match lapse.cause {
-            LapseCause::Outage => lapse.rewritten_at,
-            LapseCause::OwnCalls => lapse.rewritten_at.min(now + drain_bound),
+            // The store may be away again before the target has written its entry.
+            LapseCause::Outage => None,
+            LapseCause::OwnCalls => Some(lapse.rewritten_at.min(now + drain_bound)),
             // The other half of the bound is for the way of the removal through other nodes.
-            LapseCause::OthersCalls => lapse.rewritten_at.min(now + drain_bound / 2),
+            LapseCause::OthersCalls => Some(lapse.rewritten_at.min(now + drain_bound / 2)),
         };
+        let is_kept = in_replica || sendable_until.is_none();
         self.targets.entry(id).or_insert(MissingTarget {
             since: now,
             sendable_until,
-            replica_until: in_replica.then_some(lapse.rewritten_at),
+            kept_until: is_kept.then_some(lapse.rewritten_at),
         });
     }
 
@@ -165,21 +168,26 @@
     /// Whether requests may be sent to a target now, by its entry.
     #[must_use]
     pub fn may_send(&self, id: &HostId, now: Duration) -> bool {
-        let target = self.targets.get(id);
-        target.is_none_or(|target| now < target.sendable_until)
+        let until = self
+            .targets
+            .get(id)
+            .and_then(|target| target.sendable_until);
+        until.is_none_or(|until| now < until)
     }
 
-    /// Takes the targets of plain services to which nothing may be sent any more.
-    pub fn take_plain(&mut self, now: Duration) -> Vec<HostId> {
-        let is_gone =
-            |target: &MissingTarget| target.replica_until.is_none() && target.sendable_until <= now;
+    /// Takes the targets that end with the requests to them.
+    pub fn take_unsendable(&mut self, now: Duration) -> Vec<HostId> {
+        let is_gone = |target: &MissingTarget| {
+            let has_ended = target.sendable_until.is_some_and(|until| until <= now);
+            has_ended && target.kept_until.is_none()
+        };
         let gone = self.targets.extract_if(|_, target| is_gone(target));
         gone.map(|(id, _)| id).collect()
     }
 
-    /// Takes the members of replicas that are gone, by a confirmation of the registry at `now`. If an outage has ended
+    /// Takes the other targets that are gone, by a confirmation of the registry at `now`. If an outage has ended
     /// at `outage_ended_at`, they get the whole time from then: they could not write.
-    pub fn take_members(
+    pub fn take_unconfirmed(
         &mut self,
         now: Duration,
         outage_ended_at: Option<Duration>,
@@ -187,8 +195,7 @@
         if outage_ended_at.is_some_and(|ended_at| now < ended_at + REWRITE_TIME) {
             return Vec::new();
         }
-        let is_gone =
-            |target: &MissingTarget| target.replica_until.is_some_and(|until| until <= now);
+        let is_gone = |target: &MissingTarget| target.kept_until.is_some_and(|until| until <= now);
         let gone = self.targets.extract_if(|_, target| is_gone(target));
         gone.map(|(id, _)| id).collect()
     }
--- a/crates/serving/tests/missing_targets.rs
+++ b/crates/serving/tests/missing_targets.rs
@@ -121,8 +121,8 @@
     );
     assert!(missing.may_send(&id, millis(10_900)));
     assert!(!missing.may_send(&id, millis(11_000)));
-    assert_eq!(missing.take_plain(millis(10_900)), Vec::new());
-    assert_eq!(missing.take_plain(millis(11_000)), vec![id]);
+    assert_eq!(missing.take_unsendable(millis(10_900)), Vec::new());
+    assert_eq!(missing.take_unsendable(millis(11_000)), vec![id]);
 }
 
 /// Replicas of live hosts would be taken apart within the time in which their entries come back.
@@ -138,8 +138,20 @@
         true,
     );
     assert!(!missing.may_send(&id, millis(11_000)));
-    assert_eq!(missing.take_members(millis(12_200), None), Vec::new());
-    assert_eq!(missing.take_members(millis(12_300), None), vec![id]);
+    assert_eq!(missing.take_unconfirmed(millis(12_200), None), Vec::new());
+    assert_eq!(missing.take_unconfirmed(millis(12_300), None), vec![id]);
+}
+
+/// A service would be left without targets if the store were away again before they could write their entries.
+#[test]
+fn outage_keeps_targets_until_confirmed() {
+    let mut missing = MissingTargets::default();
+    let id = host("s0");
+    let lapse = failed_calls(LapseCause::Outage);
+    missing.record(id.clone(), millis(10_000), lapse, DRAIN_BOUND, false);
+    assert!(missing.may_send(&id, millis(15_000)));
+    assert_eq!(missing.take_unsendable(millis(15_000)), Vec::new());
+    assert_eq!(missing.take_unconfirmed(millis(15_000), None), vec![id]);
 }
 
 /// Targets that could not write for the whole time would count as gone once the store is back.
@@ -155,8 +167,11 @@
         true,
     );
     let ended_at = Some(millis(14_000));
-    assert_eq!(missing.take_members(millis(14_000), ended_at), Vec::new());
-    assert_eq!(missing.take_members(millis(16_300), ended_at), vec![id]);
+    assert_eq!(
+        missing.take_unconfirmed(millis(14_000), ended_at),
+        Vec::new()
+    );
+    assert_eq!(missing.take_unconfirmed(millis(16_300), ended_at), vec![id]);
 }
 
 quickcheck! {
--- a/tests/gateway/missing_entries.rs
+++ b/tests/gateway/missing_entries.rs
@@ -109,6 +109,23 @@
     assert!(node.log_lines(&["target_gone"]).is_empty());
 }
 
+/// Guards against a service without targets, since the store was away again before they could write their entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_outage_removes_nothing() {
+    let site = TestSite::start(0, 1);
+    let node = site.node("n0").await;
+    site.store.set_mode(StoreMode::Unavailable);
+    tokio::time::sleep(OUTAGE).await;
+    site.store.remove("servers", "s0");
+    site.store.set_mode(StoreMode::Healthy);
+    node.wait_log_line(&["entry_missing", "s0"]).await;
+    site.store.set_mode(StoreMode::Unavailable);
+    tokio::time::sleep(OUTAGE).await;
+    let response = TestRequest::new("/look/x", "l-1").send(&node).await;
+    assert_eq!(response.status, StatusCode::OK);
+    assert!(node.log_lines(&["target_gone"]).is_empty());
+}
+
 /// Requests of the clients of some nodes: each sends one after the other until a time.
 async fn send_until(nodes: &[TestNode], name: &str, until: Instant) -> Vec<(String, Duration)> {
     let started = Instant::now();
