Add crowds of clients that do not keep to the limits, as tests of their own

Each test starts a process on loopback with lowered limits, has a crowd of 240 to 800 connections send and hold one kind of bytes, waits until the process reads no more of them, and checks that it lives, its peak memory, its open descriptors, one ordinary request and the readiness check. Nothing is timed and no share is counted. The tests take turns by a lock, and cargo runs test programs one after the other, so that no other test is beside them.

The bounds are what the settings of a test state: the memory of its machine (64 MB, 52 and 44 where the crowd is of small heads), and the descriptors that it may have less 50 (400 in the tests of descriptors).

--- /dev/null
+++ b/tests/crowds/crowd.rs
@@ -0,0 +1,122 @@
+//! A crowd of connections that all send the same and are held open.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use tokio::io::{AsyncWrite, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+use crate::process::unread_bytes;
+
+/// Most bytes that one connection sends.
+pub const MOST_BYTES: usize = 512 << 10;
+
+/// Time without progress after which a connection sends no more: the other side does not read on. A process that reads
+/// hundreds of connections in turns takes seconds for one round.
+const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time for a connection to be established; one that the other side can't accept is left out.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What each connection of a crowd sends.
+#[derive(Debug, Clone, Default)]
+pub struct CrowdBytes {
+    prefix: Vec<u8>,
+    piece: Vec<u8>,
+    total: usize,
+}
+
+impl CrowdBytes {
+    /// These bytes and nothing more.
+    pub fn once(bytes: impl Into<Vec<u8>>) -> Self {
+        Self {
+            prefix: bytes.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Repeats a piece after the bytes so far, until `total` bytes are sent.
+    pub fn then_repeat(mut self, piece: &[u8], total: usize) -> Self {
+        // Few large writes: the crowd must not be what takes the machine's time.
+        self.piece = piece.repeat((8 << 10) / piece.len() + 1);
+        self.total = total;
+        self
+    }
+
+    /// Connects and sends as far as the other side reads; returns the open connection.
+    async fn send(&self, address: SocketAddr) -> Option<TcpStream> {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let mut stream = connecting.await.ok()?.ok()?;
+        self.send_on(&mut stream).await;
+        Some(stream)
+    }
+
+    /// Sends as far as the other side reads.
+    pub async fn send_on(&self, stream: &mut (impl AsyncWrite + Unpin)) {
+        if !write_part(stream, &self.prefix).await {
+            return;
+        }
+        let mut sent = self.prefix.len();
+        while sent < self.total {
+            let part = &self.piece[..self.piece.len().min(self.total - sent)];
+            sent += part.len();
+            if !write_part(stream, part).await {
+                return;
+            }
+        }
+    }
+}
+
+/// Whether the other side still reads.
+async fn write_part(stream: &mut (impl AsyncWrite + Unpin), bytes: &[u8]) -> bool {
+    let writing = tokio::time::timeout(STALL_TIMEOUT, stream.write_all(bytes));
+    matches!(writing.await, Ok(Ok(())))
+}
+
+/// Time for which what a process has not read must stay the same for it to count as reading no more.
+const QUIET_TIME: Duration = Duration::from_secs(1);
+
+/// Longest wait for that.
+const SETTLE_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Interval between two looks at what has not been read.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Waits until the process that listens at `address` reads no more of what the system has received for it.
+///
+/// The system takes in megabytes for a process, so a crowd has sent everything long before it is read.
+pub async fn settle(address: SocketAddr) {
+    let began = Instant::now();
+    let mut unread = unread_bytes(address.port());
+    let mut changed_at = began;
+    while changed_at.elapsed() < QUIET_TIME && began.elapsed() < SETTLE_TIMEOUT {
+        tokio::time::sleep(SETTLE_INTERVAL).await;
+        let now_unread = unread_bytes(address.port());
+        if now_unread != unread {
+            unread = now_unread;
+            changed_at = Instant::now();
+        }
+    }
+}
+
+/// The open connections of a crowd.
+#[derive(Debug)]
+pub struct Crowd {
+    _streams: Vec<TcpStream>,
+}
+
+impl Crowd {
+    /// Has `count` connections send at once; completes when none sends and the other side reads no more.
+    pub async fn gather(address: SocketAddr, count: usize, bytes: &CrowdBytes) -> Self {
+        let sending = (0..count).map(|_| {
+            let bytes = bytes.clone();
+            tokio::spawn(async move { bytes.send(address).await })
+        });
+        let sent = futures::future::join_all(sending.collect::<Vec<_>>()).await;
+        settle(address).await;
+        let streams = sent.into_iter().filter_map(|sent| sent.ok().flatten());
+        Self {
+            _streams: streams.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/crowds/main.rs
@@ -0,0 +1,21 @@
+//! Crowds of clients that do not keep to the limits, against the built binary, one module per feature.
+//!
+//! Each test starts a process with lowered limits, has a crowd of connections send and hold what the test names, and
+//! then checks that the process lives, its memory, its open descriptors and that one ordinary request is answered.
+//! The memory of a process is only meaningful while nothing else loads the machine, so the tests take turns.
+
+mod crowd;
+mod descriptors;
+mod endless_heads;
+mod endless_lines;
+mod gateway;
+mod own_face;
+mod process;
+mod read_ahead;
+mod stalled_bodies;
+mod stalled_heads;
+mod states;
+mod status_faces;
+
+/// Path of the built binary.
+const BINARY: &str = env!("CARGO_BIN_EXE_bramleyspring");
