Read into a connection's buffer without clearing it

Clients saw nothing by themselves; a connection on which one byte came took 8 KB of memory for it. FairStream limited how much is read in a turn by clearing that much of the HTTP library's buffer first, so every page of it was touched. It reads through tokio's Take now, which limits a read without touching memory. Turns are as long as before (fair_turns of web and the gateway hold).

stalled_heads::one_byte stays listed: it needs the bound on connections as well.

--- a/crates/web/src/fair_stream.rs
+++ b/crates/web/src/fair_stream.rs
@@ -9,11 +9,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, ReadBuf, Take};
 
 /// Bytes that are read of a connection before other tasks get their turn. A byte of a chunk's size takes the library
 /// some 50 ns, so a turn takes less than half a millisecond.
-const BYTES_PER_TURN: usize = 8 << 10;
+const BYTES_PER_TURN: u64 = 8 << 10;
 
 /// Whether bytes have been there at each read of a stream for a whole turn or longer.
 #[derive(Debug, Clone, Default)]
@@ -34,22 +34,23 @@
 /// A stream of which a bounded number of bytes is read in one turn of its task.
 #[derive(Debug)]
 pub struct FairStream<T> {
-    stream: T,
+    /// The stream up to the end of this turn. It reads into memory as it is: memory that is cleared for each read is
+    /// taken by a connection on which nothing comes.
+    stream: Take<T>,
     flow: InputFlow,
-    /// Bytes that may still be read in this turn.
-    left: usize,
 }
 
-impl<T> FairStream<T> {
+impl<T: AsyncRead> FairStream<T> {
     /// Wraps a stream.
     pub fn new(stream: T) -> Self {
         Self {
-            stream,
+            stream: stream.take(BYTES_PER_TURN),
             flow: InputFlow::default(),
-            left: BYTES_PER_TURN,
         }
     }
+}
 
+impl<T> FairStream<T> {
     /// How its bytes come, for the task that reads it.
     #[must_use]
     pub fn flow(&self) -> InputFlow {
@@ -64,47 +65,28 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let this = &mut *self;
-        if this.left == 0 {
-            this.left = BYTES_PER_TURN;
+        if this.stream.limit() == 0 {
+            this.stream.set_limit(BYTES_PER_TURN);
             this.flow.set_constant(true);
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let read = if buffer.remaining() <= this.left {
-            let before = buffer.filled().len();
-            let polled = Pin::new(&mut this.stream).poll_read(context, buffer);
-            polled.map_ok(|()| buffer.filled().len() - before)
-        } else {
-            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(this.left));
-            let polled = Pin::new(&mut this.stream).poll_read(context, &mut part);
-            let length = part.filled().len();
-            polled.map_ok(|()| {
-                buffer.advance(length);
-                length
-            })
-        };
-        match read {
-            Poll::Ready(Ok(length)) => {
-                this.left -= length;
-                Poll::Ready(Ok(()))
-            }
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending => {
-                this.left = BYTES_PER_TURN;
-                this.flow.set_constant(false);
-                Poll::Pending
-            }
+        let polled = Pin::new(&mut this.stream).poll_read(context, buffer);
+        if polled.is_pending() {
+            this.stream.set_limit(BYTES_PER_TURN);
+            this.flow.set_constant(false);
         }
+        polled
     }
 }
 
-impl<T: AsyncWrite + Unpin> AsyncWrite for FairStream<T> {
+impl<T: AsyncRead + AsyncWrite + Unpin> AsyncWrite for FairStream<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(self.stream.get_mut()).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -112,24 +94,24 @@
         context: &mut Context<'_>,
         buffers: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        Pin::new(self.stream.get_mut()).poll_write_vectored(context, buffers)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 
     fn poll_flush(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        Pin::new(self.stream.get_mut()).poll_flush(context)
     }
 
     fn poll_shutdown(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(self.stream.get_mut()).poll_shutdown(context)
     }
 }
