Keep places for connections at the gateway, and descriptors for itself

What clients saw: while some clients held connections with half a head, with nothing or idle after a response, nobody else was accepted at that node, the load balancer's check failed, and the node could connect to no target.

Cause: nothing bounded the connections that a node accepts, at any of its addresses. When descriptors are gone, accept fails, and nothing was logged or counted.

Change: a crate intake gives each listener places. At the bound a connection that has never sent a whole head is closed for a new one, then the one that has been idle for longest; one whose request is handled is kept. Clients get three quarters of the descriptors, and as many as a quarter of the memory bears at 16 KiB each; readiness and metrics 32 each.

Why it works: ordinary clients send their heads at once, so a crowd that does not displaces itself, and a quarter of the descriptors is left for targets, the store, links and tunnels.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -164,6 +164,14 @@
     /// left on the connection, or the target's HTTP library refused the request; `server` is what it calls
     /// itself. See `docs/OPERATIONS.md`.
     ResponseUnproved = 251, "response_unproved", Warn;
+    /// More connections came to a listener (`face`) than the process keeps. Closed for them were `unproven` ones that had
+    /// never sent a whole head, `idle` ones and `receiving` ones whose body was awaited; `refused` new ones were not
+    /// taken, since the requests of all others ran. A crowd of the first kind is clients that do not behave; idle ones
+    /// mean that the node needs more descriptors or memory. At most one line a second tells of all since the last.
+    ConnectionsDisplaced = 252, "connections_displaced", Warn;
+    /// The system could not accept a connection at a listener (`face`), `failures` times since the last line. If
+    /// descriptors ran out, the process has fewer than its settings state.
+    AcceptFailed = 253, "accept_failed", Warn;
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
     /// A record has a schema version that this node does not support, or violates one of its rules.
--- /dev/null
+++ b/crates/gateway/src/client_connection.rs
@@ -0,0 +1,128 @@
+//! One connection of a client, from its first byte to its end.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::Either;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use intake::ConnectionPlace;
+use tokio::net::TcpStream;
+use web::{FairStream, FairTask};
+
+use crate::handle::handle_request;
+use crate::head_room::{HeadRoom, HeadStream, max_headers};
+use crate::held::{ClientHold, ReadAhead};
+use crate::listen::ConnectionGuard;
+use crate::node::{GatewayNode, RequestGuard};
+use crate::refusal::record_unreadable;
+use crate::respond::ends_with_connection;
+use crate::usage::ConnectionUsage;
+
+/// Time limit of the HTTP library for receiving a complete request head, including idle time. It is well above any
+/// configurable idle timeout, and only guards against a connection that nothing else ends.
+const HEADER_READ_TIMEOUT: Duration = Duration::from_mins(2);
+
+/// Interval for checking whether a connection should close.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time for which a connection stays open beyond the idle timeout that clients are told. A request
+/// sent at the last moment still arrives within it.
+const IDLE_CLOSE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Serves a client connection to its end.
+pub async fn serve_client(
+    node: Rc<GatewayNode>,
+    stream: TcpStream,
+    place: ConnectionPlace,
+    _guard: ConnectionGuard,
+) {
+    let opened_at = node.now();
+    let peer = stream.peer_addr().ok();
+    let usage = ConnectionUsage::new(opened_at, place);
+    let client = ClientHold::new(&node);
+    let ahead = Rc::new(ReadAhead::new(&client));
+    let room = HeadRoom::new(&usage);
+    let handler = {
+        let node = Rc::clone(&node);
+        let usage = Rc::clone(&usage);
+        let ahead = Rc::clone(&ahead);
+        let room = Rc::clone(&room);
+        service_fn(move |request| {
+            room.head_received();
+            let running = RequestGuard::new(&node, &usage);
+            let handling = handle_request(Rc::clone(&node), request, running, Rc::clone(&client));
+            let ahead = Rc::clone(&ahead);
+            // The library keeps room for this future in every connection, also in those that are idle.
+            Box::pin(async move {
+                let response = handling.await;
+                let is_unframed = ends_with_connection(&response);
+                let response = response.map(|body| match body {
+                    Either::Left(body) if is_unframed => ahead.unframed(body),
+                    Either::Left(body) => ahead.whole(body),
+                    Either::Right(stream) => ahead.relayed(stream),
+                });
+                Ok::<_, Infallible>(response)
+            })
+        })
+    };
+    let mut builder = Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_READ_TIMEOUT);
+    let stream = FairStream::new(stream);
+    let flow = stream.flow();
+    let stream = TokioIo::new(HeadStream::new(stream, &room));
+    let connection = builder.serve_connection(stream, handler);
+    let mut connection = FairTask::new(connection, flow.clone());
+    let mut closing = false;
+    loop {
+        tokio::select! {
+            // The connection first: what it doesn't ask for is read on.
+            biased;
+            ended = &mut connection => {
+                // Other errors affect one client, which sees them; the request has its own log line.
+                if let Err(error) = ended {
+                    let open_for = node.now().saturating_sub(opened_at);
+                    record_unreadable(&node, peer, &error, open_for);
+                }
+                return;
+            }
+            () = ahead.run() => return,
+            () = usage.displaced() => return,
+            () = wait_until_closable(&node, &usage), if !closing => {
+                closing = true;
+                std::pin::Pin::new(connection.get_mut()).graceful_shutdown();
+            }
+            () = room.exceeded() => {
+                let parts = connection.into_inner().into_parts();
+                room.extend(&parts.read_buf);
+                builder.max_headers(max_headers(node.config().as_deref()));
+                let served = builder.serve_connection(parts.io, parts.service);
+                connection = FairTask::new(served, flow.clone());
+                if closing {
+                    std::pin::Pin::new(connection.get_mut()).graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+/// Completes when a connection should close after the request in flight: it exceeded the configured
+/// idle timeout, or the process is shutting down.
+async fn wait_until_closable(node: &GatewayNode, usage: &ConnectionUsage) {
+    loop {
+        // A newly opened connection gets time to send its request; if it were closed before the
+        // request is read, the client would get no `Retry-After`.
+        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        let plan = node.shutdown_plan();
+        if plan.is_some_and(|plan| plan.closes_connections(node.now())) {
+            return;
+        }
+        if usage.idle_time(node.now()) > node.idle_timeout() + IDLE_CLOSE_MARGIN {
+            return;
+        }
+    }
+}
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -26,15 +26,13 @@
 use wire::tunnel::MAX_TUNNEL_REQUEST_BYTES;
 
 use super::messages::{encode_delta, encode_millis, known_version};
+use crate::accept::{ConnectionAcceptor, ListenFace};
 use crate::node::GatewayNode;
 use crate::tunnel::{record_tunnel_statement, serve_tunnel};
 
 /// Maximum time that a response waits for a change, whatever the request says.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
-/// Delay after a failed accept, which prevents a busy loop when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Difference from which a confirmation counts as a newer one; the times of one and the same differ by
 /// its way through the nodes.
 const MIN_CONFIRMATION_STEP: Duration = Duration::from_millis(100);
@@ -53,11 +51,9 @@
 /// Accepts links of other nodes; never returns.
 pub async fn serve_links(node: Rc<GatewayNode>, listener: TcpListener) {
     let connections = AcceptedConnections::default();
+    let mut acceptor = ConnectionAcceptor::new(&node, listener, ListenFace::Links);
     loop {
-        let Ok((stream, address)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+        let (stream, address) = acceptor.accept().await;
         let node = Rc::clone(&node);
         connections.admit(|place| {
             let serving = async move {
@@ -77,7 +73,6 @@
     stream: TcpStream,
     place: ConnectionPlace,
 ) -> Result<(), LinkError> {
-    stream.set_nodelay(true)?;
     let session = Mutex::new(LinkSession {
         place,
         auth: None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! Everything runs on one thread. `node::GatewayNode` holds the state, none of which is
 //! persisted: configuration, targets and replicas are read from the store again after a restart.
 
+mod accept;
 mod admit;
 mod admitted;
 mod attempt_connection;
@@ -11,6 +12,7 @@
 mod attempts;
 mod boot_clock;
 mod buffered;
+mod client_connection;
 mod connection_path;
 mod crash;
 mod feed;
@@ -50,6 +52,7 @@
 mod send;
 mod settings;
 mod statements;
+mod status;
 mod target_response;
 mod tunnel;
 mod unreadable_rows;
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -74,6 +74,8 @@
     statements: Counter<u64>,
     barred_sends: Counter<u64>,
     slow_cuts: Counter<u64>,
+    displaced: Counter<u64>,
+    accept_failures: Counter<u64>,
     missing_sends: Counter<u64>,
     late_requests: Counter<u64>,
     refusals: Counter<u64>,
@@ -117,6 +119,8 @@
             statements: counter("bramleyspring.gateway.statement.count"),
             barred_sends: counter("bramleyspring.gateway.send.barred"),
             slow_cuts: counter("bramleyspring.gateway.held.cut"),
+            displaced: counter("bramleyspring.gateway.connection.displaced"),
+            accept_failures: counter("bramleyspring.gateway.connection.accept_failed"),
             missing_sends: counter("bramleyspring.gateway.send.missing_entry"),
             late_requests: counter("bramleyspring.gateway.late.count"),
             refusals: counter("bramleyspring.gateway.refusal.count"),
@@ -257,6 +261,17 @@
         self.slow_cuts.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a connection that was closed for another one, by its state, or not accepted (`refused`).
+    pub fn record_displaced(&self, face: &'static str, state: &'static str) {
+        let labels = [KeyValue::new("face", face), KeyValue::new("state", state)];
+        self.displaced.add(1, &labels);
+    }
+
+    /// Counts a connection that the system could not accept.
+    pub fn record_accept_failure(&self, face: &'static str) {
+        self.accept_failures.add(1, &[KeyValue::new("face", face)]);
+    }
+
     /// Counts a request that goes to a target whose entry is missing.
     pub fn record_missing_send(&self, service: &str) {
         let label = KeyValue::new("service", service.to_owned());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use wire::feed::{FeedLane, FeedTable};
 
+use crate::accept::ListenFace;
 use crate::boot_clock::BootClock;
 use crate::feed::FeedIntake;
 use crate::hint_channel::HintChannel;
@@ -20,6 +21,7 @@
 use crate::node::GatewayNode;
 use crate::retry_leases::hold_retry_leases;
 use crate::settings::GatewaySettings;
+use crate::status::serve_status;
 use crate::{crash, feed, heartbeat, listen, load_batches, probe, reconcile, restore, tunnel};
 
 /// Interval for checking whether a process that is shutting down may exit.
@@ -133,7 +135,8 @@
     metrics: tokio::net::TcpListener,
 ) {
     let ready_node = Rc::clone(node);
-    spawn_local(listen::serve_status(readiness, move || {
+    let face = ListenFace::Readiness;
+    spawn_local(serve_status(Rc::clone(node), readiness, face, move || {
         if ready_node.is_ready() {
             (StatusCode::OK, String::new())
         } else {
@@ -141,12 +144,16 @@
         }
     }));
     let metrics_node = Rc::clone(node);
-    spawn_local(listen::serve_status(metrics, move || {
-        match metrics_node.metrics_text() {
+    let face = ListenFace::Metrics;
+    spawn_local(serve_status(
+        Rc::clone(node),
+        metrics,
+        face,
+        move || match metrics_node.metrics_text() {
             Ok(text) => (StatusCode::OK, text),
             Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-        }
-    }));
+        },
+    ));
 }
 
 /// Closes expired idle connections, reports dropped log lines and adds up the time that hosts and
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,7 @@
 
 use domain::{DomainId, FastMap, FindingList, NodeId, RegionId};
 use eyre::WrapErr;
+use intake::ConnectionLimits;
 use serde::Deserialize;
 use serde_json::Value;
 use serving::ColdBound;
@@ -32,6 +33,12 @@
     /// slow readers is not bounded.
     #[serde(default)]
     pub memory_mb: Option<f64>,
+    /// Descriptors that the platform lets the process have open. If absent, what the system tells.
+    #[serde(default)]
+    pub descriptors: Option<usize>,
+    /// Client connections that are kept at once. If absent, as many as the descriptors and the memory bear.
+    #[serde(default)]
+    pub max_connections: Option<usize>,
     /// Region of this node. If absent, it is that of its failure domain.
     #[serde(default)]
     pub region: Option<RegionId>,
@@ -171,11 +178,12 @@
     Positive,
     OptionalNonNegative,
     OptionalPositive,
+    OptionalCount,
     Flag,
 }
 
 /// All settings with their types, for validation.
-const FIELDS: [(&str, SettingKind); 23] = [
+const FIELDS: [(&str, SettingKind); 25] = [
     ("node", SettingKind::Name),
     ("failure_domain", SettingKind::Name),
     ("listen.requests", SettingKind::Address),
@@ -197,6 +205,8 @@
     ("bounds.cold_slack", SettingKind::OptionalNonNegative),
     ("bounds.evacuate_ms", SettingKind::OptionalPositive),
     ("memory_mb", SettingKind::OptionalPositive),
+    ("descriptors", SettingKind::OptionalCount),
+    ("max_connections", SettingKind::OptionalCount),
     ("region", SettingKind::OptionalName),
     ("regions", SettingKind::OptionalNameTable),
 ];
@@ -222,6 +232,7 @@
             Self::Positive | Self::OptionalPositive => {
                 value.as_f64().is_some_and(|number| number > 0.0)
             }
+            Self::OptionalCount => value.as_u64().is_some_and(|number| number > 0),
             Self::Flag => value.is_boolean(),
         }
     }
@@ -234,6 +245,7 @@
                 | Self::OptionalAddress
                 | Self::OptionalNonNegative
                 | Self::OptionalPositive
+                | Self::OptionalCount
         )
     }
 
@@ -246,6 +258,7 @@
             }
             Self::NonNegative | Self::OptionalNonNegative => "a number that is not negative",
             Self::Positive | Self::OptionalPositive => "a number above zero",
+            Self::OptionalCount => "a whole number above zero",
             Self::Flag => "true or false",
         }
     }
@@ -275,6 +288,16 @@
 }
 
 impl GatewaySettings {
+    /// What the number of client connections follows from.
+    #[must_use]
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        ConnectionLimits {
+            stated: self.max_connections,
+            descriptors: self.descriptors,
+            memory_mb: self.memory_mb,
+        }
+    }
+
     /// Regions of the failure domains and of this node.
     #[must_use]
     pub fn region_map(&self) -> RegionMap {
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -4,26 +4,37 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Number of requests in flight on one client connection, and when the last response ended.
+use intake::{ConnectionPlace, ConnectionState};
+
+/// Number of requests in flight on one client connection, and when the last response ended. Its place at the listener
+/// is told, which another connection gets if need be.
 #[derive(Debug)]
 pub struct ConnectionUsage {
     in_flight: Cell<usize>,
     last_used: Cell<Duration>,
+    place: ConnectionPlace,
 }
 
 impl ConnectionUsage {
     /// Creates the state of a connection opened at `now`, measured from process start.
     #[must_use]
-    pub fn new(now: Duration) -> Rc<Self> {
+    pub fn new(now: Duration, place: ConnectionPlace) -> Rc<Self> {
         Rc::new(Self {
             in_flight: Cell::new(0),
             last_used: Cell::new(now),
+            place,
         })
     }
 
+    /// Completes when the connection is to be closed for another one.
+    pub async fn displaced(&self) {
+        self.place.displaced().await;
+    }
+
     /// Records the start of a request; the connection is not idle until it ends.
     pub fn request_started(&self) {
         self.in_flight.set(self.in_flight.get() + 1);
+        self.place.set_state(ConnectionState::Busy);
     }
 
     /// Records the end of a response. Clients measure idle time from here; measured from the start
@@ -31,6 +42,9 @@
     pub fn request_ended(&self, now: Duration) {
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
         self.last_used.set(now);
+        if !self.is_in_flight() {
+            self.place.set_state(ConnectionState::Idle);
+        }
     }
 
     /// Whether a request is in flight.
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -303,6 +303,7 @@
         let ordinary = self.ordinary_request().await;
         assert!(self.is_running(), "the process ended");
         let memory = self.peak_memory();
+        println!("{memory:.1} MB, {open} descriptors, {ordinary:?}");
         let bound = self.machine.memory_mb;
         assert!(memory < bound, "{memory} MB used, bound {bound} MB");
         let open = self.open_descriptors();
