Bound the heads of requests by the configured size, time and memory

Cause: the configured size and time of a head were decoded and not used. The HTTP library's own buffer of 417,792 bytes decided for each connection, at the addresses for readiness and metrics as well, and nothing counted it. Bytes after a request are the next head and were taken in the same way, also after a 401. A header takes some 104 bytes once it is read, whatever its length, and was not counted either. Empty lines before a head counted as its end.

Change: HeadCapacity gives the library the configured size, so that larger heads get 431. HeadRoom counts a head beyond its first 8 KiB, and the headers of one with more than 100 lines before they are read, in the ledger of held bytes; at its bound heads that have not ended for a second are cut off. Empty lines are left out. A head that is later than configured gets 408, which is true: nothing has run. The higher of the current and the previous limit holds; without a configuration 64 KiB and 20 s, since a client would take 431 as final.

Why it works: whatever a connection sends, it holds the configured head at most, all together the bound of the ledger beyond the first 8 KiB, and their number is bounded.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -172,6 +172,8 @@
     /// The system could not accept a connection at a listener (`face`), `failures` times since the last line. If
     /// descriptors ran out, the process has fewer than its settings state.
     AcceptFailed = 253, "accept_failed", Warn;
+    /// The head of a request did not come within the configured time. Its client gets 408: nothing has run.
+    HeadLate = 254, "head_late", Warn;
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
     /// A record has a schema version that this node does not support, or violates one of its rules.
@@ -327,7 +329,8 @@
     /// A target is cold for `for_ms`: it takes few requests of all nodes until then. `source` is what tells.
     TargetCold = 390, "target_cold", Info;
     /// A client reads or sends too slowly, and what this node holds for it and others has reached the bound.
-    /// `what` is `response` if its response is cut off, `request` if the request that it sends is rejected,
+    /// `what` is `head` if its connection is closed since its head does not end, `response` if its response is cut off,
+    /// `request` if the request that it sends is rejected,
     /// `target` if a target's response that has not been passed on yet is given up. `held` is what the node held
     /// for it, in bytes; it had taken none of it for `untaken_ms`.
     SlowReaderCut = 391, "slow_reader_cut", Warn;
--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -9,15 +9,16 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use intake::ConnectionPlace;
+use tokio::io::{AsyncWrite, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use web::{FairStream, FairTask};
 
 use crate::handle::handle_request;
-use crate::head_room::{HeadRoom, HeadStream, max_headers};
+use crate::head_room::{HeadCapacity, HeadRoom, HeadStream};
 use crate::held::{ClientHold, ReadAhead};
 use crate::listen::ConnectionGuard;
 use crate::node::{GatewayNode, RequestGuard};
-use crate::refusal::record_unreadable;
+use crate::refusal::{record_late_head, record_unreadable};
 use crate::respond::ends_with_connection;
 use crate::usage::ConnectionUsage;
 
@@ -32,6 +33,22 @@
 /// sent at the last moment still arrives within it.
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Time for the response to a late head to be written.
+const LATE_RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Response to a head that has not come in time; nothing has run.
+const LATE_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Why a connection is closed by this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CloseReason {
+    /// It was idle for long, or the process is shutting down. A request in flight is still handled.
+    Idle,
+    /// Its head has not come in time.
+    LateHead,
+}
+
 /// Serves a client connection to its end.
 pub async fn serve_client(
     node: Rc<GatewayNode>,
@@ -42,17 +59,18 @@
     let opened_at = node.now();
     let peer = stream.peer_addr().ok();
     let usage = ConnectionUsage::new(opened_at, place);
-    let client = ClientHold::new(&node);
+    let client = ClientHold::new(&node, &usage);
     let ahead = Rc::new(ReadAhead::new(&client));
-    let room = HeadRoom::new(&usage);
+    let capacity = HeadCapacity::usual(&node);
+    let room = HeadRoom::new(&node, &usage, &client, capacity);
     let handler = {
         let node = Rc::clone(&node);
         let usage = Rc::clone(&usage);
         let ahead = Rc::clone(&ahead);
         let room = Rc::clone(&room);
-        service_fn(move |request| {
-            room.head_received();
-            let running = RequestGuard::new(&node, &usage);
+        service_fn(move |request: http::Request<_>| {
+            let head = room.head_received(request.headers().len());
+            let running = RequestGuard::new(&node, &usage, head);
             let handling = handle_request(Rc::clone(&node), request, running, Rc::clone(&client));
             let ahead = Rc::clone(&ahead);
             // The library keeps room for this future in every connection, also in those that are idle.
@@ -72,6 +90,7 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT);
+    capacity.apply(&mut builder);
     let stream = FairStream::new(stream);
     let flow = stream.flow();
     let stream = TokioIo::new(HeadStream::new(stream, &room));
@@ -92,14 +111,23 @@
             }
             () = ahead.run() => return,
             () = usage.displaced() => return,
-            () = wait_until_closable(&node, &usage), if !closing => {
-                closing = true;
-                std::pin::Pin::new(connection.get_mut()).graceful_shutdown();
-            }
-            () = room.exceeded() => {
+            reason = wait_until_closable(&node, &usage, &room, closing) => match reason {
+                CloseReason::Idle => {
+                    closing = true;
+                    std::pin::Pin::new(connection.get_mut()).graceful_shutdown();
+                }
+                CloseReason::LateHead => {
+                    let open_for = node.now().saturating_sub(opened_at);
+                    record_late_head(&node, peer, open_for);
+                    let parts = connection.into_inner().into_parts();
+                    respond_late(parts.io.into_inner().into_inner()).await;
+                    return;
+                }
+            },
+            capacity = room.granted() => {
                 let parts = connection.into_inner().into_parts();
-                room.extend(&parts.read_buf);
-                builder.max_headers(max_headers(node.config().as_deref()));
+                room.extend(capacity, &parts.read_buf);
+                capacity.apply(&mut builder);
                 let served = builder.serve_connection(parts.io, parts.service);
                 connection = FairTask::new(served, flow.clone());
                 if closing {
@@ -110,19 +138,39 @@
     }
 }
 
-/// Completes when a connection should close after the request in flight: it exceeded the configured
-/// idle timeout, or the process is shutting down.
-async fn wait_until_closable(node: &GatewayNode, usage: &ConnectionUsage) {
+/// Completes when a connection should close. Once it is closing after the request in flight, that is only if a head
+/// does not come in time.
+async fn wait_until_closable(
+    node: &GatewayNode,
+    usage: &ConnectionUsage,
+    room: &HeadRoom,
+    closing: bool,
+) -> CloseReason {
     loop {
         // A newly opened connection gets time to send its request; if it were closed before the
         // request is read, the client would get no `Retry-After`.
         tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        if room.is_late() {
+            return CloseReason::LateHead;
+        }
+        if closing {
+            continue;
+        }
         let plan = node.shutdown_plan();
         if plan.is_some_and(|plan| plan.closes_connections(node.now())) {
-            return;
+            return CloseReason::Idle;
         }
         if usage.idle_time(node.now()) > node.idle_timeout() + IDLE_CLOSE_MARGIN {
-            return;
+            return CloseReason::Idle;
         }
     }
 }
+
+async fn respond_late(mut stream: impl AsyncWrite + Unpin) {
+    let writing = async {
+        stream.write_all(LATE_RESPONSE).await?;
+        stream.shutdown().await
+    };
+    // A client that has gone or does not read learns of it by the end of its connection.
+    drop(tokio::time::timeout(LATE_RESPONSE_TIMEOUT, writing).await);
+}
--- a/crates/gateway/src/held/client.rs
+++ b/crates/gateway/src/held/client.rs
@@ -10,14 +10,17 @@
 use serving::held_bytes::{HolderCut, HolderKey};
 
 use crate::node::GatewayNode;
+use crate::usage::ConnectionUsage;
 
 /// Memory that a piece of a body takes besides its bytes: its places in queues, its allocation and its
 /// framing.
 const PIECE_COST: usize = 128;
 
 /// What of a request is read to its end before it is passed on.
-#[derive(Debug, Clone, Copy)]
-pub(super) enum ReadPhase {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadPhase {
+    /// The head that the client sends.
+    Head,
     /// The body that the client sends.
     Request,
     /// The response of a target.
@@ -29,6 +32,7 @@
 #[derive(Debug)]
 pub struct ClientHold {
     node: Rc<GatewayNode>,
+    usage: Rc<ConnectionUsage>,
     key: Cell<HolderKey>,
     /// Id of the current request.
     request: RefCell<Option<RequestId>>,
@@ -43,10 +47,11 @@
 impl ClientHold {
     /// Creates the state of an accepted connection.
     #[must_use]
-    pub fn new(node: &Rc<GatewayNode>) -> Rc<Self> {
+    pub fn new(node: &Rc<GatewayNode>, usage: &Rc<ConnectionUsage>) -> Rc<Self> {
         let key = node.held.ledger.borrow_mut().add(node.now());
         let client = Rc::new(Self {
             node: Rc::clone(node),
+            usage: Rc::clone(usage),
             key: Cell::new(key),
             request: RefCell::default(),
             task: RefCell::default(),
@@ -72,7 +77,7 @@
     /// gets a response instead.
     #[must_use]
     pub(super) fn must_close(&self) -> bool {
-        self.read_phase.get().is_none() && self.is_cut()
+        matches!(self.read_phase.get(), None | Some(ReadPhase::Head)) && self.is_cut()
     }
 
     /// Counts the connection as not cut off again, after the body that was read was given up.
@@ -84,8 +89,10 @@
         held.add(key, self);
     }
 
-    pub(super) fn set_read_phase(&self, phase: Option<ReadPhase>) {
+    /// Sets what is being read to its end.
+    pub fn set_read_phase(&self, phase: Option<ReadPhase>) {
         self.read_phase.set(phase);
+        self.usage.set_receiving(phase == Some(ReadPhase::Request));
     }
 
     /// Whether all that is held is bounded.
@@ -99,12 +106,12 @@
     }
 
     /// Cuts clients off until there is room; returns whether there is. This client may be among them.
-    pub(super) fn make_room(&self) -> bool {
+    pub fn make_room(&self) -> bool {
         self.node.held.make_room(self.node.now())
     }
 
     /// Has the connection try again a little later.
-    pub(super) fn wait_for_room(&self) {
+    pub fn wait_for_room(&self) {
         self.waits_for_room.set(true);
     }
 
@@ -124,12 +131,20 @@
         }
     }
 
-    pub(super) fn hold(&self, bytes: usize) {
+    /// Counts bytes that are held from now on.
+    pub fn hold(&self, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
         let (key, now) = (self.key.get(), self.node.now());
         self.node.held.ledger.borrow_mut().hold(key, bytes, now);
     }
 
-    pub(super) fn release(&self, bytes: usize) {
+    /// Counts bytes as no longer held.
+    pub fn release(&self, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
         self.release_of(self.key.get(), bytes);
     }
 
@@ -158,6 +173,7 @@
     /// Records that the client is cut off, and wakes the task of its connection.
     pub(super) fn record_cut(&self, cut: &HolderCut) {
         let what = match self.read_phase.get() {
+            Some(ReadPhase::Head) => "head",
             Some(ReadPhase::Request) => "request",
             Some(ReadPhase::Response) => "target",
             None => "response",
@@ -216,3 +232,36 @@
         self.client.release_of(self.key, self.cost);
     }
 }
+
+/// What the head of a request takes in memory until the request has ended.
+#[derive(Debug)]
+pub struct HeldHead {
+    bytes: usize,
+    key: HolderKey,
+    client: Rc<ClientHold>,
+}
+
+impl HeldHead {
+    /// Counts a head with `bytes` bytes.
+    #[must_use]
+    pub fn new(client: &Rc<ClientHold>, bytes: usize) -> Self {
+        let key = client.key.get();
+        if bytes > 0 {
+            client.node.held.ledger.borrow_mut().hold_fixed(key, bytes);
+        }
+        Self {
+            bytes,
+            key,
+            client: Rc::clone(client),
+        }
+    }
+}
+
+impl Drop for HeldHead {
+    fn drop(&mut self) {
+        if self.bytes > 0 {
+            let mut ledger = self.client.node.held.ledger.borrow_mut();
+            ledger.release_fixed(self.key, self.bytes);
+        }
+    }
+}
--- a/crates/gateway/src/held/client_body.rs
+++ b/crates/gateway/src/held/client_body.rs
@@ -24,7 +24,7 @@
 const READS_PER_TURN: usize = 16;
 
 /// Interval at which a connection looks for room again. A target waits for some seconds.
-const ROOM_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+pub const ROOM_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A stream that is relayed, and the request that it responds to.
 pub struct RelayedStream<S> {
--- a/crates/gateway/src/held/mod.rs
+++ b/crates/gateway/src/held/mod.rs
@@ -12,8 +12,8 @@
 use domain::FastMap;
 use serving::held_bytes::{HeldLedger, HolderKey, held_bound};
 
-pub use client::{ClientHold, HeldBytes};
-pub use client_body::{ReadAhead, RelayedStream};
+pub use client::{ClientHold, HeldBytes, HeldHead, ReadPhase};
+pub use client_body::{ROOM_RETRY_INTERVAL, ReadAhead, RelayedStream};
 pub use read_body::HeldBody;
 
 /// Why a body that is read to its end is given up.
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -76,6 +76,7 @@
     slow_cuts: Counter<u64>,
     displaced: Counter<u64>,
     accept_failures: Counter<u64>,
+    late_heads: Counter<u64>,
     missing_sends: Counter<u64>,
     late_requests: Counter<u64>,
     refusals: Counter<u64>,
@@ -121,6 +122,7 @@
             slow_cuts: counter("bramleyspring.gateway.held.cut"),
             displaced: counter("bramleyspring.gateway.connection.displaced"),
             accept_failures: counter("bramleyspring.gateway.connection.accept_failed"),
+            late_heads: counter("bramleyspring.gateway.head.late"),
             missing_sends: counter("bramleyspring.gateway.send.missing_entry"),
             late_requests: counter("bramleyspring.gateway.late.count"),
             refusals: counter("bramleyspring.gateway.refusal.count"),
@@ -256,7 +258,7 @@
         self.barred_sends.add(1, &[KeyValue::new("reason", reason)]);
     }
 
-    /// Counts what was cut off because the node holds too much: `response`, `request` or `target`.
+    /// Counts what was cut off because the node holds too much: `head`, `response`, `request` or `target`.
     pub fn record_slow_cut(&self, kind: &'static str) {
         self.slow_cuts.add(1, &[KeyValue::new("kind", kind)]);
     }
@@ -272,6 +274,11 @@
         self.accept_failures.add(1, &[KeyValue::new("face", face)]);
     }
 
+    /// Counts a head that did not come in time.
+    pub fn record_late_head(&self) {
+        self.late_heads.add(1, &[]);
+    }
+
     /// Counts a request that goes to a target whose entry is missing.
     pub fn record_missing_send(&self, service: &str) {
         let label = KeyValue::new("service", service.to_owned());
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -52,6 +52,7 @@
 use crate::tunnel::TunnelState;
 
 pub use cold::ColdSource;
+use config::ConnectionBounds;
 pub use confirmed::EntryIntake;
 use health::Suspicion;
 pub use health::{FailureKind, ReplicaLostSignal};
@@ -111,7 +112,8 @@
     config: RefCell<Option<Rc<GatewayConfig>>>,
     /// Hash of the document of the configuration in force.
     config_digest: Cell<u64>,
-    idle_timeout: Cell<Duration>,
+    /// Limits on client connections; none while no configuration is known.
+    connection_bounds: Cell<Option<ConnectionBounds>>,
     registry: RefCell<TargetRegistry>,
     /// Known targets whose entries are missing from the registry.
     missing: RefCell<MissingTargets>,
@@ -188,9 +190,6 @@
 /// targets rewrite theirs within about two seconds.
 const REGISTRY_SETTLE_TIME: Duration = Duration::from_millis(2500);
 
-/// Idle timeout of client connections until a configuration is known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
 impl GatewayNode {
     /// Creates a node without configuration or registry data.
     #[must_use]
@@ -226,7 +225,7 @@
             boot_clock,
             config: RefCell::default(),
             config_digest: Cell::default(),
-            idle_timeout: Cell::new(DEFAULT_IDLE_TIMEOUT),
+            connection_bounds: Cell::default(),
             registry: RefCell::default(),
             missing: RefCell::default(),
             registry_version: Cell::default(),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -9,6 +9,7 @@
 
 use super::GatewayNode;
 use crate::admitted::AdmittedRequest;
+use crate::held::HeldHead;
 use crate::metrics::NodeStats;
 use crate::usage::ConnectionUsage;
 
@@ -18,17 +19,19 @@
 pub struct RequestGuard {
     node: Rc<GatewayNode>,
     usage: Rc<ConnectionUsage>,
+    _head: HeldHead,
 }
 
 impl RequestGuard {
-    /// Counts a request as in flight in the process and on its connection.
+    /// Counts a request as in flight in the process and on its connection, and its head as held.
     #[must_use]
-    pub fn new(node: &Rc<GatewayNode>, usage: &Rc<ConnectionUsage>) -> Self {
+    pub fn new(node: &Rc<GatewayNode>, usage: &Rc<ConnectionUsage>, head: HeldHead) -> Self {
         node.begin_request();
         usage.request_started();
         Self {
             node: Rc::clone(node),
             usage: Rc::clone(usage),
+            _head: head,
         }
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -84,6 +84,16 @@
     node.log(&line);
 }
 
+/// Logs and counts a request whose head has not come in time. The client is told that nothing has run.
+pub fn record_late_head(node: &GatewayNode, client: Option<SocketAddr>, open_for: Duration) {
+    node.metrics.record_late_head();
+    let client = client.map(|client| client.to_string());
+    let line = LogLine::new(EventCode::HeadLate)
+        .text("client", client.as_deref().unwrap_or(""))
+        .millis("open_ms", open_for);
+    node.log(&line);
+}
+
 /// Status with which the HTTP library responds to a head that it can't read. It tells of a URI that is too
 /// long like of other heads that are too large.
 fn library_status(error: &hyper::Error) -> Option<StatusCode> {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -20,6 +20,9 @@
 /// Time limit for a head, including idle time before it.
 const STATUS_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Largest head, in bytes; the HTTP library has no smaller buffer.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+
 /// Serves the status and text that `respond` returns for every request; never returns.
 pub async fn serve_status<F>(
     node: Rc<GatewayNode>,
@@ -47,7 +50,8 @@
             let mut builder = Builder::new();
             builder
                 .timer(TokioTimer::new())
-                .header_read_timeout(STATUS_IDLE_TIMEOUT);
+                .header_read_timeout(STATUS_IDLE_TIMEOUT)
+                .max_buf_size(MAX_HEAD_BYTES);
             let stream = FairStream::new(stream);
             let flow = stream.flow();
             let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -31,6 +31,19 @@
         self.place.displaced().await;
     }
 
+    /// Records whether the body of the request in flight is awaited.
+    pub fn set_receiving(&self, is_receiving: bool) {
+        if !self.is_in_flight() {
+            return;
+        }
+        let state = if is_receiving {
+            ConnectionState::Receiving
+        } else {
+            ConnectionState::Busy
+        };
+        self.place.set_state(state);
+    }
+
     /// Records the start of a request; the connection is not idle until it ends.
     pub fn request_started(&self) {
         self.in_flight.set(self.in_flight.get() + 1);
--- a/crates/serving/src/held_bytes.rs
+++ b/crates/serving/src/held_bytes.rs
@@ -1,7 +1,7 @@
 //! Bytes that one node holds for clients that take or send them slowly, and who is cut off at the bound.
 //!
-//! The load that this handles: clients that read nothing of hundreds of streams while targets send on, and
-//! request bodies that arrive byte by byte, on a node of 160 to 512 MB.
+//! The load that this handles: clients that read nothing of hundreds of streams while targets send on, request
+//! bodies that arrive byte by byte, and heads that do not end, on a node of 160 to 512 MB.
 
 use std::time::Duration;
 
@@ -49,7 +49,10 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Holder {
+    /// Bytes that the client has not taken or sent completely.
     bytes: usize,
+    /// Bytes that are held whatever the client does, for as long as its request runs.
+    fixed: usize,
     /// When bytes began to be held without interruption.
     behind_since: Duration,
     /// When the client last took bytes, or bytes began to be held.
@@ -57,6 +60,12 @@
     is_cut: bool,
 }
 
+impl Holder {
+    fn all_bytes(&self) -> usize {
+        self.bytes + self.fixed
+    }
+}
+
 /// What one node holds, by holder: a client connection with the request or response on it. Times are since
 /// the start of the process.
 #[derive(Debug, Default)]
@@ -64,6 +73,8 @@
     bound: Option<usize>,
     holders: SlotMap<HolderKey, Holder>,
     total: usize,
+    /// Time before which no holder can be cut off, so that they are not all looked at in vain.
+    no_cut_before: Duration,
 }
 
 impl HeldLedger {
@@ -99,6 +110,7 @@
     pub fn add(&mut self, now: Duration) -> HolderKey {
         self.holders.insert(Holder {
             bytes: 0,
+            fixed: 0,
             behind_since: now,
             taken_at: now,
             is_cut: false,
@@ -110,7 +122,7 @@
         if let Some(holder) = self.holders.remove(key)
             && !holder.is_cut
         {
-            self.total -= holder.bytes;
+            self.total -= holder.all_bytes();
         }
     }
 
@@ -145,6 +157,26 @@
         self.total -= released;
     }
 
+    /// Records that bytes are held for a holder until they are released, whatever its client does. A holder is not cut
+    /// off for them alone: its request runs, and its client has nothing to take.
+    pub fn hold_fixed(&mut self, key: HolderKey, bytes: usize) {
+        let Some(holder) = self.uncut(key) else {
+            return;
+        };
+        holder.fixed += bytes;
+        self.total += bytes;
+    }
+
+    /// Records that such bytes are no longer held.
+    pub fn release_fixed(&mut self, key: HolderKey, bytes: usize) {
+        let Some(holder) = self.uncut(key) else {
+            return;
+        };
+        let released = bytes.min(holder.fixed);
+        holder.fixed -= released;
+        self.total -= released;
+    }
+
     /// Whether a holder has been cut off.
     #[must_use]
     pub fn is_cut(&self, key: HolderKey) -> bool {
@@ -163,22 +195,31 @@
     /// Those whose clients have stopped come first; among them the one with the most bytes, and of equal ones
     /// the one whose client has taken nothing for longest.
     pub fn cut_next(&mut self, now: Duration) -> Option<HolderCut> {
-        if self.has_room() {
+        if self.has_room() || now < self.no_cut_before {
             return None;
         }
         let mut chosen: Option<((bool, usize, Duration), HolderKey)> = None;
+        let mut first_behind = now + BEHIND_TIME;
         for (key, holder) in &self.holders {
-            let is_behind = now.saturating_sub(holder.behind_since) >= BEHIND_TIME;
-            if holder.is_cut || holder.bytes == 0 || !is_behind {
+            if holder.is_cut || holder.bytes == 0 {
+                continue;
+            }
+            let behind_at = holder.behind_since + BEHIND_TIME;
+            if now < behind_at {
+                first_behind = first_behind.min(behind_at);
                 continue;
             }
             let untaken_for = now.saturating_sub(holder.taken_at);
-            let order = (untaken_for >= STOPPED_TIME, holder.bytes, untaken_for);
+            let order = (untaken_for >= STOPPED_TIME, holder.all_bytes(), untaken_for);
             if chosen.is_none_or(|(best, _)| order > best) {
                 chosen = Some((order, key));
             }
         }
-        let ((_, bytes, untaken_for), key) = chosen?;
+        let Some(((_, bytes, untaken_for), key)) = chosen else {
+            // One that begins to be held later is behind later.
+            self.no_cut_before = first_behind;
+            return None;
+        };
         self.holders.get_mut(key)?.is_cut = true;
         self.total -= bytes;
         Some(HolderCut {
--- a/crates/serving/tests/held_bytes.rs
+++ b/crates/serving/tests/held_bytes.rs
@@ -39,6 +39,23 @@
     assert!(cuts.iter().all(|cut| ledger.is_cut(cut.key)));
 }
 
+/// Guards against a request that is cut off while it runs, since its head takes much: its client has nothing to take.
+#[test]
+fn fixed_bytes_alone_never_cut() {
+    let mut ledger = HeldLedger::new(Some(BOUND));
+    let (running, stopped) = (ledger.add(millis(0)), ledger.add(millis(0)));
+    ledger.hold_fixed(running, BOUND);
+    assert!(!ledger.has_room());
+    assert_eq!(ledger.cut_next(millis(5000)), None);
+    ledger.hold(stopped, 1, millis(5000));
+    assert_eq!(ledger.cut_next(millis(5500)), None, "it is not behind yet");
+    let cut = ledger.cut_next(millis(6000)).expect("it has stopped");
+    assert_eq!(cut.key, stopped);
+    ledger.release_fixed(running, BOUND);
+    ledger.remove(stopped);
+    assert!(ledger.has_room());
+}
+
 /// Load: a client that keeps up with a fast stream beside stopped ones. It is never cut, even if it holds the
 /// most at the moment.
 #[test]
--- a/tests/gateway/request_heads.rs
+++ b/tests/gateway/request_heads.rs
@@ -56,6 +56,56 @@
     assert_served(&head).await;
 }
 
+/// Largest head that the configuration of a site allows, in bytes.
+const HEAD_BYTES: usize = 16 << 10;
+
+/// A head of this many bytes, with one long header.
+fn head_of(length: usize) -> String {
+    let head = format!("{}x-long: ", look_up_head("h-1", HOST));
+    let padding = length - head.len() - "\r\n\r\n".len();
+    format!("{head}{}\r\n", "x".repeat(padding))
+}
+
+/// Guards against 431 for a head that has just the size that the configuration allows, also after an empty line.
+#[tokio::test(flavor = "multi_thread")]
+async fn exactly_at_limit() {
+    let head = head_of(HEAD_BYTES);
+    assert_eq!(head.len() + 2, HEAD_BYTES);
+    assert_served(&head).await;
+    assert_served(&format!("\r\n{head}")).await;
+}
+
+/// Guards against a larger head that is served, and whose memory no limit bounds.
+#[tokio::test(flavor = "multi_thread")]
+async fn over_limit() {
+    let site = TestSite::start(0, 1);
+    let node = site.node("n0").await;
+    for length in [HEAD_BYTES + 1, HEAD_BYTES + 2000, 300_000] {
+        let head = format!("{}\r\n", head_of(length));
+        let mut stream = TcpStream::connect(node.requests).await.expect("connects");
+        // The node may close the connection before it has read everything.
+        drop(stream.write_all(head.as_bytes()).await);
+        let mut response = [0; 12];
+        let read = stream.read_exact(&mut response).await;
+        // What was not read resets the connection, which may reach the client before the response.
+        assert!(read.is_err() || &response == b"HTTP/1.1 431", "{length}");
+    }
+    node.wait_log_line(&["request_unreadable", "431"]).await;
+    assert_eq!(site.plain_runs("h-1"), 0);
+}
+
+/// Guards against 431 for a head with many headers after two empty lines, which a server ignores before a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_headers_after_empty_lines() {
+    for lines in ["\r\n", "\r\n\r\n", "\n\n\n"] {
+        let mut head = format!("{lines}{}", look_up_head("h-1", HOST));
+        for number in 0..200 {
+            write!(head, "x-note-{number}: v\r\n").expect("a String can be written");
+        }
+        assert_served(&head).await;
+    }
+}
+
 /// Reads one response, whose body is that of the stand-in's instances; returns its head.
 async fn read_response(stream: &mut TcpStream) -> String {
     let reading = async {
