Count what bodies take in memory, and hold the room of clients that were cut off

What clients saw: as with heads, a process that ends by its memory, by clients whose nearly whole bodies stay within every limit for one connection.

Cause: three parts. A body was gathered in one buffer that grows to twice its size, beside two buffers of the HTTP library, and when such bodies are given up they leave holes that the allocator can't use again. The ledger counted only the bytes of a body. And what a client that was cut off held counted as gone at once, though it is given back only when its task runs, so that others took the room twice.

Why it works: what a body takes is counted, freed pieces fit whatever comes next, and room is given away once.

--- a/crates/gateway/src/held/read_body.rs
+++ b/crates/gateway/src/held/read_body.rs
@@ -11,6 +11,10 @@
 use super::client::ReadPhase;
 use super::{ClientHold, TOO_MUCH_HELD};
 
+/// Memory that the HTTP library takes for a body that comes in pieces, beyond what every connection has: a buffer that
+/// it reads into, and one with a piece that has not been asked for yet.
+const READ_BUFFER_BYTES: usize = 24 << 10;
+
 /// Why a body was not read to its end.
 #[derive(Debug)]
 pub enum HeldBodyError {
@@ -90,9 +94,12 @@
             return Poll::Ready(None);
         };
         let frame = frame.map_err(HeldBodyError::Broken)?;
-        let length = frame.data_ref().map_or(0, Bytes::len);
-        self.held += length;
-        self.client.hold(length);
+        let mut cost = frame.data_ref().map_or(0, Bytes::len);
+        if self.held == 0 && !self.inner.is_end_stream() {
+            cost += READ_BUFFER_BYTES;
+        }
+        self.held += cost;
+        self.client.hold(cost);
         Poll::Ready(Some(Ok(frame)))
     }
 
--- a/crates/serving/src/held_bytes.rs
+++ b/crates/serving/src/held_bytes.rs
@@ -73,6 +73,8 @@
     bound: Option<usize>,
     holders: SlotMap<HolderKey, Holder>,
     total: usize,
+    /// Bytes of holders that have been cut off and not removed yet: their memory has not been given back.
+    cut_total: usize,
     /// Time before which no holder can be cut off, so that they are not all looked at in vain.
     no_cut_before: Duration,
 }
@@ -119,9 +121,12 @@
 
     /// Removes a holder with its bytes.
     pub fn remove(&mut self, key: HolderKey) {
-        if let Some(holder) = self.holders.remove(key)
-            && !holder.is_cut
-        {
+        let Some(holder) = self.holders.remove(key) else {
+            return;
+        };
+        if holder.is_cut {
+            self.cut_total -= holder.all_bytes();
+        } else {
             self.total -= holder.all_bytes();
         }
     }
@@ -183,19 +188,25 @@
         self.holders.get(key).is_some_and(|holder| holder.is_cut)
     }
 
-    /// Whether the bytes held are below the bound.
+    /// Whether the bytes held are below the bound, with those of holders that have been cut off and not removed yet.
     #[must_use]
     pub fn has_room(&self) -> bool {
+        self.bound
+            .is_none_or(|bound| self.total + self.cut_total < bound)
+    }
+
+    /// Whether there will be room once all holders that have been cut off are removed.
+    fn will_have_room(&self) -> bool {
         self.bound.is_none_or(|bound| self.total < bound)
     }
 
-    /// Chooses who is cut off while the bytes held have reached the bound, and no longer counts its bytes;
-    /// `None` if there is room, or if all clients keep up.
+    /// Chooses who is cut off while the bytes held by others than those that have been cut off reach the bound;
+    /// `None` if they don't, or if all clients keep up.
     ///
     /// Those whose clients have stopped come first; among them the one with the most bytes, and of equal ones
     /// the one whose client has taken nothing for longest.
     pub fn cut_next(&mut self, now: Duration) -> Option<HolderCut> {
-        if self.has_room() || now < self.no_cut_before {
+        if self.will_have_room() || now < self.no_cut_before {
             return None;
         }
         let mut chosen: Option<((bool, usize, Duration), HolderKey)> = None;
@@ -222,6 +233,7 @@
         };
         self.holders.get_mut(key)?.is_cut = true;
         self.total -= bytes;
+        self.cut_total += bytes;
         Some(HolderCut {
             key,
             bytes,
--- a/crates/serving/tests/held_bytes.rs
+++ b/crates/serving/tests/held_bytes.rs
@@ -39,6 +39,22 @@
     assert!(cuts.iter().all(|cut| ledger.is_cut(cut.key)));
 }
 
+/// Guards against room that is given away twice: what a client that was cut off held is memory until its task gives it
+/// back, and no more clients are cut off for it meanwhile.
+#[test]
+fn cut_bytes_count_until_removed() {
+    let mut ledger = HeldLedger::new(Some(BOUND));
+    let (first, second) = (ledger.add(millis(0)), ledger.add(millis(0)));
+    ledger.hold(first, 600, millis(0));
+    ledger.hold(second, 500, millis(0));
+    let cut = ledger.cut_next(millis(2000)).expect("it has stopped");
+    assert_eq!((cut.key, cut.bytes), (first, 600));
+    assert!(!ledger.has_room());
+    assert_eq!(ledger.cut_next(millis(2000)), None);
+    ledger.remove(first);
+    assert!(ledger.has_room());
+}
+
 /// Guards against a request that is cut off while it runs, since its head takes much: its client has nothing to take.
 #[test]
 fn fixed_bytes_alone_never_cut() {
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -62,10 +62,63 @@
     }
 }
 
-/// Reads a complete body of at most `limit` bytes.
+/// Smallest piece in which a body is gathered, in bytes.
+const PIECE_BYTES: usize = 4 << 10;
+
+/// A body that is being gathered.
 ///
-/// The bytes are copied together: a body may come in pieces of a byte each, and a piece that is kept by itself
-/// takes many times that.
+/// What has come is kept in pieces of some kilobytes until the body is complete. A piece of each frame would take many
+/// times its size if a body comes byte by byte; one buffer that grows takes up to twice what has come, and leaves holes
+/// of many sizes when it is given up.
+#[derive(Debug, Default)]
+pub struct BodyPieces {
+    pieces: Vec<BytesMut>,
+    length: usize,
+}
+
+impl BodyPieces {
+    /// Number of bytes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Whether nothing has come yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Adds bytes at the end.
+    pub fn push(&mut self, mut bytes: &[u8]) {
+        self.length += bytes.len();
+        if let Some(last) = self.pieces.last_mut() {
+            let fitting = bytes.len().min(last.capacity() - last.len());
+            last.extend_from_slice(&bytes[..fitting]);
+            bytes = &bytes[fitting..];
+        }
+        if !bytes.is_empty() {
+            let mut piece = BytesMut::with_capacity(bytes.len().max(PIECE_BYTES));
+            piece.extend_from_slice(bytes);
+            self.pieces.push(piece);
+        }
+    }
+
+    /// The whole body.
+    #[must_use]
+    pub fn into_bytes(mut self) -> Bytes {
+        if self.pieces.len() < 2 {
+            return self.pieces.pop().unwrap_or_default().freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.length);
+        for piece in self.pieces {
+            whole.extend_from_slice(&piece);
+        }
+        whole.freeze()
+    }
+}
+
+/// Reads a complete body of at most `limit` bytes.
 ///
 /// # Errors
 ///
@@ -76,7 +129,7 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let mut body = std::pin::pin!(body);
-    let mut bytes = BytesMut::new();
+    let mut bytes = BodyPieces::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| BodyError::Incomplete(error.into().to_string()))?;
         let Ok(data) = frame.into_data() else {
@@ -88,9 +141,9 @@
         if bytes.is_empty() && body.is_end_stream() {
             return Ok(data);
         }
-        bytes.extend_from_slice(&data);
+        bytes.push(&data);
     }
-    Ok(bytes.freeze())
+    Ok(bytes.into_bytes())
 }
 
 /// Parses a complete JSON document.
