Bound what the own interface and its admin address hold for clients

Cause: web::server left the buffer for heads and the streams of HTTP/2 to the library, bounded no connections, and bodies of up to 4 MiB each were read for as long as their clients took.

Change: heads of 16 KiB, 32 streams and small windows of HTTP/2, places for connections, and one ledger for the bodies of all clients (entry.held_bodies, 64 MiB) with a time for each (entry.body_timeout, 30 s). Clients that have stopped sending are cut off with 429 and Retry-After when others need the room; a late body gets 408. Neither has run. entry.max_connections states the connections; without it they get three quarters of the descriptors.

tls_reload gives the server a number of connections and panics if any is displaced; its checks are unchanged.

--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -1,12 +1,15 @@
 //! HTTP routes of the admin API.
 
+use std::io;
+
 use control::amend::AmendError;
 use control::history::{HistoryQuery, get_record, list_records, read_history};
 use control::{ConfigView, amend_record};
 use domain::record::RecordKind;
 use domain::{FindingList, RecordSpec};
-use events::{EventRecorder, NodeMetrics};
+use events::{EventCode, EventRecorder, EventSubject, NodeMetrics};
 use http::{Method, StatusCode};
+use intake::PlaceReport;
 use platform::TableStore;
 use web::{
     WebHandler, WebRequest, WebResponse, json_response, parse_json, query_value, read_body,
@@ -225,4 +228,18 @@
             _ => text_response(StatusCode::NOT_FOUND, PATH_NOT_FOUND),
         }
     }
+
+    fn record_displaced(&self, report: PlaceReport) {
+        let detail = format!("admin address: {report}");
+        let subject = EventSubject::default();
+        let recorder = &self.context.recorder;
+        recorder.record(EventCode::ConnectionsDisplaced, subject, detail);
+    }
+
+    fn record_accept_failure(&self, error: &io::Error) {
+        let detail = format!("admin address: {error}");
+        let subject = EventSubject::default();
+        let recorder = &self.context.recorder;
+        recorder.record(EventCode::AcceptFailed, subject, detail);
+    }
 }
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -83,6 +83,7 @@
             ErrorCode::InvalidRequest | ErrorCode::KeyRequired | ErrorCode::InvalidResume => {
                 StatusCode::BAD_REQUEST
             }
+            ErrorCode::BodyLate => StatusCode::REQUEST_TIMEOUT,
             ErrorCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             ErrorCode::InvalidKey => StatusCode::UNAUTHORIZED,
             ErrorCode::NotGranted => StatusCode::FORBIDDEN,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod formatter;
 pub mod generation;
 pub mod headers;
+pub mod held_bodies;
 pub mod latency;
 pub mod models;
 pub mod progress;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP handler of the client listener.
 
+use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,10 +10,13 @@
 use domain::record::CustomerRecord;
 use events::{EventCode, EventSubject};
 use http::{HeaderValue, StatusCode, Version, header};
+use http_body_util::BodyExt as _;
 use hyper::body::Body;
+use intake::PlaceReport;
 use platform::TableStore;
 use target::{EngineClient, ServiceClient};
-use web::{BodyError, WebHandler, WebRequest, WebResponse, parse_json, read_body, text_response};
+use web::body::GuardedBody;
+use web::{BodyError, WebHandler, WebRequest, WebResponse, parse_json, text_response};
 use wire::client_api::ErrorCode;
 use wire::openai::{ChatRequest, CompletionRequest};
 
@@ -21,12 +25,16 @@
 use crate::context::EntryContext;
 use crate::error::RequestError;
 use crate::generation::CompletionParams;
+use crate::held_bodies::{BodyFailure, BodyRoom, HeldBodies, HeldBody};
 use crate::models::{list_models, show_model};
 use crate::request_head::RequestHead;
 use crate::routes::{Route, find_route};
 use crate::services::{ServiceDispatcher, resolve_call};
 use crate::shutdown::ShutdownHandle;
 
+/// Retry delay of a request whose body found no room; other nodes may have some.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Retry delay while the node is shutting down or its configuration is not up to date.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -35,6 +43,7 @@
 pub struct EntryServer<E, T: TableStore, S> {
     context: EntryContext<E>,
     services: ServiceDispatcher<T, S>,
+    bodies: HeldBodies,
 }
 
 impl<E: EngineClient, T: TableStore, S: ServiceClient> EntryServer<E, T, S> {
@@ -43,7 +52,13 @@
     pub fn new(context: EntryContext<E>, ledger: CallLedger<T>, service: S) -> Self {
         let settings = Arc::clone(&context.settings);
         let services = ServiceDispatcher::new(ledger, service, context.recorder.clone(), settings);
-        Self { context, services }
+        let settings = &context.settings;
+        let bodies = HeldBodies::new(settings.held_bodies_bytes, settings.body_timeout());
+        Self {
+            context,
+            services,
+            bodies,
+        }
     }
 
     /// Returns the handle that controls the shutdown of this server.
@@ -71,19 +86,22 @@
             Route::Models => Ok(list_models(customer)),
             Route::Model(name) => show_model(customer, name),
             Route::Chat => {
-                let body: ChatRequest = self.read_json(body).await?;
-                self.start_completion(&view, customer, head, body.try_into()?)
-                    .await
+                let (body, room): (ChatRequest, _) = self.read_json(body).await?;
+                let params = body.try_into()?;
+                let response = self.start_completion(&view, customer, head, params).await?;
+                Ok(hold_until_sent(response, room))
             }
             Route::Completion => {
-                let body: CompletionRequest = self.read_json(body).await?;
-                self.start_completion(&view, customer, head, body.try_into()?)
-                    .await
+                let (body, room): (CompletionRequest, _) = self.read_json(body).await?;
+                let params = body.try_into()?;
+                let response = self.start_completion(&view, customer, head, params).await?;
+                Ok(hold_until_sent(response, room))
             }
             Route::Service { name, call: path } => {
                 let resolved = resolve_call(&view, customer, name, path)?;
-                let bytes = self.read_limited(body).await?;
-                self.services.call(resolved, head, bytes).await
+                let HeldBody { bytes, room } = self.read_limited(body).await?;
+                let response = self.services.call(resolved, head, bytes).await?;
+                Ok(hold_until_sent(response, room))
             }
         }
     }
@@ -115,18 +133,29 @@
         Ok(text_response(StatusCode::OK, "ready\n"))
     }
 
-    async fn read_limited(&self, body: impl RequestBody) -> Result<Bytes, RequestError> {
-        read_body(body, self.context.settings.max_body_bytes)
-            .await
-            .map_err(body_error)
+    async fn read_limited(&self, body: impl RequestBody) -> Result<HeldBody, RequestError> {
+        let reading = self.bodies.read(body, self.context.settings.max_body_bytes);
+        reading.await.map_err(|failure| match failure {
+            BodyFailure::Unreadable(error) => body_error(error),
+            BodyFailure::NoRoom => {
+                let message = "this node holds too many request bodies";
+                let error = RequestError::not_run(ErrorCode::Overloaded, message);
+                error.with_retry_after(NO_ROOM_RETRY_AFTER)
+            }
+            BodyFailure::Late => {
+                let message = "the request body came too slowly";
+                RequestError::not_run(ErrorCode::BodyLate, message).with_param("body")
+            }
+        })
     }
 
     async fn read_json<R: serde::de::DeserializeOwned>(
         &self,
         body: impl RequestBody,
-    ) -> Result<R, RequestError> {
-        let bytes = self.read_limited(body).await?;
-        parse_json(&bytes).map_err(body_error)
+    ) -> Result<(R, BodyRoom), RequestError> {
+        let HeldBody { bytes, room } = self.read_limited(body).await?;
+        let parsed = parse_json(&bytes).map_err(body_error)?;
+        Ok((parsed, room))
     }
 
     /// Handles one request with any body type. Errors become responses.
@@ -163,6 +192,12 @@
     }
 }
 
+/// Keeps the room of a request's body until the response has been sent: a stream that moves to another replica needs the
+/// prompt again.
+fn hold_until_sent(response: WebResponse, room: BodyRoom) -> WebResponse {
+    response.map(|body| GuardedBody::new(body, room).boxed_unsync())
+}
+
 /// Request bodies that the server accepts.
 pub trait RequestBody:
     Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>> + Send
@@ -210,4 +245,16 @@
     async fn handle(&self, request: WebRequest) -> WebResponse {
         self.handle_request(request).await
     }
+
+    fn record_displaced(&self, report: PlaceReport) {
+        let recorder = &self.context.recorder;
+        let subject = EventSubject::default();
+        recorder.record(EventCode::ConnectionsDisplaced, subject, report.to_string());
+    }
+
+    fn record_accept_failure(&self, error: &io::Error) {
+        let recorder = &self.context.recorder;
+        let subject = EventSubject::default();
+        recorder.record(EventCode::AcceptFailed, subject, error.to_string());
+    }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -15,9 +15,17 @@
     /// Secret that signs resume tokens, identical on all entry hosts. Without it each process
     /// generates its own, and a token is valid only at the process that issued it.
     pub resume_key: Option<SecretText>,
+    /// Most connections of clients at once; without it as many as the descriptors of the process bear.
+    pub max_connections: Option<usize>,
     /// Maximum size of a request body in bytes; 4 MiB leaves headroom for long conversations.
     #[builder(default = 4 << 20)]
     pub max_body_bytes: usize,
+    /// Memory that the request bodies of all clients may take together, in bytes.
+    #[builder(default = 64 << 20)]
+    pub held_bodies_bytes: usize,
+    /// Timeout for a request body to arrive.
+    #[builder(default = 30_000)]
+    pub body_timeout_ms: u64,
     /// Maximum number of tokens of a response if the request sets no limit.
     #[builder(default = 256)]
     pub default_max_tokens: u32,
@@ -100,6 +108,8 @@
     recovery = recovery_ms;
     /// Returns [`EntrySettings::call_timeout_ms`] as a duration.
     call_timeout = call_timeout_ms;
+    /// Returns [`EntrySettings::body_timeout_ms`] as a duration.
+    body_timeout = body_timeout_ms;
     /// Returns [`EntrySettings::drain_grace_ms`] as a duration.
     drain_grace = drain_grace_ms;
     /// Returns [`EntrySettings::finish_ms`] as a duration.
--- a/crates/settings/src/catalogue/entry.rs
+++ b/crates/settings/src/catalogue/entry.rs
@@ -11,6 +11,27 @@
         Some("4MiB"),
         "Maximum size of a request body; enough for a long conversation.",
     ),
+    field(
+        "entry",
+        "held_bodies",
+        FieldKind::Size(1 << 20, 16 << 30),
+        Some("64MiB"),
+        "Memory that the request bodies of all clients may take together, a body up to twice its size; beyond it a request gets 429 with `Retry-After`, and has not run.",
+    ),
+    field(
+        "entry",
+        "body_timeout",
+        FieldKind::Duration(SECOND, 10 * MINUTE),
+        Some("30s"),
+        "Timeout for a request body to arrive; a later one gets 408, and has not run.",
+    ),
+    field(
+        "entry",
+        "max_connections",
+        FieldKind::Integer(1, 1_000_000),
+        None,
+        "Most connections of clients at once; if omitted, three quarters of the descriptors that the process may have. At the bound, one that has never sent a whole head is closed for a new one, then the one that has been idle for longest.",
+    ),
     field(
         "entry",
         "default_max_tokens",
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fair_stream;
 pub mod fair_task;
 pub mod query;
+mod request_count;
 pub mod response;
 pub mod retry_after;
 pub mod server;
--- a/crates/web/tests/tls_reload.rs
+++ b/crates/web/tests/tls_reload.rs
@@ -1,10 +1,12 @@
 //! TLS listeners whose certificate files are replaced while they serve.
 
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use http::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use intake::PlaceReport;
 use rcgen::{CertifiedKey, generate_simple_self_signed};
 use rustls::pki_types::{CertificateDer, ServerName};
 use rustls::{ClientConfig, RootCertStore};
@@ -16,6 +18,9 @@
     text_response,
 };
 
+/// More connections than the tests have open.
+const MAX_CONNECTIONS: usize = 100;
+
 const SERVER_NAME: &str = "entry.test";
 
 struct FixedResponse;
@@ -24,6 +29,14 @@
     async fn handle(&self, _: WebRequest) -> WebResponse {
         text_response(StatusCode::OK, "ok")
     }
+
+    fn record_displaced(&self, report: PlaceReport) {
+        panic!("{report}");
+    }
+
+    fn record_accept_failure(&self, error: &io::Error) {
+        panic!("{error}");
+    }
 }
 
 struct CertificateDirectory {
@@ -77,6 +90,7 @@
         listener,
         tls_config.clone(),
         Arc::new(FixedResponse),
+        MAX_CONNECTIONS,
         no_shutdown,
     ));
     address
--- a/crates/wire/src/client_api.rs
+++ b/crates/wire/src/client_api.rs
@@ -35,6 +35,8 @@
     InvalidRequest,
     /// The body exceeds the size limit.
     BodyTooLarge,
+    /// The body did not come in time.
+    BodyLate,
     /// The API key is missing or unknown.
     InvalidKey,
     /// The customer has no grant for what it requested.
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -14,6 +14,9 @@
 use super::peers::PeerTasks;
 use super::report::StatusReporter;
 
+/// Most connections of operators and monitoring systems at once.
+const MAX_ADMIN_CONNECTIONS: usize = 64;
+
 /// A bound admin listener, which is not served until [`start`].
 pub struct AdminListener {
     /// Address on which operators connect.
@@ -63,6 +66,7 @@
     tokio::spawn(serve_listener(
         admin.listener,
         Arc::new(server),
+        MAX_ADMIN_CONNECTIONS,
         std::future::pending(),
     ));
     Ok(())
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -17,6 +17,7 @@
 };
 use events::{EventCode, EventRecorder, EventSubject};
 use eyre::WrapErr;
+use intake::ConnectionLimits;
 use target::{HttpEngineClient, HttpServiceClient};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -182,10 +183,15 @@
             shutdown.advance(ShutdownPhase::Draining);
             tokio::time::sleep(grace).await;
         };
+        let limits = ConnectionLimits {
+            stated: self.settings.max_connections,
+            ..ConnectionLimits::default()
+        };
         let mut serving = pin!(serve_with_acceptor(
             self.listener,
             acceptor,
             Arc::clone(&self.server),
+            limits.max_connections(),
             close
         ));
         let mut phases = shutdown.watch();
--- a/tests/crowds/own_face.rs
+++ b/tests/crowds/own_face.rs
@@ -8,7 +8,7 @@
 use rcgen::{CertifiedKey, generate_simple_self_signed};
 use rustls::pki_types::{CertificateDer, ServerName};
 use rustls::{ClientConfig, RootCertStore};
-use serde_json::json;
+use serde_json::{Value, json};
 use standin::stack::{CUSTOMER_KEY, StackPlan, TestStack};
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -100,12 +100,19 @@
     }
 
     async fn start_with(name: &str, descriptors: usize, has_tls: bool) -> Self {
+        Self::start_plan(name, descriptors, &json!({}), has_tls).await
+    }
+
+    async fn start_plan(name: &str, descriptors: usize, settings: &Value, has_tls: bool) -> Self {
         let turn = take_turn().await;
         let name = format!("crowds-{name}");
         let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("temporary directory is writable");
         let plan = StackPlan::new(&name, limited_binary(&folder, descriptors));
         let mut plan = plan.engines(4).replicas(1).entries(1);
+        if *settings != json!({}) {
+            plan = plan.settings("entry", settings.clone());
+        }
         let mut tls = None;
         if has_tls {
             tls = Some(tls_connector(write_certificate(&folder)));
@@ -160,6 +167,7 @@
         let responding = tokio::time::timeout(RESPONSE_TIMEOUT, self.ordinary_request());
         let ordinary = responding.await.ok().flatten();
         let memory = peak_memory(process);
+        println!("{memory:.1} MB, {open} descriptors, {ordinary:?}");
         assert!(memory < MEMORY_MB, "{memory} MB used, bound {MEMORY_MB} MB");
         let open = open_descriptors(process);
         assert!(open <= most, "{open} descriptors open, bound {most}");
@@ -302,3 +310,18 @@
     entry.assert_sound(CROWD).await;
     drop(crowd);
 }
+
+/// Guards against bodies within the limit of one, which together take the memory of the process and never end.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_bodies() {
+    let settings = json!({ "held_bodies": "16MiB" });
+    let entry = TestEntry::start_plan("bodies", DESCRIPTORS, &settings, false).await;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        4 << 20
+    );
+    let bytes = CrowdBytes::once(head).then_repeat(b" ", MOST_BYTES);
+    let _crowd = Crowd::gather(entry.address(), CROWD, &bytes).await;
+    entry.assert_sound(CROWD).await;
+}
