Keep at least 64 connections however little memory is stated

slow_readers::endless_plain_responses_given_up states 0.1 MB of memory, to bound what is held for clients at 25 KB; with places by memory that left one connection, and 23 of its 24 clients were closed for each other.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -12,8 +12,8 @@
 
 use crate::node::GatewayNode;
 
-/// Bytes that the system takes in for a connection of a client before the node reads them, as the node asks for it; systems
-/// use up to twice as many. They are memory of the machine as well, and a whole head fits.
+/// Bytes that the system is asked to take in for a connection before the node reads them; it may use twice as many. They
+/// are memory of the machine as well, and a whole head fits.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
 /// Delay after a failed accept; without it a process out of file descriptors would busy-loop.
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -19,6 +19,9 @@
 /// share.
 const CONNECTION_BYTES: f64 = 16.0 * 1024.0;
 
+/// Connections that are kept however little memory is stated: fewer would be met by ordinary clients.
+const MIN_CONNECTIONS: usize = 64;
+
 /// Most connections to an address for readiness checks or metrics. A load balancer and a monitoring system need a few.
 pub const MAX_STATUS_CONNECTIONS: usize = 32;
 
@@ -52,7 +55,7 @@
         // Saturates for memory sizes that no machine has.
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let connections = connections as usize;
-        Some(connections)
+        Some(connections.max(MIN_CONNECTIONS))
     }
 }
 
--- a/crates/intake/tests/connection_table.rs
+++ b/crates/intake/tests/connection_table.rs
@@ -110,6 +110,18 @@
     assert_eq!(limits.max_connections(), 300);
 }
 
+/// Guards against a process that closes ordinary clients for each other, since it is told of less memory than it takes
+/// itself.
+#[test]
+fn some_connections_always_kept() {
+    let limits = ConnectionLimits {
+        memory_mb: Some(0.1),
+        descriptors: Some(400),
+        stated: None,
+    };
+    assert_eq!(limits.max_connections(), 64);
+}
+
 /// Guards against connections that take more than their part of a small machine's memory.
 #[test]
 fn memory_bounds_connections() {
