--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncWrite, AsyncWriteExt as _};
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
 use crate::process::unread_bytes;
@@ -120,3 +120,19 @@
         }
     }
 }
+
+/// Sends bytes and returns the first line of what comes back, if anything does.
+pub async fn first_line(
+    mut stream: impl AsyncRead + AsyncWrite + Unpin,
+    bytes: &[u8],
+) -> Option<String> {
+    stream.write_all(bytes).await.ok()?;
+    let mut response = Vec::new();
+    while !response.contains(&b'\n') {
+        if stream.read_buf(&mut response).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let text = String::from_utf8_lossy(&response).into_owned();
+    text.lines().next().map(str::to_owned)
+}
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -8,12 +8,11 @@
 
 use serde_json::{Value, json};
 use standin::site::{SiteInstance, SiteStore, StoreMode};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::MutexGuard;
 
 use crate::BINARY;
-use crate::crowd::{Crowd, CrowdBytes};
+use crate::crowd::{Crowd, CrowdBytes, first_line};
 use crate::process::{
     FREE_DESCRIPTORS, OWN_DESCRIPTORS, limited_command, open_descriptors, peak_memory, take_turn,
 };
@@ -220,16 +219,8 @@
     /// First line of the response to these bytes, sent on a connection of their own.
     pub async fn first_line(&self, face: Face, bytes: &[u8]) -> Option<String> {
         let responding = async {
-            let mut stream = TcpStream::connect(self.address(face)).await.ok()?;
-            stream.write_all(bytes).await.ok()?;
-            let mut response = Vec::new();
-            while !response.contains(&b'\n') {
-                if stream.read_buf(&mut response).await.ok()? == 0 {
-                    return None;
-                }
-            }
-            let text = String::from_utf8_lossy(&response).into_owned();
-            text.lines().next().map(str::to_owned)
+            let stream = TcpStream::connect(self.address(face)).await.ok()?;
+            first_line(stream, bytes).await
         };
         let responded = tokio::time::timeout(EVENT_TIMEOUT, responding).await;
         responded.ok().flatten()
--- a/tests/crowds/own_face.rs
+++ b/tests/crowds/own_face.rs
@@ -10,13 +10,12 @@
 use rustls::{ClientConfig, RootCertStore};
 use serde_json::{Value, json};
 use standin::stack::{CUSTOMER_KEY, StackPlan, TestStack};
-use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::MutexGuard;
 use tokio_rustls::TlsConnector;
 
 use crate::BINARY;
-use crate::crowd::{Crowd, CrowdBytes, MOST_BYTES, settle};
+use crate::crowd::{Crowd, CrowdBytes, MOST_BYTES, first_line, settle};
 use crate::process::{FREE_DESCRIPTORS, OWN_DESCRIPTORS, open_descriptors, peak_memory, take_turn};
 
 /// Connections of a crowd that sends much.
@@ -147,7 +146,7 @@
         if let Some(connector) = &self.tls {
             let name = ServerName::try_from(SERVER_NAME).ok()?;
             let stream = connector.connect(name, stream).await.ok()?;
-            return first_line(stream, "GET /healthz HTTP/1.1\r\nhost: entry\r\n\r\n").await;
+            return first_line(stream, b"GET /healthz HTTP/1.1\r\nhost: entry\r\n\r\n").await;
         }
         let body = r#"{"model":"trader-help","prompt":"Which form?","max_tokens":4}"#;
         let request = format!(
@@ -155,7 +154,7 @@
              content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
             body.len()
         );
-        first_line(stream, &request).await
+        first_line(stream, request.as_bytes()).await
     }
 
     /// Checks what must hold while a crowd of `count` connections is held.
@@ -175,21 +174,6 @@
     }
 }
 
-async fn first_line(
-    mut stream: impl AsyncRead + AsyncWrite + Unpin,
-    request: &str,
-) -> Option<String> {
-    stream.write_all(request.as_bytes()).await.ok()?;
-    let mut response = Vec::new();
-    while !response.contains(&b'\n') {
-        if stream.read_buf(&mut response).await.ok()? == 0 {
-            return None;
-        }
-    }
-    let text = String::from_utf8_lossy(&response).into_owned();
-    text.lines().next().map(str::to_owned)
-}
-
 fn endless_head() -> CrowdBytes {
     let head = CrowdBytes::once("POST /v1/completions HTTP/1.1\r\nhost: entry\r\nx-long: ");
     head.then_repeat(b"x", MOST_BYTES)
