Let connections whose refused body is read give up their places

A request that is refused by its head has its body read for up to a second before the response, and its connection counted as busy for that time, so a crowd without a key could keep new clients from being accepted. It counts as one whose body is awaited now. Found reading the change; descriptors::stalled_bodies_without_key passed before as well, since the crowd is answered by the time that the test looks.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -15,7 +15,7 @@
 use web::{BodyError, read_body};
 
 use crate::admitted::AdmittedRequest;
-use crate::held::{ClientHold, HeldBody, TOO_MUCH_HELD};
+use crate::held::{ClientHold, HeldBody, ReadPhase, TOO_MUCH_HELD};
 use crate::local_response::LocalResponse;
 use crate::node::GatewayNode;
 
@@ -73,9 +73,11 @@
 
     /// Reads the rest of the request before the response: if the connection were closed on it, the
     /// client's next request would be cut off.
-    async fn after_body(self, body: Incoming, max_bytes: usize) -> Self {
+    async fn after_body(self, body: Incoming, max_bytes: usize, client: &ClientHold) -> Self {
+        client.set_read_phase(Some(ReadPhase::Request));
         let discarding = discard_body(body, max_bytes);
         let discarded = tokio::time::timeout(DISCARD_TIMEOUT, discarding).await;
+        client.set_read_phase(None);
         Self {
             is_read: discarded.unwrap_or(false),
             ..self
@@ -101,7 +103,8 @@
         Ok(checked) => checked,
         Err(rejection) => {
             let rejection = rejection.unless_unproved(node);
-            return Err(rejection.after_body(body, config.limits.body_bytes).await);
+            let max_bytes = config.limits.body_bytes;
+            return Err(rejection.after_body(body, max_bytes, client).await);
         }
     };
     let body = HeldBody::of_request(body, client);
@@ -144,9 +147,13 @@
 }
 
 /// Rejects a request while no configuration is known.
-pub async fn reject_unconfigured(response: LocalResponse, body: Incoming) -> Rejection {
+pub async fn reject_unconfigured(
+    response: LocalResponse,
+    body: Incoming,
+    client: &ClientHold,
+) -> Rejection {
     Rejection::unread(response, "no configuration loaded yet")
-        .after_body(body, DEFAULT_DISCARD_BYTES)
+        .after_body(body, DEFAULT_DISCARD_BYTES, client)
         .await
 }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -53,7 +53,7 @@
     client.set_request(headers.id.as_ref());
     let Some(config) = node.config() else {
         let response = LocalResponse::NotExecuted(NO_TARGET_RETRY_AFTER);
-        let rejection = reject_unconfigured(response, request.into_body()).await;
+        let rejection = reject_unconfigured(response, request.into_body(), client).await;
         return rejected_response(node, &headers, rejection).map(Either::Left);
     };
     let admitted = match admit(node, &config, request, &headers, client).await {
--- a/tests/crowds/descriptors.rs
+++ b/tests/crowds/descriptors.rs
@@ -1,7 +1,7 @@
 //! Crowds of more connections than a process may have descriptors.
 
 use crate::crowd::CrowdBytes;
-use crate::gateway::{Face, Machine, TestGateway, request_head};
+use crate::gateway::{Face, HOST, Machine, TestGateway, request_head};
 
 /// Connections of a crowd.
 const CROWD: usize = 600;
@@ -37,3 +37,23 @@
     let head = request_head("GET", "/look/x", "idle");
     play(CrowdBytes::once(format!("{head}\r\n"))).await;
 }
+
+/// Guards against the same by requests with a key whose bodies stall.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_bodies() {
+    let head = request_head("POST", "/pay/x", "body");
+    play(CrowdBytes::once(format!(
+        "{head}content-length: 10\r\n\r\n12345"
+    )))
+    .await;
+}
+
+/// Guards against the same by requests without a key whose bodies stall, which are read before they are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_bodies_without_key() {
+    let head = format!("POST /pay/x HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: body\r\n");
+    play(CrowdBytes::once(format!(
+        "{head}content-length: 10\r\n\r\n12345"
+    )))
+    .await;
+}
--- a/tests/gateway/request_heads.rs
+++ b/tests/gateway/request_heads.rs
@@ -147,6 +147,48 @@
     }
 }
 
+/// Sends these heads at once on one connection and expects a response to each.
+async fn assert_pipelined_served(heads: &[String]) {
+    let site = TestSite::start(0, 1);
+    let node = site.node("n0").await;
+    let mut stream = TcpStream::connect(node.requests).await.expect("connects");
+    let text = heads.join("\r\n") + "\r\n";
+    stream.write_all(text.as_bytes()).await.expect("it reads");
+    let reading = async {
+        let mut bytes = Vec::new();
+        loop {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            if text.matches("receipt").count() == heads.len() {
+                return text;
+            }
+            let read = stream.read_buf(&mut bytes).await.expect("a response");
+            assert!(read > 0, "{}", String::from_utf8_lossy(&bytes));
+        }
+    };
+    let text = tokio::time::timeout(RESPONSE_TIMEOUT, reading).await;
+    let text = text.expect("responses in time");
+    assert_eq!(
+        text.matches("HTTP/1.1 200 OK").count(),
+        heads.len(),
+        "{text}"
+    );
+}
+
+/// Guards against a client that sends requests without waiting for responses, and of which a later head is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_heads() {
+    let plain: Vec<String> = (0..4)
+        .map(|number| look_up_head(&format!("h-{number}"), HOST))
+        .collect();
+    assert_pipelined_served(&plain).await;
+    let large = [
+        look_up_head("h-8", HOST),
+        head_of(12_000),
+        head_of(HEAD_BYTES),
+    ];
+    assert_pipelined_served(&large).await;
+}
+
 /// Guards against 404 for the fully qualified form of the host's name.
 #[tokio::test(flavor = "multi_thread")]
 async fn host_with_trailing_dot() {
