Wait for log lines in tests that read them right after a response

The log writer runs beside the response, so the line may come after it: in a trial that printed both, the log had no line of the request at once and the expected one 300 ms later. Four other tests read lines in the same way and are changed alike; they were not seen to fail.

--- a/tests/gateway/config_freshness.rs
+++ b/tests/gateway/config_freshness.rs
@@ -178,7 +178,7 @@
     gate.end_poll_early(EARLY_END);
     gate.set(GateMode::Open);
     assert_early_end_waits(&site, &node, &gate).await;
-    assert!(!node.log_lines(&["store_clock_stepped"]).is_empty());
+    node.wait_log_line(&["store_clock_stepped"]).await;
 }
 
 async fn unreachable_store(mode: GateMode) {
--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -230,8 +230,9 @@
     }
     assert_eq!(reached(&site, "z", in_force), 0);
     assert_eq!(site.instances[0].received_count(), received);
-    let refused = node.log_lines(&["all-chat", "outside evacuated failure domains"]);
-    assert!(!refused.is_empty(), "the log names another reason");
+    // The log names the reason; it is written beside the response, so the line may come after it.
+    node.wait_log_line(&["all-chat", "outside evacuated failure domains"])
+        .await;
     end_evacuation(&site, "z0");
     end_evacuation(&site, "z1");
     wait_ended(&[&node], "z0").await;
@@ -328,8 +329,9 @@
         assert_eq!(response.text, complete_stream(100));
     }
     assert_eq!(reached(&site, "z1", from), before);
+    // At least one stream of the lost replica has moved.
+    node.wait_log_line(&["stream_moved"]).await;
     let moved = node.log_lines(&["stream_moved"]);
-    assert!(!moved.is_empty(), "no stream of the lost replica moved");
     assert!(
         moved
             .iter()
--- a/tests/gateway/refusal_makers.rs
+++ b/tests/gateway/refusal_makers.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-use crate::node::TestNode;
+use crate::node::{TestNode, wait_for};
 use crate::request::TestRequest;
 use crate::site::{TestSite, configuration};
 
@@ -83,6 +83,8 @@
         line.starts_with("bramleyspring_gateway_log_dropped_kind")
             && line.contains("event=\"request_failed\"")
     });
-    let written = node.log_lines(&["request_failed"]).len();
+    let written = || node.log_lines(&["request_failed"]).len();
+    wait_for("all lines", || dropped || written() >= 900).await;
+    let written = written();
     assert!(dropped || written == 900, "{written} lines\n{text}");
 }
--- a/tests/gateway/stated_backoff.rs
+++ b/tests/gateway/stated_backoff.rs
@@ -346,8 +346,8 @@
             TestRequest::chat(&name).send(&node).await;
         }
     }
-    let unreadable = node.log_lines(&["statement_unreadable", "retry_after"]);
-    assert!(!unreadable.is_empty(), "nobody was told");
+    node.wait_log_line(&["statement_unreadable", "retry_after"])
+        .await;
     site.groups.set_delay_text(&head, None);
     let freed = Instant::now();
     for number in 0..30 {
