Bound the requests that run at once by the descriptors and the memory

A crowd with a key that sends sound requests to a target that does not respond took all descriptors of a node: each request that runs has a second connection, to its target. running_requests::descriptors, 200 calls on a process with 400 descriptors: all 400 open (bound 350, twice), and the node took its target for lost since it could not connect; the store and links share the same descriptors. What targets take was the only bound, some thousands. A request that runs also takes 36 KB of memory that nothing counted (61.4 MB for 900 calls, bound 64; ::memory passed before).

Requests that are sent to a target now take a place, of a quarter of the descriptors and a quarter of the memory (max_requests); one more gets 503 with Retry-After at once and has not run. Connections get half of the descriptors in place of three quarters, and a third of the memory at 48 KiB each, since what the system has received for a connection is memory of the machine as well.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -25,8 +25,8 @@
 /// configuration or to repair a replica.
 pub const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(700);
 
-/// `Retry-After` if all targets are full; some slots become free within it.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// `Retry-After` if all targets, or the node, are full; some slots become free within it.
+pub const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Part by which clients are told to come back later than a backoff ends, so that they don't all come at once.
 const BACKOFF_RETRY_SPREAD: f64 = 0.25;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -12,7 +12,9 @@
 
 use crate::admit::{admit, reject_unconfigured};
 use crate::admitted::AdmittedRequest;
-use crate::attempts::{NO_TARGET_RETRY_AFTER, RequestOutcome, SHUTDOWN_RETRY_AFTER, run_attempts};
+use crate::attempts::{
+    NO_TARGET_RETRY_AFTER, OVERLOAD_RETRY_AFTER, RequestOutcome, SHUTDOWN_RETRY_AFTER, run_attempts,
+};
 use crate::buffered::BufferedResponse;
 use crate::crash::{ArrivalVerdict, describe_features};
 use crate::held::{ClientHold, RelayedStream};
@@ -93,6 +95,11 @@
             .map(Either::Left);
     }
     node.record_arrival(&admitted);
+    if !running.take_place() {
+        let response = LocalResponse::NotExecuted(OVERLOAD_RETRY_AFTER);
+        let reason = "as many requests run at this node as may at once";
+        return local_response(node, &headers, Some(&admitted), response, reason).map(Either::Left);
+    }
     match run_attempts(node, &config, &admitted, client).await {
         RequestOutcome::Local(response, reason) => {
             local_response(node, &headers, Some(&admitted), response, &reason).map(Either::Left)
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -77,6 +77,7 @@
     displaced: Counter<u64>,
     accept_failures: Counter<u64>,
     late_heads: Counter<u64>,
+    unplaced: Counter<u64>,
     missing_sends: Counter<u64>,
     late_requests: Counter<u64>,
     refusals: Counter<u64>,
@@ -123,6 +124,7 @@
             displaced: counter("bramleyspring.gateway.connection.displaced"),
             accept_failures: counter("bramleyspring.gateway.connection.accept_failed"),
             late_heads: counter("bramleyspring.gateway.head.late"),
+            unplaced: counter("bramleyspring.gateway.request.unplaced"),
             missing_sends: counter("bramleyspring.gateway.send.missing_entry"),
             late_requests: counter("bramleyspring.gateway.late.count"),
             refusals: counter("bramleyspring.gateway.refusal.count"),
@@ -279,6 +281,11 @@
         self.late_heads.add(1, &[]);
     }
 
+    /// Counts a request that is rejected since as many run as may at once.
+    pub fn record_unplaced(&self) {
+        self.unplaced.add(1, &[]);
+    }
+
     /// Counts a request that goes to a target whose entry is missing.
     pub fn record_missing_send(&self, service: &str) {
         let label = KeyValue::new("service", service.to_owned());
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -182,6 +182,9 @@
     /// Closed when the requests that still run at the end of a shutdown are given up.
     serving: Semaphore,
     running_requests: Cell<usize>,
+    /// Requests that have a place among those that may run at once.
+    placed_requests: Cell<usize>,
+    max_requests: usize,
     open_connections: Cell<usize>,
     has_seen_request: Cell<bool>,
 }
@@ -203,6 +206,7 @@
         Self {
             held: HeldState::new(settings.memory_mb),
             regions: settings.region_map(),
+            max_requests: settings.connection_limits().max_requests(),
             settings,
             hints,
             feed: FeedState::new(),
@@ -271,6 +275,7 @@
             accepting: Semaphore::new(0),
             serving: Semaphore::new(0),
             running_requests: Cell::default(),
+            placed_requests: Cell::default(),
             open_connections: Cell::default(),
             has_seen_request: Cell::default(),
         }
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -1,5 +1,6 @@
 //! Process state: requests and connections in flight, readiness, shutdown and statistics.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use domain::ServiceName;
@@ -20,6 +21,7 @@
     node: Rc<GatewayNode>,
     usage: Rc<ConnectionUsage>,
     _head: FixedHold,
+    is_placed: Cell<bool>,
 }
 
 impl RequestGuard {
@@ -32,13 +34,26 @@
             node: Rc::clone(node),
             usage: Rc::clone(usage),
             _head: head,
+            is_placed: Cell::new(false),
         }
     }
+
+    /// Takes a place among the requests that may run at once; returns whether there was one. Without a bound, requests
+    /// that targets do not answer take the memory of the process, and the descriptors that the store and links need.
+    #[must_use]
+    pub fn take_place(&self) -> bool {
+        let has_place = self.is_placed.get() || self.node.take_request_place();
+        self.is_placed.set(has_place);
+        has_place
+    }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.usage.request_ended(self.node.now());
+        if self.is_placed.get() {
+            self.node.return_request_place();
+        }
         self.node.end_request();
     }
 }
@@ -207,6 +222,21 @@
         self.activity_ended.notify_waiters();
     }
 
+    fn take_request_place(&self) -> bool {
+        let placed = self.placed_requests.get();
+        if placed >= self.max_requests {
+            self.metrics.record_unplaced();
+            return false;
+        }
+        self.placed_requests.set(placed + 1);
+        true
+    }
+
+    fn return_request_place(&self) {
+        self.placed_requests
+            .set(self.placed_requests.get().saturating_sub(1));
+    }
+
     /// Number of requests in flight, including those whose response is still being sent.
     #[must_use]
     pub fn running_requests(&self) -> usize {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,6 +39,9 @@
     /// Client connections that are kept at once. If absent, as many as the descriptors and the memory bear.
     #[serde(default)]
     pub max_connections: Option<usize>,
+    /// Requests that run at once. If absent, as many as the descriptors and the memory bear.
+    #[serde(default)]
+    pub max_requests: Option<usize>,
     /// Region of this node. If absent, it is that of its failure domain.
     #[serde(default)]
     pub region: Option<RegionId>,
@@ -183,7 +186,7 @@
 }
 
 /// All settings with their types, for validation.
-const FIELDS: [(&str, SettingKind); 25] = [
+const FIELDS: [(&str, SettingKind); 26] = [
     ("node", SettingKind::Name),
     ("failure_domain", SettingKind::Name),
     ("listen.requests", SettingKind::Address),
@@ -207,6 +210,7 @@
     ("memory_mb", SettingKind::OptionalPositive),
     ("descriptors", SettingKind::OptionalCount),
     ("max_connections", SettingKind::OptionalCount),
+    ("max_requests", SettingKind::OptionalCount),
     ("region", SettingKind::OptionalName),
     ("regions", SettingKind::OptionalNameTable),
 ];
@@ -288,11 +292,12 @@
 }
 
 impl GatewaySettings {
-    /// What the number of client connections follows from.
+    /// What the numbers of client connections and running requests follow from.
     #[must_use]
     pub fn connection_limits(&self) -> ConnectionLimits {
         ConnectionLimits {
             stated: self.max_connections,
+            stated_requests: self.max_requests,
             descriptors: self.descriptors,
             memory_mb: self.memory_mb,
         }
--- a/crates/settings/src/catalogue/entry.rs
+++ b/crates/settings/src/catalogue/entry.rs
@@ -30,7 +30,7 @@
         "max_connections",
         FieldKind::Integer(1, 1_000_000),
         None,
-        "Most connections of clients at once; if omitted, three quarters of the descriptors that the process may have. At the bound, one that has never sent a whole head is closed for a new one, then the one that has been idle for longest.",
+        "Most connections of clients at once; if omitted, half of the descriptors that the process may have. At the bound, one that has never sent a whole head is closed for a new one, then the one that has been idle for longest.",
     ),
     field(
         "entry",
