--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -68,6 +68,7 @@
     Requests,
     Readiness,
     Metrics,
+    Hints,
     Links,
 }
 
@@ -227,6 +228,7 @@
             Face::Requests => "requests",
             Face::Readiness => "readiness",
             Face::Metrics => "metrics",
+            Face::Hints => "hints",
             Face::Links => "links",
         };
         let text = self.started[name].as_str().expect("an address");
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -5,6 +5,7 @@
 //! The memory of a process is only meaningful while nothing else loads the machine, so the tests take turns.
 
 mod crowd;
+mod datagrams;
 mod descriptors;
 mod endless_heads;
 mod endless_lines;
@@ -18,6 +19,7 @@
 mod stalled_heads;
 mod states;
 mod status_faces;
+mod trickled_heads;
 
 /// Path of the built binary.
 const BINARY: &str = env!("CARGO_BIN_EXE_bramleyspring");
--- a/tests/crowds/running_requests.rs
+++ b/tests/crowds/running_requests.rs
@@ -30,13 +30,13 @@
     let head = format!("{head}content-length: {body}\r\n\r\n");
     let total = head.len() + body;
     let bytes = CrowdBytes::once(head).then_repeat(b"x", total);
-    let mut held = Vec::new();
+    let mut crowds = Vec::new();
     for _ in 0..crowd / WAVE {
-        held.push(gateway.crowd(Face::Requests, WAVE, &bytes).await);
+        crowds.push(gateway.crowd(Face::Requests, WAVE, &bytes).await);
         gateway.assert_bounded();
     }
     gateway.instance.set_mode(ServiceMode::Healthy);
-    drop(held);
+    drop(crowds);
     gateway.assert_serves().await;
 }
 
