--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -156,6 +156,16 @@
         })
     }
 
+    /// Returns the value of a row; `None` if there is no such row.
+    #[must_use]
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        self.with(|state| {
+            let mut rows = state.rows.iter();
+            let row = rows.find(|((name, row), _)| name == table && row == key)?;
+            row.1.0.clone()
+        })
+    }
+
     /// Removes a row; the feed reports it as removed.
     pub fn remove(&self, table: &str, key: &str) {
         self.write(table, key, None);
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -38,6 +38,9 @@
 /// Interval between two looks at what a test waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time in which a gateway knows of a changed row.
+const LEARN_TIME: Duration = Duration::from_secs(2);
+
 /// First line of a response that tells the client to come again.
 pub const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable";
 
@@ -126,12 +129,7 @@
     /// The same with a target that takes as many requests as come.
     pub async fn start_with_large_target(machine: Machine) -> Self {
         let gateway = Self::start_unready(machine).await;
-        let row = json!({
-            "service": "records", "address": gateway.instance.address().to_string(), "zone": "z0",
-            "version": "v1", "slots": LARGE_TARGET, "state": "ready", "cold_remaining_ms": 0, "sequence": 2,
-        });
-        let row = row.to_string();
-        gateway.store.put("servers", "s0", row.as_bytes());
+        gateway.put_target(gateway.instance.address());
         let mut config = configuration();
         config["services"][0]["max_connections"] = json!(LARGE_TARGET);
         gateway.configure_with(&config).await;
@@ -178,6 +176,36 @@
         gateway
     }
 
+    fn put_target(&self, address: SocketAddr) {
+        let row = json!({
+            "service": "records", "address": address.to_string(), "zone": "z0", "version": "v1",
+            "slots": LARGE_TARGET, "state": "ready", "cold_remaining_ms": 0, "sequence": 2,
+        });
+        self.store.put("servers", "s0", row.to_string().as_bytes());
+    }
+
+    /// Moves the target to another address, and waits until the gateway has had time to learn of it.
+    pub async fn move_target(&self, address: SocketAddr) {
+        self.put_target(address);
+        tokio::time::sleep(LEARN_TIME).await;
+    }
+
+    /// The key of links to the gateway, which its row in the store holds.
+    pub async fn link_key(&self) -> String {
+        let reading = async {
+            loop {
+                let row = self.store.value("nodes", "n0").unwrap_or_default();
+                let row: Value = serde_json::from_slice(&row).unwrap_or_default();
+                if let Some(key) = row["link"]["key"].as_str() {
+                    return key.to_owned();
+                }
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let read = tokio::time::timeout(EVENT_TIMEOUT, reading).await;
+        read.expect("the gateway writes its row")
+    }
+
     /// Publishes the configuration and waits until the gateway is ready.
     pub async fn configure(&self) {
         self.configure_with(&configuration()).await;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -10,6 +10,8 @@
 mod endless_heads;
 mod endless_lines;
 mod gateway;
+mod http2;
+mod links;
 mod mixed;
 mod own_face;
 mod process;
