--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -29,6 +29,10 @@
 /// Bytes that one request or stream may hold unread.
 pub const STREAM_WINDOW_BYTES: u32 = 64 << 10;
 
+/// Largest head of a request in bytes: a path and a frame of a kilobyte as text. The HTTP library keeps 16 MB of one by
+/// itself, of anybody who reaches the port.
+const MAX_HEAD_BYTES: u32 = 8 << 10;
+
 /// Time without a request after which a connection is closed; its peer is suspended or gone.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -199,6 +203,7 @@
     let mut builder = h2::server::Builder::new();
     builder
         .max_concurrent_streams(max_concurrent)
+        .max_header_list_size(MAX_HEAD_BYTES)
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(STREAM_WINDOW_BYTES * max_concurrent);
     let handshake = builder.handshake::<_, Bytes>(FairStream::new(stream));
