--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -73,20 +73,26 @@
     stream: TcpStream,
     place: ConnectionPlace,
 ) -> Result<(), LinkError> {
+    let proof = place.proof();
     let session = Mutex::new(LinkSession {
         place,
         auth: None,
         passed_on: FastMap::default(),
     });
     let session = &session;
-    transport::serve_requests(stream, MAX_STREAMS, |request, responder| async move {
-        let state = session.lock().await;
-        match request.uri().path() {
-            TUNNEL_PATH => handle_tunnel(node, state, request, responder).await,
-            STATEMENT_PATH => handle_statement(node, state, &request, responder),
-            _ => handle_request(node, state, request, responder).await,
-        }
-    })
+    transport::serve_requests(
+        stream,
+        MAX_STREAMS,
+        &proof,
+        |request, responder| async move {
+            let state = session.lock().await;
+            match request.uri().path() {
+                TUNNEL_PATH => handle_tunnel(node, state, request, responder).await,
+                STATEMENT_PATH => handle_statement(node, state, &request, responder),
+                _ => handle_request(node, state, request, responder).await,
+            }
+        },
+    )
     .await
 }
 
--- a/crates/peers/src/accepted.rs
+++ b/crates/peers/src/accepted.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 
 /// Maximum number of connections whose peers have proven the key. A node accepts about as many
@@ -84,6 +84,7 @@
             connections: self.clone(),
             number,
             permit: None,
+            proof: LinkProof::default(),
         };
         // The lock is not held here: a runtime that shuts down drops the task at once, and its place takes the lock.
         let task = spawn(place);
@@ -109,15 +110,38 @@
     }
 }
 
+/// Tells the task of a connection that its peer has proven the key; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct LinkProof(Arc<Notify>);
+
+impl LinkProof {
+    /// Records the proof.
+    pub fn record(&self) {
+        self.0.notify_one();
+    }
+
+    /// Completes once after the proof.
+    pub(crate) async fn recorded(&self) {
+        self.0.notified().await;
+    }
+}
+
 /// Place of one connection, given up when it is dropped.
 #[derive(Debug)]
 pub struct ConnectionPlace {
     connections: AcceptedConnections,
     number: u64,
     permit: Option<OwnedSemaphorePermit>,
+    proof: LinkProof,
 }
 
 impl ConnectionPlace {
+    /// Tells when the connection has been moved to the proven ones.
+    #[must_use]
+    pub fn proof(&self) -> LinkProof {
+        self.proof.clone()
+    }
+
     /// Moves the connection to the proven ones; returns false if there is no place left.
     pub fn record_proof(&mut self) -> bool {
         if self.permit.is_some() {
@@ -126,6 +150,9 @@
         self.connections.remove_unproven(self.number);
         let proven = Arc::clone(&self.connections.proven);
         self.permit = proven.try_acquire_owned().ok();
+        if self.permit.is_some() {
+            self.proof.record();
+        }
         self.permit.is_some()
     }
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod transport;
 pub mod tunnel;
 
-pub use accepted::{AcceptedConnections, ConnectionPlace};
+pub use accepted::{AcceptedConnections, ConnectionPlace, LinkProof};
 pub use auth::SharedKey;
 pub use evidence::{EvidenceExchange, NoEvidence, TimedEvidence};
 pub use gossip::GossipState;
--- a/crates/peers/src/listen.rs
+++ b/crates/peers/src/listen.rs
@@ -68,15 +68,21 @@
 ) -> Result<(), LinkError> {
     stream.set_nodelay(true)?;
     let stream = context.gossip.traffic.wrap(stream);
+    let proof = place.proof();
     let session = Mutex::new(ResponderState {
         place,
         session: None,
     });
     let session = &session;
-    transport::serve_requests(stream, MAX_REQUESTS, |request, responder| async move {
-        let mut state = session.lock().await;
-        handle_request(context, &mut state, request, responder).await
-    })
+    transport::serve_requests(
+        stream,
+        MAX_REQUESTS,
+        &proof,
+        |request, responder| async move {
+            let mut state = session.lock().await;
+            handle_request(context, &mut state, request, responder).await
+        },
+    )
     .await
 }
 
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -17,6 +17,7 @@
     decode_message, encode_message,
 };
 
+use crate::accepted::LinkProof;
 use crate::auth::{FrameAuthenticator, FrameSide, SharedKey};
 use crate::error::LinkError;
 
@@ -29,6 +30,10 @@
 /// Bytes that one request or stream may hold unread.
 pub const STREAM_WINDOW_BYTES: u32 = 64 << 10;
 
+/// Bytes that all requests of a connection may hold unread before its peer has proven the key. Requests wait for the
+/// one before them, so without a bound for all a stranger could have a whole window of each kept.
+const UNPROVEN_WINDOW_BYTES: u32 = 64 << 10;
+
 /// Largest head of a request in bytes: a path and a frame of a kilobyte as text. The HTTP library keeps 16 MB of one by
 /// itself, of anybody who reaches the port.
 const MAX_HEAD_BYTES: u32 = 8 << 10;
@@ -193,6 +198,7 @@
 pub async fn serve_requests<S, H, F>(
     stream: S,
     max_concurrent: u32,
+    proof: &LinkProof,
     handle: H,
 ) -> Result<(), LinkError>
 where
@@ -205,16 +211,22 @@
         .max_concurrent_streams(max_concurrent)
         .max_header_list_size(MAX_HEAD_BYTES)
         .initial_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(STREAM_WINDOW_BYTES * max_concurrent);
+        .initial_connection_window_size(UNPROVEN_WINDOW_BYTES);
     let handshake = builder.handshake::<_, Bytes>(FairStream::new(stream));
     let mut connection = match tokio::time::timeout(IDLE_TIMEOUT, handshake).await {
         Ok(connection) => connection?,
         Err(_) => return Err(LinkError::TimedOut),
     };
     let mut running = FuturesUnordered::new();
+    let mut is_proven = false;
     loop {
         // The connection makes progress only while `accept` is polled.
         tokio::select! {
+            () = proof.recorded(), if !is_proven => {
+                is_proven = true;
+                // A stream that is read slowly takes up its own part only, and doesn't stop the others.
+                connection.set_target_window_size(STREAM_WINDOW_BYTES * max_concurrent);
+            }
             Some(result) = running.next() => result?,
             request = tokio::time::timeout(IDLE_TIMEOUT, connection.accept()) => match request {
                 Ok(Some(request)) => {
--- a/crates/peers/tests/byte_tunnels.rs
+++ b/crates/peers/tests/byte_tunnels.rs
@@ -12,7 +12,7 @@
 use peers::error::LinkError;
 use peers::transport::{MAX_STREAMS, accept_hello, read_stream, respond_ok, serve_requests};
 use peers::tunnel::{pass_on, verify_request};
-use peers::{SharedKey, TUNNEL_PATH, TunnelLink, TunnelResponse, TunnelStream};
+use peers::{LinkProof, SharedKey, TUNNEL_PATH, TunnelLink, TunnelResponse, TunnelStream};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, duplex};
 use tokio::sync::{Mutex, mpsc};
 use tokio::task::JoinHandle;
@@ -51,7 +51,9 @@
     let carrier = tokio::spawn(async move {
         let auth: Mutex<Option<FrameAuthenticator>> = Mutex::new(None);
         let (auth, third_parties) = (&auth, &third_parties);
-        let serving = serve_requests(far, MAX_STREAMS, |request, responder| async move {
+        let proof = LinkProof::default();
+        proof.record();
+        let serving = serve_requests(far, MAX_STREAMS, &proof, |request, responder| async move {
             handle(auth, third_parties, request, responder).await
         });
         drop(serving.await);
