Bound the tunnels that are served for other nodes

A node served up to 512 whatever descriptors it has. Windows of streams on links are 16 KiB in place of 64, so that what all tunnels hold fits into a machine of 160 MB (docs/CAPACITY.md); the longest body takes four round trips.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -174,6 +174,9 @@
     AcceptFailed = 253, "accept_failed", Warn;
     /// The head of a request did not come within the configured time. Its client gets 408: nothing has run.
     HeadLate = 254, "head_late", Warn;
+    /// Other nodes asked for more tunnels than this one serves at once; they ask further nodes. `refused` is how many were
+    /// refused since the last line, of which there is one a second at most.
+    TunnelsFull = 255, "tunnels_full", Warn;
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
     /// A record has a schema version that this node does not support, or violates one of its rules.
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -281,9 +281,9 @@
         self.late_heads.add(1, &[]);
     }
 
-    /// Counts a request that is rejected since as many run as may at once.
-    pub fn record_unplaced(&self) {
-        self.unplaced.add(1, &[]);
+    /// Counts a `request`, or a request for a `tunnel`, that is rejected since there are as many as may be at once.
+    pub fn record_unplaced(&self, kind: &'static str) {
+        self.unplaced.add(1, &[KeyValue::new("kind", kind)]);
     }
 
     /// Counts a request that goes to a target whose entry is missing.
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -185,6 +185,8 @@
     /// Requests that have a place among those that may run at once.
     placed_requests: Cell<usize>,
     max_requests: usize,
+    /// Most tunnels that are served for other nodes at once.
+    pub(crate) max_tunnels: usize,
     open_connections: Cell<usize>,
     has_seen_request: Cell<bool>,
 }
@@ -207,6 +209,7 @@
             held: HeldState::new(settings.memory_mb),
             regions: settings.region_map(),
             max_requests: settings.connection_limits().max_requests(),
+            max_tunnels: settings.connection_limits().max_tunnels(),
             settings,
             hints,
             feed: FeedState::new(),
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -225,7 +225,7 @@
     fn take_request_place(&self) -> bool {
         let placed = self.placed_requests.get();
         if placed >= self.max_requests {
-            self.metrics.record_unplaced();
+            self.metrics.record_unplaced("request");
             return false;
         }
         self.placed_requests.set(placed + 1);
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use domain::HostId;
+use events::{EventCode, LogLine};
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::StatusCode;
@@ -25,8 +26,8 @@
 /// Maximum lifetime of a tunnel, whatever the request says.
 const MAX_LIFETIME: Duration = Duration::from_mins(10);
 
-/// Maximum number of tunnels. Each takes two buffers and a file descriptor.
-const MAX_TUNNELS: usize = 512;
+/// Shortest time between two log lines about requests for tunnels that found no place.
+const FULL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Counts a tunnel until dropped.
 struct ServedTunnel<'a>(&'a GatewayNode);
@@ -63,9 +64,21 @@
     pass_on(responder, body, connecting, lifetime.min(MAX_LIFETIME)).await;
 }
 
+/// Counts a request for a tunnel that found no place; the other node asks a further one.
+fn record_full(node: &GatewayNode) {
+    node.metrics.record_unplaced("tunnel");
+    if let Some(refused) = node.tunnels.count_full(node.now(), FULL_LOG_INTERVAL) {
+        let line = LogLine::new(EventCode::TunnelsFull).number("refused", refused);
+        node.log(&line);
+    }
+}
+
 async fn connect(node: &GatewayNode, id: &HostId) -> Result<TcpStream, TunnelDenial> {
-    let is_available =
-        !node.is_shutting_down() && !node.is_partitioned() && node.tunnels.served() <= MAX_TUNNELS;
+    if node.tunnels.served() > node.max_tunnels {
+        record_full(node);
+        return Err(TunnelDenial::Unavailable);
+    }
+    let is_available = !node.is_shutting_down() && !node.is_partitioned();
     let entry = node.registry(|registry| registry.get(id).cloned());
     let Some(entry) = entry.filter(|_| is_available) else {
         return Err(TunnelDenial::Unavailable);
--- a/crates/gateway/src/tunnel/state.rs
+++ b/crates/gateway/src/tunnel/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use domain::{DomainId, FastMap, NodeId};
 use peers::TunnelLink;
@@ -29,6 +30,8 @@
     relays: RefCell<Rc<Vec<TunnelRelay>>>,
     links: RefCell<FastMap<NodeId, RelayLink>>,
     served: Cell<usize>,
+    /// Requests for tunnels that found no place since the last log line, and when that was written.
+    full: Cell<(u64, Option<Duration>)>,
 }
 
 impl std::fmt::Debug for TunnelState {
@@ -55,6 +58,20 @@
         Rc::clone(&self.relays.borrow())
     }
 
+    /// Counts a request for a tunnel that found no place; returns how many did since the last time, at most once in
+    /// `interval`.
+    pub(super) fn count_full(&self, now: Duration, interval: Duration) -> Option<u64> {
+        let (count, told_at) = self.full.get();
+        let is_due = told_at.is_none_or(|at| now.saturating_sub(at) >= interval);
+        let rest = if is_due {
+            (0, Some(now))
+        } else {
+            (count + 1, told_at)
+        };
+        self.full.set(rest);
+        is_due.then_some(count + 1)
+    }
+
     /// Whether there are nodes to ask.
     #[must_use]
     pub fn has_relays(&self) -> bool {
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -12,6 +12,13 @@
 /// is for listeners, idle connections to targets, the store, links and tunnels.
 const REQUEST_PART: usize = 4;
 
+/// Tunnels for other nodes: one for so many requests that may run. Each takes a descriptor as a request does, and buffers
+/// of its link besides.
+const TUNNEL_PART: usize = 4;
+
+/// Most tunnels however large the machine is; a link carries 64.
+const MAX_TUNNELS: usize = 512;
+
 /// Part of the machine's memory that connections may take before anything is held for them.
 const CONNECTION_MEMORY: f64 = 1.0 / 3.0;
 
@@ -68,6 +75,12 @@
         self.within_descriptors(stated, REQUEST_PART)
     }
 
+    /// Most tunnels that are served for other nodes at once.
+    #[must_use]
+    pub fn max_tunnels(&self) -> usize {
+        (self.max_requests() / TUNNEL_PART).clamp(1, MAX_TUNNELS)
+    }
+
     /// At most one in `part` of the descriptors.
     fn within_descriptors(&self, stated: Option<usize>, part: usize) -> usize {
         let system = descriptor_limit();
--- a/crates/intake/tests/connection_table.rs
+++ b/crates/intake/tests/connection_table.rs
@@ -110,6 +110,7 @@
     };
     assert_eq!(limits.max_connections(), 200);
     assert_eq!(limits.max_requests(), 100);
+    assert_eq!(limits.max_tunnels(), 25);
 }
 
 /// Guards against a process that closes ordinary clients for each other, since it is told of less memory than it takes
--- a/crates/peers/src/transport.rs
+++ b/crates/peers/src/transport.rs
@@ -28,7 +28,7 @@
 pub const MAX_STREAMS: u32 = 64;
 
 /// Bytes that one request or stream may hold unread.
-pub const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+pub const STREAM_WINDOW_BYTES: u32 = 16 << 10;
 
 /// Bytes that all requests of a connection may hold unread before its peer has proven the key. Requests wait for the
 /// one before them, so without a bound for all a stranger could have a whole window of each kept.
