Test the other kinds of crowds at the gateway, and all addresses in each state

Clients that ask before a body, frames of another protocol, trailers, extensions, bodies over the limit and in the smallest chunks, empty lines before a request, whole heads of many lines, pipelined requests and responses that nobody reads, resets, and crowds at requests, readiness, metrics and links before a configuration, without the store and in a stop. Crowds and bounds are as those of the tests before.

--- a/crates/standin/src/site/service.rs
+++ b/crates/standin/src/site/service.rs
@@ -136,6 +136,11 @@
         self.with(|state| state.mode = mode);
     }
 
+    /// Changes the text of its following responses.
+    pub fn set_text(&self, text: &str) {
+        self.with(|state| text.clone_into(&mut state.text));
+    }
+
     /// Sets a further header of all following responses, in place of an earlier one.
     ///
     /// # Panics
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::process::unread_bytes;
 
@@ -18,6 +19,10 @@
 /// Time for a connection to be established; one that the other side can't accept is left out.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Receive buffer of a connection that reads little, and its segment size.
+const LITTLE_BYTES: u32 = 4096;
+const SEGMENT_BYTES: u32 = 1400;
+
 /// What each connection of a crowd sends.
 #[derive(Debug, Clone, Default)]
 pub struct CrowdBytes {
@@ -25,6 +30,7 @@
     piece: Vec<u8>,
     total: usize,
     is_half_closed: bool,
+    reads_little: bool,
 }
 
 impl CrowdBytes {
@@ -44,6 +50,22 @@
         self
     }
 
+    /// Has the system of each connection take in little of what comes back, which nobody reads.
+    pub fn read_little(mut self) -> Self {
+        self.reads_little = true;
+        self
+    }
+
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let socket = TcpSocket::new_v4()?;
+        if self.reads_little {
+            socket.set_recv_buffer_size(LITTLE_BYTES)?;
+            // With the segments of the loopback interface the system takes in hundreds of kilobytes.
+            SockRef::from(&socket).set_tcp_mss(SEGMENT_BYTES)?;
+        }
+        socket.connect(address).await
+    }
+
     /// Closes the sending side afterwards.
     pub fn then_half_close(mut self) -> Self {
         self.is_half_closed = true;
@@ -52,7 +74,7 @@
 
     /// Connects and sends as far as the other side reads; returns the open connection.
     async fn send(&self, address: SocketAddr) -> Option<TcpStream> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.connect(address));
         let mut stream = connecting.await.ok()?.ok()?;
         self.send_on(&mut stream).await;
         if self.is_half_closed {
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -9,6 +9,7 @@
 mod descriptors;
 mod endless_heads;
 mod endless_lines;
+mod framing;
 mod gateway;
 mod http2;
 mod links;
@@ -16,12 +17,14 @@
 mod own_face;
 mod process;
 mod read_ahead;
+mod resets;
 mod running_requests;
 mod stalled_bodies;
 mod stalled_heads;
 mod states;
 mod status_faces;
 mod trickled_heads;
+mod unread_responses;
 
 /// Path of the built binary.
 const BINARY: &str = env!("CARGO_BIN_EXE_bramleyspring");
