--- a/crates/standin/src/stack/mod.rs
+++ b/crates/standin/src/stack/mod.rs
@@ -142,6 +142,12 @@
         Value::from(records)
     }
 
+    /// Returns the address at which an entry accepts links of others.
+    #[must_use]
+    pub fn peer_address(&self, entry: usize) -> SocketAddr {
+        self.peer_addresses[entry]
+    }
+
     /// Starts another entry; entries are assigned to the plan's failure domains round-robin.
     pub fn add_entry(&mut self, name: &str) {
         self.add_entry_with(name, &json!({}));
--- a/tests/crowds/http2.rs
+++ b/tests/crowds/http2.rs
@@ -6,8 +6,12 @@
 /// Types of frames.
 pub const DATA: u8 = 0;
 pub const HEADERS: u8 = 1;
+pub const RST_STREAM: u8 = 3;
 pub const CONTINUATION: u8 = 9;
 
+/// Flag of the last frame of a body.
+pub const END_STREAM: u8 = 1;
+
 /// Flag of the last part of a head.
 pub const END_HEADERS: u8 = 4;
 
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -15,6 +15,7 @@
 mod links;
 mod mixed;
 mod own_face;
+mod own_streams;
 mod process;
 mod read_ahead;
 mod resets;
