Wait until a crowd's connections are given back before they are counted

The test counted as soon as its clients had sent their last reset. Samples taken 0.2 s apart beside six busy processes show the gateway at up to 161 descriptors while it serves the connections that the system has accepted, and at 21 whenever it has served them, so the count fell on a moment of work, not on descriptors that were kept.

Connections are accepted in turn, so the test now has one request answered first, and then waits until the count is within the bound.

--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -337,6 +337,19 @@
         tokio::time::timeout(EVENT_TIMEOUT, ending).await == Ok(true)
     }
 
+    /// Waits until the process has given back what it had open for a crowd that has left.
+    pub async fn wait_released(&self) {
+        // Connections are accepted in turn, so all of the crowd are when this one is answered.
+        assert!(self.request().await.is_some(), "no response");
+        let releasing = async {
+            while self.open_descriptors() > OWN_DESCRIPTORS {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let released = tokio::time::timeout(EVENT_TIMEOUT, releasing).await;
+        released.unwrap_or_else(|_| panic!("{} descriptors open", self.open_descriptors()));
+    }
+
     /// Checks that the process lives within its machine's memory and has descriptors left.
     pub fn assert_bounded(&mut self) {
         assert!(self.is_running(), "the process ended");
--- a/tests/crowds/resets.rs
+++ b/tests/crowds/resets.rs
@@ -29,6 +29,7 @@
     let address = gateway.address(Face::Requests);
     let clients = (0..CLIENTS).map(|_| tokio::spawn(reset_each(address)));
     futures::future::join_all(clients.collect::<Vec<_>>()).await;
+    gateway.wait_released().await;
 }
 
 /// Guards against requests whose connections are reset at once: what is held for them must be given back.
