Close connections with HTTP/2 on which nothing is asked

own_streams::idle_http2 failed before: a connection that had sent the start of HTTP/2 and nothing else was open after a minute. With HTTP/1.1 the library closes after 20 s without a head, with HTTP/2 never, and the server set no limit of its own, so clients that are gone kept their places at both addresses of the own interface.

The new setting entry.idle_timeout (60 s; a minute at the admin address) begins with the end of the last request. The client is told first and what it asks meanwhile is served; a client that does not close either is cut off. The server watches each connection by itself for this, and ends all of them as before when it stops.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -23,6 +23,9 @@
     /// Memory that the request bodies of all clients may take together, in bytes.
     #[builder(default = 64 << 20)]
     pub held_bodies_bytes: usize,
+    /// Time without a request after which a connection is closed.
+    #[builder(default = 60_000)]
+    pub idle_timeout_ms: u64,
     /// Timeout for a request body to arrive.
     #[builder(default = 30_000)]
     pub body_timeout_ms: u64,
@@ -110,6 +113,8 @@
     call_timeout = call_timeout_ms;
     /// Returns [`EntrySettings::body_timeout_ms`] as a duration.
     body_timeout = body_timeout_ms;
+    /// Returns [`EntrySettings::idle_timeout_ms`] as a duration.
+    idle_timeout = idle_timeout_ms;
     /// Returns [`EntrySettings::drain_grace_ms`] as a duration.
     drain_grace = drain_grace_ms;
     /// Returns [`EntrySettings::finish_ms`] as a duration.
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -164,10 +164,12 @@
     /// left on the connection, or the target's HTTP library refused the request; `server` is what it calls
     /// itself. See `docs/OPERATIONS.md`.
     ResponseUnproved = 251, "response_unproved", Warn;
-    /// More connections came to a listener (`face`) than the process keeps. Closed for them were `unproven` ones that had
-    /// never sent a whole head, `idle` ones and `receiving` ones whose body was awaited; `refused` new ones were not
+    /// More connections came to a listener (`face`) than the process keeps. Closed for them were `unproven` ones that
+    /// had never sent a whole head, `idle` ones and `receiving` ones whose body was awaited; `refused` new ones were not
     /// taken, since the requests of all others ran. A crowd of the first kind is clients that do not behave; idle ones
-    /// mean that the node needs more descriptors or memory. At most one line a second tells of all since the last.
+    /// mean that the node needs more descriptors or memory. At most one line a second tells of all since the last. At
+    /// the own interface the line is written when the next connection comes, and also tells of connections on which
+    /// nothing was asked for too long.
     ConnectionsDisplaced = 252, "connections_displaced", Warn;
     /// The system could not accept a connection at a listener (`face`), `failures` times since the last line. If
     /// descriptors ran out, the process has fewer than its settings state.
@@ -331,11 +333,10 @@
     EvacuationEnded = 389, "evacuation_ended", Info;
     /// A target is cold for `for_ms`: it takes few requests of all nodes until then. `source` is what tells.
     TargetCold = 390, "target_cold", Info;
-    /// A client reads or sends too slowly, and what this node holds for it and others has reached the bound.
-    /// `what` is `head` if its connection is closed since its head does not end, `response` if its response is cut off,
-    /// `request` if the request that it sends is rejected,
-    /// `target` if a target's response that has not been passed on yet is given up. `held` is what the node held
-    /// for it, in bytes; it had taken none of it for `untaken_ms`.
+    /// A client reads or sends too slowly, and what this node holds for it and others has reached the bound. `what` is
+    /// `head` if its connection is closed since its head does not end, `response` if its response is cut off, `request`
+    /// if the request that it sends is rejected, `target` if a target's response that has not been passed on yet is
+    /// given up. `held` is what the node held for it, in bytes; it had taken none of it for `untaken_ms`.
     SlowReaderCut = 391, "slow_reader_cut", Warn;
     /// The store's clock is ahead of what it was by `step_ms`, as after a move to another machine. What was
     /// proved by it before is compared anew.
--- a/crates/intake/src/places.rs
+++ b/crates/intake/src/places.rs
@@ -23,6 +23,8 @@
     pub receiving: u64,
     /// New connections that found no place.
     pub refused: u64,
+    /// Connections on which nothing was asked for long.
+    pub idle_closed: u64,
 }
 
 #[derive(Debug)]
@@ -136,8 +138,8 @@
         write!(
             formatter,
             "closed for new ones: {} that had never sent a whole head, {} idle, {} whose body was awaited; not \
-             accepted: {}",
-            self.unproven, self.idle, self.receiving, self.refused
+             accepted: {}; idle for too long: {}",
+            self.unproven, self.idle, self.receiving, self.refused, self.idle_closed
         )
     }
 }
@@ -162,6 +164,11 @@
 }
 
 impl ConnectionPlace {
+    /// Records that the connection is closed since nothing was asked on it for long.
+    pub fn record_idle_closed(&self) {
+        self.shared.state().unreported.idle_closed += 1;
+    }
+
     /// Records what the connection is doing from now on.
     pub fn set_state(&self, connection: ConnectionState) {
         let now = self.shared.now();
--- a/crates/settings/src/catalogue/entry.rs
+++ b/crates/settings/src/catalogue/entry.rs
@@ -18,6 +18,13 @@
         Some("64MiB"),
         "Memory that the request bodies of all clients may take together, a body up to twice its size; beyond it a request gets 429 with `Retry-After`, and has not run.",
     ),
+    field(
+        "entry",
+        "idle_timeout",
+        FieldKind::Duration(SECOND, 60 * MINUTE),
+        Some("60s"),
+        "Time without a request after which a connection is closed; with HTTP/1.1 20 seconds at most.",
+    ),
     field(
         "entry",
         "body_timeout",
--- a/crates/web/src/request_count.rs
+++ b/crates/web/src/request_count.rs
@@ -1,37 +1,81 @@
-//! Requests in progress on one connection, from which its place at the listener follows.
+//! Requests in progress on one connection, from which its place at the listener and its idle time follow.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use intake::{ConnectionPlace, ConnectionState};
 
 use crate::body::{GuardedBody, WebBody};
 
+#[derive(Debug)]
+struct RequestState {
+    running: usize,
+    /// When the last request began or ended.
+    changed_at: Instant,
+}
+
 /// Requests in progress on one connection.
 #[derive(Debug, Clone)]
 pub struct RequestCount {
     place: Arc<ConnectionPlace>,
-    running: Arc<AtomicUsize>,
+    state: Arc<Mutex<RequestState>>,
 }
 
 impl RequestCount {
     /// The count of a connection without requests.
     #[must_use]
     pub fn new(place: &Arc<ConnectionPlace>) -> Self {
+        let state = RequestState {
+            running: 0,
+            changed_at: Instant::now(),
+        };
         Self {
             place: Arc::clone(place),
-            running: Arc::default(),
+            state: Arc::new(Mutex::new(state)),
         }
     }
 
+    fn state(&self) -> MutexGuard<'_, RequestState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Begins a request; it ends when the result is dropped.
     #[must_use]
     pub fn begin(&self) -> RunningRequest {
-        if self.running.fetch_add(1, Ordering::Relaxed) == 0 {
+        let mut state = self.state();
+        state.running += 1;
+        state.changed_at = Instant::now();
+        if state.running == 1 {
             self.place.set_state(ConnectionState::Busy);
         }
         RunningRequest(self.clone())
     }
+
+    fn end(&self) {
+        let mut state = self.state();
+        state.running -= 1;
+        state.changed_at = Instant::now();
+        if state.running == 0 {
+            self.place.set_state(ConnectionState::Idle);
+        }
+    }
+
+    /// Completes once no request has been in progress for `limit`.
+    pub async fn idle(&self, limit: Duration) {
+        loop {
+            let wait = {
+                let state = self.state();
+                let idle_time = state.changed_at.elapsed();
+                match (state.running == 0, limit.checked_sub(idle_time)) {
+                    (true, None | Some(Duration::ZERO)) => return,
+                    (true, Some(left)) => left,
+                    // The time begins with the end of the request.
+                    (false, _) => limit,
+                }
+            };
+            tokio::time::sleep(wait).await;
+        }
+    }
 }
 
 /// A request in progress.
@@ -48,8 +92,6 @@
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
-        if self.0.running.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.0.place.set_state(ConnectionState::Idle);
-        }
+        self.0.end();
     }
 }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -11,10 +11,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use hyper_util::server::graceful::GracefulShutdown;
 use intake::{ConnectionPlace, ConnectionPlaces, PlaceReport};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio_rustls::server::TlsStream;
 
 use crate::fair_stream::FairStream;
@@ -29,6 +30,9 @@
 /// half-open connections don't exhaust the node's file descriptors.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for an idle connection to end after its client was told. A client that does not respond would keep it open.
+const IDLE_CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Delay after a failed accept. Without it, a process that is out of file descriptors would
 /// busy-loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -63,6 +67,15 @@
     fn record_accept_failure(&self, error: &io::Error);
 }
 
+/// Limits of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// Most connections at once.
+    pub max_connections: usize,
+    /// Time without a request after which a connection is closed.
+    pub idle_timeout: Duration,
+}
+
 /// Turns an accepted TCP connection into the stream that carries HTTP.
 pub trait StreamAcceptor: Clone + Send + Sync + 'static {
     /// Stream that carries HTTP.
@@ -92,15 +105,15 @@
     }
 }
 
-/// Serves unencrypted HTTP/1.1 and HTTP/2 on at most `max_connections` connections until `shutdown` completes, then
-/// waits for requests in progress.
+/// Serves unencrypted HTTP/1.1 and HTTP/2 within `limits` until `shutdown` completes, then waits for requests in
+/// progress.
 pub async fn serve_listener<H: WebHandler>(
     listener: TcpListener,
     handler: Arc<H>,
-    max_connections: usize,
+    limits: ServerLimits,
     shutdown: impl Future<Output = ()> + Send,
 ) {
-    serve_with_acceptor(listener, PlainAcceptor, handler, max_connections, shutdown).await;
+    serve_with_acceptor(listener, PlainAcceptor, handler, limits, shutdown).await;
 }
 
 /// Like [`serve_listener`], on the streams that `acceptor` returns.
@@ -108,11 +121,12 @@
     listener: TcpListener,
     acceptor: A,
     handler: Arc<H>,
-    max_connections: usize,
+    limits: ServerLimits,
     shutdown: impl Future<Output = ()> + Send,
 ) {
-    let graceful = GracefulShutdown::new();
-    let places = ConnectionPlaces::new(max_connections);
+    let places = ConnectionPlaces::new(limits.max_connections);
+    // Each connection has a receiver until it ends.
+    let (stop, stopped) = watch::channel(false);
     tokio::pin!(shutdown);
     loop {
         let accepted = tokio::select! {
@@ -123,18 +137,24 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let (acceptor, handler) = (acceptor.clone(), Arc::clone(&handler));
-        let watcher = graceful.watcher();
+        let acceptor = acceptor.clone();
+        let connection = ServedConnection {
+            handler: Arc::clone(&handler),
+            place: Arc::new(place),
+            limits,
+            stopped: stopped.clone(),
+        };
         tokio::spawn(async move {
-            let place = Arc::new(place);
+            let place = Arc::clone(&connection.place);
             tokio::select! {
-                () = serve_connection(stream, acceptor, handler, watcher, &place) => {}
+                () = connection.serve(stream, acceptor) => {}
                 () = place.displaced() => {}
             }
         });
     }
-    drop(listener);
-    graceful.shutdown().await;
+    drop((listener, stopped));
+    stop.send_replace(true);
+    stop.closed().await;
 }
 
 /// Accepts a connection, unless the system can't or all places are taken by requests in progress.
@@ -162,39 +182,70 @@
     Some((stream, admission.place?))
 }
 
-async fn serve_connection<H: WebHandler, A: StreamAcceptor>(
-    stream: TcpStream,
-    acceptor: A,
+/// What a connection is served with.
+struct ServedConnection<H> {
     handler: Arc<H>,
-    watcher: Watcher,
-    place: &Arc<ConnectionPlace>,
-) {
-    // Without a timeout, a client that never completes its handshake would hold a file descriptor
-    // forever.
-    let handshake = tokio::time::timeout(HEADER_TIMEOUT, acceptor.accept(stream)).await;
-    if let Ok(Ok(stream)) = handshake {
-        serve_stream(stream, handler, watcher, place).await;
+    place: Arc<ConnectionPlace>,
+    limits: ServerLimits,
+    /// Whether the server stops.
+    stopped: watch::Receiver<bool>,
+}
+
+impl<H: WebHandler> ServedConnection<H> {
+    async fn serve<A: StreamAcceptor>(self, stream: TcpStream, acceptor: A) {
+        // Without a timeout, a client that never completes its handshake would hold a file descriptor
+        // forever.
+        let handshake = tokio::time::timeout(HEADER_TIMEOUT, acceptor.accept(stream)).await;
+        if let Ok(Ok(stream)) = handshake {
+            self.serve_stream(stream).await;
+        }
+    }
+
+    async fn serve_stream<S>(mut self, stream: S)
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let count = RequestCount::new(&self.place);
+        let connection = {
+            let (handler, count) = (Arc::clone(&self.handler), count.clone());
+            let service = service_fn(move |request: WebRequest| {
+                let handler = Arc::clone(&handler);
+                let running = count.begin();
+                // The library keeps room for this future in every connection, also in those that are idle.
+                Box::pin(async move {
+                    let response = handler.handle(request).await;
+                    Ok::<_, Infallible>(response.map(|body| running.until_sent(body)))
+                })
+            });
+            http_builder()
+                .serve_connection_with_upgrades(TokioIo::new(FairStream::new(stream)), service)
+                .into_owned()
+        };
+        let graceful = GracefulShutdown::new();
+        let connection = graceful.watch(connection);
+        tokio::pin!(connection);
+        tokio::select! {
+            // Errors affect one client, which sees them.
+            ended = &mut connection => return drop(ended),
+            // It ends with the server, too.
+            stopped = self.stopped.wait_for(|is_stopped| *is_stopped) => drop(stopped),
+            () = count.idle(self.limits.idle_timeout) => self.place.record_idle_closed(),
+        }
+        tokio::select! {
+            (ended, ()) = async { tokio::join!(connection.as_mut(), graceful.shutdown()) } => drop(ended),
+            () = give_up_closing(&count) => {}
+        }
     }
 }
 
-async fn serve_stream<H: WebHandler, S>(
-    stream: S,
-    handler: Arc<H>,
-    watcher: Watcher,
-    place: &Arc<ConnectionPlace>,
-) where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-{
-    let requests = RequestCount::new(place);
-    let service = service_fn(move |request| {
-        let handler = Arc::clone(&handler);
-        let running = requests.begin();
-        // The library keeps room for this future in every connection, also in those that are idle.
-        Box::pin(async move {
-            let response = handler.handle(request).await;
-            Ok::<_, Infallible>(response.map(|body| running.until_sent(body)))
-        })
-    });
+/// Completes when a connection that is closing has had time to end, and no request is in progress on it.
+async fn give_up_closing(count: &RequestCount) {
+    tokio::time::sleep(IDLE_CLOSE_TIMEOUT).await;
+    count.idle(IDLE_CLOSE_TIMEOUT).await;
+}
+
+/// The HTTP library, with the limits of a connection.
+fn http_builder() -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -208,8 +259,5 @@
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_send_buf_size(SEND_BUFFER_BYTES);
-    let connection = builder
-        .serve_connection_with_upgrades(TokioIo::new(FairStream::new(stream)), service)
-        .into_owned();
-    let _ = watcher.watch(connection).await;
+    builder
 }
--- a/crates/web/tests/tls_reload.rs
+++ b/crates/web/tests/tls_reload.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -14,12 +15,15 @@
 use tokio_rustls::TlsConnector;
 use web::body::full_body;
 use web::{
-    ReloadableTlsConfig, TlsFiles, WebHandler, WebRequest, WebResponse, serve_with_acceptor,
-    text_response,
+    ReloadableTlsConfig, ServerLimits, TlsFiles, WebHandler, WebRequest, WebResponse,
+    serve_with_acceptor, text_response,
 };
 
-/// More connections than the tests have open.
-const MAX_CONNECTIONS: usize = 100;
+/// More than the tests need of anything.
+const LIMITS: ServerLimits = ServerLimits {
+    max_connections: 100,
+    idle_timeout: Duration::from_mins(1),
+};
 
 const SERVER_NAME: &str = "entry.test";
 
@@ -90,7 +94,7 @@
         listener,
         tls_config.clone(),
         Arc::new(FixedResponse),
-        MAX_CONNECTIONS,
+        LIMITS,
         no_shutdown,
     ));
     address
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -2,20 +2,24 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use admin::{AdminContext, AdminServer, OperatorKey};
 use entry::RequestDispatcher;
 use eyre::WrapErr;
 use tokio::net::TcpListener;
-use web::serve_listener;
+use web::{ServerLimits, serve_listener};
 
 use super::NodeContext;
 use super::control::ControlTasks;
 use super::peers::PeerTasks;
 use super::report::StatusReporter;
 
-/// Most connections of operators and monitoring systems at once.
-const MAX_ADMIN_CONNECTIONS: usize = 64;
+/// What operators and monitoring systems need.
+const LIMITS: ServerLimits = ServerLimits {
+    max_connections: 64,
+    idle_timeout: Duration::from_mins(1),
+};
 
 /// A bound admin listener, which is not served until [`start`].
 pub struct AdminListener {
@@ -66,7 +70,7 @@
     tokio::spawn(serve_listener(
         admin.listener,
         Arc::new(server),
-        MAX_ADMIN_CONNECTIONS,
+        LIMITS,
         std::future::pending(),
     ));
     Ok(())
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -22,7 +22,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use web::server::{PlainAcceptor, StreamAcceptor};
-use web::{ReloadableTlsConfig, serve_with_acceptor};
+use web::{ReloadableTlsConfig, ServerLimits, serve_with_acceptor};
 
 use super::{NodeContext, NodeTable};
 
@@ -187,11 +187,15 @@
             stated: self.settings.max_connections,
             ..ConnectionLimits::default()
         };
+        let limits = ServerLimits {
+            max_connections: limits.max_connections(),
+            idle_timeout: self.settings.idle_timeout(),
+        };
         let mut serving = pin!(serve_with_acceptor(
             self.listener,
             acceptor,
             Arc::clone(&self.server),
-            limits.max_connections(),
+            limits,
             close
         ));
         let mut phases = shutdown.watch();
