Bound the requests that run at the own interface, on all connections together

own_streams::stalled_bodies_of_streams failed before with 75.6 and 83.5 MB, bound 64: 240 clients with HTTP/2 had 32 requests each in progress, each taking some 36 KB beside its body, and nothing bounded them in all.

A request now takes one of max_requests places of its listener until its response is sent (a quarter of the descriptors, entry.max_requests; 64 at the admin address). One more gets 429 with Retry-After, at the admin address 503, and has not run. connections_displaced counts them; it is written each second if there is something to tell, not only when a connection comes. Accepting is not cut short by that report.

--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -229,6 +229,11 @@
         }
     }
 
+    fn refuse(&self) -> WebResponse {
+        let problem = "as many requests are handled as may be at once: try again";
+        text_response(StatusCode::SERVICE_UNAVAILABLE, problem)
+    }
+
     fn record_displaced(&self, report: PlaceReport) {
         let detail = format!("admin address: {report}");
         let subject = EventSubject::default();
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -246,6 +246,13 @@
         self.handle_request(request).await
     }
 
+    fn refuse(&self) -> WebResponse {
+        let message = "this node handles as many requests as it may at once";
+        let error = RequestError::not_run(ErrorCode::Overloaded, message);
+        let error = error.with_retry_after(NO_ROOM_RETRY_AFTER);
+        self.error_response(&self.context.ids.request_id(), &error)
+    }
+
     fn record_displaced(&self, report: PlaceReport) {
         let recorder = &self.context.recorder;
         let subject = EventSubject::default();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -20,6 +20,8 @@
     /// Maximum size of a request body in bytes; 4 MiB leaves headroom for long conversations.
     #[builder(default = 4 << 20)]
     pub max_body_bytes: usize,
+    /// Most requests that are handled at once; without it as many as the descriptors of the process bear.
+    pub max_requests: Option<usize>,
     /// Memory that the request bodies of all clients may take together, in bytes.
     #[builder(default = 64 << 20)]
     pub held_bodies_bytes: usize,
--- a/crates/intake/src/places.rs
+++ b/crates/intake/src/places.rs
@@ -25,6 +25,8 @@
     pub refused: u64,
     /// Connections on which nothing was asked for long.
     pub idle_closed: u64,
+    /// Requests that were not handled, since as many were as may be at once.
+    pub unplaced: u64,
 }
 
 #[derive(Debug)]
@@ -138,8 +140,8 @@
         write!(
             formatter,
             "closed for new ones: {} that had never sent a whole head, {} idle, {} whose body was awaited; not \
-             accepted: {}; idle for too long: {}",
-            self.unproven, self.idle, self.receiving, self.refused, self.idle_closed
+             accepted: {}; idle for too long: {}; requests that found no place: {}",
+            self.unproven, self.idle, self.receiving, self.refused, self.idle_closed, self.unplaced
         )
     }
 }
@@ -169,6 +171,11 @@
         self.shared.state().unreported.idle_closed += 1;
     }
 
+    /// Records a request that was not handled, since as many were as may be at once.
+    pub fn record_unplaced(&self) {
+        self.shared.state().unreported.unplaced += 1;
+    }
+
     /// Records what the connection is doing from now on.
     pub fn set_state(&self, connection: ConnectionState) {
         let now = self.shared.now();
--- a/crates/settings/src/catalogue/entry.rs
+++ b/crates/settings/src/catalogue/entry.rs
@@ -25,6 +25,13 @@
         Some("60s"),
         "Time without a request after which a connection is closed; with HTTP/1.1 20 seconds at most.",
     ),
+    field(
+        "entry",
+        "max_requests",
+        FieldKind::Integer(1, 1_000_000),
+        None,
+        "Most requests that are handled at once; if omitted, a quarter of the descriptors that the process may have. One more gets 429 with `Retry-After`, and has not run.",
+    ),
     field(
         "entry",
         "body_timeout",
--- a/crates/web/src/request_count.rs
+++ b/crates/web/src/request_count.rs
@@ -83,10 +83,10 @@
 pub struct RunningRequest(RequestCount);
 
 impl RunningRequest {
-    /// A body that keeps the request in progress until it has been sent or given up.
+    /// A body that keeps the request in progress, and `guard`, until it has been sent or given up.
     #[must_use]
-    pub fn until_sent(self, body: WebBody) -> GuardedBody<Self> {
-        GuardedBody::new(body, self)
+    pub fn until_sent<G>(self, body: WebBody, guard: G) -> GuardedBody<(Self, G)> {
+        GuardedBody::new(body, (self, guard))
     }
 }
 
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use intake::{ConnectionPlace, ConnectionPlaces, PlaceReport};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio_rustls::server::TlsStream;
 
 use crate::fair_stream::FairStream;
@@ -33,6 +34,9 @@
 /// Time for an idle connection to end after its client was told. A client that does not respond would keep it open.
 const IDLE_CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Interval at which the server looks for connections to report.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Delay after a failed accept. Without it, a process that is out of file descriptors would
 /// busy-loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -60,6 +64,9 @@
     /// Handles one request. Failures are returned as error responses.
     fn handle(&self, request: WebRequest) -> impl Future<Output = WebResponse> + Send;
 
+    /// Response to a request that is not handled, since as many are as may be at once.
+    fn refuse(&self) -> WebResponse;
+
     /// Records connections that were closed for others or not accepted.
     fn record_displaced(&self, report: PlaceReport);
 
@@ -72,6 +79,8 @@
 pub struct ServerLimits {
     /// Most connections at once.
     pub max_connections: usize,
+    /// Most requests that are handled at once, on all connections.
+    pub max_requests: usize,
     /// Time without a request after which a connection is closed.
     pub idle_timeout: Duration,
 }
@@ -125,15 +134,22 @@
     shutdown: impl Future<Output = ()> + Send,
 ) {
     let places = ConnectionPlaces::new(limits.max_connections);
+    let requests = Arc::new(Semaphore::new(limits.max_requests));
     // Each connection has a receiver until it ends.
     let (stop, stopped) = watch::channel(false);
     tokio::pin!(shutdown);
+    let mut reporting = tokio::time::interval(REPORT_INTERVAL);
     loop {
         let accepted = tokio::select! {
-            accepted = accept_at(&listener, &places, handler.as_ref()) => accepted,
+            accepted = listener.accept() => accepted,
+            _ = reporting.tick() => {
+                report_places(&places, handler.as_ref());
+                continue;
+            }
             () = &mut shutdown => break,
         };
-        let Some((stream, place)) = accepted else {
+        let Some((stream, place)) = place_accepted(accepted, &places, handler.as_ref()).await
+        else {
             continue;
         };
         let _ = stream.set_nodelay(true);
@@ -141,6 +157,7 @@
         let connection = ServedConnection {
             handler: Arc::clone(&handler),
             place: Arc::new(place),
+            requests: Arc::clone(&requests),
             limits,
             stopped: stopped.clone(),
         };
@@ -157,13 +174,21 @@
     stop.closed().await;
 }
 
-/// Accepts a connection, unless the system can't or all places are taken by requests in progress.
-async fn accept_at<H: WebHandler>(
-    listener: &TcpListener,
+/// Reports what has not been reported yet.
+fn report_places<H: WebHandler>(places: &ConnectionPlaces, handler: &H) {
+    if let Some(report) = places.take_report() {
+        handler.record_displaced(report);
+    }
+}
+
+/// A place for an accepted connection, unless the system could not accept it or all places are taken by requests in
+/// progress.
+async fn place_accepted<H: WebHandler>(
+    accepted: io::Result<(TcpStream, SocketAddr)>,
     places: &ConnectionPlaces,
     handler: &H,
 ) -> Option<(TcpStream, ConnectionPlace)> {
-    let stream = match listener.accept().await {
+    let stream = match accepted {
         Ok((stream, _)) => stream,
         Err(error) => {
             handler.record_accept_failure(&error);
@@ -172,9 +197,7 @@
         }
     };
     let admission = places.admit();
-    if let Some(report) = places.take_report() {
-        handler.record_displaced(report);
-    }
+    report_places(places, handler);
     if admission.displaced.is_some() {
         // The other connection gives its descriptor back before the next one takes one.
         tokio::task::yield_now().await;
@@ -186,6 +209,8 @@
 struct ServedConnection<H> {
     handler: Arc<H>,
     place: Arc<ConnectionPlace>,
+    /// Places of requests that are handled, on all connections.
+    requests: Arc<Semaphore>,
     limits: ServerLimits,
     /// Whether the server stops.
     stopped: watch::Receiver<bool>,
@@ -207,15 +232,23 @@
     {
         let count = RequestCount::new(&self.place);
         let connection = {
-            let (handler, count) = (Arc::clone(&self.handler), count.clone());
+            let (handler, requests) = (Arc::clone(&self.handler), Arc::clone(&self.requests));
+            let (count, place) = (count.clone(), Arc::clone(&self.place));
             let service = service_fn(move |request: WebRequest| {
                 let handler = Arc::clone(&handler);
                 let running = count.begin();
-                // The library keeps room for this future in every connection, also in those that are idle.
-                Box::pin(async move {
-                    let response = handler.handle(request).await;
-                    Ok::<_, Infallible>(response.map(|body| running.until_sent(body)))
-                })
+                let permit = Arc::clone(&requests).try_acquire_owned().ok();
+                if permit.is_none() {
+                    place.record_unplaced();
+                }
+                async move {
+                    let response = match &permit {
+                        // The library keeps room for this future in every connection, also in those that are idle.
+                        Some(_) => Box::pin(handler.handle(request)).await,
+                        None => handler.refuse(),
+                    };
+                    Ok::<_, Infallible>(response.map(|body| running.until_sent(body, permit)))
+                }
             });
             http_builder()
                 .serve_connection_with_upgrades(TokioIo::new(FairStream::new(stream)), service)
--- a/crates/web/tests/tls_reload.rs
+++ b/crates/web/tests/tls_reload.rs
@@ -22,6 +22,7 @@
 /// More than the tests need of anything.
 const LIMITS: ServerLimits = ServerLimits {
     max_connections: 100,
+    max_requests: 100,
     idle_timeout: Duration::from_mins(1),
 };
 
@@ -34,6 +35,10 @@
         text_response(StatusCode::OK, "ok")
     }
 
+    fn refuse(&self) -> WebResponse {
+        panic!("fewer requests than the limit");
+    }
+
     fn record_displaced(&self, report: PlaceReport) {
         panic!("{report}");
     }
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -18,6 +18,7 @@
 /// What operators and monitoring systems need.
 const LIMITS: ServerLimits = ServerLimits {
     max_connections: 64,
+    max_requests: 64,
     idle_timeout: Duration::from_mins(1),
 };
 
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -185,10 +185,12 @@
         };
         let limits = ConnectionLimits {
             stated: self.settings.max_connections,
+            stated_requests: self.settings.max_requests,
             ..ConnectionLimits::default()
         };
         let limits = ServerLimits {
             max_connections: limits.max_connections(),
+            max_requests: limits.max_requests(),
             idle_timeout: self.settings.idle_timeout(),
         };
         let mut serving = pin!(serve_with_acceptor(
