Close connections of the own interface whose clients read nothing

own_streams::unread_streams and unread_streams_http2 failed before: 240 clients that ask for streams and read nothing kept the slots of all targets, and an ordinary request got 429 (with HTTP/2 beside 144.8 MB until requests had places). A stream waits for its client without a limit, and the system takes megabytes before it even waits.

The new setting entry.read_timeout (60 s; a minute at the admin address) closes a connection that takes nothing of a response although there is something to send; waiting for a target does not count. The system has the same limit for what it has taken, and takes 32 KiB a connection beside what the client's system takes. connections_displaced counts them.

A client that does not read is only known after the limit, so their ordinary request comes again as long as it gets 429, before the unchanged checks.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -25,6 +25,9 @@
     /// Memory that the request bodies of all clients may take together, in bytes.
     #[builder(default = 64 << 20)]
     pub held_bodies_bytes: usize,
+    /// Time for which a client may take nothing of its response.
+    #[builder(default = 60_000)]
+    pub read_timeout_ms: u64,
     /// Time without a request after which a connection is closed.
     #[builder(default = 60_000)]
     pub idle_timeout_ms: u64,
@@ -115,6 +118,8 @@
     call_timeout = call_timeout_ms;
     /// Returns [`EntrySettings::body_timeout_ms`] as a duration.
     body_timeout = body_timeout_ms;
+    /// Returns [`EntrySettings::read_timeout_ms`] as a duration.
+    read_timeout = read_timeout_ms;
     /// Returns [`EntrySettings::idle_timeout_ms`] as a duration.
     idle_timeout = idle_timeout_ms;
     /// Returns [`EntrySettings::drain_grace_ms`] as a duration.
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -168,8 +168,9 @@
     /// had never sent a whole head, `idle` ones and `receiving` ones whose body was awaited; `refused` new ones were not
     /// taken, since the requests of all others ran. A crowd of the first kind is clients that do not behave; idle ones
     /// mean that the node needs more descriptors or memory. At most one line a second tells of all since the last. At
-    /// the own interface the line also tells of connections on which nothing was asked for too long, and of requests
-    /// that were not handled since as many were as may be at once (`entry.max_requests`).
+    /// the own interface the line also tells of connections on which nothing was asked (`entry.idle_timeout`) or read
+    /// (`entry.read_timeout`) for too long, and of requests that were not handled since as many were as may be at once
+    /// (`entry.max_requests`).
     ConnectionsDisplaced = 252, "connections_displaced", Warn;
     /// The system could not accept a connection at a listener (`face`), `failures` times since the last line. If
     /// descriptors ran out, the process has fewer than its settings state.
--- a/crates/intake/src/places.rs
+++ b/crates/intake/src/places.rs
@@ -25,6 +25,8 @@
     pub refused: u64,
     /// Connections on which nothing was asked for long.
     pub idle_closed: u64,
+    /// Connections whose clients did not read.
+    pub unread_closed: u64,
     /// Requests that were not handled, since as many were as may be at once.
     pub unplaced: u64,
 }
@@ -140,8 +142,14 @@
         write!(
             formatter,
             "closed for new ones: {} that had never sent a whole head, {} idle, {} whose body was awaited; not \
-             accepted: {}; idle for too long: {}; requests that found no place: {}",
-            self.unproven, self.idle, self.receiving, self.refused, self.idle_closed, self.unplaced
+             accepted: {}; idle for too long: {}; not read for too long: {}; requests that found no place: {}",
+            self.unproven,
+            self.idle,
+            self.receiving,
+            self.refused,
+            self.idle_closed,
+            self.unread_closed,
+            self.unplaced
         )
     }
 }
@@ -171,6 +179,11 @@
         self.shared.state().unreported.idle_closed += 1;
     }
 
+    /// Records that the connection is closed since its client did not read for long.
+    pub fn record_unread_closed(&self) {
+        self.shared.state().unreported.unread_closed += 1;
+    }
+
     /// Records a request that was not handled, since as many were as may be at once.
     pub fn record_unplaced(&self) {
         self.shared.state().unreported.unplaced += 1;
--- a/crates/settings/src/catalogue/entry.rs
+++ b/crates/settings/src/catalogue/entry.rs
@@ -18,6 +18,13 @@
         Some("64MiB"),
         "Memory that the request bodies of all clients may take together, a body up to twice its size; beyond it a request gets 429 with `Retry-After`, and has not run.",
     ),
+    field(
+        "entry",
+        "read_timeout",
+        FieldKind::Duration(SECOND, 10 * MINUTE),
+        Some("60s"),
+        "Timeout for a client to take more of its response; its connection is closed then.",
+    ),
     field(
         "entry",
         "idle_timeout",
--- a/crates/web/src/request_count.rs
+++ b/crates/web/src/request_count.rs
@@ -1,15 +1,26 @@
-//! Requests in progress on one connection, from which its place at the listener and its idle time follow.
+//! Requests in progress on one connection, from which its place at the listener and its timeouts follow.
 
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
 use intake::{ConnectionPlace, ConnectionState};
 
-use crate::body::{GuardedBody, WebBody};
+use crate::body::WebBody;
+
+/// Number of a request on its connection.
+type RequestNumber = u64;
 
 #[derive(Debug)]
 struct RequestState {
-    running: usize,
+    /// Requests in progress, with the time since when their clients have taken nothing of what there is to send.
+    running: HashMap<RequestNumber, Option<Instant>>,
+    next: RequestNumber,
     /// When the last request began or ended.
     changed_at: Instant,
 }
@@ -26,7 +37,8 @@
     #[must_use]
     pub fn new(place: &Arc<ConnectionPlace>) -> Self {
         let state = RequestState {
-            running: 0,
+            running: HashMap::new(),
+            next: 0,
             changed_at: Instant::now(),
         };
         Self {
@@ -43,19 +55,24 @@
     #[must_use]
     pub fn begin(&self) -> RunningRequest {
         let mut state = self.state();
-        state.running += 1;
+        let number = state.next;
+        state.next += 1;
+        state.running.insert(number, None);
         state.changed_at = Instant::now();
-        if state.running == 1 {
+        if state.running.len() == 1 {
             self.place.set_state(ConnectionState::Busy);
         }
-        RunningRequest(self.clone())
+        RunningRequest {
+            count: self.clone(),
+            number,
+        }
     }
 
-    fn end(&self) {
+    fn end(&self, number: RequestNumber) {
         let mut state = self.state();
-        state.running -= 1;
+        state.running.remove(&number);
         state.changed_at = Instant::now();
-        if state.running == 0 {
+        if state.running.is_empty() {
             self.place.set_state(ConnectionState::Idle);
         }
     }
@@ -66,7 +83,7 @@
             let wait = {
                 let state = self.state();
                 let idle_time = state.changed_at.elapsed();
-                match (state.running == 0, limit.checked_sub(idle_time)) {
+                match (state.running.is_empty(), limit.checked_sub(idle_time)) {
                     (true, None | Some(Duration::ZERO)) => return,
                     (true, Some(left)) => left,
                     // The time begins with the end of the request.
@@ -76,22 +93,80 @@
             tokio::time::sleep(wait).await;
         }
     }
+
+    /// Completes once the client has taken nothing of a response for `limit`.
+    pub async fn unread(&self, limit: Duration) {
+        loop {
+            let oldest = self.state().running.values().flatten().min().copied();
+            let unread_time = oldest.map_or(Duration::ZERO, |since| since.elapsed());
+            let left = limit.saturating_sub(unread_time);
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left).await;
+        }
+    }
 }
 
 /// A request in progress.
 #[derive(Debug)]
-pub struct RunningRequest(RequestCount);
+pub struct RunningRequest {
+    count: RequestCount,
+    number: RequestNumber,
+}
 
 impl RunningRequest {
-    /// A body that keeps the request in progress, and `guard`, until it has been sent or given up.
+    /// Records whether there is something to send that the client has not taken.
+    fn set_unread(&self, is_unread: bool) {
+        let since = is_unread.then(Instant::now);
+        self.count.state().running.insert(self.number, since);
+    }
+
+    /// A body that keeps the request and `guard` until it has been sent or given up.
     #[must_use]
-    pub fn until_sent<G>(self, body: WebBody, guard: G) -> GuardedBody<(Self, G)> {
-        GuardedBody::new(body, (self, guard))
+    pub fn until_sent<G>(self, body: WebBody, guard: G) -> RunningBody<G> {
+        self.set_unread(true);
+        RunningBody {
+            body,
+            request: self,
+            _guard: guard,
+        }
     }
 }
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
-        self.0.end();
+        self.count.end(self.number);
+    }
+}
+
+/// The body of a response that is being sent. The HTTP library asks for more of it when the client has taken what came
+/// before, or there is room for it.
+#[derive(Debug)]
+pub struct RunningBody<G> {
+    body: WebBody,
+    request: RunningRequest,
+    _guard: G,
+}
+
+impl<G: Unpin> Body for RunningBody<G> {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        self.request.set_unread(polled.is_ready());
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -14,6 +14,7 @@
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use intake::{ConnectionPlace, ConnectionPlaces, PlaceReport};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
@@ -59,6 +60,9 @@
 /// Bytes of one response that a connection with HTTP/2 keeps while its client does not take them.
 const SEND_BUFFER_BYTES: usize = 32 << 10;
 
+/// Bytes of a connection that the system takes before its client reads them, beside what the client's system has taken.
+const UNSENT_BYTES: u32 = 32 << 10;
+
 /// Handles the requests of a server.
 pub trait WebHandler: Send + Sync + 'static {
     /// Handles one request. Failures are returned as error responses.
@@ -83,6 +87,8 @@
     pub max_requests: usize,
     /// Time without a request after which a connection is closed.
     pub idle_timeout: Duration,
+    /// Time for which a client may take nothing of what was sent to it.
+    pub read_timeout: Duration,
 }
 
 /// Turns an accepted TCP connection into the stream that carries HTTP.
@@ -152,7 +158,7 @@
         else {
             continue;
         };
-        let _ = stream.set_nodelay(true);
+        set_options(&stream, &limits);
         let acceptor = acceptor.clone();
         let connection = ServedConnection {
             handler: Arc::clone(&handler),
@@ -205,6 +211,17 @@
     Some((stream, admission.place?))
 }
 
+/// Sets what the system does on an accepted connection. A socket that ended meanwhile takes no options, which its reader
+/// sees.
+fn set_options(stream: &TcpStream, limits: &ServerLimits) {
+    drop(stream.set_nodelay(true));
+    // Otherwise megabytes of a response fit into the system's buffers before the process sees that its client reads
+    // nothing, and a slow one may take longer than its timeout until it is asked for more.
+    let socket = SockRef::from(stream);
+    drop(socket.set_tcp_notsent_lowat(UNSENT_BYTES));
+    drop(socket.set_tcp_user_timeout(Some(limits.read_timeout)));
+}
+
 /// What a connection is served with.
 struct ServedConnection<H> {
     handler: Arc<H>,
@@ -263,10 +280,12 @@
             // It ends with the server, too.
             stopped = self.stopped.wait_for(|is_stopped| *is_stopped) => drop(stopped),
             () = count.idle(self.limits.idle_timeout) => self.place.record_idle_closed(),
+            () = count.unread(self.limits.read_timeout) => return self.place.record_unread_closed(),
         }
         tokio::select! {
             (ended, ()) = async { tokio::join!(connection.as_mut(), graceful.shutdown()) } => drop(ended),
             () = give_up_closing(&count) => {}
+            () = count.unread(self.limits.read_timeout) => self.place.record_unread_closed(),
         }
     }
 }
--- a/crates/web/tests/tls_reload.rs
+++ b/crates/web/tests/tls_reload.rs
@@ -24,6 +24,7 @@
     max_connections: 100,
     max_requests: 100,
     idle_timeout: Duration::from_mins(1),
+    read_timeout: Duration::from_mins(1),
 };
 
 const SERVER_NAME: &str = "entry.test";
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -20,6 +20,7 @@
     max_connections: 64,
     max_requests: 64,
     idle_timeout: Duration::from_mins(1),
+    read_timeout: Duration::from_mins(1),
 };
 
 /// A bound admin listener, which is not served until [`start`].
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -192,6 +192,7 @@
             max_connections: limits.max_connections(),
             max_requests: limits.max_requests(),
             idle_timeout: self.settings.idle_timeout(),
+            read_timeout: self.settings.read_timeout(),
         };
         let mut serving = pin!(serve_with_acceptor(
             self.listener,
--- a/tests/crowds/own_face.rs
+++ b/tests/crowds/own_face.rs
@@ -37,6 +37,15 @@
 /// Time for an ordinary request; only failing tests reach it.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// First line of the response to a request that finds no slot.
+const OVERLOADED: &str = "HTTP/1.1 429 Too Many Requests";
+
+/// How often a client comes again that is told to.
+const MOST_RETURNS: usize = 240;
+
+/// Time after which it comes again.
+const RETURN_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Name in the certificate of a test.
 pub const SERVER_NAME: &str = "entry.test";
 
@@ -160,6 +169,16 @@
         first_line(stream, request.as_bytes()).await
     }
 
+    /// Comes again with an ordinary request as long as it is told to, as clients do.
+    pub async fn wait_served(&self) {
+        for _ in 0..MOST_RETURNS {
+            if self.ordinary_request().await.as_deref() != Some(OVERLOADED) {
+                return;
+            }
+            tokio::time::sleep(RETURN_INTERVAL).await;
+        }
+    }
+
     /// Checks what must hold while a crowd of `count` connections is held.
     pub async fn assert_sound(&self, count: usize) {
         let process = self.stack.entries[0].pid();
--- a/tests/crowds/own_streams.rs
+++ b/tests/crowds/own_streams.rs
@@ -114,6 +114,8 @@
     let entry = TestEntry::start_plan("streams", DESCRIPTORS, &settings, false).await;
     let bytes = post("/v1/completions", STREAM_BODY).read_little();
     let _crowd = Crowd::gather(entry.address(), CROWD, &bytes).await;
+    // A client that reads nothing is known as such after its timeout.
+    entry.wait_served().await;
     entry.assert_sound(CROWD).await;
 }
 
@@ -133,6 +135,8 @@
         bytes.extend(frame(DATA, END_STREAM, stream, STREAM_BODY.as_bytes()));
     }
     let _crowd = Crowd::gather(entry.address(), CROWD, &CrowdBytes::once(bytes)).await;
+    // A client that reads nothing is known as such after its timeout.
+    entry.wait_served().await;
     entry.assert_sound(CROWD).await;
 }
 
