Count what requests and responses take at the own interface

own_streams::unread_answers failed before with 60.2 to 67.6 MB, bound 64: 240 clients with calls of 200 KiB do not read answers as large. The ledger of 16 MiB counted bodies of requests alone, and held them until the answer was sent; answers, and 36 KB for each request beside its body, were not counted.

One ledger, entry.held_memory in place of entry.held_bodies, counts 40 KiB for each request, its body at twice its size, and what its client has not taken of the response. If there is no room, clients that have stopped are cut off, those that hold most first: with 429 and Retry-After before the response begins, by closing their connection afterwards. slow_reader_cut counts them, one line a second at most.

--- a/crates/entry/src/request_head.rs
+++ b/crates/entry/src/request_head.rs
@@ -2,6 +2,7 @@
 
 use domain::RequestId;
 use http::HeaderMap;
+use web::ConnectionCloser;
 
 /// Method, path and headers of a client request, together with the id assigned to it.
 #[derive(Debug)]
@@ -14,4 +15,6 @@
     pub path: String,
     /// All request headers, including the API key.
     pub headers: HeaderMap,
+    /// Closes the connection that it came on.
+    pub closer: ConnectionCloser,
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -15,8 +15,9 @@
 use intake::PlaceReport;
 use platform::TableStore;
 use target::{EngineClient, ServiceClient};
-use web::body::GuardedBody;
-use web::{BodyError, WebHandler, WebRequest, WebResponse, parse_json, text_response};
+use web::{
+    BodyError, ConnectionCloser, WebHandler, WebRequest, WebResponse, parse_json, text_response,
+};
 use wire::client_api::ErrorCode;
 use wire::openai::{ChatRequest, CompletionRequest};
 
@@ -25,7 +26,8 @@
 use crate::context::EntryContext;
 use crate::error::RequestError;
 use crate::generation::CompletionParams;
-use crate::held_bodies::{BodyFailure, BodyRoom, HeldBodies, HeldBody};
+use crate::held_memory::{BodyFailure, HeldBody, HeldMemory, MemoryLimits, RequestRoom};
+use crate::held_response::HeldResponse;
 use crate::models::{list_models, show_model};
 use crate::request_head::RequestHead;
 use crate::routes::{Route, find_route};
@@ -43,7 +45,7 @@
 pub struct EntryServer<E, T: TableStore, S> {
     context: EntryContext<E>,
     services: ServiceDispatcher<T, S>,
-    bodies: HeldBodies,
+    memory: HeldMemory,
 }
 
 impl<E: EngineClient, T: TableStore, S: ServiceClient> EntryServer<E, T, S> {
@@ -53,14 +55,22 @@
         let settings = Arc::clone(&context.settings);
         let services = ServiceDispatcher::new(ledger, service, context.recorder.clone(), settings);
         let settings = &context.settings;
-        let bodies = HeldBodies::new(settings.held_bodies_bytes, settings.body_timeout());
+        let memory = HeldMemory::new(MemoryLimits {
+            max_bytes: settings.held_memory_bytes,
+            body_timeout: settings.body_timeout(),
+        });
         Self {
             context,
             services,
-            bodies,
+            memory,
         }
     }
 
+    /// Reports clients that were cut off for others; never returns.
+    pub async fn report_cuts(&self) {
+        self.memory.report_cuts(&self.context.recorder).await;
+    }
+
     /// Returns the handle that controls the shutdown of this server.
     #[must_use]
     pub fn shutdown_handle(&self) -> ShutdownHandle {
@@ -89,19 +99,19 @@
                 let (body, room): (ChatRequest, _) = self.read_json(body).await?;
                 let params = body.try_into()?;
                 let response = self.start_completion(&view, customer, head, params).await?;
-                Ok(hold_until_sent(response, room))
+                Ok(hold_until_sent(response, room, head))
             }
             Route::Completion => {
                 let (body, room): (CompletionRequest, _) = self.read_json(body).await?;
                 let params = body.try_into()?;
                 let response = self.start_completion(&view, customer, head, params).await?;
-                Ok(hold_until_sent(response, room))
+                Ok(hold_until_sent(response, room, head))
             }
             Route::Service { name, call: path } => {
                 let resolved = resolve_call(&view, customer, name, path)?;
                 let HeldBody { bytes, room } = self.read_limited(body).await?;
                 let response = self.services.call(resolved, head, bytes).await?;
-                Ok(hold_until_sent(response, room))
+                Ok(hold_until_sent(response, room, head))
             }
         }
     }
@@ -134,11 +144,11 @@
     }
 
     async fn read_limited(&self, body: impl RequestBody) -> Result<HeldBody, RequestError> {
-        let reading = self.bodies.read(body, self.context.settings.max_body_bytes);
+        let reading = self.memory.read(body, self.context.settings.max_body_bytes);
         reading.await.map_err(|failure| match failure {
             BodyFailure::Unreadable(error) => body_error(error),
             BodyFailure::NoRoom => {
-                let message = "this node holds too many request bodies";
+                let message = "this node holds as much for its clients as it may";
                 let error = RequestError::not_run(ErrorCode::Overloaded, message);
                 error.with_retry_after(NO_ROOM_RETRY_AFTER)
             }
@@ -152,7 +162,7 @@
     async fn read_json<R: serde::de::DeserializeOwned>(
         &self,
         body: impl RequestBody,
-    ) -> Result<(R, BodyRoom), RequestError> {
+    ) -> Result<(R, RequestRoom), RequestError> {
         let HeldBody { bytes, room } = self.read_limited(body).await?;
         let parsed = parse_json(&bytes).map_err(body_error)?;
         Ok((parsed, room))
@@ -160,12 +170,15 @@
 
     /// Handles one request with any body type. Errors become responses.
     pub async fn handle_request<B: RequestBody>(&self, request: http::Request<B>) -> WebResponse {
-        let (request_parts, body) = request.into_parts();
+        let (mut request_parts, body) = request.into_parts();
+        let closer = request_parts.extensions.remove::<ConnectionCloser>();
         let head = RequestHead {
             id: self.context.ids.request_id(),
             method: request_parts.method,
             path: request_parts.uri.path().to_owned(),
             headers: request_parts.headers,
+            // Without a connection there is nothing to close.
+            closer: closer.unwrap_or_default(),
         };
         let mut response = match self.route(&head, body).await {
             Ok(response) => response,
@@ -192,10 +205,9 @@
     }
 }
 
-/// Keeps the room of a request's body until the response has been sent: a stream that moves to another replica needs the
-/// prompt again.
-fn hold_until_sent(response: WebResponse, room: BodyRoom) -> WebResponse {
-    response.map(|body| GuardedBody::new(body, room).boxed_unsync())
+/// Keeps the room of a request until its client has taken the response.
+fn hold_until_sent(response: WebResponse, room: RequestRoom, head: &RequestHead) -> WebResponse {
+    response.map(|body| HeldResponse::new(body, room, head.closer.clone()).boxed_unsync())
 }
 
 /// Request bodies that the server accepts.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -22,9 +22,9 @@
     pub max_body_bytes: usize,
     /// Most requests that are handled at once; without it as many as the descriptors of the process bear.
     pub max_requests: Option<usize>,
-    /// Memory that the request bodies of all clients may take together, in bytes.
+    /// Memory that the requests of all clients may take together, with their bodies and responses, in bytes.
     #[builder(default = 64 << 20)]
-    pub held_bodies_bytes: usize,
+    pub held_memory_bytes: usize,
     /// Time for which a client may take nothing of its response.
     #[builder(default = 60_000)]
     pub read_timeout_ms: u64,
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -337,7 +337,8 @@
     /// A client reads or sends too slowly, and what this node holds for it and others has reached the bound. `what` is
     /// `head` if its connection is closed since its head does not end, `response` if its response is cut off, `request`
     /// if the request that it sends is rejected, `target` if a target's response that has not been passed on yet is
-    /// given up. `held` is what the node held for it, in bytes; it had taken none of it for `untaken_ms`.
+    /// given up. `held` is what the node held for it, in bytes; it had taken none of it for `untaken_ms`. At the own
+    /// interface one line a second at most tells how many clients had stopped sending or reading.
     SlowReaderCut = 391, "slow_reader_cut", Warn;
     /// The store's clock is ahead of what it was by `step_ms`, as after a move to another machine. What was
     /// proved by it before is compared anew.
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -9,5 +9,5 @@
 mod table;
 
 pub use limits::{ConnectionLimits, MAX_STATUS_CONNECTIONS, descriptor_limit};
-pub use places::{Admission, ConnectionPlace, ConnectionPlaces, PlaceReport};
+pub use places::{Admission, ConnectionCloser, ConnectionPlace, ConnectionPlaces, PlaceReport};
 pub use table::{ConnectionKey, ConnectionState, ConnectionTable, TableFull};
--- a/crates/intake/src/places.rs
+++ b/crates/intake/src/places.rs
@@ -173,7 +173,24 @@
     displaced: Arc<Notify>,
 }
 
+/// Closes a connection from wherever its requests are handled; clones close the same one.
+#[derive(Debug, Clone, Default)]
+pub struct ConnectionCloser(Arc<Notify>);
+
+impl ConnectionCloser {
+    /// Has the task of the connection close it.
+    pub fn close(&self) {
+        self.0.notify_one();
+    }
+}
+
 impl ConnectionPlace {
+    /// What closes the connection as if another one had got its place.
+    #[must_use]
+    pub fn closer(&self) -> ConnectionCloser {
+        ConnectionCloser(Arc::clone(&self.displaced))
+    }
+
     /// Records that the connection is closed since nothing was asked on it for long.
     pub fn record_idle_closed(&self) {
         self.shared.state().unreported.idle_closed += 1;
--- a/crates/settings/src/catalogue/entry.rs
+++ b/crates/settings/src/catalogue/entry.rs
@@ -13,10 +13,10 @@
     ),
     field(
         "entry",
-        "held_bodies",
+        "held_memory",
         FieldKind::Size(1 << 20, 16 << 30),
         Some("64MiB"),
-        "Memory that the request bodies of all clients may take together, a body up to twice its size; beyond it a request gets 429 with `Retry-After`, and has not run.",
+        "Memory that the requests of all clients may take together: 40 KiB each, a body up to twice its size, and responses that are not read. Beyond it clients that have stopped sending or reading are cut off, and a request gets 429 with `Retry-After`, and has not run.",
     ),
     field(
         "entry",
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::body::{Body, Frame};
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 
@@ -64,44 +64,6 @@
     }
 }
 
-/// A body that keeps a guard until it has been sent or given up.
-#[derive(Debug)]
-pub struct GuardedBody<G> {
-    body: WebBody,
-    _guard: G,
-}
-
-impl<G> GuardedBody<G> {
-    /// Keeps `guard` for as long as `body`.
-    #[must_use]
-    pub fn new(body: WebBody, guard: G) -> Self {
-        Self {
-            body,
-            _guard: guard,
-        }
-    }
-}
-
-impl<G: Unpin> Body for GuardedBody<G> {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Smallest piece in which a body is gathered, in bytes.
 const PIECE_BYTES: usize = 4 << 10;
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -17,6 +17,7 @@
 pub use connection::{ConnectionError, HttpConnection};
 pub use fair_stream::FairStream;
 pub use fair_task::FairTask;
+pub use intake::ConnectionCloser;
 pub use query::query_value;
 pub use response::{WebResponse, is_close_delimited, json_response, text_response};
 pub use retry_after::{parse_retry_after, retry_after};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -251,13 +251,15 @@
         let connection = {
             let (handler, requests) = (Arc::clone(&self.handler), Arc::clone(&self.requests));
             let (count, place) = (count.clone(), Arc::clone(&self.place));
-            let service = service_fn(move |request: WebRequest| {
+            let closer = self.place.closer();
+            let service = service_fn(move |mut request: WebRequest| {
                 let handler = Arc::clone(&handler);
                 let running = count.begin();
                 let permit = Arc::clone(&requests).try_acquire_owned().ok();
                 if permit.is_none() {
                     place.record_unplaced();
                 }
+                request.extensions_mut().insert(closer.clone());
                 async move {
                     let response = match &permit {
                         // The library keeps room for this future in every connection, also in those that are idle.
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -21,6 +21,7 @@
 use target::{HttpEngineClient, HttpServiceClient};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use web::server::{PlainAcceptor, StreamAcceptor};
 use web::{ReloadableTlsConfig, ServerLimits, serve_with_acceptor};
 
@@ -194,6 +195,10 @@
             idle_timeout: self.settings.idle_timeout(),
             read_timeout: self.settings.read_timeout(),
         };
+        let server = Arc::clone(&self.server);
+        // Ends with this function.
+        let mut reporting = JoinSet::new();
+        reporting.spawn(async move { server.report_cuts().await });
         let mut serving = pin!(serve_with_acceptor(
             self.listener,
             acceptor,
--- a/tests/crowds/own_face.rs
+++ b/tests/crowds/own_face.rs
@@ -320,7 +320,7 @@
 /// Guards against bodies within the limit of one, which together take the memory of the process and never end.
 #[tokio::test(flavor = "multi_thread")]
 async fn stalled_bodies() {
-    let settings = json!({ "held_bodies": "16MiB" });
+    let settings = json!({ "held_memory": "16MiB" });
     let entry = TestEntry::start_plan("bodies", DESCRIPTORS, &settings, false).await;
     let head = format!(
         "POST /v1/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
--- a/tests/crowds/own_streams.rs
+++ b/tests/crowds/own_streams.rs
@@ -80,7 +80,7 @@
 /// Guards against responses that nobody reads: they hold the room of all requests, and others are refused.
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_answers() {
-    let settings = json!({ "held_bodies": "16MiB" });
+    let settings = json!({ "held_memory": "16MiB" });
     let entry = TestEntry::start_plan("answers", DESCRIPTORS, &settings, false).await;
     let body = json!({ "note": "y".repeat(BODY_BYTES) }).to_string();
     let bytes = post("/v1/services/licences/licences/find", &body).read_little();
@@ -91,7 +91,7 @@
 /// Guards against the same by clients with HTTP/2 that let nothing be sent to them.
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_answers_http2() {
-    let settings = json!({ "held_bodies": "16MiB" });
+    let settings = json!({ "held_memory": "16MiB" });
     let entry = TestEntry::start_plan("windows", DESCRIPTORS, &settings, false).await;
     let body = json!({ "note": "y".repeat(STREAM_BODY_BYTES) }).to_string();
     let mut bytes = PREFACE_WITHOUT_WINDOW.to_vec();
