--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -8,6 +8,7 @@
 
 use serde_json::{Value, json};
 use standin::site::{SiteInstance, SiteStore, StoreMode};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::MutexGuard;
 
@@ -285,6 +286,21 @@
         line.as_deref() == Some("HTTP/1.1 200 OK")
     }
 
+    /// Sum of a metric over its labels.
+    pub async fn metric(&self, name: &str) -> f64 {
+        let stream = TcpStream::connect(self.address(Face::Metrics)).await;
+        let mut stream = stream.expect("it listens");
+        let request = b"GET /metrics HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
+        stream.write_all(request).await.expect("it reads");
+        let mut text = String::new();
+        let reading = tokio::time::timeout(EVENT_TIMEOUT, stream.read_to_string(&mut text));
+        let read = reading.await.expect("a response");
+        read.expect("a whole response");
+        let lines = text.lines().filter(|line| line.starts_with(name));
+        let values = lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok());
+        values.sum()
+    }
+
     /// First line of the response to one request.
     pub async fn request(&self) -> Option<String> {
         let head = request_head("GET", "/look/x", "ordinary");
--- a/tests/crowds/running_requests.rs
+++ b/tests/crowds/running_requests.rs
@@ -17,6 +17,9 @@
 /// Connections of a crowd that takes descriptors.
 const DESCRIPTOR_CROWD: usize = 600;
 
+/// Health checks of the target that may come while a crowd gathers.
+const HEALTH_CHECKS: usize = 20;
+
 /// A machine on which the descriptors are fewer than two for each connection of a crowd.
 const FEW_DESCRIPTORS: Machine = Machine {
     memory_mb: 64.0,
@@ -59,3 +62,31 @@
 async fn descriptors() {
     play(FEW_DESCRIPTORS, DESCRIPTOR_CROWD, 0).await;
 }
+
+/// Guards against requests that are refused for want of a place although they have run, and that nothing tells of.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_not_run() {
+    let mut gateway = TestGateway::start_with_large_target(FEW_DESCRIPTORS).await;
+    gateway.instance.set_mode(ServiceMode::Unresponsive);
+    let received = || gateway.instance.received_count();
+    let received_before = received();
+    let head = request_head("POST", "/pay/x", "runs");
+    let bytes = CrowdBytes::once(format!("{head}content-length: 0\r\n\r\n"));
+    let mut crowds = Vec::new();
+    for _ in 0..DESCRIPTOR_CROWD / WAVE {
+        crowds.push(gateway.crowd(Face::Requests, WAVE, &bytes).await);
+    }
+    let run = received() - received_before;
+    // A quarter of the descriptors, and health checks of the target.
+    let most = FEW_DESCRIPTORS.descriptors / 4 + HEALTH_CHECKS;
+    assert!(run <= most, "{run} requests run, bound {most}");
+    let unplaced = gateway
+        .metric("bramleyspring_gateway_request_unplaced_total")
+        .await;
+    assert!(unplaced > 0.0, "no request is counted as refused");
+    let reason = "as many requests run at this node as may at once";
+    assert!(!gateway.log_lines(reason).is_empty(), "no line tells of it");
+    gateway.instance.set_mode(ServiceMode::Healthy);
+    drop(crowds);
+    gateway.assert_serves().await;
+}
