Keep the place of a response at the own interface until its client has taken it

With HTTP/2 the library takes the last piece of a response before its client lets it be sent, and gives the body up. So the place among max_requests of a short response was given back while all of it was kept, 256 KiB for the 32 streams of a connection whose client lets one byte be sent. Found by reading.

narrow_windows::place_kept_until_sent failed before: with one place, and a response of 4 KiB that a client with a window of one byte has not taken, another request was handled (200, expected 503). RunningBody hands the last 512 bytes on by themselves, which the library asks for only when what came before may be sent.

--- a/crates/web/src/request_count.rs
+++ b/crates/web/src/request_count.rs
@@ -13,6 +13,9 @@
 
 use crate::body::WebBody;
 
+/// Bytes of a response that are handed to the HTTP library last.
+const LAST_BYTES: usize = 512;
+
 /// Number of a request on its connection.
 type RequestNumber = u64;
 
@@ -128,6 +131,7 @@
         self.set_unread(true);
         RunningBody {
             body,
+            rest: Bytes::new(),
             request: self,
             _guard: guard,
         }
@@ -145,6 +149,8 @@
 #[derive(Debug)]
 pub struct RunningBody<G> {
     body: WebBody,
+    /// End of what the body has given out, which is handed on last.
+    rest: Bytes,
     request: RunningRequest,
     _guard: G,
 }
@@ -157,16 +163,36 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(context);
-        self.request.set_unread(polled.is_ready());
-        polled
+        let this = &mut *self;
+        if !this.rest.is_empty() {
+            this.request.set_unread(true);
+            return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut this.rest)))));
+        }
+        let polled = Pin::new(&mut this.body).poll_frame(context);
+        this.request.set_unread(polled.is_ready());
+        if !this.body.is_end_stream() {
+            return polled;
+        }
+        polled.map_ok(|frame| frame.map_data(|data| hold_back(data, &mut this.rest)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.rest.is_empty() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        if self.rest.is_empty() {
+            return self.body.size_hint();
+        }
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
+
+/// The start of `data`, whose end stays in `rest`. The library keeps what is handed to it last after the response counts
+/// as sent: a client with HTTP/2 that lets one byte be sent would have it keep all of a short response.
+fn hold_back(mut data: Bytes, rest: &mut Bytes) -> Bytes {
+    if data.len() > LAST_BYTES {
+        *rest = data.split_off(data.len() - LAST_BYTES);
     }
+    data
 }
