--- a/review/8/case.py
+++ b/review/8/case.py
@@ -69,7 +69,7 @@
     refused = []
     for number in range(PAYMENTS):
         refused += await pay_once(gateway, f"p{number:03x}", record)
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.08)
     ran = {request_id for _, request_id in book}
     broken = [request_id for request_id in refused if request_id in ran]
     payments = [payment for payment, _ in book]
