Log and count answers whose status denies what they prove

A target can run a request and answer with a status by which clients learn that it has not run (408, 429, 503). Nothing told of it: the attempt counted as answered, a 503 had no line of its own, and a 429 or 408 only one that names it a refusal of the target.

Each such answer now has a line (response_contradictory: request, route, service, status, target, its address and boot number, and whether the request may run again) and counts in response.contradictory by kind, service and status.

The code before had no such line: contradictory_answers::logged_and_counted waits for it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod buffered;
 mod client_connection;
 mod connection_path;
+mod contradiction;
 mod crash;
 mod feed;
 mod fingerprint;
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -82,6 +82,7 @@
     late_requests: Counter<u64>,
     refusals: Counter<u64>,
     unproved: Counter<u64>,
+    contradictory: Counter<u64>,
     dropped_kinds: Gauge<f64>,
     stranded_time: Counter<f64>,
     downtime: Counter<f64>,
@@ -129,6 +130,7 @@
             late_requests: counter("bramleyspring.gateway.late.count"),
             refusals: counter("bramleyspring.gateway.refusal.count"),
             unproved: counter("bramleyspring.gateway.response.unproved"),
+            contradictory: counter("bramleyspring.gateway.response.contradictory"),
             dropped_kinds: meter
                 .f64_gauge("bramleyspring.gateway.log.dropped_kind")
                 .build(),
@@ -311,6 +313,13 @@
         self.unproved.add(1, &labels);
     }
 
+    /// Counts an answer of a target that ran a request, whose status promises that it has not run.
+    pub fn record_contradiction(&self, labels: RequestLabels<'_>, status: StatusCode) {
+        let [kind, service] = labels.key_values();
+        let status = KeyValue::new("status", i64::from(status.as_u16()));
+        self.contradictory.add(1, &[kind, service, status]);
+    }
+
     /// Counts a response with a 3xx or 4xx by who made it.
     pub fn record_refusal(&self, maker: RefusalMaker, status: StatusCode) {
         let labels = [
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,6 +18,7 @@
     ConnectionReuse, acquire_connection, connect, record_unreachable, send_watched,
 };
 use crate::attempt_outcome::AttemptOutcome;
+use crate::contradiction::record_contradiction;
 use crate::crash::{InterruptedRequest, record_interrupted};
 use crate::identity::record_unproved;
 use crate::in_flight::InFlightGuard;
@@ -236,6 +237,9 @@
         let now = node.now();
         node.with_load(id, |load| load.record_failure(now));
     }
+    if proof.contradicts(head.status.as_u16()) {
+        record_contradiction(node, request, target, head.status);
+    }
     let response = TargetResponse {
         host: id.clone(),
         address: target.address,
--- a/crates/serving/src/answer_proof.rs
+++ b/crates/serving/src/answer_proof.rs
@@ -6,6 +6,9 @@
 
 use std::fmt;
 
+/// Statuses by which clients learn that their request has not run and never will, so that they send it again.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// What a response says of the request that it answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestEcho {
@@ -51,6 +54,14 @@
     Missing(ProofGap),
 }
 
+impl AnswerProof {
+    /// Whether a status promises that the request has not run, on an answer that proves that it ran.
+    #[must_use]
+    pub fn contradicts(self, status: u16) -> bool {
+        self == Self::Run && NOT_RUN_STATUSES.contains(&status)
+    }
+}
+
 /// Mark that a response lacks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProofGap {
--- a/crates/serving/tests/answer_proof.rs
+++ b/crates/serving/tests/answer_proof.rs
@@ -52,3 +52,13 @@
     assert_eq!(RequestEcho::of(Some("b"), Some("a")), RequestEcho::Other);
     assert_eq!(RequestEcho::of(None, Some("a")), RequestEcho::Missing);
 }
+
+/// Guards against an answer that nobody notices though its status denies what it proves.
+#[test]
+fn promise_of_run_request() {
+    for status in 100..=599 {
+        let is_promise = [408, 421, 429, 503].contains(&status);
+        assert_eq!(AnswerProof::Run.contradicts(status), is_promise, "{status}");
+        assert!(!AnswerProof::NotRun.contradicts(status), "{status}");
+    }
+}
--- a/crates/standin/src/site/service.rs
+++ b/crates/standin/src/site/service.rs
@@ -34,6 +34,8 @@
     Unresponsive,
     /// Responds with 500 after executing a call.
     Failing,
+    /// Responds with this status after executing a call for so long.
+    FailingWith(StatusCode, Duration),
     /// Responds with the id of another request.
     WrongRequestId,
     /// Responds, then closes the connection shortly after without announcing it.
@@ -241,6 +243,10 @@
         ServiceMode::Overloaded => text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
         ServiceMode::Unresponsive => std::future::pending().await,
         ServiceMode::Failing => text_response(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+        ServiceMode::FailingWith(status, delay) => {
+            tokio::time::sleep(delay).await;
+            text_response(status, "failed")
+        }
     };
     if mode == ServiceMode::ClosesConnection {
         response.extensions_mut().insert(CloseAfterResponse);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod config_history;
 mod config_numbers;
 mod config_soak;
+mod contradictory_answers;
 mod crash_soak;
 mod crashing_parts;
 mod cut_answers;
