Withhold answers that deny that a payment ran

What clients saw: a target ran a payment and answered 503, signed, with the request's id and without the mark "not run". The node passed it on.

Cause: classify_response judges an answer by its marks and never compares them with its status. The answer proves that the request ran, the status promises the contrary, and nothing looks at both.

Fix: where both hold and the request may run once at most, the attempt counts as one whose outcome can't be told. The client gets 502 at once, without signature, Retry-After or body of the target. All other kinds get status, body and signature as before. Every answer passes through this one place: first answers, answers after a rejection, those through another node or while the node stops, first answers of streams. A Retry-After on such an answer still counts, since a further payment would end the same way.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -180,8 +180,9 @@
     /// Other nodes asked for more tunnels than this one serves at once; they ask further nodes. `refused` is how many were
     /// refused since the last line, of which there is one a second at most.
     TunnelsFull = 255, "tunnels_full", Warn;
-    /// A target ran a request and answered with a `status` by which clients learn that it has not run. The request may
-    /// run once at most if `repeatable` is 0. See `docs/OPERATIONS.md`.
+    /// A target ran a request and answered with a `status` by which clients learn that it has not run. If the request
+    /// may run once at most (`repeatable` is 0), the answer is not passed on: the client gets 502, which promises
+    /// nothing. See `docs/OPERATIONS.md`.
     ResponseContradictory = 256, "response_contradictory", Warn;
     /// A newer configuration is in force on this node.
     ConfigApplied = 300, "config_applied", Info;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -240,6 +240,16 @@
     if proof.contradicts(head.status.as_u16()) {
         record_contradiction(node, request, target, head.status);
     }
+    let process = target.process();
+    node.crashes.record_alive(&process, node.evidence_time());
+    if proof.misleads(head.status.as_u16(), request.kind) {
+        // The client can't be told more than that its request may have run, and learns it at once: the connection is
+        // dropped with the rest of the answer.
+        return AttemptOutcome::Ambiguous(format!(
+            "target ran the request and returned {}, which promises that it has not run",
+            head.status
+        ));
+    }
     let response = TargetResponse {
         host: id.clone(),
         address: target.address,
@@ -256,7 +266,5 @@
         connection: exchange.connection,
         in_flight,
     };
-    node.crashes
-        .record_alive(&response.process(), node.evidence_time());
     AttemptOutcome::Responded(Box::new(response))
 }
--- a/crates/serving/src/answer_proof.rs
+++ b/crates/serving/src/answer_proof.rs
@@ -6,6 +6,8 @@
 
 use std::fmt;
 
+use crate::route::RouteKind;
+
 /// Statuses by which clients learn that their request has not run and never will, so that they send it again.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -60,6 +62,13 @@
     pub fn contradicts(self, status: u16) -> bool {
         self == Self::Run && NOT_RUN_STATUSES.contains(&status)
     }
+
+    /// Whether an answer must not reach its client because it does. The client would take the promise for true and
+    /// send a request again that may run once at most; any other request may run again.
+    #[must_use]
+    pub fn misleads(self, status: u16, kind: RouteKind) -> bool {
+        self.contradicts(status) && !kind.allows_retry()
+    }
 }
 
 /// Mark that a response lacks.
--- a/crates/serving/tests/answer_proof.rs
+++ b/crates/serving/tests/answer_proof.rs
@@ -1,5 +1,6 @@
 //! Which responses count as those of their target.
 
+use serving::RouteKind;
 use serving::answer_proof::{AnswerMarks, AnswerProof, ProofGap, RequestEcho};
 
 fn marks(echo: RequestEcho, is_signed: bool, is_not_run: bool) -> AnswerMarks {
@@ -53,12 +54,27 @@
     assert_eq!(RequestEcho::of(None, Some("a")), RequestEcho::Missing);
 }
 
-/// Guards against an answer that nobody notices though its status denies what it proves.
+/// Guards against a promise that reaches a client though its request ran, and against one that is withheld though it
+/// is true or does no harm.
 #[test]
 fn promise_of_run_request() {
+    let once = [
+        RouteKind::NonIdempotent,
+        RouteKind::Streaming { resumable: false },
+    ];
+    let again = [
+        RouteKind::Idempotent,
+        RouteKind::Streaming { resumable: true },
+    ];
     for status in 100..=599 {
         let is_promise = [408, 421, 429, 503].contains(&status);
         assert_eq!(AnswerProof::Run.contradicts(status), is_promise, "{status}");
-        assert!(!AnswerProof::NotRun.contradicts(status), "{status}");
+        for kind in once {
+            assert_eq!(AnswerProof::Run.misleads(status, kind), is_promise);
+            assert!(!AnswerProof::NotRun.misleads(status, kind));
+        }
+        for kind in again {
+            assert!(!AnswerProof::Run.misleads(status, kind));
+        }
     }
 }
--- a/tests/system/service_calls.rs
+++ b/tests/system/service_calls.rs
@@ -88,6 +88,23 @@
     assert_eq!(executions(&stack, "lost-1").await, 1);
 }
 
+/// Guards against a client library that pays twice by its retries: what the service answered to a payment, also a 503,
+/// is kept under the payment's key, and nothing is sent to the service again.
+#[tokio::test(flavor = "multi_thread")]
+async fn failure_kept_under_key() {
+    let stack = StackPlan::new("failure-kept", BINARY).start().await;
+    let fault = FaultPlan::builder().refuse_next(1).build();
+    stack.set_service_faults(&fault).await;
+    for entry in 0..3 {
+        let failed = pay(&stack, entry, "failed-1").await;
+        assert_eq!(failed.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(execution(&failed), "none", "{}", failed.text());
+        assert!(failed.retry_after.is_none());
+    }
+    // The service would have run a payment that came again.
+    assert_eq!(executions(&stack, "failed-1").await, 0);
+}
+
 /// The connection of a payment breaks and a look-up at the service finds no execution. That proves
 /// nothing, since the payment may still be in transit, so the key stays claimed.
 #[tokio::test(flavor = "multi_thread")]
