Take no response for an answer whose status HTTP does not know

What clients saw: a target's response with the status 600 or 999 was passed on as it came, and a 101, which ends HTTP on a connection that asked for no upgrade, with an empty body before the connection closed. A look-up got it though another target could answer; a payment learned nothing that holds.

Cause: the HTTP library refuses a status below 100 or not of three digits (so 000 never reached a client), but lets 600 to 999 pass, and 101 as the final response to any request. No face looked further. So an order to an engine counted as refused though the engine may carry it out, a write to the store as refused though it may take effect, statements and the store's era were read from such bytes, and at the own interface a payment was answered and its claim settled with them.

Fix: the two clients through which all faces read answers, HttpConnection and WebClient, return an error for a status outside 200 to 599. It leaves open whether the request ran, as any other lost answer: payments get 502, look-ups go to another target, orders stay unsettled.

Links between nodes compare each status with 200, by reading.

--- a/crates/gateway/src/node/health.rs
+++ b/crates/gateway/src/node/health.rs
@@ -43,7 +43,8 @@
             ConnectionError::Refused => Self::Refused,
             ConnectionError::NotConnected(_)
             | ConnectionError::Unsent
-            | ConnectionError::Broken(_) => Self::Unresponsive,
+            | ConnectionError::Broken(_)
+            | ConnectionError::NoAnswer(_) => Self::Unresponsive,
         }
     }
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -102,7 +102,7 @@
             ClientError::NotConnected(_) | ClientError::Refused(_) => {
                 Self::Unavailable(error.to_string())
             }
-            ClientError::TimedOut(_) | ClientError::Broken(..) => {
+            ClientError::TimedOut(_) | ClientError::Broken(..) | ClientError::NoAnswer(..) => {
                 Self::ResponseLost(error.to_string())
             }
             ClientError::InvalidResponse(..) => Self::Malformed(error.to_string()),
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::body::{BodyError, WebBody, full_body, parse_json, read_body};
+use crate::response::is_final_status;
 
 /// Maximum size of a response body in bytes, which allows a complete scan of the table at the deployment
 /// size that the system is designed for.
@@ -40,6 +41,9 @@
     /// The connection failed; the request may have reached the server.
     #[error("the connection to {0} failed: {1}")]
     Broken(SocketAddr, String),
+    /// A response came whose status is none of an answer; the server may have run the request.
+    #[error("{0} sent a response with status {1}, which is no answer")]
+    NoAnswer(SocketAddr, StatusCode),
     /// The response body is malformed.
     #[error("invalid response from {0}: {1}")]
     InvalidResponse(SocketAddr, BodyError),
@@ -110,7 +114,8 @@
         timeout: Duration,
     ) -> Result<Response<Incoming>, ClientError> {
         match tokio::time::timeout(timeout, self.client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) if is_final_status(response.status()) => Ok(response),
+            Ok(Ok(response)) => Err(ClientError::NoAnswer(address, response.status())),
             Ok(Err(error)) if is_refused(&error) => Err(ClientError::Refused(address)),
             Ok(Err(error)) if error.is_connect() => Err(ClientError::NotConnected(address)),
             Ok(Err(error)) => Err(ClientError::Broken(address, error.to_string())),
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -18,6 +18,7 @@
 
 use crate::fair_stream::FairStream;
 use crate::fair_task::FairTask;
+use crate::response::is_final_status;
 
 /// Why a connection could not be established or returned no response.
 #[derive(Debug, thiserror::Error)]
@@ -34,13 +35,16 @@
     /// The connection failed; the request may have reached the server.
     #[error("the connection failed: {0}")]
     Broken(String),
+    /// A response came whose status is none of an answer; the server may have run the request.
+    #[error("a response with status {0} is no answer")]
+    NoAnswer(StatusCode),
 }
 
 impl ConnectionError {
     /// Whether it is certain that the server did not receive the request.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, Self::Broken(_))
+        !matches!(self, Self::Broken(_) | Self::NoAnswer(_))
     }
 }
 
@@ -110,7 +114,8 @@
             return Err(ConnectionError::Unsent);
         }
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) if is_final_status(response.status()) => Ok(response),
+            Ok(response) => Err(ConnectionError::NoAnswer(response.status())),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(ConnectionError::Unsent),
                 None => Err(ConnectionError::Broken(error.into_error().to_string())),
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -19,7 +19,9 @@
 pub use fair_task::FairTask;
 pub use intake::ConnectionCloser;
 pub use query::query_value;
-pub use response::{WebResponse, is_close_delimited, json_response, text_response};
+pub use response::{
+    WebResponse, is_close_delimited, is_final_status, json_response, text_response,
+};
 pub use retry_after::{parse_retry_after, retry_after};
 pub use server::{ServerLimits, WebHandler, WebRequest, serve_listener, serve_with_acceptor};
 pub use tls::{ReloadableTlsConfig, TlsError, TlsFiles};
--- a/crates/web/src/response.rs
+++ b/crates/web/src/response.rs
@@ -16,6 +16,13 @@
         && !headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Whether a response with this status answers a request that asked for no upgrade. HTTP knows no status above 599, and
+/// one below 200 is followed by the answer (RFC 9110, section 15). The HTTP library lets 600 to 999 pass, and 101.
+#[must_use]
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Builds a response with a JSON body, or a 500 response if the value can't be serialized.
 #[must_use]
 pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> WebResponse {
--- a/tests/gateway/foreign_servers.rs
+++ b/tests/gateway/foreign_servers.rs
@@ -28,6 +28,8 @@
     BeforeAnswer(&'static str),
     /// With the signed response of a target, and with this status line when the next request comes.
     AfterAnswer(&'static str),
+    /// With the signed response of a target that has this status line.
+    Signed(&'static str),
     /// As the target with this id and text, which signs its responses and names itself. It rejects what is
     /// meant for another target.
     Target(&'static str, &'static str),
@@ -190,6 +192,7 @@
             ForeignAnswer::UnknownRejection => "HTTP/1.1 503 Service Unavailable\r\n\
                 retry-after: 20\r\nx-server-load: 0,0,6\r\ncontent-length: 0\r\n\r\n"
                 .to_owned(),
+            ForeignAnswer::Signed(status) => signed.replacen("200 OK", status, 1),
             ForeignAnswer::BeforeAnswer(status) => empty(status) + &signed,
             ForeignAnswer::AfterAnswer(status) if has_answered => empty(status),
             ForeignAnswer::AfterAnswer(_) => signed,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -36,6 +36,7 @@
 mod odd_entries;
 mod odd_headers;
 mod odd_own_rows;
+mod odd_statuses;
 mod operator_commands;
 mod overload;
 mod partition_soak;
