Ask the service about a claim that was settled with an odd status

What clients saw: a payment at the own interface whose service answered 600, 999 or 101 was settled with that status, and each repetition got it again. A recorded status that could not be read at all came back as 200, so a payment looked successful of which nothing is known.

Cause: what a claim was settled with is believed as it is, and the default for a status that can't be read was 200.

Fix: a status outside 200 to 599 is none of an answer, so the claim has no recorded response: the service is asked, and without an execution there the outcome stays unknown.

Evidence: claimed_calls::recorded_odd_status failed before with 101 in place of what the service knows.

--- a/crates/entry/src/services/claimed.rs
+++ b/crates/entry/src/services/claimed.rs
@@ -31,7 +31,7 @@
 use policy::service::CallOutcome;
 use target::service::LookupRequest;
 use target::{ServiceClient, ServiceError, ServiceResponse};
-use web::WebResponse;
+use web::{WebResponse, is_final_status};
 use wire::client_api::ErrorCode;
 
 use super::{
@@ -174,17 +174,8 @@
         claim_key: &ClaimKey,
         claim: &CallClaim,
     ) -> Result<WebResponse, RequestError> {
-        if let ClaimState::Answered {
-            status,
-            content_type,
-            body,
-        } = &claim.state
-        {
-            return Ok(response_from_service(&ServiceResponse {
-                status: StatusCode::from_u16(*status).unwrap_or(StatusCode::OK),
-                content_type: content_type.clone(),
-                body: Bytes::from(body.clone()),
-            }));
+        if let Some(response) = recorded_response(&claim.state) {
+            return Ok(response_from_service(&response));
         }
         if let Some(response) = self.look_up_execution(call, key).await {
             self.record(EventCode::ClaimFound, call, "");
@@ -263,6 +254,25 @@
     sha256_hex(&bytes)
 }
 
+/// The response that a claim was settled with; `None` if there is none, or if its status is none of an answer, so that
+/// nothing is known of how the call ended.
+fn recorded_response(state: &ClaimState) -> Option<ServiceResponse> {
+    let ClaimState::Answered {
+        status,
+        content_type,
+        body,
+    } = state
+    else {
+        return None;
+    };
+    let status = StatusCode::from_u16(*status).ok();
+    Some(ServiceResponse {
+        status: status.filter(|status| is_final_status(*status))?,
+        content_type: content_type.clone(),
+        body: Bytes::from(body.clone()),
+    })
+}
+
 fn answered_state(response: &ServiceResponse) -> ClaimState {
     ClaimState::Answered {
         status: response.status.as_u16(),
--- a/crates/entry/tests/request_path/claimed_calls.rs
+++ b/crates/entry/tests/request_path/claimed_calls.rs
@@ -128,6 +128,24 @@
     assert_eq!(service.send_count(), 1);
 }
 
+/// Guards against a claim that was settled with a status which is none of an answer, as earlier releases did: its client
+/// would take it for the payment's outcome, which the service knows.
+#[tokio::test]
+async fn recorded_odd_status() {
+    for status in [101, 600, 999] {
+        let (table, service) = (FakeTable::default(), FakeService::default());
+        let entry = start_entry("e0", &table, &service);
+        let status = StatusCode::from_u16(status).expect("a status");
+        service.script(&[ServiceBehavior::Responds(status)]);
+        let headers = [("idempotency-key", "k6")];
+        entry.post(PAY, &headers, "{}").await;
+        let repeated = entry.post(PAY, &headers, "{}").await;
+        assert_eq!(repeated.status, StatusCode::OK, "{status}");
+        assert_eq!(repeated.text, "\"found\"", "{status}");
+        assert_eq!(service.send_count(), 1, "{status}");
+    }
+}
+
 /// The connection breaks and the service shows no execution. The call may still be on its way, so
 /// its outcome remains unknown and it must not be sent again.
 #[tokio::test]
--- a/crates/entry/tests/request_path/fake_service.rs
+++ b/crates/entry/tests/request_path/fake_service.rs
@@ -19,6 +19,8 @@
     LoseResponse,
     /// The connection breaks before the call is executed.
     BreakBeforeExecution,
+    /// Executes the call and responds with this status.
+    Responds(StatusCode),
     /// The service refuses connections.
     Unreachable,
 }
@@ -90,8 +92,12 @@
         if behavior == Some(ServiceBehavior::LoseResponse) {
             return Err(ServiceError::ResponseLost(broken));
         }
+        let status = match behavior {
+            Some(ServiceBehavior::Responds(status)) => status,
+            _ => StatusCode::OK,
+        };
         Ok(ServiceResponse {
-            status: StatusCode::OK,
+            status,
             content_type: "text/plain".to_owned(),
             body: Bytes::from(format!("paid by {}", request.customer)),
         })
