Keep a request in flight until its response is written

Cause: the guard of a request was dropped when a complete response was handed to the HTTP library. While it was still being written, the connection counted as idle: the first bytes of the next head began the time for heads, though the library reads no head before the response is written, and a crowd of new connections closed such ones before idle ones.

Fix: the room for heads keeps the guard until the library flushes the socket, which it does only once it has written all that it had, and until nothing else holds the request. The place among the running requests is free as before once the response is complete. The new state of a connection, responding, gives up its place last.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -119,6 +119,7 @@
             .number("unproven", report.unproven)
             .number("idle", report.idle)
             .number("receiving", report.receiving)
+            .number("responding", report.responding)
             .number("refused", report.refused);
         self.node.log(&line);
     }
--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -17,7 +17,7 @@
 use crate::head_room::{HeadCapacity, HeadRoom, HeadStream};
 use crate::held::{ClientHold, ReadAhead};
 use crate::listen::ConnectionGuard;
-use crate::node::{GatewayNode, RequestGuard};
+use crate::node::GatewayNode;
 use crate::refusal::{record_late_head, record_unreadable};
 use crate::respond::ends_with_connection;
 use crate::usage::ConnectionUsage;
@@ -65,17 +65,19 @@
     let room = HeadRoom::new(&node, &usage, &client, capacity);
     let handler = {
         let node = Rc::clone(&node);
-        let usage = Rc::clone(&usage);
         let ahead = Rc::clone(&ahead);
         let room = Rc::clone(&room);
         service_fn(move |request: http::Request<_>| {
-            let head = room.head_received(request.headers().len());
-            let running = RequestGuard::new(&node, &usage, head);
-            let handling = handle_request(Rc::clone(&node), request, running, Rc::clone(&client));
+            let running = room.head_received(request.headers().len());
+            let handled = Rc::clone(&running);
+            let handling = handle_request(Rc::clone(&node), request, handled, Rc::clone(&client));
             let ahead = Rc::clone(&ahead);
             // The library keeps room for this future in every connection, also in those that are idle.
             Box::pin(async move {
                 let response = handling.await;
+                if matches!(response.body(), Either::Left(_)) {
+                    running.response_ready();
+                }
                 let is_unframed = ends_with_connection(&response);
                 let response = response.map(|body| match body {
                     Either::Left(body) if is_unframed => ahead.unframed(body),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -33,7 +33,7 @@
 pub async fn handle_request(
     node: Rc<GatewayNode>,
     request: Request<Incoming>,
-    running: RequestGuard,
+    running: Rc<RequestGuard>,
     client: Rc<ClientHold>,
 ) -> Response<ResponseBody<impl Stream<Item = Result<Bytes, StreamTruncated>>>> {
     let mut response = process_request(&node, request, running, &client).await;
@@ -48,7 +48,7 @@
 async fn process_request(
     node: &Rc<GatewayNode>,
     request: Request<Incoming>,
-    running: RequestGuard,
+    running: Rc<RequestGuard>,
     client: &Rc<ClientHold>,
 ) -> Response<ResponseBody<impl Stream<Item = Result<Bytes, StreamTruncated>> + use<>>> {
     let headers = RequestHeaders::from(request.headers());
--- a/crates/gateway/src/head_room.rs
+++ b/crates/gateway/src/head_room.rs
@@ -20,7 +20,7 @@
 use tokio::sync::Notify;
 
 use crate::held::{ClientHold, FixedHold, ROOM_RETRY_INTERVAL, ReadPhase};
-use crate::node::GatewayNode;
+use crate::node::{GatewayNode, RequestGuard};
 use crate::usage::ConnectionUsage;
 
 /// Lines of a head that the HTTP library takes with the room that it has by itself.
@@ -144,6 +144,8 @@
     held: RefCell<Bytes>,
     is_exceeded: Cell<bool>,
     exceeded: Notify,
+    /// The last request, until its response is written.
+    running: RefCell<Option<Rc<RequestGuard>>>,
 }
 
 impl HeadRoom {
@@ -166,12 +168,14 @@
             held: RefCell::default(),
             is_exceeded: Cell::default(),
             exceeded: Notify::new(),
+            running: RefCell::default(),
         })
     }
 
-    /// Records that a head with this number of headers is complete; it is held until the result is dropped.
+    /// Records that a head with this number of headers is complete. The request counts as in flight until the result is
+    /// dropped and its response is written.
     #[must_use]
-    pub fn head_received(&self, headers: usize) -> FixedHold {
+    pub fn head_received(&self, headers: usize) -> Rc<RequestGuard> {
         self.lines.set(HeadLines::default());
         self.began_at.set(None);
         self.client.release(self.counted.take());
@@ -181,7 +185,22 @@
         capacity.lines = USUAL_LINES;
         self.capacity.set(capacity);
         let counted = if headers > USUAL_LINES { headers } else { 0 };
-        FixedHold::new(&self.client, counted * HEADER_COST)
+        let head = FixedHold::new(&self.client, counted * HEADER_COST);
+        let running = Rc::new(RequestGuard::new(&self.node, &self.usage, head));
+        *self.running.borrow_mut() = Some(Rc::clone(&running));
+        running
+    }
+
+    /// Records that all that the library had to write is written. The request ends if its response was complete.
+    pub fn record_flushed(&self) {
+        let mut running = self.running.borrow_mut();
+        // Whatever still makes the response holds the request as well.
+        if running
+            .as_ref()
+            .is_some_and(|running| Rc::strong_count(running) == 1)
+        {
+            *running = None;
+        }
     }
 
     /// Whether the head that is being received takes longer than the configuration allows.
@@ -357,7 +376,10 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        // The library flushes only once it has written all that it had.
+        let flushed = std::task::ready!(Pin::new(&mut self.stream).poll_flush(context));
+        self.room.record_flushed();
+        Poll::Ready(flushed)
     }
 
     fn poll_shutdown(
--- a/crates/gateway/src/held/client_body.rs
+++ b/crates/gateway/src/held/client_body.rs
@@ -30,8 +30,8 @@
 pub struct RelayedStream<S> {
     /// Complete events.
     pub events: S,
-    /// Counts the request until the last piece has been handed to the connection.
-    pub running: RequestGuard,
+    /// Counts the request; it runs until the last piece has been handed to the connection.
+    pub running: Rc<RequestGuard>,
 }
 
 struct StreamState<S> {
@@ -42,7 +42,13 @@
     end: Option<Result<(), StreamTruncated>>,
     /// Whether the connection waits for the next piece. If it does not, its buffer is full.
     is_awaited: bool,
-    _running: RequestGuard,
+    running: Rc<RequestGuard>,
+}
+
+impl<S> Drop for StreamState<S> {
+    fn drop(&mut self) {
+        self.running.response_ready();
+    }
 }
 
 impl<S: Stream<Item = Result<Bytes, StreamTruncated>>> StreamState<S> {
@@ -225,7 +231,7 @@
             end: None,
             // It has not been asked for anything yet.
             is_awaited: true,
-            _running: stream.running,
+            running: stream.running,
         }));
         *self.stream.borrow_mut() = Rc::downgrade(&state);
         ClientBody::Relayed(RelayedBody {
--- a/crates/gateway/src/node/process.rs
+++ b/crates/gateway/src/node/process.rs
@@ -46,14 +46,25 @@
         self.is_placed.set(has_place);
         has_place
     }
+
+    /// Records that the response is complete and only has to be written: the request no longer runs, so its place is
+    /// free. Its connection stays in use.
+    pub fn response_ready(&self) {
+        self.return_place();
+        self.usage.response_ready();
+    }
+
+    fn return_place(&self) {
+        if self.is_placed.take() {
+            self.node.return_request_place();
+        }
+    }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.usage.request_ended(self.node.now());
-        if self.is_placed.get() {
-            self.node.return_request_place();
-        }
+        self.return_place();
         self.node.end_request();
     }
 }
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -44,12 +44,19 @@
         self.place.set_state(state);
     }
 
-    /// Records the start of a request; the connection is not idle until it ends.
+    /// Records the start of a request; the connection is not idle until the last byte of its response is written.
     pub fn request_started(&self) {
         self.in_flight.set(self.in_flight.get() + 1);
         self.place.set_state(ConnectionState::Busy);
     }
 
+    /// Records that the response of the request in flight is complete, and only has to be written.
+    pub fn response_ready(&self) {
+        if self.is_in_flight() {
+            self.place.set_state(ConnectionState::Responding);
+        }
+    }
+
     /// Records the end of a response. Clients measure idle time from here; measured from the start
     /// of the request, a connection with a long response would be closed under the next request.
     pub fn request_ended(&self, now: Duration) {
--- a/crates/intake/src/places.rs
+++ b/crates/intake/src/places.rs
@@ -21,6 +21,8 @@
     pub idle: u64,
     /// Connections whose body was awaited.
     pub receiving: u64,
+    /// Connections whose response was being written.
+    pub responding: u64,
     /// New connections that found no place.
     pub refused: u64,
     /// Connections on which nothing was asked for long.
@@ -141,11 +143,12 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "closed for new ones: {} that had never sent a whole head, {} idle, {} whose body was awaited; not \
-             accepted: {}; idle for too long: {}; not read for too long: {}; requests that found no place: {}",
+            "closed for new ones: {} that had never sent a whole head, {} idle, {} whose body was awaited, {} whose \
+             response was being written; not accepted: {}; idle for too long: {}; not read for too long: {}; requests that found no place: {}",
             self.unproven,
             self.idle,
             self.receiving,
+            self.responding,
             self.refused,
             self.idle_closed,
             self.unread_closed,
@@ -160,6 +163,7 @@
             ConnectionState::Unproven => self.unproven += 1,
             ConnectionState::Idle => self.idle += 1,
             ConnectionState::Receiving => self.receiving += 1,
+            ConnectionState::Responding => self.responding += 1,
             ConnectionState::Busy => {}
         }
     }
--- a/crates/intake/src/table.rs
+++ b/crates/intake/src/table.rs
@@ -19,6 +19,8 @@
     Idle,
     /// The body of its request is awaited, so that nothing has run.
     Receiving,
+    /// Its response is being written, and its client has not taken it yet.
+    Responding,
     /// Its request is being handled. Such a connection is not closed.
     Busy,
 }
@@ -31,6 +33,7 @@
             Self::Unproven => "unproven",
             Self::Idle => "idle",
             Self::Receiving => "receiving",
+            Self::Responding => "responding",
             Self::Busy => "busy",
         }
     }
@@ -79,8 +82,8 @@
     }
 
     /// Adds a connection that has sent nothing yet. At the bound, another one gives up its place: one that has never
-    /// sent a whole head, else the one that has been idle for longest, else one whose body is awaited; of several the
-    /// one that has been so for longest. Ordinary clients send their heads at once, so a crowd that does not takes the
+    /// sent a whole head, else the one that has been idle for longest, else one whose body is awaited, else one whose
+    /// response is being written; of several the one that has been so for longest. Ordinary clients send their heads at once, so a crowd that does not takes the
     /// places of its own connections only.
     ///
     /// # Errors
--- a/crates/intake/tests/connection_table.rs
+++ b/crates/intake/tests/connection_table.rs
@@ -42,6 +42,22 @@
     assert_eq!(displaced(&mut table, 10), Some(keys[1]));
 }
 
+/// Guards against a response that is cut off in the middle while another connection is idle, or has only begun to send
+/// a body.
+#[test]
+fn responding_goes_last() {
+    let mut table = ConnectionTable::new(3);
+    let keys: Vec<_> = (0..3).map(|now| admit(&mut table, now)).collect();
+    table.set_state(keys[0], ConnectionState::Responding, at(3));
+    table.set_state(keys[1], ConnectionState::Receiving, at(4));
+    table.set_state(keys[2], ConnectionState::Idle, at(5));
+    for expected in [keys[2], keys[1], keys[0]] {
+        let (new, gone) = table.admit(at(6)).expect("a place");
+        assert_eq!(gone.map(|(key, _)| key), Some(expected));
+        table.set_state(new, ConnectionState::Busy, at(6));
+    }
+}
+
 /// Guards against a request that is cut off, perhaps after it has run, for a connection that has asked for nothing yet.
 #[test]
 fn busy_is_kept() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -41,6 +41,7 @@
 mod overload;
 mod partition_soak;
 mod partitioned_nodes;
+mod pipelined_requests;
 mod plain_services;
 mod planned_stop;
 mod poison_requests;
