--- a/crates/target/tests/odd_statuses.rs
+++ b/crates/target/tests/odd_statuses.rs
@@ -67,7 +67,7 @@
         let attempt = "a-1".parse().expect("an id");
         let resume = ResumeRequest { from: 0 };
         let started = engine.resume(address, &attempt, resume, TIMEOUT).await;
-        let error = started.err().expect("no stream");
+        let error = started.expect_err("no stream");
         assert!(!error.is_unsent(), "{status}: {error}");
         let client = HttpServiceClient::new(WebClient::default());
         let lookup = LookupRequest {
