Count the lines of a head only where the library has used all it took in

Cause: the room for heads counted lines from the first byte after a request had ended. The HTTP library may have taken in the start of the next head by then, with the end of a body or while the request ran. A line end that came next passed for an empty line before a head and was left out, so two lines became one. The same wrong state gave a head of many headers 431.

Fix: the length of a body comes from the library, and what it took in beyond it is the start of the next head. Bytes that come while it has the whole request and nothing more are kept until it reads on. Where it may hold the start of a head, the connection is taken apart once the response is written, the library gives back what it holds, and the head is read from there. Nothing is left out unless the library's buffer is known to be empty, and the library alone says where a request ends.

By reading, a head of more than 100 headers that comes whole in the packet that ends the request before it still gets 431: listed.

--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http_body_util::Either;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,7 +15,8 @@
 use web::{FairStream, FairTask};
 
 use crate::handle::handle_request;
-use crate::head_room::{HeadCapacity, HeadRoom, HeadStream};
+use crate::head_room::{HeadCapacity, HeadInterrupt, HeadRoom};
+use crate::head_stream::HeadStream;
 use crate::held::{ClientHold, ReadAhead};
 use crate::listen::ConnectionGuard;
 use crate::node::GatewayNode;
@@ -67,8 +69,9 @@
         let node = Rc::clone(&node);
         let ahead = Rc::clone(&ahead);
         let room = Rc::clone(&room);
-        service_fn(move |request: http::Request<_>| {
-            let running = room.head_received(request.headers().len());
+        service_fn(move |request: http::Request<Incoming>| {
+            let body_bytes = request.body().size_hint().exact();
+            let running = room.head_received(request.headers().len(), body_bytes);
             let handled = Rc::clone(&running);
             let handling = handle_request(Rc::clone(&node), request, handled, Rc::clone(&client));
             let ahead = Rc::clone(&ahead);
@@ -114,6 +117,7 @@
             () = ahead.run() => return,
             () = usage.displaced() => return,
             reason = wait_until_closable(&node, &usage, &room, closing) => match reason {
+                CloseReason::Idle if room.awaits_first_byte() => return,
                 CloseReason::Idle => {
                     closing = true;
                     std::pin::Pin::new(connection.get_mut()).graceful_shutdown();
@@ -126,10 +130,12 @@
                     return;
                 }
             },
-            capacity = room.granted() => {
+            interrupt = room.interrupted() => {
                 let parts = connection.into_inner().into_parts();
-                room.extend(capacity, &parts.read_buf);
-                capacity.apply(&mut builder);
+                room.resume(interrupt, &parts.read_buf);
+                if let HeadInterrupt::Room(capacity) = interrupt {
+                    capacity.apply(&mut builder);
+                }
                 let served = builder.serve_connection(parts.io, parts.service);
                 connection = FairTask::new(served, flow.clone());
                 if closing {
--- a/crates/gateway/src/head_room.rs
+++ b/crates/gateway/src/head_room.rs
@@ -7,18 +7,23 @@
 //!
 //! What of a head has come is held for its client: its start without being counted, since every connection may have
 //! that, and what follows like all else that is held for clients.
+//!
+//! Where a head begins only the library knows: a client may send the next request before it has the response to the
+//! last one, and the library may have taken in the start of it with the end of a body. If anything were left out or
+//! counted from elsewhere, a line end in the middle of a head would pass for an empty line before it, and two lines for
+//! one. So the lines are counted from where the library has used all that it took in. If it may hold the start of a head,
+//! the connection is taken apart to learn what it holds, and the head is read from there.
 
 use std::cell::{Cell, RefCell};
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Buf as _, Bytes, BytesMut};
 use hyper::server::conn::http1::Builder;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 
+use crate::head_lines::HeadLines;
 use crate::held::{ClientHold, FixedHold, ROOM_RETRY_INTERVAL, ReadPhase};
 use crate::node::{GatewayNode, RequestGuard};
 use crate::usage::ConnectionUsage;
@@ -81,51 +86,20 @@
     }
 }
 
-/// What has come of the head that a connection is receiving.
-#[derive(Debug, Clone, Copy, Default)]
-struct HeadLines {
-    /// Bytes, without empty lines before the head.
-    bytes: usize,
-    count: usize,
-    /// Bytes of empty lines before the head.
-    skipped: usize,
-    is_line_empty: bool,
-    is_complete: bool,
+/// Why a connection is taken apart before the HTTP library reads on.
+#[derive(Debug, Clone, Copy)]
+pub enum HeadInterrupt {
+    /// The head needs this room.
+    Room(HeadCapacity),
+    /// The library may hold the start of the head.
+    Position,
 }
 
-impl HeadLines {
-    /// Counts the lines in bytes that follow, up to the empty line at the end of the head.
-    fn add(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            if self.is_complete {
-                return;
-            }
-            self.bytes += 1;
-            match byte {
-                b'\n' => {
-                    self.is_complete = self.is_line_empty && self.count > 0;
-                    self.count += 1;
-                    self.is_line_empty = true;
-                }
-                b'\r' => {}
-                _ => self.is_line_empty = false,
-            }
-        }
-    }
-
-    /// Number of bytes of empty lines that `bytes` begins with, if the head has not begun. There are no more of them
-    /// than a head may have.
-    fn skip(&mut self, bytes: &[u8], limit: usize) -> usize {
-        if self.bytes > 0 {
-            return 0;
-        }
-        let empty = bytes
-            .iter()
-            .take_while(|byte| matches!(byte, b'\r' | b'\n'));
-        let skipped = empty.count().min(limit.saturating_sub(self.skipped));
-        self.skipped += skipped;
-        skipped
-    }
+/// What a connection waits for before the HTTP library reads on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PendingInterrupt {
+    Room,
+    Position,
 }
 
 /// How much room a connection has for heads.
@@ -140,10 +114,18 @@
     began_at: Cell<Option<Duration>>,
     /// Bytes that the node counts for the head.
     counted: Cell<usize>,
-    /// Bytes that the library gets once there is more room.
+    /// Bytes that the library gets once there is more room. Their lines are counted.
     held: RefCell<Bytes>,
-    is_exceeded: Cell<bool>,
-    exceeded: Notify,
+    /// Bytes that the library gets as if they had just come: what it held when the connection was taken apart, and what
+    /// came then.
+    returned: RefCell<Bytes>,
+    /// Bytes that the library has taken in beyond the requests that it has read, less than none while it reads a body;
+    /// `None` if that is not known.
+    surplus: Cell<Option<i64>>,
+    /// Whether the library has read no request since the connection was taken apart.
+    is_reassembled: Cell<bool>,
+    interrupt: Cell<Option<PendingInterrupt>>,
+    interrupted: Notify,
     /// The last request, until its response is written.
     running: RefCell<Option<Rc<RequestGuard>>>,
 }
@@ -166,17 +148,25 @@
             began_at: Cell::default(),
             counted: Cell::default(),
             held: RefCell::default(),
-            is_exceeded: Cell::default(),
-            exceeded: Notify::new(),
+            returned: RefCell::default(),
+            surplus: Cell::new(Some(0)),
+            is_reassembled: Cell::default(),
+            interrupt: Cell::default(),
+            interrupted: Notify::new(),
             running: RefCell::default(),
         })
     }
 
-    /// Records that a head with this number of headers is complete. The request counts as in flight until the result is
-    /// dropped and its response is written.
+    /// Records that a head with this number of headers is complete, whose body has this length if it is known. The
+    /// request counts as in flight until the result is dropped and its response is written.
     #[must_use]
-    pub fn head_received(&self, headers: usize) -> Rc<RequestGuard> {
-        self.lines.set(HeadLines::default());
+    pub fn head_received(&self, headers: usize, body_bytes: Option<u64>) -> Rc<RequestGuard> {
+        // A head that the library has found in what it held has no lines here, and ends nobody knows where.
+        let surplus = self.surplus.get().filter(|_| self.lines.take().is_complete);
+        let body_bytes = body_bytes.and_then(|bytes| i64::try_from(bytes).ok());
+        self.surplus
+            .set(surplus.zip(body_bytes).map(|(taken, used)| taken - used));
+        self.is_reassembled.set(false);
         self.began_at.set(None);
         self.client.release(self.counted.take());
         self.client.set_read_phase(None);
@@ -211,27 +201,47 @@
         began_at.is_some_and(|began_at| self.node.now().saturating_sub(began_at) > limit)
     }
 
-    /// Completes when a head needs more room and the node may hold what it takes.
-    pub async fn granted(&self) -> HeadCapacity {
-        while !self.is_exceeded.get() {
-            self.exceeded.notified().await;
+    /// Whether the library waits for the first byte since the connection was taken apart. It does not close such a
+    /// connection by itself, since it takes it for a new one.
+    #[must_use]
+    pub fn awaits_first_byte(&self) -> bool {
+        self.is_reassembled.get() && !self.usage.is_in_flight() && self.lines.get().bytes == 0
+    }
+
+    /// Completes when the connection is to be taken apart before the library reads on; if a head needs more room, once
+    /// the node may hold what it takes.
+    pub async fn interrupted(&self) -> HeadInterrupt {
+        let pending = loop {
+            match self.interrupt.get() {
+                Some(pending) => break pending,
+                None => self.interrupted.notified().await,
+            }
+        };
+        if pending == PendingInterrupt::Position {
+            return HeadInterrupt::Position;
         }
         while !self.client.make_room() {
             tokio::time::sleep(ROOM_RETRY_INTERVAL).await;
         }
-        HeadCapacity::ample(&self.node)
+        HeadInterrupt::Room(HeadCapacity::ample(&self.node))
     }
 
-    /// Goes on with more room. What was held back is passed on after bytes that the library had read but not used.
-    pub fn extend(&self, capacity: HeadCapacity, unused: &[u8]) {
-        self.capacity.set(capacity);
-        self.is_exceeded.set(false);
-        self.count(capacity.lines * HEADER_COST);
-        let mut held = self.held.borrow_mut();
-        let mut bytes = BytesMut::with_capacity(unused.len() + held.len());
-        bytes.extend_from_slice(unused);
-        bytes.extend_from_slice(&held);
-        *held = bytes.freeze();
+    /// Goes on after a connection was taken apart, with the bytes that the library had taken in but not used.
+    pub fn resume(&self, interrupt: HeadInterrupt, unused: &[u8]) {
+        self.interrupt.set(None);
+        match interrupt {
+            HeadInterrupt::Room(capacity) => {
+                self.capacity.set(capacity);
+                self.count(capacity.lines * HEADER_COST);
+                prepend(unused, &self.held);
+            }
+            HeadInterrupt::Position => {
+                self.lines.set(HeadLines::default());
+                self.surplus.set(Some(0));
+                self.is_reassembled.set(true);
+                prepend(unused, &self.returned);
+            }
+        }
     }
 
     fn count(&self, bytes: usize) {
@@ -239,8 +249,47 @@
         self.client.hold(bytes);
     }
 
+    fn add_surplus(&self, bytes: usize) {
+        let bytes = i64::try_from(bytes).ok();
+        let surplus = self.surplus.get().zip(bytes);
+        self.surplus.set(surplus.map(|(taken, more)| taken + more));
+    }
+
+    fn interrupt(&self, pending: PendingInterrupt) {
+        self.interrupt.set(Some(pending));
+        self.interrupted.notify_one();
+    }
+
+    /// Whether the connection is about to be taken apart, so that the library must not read on.
+    pub fn is_interrupted(&self) -> bool {
+        self.interrupt.get().is_some()
+    }
+
+    /// Gives the library bytes that were held back for more room; returns whether there were any.
+    pub fn fill_held(&self, buffer: &mut ReadBuf<'_>) -> bool {
+        fill(buffer, &self.held)
+    }
+
+    /// Gives the library bytes that it held before; returns whether there were any.
+    pub fn fill_returned(&self, buffer: &mut ReadBuf<'_>) -> bool {
+        fill(buffer, &self.returned)
+    }
+
+    /// Whether a head is about to begin of which the library holds the start.
+    pub fn must_reposition(&self) -> bool {
+        let holds_start = self.begins_head() && self.surplus.get().is_some_and(|bytes| bytes > 0);
+        if holds_start {
+            self.interrupt(PendingInterrupt::Position);
+        }
+        holds_start
+    }
+
+    fn begins_head(&self) -> bool {
+        !self.usage.is_in_flight() && self.lines.get().bytes == 0
+    }
+
     /// Whether there is no room for more of a head than its start.
-    fn must_wait(&self) -> bool {
+    pub fn must_wait(&self) -> bool {
         let has_start = self.lines.get().bytes >= START_BYTES;
         if !has_start || self.usage.is_in_flight() || self.client.make_room() {
             return false;
@@ -249,12 +298,53 @@
         true
     }
 
-    /// Takes bytes in; returns whether the library has room for them.
+    /// Whether the library has the whole request in flight and nothing more, so that it only looks for the end of the
+    /// connection.
+    pub fn has_whole_request(&self) -> bool {
+        self.usage.is_in_flight() && self.surplus.get() == Some(0)
+    }
+
+    /// Whether bytes wait that the library has not got.
+    pub fn has_returned(&self) -> bool {
+        !self.returned.borrow().is_empty()
+    }
+
+    /// Keeps what has just come, from `start` on, until the library reads the next head.
+    pub fn keep(&self, buffer: &mut ReadBuf<'_>, start: usize) {
+        prepend(&buffer.filled()[start..], &self.returned);
+        buffer.set_filled(start);
+    }
+
+    /// Takes in what has just come, from `start` on; returns whether the library may have it. What is left of it may be
+    /// nothing.
+    pub fn take_in(&self, buffer: &mut ReadBuf<'_>, start: usize) -> bool {
+        if self.usage.is_in_flight() {
+            self.add_surplus(buffer.filled().len() - start);
+            return true;
+        }
+        if self.begins_head() && self.surplus.get() != Some(0) {
+            self.keep(buffer, start);
+            self.interrupt(PendingInterrupt::Position);
+            return false;
+        }
+        self.skip_empty_lines(buffer, start);
+        let received = &buffer.filled()[start..];
+        if received.is_empty() || self.receive(received) {
+            return true;
+        }
+        *self.held.borrow_mut() = Bytes::copy_from_slice(received);
+        buffer.set_filled(start);
+        self.interrupt(PendingInterrupt::Room);
+        false
+    }
+
+    /// Counts bytes of a head; returns whether the library has room for them.
     fn receive(&self, received: &[u8]) -> bool {
         let mut lines = self.lines.get();
         let before = lines.bytes.max(START_BYTES);
-        lines.add(received);
+        let beyond = lines.add(received);
         self.lines.set(lines);
+        self.add_surplus(beyond);
         if self.began_at.get().is_none() {
             self.began_at.set(Some(self.node.now()));
             self.client.set_read_phase(Some(ReadPhase::Head));
@@ -263,13 +353,7 @@
         let capacity = self.capacity.get();
         // A head that is larger than the configuration allows is left to the library, which refuses it.
         let has_grown = self.node.head_bytes() > capacity.bytes;
-        let is_exceeded =
-            lines.count > capacity.lines || (has_grown && lines.bytes > capacity.bytes);
-        if is_exceeded {
-            self.is_exceeded.set(true);
-            self.exceeded.notify_one();
-        }
-        !is_exceeded
+        lines.count <= capacity.lines && !(has_grown && lines.bytes > capacity.bytes)
     }
 
     /// Leaves out empty lines before a head.
@@ -284,108 +368,26 @@
     }
 }
 
-/// The stream of a connection, which holds back heads that need more room.
-pub struct HeadStream<T> {
-    stream: T,
-    room: Rc<HeadRoom>,
-}
-
-impl<T> HeadStream<T> {
-    /// Wraps a stream.
-    pub fn new(stream: T, room: &Rc<HeadRoom>) -> Self {
-        Self {
-            stream,
-            room: Rc::clone(room),
-        }
+/// Moves waiting bytes into a buffer; returns whether there were any.
+fn fill(buffer: &mut ReadBuf<'_>, waiting: &RefCell<Bytes>) -> bool {
+    let mut waiting = waiting.borrow_mut();
+    if waiting.is_empty() {
+        return false;
     }
-
-    /// Unwraps the stream.
-    pub fn into_inner(self) -> T {
-        self.stream
+    let count = waiting.len().min(buffer.remaining());
+    buffer.put_slice(&waiting[..count]);
+    waiting.advance(count);
+    if waiting.is_empty() {
+        *waiting = Bytes::new();
     }
+    true
 }
 
-impl<T: AsyncRead + Unpin> AsyncRead for HeadStream<T> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let this = &mut *self;
-        if this.room.is_exceeded.get() {
-            // The connection is about to be given more room, which wakes its task.
-            return Poll::Pending;
-        }
-        let mut held = this.room.held.borrow_mut();
-        if !held.is_empty() {
-            let count = held.len().min(buffer.remaining());
-            buffer.put_slice(&held[..count]);
-            held.advance(count);
-            if held.is_empty() {
-                *held = Bytes::new();
-            }
-            return Poll::Ready(Ok(()));
-        }
-        if this.room.must_wait() {
-            return Poll::Pending;
-        }
-        let start = buffer.filled().len();
-        loop {
-            std::task::ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
-            let is_end = buffer.filled().len() == start;
-            if is_end || this.room.usage.is_in_flight() {
-                return Poll::Ready(Ok(()));
-            }
-            this.room.skip_empty_lines(buffer, start);
-            let received = &buffer.filled()[start..];
-            if received.is_empty() {
-                continue;
-            }
-            if this.room.receive(received) {
-                return Poll::Ready(Ok(()));
-            }
-            *held = Bytes::copy_from_slice(received);
-            buffer.set_filled(start);
-            return Poll::Pending;
-        }
-    }
-}
-
-impl<T: AsyncWrite + Unpin> AsyncWrite for HeadStream<T> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        // The library flushes only once it has written all that it had.
-        let flushed = std::task::ready!(Pin::new(&mut self.stream).poll_flush(context));
-        self.room.record_flushed();
-        Poll::Ready(flushed)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
+/// Puts bytes before those that wait.
+fn prepend(first: &[u8], waiting: &RefCell<Bytes>) {
+    let mut waiting = waiting.borrow_mut();
+    let mut bytes = BytesMut::with_capacity(first.len() + waiting.len());
+    bytes.extend_from_slice(first);
+    bytes.extend_from_slice(&waiting);
+    *waiting = bytes.freeze();
 }
