--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -166,8 +166,9 @@
     ResponseUnproved = 251, "response_unproved", Warn;
     /// More connections came to a listener (`face`) than the process keeps. Closed for them were `unproven` ones that
     /// had never sent a whole head, `idle` ones, `receiving` ones whose body was awaited and `responding` ones whose
-    /// clients had not taken their response; `refused` new ones were not taken, since the requests of all others ran. A crowd of the first kind is clients that do not behave; idle ones
-    /// mean that the node needs more descriptors or memory. At most one line a second tells of all since the last. At
+    /// clients had not taken their response; `refused` new ones were not taken, since the requests of all others ran. A
+    /// crowd of the first kind is clients that do not behave; idle ones mean that the node needs more descriptors or
+    /// memory. At most one line a second tells of all since the last. At
     /// the own interface the line also tells of connections on which nothing was asked (`entry.idle_timeout`) or read
     /// (`entry.read_timeout`) for too long, and of requests that were not handled since as many were as may be at once
     /// (`entry.max_requests`).
--- a/crates/intake/src/places.rs
+++ b/crates/intake/src/places.rs
@@ -144,7 +144,8 @@
         write!(
             formatter,
             "closed for new ones: {} that had never sent a whole head, {} idle, {} whose body was awaited, {} whose \
-             response was being written; not accepted: {}; idle for too long: {}; not read for too long: {}; requests that found no place: {}",
+             response was being written; not accepted: {}; idle for too long: {}; not read for too long: {}; requests \
+             that found no place: {}",
             self.unproven,
             self.idle,
             self.receiving,
--- a/crates/intake/src/table.rs
+++ b/crates/intake/src/table.rs
@@ -83,8 +83,8 @@
 
     /// Adds a connection that has sent nothing yet. At the bound, another one gives up its place: one that has never
     /// sent a whole head, else the one that has been idle for longest, else one whose body is awaited, else one whose
-    /// response is being written; of several the one that has been so for longest. Ordinary clients send their heads at once, so a crowd that does not takes the
-    /// places of its own connections only.
+    /// response is being written; of several the one that has been so for longest. Ordinary clients send their heads at
+    /// once, so a crowd that does not takes the places of its own connections only.
     ///
     /// # Errors
     ///
