Reset the connection of a response that is cut and has no length

Streams to clients of HTTP/1.0, which can't get chunks, looked whole in the same way, also when the node itself gave them up, and so did responses to clients that had ended their own half.

Cause: the end of such a response is the end of its connection, and a socket that is closed ends it in order, whoever closes it.

Fix: from the first byte of such a response until the library has written the last one, the socket has a linger time of zero, so that whatever closes it, also the system when the process is killed, resets the connection. The form, status and headers of responses stay as they were.

By reading, streams of the own interface to clients of HTTP/1.0 have the same fault: listed.

--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::Version;
 use http_body_util::Either;
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1::Builder;
@@ -73,8 +74,9 @@
             let body_bytes = request.body().size_hint().exact();
             let running = room.head_received(request.headers().len(), body_bytes);
             let handled = Rc::clone(&running);
+            let is_chunked = request.version() >= Version::HTTP_11;
             let handling = handle_request(Rc::clone(&node), request, handled, Rc::clone(&client));
-            let ahead = Rc::clone(&ahead);
+            let (ahead, room) = (Rc::clone(&ahead), Rc::clone(&room));
             // The library keeps room for this future in every connection, also in those that are idle.
             Box::pin(async move {
                 let response = handling.await;
@@ -82,8 +84,12 @@
                     running.response_ready();
                 }
                 let is_unframed = ends_with_connection(&response);
+                let is_stream = matches!(response.body(), Either::Right(_));
+                if is_unframed || (is_stream && !is_chunked) {
+                    room.begin_unframed();
+                }
                 let response = response.map(|body| match body {
-                    Either::Left(body) if is_unframed => ahead.unframed(body),
+                    Either::Left(body) if is_unframed => ahead.unframed(body, running),
                     Either::Left(body) => ahead.whole(body),
                     Either::Right(stream) => ahead.relayed(stream),
                 });
--- a/crates/gateway/src/head_room.rs
+++ b/crates/gateway/src/head_room.rs
@@ -11,8 +11,8 @@
 //! Where a head begins only the library knows: a client may send the next request before it has the response to the
 //! last one, and the library may have taken in the start of it with the end of a body. If anything were left out or
 //! counted from elsewhere, a line end in the middle of a head would pass for an empty line before it, and two lines for
-//! one. So the lines are counted from where the library has used all that it took in. If it may hold the start of a head,
-//! the connection is taken apart to learn what it holds, and the head is read from there.
+//! one. So the lines are counted from where the library has used all that it took in. If it may hold the start of a
+//! head, the connection is taken apart to learn what it holds, and the head is read from there.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -128,6 +128,8 @@
     interrupted: Notify,
     /// The last request, until its response is written.
     running: RefCell<Option<Rc<RequestGuard>>>,
+    /// Whether its response ends with the connection.
+    is_unframed: Cell<bool>,
 }
 
 impl HeadRoom {
@@ -154,6 +156,7 @@
             interrupt: Cell::default(),
             interrupted: Notify::new(),
             running: RefCell::default(),
+            is_unframed: Cell::default(),
         })
     }
 
@@ -181,6 +184,16 @@
         running
     }
 
+    /// Records that the response of the request in flight has neither a length nor chunks: it ends with the connection.
+    pub fn begin_unframed(&self) {
+        self.is_unframed.set(true);
+    }
+
+    /// Whether such a response is not written to its end.
+    pub fn is_unframed(&self) -> bool {
+        self.is_unframed.get()
+    }
+
     /// Records that all that the library had to write is written. The request ends if its response was complete.
     pub fn record_flushed(&self) {
         let mut running = self.running.borrow_mut();
@@ -190,6 +203,7 @@
             .is_some_and(|running| Rc::strong_count(running) == 1)
         {
             *running = None;
+            self.is_unframed.set(false);
         }
     }
 
--- a/crates/gateway/src/held/client_body.rs
+++ b/crates/gateway/src/held/client_body.rs
@@ -139,7 +139,14 @@
     /// A response that is complete.
     Whole(Full<Bytes>, Rc<ClientHold>),
     /// A response that ends with its connection.
-    Unframed(Full<Bytes>, Rc<ClientHold>),
+    Unframed {
+        /// Its bytes.
+        body: Full<Bytes>,
+        /// The client for whom they are held.
+        client: Rc<ClientHold>,
+        /// Its request, which is in flight until the library has taken the whole body.
+        _running: Rc<RequestGuard>,
+    },
     /// A stream.
     Relayed(RelayedBody<S>),
 }
@@ -159,7 +166,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<HeldBytes>, StreamTruncated>>> {
         match &mut *self {
-            Self::Whole(body, client) | Self::Unframed(body, client) => {
+            Self::Whole(body, client) | Self::Unframed { body, client, .. } => {
                 let frame = std::task::ready!(Pin::new(body).poll_frame(context));
                 let Some(Ok(frame)) = frame.map(|frame: Result<_, Infallible>| frame) else {
                     return Poll::Ready(None);
@@ -178,14 +185,14 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(body, _) => body.is_end_stream(),
-            Self::Unframed(..) | Self::Relayed(_) => false,
+            Self::Unframed { .. } | Self::Relayed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body, _) => body.size_hint(),
-            Self::Unframed(..) | Self::Relayed(_) => SizeHint::default(),
+            Self::Unframed { .. } | Self::Relayed(_) => SizeHint::default(),
         }
     }
 }
@@ -219,8 +226,12 @@
     }
 
     /// Body of a response that ends with its connection.
-    pub fn unframed(&self, body: Full<Bytes>) -> ClientBody<S> {
-        ClientBody::Unframed(body, Rc::clone(&self.client))
+    pub fn unframed(&self, body: Full<Bytes>, running: Rc<RequestGuard>) -> ClientBody<S> {
+        ClientBody::Unframed {
+            body,
+            client: Rc::clone(&self.client),
+            _running: running,
+        }
     }
 
     /// Body of a stream, which becomes the current one.
--- a/crates/web/src/fair_stream.rs
+++ b/crates/web/src/fair_stream.rs
@@ -48,6 +48,12 @@
             flow: InputFlow::default(),
         }
     }
+
+    /// The stream.
+    #[must_use]
+    pub fn get_ref(&self) -> &T {
+        self.stream.get_ref()
+    }
 }
 
 impl<T> FairStream<T> {
--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -9,6 +9,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde_json::Value;
+use tokio::net::{TcpSocket, TcpStream};
 use web::HttpConnection;
 
 use crate::request::read_response;
@@ -129,6 +130,14 @@
             .collect()
     }
 
+    /// Connects with a small buffer, so that the node has to wait for a client that reads slowly.
+    pub async fn connect_narrow(&self) -> TcpStream {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        let set = socket.set_recv_buffer_size(32 << 10);
+        set.expect("a small buffer");
+        socket.connect(self.requests).await.expect("connects")
+    }
+
     /// Waits for a log line that contains all of `parts`.
     pub async fn wait_log_line(&self, parts: &[&str]) -> Value {
         wait_for(&format!("a log line with {parts:?}"), || {
--- a/tests/gateway/pipelined_requests.rs
+++ b/tests/gateway/pipelined_requests.rs
@@ -7,11 +7,12 @@
 use serde_json::json;
 use standin::site::ServiceMode;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::node::{TestNode, wait_for};
-use crate::site::{HOST, KEY, TestSite, configuration};
+use crate::request::request_head;
+use crate::site::{TestSite, configuration};
 
 /// How long a target runs a request.
 const RUN_TIME: Duration = Duration::from_millis(30);
@@ -25,20 +26,13 @@
 /// Connections at a time; the targets have a place for each request.
 const CONNECTIONS: usize = 12;
 
-fn head(method: &str, path: &str, id: &str) -> String {
-    format!(
-        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\nx-credential: {KEY}\r\n\
-         x-deadline-ms: 8000\r\n"
-    )
-}
-
 fn payment(id: &str) -> String {
-    let head = head("POST", "/pay/fee", id);
+    let head = request_head("POST", "/pay/fee", id);
     format!("{head}content-length: 8\r\n\r\namount=5")
 }
 
 fn chunked_payment(id: &str) -> String {
-    let head = head("POST", "/pay/fee", id);
+    let head = request_head("POST", "/pay/fee", id);
     format!("{head}transfer-encoding: chunked\r\n\r\n8\r\namount=5\r\n0\r\n\r\n")
 }
 
@@ -191,7 +185,7 @@
     let node = site.node("n0").await;
     for (round, first) in [payment, chunked_payment].into_iter().enumerate() {
         let mut stream = TcpStream::connect(node.requests).await.expect("connects");
-        let mut second = head("GET", "/look/x", &format!("m{round}b"));
+        let mut second = request_head("GET", "/look/x", &format!("m{round}b"));
         for number in 0..180 {
             write!(second, "x-note-{number}: v\r\n").expect("a String can be written");
         }
@@ -283,15 +277,6 @@
     body.len()
 }
 
-/// Connects with a small buffer, so that the node has to wait for the client.
-async fn connect_narrow(node: &TestNode) -> TcpStream {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket
-        .set_recv_buffer_size(32 << 10)
-        .expect("a small buffer");
-    socket.connect(node.requests).await.expect("connects")
-}
-
 async fn start_large() -> (TestSite, TestNode) {
     let site = TestSite::start(0, 1);
     let mut config = configuration(2);
@@ -308,7 +293,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn next_head_during_response() {
     let (site, node) = start_large().await;
-    let mut complete = head("GET", "/look/x", "n-2");
+    let mut complete = request_head("GET", "/look/x", "n-2");
     let mut many = complete.clone();
     for number in 0..150 {
         write!(many, "x-note-{number}: v\r\n").expect("a String can be written");
@@ -316,9 +301,9 @@
     many.push_str("\r\n");
     complete.push_str("\r\n");
     for second in [complete, many] {
-        let mut stream = connect_narrow(&node).await;
+        let mut stream = node.connect_narrow().await;
         site.instances[0].set_text(&"y".repeat(LARGE_BYTES));
-        let first = format!("{}\r\n", head("GET", "/look/x", "n-1"));
+        let first = format!("{}\r\n", request_head("GET", "/look/x", "n-1"));
         stream.write_all(first.as_bytes()).await.expect("written");
         let runs = site.plain_runs("n-1");
         wait_for("the first request", || {
@@ -338,8 +323,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_during_response() {
     let (site, mut node) = start_large().await;
-    let mut stream = connect_narrow(&node).await;
-    let first = format!("{}\r\n", head("GET", "/look/x", "n-1"));
+    let mut stream = node.connect_narrow().await;
+    let first = format!("{}\r\n", request_head("GET", "/look/x", "n-1"));
     stream.write_all(first.as_bytes()).await.expect("written");
     wait_for("the request", || site.plain_runs("n-1") == 1).await;
     tokio::time::sleep(REST_DELAY * 2).await;
--- a/tests/gateway/request.rs
+++ b/tests/gateway/request.rs
@@ -25,6 +25,14 @@
     pub complete: bool,
 }
 
+/// Head of a request without the empty line at its end, for clients that write their bytes themselves.
+pub fn request_head(method: &str, path: &str, id: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\nx-credential: {KEY}\r\n\
+         x-deadline-ms: 8000\r\n"
+    )
+}
+
 /// Builder for a client request.
 #[derive(Clone)]
 pub struct TestRequest {
