Write that a change is in force also when requests fill the log

What on-call saw: no config_applied for a revision that was in force, on a node with many requests. What a confirmed change is looked up by was missing; clients saw nothing.

Cause: 120 lines a second and 400 at once may be written. Each answered request writes one, and the news that a configuration or an evacuation is in force had the same rank, so it was dropped beside them.

Fix: these lines are written before all others, like those that tell why a client was refused. They are as rare as what operators write.

--- a/crates/events/src/lines.rs
+++ b/crates/events/src/lines.rs
@@ -3,7 +3,7 @@
 //! If the reader of standard output stalls, writes to it block. A separate thread therefore writes
 //! the lines, which it receives through a bounded queue. Lines that exceed the rate limit or find the
 //! queue full are dropped and counted by kind. News is dropped before warnings, and both before lines
-//! that tell why a client's request was refused for good.
+//! that tell why a client's request was refused for good, or from when a change of the operators was in force.
 
 use std::cell::Cell;
 use std::fmt::Write as _;
@@ -51,7 +51,7 @@
     }
 
     /// Marks a line that is written before all others, such as the only one that tells why a client was
-    /// refused.
+    /// refused. What writes such lines must be rare, or bounded by clients' refusals.
     #[must_use]
     pub fn kept(mut self) -> Self {
         self.is_kept = true;
--- a/crates/gateway/src/feed/watchers.rs
+++ b/crates/gateway/src/feed/watchers.rs
@@ -146,6 +146,7 @@
                 self.apply_cold_entries();
             }
             let line = LogLine::new(EventCode::ConfigApplied)
+                .kept()
                 .number("revision", revision.0)
                 .text("source", &self.node.feed.config_origin().to_string());
             self.node.log(&version_fields(line, row.version));
--- a/crates/gateway/src/node/evacuation.rs
+++ b/crates/gateway/src/node/evacuation.rs
@@ -25,7 +25,8 @@
         if code == EventCode::EvacuationEnded {
             self.presume_cold_domain(domain);
         }
-        self.log(&LogLine::new(code).text("failure_domain", domain.as_str()));
+        let line = LogLine::new(code).kept();
+        self.log(&line.text("failure_domain", domain.as_str()));
         self.record_drained_domains();
         self.notify_change();
     }
@@ -74,6 +75,7 @@
             }
             self.evacuations.borrow_mut().record_drained(&domain);
             let line = LogLine::new(EventCode::EvacuationDrained)
+                .kept()
                 .text("failure_domain", domain.as_str())
                 .millis("after_ms", self.now().saturating_sub(begun_at));
             self.log(&line);
